--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Two commands for a newcomer: `make demo` and `make test`. Both install what they need.
+BUILD := build
+PACKAGES := g++ cmake ninja-build ccache clang-format clang-tidy libboost1.81-dev \
+  libboost-json1.81-dev libboost-test1.81-dev libboost-url1.81-dev libzmq3-dev cppzmq-dev \
+  libprotobuf-dev prometheus-cpp-dev libcxxopts-dev libgoogle-glog-dev libyaml-cpp-dev \
+  libxxhash-dev libssl-dev gnuplot-nox
+SEEDS ?= 1000
+
+.PHONY: demo test build deps proto format lint soak
+
+demo: build
+	$(BUILD)/spurrack_demo
+
+test: build lint
+	cd $(BUILD) && ctest --output-on-failure --no-tests=error -j4
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD)
+
+# Installs only what is missing.
+deps:
+	@missing=""; for package in $(PACKAGES); do \
+	  dpkg-query -W -f='$${Status}' $$package 2>/dev/null | grep -q 'ok installed' || missing="$$missing $$package"; \
+	done; \
+	if [ -n "$$missing" ]; then \
+	  apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $$missing; \
+	fi
+
+# Only needed after a change to peer.proto; the result is committed.
+proto:
+	protoc --cpp_out=src/wire --proto_path=src/wire src/wire/peer.proto
+
+format:
+	git ls-files '*.cc' '*.h' | grep -v '\.pb\.' | xargs clang-format -i
+
+lint: build
+	tools/lint.sh $(BUILD)
+
+soak: build
+	$(BUILD)/fleet_soak --seeds $(SEEDS)
--- /dev/null
+++ b/src/admission/stage_queue.cc
@@ -0,0 +1,63 @@
+#include "admission/stage_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace spurrack::admission {
+
+void stage_queue::push(const queue_entry& entry) {
+  auto& tenant = tenants_[entry.tenant];
+  if (tenant.waiting.empty()) {
+    tenant.virtual_start = std::max(tenant.virtual_start, virtual_time_);
+  }
+  tenant.weight = entry.weight;
+  size_ += tenant.waiting.insert(entry).second ? 1 : 0;
+}
+
+std::optional<queue_entry> stage_queue::pop() {
+  tenant_queue* chosen = nullptr;
+  for (auto& [name, tenant] : tenants_) {
+    if (!tenant.waiting.empty() &&
+        (chosen == nullptr || tenant.virtual_start < chosen->virtual_start)) {
+      chosen = &tenant;
+    }
+  }
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  auto entry = *chosen->waiting.begin();
+  chosen->waiting.erase(chosen->waiting.begin());
+  virtual_time_ = chosen->virtual_start;
+  chosen->virtual_start += 1.0 / chosen->weight;
+  --size_;
+  return entry;
+}
+
+bool stage_queue::remove(const queue_entry& entry) {
+  const auto found = tenants_.find(entry.tenant);
+  if (found == tenants_.end() || found->second.waiting.erase(entry) == 0) {
+    return false;
+  }
+  --size_;
+  return true;
+}
+
+double stage_queue::ahead_of(const queue_entry& entry) const {
+  const auto own = tenants_.find(entry.tenant);
+  double own_ahead = 0;
+  if (own != tenants_.end()) {
+    own_ahead = static_cast<double>(
+        std::distance(own->second.waiting.begin(), own->second.waiting.lower_bound(entry)));
+  }
+  double others = 0;
+  for (const auto& [name, tenant] : tenants_) {
+    if (name == entry.tenant) {
+      continue;
+    }
+    const double fair_part = (own_ahead + 1) * tenant.weight / entry.weight;
+    others += std::min(fair_part, static_cast<double>(tenant.waiting.size()));
+  }
+  return own_ahead + others;
+}
+
+} // namespace spurrack::admission
--- /dev/null
+++ b/src/admission/stage_scheduler.cc
@@ -0,0 +1,193 @@
+#include "admission/stage_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::admission {
+namespace {
+
+/// Quantile of the service time that a prediction counts with.
+constexpr double predicted_quantile = 0.7;
+constexpr base::duration least_retry_after = std::chrono::milliseconds(50);
+constexpr base::duration no_backend_retry_after = std::chrono::seconds(1);
+
+/// Weight of a request in the fair queue: its tenant's weight, scaled by its priority.
+double queue_weight(const model::pipeline_plan& plan) {
+  constexpr double neutral_priority = 5.0;
+  return plan.weight * (1.0 + plan.priority) / (1.0 + neutral_priority);
+}
+
+} // namespace
+
+stage_scheduler::stage_scheduler(scheduling_settings settings, routing::backend_table& backends,
+                                 base::random_source& random)
+    : settings_(settings), backends_(&backends), random_(&random) {}
+
+stage_scheduler::pool_state& stage_scheduler::pool(const base::pool_id& name) {
+  auto& state = pools_[name];
+  if (!state.policy) {
+    state.policy = routing::make_policy(settings_.policy, *random_);
+  }
+  return state;
+}
+
+queue_entry stage_scheduler::entry_of(const model::pipeline_plan& plan,
+                                      const base::request_id& request, base::time_point deadline) {
+  return {request, plan.tenant, queue_weight(plan), deadline};
+}
+
+double stage_scheduler::committed_ahead(const pool_state& state,
+                                        const model::pipeline_plan& plan) const {
+  const auto own = state.committed.find(plan.tenant);
+  const double own_count = own == state.committed.end() ? 0.0 : own->second;
+  double ahead = own_count;
+  for (const auto& [tenant, count] : state.committed) {
+    if (tenant != plan.tenant) {
+      // With fair queueing the others get at most their part while this tenant's work is served;
+      // equal weights are assumed, the queue itself applies the real ones.
+      ahead += std::min<double>(count, own_count + 1);
+    }
+  }
+  return ahead;
+}
+
+base::duration stage_scheduler::expected_wait(const base::pool_id& name,
+                                              const model::pipeline_plan& plan,
+                                              base::time_point now) const {
+  const auto found = pools_.find(name);
+  if (found == pools_.end()) {
+    return base::duration::zero();
+  }
+  const double slots = std::max<std::uint32_t>(1, backends_->slots(name, now));
+  const double waiting = committed_ahead(found->second, plan) + 1 - slots;
+  if (waiting <= 0) {
+    return base::duration::zero();
+  }
+  return base::from_seconds(waiting / slots * base::to_seconds(found->second.service_time.mean()));
+}
+
+std::optional<refusal> stage_scheduler::judge(const model::pipeline_plan& plan,
+                                              base::time_point deadline,
+                                              base::time_point now) const {
+  base::duration wait{};
+  for (const auto& step : plan.stages) {
+    if (!backends_->has_pool(step.pool)) {
+      return refusal{true, no_backend_retry_after};
+    }
+    wait = std::max(wait, expected_wait(step.pool, plan, now));
+  }
+  if (!settings_.predict) {
+    return std::nullopt;
+  }
+  // Waits of several stages overlap in time: the longest one counts.
+  const auto finish = now + wait + expected_service(plan, 0);
+  if (finish <= deadline) {
+    return std::nullopt;
+  }
+  return refusal{false, std::max(least_retry_after, finish - deadline)};
+}
+
+void stage_scheduler::commit(const model::pipeline_plan& plan) {
+  for (const auto& step : plan.stages) {
+    ++pool(step.pool).committed[plan.tenant];
+  }
+}
+
+void stage_scheduler::uncommit(pool_state& state, const base::tenant_id& tenant) {
+  const auto found = state.committed.find(tenant);
+  if (found != state.committed.end() && --found->second == 0) {
+    state.committed.erase(found);
+  }
+}
+
+void stage_scheduler::release(const model::pipeline_plan& plan, std::size_t from_stage) {
+  for (std::size_t stage = from_stage; stage < plan.stages.size(); ++stage) {
+    uncommit(pool(plan.stages[stage].pool), plan.tenant);
+  }
+}
+
+void stage_scheduler::stage_done(const model::pipeline_plan& plan, std::size_t stage) {
+  uncommit(pool(plan.stages[stage].pool), plan.tenant);
+}
+
+void stage_scheduler::enqueue(const model::pipeline_plan& plan, std::size_t stage,
+                              const base::request_id& request, base::time_point deadline,
+                              std::uint64_t affinity) {
+  auto& state = pool(plan.stages[stage].pool);
+  state.queue.push(entry_of(plan, request, deadline));
+  state.affinities[request] = affinity;
+}
+
+void stage_scheduler::remove(const model::pipeline_plan& plan, std::size_t stage,
+                             const base::request_id& request, base::time_point deadline) {
+  auto& state = pool(plan.stages[stage].pool);
+  state.queue.remove(entry_of(plan, request, deadline));
+  state.affinities.erase(request);
+}
+
+std::optional<dispatch> stage_scheduler::next(base::time_point now) {
+  const bool ignore_limits = !routing::keeps_limits(settings_.policy);
+  for (auto& [name, state] : pools_) {
+    if (state.queue.empty()) {
+      continue;
+    }
+    const auto candidates = backends_->candidates(name, now, ignore_limits);
+    if (candidates.empty()) {
+      continue;
+    }
+    const auto entry = state.queue.pop();
+    const auto affinity = state.affinities.extract(entry->request);
+    const routing::call_hint hint{affinity.empty() ? 0 : affinity.mapped()};
+    return dispatch{entry->request, state.policy->choose(candidates, hint).target->id};
+  }
+  return std::nullopt;
+}
+
+std::optional<base::time_point> stage_scheduler::next_wakeup(base::time_point now) const {
+  std::optional<base::time_point> earliest;
+  for (const auto& [name, state] : pools_) {
+    if (state.queue.empty()) {
+      continue;
+    }
+    const auto available = backends_->next_available(name, now);
+    if (available && (!earliest || *available < *earliest)) {
+      earliest = available;
+    }
+  }
+  return earliest;
+}
+
+stage_scheduler::stage_key stage_scheduler::key_of(const model::pipeline_plan& plan,
+                                                   std::size_t stage) {
+  const auto& step = plan.stages[stage];
+  return {plan.template_name, step.name, step.model};
+}
+
+void stage_scheduler::observe(const model::pipeline_plan& plan, std::size_t stage,
+                              base::duration service_time) {
+  const auto& step = plan.stages[stage];
+  pool(step.pool).service_time.add(service_time);
+  stage_times_[key_of(plan, stage)].add(service_time);
+}
+
+base::duration stage_scheduler::expected_service(const model::pipeline_plan& plan,
+                                                 std::size_t from_stage) const {
+  base::duration total{};
+  for (std::size_t stage = from_stage; stage < plan.stages.size(); ++stage) {
+    const auto found = stage_times_.find(key_of(plan, stage));
+    if (found != stage_times_.end()) {
+      total += found->second.quantile(predicted_quantile);
+    }
+  }
+  return total;
+}
+
+std::size_t stage_scheduler::waiting() const {
+  std::size_t total = 0;
+  for (const auto& [name, state] : pools_) {
+    total += state.queue.size();
+  }
+  return total;
+}
+
+} // namespace spurrack::admission
--- /dev/null
+++ b/src/base/event_log.h
@@ -0,0 +1,75 @@
+/// Events of one node for the fleet's time line: a bounded ring of typed entries.
+#pragma once
+
+#include "base/hybrid_clock.h"
+#include "base/ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+namespace spurrack::base {
+
+/// What happened. The names given by `name_of` are stable: tools read them.
+enum class event_kind : std::uint8_t {
+  node_started,
+  node_ready,
+  node_stopping,
+  node_resumed_after_pause,
+  member_alive,
+  member_suspected,
+  member_dead,
+  entry_accepted,
+  entry_rejected,
+  entry_older_ignored,
+  service_behind,
+  backend_leaving,
+  backend_ejected,
+  request_received,
+  request_answered,
+  stage_dispatched,
+  stage_completed,
+  stage_retried,
+  stage_cancelled,
+  late_answer_dropped,
+  key_recorded,
+  key_refused,
+  request_forwarded,
+};
+
+/// @return the stable lower-case name of `kind`.
+std::string_view name_of(event_kind kind);
+
+/// One entry of the time line.
+struct event {
+  hybrid_timestamp at;
+  event_kind kind = event_kind::node_started;
+  /// Request concerned; empty where the event is not about one.
+  request_id request;
+  /// Machine, stage or key concerned.
+  std::string subject;
+  /// Short free text for people.
+  std::string detail;
+};
+
+/// The newest `capacity` events. Not thread-safe.
+class event_log {
+ public:
+  explicit event_log(std::size_t capacity) : capacity_(capacity) {}
+
+  /// Adds an event; the oldest leaves when the ring is full.
+  void add(event entry);
+
+  [[nodiscard]] const std::deque<event>& entries() const { return entries_; }
+  /// @return how many events have left the ring.
+  [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  std::size_t capacity_;
+  std::uint64_t dropped_ = 0;
+  std::deque<event> entries_;
+};
+
+} // namespace spurrack::base
--- /dev/null
+++ b/src/base/hybrid_clock.h
@@ -0,0 +1,42 @@
+/// Hybrid logical clock (Kulkarni et al., 2014): timestamps near the wall clock that also respect
+/// cause and effect between nodes.
+#pragma once
+
+#include "base/time.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace spurrack::base {
+
+/// Timestamp ordered first by wall time (microseconds since the epoch), then by a counter.
+struct hybrid_timestamp {
+  std::uint64_t wall_microseconds = 0;
+  std::uint32_t logical = 0;
+  auto operator<=>(const hybrid_timestamp&) const = default;
+};
+
+/// Clock of one node. Not thread-safe.
+class hybrid_clock {
+ public:
+  /// @param wall_offset_microseconds what to add to boot-clock microseconds to get wall time.
+  explicit hybrid_clock(std::int64_t wall_offset_microseconds)
+      : wall_offset_microseconds_(wall_offset_microseconds) {}
+
+  /// @return a timestamp later than every one given or received before.
+  hybrid_timestamp next(time_point now);
+
+  /// Takes note of a timestamp received from a peer. One further ahead than `max_drift` of this
+  /// machine's wall clock is ignored, so that one broken clock cannot drag the fleet along.
+  void observe(const hybrid_timestamp& received, time_point now);
+
+  static constexpr std::uint64_t max_drift_microseconds = 60'000'000;
+
+ private:
+  [[nodiscard]] std::uint64_t wall_now(time_point now) const;
+
+  std::int64_t wall_offset_microseconds_;
+  hybrid_timestamp last_;
+};
+
+} // namespace spurrack::base
--- /dev/null
+++ b/src/base/random.h
@@ -0,0 +1,40 @@
+/// Randomness given from outside, so that a run can be repeated from its seed.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+
+namespace spurrack::base {
+
+/// Source of random numbers. Not thread-safe; owned by whoever drives the decision logic.
+class random_source {
+ public:
+  random_source() = default;
+  random_source(const random_source&) = delete;
+  random_source& operator=(const random_source&) = delete;
+  virtual ~random_source() = default;
+
+  /// @return 64 uniformly distributed bits.
+  virtual std::uint64_t next() = 0;
+
+  /// @return a number in [0, bound); 0 where bound is 0.
+  std::size_t below(std::size_t bound) {
+    return bound == 0 ? 0 : static_cast<std::size_t>(next() % bound);
+  }
+
+  /// @return a number in [0, 1).
+  double unit();
+};
+
+/// Deterministic generator: the same seed gives the same sequence on every machine.
+class seeded_random final : public random_source {
+ public:
+  explicit seeded_random(std::uint64_t seed) : engine_(seed) {}
+  std::uint64_t next() override { return engine_(); }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+} // namespace spurrack::base
--- /dev/null
+++ b/src/catalog/catalog.cc
@@ -0,0 +1,206 @@
+#include "catalog/catalog.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace spurrack::catalog {
+namespace {
+
+std::string describe_faults(const std::vector<model::document_fault>& faults) {
+  std::string text;
+  for (const auto& fault : faults) {
+    text += text.empty() ? "" : "; ";
+    text += model::describe(fault);
+  }
+  return text;
+}
+
+std::string name_part(const std::string& key) {
+  return key.substr(key.find('/') + 1);
+}
+
+/// Bytes of a trivially copyable object. All nodes share one byte order.
+template <typename object>
+std::string_view raw_bytes(const object& value) {
+  return {reinterpret_cast<const char*>(&value), sizeof(value)};
+}
+
+} // namespace
+
+catalog::version catalog::version_of(const wire::catalog_entry& entry) {
+  return {entry.revision(), base::stable_hash(entry.value(), entry.deleted() ? 1 : 0)};
+}
+
+std::size_t catalog::bucket_of(const std::string& key) {
+  return base::stable_hash(key) % bucket_count;
+}
+
+bool catalog::is_known(const slot& place, const version& offered) {
+  return (place.accepted && place.accepted->at == offered) ||
+         (place.rejected && place.rejected->at == offered);
+}
+
+bool catalog::is_older(const slot& place, const version& offered) {
+  return place.accepted && offered < place.accepted->at;
+}
+
+apply_result catalog::apply(const wire::catalog_entry& entry) {
+  auto& place = slots_[entry.key()];
+  stored_entry offered{version_of(entry), entry};
+  if (is_known(place, offered.at)) {
+    return {apply_verdict::duplicate, {}};
+  }
+  if (is_older(place, offered.at)) {
+    return {apply_verdict::older, {}};
+  }
+  highest_revision_ = std::max(highest_revision_, entry.revision());
+  if (entry.deleted()) {
+    accept(place, std::move(offered), std::nullopt);
+    return {apply_verdict::accepted, {}};
+  }
+  const auto parsed = model::parse_record(entry.key(), entry.value());
+  if (parsed.value) {
+    accept(place, std::move(offered), parsed.value);
+    return {apply_verdict::accepted, {}};
+  }
+  if (place.rejected && offered.at < place.rejected->at) {
+    return {apply_verdict::older, {}};
+  }
+  reject(place, std::move(offered), describe_faults(parsed.faults));
+  return {apply_verdict::rejected, place.rejection_reason};
+}
+
+void catalog::accept(slot& place, stored_entry offered, const std::optional<model::record>& value) {
+  const auto key = offered.entry.key();
+  remove_from_index(key);
+  index(key, value);
+  place.accepted = std::move(offered);
+  if (place.rejected && place.rejected->at < place.accepted->at) {
+    place.rejected.reset();
+    place.rejection_reason.clear();
+  }
+  rehash(key, place);
+}
+
+void catalog::reject(slot& place, stored_entry offered, std::string reason) {
+  const auto key = offered.entry.key();
+  place.rejected = std::move(offered);
+  place.rejection_reason = std::move(reason);
+  rehash(key, place);
+}
+
+void catalog::rehash(const std::string& key, slot& place) {
+  auto& bucket = buckets_[bucket_of(key)];
+  bucket ^= place.hash;
+  std::uint64_t hash = base::stable_hash(key);
+  for (const auto* stored : {&place.accepted, &place.rejected}) {
+    const auto at = *stored ? (*stored)->at : version{};
+    hash = base::stable_hash(raw_bytes(at), hash);
+  }
+  place.hash = hash;
+  bucket ^= hash;
+}
+
+void catalog::index(const std::string& key, const std::optional<model::record>& value) {
+  if (!value) {
+    return;
+  }
+  if (const auto* pipeline =
+          std::get_if<std::shared_ptr<const model::pipeline_template>>(&*value)) {
+    templates_[(*pipeline)->name] = *pipeline;
+  } else if (const auto* owner = std::get_if<std::shared_ptr<const model::tenant>>(&*value)) {
+    tenants_[(*owner)->name] = *owner;
+    tenants_by_token_[(*owner)->token_sha256].insert((*owner)->name);
+  } else {
+    machines_[name_part(key)] = std::get<std::shared_ptr<const model::machine>>(*value);
+  }
+}
+
+void catalog::remove_from_index(const std::string& key) {
+  const auto name = name_part(key);
+  if (key.starts_with(model::template_prefix)) {
+    templates_.erase(base::template_id(name));
+  } else if (key.starts_with(model::tenant_prefix)) {
+    remove_tenant(base::tenant_id(name));
+  } else if (key.starts_with(model::machine_prefix)) {
+    machines_.erase(name);
+    ++machine_changes_;
+  }
+}
+
+void catalog::remove_tenant(const base::tenant_id& name) {
+  const auto found = tenants_.find(name);
+  if (found == tenants_.end()) {
+    return;
+  }
+  const auto token = tenants_by_token_.find(found->second->token_sha256);
+  if (token != tenants_by_token_.end()) {
+    token->second.erase(name);
+    if (token->second.empty()) {
+      tenants_by_token_.erase(token);
+    }
+  }
+  tenants_.erase(found);
+}
+
+std::uint64_t catalog::content_hash() const {
+  return base::stable_hash(raw_bytes(buckets_));
+}
+
+std::vector<wire::catalog_entry> catalog::entries_in(std::size_t bucket) const {
+  std::vector<wire::catalog_entry> entries;
+  for (const auto& [key, place] : slots_) {
+    if (bucket_of(key) != bucket) {
+      continue;
+    }
+    if (place.accepted) {
+      entries.push_back(place.accepted->entry);
+    }
+    if (place.rejected) {
+      entries.push_back(place.rejected->entry);
+    }
+  }
+  return entries;
+}
+
+std::shared_ptr<const model::pipeline_template>
+catalog::find_template(const base::template_id& name) const {
+  const auto found = templates_.find(name);
+  return found == templates_.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<const model::tenant>
+catalog::find_tenant_by_token(const std::string& token_sha256) const {
+  const auto found = tenants_by_token_.find(token_sha256);
+  return found == tenants_by_token_.end() ? nullptr : find_tenant(*found->second.begin());
+}
+
+std::shared_ptr<const model::tenant> catalog::find_tenant(const base::tenant_id& name) const {
+  const auto found = tenants_.find(name);
+  return found == tenants_.end() ? nullptr : found->second;
+}
+
+base::revision catalog::revision_of(const std::string& key) const {
+  const auto found = slots_.find(key);
+  if (found == slots_.end() || !found->second.accepted) {
+    return 0;
+  }
+  return found->second.accepted->at.revision;
+}
+
+std::vector<rejection> catalog::rejections() const {
+  std::vector<rejection> found;
+  for (const auto& [key, place] : slots_) {
+    if (place.rejected) {
+      found.push_back({key, place.rejected->at.revision, place.rejection_reason});
+    }
+  }
+  std::sort(found.begin(), found.end(),
+            [](const auto& left, const auto& right) { return left.key < right.key; });
+  return found;
+}
+
+} // namespace spurrack::catalog
--- /dev/null
+++ b/src/catalog/catalog.h
@@ -0,0 +1,123 @@
+/// Replicated set of published records. Entries only ever move forward in (revision, value hash);
+/// deletes are revisions too. Replicas merge in any order and converge to the same content.
+#pragma once
+
+#include "model/record_parser.h"
+#include "wire/peer.pb.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace spurrack::catalog {
+
+/// What became of an entry that was offered.
+enum class apply_verdict : std::uint8_t {
+  accepted,  ///< It is in force now.
+  rejected,  ///< Newest for its key but invalid; the last accepted one stays in force.
+  duplicate, ///< Already known.
+  older,     ///< Not newer than what is known; ignored.
+};
+
+struct apply_result {
+  apply_verdict verdict = apply_verdict::duplicate;
+  /// Why it was rejected, for operators.
+  std::string reason;
+};
+
+/// A rejected entry, as operators see it.
+struct rejection {
+  std::string key;
+  base::revision revision = 0;
+  std::string reason;
+};
+
+using machine_map = std::map<std::string, std::shared_ptr<const model::machine>>;
+using template_map = std::map<base::template_id, std::shared_ptr<const model::pipeline_template>>;
+using tenant_map = std::map<base::tenant_id, std::shared_ptr<const model::tenant>>;
+
+/// Not thread-safe. Shared records live on after they are replaced.
+class catalog {
+ public:
+  /// Number of hash buckets compared by anti-entropy.
+  static constexpr std::size_t bucket_count = 256;
+
+  /// Offers an entry from any source. It is taken in where it is newer than the newest of its key.
+  apply_result apply(const wire::catalog_entry& entry);
+
+  /// @return hash of the whole content; equal on replicas with equal content.
+  [[nodiscard]] std::uint64_t content_hash() const;
+  [[nodiscard]] const std::array<std::uint64_t, bucket_count>& bucket_hashes() const {
+    return buckets_;
+  }
+  /// @return copies of all entries of one bucket: the accepted ones, and newer rejected ones.
+  [[nodiscard]] std::vector<wire::catalog_entry> entries_in(std::size_t bucket) const;
+
+  /// Null where there is none.
+  [[nodiscard]] std::shared_ptr<const model::pipeline_template>
+  find_template(const base::template_id& name) const;
+  /// Where tenants share a token, the one with the least name is found, on every node alike.
+  [[nodiscard]] std::shared_ptr<const model::tenant>
+  find_tenant_by_token(const std::string& token_sha256) const;
+  [[nodiscard]] std::shared_ptr<const model::tenant> find_tenant(const base::tenant_id& name) const;
+
+  [[nodiscard]] const machine_map& machines() const { return machines_; }
+  [[nodiscard]] const template_map& templates() const { return templates_; }
+  [[nodiscard]] const tenant_map& tenants() const { return tenants_; }
+
+  /// @return revision at which the accepted value of `key` was published; 0 where there is none.
+  [[nodiscard]] base::revision revision_of(const std::string& key) const;
+  [[nodiscard]] base::revision highest_revision() const { return highest_revision_; }
+  /// Raised whenever a machine entry changes; lets readers rebuild what they derive from the list.
+  [[nodiscard]] std::uint64_t machine_changes() const { return machine_changes_; }
+  [[nodiscard]] std::vector<rejection> rejections() const;
+  /// @return number of keys ever seen, deleted ones included.
+  [[nodiscard]] std::size_t size() const { return slots_.size(); }
+
+ private:
+  /// Position in the order in which entries replace one another.
+  struct version {
+    base::revision revision = 0;
+    std::uint64_t value_hash = 0;
+    auto operator<=>(const version&) const = default;
+  };
+  struct stored_entry {
+    version at;
+    wire::catalog_entry entry;
+  };
+  struct slot {
+    std::optional<stored_entry> accepted;
+    /// Set while the newest entry of the key is invalid.
+    std::optional<stored_entry> rejected;
+    std::string rejection_reason;
+    std::uint64_t hash = 0;
+  };
+
+  static version version_of(const wire::catalog_entry& entry);
+  static std::size_t bucket_of(const std::string& key);
+  static bool is_known(const slot& place, const version& offered);
+  static bool is_older(const slot& place, const version& offered);
+  void accept(slot& place, stored_entry offered, const std::optional<model::record>& value);
+  void reject(slot& place, stored_entry offered, std::string reason);
+  void rehash(const std::string& key, slot& place);
+  void index(const std::string& key, const std::optional<model::record>& value);
+  void remove_from_index(const std::string& key);
+  void remove_tenant(const base::tenant_id& name);
+
+  std::unordered_map<std::string, slot> slots_;
+  std::array<std::uint64_t, bucket_count> buckets_{};
+  template_map templates_;
+  tenant_map tenants_;
+  std::unordered_map<std::string, std::set<base::tenant_id>> tenants_by_token_;
+  machine_map machines_;
+  std::uint64_t machine_changes_ = 0;
+  base::revision highest_revision_ = 0;
+};
+
+} // namespace spurrack::catalog
--- /dev/null
+++ b/src/catalog/replicator.h
@@ -0,0 +1,62 @@
+/// Spreads catalog entries between nodes: rumours for what is new, anti-entropy for what was
+/// missed.
+#pragma once
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "catalog/catalog.h"
+#include "wire/outgoing.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace spurrack::catalog {
+
+/// Called for every entry that was offered and was not a duplicate.
+using apply_observer = std::function<void(const wire::catalog_entry&, const apply_result&)>;
+
+/// Not thread-safe. References given must outlive the object.
+class replicator {
+ public:
+  /// Peers each node passes a new entry on to.
+  static constexpr std::size_t rumour_fanout = 3;
+  /// Rounds for which an entry is passed on; 3^6 exceeds the nodes of any zone.
+  static constexpr std::uint32_t rumour_hops = 6;
+  /// How long hashes must differ before buckets are compared, so that rumours under way can arrive.
+  static constexpr base::duration settle_time = std::chrono::milliseconds(1000);
+  /// Least time between two comparisons begun by this node.
+  static constexpr base::duration exchange_period = std::chrono::milliseconds(250);
+
+  replicator(catalog& content, base::random_source& random, apply_observer observer);
+
+  /// Takes in entries read from the service and passes the new ones on.
+  void offer(const std::vector<wire::catalog_entry>& entries,
+             const std::vector<base::network_address>& peers, base::time_point now,
+             wire::outbox& out);
+
+  /// Compares a peer's content hash, seen on any message, and begins an exchange where it differs.
+  /// @param eager begin at once, as a node that is starting or was paused does.
+  void compare(const base::network_address& peer, std::uint64_t peer_hash, bool eager,
+               base::time_point now, wire::outbox& out);
+
+  /// Handles push, buckets and pull; other bodies are ignored.
+  void handle(const wire::envelope& message, const std::vector<base::network_address>& peers,
+              base::time_point now, wire::outbox& out);
+
+ private:
+  bool take(const wire::catalog_entry& entry, base::time_point now);
+  void pass_on(const std::vector<wire::catalog_entry>& fresh, std::uint32_t hops,
+               const std::vector<base::network_address>& peers, wire::outbox& out);
+  void answer_buckets(const wire::envelope& message, wire::outbox& out);
+  void send_bucket(std::size_t bucket, const base::network_address& peer, wire::outbox& out);
+
+  catalog* content_;
+  base::random_source* random_;
+  apply_observer observer_;
+  base::time_point last_change_;
+  base::time_point last_exchange_;
+};
+
+} // namespace spurrack::catalog
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,80 @@
+/// spurrackd: the daemon. Reads its settings, starts one node, runs until SIGTERM.
+#include "daemon/runtime.h"
+#include "logging/json_log.h"
+#include "settings/settings.h"
+
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_bad_settings = 2;
+constexpr int exit_cannot_start = 3;
+
+std::optional<spurrack::settings::daemon_settings> read_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  auto result = spurrack::settings::parse_settings(text.str());
+  for (const auto& fault : result.faults) {
+    std::cerr << path << ": " << spurrack::model::describe(fault) << "\n";
+  }
+  return std::move(result.value);
+}
+
+int run(const std::string& path, bool check_only) {
+  auto settings = read_settings(path);
+  if (!settings) {
+    return exit_bad_settings;
+  }
+  if (check_only) {
+    std::cout << path << ": ok\n";
+    return exit_ok;
+  }
+  spurrack::logging::start("spurrackd", settings->node.self.node.text(),
+                           settings->node.self.zone.text());
+  try {
+    boost::asio::io_context io(1);
+    spurrack::daemon::runtime runtime(io, std::move(*settings));
+    io.run();
+  } catch (const std::exception& error) {
+    spurrack::logging::write(spurrack::logging::severity::error, "cannot go on",
+                             {{"reason", error.what()}});
+    return exit_cannot_start;
+  }
+  return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("spurrackd", "Serves multi-stage model pipelines.");
+  options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())(
+      "check-settings",
+      "check the settings and exit")("version", "print the version")("help", "print this help");
+  try {
+    const auto given = options.parse(argc, argv);
+    if (given.count("help") > 0) {
+      std::cout << options.help()
+                << "\nExit codes: 0 stopped or settings valid, 2 bad usage or "
+                   "settings, 3 cannot start.\n";
+      return exit_ok;
+    }
+    if (given.count("version") > 0) {
+      std::cout << "spurrackd " SPURRACK_VERSION "\n";
+      return exit_ok;
+    }
+    return run(given["settings"].as<std::string>(), given.count("check-settings") > 0);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << error.what() << "\n";
+    return exit_bad_settings;
+  }
+}
--- /dev/null
+++ b/src/daemon/operator_documents.cc
@@ -0,0 +1,177 @@
+#include "daemon/operator_documents.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace spurrack::daemon {
+namespace {
+
+namespace json = boost::json;
+
+double milliseconds(base::duration span) {
+  constexpr double thousand = 1e3;
+  return base::to_seconds(span) * thousand;
+}
+
+json::value age_of(const std::optional<base::time_point>& moment, base::time_point now) {
+  if (!moment) {
+    return nullptr;
+  }
+  return base::to_milliseconds(now - *moment);
+}
+
+json::object status_document(const node::node& subject, base::time_point now) {
+  const auto& content = subject.content();
+  json::object body;
+  body["node"] = subject.settings().self.node.text();
+  body["zone"] = subject.settings().self.zone.text();
+  body["ready"] = subject.is_ready();
+  body["stopping"] = subject.is_stopping();
+  body["active_requests"] = subject.executor().active();
+  body["waiting_calls"] = subject.scheduler().waiting();
+  body["may_witness"] = subject.guard().may_witness(now);
+  body["configuration_hash"] = std::to_string(content.content_hash());
+  body["highest_revision"] = content.highest_revision();
+  body["configuration_age_ms"] =
+      age_of(subject.watch(node::source_kind::configuration).last_answer(), now);
+  body["machine_list_age_ms"] =
+      age_of(subject.watch(node::source_kind::machine_list).last_answer(), now);
+  body["service_calls"] = subject.watch(node::source_kind::configuration).calls() +
+                          subject.watch(node::source_kind::machine_list).calls();
+  json::array rejections;
+  for (const auto& rejected : content.rejections()) {
+    rejections.push_back(json::object{{"key", rejected.key},
+                                      {"revision", rejected.revision},
+                                      {"in_force", content.revision_of(rejected.key)},
+                                      {"reason", rejected.reason}});
+  }
+  body["rejected"] = std::move(rejections);
+  return body;
+}
+
+std::string_view name_of(wire::member_state state) {
+  switch (state) {
+  case wire::ALIVE:
+    return "alive";
+  case wire::SUSPECT:
+    return "suspect";
+  default:
+    return "dead";
+  }
+}
+
+json::object nodes_document(const node::node& subject, base::time_point now) {
+  json::array nodes;
+  for (const auto& [name, other] : subject.members().members()) {
+    nodes.push_back(json::object{{"node", name.text()},
+                                 {"zone", other.zone.text()},
+                                 {"address", other.address.text()},
+                                 {"state", name_of(other.state)},
+                                 {"since_ms", base::to_milliseconds(now - other.since)},
+                                 {"incarnation", other.incarnation}});
+  }
+  return {{"nodes", std::move(nodes)}};
+}
+
+json::object backends_document(const node::node& subject, base::time_point now) {
+  json::array backends;
+  for (const auto& [name, target] : subject.backends().all()) {
+    backends.push_back(json::object{{"backend", name.text()},
+                                    {"zone", target.zone.text()},
+                                    {"pool", target.pool.text()},
+                                    {"address", target.address.text()},
+                                    {"generation", target.generation},
+                                    {"concurrency", target.concurrency},
+                                    {"in_flight", target.in_flight},
+                                    {"average_ms", milliseconds(target.average_latency)},
+                                    {"leaving", subject.backends().is_leaving(target)},
+                                    {"avoided", now < target.avoid_until}});
+  }
+  return {{"backends", std::move(backends)}};
+}
+
+json::object templates_document(const node::node& subject) {
+  const auto& content = subject.content();
+  json::array templates;
+  for (const auto& [name, pipeline] : content.templates()) {
+    json::array stages;
+    for (const auto& step : pipeline->stages) {
+      stages.push_back(json::object{{"name", step.name},
+                                    {"kind", model::name_of(step.kind)},
+                                    {"pool", step.pool.text()},
+                                    {"repeatable", step.repeatable}});
+    }
+    templates.push_back(json::object{{"template", name.text()},
+                                     {"revision", content.revision_of("templates/" + name.text())},
+                                     {"deadline_ms", base::to_milliseconds(pipeline->deadline)},
+                                     {"stages", std::move(stages)}});
+  }
+  json::array tenants;
+  for (const auto& [name, owner] : content.tenants()) {
+    tenants.push_back(json::object{{"tenant", name.text()},
+                                   {"revision", content.revision_of("tenants/" + name.text())},
+                                   {"weight", owner->weight}});
+  }
+  return {{"templates", std::move(templates)}, {"tenants", std::move(tenants)}};
+}
+
+json::object costs_document(const node::node& subject) {
+  json::array rows;
+  for (const auto& [key, totals] : subject.executor().counts().pipelines) {
+    for (const auto& [stage, cost] : totals.stages) {
+      rows.push_back(json::object{{"tenant", key.tenant.text()},
+                                  {"template", key.pipeline.text()},
+                                  {"stage", stage},
+                                  {"backend_ms", milliseconds(cost.backend_time)},
+                                  {"wasted_ms", milliseconds(cost.wasted_time)},
+                                  {"tokens", cost.tokens},
+                                  {"attempts", cost.attempts}});
+    }
+  }
+  return {{"costs", std::move(rows)}};
+}
+
+json::object timeline_document(const node::node& subject) {
+  json::array events;
+  for (const auto& entry : subject.events().entries()) {
+    events.push_back(json::object{{"at_us", entry.at.wall_microseconds},
+                                  {"logical", entry.at.logical},
+                                  {"node", subject.settings().self.node.text()},
+                                  {"event", base::name_of(entry.kind)},
+                                  {"request_id", entry.request.text()},
+                                  {"subject", entry.subject},
+                                  {"detail", entry.detail}});
+  }
+  return {{"events", std::move(events)}, {"dropped", subject.events().dropped()}};
+}
+
+} // namespace
+
+std::optional<http::operator_document> make_document(const std::string& path,
+                                                     const node::node& subject,
+                                                     const process_facts& facts,
+                                                     base::time_point now) {
+  if (path == "/metrics") {
+    return http::operator_document{"text/plain; version=0.0.4", make_metrics(subject, facts, now)};
+  }
+  json::object body;
+  if (path == "/v1/status") {
+    body = status_document(subject, now);
+  } else if (path == "/v1/nodes") {
+    body = nodes_document(subject, now);
+  } else if (path == "/v1/backends") {
+    body = backends_document(subject, now);
+  } else if (path == "/v1/templates") {
+    body = templates_document(subject);
+  } else if (path == "/v1/costs") {
+    body = costs_document(subject);
+  } else if (path == "/v1/timeline") {
+    body = timeline_document(subject);
+  } else {
+    return std::nullopt;
+  }
+  return http::operator_document{"application/json", json::serialize(body) + "\n"};
+}
+
+} // namespace spurrack::daemon
--- /dev/null
+++ b/src/daemon/operator_documents.h
@@ -0,0 +1,27 @@
+/// The documents that operators read: JSON about one node, and its metrics.
+#pragma once
+
+#include "http/operator_server.h"
+#include "node/node.h"
+
+#include <cstdint>
+
+namespace spurrack::daemon {
+
+/// Facts that the node itself does not know.
+struct process_facts {
+  std::uint64_t peer_messages_dropped = 0;
+  std::size_t callers_busy = 0;
+};
+
+/// @return the document at `path`; nothing where there is none.
+std::optional<http::operator_document> make_document(const std::string& path,
+                                                     const node::node& subject,
+                                                     const process_facts& facts,
+                                                     base::time_point now);
+
+/// @return the metrics in the Prometheus text format.
+std::string make_metrics(const node::node& subject, const process_facts& facts,
+                         base::time_point now);
+
+} // namespace spurrack::daemon
--- /dev/null
+++ b/src/daemon/runtime.cc
@@ -0,0 +1,150 @@
+#include "daemon/runtime.h"
+
+#include "backends/http_backend_client.h"
+#include "daemon/operator_documents.h"
+#include "logging/json_log.h"
+#include "peers/zmq_transport.h"
+#include "platform/http_platform_client.h"
+
+#include <boost/asio/post.hpp>
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace spurrack::daemon {
+namespace {
+
+constexpr std::chrono::milliseconds exit_poll{20};
+
+std::uint64_t random_seed() {
+  std::random_device device;
+  constexpr unsigned half = 32;
+  return (static_cast<std::uint64_t>(device()) << half) | device();
+}
+
+std::int64_t wall_offset() {
+  const auto boot = std::chrono::duration_cast<std::chrono::microseconds>(
+      base::boot_clock::now().time_since_epoch());
+  return static_cast<std::int64_t>(base::wall_clock_microseconds()) - boot.count();
+}
+
+settings::daemon_settings with_process_start(settings::daemon_settings settings) {
+  settings.node.self.process_start = base::wall_clock_microseconds();
+  settings.node.wall_offset_microseconds = wall_offset();
+  return settings;
+}
+
+} // namespace
+
+runtime::runtime(boost::asio::io_context& io, settings::daemon_settings settings)
+    : io_(&io), settings_(with_process_start(std::move(settings))), random_(random_seed()),
+      node_(settings_.node, random_, base::boot_clock::now()), wakeup_(io), exit_timer_(io),
+      signals_(io, SIGTERM, SIGINT) {
+  peers_ = peers::make_zmq_transport(
+      io, settings_.peer_listen, settings_.curve,
+      [this](wire::envelope message) { post(node::peer_message{std::move(message)}); });
+  backends_ = backends::make_http_backend_client(
+      io, {[this](execution::call_result result) { post(std::move(result)); },
+           [this](execution::call_token token) { post(std::move(token)); }});
+  platform_ = platform::make_http_platform_client(
+      io, settings_.configuration_service, settings_.machine_list_service,
+      {[this](node::service_answered answer) { post(std::move(answer)); },
+       [this](node::service_failed failure) { post(failure); }});
+  callers_ = http::make_caller_server(
+      io, settings_.caller_listen, settings_.callers,
+      {[this](node::caller_arrived arrived) { post(std::move(arrived)); },
+       [this](node::ticket_wanted wanted) { post(std::move(wanted)); },
+       [this](node::caller_left left) { post(left); }, [this] { return node_.is_ready(); }});
+  operators_ =
+      http::make_operator_server(io, settings_.operator_listen, [this](const std::string& path) {
+        return make_document(path, node_, {peers_->dropped(), callers_->busy()},
+                             base::boot_clock::now());
+      });
+  signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+    if (!error) {
+      begin_stop();
+    }
+  });
+  logging::write(logging::severity::info, "started",
+                 {{"callers", settings_.caller_listen}, {"peers", settings_.peer_listen}});
+  post(node::time_passed{});
+}
+
+void runtime::post(node::event what) {
+  boost::asio::post(*io_, [this, what = std::move(what)] { handle(what); });
+}
+
+void runtime::handle(const node::event& what) {
+  const bool was_ready = node_.is_ready();
+  auto commands = node_.handle(what, base::boot_clock::now());
+  for (auto& wanted : commands) {
+    carry_out(wanted);
+  }
+  if (node_.is_ready() != was_ready) {
+    logging::write(logging::severity::info, node_.is_ready() ? "ready" : "not ready");
+  }
+  schedule_wakeup();
+}
+
+void runtime::schedule_wakeup() {
+  const auto wait = node_.next_wakeup() - base::boot_clock::now();
+  wakeup_.expires_after(std::max(wait, base::duration::zero()));
+  wakeup_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      handle(node::time_passed{});
+    }
+  });
+}
+
+void runtime::carry_out(node::command& wanted) {
+  if (auto* message = std::get_if<wire::outgoing>(&wanted)) {
+    peers_->send(message->to, message->message);
+  } else if (auto* start = std::get_if<execution::start_call>(&wanted)) {
+    backends_->start(start->call);
+  } else if (auto* cancel = std::get_if<execution::cancel_call>(&wanted)) {
+    backends_->cancel(cancel->call);
+  } else if (auto* token = std::get_if<execution::send_token>(&wanted)) {
+    callers_->send_token(token->caller, token->offset, std::move(token->text));
+  } else if (auto* answer = std::get_if<execution::send_answer>(&wanted)) {
+    log_answer(answer->content);
+    const auto caller = std::get<execution::local_caller>(answer->caller);
+    callers_->send_answer(caller.id, std::move(answer->content));
+  } else if (auto* ticket = std::get_if<node::send_ticket>(&wanted)) {
+    callers_->send_ticket(ticket->caller, std::move(ticket->ticket), ticket->lifetime);
+  } else if (auto* read = std::get_if<node::read_service>(&wanted)) {
+    platform_->read(*read);
+  } else if (std::holds_alternative<node::stop_completed>(wanted)) {
+    exit_when_written();
+  }
+}
+
+void runtime::log_answer(const execution::answer& content) {
+  const bool completed = content.outcome == model::outcome::completed;
+  logging::write(completed ? logging::severity::info : logging::severity::warning,
+                 "request answered",
+                 {{"request_id", content.request.text()},
+                  {"outcome", std::string(model::name_of(content.outcome))},
+                  {"reason", std::string(execution::name_of(content.why))}});
+}
+
+void runtime::begin_stop() {
+  logging::write(logging::severity::info, "stopping");
+  post(node::stop_requested{});
+}
+
+void runtime::exit_when_written() {
+  if (callers_->busy() == 0) {
+    logging::write(logging::severity::info, "stopped");
+    io_->stop();
+    return;
+  }
+  exit_timer_.expires_after(exit_poll);
+  exit_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      exit_when_written();
+    }
+  });
+}
+
+} // namespace spurrack::daemon
--- /dev/null
+++ b/src/execution/effect_guard.cc
@@ -0,0 +1,372 @@
+#include "execution/effect_guard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::execution {
+namespace {
+
+constexpr base::duration young_witness_retry = std::chrono::seconds(5);
+/// Messages may be lost; questions are repeated, which witnesses and owners recognise.
+constexpr base::duration resend_period = std::chrono::milliseconds(100);
+constexpr base::duration no_majority_retry = std::chrono::seconds(1);
+
+} // namespace
+
+effect_guard::effect_guard(guard_settings settings, membership::identity self,
+                           base::random_source& random, address_lookup lookup,
+                           event_recorder record, base::time_point started)
+    : settings_(settings), self_(std::move(self)), random_(&random), lookup_(std::move(lookup)),
+      record_(std::move(record)), witness_(started, settings.key_lifetime),
+      lists_(settings.list_window) {}
+
+void effect_guard::update_list(const catalog::machine_map& machines, base::time_point now) {
+  lists_.update(machines, now);
+}
+
+std::string effect_guard::key_of(const guarded_request& guarded) {
+  if (!guarded.ticket.empty()) {
+    return "ticket/" + guarded.ticket;
+  }
+  return "key/" + guarded.request.plan->tenant.text() + "/" + guarded.idempotency_key;
+}
+
+std::string effect_guard::issue(base::time_point now) {
+  const auto issued = idempotency::issue_ticket(self_.node, self_.process_start, *random_);
+  effects_.issue("ticket/" + issued.text(), now + settings_.ticket_lifetime);
+  return issued.text();
+}
+
+void effect_guard::begin(guarded_request request, base::time_point now) {
+  if (join_known_effect(key_of(request), request)) {
+    return;
+  }
+  if (!request.ticket.empty()) {
+    begin_with_ticket(std::move(request), now);
+  } else {
+    begin_with_key(std::move(request), now);
+  }
+}
+
+void effect_guard::begin_forwarded(guarded_request request, base::time_point now) {
+  const auto key = key_of(request);
+  if (join_known_effect(key, request)) {
+    return;
+  }
+  const auto pending = acquiring_.find(key);
+  if (pending != acquiring_.end()) {
+    pending->second.more_callers.push_back(request.request.caller);
+  } else if (!request.ticket.empty()) {
+    begin_with_ticket(std::move(request), now);
+  } else {
+    // A witness named this node, but its request gave the key up before it was dispatched.
+    refuse(request, {}, model::outcome::not_run, reason::key_in_use, no_majority_retry);
+  }
+}
+
+bool effect_guard::join_known_effect(const std::string& key, const guarded_request& guarded) {
+  const auto* known = effects_.find(key);
+  if (known == nullptr || known->state == idempotency::effect_state::issued) {
+    return false;
+  }
+  if (known->state == idempotency::effect_state::running) {
+    decisions_.emplace_back(attach_decision{known->request, guarded.request.caller});
+    return true;
+  }
+  const bool may_run_again = known->answer->outcome == model::outcome::not_run &&
+                             guarded.request.deadline < known->expires;
+  if (may_run_again) {
+    run(guarded.request, key, {}, known->expires);
+  } else {
+    decide_answer(guarded, guarded.request.caller, *known->answer);
+  }
+  return true;
+}
+
+void effect_guard::begin_with_ticket(guarded_request guarded, base::time_point now) {
+  const auto parsed = idempotency::ticket::parse(guarded.ticket);
+  if (!parsed) {
+    refuse(guarded, {}, model::outcome::not_run, reason::ticket_invalid, {});
+    return;
+  }
+  if (parsed->node != self_.node) {
+    const auto owner = lookup_(parsed->node);
+    if (!owner) {
+      refuse(guarded, {}, model::outcome::unknown, reason::owner_unreachable, {});
+      return;
+    }
+    forward(std::move(guarded), {}, *owner, parsed->process_start, now);
+    return;
+  }
+  const auto key = key_of(guarded);
+  const auto* known = effects_.find(key);
+  if (parsed->process_start != self_.process_start || known == nullptr || known->expires <= now) {
+    // Whether an earlier life, or this one before the record was dropped, ran it is not known.
+    refuse(guarded, {}, model::outcome::unknown, reason::ticket_expired, {});
+    return;
+  }
+  run(std::move(guarded.request), key, {}, now + settings_.key_lifetime);
+}
+
+void effect_guard::begin_with_key(guarded_request guarded, base::time_point now) {
+  const auto key = key_of(guarded);
+  const auto pending = acquiring_.find(key);
+  if (pending != acquiring_.end()) {
+    pending->second.more_callers.push_back(guarded.request.caller);
+    return;
+  }
+  idempotency::key_acquisition acquisition(key, lists_.sets_for(key, now));
+  const auto give_up_at = std::min(now + settings_.witness_timeout, guarded.request.deadline);
+  const auto place = acquiring_
+                         .emplace(key, acquiring_request{std::move(guarded),
+                                                         std::move(acquisition),
+                                                         {},
+                                                         give_up_at,
+                                                         now + resend_period})
+                         .first;
+  ask_witnesses(place->second, key);
+  settle(key, now);
+}
+
+void effect_guard::ask_witnesses(const acquiring_request& acquiring, const std::string& key) {
+  for (const auto& witness : acquiring.acquisition.unanswered()) {
+    const auto address = witness == self_.node ? self_.address : lookup_(witness);
+    if (!address) {
+      continue;
+    }
+    wire::outgoing question{*address, {}};
+    auto& body = *question.message.mutable_record_key();
+    body.set_key(key);
+    body.mutable_owner()->set_node(self_.node.text());
+    body.mutable_owner()->set_incarnation(self_.process_start);
+    body.mutable_owner()->set_request(acquiring.guarded.request.id.text());
+    body.mutable_owner()->set_address(self_.address.text());
+    body.set_lifetime_milliseconds(
+        static_cast<std::uint64_t>(base::to_milliseconds(settings_.key_lifetime)));
+    body.set_node_list_hash(lists_.current_hash());
+    messages_.push_back(std::move(question));
+  }
+}
+
+void effect_guard::handle(const wire::envelope& message, base::time_point now) {
+  if (message.has_record_key()) {
+    wire::outgoing reply{base::network_address(message.sender_address()), {}};
+    *reply.message.mutable_record_key_reply() =
+        witness_.record(message.record_key(), lists_.current_hash(), now);
+    messages_.push_back(std::move(reply));
+  } else if (message.has_record_key_reply()) {
+    on_record_reply(message, now);
+  } else if (message.has_key_release()) {
+    witness_.release(message.key_release());
+  } else if (message.has_forwarded_reply()) {
+    on_forwarded_reply(message.forwarded_reply());
+  }
+}
+
+void effect_guard::on_record_reply(const wire::envelope& message, base::time_point now) {
+  const auto& reply = message.record_key_reply();
+  const auto found = acquiring_.find(reply.key());
+  if (found == acquiring_.end() || found->second.guarded.request.id.text() != reply.request()) {
+    return;
+  }
+  found->second.acquisition.on_reply(base::node_id(message.sender()), reply);
+  settle(reply.key(), now);
+}
+
+void effect_guard::settle(const std::string& key, base::time_point now) {
+  const auto state = acquiring_.at(key).acquisition.state();
+  if (state == idempotency::acquisition_state::pending) {
+    return;
+  }
+  auto entry = std::move(acquiring_.extract(key).mapped());
+  if (state == idempotency::acquisition_state::acquired) {
+    record_(base::event_kind::key_recorded, entry.guarded.request.id, key, "majority of witnesses");
+    run(std::move(entry.guarded.request), key, std::move(entry.more_callers),
+        now + settings_.key_lifetime);
+    return;
+  }
+  release(entry);
+  record_(base::event_kind::key_refused, entry.guarded.request.id, key,
+          state == idempotency::acquisition_state::held ? "held by another request"
+                                                        : "no majority of witnesses");
+  const auto& holder = entry.acquisition.holder();
+  if (state == idempotency::acquisition_state::held && holder->node() != self_.node.text()) {
+    forward(std::move(entry.guarded), std::move(entry.more_callers),
+            base::network_address(holder->address()), holder->incarnation(), now);
+    return;
+  }
+  if (state == idempotency::acquisition_state::held) {
+    // The holder is this node, but no effect is known: an earlier life, or a request that gave up.
+    const bool earlier_life = holder->incarnation() != self_.process_start;
+    refuse(entry.guarded, entry.more_callers,
+           earlier_life ? model::outcome::unknown : model::outcome::not_run, reason::key_in_use,
+           no_majority_retry);
+    return;
+  }
+  const bool young = entry.acquisition.met_young_witness();
+  refuse(entry.guarded, entry.more_callers, model::outcome::not_run,
+         young ? reason::key_witnesses_young : reason::key_no_majority,
+         young ? young_witness_retry : no_majority_retry);
+}
+
+void effect_guard::release(const acquiring_request& acquiring) {
+  for (const auto& witness : acquiring.acquisition.witnesses()) {
+    const auto address = witness == self_.node ? self_.address : lookup_(witness);
+    if (address) {
+      wire::outgoing message{*address, {}};
+      message.message.mutable_key_release()->set_key(acquiring.acquisition.key());
+      message.message.mutable_key_release()->set_request(acquiring.guarded.request.id.text());
+      messages_.push_back(std::move(message));
+    }
+  }
+}
+
+void effect_guard::forward(guarded_request guarded, std::vector<caller_ref> more_callers,
+                           const base::network_address& owner, base::incarnation owner_incarnation,
+                           base::time_point now) {
+  const auto id = next_forward_++;
+  record_(base::event_kind::request_forwarded, guarded.request.id, owner.text(), "");
+  const auto place =
+      forwarded_
+          .emplace(id,
+                   forwarded_entry{
+                       std::move(guarded), std::move(more_callers), owner, owner_incarnation, {}})
+          .first;
+  send_forward(id, place->second, now);
+}
+
+void effect_guard::send_forward(std::uint64_t id, forwarded_entry& entry, base::time_point now) {
+  const auto& guarded = entry.guarded;
+  wire::outgoing message{entry.owner, {}};
+  auto& body = *message.message.mutable_forwarded_request();
+  body.set_forward_id(id);
+  body.set_tenant(guarded.request.plan->tenant.text());
+  body.set_pipeline(guarded.request.plan->template_name.text());
+  body.set_input(guarded.request.input);
+  body.set_deadline_milliseconds(
+      static_cast<std::uint64_t>(base::to_milliseconds(guarded.request.deadline - now)));
+  body.set_ticket(guarded.ticket);
+  body.set_idempotency_key(guarded.idempotency_key);
+  body.set_owner_incarnation(entry.owner_incarnation);
+  messages_.push_back(std::move(message));
+  entry.resend_at = now + resend_period;
+}
+
+void effect_guard::on_forwarded_reply(const wire::forwarded_reply& reply) {
+  auto found = forwarded_.extract(reply.forward_id());
+  if (found.empty()) {
+    return;
+  }
+  const auto& entry = found.mapped();
+  if (!reply.is_owner()) {
+    refuse(entry.guarded, entry.more_callers, model::outcome::unknown, reason::owner_unreachable,
+           {});
+    return;
+  }
+  const auto content = from_wire(reply.answer());
+  decide_answer(entry.guarded, entry.guarded.request.caller, content);
+  for (const auto& caller : entry.more_callers) {
+    decide_answer(entry.guarded, caller, content);
+  }
+}
+
+void effect_guard::run(admitted_request request, const std::string& key,
+                       std::vector<caller_ref> more_callers, base::time_point expires) {
+  const auto id = request.id;
+  effects_.run(key, id, expires);
+  decisions_.emplace_back(run_decision{std::move(request)});
+  for (auto& caller : more_callers) {
+    decisions_.emplace_back(attach_decision{id, caller});
+  }
+}
+
+void effect_guard::refuse(const guarded_request& guarded,
+                          const std::vector<caller_ref>& more_callers, model::outcome outcome,
+                          reason why, base::duration retry_after) {
+  answer content;
+  content.outcome = outcome;
+  content.why = why;
+  content.request = guarded.request.id;
+  content.retry_after = retry_after;
+  decide_answer(guarded, guarded.request.caller, content);
+  for (const auto& caller : more_callers) {
+    decide_answer(guarded, caller, content);
+  }
+}
+
+void effect_guard::decide_answer(const guarded_request& guarded, const caller_ref& caller,
+                                 const answer& content) {
+  decisions_.emplace_back(answer_decision{
+      caller, content, {guarded.request.plan->tenant, guarded.request.plan->template_name}});
+}
+
+void effect_guard::on_answer(const answer& content) {
+  effects_.answer(content.request, content);
+}
+
+void effect_guard::tick(base::time_point now) {
+  witness_.expire(now);
+  effects_.expire(now);
+  tick_acquisitions(now);
+  tick_forwards(now);
+}
+
+void effect_guard::tick_acquisitions(base::time_point now) {
+  std::vector<std::string> late;
+  for (auto& [key, entry] : acquiring_) {
+    if (entry.give_up_at <= now) {
+      late.push_back(key);
+    } else if (entry.resend_at <= now) {
+      entry.resend_at = now + resend_period;
+      ask_witnesses(entry, key);
+    }
+  }
+  for (const auto& key : late) {
+    const auto entry = std::move(acquiring_.extract(key).mapped());
+    release(entry);
+    record_(base::event_kind::key_refused, entry.guarded.request.id, key,
+            "witnesses did not answer");
+    refuse(entry.guarded, entry.more_callers, model::outcome::not_run, reason::key_no_majority,
+           no_majority_retry);
+  }
+}
+
+void effect_guard::tick_forwards(base::time_point now) {
+  std::vector<std::uint64_t> late;
+  for (auto& [id, entry] : forwarded_) {
+    if (entry.guarded.request.deadline <= now) {
+      late.push_back(id);
+    } else if (entry.resend_at <= now) {
+      send_forward(id, entry, now);
+    }
+  }
+  for (const auto id : late) {
+    const auto entry = std::move(forwarded_.extract(id).mapped());
+    refuse(entry.guarded, entry.more_callers, model::outcome::unknown, reason::owner_unreachable,
+           {});
+  }
+}
+
+std::optional<base::time_point> effect_guard::next_deadline() const {
+  std::optional<base::time_point> earliest;
+  const auto consider = [&](base::time_point when) {
+    earliest = earliest ? std::min(*earliest, when) : when;
+  };
+  for (const auto& [key, entry] : acquiring_) {
+    consider(std::min(entry.give_up_at, entry.resend_at));
+  }
+  for (const auto& [id, entry] : forwarded_) {
+    consider(std::min(entry.guarded.request.deadline, entry.resend_at));
+  }
+  return earliest;
+}
+
+std::vector<guard_decision> effect_guard::take_decisions() {
+  return std::exchange(decisions_, {});
+}
+
+wire::outbox effect_guard::take_messages() {
+  return std::exchange(messages_, {});
+}
+
+} // namespace spurrack::execution
--- /dev/null
+++ b/src/http/caller_request_parser.cc
@@ -0,0 +1,131 @@
+#include "http/caller_request_parser.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace spurrack::http {
+namespace {
+
+namespace beast_http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr std::string_view pipelines_path = "/v1/pipelines/";
+constexpr std::string_view tickets_path = "/v1/tickets";
+constexpr std::string_view bearer_prefix = "Bearer ";
+constexpr std::size_t longest_name = 256;
+constexpr std::size_t deepest_json = 8;
+
+refused_request refused(request_fault fault, std::string detail) {
+  return {fault, std::move(detail)};
+}
+
+std::string header(const http_request& message, std::string_view name) {
+  const auto value = message[boost::beast::string_view(name.data(), name.size())];
+  return {value.data(), value.size()};
+}
+
+std::string token_of(const http_request& message) {
+  const auto value = header(message, "Authorization");
+  return value.starts_with(bearer_prefix) ? value.substr(bearer_prefix.size()) : "";
+}
+
+std::variant<json::object, refused_request> parse_body(const std::string& body) {
+  json::parse_options options;
+  options.max_depth = deepest_json;
+  boost::system::error_code error;
+  auto value = json::parse(body, error, {}, options);
+  if (error) {
+    return refused(request_fault::malformed_json, error.message());
+  }
+  if (!value.is_object()) {
+    return refused(request_fault::malformed_json, "the body must be an object");
+  }
+  return std::move(value.get_object());
+}
+
+std::optional<refused_request> read_fields(const json::object& body,
+                                           execution::caller_request& request) {
+  static const std::set<std::string_view> known{"input", "deadline_ms", "stream"};
+  for (const auto& field : body) {
+    if (!known.contains({field.key().data(), field.key().size()})) {
+      return refused(request_fault::invalid_field, "unknown field '" + std::string(field.key()) +
+                                                       "'; known: input, deadline_ms, stream");
+    }
+  }
+  const auto* input = body.if_contains("input");
+  if (input == nullptr) {
+    return refused(request_fault::missing_field, "input: text is required");
+  }
+  if (!input->is_string()) {
+    return refused(request_fault::invalid_field, "input: must be text");
+  }
+  request.input = std::string(input->get_string());
+  if (const auto* deadline = body.if_contains("deadline_ms")) {
+    if (!deadline->is_int64()) {
+      return refused(request_fault::invalid_field, "deadline_ms: must be a whole number");
+    }
+    constexpr std::int64_t longest_deadline = 86'400'000;
+    request.deadline = std::chrono::milliseconds(
+        std::clamp<std::int64_t>(deadline->get_int64(), 0, longest_deadline));
+  }
+  if (const auto* stream = body.if_contains("stream")) {
+    if (!stream->is_bool()) {
+      return refused(request_fault::invalid_field, "stream: must be true or false");
+    }
+    request.stream = stream->get_bool();
+  }
+  return std::nullopt;
+}
+
+parsed_request parse_pipeline_request(const http_request& message, std::string pipeline) {
+  execution::caller_request request;
+  request.pipeline = base::template_id(std::move(pipeline));
+  const auto token = token_of(message);
+  if (token.empty()) {
+    return refused(request_fault::missing_token, "Authorization: Bearer TOKEN is required");
+  }
+  request.token_sha256 = sha256_hex(token);
+  request.idempotency_key = header(message, "Idempotency-Key");
+  request.ticket = header(message, "Spurrack-Ticket");
+  if (request.idempotency_key.size() > longest_name || request.ticket.size() > longest_name) {
+    return refused(request_fault::invalid_field, "key or ticket is longer than 256 bytes");
+  }
+  auto body = parse_body(message.body());
+  if (auto* fault = std::get_if<refused_request>(&body)) {
+    return std::move(*fault);
+  }
+  if (auto fault = read_fields(std::get<json::object>(body), request)) {
+    return std::move(*fault);
+  }
+  return request;
+}
+
+} // namespace
+
+parsed_request parse_caller_request(const http_request& message) {
+  const std::string target(message.target().data(), message.target().size());
+  if (target == "/healthz" || target == "/readyz") {
+    return health_request{target == "/readyz"};
+  }
+  const bool is_ticket = target == tickets_path;
+  if (!is_ticket && !target.starts_with(pipelines_path)) {
+    return refused(request_fault::unknown_path, target.substr(0, longest_name));
+  }
+  if (message.method() != beast_http::verb::post) {
+    return refused(request_fault::method_not_allowed, "POST is expected");
+  }
+  if (is_ticket) {
+    const auto token = token_of(message);
+    if (token.empty()) {
+      return refused(request_fault::missing_token, "Authorization: Bearer TOKEN is required");
+    }
+    return ticket_request{sha256_hex(token)};
+  }
+  return parse_pipeline_request(message, target.substr(pipelines_path.size()));
+}
+
+} // namespace spurrack::http
--- /dev/null
+++ b/src/http/caller_server.cc
@@ -0,0 +1,327 @@
+#include "http/caller_server.h"
+
+#include "http/awaitable.h"
+#include "http/caller_request_parser.h"
+#include "http/endpoint.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+namespace spurrack::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+namespace json = boost::json;
+
+using http_response = beast_http::response<beast_http::string_body>;
+
+struct token_item {
+  std::uint32_t offset = 0;
+  std::string text;
+};
+struct ticket_item {
+  std::string ticket;
+  base::duration lifetime{};
+};
+using outgoing_item = std::variant<execution::answer, token_item, ticket_item>;
+
+/// A caller whose request is being decided: what is to be written to it, in order.
+struct exchange {
+  explicit exchange(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
+  std::deque<outgoing_item> items;
+  asio::steady_timer wake;
+  bool gone = false;
+  bool watch_ended = false;
+};
+
+http_response make_response(beast_http::status status, const json::object& body, bool keep_alive) {
+  http_response response(status, 11);
+  response.set(beast_http::field::content_type, "application/json");
+  response.keep_alive(keep_alive);
+  response.body() = json::serialize(body) + "\n";
+  response.prepare_payload();
+  return response;
+}
+
+http_response make_answer(const execution::answer& content, bool keep_alive) {
+  auto response = make_response(status_of(content), to_json(content), keep_alive);
+  if (content.retry_after.count() > 0) {
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(content.retry_after).count() + 1;
+    response.set(beast_http::field::retry_after, std::to_string(seconds));
+  }
+  return response;
+}
+
+std::string make_event(std::string_view name, const json::object& data) {
+  return "event: " + std::string(name) + "\ndata: " + json::serialize(data) + "\n\n";
+}
+
+request_fault fault_of(const boost::system::error_code& error) {
+  if (error == beast::error::timeout) {
+    return request_fault::receive_timeout;
+  }
+  if (error == beast_http::error::body_limit) {
+    return request_fault::body_too_large;
+  }
+  if (error == beast_http::error::header_limit || error == beast_http::error::buffer_overflow) {
+    return request_fault::header_too_large;
+  }
+  return request_fault::malformed_http;
+}
+
+class caller_server_impl final : public caller_server {
+ public:
+  caller_server_impl(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
+                     settings::caller_limits limits, caller_observer observer)
+      : io_(&io), acceptor_(io, listen), limits_(limits), observer_(std::move(observer)) {
+    asio::co_spawn(io, accept_all(), asio::detached);
+  }
+
+  void send_answer(base::caller_id caller, execution::answer content) override {
+    push(caller, std::move(content));
+  }
+  void send_token(base::caller_id caller, std::uint32_t offset, std::string text) override {
+    push(caller, token_item{offset, std::move(text)});
+  }
+  void send_ticket(base::caller_id caller, std::string ticket, base::duration lifetime) override {
+    push(caller, ticket_item{std::move(ticket), lifetime});
+  }
+  void stop_accepting() override {
+    stopping_ = true;
+    acceptor_.close();
+  }
+  [[nodiscard]] std::size_t busy() const override { return exchanges_.size(); }
+
+ private:
+  void push(base::caller_id caller, outgoing_item item) {
+    const auto found = exchanges_.find(caller);
+    if (found == exchanges_.end()) {
+      return;
+    }
+    found->second->items.push_back(std::move(item));
+    found->second->wake.cancel();
+  }
+
+  asio::awaitable<void> accept_all() {
+    while (acceptor_.is_open()) {
+      boost::system::error_code error;
+      auto socket = co_await acceptor_.async_accept(await_into(error));
+      if (error) {
+        continue;
+      }
+      asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
+    ++connections_;
+    beast::tcp_stream stream(std::move(socket));
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (connections_ > limits_.max_connections) {
+      co_await refuse(stream, request_fault::too_many_connections, "try another node");
+    } else {
+      beast::flat_buffer buffer;
+      bool go_on = true;
+      while (go_on) {
+        go_on = co_await serve_one(stream, buffer);
+      }
+    }
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    --connections_;
+  }
+
+  /// Serves one request. @return whether the connection may carry another.
+  asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+    boost::system::error_code error;
+    if (buffer.size() == 0) {
+      stream.expires_after(limits_.idle_timeout);
+      const auto received =
+          co_await stream.async_read_some(buffer.prepare(first_read_bytes), await_into(error));
+      if (error) {
+        co_return false;
+      }
+      buffer.commit(received);
+    }
+    beast_http::request_parser<beast_http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
+    parser.body_limit(limits_.max_body_bytes);
+    stream.expires_after(limits_.receive_timeout);
+    co_await beast_http::async_read(stream, buffer, parser, await_into(error));
+    if (error == beast_http::error::end_of_stream || error == asio::error::connection_reset) {
+      co_return false;
+    }
+    if (error) {
+      co_await refuse(stream, fault_of(error), error.message());
+      co_return false;
+    }
+    stream.expires_never();
+    const bool keep_alive = parser.get().keep_alive() && !stopping_;
+    co_return co_await answer(stream, parse_caller_request(parser.get()), keep_alive);
+  }
+
+  asio::awaitable<bool> answer(beast::tcp_stream& stream, parsed_request request, bool keep_alive) {
+    if (const auto* fault = std::get_if<refused_request>(&request)) {
+      co_return co_await write(
+          stream,
+          make_response(status_of(fault->fault), to_json(fault->fault, fault->detail), keep_alive));
+    }
+    if (const auto* health = std::get_if<health_request>(&request)) {
+      const bool well = !health->readiness || observer_.is_ready();
+      const json::object body{{"ready", observer_.is_ready()}};
+      co_return co_await write(stream, make_response(well ? beast_http::status::ok
+                                                          : beast_http::status::service_unavailable,
+                                                     body, keep_alive));
+    }
+    co_return co_await decide(stream, std::move(request), keep_alive);
+  }
+
+  asio::awaitable<bool> decide(beast::tcp_stream& stream, parsed_request request, bool keep_alive) {
+    const auto caller = next_caller_++;
+    auto waiting = std::make_shared<exchange>(*io_);
+    exchanges_[caller] = waiting;
+    bool streams = false;
+    if (auto* wanted = std::get_if<ticket_request>(&request)) {
+      observer_.on_ticket_wanted({caller, std::move(wanted->token_sha256)});
+    } else {
+      auto& content = std::get<execution::caller_request>(request);
+      streams = content.stream;
+      observer_.on_request({caller, std::move(content)});
+    }
+    asio::co_spawn(*io_, watch_for_end(stream, waiting), asio::detached);
+    const bool go_on = co_await write_items(stream, *waiting, streams, keep_alive);
+    exchanges_.erase(caller);
+    if (waiting->gone || !go_on) {
+      observer_.on_gone({caller});
+    }
+    // Ends the watch, which must not outlive the connection.
+    boost::system::error_code ignored;
+    stream.socket().cancel(ignored);
+    co_await wait_for_watch(*waiting);
+    co_return go_on;
+  }
+
+  /// Notices that a caller closes its connection while it waits.
+  static asio::awaitable<void> watch_for_end(beast::tcp_stream& stream,
+                                             std::shared_ptr<exchange> waiting) {
+    boost::system::error_code error;
+    co_await stream.socket().async_wait(asio::ip::tcp::socket::wait_read, await_into(error));
+    char byte = 0;
+    const auto got =
+        error ? 1 : ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    waiting->gone = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    waiting->watch_ended = true;
+    waiting->wake.cancel();
+  }
+
+  static asio::awaitable<void> wait_for_watch(exchange& waiting) {
+    while (!waiting.watch_ended) {
+      boost::system::error_code error;
+      co_await waiting.wake.async_wait(await_into(error));
+    }
+  }
+
+  asio::awaitable<bool> write_items(beast::tcp_stream& stream, exchange& waiting, bool streams,
+                                    bool keep_alive) {
+    bool head_written = false;
+    while (!waiting.gone) {
+      if (waiting.items.empty()) {
+        boost::system::error_code error;
+        co_await waiting.wake.async_wait(await_into(error));
+        continue;
+      }
+      auto item = std::move(waiting.items.front());
+      waiting.items.pop_front();
+      if (const auto* token = std::get_if<token_item>(&item)) {
+        if (streams && !co_await write_token(stream, *token, head_written)) {
+          co_return false;
+        }
+        head_written = true;
+        continue;
+      }
+      if (const auto* ticket = std::get_if<ticket_item>(&item)) {
+        const json::object body{{"ticket", ticket->ticket},
+                                {"expires_in_ms", base::to_milliseconds(ticket->lifetime)}};
+        co_return co_await write(stream, make_response(beast_http::status::ok, body, keep_alive));
+      }
+      const auto& content = std::get<execution::answer>(item);
+      if (head_written) {
+        co_await write_text(stream, make_event("answer", to_json(content)));
+        co_return false;
+      }
+      co_return co_await write(stream, make_answer(content, keep_alive));
+    }
+    co_return false;
+  }
+
+  /// Events are delimited by the end of the connection.
+  static asio::awaitable<bool> write_token(beast::tcp_stream& stream, const token_item& token,
+                                           bool head_written) {
+    std::string text;
+    if (!head_written) {
+      text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+    }
+    text += make_event("token", {{"offset", token.offset}, {"text", token.text}});
+    co_return co_await write_text(stream, std::move(text));
+  }
+
+  static asio::awaitable<bool> write_text(beast::tcp_stream& stream, std::string text) {
+    boost::system::error_code error;
+    stream.expires_after(write_timeout);
+    co_await asio::async_write(stream, asio::buffer(text), await_into(error));
+    stream.expires_never();
+    co_return !error;
+  }
+
+  static asio::awaitable<bool> write(beast::tcp_stream& stream, http_response response) {
+    boost::system::error_code error;
+    stream.expires_after(write_timeout);
+    co_await beast_http::async_write(stream, response, await_into(error));
+    stream.expires_never();
+    co_return !error && response.keep_alive();
+  }
+
+  static asio::awaitable<void> refuse(beast::tcp_stream& stream, request_fault fault,
+                                      std::string detail) {
+    co_await write(stream, make_response(status_of(fault), to_json(fault, detail), false));
+  }
+
+  static constexpr std::chrono::seconds write_timeout{10};
+  static constexpr std::size_t first_read_bytes = 4'096;
+
+  asio::io_context* io_;
+  asio::ip::tcp::acceptor acceptor_;
+  settings::caller_limits limits_;
+  caller_observer observer_;
+  bool stopping_ = false;
+  std::size_t connections_ = 0;
+  base::caller_id next_caller_ = 1;
+  std::unordered_map<base::caller_id, std::shared_ptr<exchange>> exchanges_;
+};
+
+} // namespace
+
+std::unique_ptr<caller_server> make_caller_server(asio::io_context& io, const std::string& listen,
+                                                  settings::caller_limits limits,
+                                                  caller_observer observer) {
+  const auto endpoint = parse_endpoint(listen);
+  if (!endpoint) {
+    throw boost::system::system_error(asio::error::invalid_argument, listen);
+  }
+  return std::make_unique<caller_server_impl>(io, *endpoint, limits, std::move(observer));
+}
+
+} // namespace spurrack::http
--- /dev/null
+++ b/src/idempotency/witness_lists.cc
@@ -0,0 +1,64 @@
+#include "idempotency/witness_lists.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::idempotency {
+namespace {
+
+std::uint64_t hash_of(const std::vector<base::node_id>& nodes) {
+  std::uint64_t hash = 1;
+  for (const auto& node : nodes) {
+    hash = base::stable_hash(node.text(), hash);
+  }
+  return hash;
+}
+
+} // namespace
+
+void witness_lists::update(const catalog::machine_map& machines, base::time_point now) {
+  node_list fresh;
+  for (const auto& [id, machine] : machines) {
+    if (machine->role == model::machine_role::node) {
+      fresh.nodes.emplace_back(id);
+    }
+  }
+  if (fresh.nodes.empty() || fresh.nodes == current_.nodes) {
+    return;
+  }
+  fresh.hash = hash_of(fresh.nodes);
+  if (!current_.nodes.empty()) {
+    current_.replaced_at = now;
+    replaced_.push_back(std::move(current_));
+  }
+  current_ = std::move(fresh);
+}
+
+std::vector<witness_set> witness_lists::sets_for(const std::string& key, base::time_point now) {
+  while (!replaced_.empty() && now - replaced_.front().replaced_at > window_) {
+    replaced_.pop_front();
+  }
+  std::vector<witness_set> sets;
+  const auto add = [&](const node_list& list) {
+    if (list.nodes.empty()) {
+      return;
+    }
+    auto chosen = base::rendezvous_top(key, list.nodes, witnesses_per_key);
+    std::sort(chosen.begin(), chosen.end());
+    const bool repeated = std::any_of(sets.begin(), sets.end(), [&](const witness_set& other) {
+      return other.witnesses == chosen;
+    });
+    if (!repeated) {
+      sets.push_back({std::move(chosen)});
+    }
+  };
+  add(current_);
+  for (const auto& list : replaced_) {
+    add(list);
+  }
+  return sets;
+}
+
+} // namespace spurrack::idempotency
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,393 @@
+#include "membership/membership.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <bit>
+#include <set>
+#include <utility>
+
+namespace spurrack::membership {
+namespace {
+
+constexpr std::size_t indirect_probe_count = 2;
+constexpr std::size_t max_rumours_per_message = 6;
+constexpr unsigned rumour_multiplier = 3;
+
+/// How strongly a state overrides another at the same incarnation.
+int rank(wire::member_state state) {
+  switch (state) {
+  case wire::DEAD:
+    return 2;
+  case wire::SUSPECT:
+    return 1;
+  default:
+    return 0;
+  }
+}
+
+} // namespace
+
+wire::member_update update_of(const member& subject) {
+  wire::member_update update;
+  update.set_node(subject.node.text());
+  update.set_incarnation(subject.incarnation);
+  update.set_state(subject.state);
+  update.set_address(subject.address.text());
+  update.set_zone(subject.zone.text());
+  return update;
+}
+
+membership::membership(identity self, timing settings, base::random_source& random,
+                       state_observer observer)
+    : self_(std::move(self)), settings_(settings), random_(&random), observer_(std::move(observer)),
+      incarnation_(self_.process_start) {}
+
+void membership::set_published(const catalog::machine_map& machines, base::time_point now) {
+  std::set<base::node_id> listed;
+  for (const auto& [id, machine] : machines) {
+    if (machine->role != model::machine_role::node || id == self_.node.text()) {
+      continue;
+    }
+    const base::node_id node(id);
+    listed.insert(node);
+    auto [place, added] = members_.try_emplace(node);
+    if (added) {
+      place->second.node = node;
+      place->second.since = now;
+    }
+    place->second.zone = machine->zone;
+    place->second.address = machine->address;
+  }
+  list_known_ = list_known_ || !machines.empty();
+  if (list_known_) {
+    std::erase_if(members_, [&](const auto& entry) { return !listed.contains(entry.first); });
+  }
+}
+
+void membership::add_seed(const base::network_address& address) {
+  if (address != self_.address) {
+    seeds_.push_back(address);
+  }
+}
+
+bool membership::may_be_member(const base::node_id& node) const {
+  return !list_known_ || members_.contains(node);
+}
+
+void membership::observe(const wire::envelope& message, base::time_point now) {
+  wire::member_update direct;
+  direct.set_node(message.sender());
+  direct.set_incarnation(message.sender_incarnation());
+  direct.set_state(wire::ALIVE);
+  direct.set_address(message.sender_address());
+  direct.set_zone(message.sender_zone());
+  apply_update(direct, now);
+  for (const auto& update : message.updates()) {
+    apply_update(update, now);
+  }
+}
+
+void membership::apply_update(const wire::member_update& update, base::time_point now) {
+  const base::node_id node(update.node());
+  if (node == self_.node) {
+    if (update.state() != wire::ALIVE && update.incarnation() >= incarnation_) {
+      refute(update.incarnation());
+    }
+    return;
+  }
+  auto found = members_.find(node);
+  if (found == members_.end()) {
+    if (list_known_ || update.state() != wire::ALIVE) {
+      return;
+    }
+    member fresh;
+    fresh.node = node;
+    fresh.zone = base::zone_id(update.zone());
+    fresh.address = base::network_address(update.address());
+    found = members_.emplace(node, fresh).first;
+  }
+  auto& subject = found->second;
+  const bool newer = update.incarnation() > subject.incarnation;
+  const bool stronger =
+      update.incarnation() == subject.incarnation && rank(update.state()) > rank(subject.state);
+  if (newer || stronger) {
+    set_state(subject, update.state(), update.incarnation(), now);
+  }
+}
+
+void membership::refute(base::incarnation rumoured) {
+  incarnation_ = rumoured + 1;
+  wire::member_update update;
+  update.set_node(self_.node.text());
+  update.set_incarnation(incarnation_);
+  update.set_state(wire::ALIVE);
+  update.set_address(self_.address.text());
+  update.set_zone(self_.zone.text());
+  enqueue(update);
+}
+
+void membership::set_state(member& subject, wire::member_state state, base::incarnation incarnation,
+                           base::time_point now) {
+  const bool changed = subject.state != state;
+  subject.incarnation = incarnation;
+  subject.state = state;
+  if (changed) {
+    subject.since = now;
+    observer_(subject);
+  }
+  if (in_zone(subject)) {
+    spread(subject);
+  }
+}
+
+void membership::spread(const member& subject) {
+  enqueue(update_of(subject));
+}
+
+void membership::enqueue(const wire::member_update& update) {
+  std::erase_if(rumours_, [&](const rumour& old) { return old.update.node() == update.node(); });
+  rumours_.push_front({update, rumour_sends()});
+}
+
+unsigned membership::rumour_sends() const {
+  return rumour_multiplier * static_cast<unsigned>(std::bit_width(members_.size() + 1));
+}
+
+void membership::piggyback(wire::envelope& message) {
+  std::size_t room = max_rumours_per_message -
+                     std::min<std::size_t>(max_rumours_per_message,
+                                           static_cast<std::size_t>(message.updates_size()));
+  for (auto place = rumours_.begin(); place != rumours_.end() && room > 0; --room) {
+    *message.add_updates() = place->update;
+    --place->sends_left;
+    place = place->sends_left == 0 ? rumours_.erase(place) : std::next(place);
+  }
+}
+
+wire::envelope membership::ping_message(std::uint64_t sequence, const member* target) {
+  wire::envelope message;
+  message.mutable_ping()->set_sequence(sequence);
+  if (target != nullptr && target->state != wire::ALIVE && target->incarnation > 0) {
+    *message.add_updates() = update_of(*target);
+  }
+  return message;
+}
+
+void membership::handle(const wire::envelope& message, base::time_point now, wire::outbox& out) {
+  const base::network_address sender(message.sender_address());
+  if (message.has_ping()) {
+    wire::outgoing reply{sender, {}};
+    auto& body = *reply.message.mutable_acknowledgement();
+    body.set_sequence(message.ping().sequence());
+    body.set_node(self_.node.text());
+    body.set_resync(message.ping().resync());
+    const auto found = members_.find(base::node_id(message.sender()));
+    if (found != members_.end() && found->second.state != wire::ALIVE) {
+      *reply.message.add_updates() = update_of(found->second);
+    }
+    out.push_back(std::move(reply));
+  } else if (message.has_ping_request()) {
+    const auto sequence = next_sequence_++;
+    indirect_probes_[sequence] = {sender, message.ping_request().sequence(), now};
+    out.push_back({base::network_address(message.ping_request().target_address()),
+                   ping_message(sequence, nullptr)});
+  } else if (message.has_acknowledgement()) {
+    const auto& body = message.acknowledgement();
+    const auto relayed = indirect_probes_.find(body.sequence());
+    if (relayed != indirect_probes_.end()) {
+      wire::outgoing reply{relayed->second.asker, {}};
+      *reply.message.mutable_acknowledgement() = body;
+      reply.message.mutable_acknowledgement()->set_sequence(relayed->second.askers_sequence);
+      out.push_back(std::move(reply));
+      indirect_probes_.erase(relayed);
+    } else if (probe_ && probe_->sequence == body.sequence()) {
+      probe_.reset();
+    }
+  }
+}
+
+void membership::tick(base::time_point now, wire::outbox& out) {
+  check_probe(now, out);
+  expire_suspects(now);
+  if (now >= next_probe_at_) {
+    next_probe_at_ = now + settings_.probe_period;
+    start_probe(now, out);
+  }
+  if (now >= next_dead_probe_at_) {
+    next_dead_probe_at_ = now + settings_.dead_probe_period;
+    probe_dead(now, out);
+  }
+  if (now >= next_relay_at_) {
+    next_relay_at_ = now + settings_.relay_period;
+    relay_digests(now, out);
+  }
+}
+
+std::optional<base::node_id> membership::next_probe_target() {
+  while (true) {
+    if (probe_order_.empty()) {
+      for (const auto& [node, other] : members_) {
+        if (in_zone(other) && other.state != wire::DEAD) {
+          probe_order_.push_back(node);
+        }
+      }
+      for (std::size_t index = probe_order_.size(); index > 1; --index) {
+        std::swap(probe_order_[index - 1], probe_order_[random_->below(index)]);
+      }
+      if (probe_order_.empty()) {
+        return std::nullopt;
+      }
+    }
+    const auto node = probe_order_.back();
+    probe_order_.pop_back();
+    const auto found = members_.find(node);
+    if (found != members_.end() && found->second.state != wire::DEAD) {
+      return node;
+    }
+  }
+}
+
+void membership::start_probe(base::time_point now, wire::outbox& out) {
+  const auto target = next_probe_target();
+  if (!target) {
+    probe_.reset();
+    return;
+  }
+  probe_ = probe{next_sequence_++, *target, now, false};
+  const auto& other = members_.at(*target);
+  out.push_back({other.address, ping_message(probe_->sequence, &other)});
+}
+
+void membership::check_probe(base::time_point now, wire::outbox& out) {
+  if (!probe_) {
+    return;
+  }
+  const auto found = members_.find(probe_->target);
+  if (found == members_.end()) {
+    probe_.reset();
+    return;
+  }
+  const auto waited = now - probe_->started;
+  if (waited >= settings_.probe_period) {
+    if (found->second.state == wire::ALIVE) {
+      set_state(found->second, wire::SUSPECT, found->second.incarnation, now);
+    }
+    probe_.reset();
+  } else if (!probe_->indirect_sent && waited >= settings_.acknowledgement_timeout) {
+    probe_->indirect_sent = true;
+    ask_others_to_probe(found->second, out);
+  }
+}
+
+void membership::ask_others_to_probe(const member& target, wire::outbox& out) {
+  auto helpers = live_peers();
+  std::erase_if(helpers, [&](const member& other) { return other.node == target.node; });
+  for (std::size_t asked = 0; asked < indirect_probe_count && !helpers.empty(); ++asked) {
+    const auto chosen = random_->below(helpers.size());
+    wire::outgoing request{helpers[chosen].address, {}};
+    auto& body = *request.message.mutable_ping_request();
+    body.set_sequence(probe_->sequence);
+    body.set_target(target.node.text());
+    body.set_target_address(target.address.text());
+    out.push_back(std::move(request));
+    helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(chosen));
+  }
+}
+
+void membership::expire_suspects(base::time_point now) {
+  for (auto& [node, other] : members_) {
+    if (other.state == wire::SUSPECT && now - other.since >= settings_.suspicion_timeout) {
+      set_state(other, wire::DEAD, other.incarnation, now);
+    }
+  }
+  std::erase_if(indirect_probes_, [&](const auto& entry) {
+    return now - entry.second.started >= settings_.probe_period;
+  });
+}
+
+void membership::probe_dead(base::time_point /*now*/, wire::outbox& out) {
+  if (!list_known_ || members_.empty()) {
+    contact_seeds(out);
+  }
+  std::vector<const member*> dead;
+  for (const auto& [node, other] : members_) {
+    if (in_zone(other) && other.state == wire::DEAD) {
+      dead.push_back(&other);
+    }
+  }
+  if (!dead.empty()) {
+    const auto* target = dead[random_->below(dead.size())];
+    out.push_back({target->address, ping_message(next_sequence_++, target)});
+  }
+}
+
+void membership::contact_seeds(wire::outbox& out) {
+  for (const auto& address : seeds_) {
+    out.push_back({address, ping_message(next_sequence_++, nullptr)});
+  }
+}
+
+void membership::relay_digests(base::time_point /*now*/, wire::outbox& out) {
+  std::map<base::zone_id, std::vector<const member*>> remote;
+  for (const auto& [node, other] : members_) {
+    if (!in_zone(other)) {
+      remote[other.zone].push_back(&other);
+    }
+  }
+  for (const auto& [zone, nodes] : remote) {
+    if (!holds_job("relay/" + zone.text(), 1)) {
+      continue;
+    }
+    wire::outgoing digest{nodes[random_->below(nodes.size())]->address, {}};
+    auto& body = *digest.message.mutable_zone_digest();
+    for (const auto& peer : live_peers()) {
+      *body.add_members() = update_of(peer);
+    }
+    out.push_back(std::move(digest));
+  }
+}
+
+void membership::resume_after_pause(base::time_point now) {
+  probe_.reset();
+  indirect_probes_.clear();
+  for (auto& [node, other] : members_) {
+    if (other.state == wire::SUSPECT) {
+      other.since = now;
+    }
+  }
+}
+
+std::vector<member> membership::live_peers() const {
+  std::vector<member> live;
+  for (const auto& [node, other] : members_) {
+    if (in_zone(other) && other.state != wire::DEAD) {
+      live.push_back(other);
+    }
+  }
+  return live;
+}
+
+std::vector<base::node_id> membership::live_zone_nodes() const {
+  std::vector<base::node_id> nodes{self_.node};
+  for (const auto& peer : live_peers()) {
+    nodes.push_back(peer.node);
+  }
+  std::sort(nodes.begin(), nodes.end());
+  return nodes;
+}
+
+bool membership::holds_job(std::string_view job, std::size_t count) const {
+  const auto holders = base::rendezvous_top(job, live_zone_nodes(), count);
+  return std::find(holders.begin(), holders.end(), self_.node) != holders.end();
+}
+
+base::duration membership::expected_detection_time() const {
+  // A member escapes all probes of one period with probability about 1/e, so the first probe that
+  // meets a dead member comes after e/(e-1) periods on average.
+  constexpr double mean_periods = 1.582;
+  return std::chrono::duration_cast<base::duration>(settings_.probe_period * mean_periods) +
+         settings_.probe_period + settings_.suspicion_timeout;
+}
+
+} // namespace spurrack::membership
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,152 @@
+/// Membership of the nodes of one zone: the published list says who may be a member, SWIM-style
+/// probing (Das et al., 2002) with suspicion and incarnations says who is. Between zones only one
+/// relay a zone, chosen by rendezvous hashing, exchanges digests.
+#pragma once
+
+#include "base/event_log.h"
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "catalog/catalog.h"
+#include "wire/outgoing.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace spurrack::membership {
+
+/// Timing of the failure detector. All are durations of the boot clock.
+struct timing {
+  base::duration probe_period = std::chrono::milliseconds(500);
+  /// Time for a direct acknowledgement before others are asked to probe.
+  base::duration acknowledgement_timeout = std::chrono::milliseconds(200);
+  /// Time a suspect has to refute.
+  base::duration suspicion_timeout = std::chrono::milliseconds(2000);
+  /// How often one dead but still published member is probed, to notice the end of a cut.
+  base::duration dead_probe_period = std::chrono::milliseconds(1000);
+  /// How often a relay sends a digest to each other zone.
+  base::duration relay_period = std::chrono::milliseconds(1000);
+};
+
+/// Who this node is.
+struct identity {
+  base::node_id node;
+  base::zone_id zone;
+  base::network_address address;
+  /// Start of this process; never changes during its life.
+  base::incarnation process_start = 0;
+};
+
+/// One member as this node sees it.
+struct member {
+  base::node_id node;
+  base::zone_id zone;
+  base::network_address address;
+  base::incarnation incarnation = 0;
+  wire::member_state state = wire::DEAD;
+  /// When the state was entered.
+  base::time_point since;
+};
+
+/// Called at each change of a member's state.
+using state_observer = std::function<void(const member&)>;
+
+/// Failure detector of one node. Not thread-safe; driven by `tick` and `handle`.
+class membership {
+ public:
+  /// @param random must outlive this object.
+  membership(identity self, timing settings, base::random_source& random, state_observer observer);
+
+  /// Takes over the published list of nodes; members that are no longer listed are dropped.
+  void set_published(const catalog::machine_map& machines, base::time_point now);
+  /// Adds an address to contact before any list is known.
+  void add_seed(const base::network_address& address);
+
+  /// Takes note of the sender and of the rumours in any message of a peer.
+  void observe(const wire::envelope& message, base::time_point now);
+  /// Answers or accounts for a probe message; other bodies are ignored.
+  void handle(const wire::envelope& message, base::time_point now, wire::outbox& out);
+  /// Drives probes, suspicion and relays. Call about every 100 ms.
+  void tick(base::time_point now, wire::outbox& out);
+  /// Forgets probes under way after a pause of this process, so that nobody is blamed for it.
+  void resume_after_pause(base::time_point now);
+  /// Adds rumours to an outgoing message.
+  void piggyback(wire::envelope& message);
+
+  /// @return whether this node may be contacted as a member: published, or no list is known yet.
+  [[nodiscard]] bool may_be_member(const base::node_id& node) const;
+  /// @return live members of the own zone without this node.
+  [[nodiscard]] std::vector<member> live_peers() const;
+  /// @return live members of the own zone with this node, sorted.
+  [[nodiscard]] std::vector<base::node_id> live_zone_nodes() const;
+  [[nodiscard]] const std::map<base::node_id, member>& members() const { return members_; }
+  [[nodiscard]] const std::vector<base::network_address>& seeds() const { return seeds_; }
+  /// @return whether this node is among the `count` that hold a job of its zone.
+  [[nodiscard]] bool holds_job(std::string_view job, std::size_t count) const;
+  [[nodiscard]] base::incarnation incarnation() const { return incarnation_; }
+  [[nodiscard]] const identity& self() const { return self_; }
+
+  /// Longest time to notice a dead member: probing by somebody, then suspicion. Mean over members.
+  [[nodiscard]] base::duration expected_detection_time() const;
+
+ private:
+  struct probe {
+    std::uint64_t sequence = 0;
+    base::node_id target;
+    base::time_point started;
+    bool indirect_sent = false;
+  };
+  struct rumour {
+    wire::member_update update;
+    unsigned sends_left = 0;
+  };
+  struct indirect_probe {
+    base::network_address asker;
+    std::uint64_t askers_sequence = 0;
+    base::time_point started;
+  };
+
+  void apply_update(const wire::member_update& update, base::time_point now);
+  void refute(base::incarnation rumoured);
+  void set_state(member& subject, wire::member_state state, base::incarnation incarnation,
+                 base::time_point now);
+  void spread(const member& subject);
+  void enqueue(const wire::member_update& update);
+  void start_probe(base::time_point now, wire::outbox& out);
+  void check_probe(base::time_point now, wire::outbox& out);
+  void ask_others_to_probe(const member& target, wire::outbox& out);
+  void expire_suspects(base::time_point now);
+  void probe_dead(base::time_point now, wire::outbox& out);
+  void contact_seeds(wire::outbox& out);
+  void relay_digests(base::time_point now, wire::outbox& out);
+  std::optional<base::node_id> next_probe_target();
+  wire::envelope ping_message(std::uint64_t sequence, const member* target);
+  [[nodiscard]] bool in_zone(const member& other) const { return other.zone == self_.zone; }
+  [[nodiscard]] unsigned rumour_sends() const;
+
+  identity self_;
+  timing settings_;
+  base::random_source* random_;
+  state_observer observer_;
+  base::incarnation incarnation_;
+  bool list_known_ = false;
+  std::map<base::node_id, member> members_;
+  std::vector<base::network_address> seeds_;
+  std::deque<rumour> rumours_;
+  std::vector<base::node_id> probe_order_;
+  std::optional<probe> probe_;
+  std::map<std::uint64_t, indirect_probe> indirect_probes_;
+  std::uint64_t next_sequence_ = 1;
+  base::time_point next_probe_at_;
+  base::time_point next_dead_probe_at_;
+  base::time_point next_relay_at_;
+};
+
+/// @return the rumour that describes `subject`.
+wire::member_update update_of(const member& subject);
+
+} // namespace spurrack::membership
--- /dev/null
+++ b/src/node/events.h
@@ -0,0 +1,75 @@
+/// What can happen to a node, and what a node can ask for. The seam between decision logic and the
+/// world: the daemon, the simulation and hollow nodes drive the same objects through it.
+#pragma once
+
+#include "base/ids.h"
+#include "execution/answer.h"
+#include "execution/commands.h"
+#include "execution/stage_call.h"
+#include "wire/outgoing.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace spurrack::node {
+
+/// The two read-only services of the platform.
+enum class source_kind : std::uint8_t { configuration, machine_list };
+inline constexpr std::size_t source_count = 2;
+
+/// Time passed; nothing else happened.
+struct time_passed {};
+/// A peer's message arrived; its origin is authenticated.
+struct peer_message {
+  wire::envelope message;
+};
+struct caller_arrived {
+  base::caller_id caller = 0;
+  execution::caller_request request;
+};
+struct caller_left {
+  base::caller_id caller = 0;
+};
+/// A caller wants a ticket.
+struct ticket_wanted {
+  base::caller_id caller = 0;
+  std::string token_sha256;
+};
+/// The platform answered a read.
+struct service_answered {
+  source_kind source = source_kind::configuration;
+  std::vector<wire::catalog_entry> entries;
+  base::revision service_revision = 0;
+};
+struct service_failed {
+  source_kind source = source_kind::configuration;
+};
+/// A planned stop begins.
+struct stop_requested {};
+
+using event = std::variant<time_passed, peer_message, caller_arrived, caller_left, ticket_wanted,
+                           execution::call_result, execution::call_token, service_answered,
+                           service_failed, stop_requested>;
+
+/// Read a service for what is newer than a revision; the service may hold the answer back until
+/// there is something.
+struct read_service {
+  source_kind source = source_kind::configuration;
+  base::revision after = 0;
+};
+struct send_ticket {
+  base::caller_id caller = 0;
+  std::string ticket;
+  base::duration lifetime{};
+};
+/// All requests have ended after `stop_requested`; the process may exit.
+struct stop_completed {};
+
+using command = std::variant<wire::outgoing, execution::start_call, execution::cancel_call,
+                             execution::send_token, execution::send_answer, read_service,
+                             send_ticket, stop_completed>;
+using command_list = std::vector<command>;
+
+} // namespace spurrack::node
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,551 @@
+#include "node/node.h"
+
+#include "execution/plan_resolver.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace spurrack::node {
+namespace {
+
+constexpr base::duration periodic_interval = std::chrono::milliseconds(100);
+constexpr base::duration not_ready_retry = std::chrono::milliseconds(500);
+/// Messages a node sends to itself while it handles one event; a bound against loops.
+constexpr std::size_t most_loopback_rounds = 8;
+
+base::event_kind event_of(wire::member_state state) {
+  switch (state) {
+  case wire::ALIVE:
+    return base::event_kind::member_alive;
+  case wire::SUSPECT:
+    return base::event_kind::member_suspected;
+  default:
+    return base::event_kind::member_dead;
+  }
+}
+
+base::event_kind event_of(catalog::apply_verdict verdict) {
+  switch (verdict) {
+  case catalog::apply_verdict::accepted:
+    return base::event_kind::entry_accepted;
+  case catalog::apply_verdict::rejected:
+    return base::event_kind::entry_rejected;
+  default:
+    return base::event_kind::entry_older_ignored;
+  }
+}
+
+} // namespace
+
+node::node(node_settings settings, base::random_source& random, base::time_point now)
+    : settings_(std::move(settings)), random_(&random), started_(now), last_event_(now),
+      clock_(settings_.wall_offset_microseconds), events_(settings_.event_log_capacity),
+      replicator_(catalog_, random,
+                  [this](const wire::catalog_entry& entry, const catalog::apply_result& result) {
+                    record(event_of(result.verdict), {}, entry.key(),
+                           "revision " + std::to_string(entry.revision()) +
+                               (result.reason.empty() ? "" : ": " + result.reason));
+                  }),
+      membership_(settings_.self, settings_.membership_timing, random,
+                  [this](const membership::member& subject) {
+                    record(event_of(subject.state), {}, subject.node.text(), "");
+                  }),
+      backends_(settings_.self.zone, settings_.routing),
+      scheduler_(settings_.scheduling, backends_, random),
+      executor_(
+          backends_, scheduler_,
+          [this](base::event_kind kind, const base::request_id& request, const std::string& subject,
+                 const std::string& detail) { record(kind, request, subject, detail); },
+          [this](const execution::answer& content) { guard_.on_answer(content); }),
+      guard_(
+          settings_.guard, settings_.self, random,
+          [this](const base::node_id& other) { return address_of(other); },
+          [this](base::event_kind kind, const base::request_id& request, const std::string& subject,
+                 const std::string& detail) { record(kind, request, subject, detail); },
+          now),
+      next_periodic_(now) {
+  for (const auto& seed : settings_.seeds) {
+    membership_.add_seed(seed);
+  }
+  record(base::event_kind::node_started, {}, settings_.self.node.text(), "");
+}
+
+command_list node::handle(const event& what, base::time_point now) {
+  detect_pause(now);
+  last_event_ = now;
+  // What has expired is given up before anything else is decided.
+  executor_.expire(now);
+  std::visit([&](const auto& happened) { on(happened, now); }, what);
+  flush(now);
+  return std::exchange(commands_, {});
+}
+
+base::time_point node::next_wakeup() const {
+  auto earliest = next_periodic_;
+  const auto consider = [&](const std::optional<base::time_point>& when) {
+    earliest = when ? std::min(earliest, *when) : earliest;
+  };
+  consider(executor_.next_deadline());
+  consider(guard_.next_deadline());
+  consider(scheduler_.next_wakeup(last_event_));
+  return earliest;
+}
+
+void node::record(base::event_kind kind, const base::request_id& request,
+                  const std::string& subject, const std::string& detail) {
+  events_.add({clock_.next(last_event_), kind, request, subject, detail});
+}
+
+// --- pauses and readiness ------------------------------------------------------------------------
+
+void node::detect_pause(base::time_point now) {
+  if (now - last_event_ <= settings_.pause_threshold) {
+    return;
+  }
+  const auto gap = base::to_milliseconds(now - last_event_);
+  last_event_ = now;
+  record(base::event_kind::node_resumed_after_pause, {}, settings_.self.node.text(),
+         std::to_string(gap) + " ms");
+  membership_.resume_after_pause(now);
+  executor_.set_hold(true);
+  hold_until_ = now + settings_.resync_wait;
+  begin_resync(now);
+}
+
+void node::begin_resync(base::time_point /*now*/) {
+  for (const auto& address : zone_peer_addresses()) {
+    wire::outgoing message{address, {}};
+    message.message.mutable_ping()->set_resync(true);
+    outbox_.push_back(std::move(message));
+  }
+}
+
+void node::check_resync(const wire::envelope& message, base::time_point now) {
+  const bool equal = message.catalog_hash() == catalog_.content_hash() && catalog_.size() > 0;
+  if (!equal) {
+    return;
+  }
+  peer_synced_ = true;
+  if (hold_until_ && message.has_acknowledgement() && message.acknowledgement().resync()) {
+    hold_until_.reset();
+    executor_.set_hold(false);
+  }
+  check_ready(now);
+}
+
+void node::check_ready(base::time_point now) {
+  if (ready_) {
+    return;
+  }
+  const bool service_read = watches_[0].has_answered() && watches_[1].has_answered();
+  const bool waited = now - started_ >= settings_.resync_wait;
+  const bool knows_enough = peer_synced_ || (service_read && waited);
+  if (catalog_.size() > 0 && knows_enough) {
+    ready_ = true;
+    record(base::event_kind::node_ready, {}, settings_.self.node.text(), "");
+  }
+}
+
+// --- periodic work -------------------------------------------------------------------------------
+
+void node::on(const time_passed& /*what*/, base::time_point now) {
+  guard_.tick(now);
+  if (now >= next_periodic_) {
+    next_periodic_ = now + periodic_interval;
+    run_periodic(now);
+  }
+}
+
+void node::run_periodic(base::time_point now) {
+  membership_.tick(now, outbox_);
+  update_sharing();
+  read_services(now);
+  if (!ready_ && !zone_peer_addresses().empty()) {
+    begin_resync(now);
+  }
+  if (hold_until_ && now >= *hold_until_) {
+    hold_until_.reset();
+    executor_.set_hold(false);
+  }
+  check_ready(now);
+}
+
+void node::read_services(base::time_point now) {
+  const std::array<const char*, source_count> jobs{"watch/configuration", "watch/machines"};
+  for (std::size_t index = 0; index < source_count; ++index) {
+    const bool holds =
+        !ready_ || membership_.holds_job(jobs[index], catalog::service_watch::watchers_per_zone);
+    const auto after = watches_[index].next_read(holds, now);
+    if (after) {
+      commands_.emplace_back(read_service{static_cast<source_kind>(index), *after});
+    }
+  }
+}
+
+void node::update_sharing() {
+  const auto nodes = membership_.live_zone_nodes();
+  const auto place = std::find(nodes.begin(), nodes.end(), settings_.self.node);
+  backends_.set_sharing(static_cast<std::uint32_t>(nodes.size()),
+                        static_cast<std::uint32_t>(place - nodes.begin()));
+}
+
+// --- platform ------------------------------------------------------------------------------------
+
+void node::on(const service_answered& what, base::time_point now) {
+  auto& watch = watches_[static_cast<std::size_t>(what.source)];
+  if (watch.on_answer(what.service_revision, now)) {
+    record(base::event_kind::service_behind, {}, "",
+           "service went back to revision " + std::to_string(what.service_revision));
+  }
+  replicator_.offer(what.entries, zone_peer_addresses(), now, outbox_);
+  apply_machine_changes(now);
+  check_ready(now);
+  read_services(now);
+}
+
+void node::on(const service_failed& what, base::time_point now) {
+  watches_[static_cast<std::size_t>(what.source)].on_failure(now);
+}
+
+void node::apply_machine_changes(base::time_point now) {
+  if (catalog_.machine_changes() == seen_machine_changes_) {
+    return;
+  }
+  seen_machine_changes_ = catalog_.machine_changes();
+  membership_.set_published(catalog_.machines(), now);
+  backends_.update(catalog_.machines());
+  guard_.update_list(catalog_.machines(), now);
+  update_sharing();
+}
+
+// --- peers ---------------------------------------------------------------------------------------
+
+void node::on(const peer_message& what, base::time_point now) {
+  const auto& message = what.message;
+  ++control_.messages_received;
+  control_.bytes_received += message.ByteSizeLong();
+  clock_.observe({message.sent_at().wall_microseconds(), message.sent_at().logical()}, now);
+  const base::node_id sender(message.sender());
+  if (membership_.may_be_member(sender)) {
+    membership_.observe(message, now);
+  }
+  dispatch_message(message, now);
+  check_resync(message, now);
+}
+
+void node::dispatch_message(const wire::envelope& message, base::time_point now) {
+  const base::network_address sender(message.sender_address());
+  const bool from_zone = message.sender_zone() == settings_.self.zone.text();
+  membership_.handle(message, now, outbox_);
+  replicator_.handle(message, zone_peer_addresses(), now, outbox_);
+  for (const auto& notice : message.acknowledgement().leaving()) {
+    on_backend_notice(notice, true, now);
+  }
+  if (message.has_backend_notice()) {
+    on_backend_notice(message.backend_notice(), from_zone, now);
+  }
+  for (const auto& notice : message.zone_digest().leaving()) {
+    on_backend_notice(notice, false, now);
+  }
+  if (message.has_forwarded_request()) {
+    on_forwarded_request(message, now);
+  }
+  guard_.handle(message, now);
+  const bool probe =
+      message.has_ping() || message.has_acknowledgement() || message.has_zone_digest();
+  if (probe) {
+    const bool eager = !ready_ || hold_until_.has_value();
+    replicator_.compare(sender, message.catalog_hash(), eager, now, outbox_);
+  }
+  apply_machine_changes(now);
+}
+
+void node::on_backend_notice(const wire::backend_notice& notice, bool from_zone,
+                             base::time_point /*now*/) {
+  const base::backend_id backend(notice.backend());
+  if (!backends_.mark_leaving(backend, notice.generation())) {
+    return;
+  }
+  record(base::event_kind::backend_leaving, {}, notice.backend(), "told by a peer");
+  if (from_zone) {
+    announced_leaving_[backend] = notice.generation();
+  }
+}
+
+void node::announce_new_leave_notices() {
+  for (const auto& [backend, generation] : backends_.leave_notices()) {
+    auto& announced = announced_leaving_[backend];
+    if (announced < generation) {
+      announced = generation;
+      wire::backend_notice notice;
+      notice.set_backend(backend.text());
+      notice.set_generation(generation);
+      broadcast_notice(notice);
+    }
+  }
+}
+
+void node::broadcast_notice(const wire::backend_notice& notice) {
+  for (const auto& [name, other] : membership_.members()) {
+    // Other zones hear of it through the relays.
+    if (other.zone != settings_.self.zone || other.state == wire::DEAD) {
+      continue;
+    }
+    wire::outgoing message{other.address, {}};
+    *message.message.mutable_backend_notice() = notice;
+    outbox_.push_back(std::move(message));
+  }
+}
+
+// --- callers -------------------------------------------------------------------------------------
+
+base::request_id node::next_request_id() {
+  std::ostringstream text;
+  text << settings_.self.node.text() << '-' << std::hex << settings_.self.process_start << '-'
+       << std::dec << next_request_++;
+  return base::request_id(text.str());
+}
+
+void node::refuse(const execution::caller_ref& caller, const base::request_id& id,
+                  execution::reason why, base::duration retry_after,
+                  const execution::pipeline_key& key) {
+  execution::answer content;
+  content.outcome = model::outcome::not_run;
+  content.why = why;
+  content.request = id;
+  content.retry_after = retry_after;
+  execution::answer_decision decision{caller, std::move(content), key};
+  carry_out(decision, last_event_);
+}
+
+void node::on(const caller_arrived& what, base::time_point now) {
+  const execution::local_caller caller{what.caller};
+  const auto id = next_request_id();
+  record(base::event_kind::request_received, id, what.request.pipeline.text(), "");
+  if (stopping_ || !ready_) {
+    refuse(caller, id,
+           stopping_ ? execution::reason::node_stopping : execution::reason::node_not_ready,
+           not_ready_retry, {});
+    return;
+  }
+  auto judged = execution::resolve_request(catalog_, what.request, now);
+  if (const auto* why = std::get_if<execution::reason>(&judged)) {
+    refuse(caller, id, *why, {}, {});
+    return;
+  }
+  auto& resolved = std::get<execution::resolved_request>(judged);
+  execution::admitted_request request{
+      id, resolved.plan, what.request.input, resolved.deadline, caller, what.request.stream};
+  const bool guarded = resolved.plan->has_non_repeatable_stage() &&
+                       !(what.request.ticket.empty() && what.request.idempotency_key.empty());
+  if (guarded) {
+    guard_.begin({std::move(request), what.request.idempotency_key, what.request.ticket}, now);
+    carry_out_guard_decisions(now);
+    return;
+  }
+  execution::run_decision decision{std::move(request)};
+  carry_out(decision, now);
+}
+
+void node::on(const caller_left& what, base::time_point now) {
+  executor_.on_caller_gone(what.caller, now);
+}
+
+void node::on(const ticket_wanted& what, base::time_point now) {
+  const auto id = next_request_id();
+  const execution::local_caller caller{what.caller};
+  if (stopping_ || !ready_) {
+    refuse(caller, id, execution::reason::node_not_ready, not_ready_retry, {});
+  } else if (!catalog_.find_tenant_by_token(what.token_sha256)) {
+    refuse(caller, id, execution::reason::unknown_token, {}, {});
+  } else {
+    commands_.emplace_back(
+        send_ticket{what.caller, guard_.issue(now), settings_.guard.ticket_lifetime});
+  }
+}
+
+void node::on_forwarded_request(const wire::envelope& message, base::time_point now) {
+  const auto& body = message.forwarded_request();
+  const execution::remote_caller caller{base::network_address(message.sender_address()),
+                                        body.forward_id()};
+  const auto id = next_request_id();
+  const auto tenant = catalog_.find_tenant(base::tenant_id(body.tenant()));
+  const auto pipeline = catalog_.find_template(base::template_id(body.pipeline()));
+  auto plan = tenant && pipeline ? model::resolve(*pipeline, *tenant) : std::nullopt;
+  if (body.owner_incarnation() != settings_.self.process_start || !plan) {
+    answer_peer(caller, {}, false);
+    return;
+  }
+  const auto deadline = now + std::chrono::milliseconds(body.deadline_milliseconds());
+  execution::admitted_request request{
+      id,           std::make_shared<const model::pipeline_plan>(std::move(*plan)),
+      body.input(), deadline,
+      caller,       false};
+  guard_.begin_forwarded({std::move(request), body.idempotency_key(), body.ticket()}, now);
+}
+
+void node::answer_peer(const execution::remote_caller& peer, const execution::answer& content,
+                       bool is_owner) {
+  wire::outgoing message{peer.peer, {}};
+  auto& body = *message.message.mutable_forwarded_reply();
+  body.set_forward_id(peer.forward_id);
+  body.set_is_owner(is_owner);
+  *body.mutable_answer() = execution::to_wire(content);
+  outbox_.push_back(std::move(message));
+}
+
+void node::carry_out_guard_decisions(base::time_point now) {
+  // Carrying one out may answer a request and so bring about further ones.
+  for (auto decisions = guard_.take_decisions(); !decisions.empty();
+       decisions = guard_.take_decisions()) {
+    for (auto& decision : decisions) {
+      std::visit([&](auto& chosen) { carry_out(chosen, now); }, decision);
+    }
+  }
+}
+
+void node::carry_out(execution::run_decision& decision, base::time_point now) {
+  auto& request = decision.request;
+  const auto refusal = scheduler_.judge(*request.plan, request.deadline, now);
+  if (!refusal) {
+    executor_.start(std::move(request), now);
+    return;
+  }
+  execution::answer content;
+  content.why =
+      refusal->no_backend ? execution::reason::no_backend : execution::reason::deadline_unreachable;
+  content.request = request.id;
+  content.retry_after = refusal->retry_after;
+  guard_.on_answer(content);
+  execution::answer_decision answered{
+      request.caller, std::move(content), {request.plan->tenant, request.plan->template_name}};
+  carry_out(answered, now);
+}
+
+void node::carry_out(execution::attach_decision& decision, base::time_point /*now*/) {
+  if (!executor_.attach(decision.running, decision.caller)) {
+    execution::answer content;
+    content.outcome = model::outcome::unknown;
+    content.why = execution::reason::key_in_use;
+    content.request = decision.running;
+    execution::answer_decision answered{decision.caller, std::move(content), {}};
+    carry_out(answered, last_event_);
+  }
+}
+
+void node::carry_out(execution::answer_decision& decision, base::time_point /*now*/) {
+  executor_.count_refusal(decision.key, decision.content);
+  record(base::event_kind::request_answered, decision.content.request,
+         std::string(model::name_of(decision.content.outcome)),
+         std::string(execution::name_of(decision.content.why)));
+  emit(execution::send_answer{decision.caller, std::move(decision.content)});
+}
+
+// --- back ends -----------------------------------------------------------------------------------
+
+void node::on(const execution::call_result& what, base::time_point now) {
+  executor_.on_result(what, now);
+}
+
+void node::on(const execution::call_token& what, base::time_point now) {
+  executor_.on_token(what, now);
+}
+
+// --- stop ----------------------------------------------------------------------------------------
+
+void node::on(const stop_requested& /*what*/, base::time_point /*now*/) {
+  if (!stopping_) {
+    stopping_ = true;
+    record(base::event_kind::node_stopping, {}, settings_.self.node.text(), "");
+  }
+}
+
+// --- output --------------------------------------------------------------------------------------
+
+void node::flush(base::time_point now) {
+  for (std::size_t round = 0; round < most_loopback_rounds; ++round) {
+    carry_out_guard_decisions(now);
+    executor_.pump(now);
+    for (auto& wanted : executor_.take_commands()) {
+      std::visit([&](auto& chosen) { emit(std::move(chosen)); }, wanted);
+    }
+    announce_new_leave_notices();
+    auto messages = guard_.take_messages();
+    std::move(messages.begin(), messages.end(), std::back_inserter(outbox_));
+    if (outbox_.empty()) {
+      break;
+    }
+    flush_messages(now);
+  }
+  const bool idle = executor_.active() == 0 && guard_.pending() == 0;
+  if (stopping_ && idle && !stop_reported_) {
+    stop_reported_ = true;
+    commands_.emplace_back(stop_completed{});
+  }
+}
+
+void node::emit(execution::send_answer&& wanted) {
+  if (const auto* peer = std::get_if<execution::remote_caller>(&wanted.caller)) {
+    answer_peer(*peer, wanted.content, true);
+  } else {
+    commands_.emplace_back(std::move(wanted));
+  }
+}
+
+void node::add_leave_notices(wire::envelope& message) const {
+  const bool wanted = message.has_zone_digest() ||
+                      (message.has_acknowledgement() && message.acknowledgement().resync());
+  if (!wanted) {
+    return;
+  }
+  for (const auto& [backend, generation] : backends_.leave_notices()) {
+    auto& notice = message.has_zone_digest() ? *message.mutable_zone_digest()->add_leaving()
+                                             : *message.mutable_acknowledgement()->add_leaving();
+    notice.set_backend(backend.text());
+    notice.set_generation(generation);
+  }
+}
+
+void node::flush_messages(base::time_point now) {
+  auto messages = std::exchange(outbox_, {});
+  const auto hash = catalog_.content_hash();
+  for (auto& message : messages) {
+    auto& envelope = message.message;
+    envelope.set_sender(settings_.self.node.text());
+    envelope.set_sender_incarnation(membership_.incarnation());
+    envelope.set_sender_zone(settings_.self.zone.text());
+    envelope.set_sender_address(settings_.self.address.text());
+    envelope.set_catalog_hash(hash);
+    add_leave_notices(envelope);
+    const auto at = clock_.next(now);
+    envelope.mutable_sent_at()->set_wall_microseconds(at.wall_microseconds);
+    envelope.mutable_sent_at()->set_logical(at.logical);
+    if (message.to == settings_.self.address) {
+      dispatch_message(envelope, now);
+      continue;
+    }
+    membership_.piggyback(envelope);
+    ++control_.messages_sent;
+    control_.bytes_sent += envelope.ByteSizeLong();
+    commands_.emplace_back(std::move(message));
+  }
+}
+
+std::vector<base::network_address> node::zone_peer_addresses() const {
+  std::vector<base::network_address> addresses;
+  for (const auto& peer : membership_.live_peers()) {
+    addresses.push_back(peer.address);
+  }
+  return addresses;
+}
+
+std::optional<base::network_address> node::address_of(const base::node_id& other) const {
+  const auto found = membership_.members().find(other);
+  if (found == membership_.members().end()) {
+    return std::nullopt;
+  }
+  return found->second.address;
+}
+
+} // namespace spurrack::node
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,163 @@
+/// One spurrackd as pure decision logic: membership, configuration, routing, execution, wired
+/// together behind one function. No I/O, no clock, no threads.
+#pragma once
+
+#include "admission/stage_scheduler.h"
+#include "base/event_log.h"
+#include "base/hybrid_clock.h"
+#include "base/random.h"
+#include "catalog/catalog.h"
+#include "catalog/replicator.h"
+#include "catalog/service_watch.h"
+#include "execution/effect_guard.h"
+#include "execution/executor.h"
+#include "membership/membership.h"
+#include "node/events.h"
+#include "routing/backend_table.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace spurrack::node {
+
+/// Everything a node is told at its start.
+struct node_settings {
+  membership::identity self;
+  std::vector<base::network_address> seeds;
+  membership::timing membership_timing;
+  execution::guard_settings guard;
+  admission::scheduling_settings scheduling;
+  routing::routing_limits routing;
+  /// A gap between two events longer than this means the process was paused.
+  base::duration pause_threshold = std::chrono::milliseconds(1000);
+  /// How long a node waits for peers before it is ready on the service's word, or serves alone.
+  base::duration resync_wait = std::chrono::milliseconds(1000);
+  /// Longest stop; what is still in flight then is cut by its own deadline first.
+  std::size_t event_log_capacity = 4096;
+  /// Wall clock minus boot clock, in microseconds.
+  std::int64_t wall_offset_microseconds = 0;
+};
+
+/// Bytes and messages a node spent on control.
+struct control_counters {
+  std::uint64_t messages_sent = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t bytes_received = 0;
+};
+
+/// Not thread-safe; one owner drives it.
+class node {
+ public:
+  /// @param random must outlive the node.
+  node(node_settings settings, base::random_source& random, base::time_point now);
+  node(const node&) = delete;
+  node& operator=(const node&) = delete;
+
+  /// Takes in one event.
+  /// @param now time of the event; never earlier than that of the event before.
+  /// @return what is to be done, in order.
+  command_list handle(const event& what, base::time_point now);
+
+  /// @return when `time_passed` must be given at the latest.
+  [[nodiscard]] base::time_point next_wakeup() const;
+
+  [[nodiscard]] bool is_ready() const { return ready_ && !stopping_; }
+  [[nodiscard]] bool is_stopping() const { return stopping_; }
+  [[nodiscard]] const node_settings& settings() const { return settings_; }
+  [[nodiscard]] const membership::membership& members() const { return membership_; }
+  [[nodiscard]] const catalog::catalog& content() const { return catalog_; }
+  [[nodiscard]] const routing::backend_table& backends() const { return backends_; }
+  [[nodiscard]] const execution::executor& executor() const { return executor_; }
+  [[nodiscard]] const execution::effect_guard& guard() const { return guard_; }
+  [[nodiscard]] const admission::stage_scheduler& scheduler() const { return scheduler_; }
+  [[nodiscard]] const base::event_log& events() const { return events_; }
+  [[nodiscard]] const control_counters& control() const { return control_; }
+  [[nodiscard]] const catalog::service_watch& watch(source_kind source) const {
+    return watches_[static_cast<std::size_t>(source)];
+  }
+
+ private:
+  void on(const time_passed& what, base::time_point now);
+  void on(const peer_message& what, base::time_point now);
+  void on(const caller_arrived& what, base::time_point now);
+  void on(const caller_left& what, base::time_point now);
+  void on(const ticket_wanted& what, base::time_point now);
+  void on(const execution::call_result& what, base::time_point now);
+  void on(const execution::call_token& what, base::time_point now);
+  void on(const service_answered& what, base::time_point now);
+  void on(const service_failed& what, base::time_point now);
+  void on(const stop_requested& what, base::time_point now);
+
+  void detect_pause(base::time_point now);
+  void begin_resync(base::time_point now);
+  void check_resync(const wire::envelope& message, base::time_point now);
+  void check_ready(base::time_point now);
+  void run_periodic(base::time_point now);
+  void read_services(base::time_point now);
+  void apply_machine_changes(base::time_point now);
+  void update_sharing();
+  void dispatch_message(const wire::envelope& message, base::time_point now);
+  void on_backend_notice(const wire::backend_notice& notice, bool from_zone, base::time_point now);
+  void broadcast_notice(const wire::backend_notice& notice);
+  void announce_new_leave_notices();
+  void on_forwarded_request(const wire::envelope& message, base::time_point now);
+  void carry_out_guard_decisions(base::time_point now);
+  void carry_out(execution::run_decision& decision, base::time_point now);
+  void carry_out(execution::attach_decision& decision, base::time_point now);
+  void carry_out(execution::answer_decision& decision, base::time_point now);
+  void refuse(const execution::caller_ref& caller, const base::request_id& id,
+              execution::reason why, base::duration retry_after,
+              const execution::pipeline_key& key);
+  void flush(base::time_point now);
+  void emit(execution::send_answer&& wanted);
+  template <typename other_command>
+  void emit(other_command&& wanted) {
+    commands_.emplace_back(std::forward<other_command>(wanted));
+  }
+  /// Adds the known leave notices to digests and to answers to a resync.
+  void add_leave_notices(wire::envelope& message) const;
+  void flush_messages(base::time_point now);
+  void answer_peer(const execution::remote_caller& peer, const execution::answer& content,
+                   bool is_owner);
+  void record(base::event_kind kind, const base::request_id& request, const std::string& subject,
+              const std::string& detail);
+  base::request_id next_request_id();
+  [[nodiscard]] std::vector<base::network_address> zone_peer_addresses() const;
+  [[nodiscard]] std::optional<base::network_address> address_of(const base::node_id& node) const;
+
+  node_settings settings_;
+  base::random_source* random_;
+  base::time_point started_;
+  base::time_point last_event_;
+  base::hybrid_clock clock_;
+  base::event_log events_;
+  catalog::catalog catalog_;
+  catalog::replicator replicator_;
+  std::array<catalog::service_watch, source_count> watches_;
+  membership::membership membership_;
+  routing::backend_table backends_;
+  admission::stage_scheduler scheduler_;
+  execution::executor executor_;
+  execution::effect_guard guard_;
+  std::map<base::backend_id, std::uint64_t> announced_leaving_;
+  std::uint64_t seen_machine_changes_ = 0;
+  bool peer_synced_ = false;
+  bool ready_ = false;
+  bool stopping_ = false;
+  bool stop_reported_ = false;
+  /// Set while dispatch is on hold after a pause.
+  std::optional<base::time_point> hold_until_;
+  base::time_point next_periodic_;
+  std::uint64_t next_request_ = 1;
+  control_counters control_;
+  wire::outbox outbox_;
+  command_list commands_;
+};
+
+} // namespace spurrack::node
--- /dev/null
+++ b/src/peers/peer_transport.h
@@ -0,0 +1,29 @@
+/// Messages between nodes. Delivery is best effort: a message may be lost, and late ones may
+/// arrive.
+#pragma once
+
+#include "base/ids.h"
+#include "wire/peer.pb.h"
+
+#include <functional>
+
+namespace spurrack::peers {
+
+/// Called with each message of an authenticated peer, on the thread of the io_context.
+using message_handler = std::function<void(wire::envelope)>;
+
+/// Not thread-safe.
+class peer_transport {
+ public:
+  peer_transport() = default;
+  peer_transport(const peer_transport&) = delete;
+  peer_transport& operator=(const peer_transport&) = delete;
+  virtual ~peer_transport() = default;
+
+  /// Sends without waiting. A message that cannot be queued at once is dropped and counted.
+  virtual void send(const base::network_address& to, const wire::envelope& message) = 0;
+  /// @return messages dropped because they could not be queued.
+  [[nodiscard]] virtual std::uint64_t dropped() const = 0;
+};
+
+} // namespace spurrack::peers
--- /dev/null
+++ b/src/peers/zmq_transport.cc
@@ -0,0 +1,207 @@
+#include "peers/zmq_transport.h"
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <zmq.hpp>
+
+#include <array>
+#include <cerrno>
+#include <system_error>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace spurrack::peers {
+namespace {
+
+/// Messages that wait for one peer; more are dropped.
+constexpr int send_queue_length = 1'000;
+constexpr int receive_queue_length = 10'000;
+/// Largest message accepted: a published value may have a megabyte, a bucket holds several.
+constexpr std::int64_t max_message_bytes = 64'000'000;
+constexpr int connect_retry_milliseconds = 100;
+constexpr int connect_retry_longest_milliseconds = 1'000;
+/// A TCP connection whose peer does not answer is dropped after this time.
+constexpr int heartbeat_interval_milliseconds = 1'000;
+constexpr int heartbeat_timeout_milliseconds = 3'000;
+constexpr const char* authentication_endpoint = "inproc://zeromq.zap.01";
+constexpr std::size_t curve_key_bytes = 32;
+
+std::string endpoint_of(const std::string& address) {
+  return "tcp://" + address;
+}
+
+void set_common_options(zmq::socket_t& socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
+  socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_milliseconds);
+  socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_milliseconds);
+}
+
+/// A ZeroMQ socket read through Asio. ZeroMQ's descriptor is edge-triggered: after each wake-up all
+/// messages are taken, and after each send the socket is looked at again.
+class watched_socket {
+ public:
+  watched_socket(boost::asio::io_context& io, zmq::socket_t socket, std::function<void()> drain)
+      : socket_(std::move(socket)), descriptor_(io, socket_.get(zmq::sockopt::fd)),
+        drain_(std::move(drain)) {}
+  watched_socket(const watched_socket&) = delete;
+  watched_socket& operator=(const watched_socket&) = delete;
+  ~watched_socket() { descriptor_.release(); }
+
+  zmq::socket_t& socket() { return socket_; }
+
+  void watch() {
+    descriptor_.async_wait(boost::asio::posix::stream_descriptor::wait_read,
+                           [this](const boost::system::error_code& error) {
+                             if (!error) {
+                               drain_();
+                               watch();
+                             }
+                           });
+  }
+
+ private:
+  zmq::socket_t socket_;
+  boost::asio::posix::stream_descriptor descriptor_;
+  std::function<void()> drain_;
+};
+
+class zmq_transport final : public peer_transport {
+ public:
+  zmq_transport(boost::asio::io_context& io, const std::string& listen,
+                std::optional<settings::curve_keys> keys, message_handler handler)
+      : io_(&io), keys_(std::move(keys)), handler_(std::move(handler)) {
+    if (keys_) {
+      start_authentication();
+    }
+    zmq::socket_t router(context_, zmq::socket_type::router);
+    set_common_options(router);
+    router.set(zmq::sockopt::rcvhwm, receive_queue_length);
+    if (keys_) {
+      router.set(zmq::sockopt::curve_server, true);
+      router.set(zmq::sockopt::curve_secretkey, keys_->secret_key);
+      router.set(zmq::sockopt::zap_domain, "spurrack");
+    }
+    try {
+      router.bind(endpoint_of(listen));
+    } catch (const zmq::error_t& error) {
+      throw std::system_error(error.num(), std::generic_category(), "bind " + listen);
+    }
+    router_.emplace(io, std::move(router), [this] { receive_all(); });
+    router_->watch();
+    boost::asio::post(io, [this] { receive_all(); });
+  }
+
+  void send(const base::network_address& to, const wire::envelope& message) override {
+    auto& socket = dealer(to);
+    zmq::message_t payload(message.ByteSizeLong());
+    message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
+    if (!socket.send(payload, zmq::send_flags::dontwait)) {
+      ++dropped_;
+    }
+  }
+
+  [[nodiscard]] std::uint64_t dropped() const override { return dropped_; }
+
+ private:
+  zmq::socket_t& dealer(const base::network_address& to) {
+    const auto found = dealers_.find(to);
+    if (found != dealers_.end()) {
+      return found->second;
+    }
+    zmq::socket_t socket(context_, zmq::socket_type::dealer);
+    set_common_options(socket);
+    socket.set(zmq::sockopt::sndhwm, send_queue_length);
+    // Nothing is queued for a peer that is not connected: after a cut it would arrive hours late.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl, connect_retry_milliseconds);
+    socket.set(zmq::sockopt::reconnect_ivl_max, connect_retry_longest_milliseconds);
+    if (keys_) {
+      socket.set(zmq::sockopt::curve_serverkey, keys_->public_key);
+      socket.set(zmq::sockopt::curve_publickey, keys_->public_key);
+      socket.set(zmq::sockopt::curve_secretkey, keys_->secret_key);
+    }
+    socket.connect(endpoint_of(to.text()));
+    return dealers_.emplace(to, std::move(socket)).first->second;
+  }
+
+  void receive_all() {
+    zmq::message_t sender;
+    while (router_->socket().recv(sender, zmq::recv_flags::dontwait)) {
+      zmq::message_t payload;
+      bool more = router_->socket().get(zmq::sockopt::rcvmore);
+      while (more && router_->socket().recv(payload, zmq::recv_flags::dontwait)) {
+        more = router_->socket().get(zmq::sockopt::rcvmore);
+      }
+      wire::envelope message;
+      if (message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        handler_(std::move(message));
+      }
+    }
+  }
+
+  /// Admits only clients with the fleet's key (ZAP, ZeroMQ RFC 27).
+  void start_authentication() {
+    zmq::socket_t replier(context_, zmq::socket_type::rep);
+    replier.bind(authentication_endpoint);
+    authenticator_.emplace(*io_, std::move(replier), [this] { authenticate_all(); });
+    authenticator_->watch();
+    boost::asio::post(*io_, [this] { authenticate_all(); });
+  }
+
+  void authenticate_all() {
+    while (true) {
+      std::vector<std::string> frames;
+      zmq::message_t frame;
+      if (!authenticator_->socket().recv(frame, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      frames.push_back(frame.to_string());
+      while (authenticator_->socket().get(zmq::sockopt::rcvmore) &&
+             authenticator_->socket().recv(frame, zmq::recv_flags::dontwait)) {
+        frames.push_back(frame.to_string());
+      }
+      reply_authentication(frames);
+    }
+  }
+
+  void reply_authentication(const std::vector<std::string>& frames) {
+    constexpr std::size_t request_id_frame = 1;
+    constexpr std::size_t mechanism_frame = 5;
+    constexpr std::size_t key_frame = 6;
+    std::array<std::uint8_t, curve_key_bytes> expected{};
+    zmq_z85_decode(expected.data(), keys_->public_key.c_str());
+    const std::string expected_key(expected.begin(), expected.end());
+    const bool allowed = frames.size() > key_frame && frames[mechanism_frame] == "CURVE" &&
+                         frames[key_frame] == expected_key;
+    const std::string request_id = frames.size() > request_id_frame ? frames[request_id_frame] : "";
+    const std::array<std::string, 6> reply{
+        "1.0", request_id, allowed ? "200" : "400", allowed ? "OK" : "key not allowed", "peer", ""};
+    for (std::size_t index = 0; index < reply.size(); ++index) {
+      const auto flags =
+          index + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+      authenticator_->socket().send(zmq::buffer(reply[index]), flags);
+    }
+  }
+
+  boost::asio::io_context* io_;
+  std::optional<settings::curve_keys> keys_;
+  message_handler handler_;
+  zmq::context_t context_{1};
+  std::optional<watched_socket> authenticator_;
+  std::optional<watched_socket> router_;
+  std::unordered_map<base::network_address, zmq::socket_t> dealers_;
+  std::uint64_t dropped_ = 0;
+};
+
+} // namespace
+
+std::unique_ptr<peer_transport> make_zmq_transport(boost::asio::io_context& io,
+                                                   const std::string& listen,
+                                                   const std::optional<settings::curve_keys>& keys,
+                                                   message_handler handler) {
+  return std::make_unique<zmq_transport>(io, listen, keys, std::move(handler));
+}
+
+} // namespace spurrack::peers
--- /dev/null
+++ b/src/routing/latency_estimator.cc
@@ -0,0 +1,63 @@
+#include "routing/latency_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace spurrack::routing {
+namespace {
+
+constexpr double smallest_microseconds = 50.0;
+const double log_growth = std::log(1.1);
+
+} // namespace
+
+std::size_t latency_estimator::bucket_of(base::duration sample) {
+  const double microseconds = base::to_seconds(sample) * 1e6;
+  if (microseconds <= smallest_microseconds) {
+    return 0;
+  }
+  const auto index = std::log(microseconds / smallest_microseconds) / log_growth;
+  return std::min(bucket_count - 1, static_cast<std::size_t>(index) + 1);
+}
+
+base::duration latency_estimator::upper_edge(std::size_t bucket) {
+  const double microseconds =
+      smallest_microseconds * std::exp(log_growth * static_cast<double>(bucket));
+  return base::from_seconds(microseconds / 1e6);
+}
+
+void latency_estimator::add(base::duration sample) {
+  if (total_weight_ >= decay_weight) {
+    constexpr float half = 0.5F;
+    for (auto& weight : weights_) {
+      weight *= half;
+    }
+    total_weight_ *= half;
+    weighted_sum_ *= half;
+  }
+  weights_[bucket_of(sample)] += 1.0F;
+  total_weight_ += 1.0;
+  weighted_sum_ += base::to_seconds(sample);
+  ++count_;
+}
+
+base::duration latency_estimator::quantile(double fraction) const {
+  double remaining = fraction * total_weight_;
+  if (total_weight_ <= 0) {
+    return base::duration::zero();
+  }
+  for (std::size_t bucket = 0; bucket < bucket_count; ++bucket) {
+    remaining -= weights_[bucket];
+    if (remaining <= 0) {
+      return upper_edge(bucket);
+    }
+  }
+  return upper_edge(bucket_count - 1);
+}
+
+base::duration latency_estimator::mean() const {
+  return total_weight_ <= 0 ? base::duration::zero()
+                            : base::from_seconds(weighted_sum_ / total_weight_);
+}
+
+} // namespace spurrack::routing
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,171 @@
+#include "settings/settings.h"
+
+#include "base/ids.h"
+#include "model/errc.h"
+
+#include <charconv>
+#include <utility>
+
+namespace spurrack::settings {
+namespace {
+
+using model::mapping_reader;
+
+constexpr std::size_t curve_key_length = 40;
+constexpr std::int64_t one_day_milliseconds = 86'400'000;
+
+bool is_address(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return false;
+  }
+  unsigned port = 0;
+  constexpr unsigned highest_port = 65'535;
+  const auto* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data() + colon + 1, end, port);
+  return result.ec == std::errc() && result.ptr == end && port > 0 && port <= highest_port;
+}
+
+std::string read_address(mapping_reader& reader, const std::string& name) {
+  auto text = reader.required_text(name, "IP:port");
+  if (!text.empty() && !is_address(text)) {
+    reader.fault(model::errc::unknown_value, name, "IP:port");
+  }
+  return text;
+}
+
+std::int64_t milliseconds_of(base::duration span) {
+  return base::to_milliseconds(span);
+}
+
+void read_platform(mapping_reader& reader, daemon_settings& result) {
+  if (auto platform = reader.mapping("platform", true)) {
+    result.configuration_service = read_address(*platform, "configuration");
+    result.machine_list_service = read_address(*platform, "machine_list");
+    platform->finish();
+  }
+}
+
+void read_curve(mapping_reader& reader, daemon_settings& result) {
+  auto curve = reader.mapping("curve", false);
+  if (!curve) {
+    return;
+  }
+  curve_keys keys;
+  keys.public_key = curve->required_text("public_key", "40 characters of Z85");
+  keys.secret_key = curve->required_text("secret_key", "40 characters of Z85");
+  for (const auto* name : {"public_key", "secret_key"}) {
+    const auto& text = std::string(name) == "public_key" ? keys.public_key : keys.secret_key;
+    if (!text.empty() && text.size() != curve_key_length) {
+      curve->fault(model::errc::unknown_value, name, "40 characters of Z85");
+    }
+  }
+  curve->finish();
+  result.curve = std::move(keys);
+}
+
+void read_idempotency(mapping_reader& reader, execution::guard_settings& guard) {
+  auto section = reader.mapping("idempotency", false);
+  if (!section) {
+    return;
+  }
+  guard.key_lifetime = section->milliseconds("key_lifetime_ms", 1'000, one_day_milliseconds,
+                                             milliseconds_of(guard.key_lifetime));
+  guard.ticket_lifetime = section->milliseconds("ticket_lifetime_ms", 1'000, one_day_milliseconds,
+                                                milliseconds_of(guard.ticket_lifetime));
+  guard.list_window = section->milliseconds("list_window_ms", 1'000, one_day_milliseconds,
+                                            milliseconds_of(guard.list_window));
+  guard.witness_timeout = section->milliseconds("witness_timeout_ms", 10, 60'000,
+                                                milliseconds_of(guard.witness_timeout));
+  if (guard.list_window < guard.key_lifetime) {
+    section->fault(model::errc::out_of_range, "list_window_ms", "at least key_lifetime_ms");
+  }
+  section->finish();
+}
+
+void read_scheduling(mapping_reader& reader, admission::scheduling_settings& scheduling) {
+  auto section = reader.mapping("scheduling", false);
+  if (!section) {
+    return;
+  }
+  scheduling.policy = static_cast<routing::policy_kind>(
+      section->choice("policy", {"round_robin", "least_in_flight", "power_of_two", "adaptive"},
+                      static_cast<std::size_t>(scheduling.policy)));
+  scheduling.predict = section->boolean("predict", scheduling.predict);
+  section->finish();
+}
+
+void read_membership(mapping_reader& reader, membership::timing& timing) {
+  auto section = reader.mapping("membership", false);
+  if (!section) {
+    return;
+  }
+  timing.probe_period =
+      section->milliseconds("probe_period_ms", 100, 60'000, milliseconds_of(timing.probe_period));
+  timing.acknowledgement_timeout = section->milliseconds(
+      "acknowledgement_timeout_ms", 10, 60'000, milliseconds_of(timing.acknowledgement_timeout));
+  timing.suspicion_timeout = section->milliseconds("suspicion_timeout_ms", 100, 600'000,
+                                                   milliseconds_of(timing.suspicion_timeout));
+  if (timing.acknowledgement_timeout >= timing.probe_period) {
+    section->fault(model::errc::out_of_range, "acknowledgement_timeout_ms",
+                   "less than probe_period_ms");
+  }
+  section->finish();
+}
+
+void read_callers(mapping_reader& reader, caller_limits& limits) {
+  auto section = reader.mapping("callers", false);
+  if (!section) {
+    return;
+  }
+  constexpr std::int64_t largest_body = 100'000'000;
+  limits.max_body_bytes = static_cast<std::size_t>(section->integer(
+      "max_body_bytes", 1'000, largest_body, static_cast<std::int64_t>(limits.max_body_bytes)));
+  limits.max_header_bytes = static_cast<std::size_t>(section->integer(
+      "max_header_bytes", 1'000, 1'000'000, static_cast<std::int64_t>(limits.max_header_bytes)));
+  limits.receive_timeout = section->milliseconds("receive_timeout_ms", 100, 600'000,
+                                                 milliseconds_of(limits.receive_timeout));
+  limits.idle_timeout = section->milliseconds("idle_timeout_ms", 100, one_day_milliseconds,
+                                              milliseconds_of(limits.idle_timeout));
+  limits.max_connections = static_cast<std::size_t>(section->integer(
+      "max_connections", 1, 100'000, static_cast<std::int64_t>(limits.max_connections)));
+  section->finish();
+}
+
+} // namespace
+
+settings_result parse_settings(const std::string& text) {
+  settings_result result;
+  const auto document = model::parse_yaml(text, result.faults);
+  if (!document) {
+    return result;
+  }
+  daemon_settings value;
+  mapping_reader reader(*document, "", result.faults);
+  value.node.self.node = base::node_id(reader.required_text("node"));
+  value.node.self.zone = base::zone_id(reader.required_text("zone"));
+  value.peer_listen = read_address(reader, "peer_listen");
+  const auto advertised = reader.optional_text("peer_advertise").value_or(value.peer_listen);
+  value.node.self.address = base::network_address(advertised);
+  value.caller_listen = read_address(reader, "caller_listen");
+  value.operator_listen = read_address(reader, "operator_listen");
+  for (const auto& seed : reader.text_list("seeds")) {
+    if (!is_address(seed)) {
+      reader.fault(model::errc::unknown_value, "seeds", "a list of IP:port");
+    }
+    value.node.seeds.emplace_back(seed);
+  }
+  read_platform(reader, value);
+  read_curve(reader, value);
+  read_idempotency(reader, value.node.guard);
+  read_scheduling(reader, value.node.scheduling);
+  read_membership(reader, value.node.membership_timing);
+  read_callers(reader, value.callers);
+  reader.finish();
+  if (result.faults.empty()) {
+    result.value = std::move(value);
+  }
+  return result;
+}
+
+} // namespace spurrack::settings
--- /dev/null
+++ b/standins/backend_stand_in.cc
@@ -0,0 +1,252 @@
+/// Stand-in of a back end: engine, stage pool or plain service. It works for a set time, counts
+/// each execution by request, and misbehaves on demand.
+#include "http_service.h"
+
+#include <cxxopts.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <map>
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using spurrack::standins::service_exchange;
+using spurrack::standins::wait_for;
+
+/// How answers are spoiled. Each is applied to the next `times` calls.
+enum class fault {
+  none,
+  leaving,      ///< Refuses: the back end is leaving.
+  overloaded,   ///< Refuses: no room.
+  truncate,     ///< Runs, then closes in the middle of the answer.
+  reset,        ///< Runs, then resets the connection without an answer.
+  reset_early,  ///< Resets before running.
+  hang,         ///< Runs, never answers.
+  crossed,      ///< Runs, answers with another request's identity.
+  duplicate,    ///< Runs, answers twice on the same connection.
+  break_stream, ///< Sends half of the tokens, then resets.
+};
+
+const std::map<std::string, fault> fault_names{{"none", fault::none},
+                                               {"leaving", fault::leaving},
+                                               {"overloaded", fault::overloaded},
+                                               {"truncate", fault::truncate},
+                                               {"reset", fault::reset},
+                                               {"reset_early", fault::reset_early},
+                                               {"hang", fault::hang},
+                                               {"crossed", fault::crossed},
+                                               {"duplicate", fault::duplicate},
+                                               {"break_stream", fault::break_stream}};
+
+struct backend_settings {
+  std::string id;
+  std::chrono::microseconds service_time{0};
+  std::chrono::microseconds token_time{0};
+  std::int64_t concurrency = 8;
+  /// Calls in flight beyond which further ones are refused.
+  std::int64_t most_in_flight = 16;
+};
+
+class backend_stand_in {
+ public:
+  explicit backend_stand_in(backend_settings settings) : settings_(std::move(settings)) {}
+
+  asio::awaitable<void> handle(service_exchange& exchange) {
+    const auto target = exchange.target();
+    if (target.starts_with("/v1/stages/")) {
+      ++in_flight_;
+      co_await run_call(exchange, target.substr(std::string("/v1/stages/").size()));
+      --in_flight_;
+    } else if (target == "/admin/fault") {
+      const auto body = exchange.body();
+      fault_ = fault_names.at(std::string(body.at("fault").as_string()));
+      fault_times_ = body.contains("times") ? body.at("times").as_int64() : INT64_MAX;
+      if (body.contains("service_us")) {
+        settings_.service_time = std::chrono::microseconds(body.at("service_us").as_int64());
+      }
+      co_await exchange.reply(200, json::object());
+    } else if (target == "/admin/counts") {
+      json::object executions;
+      for (const auto& [request, count] : executions_) {
+        executions[request] = count;
+      }
+      json::object counts;
+      counts["calls"] = calls_;
+      counts["in_flight"] = in_flight_;
+      counts["cancelled"] = cancelled_;
+      counts["executions"] = std::move(executions);
+      co_await exchange.reply(200, std::move(counts));
+    } else {
+      co_await exchange.reply(404, json::object());
+    }
+  }
+
+ private:
+  static json::object refusal(const char* code) {
+    json::object body;
+    body["code"] = code;
+    return body;
+  }
+
+  fault take_fault() {
+    if (fault_ == fault::none || fault_times_ <= 0) {
+      return fault::none;
+    }
+    --fault_times_;
+    return fault_;
+  }
+
+  asio::awaitable<void> run_call(service_exchange& exchange, std::string kind) {
+    ++calls_;
+    const auto spoiled = take_fault();
+    if (spoiled == fault::leaving) {
+      co_await exchange.reply(503, refusal("leaving"));
+      co_return;
+    }
+    if (spoiled == fault::overloaded || in_flight_ > settings_.most_in_flight) {
+      co_await exchange.reply(429, refusal("overloaded"));
+      co_return;
+    }
+    if (spoiled == fault::reset_early) {
+      exchange.close(true);
+      co_return;
+    }
+    const auto call = exchange.body();
+    ++executions_[std::string(call.at("request_id").as_string())];
+    const auto started = std::chrono::steady_clock::now();
+    if (kind == "generate") {
+      co_await generate(exchange, call, spoiled, started);
+      co_return;
+    }
+    co_await wait_for(settings_.service_time);
+    const auto text = kind + "(" + std::string(call.at("input").as_string()) + ")";
+    co_await answer(exchange, make_answer(call, text, 0, started), spoiled);
+  }
+
+  json::object make_answer(const json::object& call, const std::string& output, std::int64_t tokens,
+                           std::chrono::steady_clock::time_point started) {
+    const auto worked = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::steady_clock::now() - started);
+    return {{"request_id", call.at("request_id")},
+            {"stage", call.at("stage")},
+            {"attempt", call.at("attempt")},
+            {"output", output},
+            {"tokens", tokens},
+            {"backend_us", worked.count()},
+            {"in_flight", in_flight_}};
+  }
+
+  asio::awaitable<void> answer(service_exchange& exchange, json::object body, fault spoiled) {
+    switch (spoiled) {
+    case fault::truncate: {
+      const auto text = json::serialize(body);
+      co_await exchange.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                              "Content-Length: " +
+                              std::to_string(text.size()) + "\r\n\r\n" +
+                              text.substr(0, text.size() / 2));
+      exchange.close(false);
+      break;
+    }
+    case fault::reset:
+      exchange.close(true);
+      break;
+    case fault::hang:
+      co_await wait_for(std::chrono::hours(1));
+      break;
+    case fault::crossed:
+      body["request_id"] = "another-request";
+      co_await exchange.reply(200, std::move(body));
+      break;
+    case fault::duplicate:
+      co_await exchange.reply(200, body);
+      co_await exchange.reply(200, std::move(body));
+      break;
+    default:
+      co_await exchange.reply(200, std::move(body));
+      break;
+    }
+  }
+
+  static std::string chunk(const json::object& data) {
+    const auto text = "data: " + json::serialize(data) + "\n\n";
+    std::array<char, 32> size{};
+    const auto length = std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return std::string(size.data(), static_cast<std::size_t>(length)) + text + "\r\n";
+  }
+
+  asio::awaitable<void> generate(service_exchange& exchange, const json::object& call,
+                                 fault spoiled, std::chrono::steady_clock::time_point started) {
+    co_await wait_for(settings_.service_time);
+    const auto count = call.at("max_tokens").as_int64();
+    const auto first = call.at("resume_offset").as_int64();
+    const auto prompt = std::string(call.at("input").as_string());
+    co_await exchange.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n");
+    for (auto offset = first; offset < count; ++offset) {
+      co_await wait_for(settings_.token_time);
+      // The first token carries the prompt, so that tests can tell whose answer it is.
+      const auto text = offset == 0 ? "generate(" + prompt + ")" : " w" + std::to_string(offset);
+      json::object token;
+      token["offset"] = offset;
+      token["token"] = text;
+      if (!co_await exchange.write(chunk(token))) {
+        ++cancelled_;
+        exchange.close(true);
+        co_return;
+      }
+      if (spoiled == fault::break_stream && offset >= count / 2) {
+        exchange.close(true);
+        co_return;
+      }
+    }
+    if (spoiled == fault::hang) {
+      co_await wait_for(std::chrono::hours(1));
+    }
+    auto last = make_answer(call, "", count, started);
+    if (spoiled == fault::crossed) {
+      last["request_id"] = "another-request";
+    }
+    co_await exchange.write(chunk(last) + "0\r\n\r\n");
+  }
+
+  backend_settings settings_;
+  fault fault_ = fault::none;
+  std::int64_t fault_times_ = 0;
+  std::int64_t calls_ = 0;
+  std::int64_t in_flight_ = 0;
+  std::int64_t cancelled_ = 0;
+  std::map<std::string, std::int64_t> executions_;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("backend_stand_in", "Stand-in of a back end, for tests.");
+  options.add_options()("listen", "IP:port", cxxopts::value<std::string>())(
+      "id", "name", cxxopts::value<std::string>()->default_value("backend"))(
+      "service-us", "time of one call", cxxopts::value<std::int64_t>()->default_value("1000"))(
+      "token-us", "time of one token", cxxopts::value<std::int64_t>()->default_value("500"))(
+      "most-in-flight", "calls beyond are refused",
+      cxxopts::value<std::int64_t>()->default_value("64"));
+  try {
+    const auto given = options.parse(argc, argv);
+    backend_settings settings;
+    settings.id = given["id"].as<std::string>();
+    settings.service_time = std::chrono::microseconds(given["service-us"].as<std::int64_t>());
+    settings.token_time = std::chrono::microseconds(given["token-us"].as<std::int64_t>());
+    settings.most_in_flight = given["most-in-flight"].as<std::int64_t>();
+    asio::io_context io(1);
+    backend_stand_in backend(std::move(settings));
+    spurrack::standins::serve(io, given["listen"].as<std::string>(),
+                              [&](service_exchange& exchange) { return backend.handle(exchange); });
+    io.run();
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tools/check_layers.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Includes may only point down: each folder lists the folders it may include from.
+set -euo pipefail
+cd "$(dirname "$0")/../src"
+
+declare -A allowed=(
+  [base]="base"
+  [wire]="wire base"
+  [model]="model base"
+  [catalog]="catalog model wire base"
+  [membership]="membership catalog model wire base"
+  [routing]="routing catalog model wire base"
+  [admission]="admission routing catalog model wire base"
+  [idempotency]="idempotency catalog model wire base"
+  [execution]="execution admission idempotency routing membership catalog model wire base"
+  [node]="node execution admission idempotency routing membership catalog model wire base"
+  [simulation]="simulation node execution admission idempotency routing membership catalog model wire base"
+  [settings]="settings node execution admission routing membership catalog model wire base"
+  [logging]="logging base"
+  [http]="http settings node execution model base"
+  [platform]="platform http node execution model wire base"
+  [backends]="backends http execution model base"
+  [peers]="peers settings wire base"
+  [daemon]="*"
+  [ctl]="*"
+)
+
+bad=0
+for folder in */; do
+  folder=${folder%/}
+  rules=${allowed[$folder]:-}
+  if [ -z "$rules" ]; then
+    echo "folder src/$folder has no layering rule"
+    bad=1
+    continue
+  fi
+  [ "$rules" = "*" ] && continue
+  while IFS=: read -r file line text; do
+    target=$(echo "$text" | sed -E 's/.*#include "([a-z_]+)\/.*/\1/')
+    case " $rules " in
+      *" $target "*) ;;
+      *) echo "src/$file:$line: $folder may not include from $target"; bad=1 ;;
+    esac
+  done < <(grep -nE '^#include "[a-z_]+/' "$folder"/*.h "$folder"/*.cc 2>/dev/null | grep -v '\.pb\.')
+done
+# Decision logic does no I/O.
+if grep -nE '#include <(boost/asio|boost/beast|zmq|sys/socket|fstream|iostream|thread)' \
+  base/*.h base/*.cc model/*.h model/*.cc catalog/* membership/* routing/* admission/* \
+  idempotency/* execution/* node/* simulation/* 2>/dev/null; then
+  echo "decision logic may not do I/O"
+  bad=1
+fi
+exit $bad
--- /dev/null
+++ b/tools/fleet/local_fleet.cc
@@ -0,0 +1,279 @@
+#include "local_fleet.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace spurrack::fleet {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds poll_interval{10};
+
+std::filesystem::path make_folder() {
+  static std::atomic<int> counter{0};
+  auto folder = std::filesystem::temp_directory_path() /
+                ("spurrack-" + std::to_string(::getpid()) + "-" + std::to_string(counter++));
+  std::filesystem::create_directories(folder);
+  return folder;
+}
+
+void require(bool condition, const std::string& what) {
+  if (!condition) {
+    throw std::runtime_error(what);
+  }
+}
+
+} // namespace
+
+local_fleet::local_fleet(std::filesystem::path binaries, fleet_description description)
+    : binaries_(std::move(binaries)), description_(std::move(description)), folder_(make_folder()) {
+  for (const auto& wanted : description_.nodes) {
+    auto& addresses = node_addresses_[wanted.name];
+    addresses = {free_address(), free_address(), free_address(), ""};
+    addresses.peers_advertised = description_.proxied ? free_address() : addresses.peers;
+  }
+  for (const auto& wanted : description_.backends) {
+    backend_addresses_[wanted.name] = free_address();
+    backend_advertised_[wanted.name] =
+        description_.proxied ? free_address() : backend_addresses_[wanted.name];
+  }
+  start_platform();
+  start_backends();
+  if (description_.proxied) {
+    start_proxy();
+  }
+}
+
+local_fleet::~local_fleet() {
+  nodes_.clear();
+  backends_.clear();
+  proxy_.reset();
+  platform_.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void local_fleet::start_platform() {
+  platform_address_ = free_address();
+  platform_ = std::make_unique<child_process>(
+      binaries_ / "platform_stand_in", std::vector<std::string>{"--listen", platform_address_},
+      folder_ / "platform.log");
+  require(wait_until([&] { return get(platform_address_, "/admin/counts").status == 200; }),
+          "the platform stand-in did not start");
+  std::map<std::string, std::optional<std::string>> records;
+  for (const auto& [key, value] : description_.records) {
+    records[key] = value;
+  }
+  for (const auto& wanted : description_.nodes) {
+    records["machines/" + wanted.name] = "{name: " + wanted.name +
+                                         ", role: node, zone: " + wanted.zone + ", address: '" +
+                                         node_addresses_[wanted.name].peers_advertised + "'}";
+  }
+  for (const auto& wanted : description_.backends) {
+    records["machines/" + wanted.name] = machine_record(wanted, "live", 1);
+  }
+  publish(records);
+}
+
+std::string local_fleet::machine_record(const backend_description& wanted, const std::string& state,
+                                        int generation) const {
+  std::ostringstream text;
+  text << "{name: " << wanted.name << ", role: backend, zone: " << wanted.zone << ", address: '"
+       << backend_advertised_.at(wanted.name) << "', pool: " << wanted.pool
+       << ", concurrency: " << wanted.concurrency << ", state: " << state
+       << ", generation: " << generation << "}";
+  return text.str();
+}
+
+const backend_description& local_fleet::describe_backend(const std::string& name) const {
+  const auto found = std::find_if(description_.backends.begin(), description_.backends.end(),
+                                  [&](const auto& wanted) { return wanted.name == name; });
+  require(found != description_.backends.end(), "no back end " + name);
+  return *found;
+}
+
+void local_fleet::publish_backend(const std::string& name, const std::string& state,
+                                  int generation) const {
+  publish({{"machines/" + name, machine_record(describe_backend(name), state, generation)}});
+}
+
+void local_fleet::start_backends() {
+  for (const auto& wanted : description_.backends) {
+    const std::vector<std::string> arguments{"--listen",
+                                             backend_addresses_[wanted.name],
+                                             "--id",
+                                             wanted.name,
+                                             "--service-us",
+                                             std::to_string(wanted.service_microseconds),
+                                             "--token-us",
+                                             std::to_string(wanted.token_microseconds),
+                                             "--most-in-flight",
+                                             std::to_string(wanted.most_in_flight)};
+    backends_[wanted.name] = std::make_unique<child_process>(
+        binaries_ / "backend_stand_in", arguments, folder_ / (wanted.name + ".log"));
+  }
+  for (const auto& [name, address] : backend_addresses_) {
+    require(wait_until([&, where = address] { return get(where, "/admin/counts").status == 200; }),
+            "back end " + name + " did not start");
+  }
+}
+
+void local_fleet::start_proxy() {
+  proxy_address_ = free_address();
+  std::ostringstream links;
+  for (const auto& [name, addresses] : node_addresses_) {
+    links << name << "," << addresses.peers_advertised << "," << addresses.peers << ";";
+  }
+  for (const auto& [name, address] : backend_addresses_) {
+    links << name << "," << backend_advertised_[name] << "," << address << ";";
+  }
+  proxy_ = std::make_unique<child_process>(
+      binaries_ / "fault_proxy",
+      std::vector<std::string>{"--admin", proxy_address_, "--link", links.str()},
+      folder_ / "proxy.log");
+  require(wait_until([&] { return get(proxy_address_, "/").status != 0 || !proxy_->running(); }) &&
+              proxy_->running(),
+          "the fault proxy did not start");
+}
+
+std::string local_fleet::settings_text(const node_description& wanted) const {
+  const auto& own = node_addresses_.at(wanted.name);
+  std::ostringstream text;
+  text << "node: " << wanted.name << "\nzone: " << wanted.zone << "\npeer_listen: " << own.peers
+       << "\npeer_advertise: " << own.peers_advertised << "\ncaller_listen: " << own.callers
+       << "\noperator_listen: " << own.operators
+       << "\nplatform:\n  configuration: " << platform_address_
+       << "\n  machine_list: " << platform_address_
+       << "\nidempotency:\n  key_lifetime_ms: " << description_.key_lifetime_ms
+       << "\n  list_window_ms: " << description_.list_window_ms << "\nseeds:\n";
+  for (const auto& [name, addresses] : node_addresses_) {
+    if (name != wanted.name) {
+      text << "  - " << addresses.peers_advertised << "\n";
+    }
+  }
+  text << description_.extra_settings;
+  return text.str();
+}
+
+void local_fleet::start_node(const std::string& name) {
+  const auto found = std::find_if(description_.nodes.begin(), description_.nodes.end(),
+                                  [&](const auto& wanted) { return wanted.name == name; });
+  require(found != description_.nodes.end(), "no node " + name);
+  const auto settings = folder_ / (name + ".yaml");
+  std::ofstream(settings) << settings_text(*found);
+  nodes_[name] = std::make_unique<child_process>(
+      binaries_ / "spurrackd", std::vector<std::string>{"--settings", settings.string()},
+      folder_ / (name + ".log"));
+}
+
+void local_fleet::start_all() {
+  for (const auto& wanted : description_.nodes) {
+    start_node(wanted.name);
+  }
+  for (const auto& wanted : description_.nodes) {
+    wait_ready(wanted.name);
+  }
+}
+
+void local_fleet::wait_ready(const std::string& name) {
+  const auto& where = node_addresses_.at(name).callers;
+  require(wait_until([&] { return get(where, "/readyz").status == 200; }),
+          name + " did not become ready");
+}
+
+void local_fleet::wait_witnesses() {
+  for (const auto& wanted : description_.nodes) {
+    require(wait_until([&] {
+              const auto status = document(wanted.name, "/v1/status");
+              return status.contains("may_witness") && status.at("may_witness").as_bool();
+            }),
+            wanted.name + " may not witness");
+  }
+}
+
+bool local_fleet::wait_until(const std::function<bool()>& condition) {
+  const auto limit = std::chrono::steady_clock::now() + patience;
+  while (std::chrono::steady_clock::now() < limit) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(poll_interval);
+  }
+  return condition();
+}
+
+void local_fleet::publish(const std::map<std::string, std::optional<std::string>>& records) const {
+  json::array entries;
+  for (const auto& [key, value] : records) {
+    json::object entry{{"key", key}};
+    if (value) {
+      entry["value"] = *value;
+    }
+    entries.push_back(std::move(entry));
+  }
+  post(platform_address_, "/admin/publish", {{"entries", std::move(entries)}});
+}
+
+void local_fleet::platform_mode(const std::string& mode) const {
+  post(platform_address_, "/admin/mode", {{"mode", mode}});
+}
+
+void local_fleet::set_links(const std::vector<std::string>& links,
+                            const json::object& fault) const {
+  auto body = fault;
+  body["links"] = json::value_from(links);
+  post(proxy_address_, "/admin/fault", body);
+}
+
+void local_fleet::set_backend_fault(const std::string& name, const std::string& fault,
+                                    std::optional<int> times) const {
+  json::object body{{"fault", fault}};
+  if (times) {
+    body["times"] = *times;
+  }
+  post(backend_addresses_.at(name), "/admin/fault", body);
+}
+
+json::object local_fleet::document(const std::string& node, const std::string& path) const {
+  return get(node_addresses_.at(node).operators, path).json();
+}
+
+std::int64_t local_fleet::executions(const std::string& backend) const {
+  const auto counts = get(backend_addresses_.at(backend), "/admin/counts").json();
+  std::int64_t total = 0;
+  for (const auto& item : counts.at("executions").as_object()) {
+    total += item.value().as_int64();
+  }
+  return total;
+}
+
+std::int64_t local_fleet::executions_in_pool(const std::string& pool) const {
+  std::int64_t total = 0;
+  for (const auto& wanted : description_.backends) {
+    total += wanted.pool == pool ? executions(wanted.name) : 0;
+  }
+  return total;
+}
+
+http_answer local_fleet::ask(const std::string& node, const std::string& pipeline,
+                             const std::string& token, const json::object& body,
+                             const std::map<std::string, std::string>& headers) const {
+  http_call wanted;
+  wanted.address = node_addresses_.at(node).callers;
+  wanted.method = "POST";
+  wanted.target = "/v1/pipelines/" + pipeline;
+  wanted.headers = headers;
+  wanted.headers["Authorization"] = "Bearer " + token;
+  wanted.body = json::serialize(body);
+  return call(wanted);
+}
+
+} // namespace spurrack::fleet
