--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -43,8 +43,8 @@
          (place.rejected && place.rejected->at == offered);
 }
 
-bool catalog::is_older(const slot& place, const version& offered) {
-  return place.accepted && offered < place.accepted->at;
+bool catalog::is_older(const slot& place, const version& offered) const {
+  return switches_.revision_order && place.accepted && offered < place.accepted->at;
 }
 
 apply_result catalog::apply(const wire::catalog_entry& entry) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -2,6 +2,7 @@
 /// deletes are revisions too. Replicas merge in any order and converge to the same content.
 #pragma once
 
+#include "base/safety_switches.h"
 #include "model/record_parser.h"
 #include "wire/peer.pb.h"
 
@@ -45,6 +46,8 @@
 /// Not thread-safe. Shared records live on after they are replaced.
 class catalog {
  public:
+  explicit catalog(base::safety_switches switches = {}) : switches_(switches) {}
+
   /// Number of hash buckets compared by anti-entropy.
   static constexpr std::size_t bucket_count = 256;
 
@@ -102,7 +105,7 @@
   static version version_of(const wire::catalog_entry& entry);
   static std::size_t bucket_of(const std::string& key);
   static bool is_known(const slot& place, const version& offered);
-  static bool is_older(const slot& place, const version& offered);
+  [[nodiscard]] bool is_older(const slot& place, const version& offered) const;
   void accept(slot& place, stored_entry offered, const std::optional<model::record>& value);
   void reject(slot& place, stored_entry offered, std::string reason);
   void rehash(const std::string& key, slot& place);
@@ -110,6 +113,7 @@
   void remove_from_index(const std::string& key);
   void remove_tenant(const base::tenant_id& name);
 
+  base::safety_switches switches_;
   std::unordered_map<std::string, slot> slots_;
   std::array<std::uint64_t, bucket_count> buckets_{};
   template_map templates_;
--- a/src/execution/effect_guard.cc
+++ b/src/execution/effect_guard.cc
@@ -17,7 +17,8 @@
                            base::random_source& random, address_lookup lookup,
                            event_recorder record, base::time_point started)
     : settings_(settings), self_(std::move(self)), random_(&random), lookup_(std::move(lookup)),
-      record_(std::move(record)), witness_(started, settings.key_lifetime),
+      record_(std::move(record)), witness_(started, settings.switches.young_witness_wait ? settings.key_lifetime
+                                                            : base::duration::zero()),
       lists_(settings.list_window) {}
 
 void effect_guard::update_list(const catalog::machine_map& machines, base::time_point now) {
@@ -59,8 +60,9 @@
   } else if (!request.ticket.empty()) {
     begin_with_ticket(std::move(request), now);
   } else {
-    // A witness named this node, but its request gave the key up before it was dispatched.
-    refuse(request, {}, model::outcome::not_run, reason::key_in_use, no_majority_retry);
+    // A witness named this node, but its request gave the key up before it was dispatched. Whether
+    // yet another node ran the key before that is not known here.
+    refuse(request, {}, model::outcome::unknown, reason::key_in_use, no_majority_retry);
   }
 }
 
@@ -100,7 +102,9 @@
   }
   const auto key = key_of(guarded);
   const auto* known = effects_.find(key);
-  if (parsed->process_start != self_.process_start || known == nullptr || known->expires <= now) {
+  const bool other_life = parsed->process_start != self_.process_start ||
+                          known == nullptr || known->expires <= now;
+  if (other_life && settings_.switches.ticket_binds_process) {
     // Whether an earlier life, or this one before the record was dropped, ran it is not known.
     refuse(guarded, {}, model::outcome::unknown, reason::ticket_expired, {});
     return;
@@ -115,6 +119,10 @@
     pending->second.more_callers.push_back(guarded.request.caller);
     return;
   }
+  if (!settings_.switches.witness_majority) {
+    run(std::move(guarded.request), key, {}, now + settings_.key_lifetime);
+    return;
+  }
   idempotency::key_acquisition acquisition(key, lists_.sets_for(key, now));
   const auto give_up_at = std::min(now + settings_.witness_timeout, guarded.request.deadline);
   const auto place = acquiring_
@@ -195,16 +203,14 @@
             base::network_address(holder->address()), holder->incarnation(), now);
     return;
   }
+  // Without a majority it is not known whether an earlier send of the same key was run elsewhere.
   if (state == idempotency::acquisition_state::held) {
-    // The holder is this node, but no effect is known: an earlier life, or a request that gave up.
-    const bool earlier_life = holder->incarnation() != self_.process_start;
-    refuse(entry.guarded, entry.more_callers,
-           earlier_life ? model::outcome::unknown : model::outcome::not_run, reason::key_in_use,
+    refuse(entry.guarded, entry.more_callers, model::outcome::unknown, reason::key_in_use,
            no_majority_retry);
     return;
   }
   const bool young = entry.acquisition.met_young_witness();
-  refuse(entry.guarded, entry.more_callers, model::outcome::not_run,
+  refuse(entry.guarded, entry.more_callers, model::outcome::unknown,
          young ? reason::key_witnesses_young : reason::key_no_majority,
          young ? young_witness_retry : no_majority_retry);
 }
@@ -326,7 +332,7 @@
     release(entry);
     record_(base::event_kind::key_refused, entry.guarded.request.id, key,
             "witnesses did not answer");
-    refuse(entry.guarded, entry.more_callers, model::outcome::not_run, reason::key_no_majority,
+    refuse(entry.guarded, entry.more_callers, model::outcome::unknown, reason::key_no_majority,
            no_majority_retry);
   }
 }
--- a/src/execution/effect_guard.h
+++ b/src/execution/effect_guard.h
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/random.h"
+#include "base/safety_switches.h"
 #include "execution/answer.h"
 #include "execution/commands.h"
 #include "execution/executor.h"
@@ -34,6 +35,7 @@
   base::duration list_window = std::chrono::minutes(60);
   /// Longest wait for witnesses.
   base::duration witness_timeout = std::chrono::milliseconds(500);
+  base::safety_switches switches;
 };
 
 /// A request that asks for permission.
--- a/src/execution/executor.cc
+++ b/src/execution/executor.cc
@@ -28,9 +28,10 @@
 } // namespace
 
 executor::executor(routing::backend_table& backends, admission::stage_scheduler& scheduler,
-                   event_recorder record, completion_observer completed)
+                   event_recorder record, completion_observer completed,
+                   base::safety_switches switches)
     : backends_(&backends), scheduler_(&scheduler), record_(std::move(record)),
-      completed_(std::move(completed)) {}
+      completed_(std::move(completed)), switches_(switches) {}
 
 void executor::start(admitted_request request, base::time_point now) {
   const auto id = request.id;
@@ -145,7 +146,8 @@
   const call_identity expected{active.request.id, active.current().name, active.next_attempt - 1};
   const bool whole = active.current().kind != model::stage_kind::generate ||
                      result.tokens == active.tokens_received;
-  return whole && result.identity == expected;
+  const bool is_echo_right = result.identity == expected || !switches_.answer_identity_check;
+  return whole && is_echo_right;
 }
 
 void executor::on_result(const call_result& result, base::time_point now) {
@@ -248,7 +250,7 @@
     give_up(active, reason::backend_failed, now);
     return;
   default:
-    if (!repeatable) {
+    if (!repeatable && switches_.no_repeat_after_send) {
       give_up(active, reason::backend_failed, now);
       return;
     }
@@ -314,7 +316,8 @@
 }
 
 void executor::give_up(active_request& active, reason why, base::time_point now) {
-  const auto outcome = active.ledger.give_up();
+  const auto outcome =
+      switches_.truthful_outcome ? active.ledger.give_up() : model::outcome::not_run;
   cancel_call_in_flight(active, now);
   finish(active, outcome, why, now);
 }
--- a/src/execution/executor.h
+++ b/src/execution/executor.h
@@ -3,6 +3,7 @@
 
 #include "admission/stage_scheduler.h"
 #include "base/event_log.h"
+#include "base/safety_switches.h"
 #include "execution/commands.h"
 #include "execution/counters.h"
 #include "model/outcome.h"
@@ -41,7 +42,8 @@
  public:
   /// @param backends and scheduler must outlive this object.
   executor(routing::backend_table& backends, admission::stage_scheduler& scheduler,
-           event_recorder record, completion_observer completed);
+           event_recorder record, completion_observer completed,
+           base::safety_switches switches);
 
   /// Starts a request. The first dispatch happens at the next `pump`.
   void start(admitted_request request, base::time_point now);
@@ -112,6 +114,7 @@
   admission::stage_scheduler* scheduler_;
   event_recorder record_;
   completion_observer completed_;
+  base::safety_switches switches_;
   std::unordered_map<base::request_id, active_request> active_;
   std::unordered_map<base::call_id, base::request_id> calls_;
   std::set<std::pair<base::time_point, base::request_id>> deadlines_;
--- a/src/execution/plan_resolver.cc
+++ b/src/execution/plan_resolver.cc
@@ -7,7 +7,7 @@
 
 std::variant<resolved_request, reason> resolve_request(const catalog::catalog& content,
                                                        const caller_request& request,
-                                                       base::time_point now) {
+                                                       base::time_point arrived_at) {
   const auto tenant = content.find_tenant_by_token(request.token_sha256);
   if (!tenant) {
     return reason::unknown_token;
@@ -25,7 +25,7 @@
     return reason::invalid_deadline;
   }
   return resolved_request{std::make_shared<const model::pipeline_plan>(std::move(*plan)),
-                          now + allowed};
+                          arrived_at + allowed};
 }
 
 } // namespace spurrack::execution
--- a/src/execution/plan_resolver.h
+++ b/src/execution/plan_resolver.h
@@ -16,11 +16,12 @@
   base::time_point deadline;
 };
 
+/// @param arrived_at when the request reached this machine; its deadline counts from then.
 /// @return the plan with the request's deadline, or the reason of a refusal. A caller's deadline
 /// can
 ///         only shorten the published one.
 std::variant<resolved_request, reason> resolve_request(const catalog::catalog& content,
                                                        const caller_request& request,
-                                                       base::time_point now);
+                                                       base::time_point arrived_at);
 
 } // namespace spurrack::execution
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -11,6 +11,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <deque>
@@ -37,6 +39,17 @@
 };
 using outgoing_item = std::variant<execution::answer, token_item, ticket_item>;
 
+/// @return when the last bytes of the request reached this machine. The kernel keeps that time, so a
+///         request that waited in the socket while this process was paused is seen to be old.
+base::time_point arrival_time(beast::tcp_stream& stream) {
+  const auto now = base::boot_clock::now();
+  tcp_info info{};
+  socklen_t length = sizeof(info);
+  const int failed = ::getsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                                  &length);
+  return failed != 0 ? now : now - std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 /// A caller whose request is being decided: what is to be written to it, in order.
 struct exchange {
   explicit exchange(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
@@ -199,7 +212,7 @@
     } else {
       auto& content = std::get<execution::caller_request>(request);
       streams = content.stream;
-      observer_.on_request({caller, std::move(content)});
+      observer_.on_request({caller, std::move(content), arrival_time(stream)});
     }
     asio::co_spawn(*io_, watch_for_end(stream, waiting), asio::detached);
     const bool go_on = co_await write_items(stream, *waiting, streams, keep_alive);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -28,6 +28,9 @@
 struct caller_arrived {
   base::caller_id caller = 0;
   execution::caller_request request;
+  /// When the request reached this machine, which is earlier than now where the process was paused:
+  /// deadlines count from here, so that a request which waited out a pause is not run late.
+  base::time_point arrived_at;
 };
 struct caller_left {
   base::caller_id caller = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -14,6 +14,13 @@
 /// Messages a node sends to itself while it handles one event; a bound against loops.
 constexpr std::size_t most_loopback_rounds = 8;
 
+/// Hands the switches on to the parts that have them.
+node_settings with_switches(node_settings settings) {
+  settings.guard.switches = settings.switches;
+  settings.routing.switches = settings.switches;
+  return settings;
+}
+
 base::event_kind event_of(wire::member_state state) {
   switch (state) {
   case wire::ALIVE:
@@ -39,8 +46,9 @@
 } // namespace
 
 node::node(node_settings settings, base::random_source& random, base::time_point now)
-    : settings_(std::move(settings)), random_(&random), started_(now), last_event_(now),
+    : settings_(with_switches(std::move(settings))), random_(&random), started_(now), last_event_(now),
       clock_(settings_.wall_offset_microseconds), events_(settings_.event_log_capacity),
+      catalog_(settings_.switches),
       replicator_(catalog_, random,
                   [this](const wire::catalog_entry& entry, const catalog::apply_result& result) {
                     record(event_of(result.verdict), {}, entry.key(),
@@ -57,7 +65,7 @@
           backends_, scheduler_,
           [this](base::event_kind kind, const base::request_id& request, const std::string& subject,
                  const std::string& detail) { record(kind, request, subject, detail); },
-          [this](const execution::answer& content) { guard_.on_answer(content); }),
+          [this](const execution::answer& content) { guard_.on_answer(content); }, settings_.switches),
       guard_(
           settings_.guard, settings_.self, random,
           [this](const base::node_id& other) { return address_of(other); },
@@ -76,6 +84,7 @@
   last_event_ = now;
   // What has expired is given up before anything else is decided.
   executor_.expire(now);
+  guard_.tick(now);
   std::visit([&](const auto& happened) { on(happened, now); }, what);
   flush(now);
   return std::exchange(commands_, {});
@@ -104,6 +113,7 @@
     return;
   }
   const auto gap = base::to_milliseconds(now - last_event_);
+  disturbed_at_ = now;
   last_event_ = now;
   record(base::event_kind::node_resumed_after_pause, {}, settings_.self.node.text(),
          std::to_string(gap) + " ms");
@@ -150,7 +160,6 @@
 // --- periodic work -------------------------------------------------------------------------------
 
 void node::on(const time_passed& /*what*/, base::time_point now) {
-  guard_.tick(now);
   if (now >= next_periodic_) {
     next_periodic_ = now + periodic_interval;
     run_periodic(now);
@@ -308,38 +317,42 @@
 }
 
 void node::refuse(const execution::caller_ref& caller, const base::request_id& id,
-                  execution::reason why, base::duration retry_after,
-                  const execution::pipeline_key& key) {
+                  execution::reason why, base::duration retry_after, bool may_be_resent) {
   execution::answer content;
-  content.outcome = model::outcome::not_run;
+  content.outcome = may_be_resent ? model::outcome::unknown : model::outcome::not_run;
   content.why = why;
   content.request = id;
   content.retry_after = retry_after;
-  execution::answer_decision decision{caller, std::move(content), key};
+  execution::answer_decision decision{caller, std::move(content), {}};
   carry_out(decision, last_event_);
 }
 
 void node::on(const caller_arrived& what, base::time_point now) {
   const execution::local_caller caller{what.caller};
   const auto id = next_request_id();
+  disturbed_at_ = now;
   record(base::event_kind::request_received, id, what.request.pipeline.text(), "");
+  const bool may_be_resent =
+      !what.request.ticket.empty() || !what.request.idempotency_key.empty();
   if (stopping_ || !ready_) {
     refuse(caller, id,
            stopping_ ? execution::reason::node_stopping : execution::reason::node_not_ready,
-           not_ready_retry, {});
+           not_ready_retry, may_be_resent);
     return;
   }
-  auto judged = execution::resolve_request(catalog_, what.request, now);
+  auto judged = execution::resolve_request(catalog_, what.request, what.arrived_at);
   if (const auto* why = std::get_if<execution::reason>(&judged)) {
-    refuse(caller, id, *why, {}, {});
+    refuse(caller, id, *why, {}, may_be_resent && *why != execution::reason::unknown_token);
     return;
   }
   auto& resolved = std::get<execution::resolved_request>(judged);
+  if (resolved.deadline <= now) {
+    refuse(caller, id, execution::reason::deadline_passed, {}, may_be_resent);
+    return;
+  }
   execution::admitted_request request{
       id, resolved.plan, what.request.input, resolved.deadline, caller, what.request.stream};
-  const bool guarded = resolved.plan->has_non_repeatable_stage() &&
-                       !(what.request.ticket.empty() && what.request.idempotency_key.empty());
-  if (guarded) {
+  if (resolved.plan->has_non_repeatable_stage() && may_be_resent) {
     guard_.begin({std::move(request), what.request.idempotency_key, what.request.ticket}, now);
     carry_out_guard_decisions(now);
     return;
@@ -356,9 +369,9 @@
   const auto id = next_request_id();
   const execution::local_caller caller{what.caller};
   if (stopping_ || !ready_) {
-    refuse(caller, id, execution::reason::node_not_ready, not_ready_retry, {});
+    refuse(caller, id, execution::reason::node_not_ready, not_ready_retry, false);
   } else if (!catalog_.find_tenant_by_token(what.token_sha256)) {
-    refuse(caller, id, execution::reason::unknown_token, {}, {});
+    refuse(caller, id, execution::reason::unknown_token, {}, false);
   } else {
     commands_.emplace_back(
         send_ticket{what.caller, guard_.issue(now), settings_.guard.ticket_lifetime});
@@ -454,9 +467,11 @@
 
 // --- stop ----------------------------------------------------------------------------------------
 
-void node::on(const stop_requested& /*what*/, base::time_point /*now*/) {
+void node::on(const stop_requested& /*what*/, base::time_point now) {
   if (!stopping_) {
     stopping_ = true;
+    stop_began_ = now;
+    disturbed_at_ = now;
     record(base::event_kind::node_stopping, {}, settings_.self.node.text(), "");
   }
 }
@@ -478,8 +493,17 @@
     }
     flush_messages(now);
   }
+  check_stop(now);
+}
+
+void node::check_stop(base::time_point now) {
+  if (!stopping_ || stop_reported_) {
+    return;
+  }
   const bool idle = executor_.active() == 0 && guard_.pending() == 0;
-  if (stopping_ && idle && !stop_reported_) {
+  const bool quiet = now - disturbed_at_ >= settings_.stop_linger ||
+                     now - stop_began_ >= settings_.stop_linger_longest;
+  if ((idle && quiet) || !settings_.switches.drain_before_stop) {
     stop_reported_ = true;
     commands_.emplace_back(stop_completed{});
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "base/event_log.h"
 #include "base/hybrid_clock.h"
 #include "base/random.h"
+#include "base/safety_switches.h"
 #include "catalog/catalog.h"
 #include "catalog/replicator.h"
 #include "catalog/service_watch.h"
@@ -37,10 +38,15 @@
   base::duration pause_threshold = std::chrono::milliseconds(1000);
   /// How long a node waits for peers before it is ready on the service's word, or serves alone.
   base::duration resync_wait = std::chrono::milliseconds(1000);
-  /// Longest stop; what is still in flight then is cut by its own deadline first.
+  /// A stopping node ends only after no request reached it for this time: the balancer learns of the
+  /// stop late, and requests may have waited in sockets through a pause of the process.
+  base::duration stop_linger = std::chrono::milliseconds(300);
+  /// Callers that do not stop sending cannot hold a stopping node longer than this.
+  base::duration stop_linger_longest = std::chrono::seconds(10);
   std::size_t event_log_capacity = 4096;
   /// Wall clock minus boot clock, in microseconds.
   std::int64_t wall_offset_microseconds = 0;
+  base::safety_switches switches;
 };
 
 /// Bytes and messages a node spent on control.
@@ -111,10 +117,12 @@
   void carry_out(execution::run_decision& decision, base::time_point now);
   void carry_out(execution::attach_decision& decision, base::time_point now);
   void carry_out(execution::answer_decision& decision, base::time_point now);
+  /// Refuses a request at the door. One that carries a ticket or key may have been run when it was
+  /// sent before, so its outcome is `unknown` there.
   void refuse(const execution::caller_ref& caller, const base::request_id& id,
-              execution::reason why, base::duration retry_after,
-              const execution::pipeline_key& key);
+              execution::reason why, base::duration retry_after, bool may_be_resent);
   void flush(base::time_point now);
+  void check_stop(base::time_point now);
   void emit(execution::send_answer&& wanted);
   template <typename other_command>
   void emit(other_command&& wanted) {
@@ -151,6 +159,9 @@
   bool ready_ = false;
   bool stopping_ = false;
   bool stop_reported_ = false;
+  base::time_point stop_began_;
+  /// Last time a request reached this node, or it woke from a pause.
+  base::time_point disturbed_at_;
   /// Set while dispatch is on hold after a pause.
   std::optional<base::time_point> hold_until_;
   base::time_point next_periodic_;
--- a/src/routing/backend_table.cc
+++ b/src/routing/backend_table.cc
@@ -53,6 +53,9 @@
 }
 
 bool backend_table::is_leaving(const backend& target) const {
+  if (!limits_.switches.leave_notices) {
+    return false;
+  }
   const auto notice = leaving_generation_.find(target.id);
   return target.listed_as_leaving ||
          (notice != leaving_generation_.end() && notice->second >= target.generation);
--- a/src/routing/backend_table.h
+++ b/src/routing/backend_table.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/safety_switches.h"
 #include "base/time.h"
 #include "catalog/catalog.h"
 #include "routing/latency_estimator.h"
@@ -55,6 +56,7 @@
   double ejection_share = 0.34;
   /// Reports of load older than this are not used to exceed the own share.
   base::duration report_lifetime = std::chrono::milliseconds(200);
+  base::safety_switches switches;
 };
 
 /// Not thread-safe. Pointers to back ends are valid until the next `update`.
--- /dev/null
+++ b/src/simulation/emulated_backend.cc
@@ -0,0 +1,147 @@
+#include "simulation/emulated_backend.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace spurrack::simulation {
+namespace {
+
+std::string token_text(const std::string& input, std::uint32_t offset) {
+  return offset == 0 ? "generate(" + input + ")" : " w" + std::to_string(offset);
+}
+
+execution::call_result refusal(const execution::stage_call& call, execution::call_status status) {
+  execution::call_result result;
+  result.call = call.call;
+  result.status = status;
+  result.identity = call.identity;
+  return result;
+}
+
+} // namespace
+
+std::string expected_output(model::stage_kind kind, const std::string& input,
+                            std::uint32_t max_tokens) {
+  if (kind != model::stage_kind::generate) {
+    return std::string(model::name_of(kind)) + "(" + input + ")";
+  }
+  std::string text;
+  for (std::uint32_t offset = 0; offset < max_tokens; ++offset) {
+    text += token_text(input, offset);
+  }
+  return text;
+}
+
+emulated_backend::emulated_backend(backend_profile profile, event_queue& events,
+                                   base::random_source& random, execution_observer observer)
+    : profile_(std::move(profile)), events_(&events), random_(&random),
+      observer_(std::move(observer)) {}
+
+void emulated_backend::receive(const execution::stage_call& call, reply_handler reply) {
+  if (!alive_) {
+    return;
+  }
+  if (faults_.leaving) {
+    reply({refusal(call, execution::call_status::refused_leaving), {}});
+    return;
+  }
+  if (running_.size() + waiting_.size() >= profile_.most_calls) {
+    reply({refusal(call, execution::call_status::refused_overloaded), {}});
+    return;
+  }
+  held_call held{call, std::move(reply), {}};
+  if (running_.size() < profile_.concurrency) {
+    start(std::move(held));
+  } else {
+    waiting_.push_back(std::move(held));
+  }
+}
+
+base::duration emulated_backend::sample(const execution::stage_call& call) {
+  const double exponential = -std::log(1.0 - random_->unit());
+  const double factor = (1.0 - profile_.variation) + profile_.variation * exponential;
+  const auto tokens = static_cast<double>(call.max_tokens - std::min(call.max_tokens, call.resume_offset));
+  const double mean =
+      base::to_seconds(profile_.service_time) + tokens * base::to_seconds(profile_.token_time);
+  return base::from_seconds(mean * factor * faults_.slowdown);
+}
+
+void emulated_backend::start(held_call held) {
+  ++executions_;
+  observer_(*this, held.call);
+  const auto slot = next_slot_++;
+  held.started = events_->now();
+  const auto takes = sample(held.call);
+  running_.emplace(slot, std::move(held));
+  if (!faults_.hanging) {
+    events_->after(takes, [this, slot] { finish(slot); });
+  }
+}
+
+backend_reply emulated_backend::make_reply(const held_call& held) {
+  const auto& call = held.call;
+  backend_reply reply;
+  reply.result = refusal(call, execution::call_status::completed);
+  reply.result.backend_time = events_->now() - held.started;
+  reply.result.reported_in_flight =
+      static_cast<std::uint32_t>(running_.size() + waiting_.size()) + 1;
+  if (call.kind == model::stage_kind::generate) {
+    reply.result.tokens = call.max_tokens;
+    for (auto offset = call.resume_offset; offset < call.max_tokens; ++offset) {
+      reply.tokens.push_back({call.call, offset, token_text(call.input, offset)});
+    }
+  } else {
+    reply.result.output = expected_output(call.kind, call.input, 0);
+  }
+  if (random_->unit() < faults_.crossed) {
+    reply.result.identity.request = base::request_id("another-request");
+    reply.result.output = "another answer";
+  } else if (random_->unit() < faults_.truncated) {
+    reply.result.status = execution::call_status::broken;
+    reply.tokens.resize(reply.tokens.size() / 2);
+  }
+  return reply;
+}
+
+void emulated_backend::finish(std::uint64_t slot) {
+  auto found = running_.extract(slot);
+  if (found.empty() || !alive_) {
+    return;
+  }
+  const auto& held = found.mapped();
+  busy_time_ += events_->now() - held.started;
+  auto reply = make_reply(held);
+  held.reply(std::move(reply));
+  start_waiting();
+}
+
+void emulated_backend::start_waiting() {
+  while (!waiting_.empty() && running_.size() < profile_.concurrency) {
+    auto next = std::move(waiting_.front());
+    waiting_.pop_front();
+    start(std::move(next));
+  }
+}
+
+void emulated_backend::cancel(const execution::call_identity& identity) {
+  std::erase_if(waiting_, [&](const held_call& held) { return held.call.identity == identity; });
+  const auto found = std::find_if(running_.begin(), running_.end(), [&](const auto& entry) {
+    return entry.second.call.identity == identity;
+  });
+  if (found != running_.end()) {
+    busy_time_ += events_->now() - found->second.started;
+    running_.erase(found);
+    start_waiting();
+  }
+}
+
+void emulated_backend::crash() {
+  alive_ = false;
+  running_.clear();
+  waiting_.clear();
+}
+
+void emulated_backend::restart() { alive_ = true; }
+
+} // namespace spurrack::simulation
--- /dev/null
+++ b/src/simulation/fleet_simulation.h
@@ -0,0 +1,198 @@
+/// A whole fleet in one thread under virtual time: the real decision logic of every node, an emulated
+/// network, platform and back ends, and callers. The same seed gives the same run.
+#pragma once
+
+#include "base/random.h"
+#include "node/node.h"
+#include "simulation/emulated_backend.h"
+#include "simulation/emulated_platform.h"
+#include "simulation/event_queue.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spurrack::simulation {
+
+struct network_profile {
+  /// One-way delay between any two machines; the time added at random reorders messages.
+  base::duration delay = std::chrono::microseconds(500);
+  base::duration jitter = std::chrono::microseconds(500);
+  /// Probability that a message between nodes is lost.
+  double loss = 0;
+};
+
+/// A node to simulate.
+struct node_profile {
+  std::string name;
+  std::string zone;
+};
+
+struct simulation_settings {
+  std::uint64_t seed = 1;
+  std::vector<node_profile> nodes;
+  std::vector<backend_profile> backends;
+  /// Templates and tenants: key and YAML value.
+  std::map<std::string, std::string> records;
+  network_profile network;
+  /// Settings shared by all nodes; identity and seeds are filled in.
+  node::node_settings node;
+};
+
+/// One send of a caller and what it was told.
+struct caller_record {
+  base::caller_id id = 0;
+  std::string node;
+  execution::caller_request request;
+  base::time_point sent_at;
+  base::time_point deadline;
+  std::optional<execution::answer> answer;
+  base::time_point answered_at;
+  /// Tokens received, in order.
+  std::string streamed;
+  std::optional<base::time_point> first_token_at;
+  /// Answers received; more than one is a violation.
+  unsigned answers = 0;
+  /// The node died or was cut from the caller before it answered.
+  bool connection_lost = false;
+  /// The request reached the node.
+  bool arrived = false;
+  /// The node ended its planned stop without answering a request that had reached it.
+  bool cut_by_stop = false;
+};
+
+/// One execution of a stage at a back end.
+struct execution_record {
+  std::string backend;
+  execution::call_identity identity;
+  bool repeatable = true;
+  std::string input;
+  base::time_point at;
+  /// Time after which the call should not have been sent.
+  base::time_point not_after;
+};
+
+/// Not thread-safe.
+class fleet_simulation {
+ public:
+  explicit fleet_simulation(simulation_settings settings);
+
+  event_queue& events() { return events_; }
+  emulated_platform& platform() { return platform_; }
+  base::random_source& random() { return random_; }
+  [[nodiscard]] base::time_point now() const { return events_.now(); }
+  void run_for(base::duration span) { events_.run_until(events_.now() + span); }
+  /// Runs until a condition holds, looking every 10 ms. @return whether it came within `limit`.
+  bool run_until(const std::function<bool()>& condition, base::duration limit);
+
+  // --- nodes
+  void start_node(const std::string& name);
+  void start_all_nodes();
+  void kill_node(const std::string& name);
+  /// Pauses a node; what happens meanwhile reaches it when it wakes.
+  void freeze_node(const std::string& name, base::duration span);
+  /// Pauses a node between its decision to make a call that may not be repeated and the send.
+  void freeze_before_next_effect(const std::string& name, base::duration span);
+  void cancel_freeze_before_effect(const std::string& name) {
+    nodes_.at(name).freeze_before_effect.reset();
+  }
+  void stop_node(const std::string& name);
+  [[nodiscard]] bool is_alive(const std::string& name) const;
+  [[nodiscard]] bool is_frozen(const std::string& name) const;
+  [[nodiscard]] bool has_exited(const std::string& name) const;
+  [[nodiscard]] const node::node& node(const std::string& name) const;
+  [[nodiscard]] std::vector<std::string> node_names() const;
+  [[nodiscard]] bool all_ready() const;
+
+  // --- network; a cut separates a zone from all others, from the platform where wanted
+  void cut_zone(const std::string& zone, bool from_platform);
+  void heal_zone(const std::string& zone);
+  [[nodiscard]] bool is_cut(const std::string& zone) const { return cuts_.contains(zone); }
+  void set_loss(double loss) { settings_.network.loss = loss; }
+
+  // --- back ends
+  emulated_backend& backend(const std::string& name) { return *backends_.at(name); }
+  [[nodiscard]] std::vector<std::string> backend_names() const;
+  /// A back end dies: connections to it break, calls on it are lost.
+  void crash_backend(const std::string& name);
+  /// Publishes a back end's machine record.
+  void publish_backend(const std::string& name, const std::string& state, int generation);
+  void publish_node(const std::string& name, bool listed);
+
+  // --- callers
+  base::caller_id send(const std::string& node, execution::caller_request request);
+  /// Asks a node for a ticket; empty where it gives none within a second of virtual time.
+  std::string take_ticket(const std::string& node, const std::string& token_sha256);
+  void hang_up(base::caller_id caller);
+  [[nodiscard]] const std::map<base::caller_id, caller_record>& callers() const {
+    return callers_;
+  }
+  [[nodiscard]] const std::vector<execution_record>& executions() const { return executions_; }
+  /// Forgets callers and executions that are settled; for long measurements.
+  void forget_records();
+
+  /// @return control bytes and messages of all nodes together, over all their lives.
+  [[nodiscard]] node::control_counters control_totals() const;
+
+ private:
+  struct node_slot {
+    node_profile profile;
+    std::unique_ptr<base::seeded_random> random;
+    std::unique_ptr<node::node> logic;
+    /// Counts starts; events of an earlier life are dropped.
+    std::uint64_t life = 0;
+    bool alive = false;
+    bool exited = false;
+    base::time_point frozen_until;
+    std::optional<base::duration> freeze_before_effect;
+    base::time_point wake_scheduled;
+  };
+  struct open_call {
+    execution::stage_call call;
+    std::string node;
+    std::uint64_t life = 0;
+    bool cancelled = false;
+    bool written = false;
+  };
+  using open_call_ref = std::shared_ptr<open_call>;
+
+  /// Runs something at a node of a given life: later where it is paused, never where it died.
+  void at_node(const std::string& name, std::uint64_t life, std::function<void()> what);
+  void deliver(const std::string& name, std::uint64_t life, const node::event& what);
+  void carry_out(node_slot& slot, node::command& wanted);
+  void schedule_wakeup(node_slot& slot);
+  void send_message(node_slot& from, wire::outgoing& message);
+  void read_platform(node_slot& slot, const node::read_service& what);
+  void start_call(node_slot& slot, const execution::stage_call& call);
+  void write_call(const open_call_ref& open);
+  void reply_to_call(const open_call_ref& open, const std::string& backend_zone,
+                     backend_reply reply);
+  void end_call(const open_call_ref& open, execution::call_status status);
+  void answer_caller(const execution::send_answer& wanted);
+  base::duration network_delay();
+  [[nodiscard]] bool connected(const std::string& zone, const std::string& other) const;
+  [[nodiscard]] std::string machine_record(const backend_profile& profile,
+                                           const std::string& state, int generation) const;
+
+  simulation_settings settings_;
+  event_queue events_;
+  base::seeded_random random_;
+  emulated_platform platform_;
+  std::map<std::string, node_slot> nodes_;
+  std::map<std::string, std::unique_ptr<emulated_backend>> backends_;
+  /// Zones cut from the others; the value says whether from the platform too.
+  std::map<std::string, bool> cuts_;
+  std::map<std::pair<std::string, base::call_id>, open_call_ref> open_calls_;
+  std::map<base::caller_id, caller_record> callers_;
+  std::map<base::caller_id, std::string> tickets_;
+  std::vector<execution_record> executions_;
+  node::control_counters past_control_;
+  base::caller_id next_caller_ = 1;
+};
+
+} // namespace spurrack::simulation
--- /dev/null
+++ b/src/simulation/random_faults.cc
@@ -0,0 +1,422 @@
+#include "simulation/random_faults.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace spurrack::simulation {
+namespace {
+
+constexpr base::duration step_time = std::chrono::milliseconds(50);
+constexpr base::duration key_lifetime = std::chrono::seconds(4);
+constexpr base::duration quiet_time = std::chrono::seconds(6);
+constexpr base::duration resend_within = std::chrono::milliseconds(2500);
+constexpr base::duration request_deadline = std::chrono::milliseconds(1000);
+constexpr double resend_probability = 0.5;
+constexpr double duplicate_probability = 0.15;
+/// Stands for the SHA-256 of a token; the simulation has no door.
+constexpr const char* token_hash =
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+
+constexpr const char* answer_template = R"(name: answer
+deadline_ms: 1000
+stages:
+  - {name: encode, kind: encode, pool: encoders}
+  - {name: generate, kind: generate, pool: engines, max_tokens: 4}
+)";
+constexpr const char* payout_template = R"(name: payout
+deadline_ms: 1000
+stages:
+  - {name: generate, kind: generate, pool: engines, max_tokens: 2}
+  - {name: notice, kind: call, pool: payouts, repeatable: false}
+)";
+
+simulation_settings make_settings(const run_options& options) {
+  simulation_settings settings;
+  settings.seed = options.seed;
+  for (const auto* zone : {"a", "b", "c"}) {
+    for (const auto* index : {"1", "2"}) {
+      const auto suffix = std::string(zone) + index;
+      settings.nodes.push_back({"node-" + suffix, zone});
+      settings.backends.push_back({"encoder-" + suffix, zone, "encoders"});
+      settings.backends.push_back({"engine-" + suffix, zone, "engines"});
+    }
+    settings.backends.push_back({"payout-" + std::string(zone), zone, "payouts"});
+  }
+  settings.records["templates/answer"] = answer_template;
+  settings.records["templates/payout"] = payout_template;
+  settings.records["tenants/house"] = "{name: house, token_sha256: " + std::string(token_hash) +
+                                      ", templates: {answer: {}, payout: {}}}";
+  settings.node.guard.key_lifetime = key_lifetime;
+  settings.node.guard.ticket_lifetime = std::chrono::seconds(5);
+  settings.node.guard.list_window = std::chrono::seconds(30);
+  settings.node.resync_wait = std::chrono::milliseconds(500);
+  settings.node.event_log_capacity = 20'000;
+  settings.node.switches = options.switches;
+  return settings;
+}
+
+/// A request under a key or ticket that may be sent again.
+struct resendable {
+  execution::caller_request request;
+  std::string effect;
+  base::time_point first_sent;
+  base::caller_id last_caller = 0;
+};
+
+class fault_run {
+ public:
+  explicit fault_run(const run_options& options)
+      : options_(options), random_(options.seed * 31 + 7), fleet_(make_settings(options)),
+        checker_(fleet_) {
+    answer_ = std::get<std::shared_ptr<const model::pipeline_template>>(
+        *model::parse_record("templates/answer", answer_template).value);
+    payout_ = std::get<std::shared_ptr<const model::pipeline_template>>(
+        *model::parse_record("templates/payout", payout_template).value);
+  }
+
+  run_report run() {
+    report_.seed = options_.seed;
+    choose_faults();
+    fleet_.start_all_nodes();
+    fleet_.run_until([&] { return fleet_.all_ready(); }, std::chrono::seconds(20));
+    fleet_.run_for(key_lifetime);
+    const auto end = fleet_.now() + options_.length;
+    while (fleet_.now() < end) {
+      step(true);
+    }
+    heal();
+    fleet_.run_until([&] { return nobody_frozen(); }, std::chrono::seconds(30));
+    const auto quiet_end = fleet_.now() + quiet_time;
+    while (fleet_.now() < quiet_end) {
+      step(false);
+    }
+    checker_.finish();
+    fill_report();
+    return report_;
+  }
+
+ private:
+  void choose_faults() {
+    report_.faults = options_.faults;
+    if (report_.faults.empty()) {
+      const auto count = 1 + random_.below(2);
+      while (report_.faults.size() < count) {
+        report_.faults.push_back(static_cast<fault_kind>(random_.below(fault_kind_count)));
+      }
+    }
+  }
+
+  void step(bool active) {
+    fleet_.run_for(step_time);
+    if (active) {
+      constexpr double fault_probability = 0.06;
+      for (const auto kind : report_.faults) {
+        if (random_.unit() < fault_probability) {
+          inject(kind);
+        }
+      }
+      constexpr std::size_t most_sends = 5;
+      const auto sends = random_.below(most_sends);
+      for (std::size_t index = 0; index < sends; ++index) {
+        send_request();
+      }
+    }
+    resend_some();
+    restart_exited();
+    checker_.step();
+  }
+
+  std::string any_node() {
+    const auto names = fleet_.node_names();
+    for (std::size_t attempt = 0; attempt < names.size(); ++attempt) {
+      const auto& name = names[random_.below(names.size())];
+      if (fleet_.is_alive(name)) {
+        return name;
+      }
+    }
+    return names.front();
+  }
+
+  std::string any_zone() {
+    static const std::vector<std::string> zones{"a", "b", "c"};
+    return zones[random_.below(zones.size())];
+  }
+
+  std::string any_backend() {
+    const auto names = fleet_.backend_names();
+    return names[random_.below(names.size())];
+  }
+
+  base::duration any_time(int low_milliseconds, int high_milliseconds) {
+    const auto span = static_cast<std::size_t>(high_milliseconds - low_milliseconds);
+    return std::chrono::milliseconds(low_milliseconds +
+                                     static_cast<int>(random_.below(span)));
+  }
+
+  void send_request() {
+    execution::caller_request request;
+    request.token_sha256 = token_hash;
+    request.input = "r" + std::to_string(++sent_);
+    request.deadline = request_deadline;
+    constexpr double payout_share = 0.5;
+    if (random_.unit() > payout_share) {
+      request.pipeline = base::template_id("answer");
+      request.stream = random_.below(2) == 0;
+      checker_.expect(fleet_.send(any_node(), request), *answer_, "");
+      return;
+    }
+    request.pipeline = base::template_id("payout");
+    const auto guard = random_.below(3);
+    std::string effect;
+    if (guard == 0) {
+      request.idempotency_key = "key" + std::to_string(sent_);
+      effect = request.idempotency_key;
+    } else if (guard == 1) {
+      request.ticket = fleet_.take_ticket(any_node(), token_hash);
+      effect = request.ticket;
+    }
+    send_guarded({request, effect, fleet_.now(), 0});
+  }
+
+  void send_guarded(resendable what) {
+    what.last_caller = fleet_.send(any_node(), what.request);
+    checker_.expect(what.last_caller, *payout_, what.effect);
+    if (!what.effect.empty()) {
+      resendables_.push_back(std::move(what));
+    }
+  }
+
+  /// Callers that got no certain answer send again, to any node; some send twice for no reason.
+  void resend_some() {
+    auto pending = std::exchange(resendables_, {});
+    for (auto& what : pending) {
+      if (fleet_.now() - what.first_sent > resend_within) {
+        continue;
+      }
+      const auto& record = fleet_.callers().at(what.last_caller);
+      const bool certain =
+          record.answer && record.answer->outcome == model::outcome::completed;
+      const bool ended = record.answer || record.connection_lost;
+      const bool again = (ended && !certain && random_.unit() < resend_probability) ||
+                         random_.unit() < duplicate_probability;
+      if (again) {
+        send_guarded(std::move(what));
+      } else {
+        resendables_.push_back(std::move(what));
+      }
+    }
+  }
+
+  void restart_exited() {
+    for (const auto& name : fleet_.node_names()) {
+      if (!fleet_.is_alive(name) && restart_at_.contains(name) &&
+          restart_at_[name] <= fleet_.now()) {
+        restart_at_.erase(name);
+        fleet_.start_node(name);
+      }
+    }
+  }
+
+  void end_later(base::duration after, std::function<void()> what) {
+    fleet_.events().after(after, std::move(what));
+  }
+
+  void inject(fault_kind kind) {
+    switch (kind) {
+    case fault_kind::message_loss:
+      fleet_.set_loss(random_.unit() * 0.2);
+      break;
+    case fault_kind::zone_cut:
+    case fault_kind::zone_cut_from_platform: {
+      const auto zone = any_zone();
+      fleet_.cut_zone(zone, kind == fault_kind::zone_cut_from_platform);
+      end_later(any_time(500, 6000), [this, zone] { fleet_.heal_zone(zone); });
+      break;
+    }
+    case fault_kind::node_freeze:
+      fleet_.freeze_node(any_node(), any_time(200, 6000));
+      break;
+    case fault_kind::freeze_before_effect:
+      fleet_.freeze_before_next_effect(any_node(), any_time(500, 7000));
+      break;
+    case fault_kind::node_kill:
+      kill_node(any_node());
+      break;
+    case fault_kind::node_stop:
+      stop_node(any_node());
+      break;
+    case fault_kind::backend_crash: {
+      const auto name = any_backend();
+      fleet_.crash_backend(name);
+      end_later(any_time(200, 4000), [this, name] { fleet_.backend(name).restart(); });
+      break;
+    }
+    case fault_kind::bad_answers: {
+      auto& faults = fleet_.backend(any_backend()).faults();
+      faults.crossed = random_.unit() * 0.3;
+      faults.truncated = random_.unit() * 0.3;
+      break;
+    }
+    default:
+      inject_platform_fault(kind);
+      break;
+    }
+  }
+
+  void inject_platform_fault(fault_kind kind) {
+    switch (kind) {
+    case fault_kind::platform_down:
+    case fault_kind::platform_stale:
+      fleet_.platform().set_mode(kind == fault_kind::platform_down ? platform_mode::down
+                                                                   : platform_mode::stale);
+      end_later(any_time(500, 5000), [this] { fleet_.platform().set_mode(platform_mode::up); });
+      publish_template();
+      break;
+    case fault_kind::platform_restored:
+      publish_template();
+      end_later(any_time(300, 1500), [this] {
+        fleet_.platform().restore(fleet_.platform().revision() - 1);
+      });
+      break;
+    case fault_kind::operators_race:
+      publish_template();
+      publish_template();
+      fleet_.platform().publish("templates/broken", "{name: broken, deadline_ms: soon}");
+      break;
+    case fault_kind::backend_leaving:
+      leave_and_return(any_backend());
+      break;
+    case fault_kind::node_list_changes: {
+      const auto name = any_node();
+      fleet_.publish_node(name, false);
+      end_later(any_time(500, 3000), [this, name] { fleet_.publish_node(name, true); });
+      break;
+    }
+    default:
+      break;
+    }
+  }
+
+  void publish_template() {
+    auto text = std::string(answer_template);
+    text += "# edition " + std::to_string(++editions_) + "\n";
+    fleet_.platform().publish("templates/answer", text);
+  }
+
+  void leave_and_return(const std::string& name) {
+    if (!leaving_.insert(name).second) {
+      return;
+    }
+    const auto generation = ++generations_[name];
+    fleet_.publish_backend(name, "leaving", generation);
+    checker_.backend_published(name, true);
+    end_later(any_time(3000, 5000), [this, name] {
+      leaving_.erase(name);
+      fleet_.publish_backend(name, "live", ++generations_[name]);
+      checker_.backend_published(name, false);
+    });
+  }
+
+  void kill_node(const std::string& name) {
+    fleet_.kill_node(name);
+    restart_at_[name] = fleet_.now() + any_time(100, 3000);
+  }
+
+  /// A planned stop under load; the process is started again once it has ended by itself.
+  void stop_node(const std::string& name) {
+    if (fleet_.is_frozen(name)) {
+      return;
+    }
+    fleet_.stop_node(name);
+    restart_at_[name] = fleet_.now() + any_time(1500, 3000);
+  }
+
+  bool nobody_frozen() {
+    const auto names = fleet_.node_names();
+    return std::none_of(names.begin(), names.end(),
+                        [&](const std::string& name) { return fleet_.is_frozen(name); });
+  }
+
+  void heal() {
+    for (const auto& name : fleet_.node_names()) {
+      fleet_.cancel_freeze_before_effect(name);
+    }
+    for (const auto* zone : {"a", "b", "c"}) {
+      fleet_.heal_zone(zone);
+    }
+    fleet_.set_loss(0);
+    fleet_.platform().set_mode(platform_mode::up);
+    for (const auto& name : fleet_.backend_names()) {
+      fleet_.backend(name).faults() = {};
+    }
+  }
+
+  void fill_report() {
+    report_.violations = checker_.violations();
+    for (const auto& [id, record] : fleet_.callers()) {
+      ++report_.requests;
+      report_.completed +=
+          record.answer && record.answer->outcome == model::outcome::completed ? 1 : 0;
+    }
+    for (const auto& run : fleet_.executions()) {
+      report_.effects += run.repeatable ? 0 : 1;
+    }
+    if (!report_.violations.empty()) {
+      report_.timeline = timeline(report_.violations.front().request);
+    }
+  }
+
+  /// Merged events of all nodes about one request; about none, the last ones of the fleet.
+  std::string timeline(const base::request_id& request) {
+    std::vector<std::pair<base::hybrid_timestamp, std::string>> lines;
+    for (const auto& name : fleet_.node_names()) {
+      for (const auto& entry : fleet_.node(name).events().entries()) {
+        const bool wanted = request.empty() ? entry.request.empty() : entry.request == request;
+        if (wanted) {
+          std::ostringstream line;
+          line << entry.at.wall_microseconds << "." << entry.at.logical << " " << name << " "
+               << base::name_of(entry.kind) << " " << entry.subject << " " << entry.detail;
+          lines.emplace_back(entry.at, line.str());
+        }
+      }
+    }
+    std::sort(lines.begin(), lines.end());
+    std::string text;
+    for (const auto& [at, line] : lines) {
+      text += line + "\n";
+    }
+    return text;
+  }
+
+  run_options options_;
+  base::seeded_random random_;
+  fleet_simulation fleet_;
+  promise_checker checker_;
+  run_report report_;
+  std::shared_ptr<const model::pipeline_template> answer_;
+  std::shared_ptr<const model::pipeline_template> payout_;
+  std::vector<resendable> resendables_;
+  std::map<std::string, base::time_point> restart_at_;
+  std::map<std::string, int> generations_;
+  std::set<std::string> leaving_;
+  std::size_t sent_ = 0;
+  int editions_ = 0;
+};
+
+} // namespace
+
+std::string_view name_of(fault_kind kind) {
+  static constexpr std::array<std::string_view, fault_kind_count> names{
+      "message_loss",    "zone_cut",         "zone_cut_from_platform",
+      "node_freeze",     "freeze_before_effect", "node_kill",
+      "node_stop",       "backend_crash",    "bad_answers",
+      "platform_down",   "platform_stale",   "platform_restored",
+      "operators_race",  "backend_leaving",  "node_list_changes"};
+  return names.at(static_cast<std::size_t>(kind));
+}
+
+run_report run_with_faults(const run_options& options) { return fault_run(options).run(); }
+
+} // namespace spurrack::simulation
--- /dev/null
+++ b/tools/fleet_soak.cc
@@ -0,0 +1,70 @@
+/// Runs many seeds of the simulated fleet under faults and reports the violations.
+#include "simulation/random_faults.h"
+
+#include <cxxopts.hpp>
+
+#include <atomic>
+#include <iostream>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using spurrack::simulation::run_report;
+
+std::mutex output_mutex;
+
+void print(const run_report& report) {
+  const std::lock_guard lock(output_mutex);
+  std::cout << "seed " << report.seed << ":";
+  for (const auto kind : report.faults) {
+    std::cout << " " << spurrack::simulation::name_of(kind);
+  }
+  std::cout << "\n";
+  for (const auto& broken : report.violations) {
+    std::cout << "  " << broken.promise << ": " << broken.detail << " " << broken.request << "\n";
+  }
+  std::cout << report.timeline << std::flush;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("fleet_soak", "Simulated fleets under faults.");
+  options.add_options()("seeds", "how many seeds",
+                        cxxopts::value<std::uint64_t>()->default_value("1000"))(
+      "first", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "threads", "runs at the same time", cxxopts::value<unsigned>()->default_value("4"));
+  const auto given = options.parse(argc, argv);
+  const auto first = given["first"].as<std::uint64_t>();
+  const auto count = given["seeds"].as<std::uint64_t>();
+  std::atomic<std::uint64_t> next{first};
+  std::atomic<std::uint64_t> failed{0};
+  std::atomic<std::uint64_t> requests{0};
+  std::atomic<std::uint64_t> completed{0};
+  std::atomic<std::uint64_t> effects{0};
+  std::vector<std::thread> workers;
+  for (unsigned index = 0; index < given["threads"].as<unsigned>(); ++index) {
+    workers.emplace_back([&] {
+      for (auto seed = next++; seed < first + count; seed = next++) {
+        spurrack::simulation::run_options run;
+        run.seed = seed;
+        const auto report = spurrack::simulation::run_with_faults(run);
+        requests += report.requests;
+        completed += report.completed;
+        effects += report.effects;
+        if (!report.violations.empty()) {
+          ++failed;
+          print(report);
+        }
+      }
+    });
+  }
+  for (auto& worker : workers) {
+    worker.join();
+  }
+  std::cout << count << " seeds, " << failed << " with violations; " << requests << " requests, "
+            << completed << " completed, " << effects << " effects run\n";
+  return failed == 0 ? 0 : 1;
+}
