Test the promises with units, simulated fleets and real processes

Found and mended: a slow sender was cut off without an answer, because the stream's timer closes the socket; a read limit of its own leaves it open, and the caller gets 408 receive_timeout. Two tests were wrong: the proxy accepts connections for a dead back end, so a refused connection is tested without it; a fault on one back end was passed by calls that avoid it after a failure.

--- a/src/base/safety_switches.h
+++ b/src/base/safety_switches.h
@@ -1,5 +1,6 @@
 /// Switches that turn single safety mechanisms off. Tests use them to show that each mechanism is
-/// needed: with one off, the simulation must find a violation. No setting of the daemon reaches them.
+/// needed: with one off, the simulation must find a violation. No setting of the daemon reaches
+/// them.
 #pragma once
 
 namespace spurrack::base {
--- a/src/execution/effect_guard.cc
+++ b/src/execution/effect_guard.cc
@@ -17,8 +17,9 @@
                            base::random_source& random, address_lookup lookup,
                            event_recorder record, base::time_point started)
     : settings_(settings), self_(std::move(self)), random_(&random), lookup_(std::move(lookup)),
-      record_(std::move(record)), witness_(started, settings.switches.young_witness_wait ? settings.key_lifetime
-                                                            : base::duration::zero()),
+      record_(std::move(record)),
+      witness_(started, settings.switches.young_witness_wait ? settings.key_lifetime
+                                                             : base::duration::zero()),
       lists_(settings.list_window) {}
 
 void effect_guard::update_list(const catalog::machine_map& machines, base::time_point now) {
@@ -102,8 +103,8 @@
   }
   const auto key = key_of(guarded);
   const auto* known = effects_.find(key);
-  const bool other_life = parsed->process_start != self_.process_start ||
-                          known == nullptr || known->expires <= now;
+  const bool other_life =
+      parsed->process_start != self_.process_start || known == nullptr || known->expires <= now;
   if (other_life && settings_.switches.ticket_binds_process) {
     // Whether an earlier life, or this one before the record was dropped, ran it is not known.
     refuse(guarded, {}, model::outcome::unknown, reason::ticket_expired, {});
--- a/src/execution/executor.h
+++ b/src/execution/executor.h
@@ -42,8 +42,7 @@
  public:
   /// @param backends and scheduler must outlive this object.
   executor(routing::backend_table& backends, admission::stage_scheduler& scheduler,
-           event_recorder record, completion_observer completed,
-           base::safety_switches switches);
+           event_recorder record, completion_observer completed, base::safety_switches switches);
 
   /// Starts a request. The first dispatch happens at the next `pump`.
   void start(admitted_request request, base::time_point now);
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -39,17 +39,49 @@
 };
 using outgoing_item = std::variant<execution::answer, token_item, ticket_item>;
 
-/// @return when the last bytes of the request reached this machine. The kernel keeps that time, so a
+/// @return when the last bytes of the request reached this machine. The kernel keeps that time, so
+/// a
 ///         request that waited in the socket while this process was paused is seen to be old.
 base::time_point arrival_time(beast::tcp_stream& stream) {
   const auto now = base::boot_clock::now();
   tcp_info info{};
   socklen_t length = sizeof(info);
-  const int failed = ::getsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info,
-                                  &length);
+  const int failed =
+      ::getsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
   return failed != 0 ? now : now - std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+/// Bounds the reads of a connection within a scope. Unlike the stream's own timer it leaves the
+/// connection open, so that the caller can be told.
+class read_limit {
+ public:
+  read_limit(beast::tcp_stream& stream, base::duration longest)
+      : state_(std::make_shared<state>()), timer_(stream.get_executor(), longest) {
+    timer_.async_wait([&stream, shared = state_](const boost::system::error_code& cancelled) {
+      if (!cancelled && shared->in_scope) {
+        shared->passed = true;
+        boost::system::error_code ignored;
+        stream.socket().cancel(ignored);
+      }
+    });
+  }
+  ~read_limit() { state_->in_scope = false; }
+  read_limit(const read_limit&) = delete;
+  read_limit& operator=(const read_limit&) = delete;
+
+  [[nodiscard]] bool passed() const { return state_->passed; }
+
+ private:
+  /// Outlives the scope where the timer's handler is still queued.
+  struct state {
+    bool passed = false;
+    bool in_scope = true;
+  };
+
+  std::shared_ptr<state> state_;
+  asio::steady_timer timer_;
+};
+
 /// A caller whose request is being decided: what is to be written to it, in order.
 struct exchange {
   explicit exchange(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
@@ -172,8 +204,14 @@
     beast_http::request_parser<beast_http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser.body_limit(limits_.max_body_bytes);
-    stream.expires_after(limits_.receive_timeout);
-    co_await beast_http::async_read(stream, buffer, parser, await_into(error));
+    stream.expires_never();
+    {
+      const read_limit limit(stream, limits_.receive_timeout);
+      co_await beast_http::async_read(stream, buffer, parser, await_into(error));
+      if (limit.passed()) {
+        error = beast::error::timeout;
+      }
+    }
     if (error == beast_http::error::end_of_stream || error == asio::error::connection_reset) {
       co_return false;
     }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -46,9 +46,9 @@
 } // namespace
 
 node::node(node_settings settings, base::random_source& random, base::time_point now)
-    : settings_(with_switches(std::move(settings))), random_(&random), started_(now), last_event_(now),
-      clock_(settings_.wall_offset_microseconds), events_(settings_.event_log_capacity),
-      catalog_(settings_.switches),
+    : settings_(with_switches(std::move(settings))), random_(&random), started_(now),
+      last_event_(now), clock_(settings_.wall_offset_microseconds),
+      events_(settings_.event_log_capacity), catalog_(settings_.switches),
       replicator_(catalog_, random,
                   [this](const wire::catalog_entry& entry, const catalog::apply_result& result) {
                     record(event_of(result.verdict), {}, entry.key(),
@@ -65,7 +65,8 @@
           backends_, scheduler_,
           [this](base::event_kind kind, const base::request_id& request, const std::string& subject,
                  const std::string& detail) { record(kind, request, subject, detail); },
-          [this](const execution::answer& content) { guard_.on_answer(content); }, settings_.switches),
+          [this](const execution::answer& content) { guard_.on_answer(content); },
+          settings_.switches),
       guard_(
           settings_.guard, settings_.self, random,
           [this](const base::node_id& other) { return address_of(other); },
@@ -332,8 +333,7 @@
   const auto id = next_request_id();
   disturbed_at_ = now;
   record(base::event_kind::request_received, id, what.request.pipeline.text(), "");
-  const bool may_be_resent =
-      !what.request.ticket.empty() || !what.request.idempotency_key.empty();
+  const bool may_be_resent = !what.request.ticket.empty() || !what.request.idempotency_key.empty();
   if (stopping_ || !ready_) {
     refuse(caller, id,
            stopping_ ? execution::reason::node_stopping : execution::reason::node_not_ready,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,8 +38,8 @@
   base::duration pause_threshold = std::chrono::milliseconds(1000);
   /// How long a node waits for peers before it is ready on the service's word, or serves alone.
   base::duration resync_wait = std::chrono::milliseconds(1000);
-  /// A stopping node ends only after no request reached it for this time: the balancer learns of the
-  /// stop late, and requests may have waited in sockets through a pause of the process.
+  /// A stopping node ends only after no request reached it for this time: the balancer learns of
+  /// the stop late, and requests may have waited in sockets through a pause of the process.
   base::duration stop_linger = std::chrono::milliseconds(300);
   /// Callers that do not stop sending cannot hold a stopping node longer than this.
   base::duration stop_linger_longest = std::chrono::seconds(10);
--- a/src/simulation/emulated_backend.cc
+++ b/src/simulation/emulated_backend.cc
@@ -61,7 +61,8 @@
 base::duration emulated_backend::sample(const execution::stage_call& call) {
   const double exponential = -std::log(1.0 - random_->unit());
   const double factor = (1.0 - profile_.variation) + profile_.variation * exponential;
-  const auto tokens = static_cast<double>(call.max_tokens - std::min(call.max_tokens, call.resume_offset));
+  const auto tokens =
+      static_cast<double>(call.max_tokens - std::min(call.max_tokens, call.resume_offset));
   const double mean =
       base::to_seconds(profile_.service_time) + tokens * base::to_seconds(profile_.token_time);
   return base::from_seconds(mean * factor * faults_.slowdown);
@@ -142,6 +143,8 @@
   waiting_.clear();
 }
 
-void emulated_backend::restart() { alive_ = true; }
+void emulated_backend::restart() {
+  alive_ = true;
+}
 
 } // namespace spurrack::simulation
--- a/src/simulation/emulated_backend.h
+++ b/src/simulation/emulated_backend.h
@@ -1,5 +1,5 @@
-/// A back end in virtual time: slots, a short queue, a distribution of service times, and faults. It
-/// counts every execution, which makes it the judge of at-most-once.
+/// A back end in virtual time: slots, a short queue, a distribution of service times, and faults.
+/// It counts every execution, which makes it the judge of at-most-once.
 #pragma once
 
 #include "base/random.h"
@@ -99,7 +99,8 @@
   std::uint64_t executions_ = 0;
 };
 
-/// @return the output that a correct back end gives: `kind(input)` and, for generation, further words.
+/// @return the output that a correct back end gives: `kind(input)` and, for generation, further
+/// words.
 std::string expected_output(model::stage_kind kind, const std::string& input,
                             std::uint32_t max_tokens);
 
--- a/src/simulation/emulated_platform.cc
+++ b/src/simulation/emulated_platform.cc
@@ -43,8 +43,7 @@
     return;
   }
   const auto& held = found.mapped();
-  held.answer(mode_ == platform_mode::down ? std::nullopt
-                                           : std::optional(answer_for(held.what)));
+  held.answer(mode_ == platform_mode::down ? std::nullopt : std::optional(answer_for(held.what)));
 }
 
 void emulated_platform::wake_all() {
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -59,8 +59,8 @@
   slot.exited = false;
   slot.frozen_until = {};
   slot.freeze_before_effect.reset();
-  slot.random = std::make_unique<base::seeded_random>(settings_.seed * seed_stride +
-                                                      random_.next());
+  slot.random =
+      std::make_unique<base::seeded_random>(settings_.seed * seed_stride + random_.next());
   auto node_settings = settings_.node;
   node_settings.self.node = base::node_id(name);
   node_settings.self.zone = base::zone_id(slot.profile.zone);
@@ -114,11 +114,15 @@
   }
 }
 
-bool fleet_simulation::is_alive(const std::string& name) const { return nodes_.at(name).alive; }
+bool fleet_simulation::is_alive(const std::string& name) const {
+  return nodes_.at(name).alive;
+}
 bool fleet_simulation::is_frozen(const std::string& name) const {
   return nodes_.at(name).frozen_until > events_.now();
 }
-bool fleet_simulation::has_exited(const std::string& name) const { return nodes_.at(name).exited; }
+bool fleet_simulation::has_exited(const std::string& name) const {
+  return nodes_.at(name).exited;
+}
 const node::node& fleet_simulation::node(const std::string& name) const {
   return *nodes_.at(name).logic;
 }
@@ -210,9 +214,9 @@
     read_platform(slot, *read);
   } else if (std::holds_alternative<node::stop_completed>(wanted)) {
     for (auto& [id, record] : callers_) {
-      record.cut_by_stop = record.cut_by_stop || (record.node == slot.profile.name &&
-                                                  record.arrived && record.answers == 0 &&
-                                                  !record.connection_lost);
+      record.cut_by_stop =
+          record.cut_by_stop || (record.node == slot.profile.name && record.arrived &&
+                                 record.answers == 0 && !record.connection_lost);
     }
     kill_node(slot.profile.name);
     slot.exited = true;
@@ -235,7 +239,9 @@
 void fleet_simulation::cut_zone(const std::string& zone, bool from_platform) {
   cuts_[zone] = from_platform;
 }
-void fleet_simulation::heal_zone(const std::string& zone) { cuts_.erase(zone); }
+void fleet_simulation::heal_zone(const std::string& zone) {
+  cuts_.erase(zone);
+}
 
 bool fleet_simulation::connected(const std::string& zone, const std::string& other) const {
   return zone == other || (!cuts_.contains(zone) && !cuts_.contains(other));
@@ -327,13 +333,14 @@
 
 void fleet_simulation::publish_node(const std::string& name, bool listed) {
   const auto& profile = nodes_.at(name).profile;
-  const auto value = "{name: " + name + ", role: node, zone: " + profile.zone +
-                     ", address: " + name + "}";
+  const auto value =
+      "{name: " + name + ", role: node, zone: " + profile.zone + ", address: " + name + "}";
   platform_.publish("machines/" + name, listed ? std::optional(value) : std::nullopt);
 }
 
 void fleet_simulation::start_call(node_slot& slot, const execution::stage_call& call) {
-  auto open = std::make_shared<open_call>(open_call{call, slot.profile.name, slot.life, false, false});
+  auto open =
+      std::make_shared<open_call>(open_call{call, slot.profile.name, slot.life, false, false});
   open_calls_[{slot.profile.name, call.call}] = open;
   auto& target = *backends_.at(call.backend.text());
   const bool reachable = connected(slot.profile.zone, target.profile().zone);
@@ -401,8 +408,7 @@
 
 // --- callers -------------------------------------------------------------------------------------
 
-base::caller_id fleet_simulation::send(const std::string& name,
-                                       execution::caller_request request) {
+base::caller_id fleet_simulation::send(const std::string& name, execution::caller_request request) {
   const auto id = next_caller_++;
   auto& record = callers_[id];
   record.id = id;
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -1,5 +1,5 @@
-/// A whole fleet in one thread under virtual time: the real decision logic of every node, an emulated
-/// network, platform and back ends, and callers. The same seed gives the same run.
+/// A whole fleet in one thread under virtual time: the real decision logic of every node, an
+/// emulated network, platform and back ends, and callers. The same seed gives the same run.
 #pragma once
 
 #include "base/random.h"
@@ -129,9 +129,7 @@
   /// Asks a node for a ticket; empty where it gives none within a second of virtual time.
   std::string take_ticket(const std::string& node, const std::string& token_sha256);
   void hang_up(base::caller_id caller);
-  [[nodiscard]] const std::map<base::caller_id, caller_record>& callers() const {
-    return callers_;
-  }
+  [[nodiscard]] const std::map<base::caller_id, caller_record>& callers() const { return callers_; }
   [[nodiscard]] const std::vector<execution_record>& executions() const { return executions_; }
   /// Forgets callers and executions that are settled; for long measurements.
   void forget_records();
@@ -176,8 +174,8 @@
   void answer_caller(const execution::send_answer& wanted);
   base::duration network_delay();
   [[nodiscard]] bool connected(const std::string& zone, const std::string& other) const;
-  [[nodiscard]] std::string machine_record(const backend_profile& profile,
-                                           const std::string& state, int generation) const;
+  [[nodiscard]] std::string machine_record(const backend_profile& profile, const std::string& state,
+                                           int generation) const;
 
   simulation_settings settings_;
   event_queue events_;
--- a/src/simulation/promise_checker.cc
+++ b/src/simulation/promise_checker.cc
@@ -83,9 +83,9 @@
       const auto key = "templates/" + id.text();
       const auto revision = node.content().revision_of(key);
       if (revision < seen[key]) {
-        report("configuration never reverts",
-               name + " went back from " + std::to_string(seen[key]) + " to " +
-                   std::to_string(revision) + " for " + key);
+        report("configuration never reverts", name + " went back from " +
+                                                  std::to_string(seen[key]) + " to " +
+                                                  std::to_string(revision) + " for " + key);
       }
       seen[key] = revision;
     }
@@ -143,8 +143,8 @@
       continue;
     }
     if (record.answers > 1) {
-      report("one answer a request", "caller " + std::to_string(id) + " got " +
-                                         std::to_string(record.answers));
+      report("one answer a request",
+             "caller " + std::to_string(id) + " got " + std::to_string(record.answers));
     }
     if (record.cut_by_stop) {
       report("a planned stop cuts no request",
@@ -165,9 +165,8 @@
       outputs[output.stage] = output.text;
     }
     if (outputs != expected->second.outputs) {
-      report("the whole answer to its own request", "caller " + std::to_string(id) +
-                                                        " got another output",
-             record.answer->request);
+      report("the whole answer to its own request",
+             "caller " + std::to_string(id) + " got another output", record.answer->request);
     }
     const bool streamed = record.request.stream && !record.streamed.empty();
     if (streamed && record.streamed != expected->second.generated) {
@@ -204,8 +203,8 @@
       continue;
     }
     for (const auto& run : fleet_->executions()) {
-      const bool same = !run.repeatable &&
-                        run.input.find("(" + record.request.input + ")") != std::string::npos;
+      const bool same =
+          !run.repeatable && run.input.find("(" + record.request.input + ")") != std::string::npos;
       if (same && run.at < record.answered_at) {
         report("'not run' is true",
                "caller " + std::to_string(id) + " was told not_run (" +
@@ -224,7 +223,8 @@
   for (const auto& run : fleet_->executions()) {
     if (!run.repeatable) {
       if (run.at > run.not_after + send_slack) {
-        report("no effect after its deadline", "'" + run.input + "' ran " +
+        report("no effect after its deadline",
+               "'" + run.input + "' ran " +
                    std::to_string(base::to_milliseconds(run.at - run.not_after)) + " ms late",
                run.identity.request);
       }
--- a/src/simulation/promise_checker.h
+++ b/src/simulation/promise_checker.h
@@ -1,4 +1,5 @@
-/// Checks what must always hold on a simulated fleet. A violation is a sentence that names who and what.
+/// Checks what must always hold on a simulated fleet. A violation is a sentence that names who and
+/// what.
 #pragma once
 
 #include "simulation/fleet_simulation.h"
@@ -17,8 +18,8 @@
   base::request_id request;
 };
 
-/// Watches one simulation. Call `step` every few tens of milliseconds of virtual time and `finish` at
-/// the end. Not thread-safe.
+/// Watches one simulation. Call `step` every few tens of milliseconds of virtual time and `finish`
+/// at the end. Not thread-safe.
 class promise_checker {
  public:
   /// A leaving back end gets no new work after this time from the first node's knowledge.
--- a/src/simulation/random_faults.cc
+++ b/src/simulation/random_faults.cc
@@ -151,8 +151,7 @@
 
   base::duration any_time(int low_milliseconds, int high_milliseconds) {
     const auto span = static_cast<std::size_t>(high_milliseconds - low_milliseconds);
-    return std::chrono::milliseconds(low_milliseconds +
-                                     static_cast<int>(random_.below(span)));
+    return std::chrono::milliseconds(low_milliseconds + static_cast<int>(random_.below(span)));
   }
 
   void send_request() {
@@ -196,8 +195,7 @@
         continue;
       }
       const auto& record = fleet_.callers().at(what.last_caller);
-      const bool certain =
-          record.answer && record.answer->outcome == model::outcome::completed;
+      const bool certain = record.answer && record.answer->outcome == model::outcome::completed;
       const bool ended = record.answer || record.connection_lost;
       const bool again = (ended && !certain && random_.unit() < resend_probability) ||
                          random_.unit() < duplicate_probability;
@@ -276,9 +274,8 @@
       break;
     case fault_kind::platform_restored:
       publish_template();
-      end_later(any_time(300, 1500), [this] {
-        fleet_.platform().restore(fleet_.platform().revision() - 1);
-      });
+      end_later(any_time(300, 1500),
+                [this] { fleet_.platform().restore(fleet_.platform().revision() - 1); });
       break;
     case fault_kind::operators_race:
       publish_template();
@@ -408,15 +405,26 @@
 } // namespace
 
 std::string_view name_of(fault_kind kind) {
-  static constexpr std::array<std::string_view, fault_kind_count> names{
-      "message_loss",    "zone_cut",         "zone_cut_from_platform",
-      "node_freeze",     "freeze_before_effect", "node_kill",
-      "node_stop",       "backend_crash",    "bad_answers",
-      "platform_down",   "platform_stale",   "platform_restored",
-      "operators_race",  "backend_leaving",  "node_list_changes"};
+  static constexpr std::array<std::string_view, fault_kind_count> names{"message_loss",
+                                                                        "zone_cut",
+                                                                        "zone_cut_from_platform",
+                                                                        "node_freeze",
+                                                                        "freeze_before_effect",
+                                                                        "node_kill",
+                                                                        "node_stop",
+                                                                        "backend_crash",
+                                                                        "bad_answers",
+                                                                        "platform_down",
+                                                                        "platform_stale",
+                                                                        "platform_restored",
+                                                                        "operators_race",
+                                                                        "backend_leaving",
+                                                                        "node_list_changes"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
-run_report run_with_faults(const run_options& options) { return fault_run(options).run(); }
+run_report run_with_faults(const run_options& options) {
+  return fault_run(options).run();
+}
 
 } // namespace spurrack::simulation
--- /dev/null
+++ b/tests/fleet/disturbance_test.cc
@@ -0,0 +1,251 @@
+/// Kills, pauses, cuts, stops, outages and leaving back ends under load, with real processes.
+#include "fleet_fixture.h"
+
+#include <csignal>
+#include <set>
+
+namespace {
+
+using namespace spurrack::fleet;
+
+struct loaded_fleet {
+  loaded_fleet() : fleet(binaries(), example_fleet({"north", "south"}, 2)) { fleet.start_all(); }
+
+  [[nodiscard]] bool sees(const std::string& node, const std::string& subject,
+                          const std::string& state) const {
+    const auto document = fleet.document(node, "/v1/nodes");
+    const auto* nodes = document.if_contains("nodes");
+    if (nodes == nullptr) {
+      return false;
+    }
+    for (const auto& row : nodes->as_array()) {
+      const auto& other = row.as_object();
+      if (text(other, "node") == subject && text(other, "state") == state) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  [[nodiscard]] std::string configuration_hash(const std::string& node) const {
+    return text(fleet.document(node, "/v1/status"), "configuration_hash");
+  }
+
+  [[nodiscard]] bool all_agree() const {
+    std::set<std::string> hashes;
+    for (const auto& node : fleet.description().nodes) {
+      hashes.insert(configuration_hash(node.name));
+    }
+    return hashes.size() == 1;
+  }
+
+  /// Publishes a new deadline of the client-answer template.
+  void publish_deadline(int deadline_ms) const {
+    auto text = fleet.description().records.at("templates/client-answer");
+    const std::string old = "deadline_ms: 3000";
+    text.replace(text.find(old), old.size(), "deadline_ms: " + std::to_string(deadline_ms));
+    fleet.publish({{"templates/client-answer", text}});
+  }
+
+  [[nodiscard]] bool in_force(const std::string& node, int deadline_ms) const {
+    const auto document = fleet.document(node, "/v1/templates");
+    const auto* templates = document.if_contains("templates");
+    if (templates == nullptr) {
+      return false;
+    }
+    for (const auto& row : templates->as_array()) {
+      const auto& entry = row.as_object();
+      if (text(entry, "template") == "client-answer") {
+        return entry.at("deadline_ms").as_int64() == deadline_ms;
+      }
+    }
+    return false;
+  }
+
+  local_fleet fleet;
+};
+
+void require_clean(const load_totals& totals) {
+  BOOST_TEST(totals.wrong == 0U);
+  BOOST_TEST(totals.count("completed") > 0U);
+  BOOST_TEST(totals.count("unknown") == 0U);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(disturbances, loaded_fleet)
+
+BOOST_AUTO_TEST_CASE(a_killed_node_is_noticed_and_the_others_serve_on) {
+  background_load load(fleet, {"entry-north2", "entry-south1"}, 4);
+  BOOST_TEST(load.wait_completed(50));
+  fleet.node("entry-north1").signal(SIGKILL);
+  BOOST_TEST(local_fleet::wait_until([&] { return sees("entry-north2", "entry-north1", "dead"); }));
+  BOOST_TEST(load.wait_completed(50));
+  fleet.node("entry-north1").wait();
+  fleet.start_node("entry-north1");
+  fleet.wait_ready("entry-north1");
+  BOOST_TEST(
+      local_fleet::wait_until([&] { return sees("entry-north2", "entry-north1", "alive"); }));
+  const auto totals = load.stop();
+  require_clean(totals);
+  BOOST_TEST(totals.cut == 0U);
+  BOOST_TEST(totals.count("failed") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_node_wakes_up_to_date) {
+  fleet.node("entry-north1").signal(SIGSTOP);
+  publish_deadline(2'500);
+  BOOST_TEST(local_fleet::wait_until([&] { return in_force("entry-north2", 2'500); }));
+  BOOST_TEST(local_fleet::wait_until([&] { return sees("entry-north2", "entry-north1", "dead"); }));
+  fleet.node("entry-north1").signal(SIGCONT);
+  BOOST_TEST(local_fleet::wait_until([&] { return in_force("entry-north1", 2'500); }));
+  BOOST_TEST(
+      local_fleet::wait_until([&] { return sees("entry-north2", "entry-north1", "alive"); }));
+  const auto answer = fleet.ask("entry-north1", "client-answer", agents_token, {{"input", "x"}});
+  BOOST_TEST(answer.status == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_zone_serves_alone_and_rejoins) {
+  const std::vector<std::string> south{"entry-south1", "entry-south2"};
+  background_load load(fleet, south, 2);
+  BOOST_TEST(load.wait_completed(20));
+  fleet.set_links(south, {{"cut", true}});
+  fleet.platform_mode("down");
+  BOOST_TEST(load.wait_completed(50));
+  fleet.platform_mode("up");
+  publish_deadline(2'600);
+  fleet.set_links(south, {{"cut", false}});
+  BOOST_TEST(local_fleet::wait_until([&] { return in_force("entry-south2", 2'600); }));
+  BOOST_TEST(local_fleet::wait_until([&] { return all_agree(); }));
+  BOOST_TEST(load.wait_completed(20));
+  const auto totals = load.stop();
+  require_clean(totals);
+  BOOST_TEST(totals.cut == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(with_the_platform_down_the_last_accepted_configuration_carries_on) {
+  publish_deadline(2'700);
+  BOOST_TEST(
+      local_fleet::wait_until([&] { return in_force("entry-south1", 2'700) && all_agree(); }));
+  fleet.platform_mode("down");
+  fleet.node("entry-south1").signal(SIGKILL);
+  fleet.node("entry-south1").wait();
+  // A node that starts while the platform is down takes the configuration from its peers.
+  fleet.start_node("entry-south1");
+  fleet.wait_ready("entry-south1");
+  BOOST_TEST(in_force("entry-south1", 2'700));
+  BOOST_TEST(fleet.ask("entry-south1", "client-answer", agents_token, {{"input", "x"}}).status ==
+             200U);
+}
+
+BOOST_AUTO_TEST_CASE(a_restored_service_reverts_nothing) {
+  publish_deadline(2'800);
+  BOOST_TEST(
+      local_fleet::wait_until([&] { return in_force("entry-north1", 2'800) && all_agree(); }));
+  const auto revision = get(fleet.platform_address(), "/admin/counts").json().at("revision");
+  post(fleet.platform_address(), "/admin/restore",
+       {{"revision", revision.to_number<std::int64_t>() - 1}});
+  fleet.node("entry-north1").signal(SIGKILL);
+  fleet.node("entry-north1").wait();
+  fleet.start_node("entry-north1");
+  fleet.wait_ready("entry-north1");
+  BOOST_TEST(in_force("entry-north1", 2'800));
+  BOOST_TEST(all_agree());
+}
+
+BOOST_AUTO_TEST_CASE(an_invalid_record_is_refused_alone_and_shown) {
+  fleet.publish({{"templates/client-answer", "{name: client-answer, deadline_ms: never}"},
+                 {"templates/added", "{name: added, deadline_ms: 5, stages: [{name: a, kind: "
+                                     "encode, pool: encoders}]}"}});
+  for (const auto& node : fleet.description().nodes) {
+    BOOST_TEST(local_fleet::wait_until([&] {
+      const auto status = fleet.document(node.name, "/v1/status");
+      return !status.at("rejected").as_array().empty();
+    }));
+  }
+  BOOST_TEST(local_fleet::wait_until([&] { return all_agree(); }));
+  const auto rejected = fleet.document("entry-south2", "/v1/status").at("rejected");
+  BOOST_TEST(text(rejected.as_array().front().as_object(), "reason").find("deadline_ms") !=
+             std::string::npos);
+  BOOST_TEST(fleet.ask("entry-south2", "client-answer", agents_token, {{"input", "x"}}).status ==
+             200U);
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_no_request) {
+  background_load load(fleet, {"entry-north1", "entry-north2"}, 6);
+  BOOST_TEST(load.wait_completed(100));
+  fleet.node("entry-north1").signal(SIGTERM);
+  BOOST_TEST(fleet.node("entry-north1").wait() == 0);
+  BOOST_TEST(load.wait_completed(50));
+  const auto totals = load.stop();
+  require_clean(totals);
+  BOOST_TEST(totals.cut == 0U);
+  BOOST_TEST(totals.count("failed") == 0U);
+  for (const auto& [code, count] : totals.codes) {
+    BOOST_TEST(code == "node_stopping");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_back_end_gets_no_new_work_and_ends_what_it_has) {
+  background_load load(fleet, {"entry-north1", "entry-north2"}, 6);
+  BOOST_TEST(load.wait_completed(100));
+  fleet.publish_backend("engine-north1", "leaving", 1);
+  const auto left_alone = [&] {
+    const auto document = fleet.document("entry-north2", "/v1/backends");
+    for (const auto& row : document.at("backends").as_array()) {
+      const auto& entry = row.as_object();
+      if (text(entry, "backend") == "engine-north1") {
+        return entry.at("leaving").as_bool() && entry.at("in_flight").as_int64() == 0;
+      }
+    }
+    return false;
+  };
+  BOOST_TEST(local_fleet::wait_until(left_alone));
+  BOOST_TEST(load.wait_completed(20));
+  const auto settled = fleet.executions("engine-north1");
+  BOOST_TEST(load.wait_completed(200));
+  BOOST_TEST(fleet.executions("engine-north1") == settled);
+  const auto totals = load.stop();
+  require_clean(totals);
+  BOOST_TEST(totals.count("failed") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_back_ends_own_refusal_spreads_before_the_list_says_it) {
+  fleet.set_backend_fault("engine-north1", "leaving");
+  background_load load(fleet, {"entry-north1"}, 2);
+  BOOST_TEST(load.wait_completed(50));
+  const auto known = [&] {
+    const auto document = fleet.document("entry-south2", "/v1/backends");
+    for (const auto& row : document.at("backends").as_array()) {
+      const auto& entry = row.as_object();
+      if (text(entry, "backend") == "engine-north1") {
+        return entry.at("leaving").as_bool();
+      }
+    }
+    return false;
+  };
+  BOOST_TEST(local_fleet::wait_until(known));
+  require_clean(load.stop());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(platform_at_start)
+
+BOOST_AUTO_TEST_CASE(a_fleet_that_starts_without_the_platform_waits_and_then_serves) {
+  local_fleet fleet(binaries(), small_fleet());
+  fleet.platform_mode("down");
+  fleet.start_node("entry-north1");
+  const auto& callers = fleet.addresses("entry-north1").callers;
+  BOOST_TEST(local_fleet::wait_until([&] { return get(callers, "/healthz").status == 200; }));
+  const auto refused = fleet.ask("entry-north1", "client-answer", agents_token, {{"input", "x"}});
+  BOOST_TEST(refused.status == 503U);
+  BOOST_TEST(text(refused.json(), "outcome") == "not_run");
+  BOOST_TEST(text(refused.json(), "code") == "node_not_ready");
+  fleet.platform_mode("up");
+  fleet.wait_ready("entry-north1");
+  BOOST_TEST(fleet.ask("entry-north1", "client-answer", agents_token, {{"input", "x"}}).status ==
+             200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fleet/effects_test.cc
@@ -0,0 +1,174 @@
+/// Calls that may not be repeated, with real processes; the back end's own count is the judge.
+#include "fleet_fixture.h"
+
+#include <csignal>
+#include <future>
+
+namespace {
+
+using namespace spurrack::fleet;
+
+/// A fleet of three zones, one node each: a majority of witnesses remains when one node is gone.
+struct payout_fleet {
+  payout_fleet() : fleet(binaries(), describe()) {
+    fleet.start_all();
+    fleet.wait_witnesses();
+  }
+  static fleet_description describe() {
+    auto wanted = example_fleet({"north", "south", "west"}, 1);
+    wanted.key_lifetime_ms = 3'000;
+    return wanted;
+  }
+  [[nodiscard]] std::int64_t payouts() const { return fleet.executions_in_pool("payouts"); }
+
+  local_fleet fleet;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(effects, payout_fleet)
+
+BOOST_AUTO_TEST_CASE(same_key_to_the_same_and_to_another_node_runs_once) {
+  const auto first = pay(fleet, "entry-north1", "k1");
+  BOOST_TEST(text(first, "outcome") == "completed");
+  for (const auto* node : {"entry-north1", "entry-south1", "entry-west1"}) {
+    const auto again = pay(fleet, node, "k1");
+    BOOST_TEST(text(again, "outcome") == "completed");
+    BOOST_TEST(text(again, "request_id") == text(first, "request_id"));
+  }
+  BOOST_TEST(payouts() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(same_key_at_the_same_time_runs_once) {
+  std::vector<std::future<boost::json::object>> answers;
+  for (int round = 0; round < 3; ++round) {
+    for (const auto* node : {"entry-north1", "entry-south1", "entry-west1"}) {
+      answers.push_back(
+          std::async(std::launch::async, [this, node] { return pay(fleet, node, "k2"); }));
+    }
+  }
+  int completed = 0;
+  for (auto& answer : answers) {
+    completed += text(answer.get(), "outcome") == "completed" ? 1 : 0;
+  }
+  BOOST_TEST(payouts() <= 1);
+  BOOST_TEST((payouts() == 1 || completed == 0));
+}
+
+BOOST_AUTO_TEST_CASE(after_the_death_of_the_owner_the_answer_is_unknown) {
+  BOOST_TEST(text(pay(fleet, "entry-north1", "k3"), "outcome") == "completed");
+  fleet.node("entry-north1").signal(SIGKILL);
+  const auto again = pay(fleet, "entry-south1", "k3", 500);
+  BOOST_TEST(text(again, "outcome") == "unknown");
+  BOOST_TEST(payouts() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_node_paused_with_a_waiting_request_does_not_run_it_late) {
+  fleet.node("entry-north1").signal(SIGSTOP);
+  auto stuck =
+      std::async(std::launch::async, [this] { return pay(fleet, "entry-north1", "k4", 300); });
+  const auto elsewhere = pay(fleet, "entry-south1", "k4");
+  BOOST_TEST(text(elsewhere, "outcome") == "completed");
+  // The record of the key ends; only the age of the waiting request can stop the paused node now.
+  BOOST_TEST(local_fleet::wait_until(
+      [&, until = std::chrono::steady_clock::now() + std::chrono::milliseconds(3'500)] {
+        return std::chrono::steady_clock::now() >= until;
+      }));
+  fleet.node("entry-north1").signal(SIGCONT);
+  const auto late = stuck.get();
+  BOOST_TEST(text(late, "outcome") == "unknown");
+  BOOST_TEST(text(late, "code") == "deadline_passed");
+  BOOST_TEST(payouts() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(connections_lost_around_the_send) {
+  struct row {
+    const char* fault;
+    const char* outcome;
+    std::int64_t runs;
+  };
+  // Before the send nothing is lost: the call goes elsewhere. During and after it, nobody knows.
+  int number = 0;
+  for (const auto& [fault, outcome, runs] :
+       {row{"reset_early", "unknown", 0}, row{"reset", "unknown", 1}, row{"truncate", "unknown", 1},
+        row{"crossed", "unknown", 1}, row{"hang", "unknown", 1}, row{"leaving", "completed", 1}}) {
+    const auto before = payouts();
+    for (const auto* backend : {"payout-north", "payout-south", "payout-west"}) {
+      const bool leaves = std::string(fault) == "leaving";
+      fleet.set_backend_fault(backend,
+                              leaves && backend != std::string("payout-north") ? "none" : fault);
+    }
+    const auto key = "lost" + std::to_string(++number);
+    const auto answer = pay(fleet, "entry-north1", key, 600);
+    BOOST_TEST_CONTEXT(fault) {
+      BOOST_TEST(text(answer, "outcome") == outcome);
+      BOOST_TEST(payouts() - before == runs);
+      const auto again = pay(fleet, "entry-south1", key, 600);
+      BOOST_TEST(text(again, "outcome") == outcome);
+      BOOST_TEST(payouts() - before == runs);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_was_not_run_and_goes_elsewhere) {
+  auto wanted = describe();
+  // The proxy would accept the connection; without it the kernel refuses it.
+  wanted.proxied = false;
+  local_fleet direct(binaries(), wanted);
+  direct.start_all();
+  direct.wait_witnesses();
+  direct.backend("payout-north").signal(SIGKILL);
+  direct.backend("payout-north").wait();
+  BOOST_TEST(text(pay(direct, "entry-north1", "k6"), "outcome") == "completed");
+  BOOST_TEST(direct.executions("payout-south") + direct.executions("payout-west") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(across_a_cut_a_key_runs_once_and_a_ticket_serves_the_cut_zone) {
+  fleet.set_links({"entry-north1"}, {{"black_hole", true}});
+  fleet.set_links({"entry-south1", "entry-west1"}, {{"delay_ms", 1}});
+  const auto majority = pay(fleet, "entry-south1", "k7", 2'000);
+  BOOST_TEST(text(majority, "outcome") == "completed");
+  const auto minority = pay(fleet, "entry-north1", "k7", 2'000);
+  BOOST_TEST(text(minority, "outcome") == "unknown");
+  BOOST_TEST(payouts() == 1);
+  http_call wanted;
+  wanted.address = fleet.addresses("entry-north1").callers;
+  wanted.method = "POST";
+  wanted.target = "/v1/tickets";
+  wanted.headers["Authorization"] = std::string("Bearer ") + agents_token;
+  const auto ticket = text(call(wanted).json(), "ticket");
+  const auto redeem = [&] {
+    return fleet
+        .ask("entry-north1", "transfer-confirmation", agents_token, {{"input", "by ticket"}},
+             {{"Spurrack-Ticket", ticket}})
+        .json();
+  };
+  BOOST_TEST(text(redeem(), "outcome") == "completed");
+  BOOST_TEST(text(redeem(), "outcome") == "completed");
+  BOOST_TEST(payouts() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_node_grants_nothing_and_redeems_no_old_ticket) {
+  http_call wanted;
+  wanted.address = fleet.addresses("entry-north1").callers;
+  wanted.method = "POST";
+  wanted.target = "/v1/tickets";
+  wanted.headers["Authorization"] = std::string("Bearer ") + agents_token;
+  const auto ticket = text(call(wanted).json(), "ticket");
+  BOOST_TEST(!ticket.empty());
+  fleet.node("entry-north1").signal(SIGKILL);
+  fleet.node("entry-north1").wait();
+  fleet.start_node("entry-north1");
+  fleet.wait_ready("entry-north1");
+  for (const auto* node : {"entry-north1", "entry-south1"}) {
+    const auto answer =
+        fleet
+            .ask(node, "transfer-confirmation", agents_token,
+                 {{"input", "old ticket"}, {"deadline_ms", 800}}, {{"Spurrack-Ticket", ticket}})
+            .json();
+    BOOST_TEST(text(answer, "outcome") == "unknown");
+  }
+  BOOST_TEST(payouts() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fleet/fleet_fixture.h
@@ -0,0 +1,44 @@
+/// Shared by the tests with real processes.
+#pragma once
+
+#include "fleet/background_load.h"
+#include "fleet/example_records.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+namespace spurrack::fleet {
+
+/// @return folder of the programs under test, given by the build.
+inline std::filesystem::path binaries() {
+  return SPURRACK_BINARIES;
+}
+
+inline std::string text(const boost::json::object& body, const char* name) {
+  const auto* value = body.if_contains(name);
+  return value != nullptr && value->is_string() ? std::string(value->as_string()) : "";
+}
+
+/// One zone with two nodes and a single back end of each pool, so that faults hit for sure.
+inline fleet_description small_fleet() {
+  auto fleet = example_fleet({"north"}, 2);
+  std::erase_if(fleet.backends, [](const auto& wanted) { return wanted.name.ends_with("2"); });
+  return fleet;
+}
+
+inline const std::vector<std::string>& north_nodes() {
+  static const std::vector<std::string> names{"entry-north1", "entry-north2"};
+  return names;
+}
+
+/// Sends a payout request with an idempotency key.
+inline boost::json::object pay(const local_fleet& fleet, const std::string& node,
+                               const std::string& key, int deadline_ms = 3'000) {
+  return fleet
+      .ask(node, "transfer-confirmation", agents_token,
+           {{"input", "giro " + key}, {"deadline_ms", deadline_ms}}, {{"Idempotency-Key", key}})
+      .json();
+}
+
+} // namespace spurrack::fleet
--- /dev/null
+++ b/tests/settings/settings_test.cc
@@ -0,0 +1,60 @@
+/// Settings of the daemon: a full file is read, wrong ones are refused before anything starts.
+#include "settings/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using spurrack::model::describe;
+using spurrack::settings::parse_settings;
+
+const std::string least = "node: n\nzone: a\npeer_listen: 127.0.0.1:1\ncaller_listen: 127.0.0.1:2\n"
+                          "operator_listen: 127.0.0.1:3\nplatform: {configuration: 127.0.0.1:4, "
+                          "machine_list: 127.0.0.1:5}\n";
+
+struct refused_case {
+  std::string addition;
+  std::string says;
+};
+
+const std::vector<refused_case> refused_cases{
+    {"colour: red\n", "line 7: colour: unknown field"},
+    {"curve: {public_key: abc, secret_key: abc}\n", "curve.public_key"},
+    {"idempotency: {key_lifetime_ms: 5}\n", "idempotency.key_lifetime_ms: value is out of range"},
+    {"idempotency: {key_lifetime_ms: 5000, list_window_ms: 2000}\n", "at least key_lifetime_ms"},
+    {"scheduling: {policy: best}\n", "scheduling.policy: value is not one of those allowed"},
+    {"membership: {probe_period_ms: 100, acknowledgement_timeout_ms: 200}\n",
+     "less than probe_period_ms"},
+    {"callers: {max_body_bytes: many}\n", "callers.max_body_bytes: value has the wrong type"},
+    {"seeds: [nowhere]\n", "a list of IP:port"}};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(daemon_settings)
+
+BOOST_AUTO_TEST_CASE(reads_the_least_and_a_full_file) {
+  BOOST_TEST(parse_settings(least).value.has_value());
+  const auto full = parse_settings(
+      least + "peer_advertise: 10.0.0.1:7\nseeds: [10.0.0.2:7]\nidempotency: {key_lifetime_ms: "
+              "2000, list_window_ms: 4000}\nscheduling: {policy: power_of_two, predict: false}\n");
+  BOOST_TEST_REQUIRE(full.value.has_value());
+  BOOST_TEST(full.value->node.self.address.text() == "10.0.0.1:7");
+  BOOST_CHECK(full.value->node.guard.key_lifetime == std::chrono::seconds(2));
+  BOOST_TEST(!full.value->node.scheduling.predict);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_with_line_and_what_is_allowed) {
+  for (const auto& wrong : refused_cases) {
+    const auto result = parse_settings(least + wrong.addition);
+    BOOST_TEST_CONTEXT(wrong.addition) {
+      BOOST_TEST(!result.value.has_value());
+      BOOST_TEST_REQUIRE(!result.faults.empty());
+      BOOST_TEST(describe(result.faults.front()).find(wrong.says) != std::string::npos,
+                 describe(result.faults.front()));
+    }
+  }
+  BOOST_TEST(parse_settings("").faults.size() == 1U);
+  BOOST_TEST(parse_settings("{}").faults.size() >= 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
