--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -4,6 +4,7 @@
 
 #include <cxxopts.hpp>
 
+#include <cstdio>
 #include <iostream>
 #include <sstream>
 
@@ -50,9 +51,7 @@
   return spurrack::ctl::report(command, arguments, nodes, format, std::cout, std::cerr);
 }
 
-} // namespace
-
-int main(int argc, char** argv) {
+int run_program(int argc, char** argv) {
   cxxopts::Options options("spurrackctl", "Shows what a spurrack fleet does. Changes nothing.");
   options.add_options()("nodes", "operator listeners, IP:port, comma between",
                         cxxopts::value<std::string>()->default_value(""))(
@@ -62,30 +61,37 @@
       "arguments", "arguments", cxxopts::value<std::vector<std::string>>()->default_value(""));
   options.parse_positional({"command", "arguments"});
   options.positional_help("COMMAND [ARGUMENT...]");
-  try {
-    const auto given = options.parse(argc, argv);
-    if (given.count("help") > 0) {
-      std::cout << options.help() << "\n" << commands_help;
-      return 0;
-    }
-    if (given.count("version") > 0) {
-      std::cout << "spurrackctl " SPURRACK_VERSION "\n";
-      return 0;
-    }
-    const auto output = given["output"].as<std::string>();
-    if (output != "text" && output != "json") {
-      std::cerr << "--output takes text or json\n";
-      return static_cast<int>(exit_code::bad_usage);
-    }
-    std::vector<std::string> arguments;
-    if (given.count("arguments") > 0) {
-      arguments = given["arguments"].as<std::vector<std::string>>();
-    }
-    return static_cast<int>(run(given["command"].as<std::string>(), arguments,
-                                split(given["nodes"].as<std::string>()),
-                                output == "json" ? output_format::json : output_format::text));
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "\n";
+  const auto given = options.parse(argc, argv);
+  if (given.count("help") > 0) {
+    std::cout << options.help() << "\n" << commands_help;
+    return 0;
+  }
+  if (given.count("version") > 0) {
+    std::cout << "spurrackctl " SPURRACK_VERSION "\n";
+    return 0;
+  }
+  const auto output = given["output"].as<std::string>();
+  if (output != "text" && output != "json") {
+    std::cerr << "--output takes text or json\n";
     return static_cast<int>(exit_code::bad_usage);
   }
+  std::vector<std::string> arguments;
+  if (given.count("arguments") > 0) {
+    arguments = given["arguments"].as<std::vector<std::string>>();
+  }
+  return static_cast<int>(run(given["command"].as<std::string>(), arguments,
+                              split(given["nodes"].as<std::string>()),
+                              output == "json" ? output_format::json : output_format::text));
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run_program(argc, argv);
+  } catch (const std::exception& error) {
+    std::fputs(error.what(), stderr);
+    std::fputs("\n", stderr);
+  }
+  return static_cast<int>(exit_code::bad_usage);
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -5,6 +5,7 @@
 
 #include <cxxopts.hpp>
 
+#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -53,28 +54,32 @@
   return exit_ok;
 }
 
+int run_program(int argc, char** argv) {
+  cxxopts::Options options("spurrackd", "Serves multi-stage model pipelines.");
+  options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())(
+      "check-settings", "check the settings and exit")("version", "print the version")(
+      "help", "print this help");
+  const auto given = options.parse(argc, argv);
+  if (given.count("help") > 0) {
+    std::cout << options.help() << "\nExit codes: 0 stopped or settings valid, 2 bad usage or "
+                                   "settings, 3 cannot start.\n";
+    return exit_ok;
+  }
+  if (given.count("version") > 0) {
+    std::cout << "spurrackd " SPURRACK_VERSION "\n";
+    return exit_ok;
+  }
+  return run(given["settings"].as<std::string>(), given.count("check-settings") > 0);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
-  cxxopts::Options options("spurrackd", "Serves multi-stage model pipelines.");
-  options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())(
-      "check-settings",
-      "check the settings and exit")("version", "print the version")("help", "print this help");
   try {
-    const auto given = options.parse(argc, argv);
-    if (given.count("help") > 0) {
-      std::cout << options.help()
-                << "\nExit codes: 0 stopped or settings valid, 2 bad usage or "
-                   "settings, 3 cannot start.\n";
-      return exit_ok;
-    }
-    if (given.count("version") > 0) {
-      std::cout << "spurrackd " SPURRACK_VERSION "\n";
-      return exit_ok;
-    }
-    return run(given["settings"].as<std::string>(), given.count("check-settings") > 0);
-  } catch (const cxxopts::exceptions::exception& error) {
-    std::cerr << error.what() << "\n";
-    return exit_bad_settings;
+    return run_program(argc, argv);
+  } catch (const std::exception& error) {
+    std::fputs(error.what(), stderr);
+    std::fputs("\n", stderr);
   }
+  return exit_bad_settings;
 }
--- a/src/execution/effect_guard.cc
+++ b/src/execution/effect_guard.cc
@@ -190,8 +190,7 @@
   auto entry = std::move(acquiring_.extract(key).mapped());
   if (state == idempotency::acquisition_state::acquired) {
     record_(base::event_kind::key_recorded, entry.guarded.request.id, key, "majority of witnesses");
-    run(std::move(entry.guarded.request), key, std::move(entry.more_callers),
-        now + settings_.key_lifetime);
+    run(std::move(entry.guarded.request), key, entry.more_callers, now + settings_.key_lifetime);
     return;
   }
   release(entry);
@@ -278,11 +277,11 @@
 }
 
 void effect_guard::run(admitted_request request, const std::string& key,
-                       std::vector<caller_ref> more_callers, base::time_point expires) {
+                       const std::vector<caller_ref>& more_callers, base::time_point expires) {
   const auto id = request.id;
   effects_.run(key, id, expires);
   decisions_.emplace_back(run_decision{std::move(request)});
-  for (auto& caller : more_callers) {
+  for (const auto& caller : more_callers) {
     decisions_.emplace_back(attach_decision{id, caller});
   }
 }
--- a/src/execution/effect_guard.h
+++ b/src/execution/effect_guard.h
@@ -130,8 +130,8 @@
   void tick_acquisitions(base::time_point now);
   void tick_forwards(base::time_point now);
   void on_forwarded_reply(const wire::forwarded_reply& reply);
-  void run(admitted_request request, const std::string& key, std::vector<caller_ref> more_callers,
-           base::time_point expires);
+  void run(admitted_request request, const std::string& key,
+           const std::vector<caller_ref>& more_callers, base::time_point expires);
   void refuse(const guarded_request& guarded, const std::vector<caller_ref>& more_callers,
               model::outcome outcome, reason why, base::duration retry_after);
   void decide_answer(const guarded_request& guarded, const caller_ref& caller,
--- a/src/execution/executor.cc
+++ b/src/execution/executor.cc
@@ -194,8 +194,7 @@
   active.ledger.call_completed(step.repeatable);
   scheduler_->budget(step.pool).add_success();
   record_(base::event_kind::stage_completed, active.request.id, step.name, "");
-  auto output =
-      step.kind == model::stage_kind::generate ? std::move(active.generated) : result.output;
+  auto output = step.kind == model::stage_kind::generate ? active.generated : result.output;
   if (is_visible(step.kind)) {
     active.outputs.push_back({step.name, output});
   }
--- a/src/http/answer_json.cc
+++ b/src/http/answer_json.cc
@@ -36,7 +36,6 @@
     return status::gateway_timeout;
   case reason::backend_failed:
   case reason::retries_exhausted:
-    return status::bad_gateway;
   case reason::ticket_expired:
   case reason::owner_unreachable:
     return status::bad_gateway;
--- a/src/model/yaml_reader.cc
+++ b/src/model/yaml_reader.cc
@@ -54,9 +54,9 @@
   return std::nullopt;
 }
 
-mapping_reader::mapping_reader(YAML::Node node, std::string path,
+mapping_reader::mapping_reader(const YAML::Node& node, std::string path,
                                std::vector<document_fault>& faults)
-    : node_(std::move(node)), path_(std::move(path)), faults_(&faults) {
+    : node_(node), path_(std::move(path)), faults_(&faults) {
   std::set<std::string> seen;
   for (const auto& entry : node_) {
     if (!entry.first.IsScalar() || !seen.insert(entry.first.Scalar()).second) {
@@ -162,7 +162,7 @@
 std::vector<std::string> mapping_reader::text_list(const std::string& name) {
   const auto child = find(name);
   std::vector<std::string> values;
-  if (!child.IsDefined()) {
+  if (!child.IsDefined() || child.IsNull()) {
     return values;
   }
   if (!child.IsSequence()) {
--- a/src/model/yaml_reader.h
+++ b/src/model/yaml_reader.h
@@ -39,7 +39,7 @@
 class mapping_reader {
  public:
   /// @param faults where faults are added; must outlive the reader.
-  mapping_reader(YAML::Node node, std::string path, std::vector<document_fault>& faults);
+  mapping_reader(const YAML::Node& node, std::string path, std::vector<document_fault>& faults);
 
   /// Text that must be there and not be empty.
   std::string required_text(const std::string& name, const std::string& allowed = "non-empty text");
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -46,9 +46,9 @@
 } // namespace
 
 node::node(node_settings settings, base::random_source& random, base::time_point now)
-    : settings_(with_switches(std::move(settings))), random_(&random), started_(now),
-      last_event_(now), clock_(settings_.wall_offset_microseconds),
-      events_(settings_.event_log_capacity), catalog_(settings_.switches),
+    : settings_(with_switches(std::move(settings))), started_(now), last_event_(now),
+      clock_(settings_.wall_offset_microseconds), events_(settings_.event_log_capacity),
+      catalog_(settings_.switches),
       replicator_(catalog_, random,
                   [this](const wire::catalog_entry& entry, const catalog::apply_result& result) {
                     record(event_of(result.verdict), {}, entry.key(),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -140,7 +140,6 @@
   [[nodiscard]] std::optional<base::network_address> address_of(const base::node_id& node) const;
 
   node_settings settings_;
-  base::random_source* random_;
   base::time_point started_;
   base::time_point last_event_;
   base::hybrid_clock clock_;
--- a/src/simulation/emulated_platform.h
+++ b/src/simulation/emulated_platform.h
@@ -18,7 +18,7 @@
 /// Serves both sources from one sequence of revisions. Not thread-safe.
 class emulated_platform {
  public:
-  using answer_handler = std::function<void(std::optional<node::service_answered>)>;
+  using answer_handler = std::function<void(const std::optional<node::service_answered>&)>;
   static constexpr base::duration watch_time = std::chrono::seconds(8);
 
   explicit emulated_platform(event_queue& events) : events_(&events) {}
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -281,7 +281,7 @@
       fail();
       return;
     }
-    platform_.read(what, [=, this](std::optional<node::service_answered> answer) {
+    platform_.read(what, [=, this](const std::optional<node::service_answered>& answer) {
       if (!answer || !reachable()) {
         fail();
         return;
--- a/src/simulation/promise_checker.cc
+++ b/src/simulation/promise_checker.cc
@@ -3,6 +3,7 @@
 #include "model/record_parser.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace spurrack::simulation {
 namespace {
@@ -83,9 +84,9 @@
       const auto key = "templates/" + id.text();
       const auto revision = node.content().revision_of(key);
       if (revision < seen[key]) {
-        report("configuration never reverts", name + " went back from " +
-                                                  std::to_string(seen[key]) + " to " +
-                                                  std::to_string(revision) + " for " + key);
+        std::ostringstream detail;
+        detail << name << " went back from " << seen[key] << " to " << revision << " for " << key;
+        report("configuration never reverts", detail.str());
       }
       seen[key] = revision;
     }
--- a/standins/backend_stand_in.cc
+++ b/standins/backend_stand_in.cc
@@ -222,9 +222,7 @@
   std::map<std::string, std::int64_t> executions_;
 };
 
-} // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   cxxopts::Options options("backend_stand_in", "Stand-in of a back end, for tests.");
   options.add_options()("listen", "IP:port", cxxopts::value<std::string>())(
       "id", "name", cxxopts::value<std::string>()->default_value("backend"))(
@@ -232,21 +230,22 @@
       "token-us", "time of one token", cxxopts::value<std::int64_t>()->default_value("500"))(
       "most-in-flight", "calls beyond are refused",
       cxxopts::value<std::int64_t>()->default_value("64"));
-  try {
-    const auto given = options.parse(argc, argv);
-    backend_settings settings;
-    settings.id = given["id"].as<std::string>();
-    settings.service_time = std::chrono::microseconds(given["service-us"].as<std::int64_t>());
-    settings.token_time = std::chrono::microseconds(given["token-us"].as<std::int64_t>());
-    settings.most_in_flight = given["most-in-flight"].as<std::int64_t>();
-    asio::io_context io(1);
-    backend_stand_in backend(std::move(settings));
-    spurrack::standins::serve(io, given["listen"].as<std::string>(),
-                              [&](service_exchange& exchange) { return backend.handle(exchange); });
-    io.run();
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
-  }
+  const auto given = options.parse(argc, argv);
+  backend_settings settings;
+  settings.id = given["id"].as<std::string>();
+  settings.service_time = std::chrono::microseconds(given["service-us"].as<std::int64_t>());
+  settings.token_time = std::chrono::microseconds(given["token-us"].as<std::int64_t>());
+  settings.most_in_flight = given["most-in-flight"].as<std::int64_t>();
+  asio::io_context io(1);
+  backend_stand_in backend(std::move(settings));
+  spurrack::standins::serve(io, given["listen"].as<std::string>(),
+                            [&](service_exchange& exchange) { return backend.handle(exchange); });
+  io.run();
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+  return spurrack::standins::guarded_main(run, argc, argv);
+}
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -140,27 +140,26 @@
                  asio::detached);
 }
 
-} // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   cxxopts::Options options("fault_proxy", "TCP proxy with faults, for tests.");
   options.add_options()("admin", "IP:port", cxxopts::value<std::string>())(
       "link", "name,listen,target (semicolons between several)", cxxopts::value<std::string>());
-  try {
-    const auto given = options.parse(argc, argv);
-    asio::io_context io(1);
-    link_map links;
-    std::istringstream list(given["link"].as<std::string>());
-    for (std::string text; std::getline(list, text, ';');) {
-      add_link(io, links, text);
-    }
-    spurrack::standins::serve(
-        io, given["admin"].as<std::string>(),
-        [&](service_exchange& exchange) { return handle_admin(links, exchange); });
-    io.run();
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
+  const auto given = options.parse(argc, argv);
+  asio::io_context io(1);
+  link_map links;
+  std::istringstream list(given["link"].as<std::string>());
+  for (std::string text; std::getline(list, text, ';');) {
+    add_link(io, links, text);
   }
+  spurrack::standins::serve(io, given["admin"].as<std::string>(), [&](service_exchange& exchange) {
+    return handle_admin(links, exchange);
+  });
+  io.run();
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+  return spurrack::standins::guarded_main(run, argc, argv);
+}
--- a/standins/platform_stand_in.cc
+++ b/standins/platform_stand_in.cc
@@ -165,22 +165,20 @@
   std::set<std::shared_ptr<asio::steady_timer>> watches_;
 };
 
-} // namespace
-
-int main(int argc, char** argv) {
+int run(int argc, char** argv) {
   cxxopts::Options options("platform_stand_in", "Stand-in of a platform service, for tests.");
   options.add_options()("listen", "IP:port", cxxopts::value<std::string>());
-  try {
-    const auto given = options.parse(argc, argv);
-    asio::io_context io(1);
-    platform_stand_in platform(io);
-    spurrack::standins::serve(
-        io, given["listen"].as<std::string>(),
-        [&](service_exchange& exchange) { return platform.handle(exchange); });
-    io.run();
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
-    return 2;
-  }
+  const auto given = options.parse(argc, argv);
+  asio::io_context io(1);
+  platform_stand_in platform(io);
+  spurrack::standins::serve(io, given["listen"].as<std::string>(),
+                            [&](service_exchange& exchange) { return platform.handle(exchange); });
+  io.run();
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+  return spurrack::standins::guarded_main(run, argc, argv);
+}
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -34,6 +34,7 @@
 
 BOOST_AUTO_TEST_CASE(reads_the_least_and_a_full_file) {
   BOOST_TEST(parse_settings(least).value.has_value());
+  BOOST_TEST(parse_settings(least + "seeds:\n").value.has_value());
   const auto full = parse_settings(
       least + "peer_advertise: 10.0.0.1:7\nseeds: [10.0.0.2:7]\nidempotency: {key_lifetime_ms: "
               "2000, list_window_ms: 4000}\nscheduling: {policy: power_of_two, predict: false}\n");
--- a/tools/fleet/child_process.cc
+++ b/tools/fleet/child_process.cc
@@ -14,8 +14,6 @@
 #include <sstream>
 #include <system_error>
 
-extern char** environ;
-
 namespace spurrack::fleet {
 namespace {
 
@@ -47,6 +45,7 @@
   std::vector<std::string> words{program.string()};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (auto& word : words) {
     pointers.push_back(word.data());
   }
--- a/tools/fleet_soak.cc
+++ b/tools/fleet_soak.cc
@@ -4,6 +4,7 @@
 #include <cxxopts.hpp>
 
 #include <atomic>
+#include <cstdio>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -28,9 +29,7 @@
   std::cout << report.timeline << std::flush;
 }
 
-} // namespace
-
-int main(int argc, char** argv) {
+int run_program(int argc, char** argv) {
   cxxopts::Options options("fleet_soak", "Simulated fleets under faults.");
   options.add_options()("seeds", "how many seeds",
                         cxxopts::value<std::uint64_t>()->default_value("1000"))(
@@ -68,3 +67,15 @@
             << completed << " completed, " << effects << " effects run\n";
   return failed == 0 ? 0 : 1;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run_program(argc, argv);
+  } catch (const std::exception& error) {
+    std::fputs(error.what(), stderr);
+    std::fputs("\n", stderr);
+  }
+  return 2;
+}
