--- a/tools/fleet/child_process.cc
+++ b/tools/fleet/child_process.cc
@@ -41,7 +41,7 @@
 
 child_process::child_process(const std::filesystem::path& program,
                              const std::vector<std::string>& arguments,
-                             const std::filesystem::path& log) {
+                             const std::filesystem::path& log, output where) {
   std::vector<std::string> words{program.string()};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> pointers;
@@ -55,6 +55,9 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, log_mode);
+  if (where == output::to_log) {
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  }
   const int error = posix_spawn(&id_, program.c_str(), &actions, nullptr, pointers.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) {
--- a/tools/fleet/child_process.h
+++ b/tools/fleet/child_process.h
@@ -8,12 +8,15 @@
 
 namespace spurrack::fleet {
 
+/// Where a child's standard output goes.
+enum class output { inherited, to_log };
+
 /// One child process. Its standard error goes to a file.
 class child_process {
  public:
   /// @throws std::system_error where it cannot be started.
   child_process(const std::filesystem::path& program, const std::vector<std::string>& arguments,
-                const std::filesystem::path& log);
+                const std::filesystem::path& log, output where = output::inherited);
   ~child_process();
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
