--- a/src/admission/stage_scheduler.cc
+++ b/src/admission/stage_scheduler.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// Quantile of the service time that a prediction counts with.
-constexpr double predicted_quantile = 0.7;
+constexpr double predicted_quantile = 0.9;
 constexpr base::duration least_retry_after = std::chrono::milliseconds(50);
 constexpr base::duration no_backend_retry_after = std::chrono::seconds(1);
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -57,12 +57,13 @@
 int run_program(int argc, char** argv) {
   cxxopts::Options options("spurrackd", "Serves multi-stage model pipelines.");
   options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())(
-      "check-settings", "check the settings and exit")("version", "print the version")(
-      "help", "print this help");
+      "check-settings",
+      "check the settings and exit")("version", "print the version")("help", "print this help");
   const auto given = options.parse(argc, argv);
   if (given.count("help") > 0) {
-    std::cout << options.help() << "\nExit codes: 0 stopped or settings valid, 2 bad usage or "
-                                   "settings, 3 cannot start.\n";
+    std::cout << options.help()
+              << "\nExit codes: 0 stopped or settings valid, 2 bad usage or "
+                 "settings, 3 cannot start.\n";
     return exit_ok;
   }
   if (given.count("version") > 0) {
--- a/tests/fleet/golden_test.cc
+++ b/tests/fleet/golden_test.cc
@@ -68,16 +68,15 @@
   for (const auto& step : steps) {
     std::string extra;
     if (step.once) {
-      const auto issued =
-          transact(fleet, request_bytes("/v1/tickets", token, "", ""), session);
+      const auto issued = transact(fleet, request_bytes("/v1/tickets", token, "", ""), session);
       const auto body = boost::json::parse(issued.substr(issued.find("\r\n\r\n") + 4)).as_object();
       extra = "Spurrack-Ticket: " + text(body, "ticket") + "\r\n";
     }
     const boost::json::object body{{"input", step.input}, {"stream", step.stream}};
-    transact(fleet,
-             request_bytes("/v1/pipelines/" + step.pipeline, token, extra,
-                           boost::json::serialize(body)),
-             session);
+    transact(
+        fleet,
+        request_bytes("/v1/pipelines/" + step.pipeline, token, extra, boost::json::serialize(body)),
+        session);
   }
   session << "--- time line\n" << timeline_of(fleet);
   const auto path = std::string(SPURRACK_SOURCE) + "/tests/fleet/" + name + ".golden.txt";
--- /dev/null
+++ b/tools/capacity.cc
@@ -0,0 +1,176 @@
+/// Measures what control costs a node: fleets of hollow nodes in one process, in virtual time. Each
+/// measurement runs in a process of its own, so that memory can be told apart.
+#include "simulation/fleet_simulation.h"
+
+#include <cxxopts.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+
+namespace {
+
+using namespace spurrack;
+using std::chrono::seconds;
+
+double processor_seconds() {
+  timespec used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+  constexpr double nano = 1e-9;
+  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * nano;
+}
+
+double resident_megabytes() {
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  constexpr double megabyte = 1024.0 * 1024.0;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / megabyte;
+}
+
+struct size_options {
+  int nodes = 8;
+  int other_zones = 0;
+  int other_nodes = 0;
+  int replicas = 0;
+  int tenants = 5;
+  int changes = 20;
+};
+
+simulation::simulation_settings make_settings(const size_options& size) {
+  simulation::simulation_settings settings;
+  for (int index = 0; index < size.nodes; ++index) {
+    settings.nodes.push_back({"node-" + std::to_string(index), "z0"});
+  }
+  for (int index = 0; index < size.tenants; ++index) {
+    const auto name = "t" + std::to_string(index);
+    auto token = std::string(64, '0');
+    const auto digits = std::to_string(index);
+    token.replace(64 - digits.size(), digits.size(), digits);
+    settings.records["tenants/" + name] =
+        "{name: " + name + ", token_sha256: '" + token +
+        "', weight: 2, templates: {p0: {priority: 6}, p1: {}, p2: {}, p3: {}, p4: {}, p5: {}}}";
+  }
+  for (int index = 0; index < 6; ++index) {
+    const auto name = "p" + std::to_string(index);
+    settings.records["templates/" + name] =
+        "{name: " + name +
+        ", deadline_ms: 3000, stages: [{name: encode, kind: encode, pool: encoders}, {name: "
+        "retrieve, kind: retrieve, pool: retrievers}, {name: rerank, kind: rerank, pool: "
+        "rerankers}, {name: generate, kind: generate, pool: engines, max_tokens: 200}]}";
+  }
+  for (int index = 0; index < size.other_nodes; ++index) {
+    const auto name = "far-" + std::to_string(index);
+    settings.records["machines/" + name] = "{name: " + name + ", role: node, zone: z" +
+                                           std::to_string(1 + index % size.other_zones) +
+                                           ", address: '10.0.0.1:7000'}";
+  }
+  for (int index = 0; index < size.replicas; ++index) {
+    const auto name = "replica-" + std::to_string(index);
+    settings.records["machines/" + name] = "{name: " + name + ", role: backend, zone: z" +
+                                           std::to_string(index % (size.other_zones + 1)) +
+                                           ", address: '10.1.0.1:8000', pool: engines"
+                                           ", concurrency: 8}";
+  }
+  settings.node.event_log_capacity = 4096;
+  return settings;
+}
+
+bool all_hold(const simulation::fleet_simulation& fleet, const std::string& key,
+              base::revision revision) {
+  for (const auto& name : fleet.node_names()) {
+    if (fleet.node(name).content().revision_of(key) != revision) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void measure(const size_options& size) {
+  const auto memory_before = resident_megabytes();
+  simulation::fleet_simulation fleet(make_settings(size));
+  const auto memory_platform = resident_megabytes();
+  const auto start_before = processor_seconds();
+  fleet.start_all_nodes();
+  const bool ready = fleet.run_until([&] { return fleet.all_ready(); }, seconds(60));
+  fleet.run_for(seconds(10));
+  const auto start_seconds = processor_seconds() - start_before;
+
+  const auto bytes_before = fleet.control_totals();
+  const auto used_before = processor_seconds();
+  constexpr double idle_seconds = 30;
+  fleet.run_for(base::from_seconds(idle_seconds));
+  const auto used = processor_seconds() - used_before;
+  const auto bytes = fleet.control_totals().bytes_sent - bytes_before.bytes_sent;
+  const auto messages = fleet.control_totals().messages_sent - bytes_before.messages_sent;
+
+  double slowest = 0;
+  const auto change_bytes_before = fleet.control_totals().bytes_sent;
+  const auto change_used_before = processor_seconds();
+  const auto change_begin = fleet.now();
+  for (int change = 0; change < size.changes; ++change) {
+    const auto revision = fleet.platform().publish(
+        "tenants/t0", "{name: t0, token_sha256: '" + std::string(64, 'f') +
+                          "', weight: " + std::to_string(change + 1) + ", templates: {p0: {}}}");
+    const auto begin = fleet.now();
+    fleet.run_until([&] { return all_hold(fleet, "tenants/t0", revision); }, seconds(30));
+    slowest = std::max(slowest, base::to_seconds(fleet.now() - begin));
+  }
+  const double change_time = base::to_seconds(fleet.now() - change_begin);
+  const auto node_count = static_cast<double>(size.nodes);
+  const double idle_bytes = static_cast<double>(bytes) / idle_seconds / node_count;
+  const double change_bytes =
+      static_cast<double>(fleet.control_totals().bytes_sent - change_bytes_before) / node_count -
+      idle_bytes * change_time;
+  const double idle_cpu = used / idle_seconds / node_count;
+  const double change_cpu =
+      (processor_seconds() - change_used_before) / node_count - idle_cpu * change_time;
+  std::cout << std::fixed << "| " << size.nodes << " | " << size.other_nodes << " | "
+            << size.replicas << " | " << size.tenants << " | " << (ready ? "yes" : "NO") << " | "
+            << std::setprecision(1) << static_cast<double>(messages) / idle_seconds / node_count
+            << " | " << std::setprecision(0) << idle_bytes << " | " << std::setprecision(3)
+            << idle_cpu * 100 << " | " << std::setprecision(2)
+            << (resident_megabytes() - memory_platform) / node_count << " | "
+            << std::setprecision(0) << change_bytes / size.changes << " | " << std::setprecision(2)
+            << change_cpu / size.changes * 1000 << " | " << std::setprecision(2) << slowest << " | "
+            << std::setprecision(2) << start_seconds / node_count << " |\n"
+            << std::flush;
+  (void)memory_before;
+}
+
+int run_program(int argc, char** argv) {
+  cxxopts::Options options("capacity", "Costs of control, measured on hollow nodes.");
+  size_options size;
+  options.add_options()("nodes", "nodes of the zone", cxxopts::value<int>(size.nodes))(
+      "other-zones", "zones beside it", cxxopts::value<int>(size.other_zones))(
+      "other-nodes", "listed nodes of the other zones", cxxopts::value<int>(size.other_nodes))(
+      "replicas", "listed back ends", cxxopts::value<int>(size.replicas))(
+      "tenants", "tenants", cxxopts::value<int>(size.tenants))("header", "print the table's head");
+  const auto given = options.parse(argc, argv);
+  if (given.count("header") > 0) {
+    std::cout
+        << "| nodes | far nodes | replicas | tenants | ready | messages/s a node | bytes/s a "
+           "node | % of a core | MB a node | bytes a change | ms CPU a change | slowest "
+           "change s | s CPU to start |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+    return 0;
+  }
+  measure(size);
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return run_program(argc, argv);
+  } catch (const std::exception& error) {
+    std::fputs(error.what(), stderr);
+    std::fputs("\n", stderr);
+  }
+  return 2;
+}
