Cache the live view of a zone in membership

Cause: each message and each 100 ms tick walked and copied all 2,700 listed members to find the 118 of the own zone. Ruled out: rendezvous hashing of jobs (42 rankings of at most 118 a second). Change: the live peers are derived once and made anew after a change of state or list.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -44,6 +44,7 @@
       incarnation_(self_.process_start) {}
 
 void membership::set_published(const catalog::machine_map& machines, base::time_point now) {
+  live_.reset();
   std::set<base::node_id> listed;
   for (const auto& [id, machine] : machines) {
     if (machine->role != model::machine_role::node || id == self_.node.text()) {
@@ -129,6 +130,7 @@
 
 void membership::set_state(member& subject, wire::member_state state, base::incarnation incarnation,
                            base::time_point now) {
+  live_.reset();
   const bool changed = subject.state != state;
   subject.incarnation = incarnation;
   subject.state = state;
@@ -358,23 +360,25 @@
   }
 }
 
-std::vector<member> membership::live_peers() const {
-  std::vector<member> live;
-  for (const auto& [node, other] : members_) {
-    if (in_zone(other) && other.state != wire::DEAD) {
-      live.push_back(other);
+const membership::live_view& membership::live() const {
+  if (!live_) {
+    live_.emplace();
+    live_->zone_nodes.push_back(self_.node);
+    for (const auto& [node, other] : members_) {
+      if (in_zone(other) && other.state != wire::DEAD) {
+        live_->peers.push_back(other);
+        live_->zone_nodes.push_back(node);
+      }
     }
+    std::sort(live_->zone_nodes.begin(), live_->zone_nodes.end());
   }
-  return live;
+  return *live_;
 }
 
-std::vector<base::node_id> membership::live_zone_nodes() const {
-  std::vector<base::node_id> nodes{self_.node};
-  for (const auto& peer : live_peers()) {
-    nodes.push_back(peer.node);
-  }
-  std::sort(nodes.begin(), nodes.end());
-  return nodes;
+const std::vector<member>& membership::live_peers() const { return live().peers; }
+
+const std::vector<base::node_id>& membership::live_zone_nodes() const {
+  return live().zone_nodes;
 }
 
 bool membership::holds_job(std::string_view job, std::size_t count) const {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -80,9 +80,9 @@
   /// @return whether this node may be contacted as a member: published, or no list is known yet.
   [[nodiscard]] bool may_be_member(const base::node_id& node) const;
   /// @return live members of the own zone without this node.
-  [[nodiscard]] std::vector<member> live_peers() const;
+  [[nodiscard]] const std::vector<member>& live_peers() const;
   /// @return live members of the own zone with this node, sorted.
-  [[nodiscard]] std::vector<base::node_id> live_zone_nodes() const;
+  [[nodiscard]] const std::vector<base::node_id>& live_zone_nodes() const;
   [[nodiscard]] const std::map<base::node_id, member>& members() const { return members_; }
   [[nodiscard]] const std::vector<base::network_address>& seeds() const { return seeds_; }
   /// @return whether this node is among the `count` that hold a job of its zone.
@@ -94,6 +94,11 @@
   [[nodiscard]] base::duration expected_detection_time() const;
 
  private:
+  /// What is derived from `members_` and read with every message; made anew after a change.
+  struct live_view {
+    std::vector<member> peers;
+    std::vector<base::node_id> zone_nodes;
+  };
   struct probe {
     std::uint64_t sequence = 0;
     base::node_id target;
@@ -127,6 +132,7 @@
   wire::envelope ping_message(std::uint64_t sequence, const member* target);
   [[nodiscard]] bool in_zone(const member& other) const { return other.zone == self_.zone; }
   [[nodiscard]] unsigned rumour_sends() const;
+  [[nodiscard]] const live_view& live() const;
 
   identity self_;
   timing settings_;
@@ -135,6 +141,7 @@
   base::incarnation incarnation_;
   bool list_known_ = false;
   std::map<base::node_id, member> members_;
+  mutable std::optional<live_view> live_;
   std::vector<base::network_address> seeds_;
   std::deque<rumour> rumours_;
   std::vector<base::node_id> probe_order_;
