--- a/src/routing/backend_table.cc
+++ b/src/routing/backend_table.cc
@@ -36,7 +36,8 @@
     entry.concurrency = machine->concurrency;
     entry.generation = machine->generation;
     entry.listed_as_leaving = machine->state == model::machine_state::leaving;
-    pools_[machine->pool].push_back(name);
+    auto& pool = pools_[machine->pool];
+    (machine->zone == own_zone_ ? pool.own_zone : pool.other_zones).push_back(name);
   }
   std::erase_if(backends_, [&](const auto& entry) {
     return !listed.contains(entry.first) && entry.second.in_flight == 0;
@@ -88,45 +89,60 @@
   return !is_leaving(target) && now >= target.avoid_until;
 }
 
-const std::vector<base::backend_id>& backend_table::members_of(const base::pool_id& pool) const {
-  static const std::vector<base::backend_id> none;
+const backend_table::pool_members& backend_table::members_of(const base::pool_id& pool) const {
+  static const pool_members none;
   const auto found = pools_.find(pool);
   return found == pools_.end() ? none : found->second;
 }
 
-std::vector<candidate> backend_table::candidates(const base::pool_id& pool, base::time_point now,
-                                                 bool ignore_limits) const {
-  std::vector<candidate> local;
-  std::vector<candidate> foreign;
-  for (const auto& id : members_of(pool)) {
+std::vector<candidate> backend_table::with_free_slot(const std::vector<base::backend_id>& members,
+                                                     base::time_point now,
+                                                     bool ignore_limits) const {
+  std::vector<candidate> found;
+  for (const auto& id : members) {
     const auto& target = backends_.at(id);
     if (!is_usable(target, now)) {
       continue;
     }
     const auto share = share_of(target, now);
     if (ignore_limits || target.in_flight < share) {
-      (target.zone == own_zone_ ? local : foreign).push_back({&target, share});
+      found.push_back({&target, share});
     }
   }
-  return local.empty() ? foreign : local;
+  return found;
 }
 
-std::uint32_t backend_table::slots(const base::pool_id& pool, base::time_point now) const {
-  std::uint32_t local = 0;
-  std::uint32_t foreign = 0;
-  for (const auto& id : members_of(pool)) {
+std::vector<candidate> backend_table::candidates(const base::pool_id& pool, base::time_point now,
+                                                 bool ignore_limits) const {
+  const auto& members = members_of(pool);
+  auto found = with_free_slot(members.own_zone, now, ignore_limits);
+  if (found.empty()) {
+    found = with_free_slot(members.other_zones, now, ignore_limits);
+  }
+  return found;
+}
+
+std::uint32_t backend_table::slots_of(const std::vector<base::backend_id>& members,
+                                      base::time_point now) const {
+  std::uint32_t total = 0;
+  for (const auto& id : members) {
     const auto& target = backends_.at(id);
-    if (!is_leaving(target)) {
-      (target.zone == own_zone_ ? local : foreign) += share_of(target, now);
-    }
+    total += is_leaving(target) ? 0 : share_of(target, now);
   }
-  return local > 0 ? local : foreign;
+  return total;
+}
+
+std::uint32_t backend_table::slots(const base::pool_id& pool, base::time_point now) const {
+  const auto& members = members_of(pool);
+  const auto local = slots_of(members.own_zone, now);
+  return local > 0 ? local : slots_of(members.other_zones, now);
 }
 
 bool backend_table::has_pool(const base::pool_id& pool) const {
+  const auto stays = [&](const base::backend_id& id) { return !is_leaving(backends_.at(id)); };
   const auto& members = members_of(pool);
-  return std::any_of(members.begin(), members.end(),
-                     [&](const auto& id) { return !is_leaving(backends_.at(id)); });
+  return std::any_of(members.own_zone.begin(), members.own_zone.end(), stays) ||
+         std::any_of(members.other_zones.begin(), members.other_zones.end(), stays);
 }
 
 void backend_table::call_started(const base::backend_id& id) {
@@ -161,7 +177,8 @@
   base::duration others{};
   std::int64_t counted = 0;
   std::size_t avoided = 0;
-  const auto& members = members_of(target.pool);
+  const auto& pool = members_of(target.pool);
+  const auto& members = target.zone == own_zone_ ? pool.own_zone : pool.other_zones;
   for (const auto& id : members) {
     const auto& other = backends_.at(id);
     avoided += now < other.avoid_until ? 1 : 0;
@@ -219,12 +236,14 @@
 std::optional<base::time_point> backend_table::next_available(const base::pool_id& pool,
                                                               base::time_point now) const {
   std::optional<base::time_point> earliest;
-  for (const auto& id : members_of(pool)) {
-    const auto& target = backends_.at(id);
-    if (is_leaving(target) || target.avoid_until <= now) {
-      continue;
+  const auto& members = members_of(pool);
+  for (const auto* list : {&members.own_zone, &members.other_zones}) {
+    for (const auto& id : *list) {
+      const auto& target = backends_.at(id);
+      if (!is_leaving(target) && target.avoid_until > now) {
+        earliest = earliest ? std::min(*earliest, target.avoid_until) : target.avoid_until;
+      }
     }
-    earliest = earliest ? std::min(*earliest, target.avoid_until) : target.avoid_until;
   }
   return earliest;
 }
--- a/src/routing/backend_table.h
+++ b/src/routing/backend_table.h
@@ -105,17 +105,30 @@
                                                                base::time_point now) const;
 
  private:
+  /// Back ends of one pool. The two lists are apart since a node looks at the other zones'
+  /// thousands only where its own zone has nothing.
+  struct pool_members {
+    std::vector<base::backend_id> own_zone;
+    std::vector<base::backend_id> other_zones;
+  };
+
   [[nodiscard]] std::uint32_t share_of(const backend& target, base::time_point now) const;
   [[nodiscard]] bool is_usable(const backend& target, base::time_point now) const;
   bool eject_if_slow(backend& target, base::time_point now);
-  [[nodiscard]] const std::vector<base::backend_id>& members_of(const base::pool_id& pool) const;
+  /// @return the usable members of a list that have a free slot.
+  [[nodiscard]] std::vector<candidate> with_free_slot(const std::vector<base::backend_id>& members,
+                                                      base::time_point now,
+                                                      bool ignore_limits) const;
+  [[nodiscard]] std::uint32_t slots_of(const std::vector<base::backend_id>& members,
+                                       base::time_point now) const;
+  [[nodiscard]] const pool_members& members_of(const base::pool_id& pool) const;
 
   base::zone_id own_zone_;
   routing_limits limits_;
   std::uint32_t sharing_nodes_ = 1;
   std::uint32_t own_rank_ = 0;
   std::map<base::backend_id, backend> backends_;
-  std::map<base::pool_id, std::vector<base::backend_id>> pools_;
+  std::map<base::pool_id, pool_members> pools_;
   std::map<base::backend_id, std::uint64_t> leaving_generation_;
 };
 
--- a/tests/fleet/disturbance_test.cc
+++ b/tests/fleet/disturbance_test.cc
@@ -191,8 +191,8 @@
   BOOST_TEST(load.wait_completed(300));
   fleet.backend("retriever-north1").signal(SIGSTOP);
   BOOST_TEST(load.wait_completed(300));
-  fleet.backend("retriever-north1").signal(SIGCONT);
   const auto totals = load.stop();
+  fleet.backend("retriever-north1").signal(SIGCONT);
   require_clean(totals);
   BOOST_TEST(totals.count("failed") == 0U);
 }
