Prove a cut of three hours; split the node by its jobs

Change: a zone is cut from the others and the platform for three hours of virtual time, with publications and requests on both sides; it serves on, runs effects by ticket, says unknown under a key, and has one catalog with the others within 13 s of the end. Eight programs had the same outermost frame; it is logging::guarded_main now.

--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,10 +1,10 @@
 /// spurrackctl: the operators' read-only tool.
 #include "ctl/check.h"
 #include "ctl/reports.h"
+#include "logging/guarded_main.h"
 
 #include <cxxopts.hpp>
 
-#include <cstdio>
 #include <iostream>
 #include <sstream>
 
@@ -87,11 +87,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  try {
-    return run_program(argc, argv);
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-  }
-  return static_cast<int>(exit_code::bad_usage);
+  return spurrack::logging::guarded_main(run_program, argc, argv,
+                                         static_cast<int>(exit_code::bad_usage));
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,11 +1,11 @@
 /// spurrackd: the daemon. Reads its settings, starts one node, runs until SIGTERM.
 #include "daemon/runtime.h"
+#include "logging/guarded_main.h"
 #include "logging/json_log.h"
 #include "settings/settings.h"
 
 #include <cxxopts.hpp>
 
-#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -76,11 +76,5 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  try {
-    return run_program(argc, argv);
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-  }
-  return exit_bad_settings;
+  return spurrack::logging::guarded_main(run_program, argc, argv, exit_bad_settings);
 }
--- /dev/null
+++ b/src/node/node_callers.cc
@@ -0,0 +1,161 @@
+/// What a node does with its callers' requests, up to the executor and back.
+#include "node/node.h"
+
+#include "execution/plan_resolver.h"
+
+#include <sstream>
+#include <utility>
+
+namespace spurrack::node {
+namespace {
+
+constexpr base::duration not_ready_retry = std::chrono::milliseconds(500);
+
+} // namespace
+
+base::request_id node::next_request_id() {
+  std::ostringstream text;
+  text << settings_.self.node.text() << '-' << std::hex << settings_.self.process_start << '-'
+       << std::dec << next_request_++;
+  return base::request_id(text.str());
+}
+
+void node::refuse(const execution::caller_ref& caller, const base::request_id& id,
+                  execution::reason why, base::duration retry_after, bool may_be_resent) {
+  execution::answer content;
+  content.outcome = may_be_resent ? model::outcome::unknown : model::outcome::not_run;
+  content.why = why;
+  content.request = id;
+  content.retry_after = retry_after;
+  execution::answer_decision decision{caller, std::move(content), {}};
+  carry_out(decision, last_event_);
+}
+
+void node::on(const caller_arrived& what, base::time_point now) {
+  const execution::local_caller caller{what.caller};
+  const auto id = next_request_id();
+  disturbed_at_ = now;
+  record(base::event_kind::request_received, id, what.request.pipeline.text(), "");
+  const bool may_be_resent = !what.request.ticket.empty() || !what.request.idempotency_key.empty();
+  if (stopping_ || !ready_) {
+    refuse(caller, id,
+           stopping_ ? execution::reason::node_stopping : execution::reason::node_not_ready,
+           not_ready_retry, may_be_resent);
+    return;
+  }
+  auto judged = execution::resolve_request(catalog_, what.request, what.arrived_at);
+  if (const auto* why = std::get_if<execution::reason>(&judged)) {
+    refuse(caller, id, *why, {}, may_be_resent && *why != execution::reason::unknown_token);
+    return;
+  }
+  auto& resolved = std::get<execution::resolved_request>(judged);
+  if (resolved.deadline <= now) {
+    refuse(caller, id, execution::reason::deadline_passed, {}, may_be_resent);
+    return;
+  }
+  execution::admitted_request request{
+      id, resolved.plan, what.request.input, resolved.deadline, caller, what.request.stream};
+  if (resolved.plan->has_non_repeatable_stage() && may_be_resent) {
+    guard_.begin({std::move(request), what.request.idempotency_key, what.request.ticket}, now);
+    carry_out_guard_decisions(now);
+    return;
+  }
+  execution::run_decision decision{std::move(request)};
+  carry_out(decision, now);
+}
+
+void node::on(const caller_left& what, base::time_point now) {
+  executor_.on_caller_gone(what.caller, now);
+}
+
+void node::on(const ticket_wanted& what, base::time_point now) {
+  const auto id = next_request_id();
+  const execution::local_caller caller{what.caller};
+  if (stopping_ || !ready_) {
+    refuse(caller, id, execution::reason::node_not_ready, not_ready_retry, false);
+  } else if (!catalog_.find_tenant_by_token(what.token_sha256)) {
+    refuse(caller, id, execution::reason::unknown_token, {}, false);
+  } else {
+    commands_.emplace_back(
+        send_ticket{what.caller, guard_.issue(now), settings_.guard.ticket_lifetime});
+  }
+}
+
+void node::on_forwarded_request(const wire::envelope& message, base::time_point now) {
+  const auto& body = message.forwarded_request();
+  const execution::remote_caller caller{base::network_address(message.sender_address()),
+                                        body.forward_id()};
+  const auto id = next_request_id();
+  const auto tenant = catalog_.find_tenant(base::tenant_id(body.tenant()));
+  const auto pipeline = catalog_.find_template(base::template_id(body.pipeline()));
+  auto plan = tenant && pipeline ? model::resolve(*pipeline, *tenant) : std::nullopt;
+  if (body.owner_incarnation() != settings_.self.process_start || !plan) {
+    answer_peer(caller, {}, false);
+    return;
+  }
+  const auto deadline = now + std::chrono::milliseconds(body.deadline_milliseconds());
+  execution::admitted_request request{
+      id,           std::make_shared<const model::pipeline_plan>(std::move(*plan)),
+      body.input(), deadline,
+      caller,       false};
+  guard_.begin_forwarded({std::move(request), body.idempotency_key(), body.ticket()}, now);
+}
+
+void node::answer_peer(const execution::remote_caller& peer, const execution::answer& content,
+                       bool is_owner) {
+  wire::outgoing message{peer.peer, {}};
+  auto& body = *message.message.mutable_forwarded_reply();
+  body.set_forward_id(peer.forward_id);
+  body.set_is_owner(is_owner);
+  *body.mutable_answer() = execution::to_wire(content);
+  outbox_.push_back(std::move(message));
+}
+
+void node::carry_out_guard_decisions(base::time_point now) {
+  // Carrying one out may answer a request and so bring about further ones.
+  for (auto decisions = guard_.take_decisions(); !decisions.empty();
+       decisions = guard_.take_decisions()) {
+    for (auto& decision : decisions) {
+      std::visit([&](auto& chosen) { carry_out(chosen, now); }, decision);
+    }
+  }
+}
+
+void node::carry_out(execution::run_decision& decision, base::time_point now) {
+  auto& request = decision.request;
+  const auto refusal = scheduler_.judge(*request.plan, request.deadline, now);
+  if (!refusal) {
+    executor_.start(std::move(request), now);
+    return;
+  }
+  execution::answer content;
+  content.why =
+      refusal->no_backend ? execution::reason::no_backend : execution::reason::deadline_unreachable;
+  content.request = request.id;
+  content.retry_after = refusal->retry_after;
+  guard_.on_answer(content);
+  execution::answer_decision answered{
+      request.caller, std::move(content), {request.plan->tenant, request.plan->template_name}};
+  carry_out(answered, now);
+}
+
+void node::carry_out(execution::attach_decision& decision, base::time_point /*now*/) {
+  if (!executor_.attach(decision.running, decision.caller)) {
+    execution::answer content;
+    content.outcome = model::outcome::unknown;
+    content.why = execution::reason::key_in_use;
+    content.request = decision.running;
+    execution::answer_decision answered{decision.caller, std::move(content), {}};
+    carry_out(answered, last_event_);
+  }
+}
+
+void node::carry_out(execution::answer_decision& decision, base::time_point /*now*/) {
+  executor_.count_refusal(decision.key, decision.content);
+  record(base::event_kind::request_answered, decision.content.request,
+         std::string(model::name_of(decision.content.outcome)),
+         std::string(execution::name_of(decision.content.why)));
+  emit(execution::send_answer{decision.caller, std::move(decision.content)});
+}
+
+} // namespace spurrack::node
--- /dev/null
+++ b/src/node/node_peers.cc
@@ -0,0 +1,85 @@
+/// What a node does with the messages of its peers.
+#include "node/node.h"
+
+#include <utility>
+
+namespace spurrack::node {
+
+void node::on(const peer_message& what, base::time_point now) {
+  const auto& message = what.message;
+  ++control_.messages_received;
+  control_.bytes_received += message.ByteSizeLong();
+  clock_.observe({message.sent_at().wall_microseconds(), message.sent_at().logical()}, now);
+  const base::node_id sender(message.sender());
+  if (membership_.may_be_member(sender)) {
+    membership_.observe(message, now);
+  }
+  dispatch_message(message, now);
+  check_resync(message, now);
+}
+
+void node::dispatch_message(const wire::envelope& message, base::time_point now) {
+  const base::network_address sender(message.sender_address());
+  const bool from_zone = message.sender_zone() == settings_.self.zone.text();
+  membership_.handle(message, now, outbox_);
+  replicator_.handle(message, zone_peer_addresses(), now, outbox_);
+  for (const auto& notice : message.acknowledgement().leaving()) {
+    on_backend_notice(notice, true, now);
+  }
+  if (message.has_backend_notice()) {
+    on_backend_notice(message.backend_notice(), from_zone, now);
+  }
+  for (const auto& notice : message.zone_digest().leaving()) {
+    on_backend_notice(notice, false, now);
+  }
+  if (message.has_forwarded_request()) {
+    on_forwarded_request(message, now);
+  }
+  guard_.handle(message, now);
+  const bool probe =
+      message.has_ping() || message.has_acknowledgement() || message.has_zone_digest();
+  if (probe) {
+    const bool eager = !ready_ || hold_until_.has_value();
+    replicator_.compare(sender, message.catalog_hash(), eager, now, outbox_);
+  }
+  apply_machine_changes(now);
+}
+
+void node::on_backend_notice(const wire::backend_notice& notice, bool from_zone,
+                             base::time_point /*now*/) {
+  const base::backend_id backend(notice.backend());
+  if (!backends_.mark_leaving(backend, notice.generation())) {
+    return;
+  }
+  record(base::event_kind::backend_leaving, {}, notice.backend(), "told by a peer");
+  if (from_zone) {
+    announced_leaving_[backend] = notice.generation();
+  }
+}
+
+void node::announce_new_leave_notices() {
+  for (const auto& [backend, generation] : backends_.leave_notices()) {
+    auto& announced = announced_leaving_[backend];
+    if (announced < generation) {
+      announced = generation;
+      wire::backend_notice notice;
+      notice.set_backend(backend.text());
+      notice.set_generation(generation);
+      broadcast_notice(notice);
+    }
+  }
+}
+
+void node::broadcast_notice(const wire::backend_notice& notice) {
+  for (const auto& [name, other] : membership_.members()) {
+    // Other zones hear of it through the relays.
+    if (other.zone != settings_.self.zone || other.state == wire::DEAD) {
+      continue;
+    }
+    wire::outgoing message{other.address, {}};
+    *message.message.mutable_backend_notice() = notice;
+    outbox_.push_back(std::move(message));
+  }
+}
+
+} // namespace spurrack::node
--- a/src/simulation/random_faults.cc
+++ b/src/simulation/random_faults.cc
@@ -15,10 +15,6 @@
 constexpr base::duration request_deadline = std::chrono::milliseconds(1000);
 constexpr double resend_probability = 0.5;
 constexpr double duplicate_probability = 0.15;
-/// Stands for the SHA-256 of a token; the simulation has no door.
-constexpr const char* token_hash =
-    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
-
 constexpr const char* answer_template = R"(name: answer
 deadline_ms: 1000
 stages:
@@ -32,31 +28,6 @@
   - {name: notice, kind: call, pool: payouts, repeatable: false}
 )";
 
-simulation_settings make_settings(const run_options& options) {
-  simulation_settings settings;
-  settings.seed = options.seed;
-  for (const auto* zone : {"a", "b", "c"}) {
-    for (const auto* index : {"1", "2"}) {
-      const auto suffix = std::string(zone) + index;
-      settings.nodes.push_back({"node-" + suffix, zone});
-      settings.backends.push_back({"encoder-" + suffix, zone, "encoders"});
-      settings.backends.push_back({"engine-" + suffix, zone, "engines"});
-    }
-    settings.backends.push_back({"payout-" + std::string(zone), zone, "payouts"});
-  }
-  settings.records["templates/answer"] = answer_template;
-  settings.records["templates/payout"] = payout_template;
-  settings.records["tenants/house"] = "{name: house, token_sha256: " + std::string(token_hash) +
-                                      ", templates: {answer: {}, payout: {}}}";
-  settings.node.guard.key_lifetime = key_lifetime;
-  settings.node.guard.ticket_lifetime = std::chrono::seconds(5);
-  settings.node.guard.list_window = std::chrono::seconds(30);
-  settings.node.resync_wait = std::chrono::milliseconds(500);
-  settings.node.event_log_capacity = 20'000;
-  settings.node.switches = options.switches;
-  return settings;
-}
-
 /// A request under a key or ticket that may be sent again.
 struct resendable {
   execution::caller_request request;
@@ -68,7 +39,7 @@
 class fault_run {
  public:
   explicit fault_run(const run_options& options)
-      : options_(options), random_(options.seed * 31 + 7), fleet_(make_settings(options)),
+      : options_(options), random_(options.seed * 31 + 7), fleet_(example_settings(options)),
         checker_(fleet_) {
     answer_ = std::get<std::shared_ptr<const model::pipeline_template>>(
         *model::parse_record("templates/answer", answer_template).value);
@@ -156,7 +127,7 @@
 
   void send_request() {
     execution::caller_request request;
-    request.token_sha256 = token_hash;
+    request.token_sha256 = example_token_hash;
     request.input = "r" + std::to_string(++sent_);
     request.deadline = request_deadline;
     constexpr double payout_share = 0.5;
@@ -173,7 +144,7 @@
       request.idempotency_key = "key" + std::to_string(sent_);
       effect = request.idempotency_key;
     } else if (guard == 1) {
-      request.ticket = fleet_.take_ticket(any_node(), token_hash);
+      request.ticket = fleet_.take_ticket(any_node(), example_token_hash);
       effect = request.ticket;
     }
     send_guarded({request, effect, fleet_.now(), 0});
@@ -404,6 +375,32 @@
 
 } // namespace
 
+simulation_settings example_settings(const run_options& options) {
+  simulation_settings settings;
+  settings.seed = options.seed;
+  for (const auto* zone : {"a", "b", "c"}) {
+    for (const auto* index : {"1", "2"}) {
+      const auto suffix = std::string(zone) + index;
+      settings.nodes.push_back({"node-" + suffix, zone});
+      settings.backends.push_back({"encoder-" + suffix, zone, "encoders"});
+      settings.backends.push_back({"engine-" + suffix, zone, "engines"});
+    }
+    settings.backends.push_back({"payout-" + std::string(zone), zone, "payouts"});
+  }
+  settings.records["templates/answer"] = answer_template;
+  settings.records["templates/payout"] = payout_template;
+  settings.records["tenants/house"] =
+      "{name: house, token_sha256: " + std::string(example_token_hash) +
+      ", templates: {answer: {}, payout: {}}}";
+  settings.node.guard.key_lifetime = key_lifetime;
+  settings.node.guard.ticket_lifetime = std::chrono::seconds(5);
+  settings.node.guard.list_window = std::chrono::seconds(30);
+  settings.node.resync_wait = std::chrono::milliseconds(500);
+  settings.node.event_log_capacity = 20'000;
+  settings.node.switches = options.switches;
+  return settings;
+}
+
 std::string_view name_of(fault_kind kind) {
   static constexpr std::array<std::string_view, fault_kind_count> names{"message_loss",
                                                                         "zone_cut",
--- a/src/simulation/random_faults.h
+++ b/src/simulation/random_faults.h
@@ -52,6 +52,15 @@
   std::string timeline;
 };
 
+/// Stands for the SHA-256 of the example tenant's token; the simulation has no door.
+inline constexpr const char* example_token_hash =
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+
+/// @return three zones with two nodes each, their back ends, the templates `answer` (repeatable)
+/// and
+///         `payout` (with an effect), and one tenant; lives of keys are seconds.
+simulation_settings example_settings(const run_options& options);
+
 run_report run_with_faults(const run_options& options);
 
 } // namespace spurrack::simulation
--- a/standins/backend_stand_in.cc
+++ b/standins/backend_stand_in.cc
@@ -2,6 +2,8 @@
 /// each execution by request, and misbehaves on demand.
 #include "http_service.h"
 
+#include "logging/guarded_main.h"
+
 #include <cxxopts.hpp>
 
 #include <array>
@@ -247,5 +249,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  return spurrack::standins::guarded_main(run, argc, argv);
+  constexpr int exit_exception = 2;
+  return spurrack::logging::guarded_main(run, argc, argv, exit_exception);
 }
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -2,6 +2,8 @@
 /// black-hole or reset them. Links and faults are set over `/admin/fault`.
 #include "http_service.h"
 
+#include "logging/guarded_main.h"
+
 #include "http/awaitable.h"
 #include "http/endpoint.h"
 
@@ -161,5 +163,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  return spurrack::standins::guarded_main(run, argc, argv);
+  constexpr int exit_exception = 2;
+  return spurrack::logging::guarded_main(run, argc, argv, exit_exception);
 }
--- a/standins/http_service.cc
+++ b/standins/http_service.cc
@@ -12,7 +12,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <cstdio>
 #include <memory>
 #include <utility>
 
@@ -106,17 +105,6 @@
                  asio::detached);
 }
 
-int guarded_main(int (*run)(int, char**), int argc, char** argv) noexcept {
-  constexpr int exit_exception = 2;
-  try {
-    return run(argc, argv);
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-  }
-  return exit_exception;
-}
-
 asio::awaitable<void> wait_for(std::chrono::nanoseconds span) {
   asio::steady_timer timer(co_await asio::this_coro::executor, span);
   boost::system::error_code error;
--- a/standins/http_service.h
+++ b/standins/http_service.h
@@ -46,9 +46,6 @@
 /// @throws boost::system::system_error where the address cannot be bound.
 void serve(boost::asio::io_context& io, const std::string& listen, service_handler handler);
 
-/// Runs a program's main function. @return its exit code; 2 where an exception ends it.
-int guarded_main(int (*run)(int, char**), int argc, char** argv) noexcept;
-
 /// Waits without blocking the thread.
 boost::asio::awaitable<void> wait_for(std::chrono::nanoseconds span);
 
--- a/standins/platform_stand_in.cc
+++ b/standins/platform_stand_in.cc
@@ -2,6 +2,8 @@
 /// `/admin/...` for tests. It counts its calls and can be slow, stale, down or restored.
 #include "http_service.h"
 
+#include "logging/guarded_main.h"
+
 #include "http/awaitable.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -180,5 +182,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  return spurrack::standins::guarded_main(run, argc, argv);
+  constexpr int exit_exception = 2;
+  return spurrack::logging::guarded_main(run, argc, argv, exit_exception);
 }
--- /dev/null
+++ b/tests/simulation/long_cut_test.cc
@@ -0,0 +1,92 @@
+/// A zone cut off from the others and from the platform for hours of virtual time, and the
+/// platform's share of the work.
+#include "simulation/random_faults.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace spurrack;
+using simulation::fleet_simulation;
+using std::chrono::seconds;
+
+execution::caller_request ask(const std::string& pipeline, const std::string& input) {
+  execution::caller_request request;
+  request.token_sha256 = simulation::example_token_hash;
+  request.pipeline = base::template_id(pipeline);
+  request.input = input;
+  return request;
+}
+
+model::outcome outcome_of(fleet_simulation& fleet, base::caller_id caller) {
+  fleet.run_for(seconds(2));
+  return fleet.callers().at(caller).answer->outcome;
+}
+
+bool one_catalog(const fleet_simulation& fleet) {
+  for (const auto& name : fleet.node_names()) {
+    if (fleet.node(name).content().content_hash() !=
+        fleet.node("node-a1").content().content_hash()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(long_cuts)
+
+BOOST_AUTO_TEST_CASE(a_zone_cut_off_for_three_hours_serves_on_and_rejoins) {
+  fleet_simulation fleet(simulation::example_settings({}));
+  fleet.start_all_nodes();
+  BOOST_TEST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(20)));
+  fleet.run_for(seconds(10));
+  fleet.cut_zone("c", true);
+  for (int quarter = 0; quarter < 12; ++quarter) {
+    fleet.run_for(std::chrono::minutes(15));
+    fleet.platform().publish("templates/new" + std::to_string(quarter),
+                             "{name: new" + std::to_string(quarter) +
+                                 ", deadline_ms: 500, stages: [{name: a, kind: encode, pool: "
+                                 "encoders}]}");
+    const auto number = std::to_string(quarter);
+    for (const auto* node : {"node-a1", "node-c1", "node-c2"}) {
+      const auto answered = fleet.send(node, ask("answer", "q" + number + node));
+      BOOST_CHECK(outcome_of(fleet, answered) == model::outcome::completed);
+    }
+    // The cut zone runs effects by ticket; under a key it cannot know and says so.
+    auto by_ticket = ask("payout", "t" + number);
+    by_ticket.ticket = fleet.take_ticket("node-c1", simulation::example_token_hash);
+    BOOST_CHECK(outcome_of(fleet, fleet.send("node-c2", by_ticket)) == model::outcome::completed);
+    auto by_key = ask("payout", "k" + number);
+    by_key.idempotency_key = "key" + number;
+    BOOST_CHECK(outcome_of(fleet, fleet.send("node-c1", by_key)) == model::outcome::unknown);
+    BOOST_CHECK(outcome_of(fleet, fleet.send("node-a1", by_key)) == model::outcome::completed);
+  }
+  BOOST_TEST(!one_catalog(fleet));
+  fleet.heal_zone("c");
+  BOOST_TEST(fleet.run_until([&] { return one_catalog(fleet); }, seconds(13)));
+  BOOST_TEST(fleet.node("node-c2").content().templates().size() == 14U);
+}
+
+BOOST_AUTO_TEST_CASE(calls_to_the_platform_do_not_grow_with_the_nodes) {
+  std::vector<std::uint64_t> calls;
+  for (const int nodes : {4, 32}) {
+    auto settings = simulation::example_settings({});
+    settings.nodes.clear();
+    for (int index = 0; index < nodes; ++index) {
+      settings.nodes.push_back({"node-" + std::to_string(index), "a"});
+    }
+    fleet_simulation fleet(settings);
+    fleet.start_all_nodes();
+    fleet.run_for(seconds(30));
+    const auto before = fleet.platform().calls();
+    fleet.run_for(std::chrono::minutes(10));
+    calls.push_back(fleet.platform().calls() - before);
+  }
+  BOOST_TEST_MESSAGE("calls in ten minutes: " << calls[0] << " with 4 nodes, " << calls[1]
+                                              << " with 32");
+  BOOST_TEST(calls[1] <= calls[0] + 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tools/capacity.cc
+++ b/tools/capacity.cc
@@ -1,12 +1,12 @@
 /// Measures what control costs a node: fleets of hollow nodes in one process, in virtual time. Each
 /// measurement runs in a process of its own, so that memory can be told apart.
+#include "logging/guarded_main.h"
 #include "simulation/fleet_simulation.h"
 
 #include <cxxopts.hpp>
 #include <sys/resource.h>
 #include <unistd.h>
 
-#include <cstdio>
 #include <ctime>
 #include <fstream>
 #include <iomanip>
@@ -164,11 +164,5 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  try {
-    return run_program(argc, argv);
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-  }
-  return 2;
+  return spurrack::logging::guarded_main(run_program, argc, argv, 2);
 }
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -1,10 +1,11 @@
 /// Runs all load scenarios with all policies and writes a report with plots.
 #include "load_scenario.h"
 
+#include "logging/guarded_main.h"
+
 #include <cxxopts.hpp>
 
 #include <atomic>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
@@ -139,11 +140,5 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  try {
-    return run_program(argc, argv);
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-  }
-  return 2;
+  return spurrack::logging::guarded_main(run_program, argc, argv, 2);
 }
--- a/tools/fleet_soak.cc
+++ b/tools/fleet_soak.cc
@@ -1,10 +1,10 @@
 /// Runs many seeds of the simulated fleet under faults and reports the violations.
+#include "logging/guarded_main.h"
 #include "simulation/random_faults.h"
 
 #include <cxxopts.hpp>
 
 #include <atomic>
-#include <cstdio>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -71,11 +71,5 @@
 } // namespace
 
 int main(int argc, char** argv) {
-  try {
-    return run_program(argc, argv);
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-  }
-  return 2;
+  return spurrack::logging::guarded_main(run_program, argc, argv, 2);
 }
