--- a/src/admission/stage_scheduler.cc
+++ b/src/admission/stage_scheduler.cc
@@ -10,7 +10,7 @@
 constexpr double predicted_quantile = 0.9;
 /// A call without progress for longer than almost all calls take is taken for lost.
 constexpr double stall_quantile = 0.99;
-constexpr double stall_factor = 1.25;
+constexpr double stall_factor = 1.6;
 constexpr std::uint64_t stall_samples = 50;
 constexpr base::duration least_stall_limit = std::chrono::milliseconds(100);
 constexpr base::duration least_retry_after = std::chrono::milliseconds(50);
