Cut no request at the exit of a stop; give test fleets ports of their own

(1) A node that was started again did not become ready: test processes that run side by side chose from overlapping port ranges (97 apart, up to 460 used), so the port of a dead node could be taken by another test. (2) A planned stop cut one request: the process ended when no request was being decided, but a request that was just arriving, or a connection that waited in the kernel, was reset. Ruled out for (2): the node's own drain; it had reported its end rightly. Change: ports are counted through over all processes by a locked file. At the end of a stop the daemon takes the connections that wait, closes the listener, and ends only when no request is arriving or unanswered, 200 ms later at the earliest.

--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds exit_poll{20};
+/// Time for requests on connections that were accepted last.
+constexpr std::chrono::milliseconds exit_grace{200};
 
 std::uint64_t random_seed() {
   std::random_device device;
@@ -115,6 +117,8 @@
   } else if (auto* read = std::get_if<node::read_service>(&wanted)) {
     platform_->read(*read);
   } else if (std::holds_alternative<node::stop_completed>(wanted)) {
+    callers_->stop_accepting();
+    exit_not_before_ = base::boot_clock::now() + exit_grace;
     exit_when_written();
   }
 }
@@ -134,7 +138,7 @@
 }
 
 void runtime::exit_when_written() {
-  if (callers_->busy() == 0) {
+  if (callers_->busy() == 0 && base::boot_clock::now() >= exit_not_before_) {
     logging::write(logging::severity::info, "stopped");
     io_->stop();
     return;
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -45,6 +45,7 @@
   std::unique_ptr<http::operator_server> operators_;
   boost::asio::steady_timer wakeup_;
   boost::asio::steady_timer exit_timer_;
+  base::time_point exit_not_before_;
   boost::asio::signal_set signals_;
 };
 
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -82,6 +82,18 @@
   asio::steady_timer timer_;
 };
 
+/// Counts something for as long as it lasts.
+class count_guard {
+ public:
+  explicit count_guard(std::size_t& count) : count_(&count) { ++*count_; }
+  ~count_guard() { --*count_; }
+  count_guard(const count_guard&) = delete;
+  count_guard& operator=(const count_guard&) = delete;
+
+ private:
+  std::size_t* count_;
+};
+
 /// A caller whose request is being decided: what is to be written to it, in order.
 struct exchange {
   explicit exchange(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
@@ -146,9 +158,19 @@
   }
   void stop_accepting() override {
     stopping_ = true;
-    acceptor_.close();
+    // Connections that the kernel has accepted already are served; closing would reset them.
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      asio::ip::tcp::socket socket(*io_);
+      acceptor_.accept(socket, error);
+      if (!error) {
+        asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
+      }
+    }
+    acceptor_.close(error);
   }
-  [[nodiscard]] std::size_t busy() const override { return exchanges_.size(); }
+  [[nodiscard]] std::size_t busy() const override { return serving_; }
 
  private:
   void push(base::caller_id caller, outgoing_item item) {
@@ -201,6 +223,7 @@
       }
       buffer.commit(received);
     }
+    const count_guard serving(serving_);
     beast_http::request_parser<beast_http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser.body_limit(limits_.max_body_bytes);
@@ -359,6 +382,8 @@
   caller_observer observer_;
   bool stopping_ = false;
   std::size_t connections_ = 0;
+  /// Connections between the first byte of a request and the last of its answer.
+  std::size_t serving_ = 0;
   base::caller_id next_caller_ = 1;
   std::unordered_map<base::caller_id, std::shared_ptr<exchange>> exchanges_;
 };
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -35,9 +35,10 @@
   virtual void send_answer(base::caller_id caller, execution::answer content) = 0;
   virtual void send_token(base::caller_id caller, std::uint32_t offset, std::string text) = 0;
   virtual void send_ticket(base::caller_id caller, std::string ticket, base::duration lifetime) = 0;
-  /// Stops accepting connections; those open go on, each until its next answer.
+  /// Stops accepting connections, after taking those that wait; those open go on, each until its
+  /// next answer.
   virtual void stop_accepting() = 0;
-  /// @return callers that wait for an answer or to whom one is being written.
+  /// @return connections on which a request has begun to arrive and is not answered yet.
   [[nodiscard]] virtual std::size_t busy() const = 0;
 };
 
--- a/src/simulation/emulated_backend.cc
+++ b/src/simulation/emulated_backend.cc
@@ -38,7 +38,8 @@
     : profile_(std::move(profile)), events_(&events), random_(&random),
       observer_(std::move(observer)) {}
 
-void emulated_backend::receive(const execution::stage_call& call, reply_handler reply) {
+void emulated_backend::receive(const execution::stage_call& call, reply_handler reply,
+                               token_handler first_token) {
   if (!alive_) {
     return;
   }
@@ -50,7 +51,7 @@
     reply({refusal(call, execution::call_status::refused_overloaded), {}});
     return;
   }
-  held_call held{call, std::move(reply), {}};
+  held_call held{call, std::move(reply), std::move(first_token), {}};
   if (running_.size() < profile_.concurrency) {
     start(std::move(held));
   } else {
@@ -76,10 +77,29 @@
   const auto takes = sample(held.call);
   running_.emplace(slot, std::move(held));
   if (!faults_.hanging) {
+    schedule_first_token(slot, takes);
     events_->after(takes, [this, slot] { finish(slot); });
   }
 }
 
+void emulated_backend::schedule_first_token(std::uint64_t slot, base::duration takes) {
+  const auto& call = running_.at(slot).call;
+  if (!profile_.early_first_token || call.kind != model::stage_kind::generate) {
+    return;
+  }
+  // The prompt takes its part of the whole time, as the means say.
+  const double prompt = base::to_seconds(profile_.service_time);
+  const double tokens = call.max_tokens * base::to_seconds(profile_.token_time);
+  const auto delay = base::from_seconds(base::to_seconds(takes) * prompt / (prompt + tokens));
+  events_->after(delay, [this, slot] {
+    const auto found = running_.find(slot);
+    if (alive_ && found != running_.end() && found->second.call.resume_offset == 0) {
+      const auto& held = found->second;
+      held.first_token({held.call.call, 0, token_text(held.call.input, 0)});
+    }
+  });
+}
+
 backend_reply emulated_backend::make_reply(const held_call& held) {
   const auto& call = held.call;
   backend_reply reply;
--- a/src/simulation/emulated_backend.h
+++ b/src/simulation/emulated_backend.h
@@ -27,6 +27,9 @@
   base::duration token_time{};
   /// Part of the service time that varies (exponentially), 0 to 1.
   double variation = 0.5;
+  /// Whether the first token of a generating call is sent as soon as the prompt is read; otherwise
+  /// all tokens are sent at the end.
+  bool early_first_token = false;
 };
 
 /// How answers are spoiled, each with its own probability.
@@ -51,6 +54,7 @@
 class emulated_backend {
  public:
   using reply_handler = std::function<void(backend_reply)>;
+  using token_handler = std::function<void(const execution::call_token&)>;
   /// Called at each execution, before it is known how it ends.
   using execution_observer =
       std::function<void(const emulated_backend&, const execution::stage_call&)>;
@@ -59,7 +63,8 @@
                    execution_observer observer);
 
   /// A call arrives. `reply` is called when it ends, unless the back end dies or hangs.
-  void receive(const execution::stage_call& call, reply_handler reply);
+  /// `first_token` is called before it, where the profile says so.
+  void receive(const execution::stage_call& call, reply_handler reply, token_handler first_token);
   /// The caller closed the connection: a waiting call is dropped, a running one frees its slot.
   void cancel(const execution::call_identity& identity);
   /// Dies: all calls are lost.
@@ -77,11 +82,13 @@
   struct held_call {
     execution::stage_call call;
     reply_handler reply;
+    token_handler first_token;
     base::time_point started;
   };
 
   void start(held_call held);
   void finish(std::uint64_t slot);
+  void schedule_first_token(std::uint64_t slot, base::duration takes);
   void start_waiting();
   base::duration sample(const execution::stage_call& call);
   backend_reply make_reply(const held_call& held);
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -374,9 +374,21 @@
       end_call(open, execution::call_status::broken);
       return;
     }
-    target.receive(open->call, [this, open, zone](backend_reply reply) {
-      reply_to_call(open, zone, std::move(reply));
-    });
+    target.receive(
+        open->call,
+        [this, open, zone](backend_reply reply) { reply_to_call(open, zone, std::move(reply)); },
+        [this, open, zone](const execution::call_token& token) {
+          send_first_token(open, zone, token);
+        });
+  });
+}
+
+void fleet_simulation::send_first_token(const open_call_ref& open, const std::string& backend_zone,
+                                        const execution::call_token& token) {
+  events_.after(network_delay(), [this, open, backend_zone, token] {
+    if (!open->cancelled && connected(nodes_.at(open->node).profile.zone, backend_zone)) {
+      deliver(open->node, open->life, token);
+    }
   });
 }
 
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -168,6 +168,8 @@
   void read_platform(node_slot& slot, const node::read_service& what);
   void start_call(node_slot& slot, const execution::stage_call& call);
   void write_call(const open_call_ref& open);
+  void send_first_token(const open_call_ref& open, const std::string& backend_zone,
+                        const execution::call_token& token);
   void reply_to_call(const open_call_ref& open, const std::string& backend_zone,
                      backend_reply reply);
   void end_call(const open_call_ref& open, execution::call_status status);
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -43,8 +43,8 @@
 
 void write_report(const std::vector<job>& jobs, std::ostream& out) {
   out << "| user | scenario | policy | attainment % | goodput % | smallest tenant % | wasted % | "
-         "refusal p99 ms | p50 ms | p95 ms | p99 ms |\n"
-         "|---|---|---|---|---|---|---|---|---|---|---|\n";
+         "refusal p99 ms | p50 ms | p95 ms | p99 ms | first token p95 ms |\n"
+         "|---|---|---|---|---|---|---|---|---|---|---|---|\n";
   constexpr double percent = 100;
   constexpr double milli = 1000;
   for (const auto& entry : jobs) {
@@ -57,7 +57,8 @@
         << spread(runs, &measurement::refusal_p99, milli, 1) << " | "
         << spread(runs, &measurement::p50, milli, 0) << " | "
         << spread(runs, &measurement::p95, milli, 0) << " | "
-        << spread(runs, &measurement::p99, milli, 0) << " |\n";
+        << spread(runs, &measurement::p99, milli, 0) << " | "
+        << spread(runs, &measurement::first_token_p95, milli, 0) << " |\n";
   }
 }
 
--- a/tools/fleet/child_process.cc
+++ b/tools/fleet/child_process.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -25,6 +26,28 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : signal_exit_base + WTERMSIG(status);
 }
 
+/// Counts through the ports over all processes of this machine, by a locked file: a node that is
+/// started again must find its ports free, also while another test chooses some.
+unsigned next_port_index() {
+  const auto path = std::filesystem::temp_directory_path() / "spurrack-next-port";
+  constexpr int mode = 0666;
+  const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, mode);
+  if (file < 0 || ::flock(file, LOCK_EX) != 0) {
+    throw std::system_error(errno, std::generic_category(), path.string());
+  }
+  unsigned index = 0;
+  if (::pread(file, &index, sizeof(index), 0) != sizeof(index)) {
+    index = 0;
+  }
+  const unsigned next = (index + 1) % port_count;
+  const bool written = ::pwrite(file, &next, sizeof(next), 0) == sizeof(next);
+  ::close(file);
+  if (!written) {
+    throw std::system_error(errno, std::generic_category(), path.string());
+  }
+  return index;
+}
+
 bool can_bind(unsigned port) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -125,9 +148,8 @@
 }
 
 unsigned free_port() {
-  static unsigned next = static_cast<unsigned>(::getpid()) * 97 % port_count;
   while (true) {
-    const unsigned port = first_port + next++ % port_count;
+    const unsigned port = first_port + next_port_index() % port_count;
     if (can_bind(port)) {
       return port;
     }
--- a/tools/load_scenario.cc
+++ b/tools/load_scenario.cc
@@ -58,6 +58,7 @@
     profile.most_calls = concurrency * 40;
     profile.service_time = service;
     profile.token_time = token;
+    profile.early_first_token = true;
     user.backends.push_back(profile);
   }
 }
@@ -193,6 +194,7 @@
     measurement result;
     std::vector<double> latencies;
     std::vector<double> refusals;
+    std::vector<double> first_tokens;
     std::map<std::string, std::pair<double, double>> by_tenant;
     double used = 0;
     double lost = 0;
@@ -204,6 +206,9 @@
       ++result.requests;
       auto& tenant = by_tenant[tenant_of_[id]];
       tenant.second += 1;
+      if (record.first_token_at) {
+        first_tokens.push_back(base::to_seconds(*record.first_token_at - record.sent_at));
+      }
       if (!record.answer) {
         continue;
       }
@@ -232,6 +237,7 @@
     result.p50 = quantile(latencies, 0.5);
     result.p95 = quantile(latencies, 0.95);
     result.p99 = quantile(latencies, 0.99);
+    result.first_token_p95 = quantile(first_tokens, 0.95);
     return result;
   }
 
--- a/tools/load_scenario.h
+++ b/tools/load_scenario.h
@@ -65,6 +65,8 @@
   double p50 = 0;
   double p95 = 0;
   double p99 = 0;
+  /// From the send to the first token at the caller; of all streams that began.
+  double first_token_p95 = 0;
   std::uint64_t requests = 0;
 };
 
