Count only time awake as the quiet time of a stop

Cause: seed 20112 (node_freeze, node_stop): a pause of under 1 s is not taken for a pause, but is longer than the 300 ms of quiet that end a stop; on waking the node ended before it read the requests that had waited. Ruled out: the longest stop of 10 s (restarting it after a pause did not change the seed; reverted). Change: any gap between two events over twice the periodic interval counts as a disturbance of the quiet time. The seed is kept as a regression; promise tests and the stop test of real processes pass.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr base::duration periodic_interval = std::chrono::milliseconds(100);
+/// A node that runs sees an event at least every `periodic_interval`.
+constexpr base::duration longest_usual_gap = 2 * periodic_interval;
 /// Messages a node sends to itself while it handles one event; a bound against loops.
 constexpr std::size_t most_loopback_rounds = 8;
 
@@ -106,11 +108,15 @@
 // --- pauses and readiness ------------------------------------------------------------------------
 
 void node::detect_pause(base::time_point now) {
+  // Requests may have waited in sockets through any gap, also one too short to count as a pause:
+  // only time awake is quiet time of a stop.
+  if (now - last_event_ > longest_usual_gap) {
+    disturbed_at_ = now;
+  }
   if (now - last_event_ <= settings_.pause_threshold) {
     return;
   }
   const auto gap = base::to_milliseconds(now - last_event_);
-  disturbed_at_ = now;
   last_event_ = now;
   record(base::event_kind::node_resumed_after_pause, {}, settings_.self.node.text(),
          std::to_string(gap) + " ms");
--- a/tests/simulation/promises_test.cc
+++ b/tests/simulation/promises_test.cc
@@ -26,8 +26,8 @@
 }
 
 /// Seeds that once found a fault: a stale request run after a pause (8, 10, 20, 37), requests cut
-/// by a stop with a pause (998, 1126, 1308), a chain of pauses (41).
-constexpr std::uint64_t regression_seeds[] = {8, 10, 20, 37, 41, 998, 1126, 1308};
+/// by a stop with a pause (998, 1126, 1308, 20112), a chain of pauses (41).
+constexpr std::uint64_t regression_seeds[] = {8, 10, 20, 37, 41, 998, 1126, 1308, 20112};
 
 constexpr std::uint64_t first_ci_seed = 1;
 constexpr std::uint64_t ci_seeds = 150;
