Take tickets through one function of the fleet harness

Cause: the demo and two tests built the same request for a ticket. Change: local_fleet::take_ticket serves all three; behaviour is the same.

--- a/tests/fleet/effects_test.cc
+++ b/tests/fleet/effects_test.cc
@@ -131,12 +131,7 @@
   const auto minority = pay(fleet, "entry-north1", "k7", 2'000);
   BOOST_TEST(text(minority, "outcome") == "unknown");
   BOOST_TEST(payouts() == 1);
-  http_call wanted;
-  wanted.address = fleet.addresses("entry-north1").callers;
-  wanted.method = "POST";
-  wanted.target = "/v1/tickets";
-  wanted.headers["Authorization"] = std::string("Bearer ") + agents_token;
-  const auto ticket = text(call(wanted).json(), "ticket");
+  const auto ticket = fleet.take_ticket("entry-north1", agents_token);
   const auto redeem = [&] {
     return fleet
         .ask("entry-north1", "transfer-confirmation", agents_token, {{"input", "by ticket"}},
@@ -149,12 +144,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_restarted_node_grants_nothing_and_redeems_no_old_ticket) {
-  http_call wanted;
-  wanted.address = fleet.addresses("entry-north1").callers;
-  wanted.method = "POST";
-  wanted.target = "/v1/tickets";
-  wanted.headers["Authorization"] = std::string("Bearer ") + agents_token;
-  const auto ticket = text(call(wanted).json(), "ticket");
+  const auto ticket = fleet.take_ticket("entry-north1", agents_token);
   BOOST_TEST(!ticket.empty());
   fleet.node("entry-north1").signal(SIGKILL);
   fleet.node("entry-north1").wait();
--- a/tools/demo.cc
+++ b/tools/demo.cc
@@ -25,20 +25,11 @@
   return value != nullptr && value->is_string() ? std::string(value->as_string()) : "";
 }
 
-std::string take_ticket(const local_fleet& fleet, const demo_request& request) {
-  spurrack::fleet::http_call wanted;
-  wanted.address = fleet.addresses(request.node).callers;
-  wanted.method = "POST";
-  wanted.target = "/v1/tickets";
-  wanted.headers["Authorization"] = "Bearer " + request.token;
-  return member(spurrack::fleet::call(wanted).json(), "ticket");
-}
-
 /// @return the request's id where the answer is right; empty otherwise.
 std::string run_request(const local_fleet& fleet, const demo_request& request) {
   std::map<std::string, std::string> headers;
   if (request.once) {
-    headers["Spurrack-Ticket"] = take_ticket(fleet, request);
+    headers["Spurrack-Ticket"] = fleet.take_ticket(request.node, request.token);
   }
   const auto answer =
       fleet.ask(request.node, request.pipeline, request.token, {{"input", request.input}}, headers);
--- a/tools/fleet/local_fleet.cc
+++ b/tools/fleet/local_fleet.cc
@@ -263,6 +263,17 @@
   return total;
 }
 
+std::string local_fleet::take_ticket(const std::string& node, const std::string& token) const {
+  http_call wanted;
+  wanted.address = node_addresses_.at(node).callers;
+  wanted.method = "POST";
+  wanted.target = "/v1/tickets";
+  wanted.headers["Authorization"] = "Bearer " + token;
+  const auto body = call(wanted).json();
+  const auto* ticket = body.if_contains("ticket");
+  return ticket != nullptr && ticket->is_string() ? std::string(ticket->as_string()) : "";
+}
+
 http_answer local_fleet::ask(const std::string& node, const std::string& pipeline,
                              const std::string& token, const json::object& body,
                              const std::map<std::string, std::string>& headers) const {
--- a/tools/fleet/local_fleet.h
+++ b/tools/fleet/local_fleet.h
@@ -104,6 +104,8 @@
   [[nodiscard]] const fleet_description& description() const { return description_; }
   [[nodiscard]] const std::filesystem::path& folder() const { return folder_; }
 
+  /// @return a ticket issued by a node; empty where it gives none.
+  [[nodiscard]] std::string take_ticket(const std::string& node, const std::string& token) const;
   /// Sends a pipeline request.
   [[nodiscard]] http_answer ask(const std::string& node, const std::string& pipeline,
                                 const std::string& token, const boost::json::object& body,
