--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 # Only needed after a change to peer.proto; the result is committed.
 proto:
-	protoc --cpp_out=src/wire --proto_path=src/wire src/wire/peer.proto
+	protoc --cpp_out=src/wire --proto_path=src/wire src/wire/peer.proto src/wire/published.proto
 
 format:
 	git ls-files '*.cc' '*.h' | grep -v '\.pb\.' | xargs clang-format -i
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -33,6 +33,8 @@
 using node_id = identifier<struct node_tag>;
 using zone_id = identifier<struct zone_tag>;
 using backend_id = identifier<struct backend_tag>;
+/// One incarnation of a replica: every start has a new identifier.
+using replica_id = identifier<struct replica_tag>;
 using pool_id = identifier<struct pool_tag>;
 using tenant_id = identifier<struct tenant_tag>;
 using template_id = identifier<struct template_tag>;
--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -1,6 +1,7 @@
 #include "catalog/catalog.h"
 
 #include "base/hashing.h"
+#include "model/serving_record_parser.h"
 
 #include <algorithm>
 #include <string_view>
@@ -61,22 +62,46 @@
     accept(place, std::move(offered), std::nullopt);
     return {apply_verdict::accepted, {}};
   }
-  const auto parsed = model::parse_record(entry.key(), entry.value());
-  if (parsed.value) {
-    accept(place, std::move(offered), parsed.value);
+  auto read = read_value(entry.key(), entry.value());
+  if (auto* value = std::get_if<any_record>(&read)) {
+    accept(place, std::move(offered), std::move(*value));
     return {apply_verdict::accepted, {}};
   }
   if (place.rejected && offered.at < place.rejected->at) {
     return {apply_verdict::older, {}};
   }
-  reject(place, std::move(offered), describe_faults(parsed.faults));
+  reject(place, std::move(offered), std::get<std::string>(std::move(read)));
   return {apply_verdict::rejected, place.rejection_reason};
 }
 
-void catalog::accept(slot& place, stored_entry offered, const std::optional<model::record>& value) {
+catalog::reading catalog::read_value(const std::string& key, const std::string& value) {
+  if (key == model::configuration_key) {
+    auto read = model::parse_configuration(value);
+    if (auto* refused = std::get_if<model::refusal_reason>(&read)) {
+      return std::move(refused->text);
+    }
+    return any_record(std::get<0>(std::move(read)));
+  }
+  if (key.starts_with(model::replica_prefix)) {
+    auto read = model::parse_replica(value);
+    if (auto* refused = std::get_if<model::refusal_reason>(&read)) {
+      return std::move(refused->text);
+    }
+    return any_record(std::get<0>(std::move(read)));
+  }
+  auto parsed = model::parse_record(key, value);
+  if (!parsed.value) {
+    return describe_faults(parsed.faults);
+  }
+  return any_record(std::move(*parsed.value));
+}
+
+void catalog::accept(slot& place, stored_entry offered, const std::optional<any_record>& value) {
   const auto key = offered.entry.key();
   remove_from_index(key);
-  index(key, value);
+  if (value) {
+    index(key, *value);
+  }
   place.accepted = std::move(offered);
   if (place.rejected && place.rejected->at < place.accepted->at) {
     place.rejected.reset();
@@ -104,18 +129,28 @@
   bucket ^= hash;
 }
 
-void catalog::index(const std::string& key, const std::optional<model::record>& value) {
-  if (!value) {
-    return;
+void catalog::index(const std::string& key, const any_record& value) {
+  if (const auto* record = std::get_if<model::record>(&value)) {
+    index(key, *record);
+  } else if (const auto* fleet =
+                 std::get_if<std::shared_ptr<const model::serving_configuration>>(&value)) {
+    serving_ = *fleet;
+    ++serving_changes_;
+  } else {
+    replicas_[base::replica_id(name_part(key))] =
+        std::get<std::shared_ptr<const model::replica>>(value);
+    ++serving_changes_;
   }
-  if (const auto* pipeline =
-          std::get_if<std::shared_ptr<const model::pipeline_template>>(&*value)) {
+}
+
+void catalog::index(const std::string& key, const model::record& value) {
+  if (const auto* pipeline = std::get_if<std::shared_ptr<const model::pipeline_template>>(&value)) {
     templates_[(*pipeline)->name] = *pipeline;
-  } else if (const auto* owner = std::get_if<std::shared_ptr<const model::tenant>>(&*value)) {
+  } else if (const auto* owner = std::get_if<std::shared_ptr<const model::tenant>>(&value)) {
     tenants_[(*owner)->name] = *owner;
     tenants_by_token_[(*owner)->token_sha256].insert((*owner)->name);
   } else {
-    machines_[name_part(key)] = std::get<std::shared_ptr<const model::machine>>(*value);
+    machines_[name_part(key)] = std::get<std::shared_ptr<const model::machine>>(value);
   }
 }
 
@@ -128,7 +163,26 @@
   } else if (key.starts_with(model::machine_prefix)) {
     machines_.erase(name);
     ++machine_changes_;
+  } else if (key.starts_with(model::replica_prefix)) {
+    serving_changes_ += replicas_.erase(base::replica_id(name));
+  }
+}
+
+std::vector<wire::catalog_entry>
+catalog::deletions_of_unlisted_replicas(const std::set<std::string>& listed,
+                                        base::revision at) const {
+  std::vector<wire::catalog_entry> deletions;
+  for (const auto& [id, known] : replicas_) {
+    const auto key = std::string(model::replica_prefix) + id.text();
+    if (!listed.contains(key) && revision_of(key) < at) {
+      wire::catalog_entry gone;
+      gone.set_key(key);
+      gone.set_revision(at);
+      gone.set_deleted(true);
+      deletions.push_back(std::move(gone));
+    }
   }
+  return deletions;
 }
 
 void catalog::remove_tenant(const base::tenant_id& name) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -4,6 +4,7 @@
 
 #include "base/safety_switches.h"
 #include "model/record_parser.h"
+#include "model/serving_records.h"
 #include "wire/peer.pb.h"
 
 #include <array>
@@ -14,6 +15,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace spurrack::catalog {
@@ -42,6 +44,7 @@
 using machine_map = std::map<std::string, std::shared_ptr<const model::machine>>;
 using template_map = std::map<base::template_id, std::shared_ptr<const model::pipeline_template>>;
 using tenant_map = std::map<base::tenant_id, std::shared_ptr<const model::tenant>>;
+using replica_map = std::map<base::replica_id, std::shared_ptr<const model::replica>>;
 
 /// Not thread-safe. Shared records live on after they are replaced.
 class catalog {
@@ -74,6 +77,18 @@
   [[nodiscard]] const template_map& templates() const { return templates_; }
   [[nodiscard]] const tenant_map& tenants() const { return tenants_; }
 
+  /// Configuration of the serving path; null where none is known.
+  [[nodiscard]] std::shared_ptr<const model::serving_configuration> serving() const {
+    return serving_;
+  }
+  [[nodiscard]] const replica_map& replicas() const { return replicas_; }
+  /// Raised whenever the configuration of the serving path or a replica changes.
+  [[nodiscard]] std::uint64_t serving_changes() const { return serving_changes_; }
+  /// @param listed keys of replicas that a complete listing at revision `at` holds.
+  /// @return deletions of the known replicas that the listing shows to be gone.
+  [[nodiscard]] std::vector<wire::catalog_entry>
+  deletions_of_unlisted_replicas(const std::set<std::string>& listed, base::revision at) const;
+
   /// @return revision at which the accepted value of `key` was published; 0 where there is none.
   [[nodiscard]] base::revision revision_of(const std::string& key) const;
   [[nodiscard]] base::revision highest_revision() const { return highest_revision_; }
@@ -106,10 +121,19 @@
   static std::size_t bucket_of(const std::string& key);
   static bool is_known(const slot& place, const version& offered);
   [[nodiscard]] bool is_older(const slot& place, const version& offered) const;
-  void accept(slot& place, stored_entry offered, const std::optional<model::record>& value);
+  /// A valid record of any kind.
+  using any_record =
+      std::variant<model::record, std::shared_ptr<const model::serving_configuration>,
+                   std::shared_ptr<const model::replica>>;
+  /// What came of reading a value: a record, or why it is refused.
+  using reading = std::variant<any_record, std::string>;
+
+  static reading read_value(const std::string& key, const std::string& value);
+  void accept(slot& place, stored_entry offered, const std::optional<any_record>& value);
   void reject(slot& place, stored_entry offered, std::string reason);
   void rehash(const std::string& key, slot& place);
-  void index(const std::string& key, const std::optional<model::record>& value);
+  void index(const std::string& key, const any_record& value);
+  void index(const std::string& key, const model::record& value);
   void remove_from_index(const std::string& key);
   void remove_tenant(const base::tenant_id& name);
 
@@ -121,6 +145,9 @@
   std::unordered_map<std::string, std::set<base::tenant_id>> tenants_by_token_;
   machine_map machines_;
   std::uint64_t machine_changes_ = 0;
+  std::shared_ptr<const model::serving_configuration> serving_;
+  replica_map replicas_;
+  std::uint64_t serving_changes_ = 0;
   base::revision highest_revision_ = 0;
 };
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,8 +1,10 @@
 /// spurrackd: the daemon. Reads its settings, starts one node, runs until SIGTERM.
 #include "daemon/runtime.h"
+#include "http_codec.h"
 #include "logging/guarded_main.h"
 #include "logging/json_log.h"
 #include "settings/settings.h"
+#include "store_client.h"
 
 #include <cxxopts.hpp>
 
@@ -44,7 +46,9 @@
                            settings->node.self.zone.text());
   try {
     boost::asio::io_context io(1);
-    spurrack::daemon::runtime runtime(io, std::move(*settings));
+    spurrack::daemon::runtime runtime(
+        io, std::move(*settings),
+        {spurrack::platform::make_http_codec(), spurrack::platform::make_store_client});
     io.run();
   } catch (const std::exception& error) {
     spurrack::logging::write(spurrack::logging::severity::error, "cannot go on",
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -4,7 +4,7 @@
 #include "daemon/operator_documents.h"
 #include "logging/json_log.h"
 #include "peers/zmq_transport.h"
-#include "platform/http_platform_client.h"
+#include "publication/http_publication_client.h"
 
 #include <boost/asio/post.hpp>
 
@@ -39,17 +39,51 @@
 
 } // namespace
 
-runtime::runtime(boost::asio::io_context& io, settings::daemon_settings settings)
+runtime::runtime(boost::asio::io_context& io, settings::daemon_settings settings,
+                 platform_parts parts)
     : io_(&io), settings_(with_process_start(std::move(settings))), random_(random_seed()),
-      node_(settings_.node, random_, base::boot_clock::now()), wakeup_(io), exit_timer_(io),
-      signals_(io, SIGTERM, SIGINT) {
+      node_(settings_.node, random_, base::boot_clock::now()), parts_(std::move(parts)),
+      wakeup_(io), exit_timer_(io), signals_(io, SIGTERM, SIGINT) {
   peers_ = peers::make_zmq_transport(
       io, settings_.peer_listen, settings_.curve,
       [this](wire::envelope message) { post(node::peer_message{std::move(message)}); });
+  if (settings_.serving) {
+    start_serving();
+  } else {
+    start_own_interface();
+  }
+  operators_ =
+      http::make_operator_server(io, settings_.operator_listen, [this](const std::string& path) {
+        return make_document(path, node_, {peers_->dropped(), busy()}, base::boot_clock::now());
+      });
+  signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+    if (!error) {
+      begin_stop();
+    }
+  });
+  logging::write(
+      logging::severity::info, "started",
+      {{"clients", settings_.serving ? settings_.serving->listen : settings_.caller_listen},
+       {"peers", settings_.peer_listen}});
+  post(node::time_passed{});
+}
+
+void runtime::start_serving() {
+  serving_ = std::make_unique<serving_adapters>(
+      *io_, *settings_.serving, *settings_.node.serving, *parts_.codec,
+      [this](serving::event what) { post(std::move(what)); }, [this] { return node_.is_ready(); });
+  platform_ =
+      parts_.make_store_client(*io_, settings_.serving->store,
+                               {[this](node::service_answered answer) { post(std::move(answer)); },
+                                [this](node::service_failed failure) { post(failure); }});
+}
+
+void runtime::start_own_interface() {
+  auto& io = *io_;
   backends_ = backends::make_http_backend_client(
       io, {[this](execution::call_result result) { post(std::move(result)); },
            [this](execution::call_token token) { post(std::move(token)); }});
-  platform_ = platform::make_http_platform_client(
+  platform_ = publication::make_http_publication_client(
       io, settings_.configuration_service, settings_.machine_list_service,
       {[this](node::service_answered answer) { post(std::move(answer)); },
        [this](node::service_failed failure) { post(failure); }});
@@ -58,19 +92,6 @@
       {[this](node::caller_arrived arrived) { post(std::move(arrived)); },
        [this](node::ticket_wanted wanted) { post(std::move(wanted)); },
        [this](node::caller_left left) { post(left); }, [this] { return node_.is_ready(); }});
-  operators_ =
-      http::make_operator_server(io, settings_.operator_listen, [this](const std::string& path) {
-        return make_document(path, node_, {peers_->dropped(), callers_->busy()},
-                             base::boot_clock::now());
-      });
-  signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
-    if (!error) {
-      begin_stop();
-    }
-  });
-  logging::write(logging::severity::info, "started",
-                 {{"callers", settings_.caller_listen}, {"peers", settings_.peer_listen}});
-  post(node::time_passed{});
 }
 
 void runtime::post(node::event what) {
@@ -83,6 +104,10 @@
   for (auto& wanted : commands) {
     carry_out(wanted);
   }
+  if (serving_ && node_.content().serving() != limits_from_) {
+    limits_from_ = node_.content().serving();
+    serving_->set_limits(limits_from_->limits);
+  }
   if (node_.is_ready() != was_ready) {
     logging::write(logging::severity::info, node_.is_ready() ? "ready" : "not ready");
   }
@@ -116,8 +141,16 @@
     callers_->send_ticket(ticket->caller, std::move(ticket->ticket), ticket->lifetime);
   } else if (auto* read = std::get_if<node::read_service>(&wanted)) {
     platform_->read(*read);
+  } else if (auto* serving = std::get_if<serving::command>(&wanted)) {
+    serving_->carry_out(std::move(*serving));
+  } else if (auto* decision = std::get_if<node::log_decision>(&wanted)) {
+    log_decision(decision->what);
   } else if (std::holds_alternative<node::stop_completed>(wanted)) {
-    callers_->stop_accepting();
+    if (serving_) {
+      serving_->stop_accepting();
+    } else {
+      callers_->stop_accepting();
+    }
     exit_not_before_ = base::boot_clock::now() + exit_grace;
     exit_when_written();
   }
@@ -132,13 +165,26 @@
                   {"reason", std::string(execution::name_of(content.why))}});
 }
 
+void runtime::log_decision(const base::event& what) {
+  logging::write(
+      logging::severity::info, base::name_of(what.kind),
+      {{"request_id", what.request.text()}, {"subject", what.subject}, {"detail", what.detail}});
+}
+
+std::size_t runtime::busy() const {
+  return serving_ ? serving_->busy() : callers_->busy();
+}
+
 void runtime::begin_stop() {
   logging::write(logging::severity::info, "stopping");
+  if (serving_) {
+    serving_->begin_stop();
+  }
   post(node::stop_requested{});
 }
 
 void runtime::exit_when_written() {
-  if (callers_->busy() == 0 && base::boot_clock::now() >= exit_not_before_) {
+  if (busy() == 0 && base::boot_clock::now() >= exit_not_before_) {
     logging::write(logging::severity::info, "stopped");
     io_->stop();
     return;
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -2,33 +2,48 @@
 #pragma once
 
 #include "backends/backend_client.h"
+#include "daemon/serving_adapters.h"
 #include "http/caller_server.h"
 #include "http/operator_server.h"
 #include "node/node.h"
 #include "peers/peer_transport.h"
-#include "platform/platform_client.h"
+#include "publication/publication_client.h"
 #include "settings/settings.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace spurrack::daemon {
 
+/// What the serving path needs to speak with the users' platform.
+struct platform_parts {
+  std::unique_ptr<serving::request_codec> codec;
+  std::function<std::unique_ptr<publication::publication_client>(
+      boost::asio::io_context&, const std::string& address, publication::read_observer)>
+      make_store_client;
+};
+
 /// Owns the node and all adapters; everything runs on the thread of the io_context.
 class runtime {
  public:
   /// Binds all listeners and starts.
   /// @throws std::system_error or boost::system::system_error where an address cannot be bound.
-  runtime(boost::asio::io_context& io, settings::daemon_settings settings);
+  runtime(boost::asio::io_context& io, settings::daemon_settings settings, platform_parts parts);
 
  private:
   /// Queues an event; it is handled on the next turn of the io_context, never within another.
   void post(node::event what);
   void handle(const node::event& what);
   void carry_out(node::command& wanted);
+  void start_own_interface();
+  void start_serving();
+  void log_decision(const base::event& what);
+  [[nodiscard]] std::size_t busy() const;
   void schedule_wakeup();
   void begin_stop();
   void exit_when_written();
@@ -40,8 +55,13 @@
   node::node node_;
   std::unique_ptr<peers::peer_transport> peers_;
   std::unique_ptr<backends::backend_client> backends_;
-  std::unique_ptr<platform::platform_client> platform_;
+  std::unique_ptr<publication::publication_client> platform_;
+  /// Set where the node serves its own interface.
   std::unique_ptr<http::caller_server> callers_;
+  platform_parts parts_;
+  /// Set where the node serves published routes.
+  std::unique_ptr<serving_adapters> serving_;
+  std::shared_ptr<const model::serving_configuration> limits_from_;
   std::unique_ptr<http::operator_server> operators_;
   boost::asio::steady_timer wakeup_;
   boost::asio::steady_timer exit_timer_;
--- /dev/null
+++ b/src/daemon/serving_adapters.h
@@ -0,0 +1,43 @@
+/// The serving path's connections: clients, replicas and the balancer's readiness check.
+#pragma once
+
+#include "http/ingress_server.h"
+#include "http/operator_server.h"
+#include "serving/request_codec.h"
+#include "settings/settings.h"
+#include "upstream/replica_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace spurrack::daemon {
+
+/// Carries out the commands of the serving path. Not thread-safe.
+class serving_adapters {
+ public:
+  /// Binds the listeners.
+  /// @param codec must outlive the adapters.
+  /// @param post takes in what happens; @param is_ready whether the node takes new requests.
+  serving_adapters(boost::asio::io_context& io, const settings::serving_endpoints& endpoints,
+                   const serving::serving_settings& limits, const serving::request_codec& codec,
+                   std::function<void(serving::event)> post, std::function<bool()> is_ready);
+
+  void carry_out(serving::command wanted);
+  void set_limits(const model::client_limits& limits) { clients_->set_limits(limits); }
+  void begin_stop() { clients_->begin_stop(); }
+  void stop_accepting() { clients_->stop_accepting(); }
+  [[nodiscard]] std::size_t busy() const { return clients_->busy(); }
+  [[nodiscard]] std::size_t client_connections() const { return clients_->connections(); }
+  [[nodiscard]] const upstream::connection_counters& replica_connections() const {
+    return replicas_->counts();
+  }
+
+ private:
+  std::unique_ptr<http::ingress_server> clients_;
+  std::unique_ptr<upstream::replica_client> replicas_;
+  std::unique_ptr<http::operator_server> readiness_;
+};
+
+} // namespace spurrack::daemon
--- /dev/null
+++ b/src/http/ingress_server.h
@@ -0,0 +1,56 @@
+/// The clients' HTTP listener of the serving path: bounds and reads requests, passes them on,
+/// writes answers and streams as they come.
+#pragma once
+
+#include "model/serving_records.h"
+#include "serving/events.h"
+#include "serving/request_codec.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace spurrack::http {
+
+/// What the listener hands on. Called on the thread of the io_context.
+struct ingress_observer {
+  std::function<void(serving::request_arrived)> on_request;
+  std::function<void(serving::client_left)> on_left;
+};
+
+/// Not thread-safe. Commands for clients that have gone are dropped.
+class ingress_server {
+ public:
+  ingress_server() = default;
+  ingress_server(const ingress_server&) = delete;
+  ingress_server& operator=(const ingress_server&) = delete;
+  virtual ~ingress_server() = default;
+
+  virtual void carry_out(serving::respond wanted) = 0;
+  virtual void carry_out(serving::open_stream wanted) = 0;
+  virtual void carry_out(serving::stream_data wanted) = 0;
+  virtual void carry_out(serving::end_stream wanted) = 0;
+
+  /// Bounds for requests that begin from now on.
+  virtual void set_limits(const model::client_limits& limits) = 0;
+  /// A stop begins: answers announce that their connection closes.
+  virtual void begin_stop() = 0;
+  /// Stops accepting connections, after taking those that wait.
+  virtual void stop_accepting() = 0;
+  /// @return connections on which a request has begun to arrive and is not answered yet.
+  [[nodiscard]] virtual std::size_t busy() const = 0;
+  [[nodiscard]] virtual std::size_t connections() const = 0;
+};
+
+/// Binds and starts accepting.
+/// @param listen `IP:port`.
+/// @param codec reads requests; must outlive the server.
+/// @throws boost::system::system_error where the address cannot be bound.
+std::unique_ptr<ingress_server> make_ingress_server(boost::asio::io_context& io,
+                                                    const std::string& listen,
+                                                    const serving::request_codec& codec,
+                                                    ingress_observer observer);
+
+} // namespace spurrack::http
--- /dev/null
+++ b/src/http/socket_options.h
@@ -0,0 +1,18 @@
+/// Options and state of TCP sockets that the library has no names for.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+
+namespace spurrack::http {
+
+/// Sends small writes at once and gives the connection up where the peer acknowledges nothing for
+/// `unacknowledged_limit`, so that a silent cut is noticed.
+void prepare_socket(boost::asio::ip::tcp::socket& socket,
+                    std::chrono::milliseconds unacknowledged_limit);
+
+/// @return whether a readable socket is at its end, not at further bytes.
+bool peer_has_closed(boost::asio::ip::tcp::socket& socket);
+
+} // namespace spurrack::http
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -13,6 +13,8 @@
 constexpr std::size_t indirect_probe_count = 2;
 constexpr std::size_t max_rumours_per_message = 6;
 constexpr unsigned rumour_multiplier = 3;
+/// Members named to one that asks at a seed address; those of its own zone first.
+constexpr std::size_t max_introductions = 32;
 
 /// How strongly a state overrides another at the same incarnation.
 int rank(wire::member_state state) {
@@ -188,6 +190,9 @@
     if (found != members_.end() && found->second.state != wire::ALIVE) {
       *reply.message.add_updates() = update_of(found->second);
     }
+    if (message.ping().introduce()) {
+      introduce_members(message, reply.message);
+    }
     out.push_back(std::move(reply));
   } else if (message.has_ping_request()) {
     const auto sequence = next_sequence_++;
@@ -326,7 +331,23 @@
 
 void membership::contact_seeds(wire::outbox& out) {
   for (const auto& address : seeds_) {
-    out.push_back({address, ping_message(next_sequence_++, nullptr)});
+    auto ping = ping_message(next_sequence_++, nullptr);
+    ping.mutable_ping()->set_introduce(true);
+    out.push_back({address, std::move(ping)});
+  }
+}
+
+void membership::introduce_members(const wire::envelope& asker, wire::envelope& reply) const {
+  std::size_t room = max_introductions;
+  for (const bool same_zone : {true, false}) {
+    for (const auto& [node, other] : members_) {
+      const bool wanted = (other.zone.text() == asker.sender_zone()) == same_zone &&
+                          other.state == wire::ALIVE && node.text() != asker.sender();
+      if (wanted && room > 0) {
+        *reply.add_updates() = update_of(other);
+        --room;
+      }
+    }
   }
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -127,6 +127,7 @@
   void expire_suspects(base::time_point now);
   void probe_dead(base::time_point now, wire::outbox& out);
   void contact_seeds(wire::outbox& out);
+  void introduce_members(const wire::envelope& asker, wire::envelope& reply) const;
   void relay_digests(base::time_point now, wire::outbox& out);
   std::optional<base::node_id> next_probe_target();
   wire::envelope ping_message(std::uint64_t sequence, const member* target);
--- /dev/null
+++ b/src/model/serving_record_parser.cc
@@ -0,0 +1,242 @@
+#include "model/serving_record_parser.h"
+
+#include "wire/published.pb.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+#include <utility>
+
+namespace spurrack::model {
+namespace {
+
+/// A fault found while a configuration is built; ends the work on it.
+struct fault_found {
+  std::string text;
+};
+
+[[noreturn]] void refuse(std::string text) {
+  throw fault_found{std::move(text)};
+}
+
+void require(bool holds, const std::string& text) {
+  if (!holds) {
+    refuse(text);
+  }
+}
+
+base::duration milliseconds_of(double value) {
+  return base::from_seconds(value / 1000.0);
+}
+
+std::string lower_case(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char sign) { return static_cast<char>(std::tolower(sign)); });
+  return text;
+}
+
+stage_step build_stage(const wire::published_stage& published) {
+  stage_step built;
+  built.service = published.service();
+  built.start_after.assign(published.start_after().begin(), published.start_after().end());
+  built.result_bytes = published.result_bytes();
+  return built;
+}
+
+/// Removes stages whose predecessors are all gone, again and again; what remains is a cycle.
+bool has_cycle(const std::vector<stage_step>& stages) {
+  std::set<std::uint32_t> finished;
+  bool progressed = true;
+  while (progressed && finished.size() < stages.size()) {
+    progressed = false;
+    for (std::uint32_t index = 0; index < stages.size(); ++index) {
+      const auto& needed = stages[index].start_after;
+      const bool free = std::all_of(needed.begin(), needed.end(), [&](std::uint32_t before) {
+        return finished.contains(before);
+      });
+      if (free && finished.insert(index).second) {
+        progressed = true;
+      }
+    }
+  }
+  return finished.size() < stages.size();
+}
+
+void check_stages(const route& built, const serving_configuration& configuration) {
+  for (const auto& step : built.stages) {
+    const auto* worker = configuration.find_service(step.service);
+    require(worker != nullptr, "route " + built.name + ": stage service does not exist");
+    require(worker->pieces.has_value(), "route " + built.name + ": stage service has no pieces");
+    for (const auto before : step.start_after) {
+      require(before < built.stages.size(), "route " + built.name + ": stage out of range");
+    }
+  }
+  require(!has_cycle(built.stages), "route " + built.name + ": stages form a cycle");
+}
+
+std::shared_ptr<const route> build_route(const wire::published_route& published,
+                                         const serving_configuration& configuration) {
+  auto built = std::make_shared<route>();
+  built->name = published.name();
+  built->host = lower_case(published.host());
+  built->path_prefix = published.path_prefix();
+  built->kind = static_cast<route_kind>(published.kind());
+  require(!built->host.empty(), "route " + built->name + ": host is missing");
+  require(built->path_prefix.starts_with('/') && built->path_prefix.ends_with('/'),
+          "route " + built->name + ": path prefix must begin and end with a slash");
+  std::uint64_t total_weight = 0;
+  for (const auto& target : published.services()) {
+    require(configuration.find_service(target.service()) != nullptr,
+            "route " + built->name + ": service does not exist");
+    built->services.push_back({target.service(), target.weight()});
+    total_weight += target.weight();
+  }
+  require(total_weight > 0, "route " + built->name + ": no service");
+  if (published.timeout_milliseconds() > 0) {
+    built->timeout = milliseconds_of(published.timeout_milliseconds());
+  }
+  built->target_latency = milliseconds_of(published.target_latency_milliseconds());
+  built->priority = published.priority();
+  built->max_attempts = std::max(1U, published.max_attempts());
+  built->is_public = published.is_public();
+  built->resumable = published.resumable();
+  built->gap_target = milliseconds_of(published.gap_target_milliseconds());
+  for (const auto& step : published.stages()) {
+    built->stages.push_back(build_stage(step));
+  }
+  check_stages(*built, configuration);
+  return built;
+}
+
+service build_service(const wire::published_service& published) {
+  service built;
+  built.name = published.name();
+  built.health_path = published.health_path();
+  built.max_connections = published.max_connections();
+  require(!built.name.empty(), "service without a name");
+  if (published.has_pieces()) {
+    const auto& given = published.pieces();
+    constexpr double bytes_per_megabyte = 1e6;
+    built.pieces = piece_capacity{std::max(1U, given.slots()),
+                                  given.queue(),
+                                  std::max(1U, given.batch()),
+                                  milliseconds_of(given.call_milliseconds()),
+                                  milliseconds_of(given.item_milliseconds()),
+                                  given.result_megabytes() * bytes_per_megabyte,
+                                  base::from_seconds(given.handle_seconds())};
+  }
+  if (published.has_engine()) {
+    built.engine = engine_capacity{std::max(1U, published.engine().slots()),
+                                   published.engine().memory_tokens()};
+  }
+  return built;
+}
+
+void add_keys(const wire::published_access& published, serving_configuration& configuration) {
+  key_holder holder{base::tenant_id(published.tenant()), std::nullopt};
+  if (published.has_priority()) {
+    holder.priority = published.priority();
+  }
+  for (const auto& key : published.api_keys()) {
+    configuration.keys[key] = holder;
+  }
+}
+
+client_limits build_limits(const wire::published_limits& published) {
+  client_limits limits;
+  const auto replace = [](std::uint32_t& value, std::uint32_t given) {
+    value = given > 0 ? given : value;
+  };
+  replace(limits.max_header_bytes, published.max_header_bytes());
+  replace(limits.max_body_bytes, published.max_body_bytes());
+  if (published.header_timeout_milliseconds() > 0) {
+    limits.header_timeout = milliseconds_of(published.header_timeout_milliseconds());
+  }
+  if (published.idle_timeout_milliseconds() > 0) {
+    limits.idle_timeout = milliseconds_of(published.idle_timeout_milliseconds());
+  }
+  return limits;
+}
+
+std::shared_ptr<const serving_configuration>
+build_configuration(const wire::published_configuration& published) {
+  auto built = std::make_shared<serving_configuration>();
+  built->version = published.version();
+  for (const auto& given : published.services()) {
+    auto one = build_service(given);
+    built->services[one.name] = std::move(one);
+  }
+  for (const auto& given : published.routes()) {
+    auto one = build_route(given, *built);
+    built->routes_by_host[one->host].push_back(std::move(one));
+  }
+  for (auto& [host, routes] : built->routes_by_host) {
+    std::stable_sort(routes.begin(), routes.end(), [](const auto& left, const auto& right) {
+      return left->path_prefix.size() > right->path_prefix.size();
+    });
+  }
+  for (const auto& given : published.tenants()) {
+    add_keys(given, *built);
+  }
+  built->limits = build_limits(published.limits());
+  return built;
+}
+
+} // namespace
+
+std::shared_ptr<const route> serving_configuration::find_route(std::string_view host,
+                                                               std::string_view path) const {
+  const auto found = routes_by_host.find(std::string(host));
+  if (found == routes_by_host.end()) {
+    return nullptr;
+  }
+  for (const auto& candidate : found->second) {
+    if (path.starts_with(candidate->path_prefix)) {
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
+const service* serving_configuration::find_service(const std::string& name) const {
+  const auto found = services.find(name);
+  return found == services.end() ? nullptr : &found->second;
+}
+
+configuration_result parse_configuration(const std::string& bytes) {
+  wire::published_configuration published;
+  if (!published.ParseFromString(bytes)) {
+    return refusal_reason{"not a configuration"};
+  }
+  if (!published.translation_fault().empty()) {
+    return refusal_reason{published.translation_fault()};
+  }
+  try {
+    return build_configuration(published);
+  } catch (const fault_found& fault) {
+    return refusal_reason{fault.text};
+  }
+}
+
+replica_result parse_replica(const std::string& bytes) {
+  wire::published_replica published;
+  if (!published.ParseFromString(bytes)) {
+    return refusal_reason{"not a replica"};
+  }
+  if (!published.translation_fault().empty()) {
+    return refusal_reason{published.translation_fault()};
+  }
+  auto built = std::make_shared<replica>();
+  built->id = base::replica_id(published.id());
+  built->service = published.service();
+  built->address = base::network_address(published.address());
+  built->zone = base::zone_id(published.zone());
+  built->slots = std::max(1U, published.slots());
+  built->draining = published.draining();
+  if (built->service.empty() || built->address.empty()) {
+    return refusal_reason{"service or address is missing"};
+  }
+  return built;
+}
+
+} // namespace spurrack::model
--- a/src/model/yaml_reader.cc
+++ b/src/model/yaml_reader.cc
@@ -141,6 +141,28 @@
   return value;
 }
 
+double mapping_reader::number(const std::string& name, double low, double high,
+                              std::optional<double> fallback) {
+  const auto allowed = std::to_string(low) + " to " + std::to_string(high);
+  const auto child = find(name);
+  if (!child.IsDefined()) {
+    if (!fallback) {
+      fault(errc::missing_field, name, allowed);
+    }
+    return fallback.value_or(low);
+  }
+  double value = 0;
+  if (!child.IsScalar() || !YAML::convert<double>::decode(child, value)) {
+    fault(errc::wrong_type, name, allowed);
+    return fallback.value_or(low);
+  }
+  if (!(value >= low && value <= high)) {
+    fault(errc::out_of_range, name, allowed);
+    return fallback.value_or(low);
+  }
+  return value;
+}
+
 bool mapping_reader::boolean(const std::string& name, bool fallback) {
   const auto child = find(name);
   if (!child.IsDefined()) {
--- a/src/model/yaml_reader.h
+++ b/src/model/yaml_reader.h
@@ -50,6 +50,8 @@
   /// Whole number within [low, high]; required where there is no fallback.
   std::int64_t integer(const std::string& name, std::int64_t low, std::int64_t high,
                        std::optional<std::int64_t> fallback);
+  /// Number within [low, high]; required where there is no fallback.
+  double number(const std::string& name, double low, double high, std::optional<double> fallback);
   bool boolean(const std::string& name, bool fallback);
   /// Milliseconds within [low, high].
   base::duration milliseconds(const std::string& name, std::int64_t low, std::int64_t high,
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -2,10 +2,12 @@
 /// world: the daemon, the simulation and hollow nodes drive the same objects through it.
 #pragma once
 
+#include "base/event_log.h"
 #include "base/ids.h"
 #include "execution/answer.h"
 #include "execution/commands.h"
 #include "execution/stage_call.h"
+#include "serving/events.h"
 #include "wire/outgoing.h"
 
 #include <cstdint>
@@ -45,6 +47,8 @@
   source_kind source = source_kind::configuration;
   std::vector<wire::catalog_entry> entries;
   base::revision service_revision = 0;
+  /// The entries are everything the service held at that revision, not only what is newer.
+  bool complete = false;
 };
 struct service_failed {
   source_kind source = source_kind::configuration;
@@ -54,7 +58,7 @@
 
 using event = std::variant<time_passed, peer_message, caller_arrived, caller_left, ticket_wanted,
                            execution::call_result, execution::call_token, service_answered,
-                           service_failed, stop_requested>;
+                           service_failed, stop_requested, serving::event>;
 
 /// Read a service for what is newer than a revision; the service may hold the answer back until
 /// there is something.
@@ -67,12 +71,16 @@
   std::string ticket;
   base::duration lifetime{};
 };
+/// A decision of the serving path, for the log.
+struct log_decision {
+  base::event what;
+};
 /// All requests have ended after `stop_requested`; the process may exit.
 struct stop_completed {};
 
 using command = std::variant<wire::outgoing, execution::start_call, execution::cancel_call,
                              execution::send_token, execution::send_answer, read_service,
-                             send_ticket, stop_completed>;
+                             send_ticket, stop_completed, serving::command, log_decision>;
 using command_list = std::vector<command>;
 
 } // namespace spurrack::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -9,6 +9,8 @@
 constexpr base::duration periodic_interval = std::chrono::milliseconds(100);
 /// A node that runs sees an event at least every `periodic_interval`.
 constexpr base::duration longest_usual_gap = 2 * periodic_interval;
+/// Members of other zones with which published records are exchanged at once.
+constexpr std::size_t most_remote_replication_peers = 3;
 /// Messages a node sends to itself while it handles one event; a bound against loops.
 constexpr std::size_t most_loopback_rounds = 8;
 
@@ -71,7 +73,13 @@
           [this](base::event_kind kind, const base::request_id& request, const std::string& subject,
                  const std::string& detail) { record(kind, request, subject, detail); },
           now),
-      next_periodic_(now) {
+      random_(&random), next_periodic_(now) {
+  if (settings_.serving) {
+    serving_.emplace(settings_.self.zone, *settings_.serving, random,
+                     [this](base::event_kind kind, const base::request_id& request,
+                            const std::string& subject,
+                            const std::string& detail) { record(kind, request, subject, detail); });
+  }
   for (const auto& seed : settings_.seeds) {
     membership_.add_seed(seed);
   }
@@ -97,12 +105,19 @@
   consider(executor_.next_deadline());
   consider(guard_.next_deadline());
   consider(scheduler_.next_wakeup(last_event_));
+  if (serving_) {
+    consider(serving_->next_wakeup(last_event_));
+  }
   return earliest;
 }
 
 void node::record(base::event_kind kind, const base::request_id& request,
                   const std::string& subject, const std::string& detail) {
-  events_.add({clock_.next(last_event_), kind, request, subject, detail});
+  base::event entry{clock_.next(last_event_), kind, request, subject, detail};
+  if (settings_.serving) {
+    commands_.emplace_back(log_decision{entry});
+  }
+  events_.add(std::move(entry));
 }
 
 // --- pauses and readiness ------------------------------------------------------------------------
@@ -127,7 +142,7 @@
 }
 
 void node::begin_resync(base::time_point /*now*/) {
-  for (const auto& address : zone_peer_addresses()) {
+  for (const auto& address : replication_peers()) {
     wire::outgoing message{address, {}};
     message.message.mutable_ping()->set_resync(true);
     outbox_.push_back(std::move(message));
@@ -154,7 +169,8 @@
   const bool service_read = watches_[0].has_answered() && watches_[1].has_answered();
   const bool waited = now - started_ >= settings_.resync_wait;
   const bool knows_enough = peer_synced_ || (service_read && waited);
-  if (catalog_.size() > 0 && knows_enough) {
+  const bool has_content = serving_ ? catalog_.serving() != nullptr : catalog_.size() > 0;
+  if (has_content && knows_enough) {
     ready_ = true;
     record(base::event_kind::node_ready, {}, settings_.self.node.text(), "");
   }
@@ -174,7 +190,7 @@
   update_sharing();
   executor_.expire_stalled_calls(now);
   read_services(now);
-  if (!ready_ && !zone_peer_addresses().empty()) {
+  if (!ready_ && !replication_peers().empty()) {
     begin_resync(now);
   }
   if (hold_until_ && now >= *hold_until_) {
@@ -211,7 +227,16 @@
     record(base::event_kind::service_behind, {}, "",
            "service went back to revision " + std::to_string(what.service_revision));
   }
-  replicator_.offer(what.entries, zone_peer_addresses(), now, outbox_);
+  auto entries = what.entries;
+  if (what.complete && what.source == source_kind::machine_list) {
+    std::set<std::string> listed;
+    for (const auto& entry : entries) {
+      listed.insert(entry.key());
+    }
+    auto gone = catalog_.deletions_of_unlisted_replicas(listed, what.service_revision);
+    std::move(gone.begin(), gone.end(), std::back_inserter(entries));
+  }
+  replicator_.offer(entries, replication_peers(), now, outbox_);
   apply_machine_changes(now);
   check_ready(now);
   read_services(now);
@@ -221,7 +246,19 @@
   watches_[static_cast<std::size_t>(what.source)].on_failure(now);
 }
 
+void node::apply_serving_changes() {
+  if (!serving_) {
+    return;
+  }
+  serving_->set_fleet_size(membership_.members().size() + 1);
+  if (catalog_.serving_changes() != seen_serving_changes_) {
+    seen_serving_changes_ = catalog_.serving_changes();
+    serving_->update(catalog_);
+  }
+}
+
 void node::apply_machine_changes(base::time_point now) {
+  apply_serving_changes();
   if (catalog_.machine_changes() == seen_machine_changes_) {
     return;
   }
@@ -242,6 +279,16 @@
   executor_.on_token(what, now);
 }
 
+void node::on(const serving::event& what, base::time_point now) {
+  if (!serving_) {
+    return;
+  }
+  if (std::holds_alternative<serving::request_arrived>(what)) {
+    disturbed_at_ = now;
+  }
+  serving_->handle(what, now);
+}
+
 // --- stop ----------------------------------------------------------------------------------------
 
 void node::on(const stop_requested& /*what*/, base::time_point now) {
@@ -259,6 +306,12 @@
   for (std::size_t round = 0; round < most_loopback_rounds; ++round) {
     carry_out_guard_decisions(now);
     executor_.pump(now);
+    if (serving_) {
+      serving_->advance(now);
+      for (auto& wanted : serving_->take_commands()) {
+        commands_.emplace_back(std::move(wanted));
+      }
+    }
     for (auto& wanted : executor_.take_commands()) {
       std::visit([&](auto& chosen) { emit(std::move(chosen)); }, wanted);
     }
@@ -277,7 +330,9 @@
   if (!stopping_ || stop_reported_) {
     return;
   }
-  const bool idle = executor_.active() == 0 && guard_.pending() == 0;
+  check_serving_stop(now);
+  const bool idle =
+      executor_.active() == 0 && guard_.pending() == 0 && (!serving_ || serving_->active() == 0);
   const bool quiet = now - disturbed_at_ >= settings_.stop_linger ||
                      now - stop_began_ >= settings_.stop_linger_longest;
   if ((idle && quiet) || !settings_.switches.drain_before_stop) {
@@ -286,6 +341,22 @@
   }
 }
 
+void node::check_serving_stop(base::time_point now) {
+  if (!serving_) {
+    return;
+  }
+  const auto stopping_for = now - stop_began_;
+  if (stopping_for >= settings_.serving->stop_accepting_after) {
+    serving_->set_accepting(false);
+  }
+  if (stopping_for >= settings_.serving->stop_longest && serving_->active() > 0) {
+    serving_->give_up_all(now);
+    for (auto& wanted : serving_->take_commands()) {
+      commands_.emplace_back(std::move(wanted));
+    }
+  }
+}
+
 void node::emit(execution::send_answer&& wanted) {
   if (const auto* peer = std::get_if<execution::remote_caller>(&wanted.caller)) {
     answer_peer(*peer, wanted.content, true);
@@ -341,6 +412,27 @@
   return addresses;
 }
 
+std::vector<base::network_address> node::replication_peers() {
+  auto addresses = zone_peer_addresses();
+  if (!serving_) {
+    return addresses;
+  }
+  std::vector<base::network_address> elsewhere;
+  for (const auto& [name, other] : membership_.members()) {
+    if (other.zone != settings_.self.zone) {
+      elsewhere.push_back(other.address);
+    }
+  }
+  for (std::size_t taken = 0; taken < most_remote_replication_peers && !elsewhere.empty();
+       ++taken) {
+    const auto place = random_->below(elsewhere.size());
+    addresses.push_back(elsewhere[place]);
+    elsewhere[place] = elsewhere.back();
+    elsewhere.pop_back();
+  }
+  return addresses;
+}
+
 std::optional<base::network_address> node::address_of(const base::node_id& other) const {
   const auto found = membership_.members().find(other);
   if (found == membership_.members().end()) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "membership/membership.h"
 #include "node/events.h"
 #include "routing/backend_table.h"
+#include "serving/dispatcher.h"
 
 #include <array>
 #include <cstdint>
@@ -47,6 +48,8 @@
   /// Wall clock minus boot clock, in microseconds.
   std::int64_t wall_offset_microseconds = 0;
   base::safety_switches switches;
+  /// Set where the node serves published routes.
+  std::optional<serving::serving_settings> serving;
 };
 
 /// Bytes and messages a node spent on control.
@@ -84,6 +87,10 @@
   [[nodiscard]] const admission::stage_scheduler& scheduler() const { return scheduler_; }
   [[nodiscard]] const base::event_log& events() const { return events_; }
   [[nodiscard]] const control_counters& control() const { return control_; }
+  /// Null where the node serves no published routes.
+  [[nodiscard]] const serving::dispatcher* serving() const {
+    return serving_ ? &*serving_ : nullptr;
+  }
   [[nodiscard]] const catalog::service_watch& watch(source_kind source) const {
     return watches_[static_cast<std::size_t>(source)];
   }
@@ -99,6 +106,7 @@
   void on(const service_answered& what, base::time_point now);
   void on(const service_failed& what, base::time_point now);
   void on(const stop_requested& what, base::time_point now);
+  void on(const serving::event& what, base::time_point now);
 
   void detect_pause(base::time_point now);
   void begin_resync(base::time_point now);
@@ -107,6 +115,7 @@
   void run_periodic(base::time_point now);
   void read_services(base::time_point now);
   void apply_machine_changes(base::time_point now);
+  void apply_serving_changes();
   void update_sharing();
   void dispatch_message(const wire::envelope& message, base::time_point now);
   void on_backend_notice(const wire::backend_notice& notice, bool from_zone, base::time_point now);
@@ -123,6 +132,7 @@
               execution::reason why, base::duration retry_after, bool may_be_resent);
   void flush(base::time_point now);
   void check_stop(base::time_point now);
+  void check_serving_stop(base::time_point now);
   void emit(execution::send_answer&& wanted);
   template <typename other_command>
   void emit(other_command&& wanted) {
@@ -137,6 +147,9 @@
               const std::string& detail);
   base::request_id next_request_id();
   [[nodiscard]] std::vector<base::network_address> zone_peer_addresses() const;
+  /// Peers with which published records are exchanged: those of the zone, and a few of other zones
+  /// where the node serves published routes.
+  [[nodiscard]] std::vector<base::network_address> replication_peers();
   [[nodiscard]] std::optional<base::network_address> address_of(const base::node_id& node) const;
 
   node_settings settings_;
@@ -153,7 +166,10 @@
   execution::executor executor_;
   execution::effect_guard guard_;
   std::map<base::backend_id, std::uint64_t> announced_leaving_;
+  std::optional<serving::dispatcher> serving_;
   std::uint64_t seen_machine_changes_ = 0;
+  std::uint64_t seen_serving_changes_ = 0;
+  base::random_source* random_;
   bool peer_synced_ = false;
   bool ready_ = false;
   bool stopping_ = false;
--- a/src/platform/http_platform_client.cc
+++ b/src/publication/http_publication_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_platform_client.h"
+#include "publication/http_publication_client.h"
 
 #include "http/awaitable.h"
 #include "http/endpoint.h"
@@ -13,7 +13,7 @@
 #include <optional>
 #include <utility>
 
-namespace spurrack::platform {
+namespace spurrack::publication {
 namespace {
 
 namespace asio = boost::asio;
@@ -74,10 +74,10 @@
   return answer;
 }
 
-class http_platform_client final : public platform_client {
+class http_publication_client final : public publication_client {
  public:
-  http_platform_client(asio::io_context& io, std::string configuration, std::string machine_list,
-                       read_observer observer)
+  http_publication_client(asio::io_context& io, std::string configuration, std::string machine_list,
+                          read_observer observer)
       : io_(&io), addresses_{std::move(configuration), std::move(machine_list)},
         observer_(std::move(observer)) {}
 
@@ -136,12 +136,12 @@
 
 } // namespace
 
-std::unique_ptr<platform_client> make_http_platform_client(asio::io_context& io,
-                                                           const std::string& configuration,
-                                                           const std::string& machine_list,
-                                                           read_observer observer) {
-  return std::make_unique<http_platform_client>(io, configuration, machine_list,
-                                                std::move(observer));
+std::unique_ptr<publication_client> make_http_publication_client(asio::io_context& io,
+                                                                 const std::string& configuration,
+                                                                 const std::string& machine_list,
+                                                                 read_observer observer) {
+  return std::make_unique<http_publication_client>(io, configuration, machine_list,
+                                                   std::move(observer));
 }
 
-} // namespace spurrack::platform
+} // namespace spurrack::publication
--- a/src/platform/platform_client.h
+++ b/src/publication/publication_client.h
@@ -6,7 +6,7 @@
 
 #include <functional>
 
-namespace spurrack::platform {
+namespace spurrack::publication {
 
 /// Called on the thread of the io_context; exactly one of the two for each read.
 struct read_observer {
@@ -15,15 +15,15 @@
 };
 
 /// Not thread-safe.
-class platform_client {
+class publication_client {
  public:
-  platform_client() = default;
-  platform_client(const platform_client&) = delete;
-  platform_client& operator=(const platform_client&) = delete;
-  virtual ~platform_client() = default;
+  publication_client() = default;
+  publication_client(const publication_client&) = delete;
+  publication_client& operator=(const publication_client&) = delete;
+  virtual ~publication_client() = default;
 
   /// Begins a read; the service may hold the answer until something newer is published.
   virtual void read(const node::read_service& what) = 0;
 };
 
-} // namespace spurrack::platform
+} // namespace spurrack::publication
--- /dev/null
+++ b/src/serving/counters.h
@@ -0,0 +1,53 @@
+/// Counts of what the serving path did, for metrics.
+#pragma once
+
+#include "base/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace spurrack::serving {
+
+/// Times to an answer in fixed buckets.
+class latency_histogram {
+ public:
+  /// Upper bounds of the buckets, in seconds; the last bucket has none.
+  static constexpr std::array<double, 12> bounds{0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
+                                                 1.0,  1.6,   2.5,  4.0, 8.0,  16.0};
+
+  void add(base::duration took) {
+    const double seconds = base::to_seconds(took);
+    std::size_t bucket = 0;
+    while (bucket < bounds.size() && seconds > bounds[bucket]) {
+      ++bucket;
+    }
+    ++counts_[bucket];
+    sum_seconds_ += seconds;
+  }
+  [[nodiscard]] const std::array<std::uint64_t, bounds.size() + 1>& counts() const {
+    return counts_;
+  }
+  [[nodiscard]] double sum_seconds() const { return sum_seconds_; }
+
+ private:
+  std::array<std::uint64_t, bounds.size() + 1> counts_{};
+  double sum_seconds_ = 0;
+};
+
+struct serving_counters {
+  /// Answers by status; 0 counts clients that left and streams that were broken off.
+  std::map<unsigned, std::uint64_t> answers;
+  latency_histogram first_byte;
+  std::uint64_t calls = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t repeats_denied = 0;
+  std::uint64_t stage_calls = 0;
+  std::uint64_t stage_pieces = 0;
+  std::uint64_t results_freed = 0;
+  std::uint64_t streams_resumed = 0;
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/dispatcher.h
@@ -0,0 +1,154 @@
+/// The life of requests on the serving path: which route and tenant, stage pieces, the call at a
+/// replica, repeats, streams, deadlines, answers. No I/O.
+#pragma once
+
+#include "base/event_log.h"
+#include "base/random.h"
+#include "catalog/catalog.h"
+#include "serving/counters.h"
+#include "serving/event_stream.h"
+#include "serving/events.h"
+#include "serving/replica_table.h"
+#include "serving/retry_share.h"
+#include "serving/settings.h"
+#include "serving/stage_graph.h"
+#include "serving/stage_pool.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace spurrack::serving {
+
+/// Called at each decision, for the time line and the log.
+using decision_recorder =
+    std::function<void(base::event_kind, const base::request_id&, const std::string& subject,
+                       const std::string& detail)>;
+
+/// Not thread-safe. Commands gather until they are taken.
+class dispatcher {
+ public:
+  /// @param random must outlive this object.
+  dispatcher(base::zone_id own_zone, serving_settings settings, base::random_source& random,
+             decision_recorder record);
+
+  /// Takes over what is published.
+  void update(const catalog::catalog& content);
+  void set_fleet_size(std::size_t nodes) { retries_.set_fleet_size(nodes); }
+  /// While off, new requests are answered that they were not run.
+  void set_accepting(bool accepting) { accepting_ = accepting; }
+
+  void handle(const event& what, base::time_point now);
+  /// Gives up what is past its time and hands out what waits.
+  void advance(base::time_point now);
+  /// Ends everything that is still open, for a stop that can wait no longer.
+  void give_up_all(base::time_point now);
+
+  [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
+  [[nodiscard]] command_list take_commands();
+  [[nodiscard]] std::size_t active() const { return active_.size(); }
+  [[nodiscard]] const serving_counters& counts() const { return counters_; }
+  [[nodiscard]] const replica_table& replicas() const { return replicas_; }
+
+ private:
+  /// A call of the request itself.
+  struct open_call {
+    base::call_id id = 0;
+    base::replica_id replica;
+    base::time_point started;
+    /// Where the replica shows no progress until then, the call is made elsewhere.
+    std::optional<base::time_point> stalls_at;
+  };
+  struct active_request {
+    base::caller_id client = 0;
+    std::shared_ptr<const request_content> content;
+    /// Keeps the route alive.
+    std::shared_ptr<const model::route> route;
+    std::string tenant;
+    std::string service;
+    std::uint32_t priority = 0;
+    std::uint64_t configuration_version = 0;
+    base::time_point arrived;
+    /// The final answer is given by then.
+    base::time_point ends_at;
+    std::unique_ptr<stage_graph> graph;
+    std::map<piece_ticket, piece_position> pieces;
+    std::optional<open_call> call;
+    std::set<base::replica_id> tried;
+    std::uint32_t sent = 0;
+    std::uint32_t not_sent = 0;
+    /// Some replica may have worked on the request.
+    bool may_have_run = false;
+    bool stream_begun = false;
+    std::optional<answer_head> stream_head;
+    event_stream events;
+  };
+
+  void on(const request_arrived& what, base::time_point now);
+  void on(const client_left& what, base::time_point now);
+  void on(const call_failed& what, base::time_point now);
+  void on(const call_answered& what, base::time_point now);
+  void on(const stream_opened& what, base::time_point now);
+  void on(const stream_bytes& what, base::time_point now);
+  void on(const stream_closed& what, base::time_point now);
+  void on(const stage_call_ended& what, base::time_point now);
+
+  void admit(const request_arrived& what, std::shared_ptr<const model::route> route,
+             const std::optional<model::key_holder>& holder, base::time_point now);
+  void go_on(active_request& request, base::time_point now);
+  void submit_pieces(active_request& request, base::time_point now);
+  void take_piece_results(base::time_point now);
+  void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
+                         base::time_point now);
+  void restart_stages(active_request& request, base::time_point now);
+  void send_to_replica(active_request& request, base::time_point now);
+  const replica_state* choose_replica(const active_request& request, base::time_point now);
+  /// Ends the account of the open call. @return the call.
+  open_call close_call(active_request& request);
+  void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
+  /// After an attempt that may have run: once more where that is allowed, else the final answer.
+  void repeat_or_fail(active_request& request, base::time_point now);
+  [[nodiscard]] bool may_send_again(active_request& request, base::time_point now);
+  void pass_on(active_request& request, const call_answered& answer, base::time_point now);
+  void begin_stream(active_request& request, base::time_point now);
+  void watch_progress(active_request& request, base::duration allowed, base::time_point now);
+  void give_up(active_request& request, base::time_point now);
+  void give_up_stalled(base::time_point now);
+  void expire(base::time_point now);
+
+  void refuse(base::caller_id client, const base::request_id& id, unsigned status,
+              const std::string& reason, base::duration retry_after);
+  void answer_not_run(active_request& request, const std::string& reason, base::time_point now);
+  void answer_failed(active_request& request, unsigned status, const std::string& reason,
+                     base::time_point now);
+  /// Forgets a request: cancels its pieces and call, frees its results.
+  void finish(active_request& request, unsigned status, const std::string& reason,
+              base::time_point now);
+  void free(const std::vector<std::string>& handles);
+  active_request* find_by_call(base::call_id call);
+  void record(base::event_kind kind, const active_request& request, const std::string& subject,
+              const std::string& detail);
+
+  serving_settings settings_;
+  base::random_source* random_;
+  decision_recorder record_;
+  std::shared_ptr<const model::serving_configuration> configuration_;
+  bool accepting_ = true;
+  base::call_id next_call_ = 1;
+  replica_table replicas_;
+  retry_share retries_;
+  stage_pool pool_;
+  std::unordered_map<base::caller_id, active_request> active_;
+  std::unordered_map<base::call_id, base::caller_id> calls_;
+  std::unordered_map<piece_ticket, base::caller_id> tickets_;
+  std::set<std::pair<base::time_point, base::caller_id>> ends_;
+  serving_counters counters_;
+  command_list commands_;
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/event_stream.cc
@@ -0,0 +1,76 @@
+#include "serving/event_stream.h"
+
+#include <charconv>
+
+namespace spurrack::serving {
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view event_end_with_returns = "\r\n\r\n";
+constexpr std::string_view id_field = "id:";
+
+std::optional<std::uint64_t> id_of(std::string_view event) {
+  while (!event.empty()) {
+    const auto line_end = std::min(event.find('\n'), event.size());
+    auto line = event.substr(0, line_end);
+    event.remove_prefix(std::min(line_end + 1, event.size()));
+    if (!line.starts_with(id_field)) {
+      continue;
+    }
+    line.remove_prefix(id_field.size());
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    std::uint64_t id = 0;
+    const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+    if (parsed.ec == std::errc()) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+/// @return length of the first whole event with the blank line that ends it; 0 where there is none.
+std::size_t whole_event_length(std::string_view bytes) {
+  const auto plain = bytes.find(event_end);
+  const auto with_returns = bytes.find(event_end_with_returns);
+  if (plain == std::string_view::npos && with_returns == std::string_view::npos) {
+    return 0;
+  }
+  if (plain < with_returns) {
+    return plain + event_end.size();
+  }
+  return with_returns + event_end_with_returns.size();
+}
+
+} // namespace
+
+std::string event_stream::feed(std::string_view bytes) {
+  pending_.append(bytes);
+  std::string whole;
+  std::string_view rest = pending_;
+  while (const auto length = whole_event_length(rest)) {
+    const auto event = rest.substr(0, length);
+    if (take(event)) {
+      whole.append(event);
+      ++events_;
+    }
+    rest.remove_prefix(length);
+  }
+  pending_.erase(0, pending_.size() - rest.size());
+  return whole;
+}
+
+bool event_stream::take(std::string_view event) {
+  const auto id = id_of(event);
+  if (!id) {
+    return true;
+  }
+  if (last_id_ && *id <= *last_id_) {
+    return false;
+  }
+  last_id_ = id;
+  return true;
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/events.h
@@ -0,0 +1,180 @@
+/// What happens to the serving path and what it asks for: the seam between its decisions and the
+/// connections to clients and replicas.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "serving/request.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace spurrack::serving {
+
+// --- events --------------------------------------------------------------------------------------
+
+/// A request was read whole.
+struct request_arrived {
+  base::caller_id client = 0;
+  std::shared_ptr<const request_content> content;
+  /// When its head reached this machine; deadlines count from here.
+  base::time_point arrived_at;
+};
+/// A client closed its connection before its answer was complete.
+struct client_left {
+  base::caller_id client = 0;
+};
+
+/// What is known of a call that brought no answer.
+enum class call_fate : std::uint8_t {
+  not_sent,     ///< No byte was written to the replica.
+  may_have_run, ///< Bytes were written; whether the replica worked on them is not known.
+};
+/// A call ended without an answer.
+struct call_failed {
+  base::call_id call = 0;
+  call_fate fate = call_fate::may_have_run;
+};
+/// A replica answered whole.
+struct call_answered {
+  base::call_id call = 0;
+  answer_head head;
+  std::string body;
+};
+/// The head of a streamed answer arrived.
+struct stream_opened {
+  base::call_id call = 0;
+  answer_head head;
+};
+struct stream_bytes {
+  base::call_id call = 0;
+  std::string bytes;
+};
+/// A streamed answer ended.
+struct stream_closed {
+  base::call_id call = 0;
+  /// It ended as its framing says a whole answer ends.
+  bool complete = false;
+};
+
+/// Why a piece brought no result.
+enum class piece_fault : std::uint8_t {
+  none,
+  late,       ///< Its time was over at its turn.
+  input_gone, ///< A result it needs no longer exists.
+  no_room,    ///< The replica has no room for the result.
+  error,      ///< The replica could not make it.
+  not_run,    ///< The replica took no call; nothing was done.
+  lost,       ///< The call brought no answer.
+  expired,    ///< Its time was over before it was handed to a replica.
+};
+/// Result of one piece.
+struct piece_outcome {
+  piece_fault fault = piece_fault::none;
+  /// Where the result lies; empty where there is a fault.
+  std::string handle;
+};
+/// A call that holds pieces ended.
+struct stage_call_ended {
+  base::call_id call = 0;
+  enum class result : std::uint8_t {
+    answered,    ///< `pieces` holds one outcome for each piece, in the order asked.
+    refused,     ///< The replica is full or leaving and did nothing.
+    misdirected, ///< Another replica has this address.
+    failed,      ///< No answer; the pieces may have been made.
+    not_sent,    ///< No byte was written.
+  };
+  result how = result::failed;
+  std::vector<piece_outcome> pieces;
+  std::optional<replica_load> load;
+  bool closing = false;
+};
+
+// --- commands ------------------------------------------------------------------------------------
+
+/// Who is called.
+struct call_target {
+  base::replica_id replica;
+  base::network_address address;
+};
+/// Send a request to a replica.
+struct start_call {
+  base::call_id call = 0;
+  call_target target;
+  std::shared_ptr<const request_content> content;
+  /// What is left of the time the client waits.
+  base::duration time_left{};
+  /// Empty where the request belongs to no tenant.
+  std::string tenant;
+  /// The answer is passed on as it comes; otherwise it is gathered whole.
+  bool streaming = false;
+  /// An ambiguous close must not happen for want of care: use a connection that is fresh enough.
+  bool runs_at_most_once = false;
+  std::optional<std::uint64_t> resume_after;
+  /// 0 (first) to 9 (last); nothing where the replica's default serves.
+  std::optional<std::uint32_t> urgency;
+  /// Results of the stages the request needs, in order.
+  std::vector<std::string> inputs;
+};
+/// Give up a call of either kind: close its connection, ignore what still comes.
+struct cancel_call {
+  base::call_id call = 0;
+};
+/// One piece in a call.
+struct piece_item {
+  base::request_id request;
+  std::uint32_t stage = 0;
+  std::uint32_t piece = 0;
+  base::duration time_left{};
+  /// Set for stages that need no results of others.
+  std::string piece_key;
+  std::vector<std::string> inputs;
+};
+struct start_stage_call {
+  base::call_id call = 0;
+  call_target target;
+  std::vector<piece_item> items;
+};
+/// Results that nobody needs any more.
+struct free_results {
+  /// Replica that made them.
+  base::network_address maker;
+  std::vector<std::string> handles;
+};
+
+/// Answer a client with a whole answer.
+struct respond {
+  base::caller_id client = 0;
+  /// The request, where the answer is spurrack's own and not a replica's.
+  std::optional<base::request_id> own_answer_to;
+  unsigned status = 0;
+  header_list headers;
+  std::string body;
+};
+/// Begin a streamed answer.
+struct open_stream {
+  base::caller_id client = 0;
+  unsigned status = 0;
+  header_list headers;
+};
+struct stream_data {
+  base::caller_id client = 0;
+  std::string bytes;
+};
+struct end_stream {
+  base::caller_id client = 0;
+  /// Where not, the connection is broken off so that the answer cannot look complete.
+  bool complete = false;
+};
+
+using event = std::variant<request_arrived, client_left, call_failed, call_answered, stream_opened,
+                           stream_bytes, stream_closed, stage_call_ended>;
+using command = std::variant<start_call, cancel_call, start_stage_call, free_results, respond,
+                             open_stream, stream_data, end_stream>;
+using command_list = std::vector<command>;
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/replica_table.cc
@@ -0,0 +1,237 @@
+#include "serving/replica_table.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// Load told with an answer says nothing more after this time.
+constexpr base::duration told_load_lifetime = std::chrono::milliseconds(500);
+/// What a replica in another zone must be better by, in parts of its slots.
+constexpr double other_zone_cost = 0.5;
+/// What a replica that fails all calls is worse by, in parts of its slots.
+constexpr double failure_cost = 3.0;
+constexpr double failure_smoothing = 0.15;
+constexpr double latency_smoothing = 0.2;
+/// An engine is passed over for a prompt above this load, in parts of its slots.
+constexpr double engine_load_bound = 0.6;
+/// Loads that differ by less are alike.
+constexpr double alike = 0.02;
+
+} // namespace
+
+replica_table::replica_table(base::zone_id own_zone, serving_settings settings,
+                             base::random_source& random)
+    : own_zone_(std::move(own_zone)), settings_(settings), random_(&random) {}
+
+void replica_table::update(
+    const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published) {
+  std::erase_if(replicas_, [&](const auto& entry) { return !published.contains(entry.first); });
+  by_service_.clear();
+  by_address_.clear();
+  for (const auto& [id, record] : published) {
+    auto& state = replicas_[id];
+    state.record = record;
+    by_service_[record->service].push_back(id);
+    by_address_[record->address] = id;
+  }
+}
+
+replica_state* replica_table::mutable_find(const base::replica_id& id) {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
+const replica_state* replica_table::find(const base::replica_id& id) const {
+  const auto found = replicas_.find(id);
+  return found == replicas_.end() ? nullptr : &found->second;
+}
+
+const replica_state* replica_table::find_at(const base::network_address& address) const {
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : find(found->second);
+}
+
+replica_table::candidates replica_table::usable(const std::string& service,
+                                                const std::set<base::replica_id>& excluded,
+                                                base::time_point now, bool ignore_pauses) {
+  candidates found;
+  const auto ids = by_service_.find(service);
+  if (ids == by_service_.end()) {
+    return found;
+  }
+  for (const auto& id : ids->second) {
+    auto& state = replicas_.at(id);
+    const bool working = !state.record->draining && !state.left;
+    const bool awake = ignore_pauses || state.paused_until <= now;
+    if (working && awake && !excluded.contains(id)) {
+      found.push_back(&state);
+    }
+  }
+  return found;
+}
+
+double replica_table::load_of(const replica_state& state, base::time_point now) const {
+  double calls = state.in_flight;
+  if (state.told && now - state.told_at < told_load_lifetime) {
+    const double told = state.told->running + state.told->waiting;
+    const double own_since =
+        static_cast<double>(state.in_flight) - static_cast<double>(state.in_flight_when_told);
+    calls = std::max(calls, told + own_since);
+  }
+  return calls / std::max(1U, state.record->slots);
+}
+
+const replica_state* replica_table::choose(const std::string& service,
+                                           const std::set<base::replica_id>& excluded,
+                                           base::time_point now) {
+  auto found = usable(service, excluded, now, false);
+  if (found.empty()) {
+    found = usable(service, excluded, now, true);
+  }
+  const replica_state* best = nullptr;
+  double best_cost = 0;
+  std::size_t ties = 0;
+  for (const auto* state : found) {
+    const double zone_cost = state->record->zone == own_zone_ ? 0 : other_zone_cost;
+    const double cost = load_of(*state, now) + zone_cost + failure_cost * state->failure_share;
+    if (best == nullptr || cost < best_cost - alike) {
+      best = state;
+      best_cost = cost;
+      ties = 1;
+    } else if (cost <= best_cost + alike && random_->below(++ties) == 0) {
+      best = state;
+    }
+  }
+  return best;
+}
+
+const replica_state* replica_table::choose_engine(const std::string& service,
+                                                  std::uint64_t affinity,
+                                                  const std::set<base::replica_id>& excluded,
+                                                  base::time_point now) {
+  auto found = usable(service, excluded, now, false);
+  if (found.empty()) {
+    found = usable(service, excluded, now, true);
+  }
+  std::vector<std::pair<std::uint64_t, const replica_state*>> ranked;
+  for (const bool own_zone : {true, false}) {
+    ranked.clear();
+    for (const auto* state : found) {
+      const bool within_bound = load_of(*state, now) < engine_load_bound;
+      if ((state->record->zone == own_zone_) == own_zone && within_bound) {
+        ranked.emplace_back(base::stable_hash(state->record->id.text(), affinity), state);
+      }
+    }
+    if (!ranked.empty() && affinity != 0) {
+      return std::max_element(ranked.begin(), ranked.end())->second;
+    }
+    if (!ranked.empty()) {
+      break;
+    }
+  }
+  return choose(service, excluded, now);
+}
+
+std::vector<const replica_state*> replica_table::available(const std::string& service,
+                                                           base::time_point now) const {
+  std::vector<const replica_state*> found;
+  const auto ids = by_service_.find(service);
+  if (ids == by_service_.end()) {
+    return found;
+  }
+  for (const auto& id : ids->second) {
+    const auto& state = replicas_.at(id);
+    if (!state.record->draining && !state.left && state.paused_until <= now) {
+      found.push_back(&state);
+    }
+  }
+  std::stable_partition(found.begin(), found.end(), [&](const replica_state* state) {
+    return state->record->zone == own_zone_;
+  });
+  return found;
+}
+
+void replica_table::call_started(const base::replica_id& id) {
+  if (auto* state = mutable_find(id)) {
+    ++state->in_flight;
+  }
+}
+
+void replica_table::call_ended(const base::replica_id& id) {
+  auto* state = mutable_find(id);
+  if (state != nullptr && state->in_flight > 0) {
+    --state->in_flight;
+  }
+}
+
+void replica_table::note_load(const base::replica_id& id, const replica_load& load,
+                              base::time_point now) {
+  if (auto* state = mutable_find(id)) {
+    state->told = load;
+    state->told_at = now;
+    state->in_flight_when_told = state->in_flight;
+  }
+}
+
+void replica_table::note_success(const base::replica_id& id, base::duration took) {
+  auto* state = mutable_find(id);
+  if (state == nullptr) {
+    return;
+  }
+  state->next_pause = {};
+  state->failure_share *= 1 - failure_smoothing;
+  const double took_ms = base::to_seconds(took) * 1000.0;
+  state->smoothed_latency_ms += latency_smoothing * (took_ms - state->smoothed_latency_ms);
+}
+
+void replica_table::note_failure(const base::replica_id& id, base::time_point /*now*/) {
+  if (auto* state = mutable_find(id)) {
+    state->failure_share += failure_smoothing * (1 - state->failure_share);
+  }
+}
+
+void replica_table::note_unreachable(const base::replica_id& id, base::time_point now) {
+  auto* state = mutable_find(id);
+  if (state == nullptr) {
+    return;
+  }
+  state->next_pause = state->next_pause == base::duration{}
+                          ? settings_.unreachable_pause
+                          : std::min(state->next_pause * 2, settings_.unreachable_pause_longest);
+  state->paused_until = now + state->next_pause;
+}
+
+void replica_table::note_full(const base::replica_id& id, base::time_point now) {
+  if (auto* state = mutable_find(id)) {
+    state->paused_until = std::max(state->paused_until, now + settings_.full_pause);
+  }
+}
+
+void replica_table::note_left(const base::replica_id& id) {
+  if (auto* state = mutable_find(id)) {
+    state->left = true;
+  }
+}
+
+std::optional<base::time_point> replica_table::next_pause_end(const std::string& service,
+                                                              base::time_point now) const {
+  std::optional<base::time_point> earliest;
+  const auto ids = by_service_.find(service);
+  if (ids == by_service_.end()) {
+    return earliest;
+  }
+  for (const auto& id : ids->second) {
+    const auto& state = replicas_.at(id);
+    const bool pauses = !state.record->draining && !state.left && state.paused_until > now;
+    if (pauses && (!earliest || state.paused_until < *earliest)) {
+      earliest = state.paused_until;
+    }
+  }
+  return earliest;
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/replica_table.h
@@ -0,0 +1,105 @@
+/// Replicas as this node sees them: published, and what calls have shown since. Chooses one for a
+/// request.
+#pragma once
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "model/serving_records.h"
+#include "serving/events.h"
+#include "serving/settings.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// One replica with what this node has seen of it.
+struct replica_state {
+  std::shared_ptr<const model::replica> record;
+  /// Calls of this node that are under way.
+  std::uint32_t in_flight = 0;
+  /// Load the replica told last, and when.
+  std::optional<replica_load> told;
+  base::time_point told_at;
+  /// Own calls under way when the load was told.
+  std::uint32_t in_flight_when_told = 0;
+  /// The replica said itself that it leaves, or its address belongs to another.
+  bool left = false;
+  /// Nothing is sent before this time.
+  base::time_point paused_until;
+  base::duration next_pause{};
+  /// Share of the latest calls that failed, 0 to 1.
+  double failure_share = 0;
+  /// Smoothed time to an answer relative to what others need; 1 where nothing is known.
+  double smoothed_latency_ms = 0;
+};
+
+/// Not thread-safe.
+class replica_table {
+ public:
+  /// @param random must outlive the table.
+  replica_table(base::zone_id own_zone, serving_settings settings, base::random_source& random);
+
+  /// Takes over the published replicas; what was seen of those that stay is kept.
+  void update(const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published);
+
+  /// Replica for a plain request: the least loaded, own zone first where loads are alike.
+  /// @param excluded replicas that were tried already.
+  /// @return null where none can take the request.
+  [[nodiscard]] const replica_state* choose(const std::string& service,
+                                            const std::set<base::replica_id>& excluded,
+                                            base::time_point now);
+  /// Replica for a prompt: the same for the same shared part on every node, unless it is loaded far
+  /// beyond the others.
+  /// @param affinity hash of the shared part; 0 where there is none.
+  [[nodiscard]] const replica_state* choose_engine(const std::string& service,
+                                                   std::uint64_t affinity,
+                                                   const std::set<base::replica_id>& excluded,
+                                                   base::time_point now);
+  /// Replicas of a service that may be given work now, own zone first.
+  [[nodiscard]] std::vector<const replica_state*> available(const std::string& service,
+                                                            base::time_point now) const;
+
+  /// @return null where the replica is not known any more.
+  [[nodiscard]] const replica_state* find(const base::replica_id& id) const;
+  /// @return null where no known replica has the address.
+  [[nodiscard]] const replica_state* find_at(const base::network_address& address) const;
+
+  void call_started(const base::replica_id& id);
+  void call_ended(const base::replica_id& id);
+  void note_load(const base::replica_id& id, const replica_load& load, base::time_point now);
+  void note_success(const base::replica_id& id, base::duration took);
+  void note_failure(const base::replica_id& id, base::time_point now);
+  void note_unreachable(const base::replica_id& id, base::time_point now);
+  void note_full(const base::replica_id& id, base::time_point now);
+  void note_left(const base::replica_id& id);
+
+  /// @return when the first pause ends after `now`, where a replica of `service` is paused.
+  [[nodiscard]] std::optional<base::time_point> next_pause_end(const std::string& service,
+                                                               base::time_point now) const;
+  [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
+
+ private:
+  using candidates = std::vector<replica_state*>;
+  [[nodiscard]] candidates usable(const std::string& service,
+                                  const std::set<base::replica_id>& excluded, base::time_point now,
+                                  bool ignore_pauses);
+  [[nodiscard]] double load_of(const replica_state& state, base::time_point now) const;
+  replica_state* mutable_find(const base::replica_id& id);
+
+  base::zone_id own_zone_;
+  serving_settings settings_;
+  base::random_source* random_;
+  std::map<base::replica_id, replica_state> replicas_;
+  std::unordered_map<std::string, std::vector<base::replica_id>> by_service_;
+  std::unordered_map<base::network_address, base::replica_id> by_address_;
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/settings.h
@@ -0,0 +1,43 @@
+/// Settings of the serving path. docs/operators/settings.md describes each with unit and default.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+
+namespace spurrack::serving {
+
+/// Bounds on sending a request to a second replica, shared by all nodes of the fleet.
+struct retry_limits {
+  /// Repeats allowed as a share of the requests of a service.
+  double ratio = 0.1;
+  /// Repeats allowed beside that share, by all nodes together.
+  double allowance = 10;
+  /// Length of the window over which both are counted.
+  base::duration window = std::chrono::seconds(10);
+};
+
+struct serving_settings {
+  retry_limits retry;
+  /// How long a request that found no replica is told to stay away.
+  base::duration retry_after = std::chrono::milliseconds(300);
+  /// How long the first piece of a batch waits for others to join it.
+  base::duration batch_wait = std::chrono::milliseconds(10);
+  /// A replica that could not be reached gets nothing for this time; doubles up to the longest.
+  base::duration unreachable_pause = std::chrono::milliseconds(400);
+  base::duration unreachable_pause_longest = std::chrono::seconds(4);
+  /// A replica that said it is full gets nothing for this time.
+  base::duration full_pause = std::chrono::milliseconds(60);
+  /// A connection of a request that may run only once has rested no longer than this.
+  base::duration freshest_idle = std::chrono::milliseconds(1500);
+  /// A connection of any other request has rested no longer than this.
+  base::duration longest_rest = std::chrono::seconds(30);
+  /// Longest time to open a connection to a replica.
+  base::duration connect_timeout = std::chrono::milliseconds(500);
+  /// A stopping node takes requests for this time, then answers that they were not run.
+  base::duration stop_accepting_after = std::chrono::milliseconds(3000);
+  /// A stopping node gives up what is left after this time.
+  base::duration stop_longest = std::chrono::milliseconds(7400);
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/stage_graph.cc
@@ -0,0 +1,140 @@
+#include "serving/stage_graph.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::serving {
+
+stage_graph::stage_graph(const model::route& route, const std::vector<std::uint32_t>& pieces)
+    : route_(&route) {
+  for (std::size_t stage = 0; stage < route.stages.size(); ++stage) {
+    stages_.emplace_back(stage < pieces.size() ? pieces[stage] : 0);
+  }
+}
+
+bool stage_graph::finished(std::uint32_t stage) const {
+  return std::all_of(stages_[stage].begin(), stages_[stage].end(),
+                     [](const piece_state& piece) { return !piece.handle.empty(); });
+}
+
+bool stage_graph::ready(std::uint32_t stage) const {
+  const auto& needed = route_->stages[stage].start_after;
+  return std::all_of(needed.begin(), needed.end(),
+                     [&](std::uint32_t before) { return finished(before); });
+}
+
+bool stage_graph::is_last(std::uint32_t stage) const {
+  return std::none_of(route_->stages.begin(), route_->stages.end(), [&](const auto& step) {
+    return std::find(step.start_after.begin(), step.start_after.end(), stage) !=
+           step.start_after.end();
+  });
+}
+
+bool stage_graph::users_finished(std::uint32_t stage) const {
+  for (std::uint32_t user = 0; user < stages_.size(); ++user) {
+    const auto& needed = route_->stages[user].start_after;
+    const bool uses = std::find(needed.begin(), needed.end(), stage) != needed.end();
+    if (uses && !finished(user)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<piece_position> stage_graph::take_ready() {
+  std::vector<piece_position> found;
+  for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+    if (!ready(stage)) {
+      continue;
+    }
+    for (std::uint32_t piece = 0; piece < stages_[stage].size(); ++piece) {
+      auto& state = stages_[stage][piece];
+      if (!state.given_out) {
+        state.given_out = true;
+        found.push_back({stage, piece});
+      }
+    }
+  }
+  return found;
+}
+
+void stage_graph::retry(piece_position where) {
+  stages_[where.stage][where.piece] = {};
+}
+
+void stage_graph::complete(piece_position where, std::string handle) {
+  stages_[where.stage][where.piece].handle = std::move(handle);
+}
+
+std::vector<std::string> stage_graph::restart() {
+  ++restarts_;
+  auto useless = take_unneeded(true);
+  for (auto& pieces : stages_) {
+    std::fill(pieces.begin(), pieces.end(), piece_state{});
+  }
+  return useless;
+}
+
+void stage_graph::append_results(std::uint32_t stage, std::vector<std::string>& results) const {
+  for (const auto& piece : stages_[stage]) {
+    results.push_back(piece.handle);
+  }
+}
+
+std::vector<std::string> stage_graph::inputs_of(std::uint32_t stage) const {
+  auto needed = route_->stages[stage].start_after;
+  std::sort(needed.begin(), needed.end());
+  std::vector<std::string> results;
+  for (const auto before : needed) {
+    append_results(before, results);
+  }
+  return results;
+}
+
+std::vector<std::string> stage_graph::final_inputs() const {
+  std::vector<std::string> results;
+  for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+    if (is_last(stage)) {
+      append_results(stage, results);
+    }
+  }
+  return results;
+}
+
+bool stage_graph::done() const {
+  for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+    if (!finished(stage)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<std::string> stage_graph::take_unneeded(bool everything) {
+  std::vector<std::string> handles;
+  for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+    if (!everything && (is_last(stage) || !users_finished(stage))) {
+      continue;
+    }
+    for (auto& piece : stages_[stage]) {
+      if (!piece.handle.empty() && !piece.freed) {
+        piece.freed = true;
+        handles.push_back(piece.handle);
+      }
+    }
+  }
+  return handles;
+}
+
+std::uint32_t stage_graph::steps_after(std::uint32_t stage) const {
+  std::uint32_t longest = 0;
+  for (std::uint32_t user = 0; user < stages_.size(); ++user) {
+    const auto& needed = route_->stages[user].start_after;
+    if (std::find(needed.begin(), needed.end(), stage) != needed.end()) {
+      longest = std::max(longest, 1 + steps_after(user));
+    }
+  }
+  return longest;
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/stage_graph.h
@@ -0,0 +1,63 @@
+/// Progress of one request through the stages that must be finished before it may run.
+#pragma once
+
+#include "model/serving_records.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// One piece of one stage.
+struct piece_position {
+  std::uint32_t stage = 0;
+  std::uint32_t piece = 0;
+};
+
+/// Not thread-safe. The route must outlive the graph.
+class stage_graph {
+ public:
+  /// @param pieces pieces of each stage; a stage without any is left out.
+  stage_graph(const model::route& route, const std::vector<std::uint32_t>& pieces);
+
+  /// @return the pieces that can be made now and were not given out yet; counts them as given out.
+  std::vector<piece_position> take_ready();
+  /// Gives a piece back to be made again.
+  void retry(piece_position where);
+  void complete(piece_position where, std::string handle);
+  /// Results are gone: everything is to be made again.
+  /// @return handles that are no longer of use.
+  std::vector<std::string> restart();
+
+  /// @return results that the pieces of `stage` need, in the order of stages and pieces.
+  [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
+  /// @return results of the stages that no other comes after, in order.
+  [[nodiscard]] std::vector<std::string> final_inputs() const;
+  [[nodiscard]] bool done() const;
+  /// @return results all of whose users are finished, or all results where `everything` is set;
+  ///         each is returned once.
+  std::vector<std::string> take_unneeded(bool everything);
+  /// Stages on the longest way from `stage` to the end, this one not counted.
+  [[nodiscard]] std::uint32_t steps_after(std::uint32_t stage) const;
+  /// @return how often results had to be made again.
+  [[nodiscard]] std::uint32_t restarts() const { return restarts_; }
+
+ private:
+  struct piece_state {
+    bool given_out = false;
+    bool freed = false;
+    std::string handle;
+  };
+  [[nodiscard]] bool finished(std::uint32_t stage) const;
+  [[nodiscard]] bool ready(std::uint32_t stage) const;
+  [[nodiscard]] bool is_last(std::uint32_t stage) const;
+  [[nodiscard]] bool users_finished(std::uint32_t stage) const;
+  void append_results(std::uint32_t stage, std::vector<std::string>& results) const;
+
+  const model::route* route_;
+  std::vector<std::vector<piece_state>> stages_;
+  std::uint32_t restarts_ = 0;
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/stage_pool.cc
@@ -0,0 +1,284 @@
+#include "serving/stage_pool.h"
+
+#include <algorithm>
+
+namespace spurrack::serving {
+namespace {
+
+/// Calls that may carry one piece before it is given up.
+constexpr std::uint32_t most_attempts = 4;
+/// A call that takes this many times as long as it should is given up.
+constexpr double stall_factor = 4.0;
+constexpr base::duration stall_margin = std::chrono::milliseconds(400);
+
+} // namespace
+
+stage_pool::stage_pool(replica_table& replicas, serving_settings settings,
+                       std::function<base::call_id()> next_call)
+    : replicas_(&replicas), settings_(settings), next_call_(std::move(next_call)) {}
+
+void stage_pool::set_configuration(
+    std::shared_ptr<const model::serving_configuration> configuration) {
+  configuration_ = std::move(configuration);
+}
+
+const model::piece_capacity* stage_pool::capacity_of(const std::string& name) const {
+  const auto* found = configuration_ ? configuration_->find_service(name) : nullptr;
+  return found == nullptr || !found->pieces ? nullptr : &*found->pieces;
+}
+
+piece_ticket stage_pool::submit(piece_work work, base::time_point now) {
+  const auto ticket = next_ticket_++;
+  queues_[work.service].insert({work.due, ticket});
+  pieces_[ticket] = {std::move(work), now, 0};
+  return ticket;
+}
+
+void stage_pool::cancel(piece_ticket ticket) {
+  const auto found = pieces_.find(ticket);
+  if (found == pieces_.end()) {
+    return;
+  }
+  queues_[found->second.work.service].erase({found->second.work.due, ticket});
+  pieces_.erase(found);
+  for (auto& [call, open] : calls_) {
+    const auto& tickets = open.tickets;
+    const bool mine = std::find(tickets.begin(), tickets.end(), ticket) != tickets.end();
+    const bool any_wanted = std::any_of(tickets.begin(), tickets.end(), [&](piece_ticket other) {
+      return pieces_.contains(other);
+    });
+    if (mine && !any_wanted) {
+      // The call may be at work already; its slot counts as taken until it would have ended.
+      commands_.emplace_back(cancel_call{call});
+      replicas_->call_ended(open.call.target.replica);
+      --calls_at_[open.call.target.replica];
+      calls_.erase(call);
+      return;
+    }
+  }
+}
+
+std::size_t stage_pool::waiting(const std::string& service) const {
+  const auto found = queues_.find(service);
+  return found == queues_.end() ? 0 : found->second.size();
+}
+
+void stage_pool::finish(piece_ticket ticket, piece_outcome outcome) {
+  pieces_.erase(ticket);
+  finished_.push_back({ticket, std::move(outcome)});
+}
+
+void stage_pool::requeue(piece_ticket ticket, piece_fault fault) {
+  const auto found = pieces_.find(ticket);
+  if (found == pieces_.end()) {
+    return;
+  }
+  if (found->second.attempts >= most_attempts) {
+    finish(ticket, {fault, {}});
+    return;
+  }
+  queues_[found->second.work.service].insert({found->second.work.due, ticket});
+}
+
+void stage_pool::settle(piece_ticket ticket, const piece_outcome& outcome) {
+  if (!pieces_.contains(ticket)) {
+    if (!outcome.handle.empty()) {
+      const auto maker = outcome.handle.substr(0, outcome.handle.find('/'));
+      commands_.emplace_back(free_results{base::network_address(maker), {outcome.handle}});
+    }
+    return;
+  }
+  switch (outcome.fault) {
+  case piece_fault::no_room:
+  case piece_fault::error:
+  case piece_fault::lost:
+    requeue(ticket, outcome.fault);
+    break;
+  default:
+    finish(ticket, outcome);
+    break;
+  }
+}
+
+void stage_pool::take_answers(const open_call& ended, const stage_call_ended& answer,
+                              base::time_point now) {
+  const auto& replica = ended.call.target.replica;
+  switch (answer.how) {
+  case stage_call_ended::result::answered:
+    replicas_->note_success(replica, now - ended.started);
+    for (std::size_t index = 0; index < ended.tickets.size(); ++index) {
+      settle(ended.tickets[index], answer.pieces[index]);
+    }
+    return;
+  case stage_call_ended::result::refused:
+    replicas_->note_full(replica, now);
+    break;
+  case stage_call_ended::result::misdirected:
+    replicas_->note_left(replica);
+    break;
+  case stage_call_ended::result::not_sent:
+    replicas_->note_unreachable(replica, now);
+    break;
+  case stage_call_ended::result::failed:
+    replicas_->note_failure(replica, now);
+    replicas_->note_full(replica, now);
+    break;
+  }
+  const bool not_done = answer.how != stage_call_ended::result::failed;
+  for (const auto ticket : ended.tickets) {
+    const auto found = pieces_.find(ticket);
+    if (found != pieces_.end() && not_done && found->second.attempts > 0) {
+      --found->second.attempts;
+    }
+    requeue(ticket, not_done ? piece_fault::not_run : piece_fault::lost);
+  }
+}
+
+bool stage_pool::on_call_ended(const stage_call_ended& ended, base::time_point now) {
+  const auto found = calls_.find(ended.call);
+  if (found == calls_.end()) {
+    return false;
+  }
+  const auto open = std::move(found->second);
+  calls_.erase(found);
+  const auto& replica = open.call.target.replica;
+  replicas_->call_ended(replica);
+  --calls_at_[replica];
+  if (ended.load) {
+    replicas_->note_load(replica, *ended.load, now);
+  }
+  take_answers(open, ended, now);
+  return true;
+}
+
+void stage_pool::give_up_stalled(base::time_point now) {
+  std::vector<base::call_id> stalled;
+  for (const auto& [call, open] : calls_) {
+    if (now >= open.give_up_at) {
+      stalled.push_back(call);
+    }
+  }
+  for (const auto call : stalled) {
+    commands_.emplace_back(cancel_call{call});
+    const auto replica = calls_.at(call).call.target.replica;
+    on_call_ended({call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
+    replicas_->note_unreachable(replica, now);
+  }
+}
+
+void stage_pool::drop_expired(service_queue& queue, base::time_point now) {
+  std::vector<queue_position> expired;
+  for (const auto& position : queue) {
+    if (pieces_.at(position.ticket).work.deadline <= now) {
+      expired.push_back(position);
+    }
+  }
+  for (const auto& position : expired) {
+    queue.erase(position);
+    finish(position.ticket, {piece_fault::expired, {}});
+  }
+}
+
+bool stage_pool::batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
+                              base::time_point now) const {
+  if (queue.size() >= capacity.batch) {
+    return true;
+  }
+  return std::any_of(queue.begin(), queue.end(), [&](const queue_position& position) {
+    return now - pieces_.at(position.ticket).submitted >= settings_.batch_wait;
+  });
+}
+
+const replica_state* stage_pool::free_replica(const std::string& name,
+                                              const model::piece_capacity& capacity,
+                                              base::time_point now) const {
+  for (const auto* state : replicas_->available(name, now)) {
+    if (filter_ && !filter_(*state)) {
+      continue;
+    }
+    const auto found = calls_at_.find(state->record->id);
+    const auto under_way = found == calls_at_.end() ? 0 : found->second;
+    if (under_way < capacity.slots) {
+      return state;
+    }
+  }
+  return nullptr;
+}
+
+void stage_pool::start_batch(const std::string& name, service_queue& queue,
+                             const replica_state& replica, const model::piece_capacity& capacity,
+                             base::time_point now) {
+  open_call open;
+  open.service = name;
+  open.started = now;
+  open.call.call = next_call_();
+  open.call.target = {replica.record->id, replica.record->address};
+  while (!queue.empty() && open.tickets.size() < capacity.batch) {
+    const auto ticket = queue.begin()->ticket;
+    queue.erase(queue.begin());
+    auto& piece = pieces_.at(ticket);
+    ++piece.attempts;
+    const auto& work = piece.work;
+    open.call.items.push_back(
+        {work.request, work.stage, work.piece, work.deadline - now, work.piece_key, work.inputs});
+    open.tickets.push_back(ticket);
+  }
+  const auto usual = capacity.call_time + capacity.item_time * open.tickets.size();
+  open.give_up_at =
+      now + std::chrono::duration_cast<base::duration>(usual * stall_factor) + stall_margin;
+  commands_.emplace_back(open.call);
+  replicas_->call_started(replica.record->id);
+  ++calls_at_[replica.record->id];
+  calls_.emplace(open.call.call, std::move(open));
+}
+
+void stage_pool::pump_service(const std::string& name, service_queue& queue, base::time_point now) {
+  drop_expired(queue, now);
+  const auto* capacity = capacity_of(name);
+  if (capacity == nullptr) {
+    while (!queue.empty()) {
+      const auto ticket = queue.begin()->ticket;
+      queue.erase(queue.begin());
+      finish(ticket, {piece_fault::not_run, {}});
+    }
+    return;
+  }
+  while (!queue.empty() && batch_is_due(queue, *capacity, now)) {
+    const auto* replica = free_replica(name, *capacity, now);
+    if (replica == nullptr) {
+      return;
+    }
+    start_batch(name, queue, *replica, *capacity, now);
+  }
+}
+
+void stage_pool::pump(base::time_point now) {
+  give_up_stalled(now);
+  for (auto& [name, queue] : queues_) {
+    pump_service(name, queue, now);
+  }
+}
+
+std::optional<base::time_point> stage_pool::next_wakeup(base::time_point now) const {
+  std::optional<base::time_point> earliest;
+  const auto consider = [&](base::time_point when) {
+    earliest = earliest ? std::min(*earliest, when) : when;
+  };
+  for (const auto& [call, open] : calls_) {
+    consider(open.give_up_at);
+  }
+  for (const auto& [name, queue] : queues_) {
+    for (const auto& position : queue) {
+      const auto& piece = pieces_.at(position.ticket);
+      const auto joined = piece.submitted + settings_.batch_wait;
+      consider(joined > now ? joined : piece.work.deadline);
+    }
+    const auto pause = queue.empty() ? std::nullopt : replicas_->next_pause_end(name, now);
+    if (pause) {
+      consider(*pause);
+    }
+  }
+  return earliest;
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/stage_pool.h
@@ -0,0 +1,134 @@
+/// Queues pieces of stages and hands them to replicas in batches: the next call to a replica is put
+/// together when the replica is free, from whatever is due first then.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "model/serving_records.h"
+#include "serving/events.h"
+#include "serving/replica_table.h"
+#include "serving/settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// Number of a piece within one pool.
+using piece_ticket = std::uint64_t;
+
+/// A piece to be made.
+struct piece_work {
+  base::request_id request;
+  std::string service;
+  std::uint32_t stage = 0;
+  std::uint32_t piece = 0;
+  /// Set for stages that need no results of others.
+  std::string piece_key;
+  std::vector<std::string> inputs;
+  /// Pieces that are due earlier go first.
+  base::time_point due;
+  /// The result is of no use after this.
+  base::time_point deadline;
+};
+
+/// A piece that is finished, one way or another.
+struct piece_finished {
+  piece_ticket ticket = 0;
+  piece_outcome outcome;
+};
+
+/// @return whether this node may call a replica with pieces.
+using replica_filter = std::function<bool(const replica_state&)>;
+
+/// Not thread-safe. Commands and results gather until they are taken.
+class stage_pool {
+ public:
+  /// @param replicas must outlive the pool.
+  /// @param next_call gives numbers of calls; shared with the other calls of the node.
+  stage_pool(replica_table& replicas, serving_settings settings,
+             std::function<base::call_id()> next_call);
+
+  /// Capacities of the services; pieces of services that are gone end as `not_run`.
+  void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
+  /// Restricts the replicas that are called; without a filter all may be.
+  void set_filter(replica_filter filter) { filter_ = std::move(filter); }
+
+  piece_ticket submit(piece_work work, base::time_point now);
+  /// Nobody wants the piece any more; a result that still comes is freed.
+  void cancel(piece_ticket ticket);
+
+  /// @return whether the call was one of the pool's.
+  bool on_call_ended(const stage_call_ended& ended, base::time_point now);
+
+  /// Hands out what can be handed out, and gives up what is late.
+  void pump(base::time_point now);
+  [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
+
+  [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
+  [[nodiscard]] command_list take_commands() { return std::exchange(commands_, {}); }
+  /// @return pieces of a service that wait for a call.
+  [[nodiscard]] std::size_t waiting(const std::string& service) const;
+  [[nodiscard]] std::size_t calls_under_way() const { return calls_.size(); }
+
+ private:
+  struct queued_piece {
+    piece_work work;
+    base::time_point submitted;
+    std::uint32_t attempts = 0;
+  };
+  /// Order of handing out.
+  struct queue_position {
+    base::time_point due;
+    piece_ticket ticket = 0;
+    auto operator<=>(const queue_position&) const = default;
+  };
+  struct open_call {
+    start_stage_call call;
+    std::string service;
+    base::time_point started;
+    base::time_point give_up_at;
+    /// Pieces in the order of the call; one that was cancelled has no entry in `pieces_`.
+    std::vector<piece_ticket> tickets;
+  };
+  using service_queue = std::set<queue_position>;
+
+  void pump_service(const std::string& name, service_queue& queue, base::time_point now);
+  void drop_expired(service_queue& queue, base::time_point now);
+  void give_up_stalled(base::time_point now);
+  bool batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
+                    base::time_point now) const;
+  const replica_state* free_replica(const std::string& name, const model::piece_capacity& capacity,
+                                    base::time_point now) const;
+  void start_batch(const std::string& name, service_queue& queue, const replica_state& replica,
+                   const model::piece_capacity& capacity, base::time_point now);
+  void take_answers(const open_call& ended, const stage_call_ended& answer, base::time_point now);
+  void settle(piece_ticket ticket, const piece_outcome& outcome);
+  /// Queues a piece again, or ends it with `fault` where it was tried often enough.
+  void requeue(piece_ticket ticket, piece_fault fault);
+  void finish(piece_ticket ticket, piece_outcome outcome);
+  const model::piece_capacity* capacity_of(const std::string& name) const;
+
+  replica_table* replicas_;
+  serving_settings settings_;
+  std::function<base::call_id()> next_call_;
+  std::shared_ptr<const model::serving_configuration> configuration_;
+  replica_filter filter_;
+  piece_ticket next_ticket_ = 1;
+  std::unordered_map<piece_ticket, queued_piece> pieces_;
+  std::map<std::string, service_queue> queues_;
+  std::map<base::call_id, open_call> calls_;
+  std::map<base::replica_id, std::uint32_t> calls_at_;
+  std::vector<piece_finished> finished_;
+  command_list commands_;
+};
+
+} // namespace spurrack::serving
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "model/errc.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -106,6 +107,8 @@
       "acknowledgement_timeout_ms", 10, 60'000, milliseconds_of(timing.acknowledgement_timeout));
   timing.suspicion_timeout = section->milliseconds("suspicion_timeout_ms", 100, 600'000,
                                                    milliseconds_of(timing.suspicion_timeout));
+  timing.relay_period =
+      section->milliseconds("relay_period_ms", 100, 60'000, milliseconds_of(timing.relay_period));
   if (timing.acknowledgement_timeout >= timing.probe_period) {
     section->fault(model::errc::out_of_range, "acknowledgement_timeout_ms",
                    "less than probe_period_ms");
@@ -132,6 +135,37 @@
   section->finish();
 }
 
+/// Time within which a stopping node must have ended, before it is killed.
+constexpr double end_margin_seconds = 0.7;
+
+void read_serving(mapping_reader& reader, daemon_settings& result) {
+  auto section = reader.mapping("serving", false);
+  if (!section) {
+    return;
+  }
+  serving_endpoints endpoints;
+  endpoints.listen = read_address(*section, "listen");
+  endpoints.readiness_listen = read_address(*section, "readiness_listen");
+  endpoints.store = read_address(*section, "store");
+  result.serving = std::move(endpoints);
+  serving::serving_settings serving;
+  auto& retry = serving.retry;
+  retry.ratio = section->number("retry_ratio", 0, 10, retry.ratio);
+  retry.allowance = section->number("retry_allowance", 0, 1e6, retry.allowance);
+  retry.window = base::from_seconds(
+      section->number("retry_window_s", 0.1, 3600, base::to_seconds(retry.window)));
+  constexpr double usual_grace_seconds = 8;
+  const double grace = section->number("stop_grace_s", 1, 600, usual_grace_seconds);
+  serving.stop_longest = base::from_seconds(std::max(grace - end_margin_seconds, grace / 2));
+  serving.batch_wait =
+      section->milliseconds("batch_wait_ms", 0, 1'000, milliseconds_of(serving.batch_wait));
+  section->finish();
+  result.node.serving = serving;
+  result.node.stop_linger = std::chrono::milliseconds(1'500);
+  result.node.stop_linger_longest = serving.stop_longest;
+  result.node.resync_wait = std::chrono::milliseconds(300);
+}
+
 } // namespace
 
 settings_result parse_settings(const std::string& text) {
@@ -147,7 +181,11 @@
   value.peer_listen = read_address(reader, "peer_listen");
   const auto advertised = reader.optional_text("peer_advertise").value_or(value.peer_listen);
   value.node.self.address = base::network_address(advertised);
-  value.caller_listen = read_address(reader, "caller_listen");
+  read_serving(reader, value);
+  if (!value.serving) {
+    value.caller_listen = read_address(reader, "caller_listen");
+    read_platform(reader, value);
+  }
   value.operator_listen = read_address(reader, "operator_listen");
   for (const auto& seed : reader.text_list("seeds")) {
     if (!is_address(seed)) {
@@ -155,7 +193,6 @@
     }
     value.node.seeds.emplace_back(seed);
   }
-  read_platform(reader, value);
   read_curve(reader, value);
   read_idempotency(reader, value.node.guard);
   read_scheduling(reader, value.node.scheduling);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,14 +28,27 @@
   std::size_t max_connections = 4'096;
 };
 
+/// Addresses of the serving path, as `IP:port`.
+struct serving_endpoints {
+  /// Where clients send requests.
+  std::string listen;
+  /// Where the balancer asks whether this node takes new requests.
+  std::string readiness_listen;
+  /// The platform's metadata store.
+  std::string store;
+};
+
 struct daemon_settings {
   node::node_settings node;
   /// Where this node listens for peers; what peers are told is `node.self.address`.
   std::string peer_listen;
+  /// Empty where the node serves published routes alone.
   std::string caller_listen;
   std::string operator_listen;
   std::string configuration_service;
   std::string machine_list_service;
+  /// Set where the node serves published routes; then `node.serving` is set too.
+  std::optional<serving_endpoints> serving;
   std::optional<curve_keys> curve;
   caller_limits callers;
 };
--- /dev/null
+++ b/src/upstream/connection_pool.h
@@ -0,0 +1,59 @@
+/// Kept connections to replicas, by address. A connection that rests is watched: whatever arrives
+/// on it belongs to no call, so it is closed.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace spurrack::upstream {
+
+/// One connection to a replica.
+struct connection {
+  explicit connection(boost::asio::io_context& io) : stream(io) {}
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  base::time_point rests_since;
+  base::time_point usable_until;
+  /// Counts the times it was taken and given back; lets the watch of an earlier rest end quietly.
+  std::uint64_t rests = 0;
+  bool resting = false;
+};
+
+/// How long a connection that is taken may have rested.
+struct rest_bounds {
+  base::duration least{};
+  base::duration most{};
+};
+
+/// Not thread-safe.
+class connection_pool {
+ public:
+  static constexpr std::size_t most_resting_per_address = 16;
+
+  /// @return a resting connection, the one used last; null where none is fit.
+  std::shared_ptr<connection> take(const base::network_address& address, rest_bounds bounds,
+                                   base::time_point now);
+  /// Keeps a connection for later calls.
+  /// @param lifetime how long it may rest.
+  void give_back(const base::network_address& address, std::shared_ptr<connection> given,
+                 base::duration lifetime, base::time_point now);
+
+ private:
+  using resting_connections = std::deque<std::shared_ptr<connection>>;
+  void watch(const base::network_address& address, const std::shared_ptr<connection>& given);
+  void drop_old(resting_connections& resting, base::time_point now);
+
+  std::unordered_map<base::network_address, resting_connections> resting_;
+};
+
+} // namespace spurrack::upstream
--- /dev/null
+++ b/src/upstream/replica_client.cc
@@ -0,0 +1,458 @@
+#include "upstream/replica_client.h"
+
+#include "http/awaitable.h"
+#include "http/endpoint.h"
+#include "http/socket_options.h"
+#include "upstream/connection_pool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+
+namespace spurrack::upstream {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace beast_http = boost::beast::http;
+
+constexpr std::size_t read_bytes = 16'384;
+constexpr std::uint32_t max_answer_header_bytes = 65'536;
+/// Largest answer that is gathered whole.
+constexpr std::size_t max_whole_answer_bytes = 8'000'000;
+/// Surplus answers that are read past before a connection is given up.
+constexpr unsigned most_surplus_answers = 4;
+/// How long a connection rests where the replica does not say.
+constexpr std::chrono::seconds usual_rest{4};
+/// A connection is not used in the last moments before the replica closes it.
+constexpr std::chrono::milliseconds rest_margin{700};
+constexpr std::chrono::milliseconds unacknowledged_limit{3'000};
+/// A call that may run once takes a connection that has rested this long: what a replica sends
+/// after a whole answer has arrived by then.
+constexpr std::chrono::milliseconds surplus_settle_time{5};
+constexpr std::chrono::seconds free_timeout{2};
+
+using response_parser = beast_http::response_parser<beast_http::buffer_body>;
+
+/// A call under way.
+struct call_state {
+  std::shared_ptr<connection> link;
+  bool cancelled = false;
+  bool sent_anything = false;
+  bool written = false;
+  bool write_failed = false;
+};
+
+/// What is to be sent, and how.
+struct outgoing_call {
+  base::call_id id = 0;
+  base::network_address address;
+  serving::encoded_call content;
+  /// Set for requests: the answer must name it.
+  std::optional<std::string> request;
+  bool streaming = false;
+  rest_bounds rest;
+};
+
+/// An answer that was read whole.
+struct gathered_answer {
+  serving::answer_head head;
+  std::string body;
+};
+
+std::string text_of(const outgoing_call& call) {
+  const auto& content = call.content;
+  std::string text = content.method + " " + content.target + " HTTP/1.1\r\n";
+  for (const auto& field : content.headers) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  if (content.has_body) {
+    text += "Content-Length: " + std::to_string(content.body.size()) + "\r\n";
+  }
+  return text + "\r\n" + content.body;
+}
+
+serving::raw_answer raw_of(const response_parser& parser) {
+  serving::raw_answer raw;
+  raw.status = parser.get().result_int();
+  for (const auto& field : parser.get()) {
+    raw.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  return raw;
+}
+
+/// @return how long the replica keeps an idle connection, as it says.
+base::duration rest_of(const response_parser& parser) {
+  const auto text = parser.get()[beast_http::field::keep_alive];
+  const auto place = text.find("timeout=");
+  if (place == beast::string_view::npos) {
+    return usual_rest - rest_margin;
+  }
+  const auto number = text.substr(place + std::string_view("timeout=").size());
+  unsigned seconds = 0;
+  std::from_chars(number.data(), number.data() + number.size(), seconds);
+  return std::max<base::duration>(std::chrono::seconds(seconds) - rest_margin,
+                                  base::duration::zero());
+}
+
+bool is_success(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
+bool is_interim(unsigned status) {
+  return status < 200;
+}
+
+class replica_client_impl final : public replica_client {
+ public:
+  replica_client_impl(asio::io_context& io, const serving::request_codec& codec,
+                      const serving::serving_settings& settings, event_handler handler)
+      : io_(&io), codec_(&codec), settings_(settings), handler_(std::move(handler)) {}
+
+  void start(serving::start_call wanted) override {
+    outgoing_call call{wanted.call,
+                       wanted.target.address,
+                       codec_->encode(wanted),
+                       wanted.content->id.text(),
+                       wanted.streaming,
+                       {{}, settings_.longest_rest}};
+    if (wanted.runs_at_most_once) {
+      call.rest = {surplus_settle_time, settings_.freshest_idle};
+    }
+    asio::co_spawn(*io_, run_request(open(wanted.call), std::move(call)), asio::detached);
+  }
+
+  void start(serving::start_stage_call wanted) override {
+    outgoing_call call{wanted.call,
+                       wanted.target.address,
+                       codec_->encode(wanted),
+                       std::nullopt,
+                       false,
+                       {surplus_settle_time, settings_.longest_rest}};
+    auto state = open(wanted.call);
+    asio::co_spawn(*io_, run_pieces(std::move(state), std::move(call), std::move(wanted)),
+                   asio::detached);
+  }
+
+  void start(serving::free_results wanted) override {
+    outgoing_call call{0,
+                       wanted.maker,
+                       codec_->encode(wanted),
+                       std::nullopt,
+                       false,
+                       {surplus_settle_time, settings_.longest_rest}};
+    asio::co_spawn(*io_, run_free(std::move(call)), asio::detached);
+  }
+
+  void cancel(base::call_id call) override {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+      return;
+    }
+    found->second->cancelled = true;
+    if (found->second->link) {
+      found->second->link->stream.close();
+    }
+    calls_.erase(found);
+  }
+
+  [[nodiscard]] const connection_counters& counts() const override { return counters_; }
+
+ private:
+  std::shared_ptr<call_state> open(base::call_id id) {
+    auto state = std::make_shared<call_state>();
+    calls_[id] = state;
+    return state;
+  }
+
+  void report(const std::shared_ptr<call_state>& state, base::call_id id, serving::event what) {
+    if (!state->cancelled) {
+      calls_.erase(id);
+      handler_(std::move(what));
+    }
+  }
+
+  /// Takes a kept connection or opens one. @return whether there is one.
+  asio::awaitable<bool> connect(const std::shared_ptr<call_state>& state,
+                                const outgoing_call& call) {
+    state->link = pool_.take(call.address, call.rest, base::boot_clock::now());
+    if (state->link) {
+      ++counters_.reused;
+      co_return true;
+    }
+    const auto endpoint = http::parse_endpoint(call.address.text());
+    if (!endpoint) {
+      co_return false;
+    }
+    ++counters_.opened;
+    state->link = std::make_shared<connection>(*io_);
+    auto& stream = state->link->stream;
+    boost::system::error_code error;
+    stream.expires_after(settings_.connect_timeout);
+    co_await stream.async_connect(*endpoint, http::await_into(error));
+    if (error || state->cancelled) {
+      co_return false;
+    }
+    stream.expires_never();
+    http::prepare_socket(stream.socket(), unacknowledged_limit);
+    co_return true;
+  }
+
+  /// Writes beside the reads: a replica may answer before it has read everything.
+  static asio::awaitable<void> write(std::shared_ptr<call_state> state, std::string text) {
+    boost::system::error_code error;
+    state->sent_anything = true;
+    const auto link = state->link;
+    co_await asio::async_write(link->stream, asio::buffer(text), http::await_into(error));
+    state->written = !error;
+    state->write_failed = error.failed();
+  }
+
+  /// Connects and begins to write. @return whether the call is under way.
+  asio::awaitable<bool> send(const std::shared_ptr<call_state>& state, const outgoing_call& call) {
+    const bool connected = co_await connect(state, call);
+    if (!connected || state->cancelled) {
+      co_return false;
+    }
+    asio::co_spawn(*io_, write(state, text_of(call)), asio::detached);
+    co_return true;
+  }
+
+  /// Reads the head of the answer to the call, past surplus answers and interim ones.
+  /// @return whether there is one.
+  asio::awaitable<bool> read_head(const std::shared_ptr<call_state>& state,
+                                  const outgoing_call& call,
+                                  std::optional<response_parser>& parser) {
+    auto& link = *state->link;
+    for (unsigned surplus = 0; surplus <= most_surplus_answers;) {
+      parser.emplace();
+      parser->header_limit(max_answer_header_bytes);
+      parser->body_limit(boost::none);
+      parser->skip(call.content.method == "HEAD");
+      boost::system::error_code error;
+      co_await beast_http::async_read_header(link.stream, link.buffer, *parser,
+                                             http::await_into(error));
+      if (error || state->cancelled) {
+        co_return false;
+      }
+      if (is_interim(parser->get().result_int())) {
+        continue;
+      }
+      if (!call.request || codec_->answered_request(raw_of(*parser).headers) == call.request) {
+        co_return true;
+      }
+      ++surplus;
+      ++counters_.surplus_answers;
+      std::string ignored;
+      const bool whole = co_await read_body(state, *parser, ignored);
+      if (!whole || !parser->keep_alive()) {
+        co_return false;
+      }
+    }
+    co_return false;
+  }
+
+  /// Reads some of the body. @return the error, if any.
+  static asio::awaitable<boost::system::error_code>
+  read_some(connection& link, response_parser& parser, std::string& bytes) {
+    std::array<char, read_bytes> chunk{};
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    parser.get().body().more = true;
+    boost::system::error_code error;
+    co_await beast_http::async_read_some(link.stream, link.buffer, parser, http::await_into(error));
+    if (error == beast_http::error::need_buffer) {
+      error = {};
+    }
+    bytes.append(chunk.data(), chunk.size() - parser.get().body().size);
+    co_return error;
+  }
+
+  /// Reads the rest of the body. @return whether it is whole.
+  static asio::awaitable<bool> read_body(const std::shared_ptr<call_state>& state,
+                                         response_parser& parser, std::string& body) {
+    while (!parser.is_done()) {
+      const auto error = co_await read_some(*state->link, parser, body);
+      if (error || state->cancelled || body.size() > max_whole_answer_bytes) {
+        co_return false;
+      }
+    }
+    co_return true;
+  }
+
+  void keep_or_close(const std::shared_ptr<call_state>& state, const outgoing_call& call,
+                     const response_parser& parser) {
+    auto& link = *state->link;
+    const bool clean = state->written && parser.is_done() && parser.keep_alive() &&
+                       !parser.need_eof() && link.buffer.size() == 0;
+    if (clean) {
+      pool_.give_back(call.address, state->link, rest_of(parser), base::boot_clock::now());
+    } else {
+      link.stream.close();
+    }
+  }
+
+  serving::answer_head head_of(const response_parser& parser) const {
+    auto head = codec_->read_answer(raw_of(parser));
+    head.closing = head.closing || !parser.keep_alive();
+    return head;
+  }
+
+  asio::awaitable<std::optional<gathered_answer>> exchange(std::shared_ptr<call_state> state,
+                                                           const outgoing_call& call) {
+    std::optional<response_parser> parser;
+    gathered_answer answer;
+    bool going_well = co_await send(state, call);
+    if (going_well) {
+      going_well = co_await read_head(state, call, parser);
+    }
+    if (going_well) {
+      going_well = co_await read_body(state, *parser, answer.body);
+    }
+    if (!going_well) {
+      close(state);
+      co_return std::nullopt;
+    }
+    answer.head = head_of(*parser);
+    keep_or_close(state, call, *parser);
+    co_return answer;
+  }
+
+  static void close(const std::shared_ptr<call_state>& state) {
+    if (state->link) {
+      state->link->stream.close();
+    }
+  }
+
+  static serving::call_fate fate_of(const std::shared_ptr<call_state>& state) {
+    return state->sent_anything ? serving::call_fate::may_have_run : serving::call_fate::not_sent;
+  }
+
+  asio::awaitable<void> run_request(std::shared_ptr<call_state> state, outgoing_call call) {
+    if (call.streaming) {
+      co_await run_stream(std::move(state), std::move(call));
+      co_return;
+    }
+    auto answer = co_await exchange(state, call);
+    if (!answer) {
+      report(state, call.id, serving::call_failed{call.id, fate_of(state)});
+    } else {
+      report(state, call.id,
+             serving::call_answered{call.id, std::move(answer->head), std::move(answer->body)});
+    }
+  }
+
+  asio::awaitable<void> run_stream(std::shared_ptr<call_state> state, outgoing_call call) {
+    std::optional<response_parser> parser;
+    bool going_well = co_await send(state, call);
+    if (going_well) {
+      going_well = co_await read_head(state, call, parser);
+    }
+    if (!going_well) {
+      close(state);
+      report(state, call.id, serving::call_failed{call.id, fate_of(state)});
+      co_return;
+    }
+    auto head = head_of(*parser);
+    if (!is_success(head.status)) {
+      std::string body;
+      const bool whole = co_await read_body(state, *parser, body);
+      if (whole) {
+        keep_or_close(state, call, *parser);
+        report(state, call.id, serving::call_answered{call.id, std::move(head), std::move(body)});
+      } else {
+        close(state);
+        report(state, call.id, serving::call_failed{call.id, fate_of(state)});
+      }
+      co_return;
+    }
+    handler_(serving::stream_opened{call.id, std::move(head)});
+    co_await pass_stream(state, call, *parser);
+  }
+
+  asio::awaitable<void> pass_stream(const std::shared_ptr<call_state>& state,
+                                    const outgoing_call& call, response_parser& parser) {
+    bool whole = true;
+    while (whole && !parser.is_done()) {
+      std::string bytes;
+      const auto error = co_await read_some(*state->link, parser, bytes);
+      if (state->cancelled) {
+        co_return;
+      }
+      if (!bytes.empty()) {
+        handler_(serving::stream_bytes{call.id, std::move(bytes)});
+      }
+      whole = !error;
+    }
+    if (whole) {
+      keep_or_close(state, call, parser);
+    } else {
+      close(state);
+    }
+    report(state, call.id, serving::stream_closed{call.id, whole});
+  }
+
+  asio::awaitable<void> run_pieces(std::shared_ptr<call_state> state, outgoing_call call,
+                                   serving::start_stage_call wanted) {
+    using result = serving::stage_call_ended::result;
+    serving::stage_call_ended ended;
+    ended.call = call.id;
+    auto answer = co_await exchange(state, call);
+    if (!answer) {
+      ended.how = state->sent_anything ? result::failed : result::not_sent;
+    } else {
+      ended.load = answer->head.load;
+      ended.closing = answer->head.closing;
+      ended.how = result::failed;
+      if (answer->head.misdirected) {
+        ended.how = result::misdirected;
+      } else if (answer->head.not_executed) {
+        ended.how = result::refused;
+      } else if (is_success(answer->head.status)) {
+        if (auto pieces = codec_->read_pieces(wanted, answer->body)) {
+          ended.how = result::answered;
+          ended.pieces = std::move(*pieces);
+        }
+      }
+    }
+    report(state, call.id, std::move(ended));
+  }
+
+  asio::awaitable<void> run_free(outgoing_call call) {
+    auto state = std::make_shared<call_state>();
+    asio::steady_timer limit(*io_, free_timeout);
+    limit.async_wait([state](const boost::system::error_code& error) {
+      if (!error && state->link) {
+        state->link->stream.close();
+      }
+    });
+    co_await exchange(state, call);
+  }
+
+  asio::io_context* io_;
+  const serving::request_codec* codec_;
+  serving::serving_settings settings_;
+  event_handler handler_;
+  connection_pool pool_;
+  std::unordered_map<base::call_id, std::shared_ptr<call_state>> calls_;
+  connection_counters counters_;
+};
+
+} // namespace
+
+std::unique_ptr<replica_client> make_replica_client(asio::io_context& io,
+                                                    const serving::request_codec& codec,
+                                                    const serving::serving_settings& settings,
+                                                    event_handler handler) {
+  return std::make_unique<replica_client_impl>(io, codec, settings, std::move(handler));
+}
+
+} // namespace spurrack::upstream
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -6,20 +6,22 @@
 declare -A allowed=(
   [base]="base"
   [wire]="wire base"
-  [model]="model base"
+  [model]="model wire base"
   [catalog]="catalog model wire base"
   [membership]="membership catalog model wire base"
   [routing]="routing catalog model wire base"
   [admission]="admission routing catalog model wire base"
   [idempotency]="idempotency catalog model wire base"
   [execution]="execution admission idempotency routing membership catalog model wire base"
-  [node]="node execution admission idempotency routing membership catalog model wire base"
-  [simulation]="simulation node execution admission idempotency routing membership catalog model wire base"
-  [settings]="settings node execution admission routing membership catalog model wire base"
+  [serving]="serving catalog model wire base"
+  [node]="node serving execution admission idempotency routing membership catalog model wire base"
+  [simulation]="simulation node serving execution admission idempotency routing membership catalog model wire base"
+  [settings]="settings node serving execution admission routing membership catalog model wire base"
   [logging]="logging base"
-  [http]="http settings node execution model base"
-  [platform]="platform http node execution model wire base"
+  [http]="http serving settings node execution model base"
+  [publication]="publication http node execution model wire base"
   [backends]="backends http execution model base"
+  [upstream]="upstream http serving model base"
   [peers]="peers settings wire base"
   [daemon]="*"
   [ctl]="*"
@@ -46,8 +48,14 @@
 # Decision logic does no I/O.
 if grep -nE '#include <(boost/asio|boost/beast|zmq|sys/socket|fstream|iostream|thread)' \
   base/*.h base/*.cc model/*.h model/*.cc catalog/* membership/* routing/* admission/* \
-  idempotency/* execution/* node/* simulation/* 2>/dev/null; then
+  idempotency/* execution/* serving/* node/* simulation/* 2>/dev/null; then
   echo "decision logic may not do I/O"
   bad=1
 fi
+# Names of the users' platform stay in platform/ and deploy/.
+if git grep -nE 'X-Request-Id|X-Response-Seal|X-Expect-Replica|X-Deadline-Ms|X-Prompt-Prefix|X-Token-Count|X-Not-Executed|X-Replica-|X-Piece|X-Inputs|X-Tenant|kv-watch|kv-range|kv-key|stage-run|stage-free|op/config|servers/' \
+  -- . ../tools ../standins | grep -v 'check_layers.sh'; then
+  echo "names of the platform outside platform/"
+  bad=1
+fi
 exit $bad
