Gather the pieces of all nodes for each stage replica at one node

Change: stage_exchange gives each stage replica to one node by rendezvous hashing over the nodes that were heard lately; nodes send pieces there, with load reports, acknowledgements and a new place when a node falls silent. Pieces of one request and stage stay together, room for results is planned, calls at work are never broken off (their results would hold room for seconds), prompts are placed by their last shared part over all zones.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -75,7 +75,9 @@
           now),
       random_(&random), next_periodic_(now) {
   if (settings_.serving) {
-    serving_.emplace(settings_.self.zone, *settings_.serving, random,
+    const serving::fleet_peer self{settings_.self.node, settings_.self.zone,
+                                   settings_.self.address};
+    serving_.emplace(self, *settings_.serving, random, settings_.self.process_start,
                      [this](base::event_kind kind, const base::request_id& request,
                             const std::string& subject,
                             const std::string& detail) { record(kind, request, subject, detail); });
@@ -188,6 +190,7 @@
 void node::run_periodic(base::time_point now) {
   membership_.tick(now, outbox_);
   update_sharing();
+  update_serving_peers();
   executor_.expire_stalled_calls(now);
   read_services(now);
   if (!ready_ && !replication_peers().empty()) {
@@ -247,14 +250,23 @@
 }
 
 void node::apply_serving_changes() {
+  if (serving_ && catalog_.serving_changes() != seen_serving_changes_) {
+    seen_serving_changes_ = catalog_.serving_changes();
+    serving_->update(catalog_);
+  }
+}
+
+void node::update_serving_peers() {
   if (!serving_) {
     return;
   }
-  serving_->set_fleet_size(membership_.members().size() + 1);
-  if (catalog_.serving_changes() != seen_serving_changes_) {
-    seen_serving_changes_ = catalog_.serving_changes();
-    serving_->update(catalog_);
+  std::vector<serving::fleet_peer> alive;
+  for (const auto& [name, other] : membership_.members()) {
+    if (other.state != wire::DEAD) {
+      alive.push_back({name, other.zone, other.address});
+    }
   }
+  serving_->set_peers(std::move(alive), membership_.members().size());
 }
 
 void node::apply_machine_changes(base::time_point now) {
@@ -311,6 +323,8 @@
       for (auto& wanted : serving_->take_commands()) {
         commands_.emplace_back(std::move(wanted));
       }
+      auto told = serving_->take_messages();
+      std::move(told.begin(), told.end(), std::back_inserter(outbox_));
     }
     for (auto& wanted : executor_.take_commands()) {
       std::visit([&](auto& chosen) { emit(std::move(chosen)); }, wanted);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -116,6 +116,7 @@
   void read_services(base::time_point now);
   void apply_machine_changes(base::time_point now);
   void apply_serving_changes();
+  void update_serving_peers();
   void update_sharing();
   void dispatch_message(const wire::envelope& message, base::time_point now);
   void on_backend_notice(const wire::backend_notice& notice, bool from_zone, base::time_point now);
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -36,6 +36,9 @@
     on_forwarded_request(message, now);
   }
   guard_.handle(message, now);
+  if (serving_ && message.has_stage_work()) {
+    serving_->handle_peer(base::node_id(message.sender()), message.stage_work(), now);
+  }
   const bool probe =
       message.has_ping() || message.has_acknowledgement() || message.has_zone_digest();
   if (probe) {
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -71,16 +71,29 @@
 
 } // namespace
 
-dispatcher::dispatcher(base::zone_id own_zone, serving_settings settings,
-                       base::random_source& random, decision_recorder record)
-    : settings_(settings), random_(&random), record_(std::move(record)),
-      replicas_(std::move(own_zone), settings, random), retries_(settings.retry),
-      pool_(replicas_, settings, [this] { return next_call_++; }) {}
+dispatcher::dispatcher(const fleet_peer& self, serving_settings settings,
+                       base::random_source& random, base::incarnation life,
+                       decision_recorder record)
+    : own_zone_(self.zone), settings_(settings), record_(std::move(record)),
+      replicas_(self.zone, settings, random), retries_(settings.retry),
+      stages_(
+          self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
+
+void dispatcher::set_peers(std::vector<fleet_peer> alive, std::size_t known) {
+  retries_.set_fleet_size(known + 1);
+  stages_.set_peers(std::move(alive));
+}
+
+void dispatcher::handle_peer(const base::node_id& sender, const wire::stage_work& message,
+                             base::time_point now) {
+  stages_.handle(sender, message, now);
+  take_piece_results(now);
+}
 
 void dispatcher::update(const catalog::catalog& content) {
   configuration_ = content.serving();
   replicas_.update(content.replicas());
-  pool_.set_configuration(configuration_);
+  stages_.set_configuration(configuration_);
 }
 
 void dispatcher::handle(const event& what, base::time_point now) {
@@ -149,10 +162,11 @@
                                 route->timeout.value_or(longest_request));
   request.ends_at = what.arrived_at + allowed;
   request.events = event_stream(what.content->resume_after);
-  if (!route->stages.empty()) {
-    request.graph = std::make_unique<stage_graph>(*route, what.content->pieces);
-  }
   request.route = std::move(route);
+  if (!request.route->stages.empty()) {
+    request.graph = std::make_unique<stage_graph>(*request.route, what.content->pieces);
+    request.zone = wanted_zone(request, now);
+  }
   retries_.count_request(request.service, now);
   ends_.emplace(request.ends_at, what.client);
   auto& active = active_[what.client] = std::move(request);
@@ -177,30 +191,47 @@
 // --- stages --------------------------------------------------------------------------------------
 
 void dispatcher::submit_pieces(active_request& request, base::time_point now) {
+  std::map<std::uint32_t, std::vector<piece_position>> by_stage;
   for (const auto where : request.graph->take_ready()) {
-    const auto& step = request.route->stages[where.stage];
-    piece_work work;
-    work.request = request.content->id;
-    work.service = step.service;
-    work.stage = where.stage;
-    work.piece = where.piece;
-    if (step.start_after.empty()) {
-      work.piece_key = request.content->piece_key;
-    } else {
-      work.inputs = request.graph->inputs_of(where.stage);
-    }
-    const auto left = usual_stage_time * (1 + request.graph->steps_after(where.stage));
-    work.due = request.arrived + request.route->target_latency - left;
-    work.deadline = request.ends_at;
-    const auto ticket = pool_.submit(std::move(work), now);
-    request.pieces[ticket] = where;
-    tickets_[ticket] = request.client;
-    ++counters_.stage_pieces;
+    by_stage[where.stage].push_back(where);
+  }
+  for (const auto& [stage, positions] : by_stage) {
+    submit_stage(request, positions, now);
+  }
+}
+
+void dispatcher::submit_stage(active_request& request,
+                              const std::vector<piece_position>& positions, base::time_point now) {
+  const auto stage = positions.front().stage;
+  const auto& step = request.route->stages[stage];
+  const auto left = usual_stage_time * (1 + request.graph->steps_after(stage));
+  piece_work common;
+  common.request = request.content->id;
+  common.service = step.service;
+  common.stage = stage;
+  common.result_bytes = step.result_bytes;
+  common.due = request.arrived + request.route->target_latency - left;
+  common.deadline = request.ends_at;
+  if (step.start_after.empty()) {
+    common.piece_key = request.content->piece_key;
+  } else {
+    common.inputs = request.graph->inputs_of(stage);
+  }
+  std::vector<piece_work> pieces;
+  for (const auto where : positions) {
+    pieces.push_back(common);
+    pieces.back().piece = where.piece;
+  }
+  counters_.stage_pieces += pieces.size();
+  const auto tickets = stages_.submit(std::move(pieces), request.zone, now);
+  for (std::size_t index = 0; index < positions.size(); ++index) {
+    request.pieces[tickets[index]] = positions[index];
+    tickets_[tickets[index]] = request.client;
   }
 }
 
 void dispatcher::take_piece_results(base::time_point now) {
-  for (const auto& finished : pool_.take_finished()) {
+  for (const auto& finished : stages_.take_finished()) {
     const auto owner = tickets_.find(finished.ticket);
     if (owner == tickets_.end()) {
       continue;
@@ -230,7 +261,7 @@
 
 void dispatcher::restart_stages(active_request& request, base::time_point now) {
   for (const auto& [ticket, where] : request.pieces) {
-    pool_.cancel(ticket);
+    stages_.cancel(ticket);
     tickets_.erase(ticket);
   }
   request.pieces.clear();
@@ -240,23 +271,19 @@
 }
 
 void dispatcher::on(const stage_call_ended& what, base::time_point now) {
-  if (pool_.on_call_ended(what, now)) {
+  if (stages_.on_call_ended(what, now)) {
     take_piece_results(now);
   }
 }
 
 void dispatcher::free(const std::vector<std::string>& handles) {
-  std::map<std::string, std::vector<std::string>> by_maker;
-  for (const auto& handle : handles) {
-    by_maker[handle.substr(0, handle.find('/'))].push_back(handle);
-  }
-  for (auto& [maker, its_handles] : by_maker) {
-    const base::network_address address(maker);
-    counters_.results_freed += its_handles.size();
-    if (replicas_.find_at(address) != nullptr) {
-      commands_.emplace_back(free_results{address, std::move(its_handles)});
-    }
-  }
+  counters_.results_freed += handles.size();
+  stages_.release(handles);
+}
+
+base::zone_id dispatcher::wanted_zone(const active_request& request, base::time_point now) {
+  const auto* expected = choose_replica(request, now);
+  return expected == nullptr ? own_zone_ : expected->record->zone;
 }
 
 // --- the call at a replica -----------------------------------------------------------------------
@@ -553,7 +580,7 @@
     close_call(request);
   }
   for (const auto& [ticket, where] : request.pieces) {
-    pool_.cancel(ticket);
+    stages_.cancel(ticket);
     tickets_.erase(ticket);
   }
   if (request.graph) {
@@ -611,9 +638,9 @@
 void dispatcher::advance(base::time_point now) {
   expire(now);
   give_up_stalled(now);
-  pool_.pump(now);
+  stages_.pump(now);
   take_piece_results(now);
-  pool_.pump(now);
+  stages_.pump(now);
 }
 
 void dispatcher::give_up_all(base::time_point now) {
@@ -623,7 +650,7 @@
 }
 
 std::optional<base::time_point> dispatcher::next_wakeup(base::time_point now) const {
-  auto earliest = pool_.next_wakeup(now);
+  auto earliest = stages_.next_wakeup(now);
   const auto consider = [&](base::time_point when) {
     earliest = earliest ? std::min(*earliest, when) : when;
   };
@@ -640,7 +667,7 @@
 
 command_list dispatcher::take_commands() {
   auto wanted = std::exchange(commands_, {});
-  auto pooled = pool_.take_commands();
+  auto pooled = stages_.take_commands();
   std::move(pooled.begin(), pooled.end(), std::back_inserter(wanted));
   return wanted;
 }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -2,17 +2,18 @@
 /// replica, repeats, streams, deadlines, answers. No I/O.
 #pragma once
 
-#include "base/event_log.h"
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "serving/counters.h"
+#include "serving/decision_recorder.h"
+#include "serving/decision_recorder.h"
 #include "serving/event_stream.h"
 #include "serving/events.h"
 #include "serving/replica_table.h"
 #include "serving/retry_share.h"
 #include "serving/settings.h"
 #include "serving/stage_graph.h"
-#include "serving/stage_pool.h"
+#include "serving/stage_exchange.h"
 
 #include <cstdint>
 #include <functional>
@@ -22,28 +23,30 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace spurrack::serving {
 
-/// Called at each decision, for the time line and the log.
-using decision_recorder =
-    std::function<void(base::event_kind, const base::request_id&, const std::string& subject,
-                       const std::string& detail)>;
-
 /// Not thread-safe. Commands gather until they are taken.
 class dispatcher {
  public:
   /// @param random must outlive this object.
-  dispatcher(base::zone_id own_zone, serving_settings settings, base::random_source& random,
-             decision_recorder record);
+  /// @param life start of this process, as a number higher than that of every earlier life.
+  dispatcher(const fleet_peer& self, serving_settings settings, base::random_source& random,
+             base::incarnation life, decision_recorder record);
 
   /// Takes over what is published.
   void update(const catalog::catalog& content);
-  void set_fleet_size(std::size_t nodes) { retries_.set_fleet_size(nodes); }
+  /// Takes over the other nodes. @param known nodes known at all, dead ones included.
+  void set_peers(std::vector<fleet_peer> alive, std::size_t known);
   /// While off, new requests are answered that they were not run.
   void set_accepting(bool accepting) { accepting_ = accepting; }
 
   void handle(const event& what, base::time_point now);
+  /// Takes in what another node says of stage work.
+  void handle_peer(const base::node_id& sender, const wire::stage_work& message,
+                   base::time_point now);
   /// Gives up what is past its time and hands out what waits.
   void advance(base::time_point now);
   /// Ends everything that is still open, for a stop that can wait no longer.
@@ -51,6 +54,7 @@
 
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
   [[nodiscard]] command_list take_commands();
+  [[nodiscard]] wire::outbox take_messages() { return stages_.take_messages(); }
   [[nodiscard]] std::size_t active() const { return active_.size(); }
   [[nodiscard]] const serving_counters& counts() const { return counters_; }
   [[nodiscard]] const replica_table& replicas() const { return replicas_; }
@@ -77,6 +81,8 @@
     /// The final answer is given by then.
     base::time_point ends_at;
     std::unique_ptr<stage_graph> graph;
+    /// Zone of the replica that will most likely run the request.
+    base::zone_id zone;
     std::map<piece_ticket, piece_position> pieces;
     std::optional<open_call> call;
     std::set<base::replica_id> tried;
@@ -102,6 +108,8 @@
              const std::optional<model::key_holder>& holder, base::time_point now);
   void go_on(active_request& request, base::time_point now);
   void submit_pieces(active_request& request, base::time_point now);
+  void submit_stage(active_request& request, const std::vector<piece_position>& positions,
+                    base::time_point now);
   void take_piece_results(base::time_point now);
   void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
                          base::time_point now);
@@ -130,19 +138,20 @@
   void finish(active_request& request, unsigned status, const std::string& reason,
               base::time_point now);
   void free(const std::vector<std::string>& handles);
+  base::zone_id wanted_zone(const active_request& request, base::time_point now);
   active_request* find_by_call(base::call_id call);
   void record(base::event_kind kind, const active_request& request, const std::string& subject,
               const std::string& detail);
 
+  base::zone_id own_zone_;
   serving_settings settings_;
-  base::random_source* random_;
   decision_recorder record_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   bool accepting_ = true;
   base::call_id next_call_ = 1;
   replica_table replicas_;
   retry_share retries_;
-  stage_pool pool_;
+  stage_exchange stages_;
   std::unordered_map<base::caller_id, active_request> active_;
   std::unordered_map<base::call_id, base::caller_id> calls_;
   std::unordered_map<piece_ticket, base::caller_id> tickets_;
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -118,22 +118,15 @@
     found = usable(service, excluded, now, true);
   }
   std::vector<std::pair<std::uint64_t, const replica_state*>> ranked;
-  for (const bool own_zone : {true, false}) {
-    ranked.clear();
-    for (const auto* state : found) {
-      const bool within_bound = load_of(*state, now) < engine_load_bound;
-      if ((state->record->zone == own_zone_) == own_zone && within_bound) {
-        ranked.emplace_back(base::stable_hash(state->record->id.text(), affinity), state);
-      }
-    }
-    if (!ranked.empty() && affinity != 0) {
-      return std::max_element(ranked.begin(), ranked.end())->second;
-    }
-    if (!ranked.empty()) {
-      break;
+  for (const auto* state : found) {
+    if (affinity != 0 && load_of(*state, now) < engine_load_bound) {
+      ranked.emplace_back(base::stable_hash(state->record->id.text(), affinity), state);
     }
   }
-  return choose(service, excluded, now);
+  if (ranked.empty()) {
+    return choose(service, excluded, now);
+  }
+  return std::max_element(ranked.begin(), ranked.end())->second;
 }
 
 std::vector<const replica_state*> replica_table::available(const std::string& service,
--- /dev/null
+++ b/src/serving/stage_exchange.cc
@@ -0,0 +1,432 @@
+#include "serving/stage_exchange.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// A peer that was silent for this time is not given work.
+constexpr base::duration silence_limit = std::chrono::milliseconds(900);
+/// A piece that was not acknowledged within this time is placed elsewhere.
+constexpr base::duration acceptance_limit = std::chrono::milliseconds(250);
+constexpr base::duration refresh_period = std::chrono::milliseconds(50);
+constexpr base::duration load_report_period = std::chrono::milliseconds(200);
+/// Times a piece is placed anew before its last place is waited for.
+constexpr std::uint32_t most_moves = 3;
+/// Peers that are told the load of this node.
+constexpr std::size_t most_load_receivers = 24;
+/// What carrying a megabyte to another zone is worth, in seconds of waiting.
+constexpr double seconds_per_remote_megabyte = 0.1;
+constexpr double bytes_per_megabyte = 1e6;
+
+std::int64_t milliseconds_until(base::time_point when, base::time_point now) {
+  return base::to_milliseconds(when - now);
+}
+
+} // namespace
+
+stage_exchange::stage_exchange(fleet_peer self, replica_table& replicas, serving_settings settings,
+                               std::function<base::call_id()> next_call, piece_ticket first_ticket,
+                               decision_recorder record)
+    : self_(std::move(self)), replicas_(&replicas),
+      pool_(replicas, settings, std::move(next_call), std::move(record)),
+      next_ticket_(first_ticket) {
+  pool_.set_filter([this](const replica_state& replica) {
+    return own_replicas_.contains(replica.record->id);
+  });
+}
+
+void stage_exchange::set_configuration(
+    std::shared_ptr<const model::serving_configuration> configuration) {
+  configuration_ = std::move(configuration);
+  pool_.set_configuration(configuration_);
+  next_refresh_ = {};
+}
+
+void stage_exchange::set_peers(std::vector<fleet_peer> peers) {
+  std::map<base::node_id, peer_state> kept;
+  for (auto& peer : peers) {
+    const auto found = peers_.find(peer.node);
+    auto& state = kept[peer.node];
+    if (found != peers_.end()) {
+      state = std::move(found->second);
+    }
+    state.peer = std::move(peer);
+  }
+  peers_ = std::move(kept);
+}
+
+bool stage_exchange::heard_lately(const peer_state& peer, base::time_point now) const {
+  return peer.heard != base::time_point{} && now - peer.heard < silence_limit;
+}
+
+bool stage_exchange::is_in_touch(const base::zone_id& zone, base::time_point now) const {
+  bool any_known = false;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.peer.zone == zone && peer.heard != base::time_point{}) {
+      any_known = true;
+      if (heard_lately(peer, now)) {
+        return true;
+      }
+    }
+  }
+  return !any_known;
+}
+
+// --- who gathers for which replica ---------------------------------------------------------------
+
+void stage_exchange::refresh(base::time_point now) {
+  if (now < next_refresh_) {
+    return;
+  }
+  next_refresh_ = now + refresh_period;
+  own_replicas_.clear();
+  gatherers_.clear();
+  gatherer_of_.clear();
+  std::map<base::zone_id, std::vector<base::node_id>> by_zone;
+  std::vector<base::node_id> all{self_.node};
+  by_zone[self_.zone].push_back(self_.node);
+  for (const auto& [node, peer] : peers_) {
+    if (heard_lately(peer, now)) {
+      by_zone[peer.peer.zone].push_back(node);
+      all.push_back(node);
+    }
+  }
+  for (const auto& [id, replica] : replicas_->all()) {
+    const auto* service =
+        configuration_ ? configuration_->find_service(replica.record->service) : nullptr;
+    if (service == nullptr || !service->pieces || replica.record->draining || replica.left) {
+      continue;
+    }
+    const auto near = by_zone.find(replica.record->zone);
+    add_gatherer(replica, near == by_zone.end() ? all : near->second);
+  }
+}
+
+void stage_exchange::add_gatherer(const replica_state& replica,
+                                  const std::vector<base::node_id>& candidates) {
+  const auto& record = *replica.record;
+  const auto chosen = base::rendezvous_top(record.id.text(), candidates, 1).front();
+  gatherer_of_[record.id] = chosen;
+  if (chosen == self_.node) {
+    own_replicas_.insert(record.id);
+  }
+  auto& known = gatherers_[record.service];
+  const auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
+    return other.node == chosen && other.zone == record.zone;
+  });
+  if (found == known.end()) {
+    known.push_back({chosen, record.zone, 1});
+  } else {
+    ++found->replicas;
+  }
+}
+
+double stage_exchange::expected_wait_seconds(const gatherer& candidate,
+                                             const std::string& service) const {
+  const auto* found = configuration_->find_service(service);
+  const auto& capacity = *found->pieces;
+  double waiting = 0;
+  double under_way = 0;
+  if (candidate.node == self_.node) {
+    waiting = static_cast<double>(pool_.waiting(service));
+    under_way = static_cast<double>(pool_.calls_under_way(service));
+  } else {
+    const auto& peer = peers_.at(candidate.node);
+    const auto told = peer.loads.find(service);
+    if (told != peer.loads.end()) {
+      waiting = told->second.waiting();
+      under_way = told->second.calls_under_way();
+    }
+    const auto sent = peer.sent_since.find(service);
+    waiting += sent == peer.sent_since.end() ? 0 : sent->second;
+  }
+  const double full_call =
+      base::to_seconds(capacity.call_time) + base::to_seconds(capacity.item_time) * capacity.batch;
+  const double calls_ahead = waiting / capacity.batch + under_way / 2;
+  return calls_ahead * full_call / candidate.replicas;
+}
+
+const stage_exchange::gatherer*
+stage_exchange::choose_gatherer(const std::string& service, double result_bytes,
+                                const base::zone_id& zone) const {
+  const auto known = gatherers_.find(service);
+  if (known == gatherers_.end()) {
+    return nullptr;
+  }
+  const gatherer* best = nullptr;
+  double best_cost = 0;
+  for (const auto& candidate : known->second) {
+    const double remote_megabytes =
+        candidate.zone == zone ? 0 : result_bytes / bytes_per_megabyte;
+    const double cost = expected_wait_seconds(candidate, service) +
+                        remote_megabytes * seconds_per_remote_megabyte;
+    if (best == nullptr || cost < best_cost) {
+      best = &candidate;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+// --- pieces of this node -------------------------------------------------------------------------
+
+std::vector<piece_ticket> stage_exchange::submit(std::vector<piece_work> pieces,
+                                                 const base::zone_id& zone,
+                                                 base::time_point now) {
+  refresh(now);
+  double result_bytes = 0;
+  for (const auto& piece : pieces) {
+    result_bytes += piece.result_bytes;
+  }
+  const auto* chosen =
+      pieces.empty() ? nullptr : choose_gatherer(pieces.front().service, result_bytes, zone);
+  std::vector<piece_ticket> tickets;
+  for (auto& piece : pieces) {
+    const auto ticket = next_ticket_++;
+    auto& placed = placements_[ticket];
+    placed.work = std::move(piece);
+    placed.zone = zone;
+    place(ticket, placed, chosen, now);
+    tickets.push_back(ticket);
+  }
+  return tickets;
+}
+
+void stage_exchange::place(piece_ticket ticket, placement& placed, const gatherer* chosen,
+                           base::time_point now) {
+  placed.sent_at = now;
+  placed.accepted = false;
+  if (chosen == nullptr || chosen->node == self_.node) {
+    placed.holder = {};
+    placed.pool_ticket = pool_.submit(placed.work, now);
+    own_by_pool_ticket_[placed.pool_ticket] = ticket;
+    return;
+  }
+  placed.holder = chosen->node;
+  ++peers_.at(chosen->node).sent_since[placed.work.service];
+  auto& wanted = *message_to(chosen->node).add_wanted();
+  wanted.set_ticket(ticket);
+  wanted.set_request(placed.work.request.text());
+  wanted.set_service(placed.work.service);
+  wanted.set_stage(placed.work.stage);
+  wanted.set_piece(placed.work.piece);
+  wanted.set_piece_key(placed.work.piece_key);
+  wanted.mutable_inputs()->Assign(placed.work.inputs.begin(), placed.work.inputs.end());
+  wanted.set_due_in_milliseconds(milliseconds_until(placed.work.due, now));
+  wanted.set_expires_in_milliseconds(milliseconds_until(placed.work.deadline, now));
+  wanted.set_result_bytes(placed.work.result_bytes);
+}
+
+void stage_exchange::place_again(base::time_point now) {
+  for (auto& [ticket, placed] : placements_) {
+    if (placed.holder.empty() || placed.moves >= most_moves) {
+      continue;
+    }
+    const auto peer = peers_.find(placed.holder);
+    const bool silent = peer == peers_.end() || !heard_lately(peer->second, now);
+    const bool not_accepted = !placed.accepted && now - placed.sent_at > acceptance_limit;
+    if (!silent && !not_accepted) {
+      continue;
+    }
+    if (peer != peers_.end() && not_accepted) {
+      // Gets nothing more until it is heard again.
+      peer->second.heard = {};
+      next_refresh_ = {};
+      refresh(now);
+    }
+    message_to(placed.holder).add_cancelled(ticket);
+    ++placed.moves;
+    place(ticket, placed,
+          choose_gatherer(placed.work.service, placed.work.result_bytes, placed.zone), now);
+  }
+}
+
+void stage_exchange::cancel(piece_ticket ticket) {
+  const auto found = placements_.find(ticket);
+  if (found == placements_.end()) {
+    return;
+  }
+  if (found->second.holder.empty()) {
+    own_by_pool_ticket_.erase(found->second.pool_ticket);
+    pool_.cancel(found->second.pool_ticket);
+  } else {
+    message_to(found->second.holder).add_cancelled(ticket);
+  }
+  placements_.erase(found);
+}
+
+void stage_exchange::release(const std::vector<std::string>& handles) {
+  for (const auto& handle : handles) {
+    const base::network_address maker(handle.substr(0, handle.find('/')));
+    const auto* replica = replicas_->find_at(maker);
+    if (replica == nullptr) {
+      continue;
+    }
+    const auto holder = gatherer_of_.find(replica->record->id);
+    if (holder == gatherer_of_.end() || holder->second == self_.node) {
+      pool_.release(handle);
+    } else {
+      message_to(holder->second).add_released(handle);
+    }
+  }
+}
+
+// --- pieces gathered here ------------------------------------------------------------------------
+
+void stage_exchange::handle(const base::node_id& sender, const wire::stage_work& message,
+                            base::time_point now) {
+  const auto found = peers_.find(sender);
+  if (found == peers_.end()) {
+    return;
+  }
+  auto& peer = found->second;
+  peer.heard = now;
+  if (message.loads_size() > 0) {
+    peer.loads.clear();
+    peer.sent_since.clear();
+  }
+  for (const auto& load : message.loads()) {
+    peer.loads[load.service()] = load;
+  }
+  for (const auto& wanted : message.wanted()) {
+    piece_work work;
+    work.request = base::request_id(wanted.request());
+    work.service = wanted.service();
+    work.stage = wanted.stage();
+    work.piece = wanted.piece();
+    work.piece_key = wanted.piece_key();
+    work.inputs.assign(wanted.inputs().begin(), wanted.inputs().end());
+    work.due = now + std::chrono::milliseconds(wanted.due_in_milliseconds());
+    work.deadline = now + std::chrono::milliseconds(wanted.expires_in_milliseconds());
+    work.result_bytes = wanted.result_bytes();
+    const auto pool_ticket = pool_.submit(std::move(work), now);
+    guests_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
+    guest_tickets_[{sender, wanted.ticket()}] = pool_ticket;
+    message_to(sender).add_accepted(wanted.ticket());
+  }
+  for (const auto ticket : message.accepted()) {
+    const auto placed = placements_.find(ticket);
+    if (placed != placements_.end() && placed->second.holder == sender) {
+      placed->second.accepted = true;
+    }
+  }
+  for (const auto& result : message.made()) {
+    const auto placed = placements_.find(result.ticket());
+    if (placed == placements_.end() || placed->second.holder != sender) {
+      if (!result.handle().empty()) {
+        release({result.handle()});
+      }
+      continue;
+    }
+    placements_.erase(placed);
+    finished_.push_back({result.ticket(),
+                         {static_cast<piece_fault>(result.fault()), result.handle()}});
+  }
+  for (const auto ticket : message.cancelled()) {
+    const auto guest = guest_tickets_.find({sender, ticket});
+    if (guest != guest_tickets_.end()) {
+      pool_.cancel(guest->second);
+      guests_by_pool_ticket_.erase(guest->second);
+      guest_tickets_.erase(guest);
+    }
+  }
+  for (const auto& handle : message.released()) {
+    pool_.release(handle);
+  }
+}
+
+bool stage_exchange::on_call_ended(const stage_call_ended& ended, base::time_point now) {
+  const bool mine = pool_.on_call_ended(ended, now);
+  take_pool_results();
+  return mine;
+}
+
+void stage_exchange::take_pool_results() {
+  for (auto& finished : pool_.take_finished()) {
+    const auto own = own_by_pool_ticket_.find(finished.ticket);
+    if (own != own_by_pool_ticket_.end()) {
+      placements_.erase(own->second);
+      finished_.push_back({own->second, std::move(finished.outcome)});
+      own_by_pool_ticket_.erase(own);
+      continue;
+    }
+    const auto guest = guests_by_pool_ticket_.find(finished.ticket);
+    if (guest != guests_by_pool_ticket_.end()) {
+      finish_guest(guest->second, finished.outcome);
+      guest_tickets_.erase({guest->second.origin, guest->second.origin_ticket});
+      guests_by_pool_ticket_.erase(guest);
+    }
+  }
+}
+
+void stage_exchange::finish_guest(const guest_piece& guest, const piece_outcome& outcome) {
+  auto& made = *message_to(guest.origin).add_made();
+  made.set_ticket(guest.origin_ticket);
+  made.set_fault(static_cast<std::uint32_t>(outcome.fault));
+  made.set_handle(outcome.handle);
+}
+
+// --- time and messages ---------------------------------------------------------------------------
+
+void stage_exchange::send_loads(base::time_point now) {
+  if (now < next_load_report_ || !configuration_) {
+    return;
+  }
+  next_load_report_ = now + load_report_period;
+  wire::stage_work report;
+  for (const auto& [name, service] : configuration_->services) {
+    if (!service.pieces) {
+      continue;
+    }
+    auto& load = *report.add_loads();
+    load.set_service(name);
+    load.set_waiting(static_cast<std::uint32_t>(pool_.waiting(name)));
+    load.set_calls_under_way(static_cast<std::uint32_t>(pool_.calls_under_way(name)));
+  }
+  if (report.loads_size() == 0) {
+    return;
+  }
+  std::size_t told = 0;
+  for (const auto& [node, peer] : peers_) {
+    if (told < most_load_receivers || peer.peer.zone == self_.zone) {
+      *message_to(node).mutable_loads() = report.loads();
+      ++told;
+    }
+  }
+}
+
+void stage_exchange::pump(base::time_point now) {
+  refresh(now);
+  place_again(now);
+  pool_.pump(now);
+  take_pool_results();
+  send_loads(now);
+}
+
+std::optional<base::time_point> stage_exchange::next_wakeup(base::time_point now) const {
+  return pool_.next_wakeup(now);
+}
+
+wire::stage_work& stage_exchange::message_to(const base::node_id& node) {
+  return messages_[node];
+}
+
+wire::outbox stage_exchange::take_messages() {
+  wire::outbox out;
+  for (auto& [node, content] : messages_) {
+    const auto peer = peers_.find(node);
+    if (peer != peers_.end()) {
+      wire::outgoing message{peer->second.peer.address, {}};
+      *message.message.mutable_stage_work() = std::move(content);
+      out.push_back(std::move(message));
+    }
+  }
+  messages_.clear();
+  return out;
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/stage_exchange.h
@@ -0,0 +1,135 @@
+/// Stage work of the whole fleet: for each replica one node gathers the pieces of all nodes and puts
+/// its calls together. Nodes send their pieces to the gatherer that will be done first; one that is
+/// silent is replaced by the next in rendezvous order, and two at once do no harm.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "serving/replica_table.h"
+#include "serving/settings.h"
+#include "serving/stage_pool.h"
+#include "wire/outgoing.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// Another node of the fleet.
+struct fleet_peer {
+  base::node_id node;
+  base::zone_id zone;
+  base::network_address address;
+};
+
+/// Not thread-safe. Commands, messages and results gather until they are taken.
+class stage_exchange {
+ public:
+  /// @param replicas must outlive this object.
+  /// @param first_ticket higher than every ticket of earlier lives of this node.
+  stage_exchange(fleet_peer self, replica_table& replicas, serving_settings settings,
+                 std::function<base::call_id()> next_call, piece_ticket first_ticket,
+                 decision_recorder record);
+
+  void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
+  /// Takes over the other nodes that membership holds for alive.
+  void set_peers(std::vector<fleet_peer> peers);
+
+  /// Has the pieces of one stage of one request made, at one place.
+  /// @param zone where the results are wanted.
+  /// @return the ticket of each piece.
+  std::vector<piece_ticket> submit(std::vector<piece_work> pieces, const base::zone_id& zone,
+                                   base::time_point now);
+  /// Nobody wants the piece any more.
+  void cancel(piece_ticket ticket);
+  /// Nobody needs the results any more.
+  void release(const std::vector<std::string>& handles);
+
+  /// @return whether the call was one for pieces.
+  bool on_call_ended(const stage_call_ended& ended, base::time_point now);
+  void handle(const base::node_id& sender, const wire::stage_work& message, base::time_point now);
+
+  void pump(base::time_point now);
+  [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
+
+  [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
+  [[nodiscard]] command_list take_commands() { return pool_.take_commands(); }
+  [[nodiscard]] wire::outbox take_messages();
+  /// @return whether a zone has shown a sign of life lately; true where it has no other nodes.
+  [[nodiscard]] bool is_in_touch(const base::zone_id& zone, base::time_point now) const;
+
+ private:
+  /// A node that gathers the pieces for some replicas of a service.
+  struct gatherer {
+    base::node_id node;
+    base::zone_id zone;
+    std::uint32_t replicas = 0;
+  };
+  struct peer_state {
+    fleet_peer peer;
+    base::time_point heard;
+    std::map<std::string, wire::stage_load> loads;
+    /// Pieces sent since the peer told its load.
+    std::map<std::string, std::uint32_t> sent_since;
+  };
+  /// Where a piece of this node is.
+  struct placement {
+    piece_work work;
+    base::zone_id zone;
+    /// Empty where this node's own pool has it.
+    base::node_id holder;
+    piece_ticket pool_ticket = 0;
+    base::time_point sent_at;
+    bool accepted = false;
+    std::uint32_t moves = 0;
+  };
+  /// A piece that this node gathers for another.
+  struct guest_piece {
+    base::node_id origin;
+    piece_ticket origin_ticket = 0;
+  };
+
+  void refresh(base::time_point now);
+  void add_gatherer(const replica_state& replica, const std::vector<base::node_id>& candidates);
+  [[nodiscard]] bool heard_lately(const peer_state& peer, base::time_point now) const;
+  /// @param result_bytes size of all results together.
+  const gatherer* choose_gatherer(const std::string& service, double result_bytes,
+                                  const base::zone_id& zone) const;
+  [[nodiscard]] double expected_wait_seconds(const gatherer& candidate,
+                                             const std::string& service) const;
+  /// @param chosen null where no other node is fit.
+  void place(piece_ticket ticket, placement& placed, const gatherer* chosen, base::time_point now);
+  void place_again(base::time_point now);
+  void take_pool_results();
+  void finish_guest(const guest_piece& guest, const piece_outcome& outcome);
+  void send_loads(base::time_point now);
+  wire::stage_work& message_to(const base::node_id& node);
+
+  fleet_peer self_;
+  replica_table* replicas_;
+  stage_pool pool_;
+  std::shared_ptr<const model::serving_configuration> configuration_;
+  std::map<base::node_id, peer_state> peers_;
+  /// Replicas this node gathers for.
+  std::set<base::replica_id> own_replicas_;
+  std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
+  std::unordered_map<base::replica_id, base::node_id> gatherer_of_;
+  piece_ticket next_ticket_;
+  std::map<piece_ticket, placement> placements_;
+  std::unordered_map<piece_ticket, piece_ticket> own_by_pool_ticket_;
+  std::unordered_map<piece_ticket, guest_piece> guests_by_pool_ticket_;
+  std::map<std::pair<base::node_id, piece_ticket>, piece_ticket> guest_tickets_;
+  std::map<base::node_id, wire::stage_work> messages_;
+  std::vector<piece_finished> finished_;
+  base::time_point next_refresh_;
+  base::time_point next_load_report_;
+};
+
+} // namespace spurrack::serving
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -9,13 +9,18 @@
 constexpr std::uint32_t most_attempts = 4;
 /// A call that takes this many times as long as it should is given up.
 constexpr double stall_factor = 4.0;
+/// Part of a replica's room that is planned with: sizes of results are approximate.
+constexpr double planned_room = 0.85;
+/// A replica that had no room is given only pieces without large results for this time.
+constexpr base::duration room_pause = std::chrono::milliseconds(60);
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
 
 } // namespace
 
 stage_pool::stage_pool(replica_table& replicas, serving_settings settings,
-                       std::function<base::call_id()> next_call)
-    : replicas_(&replicas), settings_(settings), next_call_(std::move(next_call)) {}
+                       std::function<base::call_id()> next_call, decision_recorder record)
+    : replicas_(&replicas), settings_(settings), next_call_(std::move(next_call)),
+      record_(std::move(record)) {}
 
 void stage_pool::set_configuration(
     std::shared_ptr<const model::serving_configuration> configuration) {
@@ -41,21 +46,12 @@
   }
   queues_[found->second.work.service].erase({found->second.work.due, ticket});
   pieces_.erase(found);
-  for (auto& [call, open] : calls_) {
-    const auto& tickets = open.tickets;
-    const bool mine = std::find(tickets.begin(), tickets.end(), ticket) != tickets.end();
-    const bool any_wanted = std::any_of(tickets.begin(), tickets.end(), [&](piece_ticket other) {
-      return pieces_.contains(other);
-    });
-    if (mine && !any_wanted) {
-      // The call may be at work already; its slot counts as taken until it would have ended.
-      commands_.emplace_back(cancel_call{call});
-      replicas_->call_ended(open.call.target.replica);
-      --calls_at_[open.call.target.replica];
-      calls_.erase(call);
-      return;
-    }
-  }
+}
+
+std::size_t stage_pool::calls_under_way(const std::string& service) const {
+  return static_cast<std::size_t>(
+      std::count_if(calls_.begin(), calls_.end(),
+                    [&](const auto& entry) { return entry.second.service == service; }));
 }
 
 std::size_t stage_pool::waiting(const std::string& service) const {
@@ -83,13 +79,15 @@
 void stage_pool::settle(piece_ticket ticket, const piece_outcome& outcome) {
   if (!pieces_.contains(ticket)) {
     if (!outcome.handle.empty()) {
-      const auto maker = outcome.handle.substr(0, outcome.handle.find('/'));
-      commands_.emplace_back(free_results{base::network_address(maker), {outcome.handle}});
+      release(outcome.handle);
     }
     return;
   }
   switch (outcome.fault) {
   case piece_fault::no_room:
+    --pieces_.at(ticket).attempts;
+    requeue(ticket, outcome.fault);
+    break;
   case piece_fault::error:
   case piece_fault::lost:
     requeue(ticket, outcome.fault);
@@ -107,6 +105,10 @@
   case stage_call_ended::result::answered:
     replicas_->note_success(replica, now - ended.started);
     for (std::size_t index = 0; index < ended.tickets.size(); ++index) {
+      if (answer.pieces[index].fault == piece_fault::no_room) {
+        room_shut_until_[replica] = now + room_pause;
+      }
+      hold_result(ended, index, answer.pieces[index], now);
       settle(ended.tickets[index], answer.pieces[index]);
     }
     return;
@@ -134,6 +136,63 @@
   }
 }
 
+void stage_pool::end_call_account(const open_call& open) {
+  const auto& replica = open.call.target.replica;
+  replicas_->call_ended(replica);
+  --calls_at_[replica];
+  for (const auto bytes : open.result_bytes) {
+    room_taken_[replica] -= bytes;
+  }
+}
+
+void stage_pool::hold_result(const open_call& ended, std::size_t index,
+                             const piece_outcome& outcome, base::time_point now) {
+  const auto* capacity = capacity_of(ended.service);
+  if (outcome.handle.empty() || capacity == nullptr) {
+    return;
+  }
+  const auto& replica = ended.call.target.replica;
+  const auto bytes = ended.result_bytes[index];
+  room_taken_[replica] += bytes;
+  results_[outcome.handle] = {replica, bytes, now + capacity->result_lifetime};
+}
+
+void stage_pool::forget_result(const std::string& handle) {
+  const auto found = results_.find(handle);
+  if (found != results_.end()) {
+    room_taken_[found->second.replica] -= found->second.bytes;
+    results_.erase(found);
+  }
+}
+
+void stage_pool::forget_expired_results(base::time_point now) {
+  std::vector<std::string> expired;
+  for (const auto& [handle, held] : results_) {
+    if (held.expires <= now) {
+      expired.push_back(handle);
+    }
+  }
+  for (const auto& handle : expired) {
+    forget_result(handle);
+  }
+}
+
+void stage_pool::release(const std::string& handle) {
+  forget_result(handle);
+  const base::network_address maker(handle.substr(0, handle.find('/')));
+  if (replicas_->find_at(maker) == nullptr) {
+    return;
+  }
+  for (auto& wanted : commands_) {
+    auto* open = std::get_if<free_results>(&wanted);
+    if (open != nullptr && open->maker == maker) {
+      open->handles.push_back(handle);
+      return;
+    }
+  }
+  commands_.emplace_back(free_results{maker, {handle}});
+}
+
 bool stage_pool::on_call_ended(const stage_call_ended& ended, base::time_point now) {
   const auto found = calls_.find(ended.call);
   if (found == calls_.end()) {
@@ -142,15 +201,31 @@
   const auto open = std::move(found->second);
   calls_.erase(found);
   const auto& replica = open.call.target.replica;
-  replicas_->call_ended(replica);
-  --calls_at_[replica];
+  end_call_account(open);
   if (ended.load) {
     replicas_->note_load(replica, *ended.load, now);
   }
+  record_ended(open, ended, now);
   take_answers(open, ended, now);
   return true;
 }
 
+void stage_pool::record_ended(const open_call& ended, const stage_call_ended& answer,
+                              base::time_point now) const {
+  std::string faults;
+  for (const auto& piece : answer.pieces) {
+    if (piece.fault != piece_fault::none) {
+      faults += " " + std::to_string(static_cast<int>(piece.fault));
+    }
+  }
+  record_(base::event_kind::stage_completed, ended.call.items.front().request,
+          ended.call.target.replica.text(),
+          "call " + std::to_string(ended.call.call) + " ended " +
+              std::to_string(static_cast<int>(answer.how)) + " after " +
+              std::to_string(base::to_milliseconds(now - ended.started)) + " ms" +
+              (faults.empty() ? "" : ", piece faults" + faults));
+}
+
 void stage_pool::give_up_stalled(base::time_point now) {
   std::vector<base::call_id> stalled;
   for (const auto& [call, open] : calls_) {
@@ -205,24 +280,87 @@
   return nullptr;
 }
 
-void stage_pool::start_batch(const std::string& name, service_queue& queue,
-                             const replica_state& replica, const model::piece_capacity& capacity,
-                             base::time_point now) {
+double stage_pool::free_room(const base::replica_id& replica,
+                             const model::piece_capacity& capacity, base::time_point now) const {
+  const auto shut = room_shut_until_.find(replica);
+  if (shut != room_shut_until_.end() && now < shut->second) {
+    return 0;
+  }
+  const auto taken = room_taken_.find(replica);
+  return capacity.result_room_bytes * planned_room -
+         (taken == room_taken_.end() ? 0 : taken->second);
+}
+
+std::vector<stage_pool::piece_group> stage_pool::groups_in(const service_queue& queue) const {
+  std::vector<piece_group> groups;
+  for (const auto& position : queue) {
+    const auto& work = pieces_.at(position.ticket).work;
+    const bool joins = !groups.empty() && *groups.back().request == work.request &&
+                       groups.back().stage == work.stage;
+    if (!joins) {
+      groups.push_back({&work.request, work.stage, position.due, 0, {}});
+    }
+    groups.back().result_bytes += work.result_bytes;
+    groups.back().pieces.push_back(position);
+  }
+  return groups;
+}
+
+std::vector<stage_pool::queue_position>
+stage_pool::compose_batch(const service_queue& queue, const base::replica_id& replica,
+                          const model::piece_capacity& capacity, base::time_point now) const {
+  double room = free_room(replica, capacity, now);
+  const auto groups = groups_in(queue);
+  std::vector<queue_position> batch;
+  for (const bool in_time : {true, false}) {
+    for (const auto& group : groups) {
+      if ((group.due > now) != in_time) {
+        continue;
+      }
+      const auto places = capacity.batch - batch.size();
+      const bool divisible = group.pieces.size() > capacity.batch ||
+                             group.result_bytes > capacity.result_room_bytes * planned_room;
+      const bool fits = group.pieces.size() <= places && group.result_bytes <= room;
+      if (!fits && !divisible) {
+        continue;
+      }
+      for (const auto& position : group.pieces) {
+        const auto bytes = pieces_.at(position.ticket).work.result_bytes;
+        if (batch.size() < capacity.batch && bytes <= room) {
+          room -= bytes;
+          batch.push_back(position);
+        }
+      }
+    }
+  }
+  return batch;
+}
+
+void stage_pool::start_batch(const std::string& name, std::vector<queue_position> batch,
+                             service_queue& queue, const replica_state& replica,
+                             const model::piece_capacity& capacity, base::time_point now) {
   open_call open;
   open.service = name;
   open.started = now;
   open.call.call = next_call_();
   open.call.target = {replica.record->id, replica.record->address};
-  while (!queue.empty() && open.tickets.size() < capacity.batch) {
-    const auto ticket = queue.begin()->ticket;
-    queue.erase(queue.begin());
-    auto& piece = pieces_.at(ticket);
+  for (const auto& position : batch) {
+    queue.erase(position);
+    auto& piece = pieces_.at(position.ticket);
     ++piece.attempts;
     const auto& work = piece.work;
-    open.call.items.push_back(
-        {work.request, work.stage, work.piece, work.deadline - now, work.piece_key, work.inputs});
-    open.tickets.push_back(ticket);
+    open.call.items.push_back({work.request, work.stage, work.piece, work.deadline - now,
+                               work.piece_key, work.inputs});
+    open.tickets.push_back(position.ticket);
+    open.result_bytes.push_back(work.result_bytes);
+    room_taken_[replica.record->id] += work.result_bytes;
   }
+  record_(base::event_kind::stage_dispatched, open.call.items.front().request,
+          replica.record->id.text(),
+          "call " + std::to_string(open.call.call) + " of " + name + ", " +
+              std::to_string(batch.size()) + " pieces, " + std::to_string(queue.size()) +
+              " wait, room taken " +
+              std::to_string(static_cast<std::int64_t>(room_taken_[replica.record->id])));
   const auto usual = capacity.call_time + capacity.item_time * open.tickets.size();
   open.give_up_at =
       now + std::chrono::duration_cast<base::duration>(usual * stall_factor) + stall_margin;
@@ -248,11 +386,16 @@
     if (replica == nullptr) {
       return;
     }
-    start_batch(name, queue, *replica, *capacity, now);
+    auto batch = compose_batch(queue, replica->record->id, *capacity, now);
+    if (batch.empty()) {
+      return;
+    }
+    start_batch(name, std::move(batch), queue, *replica, *capacity, now);
   }
 }
 
 void stage_pool::pump(base::time_point now) {
+  forget_expired_results(now);
   give_up_stalled(now);
   for (auto& [name, queue] : queues_) {
     pump_service(name, queue, now);
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "model/serving_records.h"
+#include "serving/decision_recorder.h"
 #include "serving/events.h"
 #include "serving/replica_table.h"
 #include "serving/settings.h"
@@ -34,7 +35,9 @@
   /// Set for stages that need no results of others.
   std::string piece_key;
   std::vector<std::string> inputs;
-  /// Pieces that are due earlier go first.
+  /// Approximate size of the result.
+  double result_bytes = 0;
+  /// Pieces that are due earlier go first; those that are past due go last.
   base::time_point due;
   /// The result is of no use after this.
   base::time_point deadline;
@@ -55,7 +58,7 @@
   /// @param replicas must outlive the pool.
   /// @param next_call gives numbers of calls; shared with the other calls of the node.
   stage_pool(replica_table& replicas, serving_settings settings,
-             std::function<base::call_id()> next_call);
+             std::function<base::call_id()> next_call, decision_recorder record);
 
   /// Capacities of the services; pieces of services that are gone end as `not_run`.
   void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
@@ -66,6 +69,9 @@
   /// Nobody wants the piece any more; a result that still comes is freed.
   void cancel(piece_ticket ticket);
 
+  /// A result is not needed any more: it is freed at its replica.
+  void release(const std::string& handle);
+
   /// @return whether the call was one of the pool's.
   bool on_call_ended(const stage_call_ended& ended, base::time_point now);
 
@@ -77,7 +83,8 @@
   [[nodiscard]] command_list take_commands() { return std::exchange(commands_, {}); }
   /// @return pieces of a service that wait for a call.
   [[nodiscard]] std::size_t waiting(const std::string& service) const;
-  [[nodiscard]] std::size_t calls_under_way() const { return calls_.size(); }
+  /// @return calls of a service that are under way.
+  [[nodiscard]] std::size_t calls_under_way(const std::string& service) const;
 
  private:
   struct queued_piece {
@@ -98,8 +105,16 @@
     base::time_point give_up_at;
     /// Pieces in the order of the call; one that was cancelled has no entry in `pieces_`.
     std::vector<piece_ticket> tickets;
+    /// Size of the result of each piece.
+    std::vector<double> result_bytes;
   };
   using service_queue = std::set<queue_position>;
+  /// A result that takes up room at its replica.
+  struct held_result {
+    base::replica_id replica;
+    double bytes = 0;
+    base::time_point expires;
+  };
 
   void pump_service(const std::string& name, service_queue& queue, base::time_point now);
   void drop_expired(service_queue& queue, base::time_point now);
@@ -108,10 +123,35 @@
                     base::time_point now) const;
   const replica_state* free_replica(const std::string& name, const model::piece_capacity& capacity,
                                     base::time_point now) const;
-  void start_batch(const std::string& name, service_queue& queue, const replica_state& replica,
+  void start_batch(const std::string& name, std::vector<queue_position> batch,
+                   service_queue& queue, const replica_state& replica,
                    const model::piece_capacity& capacity, base::time_point now);
+  /// Pieces for the next call to a replica: those still in time first, as many as it has room for.
+  std::vector<queue_position> compose_batch(const service_queue& queue,
+                                            const base::replica_id& replica,
+                                            const model::piece_capacity& capacity,
+                                            base::time_point now) const;
+  /// Pieces of one stage of one request, which are kept together.
+  struct piece_group {
+    const base::request_id* request = nullptr;
+    std::uint32_t stage = 0;
+    base::time_point due;
+    double result_bytes = 0;
+    std::vector<queue_position> pieces;
+  };
+  [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
+  [[nodiscard]] double free_room(const base::replica_id& replica,
+                                 const model::piece_capacity& capacity,
+                                 base::time_point now) const;
+  void forget_expired_results(base::time_point now);
+  void forget_result(const std::string& handle);
+  void end_call_account(const open_call& open);
   void take_answers(const open_call& ended, const stage_call_ended& answer, base::time_point now);
   void settle(piece_ticket ticket, const piece_outcome& outcome);
+  void record_ended(const open_call& ended, const stage_call_ended& answer,
+                    base::time_point now) const;
+  void hold_result(const open_call& ended, std::size_t index, const piece_outcome& outcome,
+                   base::time_point now);
   /// Queues a piece again, or ends it with `fault` where it was tried often enough.
   void requeue(piece_ticket ticket, piece_fault fault);
   void finish(piece_ticket ticket, piece_outcome outcome);
@@ -120,6 +160,7 @@
   replica_table* replicas_;
   serving_settings settings_;
   std::function<base::call_id()> next_call_;
+  decision_recorder record_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   replica_filter filter_;
   piece_ticket next_ticket_ = 1;
@@ -127,6 +168,10 @@
   std::map<std::string, service_queue> queues_;
   std::map<base::call_id, open_call> calls_;
   std::map<base::replica_id, std::uint32_t> calls_at_;
+  /// Room taken by results, at work or waiting to be fetched.
+  std::map<base::replica_id, double> room_taken_;
+  std::map<base::replica_id, base::time_point> room_shut_until_;
+  std::unordered_map<std::string, held_result> results_;
   std::vector<piece_finished> finished_;
   command_list commands_;
 };
