One gatherer per service, region and shard

Cause: five gatherers of one service each waited for their own replica; a piece waited half a call on average although another replica was about to be free. Change: the replicas of a service in a region form shards of at most 16 with one gatherer each, which gives the replica that is free first what is due first; zones without a sign of life are avoided.

--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -66,7 +66,8 @@
   for (const auto& id : ids->second) {
     auto& state = replicas_.at(id);
     const bool working = !state.record->draining && !state.left;
-    const bool awake = ignore_pauses || state.paused_until <= now;
+    const bool awake = ignore_pauses ||
+                       (state.paused_until <= now && is_reachable(state.record->zone));
     if (working && awake && !excluded.contains(id)) {
       found.push_back(&state);
     }
@@ -138,7 +139,8 @@
   }
   for (const auto& id : ids->second) {
     const auto& state = replicas_.at(id);
-    if (!state.record->draining && !state.left && state.paused_until <= now) {
+    const bool working = !state.record->draining && !state.left;
+    if (working && state.paused_until <= now && is_reachable(state.record->zone)) {
       found.push_back(&state);
     }
   }
--- a/src/serving/replica_table.h
+++ b/src/serving/replica_table.h
@@ -50,6 +50,12 @@
   /// Takes over the published replicas; what was seen of those that stay is kept.
   void update(const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published);
 
+  /// Zones that cannot be reached now: their replicas are chosen only where there are no others.
+  void set_unreachable(std::set<base::zone_id> zones) { unreachable_ = std::move(zones); }
+  [[nodiscard]] bool is_reachable(const base::zone_id& zone) const {
+    return !unreachable_.contains(zone);
+  }
+
   /// Replica for a plain request: the least loaded, own zone first where loads are alike.
   /// @param excluded replicas that were tried already.
   /// @return null where none can take the request.
@@ -95,6 +101,7 @@
   replica_state* mutable_find(const base::replica_id& id);
 
   base::zone_id own_zone_;
+  std::set<base::zone_id> unreachable_;
   serving_settings settings_;
   base::random_source* random_;
   std::map<base::replica_id, replica_state> replicas_;
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -1,9 +1,12 @@
 /// Settings of the serving path. docs/operators/settings.md describes each with unit and default.
 #pragma once
 
+#include "base/ids.h"
 #include "base/time.h"
 
 #include <cstddef>
+#include <map>
+#include <string>
 
 namespace spurrack::serving {
 
@@ -18,6 +21,8 @@
 };
 
 struct serving_settings {
+  /// Region of each zone. Zones that are not named are regions of their own.
+  std::map<base::zone_id, std::string> regions;
   retry_limits retry;
   /// How long a request that found no replica is told to stay away.
   base::duration retry_after = std::chrono::milliseconds(300);
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -18,8 +18,12 @@
 constexpr std::uint32_t most_moves = 3;
 /// Peers that are told the load of this node.
 constexpr std::size_t most_load_receivers = 24;
-/// What carrying a megabyte to another zone is worth, in seconds of waiting.
-constexpr double seconds_per_remote_megabyte = 0.1;
+/// Replicas that one node gathers for; more are divided over several nodes.
+constexpr std::size_t most_replicas_per_shard = 16;
+/// What carrying a megabyte to another region is worth, in seconds of waiting.
+constexpr double seconds_per_remote_megabyte = 0.5;
+/// What any work in another region is worth, in seconds of waiting.
+constexpr double remote_region_seconds = 0.2;
 constexpr double bytes_per_megabyte = 1e6;
 
 std::int64_t milliseconds_until(base::time_point when, base::time_point now) {
@@ -31,7 +35,7 @@
 stage_exchange::stage_exchange(fleet_peer self, replica_table& replicas, serving_settings settings,
                                std::function<base::call_id()> next_call, piece_ticket first_ticket,
                                decision_recorder record)
-    : self_(std::move(self)), replicas_(&replicas),
+    : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)),
       next_ticket_(first_ticket) {
   pool_.set_filter([this](const replica_state& replica) {
@@ -78,6 +82,22 @@
 
 // --- who gathers for which replica ---------------------------------------------------------------
 
+std::string stage_exchange::region_of(const base::zone_id& zone) const {
+  const auto found = regions_.find(zone);
+  return found == regions_.end() ? zone.text() : found->second;
+}
+
+std::set<base::zone_id> stage_exchange::silent_zones(base::time_point now) const {
+  std::set<base::zone_id> silent;
+  for (const auto& [node, peer] : peers_) {
+    const auto& zone = peer.peer.zone;
+    if (zone != self_.zone && !silent.contains(zone) && !is_in_touch(zone, now)) {
+      silent.insert(zone);
+    }
+  }
+  return silent;
+}
+
 void stage_exchange::refresh(base::time_point now) {
   if (now < next_refresh_) {
     return;
@@ -86,40 +106,52 @@
   own_replicas_.clear();
   gatherers_.clear();
   gatherer_of_.clear();
-  std::map<base::zone_id, std::vector<base::node_id>> by_zone;
+  std::map<std::string, std::vector<base::node_id>> nodes_by_region;
   std::vector<base::node_id> all{self_.node};
-  by_zone[self_.zone].push_back(self_.node);
+  nodes_by_region[region_of(self_.zone)].push_back(self_.node);
   for (const auto& [node, peer] : peers_) {
     if (heard_lately(peer, now)) {
-      by_zone[peer.peer.zone].push_back(node);
+      nodes_by_region[region_of(peer.peer.zone)].push_back(node);
       all.push_back(node);
     }
   }
+  std::map<replica_group, std::vector<base::replica_id>> groups;
   for (const auto& [id, replica] : replicas_->all()) {
     const auto* service =
         configuration_ ? configuration_->find_service(replica.record->service) : nullptr;
-    if (service == nullptr || !service->pieces || replica.record->draining || replica.left) {
-      continue;
+    if (service != nullptr && service->pieces && !replica.record->draining && !replica.left) {
+      groups[{service->name, region_of(replica.record->zone)}].push_back(id);
     }
-    const auto near = by_zone.find(replica.record->zone);
-    add_gatherer(replica, near == by_zone.end() ? all : near->second);
+  }
+  for (const auto& [group, replicas] : groups) {
+    const auto near = nodes_by_region.find(group.region);
+    assign(group, replicas, near == nodes_by_region.end() ? all : near->second);
   }
 }
 
-void stage_exchange::add_gatherer(const replica_state& replica,
-                                  const std::vector<base::node_id>& candidates) {
-  const auto& record = *replica.record;
-  const auto chosen = base::rendezvous_top(record.id.text(), candidates, 1).front();
-  gatherer_of_[record.id] = chosen;
-  if (chosen == self_.node) {
-    own_replicas_.insert(record.id);
+void stage_exchange::assign(const replica_group& group,
+                            const std::vector<base::replica_id>& replicas,
+                            const std::vector<base::node_id>& candidates) {
+  const auto shards = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
+  for (const auto& replica : replicas) {
+    const auto shard = base::stable_hash(replica.text()) % shards;
+    const auto name = group.service + "/" + group.region + "/" + std::to_string(shard);
+    const auto node = base::rendezvous_top(name, candidates, 1).front();
+    gatherer_of_[replica] = node;
+    if (node == self_.node) {
+      own_replicas_.insert(replica);
+    }
+    add_gatherer(group, node);
   }
-  auto& known = gatherers_[record.service];
+}
+
+void stage_exchange::add_gatherer(const replica_group& group, const base::node_id& node) {
+  auto& known = gatherers_[group.service];
   const auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
-    return other.node == chosen && other.zone == record.zone;
+    return other.node == node && other.region == group.region;
   });
   if (found == known.end()) {
-    known.push_back({chosen, record.zone, 1});
+    known.push_back({node, group.region, 1});
   } else {
     ++found->replicas;
   }
@@ -160,10 +192,12 @@
   const gatherer* best = nullptr;
   double best_cost = 0;
   for (const auto& candidate : known->second) {
-    const double remote_megabytes =
-        candidate.zone == zone ? 0 : result_bytes / bytes_per_megabyte;
-    const double cost = expected_wait_seconds(candidate, service) +
-                        remote_megabytes * seconds_per_remote_megabyte;
+    const bool near = candidate.region == region_of(zone);
+    const double remote_cost =
+        near ? 0
+             : remote_region_seconds +
+                   result_bytes / bytes_per_megabyte * seconds_per_remote_megabyte;
+    const double cost = expected_wait_seconds(candidate, service) + remote_cost;
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
@@ -189,7 +223,7 @@
     const auto ticket = next_ticket_++;
     auto& placed = placements_[ticket];
     placed.work = std::move(piece);
-    placed.zone = zone;
+    placed.work.zone = zone;
     place(ticket, placed, chosen, now);
     tickets.push_back(ticket);
   }
@@ -219,6 +253,7 @@
   wanted.set_due_in_milliseconds(milliseconds_until(placed.work.due, now));
   wanted.set_expires_in_milliseconds(milliseconds_until(placed.work.deadline, now));
   wanted.set_result_bytes(placed.work.result_bytes);
+  wanted.set_zone(placed.work.zone.text());
 }
 
 void stage_exchange::place_again(base::time_point now) {
@@ -241,7 +276,8 @@
     message_to(placed.holder).add_cancelled(ticket);
     ++placed.moves;
     place(ticket, placed,
-          choose_gatherer(placed.work.service, placed.work.result_bytes, placed.zone), now);
+          choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone),
+          now);
   }
 }
 
@@ -303,6 +339,7 @@
     work.due = now + std::chrono::milliseconds(wanted.due_in_milliseconds());
     work.deadline = now + std::chrono::milliseconds(wanted.expires_in_milliseconds());
     work.result_bytes = wanted.result_bytes();
+    work.zone = base::zone_id(wanted.zone());
     const auto pool_ticket = pool_.submit(std::move(work), now);
     guests_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
     guest_tickets_[{sender, wanted.ticket()}] = pool_ticket;
@@ -400,6 +437,7 @@
 }
 
 void stage_exchange::pump(base::time_point now) {
+  replicas_->set_unreachable(silent_zones(now));
   refresh(now);
   place_again(now);
   pool_.pump(now);
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -1,6 +1,8 @@
-/// Stage work of the whole fleet: for each replica one node gathers the pieces of all nodes and puts
-/// its calls together. Nodes send their pieces to the gatherer that will be done first; one that is
-/// silent is replaced by the next in rendezvous order, and two at once do no harm.
+/// Stage work of the whole fleet: the replicas of a service in a region are divided into shards, and
+/// for each shard one node gathers the pieces of all nodes and puts the calls together, so that
+/// whichever replica is free first takes what is due first. Nodes send their pieces to the gatherer
+/// that will be done first; one that is silent is replaced by the next in rendezvous order, and two
+/// at once do no harm.
 #pragma once
 
 #include "base/ids.h"
@@ -64,14 +66,22 @@
   [[nodiscard]] wire::outbox take_messages();
   /// @return whether a zone has shown a sign of life lately; true where it has no other nodes.
   [[nodiscard]] bool is_in_touch(const base::zone_id& zone, base::time_point now) const;
+  /// @return zones of other nodes of which none has shown a sign of life lately.
+  [[nodiscard]] std::set<base::zone_id> silent_zones(base::time_point now) const;
 
  private:
   /// A node that gathers the pieces for some replicas of a service.
   struct gatherer {
     base::node_id node;
-    base::zone_id zone;
+    std::string region;
     std::uint32_t replicas = 0;
   };
+  /// Replicas of one service in one region.
+  struct replica_group {
+    std::string service;
+    std::string region;
+    auto operator<=>(const replica_group&) const = default;
+  };
   struct peer_state {
     fleet_peer peer;
     base::time_point heard;
@@ -82,7 +92,6 @@
   /// Where a piece of this node is.
   struct placement {
     piece_work work;
-    base::zone_id zone;
     /// Empty where this node's own pool has it.
     base::node_id holder;
     piece_ticket pool_ticket = 0;
@@ -97,7 +106,11 @@
   };
 
   void refresh(base::time_point now);
-  void add_gatherer(const replica_state& replica, const std::vector<base::node_id>& candidates);
+  /// Divides the replicas of a group into shards and finds the gatherer of each.
+  void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
+              const std::vector<base::node_id>& candidates);
+  void add_gatherer(const replica_group& group, const base::node_id& node);
+  [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
   [[nodiscard]] bool heard_lately(const peer_state& peer, base::time_point now) const;
   /// @param result_bytes size of all results together.
   const gatherer* choose_gatherer(const std::string& service, double result_bytes,
@@ -113,6 +126,7 @@
   wire::stage_work& message_to(const base::node_id& node);
 
   fleet_peer self_;
+  std::map<base::zone_id, std::string> regions_;
   replica_table* replicas_;
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -10,7 +10,15 @@
 /// A call that takes this many times as long as it should is given up.
 constexpr double stall_factor = 4.0;
 /// Part of a replica's room that is planned with: sizes of results are approximate.
-constexpr double planned_room = 0.85;
+constexpr double planned_room = 0.95;
+/// How long results wait to be made in the zone where they are wanted, for each megabyte.
+constexpr double patience_seconds_per_megabyte = 0.1;
+constexpr double longest_patience_seconds = 0.4;
+constexpr double bytes_per_megabyte = 1e6;
+/// While pieces wait, replicas are looked at again after this time.
+constexpr base::duration waiting_check_period = std::chrono::milliseconds(25);
+/// A group that is due sooner does not wait for its zone.
+constexpr base::duration no_patience_before_due = std::chrono::milliseconds(300);
 /// A replica that had no room is given only pieces without large results for this time.
 constexpr base::duration room_pause = std::chrono::milliseconds(60);
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
@@ -264,20 +272,16 @@
   });
 }
 
-const replica_state* stage_pool::free_replica(const std::string& name,
-                                              const model::piece_capacity& capacity,
-                                              base::time_point now) const {
-  for (const auto* state : replicas_->available(name, now)) {
-    if (filter_ && !filter_(*state)) {
-      continue;
-    }
-    const auto found = calls_at_.find(state->record->id);
-    const auto under_way = found == calls_at_.end() ? 0 : found->second;
-    if (under_way < capacity.slots) {
-      return state;
-    }
-  }
-  return nullptr;
+std::vector<const replica_state*>
+stage_pool::free_replicas(const std::string& name, const model::piece_capacity& capacity,
+                          base::time_point now) const {
+  auto found = replicas_->available(name, now);
+  std::erase_if(found, [&](const replica_state* state) {
+    const auto calls = calls_at_.find(state->record->id);
+    const auto under_way = calls == calls_at_.end() ? 0 : calls->second;
+    return under_way >= capacity.slots || (filter_ && !filter_(*state));
+  });
+  return found;
 }
 
 double stage_pool::free_room(const base::replica_id& replica,
@@ -298,7 +302,8 @@
     const bool joins = !groups.empty() && *groups.back().request == work.request &&
                        groups.back().stage == work.stage;
     if (!joins) {
-      groups.push_back({&work.request, work.stage, position.due, 0, {}});
+      groups.push_back({&work.request, work.stage, position.due, 0, &work.zone,
+                        pieces_.at(position.ticket).submitted, {}});
     }
     groups.back().result_bytes += work.result_bytes;
     groups.back().pieces.push_back(position);
@@ -306,15 +311,28 @@
   return groups;
 }
 
+bool stage_pool::may_run_in(const piece_group& group, const base::zone_id& zone,
+                            const std::set<base::zone_id>& served, base::time_point now) {
+  if (*group.zone == zone || !served.contains(*group.zone) ||
+      group.due - now < no_patience_before_due) {
+    return true;
+  }
+  const double patience =
+      std::min(longest_patience_seconds,
+               group.result_bytes / bytes_per_megabyte * patience_seconds_per_megabyte);
+  return base::to_seconds(now - group.submitted) >= patience;
+}
+
 std::vector<stage_pool::queue_position>
-stage_pool::compose_batch(const service_queue& queue, const base::replica_id& replica,
+stage_pool::compose_batch(const service_queue& queue, const model::replica& replica,
+                          const std::set<base::zone_id>& served,
                           const model::piece_capacity& capacity, base::time_point now) const {
-  double room = free_room(replica, capacity, now);
+  double room = free_room(replica.id, capacity, now);
   const auto groups = groups_in(queue);
   std::vector<queue_position> batch;
   for (const bool in_time : {true, false}) {
     for (const auto& group : groups) {
-      if ((group.due > now) != in_time) {
+      if ((group.due > now) != in_time || !may_run_in(group, replica.zone, served, now)) {
         continue;
       }
       const auto places = capacity.batch - batch.size();
@@ -381,16 +399,18 @@
     }
     return;
   }
-  while (!queue.empty() && batch_is_due(queue, *capacity, now)) {
-    const auto* replica = free_replica(name, *capacity, now);
-    if (replica == nullptr) {
-      return;
-    }
-    auto batch = compose_batch(queue, replica->record->id, *capacity, now);
-    if (batch.empty()) {
-      return;
+  if (queue.empty() || !batch_is_due(queue, *capacity, now)) {
+    return;
+  }
+  std::set<base::zone_id> served;
+  for (const auto* replica : replicas_->available(name, now)) {
+    served.insert(replica->record->zone);
+  }
+  for (const auto* replica : free_replicas(name, *capacity, now)) {
+    auto batch = compose_batch(queue, *replica->record, served, *capacity, now);
+    if (!batch.empty()) {
+      start_batch(name, std::move(batch), queue, *replica, *capacity, now);
     }
-    start_batch(name, std::move(batch), queue, *replica, *capacity, now);
   }
 }
 
@@ -416,6 +436,9 @@
       const auto joined = piece.submitted + settings_.batch_wait;
       consider(joined > now ? joined : piece.work.deadline);
     }
+    if (!queue.empty()) {
+      consider(now + waiting_check_period);
+    }
     const auto pause = queue.empty() ? std::nullopt : replicas_->next_pause_end(name, now);
     if (pause) {
       consider(*pause);
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -35,6 +35,8 @@
   /// Set for stages that need no results of others.
   std::string piece_key;
   std::vector<std::string> inputs;
+  /// Where the result is wanted.
+  base::zone_id zone;
   /// Approximate size of the result.
   double result_bytes = 0;
   /// Pieces that are due earlier go first; those that are past due go last.
@@ -121,14 +123,18 @@
   void give_up_stalled(base::time_point now);
   bool batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
                     base::time_point now) const;
-  const replica_state* free_replica(const std::string& name, const model::piece_capacity& capacity,
-                                    base::time_point now) const;
+  /// Replicas that can be given a call now.
+  [[nodiscard]] std::vector<const replica_state*>
+  free_replicas(const std::string& name, const model::piece_capacity& capacity,
+                base::time_point now) const;
   void start_batch(const std::string& name, std::vector<queue_position> batch,
                    service_queue& queue, const replica_state& replica,
                    const model::piece_capacity& capacity, base::time_point now);
   /// Pieces for the next call to a replica: those still in time first, as many as it has room for.
+  /// @param served zones in which the service has replicas that work.
   std::vector<queue_position> compose_batch(const service_queue& queue,
-                                            const base::replica_id& replica,
+                                            const model::replica& replica,
+                                            const std::set<base::zone_id>& served,
                                             const model::piece_capacity& capacity,
                                             base::time_point now) const;
   /// Pieces of one stage of one request, which are kept together.
@@ -137,8 +143,15 @@
     std::uint32_t stage = 0;
     base::time_point due;
     double result_bytes = 0;
+    /// Where the results are wanted.
+    const base::zone_id* zone = nullptr;
+    base::time_point submitted;
     std::vector<queue_position> pieces;
   };
+  /// @return whether a group may be made at a replica of `zone` now, or should wait for one of the
+  ///         zone where its results are wanted.
+  [[nodiscard]] static bool may_run_in(const piece_group& group, const base::zone_id& zone,
+                                       const std::set<base::zone_id>& served, base::time_point now);
   [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
   [[nodiscard]] double free_room(const base::replica_id& replica,
                                  const model::piece_capacity& capacity,
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -159,6 +159,11 @@
   serving.stop_longest = base::from_seconds(std::max(grace - end_margin_seconds, grace / 2));
   serving.batch_wait =
       section->milliseconds("batch_wait_ms", 0, 1'000, milliseconds_of(serving.batch_wait));
+  if (auto regions = section->mapping("regions", false)) {
+    for (const auto& zone : regions->entry_names()) {
+      serving.regions[base::zone_id(zone)] = regions->required_text(zone);
+    }
+  }
   section->finish();
   result.node.serving = serving;
   result.node.stop_linger = std::chrono::milliseconds(1'500);
