Make pieces where what they read lies

Change: a group of pieces waits for a replica of the zone where most of its inputs lie (or where its results are read), longer the more would be carried, never up to its due time.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -217,19 +217,48 @@
   } else {
     common.inputs = request.graph->inputs_of(stage);
   }
+  counters_.stage_pieces += positions.size();
+  choose_zone(request, stage, common);
   std::vector<piece_work> pieces;
   for (const auto where : positions) {
     pieces.push_back(common);
     pieces.back().piece = where.piece;
   }
-  counters_.stage_pieces += pieces.size();
-  const auto tickets = stages_.submit(std::move(pieces), request.zone, now);
+  const auto tickets = stages_.submit(std::move(pieces), common.zone, now);
   for (std::size_t index = 0; index < positions.size(); ++index) {
     request.pieces[tickets[index]] = positions[index];
     tickets_[tickets[index]] = request.client;
   }
 }
 
+void dispatcher::choose_zone(const active_request& request, std::uint32_t stage,
+                             piece_work& work) const {
+  const auto& route = *request.route;
+  double result_bytes = 0;
+  if (request.graph->is_last(stage)) {
+    result_bytes = work.result_bytes;
+  }
+  // Each piece reads every input.
+  std::map<base::zone_id, double> read_in;
+  for (const auto before : route.stages[stage].start_after) {
+    for (const auto& handle : request.graph->results_of(before)) {
+      const auto* maker =
+          replicas_.find_at(base::network_address(handle.substr(0, handle.find('/'))));
+      if (maker != nullptr) {
+        read_in[maker->record->zone] += route.stages[before].result_bytes;
+      }
+    }
+  }
+  work.zone = request.zone;
+  work.carried_bytes = result_bytes;
+  for (const auto& [zone, bytes] : read_in) {
+    if (bytes > work.carried_bytes) {
+      work.zone = zone;
+      work.carried_bytes = bytes;
+    }
+  }
+}
+
 void dispatcher::take_piece_results(base::time_point now) {
   for (const auto& finished : stages_.take_finished()) {
     const auto owner = tickets_.find(finished.ticket);
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -138,6 +138,10 @@
   void finish(active_request& request, unsigned status, const std::string& reason,
               base::time_point now);
   void free(const std::vector<std::string>& handles);
+  /// Fills in where the pieces of a stage are best made: where what they read lies, or where what
+  /// they make is read.
+  void choose_zone(const active_request& request, std::uint32_t stage,
+                   piece_work& work) const;
   base::zone_id wanted_zone(const active_request& request, base::time_point now);
   active_request* find_by_call(base::call_id call);
   void record(base::event_kind kind, const active_request& request, const std::string& subject,
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -254,6 +254,7 @@
   wanted.set_expires_in_milliseconds(milliseconds_until(placed.work.deadline, now));
   wanted.set_result_bytes(placed.work.result_bytes);
   wanted.set_zone(placed.work.zone.text());
+  wanted.set_carried_bytes(placed.work.carried_bytes);
 }
 
 void stage_exchange::place_again(base::time_point now) {
@@ -340,6 +341,7 @@
     work.deadline = now + std::chrono::milliseconds(wanted.expires_in_milliseconds());
     work.result_bytes = wanted.result_bytes();
     work.zone = base::zone_id(wanted.zone());
+    work.carried_bytes = wanted.carried_bytes();
     const auto pool_ticket = pool_.submit(std::move(work), now);
     guests_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
     guest_tickets_[{sender, wanted.ticket()}] = pool_ticket;
--- a/src/serving/stage_graph.cc
+++ b/src/serving/stage_graph.cc
@@ -101,6 +101,12 @@
   return results;
 }
 
+std::vector<std::string> stage_graph::results_of(std::uint32_t stage) const {
+  std::vector<std::string> results;
+  append_results(stage, results);
+  return results;
+}
+
 bool stage_graph::done() const {
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
     if (!finished(stage)) {
--- a/src/serving/stage_graph.h
+++ b/src/serving/stage_graph.h
@@ -34,6 +34,10 @@
   [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
   /// @return results of the stages that no other comes after, in order.
   [[nodiscard]] std::vector<std::string> final_inputs() const;
+  /// @return results of one stage, in the order of its pieces.
+  [[nodiscard]] std::vector<std::string> results_of(std::uint32_t stage) const;
+  /// @return whether no other stage comes after `stage`.
+  [[nodiscard]] bool is_last(std::uint32_t stage) const;
   [[nodiscard]] bool done() const;
   /// @return results all of whose users are finished, or all results where `everything` is set;
   ///         each is returned once.
@@ -51,7 +55,6 @@
   };
   [[nodiscard]] bool finished(std::uint32_t stage) const;
   [[nodiscard]] bool ready(std::uint32_t stage) const;
-  [[nodiscard]] bool is_last(std::uint32_t stage) const;
   [[nodiscard]] bool users_finished(std::uint32_t stage) const;
   void append_results(std::uint32_t stage, std::vector<std::string>& results) const;
 
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -11,9 +11,10 @@
 constexpr double stall_factor = 4.0;
 /// Part of a replica's room that is planned with: sizes of results are approximate.
 constexpr double planned_room = 0.95;
-/// How long results wait to be made in the zone where they are wanted, for each megabyte.
-constexpr double patience_seconds_per_megabyte = 0.1;
-constexpr double longest_patience_seconds = 0.4;
+/// How long pieces wait for a replica of the zone where they are best made, for each megabyte that
+/// is carried between zones otherwise.
+constexpr double patience_seconds_per_megabyte = 0.2;
+constexpr double longest_patience_seconds = 0.6;
 constexpr double bytes_per_megabyte = 1e6;
 /// While pieces wait, replicas are looked at again after this time.
 constexpr base::duration waiting_check_period = std::chrono::milliseconds(25);
@@ -302,10 +303,11 @@
     const bool joins = !groups.empty() && *groups.back().request == work.request &&
                        groups.back().stage == work.stage;
     if (!joins) {
-      groups.push_back({&work.request, work.stage, position.due, 0, &work.zone,
+      groups.push_back({&work.request, work.stage, position.due, 0, &work.zone, 0,
                         pieces_.at(position.ticket).submitted, {}});
     }
     groups.back().result_bytes += work.result_bytes;
+    groups.back().carried_bytes += work.carried_bytes;
     groups.back().pieces.push_back(position);
   }
   return groups;
@@ -319,7 +321,7 @@
   }
   const double patience =
       std::min(longest_patience_seconds,
-               group.result_bytes / bytes_per_megabyte * patience_seconds_per_megabyte);
+               group.carried_bytes / bytes_per_megabyte * patience_seconds_per_megabyte);
   return base::to_seconds(now - group.submitted) >= patience;
 }
 
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -35,8 +35,10 @@
   /// Set for stages that need no results of others.
   std::string piece_key;
   std::vector<std::string> inputs;
-  /// Where the result is wanted.
+  /// Where the piece is best made.
   base::zone_id zone;
+  /// Bytes that are carried between zones where it is made elsewhere.
+  double carried_bytes = 0;
   /// Approximate size of the result.
   double result_bytes = 0;
   /// Pieces that are due earlier go first; those that are past due go last.
@@ -143,13 +145,14 @@
     std::uint32_t stage = 0;
     base::time_point due;
     double result_bytes = 0;
-    /// Where the results are wanted.
+    /// Where the pieces are best made, and what is carried between zones elsewhere.
     const base::zone_id* zone = nullptr;
+    double carried_bytes = 0;
     base::time_point submitted;
     std::vector<queue_position> pieces;
   };
   /// @return whether a group may be made at a replica of `zone` now, or should wait for one of the
-  ///         zone where its results are wanted.
+  ///         zone where it is best made.
   [[nodiscard]] static bool may_run_in(const piece_group& group, const base::zone_id& zone,
                                        const std::set<base::zone_id>& served, base::time_point now);
   [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
