--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -22,7 +22,7 @@
   outstanding_ = false;
   cursor_ = service_revision;
   last_answer_ = now;
-  backoff_ = retry_first;
+  backoff_ = std::min(retry_first, retry_longest_);
   next_try_ = now;
   return went_back;
 }
@@ -30,7 +30,7 @@
 void service_watch::on_failure(base::time_point now) {
   outstanding_ = false;
   next_try_ = now + backoff_;
-  backoff_ = std::min(backoff_ * 2, retry_longest);
+  backoff_ = std::min(backoff_ * 2, retry_longest_);
 }
 
 } // namespace spurrack::catalog
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace spurrack::catalog {
@@ -15,10 +16,14 @@
   /// Nodes of a zone that watch at the same time.
   static constexpr std::size_t watchers_per_zone = 2;
   static constexpr base::duration retry_first = std::chrono::milliseconds(250);
-  static constexpr base::duration retry_longest = std::chrono::seconds(8);
+  /// Longest time between two tries where the service does not answer.
+  static constexpr base::duration usual_retry_longest = std::chrono::seconds(8);
   /// A watch without answer is given up after this time (the service holds one for half of it).
   static constexpr base::duration watch_timeout = std::chrono::seconds(20);
 
+  explicit service_watch(base::duration retry_longest = usual_retry_longest)
+      : retry_longest_(retry_longest), backoff_(std::min(retry_first, retry_longest)) {}
+
   /// @return the revision after which to read, where a read is due now.
   std::optional<base::revision> next_read(bool holds_job, base::time_point now);
 
@@ -37,7 +42,8 @@
   base::revision cursor_ = 0;
   base::time_point outstanding_since_;
   base::time_point next_try_;
-  base::duration backoff_ = retry_first;
+  base::duration retry_longest_;
+  base::duration backoff_;
   std::optional<base::time_point> last_answer_;
   std::uint64_t calls_ = 0;
 };
--- a/src/serving/decision_recorder.h
+++ b/src/serving/decision_recorder.h
@@ -11,7 +11,8 @@
 
 /// Called at each decision. `subject` names the replica, route or status concerned; `detail` the
 /// inputs that decided, with their age or version.
-using decision_recorder = std::function<void(base::event_kind, const base::request_id&,
-                                             const std::string& subject, const std::string& detail)>;
+using decision_recorder =
+    std::function<void(base::event_kind, const base::request_id&, const std::string& subject,
+                       const std::string& detail)>;
 
 } // namespace spurrack::serving
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -200,8 +200,8 @@
   }
 }
 
-void dispatcher::submit_stage(active_request& request,
-                              const std::vector<piece_position>& positions, base::time_point now) {
+void dispatcher::submit_stage(active_request& request, const std::vector<piece_position>& positions,
+                              base::time_point now) {
   const auto stage = positions.front().stage;
   const auto& step = request.route->stages[stage];
   const auto left = usual_stage_time * (1 + request.graph->steps_after(stage));
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -6,14 +6,13 @@
 #include "catalog/catalog.h"
 #include "serving/counters.h"
 #include "serving/decision_recorder.h"
-#include "serving/decision_recorder.h"
 #include "serving/event_stream.h"
 #include "serving/events.h"
 #include "serving/replica_table.h"
 #include "serving/retry_share.h"
 #include "serving/settings.h"
-#include "serving/stage_graph.h"
 #include "serving/stage_exchange.h"
+#include "serving/stage_graph.h"
 
 #include <cstdint>
 #include <functional>
@@ -140,8 +139,7 @@
   void free(const std::vector<std::string>& handles);
   /// Fills in where the pieces of a stage are best made: where what they read lies, or where what
   /// they make is read.
-  void choose_zone(const active_request& request, std::uint32_t stage,
-                   piece_work& work) const;
+  void choose_zone(const active_request& request, std::uint32_t stage, piece_work& work) const;
   base::zone_id wanted_zone(const active_request& request, base::time_point now);
   active_request* find_by_call(base::call_id call);
   void record(base::event_kind kind, const active_request& request, const std::string& subject,
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -66,8 +66,8 @@
   for (const auto& id : ids->second) {
     auto& state = replicas_.at(id);
     const bool working = !state.record->draining && !state.left;
-    const bool awake = ignore_pauses ||
-                       (state.paused_until <= now && is_reachable(state.record->zone));
+    const bool awake =
+        ignore_pauses || (state.paused_until <= now && is_reachable(state.record->zone));
     if (working && awake && !excluded.contains(id)) {
       found.push_back(&state);
     }
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -38,9 +38,8 @@
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)),
       next_ticket_(first_ticket) {
-  pool_.set_filter([this](const replica_state& replica) {
-    return own_replicas_.contains(replica.record->id);
-  });
+  pool_.set_filter(
+      [this](const replica_state& replica) { return own_replicas_.contains(replica.record->id); });
 }
 
 void stage_exchange::set_configuration(
@@ -182,9 +181,9 @@
   return calls_ahead * full_call / candidate.replicas;
 }
 
-const stage_exchange::gatherer*
-stage_exchange::choose_gatherer(const std::string& service, double result_bytes,
-                                const base::zone_id& zone) const {
+const stage_exchange::gatherer* stage_exchange::choose_gatherer(const std::string& service,
+                                                                double result_bytes,
+                                                                const base::zone_id& zone) const {
   const auto known = gatherers_.find(service);
   if (known == gatherers_.end()) {
     return nullptr;
@@ -193,10 +192,9 @@
   double best_cost = 0;
   for (const auto& candidate : known->second) {
     const bool near = candidate.region == region_of(zone);
-    const double remote_cost =
-        near ? 0
-             : remote_region_seconds +
-                   result_bytes / bytes_per_megabyte * seconds_per_remote_megabyte;
+    const double remote_cost = near ? 0
+                                    : remote_region_seconds + result_bytes / bytes_per_megabyte *
+                                                                  seconds_per_remote_megabyte;
     const double cost = expected_wait_seconds(candidate, service) + remote_cost;
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
@@ -209,8 +207,7 @@
 // --- pieces of this node -------------------------------------------------------------------------
 
 std::vector<piece_ticket> stage_exchange::submit(std::vector<piece_work> pieces,
-                                                 const base::zone_id& zone,
-                                                 base::time_point now) {
+                                                 const base::zone_id& zone, base::time_point now) {
   refresh(now);
   double result_bytes = 0;
   for (const auto& piece : pieces) {
@@ -277,8 +274,7 @@
     message_to(placed.holder).add_cancelled(ticket);
     ++placed.moves;
     place(ticket, placed,
-          choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone),
-          now);
+          choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone), now);
   }
 }
 
@@ -362,8 +358,8 @@
       continue;
     }
     placements_.erase(placed);
-    finished_.push_back({result.ticket(),
-                         {static_cast<piece_fault>(result.fault()), result.handle()}});
+    finished_.push_back(
+        {result.ticket(), {static_cast<piece_fault>(result.fault()), result.handle()}});
   }
   for (const auto ticket : message.cancelled()) {
     const auto guest = guest_tickets_.find({sender, ticket});
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -1,5 +1,5 @@
-/// Stage work of the whole fleet: the replicas of a service in a region are divided into shards, and
-/// for each shard one node gathers the pieces of all nodes and puts the calls together, so that
+/// Stage work of the whole fleet: the replicas of a service in a region are divided into shards,
+/// and for each shard one node gathers the pieces of all nodes and puts the calls together, so that
 /// whichever replica is free first takes what is due first. Nodes send their pieces to the gatherer
 /// that will be done first; one that is silent is replaced by the next in rendezvous order, and two
 /// at once do no harm.
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -273,9 +273,9 @@
   });
 }
 
-std::vector<const replica_state*>
-stage_pool::free_replicas(const std::string& name, const model::piece_capacity& capacity,
-                          base::time_point now) const {
+std::vector<const replica_state*> stage_pool::free_replicas(const std::string& name,
+                                                            const model::piece_capacity& capacity,
+                                                            base::time_point now) const {
   auto found = replicas_->available(name, now);
   std::erase_if(found, [&](const replica_state* state) {
     const auto calls = calls_at_.find(state->record->id);
@@ -285,8 +285,8 @@
   return found;
 }
 
-double stage_pool::free_room(const base::replica_id& replica,
-                             const model::piece_capacity& capacity, base::time_point now) const {
+double stage_pool::free_room(const base::replica_id& replica, const model::piece_capacity& capacity,
+                             base::time_point now) const {
   const auto shut = room_shut_until_.find(replica);
   if (shut != room_shut_until_.end() && now < shut->second) {
     return 0;
@@ -303,8 +303,14 @@
     const bool joins = !groups.empty() && *groups.back().request == work.request &&
                        groups.back().stage == work.stage;
     if (!joins) {
-      groups.push_back({&work.request, work.stage, position.due, 0, &work.zone, 0,
-                        pieces_.at(position.ticket).submitted, {}});
+      groups.push_back({&work.request,
+                        work.stage,
+                        position.due,
+                        0,
+                        &work.zone,
+                        0,
+                        pieces_.at(position.ticket).submitted,
+                        {}});
     }
     groups.back().result_bytes += work.result_bytes;
     groups.back().carried_bytes += work.carried_bytes;
@@ -369,8 +375,8 @@
     auto& piece = pieces_.at(position.ticket);
     ++piece.attempts;
     const auto& work = piece.work;
-    open.call.items.push_back({work.request, work.stage, work.piece, work.deadline - now,
-                               work.piece_key, work.inputs});
+    open.call.items.push_back(
+        {work.request, work.stage, work.piece, work.deadline - now, work.piece_key, work.inputs});
     open.tickets.push_back(position.ticket);
     open.result_bytes.push_back(work.result_bytes);
     room_taken_[replica.record->id] += work.result_bytes;
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -129,9 +129,9 @@
   [[nodiscard]] std::vector<const replica_state*>
   free_replicas(const std::string& name, const model::piece_capacity& capacity,
                 base::time_point now) const;
-  void start_batch(const std::string& name, std::vector<queue_position> batch,
-                   service_queue& queue, const replica_state& replica,
-                   const model::piece_capacity& capacity, base::time_point now);
+  void start_batch(const std::string& name, std::vector<queue_position> batch, service_queue& queue,
+                   const replica_state& replica, const model::piece_capacity& capacity,
+                   base::time_point now);
   /// Pieces for the next call to a replica: those still in time first, as many as it has room for.
   /// @param served zones in which the service has replicas that work.
   std::vector<queue_position> compose_batch(const service_queue& queue,
@@ -157,8 +157,7 @@
                                        const std::set<base::zone_id>& served, base::time_point now);
   [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
   [[nodiscard]] double free_room(const base::replica_id& replica,
-                                 const model::piece_capacity& capacity,
-                                 base::time_point now) const;
+                                 const model::piece_capacity& capacity, base::time_point now) const;
   void forget_expired_results(base::time_point now);
   void forget_result(const std::string& handle);
   void end_call_account(const open_call& open);
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -164,11 +164,13 @@
       serving.regions[base::zone_id(zone)] = regions->required_text(zone);
     }
   }
-  section->finish();
   result.node.serving = serving;
   result.node.stop_linger = std::chrono::milliseconds(1'500);
   result.node.stop_linger_longest = serving.stop_longest;
   result.node.resync_wait = std::chrono::milliseconds(300);
+  result.node.service_retry_longest = section->milliseconds(
+      "store_retry_longest_ms", 100, 60'000, milliseconds_of(std::chrono::milliseconds(500)));
+  section->finish();
 }
 
 } // namespace
--- /dev/null
+++ b/tests/platform/http_codec_test.cc
@@ -0,0 +1,174 @@
+#include "http_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace spurrack;
+using serving::header_list;
+
+namespace {
+
+serving::raw_request raw_with(header_list extra) {
+  serving::raw_request raw;
+  raw.method = "POST";
+  raw.target = "/a/b?x=1";
+  raw.headers = {{"Host", "H.example:80"}, {"X-Request-Id", "abc"}, {"Accept", "*/*"}};
+  std::move(extra.begin(), extra.end(), std::back_inserter(raw.headers));
+  return raw;
+}
+
+serving::request_content read(header_list extra) {
+  const auto codec = platform::make_http_codec();
+  return std::get<serving::request_content>(codec->read_request(raw_with(std::move(extra))));
+}
+
+std::string fault_of(header_list extra) {
+  const auto codec = platform::make_http_codec();
+  const auto result = codec->read_request(raw_with(std::move(extra)));
+  const auto* bad = std::get_if<serving::bad_request>(&result);
+  return bad == nullptr ? "" : bad->reason;
+}
+
+std::string value_of(const header_list& headers, const std::string& name) {
+  const auto found = std::find_if(headers.begin(), headers.end(),
+                                  [&](const serving::header& field) { return field.name == name; });
+  return found == headers.end() ? "" : found->value;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_codec_test)
+
+BOOST_AUTO_TEST_CASE(reads_what_decides_how_a_request_is_served) {
+  const auto content = read({{"X-Deadline-Ms", "900"},
+                             {"Authorization", "Token k1"},
+                             {"X-Model", "m"},
+                             {"X-Token-Count", "1460,80"},
+                             {"X-Prompt-Prefix", "5c:800,91:410"},
+                             {"X-Pieces", "2,0,3"},
+                             {"X-Piece-Key", "pk"},
+                             {"Last-Event-Id", "12"}});
+  BOOST_TEST(content.host == "h.example");
+  BOOST_TEST(content.path == "/a/b");
+  BOOST_TEST(content.target == "/a/b?x=1");
+  BOOST_TEST(content.id.text() == "abc");
+  BOOST_TEST(content.api_key == "k1");
+  BOOST_TEST(base::to_milliseconds(*content.time_allowed) == 900);
+  BOOST_TEST(content.prompt_tokens == 1460);
+  BOOST_TEST(content.output_tokens == 80);
+  BOOST_REQUIRE(content.prompt_parts.size() == 2);
+  BOOST_TEST(content.prompt_parts[1].tokens == 410);
+  BOOST_TEST(content.pieces == (std::vector<std::uint32_t>{2, 0, 3}),
+             boost::test_tools::per_element());
+  BOOST_TEST(content.piece_key == "pk");
+  BOOST_TEST(content.resume_after.value() == 12);
+}
+
+BOOST_AUTO_TEST_CASE(passes_on_what_is_not_the_systems) {
+  const auto content = read({{"Authorization", "Token k1"},
+                             {"X-Tenant", "forged"},
+                             {"X-Expect-Replica", "forged"},
+                             {"x-inputs", "forged"},
+                             {"X-Request-Urgency", "0"},
+                             {"Connection", "close, X-Hop"},
+                             {"X-Hop", "1"},
+                             {"Keep-Alive", "timeout=3"},
+                             {"Content-Length", "3"},
+                             {"Transfer-Encoding", "chunked"},
+                             {"X-Other", "kept"}});
+  const auto& headers = content.headers;
+  BOOST_TEST(value_of(headers, "X-Other") == "kept");
+  BOOST_TEST(value_of(headers, "X-Request-Id") == "abc");
+  BOOST_TEST(value_of(headers, "Host") == "H.example:80");
+  for (const auto* name :
+       {"Authorization", "X-Tenant", "X-Expect-Replica", "x-inputs", "X-Request-Urgency",
+        "Connection", "X-Hop", "Keep-Alive", "Content-Length", "Transfer-Encoding"}) {
+    BOOST_TEST(value_of(headers, name).empty(), name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(bad_input_is_refused_with_its_reason) {
+  for (const auto& field : header_list{{"X-Deadline-Ms", "soon"},
+                                       {"X-Deadline-Ms", "-1"},
+                                       {"X-Token-Count", "5"},
+                                       {"X-Token-Count", "5,x"},
+                                       {"X-Prompt-Prefix", "5c"},
+                                       {"X-Prompt-Prefix", "5c:many"},
+                                       {"X-Pieces", "1,,2"},
+                                       {"X-Pieces", "1.5"},
+                                       {"Last-Event-Id", "x"},
+                                       {"X-Request-Id", "second"},
+                                       {"Host", "second"}}) {
+    BOOST_TEST(!fault_of({field}).empty(), field.name + ": " + field.value);
+  }
+  serving::raw_request without_id;
+  without_id.headers = {{"Host", "h"}};
+  BOOST_TEST(platform::make_http_codec()->read_request(without_id).index() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_tells_what_is_left_and_who_is_meant) {
+  serving::start_call call;
+  call.target = {base::replica_id("i-1"), base::network_address("10.0.0.1:80")};
+  call.content = std::make_shared<serving::request_content>(
+      read({{"X-Deadline-Ms", "900"}, {"Last-Event-Id", "3"}}));
+  call.time_left = std::chrono::milliseconds(450);
+  call.tenant = "t";
+  call.resume_after = 7;
+  call.urgency = 2;
+  call.inputs = {"a/1", "b/2"};
+  const auto encoded = platform::make_http_codec()->encode(call);
+  BOOST_TEST(encoded.method == "POST");
+  BOOST_TEST(encoded.target == "/a/b?x=1");
+  BOOST_TEST(value_of(encoded.headers, "X-Deadline-Ms") == "450");
+  BOOST_TEST(value_of(encoded.headers, "X-Expect-Replica") == "i-1");
+  BOOST_TEST(value_of(encoded.headers, "X-Tenant") == "t");
+  BOOST_TEST(value_of(encoded.headers, "Last-Event-Id") == "7");
+  BOOST_TEST(value_of(encoded.headers, "X-Request-Urgency") == "2");
+  BOOST_TEST(value_of(encoded.headers, "X-Inputs") == "a/1,b/2");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_is_read_with_what_it_says_of_its_replica) {
+  const auto codec = platform::make_http_codec();
+  const auto head = codec->read_answer({200,
+                                        {{"X-Request-Id", "abc"},
+                                         {"x-response-seal", "s"},
+                                         {"X-Replica-Load", "3,1,8"},
+                                         {"Connection", "close"},
+                                         {"Content-Length", "2"},
+                                         {"Content-Type", "text/plain"}}});
+  BOOST_TEST(head.sealed);
+  BOOST_TEST(!head.not_executed);
+  BOOST_TEST(head.closing);
+  BOOST_REQUIRE(head.load.has_value());
+  BOOST_TEST(head.load->running == 3);
+  BOOST_TEST(head.load->slots == 8);
+  BOOST_TEST(value_of(head.headers, "x-response-seal") == "s");
+  BOOST_TEST(value_of(head.headers, "Content-Type") == "text/plain");
+  BOOST_TEST(value_of(head.headers, "Connection").empty());
+  BOOST_TEST(value_of(head.headers, "Content-Length").empty());
+  BOOST_TEST(codec->read_answer({503, {{"X-Not-Executed", "1"}}}).not_executed);
+  BOOST_TEST(codec->read_answer({421, {}}).misdirected);
+  BOOST_TEST(codec->read_answer({200, {{"Content-Encoding", "gzip"}}}).encoded);
+}
+
+BOOST_AUTO_TEST_CASE(pieces_are_asked_and_read_in_order) {
+  const auto codec = platform::make_http_codec();
+  serving::start_stage_call call;
+  call.target = {base::replica_id("i-1"), base::network_address("10.0.0.1:80")};
+  call.items = {{base::request_id("a"), 0, 2, std::chrono::milliseconds(900), "key", {}},
+                {base::request_id("b"), 2, 0, std::chrono::milliseconds(800), "", {"h/1", "h/2"}}};
+  const auto encoded = codec->encode(call);
+  BOOST_TEST(encoded.target == "/stage-run");
+  BOOST_TEST(encoded.body ==
+             R"({"items":[{"id":"a","stage":0,"piece":2,"remaining_ms":900,"tls_key":"key"},)"
+             R"({"id":"b","stage":2,"piece":0,"remaining_ms":800,"inputs":["h/1","h/2"]}]})");
+  const auto pieces = codec->read_pieces(call, R"({"items":[{"handle":"x/1"},{"reason":"gone"}]})");
+  BOOST_REQUIRE(pieces.has_value());
+  BOOST_TEST(pieces->at(0).handle == "x/1");
+  BOOST_TEST((pieces->at(1).fault == serving::piece_fault::input_gone));
+  BOOST_TEST(!codec->read_pieces(call, R"({"items":[{"handle":"x/1"}]})").has_value());
+  BOOST_TEST(!codec->read_pieces(call, "not json").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/record_translator_test.cc
@@ -0,0 +1,126 @@
+#include "model/serving_record_parser.h"
+#include "record_translator.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+
+namespace {
+
+const std::string services = R"("services":[
+  {"name":"llm","max_connections":9,"engine":{"slots":128,"kv_capacity_tokens":286093}},
+  {"name":"one","pieces":{"slots":1,"queue":2,"batch":8,"call_ms":200.0,"item_ms":21.0,
+   "headroom_mb":18.0,"handle_s":4.0}}])";
+
+std::string with_route(const std::string& route) {
+  return R"({"version":7,"routes":[)" + route + "]," + services +
+         R"(,"tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}],
+            "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,
+            "idle_timeout_ms":400}})";
+}
+
+const std::string good_route =
+    R"({"name":"r","host":"H.example","path_prefix":"/a/","kind":"streaming","timeout_ms":8000,
+        "target_latency_ms":3600,"priority":1,"service":"llm","max_attempts":2,
+        "stages":[{"service":"one","start_after":[],"size_bytes":8000}],"stream_resume":true,
+        "gap_target_ms":500})";
+
+model::configuration_result parsed(const std::string& text) {
+  return model::parse_configuration(platform::translate_configuration(text).SerializeAsString());
+}
+
+std::string refusal_of(const std::string& text) {
+  const auto result = parsed(text);
+  const auto* refused = std::get_if<model::refusal_reason>(&result);
+  return refused == nullptr ? "" : refused->text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(record_translator_test)
+
+BOOST_AUTO_TEST_CASE(a_whole_configuration_is_translated) {
+  const auto result = parsed(with_route(good_route));
+  const auto* found = std::get_if<std::shared_ptr<const model::serving_configuration>>(&result);
+  BOOST_REQUIRE(found != nullptr);
+  const auto& configuration = **found;
+  BOOST_TEST(configuration.version == 7);
+  const auto route = configuration.find_route("h.example", "/a/b/c");
+  BOOST_REQUIRE(route);
+  BOOST_TEST(route->may_repeat());
+  BOOST_TEST(route->max_attempts == 2);
+  BOOST_TEST(base::to_milliseconds(*route->timeout) == 8000);
+  BOOST_TEST(base::to_milliseconds(route->gap_target) == 500);
+  BOOST_TEST(route->stages.size() == 1);
+  BOOST_TEST(!configuration.find_route("h.example", "/b/"));
+  BOOST_TEST(!configuration.find_route("other.example", "/a/"));
+  const auto* pool = configuration.find_service("one");
+  BOOST_REQUIRE(pool != nullptr && pool->pieces.has_value());
+  BOOST_TEST(pool->pieces->batch == 8);
+  BOOST_TEST(pool->pieces->result_room_bytes == 18e6);
+  BOOST_TEST(configuration.find_service("llm")->engine->slots == 128);
+  BOOST_TEST(configuration.keys.at("k2").tenant.text() == "t");
+  BOOST_TEST(configuration.keys.at("k2").priority.value() == 1);
+  BOOST_TEST(configuration.limits.max_body_bytes == 200);
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_wins) {
+  const auto text = with_route(
+      R"({"name":"short","host":"h","path_prefix":"/a/","kind":"safe","service":"llm"},
+         {"name":"long","host":"h","path_prefix":"/a/b/","kind":"safe","service":"llm"})");
+  const auto result = parsed(text);
+  const auto& configuration = *std::get<0>(result);
+  BOOST_TEST(configuration.find_route("h", "/a/b/c")->name == "long");
+  BOOST_TEST(configuration.find_route("h", "/a/c")->name == "short");
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_configuration_is_refused_as_a_whole_with_its_reason) {
+  BOOST_TEST(refusal_of("{") == "not a JSON document");
+  BOOST_TEST(refusal_of("[]") == "the configuration is not an object");
+  BOOST_TEST(
+      refusal_of(
+          with_route(R"({"name":"r","host":"h","path_prefix":"/","kind":"odd","service":"llm"})"))
+          .find("unknown kind") != std::string::npos);
+  BOOST_TEST(
+      refusal_of(with_route(R"({"name":"r","path_prefix":"/","kind":"safe","service":"llm"})"))
+          .find("host is missing") != std::string::npos);
+  BOOST_TEST(
+      refusal_of(
+          with_route(R"({"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"none"})"))
+          .find("service does not exist") != std::string::npos);
+  BOOST_TEST(
+      refusal_of(
+          with_route(R"({"name":"r","host":"h","path_prefix":"a","kind":"safe","service":"llm"})"))
+          .find("slash") != std::string::npos);
+  BOOST_TEST(
+      refusal_of(with_route(
+                     R"({"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"llm",
+                         "stages":[{"service":"one","start_after":[1]},
+                                   {"service":"one","start_after":[0]}]})"))
+          .find("cycle") != std::string::npos);
+  BOOST_TEST(
+      refusal_of(with_route(
+                     R"({"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"llm",
+                     "stages":[{"service":"one","start_after":[3]}]})"))
+          .find("out of range") != std::string::npos);
+  BOOST_TEST(
+      refusal_of(with_route(
+                     R"({"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"llm",
+                     "timeout_ms":"soon"})"))
+          .find("not a number") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(replicas_are_translated_or_refused) {
+  const auto good = platform::translate_replica(
+      "i-1",
+      R"({"service":"llm","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining"})");
+  const auto result = model::parse_replica(good.SerializeAsString());
+  const auto& replica = *std::get<0>(result);
+  BOOST_TEST(replica.id.text() == "i-1");
+  BOOST_TEST(replica.draining);
+  BOOST_TEST(replica.slots == 4);
+  const auto bad = platform::translate_replica("i-1", "{}");
+  BOOST_TEST(model::parse_replica(bad.SerializeAsString()).index() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/serving/dispatcher_test.cc
@@ -0,0 +1,281 @@
+/// One request after another against the rules of the serving path.
+#include "serving_fixture.h"
+
+using namespace spurrack;
+using namespace spurrack::serving;
+
+BOOST_FIXTURE_TEST_SUITE(dispatcher_test, dispatcher_driver)
+
+BOOST_AUTO_TEST_CASE(a_request_is_sent_to_a_replica_and_its_answer_passed_on) {
+  arrive(1, "/safe/x");
+  const auto call = last<start_call>();
+  BOOST_TEST(call.tenant == "tenant");
+  BOOST_TEST(base::to_milliseconds(call.time_left) == 5000);
+  BOOST_TEST(!call.target.replica.empty());
+  auto head = good_head();
+  head.headers = {{"Seal", "s"}};
+  happen(call_answered{call.call, head, "body"});
+  const auto answer = last<respond>();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.body == "body");
+  BOOST_TEST(answer.headers.front().name == "Seal");
+  BOOST_TEST(!answer.own_answer_to.has_value());
+  BOOST_TEST(subject.active() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(own_answers_say_why) {
+  arrive(1, "/none/x");
+  BOOST_TEST(last<respond>().status == 404);
+  api_key = "wrong";
+  arrive(2, "/safe/x");
+  BOOST_TEST(last<respond>().status == 401);
+  subject.set_accepting(false);
+  arrive(3, "/safe/x");
+  BOOST_TEST(last<respond>().status == 503);
+  BOOST_TEST(all<start_call>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_configuration_nothing_is_denied) {
+  dispatcher fresh({base::node_id("n"), base::zone_id("a"), base::network_address("n:1")}, {},
+                   random, 1, [](auto, const auto&, const auto&, const auto&) {});
+  auto content = std::make_shared<request_content>();
+  content->host = "h";
+  content->path = "/safe/";
+  fresh.handle(request_arrived{1, content, now}, now);
+  const auto commands_now = fresh.take_commands();
+  BOOST_REQUIRE(commands_now.size() == 1);
+  BOOST_TEST(std::get<respond>(commands_now.front()).status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(an_unsafe_request_that_may_have_run_is_never_sent_again) {
+  arrive(1, "/unsafe/x");
+  happen(call_failed{last<start_call>().call, call_fate::may_have_run});
+  BOOST_TEST(all<start_call>().size() == 1);
+  BOOST_TEST(last<respond>().status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(an_unsafe_request_that_was_not_sent_goes_elsewhere) {
+  arrive(1, "/unsafe/x");
+  const auto first = last<start_call>();
+  happen(call_failed{first.call, call_fate::not_sent});
+  const auto second = last<start_call>();
+  BOOST_TEST(second.call != first.call);
+  BOOST_TEST(second.target.replica != first.target.replica);
+  BOOST_TEST(second.runs_at_most_once);
+}
+
+BOOST_AUTO_TEST_CASE(refused_by_the_replica_an_unsafe_request_was_not_run) {
+  arrive(1, "/unsafe/x");
+  happen(call_answered{last<start_call>().call, full_head(), ""});
+  const auto answer = last<respond>();
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(answer.own_answer_to.has_value());
+  const auto wait = std::find_if(answer.headers.begin(), answer.headers.end(),
+                                 [](const header& field) { return field.name == "Retry-After"; });
+  BOOST_TEST((wait != answer.headers.end()));
+}
+
+BOOST_AUTO_TEST_CASE(never_not_run_after_an_attempt_that_may_have_run) {
+  arrive(1, "/safe/x");
+  happen(call_failed{last<start_call>().call, call_fate::may_have_run});
+  happen(call_answered{last<start_call>().call, full_head(), ""});
+  BOOST_TEST(last<respond>().status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(a_safe_request_is_repeated_within_its_attempts) {
+  arrive(1, "/safe/x");
+  happen(call_answered{last<start_call>().call, good_head(500), "first"});
+  BOOST_TEST(all<start_call>().size() == 2);
+  happen(call_answered{last<start_call>().call, good_head(500), "second"});
+  BOOST_TEST(all<start_call>().size() == 2);
+  BOOST_TEST(last<respond>().status == 500);
+  BOOST_TEST(last<respond>().body == "second");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_seal_or_with_an_encoding_is_no_answer) {
+  arrive(1, "/unsafe/x");
+  auto unsealed = good_head();
+  unsealed.sealed = false;
+  happen(call_answered{last<start_call>().call, unsealed, "body"});
+  BOOST_TEST(last<respond>().status == 502);
+  arrive(2, "/unsafe/x");
+  auto encoded = good_head();
+  encoded.encoded = true;
+  happen(call_answered{last<start_call>().call, encoded, "body"});
+  BOOST_TEST(last<respond>().status == 502);
+  BOOST_TEST(last<respond>().own_answer_to->text() == "r2");
+}
+
+BOOST_AUTO_TEST_CASE(the_deadline_ends_a_request_truly) {
+  arrive(1, "/unsafe/x");
+  pass(std::chrono::milliseconds(5001));
+  BOOST_TEST(last<respond>().status == 504);
+  BOOST_TEST(last<cancel_call>().call == last<start_call>().call);
+  BOOST_TEST(subject.active() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_leaves_ends_its_call_at_once) {
+  arrive(1, "/stream/x");
+  happen(client_left{1});
+  BOOST_TEST(last<cancel_call>().call == last<start_call>().call);
+  BOOST_TEST(all<respond>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_drains_or_is_gone_gets_nothing) {
+  world.add_replica("plain-a", "plain", "a", true);
+  world.remove_replica("plain-b");
+  subject.update(world.content);
+  arrive(1, "/safe/x");
+  BOOST_TEST(all<start_call>().empty());
+  BOOST_TEST(last<respond>().status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(an_address_that_belongs_to_another_replica_is_left_alone) {
+  arrive(1, "/safe/x");
+  const auto first = last<start_call>();
+  answer_head misdirected;
+  misdirected.status = 421;
+  misdirected.misdirected = true;
+  happen(call_answered{first.call, misdirected, ""});
+  BOOST_TEST(last<start_call>().target.replica != first.target.replica);
+  arrive(2, "/safe/x");
+  BOOST_TEST(last<start_call>().target.replica != first.target.replica);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_is_passed_on_event_by_event) {
+  arrive(1, "/stream/x");
+  const auto call = last<start_call>().call;
+  happen(stream_opened{call, good_head()});
+  BOOST_TEST(all<open_stream>().empty());
+  happen(stream_bytes{call, "id: 1\ndata: a\n\nid: 2\nda"});
+  BOOST_TEST(all<open_stream>().size() == 1);
+  BOOST_TEST(last<stream_data>().bytes == "id: 1\ndata: a\n\n");
+  happen(stream_bytes{call, "ta: b\n\n"});
+  happen(stream_closed{call, true});
+  BOOST_TEST(last<end_stream>().complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_goes_on_elsewhere_inside_the_same_answer) {
+  arrive(1, "/stream/x");
+  const auto first = last<start_call>();
+  happen(stream_opened{first.call, good_head()});
+  happen(stream_bytes{first.call, "id: 1\ndata: a\n\nid: 2\nda"});
+  happen(stream_closed{first.call, false});
+  const auto second = last<start_call>();
+  BOOST_TEST(second.target.replica != first.target.replica);
+  BOOST_TEST(second.resume_after.value() == 1);
+  happen(stream_opened{second.call, good_head()});
+  happen(stream_bytes{second.call, "id: 2\ndata: b\n\n"});
+  happen(stream_closed{second.call, true});
+  BOOST_TEST(all<open_stream>().size() == 1);
+  BOOST_TEST(last<stream_data>().bytes == "id: 2\ndata: b\n\n");
+  BOOST_TEST(last<end_stream>().complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_that_cannot_be_resumed_is_broken_off) {
+  arrive(1, "/fixed/x");
+  const auto call = last<start_call>().call;
+  happen(stream_opened{call, good_head()});
+  happen(stream_bytes{call, "id: 1\ndata: a\n\n"});
+  happen(stream_closed{call, false});
+  BOOST_TEST(all<start_call>().size() == 1);
+  BOOST_TEST(!last<end_stream>().complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_is_not_complete) {
+  arrive(1, "/fixed/x");
+  const auto call = last<start_call>().call;
+  happen(stream_opened{call, good_head()});
+  happen(stream_bytes{call, "id: 1\ndata: a\n\nid: 2\n"});
+  happen(stream_closed{call, true});
+  BOOST_TEST(!last<end_stream>().complete);
+}
+
+BOOST_AUTO_TEST_CASE(stages_run_in_order_and_their_results_are_freed) {
+  arrive(1, "/staged/x", {2, 1});
+  pass(std::chrono::milliseconds(20));
+  BOOST_REQUIRE(all<start_stage_call>().size() == 1);
+  const auto first = last<start_stage_call>();
+  BOOST_REQUIRE(first.items.size() == 2);
+  BOOST_TEST(first.items[0].piece_key == "pk");
+  const auto maker = first.target.address.text();
+  happen(stage_call_ended{first.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::none, maker + "/1"}, {piece_fault::none, maker + "/2"}},
+                          std::nullopt,
+                          false});
+  pass(std::chrono::milliseconds(20));
+  const auto second = last<start_stage_call>();
+  BOOST_REQUIRE(second.items.size() == 1);
+  BOOST_TEST(second.items[0].inputs == (std::vector<std::string>{maker + "/1", maker + "/2"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(second.items[0].piece_key.empty());
+  const auto second_maker = second.target.address.text();
+  happen(stage_call_ended{second.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::none, second_maker + "/3"}},
+                          std::nullopt,
+                          false});
+  BOOST_TEST(last<free_results>().handles.size() == 2);
+  const auto call = last<start_call>();
+  BOOST_TEST(call.inputs == std::vector<std::string>{second_maker + "/3"},
+             boost::test_tools::per_element());
+  happen(stream_opened{call.call, good_head()});
+  happen(stream_bytes{call.call, "id: 1\ndata: a\n\n"});
+  BOOST_TEST(last<free_results>().handles == std::vector<std::string>{second_maker + "/3"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_result_has_the_stages_made_again) {
+  arrive(1, "/staged/x", {1, 1});
+  pass(std::chrono::milliseconds(20));
+  const auto first = last<start_stage_call>();
+  happen(stage_call_ended{first.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::none, first.target.address.text() + "/1"}},
+                          std::nullopt,
+                          false});
+  pass(std::chrono::milliseconds(20));
+  const auto second = last<start_stage_call>();
+  happen(stage_call_ended{second.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::input_gone, ""}},
+                          std::nullopt,
+                          false});
+  pass(std::chrono::milliseconds(20));
+  BOOST_TEST(last<start_stage_call>().items.front().stage == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_stages_fail_was_not_run) {
+  arrive(1, "/staged/x", {1, 1});
+  pass(std::chrono::milliseconds(20));
+  happen(stage_call_ended{last<start_stage_call>().call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::late, ""}},
+                          std::nullopt,
+                          false});
+  BOOST_TEST(last<respond>().status == 503);
+  BOOST_TEST(all<start_call>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_replica_is_left_for_another_where_that_is_allowed) {
+  arrive(1, "/safe/x");
+  const auto first = last<start_call>();
+  pass(std::chrono::milliseconds(900));
+  const auto second = last<start_call>();
+  BOOST_TEST(second.target.replica != first.target.replica);
+  BOOST_TEST(last<cancel_call>().call == first.call);
+  arrive(2, "/unsafe/x");
+  const auto calls = all<start_call>().size();
+  pass(std::chrono::milliseconds(900));
+  BOOST_TEST(all<start_call>().size() == calls);
+}
+
+BOOST_AUTO_TEST_CASE(a_stop_that_can_wait_no_longer_answers_everybody) {
+  arrive(1, "/unsafe/x");
+  arrive(2, "/staged/x", {1, 1});
+  subject.give_up_all(now);
+  BOOST_TEST(subject.active() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/serving/event_stream_test.cc
@@ -0,0 +1,38 @@
+#include "serving/event_stream.h"
+
+#include <boost/test/unit_test.hpp>
+
+using spurrack::serving::event_stream;
+
+BOOST_AUTO_TEST_SUITE(event_stream_test)
+
+BOOST_AUTO_TEST_CASE(passes_on_whole_events_only) {
+  event_stream stream;
+  BOOST_TEST(stream.feed("id: 1\ndata: a\n").empty());
+  BOOST_TEST(stream.has_partial());
+  BOOST_TEST(stream.feed("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  BOOST_TEST(stream.feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
+  BOOST_TEST(!stream.has_partial());
+  BOOST_TEST(stream.events() == 2);
+  BOOST_TEST(stream.last_id().value() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(leaves_out_events_that_were_passed_on) {
+  event_stream stream(4);
+  BOOST_TEST(stream.feed("id: 4\ndata: a\n\nid: 5\ndata: b\n\n") == "id: 5\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(drops_the_part_of_a_broken_event_on_restart) {
+  event_stream stream;
+  BOOST_TEST(stream.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  stream.restart();
+  BOOST_TEST(stream.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(understands_carriage_returns_and_events_without_id) {
+  event_stream stream;
+  BOOST_TEST(stream.feed("data: a\r\n\r\ndata: b\n\n") == "data: a\r\n\r\ndata: b\n\n");
+  BOOST_TEST(!stream.last_id().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/serving/serving_fixture.h
@@ -0,0 +1,201 @@
+/// A published world and a dispatcher over it, driven by hand.
+#pragma once
+
+#include "catalog/catalog.h"
+#include "model/serving_record_parser.h"
+#include "serving/dispatcher.h"
+#include "wire/published.pb.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// Publishes routes `/safe/`, `/unsafe/`, `/stream/`, `/fixed/` (a stream that cannot be resumed)
+/// and `/staged/` on host `h`, with two replicas of every service in zones a and b.
+class published_world {
+ public:
+  published_world() {
+    auto& llm = add_service("llm");
+    llm.mutable_engine()->set_slots(8);
+    add_service("plain");
+    auto& pieces = *add_service("pool").mutable_pieces();
+    pieces.set_slots(1);
+    pieces.set_batch(4);
+    pieces.set_call_milliseconds(200);
+    pieces.set_item_milliseconds(10);
+    pieces.set_result_megabytes(1);
+    pieces.set_handle_seconds(4);
+    add_route("/safe/", wire::ROUTE_SAFE, "plain");
+    add_route("/unsafe/", wire::ROUTE_UNSAFE, "plain").set_max_attempts(1);
+    add_route("/stream/", wire::ROUTE_STREAMING, "llm").set_resumable(true);
+    add_route("/fixed/", wire::ROUTE_STREAMING, "llm");
+    auto& staged = add_route("/staged/", wire::ROUTE_STREAMING, "llm");
+    auto& first = *staged.add_stages();
+    first.set_service("pool");
+    first.set_result_bytes(1000);
+    auto& second = *staged.add_stages();
+    second.set_service("pool");
+    second.set_result_bytes(1000);
+    second.add_start_after(0);
+    auto& access = *configuration.add_tenants();
+    access.set_tenant("tenant");
+    access.add_api_keys("key");
+    for (const std::string service : {"llm", "plain", "pool"}) {
+      add_replica(service + "-a", service, "a");
+      add_replica(service + "-b", service, "b");
+    }
+    publish_configuration();
+  }
+
+  wire::published_service& add_service(const std::string& name) {
+    auto& service = *configuration.add_services();
+    service.set_name(name);
+    return service;
+  }
+
+  wire::published_route& add_route(const std::string& prefix, wire::published_route_kind kind,
+                                   const std::string& service) {
+    auto& route = *configuration.add_routes();
+    route.set_name(prefix);
+    route.set_host("h");
+    route.set_path_prefix(prefix);
+    route.set_kind(kind);
+    route.set_max_attempts(2);
+    route.set_target_latency_milliseconds(1000);
+    route.set_gap_target_milliseconds(500);
+    auto& target = *route.add_services();
+    target.set_service(service);
+    target.set_weight(1);
+    return route;
+  }
+
+  void add_replica(const std::string& id, const std::string& service, const std::string& zone,
+                   bool draining = false) {
+    wire::published_replica replica;
+    replica.set_id(id);
+    replica.set_service(service);
+    replica.set_address("10.0.0." + std::to_string(addresses_++) + ":80");
+    replica.set_zone(zone);
+    replica.set_slots(4);
+    replica.set_draining(draining);
+    put(std::string(model::replica_prefix) + id, replica.SerializeAsString(), false);
+  }
+
+  void remove_replica(const std::string& id) {
+    put(std::string(model::replica_prefix) + id, "", true);
+  }
+
+  void publish_configuration() {
+    configuration.set_version(configuration.version() + 1);
+    put(std::string(model::configuration_key), configuration.SerializeAsString(), false);
+  }
+
+  void put(const std::string& key, const std::string& value, bool deleted) {
+    wire::catalog_entry entry;
+    entry.set_key(key);
+    entry.set_value(value);
+    entry.set_deleted(deleted);
+    entry.set_revision(++revision_);
+    BOOST_REQUIRE((content.apply(entry).verdict == catalog::apply_verdict::accepted));
+  }
+
+  wire::published_configuration configuration;
+  catalog::catalog content;
+
+ private:
+  std::uint64_t revision_ = 0;
+  unsigned addresses_ = 1;
+};
+
+/// Drives one dispatcher and keeps what it asks for.
+class dispatcher_driver {
+ public:
+  explicit dispatcher_driver(serving_settings settings = {})
+      : random(1),
+        subject({base::node_id("n"), base::zone_id("a"), base::network_address("n:1")}, settings,
+                random, 1, [](auto, const auto&, const auto&, const auto&) {}) {
+    subject.update(world.content);
+  }
+
+  /// Sends a request and takes the commands it leads to.
+  void arrive(base::caller_id client, const std::string& path,
+              std::vector<std::uint32_t> pieces = {}) {
+    auto content = std::make_shared<request_content>();
+    content->method = "POST";
+    content->host = "h";
+    content->path = content->target = path;
+    content->id = base::request_id("r" + std::to_string(client));
+    content->api_key = api_key;
+    content->time_allowed = time_allowed;
+    content->pieces = std::move(pieces);
+    content->piece_key = "pk";
+    happen(request_arrived{client, content, now});
+  }
+
+  void happen(const event& what) {
+    subject.handle(what, now);
+    subject.advance(now);
+    take();
+  }
+
+  void pass(base::duration span) {
+    constexpr base::duration step = std::chrono::milliseconds(5);
+    const auto end = now + span;
+    while (now < end) {
+      now = std::min(end, now + step);
+      subject.advance(now);
+      take();
+    }
+  }
+
+  /// @return the commands of one type so far, oldest first.
+  template <typename wanted>
+  std::vector<wanted> all() const {
+    std::vector<wanted> found;
+    for (const auto& command : commands) {
+      if (const auto* one = std::get_if<wanted>(&command)) {
+        found.push_back(*one);
+      }
+    }
+    return found;
+  }
+  template <typename wanted>
+  wanted last() const {
+    const auto found = all<wanted>();
+    BOOST_REQUIRE(!found.empty());
+    return found.back();
+  }
+
+  static answer_head good_head(unsigned status = 200) {
+    answer_head head;
+    head.status = status;
+    head.sealed = true;
+    return head;
+  }
+  static answer_head full_head() {
+    answer_head head;
+    head.status = 503;
+    head.not_executed = true;
+    return head;
+  }
+
+  published_world world;
+  base::seeded_random random;
+  dispatcher subject;
+  base::time_point now{std::chrono::hours(1)};
+  std::string api_key = "key";
+  std::optional<base::duration> time_allowed = std::chrono::seconds(5);
+  command_list commands;
+
+ private:
+  void take() {
+    auto wanted = subject.take_commands();
+    std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
+  }
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/tests/serving/stage_pool_test.cc
@@ -0,0 +1,153 @@
+#include "serving/stage_pool.h"
+
+#include "serving_fixture.h"
+
+using namespace spurrack;
+using namespace spurrack::serving;
+
+namespace {
+
+struct pool_driver {
+  pool_driver()
+      : random(1), replicas(base::zone_id("a"), {}, random),
+        pool(
+            replicas, {}, [this] { return next_call++; },
+            [](auto, const auto&, const auto&, const auto&) {}) {
+    replicas.update(world.content.replicas());
+    pool.set_configuration(world.content.serving());
+  }
+
+  piece_ticket submit(const std::string& request, base::duration due, double bytes = 1000) {
+    piece_work work;
+    work.request = base::request_id(request);
+    work.service = "pool";
+    work.piece_key = "k";
+    work.result_bytes = bytes;
+    work.zone = base::zone_id("a");
+    work.due = now + due;
+    work.deadline = now + std::chrono::seconds(5);
+    return pool.submit(std::move(work), now);
+  }
+
+  std::vector<start_stage_call> pump(base::duration span = std::chrono::milliseconds(20)) {
+    now += span;
+    pool.pump(now);
+    std::vector<start_stage_call> calls;
+    for (auto& command : pool.take_commands()) {
+      if (auto* call = std::get_if<start_stage_call>(&command)) {
+        calls.push_back(std::move(*call));
+      }
+    }
+    return calls;
+  }
+
+  stage_call_ended answered(const start_stage_call& call) {
+    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
+    for (std::size_t index = 0; index < call.items.size(); ++index) {
+      ended.pieces.push_back(
+          {piece_fault::none, call.target.address.text() + "/" + std::to_string(handles++)});
+    }
+    return ended;
+  }
+
+  published_world world;
+  base::seeded_random random;
+  replica_table replicas;
+  base::call_id next_call = 1;
+  unsigned handles = 0;
+  stage_pool pool;
+  base::time_point now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(stage_pool_test, pool_driver)
+
+BOOST_AUTO_TEST_CASE(pieces_that_come_together_leave_together) {
+  submit("r1", std::chrono::seconds(1));
+  submit("r1", std::chrono::seconds(1));
+  submit("r2", std::chrono::seconds(1));
+  const auto calls = pump();
+  BOOST_REQUIRE(calls.size() == 1);
+  BOOST_TEST(calls.front().items.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_has_one_call_at_a_time_and_what_is_due_first_goes_next) {
+  for (int request = 0; request < 10; ++request) {
+    submit("r" + std::to_string(request), std::chrono::milliseconds(2000 - 10 * request));
+  }
+  const auto first = pump();
+  BOOST_TEST(first.size() == 2);
+  BOOST_TEST(first.front().items.front().request.text() == "r9");
+  BOOST_TEST(pump().empty());
+  pool.on_call_ended(answered(first.front()), now);
+  BOOST_TEST(pool.take_finished().size() == first.front().items.size());
+  const auto next = pump();
+  BOOST_REQUIRE(next.size() == 1);
+  BOOST_TEST(next.front().items.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(pieces_of_one_request_are_not_torn_apart) {
+  for (const auto* request : {"r1", "r2"}) {
+    for (int piece = 0; piece < 3; ++piece) {
+      submit(request, std::chrono::seconds(1));
+    }
+  }
+  const auto calls = pump();
+  BOOST_REQUIRE(calls.size() == 2);
+  BOOST_TEST(calls[0].items.size() == 3);
+  BOOST_TEST(calls[1].items.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(no_more_is_asked_than_the_replica_has_room_for) {
+  for (int request = 0; request < 4; ++request) {
+    submit("r" + std::to_string(request), std::chrono::seconds(1), 400'000);
+  }
+  const auto calls = pump();
+  BOOST_REQUIRE(calls.size() == 2);
+  BOOST_TEST(calls[0].items.size() == 2);
+  const auto ended = answered(calls[0]);
+  pool.on_call_ended(ended, now);
+  submit("late", std::chrono::seconds(1), 400'000);
+  BOOST_TEST(pump().empty());
+  pool.release(ended.pieces[0].handle);
+  BOOST_TEST(pump().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_result_nobody_wants_is_freed) {
+  const auto ticket = submit("r1", std::chrono::seconds(1));
+  const auto calls = pump();
+  pool.cancel(ticket);
+  pool.on_call_ended(answered(calls.front()), now);
+  BOOST_TEST(pool.take_finished().empty());
+  const auto commands = pool.take_commands();
+  BOOST_REQUIRE(commands.size() == 1);
+  BOOST_TEST(std::get<free_results>(commands.front()).handles.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_call_is_made_elsewhere) {
+  submit("r1", std::chrono::seconds(1));
+  const auto first = pump().front();
+  pool.on_call_ended({first.call, stage_call_ended::result::refused, {}, std::nullopt, false}, now);
+  const auto second = pump();
+  BOOST_REQUIRE(second.size() == 1);
+  BOOST_TEST(second.front().target.replica != first.target.replica);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_without_answer_is_given_up_and_made_again) {
+  submit("r1", std::chrono::seconds(1));
+  const auto first = pump().front();
+  const auto second = pump(std::chrono::milliseconds(1500));
+  BOOST_REQUIRE(second.size() == 1);
+  BOOST_TEST(second.front().target.replica != first.target.replica);
+}
+
+BOOST_AUTO_TEST_CASE(a_piece_past_its_time_is_not_sent) {
+  submit("r1", std::chrono::seconds(1));
+  BOOST_TEST(pump(std::chrono::seconds(6)).empty());
+  const auto finished = pool.take_finished();
+  BOOST_REQUIRE(finished.size() == 1);
+  BOOST_TEST((finished.front().outcome.fault == piece_fault::expired));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
