Pass on what the store tells to the whole zone; compare content while it keeps changing

Cause: rumours go to 3 of 4 peers at random, and the comparison of content waited for 1 s without any change of the own content, which never comes while replicas are replaced one a second. Change: what is read from the service is passed on to all peers of a zone (up to 20); content is compared once some peer has had the same other content for 0.5 s, or none had the own for 0.5 s.

--- a/src/catalog/replicator.cc
+++ b/src/catalog/replicator.cc
@@ -3,11 +3,17 @@
 #include <utility>
 
 namespace spurrack::catalog {
+namespace {
+
+/// A peer's content that was not heard of for this time is forgotten.
+constexpr base::duration foreign_hash_lifetime = std::chrono::seconds(3);
+
+} // namespace
 
 replicator::replicator(catalog& content, base::random_source& random, apply_observer observer)
     : content_(&content), random_(&random), observer_(std::move(observer)) {}
 
-bool replicator::take(const wire::catalog_entry& entry, base::time_point now) {
+bool replicator::take(const wire::catalog_entry& entry) {
   const auto result = content_->apply(entry);
   if (result.verdict == apply_verdict::duplicate) {
     return false;
@@ -16,29 +22,28 @@
   if (result.verdict == apply_verdict::older) {
     return false;
   }
-  last_change_ = now;
   return true;
 }
 
 void replicator::offer(const std::vector<wire::catalog_entry>& entries,
-                       const std::vector<base::network_address>& peers, base::time_point now,
-                       wire::outbox& out) {
+                       const std::vector<base::network_address>& peers, wire::outbox& out) {
   std::vector<wire::catalog_entry> fresh;
   for (const auto& entry : entries) {
-    if (take(entry, now)) {
+    if (take(entry)) {
       fresh.push_back(entry);
     }
   }
-  pass_on(fresh, rumour_hops, peers, out);
+  pass_on(fresh, rumour_hops, first_fanout, peers, out);
 }
 
 void replicator::pass_on(const std::vector<wire::catalog_entry>& fresh, std::uint32_t hops,
-                         const std::vector<base::network_address>& peers, wire::outbox& out) {
+                         std::size_t fanout, const std::vector<base::network_address>& peers,
+                         wire::outbox& out) {
   if (fresh.empty() || hops == 0) {
     return;
   }
   auto candidates = peers;
-  for (std::size_t sent = 0; sent < rumour_fanout && !candidates.empty(); ++sent) {
+  for (std::size_t sent = 0; sent < fanout && !candidates.empty(); ++sent) {
     const auto chosen = random_->below(candidates.size());
     wire::outgoing push{candidates[chosen], {}};
     auto& body = *push.message.mutable_catalog_push();
@@ -53,10 +58,12 @@
 
 void replicator::compare(const base::network_address& peer, std::uint64_t peer_hash, bool eager,
                          base::time_point now, wire::outbox& out) {
-  if (peer_hash == content_->content_hash() || now - last_exchange_ < exchange_period) {
+  if (peer_hash == content_->content_hash()) {
+    differs_since_.reset();
     return;
   }
-  if (!eager && now - last_change_ < settle_time) {
+  const bool settled = has_settled(peer_hash, now);
+  if ((!settled && !eager) || now - last_exchange_ < exchange_period) {
     return;
   }
   last_exchange_ = now;
@@ -68,18 +75,27 @@
   out.push_back(std::move(message));
 }
 
+bool replicator::has_settled(std::uint64_t peer_hash, base::time_point now) {
+  std::erase_if(foreign_hashes_, [&](const auto& entry) {
+    return now - entry.second.last_seen > foreign_hash_lifetime;
+  });
+  const auto seen = foreign_hashes_.try_emplace(peer_hash, foreign_hash{now, now}).first;
+  seen->second.last_seen = now;
+  differs_since_ = differs_since_.value_or(now);
+  return now - seen->second.first_seen >= settle_time || now - *differs_since_ >= settle_time;
+}
+
 void replicator::handle(const wire::envelope& message,
-                        const std::vector<base::network_address>& peers, base::time_point now,
-                        wire::outbox& out) {
+                        const std::vector<base::network_address>& peers, wire::outbox& out) {
   const base::network_address sender(message.sender_address());
   if (message.has_catalog_push()) {
     std::vector<wire::catalog_entry> fresh;
     for (const auto& entry : message.catalog_push().entries()) {
-      if (take(entry, now)) {
+      if (take(entry)) {
         fresh.push_back(entry);
       }
     }
-    pass_on(fresh, message.catalog_push().hops_left(), peers, out);
+    pass_on(fresh, message.catalog_push().hops_left(), rumour_fanout, peers, out);
   } else if (message.has_catalog_buckets()) {
     answer_buckets(message, out);
   } else if (message.has_catalog_pull()) {
--- a/src/catalog/replicator.h
+++ b/src/catalog/replicator.h
@@ -9,6 +9,8 @@
 #include "wire/outgoing.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,12 +22,16 @@
 /// Not thread-safe. References given must outlive the object.
 class replicator {
  public:
-  /// Peers each node passes a new entry on to.
+  /// Peers a node passes on what it read from the service: all of a zone of usual size, so that
+  /// those that do not read themselves miss nothing.
+  static constexpr std::size_t first_fanout = 20;
+  /// Peers each other node passes a new entry on to.
   static constexpr std::size_t rumour_fanout = 3;
   /// Rounds for which an entry is passed on; 3^6 exceeds the nodes of any zone.
   static constexpr std::uint32_t rumour_hops = 6;
-  /// How long hashes must differ before buckets are compared, so that rumours under way can arrive.
-  static constexpr base::duration settle_time = std::chrono::milliseconds(1000);
+  /// How long a difference must last before buckets are compared, so that rumours under way can
+  /// arrive: some peer has had the same other content for this time, or none had the own content.
+  static constexpr base::duration settle_time = std::chrono::milliseconds(500);
   /// Least time between two comparisons begun by this node.
   static constexpr base::duration exchange_period = std::chrono::milliseconds(250);
 
@@ -33,8 +39,7 @@
 
   /// Takes in entries read from the service and passes the new ones on.
   void offer(const std::vector<wire::catalog_entry>& entries,
-             const std::vector<base::network_address>& peers, base::time_point now,
-             wire::outbox& out);
+             const std::vector<base::network_address>& peers, wire::outbox& out);
 
   /// Compares a peer's content hash, seen on any message, and begins an exchange where it differs.
   /// @param eager begin at once, as a node that is starting or was paused does.
@@ -43,19 +48,30 @@
 
   /// Handles push, buckets and pull; other bodies are ignored.
   void handle(const wire::envelope& message, const std::vector<base::network_address>& peers,
-              base::time_point now, wire::outbox& out);
+              wire::outbox& out);
 
  private:
-  bool take(const wire::catalog_entry& entry, base::time_point now);
+  bool take(const wire::catalog_entry& entry);
   void pass_on(const std::vector<wire::catalog_entry>& fresh, std::uint32_t hops,
-               const std::vector<base::network_address>& peers, wire::outbox& out);
+               std::size_t fanout, const std::vector<base::network_address>& peers,
+               wire::outbox& out);
   void answer_buckets(const wire::envelope& message, wire::outbox& out);
   void send_bucket(std::size_t bucket, const base::network_address& peer, wire::outbox& out);
 
   catalog* content_;
   base::random_source* random_;
   apply_observer observer_;
-  base::time_point last_change_;
+  /// A content hash that some peer has and this node has not.
+  struct foreign_hash {
+    base::time_point first_seen;
+    base::time_point last_seen;
+  };
+  /// @return whether the difference has lasted long enough.
+  bool has_settled(std::uint64_t peer_hash, base::time_point now);
+
+  std::map<std::uint64_t, foreign_hash> foreign_hashes_;
+  /// Since when no peer had the same content; nothing while one had it last.
+  std::optional<base::time_point> differs_since_;
   base::time_point last_exchange_;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -241,7 +241,7 @@
     auto gone = catalog_.deletions_of_unlisted_replicas(listed, what.service_revision);
     std::move(gone.begin(), gone.end(), std::back_inserter(entries));
   }
-  replicator_.offer(entries, replication_peers(), now, outbox_);
+  replicator_.offer(entries, replication_peers(), outbox_);
   apply_machine_changes(now);
   check_ready(now);
   read_services(now);
