Hand over stage work when its gatherer stops or starts again

Ruled out: capacity (the service was idle at times), the store. Change: messages about stage work carry the start of the process and whether it stops; pieces held by an earlier life are placed anew at once, a stopping node hands back what waits and ends its calls first. Room that a replica turns out not to have is planned without for 0.7 s.

The test a_gatherer_that_started_again_has_lost_what_it_had fails without the change.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -310,6 +310,9 @@
     stopping_ = true;
     stop_began_ = now;
     disturbed_at_ = now;
+    if (serving_) {
+      serving_->begin_stop();
+    }
     record(base::event_kind::node_stopping, {}, settings_.self.node.text(), "");
   }
 }
@@ -348,10 +351,11 @@
   }
   check_serving_stop(now);
   const bool idle =
-      executor_.active() == 0 && guard_.pending() == 0 && (!serving_ || serving_->active() == 0);
+      executor_.active() == 0 && guard_.pending() == 0 && (!serving_ || !serving_->is_busy());
   const bool quiet = now - disturbed_at_ >= settings_.stop_linger ||
                      now - stop_began_ >= settings_.stop_linger_longest;
-  if ((idle && quiet) || !settings_.switches.drain_before_stop) {
+  const bool must_end = serving_ && now - stop_began_ >= settings_.serving->stop_longest;
+  if ((idle && quiet) || must_end || !settings_.switches.drain_before_stop) {
     stop_reported_ = true;
     commands_.emplace_back(stop_completed{});
   }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -41,6 +41,10 @@
   void set_peers(std::vector<fleet_peer> alive, std::size_t known);
   /// While off, new requests are answered that they were not run.
   void set_accepting(bool accepting) { accepting_ = accepting; }
+  /// A planned stop begins: other nodes gather the pieces of stages from now on.
+  void begin_stop() { stages_.begin_stop(); }
+  /// @return whether requests, or pieces made for other nodes, are still under way.
+  [[nodiscard]] bool is_busy() const { return !active_.empty() || stages_.has_calls_under_way(); }
 
   void handle(const event& what, base::time_point now);
   /// Takes in what another node says of stage work.
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -37,7 +37,7 @@
                                decision_recorder record)
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)),
-      next_ticket_(first_ticket) {
+      life_(first_ticket), next_ticket_(first_ticket) {
   pool_.set_filter(
       [this](const replica_state& replica) { return own_replicas_.contains(replica.record->id); });
 }
@@ -62,6 +62,25 @@
   peers_ = std::move(kept);
 }
 
+void stage_exchange::begin_stop() {
+  stopping_ = true;
+  next_refresh_ = {};
+  next_load_report_ = {};
+  hand_back_guests();
+}
+
+void stage_exchange::hand_back_guests() {
+  for (const auto ticket : pool_.waiting_tickets()) {
+    const auto guest = guests_by_pool_ticket_.find(ticket);
+    if (guest != guests_by_pool_ticket_.end()) {
+      pool_.cancel(ticket);
+      finish_guest(guest->second, {piece_fault::not_run, {}});
+      guest_tickets_.erase({guest->second.origin, guest->second.origin_ticket});
+      guests_by_pool_ticket_.erase(guest);
+    }
+  }
+}
+
 bool stage_exchange::heard_lately(const peer_state& peer, base::time_point now) const {
   return peer.heard != base::time_point{} && now - peer.heard < silence_limit;
 }
@@ -106,14 +125,17 @@
   gatherers_.clear();
   gatherer_of_.clear();
   std::map<std::string, std::vector<base::node_id>> nodes_by_region;
-  std::vector<base::node_id> all{self_.node};
-  nodes_by_region[region_of(self_.zone)].push_back(self_.node);
+  std::vector<base::node_id> all;
   for (const auto& [node, peer] : peers_) {
-    if (heard_lately(peer, now)) {
+    if (heard_lately(peer, now) && !peer.leaving) {
       nodes_by_region[region_of(peer.peer.zone)].push_back(node);
       all.push_back(node);
     }
   }
+  if (!stopping_ || all.empty()) {
+    nodes_by_region[region_of(self_.zone)].push_back(self_.node);
+    all.push_back(self_.node);
+  }
   std::map<replica_group, std::vector<base::replica_id>> groups;
   for (const auto& [id, replica] : replicas_->all()) {
     const auto* service =
@@ -272,12 +294,16 @@
       refresh(now);
     }
     message_to(placed.holder).add_cancelled(ticket);
-    ++placed.moves;
-    place(ticket, placed,
-          choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone), now);
+    move(ticket, placed, now);
   }
 }
 
+void stage_exchange::move(piece_ticket ticket, placement& placed, base::time_point now) {
+  ++placed.moves;
+  place(ticket, placed,
+        choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone), now);
+}
+
 void stage_exchange::cancel(piece_ticket ticket) {
   const auto found = placements_.find(ticket);
   if (found == placements_.end()) {
@@ -310,6 +336,64 @@
 
 // --- pieces gathered here ------------------------------------------------------------------------
 
+void stage_exchange::note_life(peer_state& peer, const wire::stage_work& message,
+                               base::time_point now) {
+  const bool restarted = peer.life != 0 && peer.life != message.life();
+  const bool leaves = message.leaving() && !peer.leaving;
+  peer.life = message.life();
+  peer.leaving = message.leaving();
+  if (restarted || leaves) {
+    next_refresh_ = {};
+    refresh(now);
+  }
+  if (!restarted) {
+    return;
+  }
+  for (auto& [ticket, placed] : placements_) {
+    if (placed.holder == peer.peer.node) {
+      move(ticket, placed, now);
+    }
+  }
+}
+
+void stage_exchange::take_wanted(const base::node_id& sender, const wire::piece_request& wanted,
+                                 base::time_point now) {
+  piece_work work;
+  work.request = base::request_id(wanted.request());
+  work.service = wanted.service();
+  work.stage = wanted.stage();
+  work.piece = wanted.piece();
+  work.piece_key = wanted.piece_key();
+  work.inputs.assign(wanted.inputs().begin(), wanted.inputs().end());
+  work.due = now + std::chrono::milliseconds(wanted.due_in_milliseconds());
+  work.deadline = now + std::chrono::milliseconds(wanted.expires_in_milliseconds());
+  work.result_bytes = wanted.result_bytes();
+  work.zone = base::zone_id(wanted.zone());
+  work.carried_bytes = wanted.carried_bytes();
+  const auto pool_ticket = pool_.submit(std::move(work), now);
+  guests_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
+  guest_tickets_[{sender, wanted.ticket()}] = pool_ticket;
+  message_to(sender).add_accepted(wanted.ticket());
+}
+
+void stage_exchange::take_made(const base::node_id& sender, const wire::piece_result& result,
+                               base::time_point now) {
+  const auto found = placements_.find(result.ticket());
+  if (found == placements_.end() || found->second.holder != sender) {
+    if (!result.handle().empty()) {
+      release({result.handle()});
+    }
+    return;
+  }
+  const auto fault = static_cast<piece_fault>(result.fault());
+  if (fault == piece_fault::not_run && found->second.moves < most_moves) {
+    move(result.ticket(), found->second, now);
+    return;
+  }
+  placements_.erase(found);
+  finished_.push_back({result.ticket(), {fault, result.handle()}});
+}
+
 void stage_exchange::handle(const base::node_id& sender, const wire::stage_work& message,
                             base::time_point now) {
   const auto found = peers_.find(sender);
@@ -318,6 +402,7 @@
   }
   auto& peer = found->second;
   peer.heard = now;
+  note_life(peer, message, now);
   if (message.loads_size() > 0) {
     peer.loads.clear();
     peer.sent_since.clear();
@@ -326,22 +411,7 @@
     peer.loads[load.service()] = load;
   }
   for (const auto& wanted : message.wanted()) {
-    piece_work work;
-    work.request = base::request_id(wanted.request());
-    work.service = wanted.service();
-    work.stage = wanted.stage();
-    work.piece = wanted.piece();
-    work.piece_key = wanted.piece_key();
-    work.inputs.assign(wanted.inputs().begin(), wanted.inputs().end());
-    work.due = now + std::chrono::milliseconds(wanted.due_in_milliseconds());
-    work.deadline = now + std::chrono::milliseconds(wanted.expires_in_milliseconds());
-    work.result_bytes = wanted.result_bytes();
-    work.zone = base::zone_id(wanted.zone());
-    work.carried_bytes = wanted.carried_bytes();
-    const auto pool_ticket = pool_.submit(std::move(work), now);
-    guests_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
-    guest_tickets_[{sender, wanted.ticket()}] = pool_ticket;
-    message_to(sender).add_accepted(wanted.ticket());
+    take_wanted(sender, wanted, now);
   }
   for (const auto ticket : message.accepted()) {
     const auto placed = placements_.find(ticket);
@@ -350,16 +420,7 @@
     }
   }
   for (const auto& result : message.made()) {
-    const auto placed = placements_.find(result.ticket());
-    if (placed == placements_.end() || placed->second.holder != sender) {
-      if (!result.handle().empty()) {
-        release({result.handle()});
-      }
-      continue;
-    }
-    placements_.erase(placed);
-    finished_.push_back(
-        {result.ticket(), {static_cast<piece_fault>(result.fault()), result.handle()}});
+    take_made(sender, result, now);
   }
   for (const auto ticket : message.cancelled()) {
     const auto guest = guest_tickets_.find({sender, ticket});
@@ -372,6 +433,9 @@
   for (const auto& handle : message.released()) {
     pool_.release(handle);
   }
+  if (stopping_) {
+    hand_back_guests();
+  }
 }
 
 bool stage_exchange::on_call_ended(const stage_call_ended& ended, base::time_point now) {
@@ -457,6 +521,8 @@
     const auto peer = peers_.find(node);
     if (peer != peers_.end()) {
       wire::outgoing message{peer->second.peer.address, {}};
+      content.set_life(life_);
+      content.set_leaving(stopping_);
       *message.message.mutable_stage_work() = std::move(content);
       out.push_back(std::move(message));
     }
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -43,6 +43,10 @@
   void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
   /// Takes over the other nodes that membership holds for alive.
   void set_peers(std::vector<fleet_peer> peers);
+  /// A planned stop begins: other nodes take over what waits here.
+  void begin_stop();
+  /// @return whether calls for pieces are under way.
+  [[nodiscard]] bool has_calls_under_way() const { return pool_.has_calls_under_way(); }
 
   /// Has the pieces of one stage of one request made, at one place.
   /// @param zone where the results are wanted.
@@ -85,6 +89,9 @@
   struct peer_state {
     fleet_peer peer;
     base::time_point heard;
+    /// Start of the peer's process; 0 before it was heard.
+    std::uint64_t life = 0;
+    bool leaving = false;
     std::map<std::string, wire::stage_load> loads;
     /// Pieces sent since the peer told its load.
     std::map<std::string, std::uint32_t> sent_since;
@@ -121,6 +128,14 @@
   void place(piece_ticket ticket, placement& placed, const gatherer* chosen, base::time_point now);
   void place_again(base::time_point now);
   void take_pool_results();
+  /// Hands every waiting piece of another node back to it.
+  void hand_back_guests();
+  void note_life(peer_state& peer, const wire::stage_work& message, base::time_point now);
+  void take_wanted(const base::node_id& sender, const wire::piece_request& wanted,
+                   base::time_point now);
+  void take_made(const base::node_id& sender, const wire::piece_result& result,
+                 base::time_point now);
+  void move(piece_ticket ticket, placement& placed, base::time_point now);
   void finish_guest(const guest_piece& guest, const piece_outcome& outcome);
   void send_loads(base::time_point now);
   wire::stage_work& message_to(const base::node_id& node);
@@ -135,6 +150,8 @@
   std::set<base::replica_id> own_replicas_;
   std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
   std::unordered_map<base::replica_id, base::node_id> gatherer_of_;
+  std::uint64_t life_;
+  bool stopping_ = false;
   piece_ticket next_ticket_;
   std::map<piece_ticket, placement> placements_;
   std::unordered_map<piece_ticket, piece_ticket> own_by_pool_ticket_;
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -20,8 +20,8 @@
 constexpr base::duration waiting_check_period = std::chrono::milliseconds(25);
 /// A group that is due sooner does not wait for its zone.
 constexpr base::duration no_patience_before_due = std::chrono::milliseconds(300);
-/// A replica that had no room is given only pieces without large results for this time.
-constexpr base::duration room_pause = std::chrono::milliseconds(60);
+/// How long room that turned out to be taken is planned without.
+constexpr base::duration unknown_room_lifetime = std::chrono::milliseconds(700);
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
 
 } // namespace
@@ -115,7 +115,7 @@
     replicas_->note_success(replica, now - ended.started);
     for (std::size_t index = 0; index < ended.tickets.size(); ++index) {
       if (answer.pieces[index].fault == piece_fault::no_room) {
-        room_shut_until_[replica] = now + room_pause;
+        note_no_room(ended, now);
       }
       hold_result(ended, index, answer.pieces[index], now);
       settle(ended.tickets[index], answer.pieces[index]);
@@ -287,13 +287,35 @@
 
 double stage_pool::free_room(const base::replica_id& replica, const model::piece_capacity& capacity,
                              base::time_point now) const {
-  const auto shut = room_shut_until_.find(replica);
-  if (shut != room_shut_until_.end() && now < shut->second) {
-    return 0;
+  double taken = 0;
+  if (const auto known = room_taken_.find(replica); known != room_taken_.end()) {
+    taken += known->second;
   }
-  const auto taken = room_taken_.find(replica);
-  return capacity.result_room_bytes * planned_room -
-         (taken == room_taken_.end() ? 0 : taken->second);
+  if (const auto unknown = unknown_room_.find(replica);
+      unknown != unknown_room_.end() && now < unknown->second.until) {
+    taken += unknown->second.bytes;
+  }
+  return capacity.result_room_bytes * planned_room - taken;
+}
+
+void stage_pool::note_no_room(const open_call& ended, base::time_point now) {
+  const auto* capacity = capacity_of(ended.service);
+  if (capacity == nullptr) {
+    return;
+  }
+  const auto& replica = ended.call.target.replica;
+  const auto unknown = capacity->result_room_bytes * planned_room - room_taken_[replica];
+  unknown_room_[replica] = {std::max(0.0, unknown), now + unknown_room_lifetime};
+}
+
+std::vector<piece_ticket> stage_pool::waiting_tickets() const {
+  std::vector<piece_ticket> tickets;
+  for (const auto& [name, queue] : queues_) {
+    for (const auto& position : queue) {
+      tickets.push_back(position.ticket);
+    }
+  }
+  return tickets;
 }
 
 std::vector<stage_pool::piece_group> stage_pool::groups_in(const service_queue& queue) const {
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -87,6 +87,9 @@
   [[nodiscard]] command_list take_commands() { return std::exchange(commands_, {}); }
   /// @return pieces of a service that wait for a call.
   [[nodiscard]] std::size_t waiting(const std::string& service) const;
+  /// @return pieces that wait for a call.
+  [[nodiscard]] std::vector<piece_ticket> waiting_tickets() const;
+  [[nodiscard]] bool has_calls_under_way() const { return !calls_.empty(); }
   /// @return calls of a service that are under way.
   [[nodiscard]] std::size_t calls_under_way(const std::string& service) const;
 
@@ -158,6 +161,7 @@
   [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
   [[nodiscard]] double free_room(const base::replica_id& replica,
                                  const model::piece_capacity& capacity, base::time_point now) const;
+  void note_no_room(const open_call& ended, base::time_point now);
   void forget_expired_results(base::time_point now);
   void forget_result(const std::string& handle);
   void end_call_account(const open_call& open);
@@ -185,7 +189,12 @@
   std::map<base::replica_id, std::uint32_t> calls_at_;
   /// Room taken by results, at work or waiting to be fetched.
   std::map<base::replica_id, double> room_taken_;
-  std::map<base::replica_id, base::time_point> room_shut_until_;
+  /// Room taken by results that this pool knows nothing of, seen when a replica had none left.
+  struct unknown_room {
+    double bytes = 0;
+    base::time_point until;
+  };
+  std::map<base::replica_id, unknown_room> unknown_room_;
   std::unordered_map<std::string, held_result> results_;
   std::vector<piece_finished> finished_;
   command_list commands_;
