Refuse what cannot be served, free inputs once fetched, wait less for the right zone under load

Requests were held to their deadline without being offered to a replica. Change: pieces due within 0.8 s do not wait for their zone; inputs are freed 80 ms after dispatch where the replica has nothing waiting; a request expected to take twice its target, or whose stages cannot end in time when 42% of it has passed, is refused at once with a Retry-After; stages are made again for a stream that goes on elsewhere after its inputs were freed.

--- /dev/null
+++ b/src/serving/admission_estimate.cc
@@ -0,0 +1,45 @@
+#include "serving/admission_estimate.h"
+
+namespace spurrack::serving {
+namespace {
+
+/// Before any call of a service has answered.
+constexpr base::duration usual_first_byte = std::chrono::milliseconds(300);
+constexpr double smoothing = 0.1;
+/// Part of a full batch that a call holds, as a rule.
+constexpr double usual_fill = 0.6;
+
+base::duration call_time_of(const model::piece_capacity& capacity) {
+  const double items = usual_fill * capacity.batch;
+  return capacity.call_time + base::from_seconds(base::to_seconds(capacity.item_time) * items);
+}
+
+} // namespace
+
+void admission_estimate::note_first_byte(const std::string& service, base::duration took) {
+  const auto place = first_byte_.try_emplace(service, took).first;
+  const double change = smoothing * base::to_seconds(took - place->second);
+  place->second += base::from_seconds(change);
+}
+
+std::optional<base::duration>
+admission_estimate::time_left(const model::serving_configuration& configuration,
+                              const model::route& route, const stage_graph& graph,
+                              const stage_exchange& stages, const std::string& service) const {
+  bool possible = true;
+  const auto stage_time = [&](std::uint32_t stage) {
+    const auto& name = route.stages[stage].service;
+    const auto wait = stages.expected_wait(name);
+    const auto* found = configuration.find_service(name);
+    possible = possible && wait && found != nullptr && found->pieces;
+    return possible ? *wait + call_time_of(*found->pieces) : base::duration::zero();
+  };
+  const auto stages_left = graph.time_left(stage_time);
+  if (!possible) {
+    return std::nullopt;
+  }
+  const auto known = first_byte_.find(service);
+  return stages_left + (known == first_byte_.end() ? usual_first_byte : known->second);
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/admission_estimate.h
@@ -0,0 +1,32 @@
+/// Expected times of requests, for refusing early what cannot be served in time.
+#pragma once
+
+#include "base/time.h"
+#include "model/serving_records.h"
+#include "serving/stage_exchange.h"
+#include "serving/stage_graph.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace spurrack::serving {
+
+/// Learns how long calls take to their first byte and adds up what is left of a request. Not
+/// thread-safe.
+class admission_estimate {
+ public:
+  /// A call of a service took this long to its first byte.
+  void note_first_byte(const std::string& service, base::duration took);
+
+  /// @return time until the first byte of a request whose stages stand as `graph` says; nothing
+  ///         where some stage cannot be made at all.
+  [[nodiscard]] std::optional<base::duration>
+  time_left(const model::serving_configuration& configuration, const model::route& route,
+            const stage_graph& graph, const stage_exchange& stages,
+            const std::string& service) const;
+
+ private:
+  std::unordered_map<std::string, base::duration> first_byte_;
+};
+
+} // namespace spurrack::serving
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -33,6 +33,20 @@
 /// Time a stage is expected to take, for the order of pieces.
 constexpr base::duration usual_stage_time = std::chrono::milliseconds(400);
 
+/// A client that comes back after a refusal has less than this part of its route's time.
+constexpr double first_attempt_time_part = 0.97;
+/// A request is admitted up to this part of its target latency.
+constexpr double admitted_target_part = 2.0;
+/// Clients stay away for a third of the time they have left at the most.
+constexpr double longest_retry_after_part = 0.3;
+/// Part of its time after which a request whose stages are not finished is looked at again.
+constexpr double recheck_part = 0.42;
+constexpr base::duration hopeless_check_period = std::chrono::milliseconds(50);
+
+base::duration scaled(base::duration span, double factor) {
+  return base::from_seconds(base::to_seconds(span) * factor);
+}
+
 bool is_success(unsigned code) {
   return code >= 200 && code < 300;
 }
@@ -177,7 +191,67 @@
     answer_not_run(active, "deadline passed on arrival", now);
     return;
   }
-  go_on(active, now);
+  if (!refuse_hopeless(active, now)) {
+    go_on(active, now);
+  }
+}
+
+std::optional<base::duration> dispatcher::expected_time(const active_request& request) const {
+  return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
+                             request.service);
+}
+
+bool dispatcher::refuse_hopeless(active_request& request, base::time_point now) {
+  if (!settings_.refuse_early || !request.graph || request.graph->done()) {
+    return false;
+  }
+  stages_.refresh(now);
+  const auto expected = expected_time(request);
+  const auto allowed = request.ends_at - request.arrived;
+  // One that comes back has less time than its route gives; it is refused only without any hope.
+  const bool comes_back =
+      request.route->timeout && allowed < *request.route->timeout * first_attempt_time_part;
+  const auto target = request.route->target_latency;
+  const auto limit = comes_back || target <= base::duration::zero()
+                         ? allowed
+                         : std::min<base::duration>(allowed, scaled(target, admitted_target_part));
+  if (expected && *expected <= limit) {
+    return false;
+  }
+  const auto excess =
+      expected ? *expected - scaled(limit, 0.8) : base::duration{settings_.retry_after};
+  const auto wait = std::clamp<base::duration>(excess, settings_.retry_after,
+                                               scaled(allowed, longest_retry_after_part));
+  refuse(request.client, request.content->id, status::unavailable,
+         "expected to take " +
+             (expected ? std::to_string(base::to_milliseconds(*expected)) + " ms" : "for ever"),
+         wait);
+  finish(request, status::unavailable, "refused early", now);
+  return true;
+}
+
+void dispatcher::give_up_hopeless(base::time_point now) {
+  if (!settings_.refuse_early || now < next_hopeless_check_) {
+    return;
+  }
+  next_hopeless_check_ = now + hopeless_check_period;
+  std::vector<base::caller_id> hopeless;
+  for (auto& [client, request] : active_) {
+    const auto allowed = request.ends_at - request.arrived;
+    const bool halfway = now - request.arrived >= scaled(allowed, recheck_part);
+    if (!request.graph || request.graph->done() || request.rechecked || !halfway ||
+        request.may_have_run) {
+      continue;
+    }
+    request.rechecked = true;
+    const auto expected = expected_time(request);
+    if (!expected || now + *expected > request.ends_at) {
+      hopeless.push_back(client);
+    }
+  }
+  for (const auto client : hopeless) {
+    answer_not_run(active_.at(client), "its stages cannot end in time", now);
+  }
 }
 
 void dispatcher::go_on(active_request& request, base::time_point now) {
@@ -332,6 +406,11 @@
     give_up(request, now);
     return;
   }
+  if (request.graph && request.graph->has_freed_final_inputs()) {
+    // An attempt before this one had them; they are made again for the next.
+    restart_stages(request, now);
+    return;
+  }
   const auto* chosen = choose_replica(request, now);
   if (chosen == nullptr) {
     if (request.may_have_run) {
@@ -355,7 +434,12 @@
   }
   request.tried.insert(chosen->record->id);
   ++request.sent;
-  request.call = open_call{wanted.call, chosen->record->id, now, std::nullopt};
+  request.call = open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt};
+  const bool runs_at_once = !chosen->told || chosen->told->waiting == 0;
+  if (!wanted.inputs.empty() && runs_at_once &&
+      settings_.input_fetch_time > base::duration::zero()) {
+    request.call->inputs_fetched_at = now + settings_.input_fetch_time;
+  }
   calls_[wanted.call] = request.client;
   record(base::event_kind::stage_dispatched, request, chosen->record->id.text(),
          "attempt " + std::to_string(request.sent) + ", own calls " +
@@ -525,6 +609,9 @@
   if (!request->stream_begun) {
     request->stream_head = what.head;
   }
+  record(base::event_kind::stage_completed, *request, replica.text(),
+         "head of the stream after " +
+             std::to_string(base::to_milliseconds(now - request->call->started)) + " ms");
 }
 
 void dispatcher::begin_stream(active_request& request, base::time_point now) {
@@ -535,6 +622,12 @@
   commands_.emplace_back(
       open_stream{request.client, request.stream_head->status, request.stream_head->headers});
   counters_.first_byte.add(now - request.arrived);
+  record(base::event_kind::stage_completed, request, "",
+         "first event after " + std::to_string(base::to_milliseconds(now - request.arrived)) +
+             " ms");
+  if (request.call) {
+    estimate_.note_first_byte(request.service, now - request.call->started);
+  }
   if (request.graph) {
     free(request.graph->take_unneeded(true));
   }
@@ -664,9 +757,21 @@
   }
 }
 
+void dispatcher::free_fetched_inputs(base::time_point now) {
+  for (auto& [client, request] : active_) {
+    if (request.call && request.call->inputs_fetched_at &&
+        *request.call->inputs_fetched_at <= now) {
+      request.call->inputs_fetched_at.reset();
+      free(request.graph->take_unneeded(true));
+    }
+  }
+}
+
 void dispatcher::advance(base::time_point now) {
   expire(now);
   give_up_stalled(now);
+  give_up_hopeless(now);
+  free_fetched_inputs(now);
   stages_.pump(now);
   take_piece_results(now);
   stages_.pump(now);
@@ -690,6 +795,9 @@
     if (request.call && request.call->stalls_at) {
       consider(*request.call->stalls_at);
     }
+    if (request.call && request.call->inputs_fetched_at) {
+      consider(*request.call->inputs_fetched_at);
+    }
   }
   return earliest;
 }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -4,6 +4,7 @@
 
 #include "base/random.h"
 #include "catalog/catalog.h"
+#include "serving/admission_estimate.h"
 #include "serving/counters.h"
 #include "serving/decision_recorder.h"
 #include "serving/event_stream.h"
@@ -70,6 +71,8 @@
     base::time_point started;
     /// Where the replica shows no progress until then, the call is made elsewhere.
     std::optional<base::time_point> stalls_at;
+    /// The replica has fetched its inputs by then.
+    std::optional<base::time_point> inputs_fetched_at;
   };
   struct active_request {
     base::caller_id client = 0;
@@ -94,6 +97,8 @@
     /// Some replica may have worked on the request.
     bool may_have_run = false;
     bool stream_begun = false;
+    /// Whether its stages were looked at again halfway.
+    bool rechecked = false;
     std::optional<answer_head> stream_head;
     event_stream events;
   };
@@ -110,6 +115,12 @@
   void admit(const request_arrived& what, std::shared_ptr<const model::route> route,
              const std::optional<model::key_holder>& holder, base::time_point now);
   void go_on(active_request& request, base::time_point now);
+  /// Refuses a request that is not expected to be served in time.
+  /// @return whether it was refused.
+  bool refuse_hopeless(active_request& request, base::time_point now);
+  /// Gives up requests whose stages are too far behind to end in time.
+  void give_up_hopeless(base::time_point now);
+  [[nodiscard]] std::optional<base::duration> expected_time(const active_request& request) const;
   void submit_pieces(active_request& request, base::time_point now);
   void submit_stage(active_request& request, const std::vector<piece_position>& positions,
                     base::time_point now);
@@ -130,6 +141,8 @@
   void watch_progress(active_request& request, base::duration allowed, base::time_point now);
   void give_up(active_request& request, base::time_point now);
   void give_up_stalled(base::time_point now);
+  /// Frees results that the replicas have fetched by now.
+  void free_fetched_inputs(base::time_point now);
   void expire(base::time_point now);
 
   void refuse(base::caller_id client, const base::request_id& id, unsigned status,
@@ -158,6 +171,8 @@
   replica_table replicas_;
   retry_share retries_;
   stage_exchange stages_;
+  admission_estimate estimate_;
+  base::time_point next_hopeless_check_;
   std::unordered_map<base::caller_id, active_request> active_;
   std::unordered_map<base::call_id, base::caller_id> calls_;
   std::unordered_map<piece_ticket, base::caller_id> tickets_;
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -26,6 +26,11 @@
   retry_limits retry;
   /// How long a request that found no replica is told to stay away.
   base::duration retry_after = std::chrono::milliseconds(300);
+  /// A replica has fetched the results a request needs this long after it got the request; 0 waits
+  /// for its first answer.
+  base::duration input_fetch_time = std::chrono::milliseconds(80);
+  /// Refuse requests that are not expected to be served in time, and tell when to come back.
+  bool refuse_early = true;
   /// How long the first piece of a batch waits for others to join it.
   base::duration batch_wait = std::chrono::milliseconds(10);
   /// A replica that could not be reached gets nothing for this time; doubles up to the longest.
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -36,8 +36,8 @@
                                std::function<base::call_id()> next_call, piece_ticket first_ticket,
                                decision_recorder record)
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
-      pool_(replicas, settings, std::move(next_call), std::move(record)),
-      life_(first_ticket), next_ticket_(first_ticket) {
+      pool_(replicas, settings, std::move(next_call), std::move(record)), life_(first_ticket),
+      next_ticket_(first_ticket) {
   pool_.set_filter(
       [this](const replica_state& replica) { return own_replicas_.contains(replica.record->id); });
 }
@@ -203,6 +203,19 @@
   return calls_ahead * full_call / candidate.replicas;
 }
 
+std::optional<base::duration> stage_exchange::expected_wait(const std::string& service) const {
+  const auto known = gatherers_.find(service);
+  if (known == gatherers_.end()) {
+    return std::nullopt;
+  }
+  std::optional<double> least;
+  for (const auto& candidate : known->second) {
+    const double wait = expected_wait_seconds(candidate, service);
+    least = std::min(least.value_or(wait), wait);
+  }
+  return base::from_seconds(*least);
+}
+
 const stage_exchange::gatherer* stage_exchange::choose_gatherer(const std::string& service,
                                                                 double result_bytes,
                                                                 const base::zone_id& zone) const {
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -62,6 +62,12 @@
   bool on_call_ended(const stage_call_ended& ended, base::time_point now);
   void handle(const base::node_id& sender, const wire::stage_work& message, base::time_point now);
 
+  /// Finds anew who gathers for which replica, where that was long ago.
+  void refresh(base::time_point now);
+  /// @return how long a piece of a service that is submitted now is expected to wait for its call;
+  ///         nothing where nobody can make it.
+  [[nodiscard]] std::optional<base::duration> expected_wait(const std::string& service) const;
+
   void pump(base::time_point now);
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
 
@@ -112,7 +118,6 @@
     piece_ticket origin_ticket = 0;
   };
 
-  void refresh(base::time_point now);
   /// Divides the replicas of a group into shards and finds the gatherer of each.
   void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
               const std::vector<base::node_id>& candidates);
--- a/src/serving/stage_graph.cc
+++ b/src/serving/stage_graph.cc
@@ -116,6 +116,17 @@
   return true;
 }
 
+bool stage_graph::has_freed_final_inputs() const {
+  for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+    const auto& pieces = stages_[stage];
+    if (is_last(stage) && std::any_of(pieces.begin(), pieces.end(),
+                                      [](const piece_state& piece) { return piece.freed; })) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::vector<std::string> stage_graph::take_unneeded(bool everything) {
   std::vector<std::string> handles;
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
@@ -132,6 +143,24 @@
   return handles;
 }
 
+base::duration
+stage_graph::time_left(const std::function<base::duration(std::uint32_t stage)>& stage_time) const {
+  std::vector<base::duration> ends(stages_.size(), base::duration::zero());
+  base::duration longest{};
+  // Each pass finishes at least one more stage of every way.
+  for (std::size_t pass = 0; pass < stages_.size(); ++pass) {
+    for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+      base::duration start{};
+      for (const auto before : route_->stages[stage].start_after) {
+        start = std::max(start, ends[before]);
+      }
+      ends[stage] = finished(stage) ? start : start + stage_time(stage);
+      longest = std::max(longest, ends[stage]);
+    }
+  }
+  return longest;
+}
+
 std::uint32_t stage_graph::steps_after(std::uint32_t stage) const {
   std::uint32_t longest = 0;
   for (std::uint32_t user = 0; user < stages_.size(); ++user) {
--- a/src/serving/stage_graph.h
+++ b/src/serving/stage_graph.h
@@ -4,6 +4,7 @@
 #include "model/serving_records.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -39,9 +40,15 @@
   /// @return whether no other stage comes after `stage`.
   [[nodiscard]] bool is_last(std::uint32_t stage) const;
   [[nodiscard]] bool done() const;
+  /// @return whether a result that the request itself needs was freed already.
+  [[nodiscard]] bool has_freed_final_inputs() const;
   /// @return results all of whose users are finished, or all results where `everything` is set;
   ///         each is returned once.
   std::vector<std::string> take_unneeded(bool everything);
+  /// @param stage_time time that a stage with pieces left to make will take.
+  /// @return time until all stages are finished, along the longest way.
+  [[nodiscard]] base::duration
+  time_left(const std::function<base::duration(std::uint32_t stage)>& stage_time) const;
   /// Stages on the longest way from `stage` to the end, this one not counted.
   [[nodiscard]] std::uint32_t steps_after(std::uint32_t stage) const;
   /// @return how often results had to be made again.
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -19,7 +19,7 @@
 /// While pieces wait, replicas are looked at again after this time.
 constexpr base::duration waiting_check_period = std::chrono::milliseconds(25);
 /// A group that is due sooner does not wait for its zone.
-constexpr base::duration no_patience_before_due = std::chrono::milliseconds(300);
+constexpr base::duration no_patience_before_due = std::chrono::milliseconds(800);
 /// How long room that turned out to be taken is planned without.
 constexpr base::duration unknown_room_lifetime = std::chrono::milliseconds(700);
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
