Never write a whole answer into a begun stream; reload settings on SIGHUP

Change: a request that may have run is never answered as not run, one with a begun stream is broken off; the listener breaks off rather than write a second head. The new dispatcher test fails without it.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -18,26 +18,33 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 3;
 
-std::optional<spurrack::settings::daemon_settings> read_settings(const std::string& path) {
+/// @return the settings, or why there are none; no fault is given where the file cannot be read.
+spurrack::settings::settings_result read_settings(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
-    std::cerr << path << ": cannot be read\n";
-    return std::nullopt;
+    return {};
   }
   std::ostringstream text;
   text << file.rdbuf();
-  auto result = spurrack::settings::parse_settings(text.str());
-  for (const auto& fault : result.faults) {
+  return spurrack::settings::parse_settings(text.str());
+}
+
+void print_faults(const std::string& path, const spurrack::settings::settings_result& read) {
+  if (read.faults.empty()) {
+    std::cerr << path << ": cannot be read\n";
+  }
+  for (const auto& fault : read.faults) {
     std::cerr << path << ": " << spurrack::model::describe(fault) << "\n";
   }
-  return std::move(result.value);
 }
 
 int run(const std::string& path, bool check_only) {
-  auto settings = read_settings(path);
-  if (!settings) {
+  auto read = read_settings(path);
+  if (!read.value) {
+    print_faults(path, read);
     return exit_bad_settings;
   }
+  auto& settings = read.value;
   if (check_only) {
     std::cout << path << ": ok\n";
     return exit_ok;
@@ -48,7 +55,8 @@
     boost::asio::io_context io(1);
     spurrack::daemon::runtime runtime(
         io, std::move(*settings),
-        {spurrack::platform::make_http_codec(), spurrack::platform::make_store_client});
+        {spurrack::platform::make_http_codec(), spurrack::platform::make_store_client},
+        [path] { return read_settings(path); });
     io.run();
   } catch (const std::exception& error) {
     spurrack::logging::write(spurrack::logging::severity::error, "cannot go on",
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -40,10 +40,11 @@
 } // namespace
 
 runtime::runtime(boost::asio::io_context& io, settings::daemon_settings settings,
-                 platform_parts parts)
+                 platform_parts parts, settings_source reread)
     : io_(&io), settings_(with_process_start(std::move(settings))), random_(random_seed()),
       node_(settings_.node, random_, base::boot_clock::now()), parts_(std::move(parts)),
-      wakeup_(io), exit_timer_(io), signals_(io, SIGTERM, SIGINT) {
+      reread_(std::move(reread)), wakeup_(io), exit_timer_(io),
+      signals_(io, SIGTERM, SIGINT, SIGHUP) {
   peers_ = peers::make_zmq_transport(
       io, settings_.peer_listen, settings_.curve,
       [this](wire::envelope message) { post(node::peer_message{std::move(message)}); });
@@ -56,11 +57,7 @@
       http::make_operator_server(io, settings_.operator_listen, [this](const std::string& path) {
         return make_document(path, node_, {peers_->dropped(), busy()}, base::boot_clock::now());
       });
-  signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
-    if (!error) {
-      begin_stop();
-    }
-  });
+  watch_signals();
   logging::write(
       logging::severity::info, "started",
       {{"clients", settings_.serving ? settings_.serving->listen : settings_.caller_listen},
@@ -175,6 +172,34 @@
   return serving_ ? serving_->busy() : callers_->busy();
 }
 
+void runtime::watch_signals() {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      reload();
+      watch_signals();
+    } else {
+      begin_stop();
+    }
+  });
+}
+
+void runtime::reload() {
+  const auto read = reread_();
+  if (!read.value) {
+    const auto fault =
+        read.faults.empty() ? "cannot be read" : model::describe(read.faults.front());
+    logging::write(logging::severity::warning, "settings not reloaded", {{"reason", fault}});
+    return;
+  }
+  // Addresses and limits of connections stay as they were at the start.
+  post(node::seeds_changed{read.value->node.seeds});
+  logging::write(logging::severity::info, "settings reloaded",
+                 {{"seeds", std::to_string(read.value->node.seeds.size())}});
+}
+
 void runtime::begin_stop() {
   logging::write(logging::severity::info, "stopping");
   if (serving_) {
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -28,12 +28,17 @@
       make_store_client;
 };
 
+/// Reads the settings anew, as the start did.
+using settings_source = std::function<settings::settings_result()>;
+
 /// Owns the node and all adapters; everything runs on the thread of the io_context.
 class runtime {
  public:
   /// Binds all listeners and starts.
   /// @throws std::system_error or boost::system::system_error where an address cannot be bound.
-  runtime(boost::asio::io_context& io, settings::daemon_settings settings, platform_parts parts);
+  /// @param reread reads the settings file anew; nothing where it does not check.
+  runtime(boost::asio::io_context& io, settings::daemon_settings settings, platform_parts parts,
+          settings_source reread);
 
  private:
   /// Queues an event; it is handled on the next turn of the io_context, never within another.
@@ -46,6 +51,9 @@
   [[nodiscard]] std::size_t busy() const;
   void schedule_wakeup();
   void begin_stop();
+  void watch_signals();
+  /// Reads the settings again and takes over what can change in a running process.
+  void reload();
   void exit_when_written();
   void log_answer(const execution::answer& content);
 
@@ -59,6 +67,7 @@
   /// Set where the node serves its own interface.
   std::unique_ptr<http::caller_server> callers_;
   platform_parts parts_;
+  settings_source reread_;
   /// Set where the node serves published routes.
   std::unique_ptr<serving_adapters> serving_;
   std::shared_ptr<const model::serving_configuration> limits_from_;
--- a/src/daemon/serving_adapters.cc
+++ b/src/daemon/serving_adapters.cc
@@ -26,7 +26,7 @@
                                    const settings::serving_endpoints& endpoints,
                                    const serving::serving_settings& limits,
                                    const serving::request_codec& codec,
-                                   std::function<void(serving::event)> post,
+                                   const std::function<void(serving::event)>& post,
                                    std::function<bool()> is_ready)
     : clients_(http::make_ingress_server(
           io, endpoints.listen, codec,
--- a/src/daemon/serving_adapters.h
+++ b/src/daemon/serving_adapters.h
@@ -22,7 +22,7 @@
   /// @param post takes in what happens; @param is_ready whether the node takes new requests.
   serving_adapters(boost::asio::io_context& io, const settings::serving_endpoints& endpoints,
                    const serving::serving_settings& limits, const serving::request_codec& codec,
-                   std::function<void(serving::event)> post, std::function<bool()> is_ready);
+                   const std::function<void(serving::event)>& post, std::function<bool()> is_ready);
 
   void carry_out(serving::command wanted);
   void set_limits(const model::client_limits& limits) { clients_->set_limits(limits); }
--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -46,6 +46,8 @@
   bool gone = false;
   bool watch_ended = false;
   bool head_only = false;
+  /// The head of a streamed answer was written.
+  bool streaming = false;
   after_answer connection = after_answer::keep_open;
 };
 
@@ -88,6 +90,12 @@
     }
     client.connection = stopping_ ? after_answer::close : client.connection;
     client.ended = true;
+    if (client.streaming) {
+      // A second head inside a stream would be no answer; breaking off says that it is not whole.
+      client.broken = true;
+      client.wake.cancel();
+      return;
+    }
     push(client, whole_answer(wanted.status, wanted.headers, wanted.body, client.head_only,
                               client.connection));
   }
@@ -97,6 +105,7 @@
     if (found != exchanges_.end()) {
       auto& client = *found->second;
       client.connection = stopping_ ? after_answer::close : client.connection;
+      client.streaming = true;
       push(client, chunked_head(wanted.status, wanted.headers, client.connection));
     }
   }
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -74,6 +74,13 @@
   }
 }
 
+void membership::set_seeds(const std::vector<base::network_address>& addresses) {
+  seeds_.clear();
+  for (const auto& address : addresses) {
+    add_seed(address);
+  }
+}
+
 bool membership::may_be_member(const base::node_id& node) const {
   return !list_known_ || members_.contains(node);
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -66,6 +66,9 @@
   /// Adds an address to contact before any list is known.
   void add_seed(const base::network_address& address);
 
+  /// Replaces the addresses to contact.
+  void set_seeds(const std::vector<base::network_address>& addresses);
+
   /// Takes note of the sender and of the rumours in any message of a peer.
   void observe(const wire::envelope& message, base::time_point now);
   /// Answers or accounts for a probe message; other bodies are ignored.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -55,10 +55,14 @@
 };
 /// A planned stop begins.
 struct stop_requested {};
+/// The settings name other seeds now.
+struct seeds_changed {
+  std::vector<base::network_address> seeds;
+};
 
 using event = std::variant<time_passed, peer_message, caller_arrived, caller_left, ticket_wanted,
                            execution::call_result, execution::call_token, service_answered,
-                           service_failed, stop_requested, serving::event>;
+                           service_failed, stop_requested, seeds_changed, serving::event>;
 
 /// Read a service for what is newer than a revision; the service may hold the answer back until
 /// there is something.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -293,6 +293,10 @@
   executor_.on_token(what, now);
 }
 
+void node::on(const seeds_changed& what, base::time_point /*now*/) {
+  membership_.set_seeds(what.seeds);
+}
+
 void node::on(const serving::event& what, base::time_point now) {
   if (!serving_) {
     return;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -678,6 +678,10 @@
 
 void dispatcher::answer_not_run(active_request& request, const std::string& reason,
                                 base::time_point now) {
+  if (request.may_have_run || request.stream_begun) {
+    answer_failed(request, status::bad_gateway, reason, now);
+    return;
+  }
   const bool time_is_over = request.ends_at <= now;
   refuse(request.client, request.content->id, status::unavailable, reason,
          time_is_over ? base::duration{} : settings_.retry_after);
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -147,6 +147,7 @@
 
   void refuse(base::caller_id client, const base::request_id& id, unsigned status,
               const std::string& reason, base::duration retry_after);
+  /// Answers that a request was not run; one that may have run has failed instead.
   void answer_not_run(active_request& request, const std::string& reason, base::time_point now);
   void answer_failed(active_request& request, unsigned status, const std::string& reason,
                      base::time_point now);
--- a/tests/serving/dispatcher_test.cc
+++ b/tests/serving/dispatcher_test.cc
@@ -246,6 +246,38 @@
   BOOST_TEST(last<start_stage_call>().items.front().stage == 0);
 }
 
+BOOST_AUTO_TEST_CASE(stages_that_fail_under_a_begun_stream_break_it_off) {
+  // Found by trouble-2 of hccsa-spurrack: a whole answer was written into the stream.
+  world.configuration.mutable_routes(4)->set_resumable(true);
+  world.publish_configuration();
+  subject.update(world.content);
+  arrive(1, "/staged/x", {1, 1});
+  for (const std::string handle : {"/1", "/2"}) {
+    pass(std::chrono::milliseconds(20));
+    const auto made = last<start_stage_call>();
+    happen(stage_call_ended{made.call,
+                            stage_call_ended::result::answered,
+                            {{piece_fault::none, made.target.address.text() + handle}},
+                            std::nullopt,
+                            false});
+  }
+  const auto first = last<start_stage_call>();
+  const auto call = last<start_call>().call;
+  happen(stream_opened{call, good_head()});
+  happen(stream_bytes{call, "id: 1\ndata: a\n\n"});
+  happen(stream_closed{call, false});
+  pass(std::chrono::milliseconds(20));
+  const auto again = last<start_stage_call>();
+  BOOST_TEST(again.call != first.call);
+  happen(stage_call_ended{again.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::late, ""}},
+                          std::nullopt,
+                          false});
+  BOOST_TEST(all<respond>().empty());
+  BOOST_TEST(!last<end_stream>().complete);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_stages_fail_was_not_run) {
   arrive(1, "/staged/x", {1, 1});
   pass(std::chrono::milliseconds(20));
