--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -2,16 +2,20 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include <array>
+#include <vector>
 
 namespace spurrack::daemon {
 namespace {
 
 using prometheus::BuildCounter;
 using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Histogram;
 using prometheus::Registry;
 
 constexpr std::array<model::outcome, 4> all_outcomes{
@@ -72,6 +76,45 @@
   }
 }
 
+void add_first_byte_times(Registry& registry, const serving::latency_histogram& times) {
+  const auto& bounds = serving::latency_histogram::bounds;
+  auto& histogram = BuildHistogram()
+                        .Name("spurrack_first_byte_seconds")
+                        .Help("Time from the arrival of a request to the first byte of its answer.")
+                        .Register(registry)
+                        .Add({}, Histogram::BucketBoundaries(bounds.begin(), bounds.end()));
+  std::vector<double> increments;
+  for (const auto count : times.counts()) {
+    increments.push_back(static_cast<double>(count));
+  }
+  histogram.ObserveMultiple(increments, times.sum_seconds());
+}
+
+void add_serving(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.counts();
+  auto& answers = BuildCounter()
+                      .Name("spurrack_answers_total")
+                      .Help("Requests on published routes, by status; 0: the client left.")
+                      .Register(registry);
+  for (const auto& [status, count] : counts.answers) {
+    answers.Add({{"status", std::to_string(status)}}).Increment(static_cast<double>(count));
+  }
+  add_first_byte_times(registry, counts.first_byte);
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_counter(registry, name, help, static_cast<double>(value));
+  };
+  add("spurrack_replica_calls_total", "Requests sent to replicas.", counts.calls);
+  add("spurrack_repeats_total", "Requests sent to a second replica.", counts.repeats);
+  add("spurrack_repeats_denied_total", "Repeats beyond this node's share of the bound.",
+      counts.repeats_denied);
+  add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
+  add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
+  add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
+      counts.streams_resumed);
+  add_gauge(registry, "spurrack_active_routed_requests", "Requests on published routes under way.",
+            static_cast<double>(dispatcher.active()));
+}
+
 } // namespace
 
 std::string make_metrics(const node::node& subject, const process_facts& facts,
@@ -80,6 +123,9 @@
   const auto& counts = subject.executor().counts();
   add_pipelines(registry, counts);
   add_refusals(registry, counts);
+  if (subject.serving() != nullptr) {
+    add_serving(registry, *subject.serving());
+  }
   add_counter(registry, "spurrack_retries_total", "Stage calls made again.",
               static_cast<double>(counts.retries));
   add_counter(registry, "spurrack_late_answers_total", "Answers of given-up calls, dropped.",
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -28,7 +28,12 @@
   body["zone"] = subject.settings().self.zone.text();
   body["ready"] = subject.is_ready();
   body["stopping"] = subject.is_stopping();
-  body["active_requests"] = subject.executor().active();
+  const auto* serving = subject.serving();
+  body["active_requests"] = subject.executor().active() + (serving ? serving->active() : 0);
+  if (const auto published = content.serving()) {
+    body["serving_configuration"] = published->version;
+    body["replicas"] = content.replicas().size();
+  }
   body["waiting_calls"] = subject.scheduler().waiting();
   body["may_witness"] = subject.guard().may_witness(now);
   body["configuration_hash"] = std::to_string(content.content_hash());
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -44,7 +44,6 @@
   std::uint64_t calls = 0;
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
-  std::uint64_t stage_calls = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
