--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -114,7 +114,7 @@
 /// Drives one dispatcher and keeps what it asks for.
 class dispatcher_driver {
  public:
-  explicit dispatcher_driver(serving_settings settings = {})
+  explicit dispatcher_driver(const serving_settings& settings = {})
       : random(1),
         subject({base::node_id("n"), base::zone_id("a"), base::network_address("n:1")}, settings,
                 random, 1, [](auto, const auto&, const auto&, const auto&) {}) {
--- a/tests/serving/stage_graph_test.cc
+++ b/tests/serving/stage_graph_test.cc
@@ -3,7 +3,6 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace spurrack;
-using serving::piece_position;
 using serving::stage_graph;
 
 namespace {
