--- /dev/null
+++ b/src/serving/dispatcher_calls.cc
@@ -0,0 +1,312 @@
+/// The calls of requests at replicas: choice, repeats, answers and streams.
+#include "serving/dispatcher.h"
+
+#include "base/hashing.h"
+#include "serving/dispatcher_constants.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// Replicas that could not be reached before a request is refused.
+constexpr std::uint32_t most_unreached = 4;
+/// A repeatable plain call is made elsewhere after this part of the target latency.
+constexpr double plain_stall_part = 0.7;
+/// A resumable stream is taken up elsewhere after this many times the longest pause in time.
+constexpr double stream_stall_factor = 2.5;
+
+bool is_success(unsigned code) {
+  return code >= 200 && code < 300;
+}
+
+/// Hash of the last part of a prompt that others share; 0 where there is none.
+std::uint64_t affinity_of(const request_content& content) {
+  if (content.prompt_parts.empty()) {
+    return 0;
+  }
+  const auto last = content.prompt_parts.size() - 1;
+  const auto& shared = content.prompt_parts[last > 0 ? last - 1 : 0];
+  return base::stable_hash(shared.id, base::stable_hash(content.model)) | 1U;
+}
+
+} // namespace
+
+const replica_state* dispatcher::choose_replica(const active_request& request,
+                                                base::time_point now) {
+  const auto* service = configuration_ ? configuration_->find_service(request.service) : nullptr;
+  if (service != nullptr && service->engine) {
+    return replicas_.choose_engine(request.service, affinity_of(*request.content), request.tried,
+                                   now);
+  }
+  return replicas_.choose(request.service, request.tried, now);
+}
+
+void dispatcher::send_to_replica(active_request& request, base::time_point now) {
+  if (request.ends_at <= now) {
+    give_up(request, now);
+    return;
+  }
+  if (request.graph && request.graph->has_freed_final_inputs()) {
+    // An attempt before this one had them; they are made again for the next.
+    restart_stages(request, now);
+    return;
+  }
+  const auto* chosen = choose_replica(request, now);
+  if (chosen == nullptr) {
+    if (request.may_have_run) {
+      answer_failed(request, status::bad_gateway, "no replica is left", now);
+    } else {
+      answer_not_run(request, "no replica", now);
+    }
+    return;
+  }
+  start_call wanted;
+  wanted.call = next_call_++;
+  wanted.target = {chosen->record->id, chosen->record->address};
+  wanted.content = request.content;
+  wanted.time_left = request.ends_at - now;
+  wanted.tenant = request.tenant;
+  wanted.streaming = request.route->kind == model::route_kind::streaming;
+  wanted.runs_at_most_once = !request.route->may_repeat();
+  wanted.resume_after = request.events.last_id();
+  if (request.graph) {
+    wanted.inputs = request.graph->final_inputs();
+  }
+  request.tried.insert(chosen->record->id);
+  ++request.sent;
+  request.call = open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt};
+  const bool runs_at_once = !chosen->told || chosen->told->waiting == 0;
+  if (!wanted.inputs.empty() && runs_at_once &&
+      settings_.input_fetch_time > base::duration::zero()) {
+    request.call->inputs_fetched_at = now + settings_.input_fetch_time;
+  }
+  calls_[wanted.call] = request.client;
+  record(base::event_kind::stage_dispatched, request, chosen->record->id.text(),
+         "attempt " + std::to_string(request.sent) + ", own calls " +
+             std::to_string(chosen->in_flight) + ", " +
+             std::to_string(base::to_milliseconds(wanted.time_left)) + " ms left");
+  replicas_.call_started(chosen->record->id);
+  ++counters_.calls;
+  commands_.emplace_back(std::move(wanted));
+  watch_progress(request, request.route->target_latency, now);
+}
+
+void dispatcher::watch_progress(active_request& request, base::duration allowed,
+                                base::time_point now) {
+  request.call->stalls_at.reset();
+  if (!request.route->may_repeat() || allowed <= base::duration::zero()) {
+    return;
+  }
+  const bool plain = request.route->kind == model::route_kind::safe;
+  const double factor = plain ? plain_stall_part : 1.0;
+  request.call->stalls_at = now + std::chrono::duration_cast<base::duration>(allowed * factor);
+}
+
+dispatcher::open_call dispatcher::close_call(active_request& request) {
+  auto call = *request.call;
+  calls_.erase(call.id);
+  replicas_.call_ended(call.replica);
+  request.call.reset();
+  return call;
+}
+
+bool dispatcher::may_send_again(active_request& request, base::time_point now) {
+  if (request.sent >= request.route->max_attempts || request.ends_at <= now) {
+    return false;
+  }
+  if (!retries_.take(request.service, now)) {
+    ++counters_.repeats_denied;
+    return false;
+  }
+  ++counters_.repeats;
+  return true;
+}
+
+void dispatcher::on(const call_failed& what, base::time_point now) {
+  auto* request = find_by_call(what.call);
+  if (request == nullptr) {
+    return;
+  }
+  const auto call = close_call(*request);
+  if (what.fate == call_fate::not_sent) {
+    replicas_.note_unreachable(call.replica, now);
+    --request->sent;
+    record(base::event_kind::stage_retried, *request, call.replica.text(), "not reached");
+    if (++request->not_sent < most_unreached) {
+      send_to_replica(*request, now);
+    } else if (request->may_have_run) {
+      answer_failed(*request, status::bad_gateway, "replicas cannot be reached", now);
+    } else {
+      answer_not_run(*request, "replicas cannot be reached", now);
+    }
+    return;
+  }
+  replicas_.note_failure(call.replica, now);
+  request->may_have_run = true;
+  record(base::event_kind::stage_retried, *request, call.replica.text(), "no answer");
+  repeat_or_fail(*request, now);
+}
+
+void dispatcher::repeat_or_fail(active_request& request, base::time_point now) {
+  if (request.route->may_repeat() && may_send_again(request, now)) {
+    request.events.restart();
+    counters_.streams_resumed += request.stream_begun ? 1 : 0;
+    send_to_replica(request, now);
+    return;
+  }
+  answer_failed(request, status::bad_gateway, "the replica gave no whole answer", now);
+}
+
+void dispatcher::on_not_executed(active_request& request, const answer_head& head,
+                                 base::time_point now) {
+  const auto call = close_call(request);
+  if (head.misdirected) {
+    replicas_.note_left(call.replica);
+  } else {
+    replicas_.note_full(call.replica, now);
+  }
+  record(base::event_kind::stage_retried, request, call.replica.text(),
+         "not executed, status " + std::to_string(head.status));
+  if (head.status == status::conflict && request.graph &&
+      request.graph->restarts() < most_restarts && request.sent < request.route->max_attempts) {
+    restart_stages(request, now);
+    return;
+  }
+  if (may_send_again(request, now)) {
+    send_to_replica(request, now);
+  } else if (request.may_have_run) {
+    answer_failed(request, status::bad_gateway, "replicas are full", now);
+  } else {
+    answer_not_run(request, "replicas are full", now);
+  }
+}
+
+void dispatcher::on(const call_answered& what, base::time_point now) {
+  auto* request = find_by_call(what.call);
+  if (request == nullptr) {
+    return;
+  }
+  const auto& replica = request->call->replica;
+  if (what.head.load) {
+    replicas_.note_load(replica, *what.head.load, now);
+  }
+  if (what.head.not_executed || what.head.misdirected) {
+    on_not_executed(*request, what.head, now);
+    return;
+  }
+  request->may_have_run = true;
+  const bool unusable = is_success(what.head.status) && (!what.head.sealed || what.head.encoded);
+  const bool failed = unusable || what.head.status >= status::first_server_error;
+  if (!failed) {
+    replicas_.note_success(replica, now - request->call->started);
+    pass_on(*request, what, now);
+    return;
+  }
+  const auto call = close_call(*request);
+  replicas_.note_failure(call.replica, now);
+  if (request->route->may_repeat() && may_send_again(*request, now)) {
+    record(base::event_kind::stage_retried, *request, call.replica.text(),
+           "status " + std::to_string(what.head.status));
+    send_to_replica(*request, now);
+  } else if (unusable || request->stream_begun) {
+    answer_failed(*request, status::bad_gateway, "the replica's answer is not valid", now);
+  } else {
+    pass_on(*request, what, now);
+  }
+}
+
+void dispatcher::pass_on(active_request& request, const call_answered& answer,
+                         base::time_point now) {
+  if (request.stream_begun) {
+    commands_.emplace_back(end_stream{request.client, false});
+  } else {
+    commands_.emplace_back(respond{request.client, std::nullopt, answer.head.status,
+                                   answer.head.headers, answer.body});
+    counters_.first_byte.add(now - request.arrived);
+  }
+  finish(request, answer.head.status, "the replica's answer", now);
+}
+
+// --- streams -------------------------------------------------------------------------------------
+
+void dispatcher::on(const stream_opened& what, base::time_point now) {
+  auto* request = find_by_call(what.call);
+  if (request == nullptr) {
+    return;
+  }
+  const auto replica = request->call->replica;
+  if (what.head.load) {
+    replicas_.note_load(replica, *what.head.load, now);
+  }
+  request->may_have_run = true;
+  if (!what.head.sealed || what.head.encoded) {
+    commands_.emplace_back(cancel_call{what.call});
+    replicas_.note_failure(replica, now);
+    close_call(*request);
+    repeat_or_fail(*request, now);
+    return;
+  }
+  if (!request->stream_begun) {
+    request->stream_head = what.head;
+  }
+  record(base::event_kind::stage_completed, *request, replica.text(),
+         "head of the stream after " +
+             std::to_string(base::to_milliseconds(now - request->call->started)) + " ms");
+}
+
+void dispatcher::begin_stream(active_request& request, base::time_point now) {
+  if (request.stream_begun) {
+    return;
+  }
+  request.stream_begun = true;
+  commands_.emplace_back(
+      open_stream{request.client, request.stream_head->status, request.stream_head->headers});
+  counters_.first_byte.add(now - request.arrived);
+  record(base::event_kind::stage_completed, request, "",
+         "first event after " + std::to_string(base::to_milliseconds(now - request.arrived)) +
+             " ms");
+  if (request.call) {
+    estimate_.note_first_byte(request.service, now - request.call->started);
+  }
+  if (request.graph) {
+    free(request.graph->take_unneeded(true));
+  }
+}
+
+void dispatcher::on(const stream_bytes& what, base::time_point now) {
+  auto* request = find_by_call(what.call);
+  if (request == nullptr) {
+    return;
+  }
+  auto whole = request->events.feed(what.bytes);
+  if (whole.empty()) {
+    return;
+  }
+  begin_stream(*request, now);
+  commands_.emplace_back(stream_data{request->client, std::move(whole)});
+  const auto pause =
+      std::chrono::duration_cast<base::duration>(request->route->gap_target * stream_stall_factor);
+  watch_progress(*request, pause, now);
+}
+
+void dispatcher::on(const stream_closed& what, base::time_point now) {
+  auto* request = find_by_call(what.call);
+  if (request == nullptr) {
+    return;
+  }
+  const auto call = close_call(*request);
+  if (what.complete && !request->events.has_partial()) {
+    begin_stream(*request, now);
+    replicas_.note_success(call.replica, now - call.started);
+    commands_.emplace_back(end_stream{request->client, true});
+    finish(*request, request->stream_head->status, "the stream is complete", now);
+    return;
+  }
+  replicas_.note_failure(call.replica, now);
+  record(base::event_kind::stage_retried, *request, call.replica.text(), "the stream broke off");
+  repeat_or_fail(*request, now);
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/dispatcher_constants.h
@@ -0,0 +1,30 @@
+/// Constants that the files of the dispatcher share.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace spurrack::serving {
+
+/// Status codes of answers.
+namespace status {
+constexpr unsigned unauthorized = 401;
+constexpr unsigned not_found = 404;
+constexpr unsigned conflict = 409;
+constexpr unsigned bad_gateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned timed_out = 504;
+constexpr unsigned first_server_error = 500;
+constexpr unsigned client_gone = 0;
+} // namespace status
+
+/// Times the stages of a request are made again because results were lost.
+inline constexpr std::uint32_t most_restarts = 2;
+
+/// @return `span` times `factor`.
+inline base::duration scaled(base::duration span, double factor) {
+  return base::from_seconds(base::to_seconds(span) * factor);
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/serving/dispatcher_stages.cc
@@ -0,0 +1,140 @@
+/// The stages of requests: submitting pieces, taking results, making lost ones again.
+#include "serving/dispatcher.h"
+#include "serving/dispatcher_constants.h"
+
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// Time a stage is expected to take, for the order of pieces.
+constexpr base::duration usual_stage_time = std::chrono::milliseconds(400);
+
+} // namespace
+
+void dispatcher::submit_pieces(active_request& request, base::time_point now) {
+  std::map<std::uint32_t, std::vector<piece_position>> by_stage;
+  for (const auto where : request.graph->take_ready()) {
+    by_stage[where.stage].push_back(where);
+  }
+  for (const auto& [stage, positions] : by_stage) {
+    submit_stage(request, positions, now);
+  }
+}
+
+void dispatcher::submit_stage(active_request& request, const std::vector<piece_position>& positions,
+                              base::time_point now) {
+  const auto stage = positions.front().stage;
+  const auto& step = request.route->stages[stage];
+  const auto left = usual_stage_time * (1 + request.graph->steps_after(stage));
+  piece_work common;
+  common.request = request.content->id;
+  common.service = step.service;
+  common.stage = stage;
+  common.result_bytes = step.result_bytes;
+  common.due = request.arrived + request.route->target_latency - left;
+  common.deadline = request.ends_at;
+  if (step.start_after.empty()) {
+    common.piece_key = request.content->piece_key;
+  } else {
+    common.inputs = request.graph->inputs_of(stage);
+  }
+  counters_.stage_pieces += positions.size();
+  choose_zone(request, stage, common);
+  std::vector<piece_work> pieces;
+  for (const auto where : positions) {
+    pieces.push_back(common);
+    pieces.back().piece = where.piece;
+  }
+  const auto tickets = stages_.submit(std::move(pieces), common.zone, now);
+  for (std::size_t index = 0; index < positions.size(); ++index) {
+    request.pieces[tickets[index]] = positions[index];
+    tickets_[tickets[index]] = request.client;
+  }
+}
+
+void dispatcher::choose_zone(const active_request& request, std::uint32_t stage,
+                             piece_work& work) const {
+  const auto& route = *request.route;
+  double result_bytes = 0;
+  if (request.graph->is_last(stage)) {
+    result_bytes = work.result_bytes;
+  }
+  // Each piece reads every input.
+  std::map<base::zone_id, double> read_in;
+  for (const auto before : route.stages[stage].start_after) {
+    for (const auto& handle : request.graph->results_of(before)) {
+      const auto* maker =
+          replicas_.find_at(base::network_address(handle.substr(0, handle.find('/'))));
+      if (maker != nullptr) {
+        read_in[maker->record->zone] += route.stages[before].result_bytes;
+      }
+    }
+  }
+  work.zone = request.zone;
+  work.carried_bytes = result_bytes;
+  for (const auto& [zone, bytes] : read_in) {
+    if (bytes > work.carried_bytes) {
+      work.zone = zone;
+      work.carried_bytes = bytes;
+    }
+  }
+}
+
+void dispatcher::take_piece_results(base::time_point now) {
+  for (const auto& finished : stages_.take_finished()) {
+    const auto owner = tickets_.find(finished.ticket);
+    if (owner == tickets_.end()) {
+      continue;
+    }
+    auto& request = active_.at(owner->second);
+    tickets_.erase(owner);
+    on_piece_finished(request, finished.ticket, finished.outcome, now);
+  }
+}
+
+void dispatcher::on_piece_finished(active_request& request, piece_ticket ticket,
+                                   const piece_outcome& outcome, base::time_point now) {
+  const auto where = request.pieces.at(ticket);
+  request.pieces.erase(ticket);
+  if (outcome.fault == piece_fault::none) {
+    request.graph->complete(where, outcome.handle);
+    free(request.graph->take_unneeded(false));
+    go_on(request, now);
+    return;
+  }
+  if (outcome.fault == piece_fault::input_gone && request.graph->restarts() < most_restarts) {
+    restart_stages(request, now);
+    return;
+  }
+  answer_not_run(request, "stage " + std::to_string(where.stage) + " brought no result", now);
+}
+
+void dispatcher::restart_stages(active_request& request, base::time_point now) {
+  for (const auto& [ticket, where] : request.pieces) {
+    stages_.cancel(ticket);
+    tickets_.erase(ticket);
+  }
+  request.pieces.clear();
+  free(request.graph->restart());
+  record(base::event_kind::stage_retried, request, request.route->name, "results were gone");
+  submit_pieces(request, now);
+}
+
+void dispatcher::on(const stage_call_ended& what, base::time_point now) {
+  if (stages_.on_call_ended(what, now)) {
+    take_piece_results(now);
+  }
+}
+
+void dispatcher::free(const std::vector<std::string>& handles) {
+  counters_.results_freed += handles.size();
+  stages_.release(handles);
+}
+
+base::zone_id dispatcher::wanted_zone(const active_request& request, base::time_point now) {
+  const auto* expected = choose_replica(request, now);
+  return expected == nullptr ? own_zone_ : expected->record->zone;
+}
+
+} // namespace spurrack::serving
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -53,8 +53,7 @@
   bad=1
 fi
 # Names of the users' platform stay in platform/ and deploy/.
-if git grep -nE 'X-Request-Id|X-Response-Seal|X-Expect-Replica|X-Deadline-Ms|X-Prompt-Prefix|X-Token-Count|X-Not-Executed|X-Replica-|X-Piece|X-Inputs|X-Tenant|kv-watch|kv-range|kv-key|stage-run|stage-free|op/config|servers/' \
-  -- . ../tools ../standins | grep -v 'check_layers.sh'; then
+if git grep -nE -f "$PWD/../platform/reserved_names.txt" -- . ../tools ../standins; then
   echo "names of the platform outside platform/"
   bad=1
 fi
