Stage work of large fleets: every node sees who gathers, lost messages are asked for

Nodes told their load to the first 24 peers by name only, so nodes further down saw few peers alive, took other nodes for gatherers, and those held pieces for replicas that they would not call. The transport loses the first message to a new peer, and a result that was lost was never asked for. Change: a peer directory of its own; gatherers tell all, others tell 12 peers in turn; silence is judged by how often a peer tells; a node that holds pieces without gathering calls all the same; the last fallback is this node's own pool; a holder that says nothing of a piece is asked, and keeps what became of it for 3 s; a new peer is sent an empty message so that the connection stands.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -14,7 +14,7 @@
 constexpr std::size_t max_rumours_per_message = 6;
 constexpr unsigned rumour_multiplier = 3;
 /// Members named to one that asks at a seed address; those of its own zone first.
-constexpr std::size_t max_introductions = 32;
+constexpr std::size_t max_introductions = 128;
 
 /// How strongly a state overrides another at the same incarnation.
 int rank(wire::member_state state) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -315,7 +315,7 @@
     stop_began_ = now;
     disturbed_at_ = now;
     if (serving_) {
-      serving_->begin_stop();
+      serving_->begin_stop(now);
     }
     record(base::event_kind::node_stopping, {}, settings_.self.node.text(), "");
   }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -43,7 +43,7 @@
   /// While off, new requests are answered that they were not run.
   void set_accepting(bool accepting) { accepting_ = accepting; }
   /// A planned stop begins: other nodes gather the pieces of stages from now on.
-  void begin_stop() { stages_.begin_stop(); }
+  void begin_stop(base::time_point now) { stages_.begin_stop(now); }
   /// @return whether requests, or pieces made for other nodes, are still under way.
   [[nodiscard]] bool is_busy() const { return !active_.empty() || stages_.has_calls_under_way(); }
 
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -8,16 +8,17 @@
 namespace spurrack::serving {
 namespace {
 
-/// A peer that was silent for this time is not given work.
-constexpr base::duration silence_limit = std::chrono::milliseconds(900);
 /// A piece that was not acknowledged within this time is placed elsewhere.
 constexpr base::duration acceptance_limit = std::chrono::milliseconds(250);
 constexpr base::duration refresh_period = std::chrono::milliseconds(50);
-constexpr base::duration load_report_period = std::chrono::milliseconds(200);
-/// Times a piece is placed anew before its last place is waited for.
+/// A holder that said nothing of a piece for this time is asked whether it still has it.
+constexpr base::duration confirmation_period = std::chrono::milliseconds(700);
+/// A holder that does not answer that within this time has lost the piece.
+constexpr base::duration lost_limit = std::chrono::milliseconds(1500);
+/// What became of pieces of other nodes is known for this time.
+constexpr base::duration told_result_lifetime = std::chrono::seconds(3);
+/// Times a piece is placed at other nodes before this node makes it itself.
 constexpr std::uint32_t most_moves = 3;
-/// Peers that are told the load of this node.
-constexpr std::size_t most_load_receivers = 24;
 /// Replicas that one node gathers for; more are divided over several nodes.
 constexpr std::size_t most_replicas_per_shard = 16;
 /// What carrying a megabyte to another region is worth, in seconds of waiting.
@@ -37,10 +38,18 @@
                                std::function<base::call_id()> next_call, piece_ticket first_ticket,
                                decision_recorder record)
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
-      pool_(replicas, settings, std::move(next_call), std::move(record)), life_(first_ticket),
-      next_ticket_(first_ticket) {
-  pool_.set_filter(
-      [this](const replica_state& replica) { return own_replicas_.contains(replica.record->id); });
+      pool_(replicas, settings, std::move(next_call), std::move(record)), peers_(self_),
+      life_(first_ticket), next_ticket_(first_ticket) {
+  pool_.set_filter([this](const replica_state& replica) { return may_call(replica); });
+}
+
+bool stage_exchange::may_call(const replica_state& replica) const {
+  return own_replicas_.contains(replica.record->id) ||
+         !own_services_.contains(replica.record->service);
+}
+
+bool stage_exchange::gathers() const {
+  return !own_replicas_.empty() || !guest_tickets_.empty();
 }
 
 void stage_exchange::set_configuration(
@@ -51,54 +60,31 @@
 }
 
 void stage_exchange::set_peers(std::vector<fleet_peer> peers) {
-  std::map<base::node_id, peer_state> kept;
-  for (auto& peer : peers) {
-    const auto found = peers_.find(peer.node);
-    auto& state = kept[peer.node];
-    if (found != peers_.end()) {
-      state = std::move(found->second);
-    }
-    state.peer = std::move(peer);
+  for (const auto& added : peers_.update(std::move(peers))) {
+    // The transport connects with the first message and may lose it; this one holds nothing.
+    message_to(added);
   }
-  peers_ = std::move(kept);
 }
 
-void stage_exchange::begin_stop() {
+void stage_exchange::begin_stop(base::time_point now) {
   stopping_ = true;
   next_refresh_ = {};
   next_load_report_ = {};
-  hand_back_guests();
+  hand_back_guests(now);
 }
 
-void stage_exchange::hand_back_guests() {
+void stage_exchange::hand_back_guests(base::time_point now) {
   for (const auto ticket : pool_.waiting_tickets()) {
     const auto guest = guests_by_pool_ticket_.find(ticket);
     if (guest != guests_by_pool_ticket_.end()) {
       pool_.cancel(ticket);
-      finish_guest(guest->second, {piece_fault::not_run, {}});
+      finish_guest(guest->second, {piece_fault::not_run, {}}, now);
       guest_tickets_.erase({guest->second.origin, guest->second.origin_ticket});
       guests_by_pool_ticket_.erase(guest);
     }
   }
 }
 
-bool stage_exchange::heard_lately(const peer_state& peer, base::time_point now) const {
-  return peer.heard != base::time_point{} && now - peer.heard < silence_limit;
-}
-
-bool stage_exchange::is_in_touch(const base::zone_id& zone, base::time_point now) const {
-  bool any_known = false;
-  for (const auto& [node, peer] : peers_) {
-    if (peer.peer.zone == zone && peer.heard != base::time_point{}) {
-      any_known = true;
-      if (heard_lately(peer, now)) {
-        return true;
-      }
-    }
-  }
-  return !any_known;
-}
-
 // --- who gathers for which replica ---------------------------------------------------------------
 
 std::string stage_exchange::region_of(const base::zone_id& zone) const {
@@ -106,29 +92,20 @@
   return found == regions_.end() ? zone.text() : found->second;
 }
 
-std::set<base::zone_id> stage_exchange::silent_zones(base::time_point now) const {
-  std::set<base::zone_id> silent;
-  for (const auto& [node, peer] : peers_) {
-    const auto& zone = peer.peer.zone;
-    if (zone != self_.zone && !silent.contains(zone) && !is_in_touch(zone, now)) {
-      silent.insert(zone);
-    }
-  }
-  return silent;
-}
-
 void stage_exchange::refresh(base::time_point now) {
   if (now < next_refresh_) {
     return;
   }
   next_refresh_ = now + refresh_period;
+  peers_.mark_silent(now);
   own_replicas_.clear();
+  own_services_.clear();
   gatherers_.clear();
   gatherer_of_.clear();
   std::map<std::string, std::vector<base::node_id>> nodes_by_region;
   std::vector<base::node_id> all;
-  for (const auto& [node, peer] : peers_) {
-    if (heard_lately(peer, now) && !peer.leaving) {
+  for (const auto& [node, peer] : peers_.all()) {
+    if (peer_directory::is_fit(peer)) {
       nodes_by_region[region_of(peer.peer.zone)].push_back(node);
       all.push_back(node);
     }
@@ -149,6 +126,11 @@
     const auto near = nodes_by_region.find(group.region);
     assign(group, replicas, near == nodes_by_region.end() ? all : near->second);
   }
+  std::set<base::node_id> elected;
+  for (const auto& [replica, node] : gatherer_of_) {
+    elected.insert(node);
+  }
+  peers_.set_gatherers(elected, now);
 }
 
 void stage_exchange::assign(const replica_group& group,
@@ -162,6 +144,7 @@
     gatherer_of_[replica] = node;
     if (node == self_.node) {
       own_replicas_.insert(replica);
+      own_services_.insert(group.service);
     }
     add_gatherer(group, node);
   }
@@ -189,14 +172,14 @@
     waiting = static_cast<double>(pool_.waiting(service));
     under_way = static_cast<double>(pool_.calls_under_way(service));
   } else {
-    const auto& peer = peers_.at(candidate.node);
-    const auto told = peer.loads.find(service);
-    if (told != peer.loads.end()) {
+    const auto* peer = peers_.find(candidate.node);
+    const auto told = peer->loads.find(service);
+    if (told != peer->loads.end()) {
       waiting = told->second.waiting();
       under_way = told->second.calls_under_way();
     }
-    const auto sent = peer.sent_since.find(service);
-    waiting += sent == peer.sent_since.end() ? 0 : sent->second;
+    const auto sent = peer->sent_since.find(service);
+    waiting += sent == peer->sent_since.end() ? 0 : sent->second;
   }
   const double full_call =
       base::to_seconds(capacity.call_time) + base::to_seconds(capacity.item_time) * capacity.batch;
@@ -266,7 +249,7 @@
 void stage_exchange::place(piece_ticket ticket, placement& placed, const gatherer* chosen,
                            base::time_point now) {
   placed.sent_at = now;
-  placed.accepted = false;
+  placed.confirmed_at.reset();
   if (chosen == nullptr || chosen->node == self_.node) {
     placed.holder = {};
     placed.pool_ticket = pool_.submit(placed.work, now);
@@ -274,7 +257,7 @@
     return;
   }
   placed.holder = chosen->node;
-  ++peers_.at(chosen->node).sent_since[placed.work.service];
+  ++peers_.find(chosen->node)->sent_since[placed.work.service];
   auto& wanted = *message_to(chosen->node).add_wanted();
   wanted.set_ticket(ticket);
   wanted.set_request(placed.work.request.text());
@@ -292,30 +275,43 @@
 
 void stage_exchange::place_again(base::time_point now) {
   for (auto& [ticket, placed] : placements_) {
-    if (placed.holder.empty() || placed.moves >= most_moves) {
+    if (placed.holder.empty()) {
       continue;
     }
-    const auto peer = peers_.find(placed.holder);
-    const bool silent = peer == peers_.end() || !heard_lately(peer->second, now);
-    const bool not_accepted = !placed.accepted && now - placed.sent_at > acceptance_limit;
-    if (!silent && !not_accepted) {
-      continue;
-    }
-    if (peer != peers_.end() && not_accepted) {
-      // Gets nothing more until it is heard again.
-      peer->second.heard = {};
+    const auto* peer = peers_.find(placed.holder);
+    if (peer == nullptr || peer->silent) {
+      move(ticket, placed, now);
+    } else if (placed.confirmed_at) {
+      ask_or_move(ticket, placed, now);
+    } else if (now - placed.sent_at > acceptance_limit) {
+      peers_.give_up(placed.holder);
       next_refresh_ = {};
       refresh(now);
+      move(ticket, placed, now);
     }
-    message_to(placed.holder).add_cancelled(ticket);
+  }
+}
+
+void stage_exchange::ask_or_move(piece_ticket ticket, placement& placed, base::time_point now) {
+  const auto quiet = now - *placed.confirmed_at;
+  if (quiet >= lost_limit) {
     move(ticket, placed, now);
+  } else if (quiet >= confirmation_period && now - placed.asked_at >= acceptance_limit) {
+    placed.asked_at = now;
+    message_to(placed.holder).add_asked(ticket);
   }
 }
 
 void stage_exchange::move(piece_ticket ticket, placement& placed, base::time_point now) {
   ++placed.moves;
-  place(ticket, placed,
-        choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone), now);
+  const auto* chosen =
+      placed.moves <= most_moves
+          ? choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone)
+          : nullptr;
+  if (chosen == nullptr || chosen->node != placed.holder) {
+    message_to(placed.holder).add_cancelled(ticket);
+  }
+  place(ticket, placed, chosen, now);
 }
 
 void stage_exchange::cancel(piece_ticket ticket) {
@@ -370,8 +366,28 @@
   }
 }
 
+void stage_exchange::tell_state(const base::node_id& sender, piece_ticket ticket) {
+  if (guest_tickets_.contains({sender, ticket})) {
+    message_to(sender).add_accepted(ticket);
+    return;
+  }
+  const auto told =
+      std::find_if(told_results_.begin(), told_results_.end(), [&](const told_result& candidate) {
+        return candidate.guest.origin == sender && candidate.guest.origin_ticket == ticket;
+      });
+  if (told != told_results_.end()) {
+    tell_result(told->guest, told->outcome);
+  } else {
+    tell_result({sender, ticket}, {piece_fault::not_run, {}});
+  }
+}
+
 void stage_exchange::take_wanted(const base::node_id& sender, const wire::piece_request& wanted,
                                  base::time_point now) {
+  if (guest_tickets_.contains({sender, wanted.ticket()})) {
+    message_to(sender).add_accepted(wanted.ticket());
+    return;
+  }
   piece_work work;
   work.request = base::request_id(wanted.request());
   work.service = wanted.service();
@@ -400,7 +416,7 @@
     return;
   }
   const auto fault = static_cast<piece_fault>(result.fault());
-  if (fault == piece_fault::not_run && found->second.moves < most_moves) {
+  if (fault == piece_fault::not_run && found->second.moves <= most_moves) {
     move(result.ticket(), found->second, now);
     return;
   }
@@ -410,19 +426,19 @@
 
 void stage_exchange::handle(const base::node_id& sender, const wire::stage_work& message,
                             base::time_point now) {
-  const auto found = peers_.find(sender);
-  if (found == peers_.end()) {
+  auto* peer = peers_.find(sender);
+  if (peer == nullptr) {
     return;
   }
-  auto& peer = found->second;
-  peer.heard = now;
-  note_life(peer, message, now);
+  peer->heard = now;
+  peer->silent = false;
+  note_life(*peer, message, now);
   if (message.loads_size() > 0) {
-    peer.loads.clear();
-    peer.sent_since.clear();
+    peer->loads.clear();
+    peer->sent_since.clear();
   }
   for (const auto& load : message.loads()) {
-    peer.loads[load.service()] = load;
+    peer->loads[load.service()] = load;
   }
   for (const auto& wanted : message.wanted()) {
     take_wanted(sender, wanted, now);
@@ -430,35 +446,42 @@
   for (const auto ticket : message.accepted()) {
     const auto placed = placements_.find(ticket);
     if (placed != placements_.end() && placed->second.holder == sender) {
-      placed->second.accepted = true;
+      placed->second.confirmed_at = now;
     }
   }
   for (const auto& result : message.made()) {
     take_made(sender, result, now);
   }
   for (const auto ticket : message.cancelled()) {
-    const auto guest = guest_tickets_.find({sender, ticket});
-    if (guest != guest_tickets_.end()) {
-      pool_.cancel(guest->second);
-      guests_by_pool_ticket_.erase(guest->second);
-      guest_tickets_.erase(guest);
-    }
+    take_cancelled(sender, ticket);
+  }
+  for (const auto ticket : message.asked()) {
+    tell_state(sender, ticket);
   }
   for (const auto& handle : message.released()) {
     pool_.release(handle);
   }
   if (stopping_) {
-    hand_back_guests();
+    hand_back_guests(now);
+  }
+}
+
+void stage_exchange::take_cancelled(const base::node_id& sender, piece_ticket ticket) {
+  const auto guest = guest_tickets_.find({sender, ticket});
+  if (guest != guest_tickets_.end()) {
+    pool_.cancel(guest->second);
+    guests_by_pool_ticket_.erase(guest->second);
+    guest_tickets_.erase(guest);
   }
 }
 
 bool stage_exchange::on_call_ended(const stage_call_ended& ended, base::time_point now) {
   const bool mine = pool_.on_call_ended(ended, now);
-  take_pool_results();
+  take_pool_results(now);
   return mine;
 }
 
-void stage_exchange::take_pool_results() {
+void stage_exchange::take_pool_results(base::time_point now) {
   for (auto& finished : pool_.take_finished()) {
     const auto own = own_by_pool_ticket_.find(finished.ticket);
     if (own != own_by_pool_ticket_.end()) {
@@ -469,14 +492,23 @@
     }
     const auto guest = guests_by_pool_ticket_.find(finished.ticket);
     if (guest != guests_by_pool_ticket_.end()) {
-      finish_guest(guest->second, finished.outcome);
+      finish_guest(guest->second, finished.outcome, now);
       guest_tickets_.erase({guest->second.origin, guest->second.origin_ticket});
       guests_by_pool_ticket_.erase(guest);
     }
   }
 }
 
-void stage_exchange::finish_guest(const guest_piece& guest, const piece_outcome& outcome) {
+void stage_exchange::finish_guest(const guest_piece& guest, const piece_outcome& outcome,
+                                  base::time_point now) {
+  while (!told_results_.empty() && now - told_results_.front().told_at >= told_result_lifetime) {
+    told_results_.pop_front();
+  }
+  told_results_.push_back({now, guest, outcome});
+  tell_result(guest, outcome);
+}
+
+void stage_exchange::tell_result(const guest_piece& guest, const piece_outcome& outcome) {
   auto& made = *message_to(guest.origin).add_made();
   made.set_ticket(guest.origin_ticket);
   made.set_fault(static_cast<std::uint32_t>(outcome.fault));
@@ -503,21 +535,17 @@
   if (report.loads_size() == 0) {
     return;
   }
-  std::size_t told = 0;
-  for (const auto& [node, peer] : peers_) {
-    if (told < most_load_receivers || peer.peer.zone == self_.zone) {
-      *message_to(node).mutable_loads() = report.loads();
-      ++told;
-    }
+  for (const auto& node : peers_.next_receivers(gathers() || stopping_)) {
+    *message_to(node).mutable_loads() = report.loads();
   }
 }
 
 void stage_exchange::pump(base::time_point now) {
-  replicas_->set_unreachable(silent_zones(now));
+  replicas_->set_unreachable(peers_.silent_zones(now));
   refresh(now);
   place_again(now);
   pool_.pump(now);
-  take_pool_results();
+  take_pool_results(now);
   send_loads(now);
 }
 
@@ -532,9 +560,9 @@
 wire::outbox stage_exchange::take_messages() {
   wire::outbox out;
   for (auto& [node, content] : messages_) {
-    const auto peer = peers_.find(node);
-    if (peer != peers_.end()) {
-      wire::outgoing message{peer->second.peer.address, {}};
+    const auto* peer = peers_.find(node);
+    if (peer != nullptr) {
+      wire::outgoing message{peer->peer.address, {}};
       content.set_life(life_);
       content.set_leaving(stopping_);
       *message.message.mutable_stage_work() = std::move(content);
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -2,17 +2,20 @@
 /// and for each shard one node gathers the pieces of all nodes and puts the calls together, so that
 /// whichever replica is free first takes what is due first. Nodes send their pieces to the gatherer
 /// that will be done first; one that is silent is replaced by the next in rendezvous order, and two
-/// at once do no harm.
+/// at once do no harm. A node that holds pieces without being their gatherer, since views of the
+/// fleet differ or have changed, calls replicas for them all the same.
 #pragma once
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "serving/peer_directory.h"
 #include "serving/replica_table.h"
 #include "serving/settings.h"
 #include "serving/stage_pool.h"
 #include "wire/outgoing.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,13 +27,6 @@
 
 namespace spurrack::serving {
 
-/// Another node of the fleet.
-struct fleet_peer {
-  base::node_id node;
-  base::zone_id zone;
-  base::network_address address;
-};
-
 /// Not thread-safe. Commands, messages and results gather until they are taken.
 class stage_exchange {
  public:
@@ -44,7 +40,7 @@
   /// Takes over the other nodes that membership holds for alive.
   void set_peers(std::vector<fleet_peer> peers);
   /// A planned stop begins: other nodes take over what waits here.
-  void begin_stop();
+  void begin_stop(base::time_point now);
   /// @return whether calls for pieces are under way.
   [[nodiscard]] bool has_calls_under_way() const { return pool_.has_calls_under_way(); }
 
@@ -74,10 +70,7 @@
   [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
   [[nodiscard]] command_list take_commands() { return pool_.take_commands(); }
   [[nodiscard]] wire::outbox take_messages();
-  /// @return whether a zone has shown a sign of life lately; true where it has no other nodes.
-  [[nodiscard]] bool is_in_touch(const base::zone_id& zone, base::time_point now) const;
-  /// @return zones of other nodes of which none has shown a sign of life lately.
-  [[nodiscard]] std::set<base::zone_id> silent_zones(base::time_point now) const;
+  [[nodiscard]] const peer_directory& peers() const { return peers_; }
 
  private:
   /// A node that gathers the pieces for some replicas of a service.
@@ -92,16 +85,6 @@
     std::string region;
     auto operator<=>(const replica_group&) const = default;
   };
-  struct peer_state {
-    fleet_peer peer;
-    base::time_point heard;
-    /// Start of the peer's process; 0 before it was heard.
-    std::uint64_t life = 0;
-    bool leaving = false;
-    std::map<std::string, wire::stage_load> loads;
-    /// Pieces sent since the peer told its load.
-    std::map<std::string, std::uint32_t> sent_since;
-  };
   /// Where a piece of this node is.
   struct placement {
     piece_work work;
@@ -109,7 +92,10 @@
     base::node_id holder;
     piece_ticket pool_ticket = 0;
     base::time_point sent_at;
-    bool accepted = false;
+    /// When the holder said last that it has the piece; nothing before it has.
+    std::optional<base::time_point> confirmed_at;
+    /// When the holder was asked last whether it still has the piece.
+    base::time_point asked_at;
     std::uint32_t moves = 0;
   };
   /// A piece that this node gathers for another.
@@ -117,13 +103,19 @@
     base::node_id origin;
     piece_ticket origin_ticket = 0;
   };
+  /// What became of a piece that this node gathered for another; kept for a while, since the
+  /// message that told it may have been lost.
+  struct told_result {
+    base::time_point told_at;
+    guest_piece guest;
+    piece_outcome outcome;
+  };
 
   /// Divides the replicas of a group into shards and finds the gatherer of each.
   void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
               const std::vector<base::node_id>& candidates);
   void add_gatherer(const replica_group& group, const base::node_id& node);
   [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
-  [[nodiscard]] bool heard_lately(const peer_state& peer, base::time_point now) const;
   /// @param result_bytes size of all results together.
   const gatherer* choose_gatherer(const std::string& service, double result_bytes,
                                   const base::zone_id& zone) const;
@@ -131,17 +123,28 @@
                                              const std::string& service) const;
   /// @param chosen null where no other node is fit.
   void place(piece_ticket ticket, placement& placed, const gatherer* chosen, base::time_point now);
+  /// Places pieces anew whose holder is silent or did not take them, and asks for those of which
+  /// nothing was heard for long.
   void place_again(base::time_point now);
-  void take_pool_results();
+  void ask_or_move(piece_ticket ticket, placement& placed, base::time_point now);
+  void take_pool_results(base::time_point now);
   /// Hands every waiting piece of another node back to it.
-  void hand_back_guests();
+  void hand_back_guests(base::time_point now);
+  /// Says of a piece of another node whether it is still here, and what became of it otherwise.
+  void tell_state(const base::node_id& sender, piece_ticket ticket);
+  /// @return whether this node may call a replica with pieces.
+  [[nodiscard]] bool may_call(const replica_state& replica) const;
+  /// @return whether other nodes count on this one for pieces.
+  [[nodiscard]] bool gathers() const;
   void note_life(peer_state& peer, const wire::stage_work& message, base::time_point now);
   void take_wanted(const base::node_id& sender, const wire::piece_request& wanted,
                    base::time_point now);
   void take_made(const base::node_id& sender, const wire::piece_result& result,
                  base::time_point now);
   void move(piece_ticket ticket, placement& placed, base::time_point now);
-  void finish_guest(const guest_piece& guest, const piece_outcome& outcome);
+  void take_cancelled(const base::node_id& sender, piece_ticket ticket);
+  void finish_guest(const guest_piece& guest, const piece_outcome& outcome, base::time_point now);
+  void tell_result(const guest_piece& guest, const piece_outcome& outcome);
   void send_loads(base::time_point now);
   wire::stage_work& message_to(const base::node_id& node);
 
@@ -150,9 +153,10 @@
   replica_table* replicas_;
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
-  std::map<base::node_id, peer_state> peers_;
-  /// Replicas this node gathers for.
+  peer_directory peers_;
+  /// Replicas this node gathers for, and the services they belong to.
   std::set<base::replica_id> own_replicas_;
+  std::set<std::string> own_services_;
   std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
   std::unordered_map<base::replica_id, base::node_id> gatherer_of_;
   std::uint64_t life_;
@@ -162,6 +166,7 @@
   std::unordered_map<piece_ticket, piece_ticket> own_by_pool_ticket_;
   std::unordered_map<piece_ticket, guest_piece> guests_by_pool_ticket_;
   std::map<std::pair<base::node_id, piece_ticket>, piece_ticket> guest_tickets_;
+  std::deque<told_result> told_results_;
   std::map<base::node_id, wire::stage_work> messages_;
   std::vector<piece_finished> finished_;
   base::time_point next_refresh_;
--- /dev/null
+++ b/tests/serving/exchange_fleet.h
@@ -0,0 +1,164 @@
+/// A fleet of stage exchanges whose messages are delivered by hand.
+#pragma once
+
+#include "serving/stage_exchange.h"
+
+#include "serving_fixture.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace spurrack::serving {
+
+struct exchange_node {
+  exchange_node(const fleet_peer& self, published_world& world, std::uint64_t life)
+      : identity(self), random(life), replicas(self.zone, {}, random),
+        subject(
+            self, replicas, {}, [this] { return next_call++; }, life,
+            [](auto, const auto&, const auto&, const auto&) {}) {
+    replicas.update(world.content.replicas());
+    subject.set_configuration(world.content.serving());
+  }
+
+  fleet_peer identity;
+  base::seeded_random random;
+  replica_table replicas;
+  base::call_id next_call = 1;
+  stage_exchange subject;
+  std::vector<start_stage_call> calls;
+  std::vector<free_results> freed;
+  std::vector<piece_finished> finished;
+};
+
+struct exchange_fleet {
+  /// @param zone_count zones `a`, `b`, ... over which the nodes are spread.
+  explicit exchange_fleet(int size = 3, int zone_count = 1) : size_(size), zone_count_(zone_count) {
+    for (int index = 0; index < size_; ++index) {
+      start(index, 1'000'000);
+    }
+    meet();
+  }
+
+  [[nodiscard]] fleet_peer peer(int index) const {
+    const auto name = "n" + std::to_string(index);
+    const std::string zone(1, static_cast<char>('a' + index % zone_count_));
+    return {base::node_id(name), base::zone_id(zone), base::network_address(name + ":1")};
+  }
+
+  void start(int index, std::uint64_t life) {
+    if (nodes.size() <= static_cast<std::size_t>(index)) {
+      nodes.resize(static_cast<std::size_t>(index) + 1);
+    }
+    nodes[static_cast<std::size_t>(index)] =
+        std::make_unique<exchange_node>(peer(index), world, life);
+  }
+
+  void meet() {
+    for (auto& node : nodes) {
+      std::vector<fleet_peer> others;
+      for (int index = 0; index < size_; ++index) {
+        if (peer(index).node != node->identity.node) {
+          others.push_back(peer(index));
+        }
+      }
+      node->subject.set_peers(others);
+    }
+    run(std::chrono::milliseconds(500));
+  }
+
+  void run(base::duration span) {
+    constexpr base::duration step = std::chrono::milliseconds(10);
+    for (const auto end = now + span; now < end;) {
+      now += step;
+      for (auto& node : nodes) {
+        pump(*node);
+      }
+    }
+  }
+
+  void pump(exchange_node& node) {
+    if (node.identity.node == silent) {
+      return;
+    }
+    node.subject.pump(now);
+    for (auto& command : node.subject.take_commands()) {
+      if (auto* call = std::get_if<start_stage_call>(&command)) {
+        node.calls.push_back(*call);
+      } else if (auto* free = std::get_if<free_results>(&command)) {
+        node.freed.push_back(*free);
+      }
+    }
+    for (auto& done : node.subject.take_finished()) {
+      node.finished.push_back(done);
+    }
+    for (auto& message : node.subject.take_messages()) {
+      ++messages_sent;
+      if (loses_message(node, message.to)) {
+        continue;
+      }
+      for (auto& other : nodes) {
+        if (other->identity.address == message.to && other->identity.node != silent) {
+          other->subject.handle(node.identity.node, message.message.stage_work(), now);
+        }
+      }
+    }
+  }
+
+  piece_ticket submit(exchange_node& origin) {
+    piece_work work;
+    work.request = base::request_id("r");
+    work.service = "pool";
+    work.piece_key = "k";
+    work.zone = base::zone_id("a");
+    work.due = now + std::chrono::seconds(2);
+    work.deadline = now + std::chrono::seconds(5);
+    return origin.subject.submit({work}, base::zone_id("a"), now).front();
+  }
+
+  /// @return the node that has made a call; null where none has.
+  exchange_node* caller() {
+    for (auto& node : nodes) {
+      if (!node->calls.empty()) {
+        return node.get();
+      }
+    }
+    return nullptr;
+  }
+
+  void answer(exchange_node& gatherer) {
+    const auto call = gatherer.calls.back();
+    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
+    for (std::size_t index = 0; index < call.items.size(); ++index) {
+      ended.pieces.push_back(
+          {piece_fault::none, call.target.address.text() + "/h" + std::to_string(index)});
+    }
+    gatherer.subject.on_call_ended(ended, now);
+  }
+
+  exchange_node& other_than(const exchange_node& node) {
+    return nodes[0].get() == &node ? *nodes[1] : *nodes[0];
+  }
+
+  /// The transport connects with the first message to a peer, and loses it.
+  bool loses_message(const exchange_node& sender, const base::network_address& to) {
+    return loses_first_messages && connected_.insert({sender.identity.node, to}).second;
+  }
+
+  published_world world;
+  std::vector<std::unique_ptr<exchange_node>> nodes;
+  bool loses_first_messages = false;
+  std::size_t messages_sent = 0;
+  base::time_point now{std::chrono::hours(1)};
+  base::node_id silent;
+
+ private:
+  int size_;
+  int zone_count_;
+  std::set<std::pair<base::node_id, base::network_address>> connected_;
+};
+
+} // namespace spurrack::serving
--- a/tests/serving/stage_exchange_test.cc
+++ b/tests/serving/stage_exchange_test.cc
@@ -1,147 +1,41 @@
 /// Several nodes gather pieces for one another; messages are delivered by hand.
-#include "serving/stage_exchange.h"
-
-#include "serving_fixture.h"
-
-#include <memory>
+#include "exchange_fleet.h"
 
 using namespace spurrack;
 using namespace spurrack::serving;
 
 namespace {
 
-struct exchange_node {
-  exchange_node(const fleet_peer& self, published_world& world, std::uint64_t life)
-      : identity(self), random(life), replicas(self.zone, {}, random),
-        subject(
-            self, replicas, {}, [this] { return next_call++; }, life,
-            [](auto, const auto&, const auto&, const auto&) {}) {
-    replicas.update(world.content.replicas());
-    subject.set_configuration(world.content.serving());
-  }
-
-  fleet_peer identity;
-  base::seeded_random random;
-  replica_table replicas;
-  base::call_id next_call = 1;
-  stage_exchange subject;
-  std::vector<start_stage_call> calls;
-  std::vector<free_results> freed;
-  std::vector<piece_finished> finished;
-};
-
-struct exchange_fleet {
-  exchange_fleet() {
-    for (int index = 0; index < 3; ++index) {
-      start(index, 1'000'000);
-    }
-    meet();
-  }
-
-  static fleet_peer peer(int index) {
-    const auto name = "n" + std::to_string(index);
-    return {base::node_id(name), base::zone_id("a"), base::network_address(name + ":1")};
-  }
+/// Three nodes of one zone.
+struct small_fleet : exchange_fleet {};
 
-  void start(int index, std::uint64_t life) {
-    if (nodes.size() <= static_cast<std::size_t>(index)) {
-      nodes.resize(static_cast<std::size_t>(index) + 1);
-    }
-    nodes[static_cast<std::size_t>(index)] =
-        std::make_unique<exchange_node>(peer(index), world, life);
-  }
+/// As many nodes as do not all tell each other everything.
+struct large_fleet : exchange_fleet {
+  large_fleet() : exchange_fleet(60, 5) {}
 
-  void meet() {
-    for (auto& node : nodes) {
-      std::vector<fleet_peer> others;
-      for (int index = 0; index < 3; ++index) {
-        if (peer(index).node != node->identity.node) {
-          others.push_back(peer(index));
-        }
-      }
-      node->subject.set_peers(others);
-    }
-    run(std::chrono::milliseconds(500));
+  [[nodiscard]] std::size_t unfinished() const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes.begin(), nodes.end(), [](const auto& node) { return node->finished.empty(); }));
   }
 
-  void run(base::duration span) {
-    constexpr base::duration step = std::chrono::milliseconds(10);
+  /// Answers every call as soon as it is made.
+  void run_answering(base::duration span) {
+    constexpr base::duration step = std::chrono::milliseconds(20);
     for (const auto end = now + span; now < end;) {
-      now += step;
+      run(step);
       for (auto& node : nodes) {
-        pump(*node);
-      }
-    }
-  }
-
-  void pump(exchange_node& node) {
-    if (node.identity.node == silent) {
-      return;
-    }
-    node.subject.pump(now);
-    for (auto& command : node.subject.take_commands()) {
-      if (auto* call = std::get_if<start_stage_call>(&command)) {
-        node.calls.push_back(*call);
-      } else if (auto* free = std::get_if<free_results>(&command)) {
-        node.freed.push_back(*free);
-      }
-    }
-    for (auto& done : node.subject.take_finished()) {
-      node.finished.push_back(done);
-    }
-    for (auto& message : node.subject.take_messages()) {
-      for (auto& other : nodes) {
-        if (other->identity.address == message.to && other->identity.node != silent) {
-          other->subject.handle(node.identity.node, message.message.stage_work(), now);
+        while (!node->calls.empty()) {
+          answer(*node);
+          node->calls.pop_back();
         }
       }
     }
   }
-
-  piece_ticket submit(exchange_node& origin) {
-    piece_work work;
-    work.request = base::request_id("r");
-    work.service = "pool";
-    work.piece_key = "k";
-    work.zone = base::zone_id("a");
-    work.due = now + std::chrono::seconds(2);
-    work.deadline = now + std::chrono::seconds(5);
-    return origin.subject.submit({work}, base::zone_id("a"), now).front();
-  }
-
-  /// @return the node that has made a call; null where none has.
-  exchange_node* caller() {
-    for (auto& node : nodes) {
-      if (!node->calls.empty()) {
-        return node.get();
-      }
-    }
-    return nullptr;
-  }
-
-  void answer(exchange_node& gatherer) {
-    const auto call = gatherer.calls.back();
-    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
-    for (std::size_t index = 0; index < call.items.size(); ++index) {
-      ended.pieces.push_back(
-          {piece_fault::none, call.target.address.text() + "/h" + std::to_string(index)});
-    }
-    gatherer.subject.on_call_ended(ended, now);
-  }
-
-  exchange_node& other_than(const exchange_node& node) {
-    return nodes[0].get() == &node ? *nodes[1] : *nodes[0];
-  }
-
-  published_world world;
-  std::vector<std::unique_ptr<exchange_node>> nodes;
-  base::time_point now{std::chrono::hours(1)};
-  base::node_id silent;
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(stage_exchange_test, exchange_fleet)
+BOOST_FIXTURE_TEST_SUITE(stage_exchange_test, small_fleet)
 
 BOOST_AUTO_TEST_CASE(one_node_gathers_the_pieces_of_all) {
   for (auto& node : nodes) {
@@ -220,7 +114,7 @@
   auto& origin = other_than(gatherer);
   submit(origin);
   run(std::chrono::milliseconds(10));
-  gatherer.subject.begin_stop();
+  gatherer.subject.begin_stop(now);
   BOOST_TEST(gatherer.subject.has_calls_under_way());
   run(std::chrono::milliseconds(100));
   std::size_t elsewhere = 0;
@@ -248,3 +142,55 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(stage_exchange_scale_test, large_fleet)
+
+BOOST_AUTO_TEST_CASE(all_nodes_of_a_large_fleet_agree_on_who_gathers) {
+  run(std::chrono::seconds(3));
+  for (auto& node : nodes) {
+    submit(*node);
+  }
+  std::set<base::node_id> gatherers;
+  for (int round = 0; round < 60; ++round) {
+    run(std::chrono::milliseconds(50));
+    for (auto& node : nodes) {
+      while (!node->calls.empty()) {
+        gatherers.insert(node->identity.node);
+        answer(*node);
+        node->calls.pop_back();
+      }
+    }
+  }
+  BOOST_TEST(unfinished() == 0U);
+  BOOST_TEST(gatherers.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(first_messages_that_are_lost_hold_nothing_up) {
+  loses_first_messages = true;
+  for (auto& node : nodes) {
+    submit(*node);
+  }
+  run_answering(std::chrono::seconds(3));
+  BOOST_TEST(unfinished() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(messages_grow_with_the_fleet_and_not_with_its_square) {
+  run(std::chrono::seconds(3));
+  messages_sent = 0;
+  run(std::chrono::seconds(1));
+  constexpr std::size_t most_messages_a_node = 80;
+  BOOST_TEST(messages_sent <= most_messages_a_node * nodes.size());
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_zone_is_noticed) {
+  run(std::chrono::seconds(3));
+  const base::zone_id lost("b");
+  std::erase_if(nodes, [&](const auto& node) { return node->identity.zone == lost; });
+  run(std::chrono::seconds(2));
+  for (auto& node : nodes) {
+    BOOST_TEST(!node->subject.peers().is_in_touch(lost, now));
+    BOOST_TEST(node->subject.peers().silent_zones(now).size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
