--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -17,13 +17,14 @@
   return cursor_;
 }
 
-bool service_watch::on_answer(base::revision service_revision, base::time_point now) {
+bool service_watch::on_answer(base::revision service_revision, bool has_changes,
+                              base::time_point now) {
   const bool went_back = service_revision < cursor_;
   outstanding_ = false;
   cursor_ = service_revision;
   last_answer_ = now;
   backoff_ = std::min(retry_first, retry_longest_);
-  next_try_ = now;
+  next_try_ = has_changes ? now + rest_after_changes : now;
   return went_back;
 }
 
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -20,6 +20,9 @@
   static constexpr base::duration usual_retry_longest = std::chrono::seconds(8);
   /// A watch without answer is given up after this time (the service holds one for half of it).
   static constexpr base::duration watch_timeout = std::chrono::seconds(20);
+  /// Rest after an answer that brought changes, so that a burst of them takes few calls. A change
+  /// that comes after a quiet time is heard at once.
+  static constexpr base::duration rest_after_changes = std::chrono::milliseconds(200);
 
   explicit service_watch(base::duration retry_longest = usual_retry_longest)
       : retry_longest_(retry_longest), backoff_(std::min(retry_first, retry_longest)) {}
@@ -29,8 +32,9 @@
 
   /// @param service_revision revision the service says it is at. Where it went back (a service
   ///        restored from a backup), reading goes on from there; what is in force does not go back.
+  /// @param has_changes whether the answer brought any entry.
   /// @return whether the service is behind what it said before.
-  bool on_answer(base::revision service_revision, base::time_point now);
+  bool on_answer(base::revision service_revision, bool has_changes, base::time_point now);
   void on_failure(base::time_point now);
 
   [[nodiscard]] bool has_answered() const { return last_answer_.has_value(); }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -228,7 +228,7 @@
 
 void node::on(const service_answered& what, base::time_point now) {
   auto& watch = watches_[static_cast<std::size_t>(what.source)];
-  if (watch.on_answer(what.service_revision, now)) {
+  if (watch.on_answer(what.service_revision, !what.entries.empty(), now)) {
     record(base::event_kind::service_behind, {}, "",
            "service went back to revision " + std::to_string(what.service_revision));
   }
--- /dev/null
+++ b/tests/platform_fleet/soak_client.cc
@@ -0,0 +1,157 @@
+#include "soak_client.h"
+
+#include "http/endpoint.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <array>
+#include <charconv>
+#include <thread>
+
+namespace spurrack::platform_tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds time_allowed{3'000};
+/// A machine with many processes may run each of them late by this much.
+constexpr milliseconds machine_slack{1'500};
+/// Promises with a time bound hold for nodes undisturbed for this long before a request.
+constexpr milliseconds contact_time{3'000};
+constexpr milliseconds rest_after_failure{30};
+constexpr unsigned too_many = 429;
+constexpr unsigned unavailable = 503;
+
+/// Bounds each read and write of a blocking socket.
+void set_timeout(tcp::socket& socket, milliseconds patience) {
+  const timeval limit{patience.count() / 1000, (patience.count() % 1000) * 1000};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+}
+
+} // namespace
+
+soak_client::soak_client(std::string name, soak_fleet& fleet, soak_ledger& ledger,
+                         std::uint64_t seed)
+    : name_(std::move(name)), fleet_(&fleet), ledger_(&ledger), random_(seed) {}
+
+void soak_client::run(const std::atomic<bool>& stopping) {
+  constexpr std::array<const char*, 4> kinds{"safe", "unsafe", "stream", "staged"};
+  while (!stopping) {
+    ask(kinds[random_.below(kinds.size())]);
+  }
+}
+
+void soak_client::connect(soak_node& node) {
+  node_ = &node;
+  socket_ = std::make_unique<tcp::socket>(io_);
+  const auto endpoint = http::parse_endpoint(node.clients);
+  boost::system::error_code error;
+  socket_->connect(*endpoint, error);
+  if (error) {
+    socket_.reset();
+  }
+}
+
+void soak_client::ask(const std::string& kind) {
+  if (!socket_) {
+    connect(*fleet_->nodes[random_.below(fleet_->nodes.size())]);
+  }
+  if (!socket_) {
+    std::this_thread::sleep_for(rest_after_failure);
+    return;
+  }
+  const auto id = name_ + "x" + std::to_string(++number_);
+  std::string bytes = "POST " + soak_request::path(kind, id) +
+                      " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+                      "\r\nX-Deadline-Ms: " + std::to_string(time_allowed.count()) +
+                      "\r\nAuthorization: Token base\r\nX-Tenant: forged\r\n";
+  if (kind == "staged") {
+    bytes += "X-Pieces: " + std::to_string(soak_request::pieces(id, 0)) + "," +
+             std::to_string(soak_request::pieces(id, 1)) + "\r\nX-Piece-Key: key of " + id +
+             "\r\n";
+  }
+  const auto body = soak_request::body(id);
+  bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  if (kind == "unsafe" || kind == "staged") {
+    ledger_->note_once(id);
+  }
+  const auto sent_at = soak_clock::now();
+  const auto outcome = exchange(bytes, time_allowed + machine_slack);
+  check(kind, id, outcome, sent_at);
+  if (outcome.status != 200) {
+    std::this_thread::sleep_for(rest_after_failure);
+  }
+}
+
+soak_outcome soak_client::exchange(const std::string& bytes, milliseconds patience) {
+  soak_outcome outcome;
+  boost::system::error_code error;
+  set_timeout(*socket_, patience);
+  boost::asio::write(*socket_, boost::asio::buffer(bytes), error);
+  boost::beast::flat_buffer buffer;
+  boost::beast::http::response_parser<boost::beast::http::string_body> answer;
+  answer.body_limit(1'000'000);
+  if (!error) {
+    boost::beast::http::read(*socket_, buffer, answer, error);
+  }
+  if (answer.is_header_done()) {
+    outcome.status = answer.get().result_int();
+    outcome.sealed = answer.get().find("X-Response-Seal") != answer.get().end();
+    outcome.told_when_to_return = answer.get().find("Retry-After") != answer.get().end();
+    outcome.body = answer.get().body();
+    outcome.complete = !error && answer.is_done();
+  }
+  if (buffer.size() > 0) {
+    ledger_->note_violation("MIXED", name_ + " got bytes for which no request waits");
+  }
+  if (error || !answer.keep_alive()) {
+    socket_.reset();
+  }
+  return outcome;
+}
+
+void soak_client::check(const std::string& kind, const std::string& id,
+                        const soak_outcome& outcome, soak_clock::time_point sent_at) {
+  ledger_->count(kind + " " + (outcome.complete ? std::to_string(outcome.status) : "cut"));
+  if (outcome.status == too_many || outcome.status == unavailable) {
+    ledger_->note_not_run(id);
+  }
+  if (!outcome.complete) {
+    check_unanswered(id, sent_at);
+    return;
+  }
+  if (outcome.status == 401 || outcome.status == 404 || outcome.status == 400) {
+    ledger_->note_violation("DENIED", id + " got " + std::to_string(outcome.status));
+  }
+  if (outcome.status != 200) {
+    return;
+  }
+  std::string expected = soak_request::answer(id);
+  if (kind == "stream" || kind == "staged") {
+    expected.clear();
+    for (std::size_t number = 1; number <= soak_request::events(id); ++number) {
+      expected += soak_request::event(id, number);
+    }
+  }
+  if (!outcome.sealed || outcome.body != expected) {
+    ledger_->note_violation(kind == "stream" || kind == "staged" ? "ORDER" : "MIXED",
+                            id + " got another answer: " + outcome.body.substr(0, 120));
+  }
+}
+
+void soak_client::check_unanswered(const std::string& id, soak_clock::time_point sent_at) {
+  // Whatever is disturbed now, or was shortly before, may end a connection.
+  const bool calm = sent_at - fleet_->disturbed_at.load() > contact_time;
+  if (calm) {
+    const auto waited = std::chrono::duration_cast<milliseconds>(soak_clock::now() - sent_at);
+    ledger_->note_violation("LOST", id + " got no whole answer from " + node_->name + " in " +
+                                        std::to_string(waited.count()) + " ms" +
+                                        (ledger_->has_run(id) ? ", and had run" : ""));
+  }
+}
+
+} // namespace spurrack::platform_tests
--- /dev/null
+++ b/tests/platform_fleet/soak_client.h
@@ -0,0 +1,50 @@
+/// Clients of the fault soak: each keeps its connection open until the other side ends it, and
+/// checks every answer.
+#pragma once
+
+#include "soak_fleet.h"
+
+#include "base/random.h"
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace spurrack::platform_tests {
+
+/// What became of one request.
+struct soak_outcome {
+  /// 0 where the connection ended without a whole answer.
+  unsigned status = 0;
+  std::string body;
+  bool sealed = false;
+  bool complete = false;
+  bool told_when_to_return = false;
+};
+
+class soak_client {
+ public:
+  soak_client(std::string name, soak_fleet& fleet, soak_ledger& ledger, std::uint64_t seed);
+
+  /// Sends requests one after another until told to stop.
+  void run(const std::atomic<bool>& stopping);
+
+ private:
+  void ask(const std::string& kind);
+  soak_outcome exchange(const std::string& bytes, std::chrono::milliseconds patience);
+  void connect(soak_node& node);
+  void check(const std::string& kind, const std::string& id, const soak_outcome& outcome,
+             soak_clock::time_point sent_at);
+  void check_unanswered(const std::string& id, soak_clock::time_point sent_at);
+
+  std::string name_;
+  soak_fleet* fleet_;
+  soak_ledger* ledger_;
+  base::seeded_random random_;
+  std::uint64_t number_ = 0;
+  soak_node* node_ = nullptr;
+  boost::asio::io_context io_;
+  std::unique_ptr<tcp::socket> socket_;
+};
+
+} // namespace spurrack::platform_tests
--- /dev/null
+++ b/tests/platform_fleet/soak_ledger.h
@@ -0,0 +1,80 @@
+/// What the stand-ins and clients of the fault soak saw, and the promises they broke.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace spurrack::platform_tests {
+
+using soak_clock = std::chrono::steady_clock;
+
+/// Thread-safe.
+class soak_ledger {
+ public:
+  /// A replica began to work on a request.
+  void note_run(const std::string& request, const std::string& replica) {
+    const std::lock_guard lock(mutex_);
+    runs_[request].push_back(replica);
+  }
+  /// A client was promised that a request has not run and never will.
+  void note_not_run(const std::string& request) {
+    const std::lock_guard lock(mutex_);
+    not_run_.insert(request);
+  }
+  /// A request that may run only once was sent.
+  void note_once(const std::string& request) {
+    const std::lock_guard lock(mutex_);
+    once_.insert(request);
+  }
+  void note_violation(const std::string& rule, const std::string& detail) {
+    const std::lock_guard lock(mutex_);
+    violations_.push_back(rule + ": " + detail);
+  }
+  void count(const std::string& what) {
+    const std::lock_guard lock(mutex_);
+    ++counts_[what];
+  }
+
+  [[nodiscard]] bool has_run(const std::string& request) const {
+    const std::lock_guard lock(mutex_);
+    return runs_.contains(request);
+  }
+  [[nodiscard]] std::map<std::string, std::size_t> counts() const {
+    const std::lock_guard lock(mutex_);
+    return counts_;
+  }
+  /// @return everything that was broken, with what only the whole day shows.
+  [[nodiscard]] std::vector<std::string> violations() const {
+    const std::lock_guard lock(mutex_);
+    auto found = violations_;
+    for (const auto& request : once_) {
+      const auto runs = runs_.find(request);
+      if (runs == runs_.end()) {
+        continue;
+      }
+      if (runs->second.size() > 1) {
+        found.push_back("TWICE: " + request + " ran " + std::to_string(runs->second.size()) +
+                        " times");
+      }
+      if (not_run_.contains(request)) {
+        found.push_back("REFUSED: " + request + " was answered as not run and ran at " +
+                        runs->second.front());
+      }
+    }
+    return found;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, std::vector<std::string>> runs_;
+  std::set<std::string> not_run_;
+  std::set<std::string> once_;
+  std::vector<std::string> violations_;
+  std::map<std::string, std::size_t> counts_;
+};
+
+} // namespace spurrack::platform_tests
