--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -64,6 +64,19 @@
     // The transport connects with the first message and may lose it; this one holds nothing.
     message_to(added);
   }
+  forget_unknown_gatherers();
+  next_refresh_ = {};
+}
+
+void stage_exchange::forget_unknown_gatherers() {
+  const auto is_unknown = [this](const base::node_id& node) {
+    return node != self_.node && peers_.find(node) == nullptr;
+  };
+  for (auto& [service, known] : gatherers_) {
+    std::erase_if(known, [&](const gatherer& candidate) { return is_unknown(candidate.node); });
+  }
+  std::erase_if(gatherers_, [](const auto& entry) { return entry.second.empty(); });
+  std::erase_if(gatherer_of_, [&](const auto& entry) { return is_unknown(entry.second); });
 }
 
 void stage_exchange::begin_stop(base::time_point now) {
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -114,6 +114,8 @@
   /// Divides the replicas of a group into shards and finds the gatherer of each.
   void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
               const std::vector<base::node_id>& candidates);
+  /// Drops gatherers that membership dropped, until they are found anew.
+  void forget_unknown_gatherers();
   void add_gatherer(const replica_group& group, const base::node_id& node);
   [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
   /// @param result_bytes size of all results together.
--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -268,8 +268,8 @@
 int run(int argc, char** argv) {
   cxxopts::Options options("platform_fault_soak",
                            "Real daemons before stand-ins of the platform, under random faults.");
-  options.add_options()("first-seed", "first seed", cxxopts::value<std::uint64_t>()->default_value(
-                                                        "1"))(
+  options.add_options()("first-seed", "first seed",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seeds", "seeds to play", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "nodes", "daemons", cxxopts::value<std::size_t>()->default_value("4"))(
       "rounds", "phases of faults in each run", cxxopts::value<std::size_t>()->default_value("1"))(
--- a/tests/platform_fleet/soak_client.cc
+++ b/tests/platform_fleet/soak_client.cc
@@ -71,8 +71,7 @@
                       "\r\nAuthorization: Token base\r\nX-Tenant: forged\r\n";
   if (kind == "staged") {
     bytes += "X-Pieces: " + std::to_string(soak_request::pieces(id, 0)) + "," +
-             std::to_string(soak_request::pieces(id, 1)) + "\r\nX-Piece-Key: key of " + id +
-             "\r\n";
+             std::to_string(soak_request::pieces(id, 1)) + "\r\nX-Piece-Key: key of " + id + "\r\n";
   }
   const auto body = soak_request::body(id);
   bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -114,8 +113,8 @@
   return outcome;
 }
 
-void soak_client::check(const std::string& kind, const std::string& id,
-                        const soak_outcome& outcome, soak_clock::time_point sent_at) {
+void soak_client::check(const std::string& kind, const std::string& id, const soak_outcome& outcome,
+                        soak_clock::time_point sent_at) {
   ledger_->count(kind + " " + (outcome.complete ? std::to_string(outcome.status) : "cut"));
   if (outcome.status == too_many || outcome.status == unavailable) {
     ledger_->note_not_run(id);
--- a/tests/platform_fleet/soak_fleet.cc
+++ b/tests/platform_fleet/soak_fleet.cc
@@ -73,8 +73,8 @@
 
 void soak_fleet::add_replica(const std::string& service, std::size_t number) {
   const auto id = "i-" + service + std::to_string(number);
-  replicas.push_back(std::make_unique<soak_replica>(id, service, number % 2 == 0 ? "east" : "west",
-                                                    *ledger_));
+  replicas.push_back(
+      std::make_unique<soak_replica>(id, service, number % 2 == 0 ? "east" : "west", *ledger_));
   replicas.back()->set_published_address(fleet::free_address());
 }
 
--- a/tests/platform_fleet/soak_fleet.h
+++ b/tests/platform_fleet/soak_fleet.h
@@ -13,7 +13,8 @@
 
 namespace spurrack::platform_tests {
 
-/// One daemon. Disturbances are noted, so that checks know when the promises with a time bound hold.
+/// One daemon. Disturbances are noted, so that checks know when the promises with a time bound
+/// hold.
 struct soak_node {
   std::string name;
   std::string zone;
--- a/tests/platform_fleet/soak_world.cc
+++ b/tests/platform_fleet/soak_world.cc
@@ -118,8 +118,8 @@
     return {message("200 OK", "", "{}")};
   }
   if (mode_ == replica_mode::shedding) {
-    return {message("503 Service Unavailable",
-                    "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\n", "")};
+    return {message("503 Service Unavailable", "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\n",
+                    "")};
   }
   return target == "/stage-run" ? make_pieces(request) : run(request);
 }
@@ -291,9 +291,9 @@
   const auto after = watch ? number_in(query_value(target, "start_after")) : 0;
   std::unique_lock lock(mutex_);
   if (watch) {
-    changed_.wait_for(lock, std::min(longest_watch, milliseconds(number_in(query_value(
-                                                        target, "wait_ms")))),
-                      [&] { return !items(prefix, after, true).empty(); });
+    changed_.wait_for(
+        lock, std::min(longest_watch, milliseconds(number_in(query_value(target, "wait_ms")))),
+        [&] { return !items(prefix, after, true).empty(); });
   }
   boost::json::object body{{"at", revision_}, {"more", false}};
   body[watch ? "events" : "items"] = items(prefix, after, watch);
--- a/tests/platform_fleet/soak_world.h
+++ b/tests/platform_fleet/soak_world.h
@@ -22,7 +22,14 @@
 enum class store_mode : std::uint8_t { normal, refusing, silent, resetting, forgetful };
 
 /// How a replica behaves.
-enum class replica_mode : std::uint8_t { normal, failing, shedding, losing_answers, spoiling, slow };
+enum class replica_mode : std::uint8_t {
+  normal,
+  failing,
+  shedding,
+  losing_answers,
+  spoiling,
+  slow
+};
 
 /// Requests of the soak: everything about one follows from its id, so that whoever sees a part of
 /// it can check it.
--- a/tests/serving/stage_exchange_test.cc
+++ b/tests/serving/stage_exchange_test.cc
@@ -107,6 +107,25 @@
   BOOST_TEST(origin.finished.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_gatherer_that_membership_drops_gets_nothing_more) {
+  submit(*nodes[0]);
+  run(std::chrono::milliseconds(50));
+  const auto gatherer = caller()->identity.node;
+  auto& origin = other_than(*caller());
+  std::vector<fleet_peer> rest;
+  for (auto& node : nodes) {
+    node->calls.clear();
+    if (node->identity.node != gatherer && node->identity.node != origin.identity.node) {
+      rest.push_back(node->identity);
+    }
+  }
+  origin.subject.set_peers(rest);
+  const auto ticket = submit(origin);
+  BOOST_TEST(ticket > 0U);
+  run(std::chrono::milliseconds(600));
+  BOOST_REQUIRE(caller() != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(a_stopping_gatherer_hands_back_what_waits) {
   submit(*nodes[0]);
   run(std::chrono::milliseconds(50));
