--- a/src/serving/peer_directory.h
+++ b/src/serving/peer_directory.h
@@ -36,6 +36,8 @@
   std::uint64_t life = 0;
   /// It stops, and takes no more work.
   bool leaving = false;
+  /// Cores it may use; 0 before it was heard.
+  double processor_share = 0;
   /// This node takes it for a gatherer since then.
   std::optional<base::time_point> gathers_since;
   std::map<std::string, wire::stage_load> loads;
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -21,6 +21,8 @@
 constexpr std::uint32_t most_moves = 3;
 /// Replicas that one node gathers for; more are divided over several nodes.
 constexpr std::size_t most_replicas_per_shard = 16;
+/// Nodes that may use less than this part of what the strongest may do not gather.
+constexpr double least_share_of_strongest = 0.5;
 /// What carrying a megabyte to another region is worth, in seconds of waiting.
 constexpr double seconds_per_remote_megabyte = 0.5;
 /// What any work in another region is worth, in seconds of waiting.
@@ -37,7 +39,8 @@
                                const serving_settings& settings,
                                std::function<base::call_id()> next_call, piece_ticket first_ticket,
                                decision_recorder record)
-    : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
+    : self_(std::move(self)), regions_(settings.regions),
+      processor_share_(settings.processor_share), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)), peers_(self_),
       life_(first_ticket), next_ticket_(first_ticket) {
   pool_.set_filter([this](const replica_state& replica) { return may_call(replica); });
@@ -115,18 +118,7 @@
   own_services_.clear();
   gatherers_.clear();
   gatherer_of_.clear();
-  std::map<std::string, std::vector<base::node_id>> nodes_by_region;
-  std::vector<base::node_id> all;
-  for (const auto& [node, peer] : peers_.all()) {
-    if (peer_directory::is_fit(peer)) {
-      nodes_by_region[region_of(peer.peer.zone)].push_back(node);
-      all.push_back(node);
-    }
-  }
-  if (!stopping_ || all.empty()) {
-    nodes_by_region[region_of(self_.zone)].push_back(self_.node);
-    all.push_back(self_.node);
-  }
+  const auto candidates = find_candidates();
   std::map<replica_group, std::vector<base::replica_id>> groups;
   for (const auto& [id, replica] : replicas_->all()) {
     const auto* service =
@@ -136,8 +128,8 @@
     }
   }
   for (const auto& [group, replicas] : groups) {
-    const auto near = nodes_by_region.find(group.region);
-    assign(group, replicas, near == nodes_by_region.end() ? all : near->second);
+    const auto near = candidates.by_region.find(group.region);
+    assign(group, replicas, near == candidates.by_region.end() ? candidates.all : near->second);
   }
   std::set<base::node_id> elected;
   for (const auto& [replica, node] : gatherer_of_) {
@@ -146,6 +138,34 @@
   peers_.set_gatherers(elected, now);
 }
 
+stage_exchange::candidate_nodes stage_exchange::find_candidates() const {
+  std::map<std::string, double> strongest;
+  strongest[region_of(self_.zone)] = stopping_ ? 0 : processor_share_;
+  for (const auto& [node, peer] : peers_.all()) {
+    if (peer_directory::is_fit(peer)) {
+      auto& share = strongest[region_of(peer.peer.zone)];
+      share = std::max(share, peer.processor_share);
+    }
+  }
+  candidate_nodes found;
+  const auto consider = [&](const base::node_id& node, const base::zone_id& zone, double share) {
+    const auto region = region_of(zone);
+    if (share >= strongest[region] * least_share_of_strongest) {
+      found.by_region[region].push_back(node);
+      found.all.push_back(node);
+    }
+  };
+  for (const auto& [node, peer] : peers_.all()) {
+    if (peer_directory::is_fit(peer)) {
+      consider(node, peer.peer.zone, peer.processor_share);
+    }
+  }
+  if (!stopping_ || found.all.empty()) {
+    consider(self_.node, self_.zone, processor_share_);
+  }
+  return found;
+}
+
 void stage_exchange::assign(const replica_group& group,
                             const std::vector<base::replica_id>& replicas,
                             const std::vector<base::node_id>& candidates) {
@@ -445,6 +465,7 @@
   }
   peer->heard = now;
   peer->silent = false;
+  peer->processor_share = message.processor_share();
   note_life(*peer, message, now);
   if (message.loads_size() > 0) {
     peer->loads.clear();
@@ -578,6 +599,7 @@
       wire::outgoing message{peer->peer.address, {}};
       content.set_life(life_);
       content.set_leaving(stopping_);
+      content.set_processor_share(processor_share_);
       *message.message.mutable_stage_work() = std::move(content);
       out.push_back(std::move(message));
     }
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -111,6 +111,12 @@
     piece_outcome outcome;
   };
 
+  /// Nodes that may gather pieces, by region and in all.
+  struct candidate_nodes {
+    std::map<std::string, std::vector<base::node_id>> by_region;
+    std::vector<base::node_id> all;
+  };
+  [[nodiscard]] candidate_nodes find_candidates() const;
   /// Divides the replicas of a group into shards and finds the gatherer of each.
   void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
               const std::vector<base::node_id>& candidates);
@@ -152,6 +158,7 @@
 
   fleet_peer self_;
   std::map<base::zone_id, std::string> regions_;
+  double processor_share_;
   replica_table* replicas_;
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
--- a/tests/serving/stage_exchange_test.cc
+++ b/tests/serving/stage_exchange_test.cc
@@ -184,6 +184,29 @@
   BOOST_TEST(gatherers.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(weak_nodes_gather_nothing_while_there_are_strong_ones) {
+  serving_settings weak;
+  weak.processor_share = 0.12;
+  for (const char* zone : {"a", "b", "c", "d", "e"}) {
+    weak.regions[base::zone_id(zone)] = "region";
+  }
+  auto strong = weak;
+  strong.processor_share = 0.5;
+  constexpr std::size_t strong_node = 17;
+  for (std::size_t index = 0; index < nodes.size(); ++index) {
+    const auto identity = nodes[index]->identity;
+    nodes[index] = std::make_unique<exchange_node>(identity, world, 2'000'000,
+                                                   index == strong_node ? strong : weak);
+  }
+  meet();
+  run(std::chrono::seconds(3));
+  for (auto& node : nodes) {
+    submit(*node);
+  }
+  run(std::chrono::milliseconds(100));
+  BOOST_TEST(caller() == nodes[strong_node].get());
+}
+
 BOOST_AUTO_TEST_CASE(first_messages_that_are_lost_hold_nothing_up) {
   loses_first_messages = true;
   for (auto& node : nodes) {
