Free the results of a stage once the next stage has fetched them

Change: the pool says 80 ms (input_fetch_time) after the start of a call that its inputs are fetched, the origin frees what all users have fetched; where that was too early the time doubles up to 2 s.

--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -125,6 +125,8 @@
   void submit_stage(active_request& request, const std::vector<piece_position>& positions,
                     base::time_point now);
   void take_piece_results(base::time_point now);
+  /// Frees results that the replicas of the next stage have fetched by now.
+  void free_fetched_stage_inputs();
   void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
                          base::time_point now);
   void restart_stages(active_request& request, base::time_point now);
--- a/src/serving/dispatcher_stages.cc
+++ b/src/serving/dispatcher_stages.cc
@@ -81,7 +81,19 @@
   }
 }
 
+void dispatcher::free_fetched_stage_inputs() {
+  for (const auto ticket : stages_.take_fetched()) {
+    const auto owner = tickets_.find(ticket);
+    if (owner != tickets_.end()) {
+      auto& request = active_.at(owner->second);
+      request.graph->note_inputs_fetched(request.pieces.at(ticket));
+      free(request.graph->take_unneeded(false));
+    }
+  }
+}
+
 void dispatcher::take_piece_results(base::time_point now) {
+  free_fetched_stage_inputs();
   for (const auto& finished : stages_.take_finished()) {
     const auto owner = tickets_.find(finished.ticket);
     if (owner == tickets_.end()) {
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -483,6 +483,12 @@
       placed->second.confirmed_at = now;
     }
   }
+  for (const auto ticket : message.fetched()) {
+    const auto placed = placements_.find(ticket);
+    if (placed != placements_.end() && placed->second.holder == sender) {
+      fetched_.push_back(ticket);
+    }
+  }
   for (const auto& result : message.made()) {
     take_made(sender, result, now);
   }
@@ -515,7 +521,19 @@
   return mine;
 }
 
+void stage_exchange::take_pool_fetched() {
+  for (const auto ticket : pool_.take_fetched()) {
+    if (const auto own = own_by_pool_ticket_.find(ticket); own != own_by_pool_ticket_.end()) {
+      fetched_.push_back(own->second);
+    } else if (const auto guest = guests_by_pool_ticket_.find(ticket);
+               guest != guests_by_pool_ticket_.end()) {
+      message_to(guest->second.origin).add_fetched(guest->second.origin_ticket);
+    }
+  }
+}
+
 void stage_exchange::take_pool_results(base::time_point now) {
+  take_pool_fetched();
   for (auto& finished : pool_.take_finished()) {
     const auto own = own_by_pool_ticket_.find(finished.ticket);
     if (own != own_by_pool_ticket_.end()) {
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -68,6 +68,8 @@
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
 
   [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
+  /// @return pieces of this node whose replica has fetched their inputs since the last call.
+  [[nodiscard]] std::vector<piece_ticket> take_fetched() { return std::exchange(fetched_, {}); }
   [[nodiscard]] command_list take_commands() { return pool_.take_commands(); }
   [[nodiscard]] wire::outbox take_messages();
   [[nodiscard]] const peer_directory& peers() const { return peers_; }
@@ -136,6 +138,7 @@
   void place_again(base::time_point now);
   void ask_or_move(piece_ticket ticket, placement& placed, base::time_point now);
   void take_pool_results(base::time_point now);
+  void take_pool_fetched();
   /// Hands every waiting piece of another node back to it.
   void hand_back_guests(base::time_point now);
   /// Says of a piece of another node whether it is still here, and what became of it otherwise.
@@ -178,6 +181,7 @@
   std::deque<told_result> told_results_;
   std::map<base::node_id, wire::stage_work> messages_;
   std::vector<piece_finished> finished_;
+  std::vector<piece_ticket> fetched_;
   base::time_point next_refresh_;
   base::time_point next_load_report_;
 };
--- a/src/serving/stage_graph.cc
+++ b/src/serving/stage_graph.cc
@@ -30,11 +30,15 @@
   });
 }
 
-bool stage_graph::users_finished(std::uint32_t stage) const {
+bool stage_graph::users_have_fetched(std::uint32_t stage) const {
+  const auto has_fetched = [](const piece_state& piece) {
+    return piece.inputs_fetched || !piece.handle.empty();
+  };
   for (std::uint32_t user = 0; user < stages_.size(); ++user) {
     const auto& needed = route_->stages[user].start_after;
     const bool uses = std::find(needed.begin(), needed.end(), stage) != needed.end();
-    if (uses && !finished(user)) {
+    const auto& pieces = stages_[user];
+    if (uses && !std::all_of(pieces.begin(), pieces.end(), has_fetched)) {
       return false;
     }
   }
@@ -58,8 +62,8 @@
   return found;
 }
 
-void stage_graph::retry(piece_position where) {
-  stages_[where.stage][where.piece] = {};
+void stage_graph::note_inputs_fetched(piece_position where) {
+  stages_[where.stage][where.piece].inputs_fetched = true;
 }
 
 void stage_graph::complete(piece_position where, std::string handle) {
@@ -130,7 +134,7 @@
 std::vector<std::string> stage_graph::take_unneeded(bool everything) {
   std::vector<std::string> handles;
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
-    if (!everything && (is_last(stage) || !users_finished(stage))) {
+    if (!everything && (is_last(stage) || !users_have_fetched(stage))) {
       continue;
     }
     for (auto& piece : stages_[stage]) {
--- a/src/serving/stage_graph.h
+++ b/src/serving/stage_graph.h
@@ -24,8 +24,8 @@
 
   /// @return the pieces that can be made now and were not given out yet; counts them as given out.
   std::vector<piece_position> take_ready();
-  /// Gives a piece back to be made again.
-  void retry(piece_position where);
+  /// The replica that makes a piece has fetched what it reads.
+  void note_inputs_fetched(piece_position where);
   void complete(piece_position where, std::string handle);
   /// Results are gone: everything is to be made again.
   /// @return handles that are no longer of use.
@@ -42,7 +42,7 @@
   [[nodiscard]] bool done() const;
   /// @return whether a result that the request itself needs was freed already.
   [[nodiscard]] bool has_freed_final_inputs() const;
-  /// @return results all of whose users are finished, or all results where `everything` is set;
+  /// @return results that all their users have fetched, or all results where `everything` is set;
   ///         each is returned once.
   std::vector<std::string> take_unneeded(bool everything);
   /// @param stage_time time that a stage with pieces left to make will take.
@@ -57,12 +57,13 @@
  private:
   struct piece_state {
     bool given_out = false;
+    bool inputs_fetched = false;
     bool freed = false;
     std::string handle;
   };
   [[nodiscard]] bool finished(std::uint32_t stage) const;
   [[nodiscard]] bool ready(std::uint32_t stage) const;
-  [[nodiscard]] bool users_finished(std::uint32_t stage) const;
+  [[nodiscard]] bool users_have_fetched(std::uint32_t stage) const;
   void append_results(std::uint32_t stage, std::vector<std::string>& results) const;
 
   const model::route* route_;
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -1,6 +1,7 @@
 #include "serving/stage_pool.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace spurrack::serving {
 namespace {
@@ -22,6 +23,10 @@
 constexpr base::duration no_patience_before_due = std::chrono::milliseconds(800);
 /// How long room that turned out to be taken is planned without.
 constexpr base::duration unknown_room_lifetime = std::chrono::milliseconds(700);
+/// Where inputs were freed too early, the time is doubled up to this, and comes back over this many
+/// good calls.
+constexpr base::duration longest_fetch_time = std::chrono::seconds(2);
+constexpr int fetch_time_smoothing = 50;
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
 
 } // namespace
@@ -29,7 +34,7 @@
 stage_pool::stage_pool(replica_table& replicas, const serving_settings& settings,
                        std::function<base::call_id()> next_call, decision_recorder record)
     : replicas_(&replicas), settings_(settings), next_call_(std::move(next_call)),
-      record_(std::move(record)) {}
+      record_(std::move(record)), fetch_time_(settings.input_fetch_time) {}
 
 void stage_pool::set_configuration(
     std::shared_ptr<const model::serving_configuration> configuration) {
@@ -218,6 +223,7 @@
   next_check_ = {};
   const auto& replica = open.call.target.replica;
   end_call_account(open);
+  learn_fetch_time(open, ended);
   if (ended.load) {
     replicas_->note_load(replica, *ended.load, now);
   }
@@ -257,6 +263,37 @@
   }
 }
 
+void stage_pool::note_fetched_inputs(base::time_point now) {
+  for (auto& [call, open] : calls_) {
+    if (!open.inputs_fetched_at) {
+      continue;
+    }
+    if (now < *open.inputs_fetched_at) {
+      next_check_ = std::min(next_check_, *open.inputs_fetched_at);
+      continue;
+    }
+    open.inputs_fetched_at.reset();
+    open.told_fetched = true;
+    std::copy_if(open.tickets.begin(), open.tickets.end(), std::back_inserter(fetched_),
+                 [this](piece_ticket ticket) { return pieces_.contains(ticket); });
+  }
+}
+
+void stage_pool::learn_fetch_time(const open_call& ended, const stage_call_ended& answer) {
+  if (!ended.told_fetched || answer.pieces.empty()) {
+    return;
+  }
+  const bool freed_too_early =
+      std::any_of(answer.pieces.begin(), answer.pieces.end(), [](const piece_outcome& piece) {
+        return piece.fault == piece_fault::input_gone;
+      });
+  if (freed_too_early) {
+    fetch_time_ = std::min(fetch_time_ * 2, longest_fetch_time);
+  } else {
+    fetch_time_ -= (fetch_time_ - settings_.input_fetch_time) / fetch_time_smoothing;
+  }
+}
+
 void stage_pool::drop_expired(service_queue& queue, base::time_point now) {
   std::vector<queue_position> expired;
   for (const auto& position : queue) {
@@ -423,6 +460,10 @@
         {work.request, work.stage, work.piece, work.deadline - now, work.piece_key, work.inputs});
     open.tickets.push_back(position.ticket);
     open.result_bytes.push_back(work.result_bytes);
+    if (!work.inputs.empty() && settings_.input_fetch_time > base::duration::zero()) {
+      open.inputs_fetched_at = now + fetch_time_;
+      next_check_ = std::min(next_check_, *open.inputs_fetched_at);
+    }
     room_taken_[replica.record->id] += work.result_bytes;
   }
   record_(base::event_kind::stage_dispatched, open.call.items.front().request,
@@ -482,6 +523,7 @@
   next_check_ = now + waiting_check_period;
   forget_expired_results(now);
   give_up_stalled(now);
+  note_fetched_inputs(now);
   for (auto& [name, queue] : queues_) {
     pump_service(name, queue, now);
   }
@@ -493,7 +535,7 @@
     earliest = earliest ? std::min(*earliest, when) : when;
   };
   for (const auto& [call, open] : calls_) {
-    consider(open.give_up_at);
+    consider(open.inputs_fetched_at.value_or(open.give_up_at));
   }
   const bool any_waits = std::any_of(queues_.begin(), queues_.end(),
                                      [](const auto& entry) { return !entry.second.empty(); });
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -85,6 +85,8 @@
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
 
   [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
+  /// @return pieces whose replica has fetched their inputs since the last call.
+  [[nodiscard]] std::vector<piece_ticket> take_fetched() { return std::exchange(fetched_, {}); }
   [[nodiscard]] command_list take_commands() { return std::exchange(commands_, {}); }
   /// @return pieces of a service that wait for a call.
   [[nodiscard]] std::size_t waiting(const std::string& service) const;
@@ -111,6 +113,10 @@
     std::string service;
     base::time_point started;
     base::time_point give_up_at;
+    /// The replica has fetched the inputs of the pieces by then; nothing where they have none, or
+    /// where that was told.
+    std::optional<base::time_point> inputs_fetched_at;
+    bool told_fetched = false;
     /// Pieces in the order of the call; one that was cancelled has no entry in `pieces_`.
     std::vector<piece_ticket> tickets;
     /// Size of the result of each piece.
@@ -127,6 +133,10 @@
   void pump_service(const std::string& name, service_queue& queue, base::time_point now);
   void drop_expired(service_queue& queue, base::time_point now);
   void give_up_stalled(base::time_point now);
+  /// Finds the calls whose inputs the replicas have fetched by now.
+  void note_fetched_inputs(base::time_point now);
+  /// Learns from a call how long replicas take to fetch inputs.
+  void learn_fetch_time(const open_call& ended, const stage_call_ended& answer);
   bool batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
                     base::time_point now) const;
   /// Replicas that can be given a call now.
@@ -204,6 +214,9 @@
   std::map<base::replica_id, unknown_room> unknown_room_;
   std::unordered_map<std::string, held_result> results_;
   std::vector<piece_finished> finished_;
+  std::vector<piece_ticket> fetched_;
+  /// Time after which a replica is taken to have fetched the inputs of a call.
+  base::duration fetch_time_;
   command_list commands_;
 };
 
--- a/tests/serving/dispatcher_test.cc
+++ b/tests/serving/dispatcher_test.cc
@@ -226,6 +226,50 @@
              boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(results_are_freed_once_the_next_stage_has_fetched_them) {
+  arrive(1, "/staged/x", {2, 1});
+  pass(std::chrono::milliseconds(20));
+  const auto first = last<start_stage_call>();
+  const auto maker = first.target.address.text();
+  happen(stage_call_ended{first.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::none, maker + "/1"}, {piece_fault::none, maker + "/2"}},
+                          std::nullopt,
+                          false});
+  pass(std::chrono::milliseconds(30));
+  BOOST_TEST(all<start_stage_call>().size() == 2);
+  BOOST_TEST(all<free_results>().empty());
+  pass(std::chrono::milliseconds(100));
+  BOOST_REQUIRE(all<free_results>().size() == 1);
+  BOOST_TEST(last<free_results>().handles.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(results_that_were_freed_too_early_are_kept_longer_from_then_on) {
+  const auto play = [&](base::caller_id client) {
+    arrive(client, "/staged/x", {1, 1});
+    pass(std::chrono::milliseconds(20));
+    const auto first = last<start_stage_call>();
+    happen(stage_call_ended{first.call,
+                            stage_call_ended::result::answered,
+                            {{piece_fault::none, first.target.address.text() + "/1"}},
+                            std::nullopt,
+                            false});
+    pass(std::chrono::milliseconds(100));
+    return last<start_stage_call>().call;
+  };
+  const auto second = play(1);
+  BOOST_TEST(all<free_results>().size() == 1);
+  happen(stage_call_ended{second,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::input_gone, ""}},
+                          std::nullopt,
+                          false});
+  happen(client_left{1});
+  commands.clear();
+  play(2);
+  BOOST_TEST(all<free_results>().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_result_has_the_stages_made_again) {
   arrive(1, "/staged/x", {1, 1});
   pass(std::chrono::milliseconds(20));
