--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,12 @@
 soak: build
 	$(BUILD)/fleet_soak --seeds $(SEEDS)
 
+# Real daemons before stand-ins of the users' platform under random faults.
+.PHONY: fault_soak
+FIRST_SEED ?= 1
+fault_soak: build
+	$(BUILD)/platform_fault_soak --first-seed $(FIRST_SEED) --seeds $(SEEDS)
+
 # Load experiment with plots, capacity slopes and speed; see docs/MEASUREMENTS.md and docs/CAPACITY.md.
 .PHONY: experiment capacity speed
 experiment: build
