Expect waits from the rate at which a queue is worked off

Change: the pool measures what is handed out while more waits and tells it with its load. Tests: drain_rate_test.

--- a/src/serving/admission_estimate.h
+++ b/src/serving/admission_estimate.h
@@ -22,8 +22,8 @@
   ///         where some stage cannot be made at all.
   [[nodiscard]] std::optional<base::duration>
   time_left(const model::serving_configuration& configuration, const model::route& route,
-            const stage_graph& graph, const stage_exchange& stages,
-            const std::string& service) const;
+            const stage_graph& graph, const stage_exchange& stages, const std::string& service,
+            base::time_point now) const;
 
  private:
   std::unordered_map<std::string, base::duration> first_byte_;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -157,9 +157,10 @@
   }
 }
 
-std::optional<base::duration> dispatcher::expected_time(const active_request& request) const {
+std::optional<base::duration> dispatcher::expected_time(const active_request& request,
+                                                        base::time_point now) const {
   return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
-                             request.service);
+                             request.service, now);
 }
 
 bool dispatcher::refuse_hopeless(active_request& request, base::time_point now) {
@@ -167,7 +168,7 @@
     return false;
   }
   stages_.refresh(now);
-  const auto expected = expected_time(request);
+  const auto expected = expected_time(request, now);
   const auto allowed = request.ends_at - request.arrived;
   // One that comes back has less time than its route gives; it is refused only without any hope.
   const bool comes_back =
@@ -205,7 +206,7 @@
       continue;
     }
     request.rechecked = true;
-    const auto expected = expected_time(request);
+    const auto expected = expected_time(request, now);
     if (!expected || now + *expected > request.ends_at) {
       hopeless.push_back(client);
     }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -120,7 +120,8 @@
   bool refuse_hopeless(active_request& request, base::time_point now);
   /// Gives up requests whose stages are too far behind to end in time.
   void give_up_hopeless(base::time_point now);
-  [[nodiscard]] std::optional<base::duration> expected_time(const active_request& request) const;
+  [[nodiscard]] std::optional<base::duration> expected_time(const active_request& request,
+                                                            base::time_point now) const;
   void submit_pieces(active_request& request, base::time_point now);
   void submit_stage(active_request& request, const std::vector<piece_position>& positions,
                     base::time_point now);
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -195,39 +195,49 @@
   }
 }
 
-double stage_exchange::expected_wait_seconds(const gatherer& candidate,
-                                             const std::string& service) const {
+stage_exchange::gatherer_load stage_exchange::load_of(const base::node_id& node,
+                                                      const std::string& service,
+                                                      base::time_point now) const {
+  if (node == self_.node) {
+    return {static_cast<double>(pool_.waiting(service)),
+            static_cast<double>(pool_.calls_under_way(service)),
+            pool_.drain_rate_of(service, now).value_or(0)};
+  }
+  gatherer_load load;
+  const auto* peer = peers_.find(node);
+  if (const auto told = peer->loads.find(service); told != peer->loads.end()) {
+    load = {static_cast<double>(told->second.waiting()),
+            static_cast<double>(told->second.calls_under_way()), told->second.drain_rate()};
+  }
+  if (const auto sent = peer->sent_since.find(service); sent != peer->sent_since.end()) {
+    load.waiting += sent->second;
+  }
+  return load;
+}
+
+double stage_exchange::expected_wait_seconds(const gatherer& candidate, const std::string& service,
+                                             base::time_point now) const {
   const auto* found = configuration_->find_service(service);
   const auto& capacity = *found->pieces;
-  double waiting = 0;
-  double under_way = 0;
-  if (candidate.node == self_.node) {
-    waiting = static_cast<double>(pool_.waiting(service));
-    under_way = static_cast<double>(pool_.calls_under_way(service));
-  } else {
-    const auto* peer = peers_.find(candidate.node);
-    const auto told = peer->loads.find(service);
-    if (told != peer->loads.end()) {
-      waiting = told->second.waiting();
-      under_way = told->second.calls_under_way();
-    }
-    const auto sent = peer->sent_since.find(service);
-    waiting += sent == peer->sent_since.end() ? 0 : sent->second;
-  }
+  const auto load = load_of(candidate.node, service, now);
   const double full_call =
       base::to_seconds(capacity.call_time) + base::to_seconds(capacity.item_time) * capacity.batch;
-  const double calls_ahead = waiting / capacity.batch + under_way / 2;
-  return calls_ahead * full_call / candidate.replicas;
+  const double calls_ahead = load.waiting / capacity.batch + load.calls_under_way / 2;
+  const double by_capacity = calls_ahead * full_call / candidate.replicas;
+  // Room for results may bound a service far below what its calls could carry.
+  const double by_rate = load.drain_rate > 0 ? load.waiting / load.drain_rate : 0;
+  return std::max(by_capacity, by_rate);
 }
 
-std::optional<base::duration> stage_exchange::expected_wait(const std::string& service) const {
+std::optional<base::duration> stage_exchange::expected_wait(const std::string& service,
+                                                            base::time_point now) const {
   const auto known = gatherers_.find(service);
   if (known == gatherers_.end()) {
     return std::nullopt;
   }
   std::optional<double> least;
   for (const auto& candidate : known->second) {
-    const double wait = expected_wait_seconds(candidate, service);
+    const double wait = expected_wait_seconds(candidate, service, now);
     least = std::min(least.value_or(wait), wait);
   }
   return base::from_seconds(*least);
@@ -235,7 +245,8 @@
 
 const stage_exchange::gatherer* stage_exchange::choose_gatherer(const std::string& service,
                                                                 double result_bytes,
-                                                                const base::zone_id& zone) const {
+                                                                const base::zone_id& zone,
+                                                                base::time_point now) const {
   const auto known = gatherers_.find(service);
   if (known == gatherers_.end()) {
     return nullptr;
@@ -247,7 +258,7 @@
     const double remote_cost = near ? 0
                                     : remote_region_seconds + result_bytes / bytes_per_megabyte *
                                                                   seconds_per_remote_megabyte;
-    const double cost = expected_wait_seconds(candidate, service) + remote_cost;
+    const double cost = expected_wait_seconds(candidate, service, now) + remote_cost;
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
@@ -266,7 +277,7 @@
     result_bytes += piece.result_bytes;
   }
   const auto* chosen =
-      pieces.empty() ? nullptr : choose_gatherer(pieces.front().service, result_bytes, zone);
+      pieces.empty() ? nullptr : choose_gatherer(pieces.front().service, result_bytes, zone, now);
   std::vector<piece_ticket> tickets;
   for (auto& piece : pieces) {
     const auto ticket = next_ticket_++;
@@ -339,7 +350,7 @@
   ++placed.moves;
   const auto* chosen =
       placed.moves <= most_moves
-          ? choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone)
+          ? choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone, now)
           : nullptr;
   if (chosen == nullptr || chosen->node != placed.holder) {
     message_to(placed.holder).add_cancelled(ticket);
@@ -583,6 +594,7 @@
     load.set_service(name);
     load.set_waiting(static_cast<std::uint32_t>(pool_.waiting(name)));
     load.set_calls_under_way(static_cast<std::uint32_t>(pool_.calls_under_way(name)));
+    load.set_drain_rate(pool_.drain_rate_of(name, now).value_or(0));
   }
   if (report.loads_size() == 0) {
     return;
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -62,7 +62,8 @@
   void refresh(base::time_point now);
   /// @return how long a piece of a service that is submitted now is expected to wait for its call;
   ///         nothing where nobody can make it.
-  [[nodiscard]] std::optional<base::duration> expected_wait(const std::string& service) const;
+  [[nodiscard]] std::optional<base::duration> expected_wait(const std::string& service,
+                                                            base::time_point now) const;
 
   void pump(base::time_point now);
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
@@ -128,9 +129,18 @@
   [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
   /// @param result_bytes size of all results together.
   const gatherer* choose_gatherer(const std::string& service, double result_bytes,
-                                  const base::zone_id& zone) const;
-  [[nodiscard]] double expected_wait_seconds(const gatherer& candidate,
-                                             const std::string& service) const;
+                                  const base::zone_id& zone, base::time_point now) const;
+  /// Work of a service at a gatherer, as it told it last.
+  struct gatherer_load {
+    double waiting = 0;
+    double calls_under_way = 0;
+    /// Pieces a second; 0 where nothing waited of late.
+    double drain_rate = 0;
+  };
+  [[nodiscard]] gatherer_load load_of(const base::node_id& node, const std::string& service,
+                                      base::time_point now) const;
+  [[nodiscard]] double expected_wait_seconds(const gatherer& candidate, const std::string& service,
+                                             base::time_point now) const;
   /// @param chosen null where no other node is fit.
   void place(piece_ticket ticket, placement& placed, const gatherer* chosen, base::time_point now);
   /// Places pieces anew whose holder is silent or did not take them, and asks for those of which
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -78,6 +78,12 @@
   return found == queues_.end() ? 0 : found->second.size();
 }
 
+std::optional<double> stage_pool::drain_rate_of(const std::string& service,
+                                                base::time_point now) const {
+  const auto found = drain_rates_.find(service);
+  return found == drain_rates_.end() ? std::nullopt : found->second.per_second(now);
+}
+
 void stage_pool::finish(piece_ticket ticket, piece_outcome outcome) {
   pieces_.erase(ticket);
   finished_.push_back({ticket, std::move(outcome)});
@@ -466,6 +472,7 @@
     }
     room_taken_[replica.record->id] += work.result_bytes;
   }
+  drain_rates_[name].note_handed_out(batch.size(), queue.size(), now);
   record_(base::event_kind::stage_dispatched, open.call.items.front().request,
           replica.record->id.text(),
           "call " + std::to_string(open.call.call) + " of " + name + ", " +
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "model/serving_records.h"
 #include "serving/decision_recorder.h"
+#include "serving/drain_rate.h"
 #include "serving/events.h"
 #include "serving/replica_table.h"
 #include "serving/settings.h"
@@ -90,6 +91,9 @@
   [[nodiscard]] command_list take_commands() { return std::exchange(commands_, {}); }
   /// @return pieces of a service that wait for a call.
   [[nodiscard]] std::size_t waiting(const std::string& service) const;
+  /// @return pieces of a service a second that were handed out of late while more waited.
+  [[nodiscard]] std::optional<double> drain_rate_of(const std::string& service,
+                                                    base::time_point now) const;
   /// @return pieces that wait for a call.
   [[nodiscard]] std::vector<piece_ticket> waiting_tickets() const;
   [[nodiscard]] bool has_calls_under_way() const { return !calls_.empty(); }
@@ -202,6 +206,7 @@
   base::time_point next_check_;
   std::unordered_map<piece_ticket, queued_piece> pieces_;
   std::map<std::string, service_queue> queues_;
+  std::map<std::string, drain_rate> drain_rates_;
   std::map<base::call_id, open_call> calls_;
   std::map<base::replica_id, std::uint32_t> calls_at_;
   /// Room taken by results, at work or waiting to be fetched.
--- /dev/null
+++ b/tests/serving/drain_rate_test.cc
@@ -0,0 +1,41 @@
+#include "serving/drain_rate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+using serving::drain_rate;
+
+BOOST_AUTO_TEST_SUITE(drain_rate_test)
+
+BOOST_AUTO_TEST_CASE(measures_what_is_handed_out_while_more_waits) {
+  drain_rate subject;
+  base::time_point now{std::chrono::hours(1)};
+  for (int turn = 0; turn < 20; ++turn) {
+    subject.note_handed_out(10, 50, now);
+    now += std::chrono::milliseconds(100);
+  }
+  BOOST_REQUIRE(subject.per_second(now).has_value());
+  BOOST_TEST(*subject.per_second(now) == 100.0, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_CASE(says_nothing_of_a_queue_that_is_empty) {
+  drain_rate subject;
+  base::time_point now{std::chrono::hours(1)};
+  for (int turn = 0; turn < 20; ++turn) {
+    subject.note_handed_out(10, 0, now);
+    now += std::chrono::milliseconds(100);
+  }
+  BOOST_TEST(!subject.per_second(now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_old_rate_says_nothing) {
+  drain_rate subject;
+  base::time_point now{std::chrono::hours(1)};
+  for (int turn = 0; turn < 10; ++turn) {
+    subject.note_handed_out(10, 50, now);
+    now += std::chrono::milliseconds(100);
+  }
+  BOOST_TEST(!subject.per_second(now + std::chrono::seconds(2)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
