Admit up to 1.3 times the target

Cause: with waits from measured rates the estimate holds, and what is admitted far beyond its target ends late for a seventh of its worth while it delays others.

--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -15,7 +15,7 @@
 /// A client that comes back after a refusal has less than this part of its route's time.
 constexpr double first_attempt_time_part = 0.97;
 /// A request is admitted up to this part of its target latency.
-constexpr double admitted_target_part = 2.0;
+constexpr double admitted_target_part = 1.3;
 /// Clients stay away for a third of the time they have left at the most.
 constexpr double longest_retry_after_part = 0.3;
 /// Part of its time after which a request whose stages are not finished is looked at again.
