--- a/src/serving/dispatcher_stages.cc
+++ b/src/serving/dispatcher_stages.cc
@@ -1,6 +1,7 @@
 /// The stages of requests: submitting pieces, taking results, making lost ones again.
 #include "serving/dispatcher.h"
 #include "serving/dispatcher_constants.h"
+#include "serving/result_handle.h"
 
 #include <utility>
 
@@ -64,8 +65,7 @@
   std::map<base::zone_id, double> read_in;
   for (const auto before : route.stages[stage].start_after) {
     for (const auto& handle : request.graph->results_of(before)) {
-      const auto* maker =
-          replicas_.find_at(base::network_address(handle.substr(0, handle.find('/'))));
+      const auto* maker = replicas_.find_at(maker_of(handle));
       if (maker != nullptr) {
         read_in[maker->record->zone] += route.stages[before].result_bytes;
       }
--- /dev/null
+++ b/src/serving/result_handle.h
@@ -0,0 +1,15 @@
+/// Handles of stage results: `ADDRESS/NAME`, where ADDRESS is that of the replica that made it.
+#pragma once
+
+#include "base/ids.h"
+
+#include <string>
+
+namespace spurrack::serving {
+
+/// @return address of the replica that made a result.
+inline base::network_address maker_of(const std::string& handle) {
+  return base::network_address(handle.substr(0, handle.find('/')));
+}
+
+} // namespace spurrack::serving
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -1,5 +1,7 @@
 #include "serving/stage_pool.h"
 
+#include "serving/result_handle.h"
+
 #include <algorithm>
 #include <iterator>
 
@@ -205,7 +207,7 @@
 
 void stage_pool::release(const std::string& handle) {
   forget_result(handle);
-  const base::network_address maker(handle.substr(0, handle.find('/')));
+  const auto maker = maker_of(handle);
   if (replicas_->find_at(maker) == nullptr) {
     return;
   }
