Hand over waiting pieces when another node gathers from then on

Results were freed through the new gatherer, so the old one took all room for taken until they expired after 4 s; 83 requests of 5 s were held to their deadline. Ruled out: full replicas (48 calls a second went on at the others), lost messages (the pieces were confirmed). Change: on losing a service a node hands the waiting pieces of others back and moves its own. Test: a_gatherer_that_another_follows_hands_over_what_waits (fails with the hand-over switched off).

--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -76,11 +76,31 @@
   stopping_ = true;
   next_refresh_ = {};
   next_load_report_ = {};
-  hand_back_guests(now);
+  hand_back_guests(pool_.waiting_tickets(), now);
 }
 
-void stage_exchange::hand_back_guests(base::time_point now) {
-  for (const auto ticket : pool_.waiting_tickets()) {
+void stage_exchange::hand_over(const std::string& service, base::time_point now) {
+  const auto waiting = pool_.waiting_tickets(service);
+  hand_back_guests(waiting, now);
+  for (const auto ticket : waiting) {
+    const auto own = own_by_pool_ticket_.find(ticket);
+    if (own == own_by_pool_ticket_.end()) {
+      continue;
+    }
+    auto& placed = placements_.at(own->second);
+    const auto* chosen = choose_gatherer(service, placed.work.result_bytes, placed.work.zone, now);
+    if (chosen != nullptr && chosen->node != self_.node) {
+      const auto moved = own->second;
+      own_by_pool_ticket_.erase(own);
+      pool_.cancel(ticket);
+      place(moved, placed, chosen, now);
+    }
+  }
+}
+
+void stage_exchange::hand_back_guests(const std::vector<piece_ticket>& waiting,
+                                      base::time_point now) {
+  for (const auto ticket : waiting) {
     const auto guest = guests_by_pool_ticket_.find(ticket);
     if (guest != guests_by_pool_ticket_.end()) {
       pool_.cancel(ticket);
@@ -336,7 +356,7 @@
     pool_.release(handle);
   }
   if (stopping_) {
-    hand_back_guests(now);
+    hand_back_guests(pool_.waiting_tickets(), now);
   }
 }
 
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -41,6 +41,10 @@
   void set_peers(std::vector<fleet_peer> peers);
   /// A planned stop begins: other nodes take over what waits here.
   void begin_stop(base::time_point now);
+  /// @return pieces of a service that wait here for a call.
+  [[nodiscard]] std::size_t waiting(const std::string& service) const {
+    return pool_.waiting(service);
+  }
   /// @return whether calls for pieces are under way.
   [[nodiscard]] bool has_calls_under_way() const { return pool_.has_calls_under_way(); }
 
@@ -149,8 +153,11 @@
   void ask_or_move(piece_ticket ticket, placement& placed, base::time_point now);
   void take_pool_results(base::time_point now);
   void take_pool_fetched();
-  /// Hands every waiting piece of another node back to it.
-  void hand_back_guests(base::time_point now);
+  /// Hands waiting pieces of other nodes back to them.
+  void hand_back_guests(const std::vector<piece_ticket>& waiting, base::time_point now);
+  /// Others gather for a service from now on: what waits here goes to them, since results that
+  /// this node does not hear of any more seem to take up all room.
+  void hand_over(const std::string& service, base::time_point now);
   /// Says of a piece of another node whether it is still here, and what became of it otherwise.
   void tell_state(const base::node_id& sender, piece_ticket ticket);
   /// @return whether this node may call a replica with pieces.
--- a/src/serving/stage_exchange_gatherers.cc
+++ b/src/serving/stage_exchange_gatherers.cc
@@ -4,6 +4,7 @@
 #include "base/hashing.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace spurrack::serving {
 namespace {
@@ -33,7 +34,7 @@
   next_refresh_ = now + refresh_period;
   peers_.mark_silent(now);
   own_replicas_.clear();
-  own_services_.clear();
+  const auto gathered_before = std::exchange(own_services_, {});
   gatherers_.clear();
   gatherer_of_.clear();
   const auto candidates = find_candidates();
@@ -54,6 +55,11 @@
     elected.insert(node);
   }
   peers_.set_gatherers(elected, now);
+  for (const auto& service : gathered_before) {
+    if (!own_services_.contains(service) && gatherers_.contains(service)) {
+      hand_over(service, now);
+    }
+  }
 }
 
 stage_exchange::candidate_nodes stage_exchange::find_candidates() const {
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -363,7 +363,17 @@
 std::vector<piece_ticket> stage_pool::waiting_tickets() const {
   std::vector<piece_ticket> tickets;
   for (const auto& [name, queue] : queues_) {
-    for (const auto& position : queue) {
+    const auto waiting = waiting_tickets(name);
+    tickets.insert(tickets.end(), waiting.begin(), waiting.end());
+  }
+  return tickets;
+}
+
+std::vector<piece_ticket> stage_pool::waiting_tickets(const std::string& service) const {
+  std::vector<piece_ticket> tickets;
+  const auto found = queues_.find(service);
+  if (found != queues_.end()) {
+    for (const auto& position : found->second) {
       tickets.push_back(position.ticket);
     }
   }
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -96,6 +96,8 @@
                                                     base::time_point now) const;
   /// @return pieces that wait for a call.
   [[nodiscard]] std::vector<piece_ticket> waiting_tickets() const;
+  /// @return pieces of one service that wait for a call.
+  [[nodiscard]] std::vector<piece_ticket> waiting_tickets(const std::string& service) const;
   [[nodiscard]] bool has_calls_under_way() const { return !calls_.empty(); }
   /// @return calls of a service that are under way.
   [[nodiscard]] std::size_t calls_under_way(const std::string& service) const;
--- a/tests/serving/exchange_fleet.h
+++ b/tests/serving/exchange_fleet.h
@@ -14,6 +14,15 @@
 
 namespace spurrack::serving {
 
+/// Settings of nodes whose zones `a` to `e` are one region.
+inline serving_settings one_region() {
+  serving_settings settings;
+  for (const char* zone : {"a", "b", "c", "d", "e"}) {
+    settings.regions[base::zone_id(zone)] = "region";
+  }
+  return settings;
+}
+
 struct exchange_node {
   exchange_node(const fleet_peer& self, published_world& world, std::uint64_t life,
                 const serving_settings& settings = {})
@@ -37,7 +46,8 @@
 
 struct exchange_fleet {
   /// @param zone_count zones `a`, `b`, ... over which the nodes are spread.
-  explicit exchange_fleet(int size = 3, int zone_count = 1) : size_(size), zone_count_(zone_count) {
+  explicit exchange_fleet(int size = 3, int zone_count = 1, serving_settings settings = {})
+      : size_(size), zone_count_(zone_count), settings_(std::move(settings)) {
     for (int index = 0; index < size_; ++index) {
       start(index, 1'000'000);
     }
@@ -55,7 +65,7 @@
       nodes.resize(static_cast<std::size_t>(index) + 1);
     }
     nodes[static_cast<std::size_t>(index)] =
-        std::make_unique<exchange_node>(peer(index), world, life);
+        std::make_unique<exchange_node>(peer(index), world, life, settings_);
   }
 
   void meet() {
@@ -159,6 +169,7 @@
  private:
   int size_;
   int zone_count_;
+  serving_settings settings_;
   std::set<std::pair<base::node_id, base::network_address>> connected_;
 };
 
--- a/tests/serving/stage_exchange_test.cc
+++ b/tests/serving/stage_exchange_test.cc
@@ -9,6 +9,11 @@
 /// Three nodes of one zone.
 struct small_fleet : exchange_fleet {};
 
+/// Three nodes that gather for one region, so that one of them gathers for all replicas.
+struct one_region_fleet : exchange_fleet {
+  one_region_fleet() : exchange_fleet(3, 1, one_region()) {}
+};
+
 /// As many nodes as do not all tell each other everything.
 struct large_fleet : exchange_fleet {
   large_fleet() : exchange_fleet(60, 5) {}
@@ -143,6 +148,36 @@
   BOOST_TEST(elsewhere == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_gatherer_that_another_follows_hands_over_what_waits, one_region_fleet) {
+  submit(*nodes[0]);
+  run(std::chrono::milliseconds(50));
+  const auto first = caller()->identity.node;
+  silent = first;
+  run(std::chrono::milliseconds(1500));
+  for (auto& node : nodes) {
+    node->calls.clear();
+  }
+  submit(other_than(*nodes[static_cast<std::size_t>(first.text().back() - '0')]));
+  run(std::chrono::milliseconds(50));
+  auto& second = *caller();
+  BOOST_REQUIRE(second.identity.node != first);
+  // Both replicas are busy; these wait until the first gatherer is back.
+  for (int piece = 0; piece < 8; ++piece) {
+    submit(second);
+  }
+  run(std::chrono::milliseconds(50));
+  const auto made_before = second.calls.size();
+  silent = {};
+  run(std::chrono::milliseconds(600));
+  auto& returned = *nodes[static_cast<std::size_t>(first.text().back() - '0')];
+  std::size_t taken = 0;
+  for (const auto& call : returned.calls) {
+    taken += call.items.size();
+  }
+  BOOST_TEST(second.calls.size() == made_before);
+  BOOST_TEST(taken + returned.subject.waiting("pool") >= 2U);
+}
+
 BOOST_AUTO_TEST_CASE(what_was_cancelled_is_not_delivered) {
   submit(*nodes[0]);
   run(std::chrono::milliseconds(50));
@@ -185,11 +220,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(weak_nodes_gather_nothing_while_there_are_strong_ones) {
-  serving_settings weak;
+  auto weak = one_region();
   weak.processor_share = 0.12;
-  for (const char* zone : {"a", "b", "c", "d", "e"}) {
-    weak.regions[base::zone_id(zone)] = "region";
-  }
   auto strong = weak;
   strong.processor_share = 0.5;
   constexpr std::size_t strong_node = 17;
