Make a lost result again, not the whole graph

Cause: one result that was gone restarted every stage of its request (up to 28 pieces), which filled the pools when they were short already. Change: the graph forgets the results whose maker is gone, left or cannot be reached (all that were read where none is known to be lost, and from the second time on), what those need that was freed since, and the pieces that wait for them; everything else stays. Tests: three of the graph, in place of the one on a restart.

--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -134,7 +134,13 @@
   void free_fetched_stage_inputs();
   void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
                          base::time_point now);
-  void restart_stages(active_request& request, base::time_point now);
+  /// @return whether the maker of a result is gone or cannot be reached.
+  [[nodiscard]] bool is_lost(const std::string& handle, base::time_point now) const;
+  /// Results that the request itself reads are gone: makes them again.
+  void remake_final_inputs(active_request& request, base::time_point now);
+  /// Cancels the pieces that wait for a result which is made again, and submits what can be made.
+  void go_on_after_loss(active_request& request, const std::vector<std::string>& useless,
+                        base::time_point now);
   void send_to_replica(active_request& request, base::time_point now);
   const replica_state* choose_replica(const active_request& request, base::time_point now);
   /// Ends the account of the open call. @return the call.
--- a/src/serving/dispatcher_calls.cc
+++ b/src/serving/dispatcher_calls.cc
@@ -50,7 +50,7 @@
   }
   if (request.graph && request.graph->has_freed_final_inputs()) {
     // An attempt before this one had them; they are made again for the next.
-    restart_stages(request, now);
+    remake_final_inputs(request, now);
     return;
   }
   const auto* chosen = choose_replica(request, now);
@@ -169,9 +169,9 @@
   }
   record(base::event_kind::stage_retried, request, call.replica.text(),
          "not executed, status " + std::to_string(head.status));
-  if (head.status == status::conflict && request.graph &&
-      request.graph->restarts() < most_restarts && request.sent < request.route->max_attempts) {
-    restart_stages(request, now);
+  if (head.status == status::conflict && request.graph && request.graph->remakes() < most_remakes &&
+      request.sent < request.route->max_attempts) {
+    remake_final_inputs(request, now);
     return;
   }
   if (may_send_again(request, now)) {
--- a/src/serving/dispatcher_constants.h
+++ b/src/serving/dispatcher_constants.h
@@ -20,7 +20,7 @@
 } // namespace status
 
 /// Times the stages of a request are made again because results were lost.
-inline constexpr std::uint32_t most_restarts = 2;
+inline constexpr std::uint32_t most_remakes = 2;
 
 /// @return `span` times `factor`.
 inline base::duration scaled(base::duration span, double factor) {
--- a/src/serving/dispatcher_stages.cc
+++ b/src/serving/dispatcher_stages.cc
@@ -109,21 +109,41 @@
     go_on(request, now);
     return;
   }
-  if (outcome.fault == piece_fault::input_gone && request.graph->restarts() < most_restarts) {
-    restart_stages(request, now);
+  if (outcome.fault == piece_fault::input_gone && request.graph->remakes() < most_remakes) {
+    const auto useless = request.graph->remake_inputs_of(
+        where, [&](const auto& handle) { return is_lost(handle, now); });
+    go_on_after_loss(request, useless, now);
     return;
   }
   answer_not_run(request, "stage " + std::to_string(where.stage) + " brought no result", now);
 }
 
-void dispatcher::restart_stages(active_request& request, base::time_point now) {
-  for (const auto& [ticket, where] : request.pieces) {
-    stages_.cancel(ticket);
-    tickets_.erase(ticket);
-  }
-  request.pieces.clear();
-  free(request.graph->restart());
-  record(base::event_kind::stage_retried, request, request.route->name, "results were gone");
+bool dispatcher::is_lost(const std::string& handle, base::time_point now) const {
+  const auto* maker = replicas_.find_at(maker_of(handle));
+  return maker == nullptr || maker->left || maker->paused_until > now;
+}
+
+void dispatcher::remake_final_inputs(active_request& request, base::time_point now) {
+  const auto useless =
+      request.graph->remake_final_inputs([&](const auto& handle) { return is_lost(handle, now); });
+  go_on_after_loss(request, useless, now);
+}
+
+void dispatcher::go_on_after_loss(active_request& request, const std::vector<std::string>& useless,
+                                  base::time_point now) {
+  std::erase_if(request.pieces, [&](const auto& entry) {
+    const auto& [ticket, where] = entry;
+    const bool obsolete = !request.graph->is_under_way(where);
+    if (obsolete) {
+      stages_.cancel(ticket);
+      tickets_.erase(ticket);
+    }
+    return obsolete;
+  });
+  free(useless);
+  record(base::event_kind::stage_retried, request, request.route->name,
+         "results were gone, made again for the " + std::to_string(request.graph->remakes()) +
+             ". time");
   submit_pieces(request, now);
 }
 
--- a/src/serving/stage_graph.cc
+++ b/src/serving/stage_graph.cc
@@ -35,10 +35,8 @@
     return piece.inputs_fetched || !piece.handle.empty();
   };
   for (std::uint32_t user = 0; user < stages_.size(); ++user) {
-    const auto& needed = route_->stages[user].start_after;
-    const bool uses = std::find(needed.begin(), needed.end(), stage) != needed.end();
     const auto& pieces = stages_[user];
-    if (uses && !std::all_of(pieces.begin(), pieces.end(), has_fetched)) {
+    if (reads(user, stage) && !std::all_of(pieces.begin(), pieces.end(), has_fetched)) {
       return false;
     }
   }
@@ -70,15 +68,77 @@
   stages_[where.stage][where.piece].handle = std::move(handle);
 }
 
-std::vector<std::string> stage_graph::restart() {
-  ++restarts_;
-  auto useless = take_unneeded(true);
-  for (auto& pieces : stages_) {
-    std::fill(pieces.begin(), pieces.end(), piece_state{});
+bool stage_graph::reads(std::uint32_t stage, std::uint32_t before) const {
+  const auto& needed = route_->stages[stage].start_after;
+  return std::find(needed.begin(), needed.end(), before) != needed.end();
+}
+
+bool stage_graph::is_under_way(piece_position where) const {
+  const auto& piece = stages_[where.stage][where.piece];
+  return piece.given_out && piece.handle.empty();
+}
+
+void stage_graph::forget_result(std::uint32_t stage, piece_state& piece,
+                                std::vector<std::string>& useless) {
+  if (!piece.freed) {
+    useless.push_back(piece.handle);
+  }
+  piece = {};
+  for (std::uint32_t other = 0; other < stages_.size(); ++other) {
+    for (auto& candidate : stages_[other]) {
+      if (reads(other, stage) && candidate.handle.empty()) {
+        candidate = {};
+      }
+      if (reads(stage, other) && candidate.freed) {
+        forget_result(other, candidate, useless);
+      }
+    }
+  }
+}
+
+std::vector<std::string>
+stage_graph::remake(const std::vector<std::uint32_t>& stages,
+                    const std::function<bool(const std::string&)>& is_lost) {
+  const auto is_suspect = [&](const piece_state& piece) {
+    return !piece.handle.empty() && (piece.freed || is_lost(piece.handle));
+  };
+  // What was suspected once and did not help is not trusted again.
+  const bool any_known =
+      remakes_ == 0 && std::any_of(stages.begin(), stages.end(), [&](auto stage) {
+        return std::any_of(stages_[stage].begin(), stages_[stage].end(), is_suspect);
+      });
+  ++remakes_;
+  std::vector<std::string> useless;
+  for (const auto stage : stages) {
+    for (auto& piece : stages_[stage]) {
+      if (!piece.handle.empty() && (!any_known || is_suspect(piece))) {
+        forget_result(stage, piece, useless);
+      }
+    }
   }
   return useless;
 }
 
+std::vector<std::string>
+stage_graph::remake_inputs_of(piece_position where,
+                              const std::function<bool(const std::string&)>& is_lost) {
+  stages_[where.stage][where.piece] = {};
+  const auto& needed = route_->stages[where.stage].start_after;
+  const bool waits_for_others = !ready(where.stage);
+  return waits_for_others ? std::vector<std::string>{} : remake(needed, is_lost);
+}
+
+std::vector<std::string>
+stage_graph::remake_final_inputs(const std::function<bool(const std::string&)>& is_lost) {
+  std::vector<std::uint32_t> last;
+  for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
+    if (is_last(stage)) {
+      last.push_back(stage);
+    }
+  }
+  return remake(last, is_lost);
+}
+
 void stage_graph::append_results(std::uint32_t stage, std::vector<std::string>& results) const {
   for (const auto& piece : stages_[stage]) {
     results.push_back(piece.handle);
@@ -170,8 +230,7 @@
                        const std::function<base::duration(std::uint32_t stage)>& stage_time) const {
   base::duration longest{};
   for (std::uint32_t user = 0; user < stages_.size(); ++user) {
-    const auto& needed = route_->stages[user].start_after;
-    if (std::find(needed.begin(), needed.end(), stage) != needed.end()) {
+    if (reads(user, stage)) {
       longest = std::max(longest, time_from(user, stage_time));
     }
   }
--- a/src/serving/stage_graph.h
+++ b/src/serving/stage_graph.h
@@ -27,9 +27,18 @@
   /// The replica that makes a piece has fetched what it reads.
   void note_inputs_fetched(piece_position where);
   void complete(piece_position where, std::string handle);
-  /// Results are gone: everything is to be made again.
+  /// A piece found that a result it reads is gone. The piece, and every result that it reads and
+  /// that is lost, are to be made again, together with whatever those need that was freed since.
+  /// @param is_lost whether a result is known to be lost; where none is, all that the piece reads
+  ///        are taken for lost.
   /// @return handles that are no longer of use.
-  std::vector<std::string> restart();
+  std::vector<std::string> remake_inputs_of(piece_position where,
+                                            const std::function<bool(const std::string&)>& is_lost);
+  /// The same for the results that the request itself reads.
+  std::vector<std::string>
+  remake_final_inputs(const std::function<bool(const std::string&)>& is_lost);
+  /// @return whether a piece was given out and is not finished.
+  [[nodiscard]] bool is_under_way(piece_position where) const;
 
   /// @return results that the pieces of `stage` need, in the order of stages and pieces.
   [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
@@ -56,7 +65,7 @@
   time_from(std::uint32_t stage,
             const std::function<base::duration(std::uint32_t stage)>& stage_time) const;
   /// @return how often results had to be made again.
-  [[nodiscard]] std::uint32_t restarts() const { return restarts_; }
+  [[nodiscard]] std::uint32_t remakes() const { return remakes_; }
 
  private:
   struct piece_state {
@@ -68,11 +77,17 @@
   [[nodiscard]] bool finished(std::uint32_t stage) const;
   [[nodiscard]] bool ready(std::uint32_t stage) const;
   [[nodiscard]] bool users_have_fetched(std::uint32_t stage) const;
+  [[nodiscard]] bool reads(std::uint32_t stage, std::uint32_t before) const;
+  /// Forgets the results of `stages` that are lost, all of them where none is known to be.
+  std::vector<std::string> remake(const std::vector<std::uint32_t>& stages,
+                                  const std::function<bool(const std::string&)>& is_lost);
+  /// A result is to be made again, and so is what it needs and was freed.
+  void forget_result(std::uint32_t stage, piece_state& piece, std::vector<std::string>& useless);
   void append_results(std::uint32_t stage, std::vector<std::string>& results) const;
 
   const model::route* route_;
   std::vector<std::vector<piece_state>> stages_;
-  std::uint32_t restarts_ = 0;
+  std::uint32_t remakes_ = 0;
 };
 
 } // namespace spurrack::serving
--- a/tests/serving/stage_graph_test.cc
+++ b/tests/serving/stage_graph_test.cc
@@ -75,16 +75,63 @@
   BOOST_TEST(graph.take_unneeded(true).size() == 2);
 }
 
-BOOST_AUTO_TEST_CASE(a_restart_frees_every_result_and_begins_anew) {
+const auto nothing_is_known = [](const std::string&) { return false; };
+
+BOOST_AUTO_TEST_CASE(where_nothing_is_known_all_results_that_are_read_are_made_again) {
   const auto route = sample_route();
   stage_graph graph(route, {1, 1, 1});
   make_all(graph);
-  BOOST_TEST(graph.restart().size() == 3);
-  BOOST_TEST(graph.restarts() == 1);
+  BOOST_TEST(graph.remake_final_inputs(nothing_is_known).size() == 2);
+  BOOST_TEST(graph.remakes() == 1);
   BOOST_TEST(graph.take_ready().size() == 2);
   BOOST_TEST(!graph.done());
 }
 
+BOOST_AUTO_TEST_CASE(only_the_results_that_are_lost_are_made_again) {
+  const auto route = sample_route();
+  stage_graph graph(route, {0, 3, 2});
+  graph.take_ready();
+  for (const std::uint32_t piece : {0U, 1U, 2U}) {
+    graph.complete({1, piece}, "b" + std::to_string(piece));
+  }
+  BOOST_TEST(graph.take_ready().size() == 2);
+  const auto useless =
+      graph.remake_inputs_of({2, 0}, [](const auto& handle) { return handle == "b1"; });
+  BOOST_TEST(useless == std::vector<std::string>{"b1"}, boost::test_tools::per_element());
+  BOOST_TEST(!graph.is_under_way({2, 1}));
+  const auto again = graph.take_ready();
+  BOOST_REQUIRE(again.size() == 1);
+  BOOST_TEST(again.front().stage == 1);
+  BOOST_TEST(again.front().piece == 1);
+  // The other piece fails as well: its inputs are made again already.
+  BOOST_TEST(graph.remake_inputs_of({2, 1}, nothing_is_known).empty());
+  BOOST_TEST(graph.remakes() == 1);
+  graph.complete({1, 1}, "new");
+  BOOST_TEST(graph.take_ready().size() == 2);
+  BOOST_TEST(graph.inputs_of(2) == (std::vector<std::string>{"b0", "new", "b2"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(what_a_lost_result_needs_is_made_again_where_it_was_freed) {
+  const auto route = sample_route();
+  stage_graph graph(route, {0, 1, 2});
+  make_all(graph);
+  BOOST_TEST(graph.take_unneeded(false) == std::vector<std::string>{"h10"},
+             boost::test_tools::per_element());
+  const auto useless =
+      graph.remake_final_inputs([](const auto& handle) { return handle == "h20"; });
+  BOOST_TEST(useless == std::vector<std::string>{"h20"}, boost::test_tools::per_element());
+  const auto first = graph.take_ready();
+  BOOST_REQUIRE(first.size() == 1);
+  BOOST_TEST(first.front().stage == 1);
+  graph.complete({1, 0}, "again");
+  BOOST_TEST(graph.take_ready().size() == 1);
+  graph.complete({2, 0}, "last");
+  BOOST_TEST(graph.done());
+  BOOST_TEST(graph.final_inputs() == (std::vector<std::string>{"last", "h21"}),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(time_from_adds_up_the_longest_way) {
   const auto route = sample_route();
   const stage_graph graph(route, {1, 1, 1});
