Judge waiting requests by the whole backlog, by replicas that can be called, and by when clients leave

Change: the adapter publishes how long clients of a stream wait; load reports tell what is past due beside what is in time; capacity counts replicas that are reachable and not paused; the second look takes the backlog that really goes before.

--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -101,6 +101,9 @@
   built->is_public = published.is_public();
   built->resumable = published.resumable();
   built->gap_target = milliseconds_of(published.gap_target_milliseconds());
+  if (published.client_patience_milliseconds() > 0) {
+    built->client_patience = milliseconds_of(published.client_patience_milliseconds());
+  }
   for (const auto& step : published.stages()) {
     built->stages.push_back(build_stage(step));
   }
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -58,6 +58,9 @@
   bool resumable = false;
   /// Longest pause between two events that is still in time.
   base::duration gap_target{};
+  /// Clients leave when nothing has come after this time; nothing where they wait for all of
+  /// theirs.
+  std::optional<base::duration> client_patience;
   std::vector<stage_step> stages;
 
   /// @return whether a request may run more than once.
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -158,9 +158,16 @@
 }
 
 std::optional<base::duration> dispatcher::expected_time(const active_request& request,
+                                                        piece_standing standing,
                                                         base::time_point now) const {
   return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
-                             request.service, now);
+                             request.service, standing, now);
+}
+
+base::time_point dispatcher::client_leaves_at(const active_request& request) {
+  const auto patience = request.route->client_patience;
+  return patience ? std::min<base::time_point>(request.ends_at, request.arrived + *patience)
+                  : request.ends_at;
 }
 
 bool dispatcher::refuse_hopeless(active_request& request, base::time_point now) {
@@ -168,7 +175,7 @@
     return false;
   }
   stages_.refresh(now);
-  const auto expected = expected_time(request, now);
+  const auto expected = expected_time(request, piece_standing::in_time, now);
   const auto allowed = request.ends_at - request.arrived;
   // One that comes back has less time than its route gives; it is refused only without any hope.
   const bool comes_back =
@@ -199,15 +206,18 @@
   next_hopeless_check_ = now + hopeless_check_period;
   std::vector<base::caller_id> hopeless;
   for (auto& [client, request] : active_) {
-    const auto allowed = request.ends_at - request.arrived;
+    const auto allowed = client_leaves_at(request) - request.arrived;
     const bool halfway = now - request.arrived >= scaled(allowed, recheck_part);
     if (!request.graph || request.graph->done() || request.rechecked || !halfway ||
         request.may_have_run) {
       continue;
     }
     request.rechecked = true;
-    const auto expected = expected_time(request, now);
-    if (!expected || now + *expected > request.ends_at) {
+    const auto target_at = request.arrived + request.route->target_latency;
+    const auto in_time = expected_time(request, piece_standing::in_time, now);
+    const bool is_late = !in_time || now + *in_time > target_at;
+    const auto expected = is_late ? expected_time(request, piece_standing::past_due, now) : in_time;
+    if (!expected || now + *expected > client_leaves_at(request)) {
       hopeless.push_back(client);
     }
   }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -124,8 +124,10 @@
   bool refuse_hopeless(active_request& request, base::time_point now);
   /// Gives up requests whose stages are too far behind to end in time.
   void give_up_hopeless(base::time_point now);
-  [[nodiscard]] std::optional<base::duration> expected_time(const active_request& request,
-                                                            base::time_point now) const;
+  [[nodiscard]] std::optional<base::duration>
+  expected_time(const active_request& request, piece_standing standing, base::time_point now) const;
+  /// @return when the client of a request that has sent nothing yet stops waiting.
+  [[nodiscard]] static base::time_point client_leaves_at(const active_request& request);
   void submit_pieces(active_request& request, base::time_point now);
   void submit_stage(active_request& request, const std::vector<piece_position>& positions,
                     base::time_point now);
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -435,7 +435,9 @@
     }
     auto& load = *report.add_loads();
     load.set_service(name);
-    load.set_waiting(static_cast<std::uint32_t>(pool_.waiting_in_time(name, now)));
+    const auto in_time = pool_.waiting_in_time(name, now);
+    load.set_waiting(static_cast<std::uint32_t>(in_time));
+    load.set_waiting_past_due(static_cast<std::uint32_t>(pool_.waiting(name) - in_time));
     load.set_calls_under_way(static_cast<std::uint32_t>(pool_.calls_under_way(name)));
     load.set_drain_rate(pool_.drain_rate_of(name, now).value_or(0));
   }
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -27,6 +27,12 @@
 
 namespace spurrack::serving {
 
+/// Where a piece stands in a queue.
+enum class piece_standing : std::uint8_t {
+  in_time,  ///< Before everything that is past due.
+  past_due, ///< Behind everything else.
+};
+
 /// Not thread-safe. Commands, messages and results gather until they are taken.
 class stage_exchange {
  public:
@@ -66,8 +72,8 @@
   void refresh(base::time_point now);
   /// @return how long a piece of a service that is submitted now is expected to wait for its call;
   ///         nothing where nobody can make it.
-  [[nodiscard]] std::optional<base::duration> expected_wait(const std::string& service,
-                                                            base::time_point now) const;
+  [[nodiscard]] std::optional<base::duration>
+  expected_wait(const std::string& service, piece_standing standing, base::time_point now) const;
 
   void pump(base::time_point now);
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
@@ -84,6 +90,7 @@
   struct gatherer {
     base::node_id node;
     std::string region;
+    /// Those of its replicas that can be called now.
     std::uint32_t replicas = 0;
   };
   /// Replicas of one service in one region.
@@ -126,10 +133,12 @@
   [[nodiscard]] candidate_nodes find_candidates() const;
   /// Divides the replicas of a group into shards and finds the gatherer of each.
   void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
-              const std::vector<base::node_id>& candidates);
+              const std::vector<base::node_id>& candidates, base::time_point now);
+  /// @return whether calls to a replica are expected to arrive.
+  [[nodiscard]] bool is_usable(const base::replica_id& id, base::time_point now) const;
   /// Drops gatherers that membership dropped, until they are found anew.
   void forget_unknown_gatherers();
-  void add_gatherer(const replica_group& group, const base::node_id& node);
+  void add_gatherer(const replica_group& group, const base::node_id& node, bool has_usable_replica);
   [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
   /// @param result_bytes size of all results together.
   const gatherer* choose_gatherer(const std::string& service, double result_bytes,
@@ -137,6 +146,7 @@
   /// Work of a service at a gatherer, as it told it last.
   struct gatherer_load {
     double waiting = 0;
+    double waiting_past_due = 0;
     double calls_under_way = 0;
     /// Pieces a second; 0 where nothing waited of late.
     double drain_rate = 0;
@@ -144,7 +154,7 @@
   [[nodiscard]] gatherer_load load_of(const base::node_id& node, const std::string& service,
                                       base::time_point now) const;
   [[nodiscard]] double expected_wait_seconds(const gatherer& candidate, const std::string& service,
-                                             base::time_point now) const;
+                                             piece_standing standing, base::time_point now) const;
   /// @param chosen null where no other node is fit.
   void place(piece_ticket ticket, placement& placed, const gatherer* chosen, base::time_point now);
   /// Places pieces anew whose holder is silent or did not take them, and asks for those of which
--- a/src/serving/stage_exchange_gatherers.cc
+++ b/src/serving/stage_exchange_gatherers.cc
@@ -48,7 +48,8 @@
   }
   for (const auto& [group, replicas] : groups) {
     const auto near = candidates.by_region.find(group.region);
-    assign(group, replicas, near == candidates.by_region.end() ? candidates.all : near->second);
+    assign(group, replicas, near == candidates.by_region.end() ? candidates.all : near->second,
+           now);
   }
   std::set<base::node_id> elected;
   for (const auto& [replica, node] : gatherer_of_) {
@@ -92,7 +93,7 @@
 
 void stage_exchange::assign(const replica_group& group,
                             const std::vector<base::replica_id>& replicas,
-                            const std::vector<base::node_id>& candidates) {
+                            const std::vector<base::node_id>& candidates, base::time_point now) {
   const auto shards = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
   for (const auto& replica : replicas) {
     const auto shard = base::stable_hash(replica.text()) % shards;
@@ -103,18 +104,25 @@
       own_replicas_.insert(replica);
       own_services_.insert(group.service);
     }
-    add_gatherer(group, node);
+    add_gatherer(group, node, is_usable(replica, now));
   }
 }
 
-void stage_exchange::add_gatherer(const replica_group& group, const base::node_id& node) {
+bool stage_exchange::is_usable(const base::replica_id& id, base::time_point now) const {
+  const auto* replica = replicas_->find(id);
+  return replica != nullptr && replica->paused_until <= now &&
+         replicas_->is_reachable(replica->record->zone);
+}
+
+void stage_exchange::add_gatherer(const replica_group& group, const base::node_id& node,
+                                  bool has_usable_replica) {
   auto& known = gatherers_[group.service];
   const auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
     return other.node == node && other.region == group.region;
   });
   if (found == known.end()) {
-    known.push_back({node, group.region, 1});
-  } else {
+    known.push_back({node, group.region, has_usable_replica ? 1U : 0U});
+  } else if (has_usable_replica) {
     ++found->replicas;
   }
 }
@@ -123,7 +131,8 @@
                                                       const std::string& service,
                                                       base::time_point now) const {
   if (node == self_.node) {
-    return {static_cast<double>(pool_.waiting_in_time(service, now)),
+    const auto in_time = pool_.waiting_in_time(service, now);
+    return {static_cast<double>(in_time), static_cast<double>(pool_.waiting(service) - in_time),
             static_cast<double>(pool_.calls_under_way(service)),
             pool_.drain_rate_of(service, now).value_or(0)};
   }
@@ -131,6 +140,7 @@
   const auto* peer = peers_.find(node);
   if (const auto told = peer->loads.find(service); told != peer->loads.end()) {
     load = {static_cast<double>(told->second.waiting()),
+            static_cast<double>(told->second.waiting_past_due()),
             static_cast<double>(told->second.calls_under_way()), told->second.drain_rate()};
   }
   if (const auto sent = peer->sent_since.find(service); sent != peer->sent_since.end()) {
@@ -140,20 +150,23 @@
 }
 
 double stage_exchange::expected_wait_seconds(const gatherer& candidate, const std::string& service,
-                                             base::time_point now) const {
+                                             piece_standing standing, base::time_point now) const {
   const auto* found = configuration_->find_service(service);
   const auto& capacity = *found->pieces;
   const auto load = load_of(candidate.node, service, now);
   const double full_call =
       base::to_seconds(capacity.call_time) + base::to_seconds(capacity.item_time) * capacity.batch;
-  const double calls_ahead = load.waiting / capacity.batch + load.calls_under_way / 2;
-  const double by_capacity = calls_ahead * full_call / candidate.replicas;
+  const double ahead =
+      standing == piece_standing::in_time ? load.waiting : load.waiting + load.waiting_past_due;
+  const double calls_ahead = ahead / capacity.batch + load.calls_under_way / 2;
+  const double by_capacity = calls_ahead * full_call / std::max(1U, candidate.replicas);
   // Room for results may bound a service far below what its calls could carry.
-  const double by_rate = load.drain_rate > 0 ? load.waiting / load.drain_rate : 0;
+  const double by_rate = load.drain_rate > 0 ? ahead / load.drain_rate : 0;
   return std::max(by_capacity, by_rate);
 }
 
 std::optional<base::duration> stage_exchange::expected_wait(const std::string& service,
+                                                            piece_standing standing,
                                                             base::time_point now) const {
   const auto known = gatherers_.find(service);
   if (known == gatherers_.end()) {
@@ -161,10 +174,12 @@
   }
   std::optional<double> least;
   for (const auto& candidate : known->second) {
-    const double wait = expected_wait_seconds(candidate, service, now);
-    least = std::min(least.value_or(wait), wait);
+    if (candidate.replicas > 0) {
+      const double wait = expected_wait_seconds(candidate, service, standing, now);
+      least = std::min(least.value_or(wait), wait);
+    }
   }
-  return base::from_seconds(*least);
+  return least ? std::optional(base::from_seconds(*least)) : std::nullopt;
 }
 
 const stage_exchange::gatherer* stage_exchange::choose_gatherer(const std::string& service,
@@ -182,7 +197,8 @@
     const double remote_cost = near ? 0
                                     : remote_region_seconds + result_bytes / bytes_per_megabyte *
                                                                   seconds_per_remote_megabyte;
-    const double cost = expected_wait_seconds(candidate, service, now) + remote_cost;
+    const double cost =
+        expected_wait_seconds(candidate, service, piece_standing::in_time, now) + remote_cost;
     if (best == nullptr || cost < best_cost) {
       best = &candidate;
       best_cost = cost;
