Learn which replicas of stages are slow and give them only what has the time

Cause: a replica that works five times as long got the same share of calls as the others; a full call there takes 1.9 s of a target of 1.1 s, and was given up at 1.9 s besides. Change: the pace of each replica is learned from its calls (half forgotten after 2 s, so that it is tried again); a slow one is chosen last, holds only pieces that are due late enough or past due, and is given up later. The unused latency of replicas, next_pause_end and a result of mark_silent that nobody read are gone.

--- a/src/serving/dispatcher_calls.cc
+++ b/src/serving/dispatcher_calls.cc
@@ -200,7 +200,7 @@
   const bool unusable = is_success(what.head.status) && (!what.head.sealed || what.head.encoded);
   const bool failed = unusable || what.head.status >= status::first_server_error;
   if (!failed) {
-    replicas_.note_success(replica, now - request->call->started);
+    replicas_.note_success(replica);
     pass_on(*request, what, now);
     return;
   }
@@ -310,7 +310,7 @@
   const auto call = close_call(*request);
   if (what.complete && !request->events.has_partial()) {
     begin_stream(*request, now);
-    replicas_.note_success(call.replica, now - call.started);
+    replicas_.note_success(call.replica);
     commands_.emplace_back(end_stream{request->client, true});
     finish(*request, request->stream_head->status,
            "the stream is complete, first event at " +
--- a/src/serving/peer_directory.cc
+++ b/src/serving/peer_directory.cc
@@ -81,8 +81,7 @@
   return scaled_round(round_time(), most_missed_zone_rounds);
 }
 
-bool peer_directory::mark_silent(base::time_point now) {
-  bool any = false;
+void peer_directory::mark_silent(base::time_point now) {
   for (auto& [node, peer] : peers_) {
     if (!peer.known_since) {
       peer.known_since = now;
@@ -93,10 +92,8 @@
     }
     if (!peer.silent && now - latest >= silence_limit(peer)) {
       peer.silent = true;
-      any = true;
     }
   }
-  return any;
 }
 
 void peer_directory::give_up(const base::node_id& node) {
--- a/src/serving/peer_directory.h
+++ b/src/serving/peer_directory.h
@@ -61,8 +61,7 @@
   /// Takes over who gathers pieces, as this node sees it.
   void set_gatherers(const std::set<base::node_id>& gatherers, base::time_point now);
   /// Marks the peers that were silent for too long.
-  /// @return whether there are any new ones.
-  bool mark_silent(base::time_point now);
+  void mark_silent(base::time_point now);
   /// A peer did not answer: it gets nothing more until it is heard again.
   void give_up(const base::node_id& node);
 
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -3,6 +3,7 @@
 #include "base/hashing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace spurrack::serving {
@@ -15,7 +16,10 @@
 /// What a replica that fails all calls is worse by, in parts of its slots.
 constexpr double failure_cost = 3.0;
 constexpr double failure_smoothing = 0.15;
-constexpr double latency_smoothing = 0.2;
+/// Share of the newest call in the learned slowness: two calls show what a replica has become.
+constexpr double newest_pace_share = 0.6;
+/// A replica that was slow is tried again after a few of these: troubles last some seconds.
+constexpr base::duration slowness_half_life = std::chrono::seconds(2);
 /// An engine is passed over for a prompt above this load, in parts of its slots.
 constexpr double engine_load_bound = 0.6;
 /// Loads that differ by less are alike.
@@ -172,15 +176,31 @@
   }
 }
 
-void replica_table::note_success(const base::replica_id& id, base::duration took) {
+void replica_table::note_success(const base::replica_id& id) {
   auto* state = mutable_find(id);
   if (state == nullptr) {
     return;
   }
   state->next_pause = {};
   state->failure_share *= 1 - failure_smoothing;
-  const double took_ms = base::to_seconds(took) * 1000.0;
-  state->smoothed_latency_ms += latency_smoothing * (took_ms - state->smoothed_latency_ms);
+}
+
+void replica_table::note_pace(const base::replica_id& id, base::duration took, base::duration usual,
+                              base::time_point now) {
+  auto* state = mutable_find(id);
+  if (state == nullptr || usual <= base::duration::zero()) {
+    return;
+  }
+  const double ratio = base::to_seconds(took) / base::to_seconds(usual);
+  const double known = slowness_of(*state, now);
+  state->slowness = known + newest_pace_share * (std::max(1.0, ratio) - known);
+  state->slowness_seen_at = now;
+}
+
+double replica_table::slowness_of(const replica_state& state, base::time_point now) {
+  const double halvings =
+      base::to_seconds(now - state.slowness_seen_at) / base::to_seconds(slowness_half_life);
+  return 1 + (state.slowness - 1) * std::exp2(-halvings);
 }
 
 void replica_table::note_failure(const base::replica_id& id, base::time_point /*now*/) {
@@ -212,21 +232,4 @@
   }
 }
 
-std::optional<base::time_point> replica_table::next_pause_end(const std::string& service,
-                                                              base::time_point now) const {
-  std::optional<base::time_point> earliest;
-  const auto ids = by_service_.find(service);
-  if (ids == by_service_.end()) {
-    return earliest;
-  }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    const bool pauses = !state.record->draining && !state.left && state.paused_until > now;
-    if (pauses && (!earliest || state.paused_until < *earliest)) {
-      earliest = state.paused_until;
-    }
-  }
-  return earliest;
-}
-
 } // namespace spurrack::serving
--- a/src/serving/replica_table.h
+++ b/src/serving/replica_table.h
@@ -37,8 +37,9 @@
   base::duration next_pause{};
   /// Share of the latest calls that failed, 0 to 1.
   double failure_share = 0;
-  /// Smoothed time to an answer relative to what others need; 1 where nothing is known.
-  double smoothed_latency_ms = 0;
+  /// How many times as long as published its calls took of late, and when that was seen last.
+  double slowness = 1;
+  base::time_point slowness_seen_at;
 };
 
 /// Not thread-safe.
@@ -82,15 +83,18 @@
   void call_started(const base::replica_id& id);
   void call_ended(const base::replica_id& id);
   void note_load(const base::replica_id& id, const replica_load& load, base::time_point now);
-  void note_success(const base::replica_id& id, base::duration took);
+  void note_success(const base::replica_id& id);
+  /// A call took `took` where the published capacity lets expect `usual`.
+  void note_pace(const base::replica_id& id, base::duration took, base::duration usual,
+                 base::time_point now);
+  /// @return how many times as long as published a call is expected to take, at least 1; comes back
+  ///         to 1 while the replica is given nothing, so that it is tried again.
+  [[nodiscard]] static double slowness_of(const replica_state& state, base::time_point now);
   void note_failure(const base::replica_id& id, base::time_point now);
   void note_unreachable(const base::replica_id& id, base::time_point now);
   void note_full(const base::replica_id& id, base::time_point now);
   void note_left(const base::replica_id& id);
 
-  /// @return when the first pause ends after `now`, where a replica of `service` is paused.
-  [[nodiscard]] std::optional<base::time_point> next_pause_end(const std::string& service,
-                                                               base::time_point now) const;
   [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
 
  private:
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -1,5 +1,6 @@
 #include "serving/stage_pool.h"
 
+#include "serving/dispatcher_constants.h"
 #include "serving/result_handle.h"
 
 #include <algorithm>
@@ -29,6 +30,8 @@
 /// good calls.
 constexpr base::duration longest_fetch_time = std::chrono::seconds(2);
 constexpr int fetch_time_smoothing = 50;
+/// A replica whose calls take this many times as long as published is given only what has the time.
+constexpr double slow = 1.6;
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
 
 /// @return time that a call with `size` pieces takes at a healthy replica.
@@ -145,7 +148,8 @@
   const auto& replica = ended.call.target.replica;
   switch (answer.how) {
   case stage_call_ended::result::answered:
-    replicas_->note_success(replica, now - ended.started);
+    replicas_->note_success(replica);
+    note_pace(ended, now);
     for (std::size_t index = 0; index < ended.tickets.size(); ++index) {
       if (answer.pieces[index].fault == piece_fault::no_room) {
         note_no_room(ended, now);
@@ -178,6 +182,14 @@
   }
 }
 
+void stage_pool::note_pace(const open_call& ended, base::time_point now) {
+  const auto* capacity = capacity_of(ended.service);
+  if (capacity != nullptr) {
+    replicas_->note_pace(ended.call.target.replica, now - ended.started,
+                         usual_time(*capacity, ended.tickets.size()), now);
+  }
+}
+
 void stage_pool::end_call_account(const open_call& open) {
   const auto& replica = open.call.target.replica;
   replicas_->call_ended(replica);
@@ -281,6 +293,7 @@
   for (const auto call : stalled) {
     commands_.emplace_back(cancel_call{call});
     const auto replica = calls_.at(call).call.target.replica;
+    note_pace(calls_.at(call), now);
     on_call_ended({call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
     replicas_->note_unreachable(replica, now);
   }
@@ -349,6 +362,9 @@
     const auto under_way = calls == calls_at_.end() ? 0 : calls->second;
     return under_way >= capacity.slots || (filter_ && !filter_(*state));
   });
+  std::stable_partition(found.begin(), found.end(), [&](const replica_state* state) {
+    return replica_table::slowness_of(*state, now) < slow;
+  });
   return found;
 }
 
@@ -466,10 +482,13 @@
 }
 
 std::vector<stage_pool::queue_position>
-stage_pool::take_batch(std::vector<piece_group>& groups, const model::replica& replica,
+stage_pool::take_batch(std::vector<piece_group>& groups, const replica_state& replica,
                        zone_outlooks outlooks, const model::piece_capacity& capacity,
                        base::time_point now) const {
-  double room = free_room(replica.id, capacity, now);
+  double room = free_room(replica.record->id, capacity, now);
+  const double slowness = replica_table::slowness_of(replica, now);
+  const auto delay = slowness < slow ? base::duration::zero()
+                                     : scaled(usual_time(capacity, capacity.batch), slowness - 1);
   std::vector<queue_position> batch;
   for (const bool in_time : {true, false}) {
     for (auto& group : groups) {
@@ -479,7 +498,10 @@
       if (group.pieces.empty() || (group.due > now) != in_time) {
         continue;
       }
-      if (!may_run_in(group, replica.zone, outlooks, now)) {
+      if (in_time && group.due < now + delay) {
+        continue;
+      }
+      if (!may_run_in(group, replica.record->zone, outlooks, now)) {
         outlooks.at(*group.zone).pieces_ahead += group.pieces.size();
         continue;
       }
@@ -544,9 +566,9 @@
               std::to_string(batch.size()) + " pieces, " + std::to_string(queue.size()) +
               " wait, room taken " +
               std::to_string(static_cast<std::int64_t>(room_taken_[replica.record->id])));
-  const auto usual = usual_time(capacity, open.tickets.size());
-  open.give_up_at =
-      now + std::chrono::duration_cast<base::duration>(usual * stall_factor) + stall_margin;
+  const auto usual =
+      scaled(usual_time(capacity, open.tickets.size()), replica_table::slowness_of(replica, now));
+  open.give_up_at = now + scaled(usual, stall_factor) + stall_margin;
   commands_.emplace_back(open.call);
   replicas_->call_started(replica.record->id);
   ++calls_at_[replica.record->id];
@@ -578,7 +600,7 @@
   const auto outlooks = outlooks_of(name, *capacity, now);
   auto groups = groups_in(queue);
   for (const auto* replica : free) {
-    const auto batch = take_batch(groups, *replica->record, outlooks, *capacity, now);
+    const auto batch = take_batch(groups, *replica, outlooks, *capacity, now);
     if (!batch.empty()) {
       start_batch(name, batch, queue, *replica, *capacity, now);
     }
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -183,7 +183,7 @@
   /// Takes the pieces for the next call to a replica out of the groups: those still in time first,
   /// as many as it has room for.
   std::vector<queue_position> take_batch(std::vector<piece_group>& groups,
-                                         const model::replica& replica, zone_outlooks outlooks,
+                                         const replica_state& replica, zone_outlooks outlooks,
                                          const model::piece_capacity& capacity,
                                          base::time_point now) const;
   /// Moves pieces of a group into a batch, up to `places` of them and `room` bytes of results.
@@ -202,6 +202,8 @@
   void note_no_room(const open_call& ended, base::time_point now);
   void forget_expired_results(base::time_point now);
   void forget_result(const std::string& handle);
+  /// Learns from a call how fast its replica is.
+  void note_pace(const open_call& ended, base::time_point now);
   void end_call_account(const open_call& open);
   void take_answers(const open_call& ended, const stage_call_ended& answer, base::time_point now);
   void settle(piece_ticket ticket, const piece_outcome& outcome);
