--- a/src/serving/admission_estimate.cc
+++ b/src/serving/admission_estimate.cc
@@ -5,9 +5,6 @@
 namespace spurrack::serving {
 namespace {
 
-/// Before any call of a service has answered.
-constexpr base::duration usual_first_byte = std::chrono::milliseconds(300);
-constexpr double smoothing = 0.1;
 /// Part of a full batch that a call holds, as a rule.
 constexpr double usual_fill = 0.6;
 /// Time a piece waits for a free replica where nothing is short, as a part of the time of a call.
@@ -27,17 +24,21 @@
 
 } // namespace
 
-void admission_estimate::note_first_byte(const std::string& service, base::duration took) {
-  const auto place = first_byte_.try_emplace(service, took).first;
-  const double change = smoothing * base::to_seconds(took - place->second);
-  place->second += base::from_seconds(change);
+void admission_estimate::note_first_byte(const std::string& service, std::uint32_t own_tokens,
+                                         base::duration took) {
+  first_byte_[service].note(own_tokens, took);
 }
 
-std::optional<base::duration>
-admission_estimate::time_left(const model::serving_configuration& configuration,
-                              const model::route& route, const stage_graph& graph,
-                              const stage_exchange& stages, const std::string& service,
-                              piece_standing standing, base::time_point now) const {
+base::duration admission_estimate::first_byte_of(const std::string& service,
+                                                 std::uint32_t own_tokens) const {
+  const auto known = first_byte_.find(service);
+  return (known == first_byte_.end() ? first_byte_model{} : known->second).expected(own_tokens);
+}
+
+std::optional<base::duration> admission_estimate::time_left(
+    const model::serving_configuration& configuration, const model::route& route,
+    const stage_graph& graph, const stage_exchange& stages, const std::string& service,
+    std::uint32_t own_tokens, piece_standing standing, base::time_point now) const {
   bool possible = true;
   const auto stage_time = [&](std::uint32_t stage) {
     const auto& name = route.stages[stage].service;
@@ -50,24 +51,20 @@
   if (!possible) {
     return std::nullopt;
   }
-  return stages_left + first_byte_of(service);
-}
-
-base::duration admission_estimate::first_byte_of(const std::string& service) const {
-  const auto known = first_byte_.find(service);
-  return known == first_byte_.end() ? usual_first_byte : known->second;
+  return stages_left + first_byte_of(service, own_tokens);
 }
 
 base::duration
 admission_estimate::prudent_time_from(const model::serving_configuration& configuration,
                                       const model::route& route, const stage_graph& graph,
-                                      std::uint32_t stage, const std::string& service) const {
+                                      std::uint32_t stage, const std::string& service,
+                                      std::uint32_t own_tokens) const {
   const auto call_time = [&](std::uint32_t step) {
     const auto* found = configuration.find_service(route.stages[step].service);
     const bool known = found != nullptr && found->pieces;
     return known ? prudent_time_of(*found->pieces) : base::duration::zero();
   };
-  return graph.time_from(stage, call_time) + first_byte_of(service);
+  return graph.time_from(stage, call_time) + first_byte_of(service, own_tokens);
 }
 
 } // namespace spurrack::serving
--- a/src/serving/admission_estimate.h
+++ b/src/serving/admission_estimate.h
@@ -3,6 +3,7 @@
 
 #include "base/time.h"
 #include "model/serving_records.h"
+#include "serving/first_byte_model.h"
 #include "serving/stage_exchange.h"
 #include "serving/stage_graph.h"
 
@@ -16,7 +17,8 @@
 class admission_estimate {
  public:
   /// A call of a service took this long to its first byte.
-  void note_first_byte(const std::string& service, base::duration took);
+  /// @param own_tokens tokens of the prompt that no other request shares.
+  void note_first_byte(const std::string& service, std::uint32_t own_tokens, base::duration took);
 
   /// @param standing whether the pieces of the request are in time.
   /// @return time until the first byte of a request whose stages stand as `graph` says; nothing
@@ -24,7 +26,7 @@
   [[nodiscard]] std::optional<base::duration>
   time_left(const model::serving_configuration& configuration, const model::route& route,
             const stage_graph& graph, const stage_exchange& stages, const std::string& service,
-            piece_standing standing, base::time_point now) const;
+            std::uint32_t own_tokens, piece_standing standing, base::time_point now) const;
 
   /// @return time to plan with from the begin of `stage` to the first byte: full calls and a usual
   ///         wait for each stage on the longest way. A piece that starts with less of it left will
@@ -32,12 +34,14 @@
   [[nodiscard]] base::duration prudent_time_from(const model::serving_configuration& configuration,
                                                  const model::route& route,
                                                  const stage_graph& graph, std::uint32_t stage,
-                                                 const std::string& service) const;
+                                                 const std::string& service,
+                                                 std::uint32_t own_tokens) const;
 
  private:
-  [[nodiscard]] base::duration first_byte_of(const std::string& service) const;
+  [[nodiscard]] base::duration first_byte_of(const std::string& service,
+                                             std::uint32_t own_tokens) const;
 
-  std::unordered_map<std::string, base::duration> first_byte_;
+  std::unordered_map<std::string, first_byte_model> first_byte_;
 };
 
 } // namespace spurrack::serving
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -161,7 +161,7 @@
                                                         piece_standing standing,
                                                         base::time_point now) const {
   return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
-                             request.service, standing, now);
+                             request.service, request.content->own_tokens(), standing, now);
 }
 
 base::time_point dispatcher::client_leaves_at(const active_request& request) {
--- a/src/serving/dispatcher_calls.cc
+++ b/src/serving/dispatcher_calls.cc
@@ -268,7 +268,8 @@
          "first event after " + std::to_string(base::to_milliseconds(now - request.arrived)) +
              " ms");
   if (request.call) {
-    estimate_.note_first_byte(request.service, now - request.call->started);
+    estimate_.note_first_byte(request.service, request.content->own_tokens(),
+                              now - request.call->started);
   }
   if (request.graph) {
     free(request.graph->take_unneeded(true));
--- a/src/serving/dispatcher_stages.cc
+++ b/src/serving/dispatcher_stages.cc
@@ -20,8 +20,9 @@
                               base::time_point now) {
   const auto stage = positions.front().stage;
   const auto& step = request.route->stages[stage];
-  const auto time_ahead = estimate_.prudent_time_from(*configuration_, *request.route,
-                                                      *request.graph, stage, request.service);
+  const auto time_ahead =
+      estimate_.prudent_time_from(*configuration_, *request.route, *request.graph, stage,
+                                  request.service, request.content->own_tokens());
   piece_work common;
   common.request = request.content->id;
   common.service = step.service;
--- /dev/null
+++ b/src/serving/first_byte_model.cc
@@ -0,0 +1,42 @@
+#include "serving/first_byte_model.h"
+
+#include <algorithm>
+
+namespace spurrack::serving {
+namespace {
+
+/// Before enough calls have answered.
+constexpr base::duration usual_first_byte = std::chrono::milliseconds(300);
+/// Weight that a call loses with each newer one: the last fifty or so count.
+constexpr double forgetting = 0.98;
+/// Calls, by weight, before the line is trusted.
+constexpr double least_weight = 4;
+
+} // namespace
+
+void first_byte_model::note(std::uint32_t tokens, base::duration took) {
+  for (auto* sum : {&weight_, &tokens_, &seconds_, &tokens_squared_, &tokens_by_seconds_}) {
+    *sum *= forgetting;
+  }
+  const double length = tokens;
+  const double seconds = base::to_seconds(took);
+  weight_ += 1;
+  tokens_ += length;
+  seconds_ += seconds;
+  tokens_squared_ += length * length;
+  tokens_by_seconds_ += length * seconds;
+}
+
+base::duration first_byte_model::expected(std::uint32_t tokens) const {
+  if (weight_ < least_weight) {
+    return usual_first_byte;
+  }
+  const double mean_tokens = tokens_ / weight_;
+  const double mean_seconds = seconds_ / weight_;
+  const double spread = tokens_squared_ / weight_ - mean_tokens * mean_tokens;
+  const double joint = tokens_by_seconds_ / weight_ - mean_tokens * mean_seconds;
+  const double slope = spread > 1 ? std::max(0.0, joint / spread) : 0.0;
+  return base::from_seconds(std::max(0.0, mean_seconds + slope * (tokens - mean_tokens)));
+}
+
+} // namespace spurrack::serving
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -54,6 +54,11 @@
   /// Pieces of each stage of the route.
   std::vector<std::uint32_t> pieces;
   std::string piece_key;
+
+  /// @return tokens of the prompt that no other request shares.
+  [[nodiscard]] std::uint32_t own_tokens() const {
+    return prompt_parts.empty() ? prompt_tokens : prompt_parts.back().tokens;
+  }
 };
 
 /// Load of a replica as it told it with an answer.
