Learn how long inputs are fetched only from pieces that are still wanted and whose makers live

A request that is given up frees its results; its pieces at work then miss them, and that doubled the time for which all results are kept after they are fetched, up to 2 s: the more requests were given up, the longer the room was taken, and the more were given up. Change: only pieces that are still wanted and whose makers are not failing count, the time comes back over 10 good calls, and it stays within the time of two calls.

--- a/src/serving/first_byte_model.h
+++ b/src/serving/first_byte_model.h
@@ -7,8 +7,8 @@
 
 namespace spurrack::serving {
 
-/// A line through what calls have shown, newer ones counting more: time = base + tokens x slope. Not
-/// thread-safe.
+/// A line through what calls have shown, newer ones counting more: time = base + tokens x slope.
+/// Not thread-safe.
 class first_byte_model {
  public:
   /// @param tokens of the prompt that no other request shares.
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -27,9 +27,12 @@
 /// How long room that turned out to be taken is planned without.
 constexpr base::duration unknown_room_lifetime = std::chrono::milliseconds(700);
 /// Where inputs were freed too early, the time is doubled up to this, and comes back over this many
-/// good calls.
-constexpr base::duration longest_fetch_time = std::chrono::seconds(2);
-constexpr int fetch_time_smoothing = 50;
+/// good calls. Results that lie longer take up room that their makers are short of: more than the
+/// time of a call or two does more harm than good.
+constexpr base::duration longest_fetch_time = std::chrono::milliseconds(640);
+constexpr int fetch_time_smoothing = 10;
+/// A maker that failed this share of its latest calls may have lost its results.
+constexpr double failing = 0.1;
 /// A replica whose calls take this many times as long as published is given only what has the time.
 constexpr double slow = 1.6;
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
@@ -315,14 +318,29 @@
   }
 }
 
+bool stage_pool::was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome) const {
+  const auto found = pieces_.find(ticket);
+  if (outcome.fault != piece_fault::input_gone || found == pieces_.end()) {
+    return false;
+  }
+  // Results that went with their maker were not freed by this pool.
+  const auto& inputs = found->second.work.inputs;
+  return std::all_of(inputs.begin(), inputs.end(), [this](const std::string& handle) {
+    const auto* maker = replicas_->find_at(maker_of(handle));
+    return maker != nullptr && !maker->left && maker->failure_share < failing;
+  });
+}
+
 void stage_pool::learn_fetch_time(const open_call& ended, const stage_call_ended& answer) {
   if (!ended.told_fetched || answer.pieces.empty()) {
     return;
   }
-  const bool freed_too_early =
-      std::any_of(answer.pieces.begin(), answer.pieces.end(), [](const piece_outcome& piece) {
-        return piece.fault == piece_fault::input_gone;
-      });
+  bool freed_too_early = false;
+  for (std::size_t index = 0; index < ended.tickets.size() && index < answer.pieces.size();
+       ++index) {
+    freed_too_early =
+        freed_too_early || was_freed_too_early(ended.tickets[index], answer.pieces[index]);
+  }
   if (freed_too_early) {
     fetch_time_ = std::min(fetch_time_ * 2, longest_fetch_time);
   } else {
--- a/src/serving/stage_pool.h
+++ b/src/serving/stage_pool.h
@@ -143,6 +143,8 @@
   void give_up_stalled(base::time_point now);
   /// Finds the calls whose inputs the replicas have fetched by now.
   void note_fetched_inputs(base::time_point now);
+  /// @return whether a piece that is still wanted missed a result that its maker should have.
+  [[nodiscard]] bool was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome) const;
   /// Learns from a call how long replicas take to fetch inputs.
   void learn_fetch_time(const open_call& ended, const stage_call_ended& answer);
   bool batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
