--- a/tests/serving/stage_pool_test.cc
+++ b/tests/serving/stage_pool_test.cc
@@ -159,6 +159,59 @@
   BOOST_TEST(pool.waiting_in_time("pool", now) == 1U);
 }
 
+/// Has a piece that reads a result of replica `pool-b` made, and ends it with `fault`.
+struct reading_driver : pool_driver {
+  piece_ticket submit_reader(const std::string& request) {
+    piece_work work;
+    work.request = base::request_id(request);
+    work.service = "pool";
+    work.inputs = {replicas.find(base::replica_id("pool-b"))->record->address.text() + "/r"};
+    work.result_bytes = 1000;
+    work.zone = base::zone_id("a");
+    work.due = now + std::chrono::seconds(1);
+    work.deadline = now + std::chrono::seconds(5);
+    return pool.submit(std::move(work), now);
+  }
+  /// @return whether the inputs of the next piece are taken for fetched `span` after its call.
+  bool is_fetched_after(base::duration span) {
+    submit_reader("probe");
+    BOOST_REQUIRE(pump().size() == 1);
+    pump(span);
+    return !pool.take_fetched().empty();
+  }
+  void miss_inputs(bool cancelled) {
+    const auto ticket = submit_reader("r");
+    const auto call = pump().front();
+    pump(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(!pool.take_fetched().empty());
+    if (cancelled) {
+      pool.cancel(ticket);
+    }
+    auto ended = answered(call);
+    ended.pieces.front() = {piece_fault::input_gone, {}};
+    pool.on_call_ended(ended, now);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(inputs_that_were_freed_too_early_are_kept_longer, reading_driver) {
+  miss_inputs(false);
+  BOOST_TEST(!is_fetched_after(std::chrono::milliseconds(100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(pieces_nobody_wants_any_more_do_not_keep_inputs_longer, reading_driver) {
+  miss_inputs(true);
+  BOOST_TEST(is_fetched_after(std::chrono::milliseconds(100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(inputs_that_went_with_their_maker_do_not_keep_others_longer,
+                        reading_driver) {
+  for (int call = 0; call < 3; ++call) {
+    replicas.note_failure(base::replica_id("pool-b"), now);
+  }
+  miss_inputs(false);
+  BOOST_TEST(is_fetched_after(std::chrono::milliseconds(100)));
+}
+
 constexpr double heavy = 5e6;
 
 BOOST_AUTO_TEST_CASE(pieces_with_large_inputs_wait_for_their_zone_while_they_have_time) {
