Ask one function which stages read which

stage_graph::is_last searched the inputs of every stage itself, beside reads(), which came with the remaking of lost results.

--- a/src/serving/stage_graph.cc
+++ b/src/serving/stage_graph.cc
@@ -24,10 +24,12 @@
 }
 
 bool stage_graph::is_last(std::uint32_t stage) const {
-  return std::none_of(route_->stages.begin(), route_->stages.end(), [&](const auto& step) {
-    return std::find(step.start_after.begin(), step.start_after.end(), stage) !=
-           step.start_after.end();
-  });
+  for (std::uint32_t other = 0; other < stages_.size(); ++other) {
+    if (reads(other, stage)) {
+      return false;
+    }
+  }
+  return true;
 }
 
 bool stage_graph::users_have_fetched(std::uint32_t stage) const {
