--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,17 @@
 constexpr unsigned rumour_multiplier = 3;
 /// Members named to one that asks at a seed address; those of its own zone first.
 constexpr std::size_t max_introductions = 128;
+/// Relays that send digests to one other zone; one of them may be lost without a silence.
+constexpr std::size_t relays_per_zone = 2;
+/// Relays have at least this part of the processor of the strongest node of their zone.
+constexpr float least_share_of_relay = 0.5F;
+/// Members that a digest of every round may name; larger zones name theirs every few rounds, so
+/// that bytes between zones stay flat.
+constexpr std::size_t members_per_round = 8;
+/// While members were added within this time, more are asked for; then only seldom, so that parts
+/// of the fleet that know nothing of each other meet in the end.
+constexpr base::duration introduction_time = std::chrono::seconds(3);
+constexpr base::duration seldom_seed_period = std::chrono::seconds(10);
 
 /// How strongly a state overrides another at the same incarnation.
 int rank(wire::member_state state) {
@@ -37,16 +49,22 @@
   update.set_state(subject.state);
   update.set_address(subject.address.text());
   update.set_zone(subject.zone.text());
+  update.set_processor_share(subject.processor_share);
   return update;
 }
 
 membership::membership(identity self, timing settings, base::random_source& random,
                        state_observer observer)
     : self_(std::move(self)), settings_(settings), random_(&random), observer_(std::move(observer)),
-      incarnation_(self_.process_start) {}
+      incarnation_(self_.process_start), zones_(self_.zone) {}
 
-void membership::set_published(const catalog::machine_map& machines, base::time_point now) {
+void membership::note_change() {
   live_.reset();
+  ++version_;
+}
+
+void membership::set_published(const catalog::machine_map& machines, base::time_point now) {
+  note_change();
   std::set<base::node_id> listed;
   for (const auto& [id, machine] : machines) {
     if (machine->role != model::machine_role::node || id == self_.node.text()) {
@@ -86,16 +104,21 @@
 }
 
 void membership::observe(const wire::envelope& message, base::time_point now) {
+  zones_.observe(message, now);
   wire::member_update direct;
   direct.set_node(message.sender());
   direct.set_incarnation(message.sender_incarnation());
   direct.set_state(wire::ALIVE);
   direct.set_address(message.sender_address());
   direct.set_zone(message.sender_zone());
+  direct.set_processor_share(message.sender_processor_share());
   apply_update(direct, now);
   for (const auto& update : message.updates()) {
     apply_update(update, now);
   }
+  for (const auto& update : message.zone_digest().members()) {
+    apply_update(update, now);
+  }
 }
 
 void membership::apply_update(const wire::member_update& update, base::time_point now) {
@@ -116,8 +139,13 @@
     fresh.zone = base::zone_id(update.zone());
     fresh.address = base::network_address(update.address());
     found = members_.emplace(node, fresh).first;
+    grew_at_ = now;
   }
   auto& subject = found->second;
+  if (update.processor_share() > 0 && update.processor_share() != subject.processor_share) {
+    subject.processor_share = update.processor_share();
+    note_change();
+  }
   const bool newer = update.incarnation() > subject.incarnation;
   const bool stronger =
       update.incarnation() == subject.incarnation && rank(update.state()) > rank(subject.state);
@@ -134,12 +162,13 @@
   update.set_state(wire::ALIVE);
   update.set_address(self_.address.text());
   update.set_zone(self_.zone.text());
+  update.set_processor_share(self_.processor_share);
   enqueue(update);
 }
 
 void membership::set_state(member& subject, wire::member_state state, base::incarnation incarnation,
                            base::time_point now) {
-  live_.reset();
+  note_change();
   const bool changed = subject.state != state;
   subject.incarnation = incarnation;
   subject.state = state;
@@ -320,9 +349,9 @@
   });
 }
 
-void membership::probe_dead(base::time_point /*now*/, wire::outbox& out) {
+void membership::probe_dead(base::time_point now, wire::outbox& out) {
   if (!list_known_ || members_.empty()) {
-    contact_seeds(out);
+    contact_seeds(now, out);
   }
   std::vector<const member*> dead;
   for (const auto& [node, other] : members_) {
@@ -336,11 +365,20 @@
   }
 }
 
-void membership::contact_seeds(wire::outbox& out) {
-  for (const auto& address : seeds_) {
-    auto ping = ping_message(next_sequence_++, nullptr);
-    ping.mutable_ping()->set_introduce(true);
-    out.push_back({address, std::move(ping)});
+void membership::contact_seeds(base::time_point now, wire::outbox& out) {
+  if (seeds_.empty() || now < next_seed_contact_at_) {
+    return;
+  }
+  const bool knows_nobody = members_.empty();
+  const bool grows = now - grew_at_ < introduction_time;
+  next_seed_contact_at_ = now + (knows_nobody || grows ? base::duration{} : seldom_seed_period);
+  const auto chosen = random_->below(seeds_.size());
+  for (std::size_t index = 0; index < seeds_.size(); ++index) {
+    if (knows_nobody || index == chosen) {
+      auto ping = ping_message(next_sequence_++, nullptr);
+      ping.mutable_ping()->set_introduce(true);
+      out.push_back({seeds_[index], std::move(ping)});
+    }
   }
 }
 
@@ -358,29 +396,66 @@
   }
 }
 
-void membership::relay_digests(base::time_point /*now*/, wire::outbox& out) {
-  std::map<base::zone_id, std::vector<const member*>> remote;
-  for (const auto& [node, other] : members_) {
-    if (!in_zone(other)) {
-      remote[other.zone].push_back(&other);
-    }
+void membership::relay_digests(base::time_point now, wire::outbox& out) {
+  const auto& relays = live().relays.at(self_.zone);
+  if (std::find(relays.begin(), relays.end(), self_.node) != relays.end()) {
+    tell_other_zones(out);
+    tell_own_zone(now, out);
   }
-  for (const auto& [zone, nodes] : remote) {
-    if (!holds_job("relay/" + zone.text(), 1)) {
-      continue;
+}
+
+void membership::tell_other_zones(wire::outbox& out) {
+  const auto& view = live();
+  const auto rounds = std::max<std::uint64_t>(1, view.zone_nodes.size() / members_per_round);
+  const bool with_members = ++relay_rounds_ % rounds == 0;
+  for (const auto& [zone, nodes] : view.remote) {
+    for (const auto& relay : view.relays.at(zone)) {
+      add_digest(relay, out);
     }
-    wire::outgoing digest{nodes[random_->below(nodes.size())]->address, {}};
-    auto& body = *digest.message.mutable_zone_digest();
-    for (const auto& peer : live_peers()) {
-      *body.add_members() = update_of(peer);
+    // Also to one that may be no relay: views of other zones are often old.
+    auto& body = add_digest(nodes[random_->below(nodes.size())], out);
+    if (with_members) {
+      for (const auto& peer : view.peers) {
+        *body.add_members() = update_of(peer);
+      }
     }
-    out.push_back(std::move(digest));
   }
 }
 
+void membership::tell_own_zone(base::time_point now, wire::outbox& out) const {
+  for (const auto& peer : live_peers()) {
+    zones_.tell(add_digest(peer.node, out), now);
+  }
+}
+
+wire::zone_digest& membership::add_digest(const base::node_id& to, wire::outbox& out) const {
+  out.push_back({members_.at(to).address, {}});
+  return *out.back().message.mutable_zone_digest();
+}
+
+float membership::processor_share_of(const base::node_id& node) const {
+  return node == self_.node ? self_.processor_share : members_.at(node).processor_share;
+}
+
+std::vector<base::node_id>
+membership::choose_relays(const std::vector<base::node_id>& nodes) const {
+  float strongest = 0;
+  for (const auto& node : nodes) {
+    strongest = std::max(strongest, processor_share_of(node));
+  }
+  std::vector<base::node_id> strong;
+  std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(strong), [&](const auto& node) {
+    const auto share = processor_share_of(node);
+    const bool is_known = share > 0;
+    return !is_known || share >= strongest * least_share_of_relay;
+  });
+  return base::rendezvous_top("relay", strong, relays_per_zone);
+}
+
 void membership::resume_after_pause(base::time_point now) {
   probe_.reset();
   indirect_probes_.clear();
+  zones_.resume_after_pause(now);
   for (auto& [node, other] : members_) {
     if (other.state == wire::SUSPECT) {
       other.since = now;
@@ -393,12 +468,18 @@
     live_.emplace();
     live_->zone_nodes.push_back(self_.node);
     for (const auto& [node, other] : members_) {
-      if (in_zone(other) && other.state != wire::DEAD) {
+      if (!in_zone(other)) {
+        live_->remote[other.zone].push_back(node);
+      } else if (other.state != wire::DEAD) {
         live_->peers.push_back(other);
         live_->zone_nodes.push_back(node);
       }
     }
     std::sort(live_->zone_nodes.begin(), live_->zone_nodes.end());
+    live_->relays[self_.zone] = choose_relays(live_->zone_nodes);
+    for (const auto& [zone, nodes] : live_->remote) {
+      live_->relays[zone] = choose_relays(nodes);
+    }
   }
   return *live_;
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -1,6 +1,7 @@
 /// Membership of the nodes of one zone: the published list says who may be a member, SWIM-style
-/// probing (Das et al., 2002) with suspicion and incarnations says who is. Between zones only one
-/// relay a zone, chosen by rendezvous hashing, exchanges digests.
+/// probing (Das et al., 2002) with suspicion and incarnations says who is. Two relays a zone,
+/// chosen by rendezvous hashing among its strong nodes, send digests to the relays of the other
+/// zones and tell their own zone what they heard from there.
 #pragma once
 
 #include "base/event_log.h"
@@ -8,6 +9,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "catalog/catalog.h"
+#include "membership/zone_contact.h"
 #include "wire/outgoing.h"
 
 #include <deque>
@@ -39,6 +41,8 @@
   base::network_address address;
   /// Start of this process; never changes during its life.
   base::incarnation process_start = 0;
+  /// Cores this node may use.
+  float processor_share = 1;
 };
 
 /// One member as this node sees it.
@@ -48,6 +52,8 @@
   base::network_address address;
   base::incarnation incarnation = 0;
   wire::member_state state = wire::DEAD;
+  /// Cores it may use; 0 where that is not known.
+  float processor_share = 0;
   /// When the state was entered.
   base::time_point since;
 };
@@ -91,6 +97,9 @@
   /// @return whether this node is among the `count` that hold a job of its zone.
   [[nodiscard]] bool holds_job(std::string_view job, std::size_t count) const;
   [[nodiscard]] base::incarnation incarnation() const { return incarnation_; }
+  /// Grows whenever a member comes, goes or changes.
+  [[nodiscard]] std::uint64_t version() const { return version_; }
+  [[nodiscard]] const zone_contact& zones() const { return zones_; }
   [[nodiscard]] const identity& self() const { return self_; }
 
   /// Longest time to notice a dead member: probing by somebody, then suspicion. Mean over members.
@@ -101,6 +110,9 @@
   struct live_view {
     std::vector<member> peers;
     std::vector<base::node_id> zone_nodes;
+    /// Members of each other zone, dead ones included, since a cut zone looks dead.
+    std::map<base::zone_id, std::vector<base::node_id>> remote;
+    std::map<base::zone_id, std::vector<base::node_id>> relays;
   };
   struct probe {
     std::uint64_t sequence = 0;
@@ -129,9 +141,21 @@
   void ask_others_to_probe(const member& target, wire::outbox& out);
   void expire_suspects(base::time_point now);
   void probe_dead(base::time_point now, wire::outbox& out);
-  void contact_seeds(wire::outbox& out);
+  void contact_seeds(base::time_point now, wire::outbox& out);
+  /// Forgets what is derived from `members_`.
+  void note_change();
   void introduce_members(const wire::envelope& asker, wire::envelope& reply) const;
   void relay_digests(base::time_point now, wire::outbox& out);
+  /// Sends digests to the nodes of other zones that are to hear of this one.
+  void tell_other_zones(wire::outbox& out);
+  /// Tells the own zone which other zones this node has heard of.
+  void tell_own_zone(base::time_point now, wire::outbox& out) const;
+  /// @return the digest's body, which is part of `out`.
+  wire::zone_digest& add_digest(const base::node_id& to, wire::outbox& out) const;
+  /// @return relays of a zone among some of its nodes.
+  [[nodiscard]] std::vector<base::node_id>
+  choose_relays(const std::vector<base::node_id>& nodes) const;
+  [[nodiscard]] float processor_share_of(const base::node_id& node) const;
   std::optional<base::node_id> next_probe_target();
   wire::envelope ping_message(std::uint64_t sequence, const member* target);
   [[nodiscard]] bool in_zone(const member& other) const { return other.zone == self_.zone; }
@@ -145,6 +169,8 @@
   base::incarnation incarnation_;
   bool list_known_ = false;
   std::map<base::node_id, member> members_;
+  std::uint64_t version_ = 0;
+  zone_contact zones_;
   mutable std::optional<live_view> live_;
   std::vector<base::network_address> seeds_;
   std::deque<rumour> rumours_;
@@ -155,6 +181,10 @@
   base::time_point next_probe_at_;
   base::time_point next_dead_probe_at_;
   base::time_point next_relay_at_;
+  std::uint64_t relay_rounds_ = 0;
+  base::time_point next_seed_contact_at_;
+  /// When a member was last added.
+  base::time_point grew_at_;
 };
 
 /// @return the rumour that describes `subject`.
--- /dev/null
+++ b/src/membership/zone_contact.cc
@@ -0,0 +1,89 @@
+#include "membership/zone_contact.h"
+
+#include <algorithm>
+
+namespace spurrack::membership {
+namespace {
+
+/// Silence that is never taken for a lost zone: a few lost messages, or a node that is busy.
+constexpr base::duration shortest_silence_limit = std::chrono::milliseconds(900);
+/// Usual gaps and deviations that a silence must exceed; the deviations are those of TCP's
+/// retransmission time (RFC 6298), the gaps stand for one relay of two that is lost.
+constexpr int usual_gaps = 2;
+constexpr int gap_deviations = 4;
+/// Assumed before anything was measured: together they give the longest silence.
+constexpr base::duration first_usual_gap = std::chrono::milliseconds(200);
+constexpr base::duration first_gap_deviation = std::chrono::milliseconds(200);
+/// Share of the newest measurement is one over this (RFC 6298).
+constexpr int smoothing = 8;
+
+} // namespace
+
+zone_contact::contact& zone_contact::note(const base::zone_id& zone, base::time_point heard,
+                                          base::time_point now) {
+  const contact first{heard, std::nullopt, first_usual_gap, first_gap_deviation};
+  const auto [place, added] = contacts_.try_emplace(zone, first);
+  auto& known = place->second;
+  if (added || heard <= known.heard) {
+    return known;
+  }
+  const base::duration gap = now - known.heard;
+  if (gap < longest_silence) {
+    const base::duration error = gap - known.usual_gap;
+    known.usual_gap += error / smoothing;
+    known.gap_deviation += (std::chrono::abs(error) - known.gap_deviation) / smoothing;
+  }
+  known.heard = heard;
+  return known;
+}
+
+void zone_contact::observe(const wire::envelope& message, base::time_point now) {
+  const base::zone_id sender_zone(message.sender_zone());
+  if (sender_zone != own_zone_) {
+    note(sender_zone, now, now).heard_directly = now;
+    return;
+  }
+  for (const auto& told : message.zone_digest().heard()) {
+    note(base::zone_id(told.zone()), now - std::chrono::milliseconds(told.milliseconds()), now);
+  }
+}
+
+void zone_contact::tell(wire::zone_digest& digest, base::time_point now) const {
+  for (const auto& [zone, known] : contacts_) {
+    // What is older changes nothing at the receiver.
+    if (known.heard_directly && now - *known.heard_directly < longest_silence) {
+      auto& told = *digest.add_heard();
+      told.set_zone(zone.text());
+      told.set_milliseconds(
+          static_cast<std::uint32_t>(base::to_milliseconds(now - *known.heard_directly)));
+    }
+  }
+}
+
+void zone_contact::resume_after_pause(base::time_point now) {
+  for (auto& [zone, known] : contacts_) {
+    known.heard = std::max<base::time_point>(known.heard, now - known.usual_gap);
+  }
+}
+
+base::duration zone_contact::silence_limit(const contact& known) {
+  const auto learned = known.usual_gap * usual_gaps + known.gap_deviation * gap_deviations;
+  return std::clamp<base::duration>(learned, shortest_silence_limit, longest_silence);
+}
+
+bool zone_contact::is_in_touch(const base::zone_id& zone, base::time_point now) const {
+  const auto found = contacts_.find(zone);
+  return found == contacts_.end() || now - found->second.heard < silence_limit(found->second);
+}
+
+std::set<base::zone_id> zone_contact::silent(base::time_point now) const {
+  std::set<base::zone_id> zones;
+  for (const auto& [zone, known] : contacts_) {
+    if (now - known.heard >= silence_limit(known)) {
+      zones.insert(zone);
+    }
+  }
+  return zones;
+}
+
+} // namespace spurrack::membership
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -77,8 +77,8 @@
           now),
       random_(&random), next_periodic_(now) {
   if (settings_.serving) {
-    const serving::fleet_peer self{settings_.self.node, settings_.self.zone,
-                                   settings_.self.address};
+    const serving::fleet_peer self{settings_.self.node, settings_.self.zone, settings_.self.address,
+                                   settings_.self.processor_share};
     serving_.emplace(self, *settings_.serving, random, settings_.self.process_start,
                      [this](base::event_kind kind, const base::request_id& request,
                             const std::string& subject,
@@ -192,7 +192,7 @@
 void node::run_periodic(base::time_point now) {
   membership_.tick(now, outbox_);
   update_sharing();
-  update_serving_peers();
+  update_serving_peers(now);
   executor_.expire_stalled_calls(now);
   read_services(now);
   if (!ready_ && !replication_peers().empty()) {
@@ -258,14 +258,19 @@
   }
 }
 
-void node::update_serving_peers() {
+void node::update_serving_peers(base::time_point now) {
   if (!serving_) {
     return;
   }
+  serving_->set_silent_zones(membership_.zones().silent(now));
+  if (membership_.version() == seen_members_) {
+    return;
+  }
+  seen_members_ = membership_.version();
   std::vector<serving::fleet_peer> alive;
   for (const auto& [name, other] : membership_.members()) {
     if (other.state != wire::DEAD) {
-      alive.push_back({name, other.zone, other.address});
+      alive.push_back({name, other.zone, other.address, other.processor_share});
     }
   }
   serving_->set_peers(std::move(alive), membership_.members().size());
@@ -421,6 +426,7 @@
       dispatch_message(envelope, now);
       continue;
     }
+    envelope.set_sender_processor_share(settings_.self.processor_share);
     membership_.piggyback(envelope);
     ++control_.messages_sent;
     control_.bytes_sent += envelope.ByteSizeLong();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -119,7 +119,7 @@
   void read_services(base::time_point now);
   void apply_machine_changes(base::time_point now);
   void apply_serving_changes();
-  void update_serving_peers();
+  void update_serving_peers(base::time_point now);
   void update_sharing();
   void dispatch_message(const wire::envelope& message, base::time_point now);
   void on_backend_notice(const wire::backend_notice& notice, bool from_zone, base::time_point now);
@@ -173,6 +173,8 @@
   std::optional<serving::dispatcher> serving_;
   std::uint64_t seen_machine_changes_ = 0;
   std::uint64_t seen_serving_changes_ = 0;
+  /// Version of the membership that the serving path knows.
+  std::uint64_t seen_members_ = 0;
   base::random_source* random_;
   bool peer_synced_ = false;
   bool ready_ = false;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -22,7 +22,10 @@
   const base::network_address sender(message.sender_address());
   const bool from_zone = message.sender_zone() == settings_.self.zone.text();
   membership_.handle(message, now, outbox_);
-  replicator_.handle(message, replication_peers(), outbox_);
+  // Only a push is passed on; listing whom to is dear in a large fleet.
+  const auto passed_on_to =
+      message.has_catalog_push() ? replication_peers() : std::vector<base::network_address>{};
+  replicator_.handle(message, passed_on_to, outbox_);
   for (const auto& notice : message.acknowledgement().leaving()) {
     on_backend_notice(notice, true, now);
   }
--- a/src/peers/zmq_transport.cc
+++ b/src/peers/zmq_transport.cc
@@ -21,9 +21,14 @@
 constexpr std::int64_t max_message_bytes = 64'000'000;
 constexpr int connect_retry_milliseconds = 100;
 constexpr int connect_retry_longest_milliseconds = 1'000;
-/// A TCP connection whose peer does not answer is dropped after this time.
-constexpr int heartbeat_interval_milliseconds = 1'000;
-constexpr int heartbeat_timeout_milliseconds = 3'000;
+/// A TCP connection whose peer does not answer is dropped: an idle one after a second and two
+/// probes a second apart, one with unacknowledged bytes after two seconds. TCP does it and not
+/// ZeroMQ's heartbeats, which cost two messages a second a connection and, since libzmq looks
+/// through all its timers to cancel one, time in the square of the connections.
+constexpr int keepalive_idle_seconds = 1;
+constexpr int keepalive_interval_seconds = 1;
+constexpr int keepalive_probes = 2;
+constexpr int unacknowledged_limit_milliseconds = 2'000;
 constexpr const char* authentication_endpoint = "inproc://zeromq.zap.01";
 constexpr std::size_t curve_key_bytes = 32;
 
@@ -34,8 +39,11 @@
 void set_common_options(zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
-  socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_milliseconds);
-  socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_milliseconds);
+  socket.set(zmq::sockopt::tcp_keepalive, 1);
+  socket.set(zmq::sockopt::tcp_keepalive_idle, keepalive_idle_seconds);
+  socket.set(zmq::sockopt::tcp_keepalive_intvl, keepalive_interval_seconds);
+  socket.set(zmq::sockopt::tcp_keepalive_cnt, keepalive_probes);
+  socket.set(zmq::sockopt::tcp_maxrt, unacknowledged_limit_milliseconds);
 }
 
 /// A ZeroMQ socket read through Asio. ZeroMQ's descriptor is edge-triggered: after each wake-up all
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -161,7 +161,8 @@
                                                         piece_standing standing,
                                                         base::time_point now) const {
   return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
-                             request.service, request.content->own_tokens(), standing, now);
+                             request.service, request.zone, request.content->own_tokens(), standing,
+                             now);
 }
 
 base::time_point dispatcher::client_leaves_at(const active_request& request) {
@@ -344,8 +345,10 @@
   give_up_hopeless(now);
   free_fetched_inputs(now);
   stages_.pump(now);
-  take_piece_results(now);
-  stages_.pump(now);
+  if (take_piece_results(now)) {
+    // What was finished lets other stages begin.
+    stages_.pump(now);
+  }
 }
 
 void dispatcher::give_up_all(base::time_point now) {
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -42,6 +42,10 @@
   void set_peers(std::vector<fleet_peer> alive, std::size_t known);
   /// While off, new requests are answered that they were not run.
   void set_accepting(bool accepting) { accepting_ = accepting; }
+  /// Replicas of these zones are called only where there are no others.
+  void set_silent_zones(std::set<base::zone_id> zones) {
+    replicas_.set_unreachable(std::move(zones));
+  }
   /// A planned stop begins: other nodes gather the pieces of stages from now on.
   void begin_stop(base::time_point now) { stages_.begin_stop(now); }
   /// @return whether requests, or pieces made for other nodes, are still under way.
@@ -131,7 +135,8 @@
   void submit_pieces(active_request& request, base::time_point now);
   void submit_stage(active_request& request, const std::vector<piece_position>& positions,
                     base::time_point now);
-  void take_piece_results(base::time_point now);
+  /// @return whether there were any.
+  bool take_piece_results(base::time_point now);
   /// Frees results that the replicas of the next stage have fetched by now.
   void free_fetched_stage_inputs();
   void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
--- a/src/serving/dispatcher_stages.cc
+++ b/src/serving/dispatcher_stages.cc
@@ -87,9 +87,10 @@
   }
 }
 
-void dispatcher::take_piece_results(base::time_point now) {
+bool dispatcher::take_piece_results(base::time_point now) {
   free_fetched_stage_inputs();
-  for (const auto& finished : stages_.take_finished()) {
+  const auto results = stages_.take_finished();
+  for (const auto& finished : results) {
     const auto owner = tickets_.find(finished.ticket);
     if (owner == tickets_.end()) {
       continue;
@@ -98,6 +99,7 @@
     tickets_.erase(owner);
     on_piece_finished(request, finished.ticket, finished.outcome, now);
   }
+  return !results.empty();
 }
 
 void dispatcher::on_piece_finished(active_request& request, piece_ticket ticket,
--- a/src/serving/peer_directory.cc
+++ b/src/serving/peer_directory.cc
@@ -3,48 +3,47 @@
 #include "base/hashing.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace spurrack::serving {
 namespace {
 
-/// Silence after which a peer that tells everybody, or of a small fleet, is given no work.
-constexpr base::duration shortest_silence_limit = std::chrono::milliseconds(900);
-/// Rounds of telling that a peer may miss.
-constexpr double most_missed_rounds = 2.5;
-/// The same for a whole zone, of which several nodes tell.
-constexpr double most_missed_zone_rounds = 1.5;
+/// Silence after which a peer that reports all the time is given no work: four reports missed.
+constexpr base::duration silence_limit = std::chrono::milliseconds(900);
 /// A peer that was never heard is taken for alive for this time after it became known.
 constexpr base::duration introduction_time = std::chrono::seconds(2);
-/// Peers that a node which gathers nothing tells of itself at once.
-constexpr std::size_t receivers_at_once = 12;
-
-base::duration scaled_round(base::duration round, double factor) {
-  return std::max(shortest_silence_limit,
-                  std::chrono::duration_cast<base::duration>(round * factor));
-}
+/// A silent peer from which no reports are expected is tried again after this time: membership
+/// has noticed by then where it is dead.
+constexpr base::duration retrial_time = std::chrono::seconds(10);
+/// Fleets of so many peers tell each other everything: 60 messages a second a node.
+constexpr std::size_t most_peers_of_small_fleet = 12;
+/// Rounds of reports in which every node of another zone is told once: about a second.
+constexpr std::size_t rounds_elsewhere = 5;
+/// Two rounds and a half of reports to other zones.
+constexpr base::duration load_lifetime = std::chrono::milliseconds(2500);
 
 } // namespace
 
 peer_directory::peer_directory(fleet_peer self)
     : self_(std::move(self)), next_receiver_(base::stable_hash(self_.node.text())) {}
 
-std::vector<base::node_id> peer_directory::update(std::vector<fleet_peer> peers) {
+void peer_directory::update(std::vector<fleet_peer> peers) {
   std::map<base::node_id, peer_state> kept;
-  std::vector<base::node_id> added;
+  in_zone_.clear();
+  elsewhere_.clear();
   for (auto& peer : peers) {
-    const auto found = peers_.find(peer.node);
     auto& state = kept[peer.node];
-    if (found != peers_.end()) {
+    if (const auto found = peers_.find(peer.node); found != peers_.end()) {
       state = std::move(found->second);
-    } else {
-      added.push_back(peer.node);
     }
+    (peer.zone == self_.zone ? in_zone_ : elsewhere_).push_back(peer.node);
     state.peer = std::move(peer);
   }
   peers_ = std::move(kept);
-  return added;
+  const auto is_unknown = [this](const base::node_id& node) { return !peers_.contains(node); };
+  std::erase_if(gatherers_, is_unknown);
+  std::erase_if(reporters_, is_unknown);
+  std::erase_if(silent_, is_unknown);
 }
 
 peer_state* peer_directory::find(const base::node_id& node) {
@@ -57,96 +56,133 @@
   return found == peers_.end() ? nullptr : &found->second;
 }
 
-void peer_directory::set_gatherers(const std::set<base::node_id>& gatherers, base::time_point now) {
-  for (auto& [node, peer] : peers_) {
+std::vector<base::node_id> peer_directory::set_gatherers(const std::set<base::node_id>& gatherers,
+                                                         base::time_point now) {
+  for (const auto& node : gatherers_) {
     if (!gatherers.contains(node)) {
-      peer.gathers_since.reset();
-    } else if (!peer.gathers_since) {
-      peer.gathers_since = now;
+      peers_.at(node).gathers_since.reset();
+    }
+  }
+  gatherers_.clear();
+  std::vector<base::node_id> added;
+  for (const auto& node : gatherers) {
+    auto* peer = find(node);
+    if (peer == nullptr) {
+      continue;
+    }
+    gatherers_.insert(node);
+    if (!peer->gathers_since) {
+      peer->gathers_since = now;
+      added.push_back(node);
     }
   }
+  return added;
 }
 
-base::duration peer_directory::round_time() const {
-  const auto turns = (peers_.size() + receivers_at_once - 1) / receivers_at_once;
-  return load_report_period * std::max<std::size_t>(1, turns);
+bool peer_directory::is_small_fleet() const {
+  return peers_.size() <= most_peers_of_small_fleet;
 }
 
-base::duration peer_directory::silence_limit(const peer_state& peer) const {
-  return peer.gathers_since ? shortest_silence_limit
-                            : scaled_round(round_time(), most_missed_rounds);
+bool peer_directory::is_overdue(const peer_state& peer, base::time_point now) const {
+  if (!peer.gathers_since && !is_small_fleet()) {
+    return false;
+  }
+  auto latest = peer.heard.value_or(*peer.known_since + introduction_time - silence_limit);
+  if (peer.gathers_since) {
+    latest = std::max(latest, *peer.gathers_since);
+  }
+  return now - latest >= silence_limit;
 }
 
-base::duration peer_directory::zone_silence_limit() const {
-  return scaled_round(round_time(), most_missed_zone_rounds);
+bool peer_directory::check_silence(peer_state& peer, base::time_point now) {
+  peer.known_since = peer.known_since.value_or(now);
+  if (peer.silent_since || !is_overdue(peer, now)) {
+    return false;
+  }
+  give_up(peer.peer.node, now);
+  return true;
 }
 
-void peer_directory::mark_silent(base::time_point now) {
-  for (auto& [node, peer] : peers_) {
-    if (!peer.known_since) {
-      peer.known_since = now;
-    }
-    auto latest = peer.heard.value_or(*peer.known_since + introduction_time - silence_limit(peer));
-    if (peer.gathers_since) {
-      latest = std::max(latest, *peer.gathers_since);
-    }
-    if (!peer.silent && now - latest >= silence_limit(peer)) {
-      peer.silent = true;
+bool peer_directory::update_silence(base::time_point now) {
+  bool changed = false;
+  if (is_small_fleet()) {
+    for (auto& [node, peer] : peers_) {
+      changed = check_silence(peer, now) || changed;
     }
+    return changed;
   }
-}
-
-void peer_directory::give_up(const base::node_id& node) {
-  if (auto* peer = find(node)) {
-    peer->silent = true;
+  for (const auto& node : gatherers_) {
+    changed = check_silence(peers_.at(node), now) || changed;
   }
+  std::erase_if(silent_, [&](const base::node_id& node) {
+    auto& peer = peers_.at(node);
+    const bool tried_again = now - *peer.silent_since >= retrial_time;
+    if (tried_again) {
+      peer.silent_since.reset();
+      changed = true;
+    }
+    return tried_again;
+  });
+  return changed;
 }
 
-bool peer_directory::is_fit(const peer_state& peer) {
-  return !peer.silent && !peer.leaving;
+bool peer_directory::note_heard(peer_state& peer, base::time_point now) {
+  peer.heard = now;
+  const bool was_silent = peer.silent_since.has_value();
+  if (was_silent) {
+    peer.silent_since.reset();
+    silent_.erase(peer.peer.node);
+  }
+  return was_silent;
 }
 
-std::vector<base::node_id> peer_directory::next_receivers(bool tell_all) {
-  std::vector<base::node_id> receivers;
-  if (tell_all || peers_.size() <= receivers_at_once) {
-    for (const auto& [node, peer] : peers_) {
-      receivers.push_back(node);
-    }
-    return receivers;
+void peer_directory::take_loads(peer_state& peer, const wire::stage_work& message,
+                                base::time_point now) {
+  if (message.loads_size() == 0) {
+    return;
   }
-  next_receiver_ %= peers_.size();
-  auto place = std::next(peers_.begin(), static_cast<std::ptrdiff_t>(next_receiver_));
-  while (receivers.size() < receivers_at_once) {
-    receivers.push_back(place->first);
-    ++place;
-    place = place == peers_.end() ? peers_.begin() : place;
+  peer.loads.clear();
+  peer.sent_since.clear();
+  peer.loads_told_at = now;
+  bool gathers = false;
+  for (const auto& load : message.loads()) {
+    gathers = gathers || load.replicas() > 0;
+    peer.loads[load.service()] = load;
+  }
+  if (gathers) {
+    reporters_.insert(peer.peer.node);
+  } else {
+    reporters_.erase(peer.peer.node);
   }
-  next_receiver_ += receivers_at_once;
-  return receivers;
 }
 
-bool peer_directory::is_in_touch(const base::zone_id& zone, base::time_point now) const {
-  bool any_heard = false;
-  for (const auto& [node, peer] : peers_) {
-    if (peer.peer.zone == zone && peer.heard) {
-      any_heard = true;
-      if (now - *peer.heard < zone_silence_limit()) {
-        return true;
-      }
-    }
+void peer_directory::give_up(const base::node_id& node, base::time_point now) {
+  if (auto* peer = find(node); peer != nullptr && !peer->silent_since) {
+    peer->silent_since = now;
+    silent_.insert(node);
   }
-  return !any_heard;
 }
 
-std::set<base::zone_id> peer_directory::silent_zones(base::time_point now) const {
-  std::set<base::zone_id> silent;
-  for (const auto& [node, peer] : peers_) {
-    const auto& zone = peer.peer.zone;
-    if (zone != self_.zone && !silent.contains(zone) && !is_in_touch(zone, now)) {
-      silent.insert(zone);
-    }
+bool peer_directory::is_fit(const peer_state& peer) {
+  return !peer.silent_since && !peer.leaving;
+}
+
+bool peer_directory::has_fresh_loads(const peer_state& peer, base::time_point now) {
+  return now - peer.loads_told_at < load_lifetime;
+}
+
+std::vector<base::node_id> peer_directory::next_receivers(report_audience audience) {
+  if (audience == report_audience::nobody && !is_small_fleet()) {
+    return {};
+  }
+  auto receivers = in_zone_;
+  const bool all = audience == report_audience::everybody || is_small_fleet();
+  const auto wanted =
+      all ? elsewhere_.size() : (elsewhere_.size() + rounds_elsewhere - 1) / rounds_elsewhere;
+  for (std::size_t taken = 0; taken < wanted; ++taken) {
+    receivers.push_back(elsewhere_[next_receiver_++ % elsewhere_.size()]);
   }
-  return silent;
+  return receivers;
 }
 
 } // namespace spurrack::serving
--- a/src/serving/peer_directory.h
+++ b/src/serving/peer_directory.h
@@ -1,13 +1,14 @@
-/// The other nodes of the fleet as stage work sees them: which are heard, which leave, what load
-/// they told, and which are told of this node next. A failure detector without probes: nodes that
-/// gather pieces tell everybody several times a second, all others tell a few peers in turn, so
-/// that messages grow with the fleet and not with its square.
+/// The other nodes of the fleet as stage work sees them: which are fit for work, which leave, what
+/// load they told, and which are told of this node next. Membership says who lives. Here those are
+/// watched that report several times a second: the nodes that gather pieces, and in a small fleet
+/// all. What a node sends and hears does not grow with the fleet but with its zone.
 #pragma once
 
 #include "base/ids.h"
 #include "base/time.h"
 #include "wire/peer.pb.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,11 +18,13 @@
 
 namespace spurrack::serving {
 
-/// Another node of the fleet.
+/// A node of the fleet.
 struct fleet_peer {
   base::node_id node;
   base::zone_id zone;
   base::network_address address;
+  /// Cores it may use; 0 where that is not known.
+  double processor_share = 1;
 };
 
 /// Another node and what it said last.
@@ -30,60 +33,79 @@
   /// When this node first looked at the peer.
   std::optional<base::time_point> known_since;
   std::optional<base::time_point> heard;
-  /// It was silent for too long; holds until it is heard again.
-  bool silent = false;
+  /// It did not answer or report, since then.
+  std::optional<base::time_point> silent_since;
   /// Start of the peer's process; 0 before it was heard.
   std::uint64_t life = 0;
   /// It stops, and takes no more work.
   bool leaving = false;
-  /// Cores it may use; 0 before it was heard.
-  double processor_share = 0;
   /// This node takes it for a gatherer since then.
   std::optional<base::time_point> gathers_since;
   std::map<std::string, wire::stage_load> loads;
+  /// When the loads were told.
+  base::time_point loads_told_at;
   /// Pieces sent to it since it told its load, by service.
   std::map<std::string, std::uint32_t> sent_since;
 };
 
+/// Who is told of a node's load.
+enum class report_audience : std::uint8_t {
+  nobody,    ///< The node gathers nothing.
+  own_zone,  ///< All of the zone; nodes of other zones in turn.
+  everybody, ///< The node gathers for other zones as well.
+};
+
 /// Not thread-safe.
 class peer_directory {
  public:
   explicit peer_directory(fleet_peer self);
 
   /// Takes over the nodes that membership holds for alive.
-  /// @return those that were not known before.
-  std::vector<base::node_id> update(std::vector<fleet_peer> peers);
+  void update(std::vector<fleet_peer> peers);
   [[nodiscard]] const std::map<base::node_id, peer_state>& all() const { return peers_; }
   /// @return null where the node is not known.
   peer_state* find(const base::node_id& node);
   [[nodiscard]] const peer_state* find(const base::node_id& node) const;
 
   /// Takes over who gathers pieces, as this node sees it.
-  void set_gatherers(const std::set<base::node_id>& gatherers, base::time_point now);
-  /// Marks the peers that were silent for too long.
-  void mark_silent(base::time_point now);
-  /// A peer did not answer: it gets nothing more until it is heard again.
-  void give_up(const base::node_id& node);
+  /// @return those that were no gatherers before.
+  std::vector<base::node_id> set_gatherers(const std::set<base::node_id>& gatherers,
+                                           base::time_point now);
+  /// Marks the peers that were silent for too long, and gives others another chance.
+  /// @return whether any changed.
+  bool update_silence(base::time_point now);
+  /// Takes note of a message. @return whether the peer was silent before.
+  bool note_heard(peer_state& peer, base::time_point now);
+  /// Takes over the loads that a peer told.
+  void take_loads(peer_state& peer, const wire::stage_work& message, base::time_point now);
+  /// A peer did not answer: it gets nothing more until it is heard again, or for a while.
+  void give_up(const base::node_id& node, base::time_point now);
 
   /// @return whether a peer may be given work.
   [[nodiscard]] static bool is_fit(const peer_state& peer);
-  /// @return peers that are told of this node now; the next in turn where not all are.
-  std::vector<base::node_id> next_receivers(bool tell_all);
-
-  /// @return whether a zone has shown a sign of life lately; true where none of its nodes ever did.
-  [[nodiscard]] bool is_in_touch(const base::zone_id& zone, base::time_point now) const;
-  /// @return other zones of which no node has shown a sign of life lately.
-  [[nodiscard]] std::set<base::zone_id> silent_zones(base::time_point now) const;
+  /// @return peers that said of late that they gather pieces.
+  [[nodiscard]] const std::set<base::node_id>& reporters() const { return reporters_; }
+  /// @return whether what a peer told of its load still holds.
+  [[nodiscard]] static bool has_fresh_loads(const peer_state& peer, base::time_point now);
+  /// @return peers that are told of this node now.
+  std::vector<base::node_id> next_receivers(report_audience audience);
 
  private:
-  /// How often a node that gathers nothing tells each peer of itself.
-  [[nodiscard]] base::duration round_time() const;
-  [[nodiscard]] base::duration silence_limit(const peer_state& peer) const;
-  [[nodiscard]] base::duration zone_silence_limit() const;
+  /// @return whether all nodes tell each other of themselves all the time.
+  [[nodiscard]] bool is_small_fleet() const;
+  /// @return whether the peer was silent for too long.
+  [[nodiscard]] bool is_overdue(const peer_state& peer, base::time_point now) const;
+  bool check_silence(peer_state& peer, base::time_point now);
 
   fleet_peer self_;
   std::map<base::node_id, peer_state> peers_;
-  /// Place in `peers_` from which receivers are taken next.
+  /// Peers that this node takes for gatherers.
+  std::set<base::node_id> gatherers_;
+  std::set<base::node_id> reporters_;
+  std::set<base::node_id> silent_;
+  std::vector<base::node_id> in_zone_;
+  std::vector<base::node_id> elsewhere_;
+  /// Place in `elsewhere_` from which receivers are taken next.
   std::size_t next_receiver_;
 };
 
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -24,9 +24,6 @@
   /// Region of each zone. Zones that are not named are regions of their own.
   std::map<base::zone_id, std::string> regions;
   retry_limits retry;
-  /// Cores this node may use. Pieces of stages are gathered at nodes that have at least half of
-  /// what the strongest has.
-  double processor_share = 1;
   /// How long a request that found no replica is told to stay away.
   base::duration retry_after = std::chrono::milliseconds(300);
   /// A replica has fetched the results a request needs this long after it got the request; 0 waits
--- a/src/serving/stage_exchange.cc
+++ b/src/serving/stage_exchange.cc
@@ -16,6 +16,8 @@
 constexpr base::duration lost_limit = std::chrono::milliseconds(1500);
 /// What became of pieces of other nodes is known for this time.
 constexpr base::duration told_result_lifetime = std::chrono::seconds(3);
+/// How often pieces at other nodes are looked at: a tenth of the shortest limit above.
+constexpr base::duration placement_check_period = std::chrono::milliseconds(25);
 /// Times a piece is placed at other nodes before this node makes it itself.
 constexpr std::uint32_t most_moves = 3;
 
@@ -29,8 +31,7 @@
                                const serving_settings& settings,
                                std::function<base::call_id()> next_call, piece_ticket first_ticket,
                                decision_recorder record)
-    : self_(std::move(self)), regions_(settings.regions),
-      processor_share_(settings.processor_share), replicas_(&replicas),
+    : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)), peers_(self_),
       life_(first_ticket), next_ticket_(first_ticket) {
   pool_.set_filter([this](const replica_state& replica) { return may_call(replica); });
@@ -41,40 +42,32 @@
          !own_services_.contains(replica.record->service);
 }
 
-bool stage_exchange::gathers() const {
-  return !own_replicas_.empty() || !guest_tickets_.empty();
+report_audience stage_exchange::audience() const {
+  const bool for_other_zones = std::any_of(shards_.begin(), shards_.end(), [&](const shard& one) {
+    return one.gatherer == self_.node && !one.zone;
+  });
+  if (for_other_zones) {
+    return report_audience::everybody;
+  }
+  const bool for_zone = !own_replicas_.empty() || !guest_tickets_.empty() || stopping_;
+  return for_zone ? report_audience::own_zone : report_audience::nobody;
 }
 
 void stage_exchange::set_configuration(
     std::shared_ptr<const model::serving_configuration> configuration) {
   configuration_ = std::move(configuration);
   pool_.set_configuration(configuration_);
-  next_refresh_ = {};
+  shards_are_stale_ = true;
 }
 
 void stage_exchange::set_peers(std::vector<fleet_peer> peers) {
-  for (const auto& added : peers_.update(std::move(peers))) {
-    // The transport connects with the first message and may lose it; this one holds nothing.
-    message_to(added);
-  }
-  forget_unknown_gatherers();
-  next_refresh_ = {};
-}
-
-void stage_exchange::forget_unknown_gatherers() {
-  const auto is_unknown = [this](const base::node_id& node) {
-    return node != self_.node && peers_.find(node) == nullptr;
-  };
-  for (auto& [service, known] : gatherers_) {
-    std::erase_if(known, [&](const gatherer& candidate) { return is_unknown(candidate.node); });
-  }
-  std::erase_if(gatherers_, [](const auto& entry) { return entry.second.empty(); });
-  std::erase_if(gatherer_of_, [&](const auto& entry) { return is_unknown(entry.second); });
+  peers_.update(std::move(peers));
+  shards_are_stale_ = true;
 }
 
 void stage_exchange::begin_stop(base::time_point now) {
   stopping_ = true;
-  next_refresh_ = {};
+  shards_are_stale_ = true;
   next_load_report_ = {};
   hand_back_guests(pool_.waiting_tickets(), now);
 }
@@ -88,8 +81,8 @@
       continue;
     }
     auto& placed = placements_.at(own->second);
-    const auto* chosen = choose_gatherer(service, placed.work.result_bytes, placed.work.zone, now);
-    if (chosen != nullptr && chosen->node != self_.node) {
+    const auto chosen = choose_gatherer(service, placed.work.result_bytes, placed.work.zone, now);
+    if (chosen && *chosen != self_.node) {
       const auto moved = own->second;
       own_by_pool_ticket_.erase(own);
       pool_.cancel(ticket);
@@ -120,8 +113,9 @@
   for (const auto& piece : pieces) {
     result_bytes += piece.result_bytes;
   }
-  const auto* chosen =
-      pieces.empty() ? nullptr : choose_gatherer(pieces.front().service, result_bytes, zone, now);
+  const auto chosen = pieces.empty()
+                          ? std::nullopt
+                          : choose_gatherer(pieces.front().service, result_bytes, zone, now);
   std::vector<piece_ticket> tickets;
   for (auto& piece : pieces) {
     const auto ticket = next_ticket_++;
@@ -134,19 +128,19 @@
   return tickets;
 }
 
-void stage_exchange::place(piece_ticket ticket, placement& placed, const gatherer* chosen,
-                           base::time_point now) {
+void stage_exchange::place(piece_ticket ticket, placement& placed,
+                           const std::optional<base::node_id>& chosen, base::time_point now) {
   placed.sent_at = now;
   placed.confirmed_at.reset();
-  if (chosen == nullptr || chosen->node == self_.node) {
+  if (!chosen || *chosen == self_.node) {
     placed.holder = {};
     placed.pool_ticket = pool_.submit(placed.work, now);
     own_by_pool_ticket_[placed.pool_ticket] = ticket;
     return;
   }
-  placed.holder = chosen->node;
-  ++peers_.find(chosen->node)->sent_since[placed.work.service];
-  auto& wanted = *message_to(chosen->node).add_wanted();
+  placed.holder = *chosen;
+  ++peers_.find(*chosen)->sent_since[placed.work.service];
+  auto& wanted = *message_to(*chosen).add_wanted();
   wanted.set_ticket(ticket);
   wanted.set_request(placed.work.request.text());
   wanted.set_service(placed.work.service);
@@ -162,18 +156,22 @@
 }
 
 void stage_exchange::place_again(base::time_point now) {
+  if (now < next_placement_check_) {
+    return;
+  }
+  next_placement_check_ = now + placement_check_period;
   for (auto& [ticket, placed] : placements_) {
     if (placed.holder.empty()) {
       continue;
     }
     const auto* peer = peers_.find(placed.holder);
-    if (peer == nullptr || peer->silent) {
+    if (peer == nullptr || peer->silent_since) {
       move(ticket, placed, now);
     } else if (placed.confirmed_at) {
       ask_or_move(ticket, placed, now);
     } else if (now - placed.sent_at > acceptance_limit) {
-      peers_.give_up(placed.holder);
-      next_refresh_ = {};
+      peers_.give_up(placed.holder, now);
+      shards_are_stale_ = true;
       refresh(now);
       move(ticket, placed, now);
     }
@@ -192,11 +190,11 @@
 
 void stage_exchange::move(piece_ticket ticket, placement& placed, base::time_point now) {
   ++placed.moves;
-  const auto* chosen =
+  const auto chosen =
       placed.moves <= most_moves
           ? choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone, now)
-          : nullptr;
-  if (chosen == nullptr || chosen->node != placed.holder) {
+          : std::nullopt;
+  if (!chosen || *chosen != placed.holder) {
     message_to(placed.holder).add_cancelled(ticket);
   }
   place(ticket, placed, chosen, now);
@@ -218,15 +216,16 @@
 
 void stage_exchange::release(const std::vector<std::string>& handles) {
   for (const auto& handle : handles) {
-    const auto* replica = replicas_->find_at(maker_of(handle));
-    if (replica == nullptr) {
-      continue;
-    }
-    const auto holder = gatherer_of_.find(replica->record->id);
-    if (holder == gatherer_of_.end() || holder->second == self_.node) {
+    const auto known = result_holders_.find(handle);
+    const auto* holder = known == result_holders_.end() ? nullptr : peers_.find(known->second);
+    if (holder == nullptr || holder->silent_since) {
+      // Any node may free a result; its holder forgets it when it expires.
       pool_.release(handle);
     } else {
-      message_to(holder->second).add_released(handle);
+      message_to(holder->peer.node).add_released(handle);
+    }
+    if (known != result_holders_.end()) {
+      result_holders_.erase(known);
     }
   }
 }
@@ -240,7 +239,7 @@
   peer.life = message.life();
   peer.leaving = message.leaving();
   if (restarted || leaves) {
-    next_refresh_ = {};
+    shards_are_stale_ = true;
     refresh(now);
   }
   if (!restarted) {
@@ -298,7 +297,7 @@
   const auto found = placements_.find(result.ticket());
   if (found == placements_.end() || found->second.holder != sender) {
     if (!result.handle().empty()) {
-      release({result.handle()});
+      message_to(sender).add_released(result.handle());
     }
     return;
   }
@@ -308,6 +307,9 @@
     return;
   }
   placements_.erase(found);
+  if (!result.handle().empty()) {
+    result_holders_[result.handle()] = sender;
+  }
   finished_.push_back({result.ticket(), {fault, result.handle()}});
 }
 
@@ -317,17 +319,11 @@
   if (peer == nullptr) {
     return;
   }
-  peer->heard = now;
-  peer->silent = false;
-  peer->processor_share = message.processor_share();
-  note_life(*peer, message, now);
-  if (message.loads_size() > 0) {
-    peer->loads.clear();
-    peer->sent_since.clear();
-  }
-  for (const auto& load : message.loads()) {
-    peer->loads[load.service()] = load;
+  if (peers_.note_heard(*peer, now)) {
+    shards_are_stale_ = true;
   }
+  note_life(*peer, message, now);
+  peers_.take_loads(*peer, message, now);
   for (const auto& wanted : message.wanted()) {
     take_wanted(sender, wanted, now);
   }
@@ -440,17 +436,17 @@
     load.set_waiting_past_due(static_cast<std::uint32_t>(pool_.waiting(name) - in_time));
     load.set_calls_under_way(static_cast<std::uint32_t>(pool_.calls_under_way(name)));
     load.set_drain_rate(pool_.drain_rate_of(name, now).value_or(0));
+    describe_own_shards(load);
   }
   if (report.loads_size() == 0) {
     return;
   }
-  for (const auto& node : peers_.next_receivers(gathers() || stopping_)) {
+  for (const auto& node : peers_.next_receivers(audience())) {
     *message_to(node).mutable_loads() = report.loads();
   }
 }
 
 void stage_exchange::pump(base::time_point now) {
-  replicas_->set_unreachable(peers_.silent_zones(now));
   refresh(now);
   place_again(now);
   pool_.pump(now);
@@ -474,7 +470,6 @@
       wire::outgoing message{peer->peer.address, {}};
       content.set_life(life_);
       content.set_leaving(stopping_);
-      content.set_processor_share(processor_share_);
       *message.message.mutable_stage_work() = std::move(content);
       out.push_back(std::move(message));
     }
--- a/src/serving/stage_exchange.h
+++ b/src/serving/stage_exchange.h
@@ -1,9 +1,11 @@
-/// Stage work of the whole fleet: the replicas of a service in a region are divided into shards,
-/// and for each shard one node gathers the pieces of all nodes and puts the calls together, so that
-/// whichever replica is free first takes what is due first. Nodes send their pieces to the gatherer
-/// that will be done first; one that is silent is replaced by the next in rendezvous order, and two
-/// at once do no harm. A node that holds pieces without being their gatherer, since views of the
-/// fleet differ or have changed, calls replicas for them all the same.
+/// Stage work of the whole fleet: the replicas of a service are divided into shards, and for each
+/// shard one node gathers the pieces of all nodes and puts the calls together, so that whichever
+/// replica is free first takes what is due first. Few replicas are one shard of their region; many
+/// are divided by zone, so that a zone that is cut off serves on. Nodes send their pieces to the
+/// gatherer that will be done first; one that is silent is replaced by the next in rendezvous
+/// order, and two at once do no harm. Gatherers of other zones are known by the load they report. A
+/// node that holds pieces without being their gatherer, since views of the fleet differ or have
+/// changed, calls replicas for them all the same.
 #pragma once
 
 #include "base/ids.h"
@@ -68,12 +70,15 @@
   bool on_call_ended(const stage_call_ended& ended, base::time_point now);
   void handle(const base::node_id& sender, const wire::stage_work& message, base::time_point now);
 
-  /// Finds anew who gathers for which replica, where that was long ago.
+  /// Brings up to date who gathers for which replica; costs nothing where nothing has changed.
   void refresh(base::time_point now);
+  /// @param zone where the result is wanted.
   /// @return how long a piece of a service that is submitted now is expected to wait for its call;
   ///         nothing where nobody can make it.
-  [[nodiscard]] std::optional<base::duration>
-  expected_wait(const std::string& service, piece_standing standing, base::time_point now) const;
+  [[nodiscard]] std::optional<base::duration> expected_wait(const std::string& service,
+                                                            const base::zone_id& zone,
+                                                            piece_standing standing,
+                                                            base::time_point now) const;
 
   void pump(base::time_point now);
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
@@ -90,9 +95,21 @@
   struct gatherer {
     base::node_id node;
     std::string region;
+    /// Set where all its replicas are of one zone.
+    std::optional<base::zone_id> zone;
     /// Those of its replicas that can be called now.
     std::uint32_t replicas = 0;
   };
+  /// Replicas of one service for which one node gathers.
+  struct shard {
+    std::string service;
+    std::string region;
+    std::optional<base::zone_id> zone;
+    std::vector<base::replica_id> replicas;
+    base::node_id gatherer;
+  };
+  /// Replicas of one service in one region, by zone.
+  using zone_replicas = std::map<base::zone_id, std::vector<base::replica_id>>;
   /// Replicas of one service in one region.
   struct replica_group {
     std::string service;
@@ -125,24 +142,45 @@
     piece_outcome outcome;
   };
 
-  /// Nodes that may gather pieces, by region and in all.
+  /// Nodes that may gather pieces.
   struct candidate_nodes {
+    std::map<base::zone_id, std::vector<base::node_id>> by_zone;
     std::map<std::string, std::vector<base::node_id>> by_region;
     std::vector<base::node_id> all;
   };
   [[nodiscard]] candidate_nodes find_candidates() const;
-  /// Divides the replicas of a group into shards and finds the gatherer of each.
-  void assign(const replica_group& group, const std::vector<base::replica_id>& replicas,
-              const std::vector<base::node_id>& candidates, base::time_point now);
+  /// Divides all replicas into shards and finds the gatherer of each.
+  void assign_shards(base::time_point now);
+  [[nodiscard]] std::map<replica_group, zone_replicas> group_replicas() const;
+  /// Divides the replicas of a group into shards. Those of other zones that have gatherers of their
+  /// own are left out.
+  void divide(const replica_group& group, zone_replicas replicas,
+              const candidate_nodes& candidates);
+  /// Adds shards of replicas that all stand behind the same candidates.
+  void add_shards(const shard& common, const std::vector<base::replica_id>& replicas,
+                  const std::vector<base::node_id>& candidates);
+  /// Greets those who gather from now on, so that connections to them stand.
+  void greet(const std::vector<base::node_id>& gatherers);
   /// @return whether calls to a replica are expected to arrive.
   [[nodiscard]] bool is_usable(const base::replica_id& id, base::time_point now) const;
-  /// Drops gatherers that membership dropped, until they are found anew.
-  void forget_unknown_gatherers();
-  void add_gatherer(const replica_group& group, const base::node_id& node, bool has_usable_replica);
+  /// Counts the replicas of each shard that can be called.
+  void count_usable(base::time_point now);
+  /// Fills in for which replicas of the service this node gathers.
+  void describe_own_shards(wire::stage_load& load) const;
+  /// @return gatherers of a service that this node has assigned, and those of other zones that
+  ///         report; only such that can be reached.
+  [[nodiscard]] std::vector<gatherer> gatherers_of(const std::string& service,
+                                                   base::time_point now) const;
+  /// @return what making a piece at a gatherer costs beside the wait, in seconds of waiting.
+  [[nodiscard]] double distance_seconds(const gatherer& candidate, const base::zone_id& zone,
+                                        double result_bytes) const;
   [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
   /// @param result_bytes size of all results together.
-  const gatherer* choose_gatherer(const std::string& service, double result_bytes,
-                                  const base::zone_id& zone, base::time_point now) const;
+  /// @return nothing where no node gathers for the service.
+  [[nodiscard]] std::optional<base::node_id> choose_gatherer(const std::string& service,
+                                                             double result_bytes,
+                                                             const base::zone_id& zone,
+                                                             base::time_point now) const;
   /// Work of a service at a gatherer, as it told it last.
   struct gatherer_load {
     double waiting = 0;
@@ -155,8 +193,9 @@
                                       base::time_point now) const;
   [[nodiscard]] double expected_wait_seconds(const gatherer& candidate, const std::string& service,
                                              piece_standing standing, base::time_point now) const;
-  /// @param chosen null where no other node is fit.
-  void place(piece_ticket ticket, placement& placed, const gatherer* chosen, base::time_point now);
+  /// @param chosen nothing where no other node is fit.
+  void place(piece_ticket ticket, placement& placed, const std::optional<base::node_id>& chosen,
+             base::time_point now);
   /// Places pieces anew whose holder is silent or did not take them, and asks for those of which
   /// nothing was heard for long.
   void place_again(base::time_point now);
@@ -172,8 +211,8 @@
   void tell_state(const base::node_id& sender, piece_ticket ticket);
   /// @return whether this node may call a replica with pieces.
   [[nodiscard]] bool may_call(const replica_state& replica) const;
-  /// @return whether other nodes count on this one for pieces.
-  [[nodiscard]] bool gathers() const;
+  /// @return who counts on this node for pieces.
+  [[nodiscard]] report_audience audience() const;
   void note_life(peer_state& peer, const wire::stage_work& message, base::time_point now);
   void take_wanted(const base::node_id& sender, const wire::piece_request& wanted,
                    base::time_point now);
@@ -188,7 +227,6 @@
 
   fleet_peer self_;
   std::map<base::zone_id, std::string> regions_;
-  double processor_share_;
   replica_table* replicas_;
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
@@ -196,8 +234,13 @@
   /// Replicas this node gathers for, and the services they belong to.
   std::set<base::replica_id> own_replicas_;
   std::set<std::string> own_services_;
+  std::vector<shard> shards_;
+  /// Gatherers of the shards by service.
   std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
-  std::unordered_map<base::replica_id, base::node_id> gatherer_of_;
+  /// The shards are to be found anew.
+  bool shards_are_stale_ = true;
+  /// The node that keeps account of the room of a result, where that is another.
+  std::unordered_map<std::string, base::node_id> result_holders_;
   std::uint64_t life_;
   bool stopping_ = false;
   piece_ticket next_ticket_;
@@ -210,6 +253,7 @@
   std::vector<piece_finished> finished_;
   std::vector<piece_ticket> fetched_;
   base::time_point next_refresh_;
+  base::time_point next_placement_check_;
   base::time_point next_load_report_;
 };
 
--- a/src/serving/stage_exchange_gatherers.cc
+++ b/src/serving/stage_exchange_gatherers.cc
@@ -4,20 +4,29 @@
 #include "base/hashing.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace spurrack::serving {
 namespace {
 
+/// How often silence and pauses of replicas are looked at.
 constexpr base::duration refresh_period = std::chrono::milliseconds(50);
 /// Replicas that one node gathers for; more are divided over several nodes.
 constexpr std::size_t most_replicas_per_shard = 16;
+/// Replicas of a zone that make a shard of their own where a service has more than one shard: with
+/// fewer, calls would go out half empty or wait for the one replica that is free.
+constexpr std::size_t least_replicas_of_zone = 4;
 /// Nodes that may use less than this part of what the strongest may do not gather.
 constexpr double least_share_of_strongest = 0.5;
 /// What carrying a megabyte to another region is worth, in seconds of waiting.
 constexpr double seconds_per_remote_megabyte = 0.5;
+/// The same for another zone of the region; as for pieces that leave their zone within a pool.
+constexpr double seconds_per_megabyte_between_zones = 0.2;
 /// What any work in another region is worth, in seconds of waiting.
 constexpr double remote_region_seconds = 0.2;
+/// The same for another zone: its load is known a second late.
+constexpr double remote_zone_seconds = 0.2;
 constexpr double bytes_per_megabyte = 1e6;
 
 } // namespace
@@ -28,34 +37,51 @@
 }
 
 void stage_exchange::refresh(base::time_point now) {
-  if (now < next_refresh_) {
-    return;
+  const bool look_due = now >= next_refresh_;
+  if (look_due) {
+    next_refresh_ = now + refresh_period;
+    shards_are_stale_ = peers_.update_silence(now) || shards_are_stale_;
   }
-  next_refresh_ = now + refresh_period;
-  peers_.mark_silent(now);
-  own_replicas_.clear();
-  const auto gathered_before = std::exchange(own_services_, {});
-  gatherers_.clear();
-  gatherer_of_.clear();
-  const auto candidates = find_candidates();
-  std::map<replica_group, std::vector<base::replica_id>> groups;
+  if (shards_are_stale_) {
+    shards_are_stale_ = false;
+    assign_shards(now);
+  } else if (look_due) {
+    count_usable(now);
+  }
+}
+
+std::map<stage_exchange::replica_group, stage_exchange::zone_replicas>
+stage_exchange::group_replicas() const {
+  std::map<replica_group, zone_replicas> groups;
   for (const auto& [id, replica] : replicas_->all()) {
     const auto* service =
         configuration_ ? configuration_->find_service(replica.record->service) : nullptr;
-    if (service != nullptr && service->pieces && !replica.record->draining && !replica.left) {
-      groups[{service->name, region_of(replica.record->zone)}].push_back(id);
+    if (service != nullptr && service->pieces && !replica.record->draining) {
+      const auto& zone = replica.record->zone;
+      groups[{service->name, region_of(zone)}][zone].push_back(id);
     }
   }
-  for (const auto& [group, replicas] : groups) {
-    const auto near = candidates.by_region.find(group.region);
-    assign(group, replicas, near == candidates.by_region.end() ? candidates.all : near->second,
-           now);
+  return groups;
+}
+
+void stage_exchange::assign_shards(base::time_point now) {
+  own_replicas_.clear();
+  const auto gathered_before = std::exchange(own_services_, {});
+  shards_.clear();
+  const auto candidates = find_candidates();
+  for (auto& [group, replicas] : group_replicas()) {
+    divide(group, std::move(replicas), candidates);
   }
   std::set<base::node_id> elected;
-  for (const auto& [replica, node] : gatherer_of_) {
-    elected.insert(node);
+  for (const auto& one : shards_) {
+    elected.insert(one.gatherer);
+    if (one.gatherer == self_.node) {
+      own_replicas_.insert(one.replicas.begin(), one.replicas.end());
+      own_services_.insert(one.service);
+    }
   }
-  peers_.set_gatherers(elected, now);
+  greet(peers_.set_gatherers(elected, now));
+  count_usable(now);
   for (const auto& service : gathered_before) {
     if (!own_services_.contains(service) && gatherers_.contains(service)) {
       hand_over(service, now);
@@ -63,68 +89,152 @@
   }
 }
 
+void stage_exchange::greet(const std::vector<base::node_id>& gatherers) {
+  for (const auto& node : gatherers) {
+    // The transport connects with the first message and may lose it; this one holds nothing.
+    message_to(node);
+  }
+}
+
 stage_exchange::candidate_nodes stage_exchange::find_candidates() const {
-  std::map<std::string, double> strongest;
-  strongest[region_of(self_.zone)] = stopping_ ? 0 : processor_share_;
+  std::map<base::zone_id, double> strongest_of_zone;
+  std::map<std::string, double> strongest_of_region;
+  const auto note = [&](const base::zone_id& zone, double share) {
+    auto& in_zone = strongest_of_zone[zone];
+    in_zone = std::max(in_zone, share);
+    auto& in_region = strongest_of_region[region_of(zone)];
+    in_region = std::max(in_region, share);
+  };
+  candidate_nodes found;
+  const auto consider = [&](const fleet_peer& node) {
+    if (node.processor_share >= strongest_of_zone[node.zone] * least_share_of_strongest) {
+      found.by_zone[node.zone].push_back(node.node);
+    }
+    const auto region = region_of(node.zone);
+    if (node.processor_share >= strongest_of_region[region] * least_share_of_strongest) {
+      found.by_region[region].push_back(node.node);
+      found.all.push_back(node.node);
+    }
+  };
+  if (!stopping_) {
+    note(self_.zone, self_.processor_share);
+  }
   for (const auto& [node, peer] : peers_.all()) {
     if (peer_directory::is_fit(peer)) {
-      auto& share = strongest[region_of(peer.peer.zone)];
-      share = std::max(share, peer.processor_share);
+      note(peer.peer.zone, peer.peer.processor_share);
     }
   }
-  candidate_nodes found;
-  const auto consider = [&](const base::node_id& node, const base::zone_id& zone, double share) {
-    const auto region = region_of(zone);
-    if (share >= strongest[region] * least_share_of_strongest) {
-      found.by_region[region].push_back(node);
-      found.all.push_back(node);
-    }
-  };
   for (const auto& [node, peer] : peers_.all()) {
     if (peer_directory::is_fit(peer)) {
-      consider(node, peer.peer.zone, peer.processor_share);
+      consider(peer.peer);
     }
   }
   if (!stopping_ || found.all.empty()) {
-    consider(self_.node, self_.zone, processor_share_);
+    consider(self_);
   }
   return found;
 }
 
-void stage_exchange::assign(const replica_group& group,
-                            const std::vector<base::replica_id>& replicas,
-                            const std::vector<base::node_id>& candidates, base::time_point now) {
-  const auto shards = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
-  for (const auto& replica : replicas) {
-    const auto shard = base::stable_hash(replica.text()) % shards;
-    const auto name = group.service + "/" + group.region + "/" + std::to_string(shard);
-    const auto node = base::rendezvous_top(name, candidates, 1).front();
-    gatherer_of_[replica] = node;
-    if (node == self_.node) {
-      own_replicas_.insert(replica);
-      own_services_.insert(group.service);
+void stage_exchange::divide(const replica_group& group, zone_replicas replicas,
+                            const candidate_nodes& candidates) {
+  std::size_t count = 0;
+  for (const auto& [zone, members] : replicas) {
+    count += members.size();
+  }
+  std::vector<base::replica_id> together;
+  for (auto& [zone, members] : replicas) {
+    const auto near = candidates.by_zone.find(zone);
+    const bool has_gatherer = near != candidates.by_zone.end() && count > most_replicas_per_shard &&
+                              members.size() >= least_replicas_of_zone;
+    if (!has_gatherer) {
+      together.insert(together.end(), members.begin(), members.end());
+    } else if (zone == self_.zone) {
+      add_shards({group.service, group.region, zone, {}, {}}, members, near->second);
     }
-    add_gatherer(group, node, is_usable(replica, now));
+  }
+  const auto near = candidates.by_region.find(group.region);
+  add_shards({group.service, group.region, std::nullopt, {}, {}}, together,
+             near == candidates.by_region.end() ? candidates.all : near->second);
+}
+
+void stage_exchange::add_shards(const shard& common, const std::vector<base::replica_id>& replicas,
+                                const std::vector<base::node_id>& candidates) {
+  const auto count = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
+  const auto place = common.zone ? common.zone->text() : common.region;
+  const auto first = shards_.size();
+  for (std::size_t index = 0; index < count; ++index) {
+    auto added = common;
+    const auto name = common.service + "/" + place + "/" + std::to_string(index);
+    added.gatherer = base::rendezvous_top(name, candidates, 1).front();
+    shards_.push_back(std::move(added));
+  }
+  for (const auto& replica : replicas) {
+    shards_[first + base::stable_hash(replica.text()) % count].replicas.push_back(replica);
   }
 }
 
 bool stage_exchange::is_usable(const base::replica_id& id, base::time_point now) const {
   const auto* replica = replicas_->find(id);
-  return replica != nullptr && replica->paused_until <= now &&
+  return replica != nullptr && !replica->left && replica->paused_until <= now &&
          replicas_->is_reachable(replica->record->zone);
 }
 
-void stage_exchange::add_gatherer(const replica_group& group, const base::node_id& node,
-                                  bool has_usable_replica) {
-  auto& known = gatherers_[group.service];
-  const auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
-    return other.node == node && other.region == group.region;
-  });
-  if (found == known.end()) {
-    known.push_back({node, group.region, has_usable_replica ? 1U : 0U});
-  } else if (has_usable_replica) {
-    ++found->replicas;
+void stage_exchange::count_usable(base::time_point now) {
+  gatherers_.clear();
+  for (const auto& one : shards_) {
+    const auto usable = std::count_if(one.replicas.begin(), one.replicas.end(),
+                                      [&](const auto& replica) { return is_usable(replica, now); });
+    auto& known = gatherers_[one.service];
+    auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
+      return other.node == one.gatherer && other.region == one.region && other.zone == one.zone;
+    });
+    if (found == known.end()) {
+      known.push_back({one.gatherer, one.region, one.zone, 0});
+      found = std::prev(known.end());
+    }
+    found->replicas += static_cast<std::uint32_t>(usable);
+  }
+}
+
+void stage_exchange::describe_own_shards(wire::stage_load& load) const {
+  const auto known = gatherers_.find(load.service());
+  if (known == gatherers_.end()) {
+    return;
+  }
+  for (const auto& candidate : known->second) {
+    if (candidate.node == self_.node) {
+      load.set_replicas(load.replicas() + candidate.replicas);
+      load.set_of_zone(candidate.zone.has_value());
+    }
+  }
+}
+
+std::vector<stage_exchange::gatherer> stage_exchange::gatherers_of(const std::string& service,
+                                                                   base::time_point now) const {
+  std::vector<gatherer> found;
+  if (const auto known = gatherers_.find(service); known != gatherers_.end()) {
+    std::copy_if(known->second.begin(), known->second.end(), std::back_inserter(found),
+                 [this](const gatherer& candidate) {
+                   return candidate.node == self_.node || peers_.find(candidate.node) != nullptr;
+                 });
+  }
+  const auto is_assigned = [&](const base::node_id& node) {
+    return std::any_of(found.begin(), found.end(),
+                       [&](const gatherer& other) { return other.node == node; });
+  };
+  for (const auto& node : peers_.reporters()) {
+    const auto& peer = *peers_.find(node);
+    const auto load = peer.loads.find(service);
+    const bool gathers = load != peer.loads.end() && load->second.replicas() > 0 &&
+                         load->second.of_zone() && peer_directory::has_fresh_loads(peer, now);
+    const auto& zone = peer.peer.zone;
+    // In the own zone this node's assignment decides: two gatherers would share the replicas.
+    if (gathers && zone != self_.zone && !is_assigned(node) && peer_directory::is_fit(peer) &&
+        replicas_->is_reachable(zone)) {
+      found.push_back({node, region_of(zone), zone, load->second.replicas()});
+    }
   }
+  return found;
 }
 
 stage_exchange::gatherer_load stage_exchange::load_of(const base::node_id& node,
@@ -165,42 +275,48 @@
   return std::max(by_capacity, by_rate);
 }
 
+double stage_exchange::distance_seconds(const gatherer& candidate, const base::zone_id& zone,
+                                        double result_bytes) const {
+  const double megabytes = result_bytes / bytes_per_megabyte;
+  if (candidate.region != region_of(zone)) {
+    return remote_region_seconds + megabytes * seconds_per_remote_megabyte;
+  }
+  if (candidate.zone && *candidate.zone != zone) {
+    return remote_zone_seconds + megabytes * seconds_per_megabyte_between_zones;
+  }
+  return 0;
+}
+
 std::optional<base::duration> stage_exchange::expected_wait(const std::string& service,
+                                                            const base::zone_id& zone,
                                                             piece_standing standing,
                                                             base::time_point now) const {
-  const auto known = gatherers_.find(service);
-  if (known == gatherers_.end()) {
-    return std::nullopt;
-  }
   std::optional<double> least;
-  for (const auto& candidate : known->second) {
+  for (const auto& candidate : gatherers_of(service, now)) {
     if (candidate.replicas > 0) {
-      const double wait = expected_wait_seconds(candidate, service, standing, now);
+      const double wait = expected_wait_seconds(candidate, service, standing, now) +
+                          distance_seconds(candidate, zone, 0);
       least = std::min(least.value_or(wait), wait);
     }
   }
   return least ? std::optional(base::from_seconds(*least)) : std::nullopt;
 }
 
-const stage_exchange::gatherer* stage_exchange::choose_gatherer(const std::string& service,
-                                                                double result_bytes,
-                                                                const base::zone_id& zone,
-                                                                base::time_point now) const {
-  const auto known = gatherers_.find(service);
-  if (known == gatherers_.end()) {
-    return nullptr;
-  }
-  const gatherer* best = nullptr;
+std::optional<base::node_id> stage_exchange::choose_gatherer(const std::string& service,
+                                                             double result_bytes,
+                                                             const base::zone_id& zone,
+                                                             base::time_point now) const {
+  std::optional<base::node_id> best;
+  bool best_can_call = false;
   double best_cost = 0;
-  for (const auto& candidate : known->second) {
-    const bool near = candidate.region == region_of(zone);
-    const double remote_cost = near ? 0
-                                    : remote_region_seconds + result_bytes / bytes_per_megabyte *
-                                                                  seconds_per_remote_megabyte;
-    const double cost =
-        expected_wait_seconds(candidate, service, piece_standing::in_time, now) + remote_cost;
-    if (best == nullptr || cost < best_cost) {
-      best = &candidate;
+  for (const auto& candidate : gatherers_of(service, now)) {
+    const bool can_call = candidate.replicas > 0;
+    const double cost = expected_wait_seconds(candidate, service, piece_standing::in_time, now) +
+                        distance_seconds(candidate, zone, result_bytes);
+    const bool better = can_call == best_can_call ? cost < best_cost : can_call;
+    if (!best || better) {
+      best = candidate.node;
+      best_can_call = can_call;
       best_cost = cost;
     }
   }
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -486,6 +486,9 @@
   const auto full_call = usual_time(capacity, capacity.batch);
   zone_outlooks outlooks;
   for (const auto* replica : replicas_->available(name, now)) {
+    if (filter_ && !filter_(*replica)) {
+      continue;
+    }
     const auto busy = busy_until.find(replica->record->id);
     auto free_at = busy == busy_until.end() ? now : std::max(now, busy->second);
     if (free_room(replica->record->id, capacity, now) < capacity.result_room_bytes * scarce_room) {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -157,8 +157,9 @@
   constexpr double usual_grace_seconds = 8;
   const double grace = section->number("stop_grace_s", 1, 600, usual_grace_seconds);
   serving.stop_longest = base::from_seconds(std::max(grace - end_margin_seconds, grace / 2));
-  serving.processor_share =
-      section->number("processor_share", 0.001, 1024, serving.processor_share);
+  auto& self = result.node.self;
+  self.processor_share =
+      static_cast<float>(section->number("processor_share", 0.001, 1024, self.processor_share));
   serving.input_fetch_time = section->milliseconds("input_fetch_time_ms", 0, 60'000,
                                                    milliseconds_of(serving.input_fetch_time));
   serving.refuse_early = section->boolean("refuse_early", serving.refuse_early);
