Introduce members by chance, relays of other zones first; ask seeds twice a second while members are added

Cause: everybody was named the same 128 members in the order of names, so relays and gatherers of most zones were unknown for long, and at the start nobody knew whom to ask for the configuration.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -6,6 +6,7 @@
 #include <bit>
 #include <iterator>
 #include <set>
+#include <unordered_set>
 #include <utility>
 
 namespace spurrack::membership {
@@ -14,8 +15,8 @@
 constexpr std::size_t indirect_probe_count = 2;
 constexpr std::size_t max_rumours_per_message = 6;
 constexpr unsigned rumour_multiplier = 3;
-/// Members named to one that asks at a seed address; those of its own zone first.
-constexpr std::size_t max_introductions = 128;
+/// Members named to one that asks at a seed address; those of its own zone before others.
+constexpr std::size_t max_introductions = 96;
 /// Relays that send digests to one other zone; one of them may be lost without a silence.
 constexpr std::size_t relays_per_zone = 2;
 /// Relays have at least this part of the processor of the strongest node of their zone.
@@ -26,6 +27,7 @@
 /// While members were added within this time, more are asked for; then only seldom, so that parts
 /// of the fleet that know nothing of each other meet in the end.
 constexpr base::duration introduction_time = std::chrono::seconds(3);
+constexpr base::duration seed_period = std::chrono::milliseconds(500);
 constexpr base::duration seldom_seed_period = std::chrono::seconds(10);
 
 /// How strongly a state overrides another at the same incarnation.
@@ -257,9 +259,12 @@
     next_probe_at_ = now + settings_.probe_period;
     start_probe(now, out);
   }
+  if (!list_known_ || members_.empty()) {
+    contact_seeds(now, out);
+  }
   if (now >= next_dead_probe_at_) {
     next_dead_probe_at_ = now + settings_.dead_probe_period;
-    probe_dead(now, out);
+    probe_dead(out);
   }
   if (now >= next_relay_at_) {
     next_relay_at_ = now + settings_.relay_period;
@@ -349,10 +354,7 @@
   });
 }
 
-void membership::probe_dead(base::time_point now, wire::outbox& out) {
-  if (!list_known_ || members_.empty()) {
-    contact_seeds(now, out);
-  }
+void membership::probe_dead(wire::outbox& out) {
   std::vector<const member*> dead;
   for (const auto& [node, other] : members_) {
     if (in_zone(other) && other.state == wire::DEAD) {
@@ -371,7 +373,7 @@
   }
   const bool knows_nobody = members_.empty();
   const bool grows = now - grew_at_ < introduction_time;
-  next_seed_contact_at_ = now + (knows_nobody || grows ? base::duration{} : seldom_seed_period);
+  next_seed_contact_at_ = now + (knows_nobody || grows ? seed_period : seldom_seed_period);
   const auto chosen = random_->below(seeds_.size());
   for (std::size_t index = 0; index < seeds_.size(); ++index) {
     if (knows_nobody || index == chosen) {
@@ -383,17 +385,36 @@
 }
 
 void membership::introduce_members(const wire::envelope& asker, wire::envelope& reply) const {
-  std::size_t room = max_introductions;
-  for (const bool same_zone : {true, false}) {
-    for (const auto& [node, other] : members_) {
-      const bool wanted = (other.zone.text() == asker.sender_zone()) == same_zone &&
-                          other.state == wire::ALIVE && node.text() != asker.sender();
-      if (wanted && room > 0) {
-        *reply.add_updates() = update_of(other);
-        --room;
+  std::vector<const member*> in_zone;
+  std::vector<const member*> others;
+  for (const auto& [node, other] : members_) {
+    if (other.state == wire::ALIVE && node.text() != asker.sender()) {
+      (other.zone.text() == asker.sender_zone() ? in_zone : others).push_back(&other);
+    }
+  }
+  std::unordered_set<base::node_id> named;
+  const auto name = [&](const member& subject) {
+    if (named.size() < max_introductions && named.insert(subject.node).second) {
+      *reply.add_updates() = update_of(subject);
+    }
+  };
+  // Relays of other zones first: who knows them can name the same relays as everybody else.
+  for (const auto& [zone, relays] : live().relays) {
+    for (const auto& relay : relays) {
+      const auto found = members_.find(relay);
+      if (found != members_.end() && relay.text() != asker.sender()) {
+        name(found->second);
       }
     }
   }
+  // Others by chance, so that not everybody turns to the same nodes.
+  for (auto* group : {&in_zone, &others}) {
+    for (std::size_t left = group->size(); left > 0; --left) {
+      const auto chosen = random_->below(left);
+      name(*(*group)[chosen]);
+      (*group)[chosen] = (*group)[left - 1];
+    }
+  }
 }
 
 void membership::relay_digests(base::time_point now, wire::outbox& out) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -140,7 +140,7 @@
   void check_probe(base::time_point now, wire::outbox& out);
   void ask_others_to_probe(const member& target, wire::outbox& out);
   void expire_suspects(base::time_point now);
-  void probe_dead(base::time_point now, wire::outbox& out);
+  void probe_dead(wire::outbox& out);
   void contact_seeds(base::time_point now, wire::outbox& out);
   /// Forgets what is derived from `members_`.
   void note_change();
