--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -15,9 +15,13 @@
 /// fleet starts, and a fleet that starts as a whole is not flooded.
 constexpr std::size_t most_resync_peers = 10;
 /// A starting node that serves published routes reads the services itself after a random part of
-/// this time, unless peers have told it everything by then: of a fleet that starts as a whole, few
-/// nodes read.
+/// this time for each member it knows, unless peers have told it everything by then: of a large
+/// fleet that starts as a whole, few nodes read, and a small one loses no time (8 nodes that waited
+/// up to 1.2 s lost 0.02 of worth over eight days with kills).
+constexpr base::duration wait_for_peers_per_member = std::chrono::milliseconds(12);
 constexpr base::duration longest_wait_for_peers = std::chrono::milliseconds(1200);
+/// A starting node that knows nobody waits this long to be introduced at a seed.
+constexpr base::duration introduction_wait = std::chrono::milliseconds(300);
 /// Messages a node sends to itself while it handles one event; a bound against loops.
 constexpr std::size_t most_loopback_rounds = 8;
 
@@ -84,8 +88,8 @@
           now),
       random_(&random), next_periodic_(now) {
   if (settings_.serving) {
-    const auto longest = static_cast<std::uint64_t>(base::to_milliseconds(longest_wait_for_peers));
-    wait_for_peers_ = std::chrono::milliseconds(random.below(longest));
+    constexpr std::uint64_t parts = 1000;
+    wait_for_peers_part_ = static_cast<double>(random.below(parts)) / parts;
     const serving::fleet_peer self{settings_.self.node, settings_.self.zone, settings_.self.address,
                                    settings_.self.processor_share};
     serving_.emplace(self, *settings_.serving, random, settings_.self.process_start,
@@ -223,7 +227,7 @@
   for (std::size_t index = 0; index < source_count; ++index) {
     const bool holds =
         ready_ ? membership_.holds_job(jobs[index], catalog::service_watch::watchers_per_zone)
-               : now - started_ >= wait_for_peers_;
+               : now - started_ >= wait_for_peers();
     const auto after = watches_[index].next_read(holds, now);
     if (after) {
       commands_.emplace_back(read_service{static_cast<source_kind>(index), *after});
@@ -231,6 +235,18 @@
   }
 }
 
+base::duration node::wait_for_peers() const {
+  if (!serving_) {
+    return {};
+  }
+  const auto known = static_cast<int>(membership_.members().size());
+  if (known == 0) {
+    return membership_.seeds().empty() ? base::duration{} : introduction_wait;
+  }
+  const auto longest = std::min(wait_for_peers_per_member * known, longest_wait_for_peers);
+  return base::from_seconds(base::to_seconds(longest) * wait_for_peers_part_);
+}
+
 void node::update_sharing() {
   const auto nodes = membership_.live_zone_nodes();
   const auto place = std::find(nodes.begin(), nodes.end(), settings_.self.node);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -120,6 +120,8 @@
   void apply_machine_changes(base::time_point now);
   void apply_serving_changes();
   void update_serving_peers(base::time_point now);
+  /// @return time after its start at which a node that is not ready reads the services itself.
+  [[nodiscard]] base::duration wait_for_peers() const;
   void update_sharing();
   void dispatch_message(const wire::envelope& message, base::time_point now);
   void on_backend_notice(const wire::backend_notice& notice, bool from_zone, base::time_point now);
@@ -183,8 +185,8 @@
   base::time_point stop_began_;
   /// Last time a request reached this node, or it woke from a pause.
   base::time_point disturbed_at_;
-  /// A starting node reads the services itself after this time.
-  base::duration wait_for_peers_{};
+  /// Part of the longest wait for peers that this node waits, 0 to 1; drawn at its start.
+  double wait_for_peers_part_ = 0;
   /// Set while dispatch is on hold after a pause.
   std::optional<base::time_point> hold_until_;
   base::time_point next_periodic_;
