Test the division of a service by zone

Each zone makes its own pieces, a cut zone serves on, results are freed by the node that keeps account of their room, a lost gatherer is replaced, nodes that gather nothing are silent.

--- a/tests/serving/exchange_fleet.h
+++ b/tests/serving/exchange_fleet.h
@@ -115,22 +115,23 @@
         continue;
       }
       for (auto& other : nodes) {
-        if (other->identity.address == message.to && other->identity.node != silent) {
+        const bool is_cut = (other->identity.zone == cut_zone) != (node.identity.zone == cut_zone);
+        if (other->identity.address == message.to && other->identity.node != silent && !is_cut) {
           other->subject.handle(node.identity.node, message.message.stage_work(), now);
         }
       }
     }
   }
 
-  piece_ticket submit(exchange_node& origin) {
+  piece_ticket submit(exchange_node& origin, const base::zone_id& zone = base::zone_id("a")) {
     piece_work work;
     work.request = base::request_id("r");
     work.service = "pool";
     work.piece_key = "k";
-    work.zone = base::zone_id("a");
+    work.zone = zone;
     work.due = now + std::chrono::seconds(2);
     work.deadline = now + std::chrono::seconds(5);
-    return origin.subject.submit({work}, base::zone_id("a"), now).front();
+    return origin.subject.submit({work}, zone, now).front();
   }
 
   /// @return the node that has made a call; null where none has.
@@ -170,6 +171,8 @@
   std::map<std::size_t, double> processor_shares;
   base::time_point now{std::chrono::hours(1)};
   base::node_id silent;
+  /// Its nodes hear nobody outside, and nobody outside hears them.
+  base::zone_id cut_zone;
 
  private:
   int size_;
