Ask a member that does not answer on a new connection

TCP keep-alive and the limit on unacknowledged bytes, which took the place of ZeroMQ's heartbeats, see that only where the network gives no acknowledgement. Change: a probe without an answer is followed by one on a new connection; the old one is closed. Test: a_member_that_does_not_answer_is_asked_on_a_new_connection.

--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -123,7 +123,7 @@
 
 void runtime::carry_out(node::command& wanted) {
   if (auto* message = std::get_if<wire::outgoing>(&wanted)) {
-    peers_->send(message->to, message->message);
+    peers_->send(*message);
   } else if (auto* start = std::get_if<execution::start_call>(&wanted)) {
     backends_->start(start->call);
   } else if (auto* cancel = std::get_if<execution::cancel_call>(&wanted)) {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -321,6 +321,8 @@
     if (found->second.state == wire::ALIVE) {
       set_state(found->second, wire::SUSPECT, found->second.incarnation, now);
     }
+    // The connection may be silent for good while the peer lives.
+    out.push_back({found->second.address, ping_message(next_sequence_++, &found->second), true});
     probe_.reset();
   } else if (!probe_->indirect_sent && waited >= settings_.acknowledgement_timeout) {
     probe_->indirect_sent = true;
--- a/src/peers/peer_transport.h
+++ b/src/peers/peer_transport.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/ids.h"
-#include "wire/peer.pb.h"
+#include "wire/outgoing.h"
 
 #include <functional>
 
@@ -21,7 +21,7 @@
   virtual ~peer_transport() = default;
 
   /// Sends without waiting. A message that cannot be queued at once is dropped and counted.
-  virtual void send(const base::network_address& to, const wire::envelope& message) = 0;
+  virtual void send(const wire::outgoing& message) = 0;
   /// @return messages dropped because they could not be queued.
   [[nodiscard]] virtual std::uint64_t dropped() const = 0;
 };
--- a/src/peers/zmq_transport.cc
+++ b/src/peers/zmq_transport.cc
@@ -101,10 +101,13 @@
     boost::asio::post(io, [this] { receive_all(); });
   }
 
-  void send(const base::network_address& to, const wire::envelope& message) override {
-    auto& socket = dealer(to);
-    zmq::message_t payload(message.ByteSizeLong());
-    message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
+  void send(const wire::outgoing& message) override {
+    if (message.on_new_connection) {
+      dealers_.erase(message.to);
+    }
+    auto& socket = dealer(message.to);
+    zmq::message_t payload(message.message.ByteSizeLong());
+    message.message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
     if (!socket.send(payload, zmq::send_flags::dontwait)) {
       ++dropped_;
     }
--- a/src/wire/outgoing.h
+++ b/src/wire/outgoing.h
@@ -12,6 +12,9 @@
 struct outgoing {
   base::network_address to;
   envelope message;
+  /// The peer did not answer on the connection that stands, which may be silent for good: it is
+  /// replaced. The message itself may be lost with that.
+  bool on_new_connection = false;
 };
 
 using outbox = std::vector<outgoing>;
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -84,3 +84,36 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(membership_connections)
+
+BOOST_AUTO_TEST_CASE(a_member_that_does_not_answer_is_asked_on_a_new_connection) {
+  base::seeded_random random(1);
+  membership::identity self;
+  self.node = base::node_id("n0");
+  self.zone = base::zone_id("a");
+  self.address = base::network_address("n0:1");
+  membership::membership subject(self, {}, random, [](const auto&) {});
+  base::time_point now{std::chrono::hours(1)};
+  wire::envelope greeting;
+  greeting.set_sender("n1");
+  greeting.set_sender_incarnation(1);
+  greeting.set_sender_zone("a");
+  greeting.set_sender_address("n1:1");
+  subject.observe(greeting, now);
+  bool asked_before = false;
+  bool asked_on_new_connection = false;
+  for (int tick = 0; tick < 8; ++tick) {
+    wire::outbox out;
+    subject.tick(now, out);
+    for (const auto& message : out) {
+      asked_before = asked_before || (!message.on_new_connection && message.message.has_ping());
+      asked_on_new_connection = asked_on_new_connection || message.on_new_connection;
+      BOOST_TEST((!message.on_new_connection || asked_before));
+    }
+    now += milliseconds(100);
+  }
+  BOOST_TEST(asked_on_new_connection);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
