--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -2,6 +2,7 @@
 
 #include "serving/dispatcher_constants.h"
 #include "serving/result_handle.h"
+#include "serving/stage_pool_limits.h"
 
 #include <algorithm>
 #include <iterator>
@@ -14,14 +15,6 @@
 constexpr std::uint32_t most_attempts = 4;
 /// A call that takes this many times as long as it should is given up.
 constexpr double stall_factor = 4.0;
-/// Part of a replica's room that is planned with: sizes of results are approximate.
-constexpr double planned_room = 0.95;
-/// How long pieces wait for a replica of the zone where they are best made, for each megabyte that
-/// is carried between zones otherwise.
-constexpr double patience_seconds_per_megabyte = 0.2;
-constexpr double bytes_per_megabyte = 1e6;
-/// A replica with less than this part of its room left is not expected to take the next call.
-constexpr double scarce_room = 0.2;
 /// While pieces wait, replicas are looked at again after this time.
 constexpr base::duration waiting_check_period = std::chrono::milliseconds(25);
 /// How long room that turned out to be taken is planned without.
@@ -33,15 +26,8 @@
 constexpr int fetch_time_smoothing = 10;
 /// A maker that failed this share of its latest calls may have lost its results.
 constexpr double failing = 0.1;
-/// A replica whose calls take this many times as long as published is given only what has the time.
-constexpr double slow = 1.6;
 constexpr base::duration stall_margin = std::chrono::milliseconds(400);
 
-/// @return time that a call with `size` pieces takes at a healthy replica.
-base::duration usual_time(const model::piece_capacity& capacity, std::size_t size) {
-  return std::chrono::duration_cast<base::duration>(capacity.call_time + capacity.item_time * size);
-}
-
 } // namespace
 
 stage_pool::stage_pool(replica_table& replicas, const serving_settings& settings,
@@ -429,134 +415,6 @@
   return tickets;
 }
 
-std::vector<stage_pool::piece_group> stage_pool::groups_in(const service_queue& queue) const {
-  std::vector<piece_group> groups;
-  for (const auto& position : queue) {
-    const auto& work = pieces_.at(position.ticket).work;
-    const bool joins = !groups.empty() && *groups.back().request == work.request &&
-                       groups.back().stage == work.stage;
-    if (!joins) {
-      groups.push_back({&work.request,
-                        work.stage,
-                        position.due,
-                        0,
-                        &work.zone,
-                        0,
-                        pieces_.at(position.ticket).submitted,
-                        {}});
-    }
-    groups.back().result_bytes += work.result_bytes;
-    groups.back().carried_bytes += work.carried_bytes;
-    groups.back().pieces.push_back(position);
-  }
-  return groups;
-}
-
-bool stage_pool::may_run_in(const piece_group& group, const base::zone_id& zone,
-                            const zone_outlooks& outlooks, base::time_point now) {
-  const auto own_zone = outlooks.find(*group.zone);
-  if (*group.zone == zone || own_zone == outlooks.end()) {
-    return true;
-  }
-  const double patience = group.carried_bytes / bytes_per_megabyte * patience_seconds_per_megabyte;
-  if (base::to_seconds(now - group.submitted) >= patience) {
-    return true;
-  }
-  const bool is_late = group.due <= now;
-  const auto& outlook = own_zone->second;
-  // Half a call of margin measured best on vineta-lima (none 0.642, half 0.650, whole 0.649).
-  return !is_late && outlook.next_start() + outlook.full_call / 2 > group.due;
-}
-
-base::time_point stage_pool::zone_outlook::next_start() const {
-  const auto batches_ahead = pieces_ahead / batch;
-  const auto rounds = static_cast<double>(batches_ahead) / static_cast<double>(replicas);
-  return free_at + base::from_seconds(base::to_seconds(full_call) * rounds);
-}
-
-stage_pool::zone_outlooks stage_pool::outlooks_of(const std::string& name,
-                                                  const model::piece_capacity& capacity,
-                                                  base::time_point now) const {
-  std::map<base::replica_id, base::time_point> busy_until;
-  for (const auto& [call, open] : calls_) {
-    auto& until = busy_until[open.call.target.replica];
-    until =
-        std::max<base::time_point>(until, open.started + usual_time(capacity, open.tickets.size()));
-  }
-  const auto full_call = usual_time(capacity, capacity.batch);
-  zone_outlooks outlooks;
-  for (const auto* replica : replicas_->available(name, now)) {
-    if (filter_ && !filter_(*replica)) {
-      continue;
-    }
-    const auto busy = busy_until.find(replica->record->id);
-    auto free_at = busy == busy_until.end() ? now : std::max(now, busy->second);
-    if (free_room(replica->record->id, capacity, now) < capacity.result_room_bytes * scarce_room) {
-      free_at = std::max<base::time_point>(free_at, now + full_call);
-    }
-    const zone_outlook fresh{free_at, full_call, capacity.batch, 0, 0};
-    auto& outlook = outlooks.try_emplace(replica->record->zone, fresh).first->second;
-    outlook.free_at = std::min(outlook.free_at, free_at);
-    ++outlook.replicas;
-  }
-  return outlooks;
-}
-
-std::vector<stage_pool::queue_position>
-stage_pool::take_batch(std::vector<piece_group>& groups, const replica_state& replica,
-                       zone_outlooks outlooks, const model::piece_capacity& capacity,
-                       base::time_point now) const {
-  double room = free_room(replica.record->id, capacity, now);
-  const double slowness = replica_table::slowness_of(replica, now);
-  const auto delay = slowness < slow ? base::duration::zero()
-                                     : scaled(usual_time(capacity, capacity.batch), slowness - 1);
-  std::vector<queue_position> batch;
-  for (const bool in_time : {true, false}) {
-    for (auto& group : groups) {
-      if (batch.size() == capacity.batch || room <= 0) {
-        return batch;
-      }
-      if (group.pieces.empty() || (group.due > now) != in_time) {
-        continue;
-      }
-      if (in_time && group.due < now + delay) {
-        continue;
-      }
-      if (!may_run_in(group, replica.record->zone, outlooks, now)) {
-        outlooks.at(*group.zone).pieces_ahead += group.pieces.size();
-        continue;
-      }
-      const auto places = capacity.batch - batch.size();
-      const bool divisible = group.pieces.size() > capacity.batch ||
-                             group.result_bytes > capacity.result_room_bytes * planned_room;
-      const bool fits = group.pieces.size() <= places && group.result_bytes <= room;
-      if (!fits && !divisible) {
-        continue;
-      }
-      take_pieces(group, batch, places, room);
-    }
-  }
-  return batch;
-}
-
-void stage_pool::take_pieces(piece_group& group, std::vector<queue_position>& batch,
-                             std::size_t places, double& room) const {
-  std::vector<queue_position> left;
-  for (const auto& position : group.pieces) {
-    const auto& work = pieces_.at(position.ticket).work;
-    if (places == 0 || work.result_bytes > room) {
-      left.push_back(position);
-      continue;
-    }
-    --places;
-    room -= work.result_bytes;
-    group.result_bytes -= work.result_bytes;
-    group.carried_bytes -= work.carried_bytes;
-    batch.push_back(position);
-  }
-  group.pieces = std::move(left);
-}
-
 void stage_pool::start_batch(const std::string& name, const std::vector<queue_position>& batch,
                              service_queue& queue, const replica_state& replica,
                              const model::piece_capacity& capacity, base::time_point now) {
--- /dev/null
+++ b/src/serving/stage_pool_limits.h
@@ -0,0 +1,22 @@
+/// What the queue of a stage pool and the choice of its batches plan with alike.
+#pragma once
+
+#include "base/time.h"
+#include "model/serving_records.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace spurrack::serving {
+
+/// Part of a replica's room that is planned with: sizes of results are approximate.
+inline constexpr double planned_room = 0.95;
+/// A replica whose calls take this many times as long as published is given only what has the time.
+inline constexpr double slow = 1.6;
+
+/// @return time that a call with `size` pieces takes at a healthy replica.
+inline base::duration usual_time(const model::piece_capacity& capacity, std::size_t size) {
+  return std::chrono::duration_cast<base::duration>(capacity.call_time + capacity.item_time * size);
+}
+
+} // namespace spurrack::serving
