--- a/src/base/random.h
+++ b/src/base/random.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace spurrack::base {
 
@@ -27,6 +29,16 @@
   double unit();
 };
 
+/// Takes one of the items out by chance. The order of the others is not kept.
+/// @param items must not be empty.
+template <typename item>
+item take_random(std::vector<item>& items, random_source& random) {
+  std::swap(items[random.below(items.size())], items.back());
+  item taken = std::move(items.back());
+  items.pop_back();
+  return taken;
+}
+
 /// Deterministic generator: the same seed gives the same sequence on every machine.
 class seeded_random final : public random_source {
  public:
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -150,8 +150,8 @@
   void tell_other_zones(wire::outbox& out);
   /// Tells the own zone which other zones this node has heard of.
   void tell_own_zone(base::time_point now, wire::outbox& out) const;
-  /// @return the digest's body, which is part of `out`.
-  wire::zone_digest& add_digest(const base::node_id& to, wire::outbox& out) const;
+  void send_digest(const base::node_id& to, const wire::zone_digest& digest,
+                   wire::outbox& out) const;
   /// @return relays of a zone among some of its nodes.
   [[nodiscard]] std::vector<base::node_id>
   choose_relays(const std::vector<base::node_id>& nodes) const;
--- a/src/membership/membership_contacts.cc
+++ b/src/membership/membership_contacts.cc
@@ -72,10 +72,8 @@
   }
   // Others by chance, so that not everybody turns to the same nodes.
   for (auto* group : {&in_zone, &others}) {
-    for (std::size_t left = group->size(); left > 0; --left) {
-      const auto chosen = random_->below(left);
-      name(*(*group)[chosen]);
-      (*group)[chosen] = (*group)[left - 1];
+    while (!group->empty() && named.size() < max_introductions) {
+      name(*base::take_random(*group, *random_));
     }
   }
 }
@@ -93,30 +91,34 @@
 void membership::tell_other_zones(wire::outbox& out) {
   const auto& view = live();
   const auto rounds = std::max<std::uint64_t>(1, view.zone_nodes.size() / members_per_round);
-  const bool with_members = ++relay_rounds_ % rounds == 0;
+  wire::zone_digest members;
+  if (++relay_rounds_ % rounds == 0) {
+    for (const auto& peer : view.peers) {
+      *members.add_members() = update_of(peer);
+    }
+  }
   for (const auto& [zone, nodes] : view.remote) {
     for (const auto& relay : view.relays.at(zone)) {
-      add_digest(relay, out);
+      send_digest(relay, {}, out);
     }
     // Also to one that may be no relay: views of other zones are often old.
-    auto& body = add_digest(nodes[random_->below(nodes.size())], out);
-    if (with_members) {
-      for (const auto& peer : view.peers) {
-        *body.add_members() = update_of(peer);
-      }
-    }
+    send_digest(nodes[random_->below(nodes.size())], members, out);
   }
 }
 
 void membership::tell_own_zone(base::time_point now, wire::outbox& out) const {
+  wire::zone_digest heard;
+  zones_.tell(heard, now);
   for (const auto& peer : live_peers()) {
-    zones_.tell(add_digest(peer.node, out), now);
+    send_digest(peer.node, heard, out);
   }
 }
 
-wire::zone_digest& membership::add_digest(const base::node_id& to, wire::outbox& out) const {
-  out.push_back({members_.at(to).address, {}});
-  return *out.back().message.mutable_zone_digest();
+void membership::send_digest(const base::node_id& to, const wire::zone_digest& digest,
+                             wire::outbox& out) const {
+  wire::outgoing message{members_.at(to).address, {}};
+  *message.message.mutable_zone_digest() = digest;
+  out.push_back(std::move(message));
 }
 
 float membership::processor_share_of(const base::node_id& node) const {
--- a/src/membership/zone_contact.cc
+++ b/src/membership/zone_contact.cc
@@ -11,7 +11,7 @@
 /// retransmission time (RFC 6298), the gaps stand for one relay of two that is lost.
 constexpr int usual_gaps = 2;
 constexpr int gap_deviations = 4;
-/// Assumed before anything was measured: together they give the longest silence.
+/// Assumed before anything was measured: a limit of 1.2 s.
 constexpr base::duration first_usual_gap = std::chrono::milliseconds(200);
 constexpr base::duration first_gap_deviation = std::chrono::milliseconds(200);
 /// Share of the newest measurement is one over this (RFC 6298).
@@ -71,11 +71,6 @@
   return std::clamp<base::duration>(learned, shortest_silence_limit, longest_silence);
 }
 
-bool zone_contact::is_in_touch(const base::zone_id& zone, base::time_point now) const {
-  const auto found = contacts_.find(zone);
-  return found == contacts_.end() || now - found->second.heard < silence_limit(found->second);
-}
-
 std::set<base::zone_id> zone_contact::silent(base::time_point now) const {
   std::set<base::zone_id> zones;
   for (const auto& [zone, known] : contacts_) {
--- a/src/membership/zone_contact.h
+++ b/src/membership/zone_contact.h
@@ -26,11 +26,9 @@
   void observe(const wire::envelope& message, base::time_point now);
   /// Says how long ago this node itself heard of other zones.
   void tell(wire::zone_digest& digest, base::time_point now) const;
-  /// This process was paused: zones that were in touch before get time to be heard again.
+  /// This process was paused: every zone gets time to be heard again.
   void resume_after_pause(base::time_point now);
 
-  /// @return whether a zone was heard of lately; true for the own zone and for one never heard of.
-  [[nodiscard]] bool is_in_touch(const base::zone_id& zone, base::time_point now) const;
   /// @return zones that were heard of once, and not lately.
   [[nodiscard]] std::set<base::zone_id> silent(base::time_point now) const;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -88,8 +88,7 @@
           now),
       random_(&random), next_periodic_(now) {
   if (settings_.serving) {
-    constexpr std::uint64_t parts = 1000;
-    wait_for_peers_part_ = static_cast<double>(random.below(parts)) / parts;
+    wait_for_peers_part_ = random.unit();
     const serving::fleet_peer self{settings_.self.node, settings_.self.zone, settings_.self.address,
                                    settings_.self.processor_share};
     serving_.emplace(self, *settings_.serving, random, settings_.self.process_start,
@@ -161,12 +160,9 @@
 void node::begin_resync(base::time_point /*now*/) {
   auto peers = replication_peers();
   for (std::size_t asked = 0; asked < most_resync_peers && !peers.empty(); ++asked) {
-    const auto place = random_->below(peers.size());
-    wire::outgoing message{peers[place], {}};
+    wire::outgoing message{base::take_random(peers, *random_), {}};
     message.message.mutable_ping()->set_resync(true);
     outbox_.push_back(std::move(message));
-    peers[place] = peers.back();
-    peers.pop_back();
   }
 }
 
@@ -212,7 +208,7 @@
   update_serving_peers(now);
   executor_.expire_stalled_calls(now);
   read_services(now);
-  if (!ready_ && !replication_peers().empty()) {
+  if (!ready_) {
     begin_resync(now);
   }
   if (hold_until_ && now >= *hold_until_) {
@@ -485,10 +481,7 @@
   }
   for (std::size_t taken = 0; taken < most_remote_replication_peers && !elsewhere.empty();
        ++taken) {
-    const auto place = random_->below(elsewhere.size());
-    addresses.push_back(elsewhere[place]);
-    elsewhere[place] = elsewhere.back();
-    elsewhere.pop_back();
+    addresses.push_back(base::take_random(elsewhere, *random_));
   }
   return addresses;
 }
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -25,6 +25,10 @@
 /// Loads that differ by less are alike.
 constexpr double alike = 0.02;
 
+bool takes_work(const replica_state& state) {
+  return !state.record->draining && !state.left;
+}
+
 } // namespace
 
 replica_table::replica_table(base::zone_id own_zone, const serving_settings& settings,
@@ -59,6 +63,10 @@
   return found == by_address_.end() ? nullptr : find(found->second);
 }
 
+bool replica_table::is_available(const replica_state& state, base::time_point now) const {
+  return takes_work(state) && state.paused_until <= now && is_reachable(state.record->zone);
+}
+
 replica_table::candidates replica_table::usable(const std::string& service,
                                                 const std::set<base::replica_id>& excluded,
                                                 base::time_point now, bool ignore_pauses) {
@@ -69,10 +77,8 @@
   }
   for (const auto& id : ids->second) {
     auto& state = replicas_.at(id);
-    const bool working = !state.record->draining && !state.left;
-    const bool awake =
-        ignore_pauses || (state.paused_until <= now && is_reachable(state.record->zone));
-    if (working && awake && !excluded.contains(id)) {
+    const bool usable_now = ignore_pauses ? takes_work(state) : is_available(state, now);
+    if (usable_now && !excluded.contains(id)) {
       found.push_back(&state);
     }
   }
@@ -143,8 +149,7 @@
   }
   for (const auto& id : ids->second) {
     const auto& state = replicas_.at(id);
-    const bool working = !state.record->draining && !state.left;
-    if (working && state.paused_until <= now && is_reachable(state.record->zone)) {
+    if (is_available(state, now)) {
       found.push_back(&state);
     }
   }
--- a/src/serving/replica_table.h
+++ b/src/serving/replica_table.h
@@ -75,6 +75,8 @@
   [[nodiscard]] std::vector<const replica_state*> available(const std::string& service,
                                                             base::time_point now) const;
 
+  /// @return whether a replica takes work and calls to it are expected to arrive.
+  [[nodiscard]] bool is_available(const replica_state& state, base::time_point now) const;
   /// @return null where the replica is not known any more.
   [[nodiscard]] const replica_state* find(const base::replica_id& id) const;
   /// @return null where no known replica has the address.
--- a/src/serving/stage_exchange_gatherers.cc
+++ b/src/serving/stage_exchange_gatherers.cc
@@ -2,6 +2,7 @@
 #include "serving/stage_exchange.h"
 
 #include "base/hashing.h"
+#include "serving/stage_pool_limits.h"
 
 #include <algorithm>
 #include <iterator>
@@ -21,13 +22,10 @@
 constexpr double least_share_of_strongest = 0.5;
 /// What carrying a megabyte to another region is worth, in seconds of waiting.
 constexpr double seconds_per_remote_megabyte = 0.5;
-/// The same for another zone of the region; as for pieces that leave their zone within a pool.
-constexpr double seconds_per_megabyte_between_zones = 0.2;
 /// What any work in another region is worth, in seconds of waiting.
 constexpr double remote_region_seconds = 0.2;
 /// The same for another zone: its load is known a second late.
 constexpr double remote_zone_seconds = 0.2;
-constexpr double bytes_per_megabyte = 1e6;
 
 } // namespace
 
@@ -175,8 +173,7 @@
 
 bool stage_exchange::is_usable(const base::replica_id& id, base::time_point now) const {
   const auto* replica = replicas_->find(id);
-  return replica != nullptr && !replica->left && replica->paused_until <= now &&
-         replicas_->is_reachable(replica->record->zone);
+  return replica != nullptr && replicas_->is_available(*replica, now);
 }
 
 void stage_exchange::count_usable(base::time_point now) {
--- a/src/serving/stage_pool_batches.cc
+++ b/src/serving/stage_pool_batches.cc
@@ -10,10 +10,6 @@
 namespace spurrack::serving {
 namespace {
 
-/// How long pieces wait for a replica of the zone where they are best made, for each megabyte that
-/// is carried between zones otherwise.
-constexpr double patience_seconds_per_megabyte = 0.2;
-constexpr double bytes_per_megabyte = 1e6;
 /// A replica with less than this part of its room left is not expected to take the next call.
 constexpr double scarce_room = 0.2;
 
@@ -48,7 +44,8 @@
   if (*group.zone == zone || own_zone == outlooks.end()) {
     return true;
   }
-  const double patience = group.carried_bytes / bytes_per_megabyte * patience_seconds_per_megabyte;
+  const double patience =
+      group.carried_bytes / bytes_per_megabyte * seconds_per_megabyte_between_zones;
   if (base::to_seconds(now - group.submitted) >= patience) {
     return true;
   }
--- a/tests/membership/zone_contact_test.cc
+++ b/tests/membership/zone_contact_test.cc
@@ -6,7 +6,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
-#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
--- a/tests/serving/exchange_fleet.h
+++ b/tests/serving/exchange_fleet.h
@@ -6,6 +6,7 @@
 #include "serving_fixture.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -154,6 +155,24 @@
     gatherer.subject.on_call_ended(ended, now);
   }
 
+  /// Lets time pass; answers each call shortly after it was made.
+  /// @param note_call told of each call before its answer.
+  void run_answering(
+      base::duration span,
+      const std::function<void(const exchange_node&, const start_stage_call&)>& note_call =
+          [](const auto&, const auto&) {}) {
+    constexpr base::duration step = std::chrono::milliseconds(20);
+    for (const auto end = now + span; now < end;) {
+      run(step);
+      for (auto& node : nodes) {
+        for (; !node->calls.empty(); node->calls.pop_back()) {
+          note_call(*node, node->calls.back());
+          answer(*node);
+        }
+      }
+    }
+  }
+
   exchange_node& other_than(const exchange_node& node) {
     return nodes[0].get() == &node ? *nodes[1] : *nodes[0];
   }
--- a/tests/serving/stage_exchange_test.cc
+++ b/tests/serving/stage_exchange_test.cc
@@ -22,20 +22,6 @@
     return static_cast<std::size_t>(std::count_if(
         nodes.begin(), nodes.end(), [](const auto& node) { return node->finished.empty(); }));
   }
-
-  /// Answers every call as soon as it is made.
-  void run_answering(base::duration span) {
-    constexpr base::duration step = std::chrono::milliseconds(20);
-    for (const auto end = now + span; now < end;) {
-      run(step);
-      for (auto& node : nodes) {
-        while (!node->calls.empty()) {
-          answer(*node);
-          node->calls.pop_back();
-        }
-      }
-    }
-  }
 };
 
 } // namespace
--- a/tests/serving/zone_shards_test.cc
+++ b/tests/serving/zone_shards_test.cc
@@ -25,18 +25,9 @@
     run(std::chrono::seconds(3));
   }
 
-  /// Lets time pass; answers each call shortly after it was made.
-  void run_answering(base::duration span) {
-    constexpr base::duration step = std::chrono::milliseconds(20);
-    for (const auto end = now + span; now < end;) {
-      run(step);
-      for (auto& node : nodes) {
-        for (; !node->calls.empty(); node->calls.pop_back()) {
-          note_call(*node, node->calls.back());
-          answer(*node);
-        }
-      }
-    }
+  /// Answers each call, and keeps account of who makes calls and where.
+  void run_counting(base::duration span) {
+    run_answering(span, [this](const auto& caller, const auto& call) { note_call(caller, call); });
   }
 
   void note_call(const exchange_node& caller, const start_stage_call& call) {
@@ -57,7 +48,7 @@
   for (auto& node : nodes) {
     submit(*node, node->identity.zone);
   }
-  run_answering(std::chrono::seconds(1));
+  run_counting(std::chrono::seconds(1));
   for (auto& node : nodes) {
     BOOST_TEST(node->finished.size() == 1U);
   }
@@ -71,9 +62,9 @@
     for (auto& node : nodes) {
       submit(*node, node->identity.zone);
     }
-    run_answering(std::chrono::milliseconds(200));
+    run_counting(std::chrono::milliseconds(200));
   }
-  run_answering(std::chrono::seconds(1));
+  run_counting(std::chrono::seconds(1));
   for (auto& node : nodes) {
     BOOST_TEST(node->finished.size() == 20U);
   }
@@ -98,7 +89,7 @@
 
 BOOST_AUTO_TEST_CASE(a_zone_whose_gatherer_is_lost_has_another) {
   submit(*nodes[0], base::zone_id("a"));
-  run_answering(std::chrono::milliseconds(300));
+  run_counting(std::chrono::milliseconds(300));
   BOOST_REQUIRE(callers.size() == 1U);
   silent = *callers.begin();
   callers.clear();
@@ -106,7 +97,7 @@
     node->finished.clear();
     submit(*node, base::zone_id("a"));
   }
-  run_answering(std::chrono::seconds(2));
+  run_counting(std::chrono::seconds(2));
   BOOST_TEST(!callers.contains(silent));
   for (auto& node : nodes) {
     BOOST_TEST((node->identity.node == silent || node->finished.size() == 1U));
