Cut no connection at a planned stop: turn new handshakes away, wait for first requests

Cause: two, both reproduced. (1) Closing the listening socket resets connections that completed their handshake after the last accept. (2) The process ended 200 ms after the last accept although a client that had connected had not sent yet, or this process had not been scheduled to read it: only connections with a byte read counted as busy. Ruled out: the asynchronous accept losing a socket when cancelled (its completion carries no error then). Ways weighed: keep listening to the end and answer "not run" there (the window between the last accept and the close only moves); accept until nothing waits, then close (what stood); a second listening socket (the kernel does not migrate its backlog); shutdown of the listening side (resets the backlog as well). Kept: a packet filter that drops the first packet of new handshakes, 50 ms for those under way, a last accept, the close. A client turned away tries again after its kernel's second and is refused. Change: connection_acceptor, one for both listeners in place of two copies; fresh_connections hold a stop for 2 s at most.

--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -2,6 +2,7 @@
 
 #include "http/awaitable.h"
 #include "http/caller_request_parser.h"
+#include "http/connection_acceptor.h"
 #include "http/endpoint.h"
 #include "http/read_limit.h"
 
@@ -17,6 +18,7 @@
 #include <sys/socket.h>
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -113,9 +115,11 @@
  public:
   caller_server_impl(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
                      settings::caller_limits limits, caller_observer observer)
-      : io_(&io), acceptor_(io, listen), limits_(limits), observer_(std::move(observer)) {
-    asio::co_spawn(io, accept_all(), asio::detached);
-  }
+      : io_(&io), acceptor_(io, listen,
+                            [this](asio::ip::tcp::socket socket) {
+                              asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
+                            }),
+        limits_(limits), observer_(std::move(observer)) {}
 
   void send_answer(base::caller_id caller, execution::answer content) override {
     push(caller, std::move(content));
@@ -128,19 +132,12 @@
   }
   void stop_accepting() override {
     stopping_ = true;
-    // Connections that the kernel has accepted already are served; closing would reset them.
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-      asio::ip::tcp::socket socket(*io_);
-      acceptor_.accept(socket, error);
-      if (!error) {
-        asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
-      }
-    }
-    acceptor_.close(error);
+    fresh_.begin_stop(base::boot_clock::now());
+    acceptor_.stop();
+  }
+  [[nodiscard]] std::size_t busy() const override {
+    return serving_ + fresh_.awaited(base::boot_clock::now());
   }
-  [[nodiscard]] std::size_t busy() const override { return serving_; }
 
  private:
   void push(base::caller_id caller, outgoing_item item) {
@@ -152,17 +149,6 @@
     found->second->wake.cancel();
   }
 
-  asio::awaitable<void> accept_all() {
-    while (acceptor_.is_open()) {
-      boost::system::error_code error;
-      auto socket = co_await acceptor_.async_accept(await_into(error));
-      if (error) {
-        continue;
-      }
-      asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
-    }
-  }
-
   asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
     ++connections_;
     beast::tcp_stream stream(std::move(socket));
@@ -172,9 +158,10 @@
       co_await refuse(stream, request_fault::too_many_connections, "try another node");
     } else {
       beast::flat_buffer buffer;
+      std::optional<fresh_connections::guard> fresh(std::in_place, fresh_);
       bool go_on = true;
       while (go_on) {
-        go_on = co_await serve_one(stream, buffer);
+        go_on = co_await serve_one(stream, buffer, fresh);
       }
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -182,7 +169,8 @@
   }
 
   /// Serves one request. @return whether the connection may carry another.
-  asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+  asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                  std::optional<fresh_connections::guard>& fresh) {
     boost::system::error_code error;
     if (buffer.size() == 0) {
       stream.expires_after(limits_.idle_timeout);
@@ -194,6 +182,7 @@
       buffer.commit(received);
     }
     const count_guard serving(serving_);
+    fresh.reset();
     beast_http::request_parser<beast_http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser.body_limit(limits_.max_body_bytes);
@@ -347,7 +336,8 @@
   static constexpr std::size_t first_read_bytes = 4'096;
 
   asio::io_context* io_;
-  asio::ip::tcp::acceptor acceptor_;
+  connection_acceptor acceptor_;
+  fresh_connections fresh_;
   settings::caller_limits limits_;
   caller_observer observer_;
   bool stopping_ = false;
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -38,7 +38,8 @@
   /// Stops accepting connections, after taking those that wait; those open go on, each until its
   /// next answer.
   virtual void stop_accepting() = 0;
-  /// @return connections on which a request has begun to arrive and is not answered yet.
+  /// @return connections on which a request has begun to arrive and is not answered yet; during a
+  ///         stop also those whose first request may still come.
   [[nodiscard]] virtual std::size_t busy() const = 0;
 };
 
--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "http/answer_writer.h"
 #include "http/awaitable.h"
+#include "http/connection_acceptor.h"
 #include "http/endpoint.h"
 #include "http/read_limit.h"
 #include "http/socket_options.h"
@@ -17,6 +18,7 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -88,9 +90,11 @@
  public:
   ingress_server_impl(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
                       const serving::request_codec& codec, ingress_observer observer)
-      : io_(&io), acceptor_(io, listen), codec_(&codec), observer_(std::move(observer)) {
-    asio::co_spawn(io, accept_all(), asio::detached);
-  }
+      : io_(&io), acceptor_(io, listen,
+                            [this](asio::ip::tcp::socket socket) {
+                              asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
+                            }),
+        codec_(&codec), observer_(std::move(observer)) {}
 
   void carry_out(serving::respond wanted) override {
     const auto found = exchanges_.find(wanted.client);
@@ -145,20 +149,13 @@
   void begin_stop() override { stopping_ = true; }
 
   void stop_accepting() override {
-    // Connections that the kernel has accepted already are served; closing would reset them.
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-      asio::ip::tcp::socket socket(*io_);
-      acceptor_.accept(socket, error);
-      if (!error) {
-        asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
-      }
-    }
-    acceptor_.close(error);
+    fresh_.begin_stop(base::boot_clock::now());
+    acceptor_.stop();
   }
 
-  [[nodiscard]] std::size_t busy() const override { return busy_; }
+  [[nodiscard]] std::size_t busy() const override {
+    return busy_ + fresh_.awaited(base::boot_clock::now());
+  }
   [[nodiscard]] std::size_t connections() const override { return connections_; }
 
  private:
@@ -171,16 +168,6 @@
     client.wake.cancel();
   }
 
-  asio::awaitable<void> accept_all() {
-    while (acceptor_.is_open()) {
-      boost::system::error_code error;
-      auto socket = co_await acceptor_.async_accept(await_into(error));
-      if (!error) {
-        asio::co_spawn(*io_, serve(std::move(socket)), asio::detached);
-      }
-    }
-  }
-
   asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
     ++connections_;
     prepare_socket(socket, unacknowledged_limit);
@@ -189,9 +176,10 @@
       co_await refuse(stream, crowded_refusal);
     } else {
       beast::flat_buffer buffer;
+      std::optional<fresh_connections::guard> fresh(std::in_place, fresh_);
       bool go_on = true;
       while (go_on) {
-        go_on = co_await serve_one(stream, buffer);
+        go_on = co_await serve_one(stream, buffer, fresh);
       }
     }
     boost::system::error_code ignored;
@@ -201,7 +189,8 @@
   }
 
   /// Serves one request. @return whether the connection may carry another.
-  asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+  asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+                                  std::optional<fresh_connections::guard>& fresh) {
     boost::system::error_code error;
     if (buffer.size() == 0) {
       stream.expires_after(limits_.idle_timeout);
@@ -213,6 +202,7 @@
       buffer.commit(received);
     }
     ++busy_;
+    fresh.reset();
     const bool go_on = co_await read_and_answer(stream, buffer);
     --busy_;
     co_return go_on;
@@ -362,7 +352,8 @@
   }
 
   asio::io_context* io_;
-  asio::ip::tcp::acceptor acceptor_;
+  connection_acceptor acceptor_;
+  fresh_connections fresh_;
   const serving::request_codec* codec_;
   ingress_observer observer_;
   model::client_limits limits_;
--- a/src/http/ingress_server.h
+++ b/src/http/ingress_server.h
@@ -39,7 +39,8 @@
   virtual void begin_stop() = 0;
   /// Stops accepting connections, after taking those that wait.
   virtual void stop_accepting() = 0;
-  /// @return connections on which a request has begun to arrive and is not answered yet.
+  /// @return connections on which a request has begun to arrive and is not answered yet; during a
+  ///         stop also those whose first request may still come.
   [[nodiscard]] virtual std::size_t busy() const = 0;
   [[nodiscard]] virtual std::size_t connections() const = 0;
 };
