Honour evacuations of zones; bound what cold replicas get from all nodes; look at stalled calls again

Change: the watch of the configuration covers all that the operator writes (same number of calls); an evacuation is an entry of the catalog, so rumours, comparison and resync carry it; replicas of the zone take no work of any kind, freed results included; a listing shows which have ended.

Cold replicas. Cause: nothing bounded what a cold replica gets from the fleet. Replicas of a zone given back are taken for cold for 3 s: the news of the end can come before theirs.

Stalled calls. Cause: a call without progress was looked at once; where the budget or the choice said no just then, the request was held to its deadline, and the replica was chosen again for the same prompts. Tests with each.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -89,6 +89,13 @@
     }
     return any_record(std::get<0>(std::move(read)));
   }
+  if (key.starts_with(model::evacuation_prefix)) {
+    auto read = model::parse_evacuation(value);
+    if (auto* refused = std::get_if<model::refusal_reason>(&read)) {
+      return std::move(refused->text);
+    }
+    return any_record(std::get<model::evacuation>(std::move(read)));
+  }
   auto parsed = model::parse_record(key, value);
   if (!parsed.value) {
     return describe_faults(parsed.faults);
@@ -136,6 +143,9 @@
                  std::get_if<std::shared_ptr<const model::serving_configuration>>(&value)) {
     serving_ = *fleet;
     ++serving_changes_;
+  } else if (const auto* emptied = std::get_if<model::evacuation>(&value)) {
+    evacuated_zones_.insert(emptied->zone);
+    ++serving_changes_;
   } else {
     replicas_[base::replica_id(name_part(key))] =
         std::get<std::shared_ptr<const model::replica>>(value);
@@ -165,6 +175,8 @@
     ++machine_changes_;
   } else if (key.starts_with(model::replica_prefix)) {
     serving_changes_ += replicas_.erase(base::replica_id(name));
+  } else if (key.starts_with(model::evacuation_prefix)) {
+    serving_changes_ += evacuated_zones_.erase(base::zone_id(name));
   }
 }
 
@@ -173,18 +185,35 @@
                                         base::revision at) const {
   std::vector<wire::catalog_entry> deletions;
   for (const auto& [id, known] : replicas_) {
-    const auto key = std::string(model::replica_prefix) + id.text();
-    if (!listed.contains(key) && revision_of(key) < at) {
-      wire::catalog_entry gone;
-      gone.set_key(key);
-      gone.set_revision(at);
-      gone.set_deleted(true);
-      deletions.push_back(std::move(gone));
-    }
+    add_deletion_if_unlisted(std::string(model::replica_prefix) + id.text(), listed, at, deletions);
+  }
+  return deletions;
+}
+
+std::vector<wire::catalog_entry>
+catalog::deletions_of_unlisted_evacuations(const std::set<std::string>& listed,
+                                           base::revision at) const {
+  std::vector<wire::catalog_entry> deletions;
+  for (const auto& zone : evacuated_zones_) {
+    add_deletion_if_unlisted(std::string(model::evacuation_prefix) + zone.text(), listed, at,
+                             deletions);
   }
   return deletions;
 }
 
+void catalog::add_deletion_if_unlisted(const std::string& key, const std::set<std::string>& listed,
+                                       base::revision at,
+                                       std::vector<wire::catalog_entry>& deletions) const {
+  if (listed.contains(key) || revision_of(key) >= at) {
+    return;
+  }
+  wire::catalog_entry gone;
+  gone.set_key(key);
+  gone.set_revision(at);
+  gone.set_deleted(true);
+  deletions.push_back(std::move(gone));
+}
+
 void catalog::remove_tenant(const base::tenant_id& name) {
   const auto found = tenants_.find(name);
   if (found == tenants_.end()) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -84,12 +84,17 @@
     return serving_;
   }
   [[nodiscard]] const replica_map& replicas() const { return replicas_; }
-  /// Raised whenever the configuration of the serving path or a replica changes.
+  /// Zones whose replicas are to be sent nothing.
+  [[nodiscard]] const std::set<base::zone_id>& evacuated_zones() const { return evacuated_zones_; }
+  /// Raised whenever the configuration of the serving path, a replica or an evacuation changes.
   [[nodiscard]] std::uint64_t serving_changes() const { return serving_changes_; }
-  /// @param listed keys of replicas that a complete listing at revision `at` holds.
+  /// @param listed keys that a complete listing at revision `at` holds.
   /// @return deletions of the known replicas that the listing shows to be gone.
   [[nodiscard]] std::vector<wire::catalog_entry>
   deletions_of_unlisted_replicas(const std::set<std::string>& listed, base::revision at) const;
+  /// The same for evacuations that have ended.
+  [[nodiscard]] std::vector<wire::catalog_entry>
+  deletions_of_unlisted_evacuations(const std::set<std::string>& listed, base::revision at) const;
 
   /// @return revision at which the accepted value of `key` was published; 0 where there is none.
   [[nodiscard]] base::revision revision_of(const std::string& key) const;
@@ -126,7 +131,7 @@
   /// A valid record of any kind.
   using any_record =
       std::variant<model::record, std::shared_ptr<const model::serving_configuration>,
-                   std::shared_ptr<const model::replica>>;
+                   std::shared_ptr<const model::replica>, model::evacuation>;
   /// What came of reading a value: a record, or why it is refused.
   using reading = std::variant<any_record, std::string>;
 
@@ -138,6 +143,10 @@
   void index(const std::string& key, const model::record& value);
   void remove_from_index(const std::string& key);
   void remove_tenant(const base::tenant_id& name);
+  /// Appends the deletion of `key` where a listing at revision `at` shows it to be gone.
+  void add_deletion_if_unlisted(const std::string& key, const std::set<std::string>& listed,
+                                base::revision at,
+                                std::vector<wire::catalog_entry>& deletions) const;
 
   base::safety_switches switches_;
   std::unordered_map<std::string, slot> slots_;
@@ -149,6 +158,7 @@
   std::uint64_t machine_changes_ = 0;
   std::shared_ptr<const model::serving_configuration> serving_;
   replica_map replicas_;
+  std::set<base::zone_id> evacuated_zones_;
   std::uint64_t serving_changes_ = 0;
   base::revision highest_revision_ = 0;
 };
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -128,6 +128,7 @@
                                   given.result_megabytes() * bytes_per_megabyte,
                                   base::from_seconds(given.handle_seconds())};
   }
+  built.cold_requests_per_second = std::max(0.0, published.cold_requests_per_second());
   if (published.has_engine()) {
     built.engine = engine_capacity{std::max(1U, published.engine().slots()),
                                    published.engine().memory_tokens()};
@@ -236,10 +237,25 @@
   built->zone = base::zone_id(published.zone());
   built->slots = std::max(1U, published.slots());
   built->draining = published.draining();
+  built->cold_for = milliseconds_of(published.cold_milliseconds());
   if (built->service.empty() || built->address.empty()) {
     return refusal_reason{"service or address is missing"};
   }
   return built;
 }
 
+evacuation_result parse_evacuation(const std::string& bytes) {
+  wire::published_evacuation published;
+  if (!published.ParseFromString(bytes)) {
+    return refusal_reason{"not an evacuation"};
+  }
+  if (!published.translation_fault().empty()) {
+    return refusal_reason{published.translation_fault()};
+  }
+  if (published.zone().empty()) {
+    return refusal_reason{"zone is missing"};
+  }
+  return evacuation{base::zone_id(published.zone())};
+}
+
 } // namespace spurrack::model
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -97,6 +97,9 @@
   std::uint32_t max_connections = 0;
   std::optional<piece_capacity> pieces;
   std::optional<engine_capacity> engine;
+  /// Requests a second that a replica bears while it is cold, from all nodes together; 0 where
+  /// there is no bound.
+  double cold_requests_per_second = 0;
 };
 
 /// Holder of a key, and what it may claim.
@@ -141,6 +144,13 @@
   base::zone_id zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// How much longer it stays cold, counted from its publication; 0 where it is warm.
+  base::duration cold_for{};
+};
+
+/// The operator asks to send nothing to the replicas of a zone, for as long as this is published.
+struct evacuation {
+  base::zone_id zone;
 };
 
 } // namespace spurrack::model
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -259,12 +259,14 @@
            "service went back to revision " + std::to_string(what.service_revision));
   }
   auto entries = what.entries;
-  if (what.complete && what.source == source_kind::machine_list) {
+  if (what.complete) {
     std::set<std::string> listed;
     for (const auto& entry : entries) {
       listed.insert(entry.key());
     }
-    auto gone = catalog_.deletions_of_unlisted_replicas(listed, what.service_revision);
+    auto gone = what.source == source_kind::machine_list
+                    ? catalog_.deletions_of_unlisted_replicas(listed, what.service_revision)
+                    : catalog_.deletions_of_unlisted_evacuations(listed, what.service_revision);
     std::move(gone.begin(), gone.end(), std::back_inserter(entries));
   }
   replicator_.offer(entries, replication_peers(), outbox_);
@@ -277,10 +279,10 @@
   watches_[static_cast<std::size_t>(what.source)].on_failure(now);
 }
 
-void node::apply_serving_changes() {
+void node::apply_serving_changes(base::time_point now) {
   if (serving_ && catalog_.serving_changes() != seen_serving_changes_) {
     seen_serving_changes_ = catalog_.serving_changes();
-    serving_->update(catalog_);
+    serving_->update(catalog_, now);
   }
 }
 
@@ -303,7 +305,7 @@
 }
 
 void node::apply_machine_changes(base::time_point now) {
-  apply_serving_changes();
+  apply_serving_changes(now);
   if (catalog_.machine_changes() == seen_machine_changes_) {
     return;
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -118,7 +118,7 @@
   void run_periodic(base::time_point now);
   void read_services(base::time_point now);
   void apply_machine_changes(base::time_point now);
-  void apply_serving_changes();
+  void apply_serving_changes(base::time_point now);
   void update_serving_peers(base::time_point now);
   /// @return time after its start at which a node that is not ready reads the services itself.
   [[nodiscard]] base::duration wait_for_peers() const;
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -21,6 +21,9 @@
 /// Part of its time after which a request whose stages are not finished is looked at again.
 constexpr double recheck_part = 0.42;
 constexpr base::duration hopeless_check_period = std::chrono::milliseconds(50);
+/// A call without progress that cannot be made elsewhere is looked at again after this time: a tenth
+/// of the second within which a lost replica's requests are to be taken up.
+constexpr base::duration stall_check_period = std::chrono::milliseconds(100);
 
 std::string seconds_text(base::duration span) {
   char text[32];
@@ -49,13 +52,19 @@
 dispatcher::dispatcher(const fleet_peer& self, const serving_settings& settings,
                        base::random_source& random, base::incarnation life,
                        decision_recorder record)
-    : own_zone_(self.zone), settings_(settings), record_(std::move(record)),
-      replicas_(self.zone, settings, random), retries_(settings.retry),
+    : self_(self), settings_(settings), record_(std::move(record)),
+      replicas_(self.node, self.zone, settings, random), retries_(settings.retry),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
 
 void dispatcher::set_peers(std::vector<fleet_peer> alive, std::size_t known) {
   retries_.set_fleet_size(known + 1);
+  std::map<base::zone_id, std::vector<base::node_id>> nodes;
+  nodes[self_.zone].push_back(self_.node);
+  for (const auto& peer : alive) {
+    nodes[peer.zone].push_back(peer.node);
+  }
+  replicas_.set_nodes(std::move(nodes));
   stages_.set_peers(std::move(alive));
 }
 
@@ -65,9 +74,11 @@
   take_piece_results(now);
 }
 
-void dispatcher::update(const catalog::catalog& content) {
+void dispatcher::update(const catalog::catalog& content, base::time_point now) {
   configuration_ = content.serving();
-  replicas_.update(content.replicas());
+  replicas_.set_configuration(configuration_);
+  replicas_.update(content.replicas(), now);
+  replicas_.set_evacuated(content.evacuated_zones(), now);
   stages_.set_configuration(configuration_);
 }
 
@@ -289,6 +300,9 @@
                " ms");
   }
   ends_.erase({request.ends_at, request.client});
+  if (request.next_check) {
+    checks_.erase({*request.next_check, request.client});
+  }
   active_.erase(request.client);
 }
 
@@ -306,44 +320,69 @@
   }
 }
 
-void dispatcher::give_up_stalled(base::time_point now) {
-  std::vector<base::caller_id> stalled;
-  for (const auto& [client, request] : active_) {
+void dispatcher::schedule_check(active_request& request) {
+  if (!request.call) {
+    return;
+  }
+  auto next = request.call->stalls_at;
+  if (const auto& fetched_at = request.call->inputs_fetched_at) {
+    next = next ? std::min(*next, *fetched_at) : *fetched_at;
+  }
+  if (!next || (request.next_check && *request.next_check <= *next)) {
+    return;
+  }
+  if (request.next_check) {
+    checks_.erase({*request.next_check, request.client});
+  }
+  request.next_check = next;
+  checks_.emplace(*next, request.client);
+}
+
+void dispatcher::check_calls(base::time_point now) {
+  while (!checks_.empty() && checks_.begin()->first <= now) {
+    auto& request = active_.at(checks_.begin()->second);
+    checks_.erase(checks_.begin());
+    request.next_check.reset();
+    free_fetched_inputs(request, now);
     if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
-      stalled.push_back(client);
+      take_up_elsewhere(request, now);
+    } else {
+      schedule_check(request);
     }
   }
-  for (const auto client : stalled) {
-    auto& request = active_.at(client);
+}
+
+void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
+  if (request.sent >= request.route->max_attempts) {
     request.call->stalls_at.reset();
-    if (choose_replica(request, now) == nullptr || !may_send_again(request, now)) {
-      continue;
-    }
-    commands_.emplace_back(cancel_call{request.call->id});
-    const auto call = close_call(request);
-    replicas_.note_failure(call.replica, now);
-    request.may_have_run = true;
-    request.events.restart();
-    record(base::event_kind::stage_retried, request, call.replica.text(), "no progress");
-    send_to_replica(request, now);
+    schedule_check(request);
+    return;
+  }
+  if (choose_replica(request, now) == nullptr || !may_send_again(request, now)) {
+    request.call->stalls_at = now + stall_check_period;
+    schedule_check(request);
+    return;
   }
+  commands_.emplace_back(cancel_call{request.call->id});
+  const auto call = close_call(request);
+  replicas_.note_stalled(call.replica, now);
+  request.may_have_run = true;
+  request.events.restart();
+  record(base::event_kind::stage_retried, request, call.replica.text(), "no progress");
+  send_to_replica(request, now);
 }
 
-void dispatcher::free_fetched_inputs(base::time_point now) {
-  for (auto& [client, request] : active_) {
-    if (request.call && request.call->inputs_fetched_at &&
-        *request.call->inputs_fetched_at <= now) {
-      request.call->inputs_fetched_at.reset();
-      free(request.graph->take_unneeded(true));
-    }
+void dispatcher::free_fetched_inputs(active_request& request, base::time_point now) {
+  if (request.call && request.call->inputs_fetched_at && *request.call->inputs_fetched_at <= now) {
+    request.call->inputs_fetched_at.reset();
+    free(request.graph->take_unneeded(true));
   }
 }
 
 void dispatcher::advance(base::time_point now) {
   expire(now);
-  give_up_stalled(now);
+  check_calls(now);
   give_up_hopeless(now);
-  free_fetched_inputs(now);
   stages_.pump(now);
   if (take_piece_results(now)) {
     // What was finished lets other stages begin.
@@ -365,13 +404,8 @@
   if (!ends_.empty()) {
     consider(ends_.begin()->first);
   }
-  for (const auto& [client, request] : active_) {
-    if (request.call && request.call->stalls_at) {
-      consider(*request.call->stalls_at);
-    }
-    if (request.call && request.call->inputs_fetched_at) {
-      consider(*request.call->inputs_fetched_at);
-    }
+  if (!checks_.empty()) {
+    consider(checks_.begin()->first);
   }
   return earliest;
 }
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -37,7 +37,7 @@
              base::incarnation life, decision_recorder record);
 
   /// Takes over what is published.
-  void update(const catalog::catalog& content);
+  void update(const catalog::catalog& content, base::time_point now);
   /// Takes over the other nodes. @param known nodes known at all, dead ones included.
   void set_peers(std::vector<fleet_peer> alive, std::size_t known);
   /// While off, new requests are answered that they were not run.
@@ -109,6 +109,8 @@
     base::time_point latest_event_at;
     base::duration longest_pause{};
     event_stream events;
+    /// When its call is looked at next; nothing while none is open.
+    std::optional<base::time_point> next_check;
   };
 
   void on(const request_arrived& what, base::time_point now);
@@ -152,6 +154,8 @@
   const replica_state* choose_replica(const active_request& request, base::time_point now);
   /// Ends the account of the open call. @return the call.
   open_call close_call(active_request& request);
+  /// Takes in what an answer says of its replica.
+  void note_state(const base::replica_id& replica, const answer_head& head, base::time_point now);
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// After an attempt that may have run: once more where that is allowed, else the final answer.
   void repeat_or_fail(active_request& request, base::time_point now);
@@ -162,9 +166,16 @@
   static void note_event(active_request& request, base::time_point now);
   void watch_progress(active_request& request, base::duration allowed, base::time_point now);
   void give_up(active_request& request, base::time_point now);
-  void give_up_stalled(base::time_point now);
-  /// Frees results that the replicas have fetched by now.
-  void free_fetched_inputs(base::time_point now);
+  /// Has the call of a request looked at when something of it is due. Later times are left to the
+  /// check that stands, so that an event of a stream costs nothing.
+  void schedule_check(active_request& request);
+  /// Looks at the calls that have a check due: inputs that were fetched, replicas without progress.
+  void check_calls(base::time_point now);
+  /// Makes a call that shows no progress elsewhere, where that is allowed and there is a replica;
+  /// otherwise it is looked at again soon, since either may change.
+  void take_up_elsewhere(active_request& request, base::time_point now);
+  /// @return results that the replica has fetched by now are freed.
+  void free_fetched_inputs(active_request& request, base::time_point now);
   void expire(base::time_point now);
 
   void refuse(base::caller_id client, const base::request_id& id, unsigned status,
@@ -185,7 +196,7 @@
   void record(base::event_kind kind, const active_request& request, const std::string& subject,
               const std::string& detail);
 
-  base::zone_id own_zone_;
+  fleet_peer self_;
   serving_settings settings_;
   decision_recorder record_;
   std::shared_ptr<const model::serving_configuration> configuration_;
@@ -200,6 +211,7 @@
   std::unordered_map<base::call_id, base::caller_id> calls_;
   std::unordered_map<piece_ticket, base::caller_id> tickets_;
   std::set<std::pair<base::time_point, base::caller_id>> ends_;
+  std::set<std::pair<base::time_point, base::caller_id>> checks_;
   serving_counters counters_;
   command_list commands_;
 };
--- a/src/serving/dispatcher_calls.cc
+++ b/src/serving/dispatcher_calls.cc
@@ -87,7 +87,7 @@
          "attempt " + std::to_string(request.sent) + ", own calls " +
              std::to_string(chosen->in_flight) + ", " +
              std::to_string(base::to_milliseconds(wanted.time_left)) + " ms left");
-  replicas_.call_started(chosen->record->id);
+  replicas_.call_started(chosen->record->id, now);
   ++counters_.calls;
   commands_.emplace_back(std::move(wanted));
   watch_progress(request, request.route->target_latency, now);
@@ -96,12 +96,12 @@
 void dispatcher::watch_progress(active_request& request, base::duration allowed,
                                 base::time_point now) {
   request.call->stalls_at.reset();
-  if (!request.route->may_repeat() || allowed <= base::duration::zero()) {
-    return;
+  if (request.route->may_repeat() && allowed > base::duration::zero()) {
+    const bool plain = request.route->kind == model::route_kind::safe;
+    const double factor = plain ? plain_stall_part : 1.0;
+    request.call->stalls_at = now + std::chrono::duration_cast<base::duration>(allowed * factor);
   }
-  const bool plain = request.route->kind == model::route_kind::safe;
-  const double factor = plain ? plain_stall_part : 1.0;
-  request.call->stalls_at = now + std::chrono::duration_cast<base::duration>(allowed * factor);
+  schedule_check(request);
 }
 
 dispatcher::open_call dispatcher::close_call(active_request& request) {
@@ -183,15 +183,21 @@
   }
 }
 
+void dispatcher::note_state(const base::replica_id& replica, const answer_head& head,
+                            base::time_point now) {
+  if (head.load) {
+    replicas_.note_load(replica, *head.load, now);
+  }
+  replicas_.note_cold(replica, head.cold_for, now);
+}
+
 void dispatcher::on(const call_answered& what, base::time_point now) {
   auto* request = find_by_call(what.call);
   if (request == nullptr) {
     return;
   }
   const auto& replica = request->call->replica;
-  if (what.head.load) {
-    replicas_.note_load(replica, *what.head.load, now);
-  }
+  note_state(replica, what.head, now);
   if (what.head.not_executed || what.head.misdirected) {
     on_not_executed(*request, what.head, now);
     return;
@@ -237,9 +243,7 @@
     return;
   }
   const auto replica = request->call->replica;
-  if (what.head.load) {
-    replicas_.note_load(replica, *what.head.load, now);
-  }
+  note_state(replica, what.head, now);
   request->may_have_run = true;
   if (!what.head.sealed || what.head.encoded) {
     commands_.emplace_back(cancel_call{what.call});
--- a/src/serving/dispatcher_stages.cc
+++ b/src/serving/dispatcher_stages.cc
@@ -163,7 +163,7 @@
 
 base::zone_id dispatcher::wanted_zone(const active_request& request, base::time_point now) {
   const auto* expected = choose_replica(request, now);
-  return expected == nullptr ? own_zone_ : expected->record->zone;
+  return expected == nullptr ? self_.zone : expected->record->zone;
 }
 
 } // namespace spurrack::serving
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -25,29 +25,96 @@
 /// Loads that differ by less are alike.
 constexpr double alike = 0.02;
 
-bool takes_work(const replica_state& state) {
-  return !state.record->draining && !state.left;
-}
-
 } // namespace
 
-replica_table::replica_table(base::zone_id own_zone, const serving_settings& settings,
-                             base::random_source& random)
-    : own_zone_(std::move(own_zone)), settings_(settings), random_(&random) {}
+replica_table::replica_table(const base::node_id& self, base::zone_id own_zone,
+                             const serving_settings& settings, base::random_source& random)
+    : own_zone_(std::move(own_zone)), cold_callers_(self), settings_(settings), random_(&random) {}
+
+void replica_table::set_configuration(
+    std::shared_ptr<const model::serving_configuration> configuration) {
+  configuration_ = std::move(configuration);
+  cold_callers_.forget();
+}
 
 void replica_table::update(
-    const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published) {
+    const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
+    base::time_point now) {
   std::erase_if(replicas_, [&](const auto& entry) { return !published.contains(entry.first); });
   by_service_.clear();
   by_address_.clear();
   for (const auto& [id, record] : published) {
     auto& state = replicas_[id];
+    if (state.record != record) {
+      turn_cold(state, record->cold_for, now);
+    }
     state.record = record;
     by_service_[record->service].push_back(id);
     by_address_[record->address] = id;
   }
 }
 
+void replica_table::turn_cold(replica_state& state, base::duration cold_for, base::time_point now) {
+  if (cold_for > base::duration::zero()) {
+    state.cold_until = std::max(state.cold_until, now + cold_for);
+    state.cold_sends.begin(now);
+  }
+}
+
+void replica_table::note_cold(const base::replica_id& id, base::duration cold_for,
+                              base::time_point now) {
+  if (auto* state = mutable_find(id)) {
+    turn_cold(*state, cold_for, now);
+  }
+}
+
+void replica_table::set_evacuated(const std::set<base::zone_id>& zones, base::time_point now) {
+  if (zones == evacuated_) {
+    return;
+  }
+  for (auto& [id, state] : replicas_) {
+    const auto& zone = state.record->zone;
+    if (evacuated_.contains(zone) && !zones.contains(zone)) {
+      turn_cold(state, settings_.cold_after_evacuation, now);
+    }
+  }
+  evacuated_ = zones;
+}
+
+bool replica_table::takes_work(const replica_state& state) const {
+  return !state.record->draining && !state.left && !evacuated_.contains(state.record->zone);
+}
+
+double replica_table::cold_rate_of(const replica_state& state) const {
+  const auto* service =
+      configuration_ ? configuration_->find_service(state.record->service) : nullptr;
+  return service == nullptr ? 0 : service->cold_requests_per_second;
+}
+
+std::optional<cold_share> replica_table::cold_share_of_self(const replica_state& state,
+                                                            base::time_point now) const {
+  if (state.cold_until <= now) {
+    return std::nullopt;
+  }
+  const double rate = cold_rate_of(state);
+  if (rate <= 0) {
+    return std::nullopt;
+  }
+  // One gatherer calls a replica that works on pieces.
+  const bool sole_caller = configuration_->find_service(state.record->service)->pieces.has_value();
+  const auto share = cold_share_of(settings_.cold, rate, sole_caller);
+  const auto& record = *state.record;
+  if (!sole_caller && !cold_callers_.includes_self(record.id, record.zone, share.callers)) {
+    return cold_share{0, 0};
+  }
+  return share;
+}
+
+bool replica_table::bears_request(const replica_state& state, base::time_point now) const {
+  const auto share = cold_share_of_self(state, now);
+  return !share || (share->callers > 0 && state.cold_sends.has_token(*share, now));
+}
+
 replica_state* replica_table::mutable_find(const base::replica_id& id) {
   const auto found = replicas_.find(id);
   return found == replicas_.end() ? nullptr : &found->second;
@@ -64,7 +131,8 @@
 }
 
 bool replica_table::is_available(const replica_state& state, base::time_point now) const {
-  return takes_work(state) && state.paused_until <= now && is_reachable(state.record->zone);
+  return takes_work(state) && state.paused_until <= now && is_reachable(state.record->zone) &&
+         bears_request(state, now);
 }
 
 replica_table::candidates replica_table::usable(const std::string& service,
@@ -77,7 +145,8 @@
   }
   for (const auto& id : ids->second) {
     auto& state = replicas_.at(id);
-    const bool usable_now = ignore_pauses ? takes_work(state) : is_available(state, now);
+    const bool usable_now =
+        ignore_pauses ? takes_work(state) && bears_request(state, now) : is_available(state, now);
     if (usable_now && !excluded.contains(id)) {
       found.push_back(&state);
     }
@@ -159,9 +228,14 @@
   return found;
 }
 
-void replica_table::call_started(const base::replica_id& id) {
-  if (auto* state = mutable_find(id)) {
-    ++state->in_flight;
+void replica_table::call_started(const base::replica_id& id, base::time_point now) {
+  auto* state = mutable_find(id);
+  if (state == nullptr) {
+    return;
+  }
+  ++state->in_flight;
+  if (const auto share = cold_share_of_self(*state, now)) {
+    state->cold_sends.take(*share, now);
   }
 }
 
@@ -214,6 +288,11 @@
   }
 }
 
+void replica_table::note_stalled(const base::replica_id& id, base::time_point now) {
+  note_failure(id, now);
+  note_unreachable(id, now);
+}
+
 void replica_table::note_unreachable(const base::replica_id& id, base::time_point now) {
   auto* state = mutable_find(id);
   if (state == nullptr) {
--- a/src/serving/replica_table.h
+++ b/src/serving/replica_table.h
@@ -6,6 +6,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "model/serving_records.h"
+#include "serving/cold_limit.h"
 #include "serving/events.h"
 #include "serving/settings.h"
 
@@ -40,17 +41,33 @@
   /// How many times as long as published its calls took of late, and when that was seen last.
   double slowness = 1;
   base::time_point slowness_seen_at;
+  /// It is slow until then and bears few requests.
+  base::time_point cold_until;
+  /// Requests that this node may send it while it is cold.
+  cold_bucket cold_sends;
 };
 
 /// Not thread-safe.
 class replica_table {
  public:
   /// @param random must outlive the table.
-  replica_table(base::zone_id own_zone, const serving_settings& settings,
+  replica_table(const base::node_id& self, base::zone_id own_zone, const serving_settings& settings,
                 base::random_source& random);
 
   /// Takes over the published replicas; what was seen of those that stay is kept.
-  void update(const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published);
+  void update(const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
+              base::time_point now);
+  void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
+  /// Nodes that are alive, this one among them, by zone.
+  void set_nodes(std::map<base::zone_id, std::vector<base::node_id>> by_zone) {
+    cold_callers_.set_nodes(std::move(by_zone));
+  }
+  /// Zones whose replicas are sent nothing. Those of zones that are given back may have turned cold
+  /// shortly before, which is heard later: they are taken for cold for a while.
+  void set_evacuated(const std::set<base::zone_id>& zones, base::time_point now);
+  [[nodiscard]] bool is_evacuated(const base::zone_id& zone) const {
+    return evacuated_.contains(zone);
+  }
 
   /// Zones that cannot be reached now: their replicas are chosen only where there are no others.
   void set_unreachable(std::set<base::zone_id> zones) { unreachable_ = std::move(zones); }
@@ -82,7 +99,9 @@
   /// @return null where no known replica has the address.
   [[nodiscard]] const replica_state* find_at(const base::network_address& address) const;
 
-  void call_started(const base::replica_id& id);
+  void call_started(const base::replica_id& id, base::time_point now);
+  /// A replica says that it stays cold for this time.
+  void note_cold(const base::replica_id& id, base::duration cold_for, base::time_point now);
   void call_ended(const base::replica_id& id);
   void note_load(const base::replica_id& id, const replica_load& load, base::time_point now);
   void note_success(const base::replica_id& id);
@@ -93,6 +112,9 @@
   ///         to 1 while the replica is given nothing, so that it is tried again.
   [[nodiscard]] static double slowness_of(const replica_state& state, base::time_point now);
   void note_failure(const base::replica_id& id, base::time_point now);
+  /// A call to it made no progress: it may be dark, which its connections do not show. It rests like
+  /// one that could not be reached, so that the next prompt of the same kind is not lost on it too.
+  void note_stalled(const base::replica_id& id, base::time_point now);
   void note_unreachable(const base::replica_id& id, base::time_point now);
   void note_full(const base::replica_id& id, base::time_point now);
   void note_left(const base::replica_id& id);
@@ -104,11 +126,25 @@
   [[nodiscard]] candidates usable(const std::string& service,
                                   const std::set<base::replica_id>& excluded, base::time_point now,
                                   bool ignore_pauses);
+  /// @return whether a replica may be given anything at all.
+  [[nodiscard]] bool takes_work(const replica_state& state) const;
+  /// @return requests a second that a replica bears while cold; 0 where it has no bound.
+  [[nodiscard]] double cold_rate_of(const replica_state& state) const;
+  /// @return what this node may send a replica while it is cold; nothing where that has no bound.
+  [[nodiscard]] std::optional<cold_share> cold_share_of_self(const replica_state& state,
+                                                             base::time_point now) const;
+  /// @return whether a replica is warm, or cold and this node may send it a request now.
+  [[nodiscard]] bool bears_request(const replica_state& state, base::time_point now) const;
+  static void turn_cold(replica_state& state, base::duration cold_for, base::time_point now);
   [[nodiscard]] double load_of(const replica_state& state, base::time_point now) const;
   replica_state* mutable_find(const base::replica_id& id);
 
   base::zone_id own_zone_;
   std::set<base::zone_id> unreachable_;
+  std::set<base::zone_id> evacuated_;
+  std::shared_ptr<const model::serving_configuration> configuration_;
+  /// Finds answers on demand and keeps them.
+  mutable cold_callers cold_callers_;
   serving_settings settings_;
   base::random_source* random_;
   std::map<base::replica_id, replica_state> replicas_;
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -84,6 +84,8 @@
   /// The replica closes its connections: it may be leaving.
   bool closing = false;
   std::optional<replica_load> load;
+  /// How much longer the replica stays cold; 0 where it does not say.
+  base::duration cold_for{};
 };
 
 } // namespace spurrack::serving
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -3,6 +3,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "serving/cold_limit.h"
 
 #include <cstddef>
 #include <map>
@@ -24,6 +25,11 @@
   /// Region of each zone. Zones that are not named are regions of their own.
   std::map<base::zone_id, std::string> regions;
   retry_limits retry;
+  /// Bounds on what replicas get that have just started or lost what they keep warm.
+  cold_bounds cold;
+  /// Replicas of a zone that is given back after an evacuation are taken for cold for this time:
+  /// two of their usual reports of 1.2 s and the way of the news.
+  base::duration cold_after_evacuation = std::chrono::milliseconds(3000);
   /// How long a request that found no replica is told to stay away.
   base::duration retry_after = std::chrono::milliseconds(300);
   /// A replica has fetched the results a request needs this long after it got the request; 0 waits
--- a/src/serving/stage_exchange_gatherers.cc
+++ b/src/serving/stage_exchange_gatherers.cc
@@ -54,8 +54,9 @@
   for (const auto& [id, replica] : replicas_->all()) {
     const auto* service =
         configuration_ ? configuration_->find_service(replica.record->service) : nullptr;
-    if (service != nullptr && service->pieces && !replica.record->draining) {
-      const auto& zone = replica.record->zone;
+    const auto& zone = replica.record->zone;
+    const bool takes_work = !replica.record->draining && !replicas_->is_evacuated(zone);
+    if (service != nullptr && service->pieces && takes_work) {
       groups[{service->name, region_of(zone)}][zone].push_back(id);
     }
   }
@@ -227,7 +228,7 @@
     const auto& zone = peer.peer.zone;
     // In the own zone this node's assignment decides: two gatherers would share the replicas.
     if (gathers && zone != self_.zone && !is_assigned(node) && peer_directory::is_fit(peer) &&
-        replicas_->is_reachable(zone)) {
+        replicas_->is_reachable(zone) && !replicas_->is_evacuated(zone)) {
       found.push_back({node, region_of(zone), zone, load->second.replicas()});
     }
   }
--- a/src/serving/stage_pool.cc
+++ b/src/serving/stage_pool.cc
@@ -224,7 +224,9 @@
 void stage_pool::release(const std::string& handle) {
   forget_result(handle);
   const auto maker = maker_of(handle);
-  if (replicas_->find_at(maker) == nullptr) {
+  const auto* replica = replicas_->find_at(maker);
+  // Nothing is sent to an evacuated zone; what lies there expires.
+  if (replica == nullptr || replicas_->is_evacuated(replica->record->zone)) {
     return;
   }
   for (auto& wanted : commands_) {
@@ -449,7 +451,7 @@
       scaled(usual_time(capacity, open.tickets.size()), replica_table::slowness_of(replica, now));
   open.give_up_at = now + scaled(usual, stall_factor) + stall_margin;
   commands_.emplace_back(open.call);
-  replicas_->call_started(replica.record->id);
+  replicas_->call_started(replica.record->id, now);
   ++calls_at_[replica.record->id];
   calls_.emplace(open.call.call, std::move(open));
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -154,6 +154,9 @@
   retry.allowance = section->number("retry_allowance", 0, 1e6, retry.allowance);
   retry.window = base::from_seconds(
       section->number("retry_window_s", 0.1, 3600, base::to_seconds(retry.window)));
+  auto& cold = serving.cold;
+  cold.factor = section->number("cold_factor", 0, 100, cold.factor);
+  cold.allowance = section->number("cold_allowance", 0, 1e6, cold.allowance);
   constexpr double usual_grace_seconds = 8;
   const double grace = section->number("stop_grace_s", 1, 600, usual_grace_seconds);
   serving.stop_longest = base::from_seconds(std::max(grace - end_margin_seconds, grace / 2));
--- /dev/null
+++ b/tests/catalog/evacuation_entries_test.cc
@@ -0,0 +1,70 @@
+/// Evacuations among the entries of the catalog: published, ended, missed.
+#include "catalog/catalog.h"
+#include "model/serving_record_parser.h"
+#include "wire/published.pb.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+
+namespace {
+
+wire::catalog_entry evacuation_entry(const std::string& zone, base::revision revision) {
+  wire::published_evacuation record;
+  record.set_zone(zone);
+  wire::catalog_entry entry;
+  entry.set_key(std::string(model::evacuation_prefix) + zone);
+  entry.set_revision(revision);
+  entry.set_value(record.SerializeAsString());
+  return entry;
+}
+
+wire::catalog_entry deletion_entry(const std::string& zone, base::revision revision) {
+  auto entry = evacuation_entry(zone, revision);
+  entry.set_deleted(true);
+  entry.clear_value();
+  return entry;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(evacuation_entries)
+
+BOOST_AUTO_TEST_CASE(news_that_arrive_out_of_order_leave_the_newest_in_force) {
+  catalog::catalog content;
+  content.apply(evacuation_entry("a", 3));
+  BOOST_TEST(content.evacuated_zones().contains(base::zone_id("a")));
+  const auto changes = content.serving_changes();
+  content.apply(deletion_entry("a", 5));
+  BOOST_TEST(content.evacuated_zones().empty());
+  BOOST_TEST(content.serving_changes() > changes);
+  content.apply(evacuation_entry("a", 4));
+  BOOST_TEST(content.evacuated_zones().empty());
+  content.apply(evacuation_entry("a", 6));
+  BOOST_TEST(content.evacuated_zones().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_shows_what_has_ended) {
+  catalog::catalog content;
+  content.apply(evacuation_entry("a", 3));
+  content.apply(evacuation_entry("b", 4));
+  content.apply(evacuation_entry("c", 9));
+  const auto gone = content.deletions_of_unlisted_evacuations({"evacuations/b"}, 8);
+  BOOST_REQUIRE(gone.size() == 1U);
+  BOOST_TEST(gone.front().key() == "evacuations/a");
+  BOOST_TEST(gone.front().deleted());
+  // `c` began after the listing was read.
+  content.apply(gone.front());
+  BOOST_TEST(content.evacuated_zones().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_record_leaves_what_is_in_force) {
+  catalog::catalog content;
+  content.apply(evacuation_entry("a", 3));
+  auto bad = evacuation_entry("a", 4);
+  bad.set_value("\xff\xff");
+  BOOST_TEST((content.apply(bad).verdict == catalog::apply_verdict::rejected));
+  BOOST_TEST(content.evacuated_zones().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -123,4 +123,35 @@
   BOOST_TEST(model::parse_replica(bad.SerializeAsString()).index() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_says_how_long_it_stays_cold) {
+  const auto parsed_with = [](const std::string& cold) {
+    const auto text = R"({"service":"llm","address":"10.0.0.1:80","cold_left_ms":)" + cold + "}";
+    return model::parse_replica(platform::translate_replica("i-1", text).SerializeAsString());
+  };
+  BOOST_TEST(base::to_milliseconds(std::get<0>(parsed_with("2500"))->cold_for) == 2500);
+  BOOST_TEST(base::to_milliseconds(std::get<0>(parsed_with("0"))->cold_for) == 0);
+  BOOST_TEST(parsed_with("-1").index() == 1);
+  BOOST_TEST(parsed_with("1e12").index() == 1);
+  BOOST_TEST(parsed_with("\"soon\"").index() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_service_says_what_its_cold_replicas_bear) {
+  const auto text = R"({"version":1,"services":[{"name":"llm","cold_per_s":6.7}]})";
+  const auto configuration = std::get<0>(parsed(text));
+  BOOST_TEST(configuration->find_service("llm")->cold_requests_per_second == 6.7);
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuation_stands_whatever_its_value_says) {
+  BOOST_TEST(platform::catalog_key_of("op/evacuate/north") == "evacuations/north");
+  BOOST_TEST(platform::catalog_key_of("op/config") == "serving/configuration");
+  BOOST_TEST(platform::catalog_key_of("op/other") == "");
+  for (const std::string value : {"{}", "", "[1", "{\"zone\":\"other\"}"}) {
+    const auto read =
+        model::parse_evacuation(platform::translate_value("op/evacuate/north", value));
+    BOOST_TEST(std::get<model::evacuation>(read).zone.text() == "north");
+  }
+  const auto nameless = platform::translate_value("op/evacuate/", "{}");
+  BOOST_TEST(model::parse_evacuation(nameless).index() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/dispatcher_test.cc
+++ b/tests/serving/dispatcher_test.cc
@@ -124,7 +124,7 @@
 BOOST_AUTO_TEST_CASE(a_replica_that_drains_or_is_gone_gets_nothing) {
   world.add_replica("plain-a", "plain", "a", true);
   world.remove_replica("plain-b");
-  subject.update(world.content);
+  subject.update(world.content, now);
   arrive(1, "/safe/x");
   BOOST_TEST(all<start_call>().empty());
   BOOST_TEST(last<respond>().status == 503);
@@ -294,7 +294,7 @@
   // Found by trouble-2 of hccsa-spurrack: a whole answer was written into the stream.
   world.configuration.mutable_routes(4)->set_resumable(true);
   world.publish_configuration();
-  subject.update(world.content);
+  subject.update(world.content, now);
   arrive(1, "/staged/x", {1, 1});
   for (const std::string handle : {"/1", "/2"}) {
     pass(std::chrono::milliseconds(20));
@@ -354,4 +354,47 @@
   BOOST_TEST(subject.active() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_stalled_call_is_looked_at_again_until_there_is_another_replica) {
+  world.add_replica("llm-b", "llm", "b", true);
+  subject.update(world.content, now);
+  arrive(1, "/stream/x");
+  BOOST_TEST(last<start_call>().target.replica.text() == "llm-a");
+  // Its target passes while there is no other replica.
+  pass(std::chrono::milliseconds(1500));
+  BOOST_TEST(all<start_call>().size() == 1U);
+  world.add_replica("llm-b", "llm", "b");
+  subject.update(world.content, now);
+  pass(std::chrono::milliseconds(150));
+  BOOST_TEST(all<start_call>().size() == 2U);
+  BOOST_TEST(last<start_call>().target.replica.text() == "llm-b");
+  BOOST_TEST(last<cancel_call>().call == all<start_call>().front().call);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_without_progress_rests) {
+  arrive(1, "/stream/x");
+  const auto first = last<start_call>();
+  pass(std::chrono::milliseconds(1100));
+  BOOST_TEST(all<start_call>().size() == 2U);
+  for (base::caller_id client = 2; client < 8; ++client) {
+    arrive(client, "/stream/x");
+    BOOST_TEST(last<start_call>().target.replica != first.target.replica);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(events_of_a_stream_put_its_stall_off) {
+  time_allowed = std::chrono::seconds(20);
+  arrive(1, "/stream/x");
+  const auto call = last<start_call>();
+  happen(stream_opened{call.call, good_head()});
+  for (int event = 1; event <= 20; ++event) {
+    happen(stream_bytes{call.call, "id: " + std::to_string(event) + "\ndata: x\n\n"});
+    pass(std::chrono::milliseconds(200));
+  }
+  BOOST_TEST(all<start_call>().size() == 1U);
+  // Two and a half times the longest pause in time.
+  pass(std::chrono::milliseconds(1100));
+  BOOST_TEST(all<start_call>().size() == 2U);
+  BOOST_TEST(*last<start_call>().resume_after == 20U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/serving/evacuation_test.cc
@@ -0,0 +1,166 @@
+/// Evacuations of zones: what is sent while one stands, and after it has ended.
+#include "exchange_fleet.h"
+#include "serving_fixture.h"
+
+#include <set>
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct evacuated_dispatcher : dispatcher_driver {
+  /// Zone of the replica that a call goes to; replicas are named `SERVICE-ZONE`.
+  static std::string zone_of(const start_call& call) {
+    const auto name = call.target.replica.text();
+    return name.substr(name.rfind('-') + 1);
+  }
+
+  std::set<std::string> zones_of_calls() const {
+    std::set<std::string> zones;
+    for (const auto& call : all<start_call>()) {
+      zones.insert(zone_of(call));
+    }
+    return zones;
+  }
+
+  void evacuate(const std::string& zone) {
+    world.evacuate(zone);
+    subject.update(world.content, now);
+  }
+
+  void end_evacuation(const std::string& zone) {
+    world.end_evacuation(zone);
+    subject.update(world.content, now);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(evacuation_test, evacuated_dispatcher)
+
+BOOST_AUTO_TEST_CASE(plain_calls_and_streams_avoid_the_zone) {
+  evacuate("a");
+  for (base::caller_id client = 1; client <= 20; ++client) {
+    arrive(client, client % 2 == 0 ? "/safe/x" : "/stream/x");
+  }
+  BOOST_TEST(all<start_call>().size() == 20U);
+  BOOST_TEST(zones_of_calls() == std::set<std::string>{"b"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(an_attempt_after_a_failure_avoids_the_zone) {
+  arrive(1, "/safe/x");
+  BOOST_TEST(zone_of(last<start_call>()) == "a");
+  // The other zone is the only one left, and then none is.
+  evacuate("b");
+  happen(call_failed{last<start_call>().call, call_fate::may_have_run});
+  BOOST_TEST(all<start_call>().size() == 1U);
+  BOOST_TEST(last<respond>().status == 502U);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_avoids_the_zone) {
+  arrive(1, "/stream/x");
+  const auto first = last<start_call>();
+  happen(stream_opened{first.call, good_head()});
+  happen(stream_bytes{first.call, "id: 1\ndata: x\n\n"});
+  evacuate(zone_of(first) == "a" ? "b" : "a");
+  happen(stream_closed{first.call, false});
+  BOOST_TEST(all<start_call>().size() == 1U);
+  BOOST_TEST(!last<end_stream>().complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_that_is_the_only_one_with_a_service_is_refused_at_once) {
+  world.remove_replica("plain-b");
+  evacuate("a");
+  arrive(1, "/safe/x");
+  BOOST_TEST(all<start_call>().empty());
+  BOOST_TEST(last<respond>().status == 503U);
+  BOOST_TEST(subject.active() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(evacuations_overlap_and_come_again) {
+  evacuate("a");
+  evacuate("b");
+  arrive(1, "/safe/x");
+  BOOST_TEST(last<respond>().status == 503U);
+  end_evacuation("a");
+  arrive(2, "/safe/x");
+  BOOST_TEST(zone_of(last<start_call>()) == "a");
+  evacuate("a");
+  end_evacuation("b");
+  arrive(3, "/safe/x");
+  BOOST_TEST(zone_of(last<start_call>()) == "b");
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuation_of_an_unknown_zone_changes_nothing) {
+  evacuate("elsewhere");
+  arrive(1, "/safe/x");
+  BOOST_TEST(zone_of(last<start_call>()) == "a");
+}
+
+BOOST_AUTO_TEST_CASE(pieces_and_frees_avoid_the_zone) {
+  time_allowed = seconds(20);
+  arrive(1, "/staged/x", {1, 1});
+  pass(milliseconds(50));
+  const auto first = last<start_stage_call>();
+  const auto name = first.target.replica.text();
+  const auto zone = name.substr(name.rfind('-') + 1);
+  evacuate(zone);
+  happen(stage_call_ended{first.call,
+                          stage_call_ended::result::answered,
+                          {{piece_fault::none, first.target.address.text() + "/h"}},
+                          std::nullopt,
+                          false});
+  pass(milliseconds(50));
+  BOOST_TEST(all<start_stage_call>().size() == 2U);
+  BOOST_TEST(last<start_stage_call>().target.replica.text() != name);
+  happen(client_left{1});
+  pass(milliseconds(50));
+  for (const auto& freed : all<free_results>()) {
+    BOOST_TEST(freed.maker != first.target.address);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_that_is_given_back_is_taken_for_cold_for_a_while) {
+  world.configuration.mutable_services(0)->set_cold_requests_per_second(4);
+  world.publish_configuration();
+  evacuate("a");
+  end_evacuation("a");
+  for (base::caller_id client = 1; client <= 10; ++client) {
+    arrive(client, "/stream/x");
+  }
+  // Nothing of the allowance has been saved up yet.
+  BOOST_TEST(zones_of_calls() == std::set<std::string>{"b"}, boost::test_tools::per_element());
+  pass(serving_settings{}.cold_after_evacuation);
+  commands.clear();
+  for (base::caller_id client = 11; client <= 20; ++client) {
+    arrive(client, "/stream/x");
+  }
+  BOOST_TEST(zones_of_calls().contains("a"));
+}
+
+BOOST_AUTO_TEST_CASE(gatherers_make_no_calls_to_the_zone) {
+  exchange_fleet fleet(6, 2, one_region());
+  fleet.world.evacuate("a");
+  for (auto& node : fleet.nodes) {
+    node->replicas.set_evacuated(fleet.world.content.evacuated_zones(), fleet.now);
+    node->subject.set_configuration(fleet.world.content.serving());
+  }
+  for (auto& node : fleet.nodes) {
+    for (int piece = 0; piece < 5; ++piece) {
+      fleet.submit(*node);
+    }
+  }
+  std::set<std::string> called;
+  fleet.run_answering(seconds(3), [&](const exchange_node&, const start_stage_call& call) {
+    called.insert(call.target.replica.text());
+  });
+  BOOST_TEST(called == std::set<std::string>{"pool-b"}, boost::test_tools::per_element());
+  for (const auto& node : fleet.nodes) {
+    BOOST_TEST(node->finished.size() == 5U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/exchange_fleet.h
+++ b/tests/serving/exchange_fleet.h
@@ -28,11 +28,11 @@
 struct exchange_node {
   exchange_node(const fleet_peer& self, published_world& world, std::uint64_t life,
                 const serving_settings& settings = {})
-      : identity(self), random(life), replicas(self.zone, {}, random),
+      : identity(self), random(life), replicas(self.node, self.zone, {}, random),
         subject(
             self, replicas, settings, [this] { return next_call++; }, life,
             [](auto, const auto&, const auto&, const auto&) {}) {
-    replicas.update(world.content.replicas());
+    replicas.update(world.content.replicas(), {});
     subject.set_configuration(world.content.serving());
   }
 
--- a/tests/serving/serving_fixture.h
+++ b/tests/serving/serving_fixture.h
@@ -73,9 +73,21 @@
     return route;
   }
 
+  /// Asks that nothing be sent to the replicas of a zone.
+  void evacuate(const std::string& zone) {
+    wire::published_evacuation evacuation;
+    evacuation.set_zone(zone);
+    put(std::string(model::evacuation_prefix) + zone, evacuation.SerializeAsString(), false);
+  }
+
+  void end_evacuation(const std::string& zone) {
+    put(std::string(model::evacuation_prefix) + zone, "", true);
+  }
+
   void add_replica(const std::string& id, const std::string& service, const std::string& zone,
-                   bool draining = false) {
+                   bool draining = false, std::uint32_t cold_milliseconds = 0) {
     wire::published_replica replica;
+    replica.set_cold_milliseconds(cold_milliseconds);
     replica.set_id(id);
     replica.set_service(service);
     replica.set_address("10.0.0." + std::to_string(addresses_++) + ":80");
@@ -118,7 +130,7 @@
       : random(1),
         subject({base::node_id("n"), base::zone_id("a"), base::network_address("n:1")}, settings,
                 random, 1, [](auto, const auto&, const auto&, const auto&) {}) {
-    subject.update(world.content);
+    subject.update(world.content, now);
   }
 
   /// Sends a request and takes the commands it leads to.
--- a/tests/serving/stage_pool_test.cc
+++ b/tests/serving/stage_pool_test.cc
@@ -9,11 +9,11 @@
 
 struct pool_driver {
   pool_driver()
-      : random(1), replicas(base::zone_id("a"), {}, random),
+      : random(1), replicas(base::node_id("n"), base::zone_id("a"), {}, random),
         pool(
             replicas, {}, [this] { return next_call++; },
             [](auto, const auto&, const auto&, const auto&) {}) {
-    replicas.update(world.content.replicas());
+    replicas.update(world.content.replicas(), {});
     pool.set_configuration(world.content.serving());
   }
 
--- a/tests/serving/zone_shards_test.cc
+++ b/tests/serving/zone_shards_test.cc
@@ -19,7 +19,7 @@
       }
     }
     for (auto& node : nodes) {
-      node->replicas.update(world.content.replicas());
+      node->replicas.update(world.content.replicas(), now);
       node->subject.set_configuration(world.content.serving());
     }
     run(std::chrono::seconds(3));
