--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -18,9 +18,10 @@
 constexpr double admitted_target_part = 1.3;
 /// Clients stay away for a third of the time they have left at the most.
 constexpr double longest_retry_after_part = 0.3;
-/// Part of its time after which a request whose stages are not finished is looked at again.
-constexpr double recheck_part = 0.42;
-constexpr base::duration hopeless_check_period = std::chrono::milliseconds(50);
+/// Part of its time after which a request whose stages are not finished is judged again, and the
+/// part between two judgements from then on: what it needs changes with every replica that is lost.
+constexpr double first_judgement_part = 0.42;
+constexpr double judgement_step_part = 0.08;
 /// A call without progress that cannot be made elsewhere is looked at again after this time: a
 /// tenth of the second within which a lost replica's requests are to be taken up.
 constexpr base::duration stall_check_period = std::chrono::milliseconds(100);
@@ -163,9 +164,15 @@
     answer_not_run(active, "deadline passed on arrival", now);
     return;
   }
-  if (!refuse_hopeless(active, now)) {
-    go_on(active, now);
+  if (refuse_hopeless(active, now)) {
+    return;
+  }
+  if (settings_.refuse_early && active.graph) {
+    const auto allowed_by_client = client_leaves_at(active) - active.arrived;
+    active.judge_at = active.arrived + scaled(allowed_by_client, first_judgement_part);
+    schedule_check(active);
   }
+  go_on(active, now);
 }
 
 std::optional<base::duration> dispatcher::expected_time(const active_request& request,
@@ -211,31 +218,24 @@
   return true;
 }
 
-void dispatcher::give_up_hopeless(base::time_point now) {
-  if (!settings_.refuse_early || now < next_hopeless_check_) {
-    return;
+bool dispatcher::give_up_hopeless(active_request& request, base::time_point now) {
+  if (!request.judge_at || now < *request.judge_at) {
+    return false;
   }
-  next_hopeless_check_ = now + hopeless_check_period;
-  std::vector<base::caller_id> hopeless;
-  for (auto& [client, request] : active_) {
-    const auto allowed = client_leaves_at(request) - request.arrived;
-    const bool halfway = now - request.arrived >= scaled(allowed, recheck_part);
-    if (!request.graph || request.graph->done() || request.rechecked || !halfway ||
-        request.may_have_run) {
-      continue;
-    }
-    request.rechecked = true;
-    const auto target_at = request.arrived + request.route->target_latency;
-    const auto in_time = expected_time(request, piece_standing::in_time, now);
-    const bool is_late = !in_time || now + *in_time > target_at;
-    const auto expected = is_late ? expected_time(request, piece_standing::past_due, now) : in_time;
-    if (!expected || now + *expected > client_leaves_at(request)) {
-      hopeless.push_back(client);
-    }
+  const auto allowed = client_leaves_at(request) - request.arrived;
+  request.judge_at = now + scaled(allowed, judgement_step_part);
+  if (request.graph->done() || request.may_have_run) {
+    return false;
   }
-  for (const auto client : hopeless) {
-    answer_not_run(active_.at(client), "its stages cannot end in time", now);
+  const auto target_at = request.arrived + request.route->target_latency;
+  const auto in_time = expected_time(request, piece_standing::in_time, now);
+  const bool is_late = !in_time || now + *in_time > target_at;
+  const auto expected = is_late ? expected_time(request, piece_standing::past_due, now) : in_time;
+  if (expected && now + *expected <= client_leaves_at(request)) {
+    return false;
   }
+  answer_not_run(request, "its stages cannot end in time", now);
+  return true;
 }
 
 void dispatcher::go_on(active_request& request, base::time_point now) {
@@ -320,14 +320,22 @@
   }
 }
 
-void dispatcher::schedule_check(active_request& request) {
-  if (!request.call) {
-    return;
-  }
-  auto next = request.call->stalls_at;
-  if (const auto& fetched_at = request.call->inputs_fetched_at) {
-    next = next ? std::min(*next, *fetched_at) : *fetched_at;
+std::optional<base::time_point> dispatcher::next_due(const active_request& request) {
+  auto next = request.judge_at;
+  const auto consider = [&](const std::optional<base::time_point>& when) {
+    if (when) {
+      next = next ? std::min(*next, *when) : *when;
+    }
+  };
+  if (request.call) {
+    consider(request.call->stalls_at);
+    consider(request.call->inputs_fetched_at);
   }
+  return next;
+}
+
+void dispatcher::schedule_check(active_request& request) {
+  const auto next = next_due(request);
   if (!next || (request.next_check && *request.next_check <= *next)) {
     return;
   }
@@ -338,16 +346,21 @@
   checks_.emplace(*next, request.client);
 }
 
-void dispatcher::check_calls(base::time_point now) {
+void dispatcher::check_requests(base::time_point now) {
   while (!checks_.empty() && checks_.begin()->first <= now) {
-    auto& request = active_.at(checks_.begin()->second);
+    const auto client = checks_.begin()->second;
+    auto& request = active_.at(client);
     checks_.erase(checks_.begin());
     request.next_check.reset();
-    free_fetched_inputs(request, now);
-    if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
-      take_up_elsewhere(request, now);
-    } else {
-      schedule_check(request);
+    if (!give_up_hopeless(request, now)) {
+      free_fetched_inputs(request, now);
+      if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
+        take_up_elsewhere(request, now);
+      }
+    }
+    // Either may have ended it.
+    if (const auto found = active_.find(client); found != active_.end()) {
+      schedule_check(found->second);
     }
   }
 }
@@ -355,12 +368,10 @@
 void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
   if (request.sent >= request.route->max_attempts) {
     request.call->stalls_at.reset();
-    schedule_check(request);
     return;
   }
   if (choose_replica(request, now) == nullptr || !may_send_again(request, now)) {
     request.call->stalls_at = now + stall_check_period;
-    schedule_check(request);
     return;
   }
   commands_.emplace_back(cancel_call{request.call->id});
@@ -381,8 +392,7 @@
 
 void dispatcher::advance(base::time_point now) {
   expire(now);
-  check_calls(now);
-  give_up_hopeless(now);
+  check_requests(now);
   stages_.pump(now);
   if (take_piece_results(now)) {
     // What was finished lets other stages begin.
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -101,15 +101,15 @@
     /// Some replica may have worked on the request.
     bool may_have_run = false;
     bool stream_begun = false;
-    /// Whether its stages were looked at again halfway.
-    bool rechecked = false;
+    /// When it is judged next whether its stages can still end in time; nothing where it has none.
+    std::optional<base::time_point> judge_at;
     std::optional<answer_head> stream_head;
     /// Arrival of the first and the latest event, and the longest time between two.
     base::time_point first_event_at;
     base::time_point latest_event_at;
     base::duration longest_pause{};
     event_stream events;
-    /// When its call is looked at next; nothing while none is open.
+    /// When it is looked at next; nothing where nothing of it becomes due.
     std::optional<base::time_point> next_check;
   };
 
@@ -128,8 +128,9 @@
   /// Refuses a request that is not expected to be served in time.
   /// @return whether it was refused.
   bool refuse_hopeless(active_request& request, base::time_point now);
-  /// Gives up requests whose stages are too far behind to end in time.
-  void give_up_hopeless(base::time_point now);
+  /// Gives a request up whose stages are too far behind to end in time.
+  /// @return whether it was given up.
+  bool give_up_hopeless(active_request& request, base::time_point now);
   [[nodiscard]] std::optional<base::duration>
   expected_time(const active_request& request, piece_standing standing, base::time_point now) const;
   /// @return when the client of a request that has sent nothing yet stops waiting.
@@ -166,11 +167,14 @@
   static void note_event(active_request& request, base::time_point now);
   void watch_progress(active_request& request, base::duration allowed, base::time_point now);
   void give_up(active_request& request, base::time_point now);
-  /// Has the call of a request looked at when something of it is due. Later times are left to the
-  /// check that stands, so that an event of a stream costs nothing.
+  /// @return when something of a request is due: a judgement, inputs that were fetched, a replica
+  ///         without progress.
+  [[nodiscard]] static std::optional<base::time_point> next_due(const active_request& request);
+  /// Has a request looked at when something of it is due. Later times are left to the check that
+  /// stands, so that an event of a stream costs nothing.
   void schedule_check(active_request& request);
-  /// Looks at the calls that have a check due: inputs that were fetched, replicas without progress.
-  void check_calls(base::time_point now);
+  /// Looks at the requests of which something is due.
+  void check_requests(base::time_point now);
   /// Makes a call that shows no progress elsewhere, where that is allowed and there is a replica;
   /// otherwise it is looked at again soon, since either may change.
   void take_up_elsewhere(active_request& request, base::time_point now);
@@ -206,7 +210,6 @@
   retry_share retries_;
   stage_exchange stages_;
   admission_estimate estimate_;
-  base::time_point next_hopeless_check_;
   std::unordered_map<base::caller_id, active_request> active_;
   std::unordered_map<base::call_id, base::caller_id> calls_;
   std::unordered_map<piece_ticket, base::caller_id> tickets_;
--- a/tests/serving/dispatcher_test.cc
+++ b/tests/serving/dispatcher_test.cc
@@ -397,4 +397,22 @@
   BOOST_TEST(*last<start_call>().resume_after == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_judged_again_whenever_its_stages_may_have_fallen_behind) {
+  world.remove_replica("pool-b");
+  subject.update(world.content, now);
+  time_allowed = std::chrono::seconds(5);
+  arrive(1, "/staged/x", {1, 1});
+  // Well after the first judgement there is still a replica for its stages.
+  pass(std::chrono::milliseconds(2500));
+  BOOST_TEST(all<respond>().empty());
+  const auto lost_at = now;
+  world.remove_replica("pool-a");
+  subject.update(world.content, now);
+  while (all<respond>().empty() && now - lost_at < std::chrono::seconds(3)) {
+    pass(std::chrono::milliseconds(50));
+  }
+  BOOST_TEST(last<respond>().status == 503U);
+  BOOST_TEST(base::to_milliseconds(now - lost_at) <= 1000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
