--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -27,7 +27,10 @@
 /// Bounds of the platform with the slack of one busy machine.
 constexpr milliseconds drain_bound{3'000};
 constexpr milliseconds converge_bound{3'000};
-constexpr std::size_t fault_kinds = 11;
+constexpr milliseconds evacuation_bound{3'000};
+constexpr std::size_t fault_kinds = 12;
+/// Every service has a replica outside this zone, also while one drains.
+const std::string evacuated_zone = "west";
 constexpr std::size_t clients_per_node = 6;
 
 struct soak_options {
@@ -137,6 +140,10 @@
       ledger_.count("fault replica");
       any_replica().set_mode(static_cast<replica_mode>(random_.below(6)));
       break;
+    case 10:
+      ledger_.count("fault evacuation or its end");
+      fleet_.set_evacuated(evacuated_zone, random_.below(2) == 0);
+      break;
     default: {
       ledger_.count("fault drain or return");
       auto& replica = any_replica();
@@ -171,6 +178,7 @@
     }
     links_.clear();
     fleet_.store.set_mode(store_mode::normal);
+    fleet_.set_evacuated(evacuated_zone, false);
     for (const auto& replica : fleet_.replicas) {
       replica->set_mode(replica_mode::normal);
       replica->set_draining(false);
@@ -189,14 +197,16 @@
     std::this_thread::sleep_for(calm_time);
   }
 
-  /// While nothing is disturbed: drains, keys that come and go, and whether requests are served.
+  /// While nothing is disturbed: drains, evacuations, keys that come and go, and whether requests
+  /// are served.
   void check_calm() {
     const auto before = ledger_.counts();
     auto& leaving = any_replica();
     leaving.set_draining(true);
     fleet_.publish(leaving);
     fleet_.publish_configuration(false);
-    std::this_thread::sleep_for(std::max(drain_bound, converge_bound));
+    fleet_.set_evacuated(evacuated_zone, true);
+    std::this_thread::sleep_for(std::max({drain_bound, converge_bound, evacuation_bound}));
     const auto bound = soak_clock::now();
     check_key("extra", 401);
     check_key("base", 200);
@@ -204,7 +214,13 @@
     if (leaving.last_arrival() > bound) {
       ledger_.note_violation("DRAIN", leaving.id() + " got work after it was leaving");
     }
+    for (const auto& replica : fleet_.replicas) {
+      if (replica->zone() == evacuated_zone && replica->last_arrival() > bound) {
+        ledger_.note_violation("EVAC", replica->id() + " got work while its zone was evacuated");
+      }
+    }
     check_served(before);
+    fleet_.set_evacuated(evacuated_zone, false);
     leaving.set_draining(false);
     fleet_.publish(leaving);
     fleet_.publish_configuration(true);
--- a/tests/platform_fleet/soak_fleet.cc
+++ b/tests/platform_fleet/soak_fleet.cc
@@ -78,6 +78,15 @@
   replicas.back()->set_published_address(fleet::free_address());
 }
 
+void soak_fleet::set_evacuated(const std::string& zone, bool evacuated) {
+  const auto key = "op/evacuate/" + zone;
+  if (evacuated) {
+    store.put(key, "{}");
+  } else {
+    store.remove(key);
+  }
+}
+
 void soak_fleet::start_proxy(const std::filesystem::path& binaries) {
   proxy_address_ = fleet::free_address();
   std::ostringstream links;
--- a/tests/platform_fleet/soak_fleet.h
+++ b/tests/platform_fleet/soak_fleet.h
@@ -40,6 +40,8 @@
   /// Publishes a configuration; `with_extra_key` says whether the key `extra` holds.
   void publish_configuration(bool with_extra_key);
   void publish(const soak_replica& replica);
+  /// Asks that nothing be sent to the replicas of a zone, or takes that back.
+  void set_evacuated(const std::string& zone, bool evacuated);
   /// Sets a fault of a node's peer link or a replica's link; no flag heals it.
   void set_link(const std::string& name, const std::string& flag, int delay_milliseconds = 0) const;
   void write_settings(const soak_node& node, bool valid) const;
--- a/tests/platform_fleet/soak_world.h
+++ b/tests/platform_fleet/soak_world.h
@@ -56,6 +56,7 @@
   /// Address under which it is published, which handles of results name.
   void set_published_address(const std::string& address) { published_address_ = address; }
   [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] const std::string& zone() const { return zone_; }
   [[nodiscard]] std::string record() const;
   void set_draining(bool draining) { draining_ = draining; }
   /// @return when the last request arrived.
