--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -20,6 +20,8 @@
 constexpr double longest_retry_after_part = 0.3;
 /// Part of its time after which a request whose stages are not finished is judged again, and the
 /// part between two judgements from then on: what it needs changes with every replica that is lost.
+/// After the first, two in a row must agree: of seven looks at an estimate with an error one would
+/// give up what can still be served.
 constexpr double first_judgement_part = 0.42;
 constexpr double judgement_step_part = 0.08;
 /// A call without progress that cannot be made elsewhere is looked at again after this time: a
@@ -231,7 +233,11 @@
   const auto in_time = expected_time(request, piece_standing::in_time, now);
   const bool is_late = !in_time || now + *in_time > target_at;
   const auto expected = is_late ? expected_time(request, piece_standing::past_due, now) : in_time;
-  if (expected && now + *expected <= client_leaves_at(request)) {
+  const bool is_hopeless = !expected || now + *expected > client_leaves_at(request);
+  const bool is_confirmed = !request.judged || request.looked_hopeless;
+  request.judged = true;
+  request.looked_hopeless = is_hopeless;
+  if (!is_hopeless || !is_confirmed) {
     return false;
   }
   answer_not_run(request, "its stages cannot end in time", now);
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -103,6 +103,9 @@
     bool stream_begun = false;
     /// When it is judged next whether its stages can still end in time; nothing where it has none.
     std::optional<base::time_point> judge_at;
+    /// Whether it has been judged, and whether the last judgement found it hopeless.
+    bool judged = false;
+    bool looked_hopeless = false;
     std::optional<answer_head> stream_head;
     /// Arrival of the first and the latest event, and the longest time between two.
     base::time_point first_event_at;
--- a/tests/http/planned_stop_test.cc
+++ b/tests/http/planned_stop_test.cc
@@ -105,6 +105,7 @@
   constexpr int clients = 6;
   running_server server;
   std::vector<std::thread> threads;
+  threads.reserve(clients);
   for (int index = 0; index < clients; ++index) {
     threads.emplace_back([&] {
       auto end = exchange_end::answered;
@@ -133,6 +134,7 @@
   stop_totals totals;
   for (int round = 0; round < rounds; ++round) {
     std::vector<std::thread> servers;
+    servers.reserve(servers_at_once);
     for (int index = 0; index < servers_at_once; ++index) {
       servers.emplace_back([&] { stop_under_load(totals); });
     }
--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -121,14 +121,9 @@
       fleet_.set_link(node.name, random_.below(2) == 0 ? "cut" : "black_hole");
       links_.push_back(node.name);
       break;
-    case 6: {
-      ledger_.count("fault replica link");
-      const auto& replica = any_replica();
-      const auto choice = random_.below(3);
-      fleet_.set_link(replica.id(), choice == 0 ? "cut" : choice == 1 ? "black_hole" : "", 80);
-      links_.push_back(replica.id());
+    case 6:
+      disturb_replica_link(any_replica());
       break;
-    }
     case 7:
       ledger_.count("fault store");
       fleet_.store.set_mode(static_cast<store_mode>(1 + random_.below(4)));
@@ -144,14 +139,23 @@
       ledger_.count("fault evacuation or its end");
       fleet_.set_evacuated(evacuated_zone, random_.below(2) == 0);
       break;
-    default: {
-      ledger_.count("fault drain or return");
-      auto& replica = any_replica();
-      replica.set_draining(random_.below(2) == 0);
-      fleet_.publish(replica);
+    default:
+      drain_or_return(any_replica());
       break;
     }
-    }
+  }
+
+  void disturb_replica_link(const soak_replica& replica) {
+    ledger_.count("fault replica link");
+    const auto choice = random_.below(3);
+    fleet_.set_link(replica.id(), choice == 0 ? "cut" : choice == 1 ? "black_hole" : "", 80);
+    links_.push_back(replica.id());
+  }
+
+  void drain_or_return(soak_replica& replica) {
+    ledger_.count("fault drain or return");
+    replica.set_draining(random_.below(2) == 0);
+    fleet_.publish(replica);
   }
 
   void stop_in_order(soak_node& node) {
