--- a/tests/simulation/evacuation_spread_test.cc
+++ b/tests/simulation/evacuation_spread_test.cc
@@ -1,8 +1,6 @@
 /// How fast an evacuation is in force at all nodes of a fleet: heard from the store or from peers
 /// only, at a start, and after a cut.
-#include "model/serving_record_parser.h"
-#include "simulation/fleet_simulation.h"
-#include "wire/published.pb.h"
+#include "serving_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,7 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int zone_count = 4;
 /// An evacuation is in force everywhere within this time of its publication.
 constexpr base::duration spread_target = seconds(1);
 const std::string key = std::string(model::evacuation_prefix) + "z1";
@@ -26,30 +23,7 @@
   return record.SerializeAsString();
 }
 
-std::string configuration_record() {
-  wire::published_configuration record;
-  record.set_version(1);
-  return record.SerializeAsString();
-}
-
-simulation::simulation_settings settings_of(int nodes) {
-  simulation::simulation_settings settings;
-  for (int index = 0; index < nodes; ++index) {
-    settings.nodes.push_back(
-        {"node-" + std::to_string(index), "z" + std::to_string(index % zone_count)});
-  }
-  settings.records[std::string(model::configuration_key)] = configuration_record();
-  settings.node.serving.emplace();
-  settings.node.resync_wait = milliseconds(300);
-  auto& timing = settings.node.membership_timing;
-  timing.probe_period = milliseconds(300);
-  timing.acknowledgement_timeout = milliseconds(100);
-  timing.suspicion_timeout = milliseconds(1000);
-  timing.relay_period = milliseconds(300);
-  return settings;
-}
-
-/// @return nodes that run and see the zone evacuated, or not.
+/// @return whether all nodes run and see the zone evacuated, or not.
 bool all_see(const fleet_simulation& fleet, bool evacuated) {
   for (const auto& name : fleet.node_names()) {
     const bool seen = fleet.is_alive(name) && fleet.node(name).content().evacuated_zones().contains(
@@ -73,7 +47,7 @@
 
 BOOST_AUTO_TEST_CASE(it_is_in_force_everywhere_within_a_second_at_any_size) {
   for (const int nodes : {6, 86, 300}) {
-    fleet_simulation fleet(settings_of(nodes));
+    fleet_simulation fleet(simulation::serving_fleet_settings(nodes));
     start(fleet);
     for (const bool evacuated : {true, false, true}) {
       const auto began = fleet.now();
@@ -88,7 +62,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_node_that_starts_during_it_or_comes_back_from_a_cut_knows_of_it) {
-  fleet_simulation fleet(settings_of(12));
+  fleet_simulation fleet(simulation::serving_fleet_settings(12));
   start(fleet);
   fleet.kill_node("node-5");
   fleet.cut_zone("z2", true);
@@ -104,7 +78,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(it_stands_while_the_store_is_down) {
-  fleet_simulation fleet(settings_of(12));
+  fleet_simulation fleet(simulation::serving_fleet_settings(12));
   start(fleet);
   fleet.platform().publish(key, evacuation_record());
   BOOST_TEST(fleet.run_until([&] { return all_see(fleet, true); }, spread_target));
--- a/tests/simulation/large_catalog_test.cc
+++ b/tests/simulation/large_catalog_test.cc
@@ -1,9 +1,7 @@
 /// What it costs a fleet to learn a catalog of thousands of replicas: when it starts, in steady
 /// state, and after all nodes were lost at once.
 #include "catalog/entry_packing.h"
-#include "model/serving_record_parser.h"
-#include "simulation/fleet_simulation.h"
-#include "wire/published.pb.h"
+#include "serving_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,10 +13,8 @@
 
 using namespace spurrack;
 using simulation::fleet_simulation;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int zone_count = 4;
 constexpr int replicas_per_node = 10;
 
 std::string replica_record(int number) {
@@ -27,32 +23,18 @@
   record.set_service("service-" + std::to_string(number % 5));
   record.set_address("10.64." + std::to_string(number / 200) + "." + std::to_string(number % 200) +
                      ":8363");
-  record.set_zone("z" + std::to_string(number % zone_count));
+  record.set_zone("z" + std::to_string(number % simulation::serving_zone_count));
   record.set_version("v1");
   record.set_slots(24);
   return record.SerializeAsString();
 }
 
 simulation::simulation_settings settings_of(int nodes) {
-  simulation::simulation_settings settings;
-  for (int index = 0; index < nodes; ++index) {
-    settings.nodes.push_back(
-        {"node-" + std::to_string(index), "z" + std::to_string(index % zone_count)});
-  }
-  wire::published_configuration configuration;
-  configuration.set_version(1);
-  settings.records[std::string(model::configuration_key)] = configuration.SerializeAsString();
+  auto settings = simulation::serving_fleet_settings(nodes);
   for (int number = 0; number < nodes * replicas_per_node; ++number) {
     settings.records[std::string(model::replica_prefix) + "i-" + std::to_string(number)] =
         replica_record(number);
   }
-  settings.node.serving.emplace();
-  settings.node.resync_wait = milliseconds(300);
-  auto& timing = settings.node.membership_timing;
-  timing.probe_period = milliseconds(300);
-  timing.acknowledgement_timeout = milliseconds(100);
-  timing.suspicion_timeout = milliseconds(1000);
-  timing.relay_period = milliseconds(300);
   return settings;
 }
 
