--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -8,8 +8,8 @@
 namespace spurrack::http {
 
 /// Sends small writes at once and gives the connection up where the peer acknowledges nothing for
-/// `unacknowledged_limit`, so that a silent cut is noticed; where nothing is sent, keep-alive probes
-/// of a second ask.
+/// `unacknowledged_limit`, so that a silent cut is noticed; where nothing is sent, keep-alive
+/// probes of a second ask.
 void prepare_socket(boost::asio::ip::tcp::socket& socket,
                     std::chrono::milliseconds unacknowledged_limit);
 
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -317,8 +317,8 @@
 void replica_table::note_occupied(const base::replica_id& id, base::duration usual,
                                   base::time_point now) {
   if (auto* state = mutable_find(id)) {
-    const auto rest = base::from_seconds(base::to_seconds(usual) *
-                                         (least_occupied_calls + random_->unit()));
+    const auto rest =
+        base::from_seconds(base::to_seconds(usual) * (least_occupied_calls + random_->unit()));
     state->paused_until = std::max<base::time_point>(state->paused_until, now + rest);
   }
 }
--- a/src/serving/replica_table.h
+++ b/src/serving/replica_table.h
@@ -119,8 +119,8 @@
   void note_unreachable(const base::replica_id& id, base::time_point now);
   void note_full(const base::replica_id& id, base::time_point now);
   /// A replica that works on pieces refused a call although this node knows of no call at it:
-  /// another node calls it too. It is tried again when a call of `usual` length may have ended, at a
-  /// random moment, so that several callers do not meet again.
+  /// another node calls it too. It is tried again when a call of `usual` length may have ended, at
+  /// a random moment, so that several callers do not meet again.
   void note_occupied(const base::replica_id& id, base::duration usual, base::time_point now);
   void note_left(const base::replica_id& id);
 
