--- a/tests/platform_fleet/serving_process_test.cc
+++ b/tests/platform_fleet/serving_process_test.cc
@@ -92,12 +92,16 @@
     const std::string target(request.target());
     boost::json::object body{{"at", 10}, {"more", false}};
     const bool watch = target.starts_with("/kv-watch");
+    const std::map<std::string, std::string> published{
+        {"op/config", configuration()},
+        {"servers/i-one", replica(one.address())},
+        {"servers/i-two", replica(two.address())},
+    };
     boost::json::array items;
-    if (target.find("op/config") != std::string::npos) {
-      items.push_back(item("op/config", configuration()));
-    } else {
-      items.push_back(item("servers/i-one", replica(one.address())));
-      items.push_back(item("servers/i-two", replica(two.address())));
+    for (const auto& [key, value] : published) {
+      if (key.starts_with(prefix_in(target))) {
+        items.push_back(item(key, value));
+      }
     }
     if (watch) {
       std::this_thread::sleep_for(milliseconds(200));
@@ -110,6 +114,17 @@
             text};
   }
 
+  /// @return the prefix of keys that a read of the store asks for.
+  static std::string prefix_in(const std::string& target) {
+    const std::string name = "path_prefix=";
+    const auto from = target.find(name);
+    if (from == std::string::npos) {
+      return {};
+    }
+    const auto begin = from + name.size();
+    return target.substr(begin, target.find('&', begin) - begin);
+  }
+
   static boost::json::object item(const std::string& key, const std::string& value) {
     return {{"tls_key", key}, {"value", base64(value)}, {"revision", 1}};
   }
