Mend what reading the whole change again showed; no decision changes

Cause, found in the diff, and the change: - The bound on cold replicas looked the service up twice, told "not a caller" by a share of zero, and threw away which nodes call at every change of the catalog: one lookup, a plain condition, forgotten only where the configuration is another. - cold_bounds stands beside retry_limits: the settings no longer include the mechanism. - Who listens to a gatherer was found twice at every change of membership, by every node: when it is asked for, so a node that gathers nothing never does it. - A large answer to a comparison was copied before it was refused: counted first. - The choice of peers that a push is passed on to repeated take_random. Left alone: the two methods that find what a listing does not hold, which share their body already.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -252,6 +252,16 @@
   return entries;
 }
 
+std::size_t catalog::count_in(const bucket_set& buckets) const {
+  std::size_t count = 0;
+  for (const auto& [key, place] : slots_) {
+    if (buckets.test(bucket_of(key))) {
+      count += (place.accepted ? 1U : 0U) + (place.rejected ? 1U : 0U);
+    }
+  }
+  return count;
+}
+
 std::shared_ptr<const model::pipeline_template>
 catalog::find_template(const base::template_id& name) const {
   const auto found = templates_.find(name);
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -67,6 +67,9 @@
   /// @return copies of all entries of some buckets: the accepted ones, and newer rejected ones.
   [[nodiscard]] std::vector<wire::catalog_entry> entries_in(const bucket_set& buckets) const;
 
+  /// @return how many entries `entries_in` would copy.
+  [[nodiscard]] std::size_t count_in(const bucket_set& buckets) const;
+
   /// Null where there is none.
   [[nodiscard]] std::shared_ptr<const model::pipeline_template>
   find_template(const base::template_id& name) const;
--- a/src/catalog/entry_packing.h
+++ b/src/catalog/entry_packing.h
@@ -1,5 +1,5 @@
 /// Entries of the catalog inside a message. Many are compressed: the records of replicas are much
-/// alike, 3,000 of them take 290 kB as they are and 60 kB packed, and it is the links of the
+/// alike, 3,000 of them take 245 kB as they are and 50 kB packed, and it is the links of the
 /// smallest nodes that bound how fast a large fleet starts (tests/catalog/entry_packing_test.cc).
 #pragma once
 
--- a/src/catalog/replicator.cc
+++ b/src/catalog/replicator.cc
@@ -56,11 +56,9 @@
   pack_entries(fresh, body);
   auto candidates = peers;
   for (std::size_t sent = 0; sent < fanout && !candidates.empty(); ++sent) {
-    const auto chosen = random_->below(candidates.size());
-    wire::outgoing push{candidates[chosen], {}};
+    wire::outgoing push{base::take_random(candidates, *random_), {}};
     *push.message.mutable_catalog_push() = body;
     out.push_back(std::move(push));
-    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(chosen));
   }
 }
 
@@ -170,13 +168,13 @@
       body.add_buckets(static_cast<std::uint32_t>(bucket));
     }
   }
-  const auto entries = content_->entries_in(different);
   wire::outgoing push{sender, {}};
   auto& answer = *push.message.mutable_catalog_push();
   answer.set_answers_comparison(true);
-  const bool answered = may_answer(entries.size(), now);
+  // Counted before they are copied: of those who ask while a fleet starts, most are sent on.
+  const bool answered = may_answer(content_->count_in(different), now);
   if (answered) {
-    pack_entries(entries, answer);
+    pack_entries(content_->entries_in(different), answer);
   }
   // The pull goes first: after the push the peer would send everything back.
   if (answered && body.buckets_size() > 0) {
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -3,6 +3,7 @@
 #include "http/awaitable.h"
 #include "http/caller_request_parser.h"
 #include "http/connection_acceptor.h"
+#include "http/count_guard.h"
 #include "http/endpoint.h"
 #include "http/read_limit.h"
 
@@ -54,18 +55,6 @@
   return failed != 0 ? now : now - std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
-/// Counts something for as long as it lasts.
-class count_guard {
- public:
-  explicit count_guard(std::size_t& count) : count_(&count) { ++*count_; }
-  ~count_guard() { --*count_; }
-  count_guard(const count_guard&) = delete;
-  count_guard& operator=(const count_guard&) = delete;
-
- private:
-  std::size_t* count_;
-};
-
 /// A caller whose request is being decided: what is to be written to it, in order.
 struct exchange {
   explicit exchange(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
--- a/src/http/connection_acceptor.h
+++ b/src/http/connection_acceptor.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "http/count_guard.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -45,16 +46,10 @@
 /// client may have been kept from sending, or this process from reading.
 class fresh_connections {
  public:
-  /// Counts one connection for as long as it lasts.
-  class guard {
+  /// Counts a connection until its first request arrives, or as long as it lasts.
+  class guard : public count_guard {
    public:
-    explicit guard(fresh_connections& counted) : counted_(&counted) { ++counted_->count_; }
-    ~guard() { --counted_->count_; }
-    guard(const guard&) = delete;
-    guard& operator=(const guard&) = delete;
-
-   private:
-    fresh_connections* counted_;
+    explicit guard(fresh_connections& counted) : count_guard(counted.count_) {}
   };
 
   void begin_stop(base::time_point now) { stopping_since_ = now; }
--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -4,6 +4,7 @@
 #include "http/answer_writer.h"
 #include "http/awaitable.h"
 #include "http/connection_acceptor.h"
+#include "http/count_guard.h"
 #include "http/endpoint.h"
 #include "http/read_limit.h"
 #include "http/socket_options.h"
@@ -201,11 +202,9 @@
       }
       buffer.commit(received);
     }
-    ++busy_;
+    const count_guard busy(busy_);
     fresh.reset();
-    const bool go_on = co_await read_and_answer(stream, buffer);
-    --busy_;
-    co_return go_on;
+    co_return co_await read_and_answer(stream, buffer);
   }
 
   asio::awaitable<bool> read_and_answer(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
--- a/src/peers/zmq_transport.cc
+++ b/src/peers/zmq_transport.cc
@@ -20,7 +20,7 @@
 /// Largest message accepted: a published value may have a megabyte, a bucket holds several.
 constexpr std::int64_t max_message_bytes = 64'000'000;
 constexpr int connect_retry_milliseconds = 100;
-/// A connection that does not come up within this time is tried anew: ten times the longest round
+/// A connection that does not come up within this time is tried anew: five times the longest round
 /// trip between regions. The kernel alone sends a lost opening packet again after a second, and the
 /// first packets of nodes that return together meet machines that are not up yet: after a loss of
 /// power of all, 86 nodes knew nobody for 1.5 s and each made stage calls for itself.
--- a/src/serving/cold_limit.h
+++ b/src/serving/cold_limit.h
@@ -11,6 +11,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "serving/settings.h"
 
 #include <cstddef>
 #include <map>
@@ -19,14 +20,6 @@
 
 namespace spurrack::serving {
 
-/// What cold replicas may be sent in a second beside what their service says that they bear.
-struct cold_bounds {
-  /// The service's rate is multiplied by this.
-  double factor = 1;
-  /// Requests in a second that are added to it.
-  double allowance = 0;
-};
-
 /// What one node may send a cold replica.
 struct cold_share {
   /// Nodes that may call the replica.
--- a/src/serving/dispatcher.cc
+++ b/src/serving/dispatcher.cc
@@ -234,8 +234,7 @@
   const bool is_late = !in_time || now + *in_time > target_at;
   const auto expected = is_late ? expected_time(request, piece_standing::past_due, now) : in_time;
   const bool is_hopeless = !expected || now + *expected > client_leaves_at(request);
-  const bool is_confirmed = !request.judged || request.looked_hopeless;
-  request.judged = true;
+  const bool is_confirmed = request.looked_hopeless.value_or(true);
   request.looked_hopeless = is_hopeless;
   if (!is_hopeless || !is_confirmed) {
     return false;
--- a/src/serving/dispatcher.h
+++ b/src/serving/dispatcher.h
@@ -103,9 +103,8 @@
     bool stream_begun = false;
     /// When it is judged next whether its stages can still end in time; nothing where it has none.
     std::optional<base::time_point> judge_at;
-    /// Whether it has been judged, and whether the last judgement found it hopeless.
-    bool judged = false;
-    bool looked_hopeless = false;
+    /// Whether the last judgement found it hopeless; nothing before the first.
+    std::optional<bool> looked_hopeless;
     std::optional<answer_head> stream_head;
     /// Arrival of the first and the latest event, and the longest time between two.
     base::time_point first_event_at;
@@ -181,7 +180,7 @@
   /// Makes a call that shows no progress elsewhere, where that is allowed and there is a replica;
   /// otherwise it is looked at again soon, since either may change.
   void take_up_elsewhere(active_request& request, base::time_point now);
-  /// @return results that the replica has fetched by now are freed.
+  /// Frees results that the replica has fetched by now.
   void free_fetched_inputs(active_request& request, base::time_point now);
   void expire(base::time_point now);
 
--- a/src/serving/peer_directory.cc
+++ b/src/serving/peer_directory.cc
@@ -49,21 +49,25 @@
   std::erase_if(gatherers_, is_unknown);
   std::erase_if(reporters_, is_unknown);
   std::erase_if(silent_, is_unknown);
-  choose_listeners();
+  listeners_.reset();
 }
 
-void peer_directory::choose_listeners() {
+const std::vector<base::node_id>& peer_directory::listeners() {
+  if (listeners_) {
+    return *listeners_;
+  }
   std::vector<base::node_id> rivals{self_.node};
   std::copy_if(
       gatherers_.begin(), gatherers_.end(), std::back_inserter(rivals),
       [this](const base::node_id& node) { return peers_.at(node).peer.zone == self_.zone; });
-  listeners_.clear();
-  std::copy_if(elsewhere_.begin(), elsewhere_.end(), std::back_inserter(listeners_),
+  auto& chosen = listeners_.emplace();
+  std::copy_if(elsewhere_.begin(), elsewhere_.end(), std::back_inserter(chosen),
                [&](const base::node_id& node) {
                  const auto heard = base::rendezvous_top("listener/" + node.text(), rivals,
                                                          gatherers_heard_elsewhere);
                  return std::find(heard.begin(), heard.end(), self_.node) != heard.end();
                });
+  return chosen;
 }
 
 peer_state* peer_directory::find(const base::node_id& node) {
@@ -83,7 +87,8 @@
       peers_.at(node).gathers_since.reset();
     }
   }
-  const auto before = std::exchange(gatherers_, {});
+  gatherers_.clear();
+  listeners_.reset();
   std::vector<base::node_id> added;
   for (const auto& node : gatherers) {
     auto* peer = find(node);
@@ -96,9 +101,6 @@
       added.push_back(node);
     }
   }
-  if (gatherers_ != before) {
-    choose_listeners();
-  }
   return added;
 }
 
@@ -203,9 +205,10 @@
     receivers.insert(receivers.end(), elsewhere_.begin(), elsewhere_.end());
     return receivers;
   }
-  const auto wanted = (listeners_.size() + rounds_elsewhere - 1) / rounds_elsewhere;
+  const auto& told = listeners();
+  const auto wanted = (told.size() + rounds_elsewhere - 1) / rounds_elsewhere;
   for (std::size_t taken = 0; taken < wanted; ++taken) {
-    receivers.push_back(listeners_[next_receiver_++ % listeners_.size()]);
+    receivers.push_back(told[next_receiver_++ % told.size()]);
   }
   return receivers;
 }
--- a/src/serving/peer_directory.h
+++ b/src/serving/peer_directory.h
@@ -93,9 +93,9 @@
  private:
   /// @return whether all nodes tell each other of themselves all the time.
   [[nodiscard]] bool is_small_fleet() const;
-  /// Finds the nodes of other zones that hear of this one: those that have it among the
-  /// `gatherers_heard_elsewhere` gatherers of its zone that they listen to.
-  void choose_listeners();
+  /// @return the nodes of other zones that hear of this one: those that have it among the
+  ///         `gatherers_heard_elsewhere` gatherers of its zone that they listen to.
+  const std::vector<base::node_id>& listeners();
   /// @return whether the peer was silent for too long.
   [[nodiscard]] bool is_overdue(const peer_state& peer, base::time_point now) const;
   bool check_silence(peer_state& peer, base::time_point now);
@@ -108,8 +108,9 @@
   std::set<base::node_id> silent_;
   std::vector<base::node_id> in_zone_;
   std::vector<base::node_id> elsewhere_;
-  /// Those of them that this node tells of itself as a gatherer of its zone.
-  std::vector<base::node_id> listeners_;
+  /// Those of them that this node tells of itself as a gatherer of its zone; nothing where they
+  /// are to be found anew, which a node that gathers nothing never does.
+  std::optional<std::vector<base::node_id>> listeners_;
   /// Place in the list of nodes of other zones from which receivers are taken next.
   std::size_t next_receiver_;
 };
--- a/src/serving/replica_table.cc
+++ b/src/serving/replica_table.cc
@@ -37,8 +37,10 @@
 
 void replica_table::set_configuration(
     std::shared_ptr<const model::serving_configuration> configuration) {
-  configuration_ = std::move(configuration);
-  cold_callers_.forget();
+  if (configuration != configuration_) {
+    configuration_ = std::move(configuration);
+    cold_callers_.forget();
+  }
 }
 
 void replica_table::update(
@@ -89,34 +91,31 @@
   return !state.record->draining && !state.left && !evacuated_.contains(state.record->zone);
 }
 
-double replica_table::cold_rate_of(const replica_state& state) const {
-  const auto* service =
-      configuration_ ? configuration_->find_service(state.record->service) : nullptr;
-  return service == nullptr ? 0 : service->cold_requests_per_second;
+const model::service* replica_table::cold_service_of(const replica_state& state,
+                                                     base::time_point now) const {
+  if (state.cold_until <= now || !configuration_) {
+    return nullptr;
+  }
+  const auto* service = configuration_->find_service(state.record->service);
+  return service != nullptr && service->cold_requests_per_second > 0 ? service : nullptr;
 }
 
-std::optional<cold_share> replica_table::cold_share_of_self(const replica_state& state,
-                                                            base::time_point now) const {
-  if (state.cold_until <= now) {
-    return std::nullopt;
-  }
-  const double rate = cold_rate_of(state);
-  if (rate <= 0) {
-    return std::nullopt;
-  }
+cold_share replica_table::cold_share_of(const model::service& service) const {
   // One gatherer calls a replica that works on pieces.
-  const bool sole_caller = configuration_->find_service(state.record->service)->pieces.has_value();
-  const auto share = cold_share_of(settings_.cold, rate, sole_caller);
-  const auto& record = *state.record;
-  if (!sole_caller && !cold_callers_.includes_self(record.id, record.zone, share.callers)) {
-    return cold_share{0, 0};
-  }
-  return share;
+  return serving::cold_share_of(settings_.cold, service.cold_requests_per_second,
+                                service.pieces.has_value());
 }
 
 bool replica_table::bears_request(const replica_state& state, base::time_point now) const {
-  const auto share = cold_share_of_self(state, now);
-  return !share || (share->callers > 0 && state.cold_sends.has_token(*share, now));
+  const auto* service = cold_service_of(state, now);
+  if (service == nullptr) {
+    return true;
+  }
+  const auto share = cold_share_of(*service);
+  const auto& record = *state.record;
+  const bool may_call =
+      service->pieces || cold_callers_.includes_self(record.id, record.zone, share.callers);
+  return may_call && state.cold_sends.has_token(share, now);
 }
 
 replica_state* replica_table::mutable_find(const base::replica_id& id) {
@@ -238,8 +237,8 @@
     return;
   }
   ++state->in_flight;
-  if (const auto share = cold_share_of_self(*state, now)) {
-    state->cold_sends.take(*share, now);
+  if (const auto* service = cold_service_of(*state, now)) {
+    state->cold_sends.take(cold_share_of(*service), now);
   }
 }
 
--- a/src/serving/replica_table.h
+++ b/src/serving/replica_table.h
@@ -133,11 +133,12 @@
                                   bool ignore_pauses);
   /// @return whether a replica may be given anything at all.
   [[nodiscard]] bool takes_work(const replica_state& state) const;
-  /// @return requests a second that a replica bears while cold; 0 where it has no bound.
-  [[nodiscard]] double cold_rate_of(const replica_state& state) const;
-  /// @return what this node may send a replica while it is cold; nothing where that has no bound.
-  [[nodiscard]] std::optional<cold_share> cold_share_of_self(const replica_state& state,
-                                                             base::time_point now) const;
+  /// @return the service that bounds what a replica gets while it is cold; null where the replica
+  ///         is warm or its service has no such bound.
+  [[nodiscard]] const model::service* cold_service_of(const replica_state& state,
+                                                      base::time_point now) const;
+  /// @return the share of each caller of a cold replica of the service.
+  [[nodiscard]] cold_share cold_share_of(const model::service& service) const;
   /// @return whether a replica is warm, or cold and this node may send it a request now.
   [[nodiscard]] bool bears_request(const replica_state& state, base::time_point now) const;
   static void turn_cold(replica_state& state, base::duration cold_for, base::time_point now);
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -3,7 +3,6 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "serving/cold_limit.h"
 
 #include <cstddef>
 #include <map>
@@ -21,6 +20,14 @@
   base::duration window = std::chrono::seconds(10);
 };
 
+/// What cold replicas may be sent in a second beside what their service says that they bear.
+struct cold_bounds {
+  /// The service's rate is multiplied by this.
+  double factor = 1;
+  /// Requests in a second that are added to it.
+  double allowance = 0;
+};
+
 struct serving_settings {
   /// Region of each zone. Zones that are not named are regions of their own.
   std::map<base::zone_id, std::string> regions;
