Interfaces of the new parts: residency, replica choice, engine and replica news; rooms of the serving path

Cause: four parts would meet in src/serving (5.5k lines in one folder), and nothing decodes `allowed_regions` or what an engine's memory is made of.

Change: src/serving keeps the vocabulary; request life, stage work, replica choice, engines and the fleet view are folders of their own that tools/check_layers.sh knows. Residency of routes and tenants is decoded in platform/ into model::residency, fixed for a request at its arrival and obeyed by the choice of its replica. replica_chooser is the one interface of replica choice; the two policies that stood move behind it unchanged. engine_news and replica_news are the messages the parts will use.

Weighed: a configuration with an empty or malformed list of regions is refused as a whole (it can neither mean "nowhere" nor pass for "everywhere"); one that names a region the settings do not know is accepted, since refusing it would hold back every other change, and the unknown region allows nothing.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -32,6 +32,7 @@
 
 using node_id = identifier<struct node_tag>;
 using zone_id = identifier<struct zone_tag>;
+using region_id = identifier<struct region_tag>;
 using backend_id = identifier<struct backend_tag>;
 /// One incarnation of a replica: every start has a new identifier.
 using replica_id = identifier<struct replica_tag>;
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -42,4 +42,9 @@
   return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+/// @return `span` times `factor`.
+inline duration scaled(duration span, double factor) {
+  return from_seconds(to_seconds(span) * factor);
+}
+
 } // namespace spurrack::base
--- a/src/serving/admission_estimate.cc
+++ b/src/dispatch/admission_estimate.cc
@@ -1,6 +1,6 @@
-#include "serving/admission_estimate.h"
+#include "dispatch/admission_estimate.h"
 
-#include "serving/dispatcher_constants.h"
+#include "dispatch/dispatcher_constants.h"
 
 namespace spurrack::serving {
 namespace {
@@ -19,7 +19,7 @@
 /// Time to plan with for a stage that is still ahead: a full call and some waiting for its replica.
 base::duration prudent_time_of(const model::piece_capacity& capacity) {
   return capacity.call_time + capacity.item_time * capacity.batch +
-         scaled(capacity.call_time, usual_wait_part);
+         base::scaled(capacity.call_time, usual_wait_part);
 }
 
 } // namespace
--- a/src/serving/admission_estimate.h
+++ b/src/dispatch/admission_estimate.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "base/time.h"
+#include "engines/first_byte_model.h"
 #include "model/serving_records.h"
-#include "serving/first_byte_model.h"
-#include "serving/stage_exchange.h"
-#include "serving/stage_graph.h"
+#include "stage_work/stage_exchange.h"
+#include "stage_work/stage_graph.h"
 
 #include <string>
 #include <unordered_map>
--- a/src/serving/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -1,7 +1,7 @@
-#include "serving/dispatcher.h"
+#include "dispatch/dispatcher.h"
 
 #include "base/hashing.h"
-#include "serving/dispatcher_constants.h"
+#include "dispatch/dispatcher_constants.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -56,7 +56,9 @@
                        base::random_source& random, base::incarnation life,
                        decision_recorder record)
     : self_(self), settings_(settings), record_(std::move(record)),
-      replicas_(self.node, self.zone, settings, random), retries_(settings.retry),
+      replicas_(self.node, self.zone, settings, random),
+      plain_replicas_(replicas_, self.zone, random), engines_(replicas_, plain_replicas_),
+      retries_(settings.retry),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
 
@@ -145,6 +147,10 @@
   request.service = pick_service(*route, what.content->id);
   request.tenant = holder ? holder->tenant.text() : "";
   request.priority = holder && holder->priority ? *holder->priority : route->priority;
+  request.allowed_regions = route->allowed_regions;
+  if (holder) {
+    request.allowed_regions = request.allowed_regions.intersect(holder->allowed_regions);
+  }
   request.configuration_version = configuration_->version;
   request.arrived = what.arrived_at;
   const auto allowed = std::min(what.content->time_allowed.value_or(longest_request),
@@ -171,7 +177,7 @@
   }
   if (settings_.refuse_early && active.graph) {
     const auto allowed_by_client = client_leaves_at(active) - active.arrived;
-    active.judge_at = active.arrived + scaled(allowed_by_client, first_judgement_part);
+    active.judge_at = active.arrived + base::scaled(allowed_by_client, first_judgement_part);
     schedule_check(active);
   }
   go_on(active, now);
@@ -202,16 +208,17 @@
   const bool comes_back =
       request.route->timeout && allowed < *request.route->timeout * first_attempt_time_part;
   const auto target = request.route->target_latency;
-  const auto limit = comes_back || target <= base::duration::zero()
-                         ? allowed
-                         : std::min<base::duration>(allowed, scaled(target, admitted_target_part));
+  const auto limit =
+      comes_back || target <= base::duration::zero()
+          ? allowed
+          : std::min<base::duration>(allowed, base::scaled(target, admitted_target_part));
   if (expected && *expected <= limit) {
     return false;
   }
   const auto excess =
-      expected ? *expected - scaled(limit, 0.8) : base::duration{settings_.retry_after};
+      expected ? *expected - base::scaled(limit, 0.8) : base::duration{settings_.retry_after};
   const auto wait = std::clamp<base::duration>(excess, settings_.retry_after,
-                                               scaled(allowed, longest_retry_after_part));
+                                               base::scaled(allowed, longest_retry_after_part));
   refuse(request.client, request.content->id, status::unavailable,
          "expected to take " +
              (expected ? std::to_string(base::to_milliseconds(*expected)) + " ms" : "for ever"),
@@ -225,7 +232,7 @@
     return false;
   }
   const auto allowed = client_leaves_at(request) - request.arrived;
-  request.judge_at = now + scaled(allowed, judgement_step_part);
+  request.judge_at = now + base::scaled(allowed, judgement_step_part);
   if (request.graph->done() || request.may_have_run) {
     return false;
   }
--- a/src/serving/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,16 +4,18 @@
 
 #include "base/random.h"
 #include "catalog/catalog.h"
-#include "serving/admission_estimate.h"
+#include "dispatch/admission_estimate.h"
+#include "dispatch/event_stream.h"
+#include "dispatch/retry_share.h"
+#include "engines/prefix_chooser.h"
+#include "replicas/least_loaded_chooser.h"
+#include "replicas/replica_table.h"
 #include "serving/counters.h"
 #include "serving/decision_recorder.h"
-#include "serving/event_stream.h"
 #include "serving/events.h"
-#include "serving/replica_table.h"
-#include "serving/retry_share.h"
 #include "serving/settings.h"
-#include "serving/stage_exchange.h"
-#include "serving/stage_graph.h"
+#include "stage_work/stage_exchange.h"
+#include "stage_work/stage_graph.h"
 
 #include <cstdint>
 #include <functional>
@@ -86,6 +88,8 @@
     std::string tenant;
     std::string service;
     std::uint32_t priority = 0;
+    /// Regions that its route and its tenant both allowed when it arrived.
+    model::residency allowed_regions;
     std::uint64_t configuration_version = 0;
     base::time_point arrived;
     /// The final answer is given by then.
@@ -209,6 +213,8 @@
   bool accepting_ = true;
   base::call_id next_call_ = 1;
   replica_table replicas_;
+  least_loaded_chooser plain_replicas_;
+  prefix_chooser engines_;
   retry_share retries_;
   stage_exchange stages_;
   admission_estimate estimate_;
--- a/src/serving/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -1,8 +1,7 @@
 /// The calls of requests at replicas: choice, repeats, answers and streams.
-#include "serving/dispatcher.h"
+#include "dispatch/dispatcher.h"
 
-#include "base/hashing.h"
-#include "serving/dispatcher_constants.h"
+#include "dispatch/dispatcher_constants.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,26 +20,15 @@
   return code >= 200 && code < 300;
 }
 
-/// Hash of the last part of a prompt that others share; 0 where there is none.
-std::uint64_t affinity_of(const request_content& content) {
-  if (content.prompt_parts.empty()) {
-    return 0;
-  }
-  const auto last = content.prompt_parts.size() - 1;
-  const auto& shared = content.prompt_parts[last > 0 ? last - 1 : 0];
-  return base::stable_hash(shared.id, base::stable_hash(content.model)) | 1U;
-}
-
 } // namespace
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
                                                 base::time_point now) {
   const auto* service = configuration_ ? configuration_->find_service(request.service) : nullptr;
-  if (service != nullptr && service->engine) {
-    return replicas_.choose_engine(request.service, affinity_of(*request.content), request.tried,
-                                   now);
-  }
-  return replicas_.choose(request.service, request.tried, now);
+  const replica_demand demand{request.service, *request.content, request.allowed_regions,
+                              request.tried};
+  const bool is_engine = service != nullptr && service->engine;
+  return is_engine ? engines_.choose(demand, now) : plain_replicas_.choose(demand, now);
 }
 
 void dispatcher::send_to_replica(active_request& request, base::time_point now) {
--- a/src/serving/dispatcher_constants.h
+++ b/src/dispatch/dispatcher_constants.h
@@ -1,8 +1,6 @@
 /// Constants that the files of the dispatcher share.
 #pragma once
 
-#include "base/time.h"
-
 #include <cstdint>
 
 namespace spurrack::serving {
@@ -22,9 +20,4 @@
 /// Times the stages of a request are made again because results were lost.
 inline constexpr std::uint32_t most_remakes = 2;
 
-/// @return `span` times `factor`.
-inline base::duration scaled(base::duration span, double factor) {
-  return base::from_seconds(base::to_seconds(span) * factor);
-}
-
 } // namespace spurrack::serving
--- a/src/serving/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -1,7 +1,7 @@
 /// The stages of requests: submitting pieces, taking results, making lost ones again.
-#include "serving/dispatcher.h"
-#include "serving/dispatcher_constants.h"
-#include "serving/result_handle.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/dispatcher_constants.h"
+#include "stage_work/result_handle.h"
 
 #include <utility>
 
--- a/src/serving/event_stream.cc
+++ b/src/dispatch/event_stream.cc
@@ -1,4 +1,4 @@
-#include "serving/event_stream.h"
+#include "dispatch/event_stream.h"
 
 #include <charconv>
 
--- a/src/serving/first_byte_model.cc
+++ b/src/engines/first_byte_model.cc
@@ -1,4 +1,4 @@
-#include "serving/first_byte_model.h"
+#include "engines/first_byte_model.h"
 
 #include <algorithm>
 
--- a/src/serving/peer_directory.cc
+++ b/src/fleet_view/peer_directory.cc
@@ -1,4 +1,4 @@
-#include "serving/peer_directory.h"
+#include "fleet_view/peer_directory.h"
 
 #include "base/hashing.h"
 
--- /dev/null
+++ b/src/model/residency.cc
@@ -0,0 +1,45 @@
+#include "model/residency.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace spurrack::model {
+
+residency residency::within(std::set<base::region_id> regions) {
+  residency made;
+  made.regions_ = std::move(regions);
+  return made;
+}
+
+residency residency::intersect(const residency& other) const {
+  if (!regions_) {
+    return other;
+  }
+  if (!other.regions_) {
+    return *this;
+  }
+  std::set<base::region_id> both;
+  std::set_intersection(regions_->begin(), regions_->end(), other.regions_->begin(),
+                        other.regions_->end(), std::inserter(both, both.end()));
+  return within(std::move(both));
+}
+
+bool residency::permits(const std::optional<base::region_id>& region) const {
+  return !regions_ || (region && regions_->contains(*region));
+}
+
+std::set<base::region_id> residency::regions() const {
+  return regions_.value_or(std::set<base::region_id>());
+}
+
+std::optional<base::region_id> zone_regions::region_of(const base::zone_id& zone) const {
+  const auto found = regions_.find(zone);
+  return found == regions_.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool zone_regions::same_region(const base::zone_id& one, const base::zone_id& other) const {
+  const auto region = region_of(one);
+  return one == other || (region && region == region_of(other));
+}
+
+} // namespace spurrack::model
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -74,6 +74,18 @@
   require(!has_cycle(built.stages), "route " + built.name + ": stages form a cycle");
 }
 
+residency build_residency(const google::protobuf::RepeatedPtrField<std::string>& regions) {
+  if (regions.empty()) {
+    return residency::everywhere();
+  }
+  std::set<base::region_id> allowed;
+  for (const auto& region : regions) {
+    require(!region.empty(), "an allowed region has no name");
+    allowed.emplace(region);
+  }
+  return residency::within(std::move(allowed));
+}
+
 std::shared_ptr<const route> build_route(const wire::published_route& published,
                                          const serving_configuration& configuration) {
   auto built = std::make_shared<route>();
@@ -107,6 +119,7 @@
   for (const auto& step : published.stages()) {
     built->stages.push_back(build_stage(step));
   }
+  built->allowed_regions = build_residency(published.allowed_regions());
   check_stages(*built, configuration);
   return built;
 }
@@ -130,14 +143,20 @@
   }
   built.cold_requests_per_second = std::max(0.0, published.cold_requests_per_second());
   if (published.has_engine()) {
-    built.engine = engine_capacity{std::max(1U, published.engine().slots()),
-                                   published.engine().memory_tokens()};
+    const auto& given = published.engine();
+    require(given.token_bytes() >= 0 && given.link_megabits_per_second() >= 0,
+            "service " + built.name + ": an engine's figure is negative");
+    constexpr double bits_per_megabit = 1e6;
+    built.engine =
+        engine_capacity{std::max(1U, given.slots()), given.memory_tokens(), given.token_bytes(),
+                        given.link_megabits_per_second() * bits_per_megabit};
   }
   return built;
 }
 
 void add_keys(const wire::published_access& published, serving_configuration& configuration) {
-  key_holder holder{base::tenant_id(published.tenant()), std::nullopt};
+  key_holder holder{base::tenant_id(published.tenant()), std::nullopt,
+                    build_residency(published.allowed_regions())};
   if (published.has_priority()) {
     holder.priority = published.priority();
   }
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "model/residency.h"
 
 #include <cstdint>
 #include <map>
@@ -62,6 +63,8 @@
   /// theirs.
   std::optional<base::duration> client_patience;
   std::vector<stage_step> stages;
+  /// Regions in which requests of the route may be served and what they make may be kept.
+  residency allowed_regions;
 
   /// @return whether a request may run more than once.
   [[nodiscard]] bool may_repeat() const {
@@ -87,7 +90,12 @@
 /// Capacity of one replica of a service that generates tokens.
 struct engine_capacity {
   std::uint32_t slots = 1;
+  /// Tokens that running requests and parts of prompts kept for later ones take together.
   std::uint64_t memory_tokens = 0;
+  /// Size of one token in that memory, in bytes, and how fast replicas carry it to one another;
+  /// 0 where that is not told.
+  double token_bytes = 0;
+  double link_bits_per_second = 0;
 };
 
 struct service {
@@ -107,6 +115,8 @@
   base::tenant_id tenant;
   /// Takes precedence over the route's priority.
   std::optional<std::uint32_t> priority;
+  /// Regions in which the tenant's requests may be served and what they make may be kept.
+  residency allowed_regions;
 };
 
 /// What a client may send, and how long it may take.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,12 +10,12 @@
 #include "catalog/catalog.h"
 #include "catalog/replicator.h"
 #include "catalog/service_watch.h"
+#include "dispatch/dispatcher.h"
 #include "execution/effect_guard.h"
 #include "execution/executor.h"
 #include "membership/membership.h"
 #include "node/events.h"
 #include "routing/backend_table.h"
-#include "serving/dispatcher.h"
 
 #include <array>
 #include <cstdint>
--- a/src/serving/cold_limit.cc
+++ b/src/replicas/cold_limit.cc
@@ -1,4 +1,4 @@
-#include "serving/cold_limit.h"
+#include "replicas/cold_limit.h"
 
 #include "base/hashing.h"
 
--- /dev/null
+++ b/src/replicas/least_loaded_chooser.h
@@ -0,0 +1,25 @@
+/// Replica for a request that any replica of its service serves alike.
+#pragma once
+
+#include "base/random.h"
+#include "replicas/replica_chooser.h"
+
+namespace spurrack::serving {
+
+/// The least loaded replica, own zone first where loads are alike. Not thread-safe.
+class least_loaded_chooser final : public replica_chooser {
+ public:
+  /// @param replicas, random must outlive this object.
+  least_loaded_chooser(const replica_table& replicas, base::zone_id own_zone,
+                       base::random_source& random);
+
+  [[nodiscard]] const replica_state* choose(const replica_demand& demand,
+                                            base::time_point now) override;
+
+ private:
+  const replica_table* replicas_;
+  base::zone_id own_zone_;
+  base::random_source* random_;
+};
+
+} // namespace spurrack::serving
--- a/src/serving/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -1,6 +1,6 @@
-#include "serving/replica_table.h"
+#include "replicas/replica_table.h"
 
-#include "base/hashing.h"
+#include "replicas/replica_chooser.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,23 +11,15 @@
 
 /// Load told with an answer says nothing more after this time.
 constexpr base::duration told_load_lifetime = std::chrono::milliseconds(500);
-/// What a replica in another zone must be better by, in parts of its slots.
-constexpr double other_zone_cost = 0.5;
-/// What a replica that fails all calls is worse by, in parts of its slots.
-constexpr double failure_cost = 3.0;
 constexpr double failure_smoothing = 0.15;
 /// Share of the newest call in the learned slowness: two calls show what a replica has become.
 constexpr double newest_pace_share = 0.6;
 /// A replica that was slow is tried again after a few of these: troubles last some seconds.
 constexpr base::duration slowness_half_life = std::chrono::seconds(2);
-/// An engine is passed over for a prompt above this load, in parts of its slots.
-constexpr double engine_load_bound = 0.6;
 /// A replica that refused a call is left alone for this many calls and up to one more. It takes one
 /// call at a time and lets some wait, so it is busy for at least as long; nodes that each tried it
 /// every 60 ms had three of five calls refused after a loss of power of all.
 constexpr double least_occupied_calls = 0.5;
-/// Loads that differ by less are alike.
-constexpr double alike = 0.02;
 
 } // namespace
 
@@ -138,26 +130,32 @@
          bears_request(state, now);
 }
 
-replica_table::candidates replica_table::usable(const std::string& service,
-                                                const std::set<base::replica_id>& excluded,
-                                                base::time_point now, bool ignore_pauses) {
-  candidates found;
-  const auto ids = by_service_.find(service);
+std::vector<const replica_state*> replica_table::usable(const replica_demand& demand,
+                                                        base::time_point now,
+                                                        bool ignore_pauses) const {
+  std::vector<const replica_state*> found;
+  const auto ids = by_service_.find(demand.service);
   if (ids == by_service_.end()) {
     return found;
   }
   for (const auto& id : ids->second) {
-    auto& state = replicas_.at(id);
+    const auto& state = replicas_.at(id);
     const bool usable_now =
         ignore_pauses ? takes_work(state) && bears_request(state, now) : is_available(state, now);
-    if (usable_now && !excluded.contains(id)) {
+    if (usable_now && !demand.excluded.contains(id) && permits(demand.allowed_regions, state)) {
       found.push_back(&state);
     }
   }
   return found;
 }
 
-double replica_table::load_of(const replica_state& state, base::time_point now) const {
+std::vector<const replica_state*> replica_table::candidates_for(const replica_demand& demand,
+                                                                base::time_point now) const {
+  auto found = usable(demand, now, false);
+  return found.empty() ? usable(demand, now, true) : found;
+}
+
+double replica_table::load_of(const replica_state& state, base::time_point now) {
   double calls = state.in_flight;
   if (state.told && now - state.told_at < told_load_lifetime) {
     const double told = state.told->running + state.told->waiting;
@@ -168,50 +166,6 @@
   return calls / std::max(1U, state.record->slots);
 }
 
-const replica_state* replica_table::choose(const std::string& service,
-                                           const std::set<base::replica_id>& excluded,
-                                           base::time_point now) {
-  auto found = usable(service, excluded, now, false);
-  if (found.empty()) {
-    found = usable(service, excluded, now, true);
-  }
-  const replica_state* best = nullptr;
-  double best_cost = 0;
-  std::size_t ties = 0;
-  for (const auto* state : found) {
-    const double zone_cost = state->record->zone == own_zone_ ? 0 : other_zone_cost;
-    const double cost = load_of(*state, now) + zone_cost + failure_cost * state->failure_share;
-    if (best == nullptr || cost < best_cost - alike) {
-      best = state;
-      best_cost = cost;
-      ties = 1;
-    } else if (cost <= best_cost + alike && random_->below(++ties) == 0) {
-      best = state;
-    }
-  }
-  return best;
-}
-
-const replica_state* replica_table::choose_engine(const std::string& service,
-                                                  std::uint64_t affinity,
-                                                  const std::set<base::replica_id>& excluded,
-                                                  base::time_point now) {
-  auto found = usable(service, excluded, now, false);
-  if (found.empty()) {
-    found = usable(service, excluded, now, true);
-  }
-  std::vector<std::pair<std::uint64_t, const replica_state*>> ranked;
-  for (const auto* state : found) {
-    if (affinity != 0 && load_of(*state, now) < engine_load_bound) {
-      ranked.emplace_back(base::stable_hash(state->record->id.text(), affinity), state);
-    }
-  }
-  if (ranked.empty()) {
-    return choose(service, excluded, now);
-  }
-  return std::max_element(ranked.begin(), ranked.end())->second;
-}
-
 std::vector<const replica_state*> replica_table::available(const std::string& service,
                                                            base::time_point now) const {
   std::vector<const replica_state*> found;
--- a/src/serving/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -1,12 +1,11 @@
-/// Replicas as this node sees them: published, and what calls have shown since. Chooses one for a
-/// request.
+/// Replicas as this node sees them: published, and what calls have shown since.
 #pragma once
 
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "model/serving_records.h"
-#include "serving/cold_limit.h"
+#include "replicas/cold_limit.h"
 #include "serving/events.h"
 #include "serving/settings.h"
 
@@ -21,6 +20,8 @@
 
 namespace spurrack::serving {
 
+struct replica_demand;
+
 /// One replica with what this node has seen of it.
 struct replica_state {
   std::shared_ptr<const model::replica> record;
@@ -75,19 +76,16 @@
     return !unreachable_.contains(zone);
   }
 
-  /// Replica for a plain request: the least loaded, own zone first where loads are alike.
-  /// @param excluded replicas that were tried already.
-  /// @return null where none can take the request.
-  [[nodiscard]] const replica_state* choose(const std::string& service,
-                                            const std::set<base::replica_id>& excluded,
-                                            base::time_point now);
-  /// Replica for a prompt: the same for the same shared part on every node, unless it is loaded far
-  /// beyond the others.
-  /// @param affinity hash of the shared part; 0 where there is none.
-  [[nodiscard]] const replica_state* choose_engine(const std::string& service,
-                                                   std::uint64_t affinity,
-                                                   const std::set<base::replica_id>& excluded,
-                                                   base::time_point now);
+  /// @return replicas that may be given a request now; where all that could serve it rest after
+  ///         failures, those.
+  [[nodiscard]] std::vector<const replica_state*> candidates_for(const replica_demand& demand,
+                                                                 base::time_point now) const;
+  /// @return calls under way at a replica, as far as this node knows, in parts of its slots.
+  [[nodiscard]] static double load_of(const replica_state& state, base::time_point now);
+  /// @return whether a request that is held to some regions may use a replica.
+  [[nodiscard]] bool permits(const model::residency& allowed, const replica_state& state) const {
+    return allowed.permits(settings_.regions.region_of(state.record->zone));
+  }
   /// Replicas of a service that may be given work now, own zone first.
   [[nodiscard]] std::vector<const replica_state*> available(const std::string& service,
                                                             base::time_point now) const;
@@ -127,10 +125,8 @@
   [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
 
  private:
-  using candidates = std::vector<replica_state*>;
-  [[nodiscard]] candidates usable(const std::string& service,
-                                  const std::set<base::replica_id>& excluded, base::time_point now,
-                                  bool ignore_pauses);
+  [[nodiscard]] std::vector<const replica_state*>
+  usable(const replica_demand& demand, base::time_point now, bool ignore_pauses) const;
   /// @return whether a replica may be given anything at all.
   [[nodiscard]] bool takes_work(const replica_state& state) const;
   /// @return the service that bounds what a replica gets while it is cold; null where the replica
@@ -142,7 +138,6 @@
   /// @return whether a replica is warm, or cold and this node may send it a request now.
   [[nodiscard]] bool bears_request(const replica_state& state, base::time_point now) const;
   static void turn_cold(replica_state& state, base::duration cold_for, base::time_point now);
-  [[nodiscard]] double load_of(const replica_state& state, base::time_point now) const;
   replica_state* mutable_find(const base::replica_id& id);
 
   base::zone_id own_zone_;
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -3,10 +3,9 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "model/residency.h"
 
 #include <cstddef>
-#include <map>
-#include <string>
 
 namespace spurrack::serving {
 
@@ -29,8 +28,8 @@
 };
 
 struct serving_settings {
-  /// Region of each zone. Zones that are not named are regions of their own.
-  std::map<base::zone_id, std::string> regions;
+  /// Region of each zone. What is held to regions is done in no zone that is not named.
+  model::zone_regions regions;
   retry_limits retry;
   /// Bounds on what replicas get that have just started or lost what they keep warm.
   cold_bounds cold;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <utility>
 
 namespace spurrack::settings {
@@ -169,9 +170,11 @@
   serving.batch_wait =
       section->milliseconds("batch_wait_ms", 0, 1'000, milliseconds_of(serving.batch_wait));
   if (auto regions = section->mapping("regions", false)) {
+    std::map<base::zone_id, base::region_id> by_zone;
     for (const auto& zone : regions->entry_names()) {
-      serving.regions[base::zone_id(zone)] = regions->required_text(zone);
+      by_zone[base::zone_id(zone)] = base::region_id(regions->required_text(zone));
     }
+    serving.regions = model::zone_regions(std::move(by_zone));
   }
   result.node.serving = serving;
   result.node.stop_linger = std::chrono::milliseconds(1'500);
--- a/src/serving/drain_rate.cc
+++ b/src/stage_work/drain_rate.cc
@@ -1,4 +1,4 @@
-#include "serving/drain_rate.h"
+#include "stage_work/drain_rate.h"
 
 namespace spurrack::serving {
 namespace {
--- a/src/serving/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -1,6 +1,6 @@
-#include "serving/stage_exchange.h"
+#include "stage_work/stage_exchange.h"
 
-#include "serving/result_handle.h"
+#include "stage_work/result_handle.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/serving/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -10,10 +10,10 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "serving/peer_directory.h"
-#include "serving/replica_table.h"
+#include "fleet_view/peer_directory.h"
+#include "replicas/replica_table.h"
 #include "serving/settings.h"
-#include "serving/stage_pool.h"
+#include "stage_work/stage_pool.h"
 #include "wire/outgoing.h"
 
 #include <cstdint>
@@ -226,7 +226,7 @@
   wire::stage_work& message_to(const base::node_id& node);
 
   fleet_peer self_;
-  std::map<base::zone_id, std::string> regions_;
+  model::zone_regions regions_;
   replica_table* replicas_;
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
--- a/src/serving/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -1,8 +1,8 @@
 /// Who gathers pieces for which replica, and how long a piece would wait there.
-#include "serving/stage_exchange.h"
+#include "stage_work/stage_exchange.h"
 
 #include "base/hashing.h"
-#include "serving/stage_pool_limits.h"
+#include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
 #include <iterator>
@@ -30,8 +30,8 @@
 } // namespace
 
 std::string stage_exchange::region_of(const base::zone_id& zone) const {
-  const auto found = regions_.find(zone);
-  return found == regions_.end() ? zone.text() : found->second;
+  const auto region = regions_.region_of(zone);
+  return region ? region->text() : zone.text();
 }
 
 void stage_exchange::refresh(base::time_point now) {
--- a/src/serving/stage_graph.cc
+++ b/src/stage_work/stage_graph.cc
@@ -1,4 +1,4 @@
-#include "serving/stage_graph.h"
+#include "stage_work/stage_graph.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/serving/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -1,8 +1,7 @@
-#include "serving/stage_pool.h"
+#include "stage_work/stage_pool.h"
 
-#include "serving/dispatcher_constants.h"
-#include "serving/result_handle.h"
-#include "serving/stage_pool_limits.h"
+#include "stage_work/result_handle.h"
+#include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
 #include <iterator>
@@ -456,9 +455,9 @@
               std::to_string(batch.size()) + " pieces, " + std::to_string(queue.size()) +
               " wait, room taken " +
               std::to_string(static_cast<std::int64_t>(room_taken_[replica.record->id])));
-  const auto usual =
-      scaled(usual_time(capacity, open.tickets.size()), replica_table::slowness_of(replica, now));
-  open.give_up_at = now + scaled(usual, stall_factor) + stall_margin;
+  const auto usual = base::scaled(usual_time(capacity, open.tickets.size()),
+                                  replica_table::slowness_of(replica, now));
+  open.give_up_at = now + base::scaled(usual, stall_factor) + stall_margin;
   commands_.emplace_back(open.call);
   replicas_->call_started(replica.record->id, now);
   ++calls_at_[replica.record->id];
--- a/src/serving/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -5,11 +5,11 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "model/serving_records.h"
+#include "replicas/replica_table.h"
 #include "serving/decision_recorder.h"
-#include "serving/drain_rate.h"
 #include "serving/events.h"
-#include "serving/replica_table.h"
 #include "serving/settings.h"
+#include "stage_work/drain_rate.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/serving/stage_pool_batches.cc
+++ b/src/stage_work/stage_pool_batches.cc
@@ -1,8 +1,7 @@
 /// Which pieces go into the next call to a replica, and which wait for one of their own zone.
-#include "serving/stage_pool.h"
+#include "stage_work/stage_pool.h"
 
-#include "serving/dispatcher_constants.h"
-#include "serving/stage_pool_limits.h"
+#include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -95,8 +94,9 @@
                        base::time_point now) const {
   double room = free_room(replica.record->id, capacity, now);
   const double slowness = replica_table::slowness_of(replica, now);
-  const auto delay = slowness < slow ? base::duration::zero()
-                                     : scaled(usual_time(capacity, capacity.batch), slowness - 1);
+  const auto delay = slowness < slow
+                         ? base::duration::zero()
+                         : base::scaled(usual_time(capacity, capacity.batch), slowness - 1);
   std::vector<queue_position> batch;
   for (const bool in_time : {true, false}) {
     for (auto& group : groups) {
--- a/tests/serving/retry_share_test.cc
+++ b/tests/dispatch/retry_share_test.cc
@@ -1,4 +1,4 @@
-#include "serving/retry_share.h"
+#include "dispatch/retry_share.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/serving/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "catalog/catalog.h"
+#include "dispatch/dispatcher.h"
 #include "model/serving_record_parser.h"
-#include "serving/dispatcher.h"
 #include "wire/published.pb.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/serving/peer_directory_test.cc
+++ b/tests/fleet_view/peer_directory_test.cc
@@ -1,5 +1,5 @@
 /// Who hears of a gatherer: the messages between zones as the gatherers of a zone grow in number.
-#include "serving/peer_directory.h"
+#include "fleet_view/peer_directory.h"
 
 #include <boost/test/unit_test.hpp>
 
--- /dev/null
+++ b/tests/model/residency_test.cc
@@ -0,0 +1,58 @@
+#include "model/residency.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+using model::residency;
+
+namespace {
+
+const base::region_id north("north");
+const base::region_id south("south");
+const base::region_id west("west");
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(residency_test)
+
+BOOST_AUTO_TEST_CASE(without_restriction_every_region_is_allowed_also_an_unknown_one) {
+  const auto allowed = residency::everywhere();
+  BOOST_TEST(!allowed.is_restricted());
+  BOOST_TEST(!allowed.is_empty());
+  BOOST_TEST(allowed.permits(north));
+  BOOST_TEST(allowed.permits(std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(a_restricted_request_may_not_go_where_the_region_is_unknown) {
+  const auto allowed = residency::within({north});
+  BOOST_TEST(allowed.permits(north));
+  BOOST_TEST(!allowed.permits(south));
+  BOOST_TEST(!allowed.permits(std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(route_and_tenant_must_both_allow_a_region) {
+  const auto route = residency::within({north, south});
+  const auto tenant = residency::within({south, west});
+  BOOST_TEST((route.intersect(tenant) == residency::within({south})));
+  BOOST_TEST((route.intersect(residency::everywhere()) == route));
+  BOOST_TEST((residency::everywhere().intersect(tenant) == tenant));
+  const auto nothing = route.intersect(residency::within({west}));
+  BOOST_TEST(nothing.is_empty());
+  BOOST_TEST(nothing.is_restricted());
+  BOOST_TEST(!nothing.permits(west));
+}
+
+BOOST_AUTO_TEST_CASE(zones_are_of_one_region_only_where_the_settings_say_so) {
+  const base::zone_id first("n1");
+  const base::zone_id second("n2");
+  const base::zone_id other("s1");
+  const base::zone_id unnamed("x");
+  const model::zone_regions regions({{first, north}, {second, north}, {other, south}});
+  BOOST_TEST(regions.same_region(first, second));
+  BOOST_TEST(!regions.same_region(first, other));
+  BOOST_TEST(!regions.region_of(unnamed).has_value());
+  BOOST_TEST(regions.same_region(unnamed, unnamed));
+  BOOST_TEST(!regions.same_region(unnamed, base::zone_id("y")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -64,6 +64,47 @@
   BOOST_TEST(configuration.limits.max_body_bytes == 200);
 }
 
+BOOST_AUTO_TEST_CASE(regions_of_routes_and_tenants_are_translated) {
+  const auto text = std::string(R"({"version":7,"routes":[
+      {"name":"r","host":"h","path_prefix":"/a/","kind":"safe","service":"llm",
+       "allowed_regions":["north","south"]},
+      {"name":"free","host":"h","path_prefix":"/b/","kind":"safe","service":"llm"}],)") +
+                    services +
+                    R"(,"tenants":[{"name":"t","api_keys":["k"],"allowed_regions":["south"]}]})";
+  const auto result = parsed(text);
+  const auto& configuration = *std::get<0>(result);
+  const auto route = configuration.find_route("h", "/a/");
+  BOOST_TEST((route->allowed_regions ==
+              model::residency::within({base::region_id("north"), base::region_id("south")})));
+  BOOST_TEST(!configuration.find_route("h", "/b/")->allowed_regions.is_restricted());
+  const auto& holder = configuration.keys.at("k");
+  BOOST_TEST((holder.allowed_regions == model::residency::within({base::region_id("south")})));
+}
+
+BOOST_AUTO_TEST_CASE(a_list_of_regions_that_is_not_one_refuses_the_configuration) {
+  const std::string route = R"({"name":"r","host":"h","path_prefix":"/a/","kind":"safe",)"
+                            R"("service":"llm","allowed_regions":)";
+  BOOST_TEST(refusal_of(with_route(route + "[]}")) == "allowed_regions names no region");
+  BOOST_TEST(refusal_of(with_route(route + "[\"\"]}")) ==
+             "allowed_regions holds something else than names");
+  BOOST_TEST(refusal_of(with_route(route + "[7]}")) ==
+             "allowed_regions holds something else than names");
+  BOOST_TEST(refusal_of(with_route(route + "\"north\"}")) == "allowed_regions is not a list");
+}
+
+BOOST_AUTO_TEST_CASE(what_an_engine_holds_and_carries_is_translated) {
+  const auto text = std::string(R"({"version":7,"services":[{"name":"llm","engine":{"slots":64,
+      "kv_capacity_tokens":580797,"kv_token_bytes":163840,"link_mbps":260000.0}}]})");
+  const auto result = parsed(text);
+  const auto& engine = *std::get<0>(result)->find_service("llm")->engine;
+  BOOST_TEST(engine.memory_tokens == 580797U);
+  BOOST_TEST(engine.token_bytes == 163840);
+  BOOST_TEST(engine.link_bits_per_second == 260e9);
+  BOOST_TEST(refusal_of(R"({"version":7,"services":[{"name":"llm","engine":{"slots":64,
+      "kv_capacity_tokens":5,"kv_token_bytes":-1}}]})") ==
+             "service llm: an engine's figure is negative");
+}
+
 BOOST_AUTO_TEST_CASE(the_longest_prefix_wins) {
   const auto text = with_route(
       R"({"name":"short","host":"h","path_prefix":"/a/","kind":"safe","service":"llm"},
--- a/tests/serving/cold_limit_test.cc
+++ b/tests/replicas/cold_limit_test.cc
@@ -1,6 +1,6 @@
 /// What a cold replica gets from a whole fleet whose nodes do not see each other's sends, with the
 /// policy that stands and with a share for every node.
-#include "serving/cold_limit.h"
+#include "replicas/cold_limit.h"
 
 #include "base/random.h"
 
--- a/tests/serving/exchange_fleet.h
+++ b/tests/stage_work/exchange_fleet.h
@@ -1,7 +1,7 @@
 /// A fleet of stage exchanges whose messages are delivered by hand.
 #pragma once
 
-#include "serving/stage_exchange.h"
+#include "stage_work/stage_exchange.h"
 
 #include "serving_fixture.h"
 
@@ -18,10 +18,12 @@
 
 /// Settings of nodes whose zones `a` to `e` are one region.
 inline serving_settings one_region() {
-  serving_settings settings;
+  std::map<base::zone_id, base::region_id> regions;
   for (const char* zone : {"a", "b", "c", "d", "e"}) {
-    settings.regions[base::zone_id(zone)] = "region";
+    regions[base::zone_id(zone)] = base::region_id("region");
   }
+  serving_settings settings;
+  settings.regions = model::zone_regions(std::move(regions));
   return settings;
 }
 
--- a/tests/serving/stage_pool_test.cc
+++ b/tests/stage_work/stage_pool_test.cc
@@ -1,4 +1,4 @@
-#include "serving/stage_pool.h"
+#include "stage_work/stage_pool.h"
 
 #include "serving_fixture.h"
 
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -13,15 +13,21 @@
   [admission]="admission routing catalog model wire base"
   [idempotency]="idempotency catalog model wire base"
   [execution]="execution admission idempotency routing membership catalog model wire base"
-  [serving]="serving catalog model wire base"
-  [node]="node serving execution admission idempotency routing membership catalog model wire base"
+  [serving]="serving model wire base"
+  [flow]="flow base"
+  [fleet_view]="fleet_view serving model wire base"
+  [replicas]="replicas serving model wire base"
+  [engines]="engines replicas fleet_view serving model wire base"
+  [stage_work]="stage_work replicas fleet_view serving model wire base"
+  [dispatch]="dispatch stage_work engines replicas fleet_view flow serving catalog model wire base"
+  [node]="node dispatch fleet_view serving execution admission idempotency routing membership catalog model wire base"
   [simulation]="simulation node serving execution admission idempotency routing membership catalog model wire base"
   [settings]="settings node serving execution admission routing membership catalog model wire base"
   [logging]="logging base"
-  [http]="http serving settings node execution model base"
+  [http]="http flow serving settings node execution model base"
   [publication]="publication http node execution model wire base"
   [backends]="backends http execution model base"
-  [upstream]="upstream http serving model base"
+  [upstream]="upstream http flow serving model base"
   [peers]="peers settings wire base"
   [daemon]="*"
   [ctl]="*"
@@ -48,7 +54,7 @@
 # Decision logic does no I/O.
 if grep -nE '#include <(boost/asio|boost/beast|zmq|sys/socket|fstream|iostream|thread)' \
   base/*.h base/*.cc model/*.h model/*.cc catalog/* membership/* routing/* admission/* \
-  idempotency/* execution/* serving/* node/* simulation/* 2>/dev/null; then
+  idempotency/* execution/* serving/* flow/* fleet_view/* replicas/* engines/* stage_work/* dispatch/* node/* simulation/* 2>/dev/null; then
   echo "decision logic may not do I/O"
   bad=1
 fi
