--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -2,6 +2,7 @@
 #include "ctl/check.h"
 #include "ctl/reports.h"
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include <cxxopts.hpp>
 
@@ -56,18 +57,14 @@
   options.add_options()("nodes", "operator listeners, IP:port, comma between",
                         cxxopts::value<std::string>()->default_value(""))(
       "output", "text or json", cxxopts::value<std::string>()->default_value("text"))(
-      "version", "print the version")("help", "print this help")(
       "command", "command", cxxopts::value<std::string>()->default_value(""))(
       "arguments", "arguments", cxxopts::value<std::vector<std::string>>()->default_value(""));
+  spurrack::logging::add_usual_options(options);
   options.parse_positional({"command", "arguments"});
   options.positional_help("COMMAND [ARGUMENT...]");
   const auto given = options.parse(argc, argv);
-  if (given.count("help") > 0) {
-    std::cout << options.help() << "\n" << commands_help;
-    return 0;
-  }
-  if (given.count("version") > 0) {
-    std::cout << "spurrackctl " SPURRACK_VERSION "\n";
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    std::cout << (given.count("help") > 0 ? commands_help : "");
     return 0;
   }
   const auto output = given["output"].as<std::string>();
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,7 @@
 #include "http_codec.h"
 #include "logging/guarded_main.h"
 #include "logging/json_log.h"
+#include "logging/usual_options.h"
 #include "settings/settings.h"
 #include "store_client.h"
 
@@ -69,17 +70,12 @@
 int run_program(int argc, char** argv) {
   cxxopts::Options options("spurrackd", "Serves multi-stage model pipelines.");
   options.add_options()("settings", "YAML file with the settings", cxxopts::value<std::string>())(
-      "check-settings",
-      "check the settings and exit")("version", "print the version")("help", "print this help");
+      "check-settings", "check the settings and exit");
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
-  if (given.count("help") > 0) {
-    std::cout << options.help()
-              << "\nExit codes: 0 stopped or settings valid, 2 bad usage or "
-                 "settings, 3 cannot start.\n";
-    return exit_ok;
-  }
-  if (given.count("version") > 0) {
-    std::cout << "spurrackd " SPURRACK_VERSION "\n";
+  if (spurrack::logging::answer_usual_options(
+          options, given,
+          "0 stopped or settings valid, 2 bad usage or settings, 3 cannot start.")) {
     return exit_ok;
   }
   return run(given["settings"].as<std::string>(), given.count("check-settings") > 0);
--- a/standins/backend_stand_in.cc
+++ b/standins/backend_stand_in.cc
@@ -3,6 +3,7 @@
 #include "http_service.h"
 
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include <cxxopts.hpp>
 
@@ -232,7 +233,11 @@
       "token-us", "time of one token", cxxopts::value<std::int64_t>()->default_value("500"))(
       "most-in-flight", "calls beyond are refused",
       cxxopts::value<std::int64_t>()->default_value("64"));
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   backend_settings settings;
   settings.id = given["id"].as<std::string>();
   settings.service_time = std::chrono::microseconds(given["service-us"].as<std::int64_t>());
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -3,6 +3,7 @@
 #include "http_service.h"
 
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include "http/awaitable.h"
 #include "http/endpoint.h"
@@ -146,7 +147,11 @@
   cxxopts::Options options("fault_proxy", "TCP proxy with faults, for tests.");
   options.add_options()("admin", "IP:port", cxxopts::value<std::string>())(
       "link", "name,listen,target (semicolons between several)", cxxopts::value<std::string>());
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   asio::io_context io(1);
   link_map links;
   std::istringstream list(given["link"].as<std::string>());
--- a/standins/platform_stand_in.cc
+++ b/standins/platform_stand_in.cc
@@ -3,6 +3,7 @@
 #include "http_service.h"
 
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include "http/awaitable.h"
 
@@ -170,7 +171,11 @@
 int run(int argc, char** argv) {
   cxxopts::Options options("platform_stand_in", "Stand-in of a platform service, for tests.");
   options.add_options()("listen", "IP:port", cxxopts::value<std::string>());
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   asio::io_context io(1);
   platform_stand_in platform(io);
   spurrack::standins::serve(io, given["listen"].as<std::string>(),
--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -5,6 +5,7 @@
 
 #include "fleet/http_client.h"
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include <cxxopts.hpp>
 
@@ -293,11 +294,10 @@
       "seeds", "seeds to play", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "nodes", "daemons", cxxopts::value<std::size_t>()->default_value("4"))(
       "rounds", "phases of faults in each run", cxxopts::value<std::size_t>()->default_value("1"))(
-      "fault-seconds", "length of a phase of faults",
-      cxxopts::value<double>()->default_value("6"))("help", "show this text");
+      "fault-seconds", "length of a phase of faults", cxxopts::value<double>()->default_value("6"));
+  logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
-  if (given.count("help") > 0) {
-    std::cout << options.help();
+  if (logging::answer_usual_options(options, given)) {
     return 0;
   }
   const soak_options wanted{
--- a/tools/capacity.cc
+++ b/tools/capacity.cc
@@ -1,6 +1,7 @@
 /// Measures what control costs a node: fleets of hollow nodes in one process, in virtual time. Each
 /// measurement runs in a process of its own, so that memory can be told apart.
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 #include "simulation/fleet_simulation.h"
 
 #include <cxxopts.hpp>
@@ -149,7 +150,11 @@
       "other-nodes", "listed nodes of the other zones", cxxopts::value<int>(size.other_nodes))(
       "replicas", "listed back ends", cxxopts::value<int>(size.replicas))(
       "tenants", "tenants", cxxopts::value<int>(size.tenants))("header", "print the table's head");
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   if (given.count("header") > 0) {
     std::cout
         << "| nodes | far nodes | replicas | tenants | ready | messages/s a node | bytes/s a "
--- a/tools/demo.cc
+++ b/tools/demo.cc
@@ -1,6 +1,8 @@
 /// The demo: a small fleet of both users on this machine, real requests, the answers, the cost by
 /// stage and the time line of one request. Exits non-zero if any answer is wrong.
 #include "fleet/example_records.h"
+#include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include <csignal>
 #include <iostream>
@@ -69,49 +71,54 @@
   return ctl.wait();
 }
 
-} // namespace
-
-int main(int /*argc*/, char** argv) {
+int run_program(int argc, char** argv) {
+  cxxopts::Options options("spurrack_demo", "A fleet of real processes that serves some requests.");
+  spurrack::logging::add_usual_options(options);
+  const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   const auto binaries = std::filesystem::absolute(argv[0]).parent_path();
-  try {
-    std::cout << "starting: platform, 2 zones, 4 nodes, 18 back ends\n";
-    local_fleet fleet(binaries, spurrack::fleet::example_fleet({"north", "south"}, 2));
-    fleet.start_all();
-    std::cout << "all nodes are ready\n";
-    const std::vector<demo_request> requests{
-        {"entry-north1", "client-answer", spurrack::fleet::agents_token, "donde esta mi giro",
-         "generate", "generate(rerank(retrieve(encode(donde esta mi giro)))) w1 w2 w3 w4 w5 w6 w7",
-         false},
-        {"entry-north2", "transfer-confirmation", spurrack::fleet::agents_token, "giro 4711",
-         "payout-notice", "call(generate(encode(giro 4711)) w1 w2 w3)", true},
-        {"entry-south1", "excursion-report", spurrack::fleet::members_token, "probe 12", "generate",
-         "generate(rerank(retrieve(encode(probe 12)))) w1 w2 w3 w4 w5 w6 w7 w8 w9 w10 w11", false},
-        {"entry-south2", "officer-alert", spurrack::fleet::members_token, "store 3 at 11 C",
-         "officer-alert", "call(generate(store 3 at 11 C) w1 w2 w3)", true}};
-    std::string last;
-    for (const auto& request : requests) {
-      last = run_request(fleet, request);
-      if (last.empty()) {
-        return 1;
-      }
-    }
-    if (show_timeline(fleet, binaries, last) != 0) {
+  std::cout << "starting: platform, 2 zones, 4 nodes, 18 back ends\n";
+  local_fleet fleet(binaries, spurrack::fleet::example_fleet({"north", "south"}, 2));
+  fleet.start_all();
+  std::cout << "all nodes are ready\n";
+  const std::vector<demo_request> requests{
+      {"entry-north1", "client-answer", spurrack::fleet::agents_token, "donde esta mi giro",
+       "generate", "generate(rerank(retrieve(encode(donde esta mi giro)))) w1 w2 w3 w4 w5 w6 w7",
+       false},
+      {"entry-north2", "transfer-confirmation", spurrack::fleet::agents_token, "giro 4711",
+       "payout-notice", "call(generate(encode(giro 4711)) w1 w2 w3)", true},
+      {"entry-south1", "excursion-report", spurrack::fleet::members_token, "probe 12", "generate",
+       "generate(rerank(retrieve(encode(probe 12)))) w1 w2 w3 w4 w5 w6 w7 w8 w9 w10 w11", false},
+      {"entry-south2", "officer-alert", spurrack::fleet::members_token, "store 3 at 11 C",
+       "officer-alert", "call(generate(store 3 at 11 C) w1 w2 w3)", true}};
+  std::string last;
+  for (const auto& request : requests) {
+    last = run_request(fleet, request);
+    if (last.empty()) {
       return 1;
     }
-    for (const auto& node : fleet.description().nodes) {
-      fleet.node(node.name).signal(SIGTERM);
-    }
-    for (const auto& node : fleet.description().nodes) {
-      const int code = fleet.node(node.name).wait();
-      if (code != 0) {
-        std::cout << node.name << " ended with code " << code << "\n";
-        return 1;
-      }
-    }
-    std::cout << "\nall answers right; all nodes stopped with code 0\n";
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << "\n";
+  }
+  if (show_timeline(fleet, binaries, last) != 0) {
     return 1;
   }
+  for (const auto& node : fleet.description().nodes) {
+    fleet.node(node.name).signal(SIGTERM);
+  }
+  for (const auto& node : fleet.description().nodes) {
+    const int code = fleet.node(node.name).wait();
+    if (code != 0) {
+      std::cout << node.name << " ended with code " << code << "\n";
+      return 1;
+    }
+  }
+  std::cout << "\nall answers right; all nodes stopped with code 0\n";
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+  return spurrack::logging::guarded_main(run_program, argc, argv, 1);
+}
--- a/tools/experiment.cc
+++ b/tools/experiment.cc
@@ -2,6 +2,7 @@
 #include "load_scenario.h"
 
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include <cxxopts.hpp>
 
@@ -101,7 +102,11 @@
       "seeds", "runs of each", cxxopts::value<unsigned>()->default_value("3"))(
       "only", "scenarios whose name holds this", cxxopts::value<std::string>()->default_value(""))(
       "threads", "at the same time", cxxopts::value<unsigned>()->default_value("6"));
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   const auto seeds = given["seeds"].as<unsigned>();
   std::vector<job> jobs;
   for (const auto& user : {remittance_house(), cold_chain_association()}) {
--- a/tools/fleet_soak.cc
+++ b/tools/fleet_soak.cc
@@ -1,5 +1,6 @@
 /// Runs many seeds of the simulated fleet under faults and reports the violations.
 #include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 #include "simulation/random_faults.h"
 
 #include <cxxopts.hpp>
@@ -35,7 +36,11 @@
                         cxxopts::value<std::uint64_t>()->default_value("1000"))(
       "first", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "threads", "runs at the same time", cxxopts::value<unsigned>()->default_value("4"));
+  spurrack::logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
   const auto first = given["first"].as<std::uint64_t>();
   const auto count = given["seeds"].as<std::uint64_t>();
   std::atomic<std::uint64_t> next{first};
--- a/tools/speed.cc
+++ b/tools/speed.cc
@@ -3,6 +3,8 @@
 #include "fleet/example_records.h"
 
 #include "http/endpoint.h"
+#include "logging/guarded_main.h"
+#include "logging/usual_options.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
@@ -156,19 +158,23 @@
             << " requests: " << static_cast<double>(node.resident_bytes()) / 1e6 << " MB\n";
 }
 
-} // namespace
-
-int main(int /*argc*/, char** argv) {
-  try {
-    const auto binaries = std::filesystem::absolute(argv[0]).parent_path();
-    measure_latency(binaries);
-    for (const int tokens : {8, 64, 200}) {
-      measure_throughput(binaries, tokens);
-    }
-  } catch (const std::exception& error) {
-    std::fputs(error.what(), stderr);
-    std::fputs("\n", stderr);
-    return 1;
+int run_program(int argc, char** argv) {
+  cxxopts::Options options("speed", "Latency and throughput of real processes on this machine.");
+  spurrack::logging::add_usual_options(options);
+  const auto given = options.parse(argc, argv);
+  if (spurrack::logging::answer_usual_options(options, given)) {
+    return 0;
+  }
+  const auto binaries = std::filesystem::absolute(argv[0]).parent_path();
+  measure_latency(binaries);
+  for (const int tokens : {8, 64, 200}) {
+    measure_throughput(binaries, tokens);
   }
   return 0;
 }
+
+} // namespace
+
+int main(int argc, char** argv) {
+  return spurrack::logging::guarded_main(run_program, argc, argv, 1);
+}
