spurrackctl reads log files: the path of one request, and what became of all of them

Cause: explain asked live nodes only, whose ring of events is short, and nothing counted from a run's logs why requests were not served or how long they were held. Change: `explain REQUEST LOGFILE...` and `account LOGFILE...` (ctl/request_log, without network); dropped and unreadable lines are counted and reported.

--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,12 +1,15 @@
 /// spurrackctl: the operators' read-only tool.
 #include "ctl/check.h"
 #include "ctl/reports.h"
+#include "ctl/request_log.h"
 #include "logging/guarded_main.h"
 #include "logging/usual_options.h"
 
 #include <cxxopts.hpp>
 
+#include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace {
@@ -32,15 +35,66 @@
     "  templates         templates and tenants in force\n"
     "  costs             cost by tenant, template and stage, over all nodes\n"
     "  timeline          events of all nodes in causal order\n"
-    "  explain REQUEST   the time line of one request\n"
+    "  explain REQUEST [LOGFILE...]\n"
+    "                    the time line of one request, from live nodes or from their logs\n"
+    "  account LOGFILE...\n"
+    "                    what became of all requests, by route, and why those not served were not\n"
     "Exit codes: 0 well, 1 something is refused or not ready, 2 bad usage, 3 a node did not "
     "answer.\n";
 
+/// Reads log files; says on standard error what is missing in them.
+/// @return nothing where a file cannot be read.
+std::optional<spurrack::ctl::request_log> read_logs(const std::vector<std::string>& files) {
+  spurrack::ctl::request_log log;
+  for (const auto& name : files) {
+    std::ifstream file(name);
+    if (!file) {
+      std::cerr << name << ": cannot be read\n";
+      return std::nullopt;
+    }
+    spurrack::ctl::read_log(file, log);
+  }
+  if (log.unreadable + log.dropped > 0) {
+    std::cerr << log.unreadable << " lines are no log lines, " << log.dropped
+              << " were dropped by their nodes\n";
+  }
+  return log;
+}
+
+exit_code explain_from_logs(const std::string& request, const std::vector<std::string>& files) {
+  const auto log = read_logs(files);
+  if (!log) {
+    return exit_code::bad_usage;
+  }
+  const auto events = spurrack::ctl::events_of(*log, request);
+  spurrack::ctl::print(events, std::cout);
+  return events.empty() ? exit_code::refused : exit_code::well;
+}
+
+exit_code account_for_logs(const std::vector<std::string>& files) {
+  const auto log = read_logs(files);
+  if (!log) {
+    return exit_code::bad_usage;
+  }
+  spurrack::ctl::print(spurrack::ctl::account_for(*log), std::cout);
+  return exit_code::well;
+}
+
 exit_code run(const std::string& command, const std::vector<std::string>& arguments,
               const std::vector<std::string>& nodes, output_format format) {
   if (command == "check") {
     return spurrack::ctl::check_files(arguments, format, std::cout);
   }
+  if (command == "account" && arguments.empty()) {
+    std::cerr << "account takes log files\n";
+    return exit_code::bad_usage;
+  }
+  if (command == "account") {
+    return account_for_logs(arguments);
+  }
+  if (command == "explain" && arguments.size() > 1) {
+    return explain_from_logs(arguments.front(), {arguments.begin() + 1, arguments.end()});
+  }
   if (nodes.empty()) {
     std::cerr << "--nodes IP:port[,IP:port...] is required\n";
     return exit_code::bad_usage;
