Look for replicas and the home of a shared part in the own region first

Cause: the home of a shared part was the best hash over the engines of all regions, and plain calls knew own zone and others only, so two of three prompts of a fleet in three regions were read in another one.

Change: replicas/distance is the one model of distance (zone, region, elsewhere) for choices between replicas; engines are looked for in the own region, then by load with the cost of the way, and callers that do spill meet at one engine for a part. Ruled out: the second ring by hash as soon as the first is above its bound of 0.6, which spills while there are free slots.

Shown: distance_test, among it that a fleet of one region decides as before over 200 drawn tables.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -57,7 +57,8 @@
                        decision_recorder record)
     : self_(self), settings_(settings), record_(std::move(record)),
       replicas_(self.node, self.zone, settings, random),
-      plain_replicas_(replicas_, self.zone, random), engines_(replicas_, plain_replicas_),
+      plain_replicas_(replicas_, distance(self.zone, settings.regions), random),
+      engines_(replicas_, distance(self.zone, settings.regions), plain_replicas_),
       retries_(settings.retry),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
--- a/src/model/residency.h
+++ b/src/model/residency.h
@@ -3,6 +3,8 @@
 
 #include "base/ids.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,6 +39,14 @@
   std::optional<std::set<base::region_id>> regions_;
 };
 
+/// How far a place is, nearest first.
+enum class ring : std::uint8_t {
+  zone,      ///< The same zone.
+  region,    ///< Another zone of the region.
+  elsewhere, ///< Another region, or a zone whose region is not known.
+};
+inline constexpr std::size_t ring_count = 3;
+
 /// The region of each zone, from the settings.
 class zone_regions {
  public:
--- /dev/null
+++ b/src/replicas/distance.cc
@@ -0,0 +1,66 @@
+#include "replicas/distance.h"
+
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// What a replica in another zone of the region must be better by, in parts of its slots.
+constexpr double other_zone_load = 0.5;
+/// The same for another region. A replica with all slots taken and half as many requests waiting is
+/// left for one that is idle: until then the way there and the bytes it takes cost more than the
+/// wait.
+constexpr double other_region_load = 1.5;
+/// What any work in another zone of the region is worth, in seconds of waiting: its load is known a
+/// second late.
+constexpr double other_zone_seconds = 0.2;
+/// The same for another region.
+constexpr double other_region_seconds = 0.2;
+/// What carrying a megabyte to another zone of the region is worth, in seconds of waiting.
+constexpr double other_zone_seconds_per_megabyte = 0.2;
+/// The same for another region.
+constexpr double other_region_seconds_per_megabyte = 0.5;
+constexpr double bytes_per_megabyte = 1e6;
+
+} // namespace
+
+distance::distance(base::zone_id own_zone, model::zone_regions regions)
+    : own_zone_(std::move(own_zone)), regions_(std::move(regions)) {}
+
+model::ring distance::ring_to(const base::zone_id& zone) const {
+  return ring_between(own_zone_, zone);
+}
+
+model::ring distance::ring_between(const base::zone_id& one, const base::zone_id& other) const {
+  if (one == other) {
+    return model::ring::zone;
+  }
+  return regions_.same_region(one, other) ? model::ring::region : model::ring::elsewhere;
+}
+
+double distance::load_cost(model::ring ring) {
+  switch (ring) {
+  case model::ring::zone:
+    return 0;
+  case model::ring::region:
+    return other_zone_load;
+  case model::ring::elsewhere:
+    return other_region_load;
+  }
+  return other_region_load;
+}
+
+double distance::seconds(model::ring ring, double bytes) {
+  const double megabytes = bytes / bytes_per_megabyte;
+  switch (ring) {
+  case model::ring::zone:
+    return 0;
+  case model::ring::region:
+    return other_zone_seconds + megabytes * other_zone_seconds_per_megabyte;
+  case model::ring::elsewhere:
+    break;
+  }
+  return other_region_seconds + megabytes * other_region_seconds_per_megabyte;
+}
+
+} // namespace spurrack::serving
--- a/src/replicas/least_loaded_chooser.h
+++ b/src/replicas/least_loaded_chooser.h
@@ -2,15 +2,16 @@
 #pragma once
 
 #include "base/random.h"
+#include "replicas/distance.h"
 #include "replicas/replica_chooser.h"
 
 namespace spurrack::serving {
 
-/// The least loaded replica, own zone first where loads are alike. Not thread-safe.
+/// The least loaded replica, nearer ones first where loads are alike. Not thread-safe.
 class least_loaded_chooser final : public replica_chooser {
  public:
   /// @param replicas, random must outlive this object.
-  least_loaded_chooser(const replica_table& replicas, base::zone_id own_zone,
+  least_loaded_chooser(const replica_table& replicas, distance from_here,
                        base::random_source& random);
 
   [[nodiscard]] const replica_state* choose(const replica_demand& demand,
@@ -18,7 +19,7 @@
 
  private:
   const replica_table* replicas_;
-  base::zone_id own_zone_;
+  distance from_here_;
   base::random_source* random_;
 };
 
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -11,6 +11,8 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "fleet_view/peer_directory.h"
+#include "model/residency.h"
+#include "replicas/distance.h"
 #include "replicas/replica_table.h"
 #include "serving/settings.h"
 #include "stage_work/stage_pool.h"
--- /dev/null
+++ b/tests/replicas/distance_test.cc
@@ -0,0 +1,236 @@
+/// Rings between zones, and choices between replicas near and far.
+#include "replicas/distance.h"
+
+#include "base/hashing.h"
+#include "base/random.h"
+#include "engines/prefix_chooser.h"
+#include "replicas/least_loaded_chooser.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using model::ring;
+
+namespace {
+
+const std::string service_name = "llm";
+const base::time_point now{std::chrono::hours(1)};
+
+/// Zones `a` and `b` are north, `c` and `d` south; `e` has no region.
+model::zone_regions two_regions() {
+  return model::zone_regions({{base::zone_id("a"), base::region_id("north")},
+                              {base::zone_id("b"), base::region_id("north")},
+                              {base::zone_id("c"), base::region_id("south")},
+                              {base::zone_id("d"), base::region_id("south")}});
+}
+
+model::zone_regions one_region_of_four() {
+  std::map<base::zone_id, base::region_id> regions;
+  for (const char* zone : {"a", "b", "c", "d"}) {
+    regions[base::zone_id(zone)] = base::region_id("all");
+  }
+  return model::zone_regions(std::move(regions));
+}
+
+/// A node in zone `a` that sees replicas in four zones, and both policies over them.
+struct chooser_world {
+  explicit chooser_world(const model::zone_regions& regions, std::size_t per_zone = 3)
+      : random(1), replicas(base::node_id("n"), base::zone_id("a"), settings_of(regions), random),
+        plain(replicas, distance(base::zone_id("a"), regions), random),
+        engines(replicas, distance(base::zone_id("a"), regions), plain) {
+    std::map<base::replica_id, std::shared_ptr<const model::replica>> published;
+    for (const std::string zone : {"a", "b", "c", "d"}) {
+      for (std::size_t index = 0; index < per_zone; ++index) {
+        auto made = std::make_shared<model::replica>();
+        made->id = base::replica_id(zone + std::to_string(index));
+        made->service = service_name;
+        made->address = base::network_address(made->id.text() + ":1");
+        made->zone = base::zone_id(zone);
+        made->slots = 4;
+        published[made->id] = made;
+      }
+    }
+    replicas.update(published, now);
+  }
+
+  static serving_settings settings_of(const model::zone_regions& regions) {
+    serving_settings settings;
+    settings.regions = regions;
+    return settings;
+  }
+
+  void tell_load(const std::string& zone, std::uint32_t calls) {
+    for (const auto& [id, state] : replicas.all()) {
+      if (state.record->zone.text() == zone) {
+        replicas.note_load(id, {calls, 0, 4}, now);
+      }
+    }
+  }
+
+  [[nodiscard]] const replica_state* choose(replica_chooser& policy, const std::string& part,
+                                            const model::residency& allowed = {}) {
+    request_content content;
+    content.model = "m";
+    content.prompt_parts = {{part, 100}, {"own", 10}};
+    const replica_demand demand{service_name, content, allowed, excluded};
+    return policy.choose(demand, now);
+  }
+
+  /// @return zones of the engines of many shared parts.
+  std::set<std::string> zones_of_homes() {
+    std::set<std::string> zones;
+    for (int part = 0; part < 50; ++part) {
+      zones.insert(choose(engines, "part" + std::to_string(part))->record->zone.text());
+    }
+    return zones;
+  }
+
+  base::seeded_random random;
+  replica_table replicas;
+  least_loaded_chooser plain;
+  prefix_chooser engines;
+  std::set<base::replica_id> excluded;
+};
+
+using text_set = std::set<std::string>;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(distance_test)
+
+BOOST_AUTO_TEST_CASE(rings_follow_zones_and_regions) {
+  const distance from_a(base::zone_id("a"), two_regions());
+  BOOST_TEST((from_a.ring_to(base::zone_id("a")) == ring::zone));
+  BOOST_TEST((from_a.ring_to(base::zone_id("b")) == ring::region));
+  BOOST_TEST((from_a.ring_to(base::zone_id("c")) == ring::elsewhere));
+  BOOST_TEST((from_a.ring_between(base::zone_id("c"), base::zone_id("d")) == ring::region));
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_without_region_is_near_itself_alone) {
+  const distance from_e(base::zone_id("e"), two_regions());
+  BOOST_TEST((from_e.ring_to(base::zone_id("e")) == ring::zone));
+  BOOST_TEST((from_e.ring_to(base::zone_id("a")) == ring::elsewhere));
+  BOOST_TEST((from_e.ring_to(base::zone_id("f")) == ring::elsewhere));
+}
+
+BOOST_AUTO_TEST_CASE(farther_rings_cost_more) {
+  constexpr double megabyte = 1e6;
+  BOOST_TEST(distance::load_cost(ring::zone) < distance::load_cost(ring::region));
+  BOOST_TEST(distance::load_cost(ring::region) < distance::load_cost(ring::elsewhere));
+  BOOST_TEST(distance::seconds(ring::zone, megabyte) < distance::seconds(ring::region, megabyte));
+  BOOST_TEST(distance::seconds(ring::region, megabyte) <
+             distance::seconds(ring::elsewhere, megabyte));
+}
+
+BOOST_AUTO_TEST_CASE(a_shared_part_has_its_home_in_the_own_region) {
+  chooser_world world(two_regions());
+  BOOST_TEST(world.zones_of_homes() == (text_set{"a", "b"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_busy_region_keeps_its_prompts_until_the_wait_costs_more_than_the_way) {
+  chooser_world world(two_regions());
+  for (const std::string zone : {"a", "b"}) {
+    world.tell_load(zone, 5);
+  }
+  BOOST_TEST(world.zones_of_homes() == (text_set{"a"}), boost::test_tools::per_element());
+  for (const std::string zone : {"a", "b"}) {
+    world.tell_load(zone, 7);
+  }
+  BOOST_TEST(world.zones_of_homes() == (text_set{"c", "d"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(callers_that_spill_meet_at_one_engine_for_a_part) {
+  chooser_world world(two_regions());
+  for (const std::string zone : {"a", "b"}) {
+    world.tell_load(zone, 7);
+  }
+  const auto* home = world.choose(world.engines, "part");
+  for (int again = 0; again < 20; ++again) {
+    BOOST_TEST(world.choose(world.engines, "part") == home);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_region_without_replicas_that_take_work_is_served_elsewhere) {
+  chooser_world world(two_regions());
+  world.replicas.set_evacuated({base::zone_id("a"), base::zone_id("b")}, now);
+  BOOST_TEST(world.zones_of_homes() == (text_set{"c", "d"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_is_held_elsewhere_has_its_home_there) {
+  chooser_world world(two_regions());
+  const auto allowed = model::residency::within({base::region_id("south")});
+  const auto* home = world.choose(world.engines, "part", allowed);
+  BOOST_REQUIRE(home != nullptr);
+  BOOST_TEST(two_regions().region_of(home->record->zone)->text() == "south");
+}
+
+/// What the policies choose where distance is own zone or not: the rule of a fleet of one region.
+struct one_place_rule {
+  static double cost_of(const replica_state& state) {
+    constexpr double other_zone = 0.5;
+    constexpr double failing = 3.0;
+    return replica_table::load_of(state, now) +
+           (state.record->zone.text() == "a" ? 0 : other_zone) + failing * state.failure_share;
+  }
+
+  /// @return the least cost of any replica.
+  static double least_cost(const chooser_world& world) {
+    double least = 1e9;
+    for (const auto& [id, state] : world.replicas.all()) {
+      least = std::min(least, cost_of(state));
+    }
+    return least;
+  }
+
+  /// @return the engine of a shared part; null where all are loaded.
+  static const replica_state* home_of(const chooser_world& world, const std::string& part) {
+    constexpr double bound = 0.6;
+    const auto affinity = base::stable_hash(part, base::stable_hash("m")) | 1U;
+    const replica_state* best = nullptr;
+    std::uint64_t best_rank = 0;
+    for (const auto& [id, state] : world.replicas.all()) {
+      const auto rank = base::stable_hash(id.text(), affinity);
+      if (replica_table::load_of(state, now) < bound && (best == nullptr || rank >= best_rank)) {
+        best = &state;
+        best_rank = rank;
+      }
+    }
+    return best;
+  }
+};
+
+BOOST_AUTO_TEST_CASE(a_fleet_of_one_region_decides_as_without_regions) {
+  base::seeded_random drawn(7);
+  constexpr double alike = 0.02 * 3;
+  for (int world_number = 0; world_number < 200; ++world_number) {
+    chooser_world world(one_region_of_four());
+    const auto most = 1 + drawn.below(12);
+    for (const auto& [id, state] : world.replicas.all()) {
+      world.replicas.note_load(id, {static_cast<std::uint32_t>(drawn.below(most)), 0, 4}, now);
+      if (drawn.below(4) == 0) {
+        world.replicas.note_failure(id, now);
+      }
+    }
+    const auto part = "part" + std::to_string(world_number);
+    const auto* home = one_place_rule::home_of(world, part);
+    const auto* engine = world.choose(world.engines, part);
+    const auto* plain = world.choose(world.plain, part);
+    const auto least = one_place_rule::least_cost(world);
+    BOOST_TEST(one_place_rule::cost_of(*plain) <= least + alike);
+    if (home != nullptr) {
+      BOOST_TEST(engine == home);
+    } else {
+      BOOST_TEST(one_place_rule::cost_of(*engine) <= least + alike);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
