The linter checks that every test docs/PROMISES.md names exists

Cause: the page names 52 tests and files by hand; a renamed test would leave a promise without proof unseen. Shown: all 52 found; a name changed by hand is reported and fails the check.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -13,6 +13,9 @@
 echo "lint: layers"
 tools/check_layers.sh
 
+echo "lint: promises"
+tools/check_promises.sh
+
 echo "lint: clang-tidy"
 stamps="$build/tidy"
 mkdir -p "$stamps"
