Hold requests, their pieces and results to the regions allowed

Cause: allowed_regions of a route or tenant were decoded and filtered replicas of plain calls alone; pieces of stages, their gatherers, expected waits and zones knew nothing of them.

Change: the set travels with each piece, also between nodes; only gatherers whose replicas lie inside get it; a pool asks for each group of pieces whether a replica is inside; pieces of one request name with other terms are other groups; a node that gathers for other regions calls replicas for a piece it was sent all the same; waits and zones count what is allowed. A request that can be served nowhere is answered 503 at once, with Retry-After only where replicas are published there. Counters, events, metrics by ring. A zone is never taken for a region of its name.

Ruled out: asking at the first send only (a configuration that changes meanwhile would move results out of reach), and refusing a configuration that names an unknown region.

Fixture: exchange_fleet gives its replica tables the settings of the fleet (they had none), and can submit pieces that are held to regions.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -52,6 +52,10 @@
     return "key_refused";
   case event_kind::request_forwarded:
     return "request_forwarded";
+  case event_kind::residency_refused:
+    return "residency_refused";
+  case event_kind::residency_confined:
+    return "residency_confined";
   }
   return "unknown";
 }
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -37,6 +37,8 @@
   key_recorded,
   key_refused,
   request_forwarded,
+  residency_refused,
+  residency_confined,
 };
 
 /// @return the stable lower-case name of `kind`.
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -104,6 +104,20 @@
     add_counter(registry, name, help, static_cast<double>(value));
   };
   add("spurrack_replica_calls_total", "Requests sent to replicas.", counts.calls);
+  auto& by_ring = BuildCounter()
+                      .Name("spurrack_replica_calls_by_ring_total")
+                      .Help("Requests sent to replicas, by how far these are from the node.")
+                      .Register(registry);
+  for (std::size_t ring = 0; ring < model::ring_count; ++ring) {
+    by_ring.Add({{"ring", std::string(model::name_of(static_cast<model::ring>(ring)))}})
+        .Increment(static_cast<double>(counts.calls_by_ring[ring]));
+  }
+  add("spurrack_residency_refused_total",
+      "Requests turned away because no region allowed to them could serve them.",
+      counts.turned_away_by_residency);
+  add("spurrack_residency_confined_total",
+      "Requests sent farther than an available replica outside the regions allowed to them.",
+      counts.kept_from_nearer_by_residency);
   add("spurrack_repeats_total", "Requests sent to a second replica.", counts.repeats);
   add("spurrack_repeats_denied_total", "Repeats beyond this node's share of the bound.",
       counts.repeats_denied);
--- a/src/dispatch/admission_estimate.cc
+++ b/src/dispatch/admission_estimate.cc
@@ -35,16 +35,15 @@
   return (known == first_byte_.end() ? first_byte_model{} : known->second).expected(own_tokens);
 }
 
-std::optional<base::duration>
-admission_estimate::time_left(const model::serving_configuration& configuration,
-                              const model::route& route, const stage_graph& graph,
-                              const stage_exchange& stages, const std::string& service,
-                              const base::zone_id& zone, std::uint32_t own_tokens,
-                              piece_standing standing, base::time_point now) const {
+std::optional<base::duration> admission_estimate::time_left(
+    const model::serving_configuration& configuration, const model::route& route,
+    const stage_graph& graph, const stage_exchange& stages, const service_demand& final_call,
+    std::uint32_t own_tokens, piece_standing standing, base::time_point now) const {
   bool possible = true;
   const auto stage_time = [&](std::uint32_t stage) {
     const auto& name = route.stages[stage].service;
-    const auto wait = stages.expected_wait(name, zone, standing, now);
+    const auto wait =
+        stages.expected_wait({name, final_call.zone, final_call.allowed_regions}, standing, now);
     const auto* found = configuration.find_service(name);
     possible = possible && wait && found != nullptr && found->pieces;
     return possible ? *wait + call_time_of(*found->pieces) : base::duration::zero();
@@ -53,7 +52,7 @@
   if (!possible) {
     return std::nullopt;
   }
-  return stages_left + first_byte_of(service, own_tokens);
+  return stages_left + first_byte_of(final_call.service, own_tokens);
 }
 
 base::duration
--- a/src/dispatch/admission_estimate.h
+++ b/src/dispatch/admission_estimate.h
@@ -20,14 +20,14 @@
   /// @param own_tokens tokens of the prompt that no other request shares.
   void note_first_byte(const std::string& service, std::uint32_t own_tokens, base::duration took);
 
-  /// @param zone where the results of the stages are wanted.
+  /// @param final_call the call after the stages, and where their results are wanted.
   /// @param standing whether the pieces of the request are in time.
   /// @return time until the first byte of a request whose stages stand as `graph` says; nothing
   ///         where some stage cannot be made at all.
   [[nodiscard]] std::optional<base::duration>
   time_left(const model::serving_configuration& configuration, const model::route& route,
-            const stage_graph& graph, const stage_exchange& stages, const std::string& service,
-            const base::zone_id& zone, std::uint32_t own_tokens, piece_standing standing,
+            const stage_graph& graph, const stage_exchange& stages,
+            const service_demand& final_call, std::uint32_t own_tokens, piece_standing standing,
             base::time_point now) const;
 
   /// @return time to plan with from the begin of `stage` to the first byte: full calls and a usual
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -56,10 +56,9 @@
                        base::random_source& random, base::incarnation life,
                        decision_recorder record)
     : self_(self), settings_(settings), record_(std::move(record)),
-      replicas_(self.node, self.zone, settings, random),
-      plain_replicas_(replicas_, distance(self.zone, settings.regions), random),
-      engines_(replicas_, distance(self.zone, settings.regions), plain_replicas_),
-      retries_(settings.retry),
+      from_here_(self.zone, settings.regions), replicas_(self.node, self.zone, settings, random),
+      plain_replicas_(replicas_, from_here_, random),
+      engines_(replicas_, from_here_, plain_replicas_), retries_(settings.retry),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
 
@@ -173,7 +172,7 @@
     answer_not_run(active, "deadline passed on arrival", now);
     return;
   }
-  if (refuse_hopeless(active, now)) {
+  if (turn_away(active) || refuse_hopeless(active, now)) {
     return;
   }
   if (settings_.refuse_early && active.graph) {
@@ -188,8 +187,8 @@
                                                         piece_standing standing,
                                                         base::time_point now) const {
   return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
-                             request.service, request.zone, request.content->own_tokens(), standing,
-                             now);
+                             {request.service, request.zone, request.allowed_regions},
+                             request.content->own_tokens(), standing, now);
 }
 
 base::time_point dispatcher::client_leaves_at(const active_request& request) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "dispatch/event_stream.h"
 #include "dispatch/retry_share.h"
 #include "engines/prefix_chooser.h"
+#include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
 #include "replicas/replica_table.h"
 #include "serving/counters.h"
@@ -119,6 +120,13 @@
     std::optional<base::time_point> next_check;
   };
 
+  /// Why regions turn a request away.
+  struct residency_refusal {
+    std::string reason;
+    /// Replicas are there that may take work again.
+    bool waiting_helps = false;
+  };
+
   void on(const request_arrived& what, base::time_point now);
   void on(const client_left& what, base::time_point now);
   void on(const call_failed& what, base::time_point now);
@@ -130,6 +138,14 @@
 
   void admit(const request_arrived& what, std::shared_ptr<const model::route> route,
              const std::optional<model::key_holder>& holder, base::time_point now);
+  /// Answers a request at once that may run in no region, or only in such as cannot serve it now.
+  /// @return whether it was turned away.
+  bool turn_away(active_request& request);
+  /// @return why a request cannot be served in the regions allowed; nothing where it can.
+  [[nodiscard]] std::optional<residency_refusal>
+  residency_refusal_of(const active_request& request) const;
+  /// Keeps account of how far a request goes, and whether residency keeps it from a nearer replica.
+  void note_way(const active_request& request, const replica_state& chosen, base::time_point now);
   void go_on(active_request& request, base::time_point now);
   /// Refuses a request that is not expected to be served in time.
   /// @return whether it was refused.
@@ -212,6 +228,7 @@
   std::shared_ptr<const model::serving_configuration> configuration_;
   bool accepting_ = true;
   base::call_id next_call_ = 1;
+  distance from_here_;
   replica_table replicas_;
   least_loaded_chooser plain_replicas_;
   prefix_chooser engines_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -75,6 +75,7 @@
          "attempt " + std::to_string(request.sent) + ", own calls " +
              std::to_string(chosen->in_flight) + ", " +
              std::to_string(base::to_milliseconds(wanted.time_left)) + " ms left");
+  note_way(request, *chosen, now);
   replicas_.call_started(chosen->record->id, now);
   ++counters_.calls;
   commands_.emplace_back(std::move(wanted));
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -30,6 +30,7 @@
   common.result_bytes = step.result_bytes;
   common.due = request.arrived + request.route->target_latency - time_ahead;
   common.deadline = request.ends_at;
+  common.allowed_regions = request.allowed_regions;
   if (step.start_after.empty()) {
     common.piece_key = request.content->piece_key;
   } else {
@@ -162,8 +163,13 @@
 }
 
 base::zone_id dispatcher::wanted_zone(const active_request& request, base::time_point now) {
-  const auto* expected = choose_replica(request, now);
-  return expected == nullptr ? self_.zone : expected->record->zone;
+  if (const auto* expected = choose_replica(request, now)) {
+    return expected->record->zone;
+  }
+  if (request.allowed_regions.permits(settings_.regions.region_of(self_.zone))) {
+    return self_.zone;
+  }
+  return replicas_.some_zone_of(request.service, request.allowed_regions).value_or(self_.zone);
 }
 
 } // namespace spurrack::serving
--- a/src/model/residency.h
+++ b/src/model/residency.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace spurrack::model {
@@ -46,6 +48,18 @@
   elsewhere, ///< Another region, or a zone whose region is not known.
 };
 inline constexpr std::size_t ring_count = 3;
+/// @return the stable lower-case name, for metrics.
+std::string_view name_of(ring which);
+
+/// What is near to itself: a region, or a zone whose region is not known. The two never compare
+/// equal, so that a zone is not taken for a region of the same name.
+struct neighbourhood {
+  /// Nothing where the settings name none.
+  std::optional<base::region_id> region;
+  /// Of the region, or of the zone that has none.
+  std::string name;
+  auto operator<=>(const neighbourhood&) const = default;
+};
 
 /// The region of each zone, from the settings.
 class zone_regions {
@@ -56,8 +70,11 @@
 
   /// @return nothing where the settings name no region for the zone.
   [[nodiscard]] std::optional<base::region_id> region_of(const base::zone_id& zone) const;
+  [[nodiscard]] neighbourhood neighbourhood_of(const base::zone_id& zone) const;
   /// @return whether both zones are of one region; a zone without region is near itself alone.
   [[nodiscard]] bool same_region(const base::zone_id& one, const base::zone_id& other) const;
+  /// @return how far two zones are from one another.
+  [[nodiscard]] ring ring_between(const base::zone_id& one, const base::zone_id& other) const;
 
  private:
   std::map<base::zone_id, base::region_id> regions_;
--- a/src/replicas/distance.cc
+++ b/src/replicas/distance.cc
@@ -28,14 +28,7 @@
     : own_zone_(std::move(own_zone)), regions_(std::move(regions)) {}
 
 model::ring distance::ring_to(const base::zone_id& zone) const {
-  return ring_between(own_zone_, zone);
-}
-
-model::ring distance::ring_between(const base::zone_id& one, const base::zone_id& other) const {
-  if (one == other) {
-    return model::ring::zone;
-  }
-  return regions_.same_region(one, other) ? model::ring::region : model::ring::elsewhere;
+  return regions_.ring_between(own_zone_, zone);
 }
 
 double distance::load_cost(model::ring ring) {
@@ -50,17 +43,29 @@
   return other_region_load;
 }
 
-double distance::seconds(model::ring ring, double bytes) {
+double distance::carrying_seconds(model::ring ring, double bytes) {
   const double megabytes = bytes / bytes_per_megabyte;
   switch (ring) {
   case model::ring::zone:
     return 0;
   case model::ring::region:
-    return other_zone_seconds + megabytes * other_zone_seconds_per_megabyte;
+    return megabytes * other_zone_seconds_per_megabyte;
+  case model::ring::elsewhere:
+    break;
+  }
+  return megabytes * other_region_seconds_per_megabyte;
+}
+
+double distance::seconds(model::ring ring, double bytes) {
+  switch (ring) {
+  case model::ring::zone:
+    return 0;
+  case model::ring::region:
+    return other_zone_seconds + carrying_seconds(ring, bytes);
   case model::ring::elsewhere:
     break;
   }
-  return other_region_seconds + megabytes * other_region_seconds_per_megabyte;
+  return other_region_seconds + carrying_seconds(ring, bytes);
 }
 
 } // namespace spurrack::serving
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -155,9 +155,46 @@
   return found.empty() ? usable(demand, now, true) : found;
 }
 
+replica_presence replica_table::presence_of(const std::string& service,
+                                            const model::residency& allowed) const {
+  const auto ids = by_service_.find(service);
+  auto presence = replica_presence::none;
+  if (ids == by_service_.end()) {
+    return presence;
+  }
+  for (const auto& id : ids->second) {
+    const auto& state = replicas_.at(id);
+    if (permits(allowed, state)) {
+      presence = std::max(presence, takes_work(state) ? replica_presence::takes_work
+                                                      : replica_presence::takes_none);
+    }
+  }
+  return presence;
+}
+
+std::optional<base::zone_id> replica_table::some_zone_of(const std::string& service,
+                                                         const model::residency& allowed) const {
+  const auto ids = by_service_.find(service);
+  if (ids == by_service_.end()) {
+    return std::nullopt;
+  }
+  for (const auto& id : ids->second) {
+    const auto& state = replicas_.at(id);
+    if (permits(allowed, state) && takes_work(state)) {
+      return state.record->zone;
+    }
+  }
+  return std::nullopt;
+}
+
 double replica_table::load_of(const replica_state& state, base::time_point now) {
+  return load_within(state, told_load_lifetime, now);
+}
+
+double replica_table::load_within(const replica_state& state, base::duration span,
+                                  base::time_point now) {
   double calls = state.in_flight;
-  if (state.told && now - state.told_at < told_load_lifetime) {
+  if (state.told && now - state.told_at < span) {
     const double told = state.told->running + state.told->waiting;
     const double own_since =
         static_cast<double>(state.in_flight) - static_cast<double>(state.in_flight_when_told);
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -48,6 +48,13 @@
   cold_bucket cold_sends;
 };
 
+/// Whether a request that is held to some regions can be served there.
+enum class replica_presence : std::uint8_t {
+  none,       ///< No replica of the service is published there.
+  takes_none, ///< Those that are take no work now: they drain, have left or are evacuated.
+  takes_work, ///< Some replica may be given work, if not at this moment.
+};
+
 /// Not thread-safe.
 class replica_table {
  public:
@@ -82,10 +89,18 @@
                                                                  base::time_point now) const;
   /// @return calls under way at a replica, as far as this node knows, in parts of its slots.
   [[nodiscard]] static double load_of(const replica_state& state, base::time_point now);
+  /// The same from what it told within a span before now.
+  [[nodiscard]] static double load_within(const replica_state& state, base::duration span,
+                                          base::time_point now);
   /// @return whether a request that is held to some regions may use a replica.
   [[nodiscard]] bool permits(const model::residency& allowed, const replica_state& state) const {
     return allowed.permits(settings_.regions.region_of(state.record->zone));
   }
+  [[nodiscard]] replica_presence presence_of(const std::string& service,
+                                             const model::residency& allowed) const;
+  /// @return the zone of some replica of a service that takes work where a request may run.
+  [[nodiscard]] std::optional<base::zone_id> some_zone_of(const std::string& service,
+                                                          const model::residency& allowed) const;
   /// Replicas of a service that may be given work now, own zone first.
   [[nodiscard]] std::vector<const replica_state*> available(const std::string& service,
                                                             base::time_point now) const;
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "model/residency.h"
 
 #include <array>
 #include <cstddef>
@@ -42,6 +43,12 @@
   std::map<unsigned, std::uint64_t> answers;
   latency_histogram first_byte;
   std::uint64_t calls = 0;
+  /// Calls by how far their replica is: `model::ring`.
+  std::array<std::uint64_t, model::ring_count> calls_by_ring{};
+  /// Requests that no replica in the regions allowed could serve.
+  std::uint64_t turned_away_by_residency = 0;
+  /// Requests sent farther than a replica that was available outside the regions allowed.
+  std::uint64_t kept_from_nearer_by_residency = 0;
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
   std::uint64_t stage_pieces = 0;
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -25,6 +25,16 @@
   return base::to_milliseconds(when - now);
 }
 
+/// A piece that may be made nowhere is never sent, so that no regions mean everywhere.
+model::residency residency_of(const wire::piece_request& wanted) {
+  std::set<base::region_id> regions;
+  for (const auto& region : wanted.allowed_regions()) {
+    regions.insert(base::region_id(region));
+  }
+  return regions.empty() ? model::residency::everywhere()
+                         : model::residency::within(std::move(regions));
+}
+
 } // namespace
 
 stage_exchange::stage_exchange(fleet_peer self, replica_table& replicas,
@@ -34,12 +44,21 @@
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)), peers_(self_),
       life_(first_ticket), next_ticket_(first_ticket) {
-  pool_.set_filter([this](const replica_state& replica) { return may_call(replica); });
+  pool_.set_filter([this](const replica_state& replica, const model::residency& allowed_regions) {
+    return may_call(replica, allowed_regions);
+  });
 }
 
-bool stage_exchange::may_call(const replica_state& replica) const {
-  return own_replicas_.contains(replica.record->id) ||
-         !own_services_.contains(replica.record->service);
+bool stage_exchange::may_call(const replica_state& replica,
+                              const model::residency& allowed_regions) const {
+  if (own_replicas_.contains(replica.record->id)) {
+    return true;
+  }
+  // Pieces that none of the own replicas may make would wait here for ever.
+  const auto own = own_services_.find(replica.record->service);
+  return own == own_services_.end() ||
+         std::none_of(own->second.begin(), own->second.end(),
+                      [&](const auto& place) { return allowed_regions.permits(place.region); });
 }
 
 report_audience stage_exchange::audience() const {
@@ -81,7 +100,7 @@
       continue;
     }
     auto& placed = placements_.at(own->second);
-    const auto chosen = choose_gatherer(service, placed.work.result_bytes, placed.work.zone, now);
+    const auto chosen = choose_gatherer(placed.work, placed.work.result_bytes, now);
     if (chosen && *chosen != self_.node) {
       const auto moved = own->second;
       own_by_pool_ticket_.erase(own);
@@ -110,18 +129,17 @@
                                                  const base::zone_id& zone, base::time_point now) {
   refresh(now);
   double result_bytes = 0;
-  for (const auto& piece : pieces) {
+  for (auto& piece : pieces) {
     result_bytes += piece.result_bytes;
+    piece.zone = zone;
   }
-  const auto chosen = pieces.empty()
-                          ? std::nullopt
-                          : choose_gatherer(pieces.front().service, result_bytes, zone, now);
+  const auto chosen =
+      pieces.empty() ? std::nullopt : choose_gatherer(pieces.front(), result_bytes, now);
   std::vector<piece_ticket> tickets;
   for (auto& piece : pieces) {
     const auto ticket = next_ticket_++;
     auto& placed = placements_[ticket];
     placed.work = std::move(piece);
-    placed.work.zone = zone;
     place(ticket, placed, chosen, now);
     tickets.push_back(ticket);
   }
@@ -153,6 +171,9 @@
   wanted.set_result_bytes(placed.work.result_bytes);
   wanted.set_zone(placed.work.zone.text());
   wanted.set_carried_bytes(placed.work.carried_bytes);
+  for (const auto& region : placed.work.allowed_regions.regions()) {
+    wanted.add_allowed_regions(region.text());
+  }
 }
 
 void stage_exchange::place_again(base::time_point now) {
@@ -190,10 +211,9 @@
 
 void stage_exchange::move(piece_ticket ticket, placement& placed, base::time_point now) {
   ++placed.moves;
-  const auto chosen =
-      placed.moves <= most_moves
-          ? choose_gatherer(placed.work.service, placed.work.result_bytes, placed.work.zone, now)
-          : std::nullopt;
+  const auto chosen = placed.moves <= most_moves
+                          ? choose_gatherer(placed.work, placed.work.result_bytes, now)
+                          : std::nullopt;
   if (!chosen || *chosen != placed.holder) {
     message_to(placed.holder).add_cancelled(ticket);
   }
@@ -286,6 +306,7 @@
   work.result_bytes = wanted.result_bytes();
   work.zone = base::zone_id(wanted.zone());
   work.carried_bytes = wanted.carried_bytes();
+  work.allowed_regions = residency_of(wanted);
   const auto pool_ticket = pool_.submit(std::move(work), now);
   guests_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
   guest_tickets_[{sender, wanted.ticket()}] = pool_ticket;
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -37,6 +37,14 @@
   past_due, ///< Behind everything else.
 };
 
+/// Work of a service that is wanted somewhere. Refers to objects of the request.
+struct service_demand {
+  const std::string& service;
+  /// Where the results are wanted.
+  const base::zone_id& zone;
+  const model::residency& allowed_regions;
+};
+
 /// Not thread-safe. Commands, messages and results gather until they are taken.
 class stage_exchange {
  public:
@@ -74,13 +82,10 @@
 
   /// Brings up to date who gathers for which replica; costs nothing where nothing has changed.
   void refresh(base::time_point now);
-  /// @param zone where the result is wanted.
-  /// @return how long a piece of a service that is submitted now is expected to wait for its call;
-  ///         nothing where nobody can make it.
-  [[nodiscard]] std::optional<base::duration> expected_wait(const std::string& service,
-                                                            const base::zone_id& zone,
-                                                            piece_standing standing,
-                                                            base::time_point now) const;
+  /// @return how long a piece that is submitted now is expected to wait for its call; nothing where
+  ///         nobody can make it.
+  [[nodiscard]] std::optional<base::duration>
+  expected_wait(const service_demand& demand, piece_standing standing, base::time_point now) const;
 
   void pump(base::time_point now);
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
@@ -96,7 +101,7 @@
   /// A node that gathers the pieces for some replicas of a service.
   struct gatherer {
     base::node_id node;
-    std::string region;
+    model::neighbourhood region;
     /// Set where all its replicas are of one zone.
     std::optional<base::zone_id> zone;
     /// Those of its replicas that can be called now.
@@ -105,7 +110,7 @@
   /// Replicas of one service for which one node gathers.
   struct shard {
     std::string service;
-    std::string region;
+    model::neighbourhood region;
     std::optional<base::zone_id> zone;
     std::vector<base::replica_id> replicas;
     base::node_id gatherer;
@@ -115,7 +120,7 @@
   /// Replicas of one service in one region.
   struct replica_group {
     std::string service;
-    std::string region;
+    model::neighbourhood region;
     auto operator<=>(const replica_group&) const = default;
   };
   /// Where a piece of this node is.
@@ -147,7 +152,7 @@
   /// Nodes that may gather pieces.
   struct candidate_nodes {
     std::map<base::zone_id, std::vector<base::node_id>> by_zone;
-    std::map<std::string, std::vector<base::node_id>> by_region;
+    std::map<model::neighbourhood, std::vector<base::node_id>> by_region;
     std::vector<base::node_id> all;
   };
   [[nodiscard]] candidate_nodes find_candidates() const;
@@ -170,19 +175,17 @@
   /// Fills in for which replicas of the service this node gathers.
   void describe_own_shards(wire::stage_load& load) const;
   /// @return gatherers of a service that this node has assigned, and those of other zones that
-  ///         report; only such that can be reached.
+  ///         report; only such that can be reached and whose replicas lie in allowed regions.
   [[nodiscard]] std::vector<gatherer> gatherers_of(const std::string& service,
+                                                   const model::residency& allowed_regions,
                                                    base::time_point now) const;
   /// @return what making a piece at a gatherer costs beside the wait, in seconds of waiting.
   [[nodiscard]] double distance_seconds(const gatherer& candidate, const base::zone_id& zone,
                                         double result_bytes) const;
-  [[nodiscard]] std::string region_of(const base::zone_id& zone) const;
   /// @param result_bytes size of all results together.
-  /// @return nothing where no node gathers for the service.
-  [[nodiscard]] std::optional<base::node_id> choose_gatherer(const std::string& service,
-                                                             double result_bytes,
-                                                             const base::zone_id& zone,
-                                                             base::time_point now) const;
+  /// @return nothing where no node gathers for replicas that the piece may use.
+  [[nodiscard]] std::optional<base::node_id>
+  choose_gatherer(const piece_work& work, double result_bytes, base::time_point now) const;
   /// Work of a service at a gatherer, as it told it last.
   struct gatherer_load {
     double waiting = 0;
@@ -211,8 +214,9 @@
   void hand_over(const std::string& service, base::time_point now);
   /// Says of a piece of another node whether it is still here, and what became of it otherwise.
   void tell_state(const base::node_id& sender, piece_ticket ticket);
-  /// @return whether this node may call a replica with pieces.
-  [[nodiscard]] bool may_call(const replica_state& replica) const;
+  /// @return whether this node may call a replica with pieces that are held to some regions.
+  [[nodiscard]] bool may_call(const replica_state& replica,
+                              const model::residency& allowed_regions) const;
   /// @return who counts on this node for pieces.
   [[nodiscard]] report_audience audience() const;
   void note_life(peer_state& peer, const wire::stage_work& message, base::time_point now);
@@ -233,9 +237,9 @@
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   peer_directory peers_;
-  /// Replicas this node gathers for, and the services they belong to.
+  /// Replicas this node gathers for, and the services they belong to with where they are.
   std::set<base::replica_id> own_replicas_;
-  std::set<std::string> own_services_;
+  std::map<std::string, std::set<model::neighbourhood>> own_services_;
   std::vector<shard> shards_;
   /// Gatherers of the shards by service.
   std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
--- a/src/stage_work/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -20,20 +20,9 @@
 constexpr std::size_t least_replicas_of_zone = 4;
 /// Nodes that may use less than this part of what the strongest may do not gather.
 constexpr double least_share_of_strongest = 0.5;
-/// What carrying a megabyte to another region is worth, in seconds of waiting.
-constexpr double seconds_per_remote_megabyte = 0.5;
-/// What any work in another region is worth, in seconds of waiting.
-constexpr double remote_region_seconds = 0.2;
-/// The same for another zone: its load is known a second late.
-constexpr double remote_zone_seconds = 0.2;
 
 } // namespace
 
-std::string stage_exchange::region_of(const base::zone_id& zone) const {
-  const auto region = regions_.region_of(zone);
-  return region ? region->text() : zone.text();
-}
-
 void stage_exchange::refresh(base::time_point now) {
   const bool look_due = now >= next_refresh_;
   if (look_due) {
@@ -57,7 +46,7 @@
     const auto& zone = replica.record->zone;
     const bool takes_work = !replica.record->draining && !replicas_->is_evacuated(zone);
     if (service != nullptr && service->pieces && takes_work) {
-      groups[{service->name, region_of(zone)}][zone].push_back(id);
+      groups[{service->name, regions_.neighbourhood_of(zone)}][zone].push_back(id);
     }
   }
   return groups;
@@ -76,12 +65,12 @@
     elected.insert(one.gatherer);
     if (one.gatherer == self_.node) {
       own_replicas_.insert(one.replicas.begin(), one.replicas.end());
-      own_services_.insert(one.service);
+      own_services_[one.service].insert(one.region);
     }
   }
   greet(peers_.set_gatherers(elected, now));
   count_usable(now);
-  for (const auto& service : gathered_before) {
+  for (const auto& [service, places] : gathered_before) {
     if (!own_services_.contains(service) && gatherers_.contains(service)) {
       hand_over(service, now);
     }
@@ -97,11 +86,11 @@
 
 stage_exchange::candidate_nodes stage_exchange::find_candidates() const {
   std::map<base::zone_id, double> strongest_of_zone;
-  std::map<std::string, double> strongest_of_region;
+  std::map<model::neighbourhood, double> strongest_of_region;
   const auto note = [&](const base::zone_id& zone, double share) {
     auto& in_zone = strongest_of_zone[zone];
     in_zone = std::max(in_zone, share);
-    auto& in_region = strongest_of_region[region_of(zone)];
+    auto& in_region = strongest_of_region[regions_.neighbourhood_of(zone)];
     in_region = std::max(in_region, share);
   };
   candidate_nodes found;
@@ -109,7 +98,7 @@
     if (node.processor_share >= strongest_of_zone[node.zone] * least_share_of_strongest) {
       found.by_zone[node.zone].push_back(node.node);
     }
-    const auto region = region_of(node.zone);
+    const auto region = regions_.neighbourhood_of(node.zone);
     if (node.processor_share >= strongest_of_region[region] * least_share_of_strongest) {
       found.by_region[region].push_back(node.node);
       found.all.push_back(node.node);
@@ -159,7 +148,7 @@
 void stage_exchange::add_shards(const shard& common, const std::vector<base::replica_id>& replicas,
                                 const std::vector<base::node_id>& candidates) {
   const auto count = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
-  const auto place = common.zone ? common.zone->text() : common.region;
+  const auto place = common.zone ? common.zone->text() : common.region.name;
   const auto first = shards_.size();
   for (std::size_t index = 0; index < count; ++index) {
     auto added = common;
@@ -207,8 +196,9 @@
   }
 }
 
-std::vector<stage_exchange::gatherer> stage_exchange::gatherers_of(const std::string& service,
-                                                                   base::time_point now) const {
+std::vector<stage_exchange::gatherer>
+stage_exchange::gatherers_of(const std::string& service, const model::residency& allowed_regions,
+                             base::time_point now) const {
   std::vector<gatherer> found;
   if (const auto known = gatherers_.find(service); known != gatherers_.end()) {
     std::copy_if(known->second.begin(), known->second.end(), std::back_inserter(found),
@@ -229,9 +219,12 @@
     // In the own zone this node's assignment decides: two gatherers would share the replicas.
     if (gathers && zone != self_.zone && !is_assigned(node) && peer_directory::is_fit(peer) &&
         replicas_->is_reachable(zone) && !replicas_->is_evacuated(zone)) {
-      found.push_back({node, region_of(zone), zone, load->second.replicas()});
+      found.push_back({node, regions_.neighbourhood_of(zone), zone, load->second.replicas()});
     }
   }
+  std::erase_if(found, [&](const gatherer& candidate) {
+    return !allowed_regions.permits(candidate.region.region);
+  });
   return found;
 }
 
@@ -275,42 +268,40 @@
 
 double stage_exchange::distance_seconds(const gatherer& candidate, const base::zone_id& zone,
                                         double result_bytes) const {
-  const double megabytes = result_bytes / bytes_per_megabyte;
-  if (candidate.region != region_of(zone)) {
-    return remote_region_seconds + megabytes * seconds_per_remote_megabyte;
-  }
-  if (candidate.zone && *candidate.zone != zone) {
-    return remote_zone_seconds + megabytes * seconds_per_megabyte_between_zones;
+  auto ring = model::ring::zone;
+  if (candidate.region != regions_.neighbourhood_of(zone)) {
+    ring = model::ring::elsewhere;
+  } else if (candidate.zone && *candidate.zone != zone) {
+    ring = model::ring::region;
   }
-  return 0;
+  return distance::seconds(ring, result_bytes);
 }
 
-std::optional<base::duration> stage_exchange::expected_wait(const std::string& service,
-                                                            const base::zone_id& zone,
+std::optional<base::duration> stage_exchange::expected_wait(const service_demand& demand,
                                                             piece_standing standing,
                                                             base::time_point now) const {
   std::optional<double> least;
-  for (const auto& candidate : gatherers_of(service, now)) {
+  for (const auto& candidate : gatherers_of(demand.service, demand.allowed_regions, now)) {
     if (candidate.replicas > 0) {
-      const double wait = expected_wait_seconds(candidate, service, standing, now) +
-                          distance_seconds(candidate, zone, 0);
+      const double wait = expected_wait_seconds(candidate, demand.service, standing, now) +
+                          distance_seconds(candidate, demand.zone, 0);
       least = std::min(least.value_or(wait), wait);
     }
   }
   return least ? std::optional(base::from_seconds(*least)) : std::nullopt;
 }
 
-std::optional<base::node_id> stage_exchange::choose_gatherer(const std::string& service,
+std::optional<base::node_id> stage_exchange::choose_gatherer(const piece_work& work,
                                                              double result_bytes,
-                                                             const base::zone_id& zone,
                                                              base::time_point now) const {
   std::optional<base::node_id> best;
   bool best_can_call = false;
   double best_cost = 0;
-  for (const auto& candidate : gatherers_of(service, now)) {
+  for (const auto& candidate : gatherers_of(work.service, work.allowed_regions, now)) {
     const bool can_call = candidate.replicas > 0;
-    const double cost = expected_wait_seconds(candidate, service, piece_standing::in_time, now) +
-                        distance_seconds(candidate, zone, result_bytes);
+    const double cost =
+        expected_wait_seconds(candidate, work.service, piece_standing::in_time, now) +
+        distance_seconds(candidate, work.zone, result_bytes);
     const bool better = can_call == best_can_call ? cost < best_cost : can_call;
     if (!best || better) {
       best = candidate.node;
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -367,14 +367,35 @@
   });
 }
 
+stage_pool::residency_list stage_pool::residencies_in(const service_queue& queue) const {
+  residency_list sets;
+  for (const auto& position : queue) {
+    const auto& allowed = pieces_.at(position.ticket).work.allowed_regions;
+    if (std::find(sets.begin(), sets.end(), allowed) == sets.end()) {
+      sets.push_back(allowed);
+    }
+  }
+  return sets;
+}
+
+bool stage_pool::may_take(const replica_state& replica, const model::residency& allowed) const {
+  return replicas_->permits(allowed, replica) && (!filter_ || filter_(replica, allowed));
+}
+
+bool stage_pool::may_take_any(const replica_state& replica, const residency_list& sets) const {
+  return std::any_of(sets.begin(), sets.end(),
+                     [&](const model::residency& allowed) { return may_take(replica, allowed); });
+}
+
 std::vector<const replica_state*> stage_pool::free_replicas(const std::string& name,
                                                             const model::piece_capacity& capacity,
+                                                            const residency_list& sets,
                                                             base::time_point now) const {
   auto found = replicas_->available(name, now);
   std::erase_if(found, [&](const replica_state* state) {
     const auto calls = calls_at_.find(state->record->id);
     const auto under_way = calls == calls_at_.end() ? 0 : calls->second;
-    return under_way >= capacity.slots || (filter_ && !filter_(*state));
+    return under_way >= capacity.slots || !may_take_any(*state, sets);
   });
   std::stable_partition(found.begin(), found.end(), [&](const replica_state* state) {
     return replica_table::slowness_of(*state, now) < slow;
@@ -482,11 +503,12 @@
     next_check_ = std::min(next_check_, now + settings_.batch_wait);
     return;
   }
-  const auto free = free_replicas(name, *capacity, now);
+  const auto sets = residencies_in(queue);
+  const auto free = free_replicas(name, *capacity, sets, now);
   if (free.empty()) {
     return;
   }
-  const auto outlooks = outlooks_of(name, *capacity, now);
+  const auto outlooks = outlooks_of(name, *capacity, sets, now);
   auto groups = groups_in(queue);
   for (const auto* replica : free) {
     const auto batch = take_batch(groups, *replica, outlooks, *capacity, now);
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "model/residency.h"
 #include "model/serving_records.h"
 #include "replicas/replica_table.h"
 #include "serving/decision_recorder.h"
@@ -36,6 +37,8 @@
   /// Set for stages that need no results of others.
   std::string piece_key;
   std::vector<std::string> inputs;
+  /// Regions in which it may be made, and so in which its result may lie.
+  model::residency allowed_regions;
   /// Where the piece is best made.
   base::zone_id zone;
   /// Bytes that are carried between zones where it is made elsewhere.
@@ -54,8 +57,9 @@
   piece_outcome outcome;
 };
 
-/// @return whether this node may call a replica with pieces.
-using replica_filter = std::function<bool(const replica_state&)>;
+/// @return whether this node may call a replica with pieces that are held to some regions; whether
+///         they may go there is asked elsewhere.
+using replica_filter = std::function<bool(const replica_state&, const model::residency&)>;
 
 /// Not thread-safe. Commands and results gather until they are taken.
 class stage_pool {
@@ -149,10 +153,17 @@
   void learn_fetch_time(const open_call& ended, const stage_call_ended& answer);
   bool batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
                     base::time_point now) const;
+  /// Each set of regions that pieces of a queue are held to, once.
+  using residency_list = std::vector<model::residency>;
+  [[nodiscard]] residency_list residencies_in(const service_queue& queue) const;
+  /// @return whether a replica may be called with a piece that is held to these regions.
+  [[nodiscard]] bool may_take(const replica_state& replica, const model::residency& allowed) const;
+  /// @return whether a replica may be called with a piece of any of the sets.
+  [[nodiscard]] bool may_take_any(const replica_state& replica, const residency_list& sets) const;
   /// Replicas that can be given a call now.
   [[nodiscard]] std::vector<const replica_state*>
   free_replicas(const std::string& name, const model::piece_capacity& capacity,
-                base::time_point now) const;
+                const residency_list& sets, base::time_point now) const;
   void start_batch(const std::string& name, const std::vector<queue_position>& batch,
                    service_queue& queue, const replica_state& replica,
                    const model::piece_capacity& capacity, base::time_point now);
@@ -176,6 +187,7 @@
     std::uint32_t stage = 0;
     base::time_point due;
     double result_bytes = 0;
+    const model::residency* allowed_regions = nullptr;
     /// Where the pieces are best made, and what is carried between zones elsewhere.
     const base::zone_id* zone = nullptr;
     double carried_bytes = 0;
@@ -193,11 +205,11 @@
                    double& room) const;
   /// @return whether a group may be made at a replica of `zone` now, or should wait for one of the
   ///         zone where it is best made.
-  [[nodiscard]] static bool may_run_in(const piece_group& group, const base::zone_id& zone,
-                                       const zone_outlooks& outlooks, base::time_point now);
+  [[nodiscard]] bool may_run_in(const piece_group& group, const base::zone_id& zone,
+                                const zone_outlooks& outlooks, base::time_point now) const;
   [[nodiscard]] zone_outlooks outlooks_of(const std::string& name,
                                           const model::piece_capacity& capacity,
-                                          base::time_point now) const;
+                                          const residency_list& sets, base::time_point now) const;
   [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
   [[nodiscard]] double free_room(const base::replica_id& replica,
                                  const model::piece_capacity& capacity, base::time_point now) const;
--- a/src/stage_work/stage_pool_batches.cc
+++ b/src/stage_work/stage_pool_batches.cc
@@ -1,6 +1,7 @@
 /// Which pieces go into the next call to a replica, and which wait for one of their own zone.
 #include "stage_work/stage_pool.h"
 
+#include "replicas/distance.h"
 #include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
@@ -19,12 +20,14 @@
   for (const auto& position : queue) {
     const auto& work = pieces_.at(position.ticket).work;
     const bool joins = !groups.empty() && *groups.back().request == work.request &&
-                       groups.back().stage == work.stage;
+                       groups.back().stage == work.stage &&
+                       *groups.back().allowed_regions == work.allowed_regions;
     if (!joins) {
       groups.push_back({&work.request,
                         work.stage,
                         position.due,
                         0,
+                        &work.allowed_regions,
                         &work.zone,
                         0,
                         pieces_.at(position.ticket).submitted,
@@ -38,13 +41,16 @@
 }
 
 bool stage_pool::may_run_in(const piece_group& group, const base::zone_id& zone,
-                            const zone_outlooks& outlooks, base::time_point now) {
+                            const zone_outlooks& outlooks, base::time_point now) const {
   const auto own_zone = outlooks.find(*group.zone);
-  if (*group.zone == zone || own_zone == outlooks.end()) {
+  const bool has_own_zone =
+      own_zone != outlooks.end() &&
+      group.allowed_regions->permits(settings_.regions.region_of(*group.zone));
+  if (*group.zone == zone || !has_own_zone) {
     return true;
   }
-  const double patience =
-      group.carried_bytes / bytes_per_megabyte * seconds_per_megabyte_between_zones;
+  const auto ring = settings_.regions.ring_between(*group.zone, zone);
+  const double patience = distance::carrying_seconds(ring, group.carried_bytes);
   if (base::to_seconds(now - group.submitted) >= patience) {
     return true;
   }
@@ -62,6 +68,7 @@
 
 stage_pool::zone_outlooks stage_pool::outlooks_of(const std::string& name,
                                                   const model::piece_capacity& capacity,
+                                                  const residency_list& sets,
                                                   base::time_point now) const {
   std::map<base::replica_id, base::time_point> busy_until;
   for (const auto& [call, open] : calls_) {
@@ -72,7 +79,7 @@
   const auto full_call = usual_time(capacity, capacity.batch);
   zone_outlooks outlooks;
   for (const auto* replica : replicas_->available(name, now)) {
-    if (filter_ && !filter_(*replica)) {
+    if (!may_take_any(*replica, sets)) {
       continue;
     }
     const auto busy = busy_until.find(replica->record->id);
@@ -103,7 +110,8 @@
       if (batch.size() == capacity.batch || room <= 0) {
         return batch;
       }
-      if (group.pieces.empty() || (group.due > now) != in_time) {
+      const bool permitted = may_take(replica, *group.allowed_regions);
+      if (group.pieces.empty() || !permitted || (group.due > now) != in_time) {
         continue;
       }
       if (in_time && group.due < now + delay) {
--- a/src/stage_work/stage_pool_limits.h
+++ b/src/stage_work/stage_pool_limits.h
@@ -10,10 +10,6 @@
 
 namespace spurrack::serving {
 
-/// What carrying a megabyte to another zone of the region is worth, in seconds of waiting: so long
-/// pieces wait for the zone where they are best made.
-inline constexpr double seconds_per_megabyte_between_zones = 0.2;
-inline constexpr double bytes_per_megabyte = 1e6;
 /// Part of a replica's room that is planned with: sizes of results are approximate.
 inline constexpr double planned_room = 0.95;
 /// A replica whose calls take this many times as long as published is given only what has the time.
--- a/tests/replicas/distance_test.cc
+++ b/tests/replicas/distance_test.cc
@@ -111,7 +111,7 @@
   BOOST_TEST((from_a.ring_to(base::zone_id("a")) == ring::zone));
   BOOST_TEST((from_a.ring_to(base::zone_id("b")) == ring::region));
   BOOST_TEST((from_a.ring_to(base::zone_id("c")) == ring::elsewhere));
-  BOOST_TEST((from_a.ring_between(base::zone_id("c"), base::zone_id("d")) == ring::region));
+  BOOST_TEST((two_regions().ring_between(base::zone_id("c"), base::zone_id("d")) == ring::region));
 }
 
 BOOST_AUTO_TEST_CASE(a_zone_without_region_is_near_itself_alone) {
--- a/tests/stage_work/exchange_fleet.h
+++ b/tests/stage_work/exchange_fleet.h
@@ -30,7 +30,7 @@
 struct exchange_node {
   exchange_node(const fleet_peer& self, published_world& world, std::uint64_t life,
                 const serving_settings& settings = {})
-      : identity(self), random(life), replicas(self.node, self.zone, {}, random),
+      : identity(self), random(life), replicas(self.node, self.zone, settings, random),
         subject(
             self, replicas, settings, [this] { return next_call++; }, life,
             [](auto, const auto&, const auto&, const auto&) {}) {
@@ -126,9 +126,11 @@
     }
   }
 
-  piece_ticket submit(exchange_node& origin, const base::zone_id& zone = base::zone_id("a")) {
+  piece_ticket submit(exchange_node& origin, const base::zone_id& zone = base::zone_id("a"),
+                      const model::residency& allowed = {}, const std::string& request = "r") {
     piece_work work;
-    work.request = base::request_id("r");
+    work.request = base::request_id(request);
+    work.allowed_regions = allowed;
     work.service = "pool";
     work.piece_key = "k";
     work.zone = zone;
--- /dev/null
+++ b/tests/stage_work/piece_residency_test.cc
@@ -0,0 +1,303 @@
+/// Pieces that are held to regions, in a fleet whose nodes gather for one another.
+#include "exchange_fleet.h"
+#include "residency_fixture.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int node_count = 12;
+constexpr int zone_count = 6;
+using text_set = std::set<std::string>;
+
+/// Two nodes and replicas of service `pool` in each of six zones.
+struct held_fleet : exchange_fleet {
+  explicit held_fleet(int replicas_per_zone = 2)
+      : exchange_fleet(node_count, zone_count, residency_settings()) {
+    for (const auto& zone : residency_zones) {
+      for (int index = 0; index < replicas_per_zone; ++index) {
+        world.add_replica("pool-" + zone + "-" + std::to_string(index), "pool", zone);
+      }
+    }
+    take_over();
+    run(seconds(3));
+  }
+
+  /// Every node takes over what is published.
+  void take_over() {
+    for (auto& node : nodes) {
+      node->replicas.update(world.content.replicas(), now);
+      node->replicas.set_evacuated(world.content.evacuated_zones(), now);
+      node->subject.set_configuration(world.content.serving());
+    }
+  }
+
+  static std::string zone_of(const start_stage_call& call) {
+    const auto& name = call.target.replica.text();
+    return name.substr(name.find('-') + 1, 1);
+  }
+};
+
+/// One pool that may call every replica, in zones `a` and `e`.
+struct held_pool {
+  held_pool()
+      : random(1), replicas(base::node_id("n"), base::zone_id("a"), residency_settings(), random),
+        pool(
+            replicas, residency_settings(), [this] { return next_call++; },
+            [](auto, const auto&, const auto&, const auto&) {}) {
+    world.remove_replica("pool-b");
+    world.add_replica("pool-e", "pool", "e");
+    replicas.update(world.content.replicas(), {});
+    pool.set_configuration(world.content.serving());
+  }
+
+  /// A piece of the one request, best made in `a`.
+  void submit(const model::residency& allowed) {
+    piece_work work;
+    work.request = base::request_id("same");
+    work.service = "pool";
+    work.piece_key = "k";
+    work.allowed_regions = allowed;
+    work.zone = base::zone_id("a");
+    work.carried_bytes = 50e6;
+    work.due = now + seconds(60);
+    work.deadline = now + seconds(60);
+    pool.submit(std::move(work), now);
+  }
+
+  /// @return where each piece was called.
+  std::vector<std::string> zones_of_pieces() {
+    now += milliseconds(20);
+    pool.pump(now);
+    std::vector<std::string> zones;
+    for (const auto& command : pool.take_commands()) {
+      if (const auto* call = std::get_if<start_stage_call>(&command)) {
+        zones.insert(zones.end(), call->items.size(), held_fleet::zone_of(*call));
+      }
+    }
+    return zones;
+  }
+
+  published_world world;
+  base::seeded_random random;
+  replica_table replicas;
+  base::call_id next_call = 1;
+  stage_pool pool;
+  base::time_point now{std::chrono::hours(1)};
+};
+
+/// Draws pieces and faults, and checks where each piece is called.
+class drawn_fleet_day : public held_fleet {
+ public:
+  explicit drawn_fleet_day(std::uint64_t seed) : drawn_(seed) {}
+
+  void play(int steps) {
+    for (int step = 0; step < steps; ++step) {
+      act();
+      run(milliseconds(20));
+      end_calls();
+    }
+  }
+
+  int pieces_checked = 0;
+  int pieces_outside = 0;
+
+ private:
+  void act() {
+    switch (drawn_.below(10)) {
+    case 0:
+      silent =
+          drawn_.below(2) == 0 ? base::node_id() : nodes[drawn_.below(nodes.size())]->identity.node;
+      break;
+    case 1:
+      cut_zone = drawn_.below(2) == 0 ? base::zone_id() : base::zone_id(draw_zone());
+      break;
+    case 2:
+      change_evacuation();
+      break;
+    case 3:
+      change_replica();
+      break;
+    default:
+      submit_pieces();
+      break;
+    }
+  }
+
+  std::string draw_zone() { return residency_zones[drawn_.below(residency_zones.size())]; }
+
+  void submit_pieces() {
+    static const std::vector<text_set> sets{{"north"}, {"south"}, {"west"}, {"north", "west"}};
+    const auto set = drawn_.below(sets.size() + 1);
+    const auto allowed = set == sets.size() ? model::residency{} : within(sets[set]);
+    // A client may come back with the name of its request, and find other terms.
+    const auto name = "r" + std::to_string(drawn_.below(4)) + "-" + std::to_string(set);
+    allowed_[name] = allowed;
+    auto& origin = *nodes[drawn_.below(nodes.size())];
+    for (auto left = 1 + drawn_.below(6); left > 0; --left) {
+      submit(origin, base::zone_id(draw_zone()), allowed, name);
+    }
+  }
+
+  void change_evacuation() {
+    const auto zone = draw_zone();
+    if (evacuated_.erase(zone) > 0) {
+      world.end_evacuation(zone);
+    } else {
+      evacuated_.insert(zone);
+      world.evacuate(zone);
+    }
+    take_over();
+  }
+
+  void change_replica() {
+    const auto zone = draw_zone();
+    const auto name = "pool-" + zone + "-" + std::to_string(drawn_.below(2));
+    if (drawn_.below(2) == 0) {
+      world.remove_replica(name);
+    } else {
+      world.add_replica(name, "pool", zone, drawn_.below(4) == 0);
+    }
+    take_over();
+  }
+
+  void end_calls() {
+    for (auto& node : nodes) {
+      for (const auto& call : std::exchange(node->calls, {})) {
+        check(call);
+        end_call(*node, call);
+      }
+    }
+  }
+
+  void check(const start_stage_call& call) {
+    const auto region = residency_regions().region_of(base::zone_id(zone_of(call)));
+    for (const auto& item : call.items) {
+      ++pieces_checked;
+      pieces_outside += allowed_.at(item.request.text()).permits(region) ? 0 : 1;
+    }
+  }
+
+  void end_call(exchange_node& caller, const start_stage_call& call) {
+    using how = stage_call_ended::result;
+    constexpr std::array<how, 6> ways{how::answered, how::answered, how::answered,
+                                      how::refused,  how::failed,   how::not_sent};
+    stage_call_ended ended{call.call, ways[drawn_.below(ways.size())], {}, std::nullopt, false};
+    if (ended.how == how::answered) {
+      for (std::size_t index = 0; index < call.items.size(); ++index) {
+        const bool fails = drawn_.below(6) == 0;
+        ended.pieces.push_back(
+            {fails ? piece_fault::error : piece_fault::none,
+             fails ? "" : call.target.address.text() + "/h" + std::to_string(++handles_)});
+      }
+    }
+    caller.subject.on_call_ended(ended, now);
+  }
+
+  base::seeded_random drawn_;
+  std::map<std::string, model::residency> allowed_;
+  text_set evacuated_;
+  int handles_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(piece_residency_test)
+
+BOOST_AUTO_TEST_CASE(a_piece_is_gathered_where_it_may_be_made) {
+  held_fleet fleet;
+  fleet.submit(*fleet.nodes[0], base::zone_id("a"), within({"south"}));
+  fleet.run(milliseconds(100));
+  BOOST_REQUIRE(fleet.caller() != nullptr);
+  const auto gatherer = fleet.caller()->identity.zone;
+  BOOST_TEST(residency_regions().region_of(gatherer)->text() == "south");
+  const auto zone = held_fleet::zone_of(fleet.caller()->calls.front());
+  BOOST_TEST((text_set{"c", "d"}).contains(zone));
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_of_one_name_and_other_terms_are_kept_apart, held_pool) {
+  submit(model::residency{});
+  submit(within({"west"}));
+  submit(model::residency{});
+  const auto zones = zones_of_pieces();
+  BOOST_TEST(zones.size() == 3U);
+  BOOST_TEST(std::count(zones.begin(), zones.end(), "e") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_piece_does_not_wait_for_a_zone_where_it_may_not_be_made, held_pool) {
+  submit(model::residency{});
+  submit(within({"west"}));
+  // Both are best made in `a`; what would be carried is worth waiting for.
+  BOOST_TEST(zones_of_pieces().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_gatherer_of_other_regions_calls_for_a_piece_that_it_was_sent) {
+  held_fleet fleet;
+  auto& origin = *fleet.nodes[0];
+  fleet.submit(origin, base::zone_id("a"), within({"north"}));
+  fleet.run(milliseconds(100));
+  BOOST_REQUIRE(fleet.caller() != nullptr);
+  auto& gatherer = *fleet.caller();
+  gatherer.calls.clear();
+  wire::stage_work message;
+  message.set_life(1);
+  auto& wanted = *message.add_wanted();
+  wanted.set_ticket(1);
+  wanted.set_request("sent");
+  wanted.set_service("pool");
+  wanted.set_piece_key("k");
+  wanted.set_due_in_milliseconds(2000);
+  wanted.set_expires_in_milliseconds(5000);
+  wanted.set_zone("c");
+  wanted.add_allowed_regions("south");
+  gatherer.subject.handle(fleet.other_than(gatherer).identity.node, message, fleet.now);
+  fleet.run(milliseconds(100));
+  BOOST_REQUIRE(gatherer.calls.size() == 1U);
+  BOOST_TEST((text_set{"c", "d"}).contains(held_fleet::zone_of(gatherer.calls.front())));
+}
+
+BOOST_AUTO_TEST_CASE(who_gathers_elsewhere_still_calls_for_a_piece_that_nobody_else_takes) {
+  held_fleet fleet;
+  // Every node of the south is gone: its replicas are called by nodes of other regions.
+  std::vector<fleet_peer> left;
+  for (int index = 0; index < node_count; ++index) {
+    if (residency_regions().region_of(fleet.peer(index).zone) != base::region_id("south")) {
+      left.push_back(fleet.peer(index));
+    }
+  }
+  for (auto& node : fleet.nodes) {
+    auto others = left;
+    std::erase_if(others, [&](const auto& other) { return other.node == node->identity.node; });
+    node->subject.set_peers(others);
+  }
+  auto& origin = *fleet.nodes[0];
+  fleet.submit(origin, base::zone_id("a"), within({"south"}));
+  fleet.run_answering(seconds(2), [&](const exchange_node& caller, const start_stage_call& call) {
+    BOOST_TEST((text_set{"c", "d"}).contains(held_fleet::zone_of(call)));
+    BOOST_TEST((residency_regions().region_of(caller.identity.zone) != base::region_id("south")));
+  });
+  BOOST_REQUIRE(origin.finished.size() == 1U);
+  BOOST_TEST((origin.finished.front().outcome.fault == piece_fault::none));
+}
+
+BOOST_AUTO_TEST_CASE(no_piece_is_called_outside_its_regions) {
+  constexpr std::uint64_t days = 12;
+  constexpr int steps = 250;
+  int checked = 0;
+  for (std::uint64_t seed = 1; seed <= days; ++seed) {
+    drawn_fleet_day day(seed);
+    day.play(steps);
+    BOOST_TEST(day.pieces_outside == 0, "seed " << seed << ": " << day.pieces_outside);
+    checked += day.pieces_checked;
+  }
+  BOOST_TEST(checked > 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
