Let a share of requests leave a region by what was heard of all of it

Change: beside the load of each replica, the mean heard of the own region and of elsewhere in 3 s are compared; the share that leaves grows with the difference beyond the cost of the way.

A fleet of one region decides as before (distance_test).

--- a/src/replicas/least_loaded_chooser.cc
+++ b/src/replicas/least_loaded_chooser.cc
@@ -14,17 +14,23 @@
 
 least_loaded_chooser::least_loaded_chooser(const replica_table& replicas, distance from_here,
                                            base::random_source& random)
-    : replicas_(&replicas), from_here_(std::move(from_here)), random_(&random) {}
+    : replicas_(&replicas), from_here_(std::move(from_here)), spill_(from_here_, random),
+      random_(&random) {}
 
-const replica_state* least_loaded_chooser::choose(const replica_demand& demand,
-                                                  base::time_point now) {
+double least_loaded_chooser::cost_of(const replica_state& state, base::time_point now) const {
+  const double load = replica_table::load_of(state, now);
+  const double way = distance::load_cost(from_here_.ring_to(state.record->zone));
+  return load + way + failure_cost * state.failure_share;
+}
+
+const replica_state*
+least_loaded_chooser::least_loaded_of(const std::vector<const replica_state*>& candidates,
+                                      base::time_point now) {
   const replica_state* best = nullptr;
   double best_cost = 0;
   std::size_t ties = 0;
-  for (const auto* state : replicas_->candidates_for(demand, now)) {
-    const double load = replica_table::load_of(*state, now);
-    const double way = distance::load_cost(from_here_.ring_to(state->record->zone));
-    const double cost = load + way + failure_cost * state->failure_share;
+  for (const auto* state : candidates) {
+    const double cost = cost_of(*state, now);
     if (best == nullptr || cost < best_cost - alike) {
       best = state;
       best_cost = cost;
@@ -36,4 +42,14 @@
   return best;
 }
 
+const replica_state* least_loaded_chooser::choose(const replica_demand& demand,
+                                                  base::time_point now) {
+  const auto candidates = spill_.split(replicas_->candidates_for(demand, now));
+  const auto* near = least_loaded_of(candidates.near, now);
+  const auto* far = least_loaded_of(candidates.elsewhere, now);
+  const bool is_near_worse =
+      near != nullptr && far != nullptr && cost_of(*far, now) < cost_of(*near, now);
+  return is_near_worse || spill_.goes_elsewhere(candidates, now) ? far : near;
+}
+
 } // namespace spurrack::serving
--- a/src/replicas/least_loaded_chooser.h
+++ b/src/replicas/least_loaded_chooser.h
@@ -3,11 +3,13 @@
 
 #include "base/random.h"
 #include "replicas/distance.h"
+#include "replicas/region_spill.h"
 #include "replicas/replica_chooser.h"
 
 namespace spurrack::serving {
 
-/// The least loaded replica, nearer ones first where loads are alike. Not thread-safe.
+/// The least loaded replica of the own region, nearer ones first where loads are alike; one
+/// elsewhere where the region is busier by more than the way costs. Not thread-safe.
 class least_loaded_chooser final : public replica_chooser {
  public:
   /// @param replicas, random must outlive this object.
@@ -18,8 +20,15 @@
                                             base::time_point now) override;
 
  private:
+  /// @return load and what the way and failures cost, in parts of slots.
+  [[nodiscard]] double cost_of(const replica_state& state, base::time_point now) const;
+  /// @return the least loaded of some replicas; null where there are none.
+  const replica_state* least_loaded_of(const std::vector<const replica_state*>& candidates,
+                                       base::time_point now);
+
   const replica_table* replicas_;
   distance from_here_;
+  region_spill spill_;
   base::random_source* random_;
 };
 
