--- a/tests/dispatch/request_residency_test.cc
+++ b/tests/dispatch/request_residency_test.cc
@@ -21,7 +21,8 @@
     for (const std::string service : {"llm", "plain", "pool"}) {
       for (const auto& zone : residency_zones) {
         if (zone > "b") {
-          world.add_replica(service + "-" + zone, service, zone);
+          auto name = service;
+          world.add_replica(name.append("-").append(zone), service, zone);
         }
       }
     }
@@ -391,7 +392,7 @@
 
   void change_replica() {
     const std::vector<std::string> services{"llm", "plain", "pool"};
-    const auto service = services[drawn_.below(services.size())];
+    const auto& service = services[drawn_.below(services.size())];
     const auto zone = draw_zone();
     const auto name = service + "-" + zone;
     switch (drawn_.below(4)) {
--- a/tests/replicas/region_spill_test.cc
+++ b/tests/replicas/region_spill_test.cc
@@ -275,7 +275,7 @@
 spill_figures figures_of(std::size_t callers, const std::array<double, region_count>& loads) {
   region_fleet fleet(callers);
   fleet.begin(loads);
-  const auto found = fleet.play(played);
+  auto found = fleet.play(played);
   BOOST_TEST_MESSAGE(callers << " callers, loads " << loads[0] << " " << loads[1] << " " << loads[2]
                              << ": elsewhere " << found.elsewhere_share() << ", mean wait "
                              << found.mean_wait() << " s, busiest window " << found.busiest_window()
@@ -307,7 +307,7 @@
   constexpr double most_elsewhere = 0.3;
   constexpr double longest_mean_wait = 0.12;
   constexpr double most_in_window = 2.5;
-  constexpr std::size_t most_waiting = 3 * slots;
+  constexpr std::size_t most_waiting = std::size_t{3} * slots;
   for (const auto callers : fleet_sizes) {
     const auto found = figures_of(callers, {1.5, 0.4, 0.4});
     BOOST_TEST(found.elsewhere_share() > least_elsewhere);
@@ -330,7 +330,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_region_that_is_lost_and_returns_is_neither_missed_nor_rushed) {
-  constexpr std::size_t most_waiting = 3 * slots;
+  constexpr std::size_t most_waiting = std::size_t{3} * slots;
   const std::set<base::zone_id> first_region{base::zone_id("a"), base::zone_id("b")};
   for (const auto callers : fleet_sizes) {
     region_fleet fleet(callers);
