--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -38,13 +38,15 @@
   std::size_t nodes = 4;
   milliseconds fault_time{6'000};
   std::size_t rounds = 1;
+  bool two_regions = false;
 };
 
 /// One run with one seed.
 class soak_run {
  public:
   soak_run(const std::filesystem::path& binaries, const soak_options& options, std::uint64_t seed)
-      : options_(options), seed_(seed), random_(seed), fleet_(binaries, options.nodes, ledger_) {}
+      : options_(options), seed_(seed), random_(seed),
+        fleet_(binaries, options.nodes, options.two_regions, ledger_) {}
 
   /// @return what was broken.
   std::vector<std::string> play() {
@@ -294,6 +296,7 @@
       "seeds", "seeds to play", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "nodes", "daemons", cxxopts::value<std::size_t>()->default_value("4"))(
       "rounds", "phases of faults in each run", cxxopts::value<std::size_t>()->default_value("1"))(
+      "two-regions", "each zone is a region, and some requests are held to one")(
       "fault-seconds", "length of a phase of faults", cxxopts::value<double>()->default_value("6"));
   logging::add_usual_options(options);
   const auto given = options.parse(argc, argv);
@@ -303,7 +306,7 @@
   const soak_options wanted{
       given["nodes"].as<std::size_t>(),
       milliseconds(static_cast<int>(given["fault-seconds"].as<double>() * 1000)),
-      given["rounds"].as<std::size_t>()};
+      given["rounds"].as<std::size_t>(), given.count("two-regions") > 0};
   const auto first = given["first-seed"].as<std::uint64_t>();
   std::size_t broken = 0;
   for (auto seed = first; seed < first + given["seeds"].as<std::uint64_t>(); ++seed) {
--- a/tests/platform_fleet/soak_client.cc
+++ b/tests/platform_fleet/soak_client.cc
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <charconv>
+#include <span>
 #include <thread>
 
 namespace spurrack::platform_tests {
@@ -39,7 +40,10 @@
     : name_(std::move(name)), fleet_(&fleet), ledger_(&ledger), random_(seed) {}
 
 void soak_client::run(const std::atomic<bool>& stopping) {
-  constexpr std::array<const char*, 4> kinds{"safe", "unsafe", "stream", "staged"};
+  // The last one only where there are regions to be held to.
+  constexpr std::array<const char*, 5> all_kinds{"safe", "unsafe", "stream", "staged", "held"};
+  const std::span<const char* const> kinds(all_kinds.data(),
+                                           all_kinds.size() - (fleet_->has_two_regions() ? 0 : 1));
   while (!stopping) {
     ask(kinds[random_.below(kinds.size())]);
   }
@@ -64,18 +68,19 @@
     std::this_thread::sleep_for(rest_after_failure);
     return;
   }
-  const auto id = name_ + "x" + std::to_string(++number_);
+  const std::string prefix = kind == "held" ? "held-" : "";
+  const auto id = prefix + name_ + "x" + std::to_string(++number_);
   std::string bytes = "POST " + soak_request::path(kind, id) +
                       " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
                       "\r\nX-Deadline-Ms: " + std::to_string(time_allowed.count()) +
                       "\r\nAuthorization: Token base\r\nX-Tenant: forged\r\n";
-  if (kind == "staged") {
+  if (soak_request::has_stages(kind)) {
     bytes += "X-Pieces: " + std::to_string(soak_request::pieces(id, 0)) + "," +
              std::to_string(soak_request::pieces(id, 1)) + "\r\nX-Piece-Key: key of " + id + "\r\n";
   }
   const auto body = soak_request::body(id);
   bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  if (kind == "unsafe" || kind == "staged") {
+  if (kind == "unsafe" || soak_request::has_stages(kind)) {
     ledger_->note_once(id);
   }
   const auto sent_at = soak_clock::now();
@@ -131,14 +136,14 @@
     return;
   }
   std::string expected = soak_request::answer(id);
-  if (kind == "stream" || kind == "staged") {
+  if (soak_request::is_stream(kind)) {
     expected.clear();
     for (std::size_t number = 1; number <= soak_request::events(id); ++number) {
       expected += soak_request::event(id, number);
     }
   }
   if (!outcome.sealed || outcome.body != expected) {
-    ledger_->note_violation(kind == "stream" || kind == "staged" ? "ORDER" : "MIXED",
+    ledger_->note_violation(soak_request::is_stream(kind) ? "ORDER" : "MIXED",
                             id + " got another answer: " + outcome.body.substr(0, 120));
   }
 }
--- a/tests/platform_fleet/soak_fleet.cc
+++ b/tests/platform_fleet/soak_fleet.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t replicas_of_a_service = 3;
 constexpr milliseconds proxy_patience{5'000};
 constexpr milliseconds poll_interval{50};
+constexpr const char* east_region = "north";
 
 template <typename condition>
 bool wait_until(condition holds, milliseconds patience) {
@@ -33,10 +34,10 @@
 } // namespace
 
 soak_fleet::soak_fleet(const std::filesystem::path& binaries, std::size_t node_count,
-                       soak_ledger& ledger)
+                       bool two_regions, soak_ledger& ledger)
     : binaries_(binaries), folder_(std::filesystem::temp_directory_path() /
                                    ("spurrack-soak-" + std::to_string(::getpid()))),
-      ledger_(&ledger) {
+      two_regions_(two_regions), ledger_(&ledger) {
   std::filesystem::create_directories(folder_);
   for (std::size_t number = 0; number < replicas_of_a_service; ++number) {
     for (const char* service : {"plain", "pool", "model"}) {
@@ -128,9 +129,9 @@
   text << "membership:\n  probe_period_ms: 300\n  acknowledgement_timeout_ms: 100\n"
           "  suspicion_timeout_ms: 1000\n  relay_period_ms: 300\nserving:\n  listen: "
        << node.clients << "\n  readiness_listen: " << node.readiness
-       << "\n  store: " << store.address()
-       << "\n  regions:\n    east: here\n    west: here\n"
-          "  retry_ratio: 0.2\n  retry_allowance: 50\n  stop_grace_s: 8\n";
+       << "\n  store: " << store.address() << "\n  regions:\n    east: " << east_region
+       << "\n    west: " << (two_regions_ ? "south" : east_region)
+       << "\n  retry_ratio: 0.2\n  retry_allowance: 50\n  stop_grace_s: 8\n";
 }
 
 void soak_fleet::start_node(soak_node& node) {
@@ -152,6 +153,18 @@
       patience);
 }
 
+std::string soak_fleet::held_route() const {
+  if (!two_regions_) {
+    return "";
+  }
+  return std::string(R"(,
+      {"name":"held","host":"h","path_prefix":"/held/","kind":"streaming","service":"model",
+       "max_attempts":2,"target_latency_ms":1500,"gap_target_ms":500,"allowed_regions":[")") +
+         east_region + R"("],"stages":[
+        {"service":"pool","size_bytes":1000},
+        {"service":"pool","size_bytes":1000,"start_after":[0]}]})";
+}
+
 void soak_fleet::publish_configuration(bool with_extra_key) {
   const std::string keys = with_extra_key ? R"("base","extra")" : R"("base")";
   store.put("op/config", R"({"version":)" + std::to_string(++version_) +
@@ -171,7 +184,8 @@
       {"name":"staged","host":"h","path_prefix":"/staged/","kind":"streaming","service":"model",
        "max_attempts":2,"target_latency_ms":1500,"gap_target_ms":500,"stages":[
         {"service":"pool","size_bytes":1000},
-        {"service":"pool","size_bytes":1000,"start_after":[0]}]}]})");
+        {"service":"pool","size_bytes":1000,"start_after":[0]}]})" +
+                             held_route() + "]}");
 }
 
 void soak_fleet::publish(const soak_replica& replica) {
--- a/tests/platform_fleet/soak_fleet.h
+++ b/tests/platform_fleet/soak_fleet.h
@@ -30,7 +30,10 @@
 /// Thread-safe as far as clients need it: addresses and `disturbed_at` may be read at any time.
 class soak_fleet {
  public:
-  soak_fleet(const std::filesystem::path& binaries, std::size_t nodes, soak_ledger& ledger);
+  /// @param two_regions each zone is a region of its own, and some requests are held to that of the
+  ///        zone `east`.
+  soak_fleet(const std::filesystem::path& binaries, std::size_t nodes, bool two_regions,
+             soak_ledger& ledger);
   ~soak_fleet();
   soak_fleet(const soak_fleet&) = delete;
   soak_fleet& operator=(const soak_fleet&) = delete;
@@ -45,6 +48,7 @@
   /// Sets a fault of a node's peer link or a replica's link; no flag heals it.
   void set_link(const std::string& name, const std::string& flag, int delay_milliseconds = 0) const;
   void write_settings(const soak_node& node, bool valid) const;
+  [[nodiscard]] bool has_two_regions() const { return two_regions_; }
 
   std::vector<std::unique_ptr<soak_node>> nodes;
   std::vector<std::unique_ptr<soak_replica>> replicas;
@@ -55,11 +59,14 @@
  private:
   void add_replica(const std::string& service, std::size_t number);
   void start_proxy(const std::filesystem::path& binaries);
+  /// @return the route of requests that are held to a region, after a comma; empty without regions.
+  [[nodiscard]] std::string held_route() const;
   [[nodiscard]] std::string settings_path(const soak_node& node) const;
 
   std::filesystem::path binaries_;
   std::filesystem::path folder_;
   std::string proxy_address_;
+  bool two_regions_;
   std::unique_ptr<fleet::child_process> proxy_;
   soak_ledger* ledger_;
   std::uint64_t version_ = 0;
--- a/tests/platform_fleet/soak_world.cc
+++ b/tests/platform_fleet/soak_world.cc
@@ -66,6 +66,11 @@
   return parts;
 }
 
+/// @return the kind of request in a path.
+std::string kind_in(const std::string& target) {
+  return target.substr(1, target.find('/', 1) - 1);
+}
+
 /// Handle of a result: which piece of which request it is can be read from it.
 std::string handle_of(const std::string& address, const std::string& request, std::size_t stage,
                       std::size_t piece, std::uint64_t call) {
@@ -135,12 +140,18 @@
   if (header_of(request, "X-Deadline-Ms").empty()) {
     ledger_->note_violation("BUDGET", id + " came without a deadline");
   }
-  const bool staged = target.starts_with("/staged/");
-  if (staged) {
+  check_region(id);
+  if (soak_request::has_stages(kind_in(target))) {
     check_inputs(split(header_of(request, "X-Inputs")), id, 1);
   }
 }
 
+void soak_replica::check_region(const std::string& id) {
+  if (soak_request::is_held(id) && zone_ != "east") {
+    ledger_->note_violation("RESIDENCY", id + " reached " + id_ + " in " + zone_);
+  }
+}
+
 void soak_replica::check_inputs(const std::vector<std::string>& inputs, const std::string& id,
                                 std::size_t stage) {
   bool good = inputs.size() == soak_request::pieces(id, stage);
@@ -160,8 +171,7 @@
   const auto mode = mode_.load();
   const bool odd = ++calls_ % 2 == 1;
   std::this_thread::sleep_for(mode == replica_mode::slow ? slow_work : usual_work);
-  if (std::string(request.target()).find("/stream/") == 0 ||
-      std::string(request.target()).find("/staged/") == 0) {
+  if (soak_request::is_stream(kind_in(std::string(request.target())))) {
     return stream(request, id);
   }
   const auto headers = "X-Request-Id: " + id + "\r\nX-Response-Seal: " + id + "\r\n";
@@ -210,6 +220,7 @@
     const std::string id(item.at("id").as_string());
     const auto stage = item.at("stage").to_number<std::size_t>();
     const auto piece = item.at("piece").to_number<std::size_t>();
+    check_region(id);
     std::vector<std::string> inputs;
     if (const auto* given = item.if_contains("inputs")) {
       for (const auto& input : given->as_array()) {
--- a/tests/platform_fleet/soak_world.h
+++ b/tests/platform_fleet/soak_world.h
@@ -34,6 +34,12 @@
 /// Requests of the soak: everything about one follows from its id, so that whoever sees a part of
 /// it can check it.
 struct soak_request {
+  /// @return whether requests of a kind have stages before they run.
+  static bool has_stages(const std::string& kind) { return kind == "staged" || kind == "held"; }
+  /// @return whether requests of a kind are answered with events.
+  static bool is_stream(const std::string& kind) { return kind == "stream" || has_stages(kind); }
+  /// @return whether a request is held to the region of the zone `east`.
+  static bool is_held(const std::string& id) { return id.starts_with("held"); }
   static std::string path(const std::string& kind, const std::string& id) {
     return "/" + kind + "/" + id;
   }
@@ -68,6 +74,8 @@
   scripted_answer make_pieces(const http_request& request);
   scripted_answer stream(const http_request& request, const std::string& id);
   void check(const http_request& request, const std::string& id);
+  /// A request, or a piece of one, is worked on here.
+  void check_region(const std::string& id);
   void check_inputs(const std::vector<std::string>& inputs, const std::string& id,
                     std::size_t stage);
 
