Ordered sets for what falls due in stage work

Cause: give_up_stalled, note_fetched_inputs, next_wakeup, drop_expired, forget_expired_results and calls_under_way walked all calls, waiting pieces or results at each look, every 25 ms and after each answer. Change: base::due_times, one ordered set each for give-ups, fetched inputs, deadlines of waiting pieces and expiries of results; calls counted by service.

--- /dev/null
+++ b/src/base/due_times.h
@@ -0,0 +1,59 @@
+/// Things that fall due at known times: what is due now is found without looking at the rest.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace spurrack::base {
+
+/// Each key has at most one time. Every change costs O(log n) of the keys held; asking for the next
+/// time costs nothing. Not thread-safe.
+template <typename key>
+class due_times {
+ public:
+  /// Sets or moves the time of a key.
+  void set(const key& what, time_point when) {
+    clear(what);
+    times_.emplace(what, when);
+    ordered_.emplace(when, what);
+  }
+
+  /// Forgets a key; one that is not held is none of an error.
+  void clear(const key& what) {
+    const auto found = times_.find(what);
+    if (found != times_.end()) {
+      ordered_.erase({found->second, what});
+      times_.erase(found);
+    }
+  }
+
+  /// @return the earliest time; nothing where no key is held.
+  [[nodiscard]] std::optional<time_point> next() const {
+    return ordered_.empty() ? std::nullopt : std::optional(ordered_.begin()->first);
+  }
+
+  /// Takes out the keys that are due, the earliest first.
+  std::vector<key> take_due(time_point now) {
+    std::vector<key> due;
+    while (!ordered_.empty() && ordered_.begin()->first <= now) {
+      due.push_back(ordered_.begin()->second);
+      times_.erase(due.back());
+      ordered_.erase(ordered_.begin());
+    }
+    return due;
+  }
+
+  [[nodiscard]] std::size_t size() const { return times_.size(); }
+
+ private:
+  std::unordered_map<key, time_point> times_;
+  std::set<std::pair<time_point, key>> ordered_;
+};
+
+} // namespace spurrack::base
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -47,28 +47,39 @@
 
 piece_ticket stage_pool::submit(piece_work work, base::time_point now) {
   const auto ticket = next_ticket_++;
-  auto& queue = queues_[work.service];
-  queue.insert({work.due, ticket});
+  const auto& queue = queues_[work.service];
   const auto* capacity = capacity_of(work.service);
+  pieces_[ticket] = {std::move(work), now, 0};
+  enqueue(ticket);
   const bool full_batch = capacity == nullptr || queue.size() >= capacity->batch;
   next_check_ = full_batch ? base::time_point{} : std::min(next_check_, now + settings_.batch_wait);
-  pieces_[ticket] = {std::move(work), now, 0};
   return ticket;
 }
 
+void stage_pool::enqueue(piece_ticket ticket) {
+  const auto& work = pieces_.at(ticket).work;
+  queues_[work.service].insert({work.due, ticket});
+  waiting_deadlines_.set(ticket, work.deadline);
+}
+
+void stage_pool::dequeue(service_queue& queue, const queue_position& position) {
+  queue.erase(position);
+  waiting_deadlines_.clear(position.ticket);
+}
+
 void stage_pool::cancel(piece_ticket ticket) {
   const auto found = pieces_.find(ticket);
   if (found == pieces_.end()) {
     return;
   }
-  queues_[found->second.work.service].erase({found->second.work.due, ticket});
+  const auto& work = found->second.work;
+  dequeue(queues_[work.service], {work.due, ticket});
   pieces_.erase(found);
 }
 
 std::size_t stage_pool::calls_under_way(const std::string& service) const {
-  return static_cast<std::size_t>(
-      std::count_if(calls_.begin(), calls_.end(),
-                    [&](const auto& entry) { return entry.second.service == service; }));
+  const auto found = calls_of_.find(service);
+  return found == calls_of_.end() ? 0 : found->second;
 }
 
 std::size_t stage_pool::waiting(const std::string& service) const {
@@ -106,7 +117,7 @@
     finish(ticket, {fault, {}});
     return;
   }
-  queues_[found->second.work.service].insert({found->second.work.due, ticket});
+  enqueue(ticket);
 }
 
 void stage_pool::settle(piece_ticket ticket, const piece_outcome& outcome) {
@@ -136,7 +147,7 @@
   const auto& replica = ended.call.target.replica;
   switch (answer.how) {
   case stage_call_ended::result::answered:
-    replicas_->note_success(replica);
+    replicas_->note_success(replica, now);
     note_pace(ended, now);
     for (std::size_t index = 0; index < ended.tickets.size(); ++index) {
       if (answer.pieces[index].fault == piece_fault::no_room) {
@@ -147,6 +158,7 @@
     }
     return;
   case stage_call_ended::result::refused:
+    replicas_->note_heard(replica, now);
     note_occupied(ended, now);
     break;
   case stage_call_ended::result::misdirected:
@@ -191,6 +203,9 @@
   const auto& replica = open.call.target.replica;
   replicas_->call_ended(replica);
   --calls_at_[replica];
+  --calls_of_[open.service];
+  give_ups_.clear(open.call.call);
+  input_fetches_.clear(open.call.call);
   for (const auto bytes : open.result_bytes) {
     room_taken_[replica] -= bytes;
   }
@@ -205,7 +220,8 @@
   const auto& replica = ended.call.target.replica;
   const auto bytes = ended.result_bytes[index];
   room_taken_[replica] += bytes;
-  results_[outcome.handle] = {replica, bytes, now + capacity->result_lifetime};
+  results_[outcome.handle] = {replica, bytes};
+  result_expiries_.set(outcome.handle, now + capacity->result_lifetime);
 }
 
 void stage_pool::forget_result(const std::string& handle) {
@@ -213,18 +229,13 @@
   if (found != results_.end()) {
     room_taken_[found->second.replica] -= found->second.bytes;
     results_.erase(found);
+    result_expiries_.clear(handle);
     next_check_ = {};
   }
 }
 
 void stage_pool::forget_expired_results(base::time_point now) {
-  std::vector<std::string> expired;
-  for (const auto& [handle, held] : results_) {
-    if (held.expires <= now) {
-      expired.push_back(handle);
-    }
-  }
-  for (const auto& handle : expired) {
+  for (const auto& handle : result_expiries_.take_due(now)) {
     forget_result(handle);
   }
 }
@@ -283,13 +294,7 @@
 }
 
 void stage_pool::give_up_stalled(base::time_point now) {
-  std::vector<base::call_id> stalled;
-  for (const auto& [call, open] : calls_) {
-    if (now >= open.give_up_at) {
-      stalled.push_back(call);
-    }
-  }
-  for (const auto call : stalled) {
+  for (const auto call : give_ups_.take_due(now)) {
     commands_.emplace_back(cancel_call{call});
     const auto replica = calls_.at(call).call.target.replica;
     note_pace(calls_.at(call), now);
@@ -299,19 +304,15 @@
 }
 
 void stage_pool::note_fetched_inputs(base::time_point now) {
-  for (auto& [call, open] : calls_) {
-    if (!open.inputs_fetched_at) {
-      continue;
-    }
-    if (now < *open.inputs_fetched_at) {
-      next_check_ = std::min(next_check_, *open.inputs_fetched_at);
-      continue;
-    }
-    open.inputs_fetched_at.reset();
+  for (const auto call : input_fetches_.take_due(now)) {
+    auto& open = calls_.at(call);
     open.told_fetched = true;
     std::copy_if(open.tickets.begin(), open.tickets.end(), std::back_inserter(fetched_),
                  [this](piece_ticket ticket) { return pieces_.contains(ticket); });
   }
+  if (const auto next = input_fetches_.next()) {
+    next_check_ = std::min(next_check_, *next);
+  }
 }
 
 bool stage_pool::was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome) const {
@@ -344,16 +345,11 @@
   }
 }
 
-void stage_pool::drop_expired(service_queue& queue, base::time_point now) {
-  std::vector<queue_position> expired;
-  for (const auto& position : queue) {
-    if (pieces_.at(position.ticket).work.deadline <= now) {
-      expired.push_back(position);
-    }
-  }
-  for (const auto& position : expired) {
-    queue.erase(position);
-    finish(position.ticket, {piece_fault::expired, {}});
+void stage_pool::drop_expired(base::time_point now) {
+  for (const auto ticket : waiting_deadlines_.take_due(now)) {
+    const auto& work = pieces_.at(ticket).work;
+    queues_[work.service].erase({work.due, ticket});
+    finish(ticket, {piece_fault::expired, {}});
   }
 }
 
@@ -434,7 +430,7 @@
   open.call.call = next_call_();
   open.call.target = {replica.record->id, replica.record->address};
   for (const auto& position : batch) {
-    queue.erase(position);
+    dequeue(queue, position);
     auto& piece = pieces_.at(position.ticket);
     ++piece.attempts;
     const auto& work = piece.work;
@@ -443,8 +439,9 @@
     open.tickets.push_back(position.ticket);
     open.result_bytes.push_back(work.result_bytes);
     if (!work.inputs.empty() && settings_.input_fetch_time > base::duration::zero()) {
-      open.inputs_fetched_at = now + fetch_time_;
-      next_check_ = std::min(next_check_, *open.inputs_fetched_at);
+      const base::time_point fetched_at = now + fetch_time_;
+      input_fetches_.set(open.call.call, fetched_at);
+      next_check_ = std::min(next_check_, fetched_at);
     }
     room_taken_[replica.record->id] += work.result_bytes;
   }
@@ -457,20 +454,20 @@
               std::to_string(static_cast<std::int64_t>(room_taken_[replica.record->id])));
   const auto usual = base::scaled(usual_time(capacity, open.tickets.size()),
                                   replica_table::slowness_of(replica, now));
-  open.give_up_at = now + base::scaled(usual, stall_factor) + stall_margin;
+  give_ups_.set(open.call.call, now + base::scaled(usual, stall_factor) + stall_margin);
   commands_.emplace_back(open.call);
   replicas_->call_started(replica.record->id, now);
   ++calls_at_[replica.record->id];
+  ++calls_of_[name];
   calls_.emplace(open.call.call, std::move(open));
 }
 
 void stage_pool::pump_service(const std::string& name, service_queue& queue, base::time_point now) {
-  drop_expired(queue, now);
   const auto* capacity = capacity_of(name);
   if (capacity == nullptr) {
     while (!queue.empty()) {
       const auto ticket = queue.begin()->ticket;
-      queue.erase(queue.begin());
+      dequeue(queue, {queue.begin()->due, ticket});
       finish(ticket, {piece_fault::not_run, {}});
     }
     return;
@@ -504,6 +501,7 @@
   forget_expired_results(now);
   give_up_stalled(now);
   note_fetched_inputs(now);
+  drop_expired(now);
   for (auto& [name, queue] : queues_) {
     pump_service(name, queue, now);
   }
@@ -511,16 +509,17 @@
 
 std::optional<base::time_point> stage_pool::next_wakeup(base::time_point now) const {
   std::optional<base::time_point> earliest;
-  const auto consider = [&](base::time_point when) {
-    earliest = earliest ? std::min(*earliest, when) : when;
+  const auto consider = [&](const std::optional<base::time_point>& when) {
+    if (when) {
+      earliest = earliest ? std::min(*earliest, *when) : *when;
+    }
   };
-  for (const auto& [call, open] : calls_) {
-    consider(open.inputs_fetched_at.value_or(open.give_up_at));
-  }
+  consider(give_ups_.next());
+  consider(input_fetches_.next());
   const bool any_waits = std::any_of(queues_.begin(), queues_.end(),
                                      [](const auto& entry) { return !entry.second.empty(); });
   if (any_waits) {
-    consider(std::max(now, next_check_));
+    consider(std::max<base::time_point>(now, next_check_));
   }
   return earliest;
 }
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -2,6 +2,7 @@
 /// together when the replica is free, from whatever is due first then.
 #pragma once
 
+#include "base/due_times.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "model/serving_records.h"
@@ -120,10 +121,6 @@
     start_stage_call call;
     std::string service;
     base::time_point started;
-    base::time_point give_up_at;
-    /// The replica has fetched the inputs of the pieces by then; nothing where they have none, or
-    /// where that was told.
-    std::optional<base::time_point> inputs_fetched_at;
     bool told_fetched = false;
     /// Pieces in the order of the call; one that was cancelled has no entry in `pieces_`.
     std::vector<piece_ticket> tickets;
@@ -131,15 +128,19 @@
     std::vector<double> result_bytes;
   };
   using service_queue = std::set<queue_position>;
+  /// Puts a piece into its queue.
+  void enqueue(piece_ticket ticket);
+  /// Takes a piece out of its queue.
+  void dequeue(service_queue& queue, const queue_position& position);
   /// A result that takes up room at its replica.
   struct held_result {
     base::replica_id replica;
     double bytes = 0;
-    base::time_point expires;
   };
 
   void pump_service(const std::string& name, service_queue& queue, base::time_point now);
-  void drop_expired(service_queue& queue, base::time_point now);
+  /// Ends the pieces whose time was over before they were handed out.
+  void drop_expired(base::time_point now);
   void give_up_stalled(base::time_point now);
   /// Finds the calls whose inputs the replicas have fetched by now.
   void note_fetched_inputs(base::time_point now);
@@ -232,7 +233,18 @@
   std::unordered_map<piece_ticket, queued_piece> pieces_;
   std::map<std::string, service_queue> queues_;
   std::map<std::string, drain_rate> drain_rates_;
-  std::map<base::call_id, open_call> calls_;
+  std::unordered_map<base::call_id, open_call> calls_;
+  /// Calls under way by service.
+  std::map<std::string, std::size_t> calls_of_;
+  /// Deadlines of the pieces that wait for a call.
+  base::due_times<piece_ticket> waiting_deadlines_;
+  /// When calls without an answer are given up.
+  base::due_times<base::call_id> give_ups_;
+  /// When the replicas of calls have fetched the inputs of their pieces; calls without inputs, and
+  /// those of which it was told, have no entry.
+  base::due_times<base::call_id> input_fetches_;
+  /// When results expire at their makers.
+  base::due_times<std::string> result_expiries_;
   std::map<base::replica_id, std::uint32_t> calls_at_;
   /// Room taken by results, at work or waiting to be fetched.
   std::map<base::replica_id, double> room_taken_;
