--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -107,6 +107,22 @@
   add("spurrack_repeats_total", "Requests sent to a second replica.", counts.repeats);
   add("spurrack_repeats_denied_total", "Repeats beyond this node's share of the bound.",
       counts.repeats_denied);
+  add("spurrack_repeats_borrowed_total", "Repeats that waited for what other nodes lent.",
+      counts.repeats_borrowed);
+  add("spurrack_ended_at_lost_replicas_total",
+      "Requests ended before their time because their replica was found lost.",
+      counts.ended_at_lost_replicas);
+  add("spurrack_replica_ejections_total", "Replicas given a rest on the word of other nodes.",
+      dispatcher.replicas().ejections());
+  add("spurrack_replica_news_sent_total", "Messages on replicas in trouble to other nodes.",
+      dispatcher.news().messages);
+  add("spurrack_replica_news_heard_total", "Words of other nodes on replicas in trouble.",
+      dispatcher.news().taken_in);
+  const auto& lending = dispatcher.lending();
+  add("spurrack_repeat_questions_total", "Questions to other nodes for part of their share.",
+      lending.questions);
+  add_counter(registry, "spurrack_repeats_lent_total", "Repeats lent to other nodes.",
+              static_cast<double>(lending.lent_thousandths) / serving::one_repeat);
   add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
   add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
   add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include "base/hashing.h"
 #include "dispatch/dispatcher_constants.h"
+#include "dispatch/return_time.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -16,8 +17,6 @@
 constexpr double first_attempt_time_part = 0.97;
 /// A request is admitted up to this part of its target latency.
 constexpr double admitted_target_part = 1.3;
-/// Clients stay away for a third of the time they have left at the most.
-constexpr double longest_retry_after_part = 0.3;
 /// Part of its time after which a request whose stages are not finished is judged again, and the
 /// part between two judgements from then on: what it needs changes with every replica that is lost.
 /// After the first, two in a row must agree: of seven looks at an estimate with an error one would
@@ -27,6 +26,12 @@
 /// A call without progress that cannot be made elsewhere is looked at again after this time: a
 /// tenth of the second within which a lost replica's requests are to be taken up.
 constexpr base::duration stall_check_period = std::chrono::milliseconds(100);
+/// One that may not be made elsewhere is looked at again after this time, in case its replica is
+/// found lost: a quarter of that second.
+constexpr base::duration lost_check_period = std::chrono::milliseconds(250);
+
+/// A request that waits for a loan is looked at again after this time where no answer comes.
+constexpr base::duration loan_check_period = std::chrono::milliseconds(25);
 
 std::string seconds_text(base::duration span) {
   char text[32];
@@ -55,11 +60,12 @@
 dispatcher::dispatcher(const fleet_peer& self, const serving_settings& settings,
                        base::random_source& random, base::incarnation life,
                        decision_recorder record)
-    : self_(self), settings_(settings), record_(std::move(record)),
+    : self_(self), settings_(settings), record_(std::move(record)), random_(&random),
       replicas_(self.node, self.zone, settings, random),
       plain_replicas_(replicas_, distance(self.zone, settings.regions), random),
       engines_(replicas_, distance(self.zone, settings.regions), plain_replicas_),
-      retries_(settings.retry),
+      retries_(settings.retry), lending_(retries_, self.zone, random, life),
+      news_(replicas_, self.zone, settings.regions, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
 
@@ -71,6 +77,8 @@
     nodes[peer.zone].push_back(peer.node);
   }
   replicas_.set_nodes(std::move(nodes));
+  lending_.set_peers(alive);
+  news_.set_peers(alive);
   stages_.set_peers(std::move(alive));
 }
 
@@ -80,6 +88,41 @@
   take_piece_results(now);
 }
 
+void dispatcher::handle_peer(const base::node_id& sender, const base::network_address& address,
+                             const wire::retry_lending& message, base::time_point now) {
+  lending_.handle(sender, address, message, now);
+  go_on_with_loans(now);
+}
+
+void dispatcher::handle_peer(const base::node_id& sender, const wire::replica_news& message,
+                             base::time_point now) {
+  const auto ejections_before = replicas_.ejections();
+  const auto lost = news_.handle(sender, message, now);
+  if (replicas_.ejections() > ejections_before) {
+    record_(base::event_kind::backend_ejected, {}, lost.front().text(),
+            "found lost by two nodes, the latest " + sender.text() + ", " +
+                std::to_string(lost.size()) + " in one message");
+  }
+  for (const auto& replica : lost) {
+    look_at_calls_of(replica, now);
+  }
+}
+
+void dispatcher::look_at_calls_of(const base::replica_id& replica, base::time_point now) {
+  const auto found = clients_at_.find(replica);
+  if (found == clients_at_.end()) {
+    return;
+  }
+  for (const auto client : found->second) {
+    auto& request = active_.at(client);
+    const bool is_watched = request.call->stalls_at && *request.call->stalls_at > now;
+    if (is_watched && request.route->may_repeat() && is_silent(request)) {
+      request.call->stalls_at = now;
+      schedule_check(request);
+    }
+  }
+}
+
 void dispatcher::update(const catalog::catalog& content, base::time_point now) {
   configuration_ = content.serving();
   replicas_.set_configuration(configuration_);
@@ -218,8 +261,8 @@
   }
   const auto excess =
       expected ? *expected - base::scaled(limit, 0.8) : base::duration{settings_.retry_after};
-  const auto wait = std::clamp<base::duration>(excess, settings_.retry_after,
-                                               base::scaled(allowed, longest_retry_after_part));
+  const auto wait = return_time(std::max<base::duration>(excess, settings_.retry_after),
+                                request.ends_at - now, *random_);
   refuse(request.client, request.content->id, status::unavailable,
          "expected to take " +
              (expected ? std::to_string(base::to_milliseconds(*expected)) + " ms" : "for ever"),
@@ -274,9 +317,8 @@
     answer_failed(request, status::bad_gateway, reason, now);
     return;
   }
-  const bool time_is_over = request.ends_at <= now;
   refuse(request.client, request.content->id, status::unavailable, reason,
-         time_is_over ? base::duration{} : settings_.retry_after);
+         return_time(settings_.retry_after, request.ends_at - now, *random_));
   finish(request, status::unavailable, reason, now);
 }
 
@@ -368,7 +410,7 @@
     if (!give_up_hopeless(request, now)) {
       free_fetched_inputs(request, now);
       if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
-        take_up_elsewhere(request, now);
+        on_stalled(request, now);
       }
     }
     // Either may have ended it.
@@ -378,11 +420,27 @@
   }
 }
 
-void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
-  if (request.sent >= request.route->max_attempts) {
-    request.call->stalls_at.reset();
-    return;
+bool dispatcher::is_silent(const active_request& request) const {
+  const auto shown_at = std::max(request.call->started, request.latest_event_at);
+  return !replicas_.was_heard_after(request.call->replica, shown_at);
+}
+
+void dispatcher::on_stalled(active_request& request, base::time_point now) {
+  const bool silent = is_silent(request);
+  if (silent) {
+    replicas_.note_silent(request.call->replica, now);
   }
+  if (request.route->may_repeat() && has_attempt_left(request, now)) {
+    take_up_elsewhere(request, now);
+  } else if (silent && replicas_.is_lost(request.call->replica, now)) {
+    ++counters_.ended_at_lost_replicas;
+    answer_failed(request, status::bad_gateway, "the replica is lost", now);
+  } else {
+    request.call->stalls_at = now + lost_check_period;
+  }
+}
+
+void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
   if (choose_replica(request, now) == nullptr || !may_send_again(request, now)) {
     request.call->stalls_at = now + stall_check_period;
     return;
@@ -405,12 +463,14 @@
 
 void dispatcher::advance(base::time_point now) {
   expire(now);
+  go_on_with_loans(now);
   check_requests(now);
   stages_.pump(now);
   if (take_piece_results(now)) {
     // What was finished lets other stages begin.
     stages_.pump(now);
   }
+  news_.advance(now);
 }
 
 void dispatcher::give_up_all(base::time_point now) {
@@ -430,9 +490,25 @@
   if (!checks_.empty()) {
     consider(checks_.begin()->first);
   }
+  if (const auto news = news_.next_wakeup()) {
+    consider(*news);
+  }
+  if (!awaiting_loans_.empty()) {
+    consider(now + loan_check_period);
+  }
   return earliest;
 }
 
+wire::outbox dispatcher::take_messages() {
+  auto told = stages_.take_messages();
+  auto lending = lending_.take_messages();
+  auto news = news_.take_messages();
+  for (auto* more : {&lending, &news}) {
+    std::move(more->begin(), more->end(), std::back_inserter(told));
+  }
+  return told;
+}
+
 command_list dispatcher::take_commands() {
   auto wanted = std::exchange(commands_, {});
   auto pooled = stages_.take_commands();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,8 @@
 #include "catalog/catalog.h"
 #include "dispatch/admission_estimate.h"
 #include "dispatch/event_stream.h"
+#include "dispatch/replica_news.h"
+#include "dispatch/retry_lending.h"
 #include "dispatch/retry_share.h"
 #include "engines/prefix_chooser.h"
 #include "replicas/least_loaded_chooser.h"
@@ -57,6 +59,13 @@
   /// Takes in what another node says of stage work.
   void handle_peer(const base::node_id& sender, const wire::stage_work& message,
                    base::time_point now);
+  /// Takes in what another node asks or lends of the share of repeats.
+  void handle_peer(const base::node_id& sender, const base::network_address& address,
+                   const wire::retry_lending& message, base::time_point now);
+  /// Takes in what another node's calls have shown of replicas; calls at those that are lost are
+  /// looked at at once.
+  void handle_peer(const base::node_id& sender, const wire::replica_news& message,
+                   base::time_point now);
   /// Gives up what is past its time and hands out what waits.
   void advance(base::time_point now);
   /// Ends everything that is still open, for a stop that can wait no longer.
@@ -64,10 +73,12 @@
 
   [[nodiscard]] std::optional<base::time_point> next_wakeup(base::time_point now) const;
   [[nodiscard]] command_list take_commands();
-  [[nodiscard]] wire::outbox take_messages() { return stages_.take_messages(); }
+  [[nodiscard]] wire::outbox take_messages();
   [[nodiscard]] std::size_t active() const { return active_.size(); }
   [[nodiscard]] const serving_counters& counts() const { return counters_; }
   [[nodiscard]] const replica_table& replicas() const { return replicas_; }
+  [[nodiscard]] const replica_news_counts& news() const { return news_.counts(); }
+  [[nodiscard]] const lending_counts& lending() const { return lending_.counts(); }
 
  private:
   /// A call of the request itself.
@@ -79,6 +90,18 @@
     std::optional<base::time_point> stalls_at;
     /// The replica has fetched its inputs by then.
     std::optional<base::time_point> inputs_fetched_at;
+    /// Latest sign of life that was passed on to the replica table.
+    base::time_point heard_at;
+  };
+  /// How a request ends that is not sent again.
+  struct failed_ending {
+    /// Status of the own answer.
+    unsigned code = 0;
+    std::string reason;
+    /// The replica's answer, which is passed on; without one the node answers itself.
+    std::optional<call_answered> answer;
+    /// No replica has run it; the own answer says so.
+    bool not_run = false;
   };
   struct active_request {
     base::caller_id client = 0;
@@ -99,6 +122,8 @@
     base::zone_id zone;
     std::map<piece_ticket, piece_position> pieces;
     std::optional<open_call> call;
+    /// It waits for other nodes to lend what a repeat takes; its end where they do not.
+    std::optional<failed_ending> awaits_loan;
     std::set<base::replica_id> tried;
     std::uint32_t sent = 0;
     std::uint32_t not_sent = 0;
@@ -166,12 +191,21 @@
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// After an attempt that may have run: once more where that is allowed, else the final answer.
   void repeat_or_fail(active_request& request, base::time_point now);
+  /// Sends a request again where attempts, time and share allow it, waits shortly where others may
+  /// lend of theirs, and ends it otherwise.
+  void send_again_or_end(active_request& request, failed_ending ending, base::time_point now);
+  void end_failed(active_request& request, const failed_ending& ending, base::time_point now);
+  [[nodiscard]] static bool has_attempt_left(const active_request& request, base::time_point now);
+  /// Looks at the requests that wait for a loan.
+  void go_on_with_loans(base::time_point now);
   [[nodiscard]] bool may_send_again(active_request& request, base::time_point now);
   void pass_on(active_request& request, const call_answered& answer, base::time_point now);
   void begin_stream(active_request& request, base::time_point now);
   /// Keeps account of when events arrive, for what is recorded at the end of the stream.
   static void note_event(active_request& request, base::time_point now);
   void watch_progress(active_request& request, base::duration allowed, base::time_point now);
+  /// Tells the replica table of a sign of life, not for every event of a stream.
+  void note_heard(open_call& call, base::time_point now);
   void give_up(active_request& request, base::time_point now);
   /// @return when something of a request is due: a judgement, inputs that were fetched, a replica
   ///         without progress.
@@ -181,6 +215,15 @@
   void schedule_check(active_request& request);
   /// Looks at the requests of which something is due.
   void check_requests(base::time_point now);
+  /// Has the repeatable calls at a lost replica looked at that have shown nothing since it fell
+  /// silent.
+  void look_at_calls_of(const base::replica_id& replica, base::time_point now);
+  /// A call shows no progress: it is made elsewhere, or ended where that is not allowed and its
+  /// replica is lost; otherwise it is looked at again soon.
+  void on_stalled(active_request& request, base::time_point now);
+  /// @return whether nothing was heard of the replica of a call since the call last showed
+  /// anything.
+  [[nodiscard]] bool is_silent(const active_request& request) const;
   /// Makes a call that shows no progress elsewhere, where that is allowed and there is a replica;
   /// otherwise it is looked at again soon, since either may change.
   void take_up_elsewhere(active_request& request, base::time_point now);
@@ -209,6 +252,7 @@
   fleet_peer self_;
   serving_settings settings_;
   decision_recorder record_;
+  base::random_source* random_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   bool accepting_ = true;
   base::call_id next_call_ = 1;
@@ -216,11 +260,17 @@
   least_loaded_chooser plain_replicas_;
   prefix_chooser engines_;
   retry_share retries_;
+  retry_lending lending_;
+  replica_news news_;
   stage_exchange stages_;
   admission_estimate estimate_;
   std::unordered_map<base::caller_id, active_request> active_;
   std::unordered_map<base::call_id, base::caller_id> calls_;
+  /// Requests with a call at each replica.
+  std::unordered_map<base::replica_id, std::set<base::caller_id>> clients_at_;
   std::unordered_map<piece_ticket, base::caller_id> tickets_;
+  /// Requests that wait for a loan, the earliest first.
+  std::vector<base::caller_id> awaiting_loans_;
   std::set<std::pair<base::time_point, base::caller_id>> ends_;
   std::set<std::pair<base::time_point, base::caller_id>> checks_;
   serving_counters counters_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -15,6 +15,8 @@
 constexpr double plain_stall_part = 0.7;
 /// A resumable stream is taken up elsewhere after this many times the longest pause in time.
 constexpr double stream_stall_factor = 2.5;
+/// A stream is a sign of life of its replica this often; each event would cost a look-up.
+constexpr base::duration heard_note_period = std::chrono::milliseconds(100);
 
 bool is_success(unsigned code) {
   return code >= 200 && code < 300;
@@ -64,7 +66,8 @@
   }
   request.tried.insert(chosen->record->id);
   ++request.sent;
-  request.call = open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt};
+  request.call = open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt, {}};
+  clients_at_[chosen->record->id].insert(request.client);
   const bool runs_at_once = !chosen->told || chosen->told->waiting == 0;
   if (!wanted.inputs.empty() && runs_at_once &&
       settings_.input_fetch_time > base::duration::zero()) {
@@ -84,7 +87,7 @@
 void dispatcher::watch_progress(active_request& request, base::duration allowed,
                                 base::time_point now) {
   request.call->stalls_at.reset();
-  if (request.route->may_repeat() && allowed > base::duration::zero()) {
+  if (allowed > base::duration::zero()) {
     const bool plain = request.route->kind == model::route_kind::safe;
     const double factor = plain ? plain_stall_part : 1.0;
     request.call->stalls_at = now + std::chrono::duration_cast<base::duration>(allowed * factor);
@@ -96,12 +99,21 @@
   auto call = *request.call;
   calls_.erase(call.id);
   replicas_.call_ended(call.replica);
+  const auto at_replica = clients_at_.find(call.replica);
+  at_replica->second.erase(request.client);
+  if (at_replica->second.empty()) {
+    clients_at_.erase(at_replica);
+  }
   request.call.reset();
   return call;
 }
 
+bool dispatcher::has_attempt_left(const active_request& request, base::time_point now) {
+  return request.sent < request.route->max_attempts && now < request.ends_at;
+}
+
 bool dispatcher::may_send_again(active_request& request, base::time_point now) {
-  if (request.sent >= request.route->max_attempts || request.ends_at <= now) {
+  if (!has_attempt_left(request, now)) {
     return false;
   }
   if (!retries_.take(request.service, now)) {
@@ -138,13 +150,63 @@
 }
 
 void dispatcher::repeat_or_fail(active_request& request, base::time_point now) {
-  if (request.route->may_repeat() && may_send_again(request, now)) {
+  failed_ending ending{status::bad_gateway, "the replica gave no whole answer", {}, false};
+  if (request.route->may_repeat()) {
+    send_again_or_end(request, std::move(ending), now);
+  } else {
+    end_failed(request, ending, now);
+  }
+}
+
+void dispatcher::send_again_or_end(active_request& request, failed_ending ending,
+                                   base::time_point now) {
+  if (may_send_again(request, now)) {
     request.events.restart();
     counters_.streams_resumed += request.stream_begun ? 1 : 0;
     send_to_replica(request, now);
     return;
   }
-  answer_failed(request, status::bad_gateway, "the replica gave no whole answer", now);
+  if (has_attempt_left(request, now) && lending_.ask(request.service, now)) {
+    request.awaits_loan = std::move(ending);
+    awaiting_loans_.push_back(request.client);
+    return;
+  }
+  end_failed(request, ending, now);
+}
+
+void dispatcher::end_failed(active_request& request, const failed_ending& ending,
+                            base::time_point now) {
+  if (ending.answer) {
+    pass_on(request, *ending.answer, now);
+  } else if (ending.not_run) {
+    answer_not_run(request, ending.reason, now);
+  } else {
+    answer_failed(request, ending.code, ending.reason, now);
+  }
+}
+
+void dispatcher::go_on_with_loans(base::time_point now) {
+  for (const auto client : std::exchange(awaiting_loans_, {})) {
+    const auto found = active_.find(client);
+    if (found == active_.end() || !found->second.awaits_loan) {
+      continue;
+    }
+    auto& request = found->second;
+    if (retries_.missing(request.service, now) > 0 && lending_.is_awaiting(request.service, now)) {
+      awaiting_loans_.push_back(client);
+      continue;
+    }
+    const auto ending = *std::exchange(request.awaits_loan, std::nullopt);
+    if (may_send_again(request, now)) {
+      ++counters_.repeats_borrowed;
+      record(base::event_kind::stage_retried, request, request.service, "with a loan");
+      request.events.restart();
+      counters_.streams_resumed += request.stream_begun ? 1 : 0;
+      send_to_replica(request, now);
+    } else {
+      end_failed(request, ending, now);
+    }
+  }
 }
 
 void dispatcher::on_not_executed(active_request& request, const answer_head& head,
@@ -162,17 +224,20 @@
     remake_final_inputs(request, now);
     return;
   }
-  if (may_send_again(request, now)) {
-    send_to_replica(request, now);
-  } else if (request.may_have_run) {
-    answer_failed(request, status::bad_gateway, "replicas are full", now);
-  } else {
-    answer_not_run(request, "replicas are full", now);
+  send_again_or_end(request, {status::bad_gateway, "replicas are full", {}, !request.may_have_run},
+                    now);
+}
+
+void dispatcher::note_heard(open_call& call, base::time_point now) {
+  if (call.heard_at == base::time_point{} || now - call.heard_at >= heard_note_period) {
+    call.heard_at = now;
+    replicas_.note_heard(call.replica, now);
   }
 }
 
 void dispatcher::note_state(const base::replica_id& replica, const answer_head& head,
                             base::time_point now) {
+  replicas_.note_heard(replica, now);
   if (head.load) {
     replicas_.note_load(replica, *head.load, now);
   }
@@ -194,20 +259,22 @@
   const bool unusable = is_success(what.head.status) && (!what.head.sealed || what.head.encoded);
   const bool failed = unusable || what.head.status >= status::first_server_error;
   if (!failed) {
-    replicas_.note_success(replica);
+    replicas_.note_success(replica, now);
     pass_on(*request, what, now);
     return;
   }
   const auto call = close_call(*request);
   replicas_.note_failure(call.replica, now);
-  if (request->route->may_repeat() && may_send_again(*request, now)) {
-    record(base::event_kind::stage_retried, *request, call.replica.text(),
-           "status " + std::to_string(what.head.status));
-    send_to_replica(*request, now);
-  } else if (unusable || request->stream_begun) {
-    answer_failed(*request, status::bad_gateway, "the replica's answer is not valid", now);
+  record(base::event_kind::stage_retried, *request, call.replica.text(),
+         "status " + std::to_string(what.head.status));
+  failed_ending ending{status::bad_gateway, "the replica's answer is not valid", {}, false};
+  if (!unusable && !request->stream_begun) {
+    ending.answer = what;
+  }
+  if (request->route->may_repeat()) {
+    send_again_or_end(*request, std::move(ending), now);
   } else {
-    pass_on(*request, what, now);
+    end_failed(*request, ending, now);
   }
 }
 
@@ -289,6 +356,7 @@
   }
   begin_stream(*request, now);
   note_event(*request, now);
+  note_heard(*request->call, now);
   commands_.emplace_back(stream_data{request->client, std::move(whole)});
   const auto pause =
       std::chrono::duration_cast<base::duration>(request->route->gap_target * stream_stall_factor);
@@ -303,7 +371,7 @@
   const auto call = close_call(*request);
   if (what.complete && !request->events.has_partial()) {
     begin_stream(*request, now);
-    replicas_.note_success(call.replica);
+    replicas_.note_success(call.replica, now);
     commands_.emplace_back(end_stream{request->client, true});
     finish(*request, request->stream_head->status,
            "the stream is complete, first event at " +
--- /dev/null
+++ b/src/dispatch/replica_news.cc
@@ -0,0 +1,138 @@
+#include "dispatch/replica_news.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace spurrack::serving {
+namespace {
+
+/// Nodes of the region that are told at once, by chance where there are more: two of three of the
+/// nodes of a zone hear of a trouble that several see.
+constexpr std::size_t most_receivers = 32;
+/// Replicas in one message, those that seem lost first: about 300 bytes.
+constexpr std::size_t most_replicas = 8;
+/// The first sign goes out at once, the next after this time: 32 messages of 300 bytes a second are
+/// the most a node sends, and only while its calls fail.
+constexpr base::duration message_period = std::chrono::milliseconds(1000);
+
+wire::replica_sign to_wire(replica_sign sign) {
+  switch (sign) {
+  case replica_sign::silent:
+    return wire::SIGN_SILENT;
+  case replica_sign::unreachable:
+    return wire::SIGN_UNREACHABLE;
+  case replica_sign::failing:
+    return wire::SIGN_FAILING;
+  case replica_sign::well:
+    break;
+  }
+  return wire::SIGN_WELL;
+}
+
+/// Signs of a newer program count as nothing.
+replica_sign from_wire(wire::replica_sign sign) {
+  switch (sign) {
+  case wire::SIGN_SILENT:
+    return replica_sign::silent;
+  case wire::SIGN_UNREACHABLE:
+    return replica_sign::unreachable;
+  case wire::SIGN_FAILING:
+    return replica_sign::failing;
+  default:
+    return replica_sign::well;
+  }
+}
+
+bool is_loss(replica_sign sign) {
+  return sign == replica_sign::silent || sign == replica_sign::unreachable;
+}
+
+std::uint32_t rounded(double calls) {
+  return static_cast<std::uint32_t>(std::lround(calls));
+}
+
+} // namespace
+
+replica_news::replica_news(replica_table& replicas, base::zone_id own_zone,
+                           const model::zone_regions& regions, base::random_source& random)
+    : replicas_(&replicas), own_zone_(std::move(own_zone)), regions_(regions), random_(&random) {}
+
+void replica_news::set_peers(const std::vector<fleet_peer>& alive) {
+  near_.clear();
+  for (const auto& peer : alive) {
+    if (regions_.same_region(peer.zone, own_zone_)) {
+      near_.push_back(peer.address);
+    }
+  }
+}
+
+std::optional<base::time_point> replica_news::next_wakeup() const {
+  const bool has_news = !untold_.empty() || replicas_->has_changed();
+  return has_news ? std::optional(next_message_) : std::nullopt;
+}
+
+wire::replica_news replica_news::collect(base::time_point now) {
+  untold_.merge(replicas_->take_changed());
+  std::vector<std::pair<base::replica_id, replica_testimony>> signs;
+  for (const auto& id : untold_) {
+    if (const auto* state = replicas_->find(id)) {
+      signs.emplace_back(id, replica_table::own_testimony(*state, now));
+    }
+  }
+  std::stable_partition(signs.begin(), signs.end(),
+                        [](const auto& entry) { return is_loss(entry.second.sign); });
+  untold_.clear();
+  wire::replica_news news;
+  for (const auto& [id, own] : signs) {
+    if (news.evidence_size() == static_cast<int>(most_replicas)) {
+      untold_.insert(id);
+      continue;
+    }
+    auto& said = *news.add_evidence();
+    said.set_replica(id.text());
+    said.set_sign(to_wire(own.sign));
+    said.set_calls(rounded(own.bad_calls));
+    said.set_good_calls(rounded(own.good_calls));
+    said.set_age_milliseconds(static_cast<std::uint32_t>(base::to_milliseconds(now - own.seen_at)));
+  }
+  return news;
+}
+
+void replica_news::advance(base::time_point now) {
+  if (now < next_message_ || (untold_.empty() && !replicas_->has_changed())) {
+    return;
+  }
+  const auto news = collect(now);
+  if (news.evidence_size() == 0) {
+    return;
+  }
+  next_message_ = now + message_period;
+  auto places = near_;
+  for (std::size_t told = 0; told < most_receivers && !places.empty(); ++told) {
+    wire::outgoing message{base::take_random(places, *random_), {}};
+    *message.message.mutable_replica_news() = news;
+    messages_.push_back(std::move(message));
+    ++counts_.messages;
+  }
+}
+
+std::vector<base::replica_id> replica_news::handle(const base::node_id& sender,
+                                                   const wire::replica_news& message,
+                                                   base::time_point now) {
+  std::vector<base::replica_id> lost;
+  for (const auto& said : message.evidence()) {
+    const base::replica_id replica(said.replica());
+    const base::duration age = std::chrono::milliseconds(said.age_milliseconds());
+    replicas_->take_in(replica, sender,
+                       {from_wire(said.sign()), static_cast<double>(said.good_calls()),
+                        static_cast<double>(said.calls()), now - age},
+                       now);
+    ++counts_.taken_in;
+    if (replicas_->is_lost(replica, now)) {
+      lost.push_back(replica);
+    }
+  }
+  return lost;
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/dispatch/replica_news.h
@@ -0,0 +1,65 @@
+/// Tells other nodes what this node's calls have shown of replicas, on change only, and takes in
+/// what they tell. No I/O.
+#pragma once
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "fleet_view/peer_directory.h"
+#include "model/residency.h"
+#include "replicas/replica_table.h"
+#include "wire/outgoing.h"
+#include "wire/peer.pb.h"
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// What was told and heard, for metrics.
+struct replica_news_counts {
+  std::uint64_t messages = 0;
+  std::uint64_t taken_in = 0;
+};
+
+/// Not thread-safe. Messages gather until they are taken.
+///
+/// Nodes of a region use the same replicas, so news stay within it. What a node sends does not grow
+/// with the fleet: one message of bounded size to a bounded number of nodes in a second.
+class replica_news {
+ public:
+  /// @param replicas what is told of and told to; must outlive this object, as must `random`.
+  replica_news(replica_table& replicas, base::zone_id own_zone, const model::zone_regions& regions,
+               base::random_source& random);
+
+  /// Nodes that may be told.
+  void set_peers(const std::vector<fleet_peer>& alive);
+  /// Tells what has changed, where the last message is long enough ago.
+  void advance(base::time_point now);
+  [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
+
+  /// @return replicas that are found lost with what was told.
+  std::vector<base::replica_id> handle(const base::node_id& sender,
+                                       const wire::replica_news& message, base::time_point now);
+
+  [[nodiscard]] wire::outbox take_messages() { return std::exchange(messages_, {}); }
+  [[nodiscard]] const replica_news_counts& counts() const { return counts_; }
+
+ private:
+  [[nodiscard]] wire::replica_news collect(base::time_point now);
+
+  replica_table* replicas_;
+  base::zone_id own_zone_;
+  model::zone_regions regions_;
+  base::random_source* random_;
+  std::vector<base::network_address> near_;
+  /// Replicas that did not fit into the last message.
+  std::set<base::replica_id> untold_;
+  base::time_point next_message_;
+  wire::outbox messages_;
+  replica_news_counts counts_;
+};
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/dispatch/retry_lending.h
@@ -0,0 +1,84 @@
+/// Asks other nodes for part of their share of repeats when this node's is spent, and lends of its
+/// own. No I/O.
+#pragma once
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "dispatch/retry_share.h"
+#include "fleet_view/peer_directory.h"
+#include "wire/outgoing.h"
+#include "wire/peer.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// What lending did, for metrics.
+struct lending_counts {
+  std::uint64_t questions = 0;
+  std::uint64_t lent_thousandths = 0;
+  std::uint64_t borrowed_thousandths = 0;
+};
+
+/// Not thread-safe. Messages gather until they are taken.
+class retry_lending {
+ public:
+  /// @param share what is lent and borrowed; must outlive this object, as must `random`.
+  /// @param life of this process: an answer to an earlier one is none.
+  retry_lending(retry_share& share, base::zone_id own_zone, base::random_source& random,
+                base::incarnation life);
+
+  /// Nodes that may be asked.
+  void set_peers(const std::vector<fleet_peer>& alive);
+
+  /// A repeat is wanted and the share is spent: asks others for what is missing, where that was not
+  /// just done.
+  /// @return whether answers are awaited.
+  bool ask(const std::string& service, base::time_point now);
+  /// @return whether answers are awaited that may still let a repeat be granted.
+  [[nodiscard]] bool is_awaiting(const std::string& service, base::time_point now) const;
+
+  void handle(const base::node_id& sender, const base::network_address& address,
+              const wire::retry_lending& message, base::time_point now);
+
+  [[nodiscard]] wire::outbox take_messages() { return std::exchange(messages_, {}); }
+  [[nodiscard]] const lending_counts& counts() const { return counts_; }
+
+ private:
+  /// The latest question about one service.
+  struct question {
+    std::uint64_t number = 0;
+    base::time_point asked_at;
+    /// Those that did not answer yet. Each answers once: a message may come twice.
+    std::vector<base::node_id> awaited;
+    /// What was lent made up a repeat.
+    bool sufficed = false;
+    /// Time to the next question; longer after each that did not suffice.
+    base::duration pause{};
+  };
+  void lend(const base::network_address& borrower, const wire::retry_lending& asked,
+            base::time_point now);
+  void take_loan(const base::node_id& lender, const wire::retry_lending& answer,
+                 base::time_point now);
+  /// @return peers that are asked now: mostly near ones, which answer soon, and a far one, since
+  ///         those near may share the trouble.
+  std::vector<const fleet_peer*> choose_lenders();
+
+  retry_share* share_;
+  base::zone_id own_zone_;
+  base::random_source* random_;
+  base::incarnation life_;
+  std::vector<fleet_peer> near_;
+  std::vector<fleet_peer> far_;
+  std::uint64_t next_question_ = 1;
+  std::map<std::string, question> questions_;
+  wire::outbox messages_;
+  lending_counts counts_;
+};
+
+} // namespace spurrack::serving
--- a/src/dispatch/retry_share.h
+++ b/src/dispatch/retry_share.h
@@ -1,18 +1,34 @@
-/// This node's share of the fleet's bound on repeats: shares of all nodes add up to the bound, so
-/// no messages are needed to keep it.
+/// This node's share of the fleet's bound on repeats. Shares of all nodes add up to the bound, so
+/// no messages are needed to keep it; what a node lends of its share is spent for itself.
 #pragma once
 
 #include "base/time.h"
 #include "serving/settings.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <string>
 #include <unordered_map>
 
 namespace spurrack::serving {
 
-/// Counts requests and repeats of each service over a sliding window. Not thread-safe.
+/// An amount of repeats, in thousandths of one: shares of large fleets are less than a whole.
+using repeat_thousandths = std::int64_t;
+
+/// One repeat.
+inline constexpr repeat_thousandths one_repeat = 1000;
+
+/// How long after it was asked for a loan may be spent: several ways between regions, and short
+/// beside the window, since the lender goes without it for the window and this time.
+inline constexpr base::duration loan_lifetime = std::chrono::milliseconds(2000);
+
+/// Counts requests, repeats and loans of each service over a sliding window. Not thread-safe.
+///
+/// Why loans keep the bound: a lender books a loan when it hands it out, for the window and the
+/// lifetime of the loan. The loan is spent between that moment and the end of its lifetime, so in
+/// every window in which it is spent the lender has it on its books, whatever messages are lost,
+/// late or doubled, and whoever is cut off from whom. A lost loan is only not spent.
 class retry_share {
  public:
   explicit retry_share(retry_limits limits) : limits_(limits) {}
@@ -22,19 +38,50 @@
   void set_fleet_size(std::size_t nodes) { nodes_ = nodes; }
 
   void count_request(const std::string& service, base::time_point now);
-  /// @return whether a repeat is within the share; counts it if so.
+  /// @return whether a repeat is within the share and what was borrowed; counts it if so. What was
+  ///         borrowed is spent first, since it soon expires.
   bool take(const std::string& service, base::time_point now);
+  /// @return what is missing for one repeat; 0 where one would be granted.
+  [[nodiscard]] repeat_thousandths missing(const std::string& service, base::time_point now);
+  /// Hands out part of what is left for another node: half, so that a node of its own troubles
+  /// keeps some, and never what its requests have earned, which go with their window.
+  /// @return how much of `wanted` is lent; it is spent for this node.
+  [[nodiscard]] repeat_thousandths lend(const std::string& service, repeat_thousandths wanted,
+                                        base::time_point now);
+  /// Takes in what another node lent.
+  /// @param usable_until end of its lifetime, counted from when it was asked for.
+  void add_loan(const std::string& service, repeat_thousandths amount,
+                base::time_point usable_until);
 
  private:
-  struct window {
+  struct amount_at {
+    base::time_point when;
+    repeat_thousandths amount = 0;
+  };
+  /// Amounts in the order of their times, and their sum.
+  struct ledger {
+    std::deque<amount_at> entries;
+    repeat_thousandths sum = 0;
+    void add(base::time_point when, repeat_thousandths amount);
+    void forget_before(base::time_point oldest);
+  };
+  struct account {
     std::deque<base::time_point> requests;
-    std::deque<base::time_point> repeats;
+    ledger repeats;
+    ledger lent;
+    /// By the end of their lifetimes.
+    ledger borrowed;
   };
-  void forget_old(window& counted, base::time_point now) const;
+  account& current(const std::string& service, base::time_point now);
+  /// @return what this node may spend or lend in a window beside what its requests earn.
+  [[nodiscard]] repeat_thousandths own_allowance() const;
+  /// @return what is left of the own share; negative where the share has shrunk.
+  [[nodiscard]] repeat_thousandths left_of(const account& counted) const;
+  [[nodiscard]] repeat_thousandths missing_of(const account& counted) const;
 
   retry_limits limits_;
   std::size_t nodes_ = 1;
-  std::unordered_map<std::string, window> windows_;
+  std::unordered_map<std::string, account> accounts_;
 };
 
 } // namespace spurrack::serving
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -42,6 +42,12 @@
   if (serving_ && message.has_stage_work()) {
     serving_->handle_peer(base::node_id(message.sender()), message.stage_work(), now);
   }
+  if (serving_ && message.has_replica_news()) {
+    serving_->handle_peer(base::node_id(message.sender()), message.replica_news(), now);
+  }
+  if (serving_ && message.has_retry_lending()) {
+    serving_->handle_peer(base::node_id(message.sender()), sender, message.retry_lending(), now);
+  }
   const bool probe =
       message.has_ping() || message.has_acknowledgement() || message.has_zone_digest();
   if (probe) {
--- a/src/replicas/least_loaded_chooser.cc
+++ b/src/replicas/least_loaded_chooser.cc
@@ -24,7 +24,8 @@
   for (const auto* state : replicas_->candidates_for(demand, now)) {
     const double load = replica_table::load_of(*state, now);
     const double way = distance::load_cost(from_here_.ring_to(state->record->zone));
-    const double cost = load + way + failure_cost * state->failure_share;
+    const double failures = replica_table::failure_share_of(*state, now);
+    const double cost = load + way + failure_cost * failures;
     if (best == nullptr || cost < best_cost - alike) {
       best = state;
       best_cost = cost;
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -20,6 +20,23 @@
 /// call at a time and lets some wait, so it is busy for at least as long; nodes that each tried it
 /// every 60 ms had three of five calls refused after a loss of power of all.
 constexpr double least_occupied_calls = 0.5;
+/// Nodes that must have found a replica lost before one that has not called it believes so: one
+/// caller's own link may be what is lost.
+constexpr std::size_t least_witnesses = 2;
+/// At most this part of the replicas of a service rest on the word of others, and at least one
+/// where there are two: under an overload all seem silent, and resting many makes it worse.
+constexpr std::size_t ejected_divisor = 3;
+/// A replica that rested is given one request in this time until it is heard.
+constexpr base::duration probe_time = std::chrono::milliseconds(1000);
+/// A replica that stays silent is told of again after this time, a third of what a word lives.
+constexpr base::duration silence_renewal = std::chrono::milliseconds(1000);
+/// A replica fails more than others of its service where its share is higher by this: requests
+/// that fail everywhere alike say nothing of a replica, and chance makes a tenth.
+constexpr double clear_excess = 0.2;
+/// Other failing replicas that are looked at to learn what is usual.
+constexpr std::size_t most_compared = 64;
+/// Half-life of what others told of failures.
+constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
 } // namespace
 
@@ -38,9 +55,16 @@
 void replica_table::update(
     const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
     base::time_point now) {
-  std::erase_if(replicas_, [&](const auto& entry) { return !published.contains(entry.first); });
+  std::erase_if(replicas_, [&](const auto& entry) {
+    const bool is_gone = !published.contains(entry.first);
+    if (is_gone) {
+      evidence_.forget(entry.first);
+    }
+    return is_gone;
+  });
   by_service_.clear();
   by_address_.clear();
+  told_failing_.clear();
   for (const auto& [id, record] : published) {
     auto& state = replicas_[id];
     if (state.record != record) {
@@ -140,8 +164,8 @@
   }
   for (const auto& id : ids->second) {
     const auto& state = replicas_.at(id);
-    const bool usable_now =
-        ignore_pauses ? takes_work(state) && bears_request(state, now) : is_available(state, now);
+    const bool usable_now = ignore_pauses ? takes_work(state) && bears_request(state, now)
+                                          : is_available(state, now) && state.probed_until <= now;
     if (usable_now && !demand.excluded.contains(id) && permits(demand.allowed_regions, state)) {
       found.push_back(&state);
     }
@@ -191,6 +215,9 @@
     return;
   }
   ++state->in_flight;
+  if (state->next_pause > base::duration::zero()) {
+    state->probed_until = now + probe_time;
+  }
   if (const auto* service = cold_service_of(*state, now)) {
     state->cold_sends.take(cold_share_of(*service), now);
   }
@@ -212,12 +239,37 @@
   }
 }
 
-void replica_table::note_success(const base::replica_id& id) {
+void replica_table::note_heard(const base::replica_id& id, base::time_point now) {
+  if (auto* state = mutable_find(id)) {
+    state->heard_at = now;
+    state->next_pause = {};
+    state->probed_until = {};
+  }
+}
+
+void replica_table::note_silent(const base::replica_id& id, base::time_point now) {
+  auto* state = mutable_find(id);
+  if (state == nullptr) {
+    return;
+  }
+  if (state->silent_at <= state->heard_at || now - state->silent_at >= silence_renewal) {
+    state->silent_at = now;
+    changed_.insert(id);
+  }
+}
+
+bool replica_table::was_heard_after(const base::replica_id& id, base::time_point when) const {
+  const auto* state = find(id);
+  return state != nullptr && state->heard_at > when;
+}
+
+void replica_table::note_success(const base::replica_id& id, base::time_point now) {
   auto* state = mutable_find(id);
   if (state == nullptr) {
     return;
   }
-  state->next_pause = {};
+  note_heard(id, now);
+  state->calls.note(true, now);
   state->failure_share *= 1 - failure_smoothing;
 }
 
@@ -239,8 +291,10 @@
   return 1 + (state.slowness - 1) * std::exp2(-halvings);
 }
 
-void replica_table::note_failure(const base::replica_id& id, base::time_point /*now*/) {
+void replica_table::note_failure(const base::replica_id& id, base::time_point now) {
   if (auto* state = mutable_find(id)) {
+    state->calls.note(false, now);
+    changed_.insert(id);
     state->failure_share += failure_smoothing * (1 - state->failure_share);
   }
 }
@@ -255,6 +309,8 @@
   if (state == nullptr) {
     return;
   }
+  state->unreachable_at = now;
+  changed_.insert(id);
   state->next_pause = state->next_pause == base::duration{}
                           ? settings_.unreachable_pause
                           : std::min(state->next_pause * 2, settings_.unreachable_pause_longest);
@@ -282,4 +338,96 @@
   }
 }
 
+// --- what other nodes say ------------------------------------------------------------------------
+
+replica_testimony replica_table::own_testimony(const replica_state& state, base::time_point now) {
+  replica_testimony own;
+  own.good_calls = state.calls.good(now);
+  own.bad_calls = state.calls.bad(now);
+  own.seen_at = now;
+  const auto lost_at = std::max(state.silent_at, state.unreachable_at);
+  if (lost_at > state.heard_at && now - lost_at < testimony_lifetime) {
+    own.sign = lost_at == state.silent_at ? replica_sign::silent : replica_sign::unreachable;
+    own.seen_at = lost_at;
+  } else if (own.bad_calls > 0) {
+    own.sign = replica_sign::failing;
+  }
+  return own;
+}
+
+bool replica_table::is_lost(const base::replica_id& id, base::time_point now) const {
+  const auto* state = find(id);
+  if (state == nullptr) {
+    return false;
+  }
+  const auto own = own_testimony(*state, now).sign;
+  const bool own_vote = own == replica_sign::silent || own == replica_sign::unreachable;
+  return evidence_.lost_votes(id, state->heard_at, now) + (own_vote ? 1 : 0) >= least_witnesses;
+}
+
+bool replica_table::may_eject(const std::string& service, base::time_point now) const {
+  const auto ids = by_service_.find(service);
+  if (ids == by_service_.end() || ids->second.size() < 2) {
+    return false;
+  }
+  const auto resting = std::count_if(ids->second.begin(), ids->second.end(), [&](const auto& id) {
+    return replicas_.at(id).ejected_until > now;
+  });
+  const auto most = std::max<std::size_t>(1, ids->second.size() / ejected_divisor);
+  return static_cast<std::size_t>(resting) < most;
+}
+
+void replica_table::take_in(const base::replica_id& id, const base::node_id& witness,
+                            const replica_testimony& said, base::time_point now) {
+  auto* state = mutable_find(id);
+  if (state == nullptr) {
+    return;
+  }
+  evidence_.take_in(id, witness, said);
+  learn_told_failures(*state, now);
+  const bool rests = state->paused_until > now;
+  if (!rests && is_lost(id, now) && may_eject(state->record->service, now)) {
+    ++ejections_;
+    state->next_pause = std::max(state->next_pause, settings_.unreachable_pause);
+    state->paused_until = now + state->next_pause;
+    state->ejected_until = state->paused_until;
+  }
+}
+
+double replica_table::told_share_now(double told, const replica_state& state,
+                                     base::time_point now) {
+  const double halvings =
+      base::to_seconds(now - state.told_failures_at) / base::to_seconds(told_failures_half_life);
+  return told * std::exp2(-halvings);
+}
+
+void replica_table::learn_told_failures(replica_state& state, base::time_point now) {
+  const auto& id = state.record->id;
+  const auto replicas = by_service_[state.record->service].size();
+  auto& failing = told_failing_[state.record->service];
+  failing.insert(id);
+  double others = 0;
+  std::size_t compared = 0;
+  for (const auto& other_id : failing) {
+    const auto* other = find(other_id);
+    if (other != nullptr && other != &state && compared < most_compared) {
+      others += told_share_now(other->told_failure_share, *other, now);
+      ++compared;
+    }
+  }
+  // Those of which nothing was told fail nothing.
+  const auto sampled_part = static_cast<double>(std::max<std::size_t>(1, compared)) /
+                            static_cast<double>(std::max<std::size_t>(1, failing.size() - 1));
+  const auto usual =
+      others / sampled_part / static_cast<double>(std::max<std::size_t>(1, replicas - 1));
+  state.told_failure_share = evidence_.failure_share(id, state.calls, now);
+  state.told_failures_at = now;
+  const double excess = state.told_failure_share - usual;
+  state.told_failure_excess = excess >= clear_excess ? excess : 0;
+}
+
+double replica_table::failure_share_of(const replica_state& state, base::time_point now) {
+  return std::max(state.failure_share, told_share_now(state.told_failure_excess, state, now));
+}
+
 } // namespace spurrack::serving
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "model/serving_records.h"
 #include "replicas/cold_limit.h"
+#include "replicas/replica_evidence.h"
 #include "serving/events.h"
 #include "serving/settings.h"
 
@@ -16,6 +17,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace spurrack::serving {
@@ -39,6 +41,24 @@
   base::duration next_pause{};
   /// Share of the latest calls that failed, 0 to 1.
   double failure_share = 0;
+  /// Calls of this node of late.
+  call_tally calls;
+  /// Latest sign of life: an answer, its beginning, or an event of a stream.
+  base::time_point heard_at;
+  /// Latest time a call of this node was found without progress while nothing was heard.
+  base::time_point silent_at;
+  /// Latest time a connection to it failed.
+  base::time_point unreachable_at;
+  /// Share of the calls of all nodes that failed, as far as they told, beyond that of the other
+  /// replicas of its service, and when it was learned.
+  double told_failure_excess = 0;
+  double told_failure_share = 0;
+  base::time_point told_failures_at;
+  /// It rests until then because others found it lost, not this node.
+  base::time_point ejected_until;
+  /// After a rest it is given one request until it is heard, or until this time. Calls with pieces
+  /// are not bound by it: one gatherer makes them, one after another.
+  base::time_point probed_until;
   /// How many times as long as published its calls took of late, and when that was seen last.
   double slowness = 1;
   base::time_point slowness_seen_at;
@@ -102,7 +122,32 @@
   void note_cold(const base::replica_id& id, base::duration cold_for, base::time_point now);
   void call_ended(const base::replica_id& id);
   void note_load(const base::replica_id& id, const replica_load& load, base::time_point now);
-  void note_success(const base::replica_id& id);
+  void note_success(const base::replica_id& id, base::time_point now);
+  /// A sign of life, whatever it says.
+  void note_heard(const base::replica_id& id, base::time_point now);
+  /// A call shows no progress and nothing was heard of the replica since it began.
+  void note_silent(const base::replica_id& id, base::time_point now);
+  /// @return whether anything was heard of a replica after `when`.
+  [[nodiscard]] bool was_heard_after(const base::replica_id& id, base::time_point when) const;
+
+  /// Takes in what another node says of a replica. Where two nodes found it lost and nothing was
+  /// heard of it since, it rests, unless too many of its service rest already for that reason.
+  void take_in(const base::replica_id& id, const base::node_id& witness,
+               const replica_testimony& said, base::time_point now);
+  /// @return whether two nodes, this one counted, found a replica silent or unreachable and this
+  ///         one has heard nothing of it since.
+  [[nodiscard]] bool is_lost(const base::replica_id& id, base::time_point now) const;
+  /// @return how likely calls fail, 0 to 1, from own calls, or from what was told where that is
+  ///         clearly more than at the other replicas of the service.
+  [[nodiscard]] static double failure_share_of(const replica_state& state, base::time_point now);
+  /// @return what this node's calls show of a replica.
+  [[nodiscard]] static replica_testimony own_testimony(const replica_state& state,
+                                                       base::time_point now);
+  /// @return replicas of which this node's calls have shown something new since the last call.
+  [[nodiscard]] std::set<base::replica_id> take_changed() { return std::exchange(changed_, {}); }
+  [[nodiscard]] bool has_changed() const { return !changed_.empty(); }
+  /// @return replicas that were given a rest on the word of others.
+  [[nodiscard]] std::uint64_t ejections() const { return ejections_; }
   /// A call took `took` where the published capacity lets expect `usual`.
   void note_pace(const base::replica_id& id, base::duration took, base::duration usual,
                  base::time_point now);
@@ -139,6 +184,12 @@
   [[nodiscard]] bool bears_request(const replica_state& state, base::time_point now) const;
   static void turn_cold(replica_state& state, base::duration cold_for, base::time_point now);
   replica_state* mutable_find(const base::replica_id& id);
+  /// @return what is left by now of a share that was told.
+  static double told_share_now(double told, const replica_state& state, base::time_point now);
+  /// Learns from what was told how much more a replica fails than the others of its service.
+  void learn_told_failures(replica_state& state, base::time_point now);
+  /// @return whether one more replica of the service may rest on the word of others.
+  [[nodiscard]] bool may_eject(const std::string& service, base::time_point now) const;
 
   base::zone_id own_zone_;
   std::set<base::zone_id> unreachable_;
@@ -151,6 +202,11 @@
   std::map<base::replica_id, replica_state> replicas_;
   std::unordered_map<std::string, std::vector<base::replica_id>> by_service_;
   std::unordered_map<base::network_address, base::replica_id> by_address_;
+  replica_evidence evidence_;
+  /// Replicas of each service of which failures were told.
+  std::unordered_map<std::string, std::set<base::replica_id>> told_failing_;
+  std::set<base::replica_id> changed_;
+  std::uint64_t ejections_ = 0;
 };
 
 } // namespace spurrack::serving
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -44,6 +44,10 @@
   std::uint64_t calls = 0;
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
+  /// Repeats that waited for what other nodes lent.
+  std::uint64_t repeats_borrowed = 0;
+  /// Requests ended before their time because their replica was found lost.
+  std::uint64_t ended_at_lost_replicas = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
--- /dev/null
+++ b/tests/replicas/replica_evidence_test.cc
@@ -0,0 +1,169 @@
+/// What other nodes say of replicas, and how far it is believed.
+#include "base/random.h"
+#include "model/residency.h"
+#include "replicas/least_loaded_chooser.h"
+#include "replicas/replica_chooser.h"
+#include "replicas/replica_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct told_table {
+  told_table() : table(base::node_id("n"), base::zone_id("a"), settings, random) { publish(6); }
+
+  void publish(unsigned count) {
+    for (unsigned index = 0; index < count; ++index) {
+      auto replica = std::make_shared<model::replica>();
+      replica->id = id(index);
+      replica->service = "s";
+      replica->address = base::network_address("10.0.0." + std::to_string(index) + ":80");
+      replica->zone = base::zone_id("a");
+      replica->slots = 4;
+      published[replica->id] = replica;
+    }
+    table.update(published, now);
+  }
+
+  static base::replica_id id(unsigned index) {
+    return base::replica_id("r" + std::to_string(index));
+  }
+
+  void say(unsigned replica, const std::string& witness, replica_sign sign, double bad = 0,
+           double good = 0) {
+    table.take_in(id(replica), base::node_id(witness), {sign, good, bad, now}, now);
+  }
+
+  [[nodiscard]] bool is_available(unsigned replica) const {
+    return table.is_available(*table.find(id(replica)), now);
+  }
+
+  [[nodiscard]] replica_demand demand() const { return {service, content, anywhere, none}; }
+
+  [[nodiscard]] bool is_candidate(unsigned replica) const {
+    const auto found = table.candidates_for(demand(), now);
+    return std::any_of(found.begin(), found.end(),
+                       [&](const auto* state) { return state->record->id == id(replica); });
+  }
+
+  [[nodiscard]] unsigned available() const {
+    unsigned count = 0;
+    for (const auto& [name, state] : table.all()) {
+      count += table.is_available(state, now) ? 1 : 0;
+    }
+    return count;
+  }
+
+  const std::string service = "s";
+  const request_content content;
+  const model::residency anywhere;
+  const std::set<base::replica_id> none;
+  serving_settings settings;
+  base::seeded_random random{1};
+  std::map<base::replica_id, std::shared_ptr<const model::replica>> published;
+  replica_table table;
+  base::time_point now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(replica_evidence_test, told_table)
+
+BOOST_AUTO_TEST_CASE(two_words_make_a_replica_rest_and_one_does_not) {
+  say(0, "x", replica_sign::silent);
+  say(0, "x", replica_sign::silent);
+  BOOST_TEST(is_available(0));
+  say(0, "y", replica_sign::unreachable);
+  BOOST_TEST(!is_available(0));
+  BOOST_TEST(table.ejections() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(own_silence_counts_as_one_word) {
+  table.note_silent(id(0), now);
+  BOOST_TEST(!table.is_lost(id(0), now));
+  say(0, "x", replica_sign::silent);
+  BOOST_TEST(table.is_lost(id(0), now));
+}
+
+BOOST_AUTO_TEST_CASE(who_hears_a_replica_does_not_believe_that_it_is_lost) {
+  say(0, "x", replica_sign::silent);
+  now += milliseconds(10);
+  table.note_heard(id(0), now);
+  now += milliseconds(10);
+  say(0, "y", replica_sign::silent);
+  BOOST_TEST(!table.is_lost(id(0), now));
+  BOOST_TEST(is_available(0));
+}
+
+BOOST_AUTO_TEST_CASE(words_expire) {
+  say(0, "x", replica_sign::silent);
+  now += testimony_lifetime;
+  say(0, "y", replica_sign::silent);
+  BOOST_TEST(!table.is_lost(id(0), now));
+}
+
+BOOST_AUTO_TEST_CASE(a_witness_takes_its_word_back) {
+  say(0, "x", replica_sign::silent);
+  say(0, "x", replica_sign::well);
+  say(0, "y", replica_sign::silent);
+  BOOST_TEST(is_available(0));
+}
+
+BOOST_AUTO_TEST_CASE(never_more_than_a_third_of_a_service_rest_on_the_word_of_others) {
+  for (unsigned replica = 0; replica < 6; ++replica) {
+    say(replica, "x", replica_sign::silent);
+    say(replica, "y", replica_sign::silent);
+  }
+  BOOST_TEST(available() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(the_way_back_is_one_request) {
+  say(0, "x", replica_sign::silent);
+  say(0, "y", replica_sign::silent);
+  now += settings.unreachable_pause;
+  BOOST_TEST(is_candidate(0));
+  table.call_started(id(0), now);
+  BOOST_TEST(!is_candidate(0));
+  table.note_success(id(0), now + milliseconds(20));
+  BOOST_TEST(is_candidate(0));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_avoids_what_fails_for_others) {
+  say(0, "x", replica_sign::failing, 3, 0);
+  least_loaded_chooser chooser(table, distance(base::zone_id("a"), {}), random);
+  for (int choice = 0; choice < 100; ++choice) {
+    const auto* chosen = chooser.choose(demand(), now);
+    BOOST_REQUIRE(chosen != nullptr);
+    BOOST_TEST(chosen->record->id != id(0));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(what_fails_everywhere_alike_says_nothing_of_a_replica) {
+  for (int round = 0; round < 3; ++round) {
+    for (unsigned replica = 0; replica < 6; ++replica) {
+      say(replica, "x", replica_sign::failing, 4, 6);
+    }
+  }
+  for (unsigned replica = 0; replica < 6; ++replica) {
+    BOOST_TEST(replica_table::failure_share_of(*table.find(id(replica)), now) == 0);
+  }
+  say(0, "y", replica_sign::failing, 20, 0);
+  BOOST_TEST(replica_table::failure_share_of(*table.find(id(0)), now) > 0.3);
+}
+
+BOOST_AUTO_TEST_CASE(many_good_calls_outweigh_a_failure_that_another_saw) {
+  for (int call = 0; call < 50; ++call) {
+    table.note_success(id(0), now);
+  }
+  say(0, "x", replica_sign::failing, 1, 0);
+  BOOST_TEST(replica_table::failure_share_of(*table.find(id(0)), now) < 0.03);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
