--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -441,7 +441,13 @@
 }
 
 void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
-  if (choose_replica(request, now) == nullptr || !may_send_again(request, now)) {
+  if (choose_replica(request, now) == nullptr) {
+    request.call->stalls_at = now + stall_check_period;
+    return;
+  }
+  if (!may_send_again(request, now)) {
+    // The other calls at the replica will want a repeat too.
+    lending_.ask(request.service, clients_at_.at(request.call->replica).size(), now);
     request.call->stalls_at = now + stall_check_period;
     return;
   }
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -166,7 +166,8 @@
     send_to_replica(request, now);
     return;
   }
-  if (has_attempt_left(request, now) && lending_.ask(request.service, now)) {
+  if (has_attempt_left(request, now) &&
+      lending_.ask(request.service, awaiting_loans_.size() + 1, now)) {
     request.awaits_loan = std::move(ending);
     awaiting_loans_.push_back(request.client);
     return;
--- a/src/dispatch/retry_lending.cc
+++ b/src/dispatch/retry_lending.cc
@@ -56,7 +56,7 @@
          now - found->second.asked_at < answer_wait;
 }
 
-bool retry_lending::ask(const std::string& service, base::time_point now) {
+bool retry_lending::ask(const std::string& service, std::size_t repeats, base::time_point now) {
   if (is_awaiting(service, now)) {
     return true;
   }
@@ -69,6 +69,7 @@
   if (lenders.empty() || missing <= 0) {
     return false;
   }
+  const auto wanted = missing + static_cast<repeat_thousandths>(repeats - 1) * one_repeat;
   const bool was_in_vain = latest.number != 0 && !latest.sufficed;
   latest.pause =
       was_in_vain ? std::min<base::duration>(latest.pause * 2, longest_pause) : shortest_pause;
@@ -84,7 +85,7 @@
     body.set_question(latest.number);
     body.set_borrower_life(life_);
     body.mutable_asked()->set_service(service);
-    body.mutable_asked()->set_thousandths(static_cast<std::uint32_t>(missing));
+    body.mutable_asked()->set_thousandths(static_cast<std::uint32_t>(wanted));
     messages_.push_back(std::move(asked));
   }
   return true;
@@ -101,8 +102,7 @@
 
 void retry_lending::lend(const base::network_address& borrower, const wire::retry_lending& asked,
                          base::time_point now) {
-  const auto wanted = std::min<repeat_thousandths>(asked.asked().thousandths(), one_repeat);
-  const auto given = share_->lend(asked.asked().service(), wanted, now);
+  const auto given = share_->lend(asked.asked().service(), asked.asked().thousandths(), now);
   counts_.lent_thousandths += static_cast<std::uint64_t>(given);
   wire::outgoing answer{borrower, {}};
   auto& body = *answer.message.mutable_retry_lending();
--- a/src/dispatch/retry_lending.h
+++ b/src/dispatch/retry_lending.h
@@ -36,10 +36,11 @@
   /// Nodes that may be asked.
   void set_peers(const std::vector<fleet_peer>& alive);
 
-  /// A repeat is wanted and the share is spent: asks others for what is missing, where that was not
+  /// Repeats are wanted and the share is spent: asks others for what is missing, where that was not
   /// just done.
+  /// @param repeats wanted in all, at least 1.
   /// @return whether answers are awaited.
-  bool ask(const std::string& service, base::time_point now);
+  bool ask(const std::string& service, std::size_t repeats, base::time_point now);
   /// @return whether answers are awaited that may still let a repeat be granted.
   [[nodiscard]] bool is_awaiting(const std::string& service, base::time_point now) const;
 
--- a/tests/dispatch/lost_replica_test.cc
+++ b/tests/dispatch/lost_replica_test.cc
@@ -149,6 +149,18 @@
   BOOST_TEST(subject.counts().repeats_borrowed == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(calls_without_progress_ask_for_a_loan_and_are_made_elsewhere_with_it,
+                        borrowing_driver) {
+  arrive(1, "/stream/x");
+  const auto first = last<start_call>();
+  pass(milliseconds(1010));
+  BOOST_TEST(all<start_call>().size() == 1);
+  answer(question_asked(), 1000);
+  pass(milliseconds(100));
+  BOOST_REQUIRE(all<start_call>().size() == 2);
+  BOOST_TEST(last<start_call>().target.replica != first.target.replica);
+}
+
 BOOST_FIXTURE_TEST_CASE(where_nothing_is_lent_the_answer_is_passed_on_at_once, borrowing_driver) {
   arrive(1, "/safe/x");
   happen(call_answered{last<start_call>().call, good_head(500), "first"});
--- a/tests/dispatch/retry_lending_test.cc
+++ b/tests/dispatch/retry_lending_test.cc
@@ -44,14 +44,15 @@
       repeats.push_back(now);
       return true;
     }
-    lending.ask("s", now);
+    lending.ask("s", 1 + repeats_more_wanted, now);
     return false;
   }
 
   fleet_peer self;
   retry_share share;
   retry_lending lending;
-  std::vector<base::time_point> requests;
+  /// Requests that wait for a repeat beside the one that asks.
+  std::size_t repeats_more_wanted = 0;
   std::vector<base::time_point> repeats;
 };
 
@@ -168,6 +169,9 @@
     fleet.lost_share = fleet.random.unit() * 0.4;
     fleet.doubled_share = fleet.random.unit() * 0.4;
     fleet.longest_delay_milliseconds = 1 + fleet.random.below(4000);
+    for (auto& one : fleet.all) {
+      one->repeats_more_wanted = fleet.random.below(5);
+    }
     const auto troubled = 1 + fleet.random.below(fleet.all.size());
     for (int step = 0; step < 3000; ++step) {
       const auto now = start + milliseconds(20 * step);
