--- /dev/null
+++ b/tests/dispatch/shared_evidence_test.cc
@@ -0,0 +1,209 @@
+/// A fleet of nodes before replicas of which one falls silent: what it costs requests with and
+/// without what nodes tell each other.
+#include "serving_fixture.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t node_count = 20;
+constexpr unsigned replica_count = 6;
+const base::replica_id silent_replica("plain-0");
+
+fleet_peer peer_number(std::size_t index) {
+  const auto name = "n" + std::to_string(index);
+  return {base::node_id(name), base::zone_id("a"), base::network_address(name + ":1"), 1};
+}
+
+serving_settings fleet_settings() {
+  serving_settings settings;
+  settings.retry = {0.2, 40, seconds(10)};
+  return settings;
+}
+
+struct fleet_node {
+  fleet_node(std::size_t index, const published_world& world, base::time_point now)
+      : self(peer_number(index)), random(index + 1),
+        subject(self, fleet_settings(), random, 1,
+                [](auto, const auto&, const auto&, const auto&) {}) {
+    subject.update(world.content, now);
+    std::vector<fleet_peer> others;
+    for (std::size_t other = 0; other < node_count; ++other) {
+      if (other != index) {
+        others.push_back(peer_number(other));
+      }
+    }
+    subject.set_peers(others, node_count - 1);
+  }
+
+  fleet_peer self;
+  base::seeded_random random;
+  dispatcher subject;
+  base::time_point next_request;
+  /// Answers on their way, by call.
+  std::map<base::call_id, base::time_point> answers;
+};
+
+/// Every node sends a read each second and a half on the mean; replicas take 50 ms.
+struct evidence_fleet {
+  evidence_fleet() {
+    for (const std::string id : {"plain-a", "plain-b"}) {
+      world.remove_replica(id);
+    }
+    for (unsigned index = 0; index < replica_count; ++index) {
+      world.add_replica("plain-" + std::to_string(index), "plain", "a");
+    }
+    for (std::size_t index = 0; index < node_count; ++index) {
+      nodes.push_back(std::make_unique<fleet_node>(index, world, now));
+      nodes.back()->next_request = now + milliseconds(nodes.back()->random.below(1500));
+    }
+  }
+
+  void run(base::duration span) {
+    const auto end = now + span;
+    while (now < end) {
+      now += milliseconds(5);
+      for (std::size_t index = 0; index < nodes.size(); ++index) {
+        step(index);
+      }
+      deliver();
+    }
+  }
+
+  void step(std::size_t index) {
+    auto& node = *nodes[index];
+    if (node.next_request <= now) {
+      arrive(node);
+    }
+    for (auto answer = node.answers.begin(); answer != node.answers.end();) {
+      if (answer->second <= now) {
+        const auto call = answer->first;
+        answer = node.answers.erase(answer);
+        node.subject.handle(call_answered{call, dispatcher_driver::good_head(), "body"}, now);
+      } else {
+        ++answer;
+      }
+    }
+    node.subject.advance(now);
+    for (const auto& command : node.subject.take_commands()) {
+      if (const auto* call = std::get_if<start_call>(&command)) {
+        begin(index, *call);
+      } else if (const auto* end = std::get_if<cancel_call>(&command)) {
+        node.answers.erase(end->call);
+      } else if (const auto* answer = std::get_if<respond>(&command)) {
+        ++(answer->status == 200 ? served : not_served);
+      }
+    }
+  }
+
+  void arrive(fleet_node& node) {
+    node.next_request = now + milliseconds(500 + node.random.below(2000));
+    auto content = std::make_shared<request_content>();
+    content->method = "GET";
+    content->host = "h";
+    content->path = content->target = "/safe/x";
+    content->id = base::request_id("r" + std::to_string(++requests));
+    content->api_key = "key";
+    content->time_allowed = seconds(5);
+    node.subject.handle(request_arrived{requests, content, now}, now);
+  }
+
+  void begin(std::size_t index, const start_call& call) {
+    const bool is_silent = call.target.replica == silent_replica && silent_for.contains(index);
+    calls_at_silent += is_silent ? 1 : 0;
+    if (!is_silent) {
+      nodes[index]->answers[call.call] = now + milliseconds(50);
+    }
+  }
+
+  void deliver() {
+    for (auto& node : nodes) {
+      for (const auto& message : node->subject.take_messages()) {
+        if (!message.message.has_replica_news() || !shares) {
+          continue;
+        }
+        for (auto& other : nodes) {
+          if (other->self.address == message.to) {
+            other->subject.handle_peer(node->self.node, message.message.replica_news(), now);
+          }
+        }
+      }
+    }
+  }
+
+  [[nodiscard]] std::uint64_t ejections() const {
+    std::uint64_t all = 0;
+    for (const auto& node : nodes) {
+      all += node->subject.replicas().ejections();
+    }
+    return all;
+  }
+
+  void silence_for_all() {
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+      silent_for.insert(index);
+    }
+  }
+
+  published_world world;
+  base::time_point now{std::chrono::hours(1)};
+  std::vector<std::unique_ptr<fleet_node>> nodes;
+  /// Nodes that hear nothing of the silent replica.
+  std::set<std::size_t> silent_for;
+  bool shares = true;
+  std::uint64_t requests = 0;
+  std::size_t calls_at_silent = 0;
+  std::size_t served = 0;
+  std::size_t not_served = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(shared_evidence_test)
+
+BOOST_AUTO_TEST_CASE(a_silent_replica_costs_the_fleet_fewer_calls_than_where_each_learns_alone) {
+  std::size_t calls[2] = {0, 0};
+  for (const bool shares : {false, true}) {
+    evidence_fleet fleet;
+    fleet.shares = shares;
+    fleet.run(seconds(5));
+    fleet.silence_for_all();
+    fleet.run(seconds(15));
+    calls[shares ? 1 : 0] = fleet.calls_at_silent;
+    BOOST_TEST_MESSAGE((shares ? "shared: " : "alone: ")
+                       << fleet.calls_at_silent << " calls at the silent replica, " << fleet.served
+                       << " served, " << fleet.not_served << " not, " << fleet.ejections()
+                       << " rests");
+    BOOST_TEST(fleet.not_served == 0U);
+  }
+  BOOST_TEST(calls[1] * 2 < calls[0]);
+}
+
+BOOST_AUTO_TEST_CASE(one_node_that_is_cut_from_a_replica_takes_it_from_no_other) {
+  evidence_fleet fleet;
+  fleet.silent_for = {0};
+  fleet.run(seconds(20));
+  BOOST_TEST(fleet.calls_at_silent > 0U);
+  BOOST_TEST(fleet.ejections() == 0U);
+  BOOST_TEST(fleet.not_served == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_is_back_is_used_again) {
+  evidence_fleet fleet;
+  fleet.silence_for_all();
+  fleet.run(seconds(6));
+  fleet.silent_for.clear();
+  fleet.run(seconds(6));
+  for (const auto& node : fleet.nodes) {
+    BOOST_TEST(!node->subject.replicas().is_lost(silent_replica, fleet.now));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
