--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include "base/hashing.h"
 #include "dispatch/dispatcher_constants.h"
+#include "dispatch/return_time.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -16,17 +17,15 @@
 constexpr double first_attempt_time_part = 0.97;
 /// A request is admitted up to this part of its target latency.
 constexpr double admitted_target_part = 1.3;
-/// Clients stay away for a third of the time they have left at the most.
-constexpr double longest_retry_after_part = 0.3;
 /// Part of its time after which a request whose stages are not finished is judged again, and the
 /// part between two judgements from then on: what it needs changes with every replica that is lost.
 /// After the first, two in a row must agree: of seven looks at an estimate with an error one would
 /// give up what can still be served.
 constexpr double first_judgement_part = 0.42;
 constexpr double judgement_step_part = 0.08;
-/// A call without progress that cannot be made elsewhere is looked at again after this time: a
-/// tenth of the second within which a lost replica's requests are to be taken up.
-constexpr base::duration stall_check_period = std::chrono::milliseconds(100);
+
+/// A request that waits for a loan is looked at again after this time where no answer comes.
+constexpr base::duration loan_check_period = std::chrono::milliseconds(25);
 
 std::string seconds_text(base::duration span) {
   char text[32];
@@ -55,10 +54,12 @@
 dispatcher::dispatcher(const fleet_peer& self, const serving_settings& settings,
                        base::random_source& random, base::incarnation life,
                        decision_recorder record)
-    : self_(self), settings_(settings), record_(std::move(record)),
+    : self_(self), settings_(settings), record_(std::move(record)), random_(&random),
       from_here_(self.zone, settings.regions), replicas_(self.node, self.zone, settings, random),
       plain_replicas_(replicas_, from_here_, random), directory_(self, settings.regions, replicas_),
       engines_(replicas_, directory_, from_here_, plain_replicas_), retries_(settings.retry),
+      lending_(retries_, self.zone, random, life),
+      news_(replicas_, self.zone, settings.regions, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_) {}
 
@@ -71,6 +72,8 @@
   }
   replicas_.set_nodes(std::move(nodes));
   directory_.set_peers(alive);
+  lending_.set_peers(alive);
+  news_.set_peers(alive);
   stages_.set_peers(std::move(alive));
 }
 
@@ -234,8 +237,8 @@
   }
   const auto excess =
       expected ? *expected - base::scaled(limit, 0.8) : base::duration{settings_.retry_after};
-  const auto wait = std::clamp<base::duration>(excess, settings_.retry_after,
-                                               base::scaled(allowed, longest_retry_after_part));
+  const auto wait = return_time(std::max<base::duration>(excess, settings_.retry_after),
+                                request.ends_at - now, *random_);
   refuse(request.client, request.content->id, status::unavailable,
          "expected to take " +
              (expected ? std::to_string(base::to_milliseconds(*expected)) + " ms" : "for ever"),
@@ -290,9 +293,8 @@
     answer_failed(request, status::bad_gateway, reason, now);
     return;
   }
-  const bool time_is_over = request.ends_at <= now;
   refuse(request.client, request.content->id, status::unavailable, reason,
-         time_is_over ? base::duration{} : settings_.retry_after);
+         return_time(settings_.retry_after, request.ends_at - now, *random_));
   finish(request, status::unavailable, reason, now);
 }
 
@@ -384,7 +386,7 @@
     if (!give_up_hopeless(request, now)) {
       free_fetched_inputs(request, now);
       if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
-        take_up_elsewhere(request, now);
+        on_stalled(request, now);
       }
     }
     // Either may have ended it.
@@ -394,24 +396,6 @@
   }
 }
 
-void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
-  if (request.sent >= request.route->max_attempts) {
-    request.call->stalls_at.reset();
-    return;
-  }
-  if (choose_replica(request, now) == nullptr || !may_send_again(request, now)) {
-    request.call->stalls_at = now + stall_check_period;
-    return;
-  }
-  commands_.emplace_back(cancel_call{request.call->id});
-  const auto call = close_call(request);
-  replicas_.note_stalled(call.replica, now);
-  request.may_have_run = true;
-  request.events.restart();
-  record(base::event_kind::stage_retried, request, call.replica.text(), "no progress");
-  send_to_replica(request, now);
-}
-
 void dispatcher::free_fetched_inputs(active_request& request, base::time_point now) {
   if (request.call && request.call->inputs_fetched_at && *request.call->inputs_fetched_at <= now) {
     request.call->inputs_fetched_at.reset();
@@ -421,12 +405,14 @@
 
 void dispatcher::advance(base::time_point now) {
   expire(now);
+  go_on_with_loans(now);
   check_requests(now);
   stages_.pump(now);
   if (take_piece_results(now)) {
     // What was finished lets other stages begin.
     stages_.pump(now);
   }
+  news_.advance(now);
 }
 
 void dispatcher::give_up_all(base::time_point now) {
@@ -446,13 +432,23 @@
   if (!checks_.empty()) {
     consider(checks_.begin()->first);
   }
+  if (const auto news = news_.next_wakeup()) {
+    consider(*news);
+  }
+  if (!awaiting_loans_.empty()) {
+    consider(now + loan_check_period);
+  }
   return earliest;
 }
 
 wire::outbox dispatcher::take_messages() {
   auto messages = stages_.take_messages();
-  auto news = directory_.take_messages();
-  std::move(news.begin(), news.end(), std::back_inserter(messages));
+  auto engines = directory_.take_messages();
+  auto lending = lending_.take_messages();
+  auto news = news_.take_messages();
+  for (auto* more : {&engines, &lending, &news}) {
+    std::move(more->begin(), more->end(), std::back_inserter(messages));
+  }
   return messages;
 }
 
--- a/src/replicas/least_loaded_chooser.cc
+++ b/src/replicas/least_loaded_chooser.cc
@@ -20,7 +20,7 @@
 double least_loaded_chooser::cost_of(const replica_state& state, base::time_point now) const {
   const double load = replica_table::load_of(state, now);
   const double way = distance::load_cost(from_here_.ring_to(state.record->zone));
-  return load + way + failure_cost * state.failure_share;
+  return load + way + failure_cost * replica_table::failure_share_of(state, now);
 }
 
 const replica_state*
