Find the ring of a zone with one look-up; ask for the region of a replica only for held requests

Every choice asks for each replica of its service. The region of both zones was looked up and copied each time, also for requests that are held nowhere. No decision changes.

--- a/src/model/residency.h
+++ b/src/model/residency.h
@@ -70,6 +70,8 @@
 
   /// @return nothing where the settings name no region for the zone.
   [[nodiscard]] std::optional<base::region_id> region_of(const base::zone_id& zone) const;
+  /// @return every zone that has a region.
+  [[nodiscard]] const std::map<base::zone_id, base::region_id>& all() const { return regions_; }
   [[nodiscard]] neighbourhood neighbourhood_of(const base::zone_id& zone) const;
   /// @return whether both zones are of one region; a zone without region is near itself alone.
   [[nodiscard]] bool same_region(const base::zone_id& one, const base::zone_id& other) const;
--- a/src/replicas/distance.cc
+++ b/src/replicas/distance.cc
@@ -1,7 +1,5 @@
 #include "replicas/distance.h"
 
-#include <utility>
-
 namespace spurrack::serving {
 namespace {
 
@@ -24,11 +22,19 @@
 
 } // namespace
 
-distance::distance(base::zone_id own_zone, model::zone_regions regions)
-    : own_zone_(std::move(own_zone)), regions_(std::move(regions)) {}
+distance::distance(const base::zone_id& own_zone, const model::zone_regions& regions) {
+  near_[own_zone] = model::ring::zone;
+  for (const auto& [zone, region] : regions.all()) {
+    const auto ring = regions.ring_between(own_zone, zone);
+    if (ring == model::ring::region) {
+      near_[zone] = ring;
+    }
+  }
+}
 
 model::ring distance::ring_to(const base::zone_id& zone) const {
-  return regions_.ring_between(own_zone_, zone);
+  const auto found = near_.find(zone);
+  return found == near_.end() ? model::ring::elsewhere : found->second;
 }
 
 double distance::load_cost(model::ring ring) {
--- a/src/replicas/distance.h
+++ b/src/replicas/distance.h
@@ -11,13 +11,15 @@
 #include "base/ids.h"
 #include "model/residency.h"
 
+#include <unordered_map>
+
 namespace spurrack::serving {
 
 /// Immutable.
 class distance {
  public:
   /// @param own_zone where this node is.
-  distance(base::zone_id own_zone, model::zone_regions regions);
+  distance(const base::zone_id& own_zone, const model::zone_regions& regions);
 
   /// @return how far a zone is from this node.
   [[nodiscard]] model::ring ring_to(const base::zone_id& zone) const;
@@ -32,8 +34,8 @@
   [[nodiscard]] static double seconds(model::ring ring, double bytes);
 
  private:
-  base::zone_id own_zone_;
-  model::zone_regions regions_;
+  /// Rings of the zones of the own region; asked for every replica of a service on every choice.
+  std::unordered_map<base::zone_id, model::ring> near_;
 };
 
 } // namespace spurrack::serving
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -94,7 +94,8 @@
                                           base::time_point now);
   /// @return whether a request that is held to some regions may use a replica.
   [[nodiscard]] bool permits(const model::residency& allowed, const replica_state& state) const {
-    return allowed.permits(settings_.regions.region_of(state.record->zone));
+    return !allowed.is_restricted() ||
+           allowed.permits(settings_.regions.region_of(state.record->zone));
   }
   [[nodiscard]] replica_presence presence_of(const std::string& service,
                                              const model::residency& allowed) const;
