A replica that is heard is not lost, whoever hears it; a young node lends nothing

Cause, from reading: a replica that is only slow would be found silent by two nodes that seldom call it, and their unsafe requests would get a 502 past their target. A node that has just started may take the fleet for small and lend too much, which could break the bound on repeats. Change: who hears a replica that another took for lost says so; a request is ended for a lost replica only after it was found lost for 0.5 s; nothing is lent in the first 12 s of a process. Tests: an_unsafe_request_is_not_ended_where_another_node_hears_the_replica, who_hears_a_replica_that_another_took_for_lost_says_so, a_node_that_has_just_started_lends_nothing.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -83,6 +83,7 @@
 }
 
 void dispatcher::update(const catalog::catalog& content, base::time_point now) {
+  lending_.begin(now);
   configuration_ = content.serving();
   replicas_.set_configuration(configuration_);
   replicas_.update(content.replicas(), now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -90,6 +90,8 @@
     std::optional<base::time_point> stalls_at;
     /// The replica has fetched its inputs by then.
     std::optional<base::time_point> inputs_fetched_at;
+    /// Its replica is found lost since then.
+    std::optional<base::time_point> found_lost_at;
     /// Latest sign of life that was passed on to the replica table.
     base::time_point heard_at;
   };
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -66,7 +66,8 @@
   }
   request.tried.insert(chosen->record->id);
   ++request.sent;
-  request.call = open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt, {}};
+  request.call =
+      open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt, std::nullopt, {}};
   clients_at_[chosen->record->id].insert(request.client);
   const bool runs_at_once = !chosen->told || chosen->told->waiting == 0;
   if (!wanted.inputs.empty() && runs_at_once &&
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -16,6 +16,9 @@
 /// One that may not be made elsewhere is looked at again after this time, in case its replica is
 /// found lost: a quarter of that second.
 constexpr base::duration lost_check_period = std::chrono::milliseconds(250);
+/// A replica stays found lost for this time before a request is ended for it: whoever hears the
+/// replica has time to say so, and the second is kept.
+constexpr base::duration loss_confirm_time = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -147,12 +150,19 @@
   }
   if (request.route->may_repeat() && has_attempt_left(request, now)) {
     take_up_elsewhere(request, now);
-  } else if (silent && replicas_.is_lost(request.call->replica, now)) {
+    return;
+  }
+  auto& call = *request.call;
+  if (!silent || !replicas_.is_lost(call.replica, now)) {
+    call.found_lost_at.reset();
+  } else if (!call.found_lost_at) {
+    call.found_lost_at = now;
+  } else if (now - *call.found_lost_at >= loss_confirm_time) {
     ++counters_.ended_at_lost_replicas;
     answer_failed(request, status::bad_gateway, "the replica is lost", now);
-  } else {
-    request.call->stalls_at = now + lost_check_period;
+    return;
   }
+  call.stalls_at = now + lost_check_period;
 }
 
 void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
--- a/src/dispatch/replica_news.cc
+++ b/src/dispatch/replica_news.cc
@@ -9,7 +9,7 @@
 /// Nodes of the region that are told at once, by chance where there are more: two of three of the
 /// nodes of a zone hear of a trouble that several see.
 constexpr std::size_t most_receivers = 32;
-/// Replicas in one message, those that seem lost first: about 300 bytes.
+/// Replicas in one message, those that seem lost or are not first: about 300 bytes.
 constexpr std::size_t most_replicas = 8;
 /// The first sign goes out at once, the next after this time: 32 messages of 300 bytes a second are
 /// the most a node sends, and only while its calls fail.
@@ -43,10 +43,6 @@
   }
 }
 
-bool is_loss(replica_sign sign) {
-  return sign == replica_sign::silent || sign == replica_sign::unreachable;
-}
-
 std::uint32_t rounded(double calls) {
   return static_cast<std::uint32_t>(std::lround(calls));
 }
@@ -79,8 +75,9 @@
       signs.emplace_back(id, replica_table::own_testimony(*state, now));
     }
   }
-  std::stable_partition(signs.begin(), signs.end(),
-                        [](const auto& entry) { return is_loss(entry.second.sign); });
+  std::stable_partition(signs.begin(), signs.end(), [](const auto& entry) {
+    return entry.second.sign != replica_sign::failing;
+  });
   untold_.clear();
   wire::replica_news news;
   for (const auto& [id, own] : signs) {
--- a/src/dispatch/retry_lending.cc
+++ b/src/dispatch/retry_lending.cc
@@ -17,6 +17,10 @@
 constexpr base::duration shortest_pause = std::chrono::milliseconds(200);
 constexpr base::duration longest_pause = std::chrono::milliseconds(3200);
 
+/// A node lends nothing for this time after its start: a window of ten seconds and the lifetime of
+/// a loan, within which all that its last life spent and lent is forgotten by every window.
+constexpr base::duration first_window = std::chrono::seconds(12);
+
 /// Takes `count` of the peers by chance.
 void choose_some(const std::vector<fleet_peer>& from, std::size_t count,
                  base::random_source& random, std::vector<const fleet_peer*>& chosen) {
@@ -35,6 +39,12 @@
                              base::random_source& random, base::incarnation life)
     : share_(&share), own_zone_(std::move(own_zone)), random_(&random), life_(life) {}
 
+void retry_lending::begin(base::time_point now) {
+  if (!begun_at_) {
+    begun_at_ = now;
+  }
+}
+
 void retry_lending::set_peers(const std::vector<fleet_peer>& alive) {
   near_.clear();
   far_.clear();
@@ -102,7 +112,9 @@
 
 void retry_lending::lend(const base::network_address& borrower, const wire::retry_lending& asked,
                          base::time_point now) {
-  const auto given = share_->lend(asked.asked().service(), asked.asked().thousandths(), now);
+  const bool may_lend = begun_at_ && now - *begun_at_ >= first_window;
+  const auto given =
+      may_lend ? share_->lend(asked.asked().service(), asked.asked().thousandths(), now) : 0;
   counts_.lent_thousandths += static_cast<std::uint64_t>(given);
   wire::outgoing answer{borrower, {}};
   auto& body = *answer.message.mutable_retry_lending();
--- a/src/dispatch/retry_lending.h
+++ b/src/dispatch/retry_lending.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +34,9 @@
   retry_lending(retry_share& share, base::zone_id own_zone, base::random_source& random,
                 base::incarnation life);
 
+  /// This node works since `now`; later calls change nothing. It lends nothing in its first window:
+  /// it may not know yet how many nodes share the bound, nor what its last life has lent.
+  void begin(base::time_point now);
   /// Nodes that may be asked.
   void set_peers(const std::vector<fleet_peer>& alive);
 
@@ -74,6 +78,7 @@
   base::zone_id own_zone_;
   base::random_source* random_;
   base::incarnation life_;
+  std::optional<base::time_point> begun_at_;
   std::vector<fleet_peer> near_;
   std::vector<fleet_peer> far_;
   std::uint64_t next_question_ = 1;
--- a/src/replicas/replica_evidence.cc
+++ b/src/replicas/replica_evidence.cc
@@ -49,9 +49,8 @@
   return static_cast<std::size_t>(
       std::count_if(found->second.begin(), found->second.end(), [&](const auto& entry) {
         const auto& said = entry.second;
-        const bool is_lost =
-            said.sign == replica_sign::silent || said.sign == replica_sign::unreachable;
-        return is_lost && said.seen_at >= since && now - said.seen_at < testimony_lifetime;
+        return is_loss(said.sign) && said.seen_at >= since &&
+               now - said.seen_at < testimony_lifetime;
       }));
 }
 
--- a/src/replicas/replica_evidence.h
+++ b/src/replicas/replica_evidence.h
@@ -12,12 +12,17 @@
 
 /// What calls to a replica show.
 enum class replica_sign : std::uint8_t {
-  well,
+  well,        ///< Heard since another node found it lost.
   silent,      ///< Calls to it make no progress, and nothing else is heard of it.
   unreachable, ///< Connections to it fail.
   failing,     ///< It answers with failures, or its answers break off.
 };
 
+/// @return whether a sign says that nothing is heard of a replica.
+[[nodiscard]] inline bool is_loss(replica_sign sign) {
+  return sign == replica_sign::silent || sign == replica_sign::unreachable;
+}
+
 /// Calls of late, fading with time.
 class call_tally {
  public:
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -241,6 +241,10 @@
 
 void replica_table::note_heard(const base::replica_id& id, base::time_point now) {
   if (auto* state = mutable_find(id)) {
+    if (state->told_lost_at > state->heard_at) {
+      // Others take it for lost: they are told otherwise.
+      changed_.insert(id);
+    }
     state->heard_at = now;
     state->next_pause = {};
     state->probed_until = {};
@@ -260,7 +264,7 @@
 
 bool replica_table::was_heard_after(const base::replica_id& id, base::time_point when) const {
   const auto* state = find(id);
-  return state != nullptr && state->heard_at > when;
+  return state != nullptr && std::max(state->heard_at, state->told_heard_at) > when;
 }
 
 void replica_table::note_success(const base::replica_id& id, base::time_point now) {
@@ -346,7 +350,12 @@
   own.bad_calls = state.calls.bad(now);
   own.seen_at = now;
   const auto lost_at = std::max(state.silent_at, state.unreachable_at);
-  if (lost_at > state.heard_at && now - lost_at < testimony_lifetime) {
+  const bool disputes = state.told_lost_at != base::time_point{} &&
+                        state.heard_at > state.told_lost_at &&
+                        now - state.heard_at < testimony_lifetime;
+  if (disputes) {
+    own.seen_at = state.heard_at;
+  } else if (lost_at > state.heard_at && now - lost_at < testimony_lifetime) {
     own.sign = lost_at == state.silent_at ? replica_sign::silent : replica_sign::unreachable;
     own.seen_at = lost_at;
   } else if (own.bad_calls > 0) {
@@ -360,9 +369,10 @@
   if (state == nullptr) {
     return false;
   }
-  const auto own = own_testimony(*state, now).sign;
-  const bool own_vote = own == replica_sign::silent || own == replica_sign::unreachable;
-  return evidence_.lost_votes(id, state->heard_at, now) + (own_vote ? 1 : 0) >= least_witnesses;
+  const auto own = own_testimony(*state, now);
+  const bool own_vote = is_loss(own.sign) && own.seen_at > state->told_heard_at;
+  const auto heard_at = std::max(state->heard_at, state->told_heard_at);
+  return evidence_.lost_votes(id, heard_at, now) + (own_vote ? 1 : 0) >= least_witnesses;
 }
 
 bool replica_table::may_eject(const std::string& service, base::time_point now) const {
@@ -384,6 +394,11 @@
     return;
   }
   evidence_.take_in(id, witness, said);
+  if (is_loss(said.sign)) {
+    state->told_lost_at = std::max(state->told_lost_at, said.seen_at);
+  } else if (said.sign == replica_sign::well) {
+    state->told_heard_at = std::max(state->told_heard_at, said.seen_at);
+  }
   learn_told_failures(*state, now);
   const bool rests = state->paused_until > now;
   if (!rests && is_lost(id, now) && may_eject(state->record->service, now)) {
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -45,6 +45,9 @@
   call_tally calls;
   /// Latest sign of life: an answer, its beginning, or an event of a stream.
   base::time_point heard_at;
+  /// Latest sign of life that another node told of, and latest time one told that it is lost.
+  base::time_point told_heard_at;
+  base::time_point told_lost_at;
   /// Latest time a call of this node was found without progress while nothing was heard.
   base::time_point silent_at;
   /// Latest time a connection to it failed.
@@ -127,15 +130,16 @@
   void note_heard(const base::replica_id& id, base::time_point now);
   /// A call shows no progress and nothing was heard of the replica since it began.
   void note_silent(const base::replica_id& id, base::time_point now);
-  /// @return whether anything was heard of a replica after `when`.
+  /// @return whether this node, or another that told of it, heard anything of a replica after
+  ///         `when`.
   [[nodiscard]] bool was_heard_after(const base::replica_id& id, base::time_point when) const;
 
   /// Takes in what another node says of a replica. Where two nodes found it lost and nothing was
   /// heard of it since, it rests, unless too many of its service rest already for that reason.
   void take_in(const base::replica_id& id, const base::node_id& witness,
                const replica_testimony& said, base::time_point now);
-  /// @return whether two nodes, this one counted, found a replica silent or unreachable and this
-  ///         one has heard nothing of it since.
+  /// @return whether two nodes, this one counted, found a replica silent or unreachable and none
+  ///         has told of a sign of life since.
   [[nodiscard]] bool is_lost(const base::replica_id& id, base::time_point now) const;
   /// @return how likely calls fail, 0 to 1, from own calls, or from what was told where that is
   ///         clearly more than at the other replicas of the service.
