Count the tokens that engines are expected to have kept and to read

Cause: nobody could see how many prompt tokens the placement saves. Shown: engine_directory_test/keepers_count_what_is_kept_and_what_is_read.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -118,6 +118,12 @@
       engines.loads_told);
   add("spurrack_engine_wait_receivers_left_out_total",
       "Nodes not told of a long wait, to keep the bound on bytes.", engines.receivers_left_out);
+  add("spurrack_engine_tokens_kept_total",
+      "Prompt tokens that engines are expected to have kept, counted by their keepers.",
+      engines.tokens_kept);
+  add("spurrack_engine_tokens_to_read_total",
+      "Prompt tokens that engines are expected to read, counted by their keepers.",
+      engines.tokens_to_read);
   add_gauge(registry, "spurrack_active_routed_requests", "Requests on published routes under way.",
             static_cast<double>(dispatcher.active()));
 }
--- a/src/engines/engine_account.cc
+++ b/src/engines/engine_account.cc
@@ -34,11 +34,11 @@
   return was_kept;
 }
 
-double engine_account::take(const prompt_send& prompt, double rate, base::time_point now) {
+std::uint64_t engine_account::take(const prompt_send& prompt, double rate, base::time_point now) {
   const bool was_kept = parts_.use(prompt);
-  const double unread =
-      static_cast<double>(prompt.own_tokens) + (was_kept ? 0.0 : prompt.shared_tokens);
-  unread_.add(unread, rate, now);
+  const std::uint64_t unread =
+      std::uint64_t{prompt.own_tokens} + (was_kept ? 0 : prompt.shared_tokens);
+  unread_.add(static_cast<double>(unread), rate, now);
   return unread;
 }
 
--- a/src/engines/engine_account.h
+++ b/src/engines/engine_account.h
@@ -53,7 +53,7 @@
 
   /// @param rate tokens that the engine reads in a second.
   /// @return tokens that it has to read of the prompt.
-  double take(const prompt_send& prompt, double rate, base::time_point now);
+  std::uint64_t take(const prompt_send& prompt, double rate, base::time_point now);
   /// @return the unread tokens, where they are so many, and so many more than the others believe,
   ///         that they are worth telling.
   [[nodiscard]] std::optional<std::uint32_t> worth_telling(double rate, base::time_point now) const;
--- a/src/engines/engine_directory.cc
+++ b/src/engines/engine_directory.cc
@@ -103,9 +103,11 @@
   const auto memory = published > 0 ? published : usual_memory_tokens;
   auto& account = accounts_.try_emplace(engine, memory).first->second;
   const double rate = rate_.tokens_per_second();
-  account.take(prompt, rate, now);
-  if (const auto unread = account.worth_telling(rate, now)) {
-    tell_load(engine, *unread, now);
+  const auto unread = account.take(prompt, rate, now);
+  counts_.tokens_to_read += unread;
+  counts_.tokens_kept += std::uint64_t{prompt.own_tokens} + prompt.shared_tokens - unread;
+  if (const auto told = account.worth_telling(rate, now)) {
+    tell_load(engine, *told, now);
   }
 }
 
--- a/src/engines/engine_directory.h
+++ b/src/engines/engine_directory.h
@@ -31,6 +31,10 @@
   /// Waits told to the nodes of the region, and nodes left out to keep the bound on bytes.
   std::uint64_t loads_told = 0;
   std::uint64_t receivers_left_out = 0;
+  /// Of prompts told to this node as a keeper: tokens that the engine is expected to have kept, and
+  /// those it has to read.
+  std::uint64_t tokens_kept = 0;
+  std::uint64_t tokens_to_read = 0;
 };
 
 /// Not thread-safe. Messages gather until they are taken.
--- a/tests/engines/engine_account_test.cc
+++ b/tests/engines/engine_account_test.cc
@@ -16,10 +16,10 @@
 
 BOOST_AUTO_TEST_CASE(shared_parts_are_read_once) {
   engine_account account(400'000);
-  BOOST_TEST(account.take({500, 7, 10'000}, rate, start) == 10'500);
-  BOOST_TEST(account.take({600, 7, 10'000}, rate, start) == 600);
-  BOOST_TEST(account.take({600, 8, 10'000}, rate, start) == 10'600);
-  BOOST_TEST(account.take({600, 0, 0}, rate, start) == 600);
+  BOOST_TEST(account.take({500, 7, 10'000}, rate, start) == 10'500U);
+  BOOST_TEST(account.take({600, 7, 10'000}, rate, start) == 600U);
+  BOOST_TEST(account.take({600, 8, 10'000}, rate, start) == 10'600U);
+  BOOST_TEST(account.take({600, 0, 0}, rate, start) == 600U);
 }
 
 BOOST_AUTO_TEST_CASE(what_was_used_the_longest_ago_gives_way) {
--- a/tests/engines/engine_directory_test.cc
+++ b/tests/engines/engine_directory_test.cc
@@ -162,6 +162,22 @@
   BOOST_TEST((fleet.wait_at(0, fleet.engine("engine-3")) > milliseconds(800)));
 }
 
+BOOST_AUTO_TEST_CASE(keepers_count_what_is_kept_and_what_is_read) {
+  directory_fleet fleet(9);
+  for (std::size_t node = 0; node < 4; ++node) {
+    fleet.nodes[node]->note_sent(fleet.engine("engine-3"), {1'000, 77, 9'000}, fleet.table.now);
+  }
+  fleet.carry();
+  std::uint64_t kept = 0;
+  std::uint64_t to_read = 0;
+  for (const auto& node : fleet.nodes) {
+    kept += node->counts().tokens_kept;
+    to_read += node->counts().tokens_to_read;
+  }
+  BOOST_TEST(kept == 27'000U);
+  BOOST_TEST(to_read == 13'000U);
+}
+
 BOOST_AUTO_TEST_CASE(engines_that_are_gone_are_forgotten) {
   directory_fleet fleet(3);
   const auto kept = fleet.engine("engine-3").record->id;
