Bytes of control taken apart in a fleet of three regions; members asked for by who lacks them

Cause: after a loss of all 300 nodes a seed was asked by every node each half second and answered with 96 members whatever the asker knew: 1.4 MB a second on a link of 1.25 MB. Views stayed partial for more than 10 s. Change: links, store pages and regions in the simulation; a question carries two bytes a known member, answers name what is missing, those who were introduced introduce others.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -39,8 +39,8 @@
 }
 
 membership::membership(identity self, timing settings, base::random_source& random,
-                       state_observer observer)
-    : self_(std::move(self)), settings_(settings), random_(&random), observer_(std::move(observer)),
+                       state_observer observer, model::zone_regions regions)
+    : self_(std::move(self)), regions_(std::move(regions)), settings_(settings), random_(&random), observer_(std::move(observer)),
       incarnation_(self_.process_start), zones_(self_.zone) {}
 
 void membership::note_change() {
@@ -222,6 +222,7 @@
                    ping_message(sequence, nullptr)});
   } else if (message.has_acknowledgement()) {
     const auto& body = message.acknowledgement();
+    note_introductions(body.sequence(), now);
     const auto relayed = indirect_probes_.find(body.sequence());
     if (relayed != indirect_probes_.end()) {
       wire::outgoing reply{relayed->second.asker, {}};
@@ -243,7 +244,7 @@
     start_probe(now, out);
   }
   if (!list_known_ || members_.empty()) {
-    contact_seeds(now, out);
+    ask_for_members(now, out);
   }
   if (now >= next_dead_probe_at_) {
     next_dead_probe_at_ = now + settings_.dead_probe_period;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "catalog/catalog.h"
 #include "membership/zone_contact.h"
+#include "model/residency.h"
 #include "wire/outgoing.h"
 
 #include <deque>
@@ -65,7 +66,9 @@
 class membership {
  public:
   /// @param random must outlive this object.
-  membership(identity self, timing settings, base::random_source& random, state_observer observer);
+  /// @param regions what is not named there is a region of its own.
+  membership(identity self, timing settings, base::random_source& random, state_observer observer,
+             model::zone_regions regions = {});
 
   /// Takes over the published list of nodes; members that are no longer listed are dropped.
   void set_published(const catalog::machine_map& machines, base::time_point now);
@@ -141,7 +144,13 @@
   void ask_others_to_probe(const member& target, wire::outbox& out);
   void expire_suspects(base::time_point now);
   void probe_dead(wire::outbox& out);
-  void contact_seeds(base::time_point now, wire::outbox& out);
+  /// Asks for members this node does not know: seeds while it knows nobody, then others that were
+  /// introduced like itself, so that a start of all nodes is no rush to the seeds.
+  void ask_for_members(base::time_point now, wire::outbox& out);
+  void ask_for_members_at(const base::network_address& address, wire::outbox& out);
+  [[nodiscard]] base::network_address choose_introducer() const;
+  /// The last question for members was answered.
+  void note_introductions(std::uint64_t sequence, base::time_point now);
   /// Forgets what is derived from `members_`.
   void note_change();
   void introduce_members(const wire::envelope& asker, wire::envelope& reply) const;
@@ -163,6 +172,7 @@
   [[nodiscard]] const live_view& live() const;
 
   identity self_;
+  model::zone_regions regions_;
   timing settings_;
   base::random_source* random_;
   state_observer observer_;
@@ -183,6 +193,8 @@
   base::time_point next_relay_at_;
   std::uint64_t relay_rounds_ = 0;
   base::time_point next_seed_contact_at_;
+  /// Sequence of the last question for members.
+  std::uint64_t asked_for_members_ = 0;
   /// When a member was last added.
   base::time_point grew_at_;
 };
--- a/src/membership/membership_contacts.cc
+++ b/src/membership/membership_contacts.cc
@@ -3,16 +3,20 @@
 #include "membership/membership.h"
 
 #include "base/hashing.h"
+#include "membership/name_filter.h"
 
 #include <algorithm>
 #include <iterator>
-#include <unordered_set>
 
 namespace spurrack::membership {
 namespace {
 
-/// Members named to one that asks at a seed address; those of its own zone before others.
-constexpr std::size_t max_introductions = 96;
+/// Members named to one that asks: with those of the next answers it knows 300 in a second.
+constexpr std::size_t max_introductions = 64;
+/// Members named to one that knows nobody. They fill the room that rumours would take, so that 300
+/// nodes that start together cost a seed 0.2 s of a link of 10 Mbit/s; 96 members each took 2 s,
+/// and nodes that got no answer asked again ten times a second.
+constexpr std::size_t first_introductions = 6;
 /// Relays that send digests to one other zone; one of them may be lost without a silence.
 constexpr std::size_t relays_per_zone = 2;
 /// Relays have at least this part of the processor of the strongest node of their zone.
@@ -21,62 +25,90 @@
 /// that bytes between zones stay flat.
 constexpr std::size_t members_per_round = 8;
 /// While members were added within this time, more are asked for; then only seldom, so that parts
-/// of the fleet that know nothing of each other meet in the end.
+/// of the fleet that know nothing of each other meet in the end. An answer that brought news is
+/// followed by the next question at once.
 constexpr base::duration introduction_time = std::chrono::seconds(3);
 constexpr base::duration seed_period = std::chrono::milliseconds(500);
 /// A node that knows nobody asks more often: whether a seed can be reached yet is not told.
 constexpr base::duration first_contact_period = std::chrono::milliseconds(100);
 constexpr base::duration seldom_seed_period = std::chrono::seconds(10);
+/// Of so many questions for members one goes to any node that is known, the others stay in the own
+/// region.
+constexpr std::uint64_t questions_per_far_question = 8;
 
 } // namespace
 
 // --- seeds ---------------------------------------------------------------------------------------
 
-void membership::contact_seeds(base::time_point now, wire::outbox& out) {
+void membership::ask_for_members(base::time_point now, wire::outbox& out) {
   if (seeds_.empty() || now < next_seed_contact_at_) {
     return;
   }
-  const bool knows_nobody = members_.empty();
   const bool grows = now - grew_at_ < introduction_time;
-  const auto usual_period = grows ? seed_period : seldom_seed_period;
-  next_seed_contact_at_ = now + (knows_nobody ? first_contact_period : usual_period);
-  const auto chosen = random_->below(seeds_.size());
-  for (std::size_t index = 0; index < seeds_.size(); ++index) {
-    if (knows_nobody || index == chosen) {
-      auto ping = ping_message(next_sequence_++, nullptr);
-      ping.mutable_ping()->set_introduce(true);
-      out.push_back({seeds_[index], std::move(ping)});
+  if (members_.empty()) {
+    next_seed_contact_at_ = now + first_contact_period;
+    for (const auto& seed : seeds_) {
+      ask_for_members_at(seed, out);
     }
+  } else if (grows) {
+    next_seed_contact_at_ = now + seed_period;
+    ask_for_members_at(choose_introducer(), out);
+  } else {
+    next_seed_contact_at_ = now + seldom_seed_period;
+    ask_for_members_at(seeds_[random_->below(seeds_.size())], out);
+  }
+}
+
+void membership::ask_for_members_at(const base::network_address& address, wire::outbox& out) {
+  asked_for_members_ = next_sequence_++;
+  auto message = ping_message(asked_for_members_, nullptr);
+  message.mutable_ping()->set_introduce(true);
+  name_filter_writer known(asked_for_members_);
+  for (const auto& [node, other] : members_) {
+    known.add(node);
+  }
+  message.mutable_ping()->set_known_members(known.take());
+  out.push_back({address, std::move(message)});
+}
+
+base::network_address membership::choose_introducer() const {
+  const bool anywhere = random_->below(questions_per_far_question) == 0;
+  std::vector<const member*> near;
+  for (const auto& [node, other] : members_) {
+    const bool in_reach = anywhere || regions_.same_region(other.zone, self_.zone);
+    if (in_reach && other.state == wire::ALIVE) {
+      near.push_back(&other);
+    }
+  }
+  return near.empty() ? seeds_[random_->below(seeds_.size())]
+                      : near[random_->below(near.size())]->address;
+}
+
+void membership::note_introductions(std::uint64_t sequence, base::time_point now) {
+  const bool brought_news = grew_at_ == now;
+  if (sequence == asked_for_members_ && brought_news) {
+    next_seed_contact_at_ = now;
   }
 }
 
 void membership::introduce_members(const wire::envelope& asker, wire::envelope& reply) const {
+  const name_filter known(asker.ping().known_members(), asker.ping().sequence());
+  const auto most = known.is_empty() ? first_introductions : max_introductions;
   std::vector<const member*> in_zone;
   std::vector<const member*> others;
   for (const auto& [node, other] : members_) {
-    if (other.state == wire::ALIVE && node.text() != asker.sender()) {
+    const bool is_missing = node.text() != asker.sender() && !known.may_contain(node);
+    if (other.state == wire::ALIVE && is_missing) {
       (other.zone.text() == asker.sender_zone() ? in_zone : others).push_back(&other);
     }
   }
-  std::unordered_set<base::node_id> named;
-  const auto name = [&](const member& subject) {
-    if (named.size() < max_introductions && named.insert(subject.node).second) {
-      *reply.add_updates() = update_of(subject);
-    }
-  };
-  // Relays of other zones first: who knows them can name the same relays as everybody else.
-  for (const auto& [zone, relays] : live().relays) {
-    for (const auto& relay : relays) {
-      const auto found = members_.find(relay);
-      if (found != members_.end() && relay.text() != asker.sender()) {
-        name(found->second);
-      }
-    }
-  }
-  // Others by chance, so that not everybody turns to the same nodes.
+  // Those of its zone first: it probes them, and they know the rest. By chance, so that not
+  // everybody turns to the same nodes.
+  std::size_t named = 0;
   for (auto* group : {&in_zone, &others}) {
-    while (!group->empty() && named.size() < max_introductions) {
-      name(*base::take_random(*group, *random_));
+    while (!group->empty() && named < most) {
+      *reply.add_updates() = update_of(*base::take_random(*group, *random_));
+      ++named;
     }
   }
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -71,7 +71,8 @@
       membership_(settings_.self, settings_.membership_timing, random,
                   [this](const membership::member& subject) {
                     record(event_of(subject.state), {}, subject.node.text(), "");
-                  }),
+                  },
+                  settings_.serving ? settings_.serving->regions : model::zone_regions()),
       backends_(settings_.self.zone, settings_.routing),
       scheduler_(settings_.scheduling, backends_, random),
       executor_(
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -10,6 +10,8 @@
 constexpr base::duration connect_timeout = std::chrono::milliseconds(400);
 constexpr base::duration platform_delay = std::chrono::milliseconds(3);
 constexpr base::duration poll_step = std::chrono::milliseconds(10);
+/// What TCP and ZeroMQ add to a message.
+constexpr double transport_overhead_bytes = 80;
 constexpr std::uint64_t seed_stride = 0x9E3779B97F4A7C15;
 
 std::uint64_t microseconds_of(base::time_point moment) {
@@ -20,13 +22,16 @@
 } // namespace
 
 fleet_simulation::fleet_simulation(simulation_settings settings)
-    : settings_(std::move(settings)), random_(settings_.seed), platform_(events_) {
+    : settings_(std::move(settings)), random_(settings_.seed), platform_(events_),
+      store_link_(settings_.store.bytes_per_second) {
   for (const auto& [key, value] : settings_.records) {
     platform_.publish(key, value);
   }
   for (const auto& profile : settings_.nodes) {
     nodes_[profile.name].profile = profile;
-    publish_node(profile.name, true);
+    if (settings_.lists_nodes) {
+      publish_node(profile.name, true);
+    }
   }
   for (const auto& profile : settings_.backends) {
     backends_[profile.name] = std::make_unique<emulated_backend>(
@@ -66,9 +71,17 @@
   node_settings.self.zone = base::zone_id(slot.profile.zone);
   node_settings.self.address = base::network_address(name);
   node_settings.self.process_start = microseconds_of(now());
+  node_settings.self.processor_share = static_cast<float>(slot.profile.processor_share);
+  for (const auto& seed : settings_.seeds) {
+    node_settings.seeds.emplace_back(seed);
+  }
   for (const auto& other : settings_.nodes) {
-    node_settings.seeds.emplace_back(other.name);
+    if (settings_.seeds.empty()) {
+      node_settings.seeds.emplace_back(other.name);
+    }
   }
+  slot.sending = link(slot.profile.link_bytes_per_second);
+  slot.receiving = link(slot.profile.link_bytes_per_second);
   slot.logic = std::make_unique<node::node>(node_settings, *slot.random, now());
   slot.wake_scheduled = base::time_point::max();
   deliver(name, slot.life, node::time_passed{});
@@ -252,16 +265,35 @@
          base::from_seconds(base::to_seconds(settings_.network.jitter) * random_.unit());
 }
 
+base::duration fleet_simulation::delay_between(const std::string& zone, const std::string& other) {
+  const auto& serving = settings_.node.serving;
+  const bool near =
+      !serving || serving->regions.same_region(base::zone_id(zone), base::zone_id(other));
+  return network_delay() + (near ? base::duration{} : settings_.network.region_delay);
+}
+
 void fleet_simulation::send_message(node_slot& from, wire::outgoing& message) {
   const auto to = nodes_.find(message.to.text());
   if (to == nodes_.end() || random_.unit() < settings_.network.loss) {
     return;
   }
-  events_.after(network_delay(), [this, from_zone = from.profile.zone, name = to->first,
-                                  life = to->second.life, content = std::move(message.message)] {
-    if (connected(from_zone, nodes_.at(name).profile.zone)) {
-      deliver(name, life, node::peer_message{content});
+  const auto size = message.message.ByteSizeLong();
+  traffic_.add({message.message.body_case(), from.profile.name, to->first}, size);
+  const double carried = static_cast<double>(size) + transport_overhead_bytes;
+  const auto sent = from.sending.carry(carried, now());
+  if (!sent) {
+    return;
+  }
+  const auto arrival = *sent + delay_between(from.profile.zone, to->second.profile.zone);
+  events_.at(arrival, [this, carried, from_zone = from.profile.zone, name = to->first,
+                       life = to->second.life, content = std::move(message.message)] {
+    auto& receiver = nodes_.at(name);
+    const auto received = receiver.receiving.carry(carried, now());
+    if (!received || !connected(from_zone, receiver.profile.zone)) {
+      return;
     }
+    events_.at(*received,
+               [this, name, life, content] { deliver(name, life, node::peer_message{content}); });
   });
 }
 
@@ -286,7 +318,40 @@
         fail();
         return;
       }
-      events_.after(platform_delay, [=, this] { deliver(name, life, *answer); });
+      auto transfer = std::make_shared<store_transfer>(
+          store_transfer{name, life, *answer, answer->entries.size()});
+      carry_pages(transfer);
+    });
+  });
+}
+
+void fleet_simulation::carry_pages(const std::shared_ptr<store_transfer>& transfer) {
+  const auto page = std::min(transfer->entries_left, settings_.store.entries_per_page);
+  const double bytes = static_cast<double>(page) * settings_.store.bytes_per_entry;
+  const auto limit = now() + settings_.store.page_timeout;
+  const auto fail = [this, transfer, limit] {
+    events_.at(limit, [this, transfer] {
+      deliver(transfer->node, transfer->life, node::service_failed{transfer->answer.source});
+    });
+  };
+  const auto sent = store_link_.carry(bytes, now());
+  if (!sent || *sent > limit) {
+    fail();
+    return;
+  }
+  events_.at(*sent, [this, transfer, page, bytes, limit, fail] {
+    const auto received = nodes_.at(transfer->node).receiving.carry(bytes, now());
+    if (!received || *received > limit) {
+      fail();
+      return;
+    }
+    transfer->entries_left -= page;
+    events_.at(*received + platform_delay, [this, transfer] {
+      if (transfer->entries_left > 0) {
+        carry_pages(transfer);
+      } else {
+        deliver(transfer->node, transfer->life, transfer->answer);
+      }
     });
   });
 }
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -7,6 +7,8 @@
 #include "simulation/emulated_backend.h"
 #include "simulation/emulated_platform.h"
 #include "simulation/event_queue.h"
+#include "simulation/link.h"
+#include "simulation/traffic_ledger.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,14 +25,30 @@
   /// One-way delay between any two machines; the time added at random reorders messages.
   base::duration delay = std::chrono::microseconds(500);
   base::duration jitter = std::chrono::microseconds(500);
+  /// Added where the two machines are of different regions, as the serving settings name them.
+  base::duration region_delay{};
   /// Probability that a message between nodes is lost.
   double loss = 0;
 };
 
+/// How the store's answers reach a node. A listing comes in pages; one that is late fails as a
+/// whole, as it does with the platform's client.
+struct store_profile {
+  /// Rate of all answers together; 0: without bound.
+  double bytes_per_second = 0;
+  std::size_t entries_per_page = 500;
+  /// Size of an entry in an answer.
+  double bytes_per_entry = 0;
+  base::duration page_timeout = std::chrono::milliseconds(1000);
+};
+
 /// A node to simulate.
 struct node_profile {
   std::string name;
   std::string zone;
+  /// Rate of its link, each way; 0: without bound.
+  double link_bytes_per_second = 0;
+  double processor_share = 1;
 };
 
 struct simulation_settings {
@@ -40,6 +58,11 @@
   /// Templates and tenants: key and YAML value.
   std::map<std::string, std::string> records;
   network_profile network;
+  store_profile store;
+  /// Nodes whose addresses all others know at their start; none named: all nodes.
+  std::vector<std::string> seeds;
+  /// Whether the platform publishes the list of nodes; otherwise they meet at the seeds only.
+  bool lists_nodes = true;
   /// Settings shared by all nodes; identity and seeds are filled in.
   node::node_settings node;
 };
@@ -84,6 +107,8 @@
 
   event_queue& events() { return events_; }
   emulated_platform& platform() { return platform_; }
+  /// Messages between nodes since it was cleared.
+  traffic_ledger& traffic() { return traffic_; }
   base::random_source& random() { return random_; }
   [[nodiscard]] base::time_point now() const { return events_.now(); }
   void run_for(base::duration span) { events_.run_until(events_.now() + span); }
@@ -149,6 +174,15 @@
     base::time_point frozen_until;
     std::optional<base::duration> freeze_before_effect;
     base::time_point wake_scheduled;
+    link sending;
+    link receiving;
+  };
+  /// Pages of an answer of the store that are still to come to a node.
+  struct store_transfer {
+    std::string node;
+    std::uint64_t life = 0;
+    node::service_answered answer;
+    std::size_t entries_left = 0;
   };
   struct open_call {
     execution::stage_call call;
@@ -166,6 +200,8 @@
   void schedule_wakeup(node_slot& slot);
   void send_message(node_slot& from, wire::outgoing& message);
   void read_platform(node_slot& slot, const node::read_service& what);
+  /// Carries the pages of an answer to the node that asked, one after the other.
+  void carry_pages(const std::shared_ptr<store_transfer>& transfer);
   void start_call(node_slot& slot, const execution::stage_call& call);
   void write_call(const open_call_ref& open);
   void send_first_token(const open_call_ref& open, const std::string& backend_zone,
@@ -175,6 +211,8 @@
   void end_call(const open_call_ref& open, execution::call_status status);
   void answer_caller(const execution::send_answer& wanted);
   base::duration network_delay();
+  /// @return one-way delay of a message between nodes of two zones.
+  base::duration delay_between(const std::string& zone, const std::string& other);
   [[nodiscard]] bool connected(const std::string& zone, const std::string& other) const;
   [[nodiscard]] std::string machine_record(const backend_profile& profile, const std::string& state,
                                            int generation) const;
@@ -192,6 +230,8 @@
   std::map<base::caller_id, std::string> tickets_;
   std::vector<execution_record> executions_;
   node::control_counters past_control_;
+  link store_link_;
+  traffic_ledger traffic_;
   base::caller_id next_caller_ = 1;
 };
 
--- /dev/null
+++ b/src/simulation/traffic_ledger.h
@@ -0,0 +1,45 @@
+/// Who sent how many bytes of which kind of message to whom, over a time. Sizes are those of the
+/// serialized messages, without what the transport adds.
+#pragma once
+
+#include "wire/peer.pb.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace spurrack::simulation {
+
+/// One way between two nodes, for one kind of message.
+struct traffic_flow {
+  wire::envelope::BodyCase kind = wire::envelope::BODY_NOT_SET;
+  std::string sender;
+  std::string receiver;
+  auto operator<=>(const traffic_flow&) const = default;
+};
+
+/// Not thread-safe.
+class traffic_ledger {
+ public:
+  void add(const traffic_flow& flow, std::uint64_t bytes) { flows_[flow] += bytes; }
+  void clear() { flows_.clear(); }
+
+  [[nodiscard]] const std::map<traffic_flow, std::uint64_t>& flows() const { return flows_; }
+
+  /// @param key_of what the bytes are put together by: a sender, a kind, a pair of zones.
+  template <typename key_function>
+  [[nodiscard]] auto sum_by(const key_function& key_of) const {
+    std::map<std::invoke_result_t<key_function, const traffic_flow&>, std::uint64_t> sums;
+    for (const auto& [flow, bytes] : flows_) {
+      sums[key_of(flow)] += bytes;
+    }
+    return sums;
+  }
+
+ private:
+  std::map<traffic_flow, std::uint64_t> flows_;
+};
+
+} // namespace spurrack::simulation
