--- a/src/membership/membership_contacts.cc
+++ b/src/membership/membership_contacts.cc
@@ -3,80 +3,119 @@
 #include "membership/membership.h"
 
 #include "base/hashing.h"
+#include "membership/name_filter.h"
 
 #include <algorithm>
 #include <iterator>
-#include <unordered_set>
 
 namespace spurrack::membership {
 namespace {
 
-/// Members named to one that asks at a seed address; those of its own zone before others.
-constexpr std::size_t max_introductions = 96;
+/// Members named to one that asks, of those it lacks: 300 nodes that start together all know one
+/// another after 1.7 s (control_traffic test).
+constexpr std::size_t max_introductions = 64;
+/// Members named to one that knows nobody; they fill the room that rumours would take. A seed of
+/// 300 nodes that start together sends 106 kB until all know all (introductions test). With 96
+/// members for each question its link of 10 Mbit/s was full for ten seconds (control_traffic test).
+constexpr std::size_t first_introductions = 6;
 /// Relays that send digests to one other zone; one of them may be lost without a silence.
 constexpr std::size_t relays_per_zone = 2;
+/// Relays that send digests to one other region.
+constexpr std::size_t relays_per_region = 2;
 /// Relays have at least this part of the processor of the strongest node of their zone.
 constexpr float least_share_of_relay = 0.5F;
 /// Members that a digest of every round may name; larger zones name theirs every few rounds, so
 /// that bytes between zones stay flat.
 constexpr std::size_t members_per_round = 8;
 /// While members were added within this time, more are asked for; then only seldom, so that parts
-/// of the fleet that know nothing of each other meet in the end.
+/// of the fleet that know nothing of each other meet in the end. An answer that brought news is
+/// followed by the next question at once.
 constexpr base::duration introduction_time = std::chrono::seconds(3);
 constexpr base::duration seed_period = std::chrono::milliseconds(500);
 /// A node that knows nobody asks more often: whether a seed can be reached yet is not told.
 constexpr base::duration first_contact_period = std::chrono::milliseconds(100);
 constexpr base::duration seldom_seed_period = std::chrono::seconds(10);
+/// Fleets of more members ask as much more seldom: questions hold two bytes a member, and a seed
+/// would hear 0.5 MB a second of them at 2,700 nodes.
+constexpr std::size_t members_per_seldom_question = 300;
+/// Of so many questions for members one goes to any node that is known, the others stay in the own
+/// region.
+constexpr std::uint64_t questions_per_far_question = 8;
 
 } // namespace
 
 // --- seeds ---------------------------------------------------------------------------------------
 
-void membership::contact_seeds(base::time_point now, wire::outbox& out) {
+void membership::ask_for_members(base::time_point now, wire::outbox& out) {
   if (seeds_.empty() || now < next_seed_contact_at_) {
     return;
   }
-  const bool knows_nobody = members_.empty();
   const bool grows = now - grew_at_ < introduction_time;
-  const auto usual_period = grows ? seed_period : seldom_seed_period;
-  next_seed_contact_at_ = now + (knows_nobody ? first_contact_period : usual_period);
-  const auto chosen = random_->below(seeds_.size());
-  for (std::size_t index = 0; index < seeds_.size(); ++index) {
-    if (knows_nobody || index == chosen) {
-      auto ping = ping_message(next_sequence_++, nullptr);
-      ping.mutable_ping()->set_introduce(true);
-      out.push_back({seeds_[index], std::move(ping)});
+  if (members_.empty()) {
+    next_seed_contact_at_ = now + first_contact_period;
+    for (const auto& seed : seeds_) {
+      ask_for_members_at(seed, out);
     }
+  } else if (grows) {
+    next_seed_contact_at_ = now + seed_period;
+    ask_for_members_at(choose_introducer(), out);
+  } else {
+    const auto times = 1 + members_.size() / members_per_seldom_question;
+    next_seed_contact_at_ = now + seldom_seed_period * times;
+    ask_for_members_at(seeds_[random_->below(seeds_.size())], out);
+  }
+}
+
+void membership::ask_for_members_at(const base::network_address& address, wire::outbox& out) {
+  asked_for_members_ = next_sequence_++;
+  auto message = ping_message(asked_for_members_, nullptr);
+  message.mutable_ping()->set_introduce(true);
+  name_filter_writer known(asked_for_members_);
+  for (const auto& [node, other] : members_) {
+    known.add(node);
+  }
+  message.mutable_ping()->set_known_members(known.take());
+  out.push_back({address, std::move(message)});
+}
+
+base::network_address membership::choose_introducer() const {
+  const bool anywhere = random_->below(questions_per_far_question) == 0;
+  std::vector<const member*> near;
+  for (const auto& [node, other] : members_) {
+    const bool in_reach = anywhere || regions_.same_region(other.zone, self_.zone);
+    if (in_reach && other.state == wire::ALIVE) {
+      near.push_back(&other);
+    }
+  }
+  return near.empty() ? seeds_[random_->below(seeds_.size())]
+                      : near[random_->below(near.size())]->address;
+}
+
+void membership::note_introductions(std::uint64_t sequence, base::time_point now) {
+  const bool brought_news = grew_at_ == now;
+  if (sequence == asked_for_members_ && brought_news) {
+    next_seed_contact_at_ = now;
   }
 }
 
 void membership::introduce_members(const wire::envelope& asker, wire::envelope& reply) const {
+  const name_filter known(asker.ping().known_members(), asker.ping().sequence());
+  const auto most = known.is_empty() ? first_introductions : max_introductions;
   std::vector<const member*> in_zone;
   std::vector<const member*> others;
   for (const auto& [node, other] : members_) {
-    if (other.state == wire::ALIVE && node.text() != asker.sender()) {
+    const bool is_missing = node.text() != asker.sender() && !known.may_contain(node);
+    if (other.state == wire::ALIVE && is_missing) {
       (other.zone.text() == asker.sender_zone() ? in_zone : others).push_back(&other);
     }
   }
-  std::unordered_set<base::node_id> named;
-  const auto name = [&](const member& subject) {
-    if (named.size() < max_introductions && named.insert(subject.node).second) {
-      *reply.add_updates() = update_of(subject);
-    }
-  };
-  // Relays of other zones first: who knows them can name the same relays as everybody else.
-  for (const auto& [zone, relays] : live().relays) {
-    for (const auto& relay : relays) {
-      const auto found = members_.find(relay);
-      if (found != members_.end() && relay.text() != asker.sender()) {
-        name(found->second);
-      }
-    }
-  }
-  // Others by chance, so that not everybody turns to the same nodes.
+  // Those of its zone first: it probes them, and they know the rest. By chance, so that not
+  // everybody turns to the same nodes.
+  std::size_t named = 0;
   for (auto* group : {&in_zone, &others}) {
-    while (!group->empty() && named.size() < max_introductions) {
-      name(*base::take_random(*group, *random_));
+    while (!group->empty() && named < most) {
+      *reply.add_updates() = update_of(*base::take_random(*group, *random_));
+      ++named;
     }
   }
 }
@@ -86,12 +125,15 @@
 void membership::relay_digests(base::time_point now, wire::outbox& out) {
   const auto& relays = live().relays.at(self_.zone);
   if (std::find(relays.begin(), relays.end(), self_.node) != relays.end()) {
-    tell_other_zones(out);
+    tell_other_zones(now, out);
     tell_own_zone(now, out);
   }
+  if (speaks_for_region(now)) {
+    tell_other_regions(now, out);
+  }
 }
 
-void membership::tell_other_zones(wire::outbox& out) {
+void membership::tell_other_zones(base::time_point now, wire::outbox& out) {
   const auto& view = live();
   const auto rounds = std::max<std::uint64_t>(1, view.zone_nodes.size() / members_per_round);
   wire::zone_digest members;
@@ -101,11 +143,102 @@
     }
   }
   for (const auto& [zone, nodes] : view.remote) {
-    for (const auto& relay : view.relays.at(zone)) {
-      send_digest(relay, {}, out);
+    if (!regions_.are_regions_apart(self_.zone, zone)) {
+      tell_zone_of_region(zone, members, now, out);
+    }
+  }
+}
+
+void membership::tell_zone_of_region(const base::zone_id& zone, const wire::zone_digest& members,
+                                     base::time_point now, wire::outbox& out) {
+  wire::zone_digest heard;
+  zones_.tell_region(heard, now);
+  for (const auto& relay : live().relays.at(zone)) {
+    send_digest(relay, heard, out);
+  }
+  // Also to one that may be no relay: views of other zones are often old.
+  const auto& nodes = live().remote.at(zone);
+  send_digest(nodes[random_->below(nodes.size())], members, out);
+}
+
+std::vector<base::node_id> membership::region_relays(const base::region_id& region,
+                                                     base::time_point now) const {
+  const auto silent = zones_.silent(now);
+  std::vector<base::zone_id> heard;
+  std::vector<base::zone_id> all;
+  for (const auto& [zone, relays] : live().relays) {
+    if (regions_.region_of(zone) == region && !relays.empty()) {
+      all.push_back(zone);
+      if (!silent.contains(zone)) {
+        heard.push_back(zone);
+      }
+    }
+  }
+  // A region that is cut off is tried on, so that the end of the cut is noticed.
+  const auto zones =
+      base::rendezvous_top("region relay", heard.empty() ? all : heard, relays_per_region);
+  std::vector<base::node_id> chosen;
+  chosen.reserve(relays_per_region);
+  for (const auto& zone : zones) {
+    chosen.push_back(live().relays.at(zone).front());
+  }
+  // One zone alone gives both of its relays.
+  if (zones.size() == 1 && live().relays.at(zones.front()).size() > 1) {
+    chosen.push_back(live().relays.at(zones.front()).back());
+  }
+  return chosen;
+}
+
+bool membership::speaks_for_region(base::time_point now) const {
+  const auto region = regions_.region_of(self_.zone);
+  if (!region) {
+    return false;
+  }
+  const auto relays = region_relays(*region, now);
+  return std::find(relays.begin(), relays.end(), self_.node) != relays.end();
+}
+
+std::set<base::region_id> membership::other_regions() const {
+  std::set<base::region_id> found;
+  for (const auto& [zone, nodes] : live().remote) {
+    if (regions_.are_regions_apart(self_.zone, zone)) {
+      found.insert(*regions_.region_of(zone));
+    }
+  }
+  return found;
+}
+
+std::vector<base::node_id> membership::nodes_of_region(const base::region_id& region) const {
+  std::vector<base::node_id> nodes;
+  for (const auto& [node, other] : members_) {
+    if (other.state != wire::DEAD && regions_.region_of(other.zone) == region) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+void membership::tell_other_regions(base::time_point now, wire::outbox& out) {
+  const auto own_region = *regions_.region_of(self_.zone);
+  const auto own_nodes = nodes_of_region(own_region);
+  const auto rounds = std::max<std::uint64_t>(1, own_nodes.size() / members_per_round);
+  wire::zone_digest members;
+  if (++region_rounds_ % rounds == 0) {
+    for (const auto& node : own_nodes) {
+      *members.add_members() = update_of(members_.at(node));
+    }
+  }
+  wire::zone_digest heard;
+  zones_.tell_other_region(heard, now);
+  *members.mutable_heard() = heard.heard();
+  for (const auto& region : other_regions()) {
+    for (const auto& relay : region_relays(region, now)) {
+      send_digest(relay, heard, out);
+    }
+    // Also to one that may be no relay: views of other regions are often old.
+    if (const auto nodes = nodes_of_region(region); !nodes.empty()) {
+      send_digest(nodes[random_->below(nodes.size())], members, out);
     }
-    // Also to one that may be no relay: views of other zones are often old.
-    send_digest(nodes[random_->below(nodes.size())], members, out);
   }
 }
 
--- a/src/model/residency.cc
+++ b/src/model/residency.cc
@@ -54,6 +54,10 @@
   return {region, region ? region->text() : zone.text()};
 }
 
+bool zone_regions::are_regions_apart(const base::zone_id& one, const base::zone_id& other) const {
+  return region_of(one) && region_of(other) && region_of(one) != region_of(other);
+}
+
 bool zone_regions::same_region(const base::zone_id& one, const base::zone_id& other) const {
   const auto region = region_of(one);
   return one == other || (region && region == region_of(other));
--- a/src/model/residency.h
+++ b/src/model/residency.h
@@ -77,6 +77,9 @@
   [[nodiscard]] bool same_region(const base::zone_id& one, const base::zone_id& other) const;
   /// @return how far two zones are from one another.
   [[nodiscard]] ring ring_between(const base::zone_id& one, const base::zone_id& other) const;
+  /// @return whether both zones are known to lie in different regions. Where the settings name no
+  ///         region, all zones are taken for one.
+  [[nodiscard]] bool are_regions_apart(const base::zone_id& one, const base::zone_id& other) const;
 
  private:
   std::map<base::zone_id, base::region_id> regions_;
