--- /dev/null
+++ b/src/flow/byte_budget.cc
@@ -0,0 +1,106 @@
+#include "flow/byte_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::flow {
+namespace {
+
+/// Part of the capacity up to which each use is granted, in the order of `byte_use`. The steps of a
+/// tenth to a fifth keep room for what is already under way when what can still be refused is
+/// refused; events that have been read come last, since refusing one breaks its stream off.
+constexpr std::array<double, byte_uses> limits{0.5, 0.6, 0.8, 0.9, 1.0};
+
+} // namespace
+
+std::string_view name_of(byte_holder holder) {
+  constexpr std::array<std::string_view, byte_holders> names{
+      "request_bodies", "kept_bodies", "gathered_answers", "unwritten_streams", "partial_events"};
+  return names[static_cast<std::size_t>(holder)];
+}
+
+std::string_view name_of(byte_use use) {
+  constexpr std::array<std::string_view, byte_uses> names{
+      "large_body", "buffered_stream", "small_body", "whole_answer", "stream_event"};
+  return names[static_cast<std::size_t>(use)];
+}
+
+double byte_budget::fullness() const {
+  return capacity_ == 0 ? 1.0 : static_cast<double>(held_) / static_cast<double>(capacity_);
+}
+
+bool byte_budget::fits(byte_use use, std::size_t bytes) const {
+  const auto limit = static_cast<std::size_t>(static_cast<double>(capacity_) * limits[index(use)]);
+  return held_ <= limit && bytes <= limit - held_;
+}
+
+bool byte_budget::has_room(byte_use use, std::size_t bytes) {
+  if (fits(use, bytes)) {
+    return true;
+  }
+  const bool is_answer = use == byte_use::whole_answer || use == byte_use::stream_event;
+  // Relief that itself asks for bytes must not ask for relief again.
+  if (!is_answer || !relief_ || asking_relief_) {
+    return false;
+  }
+  asking_relief_ = true;
+  relief_(bytes);
+  asking_relief_ = false;
+  return fits(use, bytes);
+}
+
+bool byte_budget::take(byte_holder holder, byte_use use, std::size_t bytes) {
+  if (!has_room(use, bytes)) {
+    ++refusals_[index(use)];
+    return false;
+  }
+  held_ += bytes;
+  accounts_[index(holder)] += bytes;
+  return true;
+}
+
+void byte_budget::give_back(byte_holder holder, std::size_t bytes) {
+  held_ -= bytes;
+  accounts_[index(holder)] -= bytes;
+}
+
+void byte_budget::move(byte_holder from, byte_holder to, std::size_t bytes) {
+  accounts_[index(from)] -= bytes;
+  accounts_[index(to)] += bytes;
+}
+
+byte_reservation::byte_reservation(byte_reservation&& other) noexcept
+    : budget_(other.budget_), holder_(other.holder_), bytes_(std::exchange(other.bytes_, 0)) {}
+
+byte_reservation& byte_reservation::operator=(byte_reservation&& other) noexcept {
+  if (this != &other) {
+    shrink(bytes_);
+    budget_ = other.budget_;
+    holder_ = other.holder_;
+    bytes_ = std::exchange(other.bytes_, 0);
+  }
+  return *this;
+}
+
+bool byte_reservation::grow(byte_use use, std::size_t bytes) {
+  if (!budget_->take(holder_, use, bytes)) {
+    return false;
+  }
+  bytes_ += bytes;
+  return true;
+}
+
+void byte_reservation::shrink(std::size_t bytes) {
+  const auto returned = std::min(bytes, bytes_);
+  if (returned > 0) {
+    budget_->give_back(holder_, returned);
+    bytes_ -= returned;
+  }
+}
+
+void byte_reservation::move_to(byte_holder holder) {
+  budget_->move(holder_, holder, bytes_);
+  holder_ = holder;
+}
+
+} // namespace spurrack::flow
