--- a/src/flow/byte_budget.cc
+++ b/src/flow/byte_budget.cc
@@ -76,12 +76,13 @@
 }
 
 byte_reservation::byte_reservation(byte_reservation&& other) noexcept
-    : budget_(other.budget_), holder_(other.holder_), bytes_(std::exchange(other.bytes_, 0)) {}
+    : budget_(std::move(other.budget_)), holder_(other.holder_),
+      bytes_(std::exchange(other.bytes_, 0)) {}
 
 byte_reservation& byte_reservation::operator=(byte_reservation&& other) noexcept {
   if (this != &other) {
     shrink(bytes_);
-    budget_ = other.budget_;
+    budget_ = std::move(other.budget_);
     holder_ = other.holder_;
     bytes_ = std::exchange(other.bytes_, 0);
   }
--- a/src/flow/byte_budget.h
+++ b/src/flow/byte_budget.h
@@ -79,7 +79,8 @@
   bool asking_relief_ = false;
 };
 
-/// Bytes taken of a budget for one holder; returned when it goes. Movable.
+/// Bytes taken of a budget for one holder; returned when it goes. One that was moved from holds
+/// nothing and is only assigned or destroyed.
 class byte_reservation {
  public:
   byte_reservation(std::shared_ptr<byte_budget> budget, byte_holder holder)
--- a/tests/dispatch/slow_reader_test.cc
+++ b/tests/dispatch/slow_reader_test.cc
@@ -14,7 +14,7 @@
   /// A stream that has passed its first event on.
   start_call begin(const std::string& path) {
     arrive(1, path);
-    const auto call = last<start_call>();
+    auto call = last<start_call>();
     happen(stream_opened{call.call, good_head()});
     happen(stream_bytes{call.call, "id: 1\ndata: x\n\nid: 2\nda"});
     return call;
--- a/tests/platform_fleet/slow_readers_test.cc
+++ b/tests/platform_fleet/slow_readers_test.cc
@@ -165,7 +165,9 @@
     auto sorted = seconds;
     std::sort(sorted.begin(), sorted.end());
     constexpr double part = 0.99;
-    return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(part * (sorted.size() - 1))];
+    return sorted.empty()
+               ? 0
+               : sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))];
   }
 };
 
