--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -161,14 +161,13 @@
   constexpr double usual_grace_seconds = 8;
   const double grace = section->number("stop_grace_s", 1, 600, usual_grace_seconds);
   serving.stop_longest = base::from_seconds(std::max(grace - end_margin_seconds, grace / 2));
-  constexpr std::int64_t bytes_of_megabyte = 1'000'000;
+  constexpr double bytes_of_megabyte = 1e6;
   auto& resources = serving.resources;
+  const double usual_megabytes = static_cast<double>(resources.memory_bytes) / bytes_of_megabyte;
   resources.memory_bytes = static_cast<std::size_t>(
-      section->integer("memory_mb", 32, 1'000'000,
-                       static_cast<std::int64_t>(resources.memory_bytes) / bytes_of_megabyte) *
-      bytes_of_megabyte);
-  resources.descriptors = static_cast<std::size_t>(section->integer(
-      "max_descriptors", 256, 10'000'000, static_cast<std::int64_t>(resources.descriptors)));
+      section->number("memory_mb", 32, 1e6, usual_megabytes) * bytes_of_megabyte);
+  resources.descriptors = static_cast<std::size_t>(
+      section->number("max_descriptors", 256, 1e7, static_cast<double>(resources.descriptors)));
   auto& self = result.node.self;
   self.processor_share =
       static_cast<float>(section->number("processor_share", 0.001, 1024, self.processor_share));
