--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -56,6 +56,8 @@
     return "residency_refused";
   case event_kind::residency_confined:
     return "residency_confined";
+  case event_kind::client_slow:
+    return "client_slow";
   }
   return "unknown";
 }
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -39,6 +39,7 @@
   request_forwarded,
   residency_refused,
   residency_confined,
+  client_slow,
 };
 
 /// @return the stable lower-case name of `kind`.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -97,7 +97,11 @@
   }
   replicas_.call_started(chosen->record->id, now);
   ++counters_.calls;
+  const auto call = wanted.call;
   commands_.emplace_back(std::move(wanted));
+  if (request.window_closed) {
+    commands_.emplace_back(pause_call{call});
+  }
   watch_progress(request, allowed, now);
 }
 
@@ -116,7 +120,9 @@
 void dispatcher::watch_progress(active_request& request, base::duration allowed,
                                 base::time_point now) {
   request.call->stalls_at.reset();
-  if (allowed > base::duration::zero()) {
+  // A replica that is not read shows no progress, which says nothing of it.
+  const bool is_read = !request.window_closed;
+  if (is_read && allowed > base::duration::zero()) {
     const bool plain = request.route->kind == model::route_kind::safe;
     const double factor = plain ? plain_stall_part : 1.0;
     request.call->stalls_at = now + std::chrono::duration_cast<base::duration>(allowed * factor);
@@ -237,7 +243,7 @@
     commands_.emplace_back(end_stream{request.client, false});
   } else {
     commands_.emplace_back(respond{request.client, std::nullopt, answer.head.status,
-                                   answer.head.headers, answer.body});
+                                   answer.head.headers, answer.body, answer.held});
     counters_.first_byte.add(now - request.arrived);
   }
   finish(request, answer.head.status, "the replica's answer", now);
@@ -305,6 +311,10 @@
     return;
   }
   auto whole = request->events.feed(what.bytes);
+  if (!count_partial_event(*request)) {
+    answer_failed(*request, status::bad_gateway, "no memory for an event that is not whole", now);
+    return;
+  }
   if (whole.empty()) {
     return;
   }
--- /dev/null
+++ b/src/flow/byte_budget.cc
@@ -0,0 +1,113 @@
+#include "flow/byte_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::flow {
+namespace {
+
+/// Part of the capacity up to which each use is granted, in the order of `byte_use`. What can be
+/// refused or wait leaves almost half to the windows of streams: of 36 MB 16 MB, which is a narrow
+/// window of 8 KB and an event of 2 KB for each of 1,500 clients. Events that have been read come
+/// last, since refusing one breaks its stream off.
+constexpr std::array<double, byte_uses> limits{0.3, 0.4, 0.5, 0.55, 1.0};
+/// Beyond this part the slowest readers are ended before an event would find no room: what they
+/// hold comes back a moment later.
+constexpr double relief_begins = 0.9;
+
+} // namespace
+
+std::string_view name_of(byte_holder holder) {
+  constexpr std::array<std::string_view, byte_holders> names{
+      "request_bodies", "kept_bodies", "gathered_answers", "unwritten_streams", "partial_events"};
+  return names[static_cast<std::size_t>(holder)];
+}
+
+std::string_view name_of(byte_use use) {
+  constexpr std::array<std::string_view, byte_uses> names{
+      "large_body", "buffered_stream", "small_body", "whole_answer", "stream_event"};
+  return names[static_cast<std::size_t>(use)];
+}
+
+double byte_budget::fullness() const {
+  return capacity_ == 0 ? 1.0 : static_cast<double>(held_) / static_cast<double>(capacity_);
+}
+
+bool byte_budget::fits(byte_use use, std::size_t bytes) const {
+  const auto limit = static_cast<std::size_t>(static_cast<double>(capacity_) * limits[index(use)]);
+  return held_ <= limit && bytes <= limit - held_;
+}
+
+bool byte_budget::wants_relief(byte_use use, std::size_t bytes) const {
+  if (use == byte_use::stream_event) {
+    return static_cast<double>(held_ + bytes) > relief_begins * static_cast<double>(capacity_);
+  }
+  return use == byte_use::whole_answer && !fits(use, bytes);
+}
+
+bool byte_budget::has_room(byte_use use, std::size_t bytes) {
+  // Relief that itself asks for bytes must not ask for relief again.
+  if (relief_ && !asking_relief_ && wants_relief(use, bytes)) {
+    asking_relief_ = true;
+    relief_(use, bytes);
+    asking_relief_ = false;
+  }
+  return fits(use, bytes);
+}
+
+bool byte_budget::take(byte_holder holder, byte_use use, std::size_t bytes) {
+  if (!has_room(use, bytes)) {
+    ++refusals_[index(use)];
+    return false;
+  }
+  held_ += bytes;
+  accounts_[index(holder)] += bytes;
+  return true;
+}
+
+void byte_budget::give_back(byte_holder holder, std::size_t bytes) {
+  held_ -= bytes;
+  accounts_[index(holder)] -= bytes;
+}
+
+void byte_budget::move(byte_holder from, byte_holder to, std::size_t bytes) {
+  accounts_[index(from)] -= bytes;
+  accounts_[index(to)] += bytes;
+}
+
+byte_reservation::byte_reservation(byte_reservation&& other) noexcept
+    : budget_(std::move(other.budget_)), holder_(other.holder_),
+      bytes_(std::exchange(other.bytes_, 0)) {}
+
+byte_reservation& byte_reservation::operator=(byte_reservation&& other) noexcept {
+  if (this != &other) {
+    shrink(bytes_);
+    budget_ = std::move(other.budget_);
+    holder_ = other.holder_;
+    bytes_ = std::exchange(other.bytes_, 0);
+  }
+  return *this;
+}
+
+bool byte_reservation::grow(byte_use use, std::size_t bytes) {
+  if (!budget_->take(holder_, use, bytes)) {
+    return false;
+  }
+  bytes_ += bytes;
+  return true;
+}
+
+void byte_reservation::shrink(std::size_t bytes) {
+  const auto returned = std::min(bytes, bytes_);
+  if (returned > 0) {
+    budget_->give_back(holder_, returned);
+    bytes_ -= returned;
+  }
+}
+
+void byte_reservation::move_to(byte_holder holder) {
+  budget_->move(holder_, holder, bytes_);
+  holder_ = holder;
+}
+
+} // namespace spurrack::flow
