--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -302,7 +302,7 @@
   const auto life = slot.life;
   const auto reachable = [this, zone = slot.profile.zone] {
     const auto cut = cuts_.find(zone);
-    return cut == cuts_.end() || !cut->second;
+    return !turned_away_.contains(zone) && (cut == cuts_.end() || !cut->second);
   };
   const auto fail = [this, name, life, what] {
     events_.after(connect_timeout,
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace spurrack::simulation {
@@ -138,6 +139,8 @@
   void cut_zone(const std::string& zone, bool from_platform);
   void heal_zone(const std::string& zone);
   [[nodiscard]] bool is_cut(const std::string& zone) const { return cuts_.contains(zone); }
+  /// The platform answers no node of these zones, while it serves all others.
+  void turn_away(std::set<std::string> zones) { turned_away_ = std::move(zones); }
   void set_loss(double loss) { settings_.network.loss = loss; }
 
   // --- back ends
@@ -225,6 +228,7 @@
   std::map<std::string, std::unique_ptr<emulated_backend>> backends_;
   /// Zones cut from the others; the value says whether from the platform too.
   std::map<std::string, bool> cuts_;
+  std::set<std::string> turned_away_;
   std::map<std::pair<std::string, base::call_id>, open_call_ref> open_calls_;
   std::map<base::caller_id, caller_record> callers_;
   std::map<base::caller_id, std::string> tickets_;
--- a/tests/simulation/evacuation_spread_test.cc
+++ b/tests/simulation/evacuation_spread_test.cc
@@ -1,6 +1,6 @@
 /// How fast an evacuation is in force at all nodes of a fleet: heard from the store or from peers
 /// only, at a start, and after a cut.
-#include "serving_fleet.h"
+#include "regional_fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -77,6 +77,33 @@
   BOOST_TEST(fleet.run_until([&] { return all_see(fleet, true); }, seconds(4)));
 }
 
+BOOST_AUTO_TEST_CASE(a_region_that_the_store_turns_away_hears_of_it_from_the_others) {
+  for (const int nodes : {30, 100}) {
+    fleet_simulation fleet(simulation::regional_fleet_settings(nodes));
+    start(fleet);
+    // Both zones of one region, for longer than a node takes to notice.
+    fleet.turn_away({"z1", "z4"});
+    fleet.run_for(seconds(10));
+    for (const bool evacuated : {true, false, true}) {
+      const auto began = fleet.now();
+      fleet.platform().publish(key, evacuated ? std::optional(evacuation_record()) : std::nullopt);
+      BOOST_TEST(fleet.run_until([&] { return all_see(fleet, evacuated); }, seconds(4)));
+      BOOST_TEST_MESSAGE(nodes << " nodes, a region turned away: in force after "
+                               << base::to_milliseconds(fleet.now() - began) << " ms");
+    }
+    // All of the region start anew: they learn everything from the others.
+    for (const auto& name : fleet.node_names()) {
+      const auto zone = fleet.node(name).settings().self.zone.text();
+      if (simulation::region_of_zone(zone) == "r1") {
+        fleet.kill_node(name);
+        fleet.start_node(name);
+      }
+    }
+    BOOST_TEST(fleet.run_until([&] { return fleet.all_ready(); }, seconds(4)));
+    BOOST_TEST(all_see(fleet, true));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(it_stands_while_the_store_is_down) {
   fleet_simulation fleet(simulation::serving_fleet_settings(12));
   start(fleet);
