--- a/tests/membership/hollow_fleet.h
+++ b/tests/membership/hollow_fleet.h
@@ -116,7 +116,7 @@
 
   void deliver(std::size_t to, const wire::envelope& message) {
     const auto from = by_address.at(base::network_address(message.sender_address()));
-    if (is_lost(to) || is_lost(from)) {
+    if (is_lost(to) || is_lost(from) || is_cut(to) != is_cut(from)) {
       return;
     }
     wire::outbox out;
@@ -129,6 +129,10 @@
     return nodes[index]->members.self().zone == lost_zone;
   }
 
+  [[nodiscard]] bool is_cut(std::size_t index) const {
+    return !cut_region.empty() && region_of(nodes[index]->members.self().zone) == cut_region;
+  }
+
   /// @return an empty name where the zone has no region.
   [[nodiscard]] base::region_id region_of(const base::zone_id& zone) const {
     const auto found = region_by_zone.find(zone);
@@ -148,6 +152,8 @@
   std::unordered_map<base::network_address, std::size_t> by_address;
   std::vector<std::pair<std::size_t, wire::envelope>> under_way;
   base::zone_id lost_zone;
+  /// Nothing passes between it and the others.
+  base::region_id cut_region;
   base::time_point now{std::chrono::hours(1)};
   std::size_t steps = 0;
   std::size_t messages = 0;
--- a/tests/membership/zone_contact_test.cc
+++ b/tests/membership/zone_contact_test.cc
@@ -61,4 +61,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_region_that_is_cut_off_is_noticed_on_both_sides_and_so_is_its_return) {
+  constexpr std::size_t regions = 3;
+  for (const auto& shape : {fleet_shape{5, 6, regions}, fleet_shape{50, 6, regions}}) {
+    hollow_fleet fleet(shape.nodes_per_zone, shape.zones, shape.regions);
+    fleet.run(seconds(6));
+    const auto zones_inside = shape.zones / regions;
+    const auto zones_outside = shape.zones - zones_inside;
+    const auto views = shape.nodes_per_zone * zones_inside * zones_outside * 2;
+    fleet.cut_region = base::region_id("r1");
+    fleet.run(seconds(2));
+    BOOST_TEST(fleet.silent_views() == views);
+    // Long enough for everything that is learned to be of the time of the cut.
+    fleet.run(seconds(20));
+    BOOST_TEST(fleet.silent_views() == views);
+    fleet.cut_region = {};
+    fleet.run(milliseconds(2'000));
+    BOOST_TEST(fleet.silent_views() == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
