--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -280,10 +280,13 @@
 
 model::ring node::reach_of(const base::network_address& peer) const {
   const auto* zone = membership_.zone_at(peer);
-  if (zone == nullptr || !is_near(*zone)) {
+  if (zone == nullptr) {
     return model::ring::elsewhere;
   }
-  return *zone == settings_.self.zone ? model::ring::zone : model::ring::region;
+  if (!settings_.serving) {
+    return *zone == settings_.self.zone ? model::ring::zone : model::ring::elsewhere;
+  }
+  return settings_.serving->regions.ring_between(settings_.self.zone, *zone);
 }
 
 void node::update_sharing() {
