Long shared parts have one home in the fleet; metrics of each part in a function of their own

Change: shared parts that take longer to read than a way to another region costs (50 ms) have their homes anywhere in the fleet; shorter ones stay in the region.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -92,20 +92,11 @@
   histogram.ObserveMultiple(increments, times.sum_seconds());
 }
 
-void add_serving(Registry& registry, const serving::dispatcher& dispatcher) {
-  const auto& counts = dispatcher.counts();
-  auto& answers = BuildCounter()
-                      .Name("spurrack_answers_total")
-                      .Help("Requests on published routes, by status; 0: the client left.")
-                      .Register(registry);
-  for (const auto& [status, count] : counts.answers) {
-    answers.Add({{"status", std::to_string(status)}}).Increment(static_cast<double>(count));
-  }
-  add_first_byte_times(registry, counts.first_byte);
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_counter(registry, name, help, static_cast<double>(value));
-  };
-  add("spurrack_replica_calls_total", "Requests sent to replicas.", counts.calls);
+void add_count(Registry& registry, const char* name, const char* help, std::uint64_t value) {
+  add_counter(registry, name, help, static_cast<double>(value));
+}
+
+void add_regions(Registry& registry, const serving::serving_counters& counts) {
   auto& by_ring = BuildCounter()
                       .Name("spurrack_replica_calls_by_ring_total")
                       .Help("Requests sent to replicas, by how far these are from the node.")
@@ -114,12 +105,19 @@
     by_ring.Add({{"ring", std::string(model::name_of(static_cast<model::ring>(ring)))}})
         .Increment(static_cast<double>(counts.calls_by_ring[ring]));
   }
-  add("spurrack_residency_refused_total",
-      "Requests turned away because no region allowed to them could serve them.",
-      counts.turned_away_by_residency);
-  add("spurrack_residency_confined_total",
-      "Requests sent farther than an available replica outside the regions allowed to them.",
-      counts.kept_from_nearer_by_residency);
+  add_count(registry, "spurrack_residency_refused_total",
+            "Requests turned away because no region allowed to them could serve them.",
+            counts.turned_away_by_residency);
+  add_count(registry, "spurrack_residency_confined_total",
+            "Requests sent farther than an available replica outside the regions allowed to them.",
+            counts.kept_from_nearer_by_residency);
+}
+
+void add_second_chances(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.counts();
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
   add("spurrack_repeats_total", "Requests sent to a second replica.", counts.repeats);
   add("spurrack_repeats_denied_total", "Repeats beyond this node's share of the bound.",
       counts.repeats_denied);
@@ -139,11 +137,12 @@
       lending.questions);
   add_counter(registry, "spurrack_repeats_lent_total", "Repeats lent to other nodes.",
               static_cast<double>(lending.lent_thousandths) / serving::one_repeat);
-  add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
-  add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
-  add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
-      counts.streams_resumed);
-  const auto& engines = dispatcher.engine_counts();
+}
+
+void add_engines(Registry& registry, const serving::engine_directory_counts& engines) {
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
   add("spurrack_engine_sends_told_total",
       "Prompts told to the node that keeps their engine's account.", engines.sends_told);
   add("spurrack_engine_waits_told_total", "Long waits at engines told to the nodes of the region.",
@@ -156,6 +155,29 @@
   add("spurrack_engine_tokens_to_read_total",
       "Prompt tokens that engines are expected to read, counted by their keepers.",
       engines.tokens_to_read);
+}
+
+void add_serving(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.counts();
+  auto& answers = BuildCounter()
+                      .Name("spurrack_answers_total")
+                      .Help("Requests on published routes, by status; 0: the client left.")
+                      .Register(registry);
+  for (const auto& [status, count] : counts.answers) {
+    answers.Add({{"status", std::to_string(status)}}).Increment(static_cast<double>(count));
+  }
+  add_first_byte_times(registry, counts.first_byte);
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
+  add("spurrack_replica_calls_total", "Requests sent to replicas.", counts.calls);
+  add_regions(registry, counts);
+  add_second_chances(registry, dispatcher);
+  add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
+  add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
+  add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
+      counts.streams_resumed);
+  add_engines(registry, dispatcher.engine_counts());
   add("spurrack_clients_judged_slow_total", "Streams whose client took too little for a while.",
       counts.clients_judged_slow);
   add("spurrack_streams_let_go_total", "Streams let go at their replica until their client reads.",
--- a/src/engines/engine_chooser.cc
+++ b/src/engines/engine_chooser.cc
@@ -18,6 +18,11 @@
 /// engines, a third of them evacuated under a burst: 1 has 6.4 M tokens read again and 1.7 in 100
 /// long prompts begun after 1.3 s, 3 has 5.3 M and 1.0, no word between callers 4.5 M and 1.6.
 constexpr double reading_again_weight = 3.0;
+/// What sending a prompt to another region costs, in time of an engine: a way of some tens of
+/// milliseconds there and back, and the prompt's bytes. Shared parts that take longer to read have
+/// one home in the whole fleet: with homes in each of three regions, all three read 13,300 tokens
+/// that a few requests a minute share, a fifth of a second of an engine each time.
+constexpr base::duration other_region_time = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -59,6 +64,13 @@
     return without_prefix_->choose(demand, now);
   }
   auto near = replicas_->candidates_for(demand, now);
+  const auto beginning = shared_beginning_of(demand.content);
+  if (directory_->reading_time(beginning.tokens) > other_region_time) {
+    if (const auto* home = soonest_home(demand.content, near, now)) {
+      return home;
+    }
+    return without_prefix_->choose(demand, now);
+  }
   const auto first_elsewhere = std::stable_partition(
       near.begin(), near.end(), [this](const auto* engine) { return !is_elsewhere(*engine); });
   const std::vector<const replica_state*> elsewhere(first_elsewhere, near.end());
