--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -131,7 +131,8 @@
   for (const auto client : found->second) {
     auto& request = active_.at(client);
     const bool is_watched = request.call->stalls_at && *request.call->stalls_at > now;
-    if (is_watched && request.route->may_repeat() && is_silent(request)) {
+    const bool shows_events = request.latest_event_at > request.call->started;
+    if (is_watched && !shows_events && request.route->may_repeat() && is_silent(request)) {
       request.call->stalls_at = now;
       schedule_check(request);
     }
--- a/src/dispatch/retry_lending.cc
+++ b/src/dispatch/retry_lending.cc
@@ -9,18 +9,14 @@
 /// so two that have spent nothing bring a whole repeat even where a share is little more than one.
 constexpr std::size_t near_lenders = 2;
 constexpr std::size_t far_lenders = 1;
-/// Answers later than this are not waited for: three ways there and back between regions. What
-/// comes later is spent on the next request.
+/// Answers later than this are not waited for: three round trips between regions. A loan that comes
+/// later serves the next request, unless the service was asked about anew since.
 constexpr base::duration answer_wait = std::chrono::milliseconds(150);
 /// Pause between two questions about a service. With three peers asked, a node that has spent its
 /// share sends less than 2 kB a second, and a tenth of it where nobody has anything left.
 constexpr base::duration shortest_pause = std::chrono::milliseconds(200);
 constexpr base::duration longest_pause = std::chrono::milliseconds(3200);
 
-/// A node lends nothing for this time after its start: a window of ten seconds and the lifetime of
-/// a loan, within which all that its last life spent and lent is forgotten by every window.
-constexpr base::duration first_window = std::chrono::seconds(12);
-
 /// Takes `count` of the peers by chance.
 void choose_some(const std::vector<fleet_peer>& from, std::size_t count,
                  base::random_source& random, std::vector<const fleet_peer*>& chosen) {
@@ -112,7 +108,7 @@
 
 void retry_lending::lend(const base::network_address& borrower, const wire::retry_lending& asked,
                          base::time_point now) {
-  const bool may_lend = begun_at_ && now - *begun_at_ >= first_window;
+  const bool may_lend = begun_at_ && now - *begun_at_ >= share_->window() + loan_lifetime;
   const auto given =
       may_lend ? share_->lend(asked.asked().service(), asked.asked().thousandths(), now) : 0;
   counts_.lent_thousandths += static_cast<std::uint64_t>(given);
--- a/src/dispatch/retry_share.h
+++ b/src/dispatch/retry_share.h
@@ -37,6 +37,8 @@
   ///        using their share.
   void set_fleet_size(std::size_t nodes) { nodes_ = nodes; }
 
+  /// @return length of the window over which requests and repeats are counted.
+  [[nodiscard]] base::duration window() const { return limits_.window; }
   void count_request(const std::string& service, base::time_point now);
   /// @return whether a repeat is within the share and what was borrowed; counts it if so. What was
   ///         borrowed is spent first, since it soon expires.
--- a/tests/dispatch/retry_lending_test.cc
+++ b/tests/dispatch/retry_lending_test.cc
@@ -235,6 +235,18 @@
   BOOST_TEST(lent_at(start + seconds(12)) == 1000U);
 }
 
+BOOST_AUTO_TEST_CASE(a_node_that_has_just_started_lends_nothing_for_a_whole_window_however_long) {
+  base::seeded_random random(1);
+  retry_share share({0, 10, seconds(60)});
+  retry_lending lending(share, base::zone_id("a"), random, 1);
+  lending.begin(start);
+  wire::retry_lending asked;
+  asked.mutable_asked()->set_service("s");
+  asked.mutable_asked()->set_thousandths(1000);
+  lending.handle(base::node_id("n"), base::network_address("n:1"), asked, start + seconds(13));
+  BOOST_TEST(lending.take_messages().front().message.retry_lending().lent().thousandths() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(what_is_borrowed_expires) {
   retry_share share({0, 1, seconds(10)});
   share.add_loan("s", one_repeat, start + loan_lifetime);
