--- a/tests/replicas/replica_evidence_test.cc
+++ b/tests/replicas/replica_evidence_test.cc
@@ -166,4 +166,29 @@
   BOOST_TEST(replica_table::failure_share_of(*table.find(id(0)), now) < 0.03);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_was_never_heard_is_not_reported_as_well) {
+  table.note_unreachable(id(0), now);
+  const auto lost = replica_table::own_testimony(*table.find(id(0)), now);
+  BOOST_REQUIRE(lost.has_value());
+  BOOST_TEST((lost->sign == replica_sign::unreachable));
+  now += testimony_lifetime + seconds(1);
+  BOOST_TEST(!replica_table::own_testimony(*table.find(id(0)), now).has_value());
+  table.note_success(id(0), now);
+  const auto heard_at = now;
+  now += seconds(1);
+  const auto well = replica_table::own_testimony(*table.find(id(0)), now);
+  BOOST_REQUIRE(well.has_value());
+  BOOST_TEST((well->sign == replica_sign::well));
+  BOOST_TEST((well->seen_at == heard_at));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_publication_forgets_no_reports_of_failures) {
+  for (unsigned replica = 0; replica < 6; ++replica) {
+    say(replica, "w", replica_sign::failing, 8, 2);
+  }
+  publish(6);
+  say(0, "v", replica_sign::failing, 8, 2);
+  BOOST_TEST(replica_table::failure_share_of(*table.find(id(0)), now) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
