An answer that waits for memory is not a replica without progress

Cause: while a node had no memory for an answer that was arriving, the call showed no progress: the replica was reported as silent, a repeatable call was made again, and an at-most-once request could get 502 although its answer had arrived. Change: the adapter says once that it pauses (answer_paused); the call is watched no longer and the replica was heard. Test: slow_reader_test/an_answer_that_waits_for_memory…, for a safe and an unsafe route.

--- a/src/dispatch/dispatcher_readers.cc
+++ b/src/dispatch/dispatcher_readers.cc
@@ -51,6 +51,13 @@
   }
 }
 
+void dispatcher::on(const answer_paused& what, base::time_point now) {
+  if (auto* request = find_by_call(what.call)) {
+    request->call->stalls_at.reset();
+    note_heard(*request->call, now);
+  }
+}
+
 bool dispatcher::can_be_let_go(const active_request& request) {
   // Results of stages would have to be made again for the second attempt.
   return request.call && request.stream_begun && request.route->may_repeat() && !request.graph &&
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -60,6 +60,11 @@
   held_memory& operator=(const held_memory&) = delete;
   virtual ~held_memory() = default;
 };
+/// An answer arrives and is not read on, since there is no memory for it now: that nothing more is
+/// heard says nothing of its replica.
+struct answer_paused {
+  base::call_id call = 0;
+};
 /// A replica answered whole.
 struct call_answered {
   base::call_id call = 0;
@@ -207,8 +212,9 @@
   bool complete = false;
 };
 
-using event = std::variant<request_arrived, client_left, client_window, call_failed, call_answered,
-                           stream_opened, stream_bytes, stream_closed, stage_call_ended>;
+using event =
+    std::variant<request_arrived, client_left, client_window, call_failed, answer_paused,
+                 call_answered, stream_opened, stream_bytes, stream_closed, stage_call_ended>;
 using command =
     std::variant<start_call, cancel_call, pause_call, resume_call, start_stage_call, free_results,
                  respond, open_stream, stream_data, widen_window, end_stream>;
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -51,6 +51,8 @@
 
 /// A call under way.
 struct call_state {
+  /// 0 where nobody waits for the answer.
+  base::call_id id = 0;
   explicit call_state(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
   std::shared_ptr<connection> link;
   /// Cancelled when `paused` or `cancelled` changes.
@@ -199,6 +201,7 @@
  private:
   std::shared_ptr<call_state> open(base::call_id id) {
     auto state = std::make_shared<call_state>(*io_);
+    state->id = id;
     calls_[id] = state;
     return state;
   }
@@ -220,12 +223,17 @@
     }
   }
 
-  /// Waits for memory. What is not read meanwhile stays with the replica.
+  /// Waits for memory. What is not read meanwhile stays with the replica, which is not to blame for
+  /// the silence.
   /// @return false where the call was cancelled.
-  static asio::awaitable<bool> wait_for_memory(const std::shared_ptr<call_state>& state,
-                                               counted_answer& held, std::size_t bytes) {
+  asio::awaitable<bool> wait_for_memory(const std::shared_ptr<call_state>& state,
+                                        counted_answer& held, std::size_t bytes) {
     boost::system::error_code ignored;
+    bool is_reported = false;
     while (bytes > 0 && !state->cancelled && !held.grow(bytes)) {
+      if (!std::exchange(is_reported, true)) {
+        handler_(serving::answer_paused{state->id});
+      }
       state->wake.expires_after(memory_retry_period);
       co_await state->wake.async_wait(http::await_into(ignored));
     }
--- a/tests/dispatch/slow_reader_test.cc
+++ b/tests/dispatch/slow_reader_test.cc
@@ -187,4 +187,19 @@
   BOOST_TEST(budget->held() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_waits_for_memory_is_not_a_replica_without_progress) {
+  for (const std::string path : {"/safe/x", "/unsafe/x"}) {
+    const base::caller_id client = path == "/safe/x" ? 91 : 92;
+    arrive(client, path);
+    const auto call = last<start_call>();
+    const auto calls_before = all<start_call>().size();
+    happen(answer_paused{call.call});
+    pass(std::chrono::seconds(3));
+    BOOST_TEST(all<start_call>().size() == calls_before);
+    happen(call_answered{call.call, good_head(), "body"});
+    BOOST_TEST(last<respond>().client == client);
+    BOOST_TEST(last<respond>().status == 200U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
