--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -399,17 +399,17 @@
   own.bad_calls = state.calls.bad(now);
   own.seen_at = now;
   const auto lost_at = std::max(state.silent_at, state.unreachable_at);
-  const bool disputes = state.told_lost_at != base::time_point{} &&
-                        state.heard_at > state.told_lost_at &&
-                        now - state.heard_at < testimony_lifetime;
-  if (disputes) {
-    own.seen_at = state.heard_at;
-  } else if (lost_at > state.heard_at && now - lost_at < testimony_lifetime) {
+  const bool is_heard =
+      state.heard_at != base::time_point{} && now - state.heard_at < testimony_lifetime;
+  const bool disputes =
+      is_heard && state.told_lost_at != base::time_point{} && state.heard_at > state.told_lost_at;
+  const bool is_lost = lost_at > state.heard_at && now - lost_at < testimony_lifetime;
+  if (!disputes && is_lost) {
     own.sign = lost_at == state.silent_at ? replica_sign::silent : replica_sign::unreachable;
     own.seen_at = lost_at;
-  } else if (own.bad_calls > 0) {
+  } else if (!disputes && own.bad_calls > 0) {
     own.sign = replica_sign::failing;
-  } else if (state.heard_at != base::time_point{} && now - state.heard_at < testimony_lifetime) {
+  } else if (is_heard) {
     own.seen_at = state.heard_at;
   } else {
     return std::nullopt;
--- a/tests/platform_fleet/slow_readers_test.cc
+++ b/tests/platform_fleet/slow_readers_test.cc
@@ -283,13 +283,13 @@
   good_crowd good_alone(undisturbed.clients);
   crowd.start_slow(slow_of_each_kind());
   crowd.run_until_pausing_end(longest);
-  const crowd_outcome seen{fleet.daemon->running(),
-                           fleet.peak_resident_mb(),
-                           good.take(),
-                           good_alone.take(),
-                           crowd.pausing,
-                           crowd.trickling,
-                           fleet.replica.streams_cut_off()};
+  crowd_outcome seen{fleet.daemon->running(),
+                     fleet.peak_resident_mb(),
+                     good.take(),
+                     good_alone.take(),
+                     crowd.pausing,
+                     crowd.trickling,
+                     fleet.replica.streams_cut_off()};
   BOOST_TEST_MESSAGE(
       "resident " << undisturbed.peak_resident_mb() << " MB alone, " << seen.resident_mb
                   << " MB at most; good clients' 99th percentile "
--- a/tests/simulation/control_traffic_test.cc
+++ b/tests/simulation/control_traffic_test.cc
@@ -43,6 +43,7 @@
       sums[flow.receiver] += bytes;
     }
     std::vector<std::pair<double, std::string>> found;
+    found.reserve(sums.size());
     for (const auto& [node, bytes] : sums) {
       found.emplace_back(static_cast<double>(bytes) / span_ / kilobyte, node);
     }
