--- a/tests/replicas/distance_test.cc
+++ b/tests/replicas/distance_test.cc
@@ -78,19 +78,22 @@
   }
 
   [[nodiscard]] const replica_state* choose(replica_chooser& policy, const std::string& part,
-                                            const model::residency& allowed = {}) {
+                                            const model::residency& allowed = {},
+                                            std::uint32_t shared_tokens = 100) {
     request_content content;
     content.model = "m";
-    content.prompt_parts = {{part, 100}, {"own", 10}};
+    content.prompt_parts = {{part, shared_tokens}, {"own", 10}};
+    content.prompt_tokens = shared_tokens + 10;
     const replica_demand demand{service_name, content, allowed, excluded};
     return policy.choose(demand, now);
   }
 
   /// @return zones of the engines of many shared parts.
-  std::set<std::string> zones_of_homes() {
+  std::set<std::string> zones_of_homes(std::uint32_t shared_tokens = 100) {
     std::set<std::string> zones;
     for (int part = 0; part < 50; ++part) {
-      zones.insert(choose(engines, "part" + std::to_string(part))->record->zone.text());
+      zones.insert(
+          choose(engines, "part" + std::to_string(part), {}, shared_tokens)->record->zone.text());
     }
     return zones;
   }
@@ -138,6 +141,19 @@
   BOOST_TEST(world.zones_of_homes() == (text_set{"a", "b"}), boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(a_shared_part_that_takes_long_to_read_has_one_home_in_the_fleet) {
+  constexpr std::uint32_t long_part = 13'000;
+  chooser_world world(two_regions());
+  BOOST_TEST(world.zones_of_homes(long_part) == (text_set{"a", "b", "c", "d"}),
+             boost::test_tools::per_element());
+  const auto allowed = model::residency::within({base::region_id("south")});
+  for (int part = 0; part < 50; ++part) {
+    const auto name = "part" + std::to_string(part);
+    const auto* home = world.choose(world.engines, name, allowed, long_part);
+    BOOST_TEST(two_regions().region_of(home->record->zone)->text() == "south");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_busy_region_keeps_its_prompts_until_the_wait_costs_more_than_the_way) {
   chooser_world world(two_regions());
   for (const std::string zone : {"a", "b"}) {
