One split by region and one way to send again

Found on the last read of the whole change: engine_chooser divided replicas by region with the same lines as region_spill and hashed the shared parts of each prompt up to three times a choice; the next attempt was made by the same three lines in two places. split_by_region and send_again serve both; the shared beginning is found once and passed on.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -238,6 +238,8 @@
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// After an attempt that may have run: once more where that is allowed, else the final answer.
   void repeat_or_fail(active_request& request, base::time_point now);
+  /// Makes the next attempt, which was granted: a stream goes on after the last event passed on.
+  void send_again(active_request& request, base::time_point now);
   /// Sends a request again where attempts, time and share allow it, waits shortly where others may
   /// lend of theirs, and ends it otherwise.
   void send_again_or_end(active_request& request, failed_ending ending, base::time_point now);
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -49,12 +49,16 @@
   }
 }
 
+void dispatcher::send_again(active_request& request, base::time_point now) {
+  request.events.restart();
+  counters_.streams_resumed += request.stream_begun ? 1 : 0;
+  send_to_replica(request, now);
+}
+
 void dispatcher::send_again_or_end(active_request& request, failed_ending ending,
                                    base::time_point now) {
   if (may_send_again(request, now)) {
-    request.events.restart();
-    counters_.streams_resumed += request.stream_begun ? 1 : 0;
-    send_to_replica(request, now);
+    send_again(request, now);
     return;
   }
   if (has_attempt_left(request, now) &&
@@ -92,9 +96,7 @@
     if (may_send_again(request, now)) {
       ++counters_.repeats_borrowed;
       record(base::event_kind::stage_retried, request, request.service, "with a loan");
-      request.events.restart();
-      counters_.streams_resumed += request.stream_begun ? 1 : 0;
-      send_to_replica(request, now);
+      send_again(request, now);
     } else {
       end_failed(request, ending, now);
     }
--- a/src/engines/engine_chooser.cc
+++ b/src/engines/engine_chooser.cc
@@ -1,8 +1,7 @@
 #include "engines/engine_chooser.h"
 
-#include "engines/part_placement.h"
+#include "replicas/region_spill.h"
 
-#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -36,7 +35,7 @@
   return from_here_.ring_to(engine.record->zone) == model::ring::elsewhere;
 }
 
-const replica_state* engine_chooser::soonest_home(const request_content& content,
+const replica_state* engine_chooser::soonest_home(const shared_beginning& beginning,
                                                   const std::vector<const replica_state*>& engines,
                                                   base::time_point now) const {
   std::vector<const replica_state*> free_engines;
@@ -45,7 +44,6 @@
       free_engines.push_back(engine);
     }
   }
-  const auto beginning = shared_beginning_of(content);
   const auto again = base::scaled(directory_->reading_time(beginning.tokens), reading_again_weight);
   const replica_state* best = nullptr;
   base::duration best_wait{};
@@ -64,19 +62,14 @@
   if (demand.content.prompt_parts.empty()) {
     return without_prefix_->choose(demand, now);
   }
-  auto near = replicas_->candidates_for(demand, now);
+  auto candidates = replicas_->candidates_for(demand, now);
   const auto beginning = shared_beginning_of(demand.content);
   if (directory_->reading_time(beginning.tokens) > other_region_time) {
-    if (const auto* home = soonest_home(demand.content, near, now)) {
-      return home;
-    }
-    return without_prefix_->choose(demand, now);
+    const auto* home = soonest_home(beginning, candidates, now);
+    return home != nullptr ? home : without_prefix_->choose(demand, now);
   }
-  const auto first_elsewhere = std::stable_partition(
-      near.begin(), near.end(), [this](const auto* engine) { return !is_elsewhere(*engine); });
-  const std::vector<const replica_state*> elsewhere(first_elsewhere, near.end());
-  near.erase(first_elsewhere, near.end());
-  if (const auto* home = soonest_home(demand.content, near, now)) {
+  const auto by_region = split_by_region(std::move(candidates), from_here_);
+  if (const auto* home = soonest_home(beginning, by_region.near, now)) {
     return home;
   }
   const auto* least_loaded = without_prefix_->choose(demand, now);
@@ -85,7 +78,7 @@
   }
   // The own region is loaded by more than the distance costs. Callers that come along for the same
   // part meet at one engine there, instead of each having it read somewhere else.
-  const auto* home = soonest_home(demand.content, elsewhere, now);
+  const auto* home = soonest_home(beginning, by_region.elsewhere, now);
   return home != nullptr ? home : least_loaded;
 }
 
--- a/src/engines/engine_chooser.h
+++ b/src/engines/engine_chooser.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "engines/engine_directory.h"
+#include "engines/part_placement.h"
 #include "replicas/distance.h"
 #include "replicas/replica_chooser.h"
 
@@ -28,7 +29,7 @@
  private:
   [[nodiscard]] bool is_elsewhere(const replica_state& engine) const;
   /// @return null where all engines are loaded.
-  [[nodiscard]] const replica_state* soonest_home(const request_content& content,
+  [[nodiscard]] const replica_state* soonest_home(const shared_beginning& beginning,
                                                   const std::vector<const replica_state*>& engines,
                                                   base::time_point now) const;
 
--- a/src/replicas/least_loaded_chooser.cc
+++ b/src/replicas/least_loaded_chooser.cc
@@ -12,8 +12,7 @@
 
 least_loaded_chooser::least_loaded_chooser(const replica_table& replicas, distance from_here,
                                            base::random_source& random)
-    : replicas_(&replicas), from_here_(std::move(from_here)), spill_(from_here_, random),
-      random_(&random) {}
+    : replicas_(&replicas), from_here_(std::move(from_here)), spill_(random), random_(&random) {}
 
 double least_loaded_chooser::cost_of(const replica_state& state, base::time_point now) const {
   const double load = replica_table::load_of(state, now);
@@ -42,7 +41,7 @@
 
 const replica_state* least_loaded_chooser::choose(const replica_demand& demand,
                                                   base::time_point now) {
-  const auto candidates = spill_.split(replicas_->candidates_for(demand, now));
+  const auto candidates = split_by_region(replicas_->candidates_for(demand, now), from_here_);
   const bool leaves = spill_.goes_elsewhere(candidates, now);
   return least_loaded_of(leaves ? candidates.elsewhere : candidates.near, now);
 }
--- a/src/replicas/region_spill.cc
+++ b/src/replicas/region_spill.cc
@@ -51,14 +51,12 @@
 
 } // namespace
 
-region_spill::region_spill(distance from_here, base::random_source& random)
-    : from_here_(std::move(from_here)), random_(&random) {}
-
-split_candidates region_spill::split(std::vector<const replica_state*> candidates) const {
+split_candidates split_by_region(std::vector<const replica_state*> candidates,
+                                 const distance& from_here) {
   split_candidates found;
   const auto first_elsewhere =
-      std::stable_partition(candidates.begin(), candidates.end(), [this](const auto* state) {
-        return from_here_.ring_to(state->record->zone) != model::ring::elsewhere;
+      std::stable_partition(candidates.begin(), candidates.end(), [&](const auto* state) {
+        return from_here.ring_to(state->record->zone) != model::ring::elsewhere;
       });
   found.elsewhere.assign(first_elsewhere, candidates.end());
   candidates.erase(first_elsewhere, candidates.end());
--- a/src/replicas/region_spill.h
+++ b/src/replicas/region_spill.h
@@ -18,6 +18,10 @@
   std::vector<const replica_state*> elsewhere;
 };
 
+/// @return the candidates by how far they are, each part in the order in which they were given.
+[[nodiscard]] split_candidates split_by_region(std::vector<const replica_state*> candidates,
+                                               const distance& from_here);
+
 /// Not thread-safe.
 ///
 /// One of many nodes calls each replica rarely, and does not know that a replica which it has not
@@ -27,15 +31,13 @@
 class region_spill {
  public:
   /// @param random must outlive this object.
-  region_spill(distance from_here, base::random_source& random);
+  explicit region_spill(base::random_source& random) : random_(&random) {}
 
-  [[nodiscard]] split_candidates split(std::vector<const replica_state*> candidates) const;
   /// Draws by chance where there are replicas near and elsewhere.
   /// @return whether the next request goes elsewhere.
   [[nodiscard]] bool goes_elsewhere(const split_candidates& candidates, base::time_point now);
 
  private:
-  distance from_here_;
   base::random_source* random_;
 };
 
