The product's own name for the regions of a route or tenant

Cause: src carried the name that the users' pages give the field on the wire, which belongs to platform/ alone; the layers check did not know it. No behaviour changes.

--- a/src/dispatch/admission_estimate.cc
+++ b/src/dispatch/admission_estimate.cc
@@ -44,7 +44,7 @@
   const auto stage_time = [&](std::uint32_t stage) {
     const auto& name = route.stages[stage].service;
     const auto wait =
-        stages.expected_wait({name, final_call.zone, final_call.allowed_regions}, standing, now);
+        stages.expected_wait({name, final_call.zone, final_call.permitted_regions}, standing, now);
     const auto* found = configuration.find_service(name);
     possible = possible && wait && found != nullptr && found->pieces;
     return possible ? *wait + call_time_of(*found->pieces) : base::duration::zero();
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -166,9 +166,9 @@
   request.service = pick_service(*route, what.content->id);
   request.tenant = holder ? holder->tenant.text() : "";
   request.priority = holder && holder->priority ? *holder->priority : route->priority;
-  request.allowed_regions = route->allowed_regions;
+  request.permitted_regions = route->permitted_regions;
   if (holder) {
-    request.allowed_regions = request.allowed_regions.intersect(holder->allowed_regions);
+    request.permitted_regions = request.permitted_regions.intersect(holder->permitted_regions);
   }
   request.configuration_version = configuration_->version;
   request.arrived = what.arrived_at;
@@ -206,7 +206,7 @@
                                                         piece_standing standing,
                                                         base::time_point now) const {
   return estimate_.time_left(*configuration_, *request.route, *request.graph, stages_,
-                             {request.service, request.zone, request.allowed_regions},
+                             {request.service, request.zone, request.permitted_regions},
                              request.content->own_tokens(), standing, now);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -124,7 +124,7 @@
     std::string service;
     std::uint32_t priority = 0;
     /// Regions that its route and its tenant both allowed when it arrived.
-    model::residency allowed_regions;
+    model::residency permitted_regions;
     std::uint64_t configuration_version = 0;
     base::time_point arrived;
     /// The final answer is given by then.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -31,7 +31,7 @@
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
                                                 base::time_point now) {
-  const replica_demand demand{request.service, *request.content, request.allowed_regions,
+  const replica_demand demand{request.service, *request.content, request.permitted_regions,
                               request.tried};
   return is_engine(request.service) ? engines_.choose(demand, now)
                                     : plain_replicas_.choose(demand, now);
--- a/src/dispatch/dispatcher_residency.cc
+++ b/src/dispatch/dispatcher_residency.cc
@@ -8,7 +8,7 @@
 
 std::optional<dispatcher::residency_refusal>
 dispatcher::residency_refusal_of(const active_request& request) const {
-  const auto& allowed = request.allowed_regions;
+  const auto& allowed = request.permitted_regions;
   if (!allowed.is_restricted()) {
     return std::nullopt;
   }
@@ -53,7 +53,7 @@
                           base::time_point now) {
   const auto ring = from_here_.ring_to(chosen.record->zone);
   ++counters_.calls_by_ring[static_cast<std::size_t>(ring)];
-  if (!request.allowed_regions.is_restricted() || request.sent > 1) {
+  if (!request.permitted_regions.is_restricted() || request.sent > 1) {
     return;
   }
   const auto nearer = replicas_.available(request.service, now);
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -30,7 +30,7 @@
   common.result_bytes = step.result_bytes;
   common.due = request.arrived + request.route->target_latency - time_ahead;
   common.deadline = request.ends_at;
-  common.allowed_regions = request.allowed_regions;
+  common.permitted_regions = request.permitted_regions;
   if (step.start_after.empty()) {
     common.piece_key = request.content->piece_key;
   } else {
@@ -166,10 +166,10 @@
   if (const auto* expected = choose_replica(request, now)) {
     return expected->record->zone;
   }
-  if (request.allowed_regions.permits(settings_.regions.region_of(self_.zone))) {
+  if (request.permitted_regions.permits(settings_.regions.region_of(self_.zone))) {
     return self_.zone;
   }
-  return replicas_.some_zone_of(request.service, request.allowed_regions).value_or(self_.zone);
+  return replicas_.some_zone_of(request.service, request.permitted_regions).value_or(self_.zone);
 }
 
 } // namespace spurrack::serving
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -119,7 +119,7 @@
   for (const auto& step : published.stages()) {
     built->stages.push_back(build_stage(step));
   }
-  built->allowed_regions = build_residency(published.allowed_regions());
+  built->permitted_regions = build_residency(published.permitted_regions());
   check_stages(*built, configuration);
   return built;
 }
@@ -156,7 +156,7 @@
 
 void add_keys(const wire::published_access& published, serving_configuration& configuration) {
   key_holder holder{base::tenant_id(published.tenant()), std::nullopt,
-                    build_residency(published.allowed_regions())};
+                    build_residency(published.permitted_regions())};
   if (published.has_priority()) {
     holder.priority = published.priority();
   }
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -64,7 +64,7 @@
   std::optional<base::duration> client_patience;
   std::vector<stage_step> stages;
   /// Regions in which requests of the route may be served and what they make may be kept.
-  residency allowed_regions;
+  residency permitted_regions;
 
   /// @return whether a request may run more than once.
   [[nodiscard]] bool may_repeat() const {
@@ -116,7 +116,7 @@
   /// Takes precedence over the route's priority.
   std::optional<std::uint32_t> priority;
   /// Regions in which the tenant's requests may be served and what they make may be kept.
-  residency allowed_regions;
+  residency permitted_regions;
 };
 
 /// What a client may send, and how long it may take.
--- a/src/replicas/replica_chooser.h
+++ b/src/replicas/replica_chooser.h
@@ -17,7 +17,7 @@
   const std::string& service;
   const request_content& content;
   /// Regions in which the request may run.
-  const model::residency& allowed_regions;
+  const model::residency& permitted_regions;
   /// Replicas that were tried already.
   const std::set<base::replica_id>& excluded;
 };
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -172,7 +172,7 @@
     const auto& state = replicas_.at(id);
     const bool usable_now = ignore_pauses ? takes_work(state) && bears_request(state, now)
                                           : is_available(state, now) && state.probed_until <= now;
-    if (usable_now && !demand.excluded.contains(id) && permits(demand.allowed_regions, state)) {
+    if (usable_now && !demand.excluded.contains(id) && permits(demand.permitted_regions, state)) {
       found.push_back(&state);
     }
   }
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -28,7 +28,7 @@
 /// A piece that may be made nowhere is never sent, so that no regions mean everywhere.
 model::residency residency_of(const wire::piece_request& wanted) {
   std::set<base::region_id> regions;
-  for (const auto& region : wanted.allowed_regions()) {
+  for (const auto& region : wanted.permitted_regions()) {
     regions.insert(base::region_id(region));
   }
   return regions.empty() ? model::residency::everywhere()
@@ -44,13 +44,13 @@
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)), peers_(self_, regions_),
       life_(first_ticket), next_ticket_(first_ticket) {
-  pool_.set_filter([this](const replica_state& replica, const model::residency& allowed_regions) {
-    return may_call(replica, allowed_regions);
+  pool_.set_filter([this](const replica_state& replica, const model::residency& permitted_regions) {
+    return may_call(replica, permitted_regions);
   });
 }
 
 bool stage_exchange::may_call(const replica_state& replica,
-                              const model::residency& allowed_regions) const {
+                              const model::residency& permitted_regions) const {
   if (own_replicas_.contains(replica.record->id)) {
     return true;
   }
@@ -58,7 +58,7 @@
   const auto own = own_services_.find(replica.record->service);
   return own == own_services_.end() ||
          std::none_of(own->second.begin(), own->second.end(),
-                      [&](const auto& place) { return allowed_regions.permits(place.region); });
+                      [&](const auto& place) { return permitted_regions.permits(place.region); });
 }
 
 report_audience stage_exchange::audience() const {
@@ -171,8 +171,8 @@
   wanted.set_result_bytes(placed.work.result_bytes);
   wanted.set_zone(placed.work.zone.text());
   wanted.set_carried_bytes(placed.work.carried_bytes);
-  for (const auto& region : placed.work.allowed_regions.regions()) {
-    wanted.add_allowed_regions(region.text());
+  for (const auto& region : placed.work.permitted_regions.regions()) {
+    wanted.add_permitted_regions(region.text());
   }
 }
 
@@ -306,7 +306,7 @@
   work.result_bytes = wanted.result_bytes();
   work.zone = base::zone_id(wanted.zone());
   work.carried_bytes = wanted.carried_bytes();
-  work.allowed_regions = residency_of(wanted);
+  work.permitted_regions = residency_of(wanted);
   const auto pool_ticket = pool_.submit(std::move(work), now);
   forwarded_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
   forwarded_tickets_[{sender, wanted.ticket()}] = pool_ticket;
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -42,7 +42,7 @@
   const std::string& service;
   /// Where the results are wanted.
   const base::zone_id& zone;
-  const model::residency& allowed_regions;
+  const model::residency& permitted_regions;
 };
 
 /// Not thread-safe. Commands, messages and results gather until they are taken.
@@ -177,7 +177,7 @@
   /// @return gatherers of a service that this node has assigned, and those of other zones that
   ///         report; only such that can be reached and whose replicas lie in allowed regions.
   [[nodiscard]] std::vector<gatherer> gatherers_of(const std::string& service,
-                                                   const model::residency& allowed_regions,
+                                                   const model::residency& permitted_regions,
                                                    base::time_point now) const;
   /// @return what making a piece at a gatherer costs beside the wait, in seconds of waiting.
   [[nodiscard]] double distance_seconds(const gatherer& candidate, const base::zone_id& zone,
@@ -216,7 +216,7 @@
   void tell_state(const base::node_id& sender, piece_ticket ticket);
   /// @return whether this node may call a replica with pieces that are held to some regions.
   [[nodiscard]] bool may_call(const replica_state& replica,
-                              const model::residency& allowed_regions) const;
+                              const model::residency& permitted_regions) const;
   /// @return who counts on this node for pieces.
   [[nodiscard]] report_audience audience() const;
   void note_life(peer_state& peer, const wire::stage_work& message, base::time_point now);
--- a/src/stage_work/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -197,7 +197,7 @@
 }
 
 std::vector<stage_exchange::gatherer>
-stage_exchange::gatherers_of(const std::string& service, const model::residency& allowed_regions,
+stage_exchange::gatherers_of(const std::string& service, const model::residency& permitted_regions,
                              base::time_point now) const {
   std::vector<gatherer> found;
   if (const auto known = gatherers_.find(service); known != gatherers_.end()) {
@@ -223,7 +223,7 @@
     }
   }
   std::erase_if(found, [&](const gatherer& candidate) {
-    return !allowed_regions.permits(candidate.region.region);
+    return !permitted_regions.permits(candidate.region.region);
   });
   return found;
 }
@@ -281,7 +281,7 @@
                                                             piece_standing standing,
                                                             base::time_point now) const {
   std::optional<double> least;
-  for (const auto& candidate : gatherers_of(demand.service, demand.allowed_regions, now)) {
+  for (const auto& candidate : gatherers_of(demand.service, demand.permitted_regions, now)) {
     if (candidate.replicas > 0) {
       const double wait = expected_wait_seconds(candidate, demand.service, standing, now) +
                           distance_seconds(candidate, demand.zone, 0);
@@ -297,7 +297,7 @@
   std::optional<base::node_id> best;
   bool best_can_call = false;
   double best_cost = 0;
-  for (const auto& candidate : gatherers_of(work.service, work.allowed_regions, now)) {
+  for (const auto& candidate : gatherers_of(work.service, work.permitted_regions, now)) {
     const bool can_call = candidate.replicas > 0;
     const double cost =
         expected_wait_seconds(candidate, work.service, piece_standing::in_time, now) +
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -366,7 +366,7 @@
 stage_pool::residency_list stage_pool::residencies_in(const service_queue& queue) const {
   residency_list sets;
   for (const auto& position : queue) {
-    const auto& allowed = pieces_.at(position.ticket).work.allowed_regions;
+    const auto& allowed = pieces_.at(position.ticket).work.permitted_regions;
     if (std::find(sets.begin(), sets.end(), allowed) == sets.end()) {
       sets.push_back(allowed);
     }
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -39,7 +39,7 @@
   std::string piece_key;
   std::vector<std::string> inputs;
   /// Regions in which it may be made, and so in which its result may lie.
-  model::residency allowed_regions;
+  model::residency permitted_regions;
   /// Where the piece is best made.
   base::zone_id zone;
   /// Bytes that are carried between zones where it is made elsewhere.
@@ -188,7 +188,7 @@
     std::uint32_t stage = 0;
     base::time_point due;
     double result_bytes = 0;
-    const model::residency* allowed_regions = nullptr;
+    const model::residency* permitted_regions = nullptr;
     /// Where the pieces are best made, and what is carried between zones elsewhere.
     const base::zone_id* zone = nullptr;
     double carried_bytes = 0;
--- a/src/stage_work/stage_pool_batches.cc
+++ b/src/stage_work/stage_pool_batches.cc
@@ -21,13 +21,13 @@
     const auto& work = pieces_.at(position.ticket).work;
     const bool joins = !groups.empty() && *groups.back().request == work.request &&
                        groups.back().stage == work.stage &&
-                       *groups.back().allowed_regions == work.allowed_regions;
+                       *groups.back().permitted_regions == work.permitted_regions;
     if (!joins) {
       groups.push_back({&work.request,
                         work.stage,
                         position.due,
                         0,
-                        &work.allowed_regions,
+                        &work.permitted_regions,
                         &work.zone,
                         0,
                         pieces_.at(position.ticket).submitted,
@@ -45,7 +45,7 @@
   const auto own_zone = outlooks.find(*group.zone);
   const bool has_own_zone =
       own_zone != outlooks.end() &&
-      group.allowed_regions->permits(settings_.regions.region_of(*group.zone));
+      group.permitted_regions->permits(settings_.regions.region_of(*group.zone));
   if (*group.zone == zone || !has_own_zone) {
     return true;
   }
@@ -111,7 +111,7 @@
       if (batch.size() == capacity.batch || room <= 0) {
         return batch;
       }
-      const bool permitted = may_take(replica, *group.allowed_regions);
+      const bool permitted = may_take(replica, *group.permitted_regions);
       if (group.pieces.empty() || !permitted || (group.due > now) != in_time) {
         continue;
       }
--- a/tests/dispatch/request_residency_test.cc
+++ b/tests/dispatch/request_residency_test.cc
@@ -37,9 +37,9 @@
 
   void hold_routes(const text_set& regions) {
     for (auto& route : *world.configuration.mutable_routes()) {
-      route.clear_allowed_regions();
+      route.clear_permitted_regions();
       for (const auto& region : regions) {
-        route.add_allowed_regions(region);
+        route.add_permitted_regions(region);
       }
     }
     publish();
@@ -47,9 +47,9 @@
 
   void hold_tenant(const text_set& regions) {
     auto& tenant = *world.configuration.mutable_tenants(0);
-    tenant.clear_allowed_regions();
+    tenant.clear_permitted_regions();
     for (const auto& region : regions) {
-      tenant.add_allowed_regions(region);
+      tenant.add_permitted_regions(region);
     }
     publish();
   }
@@ -317,7 +317,7 @@
     auto& allowed = allowed_["r" + std::to_string(client)];
     for (const auto& zone : residency_zones) {
       const auto region = residency_regions().region_of(base::zone_id(zone));
-      if (allows(route.allowed_regions(), region) && allows(tenant.allowed_regions(), region)) {
+      if (allows(route.permitted_regions(), region) && allows(tenant.permitted_regions(), region)) {
         allowed.insert(zone);
       }
     }
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -74,11 +74,11 @@
   const auto result = parsed(text);
   const auto& configuration = *std::get<0>(result);
   const auto route = configuration.find_route("h", "/a/");
-  BOOST_TEST((route->allowed_regions ==
+  BOOST_TEST((route->permitted_regions ==
               model::residency::within({base::region_id("north"), base::region_id("south")})));
-  BOOST_TEST(!configuration.find_route("h", "/b/")->allowed_regions.is_restricted());
+  BOOST_TEST(!configuration.find_route("h", "/b/")->permitted_regions.is_restricted());
   const auto& holder = configuration.keys.at("k");
-  BOOST_TEST((holder.allowed_regions == model::residency::within({base::region_id("south")})));
+  BOOST_TEST((holder.permitted_regions == model::residency::within({base::region_id("south")})));
 }
 
 BOOST_AUTO_TEST_CASE(a_list_of_regions_that_is_not_one_refuses_the_configuration) {
--- a/tests/stage_work/exchange_fleet.h
+++ b/tests/stage_work/exchange_fleet.h
@@ -130,7 +130,7 @@
                       const model::residency& allowed = {}, const std::string& request = "r") {
     piece_work work;
     work.request = base::request_id(request);
-    work.allowed_regions = allowed;
+    work.permitted_regions = allowed;
     work.service = "pool";
     work.piece_key = "k";
     work.zone = zone;
--- a/tests/stage_work/piece_residency_test.cc
+++ b/tests/stage_work/piece_residency_test.cc
@@ -64,7 +64,7 @@
     work.request = base::request_id("same");
     work.service = "pool";
     work.piece_key = "k";
-    work.allowed_regions = allowed;
+    work.permitted_regions = allowed;
     work.zone = base::zone_id("a");
     work.carried_bytes = 50e6;
     work.due = now + seconds(60);
@@ -256,7 +256,7 @@
   wanted.set_due_in_milliseconds(2000);
   wanted.set_expires_in_milliseconds(5000);
   wanted.set_zone("c");
-  wanted.add_allowed_regions("south");
+  wanted.add_permitted_regions("south");
   gatherer.subject.handle(fleet.other_than(gatherer).identity.node, message, fleet.now);
   fleet.run(milliseconds(100));
   BOOST_REQUIRE(gatherer.calls.size() == 1U);
