--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -136,9 +136,9 @@
 
 void dispatcher::on(const request_arrived& what, base::time_point now) {
   const auto& content = *what.content;
-  if (!accepting_ || !configuration_) {
-    refuse(what.client, content.id, status::unavailable,
-           accepting_ ? "no configuration yet" : "stopping", settings_.retry_after);
+  if (!configuration_) {
+    refuse(what.client, content.id, status::unavailable, "no configuration yet",
+           settings_.retry_after);
     return;
   }
   auto route = configuration_->find_route(content.host, content.path);
@@ -191,7 +191,8 @@
     answer_not_run(active, "deadline passed on arrival", now);
     return;
   }
-  if (turn_away(active) || refuse_too_large(active, now) || refuse_hopeless(active, now)) {
+  if (turn_away(active) || refuse_too_large(active, now) || refuse_at_stop(active, now) ||
+      refuse_hopeless(active, now)) {
     return;
   }
   if (settings_.refuse_early && active.graph) {
@@ -273,7 +274,8 @@
   const auto in_time = expected_time(request, piece_standing::in_time, now);
   const bool is_late = !in_time || now + *in_time > target_at;
   const auto expected = is_late ? expected_time(request, piece_standing::past_due, now) : in_time;
-  const bool is_hopeless = !expected || now + *expected > client_leaves_at(request);
+  const bool is_hopeless = !expected || now + *expected > client_leaves_at(request) ||
+                           !has_time_before_stop(request, now);
   const bool is_confirmed = request.looked_hopeless.value_or(true);
   request.looked_hopeless = is_hopeless;
   if (!is_hopeless || !is_confirmed) {
@@ -350,17 +352,17 @@
   active_.erase(request.client);
 }
 
-void dispatcher::give_up(active_request& request, base::time_point now) {
+void dispatcher::give_up(active_request& request, const std::string& reason, base::time_point now) {
   if (request.may_have_run || request.call) {
-    answer_failed(request, status::timed_out, "deadline passed", now);
+    answer_failed(request, status::timed_out, reason, now);
   } else {
-    answer_not_run(request, "deadline passed", now);
+    answer_not_run(request, reason, now);
   }
 }
 
 void dispatcher::expire(base::time_point now) {
   while (!ends_.empty() && ends_.begin()->first <= now) {
-    give_up(active_.at(ends_.begin()->second), now);
+    give_up(active_.at(ends_.begin()->second), deadline_passed, now);
   }
 }
 
@@ -431,12 +433,6 @@
   news_.advance(now);
 }
 
-void dispatcher::give_up_all(base::time_point now) {
-  while (!active_.empty()) {
-    give_up(active_.begin()->second, now);
-  }
-}
-
 std::optional<base::time_point> dispatcher::next_wakeup(base::time_point now) const {
   auto earliest = stages_.next_wakeup(now);
   const auto consider = [&](base::time_point when) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,6 +9,8 @@
 #include "dispatch/replica_news.h"
 #include "dispatch/retry_lending.h"
 #include "dispatch/retry_share.h"
+#include "dispatch/run_times.h"
+#include "dispatch/stop_plan.h"
 #include "engines/engine_chooser.h"
 #include "engines/engine_directory.h"
 #include "flow/byte_budget.h"
@@ -49,14 +51,13 @@
   void set_peers(std::vector<fleet_peer> alive, std::size_t known);
   /// Counts what is held of events that are not whole yet; without it they are not counted.
   void set_budget(std::shared_ptr<flow::byte_budget> budget) { budget_ = std::move(budget); }
-  /// While off, new requests are answered that they were not run.
-  void set_accepting(bool accepting) { accepting_ = accepting; }
   /// Replicas of these zones are called only where there are no others.
   void set_silent_zones(std::set<base::zone_id> zones) {
     replicas_.set_unreachable(std::move(zones));
   }
-  /// A planned stop begins: other nodes gather the pieces of stages from now on.
-  void begin_stop(base::time_point now) { stages_.begin_stop(now); }
+  /// A planned stop begins: other nodes gather the pieces of stages from now on, and only what is
+  /// expected to end by `must_end_at` is taken or sent to a replica.
+  void begin_stop(base::time_point now, base::time_point must_end_at);
   /// @return whether requests, or pieces made for other nodes, are still under way.
   [[nodiscard]] bool is_busy() const { return !active_.empty() || stages_.has_calls_under_way(); }
 
@@ -200,6 +201,20 @@
   /// Refuses a request that is not expected to be served in time.
   /// @return whether it was refused.
   bool refuse_hopeless(active_request& request, base::time_point now);
+  /// Refuses a request that a stopping node has no time to end.
+  /// @return whether it was refused.
+  bool refuse_at_stop(active_request& request, base::time_point now);
+  /// @return whether a request that cannot end before a planned stop was ended; one that has run
+  ///         nowhere is told so.
+  bool end_at_stop(active_request& request, base::time_point now);
+  /// @return whether a request that is sent to a replica now is expected to end before a planned
+  ///         stop must; true where none has begun.
+  [[nodiscard]] bool has_time_before_stop(const active_request& request,
+                                          base::time_point now) const;
+  /// @return what is left of a request whose stages stand as they do.
+  [[nodiscard]] work_ahead work_ahead_of(const active_request& request, base::time_point now) const;
+  /// A run came to its end.
+  void note_run(const active_request& request, base::time_point now);
   /// Gives a request up whose stages are too far behind to end in time.
   /// @return whether it was given up.
   bool give_up_hopeless(active_request& request, base::time_point now);
@@ -266,7 +281,7 @@
   void judge_slow(active_request& request);
   /// Counts what is held of an event that is not whole yet. @return whether there is memory for it.
   bool count_partial_event(active_request& request);
-  void give_up(active_request& request, base::time_point now);
+  void give_up(active_request& request, const std::string& reason, base::time_point now);
   /// @return when something of a request is due: a judgement, inputs that were fetched, a replica
   ///         without progress.
   [[nodiscard]] static std::optional<base::time_point> next_due(const active_request& request);
@@ -314,7 +329,6 @@
   decision_recorder record_;
   base::random_source* random_;
   std::shared_ptr<const model::serving_configuration> configuration_;
-  bool accepting_ = true;
   base::call_id next_call_ = 1;
   distance from_here_;
   replica_table replicas_;
@@ -326,6 +340,8 @@
   replica_news news_;
   stage_exchange stages_;
   admission_estimate estimate_;
+  run_times run_times_;
+  stop_plan stop_;
   std::unordered_map<base::caller_id, active_request> active_;
   std::unordered_map<base::call_id, base::caller_id> calls_;
   /// Requests with a call at each replica.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -44,7 +44,10 @@
 
 void dispatcher::send_to_replica(active_request& request, base::time_point now) {
   if (request.ends_at <= now) {
-    give_up(request, now);
+    give_up(request, deadline_passed, now);
+    return;
+  }
+  if (end_at_stop(request, now)) {
     return;
   }
   if (request.graph && request.graph->has_freed_final_inputs()) {
@@ -217,6 +220,9 @@
   const bool failed = unusable || what.head.status >= status::first_server_error;
   if (!failed) {
     replicas_.note_success(replica, now);
+    if (is_success(what.head.status)) {
+      note_run(*request, now);
+    }
     pass_on(*request, what, now);
     return;
   }
@@ -330,8 +336,12 @@
   if (request == nullptr) {
     return;
   }
+  const bool is_whole = what.complete && !request->events.has_partial();
+  if (is_whole) {
+    note_run(*request, now);
+  }
   const auto call = close_call(*request);
-  if (what.complete && !request->events.has_partial()) {
+  if (is_whole) {
     begin_stream(*request, now);
     replicas_.note_success(call.replica, now);
     commands_.emplace_back(end_stream{request->client, true});
--- a/src/dispatch/dispatcher_constants.h
+++ b/src/dispatch/dispatcher_constants.h
@@ -17,6 +17,9 @@
 constexpr unsigned client_gone = 0;
 } // namespace status
 
+/// Reason of an answer to a request whose time is over.
+inline constexpr const char* deadline_passed = "deadline passed";
+
 /// Times the stages of a request are made again because results were lost.
 inline constexpr std::uint32_t most_remakes = 2;
 
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -169,7 +169,7 @@
 }
 
 void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
-  if (choose_replica(request, now) == nullptr) {
+  if (!has_time_before_stop(request, now) || choose_replica(request, now) == nullptr) {
     request.call->stalls_at = now + stall_check_period;
     return;
   }
--- /dev/null
+++ b/src/dispatch/run_times.cc
@@ -0,0 +1,65 @@
+#include "dispatch/run_times.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace spurrack::serving {
+namespace {
+
+/// Assumed of a run while nothing is known: an answer of a few hundred tokens, as most are.
+constexpr run_time usual_run{std::chrono::milliseconds(500), std::chrono::milliseconds(2'500)};
+/// Fewer runs say too little of how long the longest last.
+constexpr std::size_t least_runs = 4;
+/// One in so many runs may be longer than what is expected of the next.
+constexpr std::size_t runs_per_exception = 16;
+
+double tokens_or_one(std::uint32_t output_tokens) {
+  return std::max<double>(output_tokens, 1);
+}
+
+/// @return the longest but for the exceptions.
+double upper_of(std::vector<double> seconds) {
+  std::sort(seconds.begin(), seconds.end());
+  return seconds[seconds.size() - 1 - seconds.size() / runs_per_exception];
+}
+
+} // namespace
+
+void run_times::add(history& grown, const sample& added) {
+  grown.latest[grown.next] = added;
+  grown.next = (grown.next + 1) % remembered;
+  grown.count = std::min(grown.count + 1, remembered);
+}
+
+void run_times::note(const std::string& route, const std::string& service,
+                     std::uint32_t output_tokens, const run_time& seen) {
+  const sample added{base::to_seconds(seen.to_first_event),
+                     base::to_seconds(seen.events) / tokens_or_one(output_tokens)};
+  add(by_route_[route], added);
+  add(by_service_[service], added);
+}
+
+const run_times::history* run_times::find(const histories& known, const std::string& name) {
+  const auto found = known.find(name);
+  const bool is_known = found != known.end() && found->second.count >= least_runs;
+  return is_known ? &found->second : nullptr;
+}
+
+run_time run_times::upper(const std::string& route, const std::string& service,
+                          std::uint32_t output_tokens) const {
+  const auto* of_route = find(by_route_, route);
+  const auto* seen = of_route != nullptr ? of_route : find(by_service_, service);
+  if (seen == nullptr) {
+    return usual_run;
+  }
+  std::vector<double> first_events;
+  std::vector<double> tokens;
+  for (std::size_t index = 0; index < seen->count; ++index) {
+    first_events.push_back(seen->latest[index].seconds_to_first_event);
+    tokens.push_back(seen->latest[index].seconds_a_token);
+  }
+  const double events = upper_of(std::move(tokens)) * tokens_or_one(output_tokens);
+  return {base::from_seconds(upper_of(std::move(first_events))), base::from_seconds(events)};
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/dispatch/run_times.h
@@ -0,0 +1,59 @@
+/// How long the runs of a route last at replicas, from what recent ones have shown.
+#pragma once
+
+#include "base/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace spurrack::serving {
+
+/// Time of one run that came to its end.
+struct run_time {
+  /// From the call to the first event; of a whole answer, to the answer.
+  base::duration to_first_event{};
+  /// From the first event to the end; zero for whole answers.
+  base::duration events{};
+};
+
+/// Keeps the latest runs of each route. Not thread-safe.
+class run_times {
+ public:
+  /// A run was served whole.
+  /// @param output_tokens that the client asked for; 0 where it did not say.
+  void note(const std::string& route, const std::string& service, std::uint32_t output_tokens,
+            const run_time& seen);
+
+  /// @return a time that few of the recent runs of the route took longer than, for as many tokens;
+  ///         that of all runs at the service while too few of the route were seen, and a usual time
+  ///         while too few of those were.
+  [[nodiscard]] run_time upper(const std::string& route, const std::string& service,
+                               std::uint32_t output_tokens) const;
+
+ private:
+  /// Runs that are remembered: at one or two a second for a route and node, what load did to them
+  /// in the last half minute.
+  static constexpr std::size_t remembered = 32;
+  struct sample {
+    double seconds_to_first_event = 0;
+    double seconds_a_token = 0;
+  };
+  struct history {
+    std::array<sample, remembered> latest;
+    std::size_t count = 0;
+    std::size_t next = 0;
+  };
+  using histories = std::unordered_map<std::string, history>;
+
+  static void add(history& grown, const sample& added);
+  /// @return null while too few runs are known.
+  static const history* find(const histories& known, const std::string& name);
+
+  histories by_route_;
+  histories by_service_;
+};
+
+} // namespace spurrack::serving
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -394,7 +394,7 @@
     stop_began_ = now;
     disturbed_at_ = now;
     if (serving_) {
-      serving_->begin_stop(now);
+      serving_->begin_stop(now, now + settings_.serving->stop_longest);
     }
     record(base::event_kind::node_stopping, {}, settings_.self.node.text(), "");
   }
@@ -448,11 +448,8 @@
   if (!serving_) {
     return;
   }
-  const auto stopping_for = now - stop_began_;
-  if (stopping_for >= settings_.serving->stop_accepting_after) {
-    serving_->set_accepting(false);
-  }
-  if (stopping_for >= settings_.serving->stop_longest && serving_->active() > 0) {
+  const bool must_end = now - stop_began_ >= settings_.serving->stop_longest;
+  if (must_end && serving_->active() > 0) {
     serving_->give_up_all(now);
     for (auto& wanted : serving_->take_commands()) {
       commands_.emplace_back(std::move(wanted));
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -55,6 +55,12 @@
   std::uint64_t repeats_borrowed = 0;
   /// Requests ended before their time because their replica was found lost.
   std::uint64_t ended_at_lost_replicas = 0;
+  /// Of a planned stop: requests that arrived after it began and were taken or refused, those ended
+  /// before they were sent to a replica, and those given up when the process had to end.
+  std::uint64_t taken_while_stopping = 0;
+  std::uint64_t refused_while_stopping = 0;
+  std::uint64_t ended_while_stopping = 0;
+  std::uint64_t given_up_at_stop = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -65,9 +65,8 @@
   base::duration longest_rest = std::chrono::seconds(30);
   /// Longest time to open a connection to a replica.
   base::duration connect_timeout = std::chrono::milliseconds(500);
-  /// A stopping node takes requests for this time, then answers that they were not run.
-  base::duration stop_accepting_after = std::chrono::milliseconds(3000);
-  /// A stopping node gives up what is left after this time.
+  /// A stopping node takes only what it expects to end within this time, and gives up what is left
+  /// after it.
   base::duration stop_longest = std::chrono::milliseconds(7400);
 };
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -136,7 +136,8 @@
   section->finish();
 }
 
-/// Time within which a stopping node must have ended, before it is killed.
+/// A stopping node gives up what is left this long before it is killed: half a second for the last
+/// answers to be written and 0.2 s for a process that is late.
 constexpr double end_margin_seconds = 0.7;
 
 void read_serving(mapping_reader& reader, daemon_settings& result) {
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -29,7 +29,8 @@
   api_key = "wrong";
   arrive(2, "/safe/x");
   BOOST_TEST(last<respond>().status == 401);
-  subject.set_accepting(false);
+  api_key = "key";
+  subject.begin_stop(now, now);
   arrive(3, "/safe/x");
   BOOST_TEST(last<respond>().status == 503);
   BOOST_TEST(all<start_call>().empty());
