A stopping node takes and sends only what it expects to end

Cause: admission during a planned stop looked at the clock alone. Everything was taken for three seconds and sent to a replica whenever its stages were done; what had not ended when the process had to was cut, streams in the middle of a 200.

Conclusion: mended for requests taken during a stop; streams that last longer than expected are still cut at its end.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -113,6 +113,20 @@
             counts.kept_from_nearer_by_residency);
 }
 
+void add_planned_stop(Registry& registry, const serving::serving_counters& counts) {
+  auto& outcomes = BuildCounter()
+                       .Name("spurrack_stop_requests_total")
+                       .Help("Requests during a planned stop, by what became of them.")
+                       .Register(registry);
+  const auto add = [&](const char* outcome, std::uint64_t value) {
+    outcomes.Add({{"outcome", outcome}}).Increment(static_cast<double>(value));
+  };
+  add("taken", counts.taken_while_stopping);
+  add("refused", counts.refused_while_stopping);
+  add("ended_unsent", counts.ended_while_stopping);
+  add("given_up", counts.given_up_at_stop);
+}
+
 void add_second_chances(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
   const auto add = [&](const char* name, const char* help, std::uint64_t value) {
@@ -173,6 +187,7 @@
   };
   add("spurrack_replica_calls_total", "Requests sent to replicas.", counts.calls);
   add_regions(registry, counts);
+  add_planned_stop(registry, counts);
   add_second_chances(registry, dispatcher);
   add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
   add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -182,6 +182,19 @@
   return serving_ ? serving_->busy() : callers_->busy();
 }
 
+void runtime::log_stopped() const {
+  if (node_.serving() == nullptr) {
+    logging::write(logging::severity::info, "stopped");
+    return;
+  }
+  const auto& counts = node_.serving()->counts();
+  logging::write(logging::severity::info, "stopped",
+                 {{"taken", std::to_string(counts.taken_while_stopping)},
+                  {"refused", std::to_string(counts.refused_while_stopping)},
+                  {"ended_unsent", std::to_string(counts.ended_while_stopping)},
+                  {"given_up", std::to_string(counts.given_up_at_stop)}});
+}
+
 void runtime::watch_signals() {
   signals_.async_wait([this](const boost::system::error_code& error, int signal) {
     if (error) {
@@ -220,7 +233,7 @@
 
 void runtime::exit_when_written() {
   if (busy() == 0 && base::boot_clock::now() >= exit_not_before_) {
-    logging::write(logging::severity::info, "stopped");
+    log_stopped();
     io_->stop();
     return;
   }
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -58,6 +58,8 @@
   void reload();
   void exit_when_written();
   void log_answer(const execution::answer& content);
+  /// The last line of a planned stop, with what became of the requests during it.
+  void log_stopped() const;
 
   boost::asio::io_context* io_;
   settings::daemon_settings settings_;
--- a/src/dispatch/run_times.cc
+++ b/src/dispatch/run_times.cc
@@ -6,8 +6,11 @@
 namespace spurrack::serving {
 namespace {
 
-/// Assumed of a run while nothing is known: an answer of a few hundred tokens, as most are.
-constexpr run_time usual_run{std::chrono::milliseconds(500), std::chrono::milliseconds(2'500)};
+/// Assumed while no runs are known: what a busy engine needs to the first event and for each token,
+/// and an answer of some 250 tokens where the client did not say how many it wants.
+constexpr base::duration usual_first_event = std::chrono::milliseconds(500);
+constexpr base::duration usual_token_time = std::chrono::milliseconds(10);
+constexpr std::uint32_t usual_tokens = 250;
 /// Fewer runs say too little of how long the longest last.
 constexpr std::size_t least_runs = 4;
 /// One in so many runs may be longer than what is expected of the next.
@@ -17,6 +20,11 @@
   return std::max<double>(output_tokens, 1);
 }
 
+run_time usual_run(std::uint32_t output_tokens) {
+  const auto tokens = output_tokens > 0 ? output_tokens : usual_tokens;
+  return {usual_first_event, usual_token_time * tokens};
+}
+
 /// @return the longest but for the exceptions.
 double upper_of(std::vector<double> seconds) {
   std::sort(seconds.begin(), seconds.end());
@@ -50,7 +58,7 @@
   const auto* of_route = find(by_route_, route);
   const auto* seen = of_route != nullptr ? of_route : find(by_service_, service);
   if (seen == nullptr) {
-    return usual_run;
+    return usual_run(output_tokens);
   }
   std::vector<double> first_events;
   std::vector<double> tokens;
--- a/tests/dispatch/run_times_test.cc
+++ b/tests/dispatch/run_times_test.cc
@@ -35,6 +35,13 @@
   BOOST_TEST(seconds(subject.upper("other", "elsewhere", 10)) == usual);
 }
 
+BOOST_AUTO_TEST_CASE(while_nothing_is_known_longer_answers_are_expected_to_last_longer) {
+  const run_times subject;
+  BOOST_TEST(seconds(subject.upper("route", "service", 1000)) >
+             2 * seconds(subject.upper("route", "service", 300)));
+  BOOST_TEST(seconds(subject.upper("route", "service", 0)) > 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(streams_last_by_the_tokens_asked_for) {
   run_times subject;
   for (int run = 0; run < 8; ++run) {
--- a/tests/platform_fleet/planned_stop_test.cc
+++ b/tests/platform_fleet/planned_stop_test.cc
@@ -34,7 +34,9 @@
 namespace asio = boost::asio;
 
 /// Time between the signal and the kill that the daemon is told.
-constexpr int grace_seconds = 5;
+constexpr int short_grace_seconds = 5;
+/// A grace that no request needs.
+constexpr int long_grace_seconds = 20;
 /// Long streams last three seconds: longer than the time left to those that ask late.
 const event_replica_load load{
     .long_events = 60, .long_event_bytes = 100, .long_pause = milliseconds(50)};
@@ -55,9 +57,10 @@
 
 /// The store, a replica that streams, and a daemon.
 struct stopping_daemon {
-  stopping_daemon()
-      : replica(load), folder(std::filesystem::temp_directory_path() /
-                              ("spurrack-stop-" + std::to_string(::getpid()))),
+  explicit stopping_daemon(int grace)
+      : grace_seconds(grace), replica(load),
+        folder(std::filesystem::temp_directory_path() /
+               ("spurrack-stop-" + std::to_string(::getpid()))),
         clients(fleet::free_address()), readiness(fleet::free_address()) {
     std::filesystem::create_directories(folder);
     store.put("op/config", configuration());
@@ -87,6 +90,7 @@
     std::filesystem::remove_all(folder);
   }
 
+  int grace_seconds;
   soak_store store;
   event_replica replica;
   std::filesystem::path folder;
@@ -106,6 +110,8 @@
   std::size_t not_connected = 0;
   /// Of the requests with a whole answer, how long after the stop began the latest was sent.
   std::chrono::steady_clock::duration latest_whole{};
+  /// How long after the stop began the daemon still took connections.
+  std::chrono::steady_clock::duration open_for{};
 };
 
 /// Clients that ask every `arrival_period`, each on a connection of its own.
@@ -162,13 +168,17 @@
 
   asio::awaitable<void> ask_repeatedly(std::string path) {
     asio::steady_timer timer(io_);
-    const auto over = stop_began_ + std::chrono::seconds(grace_seconds);
-    for (std::size_t number = 0; std::chrono::steady_clock::now() < over; ++number) {
+    const auto over = stop_began_ + std::chrono::seconds(subject_->grace_seconds);
+    const auto goes_on = [&] {
+      return outcome_.not_connected == 0 && std::chrono::steady_clock::now() < over;
+    };
+    for (std::size_t number = 0; goes_on(); ++number) {
       start(path, "stop" + std::to_string(number));
       timer.expires_after(arrival_period);
       boost::system::error_code ignored;
       co_await timer.async_wait(http::await_into(ignored));
     }
+    outcome_.open_for = std::chrono::steady_clock::now() - stop_began_;
   }
 
   const stopping_daemon* subject_;
@@ -179,8 +189,8 @@
 
 constexpr std::size_t streams_before = 8;
 
-stop_outcome stop_while_asking_for(const std::string& path) {
-  stopping_daemon subject;
+stop_outcome stop_while_asking_for(const std::string& path, int grace_seconds) {
+  stopping_daemon subject(grace_seconds);
   asking_crowd crowd(subject);
   crowd.ask_before(path, streams_before);
   const auto seen = crowd.ask_through_stop(path);
@@ -194,7 +204,7 @@
 BOOST_AUTO_TEST_SUITE(planned_stop_under_load)
 
 BOOST_AUTO_TEST_CASE(a_stopping_node_takes_no_stream_that_it_cannot_end) {
-  const auto seen = stop_while_asking_for("/stream/slow/");
+  const auto seen = stop_while_asking_for("/stream/slow/", short_grace_seconds);
   BOOST_TEST(seen.cut == 0U);
   BOOST_TEST(seen.refused_late == 0U);
   // Refusing everybody would be no mend: there is time for those that ask early.
@@ -203,11 +213,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_stopping_node_serves_what_it_can_end) {
-  const auto seen = stop_while_asking_for("/stream/good/");
+  const auto seen = stop_while_asking_for("/stream/good/", short_grace_seconds);
   BOOST_TEST(seen.cut == 0U);
   BOOST_TEST(seen.refused_late == 0U);
   // Until clients are led elsewhere, which takes two looks at its readiness, it is as good as any.
   BOOST_TEST((seen.latest_whole >= std::chrono::seconds(2)));
 }
 
+BOOST_AUTO_TEST_CASE(a_stop_ends_although_clients_go_on_asking) {
+  const auto seen = stop_while_asking_for("/stream/good/", long_grace_seconds);
+  BOOST_TEST(seen.cut == 0U);
+  BOOST_TEST((seen.open_for < std::chrono::seconds(6)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
