--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -238,6 +238,9 @@
   /// Cancels the pieces that wait for a result which is made again, and submits what can be made.
   void go_on_after_loss(active_request& request, const std::vector<std::string>& useless,
                         base::time_point now);
+  /// @return the next call of a request, at a chosen replica.
+  [[nodiscard]] start_call call_of(const active_request& request, const replica_state& chosen,
+                                   base::time_point now);
   void send_to_replica(active_request& request, base::time_point now);
   [[nodiscard]] bool is_engine(const std::string& service) const;
   /// @return time within which a replica that is alive shows progress with a new call; 0 where that
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -42,6 +42,23 @@
   return found != nullptr && found->engine;
 }
 
+start_call dispatcher::call_of(const active_request& request, const replica_state& chosen,
+                               base::time_point now) {
+  start_call wanted;
+  wanted.call = next_call_++;
+  wanted.target = {chosen.record->id, chosen.record->address};
+  wanted.content = request.content;
+  wanted.time_left = request.ends_at - now;
+  wanted.tenant = request.tenant;
+  wanted.streaming = request.route->kind == model::route_kind::streaming;
+  wanted.runs_at_most_once = !request.route->may_repeat();
+  wanted.resume_after = request.events.last_id();
+  if (request.graph) {
+    wanted.inputs = request.graph->final_inputs();
+  }
+  return wanted;
+}
+
 void dispatcher::send_to_replica(active_request& request, base::time_point now) {
   if (request.ends_at <= now) {
     give_up(request, deadline_passed, now);
@@ -64,18 +81,7 @@
     }
     return;
   }
-  start_call wanted;
-  wanted.call = next_call_++;
-  wanted.target = {chosen->record->id, chosen->record->address};
-  wanted.content = request.content;
-  wanted.time_left = request.ends_at - now;
-  wanted.tenant = request.tenant;
-  wanted.streaming = request.route->kind == model::route_kind::streaming;
-  wanted.runs_at_most_once = !request.route->may_repeat();
-  wanted.resume_after = request.events.last_id();
-  if (request.graph) {
-    wanted.inputs = request.graph->final_inputs();
-  }
+  auto wanted = call_of(request, *chosen, now);
   request.tried.insert(chosen->record->id);
   ++request.sent;
   request.call =
