What comes after the reported end of a stop is given up in time too

Cause: node::check_stop returned as soon as the end had been reported, which is 3.5 s into most stops now. A request that still came on a connection that is read was taken, and nothing gave it up when the process had to end: its client saw the kill instead of a 504.

Ruled out: that nothing can come any more. exit_when_written waits for fresh connections up to 2 s and for whatever is being read; kept connections are read until the process is gone.

Change: the stop's end is looked at also after it was reported.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -429,10 +429,14 @@
 }
 
 void node::check_stop(base::time_point now) {
-  if (!stopping_ || stop_reported_) {
+  if (!stopping_) {
     return;
   }
+  // Also once the end was reported: requests may still come on connections that are read.
   check_serving_stop(now);
+  if (stop_reported_) {
+    return;
+  }
   const bool idle =
       executor_.active() == 0 && guard_.pending() == 0 && (!serving_ || !serving_->is_busy());
   const bool quiet = now - disturbed_at_ >= settings_.stop_linger ||
--- /dev/null
+++ b/tests/node/planned_stop_test.cc
@@ -0,0 +1,120 @@
+/// When a stopping node ends, and what it ends before: with requests that come until the last
+/// moment.
+#include "node/node.h"
+#include "serving_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace spurrack;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A node that serves the published world, driven by hand.
+struct stopping_node {
+  explicit stopping_node(base::duration stop_longest = milliseconds(7'300))
+      : random(1), subject(settings_with(stop_longest), random, now) {
+    serving::published_world world;
+    node::service_answered published;
+    catalog::catalog::bucket_set all;
+    all.set();
+    published.entries = world.content.entries_in(all);
+    published.service_revision = 100;
+    happen(published);
+  }
+
+  static node::node_settings settings_with(base::duration stop_longest) {
+    node::node_settings settings;
+    settings.self = {base::node_id("n"), base::zone_id("a"), base::network_address("n:1"), 1, 1};
+    settings.serving.emplace();
+    settings.serving->stop_longest = stop_longest;
+    settings.stop_linger = milliseconds(1'500);
+    settings.stop_linger_longest = milliseconds(3'500);
+    return settings;
+  }
+
+  void happen(node::event what) {
+    auto wanted = subject.handle(what, now);
+    std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
+  }
+
+  void pass(base::duration span) {
+    for (const auto end = now + span; now < end;) {
+      now += milliseconds(10);
+      happen(node::time_passed{});
+    }
+  }
+
+  base::call_id arrive(base::caller_id client, const std::string& path) {
+    auto content = std::make_shared<serving::request_content>();
+    content->method = "POST";
+    content->host = "h";
+    content->path = content->target = path;
+    content->id = base::request_id("r" + std::to_string(client));
+    content->api_key = "key";
+    content->time_allowed = seconds(60);
+    happen(serving::event(serving::request_arrived{client, content, now}));
+    return all<serving::start_call>().empty() ? 0 : all<serving::start_call>().back().call;
+  }
+
+  void answer(base::call_id call) {
+    serving::answer_head head;
+    head.status = 200;
+    head.sealed = true;
+    happen(serving::event(serving::call_answered{call, head, "body"}));
+  }
+
+  template <typename wanted>
+  std::vector<wanted> all() const {
+    std::vector<wanted> found;
+    for (const auto& command : commands) {
+      if (const auto* serving = std::get_if<serving::command>(&command)) {
+        if (const auto* one = std::get_if<wanted>(serving)) {
+          found.push_back(*one);
+        }
+      }
+    }
+    return found;
+  }
+
+  bool has_stopped() const {
+    return std::any_of(commands.begin(), commands.end(), [](const auto& command) {
+      return std::holds_alternative<node::stop_completed>(command);
+    });
+  }
+
+  base::time_point now{std::chrono::hours(1)};
+  base::seeded_random random;
+  node::node subject;
+  node::command_list commands;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(planned_stop_test, stopping_node)
+
+BOOST_AUTO_TEST_CASE(what_comes_last_is_given_up_when_the_process_must_end) {
+  for (base::caller_id client = 1; client <= 4; ++client) {
+    const auto call = arrive(client, "/unsafe/x");
+    pass(milliseconds(50));
+    answer(call);
+  }
+  happen(node::stop_requested{});
+  pass(milliseconds(3'600));
+  BOOST_REQUIRE(has_stopped());
+  // On a connection that the process still waits for; its replica takes longer than others did.
+  const auto call = arrive(10, "/unsafe/x");
+  BOOST_TEST(all<serving::start_call>().size() == 5U);
+  pass(milliseconds(3'600));
+  BOOST_TEST(all<serving::respond>().size() == 4U);
+  pass(milliseconds(200));
+  BOOST_REQUIRE(all<serving::respond>().size() == 5U);
+  BOOST_TEST(all<serving::respond>().back().client == 10U);
+  BOOST_TEST(all<serving::respond>().back().status == 504);
+  BOOST_TEST(all<serving::cancel_call>().back().call == call);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
