Run times tell runs that state their tokens from those that do not

Cause: a run whose client did not say its tokens counted as a run of one token. After runs of 100 tokens in 1 s, one that said nothing was expected to take 10 ms, so it was taken at any moment of a stop and cut; after runs that said nothing, one of 500 tokens was expected to take 500 s and refused. One service's routes share a history, so either kind spoils the other.

Ruled out: negative times. The first event is set by the only call of the run, else the end counts; "first event at -N ms" is only the log line of a stream that ended without an event of its own.

Change: a history keeps seconds and tokens; by the token only where enough runs said them and the request does, else by the longest but for the exceptions.

Tests, failing before: run_times_test, its last two cases.

--- a/src/dispatch/run_times.cc
+++ b/src/dispatch/run_times.cc
@@ -16,10 +16,6 @@
 /// One in so many runs may be longer than what is expected of the next.
 constexpr std::size_t runs_per_exception = 16;
 
-double tokens_or_one(std::uint32_t output_tokens) {
-  return std::max<double>(output_tokens, 1);
-}
-
 run_time usual_run(std::uint32_t output_tokens) {
   const auto tokens = output_tokens > 0 ? output_tokens : usual_tokens;
   return {usual_first_event, usual_token_time * tokens};
@@ -41,8 +37,8 @@
 
 void run_times::note(const std::string& route, const std::string& service,
                      std::uint32_t output_tokens, const run_time& seen) {
-  const sample added{base::to_seconds(seen.to_first_event),
-                     base::to_seconds(seen.events) / tokens_or_one(output_tokens)};
+  const sample added{base::to_seconds(seen.to_first_event), base::to_seconds(seen.events),
+                     output_tokens};
   add(by_route_[route], added);
   add(by_service_[service], added);
 }
@@ -53,6 +49,20 @@
   return is_known ? &found->second : nullptr;
 }
 
+double run_times::upper_events(const history& seen, std::uint32_t output_tokens) {
+  std::vector<double> whole;
+  std::vector<double> by_token;
+  for (std::size_t index = 0; index < seen.count; ++index) {
+    const auto& run = seen.latest[index];
+    whole.push_back(run.seconds_of_events);
+    if (run.output_tokens > 0) {
+      by_token.push_back(run.seconds_of_events / run.output_tokens);
+    }
+  }
+  const bool is_by_token = output_tokens > 0 && by_token.size() >= least_runs;
+  return is_by_token ? upper_of(std::move(by_token)) * output_tokens : upper_of(std::move(whole));
+}
+
 run_time run_times::upper(const std::string& route, const std::string& service,
                           std::uint32_t output_tokens) const {
   const auto* of_route = find(by_route_, route);
@@ -61,13 +71,11 @@
     return usual_run(output_tokens);
   }
   std::vector<double> first_events;
-  std::vector<double> tokens;
   for (std::size_t index = 0; index < seen->count; ++index) {
     first_events.push_back(seen->latest[index].seconds_to_first_event);
-    tokens.push_back(seen->latest[index].seconds_a_token);
   }
-  const double events = upper_of(std::move(tokens)) * tokens_or_one(output_tokens);
-  return {base::from_seconds(upper_of(std::move(first_events))), base::from_seconds(events)};
+  return {base::from_seconds(upper_of(std::move(first_events))),
+          base::from_seconds(upper_events(*seen, output_tokens))};
 }
 
 } // namespace spurrack::serving
--- a/src/dispatch/run_times.h
+++ b/src/dispatch/run_times.h
@@ -39,7 +39,9 @@
   static constexpr std::size_t remembered = 32;
   struct sample {
     double seconds_to_first_event = 0;
-    double seconds_a_token = 0;
+    double seconds_of_events = 0;
+    /// 0 where the client did not say.
+    std::uint32_t output_tokens = 0;
   };
   struct history {
     std::array<sample, remembered> latest;
@@ -49,6 +51,9 @@
   using histories = std::unordered_map<std::string, history>;
 
   static void add(history& grown, const sample& added);
+  /// @return seconds from the first event to the end that few of the runs took longer than; by the
+  ///         token where the tokens of this one and of enough of them are known.
+  static double upper_events(const history& seen, std::uint32_t output_tokens);
   /// @return null while too few runs are known.
   static const history* find(const histories& known, const std::string& name);
 
--- a/tests/dispatch/run_times_test.cc
+++ b/tests/dispatch/run_times_test.cc
@@ -74,4 +74,27 @@
              boost::test_tools::tolerance(0.001));
 }
 
+BOOST_AUTO_TEST_CASE(
+    whether_a_client_says_how_many_tokens_it_wants_makes_no_run_longer_or_shorter) {
+  run_times subject;
+  for (int run = 0; run < 8; ++run) {
+    subject.note("stated", "engine", 100, {milliseconds(200), milliseconds(1000)});
+    subject.note("unstated", "other", 0, {milliseconds(200), milliseconds(1000)});
+  }
+  BOOST_TEST(seconds(subject.upper("stated", "engine", 0)) == 1.2,
+             boost::test_tools::tolerance(0.001));
+  BOOST_TEST(seconds(subject.upper("unstated", "other", 500)) == 1.2,
+             boost::test_tools::tolerance(0.001));
+}
+
+BOOST_AUTO_TEST_CASE(runs_that_did_not_say_their_tokens_do_not_change_the_time_of_a_token) {
+  run_times subject;
+  for (int run = 0; run < 8; ++run) {
+    subject.note("route", "service", 100, {milliseconds(200), milliseconds(1000)});
+    subject.note("route", "service", 0, {milliseconds(200), milliseconds(1000)});
+  }
+  BOOST_TEST(seconds(subject.upper("route", "service", 300)) == 3.2,
+             boost::test_tools::tolerance(0.001));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
