Second chances heed the end of a stop before they are granted

Causes, each seen in a test that failed before (planned_stop_repeats_test): - The time left was looked at only in send_to_replica, after the share of repeats was charged. The client then got a 502 in place of the failed answer that its replica had given. - A stream without progress that had no time for another replica never came to the check whether its replica is lost, and was held to the end of the stop. - A paused stream was let go during a stop and cut when its client read on, though its replica had time to end it. - A begun stream that broke off was weighed as a whole run, also with little left of it, and cut with time for the rest. - The rest of a stream that a client resumes by Last-Event-Id was learned as a whole run; 40 of them made streams of two seconds look like none, which were then taken and cut.

Ruled out: a 503 for what has run. answer_not_run turns into a 502 or a break once a call was made.

Change: has_attempt_left includes the time before the stop's end, so repeats, loans and calls without progress ask once; a stopping node lets no stream go; a begun stream counts by what is left of it, unless it lasts longer than expected; resumed streams teach nothing.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -213,6 +213,11 @@
                                           base::time_point now) const;
   /// @return what is left of a request whose stages stand as they do.
   [[nodiscard]] work_ahead work_ahead_of(const active_request& request, base::time_point now) const;
+  /// @return the part of the time expected for the events of a stream that is behind it when it is
+  ///         taken up after the last one; zero where it lasts longer than expected, since then
+  ///         nothing is known of the rest.
+  [[nodiscard]] static base::duration passed_on_of(const active_request& request,
+                                                   base::duration expected_events);
   /// A run came to its end.
   void note_run(const active_request& request, base::time_point now);
   /// Gives a request up whose stages are too far behind to end in time.
@@ -259,7 +264,9 @@
   /// lend of theirs, and ends it otherwise.
   void send_again_or_end(active_request& request, failed_ending ending, base::time_point now);
   void end_failed(active_request& request, const failed_ending& ending, base::time_point now);
-  [[nodiscard]] static bool has_attempt_left(const active_request& request, base::time_point now);
+  /// @return whether a request may be sent once more as far as its attempts, its own time and the
+  ///         time before a planned stop are concerned.
+  [[nodiscard]] bool has_attempt_left(const active_request& request, base::time_point now) const;
   /// Looks at the requests that wait for a loan.
   void go_on_with_loans(base::time_point now);
   [[nodiscard]] bool may_send_again(active_request& request, base::time_point now);
--- a/src/dispatch/dispatcher_readers.cc
+++ b/src/dispatch/dispatcher_readers.cc
@@ -82,7 +82,9 @@
     return;
   }
   judge_slow(request);
-  if (!can_be_let_go(request) || !may_send_again(request, now)) {
+  // A stopping node may be gone before the client reads on; what is buffered can still be read.
+  const bool may_wait = !stop_.has_begun() && can_be_let_go(request);
+  if (!may_wait || !may_send_again(request, now)) {
     commands_.emplace_back(widen_window{request.client});
     // Without memory now the call stays paused; it is looked at again.
     request.slow_reader_due = now + longest_rest;
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -24,8 +24,9 @@
 
 // --- repeats -------------------------------------------------------------------------------------
 
-bool dispatcher::has_attempt_left(const active_request& request, base::time_point now) {
-  return request.sent < request.route->max_attempts && now < request.ends_at;
+bool dispatcher::has_attempt_left(const active_request& request, base::time_point now) const {
+  return request.sent < request.route->max_attempts && now < request.ends_at &&
+         has_time_before_stop(request, now);
 }
 
 bool dispatcher::may_send_again(active_request& request, base::time_point now) {
@@ -169,7 +170,7 @@
 }
 
 void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
-  if (!has_time_before_stop(request, now) || choose_replica(request, now) == nullptr) {
+  if (choose_replica(request, now) == nullptr) {
     request.call->stalls_at = now + stall_check_period;
     return;
   }
--- a/src/dispatch/dispatcher_stop.cc
+++ b/src/dispatch/dispatcher_stop.cc
@@ -40,10 +40,20 @@
     }
     to_first_event = std::max(to_first_event, *with_stages);
   }
-  work.expected = to_first_event + run.events;
+  work.expected = to_first_event + run.events - passed_on_of(request, run.events);
   return work;
 }
 
+base::duration dispatcher::passed_on_of(const active_request& request,
+                                        base::duration expected_events) {
+  // A slow reader's events took the time of its pauses too, which says nothing of the rest.
+  if (!request.stream_begun || request.judged_slow) {
+    return {};
+  }
+  const base::duration passed = request.latest_event_at - request.first_event_at;
+  return passed < expected_events ? passed : base::duration{};
+}
+
 bool dispatcher::refuse_at_stop(active_request& request, base::time_point now) {
   if (!stop_.has_begun()) {
     return false;
@@ -79,9 +89,11 @@
 
 void dispatcher::note_run(const active_request& request, base::time_point now) {
   const auto& call = *request.call;
-  // A stream that was taken up elsewhere, or whose client held it up, says nothing of a whole run.
-  const bool is_one_run = request.sent == 1 && !request.judged_slow;
-  if (!is_one_run) {
+  // A stream that was taken up elsewhere, by this node or its client, or whose client held it up,
+  // says nothing of a whole run.
+  const bool is_whole_run =
+      request.sent == 1 && !request.judged_slow && !request.content->resume_after;
+  if (!is_whole_run) {
     return;
   }
   const bool has_events = request.first_event_at != base::time_point{};
--- /dev/null
+++ b/tests/dispatch/stopping_dispatcher.h
@@ -0,0 +1,71 @@
+/// A dispatcher with routes of which it has learned how long their runs last, before a planned
+/// stop.
+#pragma once
+
+#include "serving_fixture.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace spurrack::serving {
+
+/// Time that a node is given between the begin of a stop and its end.
+constexpr std::chrono::milliseconds stop_time{7'300};
+
+/// A dispatcher that has served some streams, which last two seconds from their first event.
+struct stopping_dispatcher : dispatcher_driver {
+  stopping_dispatcher() { time_allowed = std::chrono::seconds(15); }
+
+  /// @param pieces of the stages, of which the first has one where there are any.
+  void learn(const std::string& path, const std::vector<std::uint32_t>& pieces = {}) {
+    constexpr base::caller_id streams = 4;
+    for (base::caller_id client = 1; client <= streams; ++client) {
+      arrive(client, path, pieces);
+      if (!pieces.empty()) {
+        pass(std::chrono::milliseconds(20));
+        finish_stage();
+      }
+      stream_of_last_call(std::chrono::milliseconds(200), std::chrono::seconds(2));
+    }
+  }
+
+  /// The latest call of a stage makes its one piece.
+  void finish_stage() {
+    stage_call_ended made;
+    made.call = last<start_stage_call>().call;
+    made.how = stage_call_ended::result::answered;
+    made.pieces = {{piece_fault::none, "10.0.0.1:80/h"}};
+    happen(made);
+  }
+
+  void stream_of_last_call(base::duration to_first_event, base::duration events) {
+    const auto call = last<start_call>().call;
+    pass(to_first_event);
+    happen(stream_opened{call, good_head()});
+    next_event(call);
+    // Events come more often than a stall is suspected.
+    for (base::duration passed{}; passed < events; passed += std::chrono::milliseconds(500)) {
+      pass(std::chrono::milliseconds(500));
+      next_event(call);
+    }
+    happen(stream_closed{call, true});
+  }
+
+  /// The next event of the stream of a call.
+  void next_event(base::call_id call) {
+    const auto id = std::to_string(++events_of[call]);
+    happen(stream_bytes{call, "id: " + id + "\ndata: a\n\n"});
+  }
+
+  void stop() {
+    stop_began = now;
+    subject.begin_stop(now, now + stop_time);
+  }
+
+  base::time_point stop_began;
+  std::map<base::call_id, unsigned> events_of;
+};
+
+} // namespace spurrack::serving
