A load with more figures than three is read

Cause: an answer whose load header held a fourth figure was taken for one without a load, so replicas of newer deployments were chosen as if they told nothing. Figures above what any replica can run were believed, and kept all requests from it for as long as a told load counts.

Ruled out: reading the fourth figure into the choice. It changes many times a second, and the time calls take at this node shows the same.

Change: the first three figures are read, what follows is passed over. A load that cannot be read (words, signs, fractions, none at all, more than 100,000) leaves the last good one with its age and raises spurrack_unreadable_loads_total; no line is logged.

Conclusion: http_codec_test covers the forms; the test of the fourth figure fails on the code before.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -267,6 +267,9 @@
   if (facts.budget != nullptr) {
     add_budget(registry, *facts.budget);
     add_readers(registry, *facts.readers);
+    add_count(registry, "spurrack_unreadable_loads_total",
+              "Answers of replicas that told a load which cannot be read.",
+              facts.replica_connections->unreadable_loads);
   }
   add_counter(registry, "spurrack_retries_total", "Stage calls made again.",
               static_cast<double>(counts.retries));
--- a/src/daemon/operator_documents.h
+++ b/src/daemon/operator_documents.h
@@ -5,6 +5,7 @@
 #include "http/ingress_server.h"
 #include "http/operator_server.h"
 #include "node/node.h"
+#include "upstream/replica_client.h"
 
 #include <cstdint>
 
@@ -17,6 +18,7 @@
   /// Null where the node serves no published routes.
   const http::reader_counters* readers = nullptr;
   const flow::byte_budget* budget = nullptr;
+  const upstream::connection_counters* replica_connections = nullptr;
 };
 
 /// @return the document at `path`; nothing where there is none.
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -170,10 +170,11 @@
 }
 
 process_facts runtime::facts() const {
-  process_facts known{peers_->dropped(), busy(), nullptr, nullptr};
+  process_facts known{peers_->dropped(), busy(), nullptr, nullptr, nullptr};
   if (serving_) {
     known.readers = &serving_->readers();
     known.budget = serving_->budget().get();
+    known.replica_connections = &serving_->replica_connections();
   }
   return known;
 }
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -84,6 +84,8 @@
   /// The replica closes its connections: it may be leaving.
   bool closing = false;
   std::optional<replica_load> load;
+  /// The replica tells a load that cannot be read; what it told before stands, with its age.
+  bool load_unreadable = false;
   /// How much longer the replica stays cold; 0 where it does not say.
   base::duration cold_for{};
 };
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -395,8 +395,9 @@
     }
   }
 
-  serving::answer_head head_of(const response_parser& parser) const {
+  serving::answer_head head_of(const response_parser& parser) {
     auto head = codec_->read_answer(raw_of(parser));
+    counters_.unreadable_loads += head.load_unreadable ? 1 : 0;
     head.closing = head.closing || !parser.keep_alive();
     return head;
   }
--- a/src/upstream/replica_client.h
+++ b/src/upstream/replica_client.h
@@ -25,6 +25,8 @@
   std::uint64_t reused = 0;
   /// Answers that belonged to no call of their connection.
   std::uint64_t surplus_answers = 0;
+  /// Answers that told a load which cannot be read.
+  std::uint64_t unreadable_loads = 0;
 };
 
 /// Not thread-safe.
--- a/tests/platform/http_codec_test.cc
+++ b/tests/platform/http_codec_test.cc
@@ -152,6 +152,37 @@
   BOOST_TEST(codec->read_answer({200, {{"Content-Encoding", "gzip"}}}).encoded);
 }
 
+BOOST_AUTO_TEST_CASE(figures_of_a_load_after_the_third_are_passed_over) {
+  const auto codec = platform::make_http_codec();
+  for (const std::string text : {"3,1,8", "3, 1, 8", "3,1,8,", "3,1,8,100", "3,1,8,soon",
+                                 "3,1,8,-5", "3,1,8,1e99,7,x", "3,1,8,99999999999999999999"}) {
+    const auto head = codec->read_answer({200, {{"X-Replica-Load", text}}});
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_REQUIRE(head.load.has_value());
+      BOOST_TEST(head.load->running == 3);
+      BOOST_TEST(head.load->waiting == 1);
+      BOOST_TEST(head.load->slots == 8);
+      BOOST_TEST(!head.load_unreadable);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_load_that_cannot_be_read_tells_nothing_and_is_marked) {
+  const auto codec = platform::make_http_codec();
+  for (const std::string text :
+       {"", " ", ",", ",,", "3", "3,1", "many,1,8", "3,-1,8", "3,1,8.5", "3;1;8", "+3,1,8",
+        "99999999999,1,8", "4000000000,1,8", "3,100001,8", "3 1 8", "nan,0,8"}) {
+    const auto head = codec->read_answer({200, {{"X-Replica-Load", text}}});
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_TEST(!head.load.has_value());
+      BOOST_TEST(head.load_unreadable);
+    }
+  }
+  const auto silent = codec->read_answer({200, {}});
+  BOOST_TEST(!silent.load.has_value());
+  BOOST_TEST(!silent.load_unreadable);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_says_how_long_its_replica_stays_cold) {
   const auto codec = platform::make_http_codec();
   const auto cold_for = [&](const std::string& text) {
