An entry that is not whole names no replica; when a replica started is read

Cause: an entry without zone, slots or state, with fields of other types or with an address that is none was taken for a replica; and the start of a replica's process was not read at all.

Ruled out: requiring version, cold time, sequence or start: older replicas do not write some of them. Where they are there they must be of their type; the version may be a number.

A test that used an entry without zone, slots and state (how long a replica stays cold) now uses a whole one; all it checked it still checks.

Conclusion: record_translator_test covers each field missing, of each other type, and bytes that cannot be read.

--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -1,5 +1,6 @@
 #include "model/serving_record_parser.h"
 
+#include "wire/life_fields.h"
 #include "wire/published.pb.h"
 
 #include <algorithm>
@@ -257,6 +258,12 @@
   built->slots = std::max(1U, published.slots());
   built->draining = published.draining();
   built->cold_for = milliseconds_of(published.cold_milliseconds());
+  if (const auto started_at = wire::started_at_milliseconds(published); started_at > 0) {
+    built->life = replica_life{started_at};
+  }
+  if (built->id.empty()) {
+    return refusal_reason{"id is missing"};
+  }
   if (built->service.empty() || built->address.empty()) {
     return refusal_reason{"service or address is missing"};
   }
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -146,7 +146,16 @@
   [[nodiscard]] const service* find_service(const std::string& name) const;
 };
 
-/// One incarnation of a replica.
+/// One life of a replica, from its start to its end. A replica that starts again under its id knows
+/// nothing of before.
+struct replica_life {
+  /// Unix milliseconds by the clock of the replica's machine: only whether two are equal means
+  /// anything.
+  std::uint64_t started_at_milliseconds = 0;
+  bool operator==(const replica_life&) const = default;
+};
+
+/// A replica as published.
 struct replica {
   base::replica_id id;
   std::string service;
@@ -156,6 +165,8 @@
   bool draining = false;
   /// How much longer it stays cold, counted from its publication; 0 where it is warm.
   base::duration cold_for{};
+  /// Nothing where the replica does not say.
+  std::optional<replica_life> life;
 };
 
 /// The operator asks to send nothing to the replicas of a zone, for as long as this is published.
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <string>
+
 using namespace spurrack;
 
 namespace {
@@ -35,6 +38,46 @@
   return refused == nullptr ? "" : refused->text;
 }
 
+/// Fields of a good entry, each as JSON.
+std::map<std::string, std::string> good_fields() {
+  return {{"service", "\"llm\""},   {"address", "\"10.0.0.1:80\""},
+          {"zone", "\"z\""},        {"version", "\"v1\""},
+          {"slots", "4"},           {"state", "\"ready\""},
+          {"cold_left_ms", "2500"}, {"sequence", "4"},
+          {"born", "1790000000123"}};
+}
+
+std::string entry_of(const std::map<std::string, std::string>& fields) {
+  std::string text;
+  for (const auto& [name, value] : fields) {
+    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+  }
+  return text + "}";
+}
+
+std::string with_field(const std::string& name, const std::string& value) {
+  auto fields = good_fields();
+  fields[name] = value;
+  return entry_of(fields);
+}
+
+std::string without_field(const std::string& name) {
+  auto fields = good_fields();
+  fields.erase(name);
+  return entry_of(fields);
+}
+
+model::replica_result parsed_replica(const std::string& text) {
+  return model::parse_replica(platform::translate_replica("i-1", text).SerializeAsString());
+}
+
+/// @return why an entry names no replica; empty where it names one.
+std::string reason_of(const std::string& text) {
+  const auto read = parsed_replica(text);
+  const auto* refused = std::get_if<model::refusal_reason>(&read);
+  return refused == nullptr ? "" : refused->text;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(record_translator_test)
@@ -166,7 +209,9 @@
 
 BOOST_AUTO_TEST_CASE(a_replica_says_how_long_it_stays_cold) {
   const auto parsed_with = [](const std::string& cold) {
-    const auto text = R"({"service":"llm","address":"10.0.0.1:80","cold_left_ms":)" + cold + "}";
+    const auto text = R"({"service":"llm","address":"10.0.0.1:80","zone":"z","slots":4,)"
+                      R"("state":"ready","cold_left_ms":)" +
+                      cold + "}";
     return model::parse_replica(platform::translate_replica("i-1", text).SerializeAsString());
   };
   BOOST_TEST(base::to_milliseconds(std::get<0>(parsed_with("2500"))->cold_for) == 2500);
@@ -176,6 +221,90 @@
   BOOST_TEST(parsed_with("\"soon\"").index() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_says_when_it_started) {
+  BOOST_TEST((std::get<0>(parsed_replica(with_field("born", "1790000000123")))->life ==
+              model::replica_life{1'790'000'000'123}));
+  BOOST_TEST((std::get<0>(parsed_replica(with_field("born", "1.5e3")))->life ==
+              model::replica_life{1500}));
+  BOOST_TEST(!std::get<0>(parsed_replica(without_field("born")))->life.has_value());
+  for (const std::string born : {"\"1790000000123\"", "-1", "0", "17.5", "1e99", "null", "true",
+                                 "[]", "{}", "99999999999999999999"}) {
+    BOOST_TEST_CONTEXT(born) {
+      BOOST_TEST((reason_of(with_field("born", born)) == "born is not a whole number" ||
+                  reason_of(with_field("born", born)) == "born is out of range"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_a_field_names_no_replica) {
+  BOOST_TEST(reason_of(without_field("none")) == "");
+  for (const std::string name : {"service", "address", "zone", "slots", "state"}) {
+    BOOST_TEST(reason_of(without_field(name)) == name + " is missing");
+  }
+  for (const std::string name : {"version", "cold_left_ms", "sequence", "born"}) {
+    BOOST_TEST_CONTEXT(name) {
+      BOOST_TEST(reason_of(without_field(name)) == "");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_with_a_field_of_another_type_names_no_replica) {
+  for (const std::string name : {"service", "address", "zone", "slots", "state", "version",
+                                 "cold_left_ms", "sequence", "born"}) {
+    for (const std::string value : {"null", "true", "[]", "[1]", "{}", "{\"a\":1}"}) {
+      BOOST_TEST_CONTEXT(name << " " << value) {
+        BOOST_TEST(reason_of(with_field(name, value)) != "");
+      }
+    }
+  }
+  for (const std::string name : {"service", "address", "zone", "state"}) {
+    BOOST_TEST(reason_of(with_field(name, "7")) == name + " is not text");
+    BOOST_TEST(reason_of(with_field(name, "\"\"")) == name + " is empty");
+  }
+  for (const std::string name : {"slots", "cold_left_ms", "sequence"}) {
+    for (const std::string value : {"\"7\"", "-1", "2.5", "1e300"}) {
+      BOOST_TEST_CONTEXT(name << " " << value) {
+        BOOST_TEST(reason_of(with_field(name, value)) == name + " is not a whole number");
+      }
+    }
+  }
+  BOOST_TEST(reason_of(with_field("slots", "0")) == "slots is out of range");
+  BOOST_TEST(reason_of(with_field("slots", "4294967297")) == "slots is out of range");
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_with_an_unknown_state_or_a_bad_address_names_no_replica) {
+  BOOST_TEST(reason_of(with_field("state", "\"draining\"")) == "");
+  for (const std::string state : {"\"gone\"", "\"READY\"", "\"ready \""}) {
+    BOOST_TEST(reason_of(with_field("state", state)) == "state is not known");
+  }
+  for (const std::string address :
+       {"\"10.0.0.1\"", "\"10.0.0.1:\"", "\"10.0.0.1:0\"", "\"10.0.0.1:65536\"", "\"host:80\"",
+        "\":80\"", "\"10.0.0.1:80 \"", "\"10.0.0.1:80/x\""}) {
+    BOOST_TEST(reason_of(with_field("address", address)) == "address is not IP:PORT");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_cannot_be_read_names_no_replica) {
+  for (const std::string text : {"", " ", "{", "7", "null", "\"ready\"", "[]", "{}",
+                                 "{\"service\":\"\xff\"}", "\x00\x01\x02"}) {
+    BOOST_TEST_CONTEXT(text) {
+      BOOST_TEST(reason_of(text) != "");
+    }
+  }
+  BOOST_TEST(reason_of(std::string(100'000, '[')) == "not a JSON document");
+  const auto& good = without_field("none");
+  BOOST_TEST(reason_of(good + good) == "not a JSON document");
+  const auto refused = platform::translate_replica("i-1", R"({"service":"s","zone":7})");
+  BOOST_TEST(refused.service() == "");
+  BOOST_TEST(refused.id() == "i-1");
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_an_id_names_no_replica) {
+  const auto bytes = platform::translate_value("servers/", without_field("none"));
+  const auto read = model::parse_replica(bytes);
+  BOOST_TEST(std::get<model::refusal_reason>(read).text == "id is missing");
+}
+
 BOOST_AUTO_TEST_CASE(a_service_says_what_its_cold_replicas_bear) {
   const auto text = R"({"version":1,"services":[{"name":"llm","cold_per_s":6.7}]})";
   const auto configuration = std::get<0>(parsed(text));
