A malformed entry of a replica takes the place of the good one before it

Cause: as for the configuration, the last good entry of a replica stayed in force when a newer one could not be read, so a replica that another writer had written over went on getting requests; and a malformed entry that its writer renews was logged at each renewal.

Ruled out: treating it as a removal: nodes that hear the entries in other orders would then hold different content. The refused entry itself is kept, alone, so that contents are equal.

Change: for keys of replicas a refused entry replaces the accepted one, and older good ones that a lagging peer offers stay out. An entry that says what the refused one before it said is passed on to peers and not reported again. A listing without the key forgets it.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -19,6 +19,10 @@
   return text;
 }
 
+bool is_replica_key(const std::string& key) {
+  return key.starts_with(model::replica_prefix);
+}
+
 std::string name_part(const std::string& key) {
   return key.substr(key.find('/') + 1);
 }
@@ -44,8 +48,13 @@
          (place.rejected && place.rejected->at == offered);
 }
 
-bool catalog::is_older(const slot& place, const version& offered) const {
-  return switches_.revision_order && place.accepted && offered < place.accepted->at;
+bool catalog::is_older(const std::string& key, const slot& place, const version& offered) const {
+  if (!switches_.revision_order) {
+    return false;
+  }
+  // An invalid entry of a replica takes the place of the accepted one.
+  const bool before_refused = is_replica_key(key) && place.rejected && offered < place.rejected->at;
+  return before_refused || (place.accepted && offered < place.accepted->at);
 }
 
 apply_result catalog::apply(const wire::catalog_entry& entry) {
@@ -54,7 +63,7 @@
   if (is_known(place, offered.at)) {
     return {apply_verdict::duplicate, {}};
   }
-  if (is_older(place, offered.at)) {
+  if (is_older(entry.key(), place, offered.at)) {
     return {apply_verdict::older, {}};
   }
   highest_revision_ = std::max(highest_revision_, entry.revision());
@@ -70,8 +79,7 @@
   if (place.rejected && offered.at < place.rejected->at) {
     return {apply_verdict::older, {}};
   }
-  reject(place, std::move(offered), std::get<std::string>(std::move(read)));
-  return {apply_verdict::rejected, place.rejection_reason};
+  return reject(place, std::move(offered), std::get<std::string>(std::move(read)));
 }
 
 catalog::reading catalog::read_value(const std::string& key, const std::string& value) {
@@ -113,15 +121,25 @@
   if (place.rejected && place.rejected->at < place.accepted->at) {
     place.rejected.reset();
     place.rejection_reason.clear();
+    refused_replica_keys_.erase(key);
   }
   rehash(key, place);
 }
 
-void catalog::reject(slot& place, stored_entry offered, std::string reason) {
+apply_result catalog::reject(slot& place, stored_entry offered, std::string reason) {
   const auto key = offered.entry.key();
+  const bool is_repeated = place.rejected && place.rejected->entry.value() == offered.entry.value();
+  if (is_replica_key(key)) {
+    remove_from_index(key);
+    place.accepted.reset();
+    refused_replica_keys_.insert(key);
+    refused_replicas_ += is_repeated ? 0 : 1;
+  }
   place.rejected = std::move(offered);
   place.rejection_reason = std::move(reason);
   rehash(key, place);
+  return {is_repeated ? apply_verdict::rejected_again : apply_verdict::rejected,
+          place.rejection_reason};
 }
 
 void catalog::rehash(const std::string& key, slot& place) {
@@ -187,6 +205,9 @@
   for (const auto& [id, known] : replicas_) {
     add_deletion_if_unlisted(std::string(model::replica_prefix) + id.text(), listed, at, deletions);
   }
+  for (const auto& key : refused_replica_keys_) {
+    add_deletion_if_unlisted(key, listed, at, deletions);
+  }
   return deletions;
 }
 
@@ -204,7 +225,7 @@
 void catalog::add_deletion_if_unlisted(const std::string& key, const std::set<std::string>& listed,
                                        base::revision at,
                                        std::vector<wire::catalog_entry>& deletions) const {
-  if (listed.contains(key) || revision_of(key) >= at) {
+  if (listed.contains(key) || newest_revision_of(key) >= at) {
     return;
   }
   wire::catalog_entry gone;
@@ -287,6 +308,14 @@
   return found->second.accepted->at.revision;
 }
 
+base::revision catalog::newest_revision_of(const std::string& key) const {
+  const auto found = slots_.find(key);
+  if (found == slots_.end() || !found->second.rejected) {
+    return revision_of(key);
+  }
+  return std::max(revision_of(key), found->second.rejected->at.revision);
+}
+
 std::vector<rejection> catalog::rejections() const {
   std::vector<rejection> found;
   for (const auto& [key, place] : slots_) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -23,8 +23,12 @@
 
 /// What became of an entry that was offered.
 enum class apply_verdict : std::uint8_t {
-  accepted,  ///< It is in force now.
-  rejected,  ///< Newest for its key but invalid; the last accepted one stays in force.
+  accepted, ///< It is in force now.
+  /// Newest for its key but invalid. The last accepted one stays in force, except that of a
+  /// replica: what another writer has written over cannot be relied on.
+  rejected,
+  /// The same, and it says what the rejected one before it said.
+  rejected_again,
   duplicate, ///< Already known.
   older,     ///< Not newer than what is known; ignored.
 };
@@ -105,6 +109,9 @@
   /// Raised whenever a machine entry changes; lets readers rebuild what they derive from the list.
   [[nodiscard]] std::uint64_t machine_changes() const { return machine_changes_; }
   [[nodiscard]] std::vector<rejection> rejections() const;
+  /// @return how often an entry of a replica was refused; one that is written again unchanged
+  ///         counts once.
+  [[nodiscard]] std::uint64_t refused_replicas() const { return refused_replicas_; }
   /// @return number of keys ever seen, deleted ones included.
   [[nodiscard]] std::size_t size() const { return slots_.size(); }
 
@@ -130,7 +137,8 @@
   static version version_of(const wire::catalog_entry& entry);
   static std::size_t bucket_of(const std::string& key);
   static bool is_known(const slot& place, const version& offered);
-  [[nodiscard]] bool is_older(const slot& place, const version& offered) const;
+  [[nodiscard]] bool is_older(const std::string& key, const slot& place,
+                              const version& offered) const;
   /// A valid record of any kind.
   using any_record =
       std::variant<model::record, std::shared_ptr<const model::serving_configuration>,
@@ -140,7 +148,9 @@
 
   static reading read_value(const std::string& key, const std::string& value);
   void accept(slot& place, stored_entry offered, const std::optional<any_record>& value);
-  void reject(slot& place, stored_entry offered, std::string reason);
+  apply_result reject(slot& place, stored_entry offered, std::string reason);
+  /// @return revision of the newest entry of `key`, accepted or not; 0 where there is none.
+  [[nodiscard]] base::revision newest_revision_of(const std::string& key) const;
   void rehash(const std::string& key, slot& place);
   void index(const std::string& key, const any_record& value);
   void index(const std::string& key, const model::record& value);
@@ -161,6 +171,9 @@
   std::uint64_t machine_changes_ = 0;
   std::shared_ptr<const model::serving_configuration> serving_;
   replica_map replicas_;
+  /// Keys of replicas whose newest entry is invalid.
+  std::set<std::string> refused_replica_keys_;
+  std::uint64_t refused_replicas_ = 0;
   std::set<base::zone_id> evacuated_zones_;
   std::uint64_t serving_changes_ = 0;
   base::revision highest_revision_ = 0;
--- a/src/catalog/replicator.cc
+++ b/src/catalog/replicator.cc
@@ -23,11 +23,10 @@
   if (result.verdict == apply_verdict::duplicate) {
     return false;
   }
-  observer_(entry, result);
-  if (result.verdict == apply_verdict::older) {
-    return false;
+  if (result.verdict != apply_verdict::rejected_again) {
+    observer_(entry, result);
   }
-  return true;
+  return result.verdict != apply_verdict::older;
 }
 
 void replicator::offer(const std::vector<wire::catalog_entry>& entries,
