What a node has seen of a replica ends with its life

Cause: replicas start again under the id that they had, and pauses, failures, load, speed, cold time and what other nodes said of the earlier life were held against (or for) the new one.

Ruled out: comparing starts with this node's clock (a time of day means nothing elsewhere); taking an entry that does not tell a start for another life (older replicas never tell one).

Change: replica_lives knows the life of each replica, also for five minutes after its entry is gone, since most crashes take it away first. Another start resets the replica's state, its evidence and what was to be reported of it. Calls that are open stay counted until they end. Calls begun before the news are at the earlier life, except where the node saw it unreachable and then heard it: then those begun since are at the new one. Entries whose service is not configured are no replicas.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -32,6 +32,8 @@
     return "backend_leaving";
   case event_kind::backend_ejected:
     return "backend_ejected";
+  case event_kind::backend_restarted:
+    return "backend_restarted";
   case event_kind::request_received:
     return "request_received";
   case event_kind::request_answered:
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -27,6 +27,7 @@
   service_behind,
   backend_leaving,
   backend_ejected,
+  backend_restarted,
   request_received,
   request_answered,
   stage_dispatched,
--- a/src/dispatch/replica_news.cc
+++ b/src/dispatch/replica_news.cc
@@ -1,5 +1,7 @@
 #include "dispatch/replica_news.h"
 
+#include "wire/life_fields.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -92,6 +94,7 @@
     said.set_sign(to_wire(own.sign));
     said.set_calls(rounded(own.bad_calls));
     said.set_good_calls(rounded(own.good_calls));
+    wire::set_life_mark(said, life_mark_of(*replicas_->find(id)->record));
     said.set_age_milliseconds(static_cast<std::uint32_t>(base::to_milliseconds(now - own.seen_at)));
   }
   return news;
@@ -115,12 +118,26 @@
   }
 }
 
+bool replica_news::is_of_another_life(const wire::replica_evidence& said) const {
+  const auto* state = replicas_->find(base::replica_id(said.replica()));
+  if (state == nullptr) {
+    return false;
+  }
+  const auto known = life_mark_of(*state->record);
+  const auto told = wire::life_mark(said);
+  return known != 0 && told != 0 && known != told;
+}
+
 std::vector<base::replica_id> replica_news::handle(const base::node_id& sender,
                                                    const wire::replica_news& message,
                                                    base::time_point now) {
   std::vector<base::replica_id> lost;
   for (const auto& said : message.evidence()) {
     const base::replica_id replica(said.replica());
+    if (is_of_another_life(said)) {
+      ++counts_.of_other_lives;
+      continue;
+    }
     const base::duration age = std::chrono::milliseconds(said.age_milliseconds());
     replicas_->take_in(replica, sender,
                        {from_wire(said.sign()), static_cast<double>(said.good_calls()),
--- a/src/dispatch/replica_news.h
+++ b/src/dispatch/replica_news.h
@@ -22,6 +22,8 @@
 struct replica_news_counts {
   std::uint64_t messages = 0;
   std::uint64_t taken_in = 0;
+  /// Reports on another life of a replica than the one this node knows, which were passed over.
+  std::uint64_t of_other_lives = 0;
 };
 
 /// Not thread-safe. Messages gather until they are taken.
@@ -50,6 +52,7 @@
 
  private:
   [[nodiscard]] wire::replica_news collect(base::time_point now);
+  [[nodiscard]] bool is_of_another_life(const wire::replica_evidence& said) const;
 
   replica_table* replicas_;
   base::zone_id own_zone_;
--- /dev/null
+++ b/src/replicas/replica_lives.cc
@@ -0,0 +1,50 @@
+#include "replicas/replica_lives.h"
+
+namespace spurrack::serving {
+namespace {
+
+/// No request lasts longer than two minutes, and results of stages live for seconds: after this
+/// time nothing of a life that is over can be under way.
+constexpr base::duration remembered_after_end = std::chrono::minutes(5);
+/// Marks of two lives are equal once in two million restarts; 21 bits are three bytes of a message,
+/// the whole time would be six.
+constexpr std::uint64_t mark_count = (1U << 21U) - 1;
+
+} // namespace
+
+std::optional<replica_restart> replica_lives::note_published(const model::replica& record) {
+  if (!record.life) {
+    return std::nullopt;
+  }
+  const auto [place, is_new] =
+      known_.try_emplace(record.id, known_life{*record.life, record.address, std::nullopt});
+  auto& known = place->second;
+  std::optional<replica_restart> restart;
+  if (!is_new && known.life != *record.life) {
+    restart = replica_restart{record.id, known.address};
+  }
+  known = {*record.life, record.address, std::nullopt};
+  return restart;
+}
+
+void replica_lives::note_gone(const base::replica_id& replica, base::time_point now) {
+  const auto found = known_.find(replica);
+  if (found != known_.end() && !found->second.gone_at) {
+    found->second.gone_at = now;
+  }
+}
+
+void replica_lives::forget_gone(base::time_point now) {
+  std::erase_if(known_, [&](const auto& entry) {
+    const auto& gone_at = entry.second.gone_at;
+    return gone_at && now - *gone_at >= remembered_after_end;
+  });
+}
+
+std::uint32_t life_mark_of(const model::replica& record) {
+  return record.life
+             ? static_cast<std::uint32_t>(1 + record.life->started_at_milliseconds % mark_count)
+             : 0;
+}
+
+} // namespace spurrack::serving
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -39,6 +39,10 @@
 constexpr double clear_excess = 0.2;
 /// Other failing replicas that are looked at to learn what is usual.
 constexpr std::size_t most_compared = 64;
+/// A replica that could not be reached and was heard afterwards had started again in between, if it
+/// was not longer ago than this: the list of replicas may lag behind by the time that its store was
+/// away.
+constexpr base::duration longest_list_lag = std::chrono::seconds(30);
 /// Half-life of what others reported of failures, as that of an own tally.
 constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
@@ -59,20 +63,36 @@
 void replica_table::update(
     const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
     base::time_point now) {
+  const auto is_gone = [&](const base::replica_id& id) {
+    const auto found = published.find(id);
+    return found == published.end() || !has_known_service(*found->second);
+  };
   std::erase_if(replicas_, [&](const auto& entry) {
-    const bool is_gone = !published.contains(entry.first);
-    if (is_gone) {
-      evidence_.forget(entry.first);
+    const auto& id = entry.first;
+    if (!is_gone(id)) {
+      return false;
     }
-    return is_gone;
+    evidence_.forget(id);
+    lives_.note_gone(id, now);
+    return true;
   });
+  lives_.forget_gone(now);
   by_service_.clear();
   by_address_.clear();
   for (auto& [service, failing] : told_failing_) {
-    std::erase_if(failing, [&](const auto& id) { return !published.contains(id); });
+    std::erase_if(failing, is_gone);
   }
   for (const auto& [id, record] : published) {
+    if (!has_known_service(*record)) {
+      continue;
+    }
     auto& state = replicas_[id];
+    if (state.record != record) {
+      if (auto restart = lives_.note_published(*record)) {
+        begin_life(id, state, now);
+        restarts_.push_back(std::move(*restart));
+      }
+    }
     if (state.record != record) {
       turn_cold(state, record->cold_for, now);
     }
@@ -82,6 +102,32 @@
   }
 }
 
+bool replica_table::has_known_service(const model::replica& record) const {
+  return !configuration_ || configuration_->find_service(record.service) != nullptr;
+}
+
+void replica_table::begin_life(const base::replica_id& id, replica_state& state,
+                               base::time_point now) {
+  const auto lost_at = std::max(state.unreachable_at, state.silent_at);
+  const bool came_back_unlisted =
+      lost_at != base::time_point{} && state.heard_at > lost_at && now - lost_at < longest_list_lag;
+  replica_state fresh;
+  fresh.in_flight = state.in_flight;
+  fresh.restart_seen_at = now;
+  fresh.earlier_calls_until = came_back_unlisted ? lost_at : now;
+  state = std::move(fresh);
+  evidence_.forget(id);
+  changed_.erase(id);
+  for (auto& [service, failing] : told_failing_) {
+    failing.erase(id);
+  }
+}
+
+bool replica_table::is_at_earlier_life(const base::replica_id& id, base::time_point began) const {
+  const auto* state = find(id);
+  return state != nullptr && state->restart_seen_at && began <= state->earlier_calls_until;
+}
+
 void replica_table::turn_cold(replica_state& state, base::duration cold_for, base::time_point now) {
   if (cold_for > base::duration::zero()) {
     state.cold_until = std::max(state.cold_until, now + cold_for);
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -7,6 +7,7 @@
 #include "model/serving_records.h"
 #include "replicas/cold_limit.h"
 #include "replicas/replica_evidence.h"
+#include "replicas/replica_lives.h"
 #include "serving/events.h"
 #include "serving/settings.h"
 
@@ -69,6 +70,10 @@
   base::time_point cold_until;
   /// Requests that this node may send it while it is cold.
   cold_bucket cold_sends;
+  /// When this node learned that it had started again; nothing where it has not seen that.
+  std::optional<base::time_point> restart_seen_at;
+  /// Calls that began until then are at an earlier life; only after a restart.
+  base::time_point earlier_calls_until;
 };
 
 /// Whether a request that is held to some regions can be served there.
@@ -85,9 +90,16 @@
   replica_table(const base::node_id& self, base::zone_id own_zone, const serving_settings& settings,
                 base::random_source& random);
 
-  /// Takes over the published replicas; what was seen of those that stay is kept.
+  /// Takes over the published replicas; what was seen of those that stay in the same life is kept.
+  /// Those of services that are not configured are passed over.
   void update(const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
               base::time_point now);
+  /// @return replicas that started again under their id, as updates have shown since the last call.
+  [[nodiscard]] std::vector<replica_restart> take_restarts() {
+    return std::exchange(restarts_, {});
+  }
+  /// @return whether a call that began then is at a life of the replica that is over.
+  [[nodiscard]] bool is_at_earlier_life(const base::replica_id& id, base::time_point began) const;
   void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
   /// Nodes that are alive, this one among them, by zone.
   void set_nodes(std::map<base::zone_id, std::vector<base::node_id>> by_zone) {
@@ -205,6 +217,10 @@
   /// @return whether a replica is warm, or cold and this node may send it a request now.
   [[nodiscard]] bool bears_request(const replica_state& state, base::time_point now) const;
   static void turn_cold(replica_state& state, base::duration cold_for, base::time_point now);
+  /// @return whether a replica's service is configured; all are before there is a configuration.
+  [[nodiscard]] bool has_known_service(const model::replica& record) const;
+  /// Forgets all that was seen of an earlier life, except the calls that are not ended yet.
+  void begin_life(const base::replica_id& id, replica_state& state, base::time_point now);
   replica_state* mutable_find(const base::replica_id& id);
   /// @return what is left by now of a share that was reported.
   static double told_share_now(double told, const replica_state& state, base::time_point now);
@@ -222,6 +238,8 @@
   serving_settings settings_;
   base::random_source* random_;
   std::map<base::replica_id, replica_state> replicas_;
+  replica_lives lives_;
+  std::vector<replica_restart> restarts_;
   std::unordered_map<std::string, std::vector<base::replica_id>> by_service_;
   std::unordered_map<base::network_address, base::replica_id> by_address_;
   replica_evidence evidence_;
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -4,6 +4,7 @@
 #include "catalog/catalog.h"
 #include "dispatch/dispatcher.h"
 #include "model/serving_record_parser.h"
+#include "wire/life_fields.h"
 #include "wire/published.pb.h"
 
 #include <boost/test/unit_test.hpp>
@@ -98,6 +99,33 @@
     put(std::string(model::replica_prefix) + id, replica.SerializeAsString(), false);
   }
 
+  /// Publishes a life of a replica; a start of 0 is not told.
+  void add_life(const std::string& id, const std::string& service, const std::string& zone,
+                const std::string& address, std::uint64_t started_at_milliseconds,
+                std::uint32_t cold_milliseconds = 0) {
+    wire::published_replica replica;
+    replica.set_id(id);
+    replica.set_service(service);
+    replica.set_address(address);
+    replica.set_zone(zone);
+    replica.set_slots(4);
+    replica.set_cold_milliseconds(cold_milliseconds);
+    wire::set_started_at_milliseconds(replica, started_at_milliseconds);
+    put(std::string(model::replica_prefix) + id, replica.SerializeAsString(), false);
+  }
+
+  /// Another writer writes over the entry of a replica.
+  void write_malformed(const std::string& id) {
+    wire::published_replica replica;
+    replica.set_id(id);
+    replica.set_translation_fault("zone is missing");
+    wire::catalog_entry entry;
+    entry.set_key(std::string(model::replica_prefix) + id);
+    entry.set_value(replica.SerializeAsString());
+    entry.set_revision(++revision_);
+    BOOST_REQUIRE((content.apply(entry).verdict == catalog::apply_verdict::rejected));
+  }
+
   void remove_replica(const std::string& id) {
     put(std::string(model::replica_prefix) + id, "", true);
   }
