Calls, results and connections end with the life of their replica

Cause: after a restart under the same id, requests at the earlier process waited for their deadline where its machine sent no reset; pieces and room were counted at a maker that holds nothing; engines were believed to keep parts; kept connections led to a process that was gone.

Ruled out: cancelling every call at once: the entry may reach a node later than the new process took its first calls (the store was away), so a stream whose events come stays, and a call that may not be repeated has 500 ms to show that it is served.

Change: on a restart the dispatcher takes up repeatable calls elsewhere at once, ends others with 502 (never as not run), lets the new life be tried, marks results of the earlier one as lost, has the stage pool make its calls again and free its room, has the engine directory forget the account, and closes connections that rest. Calls at the earlier life are kept under another name, so that their failures say nothing of the new one.

Conclusion: replica_restart_test, stage_pool_test, stage_graph_test, engine_directory_test, connection_pool_test.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -128,6 +128,16 @@
       counts.ended_at_lost_replicas);
   add("spurrack_replica_ejections_total", "Replicas paused on the reports of two nodes.",
       dispatcher.replicas().ejections());
+  add("spurrack_replica_restarts_total", "Replicas seen to start again under their id.",
+      counts.replica_restarts);
+  add("spurrack_calls_at_earlier_lives_total",
+      "Requests found to be at a replica that had started again.", counts.calls_at_earlier_lives);
+  add("spurrack_replicas_of_unknown_services_total",
+      "Entries of replicas that named a service which is not configured.",
+      counts.replicas_of_unknown_services);
+  add("spurrack_replica_news_other_lives_total",
+      "Reports of other nodes on another life of a replica, passed over.",
+      dispatcher.news().of_other_lives);
   add("spurrack_replica_news_sent_total", "Messages on replicas in trouble to other nodes.",
       dispatcher.news().messages);
   add("spurrack_replica_news_heard_total", "Reports of other nodes on replicas in trouble.",
@@ -296,6 +306,9 @@
             static_cast<double>(subject.content().highest_revision()));
   add_gauge(registry, "spurrack_configuration_rejected", "Published entries refused as invalid.",
             static_cast<double>(subject.content().rejections().size()));
+  add_count(registry, "spurrack_replica_entries_refused_total",
+            "Published entries of replicas refused as malformed.",
+            subject.content().refused_replicas());
   const auto answered = subject.watch(node::source_kind::configuration).last_answer();
   if (answered) {
     add_gauge(registry, "spurrack_configuration_age_seconds",
--- a/src/daemon/serving_adapters.cc
+++ b/src/daemon/serving_adapters.cc
@@ -15,6 +15,9 @@
   void operator()(serving::start_call& wanted) const { replicas->start(std::move(wanted)); }
   void operator()(serving::start_stage_call& wanted) const { replicas->start(std::move(wanted)); }
   void operator()(serving::free_results& wanted) const { replicas->start(std::move(wanted)); }
+  void operator()(serving::close_connections& wanted) const {
+    replicas->close_resting(wanted.address);
+  }
   void operator()(serving::cancel_call& wanted) const { replicas->cancel(wanted.call); }
   void operator()(serving::pause_call& wanted) const { replicas->pause(wanted.call); }
   void operator()(serving::resume_call& wanted) const { replicas->resume(wanted.call); }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -104,6 +104,8 @@
     std::optional<base::time_point> found_lost_at;
     /// Latest sign of life that was passed on to the replica table.
     base::time_point heard_at;
+    /// Its replica started again since the call began: it ends unless it shows events soon.
+    std::optional<base::time_point> life_ended_at{};
   };
   /// How a request ends that is not sent again.
   struct failed_ending {
@@ -287,6 +289,15 @@
   /// Makes a call that shows no progress elsewhere, where that is allowed and there is a replica;
   /// otherwise it is looked at again soon, since either may change.
   void take_up_elsewhere(active_request& request, base::time_point now);
+  /// Replicas started again under their id: what is kept of their earlier lives is given up.
+  void give_up_earlier_lives(base::time_point now);
+  void give_up_earlier_life(const replica_restart& restart, base::time_point now);
+  /// Has a call at a life that is over made elsewhere, or ended where that is not allowed.
+  void leave_earlier_life(active_request& request, base::time_point now);
+  /// A call at a life that is over cannot be made elsewhere: it ends unless it shows events soon.
+  void end_at_earlier_life(active_request& request, base::time_point now);
+  /// Reports replicas of services that are not configured, each once.
+  void report_unknown_services(const catalog::catalog& content);
   /// Frees results that the replica has fetched by now.
   void free_fetched_inputs(active_request& request, base::time_point now);
   void expire(base::time_point now);
@@ -331,6 +342,8 @@
   /// Requests with a call at each replica.
   std::unordered_map<base::replica_id, std::set<base::caller_id>> clients_at_;
   std::unordered_map<piece_ticket, base::caller_id> tickets_;
+  /// Services that are not configured, by the replicas that name them, as reported.
+  std::map<base::replica_id, std::string> unknown_services_;
   /// Requests that wait for a loan, the earliest first.
   std::vector<base::caller_id> awaiting_loans_;
   std::set<std::pair<base::time_point, base::caller_id>> ends_;
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -156,6 +156,10 @@
     return;
   }
   auto& call = *request.call;
+  if (call.life_ended_at) {
+    end_at_earlier_life(request, now);
+    return;
+  }
   if (!silent || !replicas_.is_lost(call.replica, now)) {
     call.found_lost_at.reset();
   } else if (!call.found_lost_at) {
--- a/src/engines/engine_directory.cc
+++ b/src/engines/engine_directory.cc
@@ -51,6 +51,11 @@
   std::erase_if(accounts_, is_gone);
 }
 
+void engine_directory::forget(const base::replica_id& engine) {
+  believed_.erase(engine);
+  accounts_.erase(engine);
+}
+
 const fleet_peer* engine_directory::account_holder_of(const model::replica& engine) const {
   const auto seed = base::stable_hash(engine.id.text());
   const fleet_peer* best = nullptr;
--- a/src/engines/engine_directory.h
+++ b/src/engines/engine_directory.h
@@ -50,6 +50,8 @@
   void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
   /// Forgets engines that are gone.
   void forget_gone();
+  /// An engine started again: it keeps nothing and has nothing to read.
+  void forget(const base::replica_id& engine);
 
   /// This node sends a prompt to an engine.
   void note_sent(const replica_state& engine, const prompt_send& prompt, base::time_point now);
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -55,6 +55,11 @@
   std::uint64_t repeats_borrowed = 0;
   /// Requests ended before their time because their replica was found lost.
   std::uint64_t ended_at_lost_replicas = 0;
+  /// Replicas seen to start again under their id, and requests that were at their earlier life.
+  std::uint64_t replica_restarts = 0;
+  std::uint64_t calls_at_earlier_lives = 0;
+  /// Replicas that name a service which is not configured.
+  std::uint64_t replicas_of_unknown_services = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -181,6 +181,11 @@
   std::vector<std::string> handles;
 };
 
+/// Close the connections that rest at an address: the process there is another one now.
+struct close_connections {
+  base::network_address address;
+};
+
 /// Answer a client with a whole answer.
 struct respond {
   base::caller_id client = 0;
@@ -217,7 +222,7 @@
                  call_answered, stream_opened, stream_bytes, stream_closed, stage_call_ended>;
 using command =
     std::variant<start_call, cancel_call, pause_call, resume_call, start_stage_call, free_results,
-                 respond, open_stream, stream_data, widen_window, end_stream>;
+                 close_connections, respond, open_stream, stream_data, widen_window, end_stream>;
 using command_list = std::vector<command>;
 
 } // namespace spurrack::serving
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -386,6 +386,11 @@
   }
 }
 
+void stage_exchange::on_restarted(const base::replica_id& replica, base::time_point now) {
+  pool_.on_restarted(replica, now);
+  take_pool_results(now);
+}
+
 bool stage_exchange::on_call_ended(const stage_call_ended& ended, base::time_point now) {
   const bool mine = pool_.on_call_ended(ended, now);
   take_pool_results(now);
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -64,6 +64,8 @@
     return pool_.waiting(service);
   }
   /// @return whether calls for pieces are under way.
+  /// A replica started again.
+  void on_restarted(const base::replica_id& replica, base::time_point now);
   [[nodiscard]] bool has_calls_under_way() const { return pool_.has_calls_under_way(); }
 
   /// Has the pieces of one stage of one request made, at one place.
--- a/src/stage_work/stage_graph.cc
+++ b/src/stage_work/stage_graph.cc
@@ -1,5 +1,7 @@
 #include "stage_work/stage_graph.h"
 
+#include "stage_work/result_handle.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -70,6 +72,19 @@
   stages_[where.stage][where.piece].handle = std::move(handle);
 }
 
+bool stage_graph::note_lost_results_of(const base::network_address& maker) {
+  bool any = false;
+  for (auto& pieces : stages_) {
+    for (auto& piece : pieces) {
+      if (!piece.handle.empty() && !piece.freed && maker_of(piece.handle) == maker) {
+        piece.lost = true;
+        any = true;
+      }
+    }
+  }
+  return any;
+}
+
 bool stage_graph::reads(std::uint32_t stage, std::uint32_t before) const {
   const auto& needed = route_->stages[stage].start_after;
   return std::find(needed.begin(), needed.end(), before) != needed.end();
@@ -102,7 +117,7 @@
 stage_graph::remake(const std::vector<std::uint32_t>& stages,
                     const std::function<bool(const std::string&)>& is_lost) {
   const auto is_suspect = [&](const piece_state& piece) {
-    return !piece.handle.empty() && (piece.freed || is_lost(piece.handle));
+    return !piece.handle.empty() && (piece.freed || piece.lost || is_lost(piece.handle));
   };
   // What was suspected once and did not help is not trusted again.
   const bool any_known =
@@ -185,8 +200,9 @@
 bool stage_graph::has_freed_final_inputs() const {
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
     const auto& pieces = stages_[stage];
-    if (is_last(stage) && std::any_of(pieces.begin(), pieces.end(),
-                                      [](const piece_state& piece) { return piece.freed; })) {
+    if (is_last(stage) && std::any_of(pieces.begin(), pieces.end(), [](const piece_state& piece) {
+          return piece.freed || piece.lost;
+        })) {
       return true;
     }
   }
--- a/src/stage_work/stage_graph.h
+++ b/src/stage_work/stage_graph.h
@@ -1,6 +1,7 @@
 /// Progress of one request through the stages that must be finished before it may run.
 #pragma once
 
+#include "base/ids.h"
 #include "model/serving_records.h"
 
 #include <cstdint>
@@ -27,6 +28,9 @@
   /// The replica that makes a piece has fetched what it reads.
   void note_inputs_fetched(piece_position where);
   void complete(piece_position where, std::string handle);
+  /// The replica at an address started again: what it had made is lost.
+  /// @return whether the graph had any such result.
+  bool note_lost_results_of(const base::network_address& maker);
   /// A piece found that a result it reads is gone. The piece, and every result that it reads and
   /// that is lost, are to be made again, together with whatever those need that was freed since.
   /// @param is_lost whether a result is known to be lost; where none is, all that the piece reads
@@ -49,7 +53,8 @@
   /// @return whether no other stage comes after `stage`.
   [[nodiscard]] bool is_last(std::uint32_t stage) const;
   [[nodiscard]] bool done() const;
-  /// @return whether a result that the request itself needs was freed already.
+  /// @return whether a result that the request itself needs was freed already, or went with its
+  ///         maker.
   [[nodiscard]] bool has_freed_final_inputs() const;
   /// @return results that all their users have fetched, or all results where `everything` is set;
   ///         each is returned once.
@@ -72,6 +77,8 @@
     bool given_out = false;
     bool inputs_fetched = false;
     bool freed = false;
+    /// It went with its maker.
+    bool lost = false;
     std::string handle;
   };
   [[nodiscard]] bool finished(std::uint32_t stage) const;
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -220,7 +220,7 @@
   const auto& replica = ended.call.target.replica;
   const auto bytes = ended.result_bytes[index];
   room_taken_[replica] += bytes;
-  results_[outcome.handle] = {replica, bytes};
+  results_[outcome.handle] = {replica, bytes, ended.started};
   result_expiries_.set(outcome.handle, now + capacity->result_lifetime);
 }
 
@@ -258,6 +258,46 @@
   commands_.emplace_back(free_results{maker, {handle}});
 }
 
+void stage_pool::on_restarted(const base::replica_id& replica, base::time_point now) {
+  std::vector<base::call_id> over;
+  for (const auto& [call, open] : calls_) {
+    if (open.call.target.replica == replica &&
+        replicas_->is_at_earlier_life(replica, open.started)) {
+      over.push_back(call);
+    }
+  }
+  std::sort(over.begin(), over.end());
+  for (const auto call : over) {
+    end_at_earlier_life(call, now);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [handle, result] : results_) {
+    if (result.replica == replica && replicas_->is_at_earlier_life(replica, result.begun_at)) {
+      gone.push_back(handle);
+    }
+  }
+  for (const auto& handle : gone) {
+    forget_result(handle);
+  }
+  unknown_room_.erase(replica);
+  next_check_ = {};
+}
+
+void stage_pool::end_at_earlier_life(base::call_id call, base::time_point now) {
+  const auto found = calls_.find(call);
+  const auto open = std::move(found->second);
+  calls_.erase(found);
+  commands_.emplace_back(cancel_call{call});
+  end_call_account(open);
+  record_(base::event_kind::stage_retried, open.call.items.front().request,
+          open.call.target.replica.text(),
+          "call " + std::to_string(call) + ": its replica started again after " +
+              std::to_string(base::to_milliseconds(now - open.started)) + " ms");
+  for (const auto ticket : open.tickets) {
+    requeue(ticket, piece_fault::lost);
+  }
+}
+
 bool stage_pool::on_call_ended(const stage_call_ended& ended, base::time_point now) {
   const auto found = calls_.find(ended.call);
   if (found == calls_.end()) {
@@ -268,7 +308,7 @@
   next_check_ = {};
   const auto& replica = open.call.target.replica;
   end_call_account(open);
-  learn_fetch_time(open, ended);
+  learn_fetch_time(open, ended, now);
   if (ended.load) {
     replicas_->note_load(replica, *ended.load, now);
   }
@@ -315,20 +355,29 @@
   }
 }
 
-bool stage_pool::was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome) const {
+bool stage_pool::restarted_of_late(const replica_state& maker, base::time_point now) const {
+  const auto* capacity = capacity_of(maker.record->service);
+  return capacity != nullptr && maker.restart_seen_at &&
+         now - *maker.restart_seen_at < capacity->result_lifetime;
+}
+
+bool stage_pool::was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome,
+                                     base::time_point now) const {
   const auto found = pieces_.find(ticket);
   if (outcome.fault != piece_fault::input_gone || found == pieces_.end()) {
     return false;
   }
   // Results that went with their maker were not freed by this pool.
   const auto& inputs = found->second.work.inputs;
-  return std::all_of(inputs.begin(), inputs.end(), [this](const std::string& handle) {
+  return std::all_of(inputs.begin(), inputs.end(), [&](const std::string& handle) {
     const auto* maker = replicas_->find_at(maker_of(handle));
-    return maker != nullptr && !maker->left && maker->failure_share < failing;
+    return maker != nullptr && !maker->left && maker->failure_share < failing &&
+           !restarted_of_late(*maker, now);
   });
 }
 
-void stage_pool::learn_fetch_time(const open_call& ended, const stage_call_ended& answer) {
+void stage_pool::learn_fetch_time(const open_call& ended, const stage_call_ended& answer,
+                                  base::time_point now) {
   if (!ended.told_fetched || answer.pieces.empty()) {
     return;
   }
@@ -336,7 +385,7 @@
   for (std::size_t index = 0; index < ended.tickets.size() && index < answer.pieces.size();
        ++index) {
     freed_too_early =
-        freed_too_early || was_freed_too_early(ended.tickets[index], answer.pieces[index]);
+        freed_too_early || was_freed_too_early(ended.tickets[index], answer.pieces[index], now);
   }
   if (freed_too_early) {
     fetch_time_ = std::min(fetch_time_ * 2, longest_fetch_time);
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -82,6 +82,10 @@
   /// A result is not needed any more: it is freed at its replica.
   void release(const std::string& handle);
 
+  /// A replica started again: the calls at its earlier life are over, their pieces are made again,
+  /// and what it had made takes up no room.
+  void on_restarted(const base::replica_id& replica, base::time_point now);
+
   /// @return whether the call was one of the pool's.
   bool on_call_ended(const stage_call_ended& ended, base::time_point now);
 
@@ -140,6 +144,8 @@
   struct held_result {
     base::replica_id replica;
     double bytes = 0;
+    /// When the call that made it began.
+    base::time_point begun_at;
   };
 
   void pump_service(const std::string& name, service_queue& queue, base::time_point now);
@@ -149,9 +155,11 @@
   /// Finds the calls whose inputs the replicas have fetched by now.
   void note_fetched_inputs(base::time_point now);
   /// @return whether a piece that is still wanted missed a result that its maker should have.
-  [[nodiscard]] bool was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome) const;
+  [[nodiscard]] bool was_freed_too_early(piece_ticket ticket, const piece_outcome& outcome,
+                                         base::time_point now) const;
   /// Learns from a call how long replicas take to fetch inputs.
-  void learn_fetch_time(const open_call& ended, const stage_call_ended& answer);
+  void learn_fetch_time(const open_call& ended, const stage_call_ended& answer,
+                        base::time_point now);
   bool batch_is_due(const service_queue& queue, const model::piece_capacity& capacity,
                     base::time_point now) const;
   /// Each set of regions that pieces of a queue are held to, once.
@@ -216,6 +224,10 @@
                                  const model::piece_capacity& capacity, base::time_point now) const;
   void note_no_room(const open_call& ended, base::time_point now);
   void forget_expired_results(base::time_point now);
+  /// Ends a call whose replica started again.
+  void end_at_earlier_life(base::call_id call, base::time_point now);
+  /// @return whether results of an earlier life of a maker may still be asked for.
+  [[nodiscard]] bool restarted_of_late(const replica_state& maker, base::time_point now) const;
   void forget_result(const std::string& handle);
   /// A replica refused a call: others call it too.
   void note_occupied(const open_call& ended, base::time_point now);
--- a/src/upstream/connection_pool.cc
+++ b/src/upstream/connection_pool.cc
@@ -58,6 +58,18 @@
   resting.push_back(std::move(given));
 }
 
+void connection_pool::close_resting(const base::network_address& address) {
+  const auto found = resting_.find(address);
+  if (found == resting_.end()) {
+    return;
+  }
+  for (const auto& kept : found->second) {
+    kept->resting = false;
+    kept->stream.close();
+  }
+  resting_.erase(found);
+}
+
 void connection_pool::watch(const base::network_address& /*address*/,
                             const std::shared_ptr<connection>& given) {
   given->stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -47,6 +47,8 @@
   /// @param lifetime how long it may rest.
   void give_back(const base::network_address& address, std::shared_ptr<connection> given,
                  base::duration lifetime, base::time_point now);
+  /// Closes all that rest at an address.
+  void close_resting(const base::network_address& address);
 
  private:
   using resting_connections = std::deque<std::shared_ptr<connection>>;
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -196,6 +196,10 @@
     calls_.erase(found);
   }
 
+  void close_resting(const base::network_address& address) override {
+    pool_.close_resting(address);
+  }
+
   [[nodiscard]] const connection_counters& counts() const override { return counters_; }
 
  private:
--- /dev/null
+++ b/tests/dispatch/replica_restart_test.cc
@@ -0,0 +1,310 @@
+/// Requests at replicas that start again under their id, or whose entry another writer writes over.
+#include "serving_fixture.h"
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const std::string old_address = "10.0.1.1:80";
+const std::string new_address = "10.0.1.2:80";
+
+/// Zone a has one replica of each service, in its first life; those of zone b are farther.
+struct restart_driver : dispatcher_driver {
+  restart_driver() {
+    for (const std::string service : {"llm", "plain", "pool"}) {
+      world.add_life(service + "-a", service, "a", address_of(service, old_address), 1000);
+    }
+    update();
+  }
+
+  void meet_another_node() {
+    subject.set_peers(
+        {{base::node_id("other"), base::zone_id("a"), base::network_address("other:1"), 1}}, 1);
+  }
+
+  /// Each service has addresses of its own.
+  static std::string address_of(const std::string& service, const std::string& base) {
+    return base + std::to_string(service.size());
+  }
+
+  void update() {
+    subject.update(world.content, now);
+    subject.advance(now);
+    for (auto& command : subject.take_commands()) {
+      commands.push_back(std::move(command));
+    }
+  }
+
+  void restart(const std::string& service, const std::string& base = old_address,
+               std::uint64_t started_at = 2000) {
+    world.add_life(service + "-a", service, "a", address_of(service, base), started_at);
+    update();
+  }
+
+  /// Sends requests until one is at the replica of zone a.
+  base::call_id call_at_a(const std::string& path, base::caller_id client) {
+    arrive(client, path);
+    const auto call = last<start_call>();
+    BOOST_REQUIRE(call.target.replica.text().ends_with("-a"));
+    return call.call;
+  }
+
+  [[nodiscard]] const replica_state& state(const std::string& id) const {
+    return *subject.replicas().find(base::replica_id(id));
+  }
+
+  void told(const std::string& replica, wire::replica_sign sign, std::uint64_t started_at,
+            const std::string& witness) {
+    model::replica life;
+    life.life = model::replica_life{started_at};
+    wire::replica_news news;
+    auto& said = *news.add_evidence();
+    said.set_replica(replica);
+    said.set_sign(sign);
+    wire::set_life_mark(said, started_at == 0 ? 0 : life_mark_of(life));
+    subject.handle_peer(base::node_id(witness), news, now);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(replica_restart_test, restart_driver)
+
+BOOST_AUTO_TEST_CASE(a_safe_request_at_the_earlier_life_is_taken_up_elsewhere_at_once) {
+  const auto call = call_at_a("/safe/x", 1);
+  pass(milliseconds(50));
+  restart("plain");
+  BOOST_TEST(last<cancel_call>().call == call);
+  BOOST_REQUIRE(all<start_call>().size() == 2);
+  happen(call_answered{last<start_call>().call, good_head(), "body"});
+  BOOST_TEST(last<respond>().status == 200);
+  BOOST_TEST(subject.counts().calls_at_earlier_lives == 1U);
+  BOOST_TEST(subject.counts().replica_restarts == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_life_that_began_may_be_given_what_the_earlier_one_was) {
+  world.remove_replica("plain-b");
+  update();
+  call_at_a("/safe/x", 1);
+  restart("plain", new_address);
+  BOOST_REQUIRE(all<start_call>().size() == 2);
+  BOOST_TEST(last<start_call>().target.replica.text() == "plain-a");
+  BOOST_TEST(last<start_call>().target.address.text() == address_of("plain", new_address));
+}
+
+BOOST_AUTO_TEST_CASE(an_unsafe_request_at_the_earlier_life_has_failed_and_is_never_not_run) {
+  const auto call = call_at_a("/unsafe/x", 1);
+  restart("plain");
+  BOOST_TEST(all<respond>().empty());
+  pass(milliseconds(510));
+  BOOST_TEST(last<respond>().status == 502);
+  for (const auto& field : last<respond>().headers) {
+    BOOST_TEST(field.name != "Retry-After");
+  }
+  BOOST_TEST(last<cancel_call>().call == call);
+  BOOST_TEST(all<start_call>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_still_comes_is_delivered) {
+  const auto call = call_at_a("/unsafe/x", 1);
+  restart("plain");
+  pass(milliseconds(100));
+  happen(call_answered{call, good_head(), "body"});
+  BOOST_TEST(last<respond>().status == 200);
+  BOOST_TEST(last<respond>().body == "body");
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_at_the_earlier_life_is_none_of_the_one_that_began) {
+  const auto call = call_at_a("/unsafe/x", 1);
+  restart("plain");
+  happen(call_failed{call, call_fate::may_have_run});
+  BOOST_TEST(last<respond>().status == 502);
+  BOOST_TEST(state("plain-a").failure_share == 0);
+  BOOST_TEST((state("plain-a").paused_until <= now));
+  BOOST_TEST(state("plain-a").in_flight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_replica_after_its_last_event) {
+  const auto call = call_at_a("/stream/x", 1);
+  happen(stream_opened{call, good_head()});
+  happen(stream_bytes{call, "id: 4\ndata: a\n\n"});
+  pass(milliseconds(600));
+  restart("llm");
+  BOOST_REQUIRE(all<start_call>().size() == 2);
+  BOOST_TEST(last<start_call>().resume_after.value() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_events_come_is_not_at_an_earlier_life) {
+  const auto call = call_at_a("/stream/x", 1);
+  pass(milliseconds(10));
+  happen(stream_opened{call, good_head()});
+  happen(stream_bytes{call, "id: 1\ndata: a\n\n"});
+  pass(milliseconds(100));
+  restart("llm");
+  BOOST_TEST(all<start_call>().size() == 1);
+  BOOST_TEST(state("llm-a").in_flight == 1U);
+  happen(stream_closed{call, true});
+  BOOST_TEST(last<end_stream>().complete);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_be_resumed_is_broken_off) {
+  const auto call = call_at_a("/fixed/x", 1);
+  happen(stream_opened{call, good_head()});
+  happen(stream_bytes{call, "id: 1\ndata: a\n\n"});
+  pass(milliseconds(600));
+  restart("llm");
+  pass(milliseconds(510));
+  BOOST_TEST(!last<end_stream>().complete);
+  BOOST_TEST(subject.active() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(requests_sent_after_the_news_are_left_where_they_are) {
+  restart("plain");
+  const auto call = call_at_a("/unsafe/x", 1);
+  pass(milliseconds(600));
+  BOOST_TEST(all<respond>().empty());
+  happen(call_answered{call, good_head(), "body"});
+  BOOST_TEST(last<respond>().status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_crash_that_took_the_entry_away_first_is_a_restart_all_the_same) {
+  call_at_a("/unsafe/x", 1);
+  world.remove_replica("plain-a");
+  update();
+  pass(milliseconds(300));
+  restart("plain");
+  pass(milliseconds(510));
+  BOOST_TEST(last<respond>().status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_of_the_same_life_ends_nothing) {
+  const auto call = call_at_a("/unsafe/x", 1);
+  world.add_life("plain-a", "plain", "a", address_of("plain", old_address), 1000, 500);
+  update();
+  world.add_life("plain-a", "plain", "a", address_of("plain", old_address), 0);
+  update();
+  pass(milliseconds(600));
+  BOOST_TEST(all<respond>().empty());
+  happen(call_answered{call, good_head(), "body"});
+  BOOST_TEST(last<respond>().status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(kept_connections_to_the_earlier_process_are_closed) {
+  restart("plain", new_address);
+  BOOST_TEST(last<close_connections>().address.text() == address_of("plain", old_address));
+}
+
+BOOST_AUTO_TEST_CASE(news_of_the_earlier_life_do_not_hit_the_one_that_began) {
+  const auto call = call_at_a("/unsafe/x", 1);
+  happen(call_answered{call, good_head(), "body"});
+  restart("plain");
+  told("plain-a", wire::SIGN_SILENT, 1000, "x");
+  told("plain-a", wire::SIGN_UNREACHABLE, 1000, "y");
+  BOOST_TEST(!subject.replicas().is_lost(base::replica_id("plain-a"), now));
+  BOOST_TEST((state("plain-a").paused_until <= now));
+  BOOST_TEST(subject.news().of_other_lives == 2U);
+  told("plain-a", wire::SIGN_SILENT, 2000, "x");
+  told("plain-a", wire::SIGN_SILENT, 0, "y");
+  BOOST_TEST(subject.replicas().is_lost(base::replica_id("plain-a"), now));
+}
+
+BOOST_AUTO_TEST_CASE(reports_name_the_life_they_are_about) {
+  meet_another_node();
+  call_at_a("/unsafe/x", 1);
+  static_cast<void>(subject.take_messages());
+  pass(milliseconds(1010));
+  std::uint32_t mark = 0;
+  for (const auto& message : subject.take_messages()) {
+    if (message.message.has_replica_news()) {
+      mark = wire::life_mark(message.message.replica_news().evidence(0));
+    }
+  }
+  BOOST_TEST(mark == life_mark_of(*state("plain-a").record));
+  BOOST_TEST(mark != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_batch_of_pieces_at_the_earlier_life_is_made_again) {
+  arrive(1, "/staged/x", {1, 1});
+  pass(milliseconds(20));
+  const auto first = last<start_stage_call>();
+  BOOST_REQUIRE(first.target.replica.text() == "pool-a");
+  restart("pool");
+  pass(milliseconds(30));
+  BOOST_TEST(last<cancel_call>().call == first.call);
+  BOOST_REQUIRE(all<start_stage_call>().size() == 2);
+  BOOST_TEST(last<start_stage_call>().items.front().piece_key == "pk");
+}
+
+BOOST_AUTO_TEST_CASE(the_last_results_are_made_again_before_the_request_is_sent_on) {
+  const auto make_next = [&](const std::string& name) {
+    pass(milliseconds(30));
+    const auto call = last<start_stage_call>();
+    const auto handle = call.target.address.text() + "/" + name;
+    happen(stage_call_ended{call.call,
+                            stage_call_ended::result::answered,
+                            {{piece_fault::none, handle}},
+                            std::nullopt,
+                            false});
+    return handle;
+  };
+  arrive(1, "/staged/x", {1, 1});
+  make_next("1");
+  const auto lost = make_next("2");
+  BOOST_REQUIRE(lost.starts_with(address_of("pool", old_address)));
+  const auto call = last<start_call>();
+  restart("pool");
+  // The replica found its inputs gone; it is sent again only with those made anew.
+  auto head = full_head();
+  head.status = 409;
+  happen(call_answered{call.call, head, ""});
+  BOOST_TEST(all<start_call>().size() == 1);
+  make_next("3");
+  BOOST_TEST(all<start_call>().size() == 1);
+  const auto made_again = make_next("4");
+  BOOST_REQUIRE(all<start_call>().size() == 2);
+  BOOST_TEST(last<start_call>().inputs == std::vector<std::string>{made_again},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_good_entry_that_turns_malformed_gets_no_request_and_the_others_hold) {
+  world.write_malformed("plain-a");
+  update();
+  for (base::caller_id client = 1; client <= 20; ++client) {
+    arrive(client, "/safe/x");
+    BOOST_TEST(last<start_call>().target.replica.text() == "plain-b");
+  }
+  world.add_life("plain-a", "plain", "a", address_of("plain", old_address), 1000);
+  update();
+  arrive(21, "/safe/x");
+  BOOST_TEST(last<start_call>().target.replica.text() == "plain-a");
+  BOOST_TEST(subject.counts().replica_restarts == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_under_way_at_an_entry_that_turns_malformed_gets_its_answer) {
+  const auto call = call_at_a("/unsafe/x", 1);
+  world.write_malformed("plain-a");
+  update();
+  happen(call_answered{call, good_head(), "body"});
+  BOOST_TEST(last<respond>().status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_of_a_service_that_nobody_knows_is_reported_once) {
+  world.add_life("stranger", "nowhere", "a", "10.0.9.9:80", 1000);
+  update();
+  world.add_life("stranger", "nowhere", "a", "10.0.9.9:80", 1000, 50);
+  update();
+  BOOST_TEST(subject.counts().replicas_of_unknown_services == 1U);
+  world.add_life("stranger", "elsewhere", "a", "10.0.9.9:80", 1000);
+  update();
+  BOOST_TEST(subject.counts().replicas_of_unknown_services == 2U);
+  // The service appears.
+  world.add_service("elsewhere");
+  world.publish_configuration();
+  update();
+  BOOST_TEST(subject.replicas().find(base::replica_id("stranger")) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/engines/engine_directory_test.cc
+++ b/tests/engines/engine_directory_test.cc
@@ -238,4 +238,42 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_started_again_keeps_nothing_and_has_nothing_to_read) {
+  directory_fleet fleet(1);
+  const auto& engine = fleet.engine("engine-3");
+  const prompt_send prompt{100, 77, 9'000};
+  fleet.nodes[0]->note_sent(engine, prompt, fleet.table.now);
+  fleet.nodes[0]->note_sent(engine, prompt, fleet.table.now);
+  BOOST_TEST(fleet.nodes[0]->counts().tokens_kept == 9'000U);
+  fleet.send(0, engine, 50'000);
+  BOOST_TEST((fleet.wait_at(0, engine) > milliseconds(500)));
+  fleet.nodes[0]->forget(engine.record->id);
+  BOOST_TEST((fleet.wait_at(0, engine) == milliseconds(0)));
+  fleet.nodes[0]->note_sent(engine, prompt, fleet.table.now);
+  BOOST_TEST(fleet.nodes[0]->counts().tokens_kept == 9'000U);
+  fleet.nodes[0]->note_sent(engine, prompt, fleet.table.now);
+  BOOST_TEST(fleet.nodes[0]->counts().tokens_kept == 18'000U);
+}
+
+BOOST_AUTO_TEST_CASE(a_prompt_keeps_its_homes_when_one_of_them_starts_again) {
+  directory_fleet fleet(1);
+  const shared_beginning beginning{0, 77, 9'000};
+  const auto homes = [&] {
+    std::vector<base::replica_id> found;
+    for (const auto* engine : homes_of(beginning, fleet.table.engines(), 3)) {
+      found.push_back(engine->record->id);
+    }
+    return found;
+  };
+  const auto before = homes();
+  for (const std::uint64_t started_at : {1000U, 2000U}) {
+    auto record = *fleet.engine(before.front().text()).record;
+    record.life = model::replica_life{started_at};
+    fleet.table.published[record.id] = std::make_shared<model::replica>(record);
+    fleet.table.publish();
+  }
+  BOOST_TEST(fleet.table.replicas.take_restarts().size() == 1U);
+  BOOST_TEST((homes() == before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stage_work/stage_graph_test.cc
+++ b/tests/stage_work/stage_graph_test.cc
@@ -143,4 +143,32 @@
   BOOST_TEST((graph.time_from(2, stage_time) == std::chrono::milliseconds(102)));
 }
 
+BOOST_AUTO_TEST_CASE(only_results_of_a_maker_that_started_again_are_made_again) {
+  const auto route = sample_route();
+  stage_graph graph(route, {0, 2, 1});
+  graph.take_ready();
+  graph.complete({1, 0}, "10.0.0.1:80/x");
+  graph.complete({1, 1}, "10.0.0.2:80/y");
+  graph.take_ready();
+  BOOST_TEST(!graph.note_lost_results_of(base::network_address("10.0.0.3:80")));
+  BOOST_TEST(graph.note_lost_results_of(base::network_address("10.0.0.1:80")));
+  graph.remake_inputs_of({2, 0}, [](const std::string&) { return false; });
+  const auto again = graph.take_ready();
+  BOOST_REQUIRE(again.size() == 1U);
+  BOOST_TEST(again.front().stage == 1U);
+  BOOST_TEST(again.front().piece == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(last_results_of_a_maker_that_started_again_are_missing) {
+  const auto route = sample_route();
+  stage_graph graph(route, {1, 1, 1});
+  make_all(graph);
+  BOOST_TEST(!graph.has_freed_final_inputs());
+  graph.note_lost_results_of(base::network_address("h20"));
+  BOOST_TEST(graph.has_freed_final_inputs());
+  graph.remake_final_inputs([](const std::string&) { return false; });
+  BOOST_TEST(!graph.done());
+  BOOST_TEST(!graph.has_freed_final_inputs());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stage_work/stage_pool_test.cc
+++ b/tests/stage_work/stage_pool_test.cc
@@ -271,4 +271,79 @@
   BOOST_TEST(refused >= 10U);
 }
 
+/// One replica works on pieces; it starts again.
+struct restarting_driver : pool_driver {
+  restarting_driver() {
+    world.remove_replica("pool-b");
+    publish(1000);
+  }
+  void publish(std::uint64_t started_at) {
+    world.add_life("pool-a", "pool", "a", "10.0.1.1:80", started_at);
+    replicas.update(world.content.replicas(), now);
+  }
+  void restart() {
+    publish(2000);
+    BOOST_REQUIRE(replicas.take_restarts().size() == 1U);
+    pool.on_restarted(base::replica_id("pool-a"), now);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(calls_at_an_earlier_life_are_cancelled_and_made_again, restarting_driver) {
+  submit("r1", std::chrono::seconds(1));
+  const auto first = pump().front();
+  restart();
+  const auto commands = pool.take_commands();
+  BOOST_REQUIRE(commands.size() == 1U);
+  BOOST_TEST(std::get<cancel_call>(commands.front()).call == first.call);
+  const auto second = pump();
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST(second.front().call != first.call);
+  BOOST_TEST(replicas.find(base::replica_id("pool-a"))->in_flight == 1U);
+  // What the earlier call still brings is nobody's.
+  BOOST_TEST(!pool.on_call_ended(answered(first), now));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_call_that_began_after_the_restart_goes_on, restarting_driver) {
+  restart();
+  submit("r1", std::chrono::seconds(1));
+  const auto call = pump().front();
+  pool.on_restarted(base::replica_id("pool-a"), now);
+  BOOST_TEST(pool.take_commands().empty());
+  BOOST_TEST(pool.on_call_ended(answered(call), now));
+}
+
+BOOST_FIXTURE_TEST_CASE(room_taken_by_results_of_an_earlier_life_is_free, restarting_driver) {
+  submit("r1", std::chrono::seconds(1), 400'000);
+  submit("r2", std::chrono::seconds(1), 400'000);
+  const auto call = pump().front();
+  BOOST_REQUIRE(call.items.size() == 2U);
+  pool.on_call_ended(answered(call), now);
+  submit("late", std::chrono::seconds(1), 400'000);
+  BOOST_TEST(pump().empty());
+  restart();
+  BOOST_TEST(pump().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(room_found_missing_at_an_earlier_life_is_there, restarting_driver) {
+  submit("r1", std::chrono::seconds(1), 400'000);
+  const auto call = pump().front();
+  auto ended = answered(call);
+  ended.pieces.front() = {piece_fault::no_room, {}};
+  pool.on_call_ended(ended, now);
+  BOOST_TEST(pump().empty());
+  restart();
+  BOOST_TEST(pump().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(inputs_that_went_with_an_earlier_life_were_not_freed_too_early,
+                        reading_driver) {
+  world.add_life("pool-b", "pool", "b", "10.0.1.1:80", 1000);
+  replicas.update(world.content.replicas(), now);
+  world.add_life("pool-b", "pool", "b", "10.0.1.1:80", 2000);
+  replicas.update(world.content.replicas(), now);
+  pool.on_restarted(base::replica_id("pool-b"), now);
+  miss_inputs(false);
+  BOOST_TEST(is_fetched_after(std::chrono::milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/upstream/connection_pool_test.cc
@@ -0,0 +1,50 @@
+/// Connections that rest; none of these is ever connected.
+#include "upstream/connection_pool.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+using namespace spurrack::upstream;
+
+namespace {
+
+struct pool_fixture {
+  std::shared_ptr<connection> rest(const base::network_address& address) {
+    auto given = std::make_shared<connection>(io);
+    pool.give_back(address, given, std::chrono::seconds(4), now);
+    return given;
+  }
+  std::shared_ptr<connection> take(const base::network_address& address) {
+    return pool.take(address, {{}, std::chrono::seconds(3)}, now);
+  }
+
+  boost::asio::io_context io;
+  connection_pool pool;
+  base::time_point now{std::chrono::hours(1)};
+  base::network_address restarted{"10.0.0.1:80"};
+  base::network_address other{"10.0.0.2:80"};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(connection_pool_test, pool_fixture)
+
+BOOST_AUTO_TEST_CASE(what_rests_is_taken_again) {
+  const auto kept = rest(restarted);
+  BOOST_TEST((take(restarted) == kept));
+  BOOST_TEST((take(restarted) == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_started_again_is_called_on_new_connections) {
+  const auto first = rest(restarted);
+  const auto second = rest(restarted);
+  const auto elsewhere = rest(other);
+  pool.close_resting(restarted);
+  pool.close_resting(base::network_address("10.0.0.3:80"));
+  BOOST_TEST(!first->resting);
+  BOOST_TEST(!second->resting);
+  BOOST_TEST((take(restarted) == nullptr));
+  BOOST_TEST((take(other) == elsewhere));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
