--- a/src/dispatch/dispatcher_replica_lives.cc
+++ b/src/dispatch/dispatcher_replica_lives.cc
@@ -97,7 +97,7 @@
   }
   std::map<base::replica_id, std::string> unknown;
   for (const auto& [id, replica] : content.replicas()) {
-    if (configuration_->find_service(replica->service) == nullptr) {
+    if (replicas_.find(id) == nullptr) {
       unknown[id] = replica->service;
     }
   }
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -103,7 +103,11 @@
 }
 
 bool replica_table::has_known_service(const model::replica& record) const {
-  return !configuration_ || configuration_->find_service(record.service) != nullptr;
+  if (!configuration_ || configuration_->find_service(record.service) != nullptr) {
+    return true;
+  }
+  const auto* known = find(record.id);
+  return known != nullptr && known->record->service == record.service;
 }
 
 void replica_table::begin_life(const base::replica_id& id, replica_state& state,
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -217,7 +217,8 @@
   /// @return whether a replica is warm, or cold and this node may send it a request now.
   [[nodiscard]] bool bears_request(const replica_state& state, base::time_point now) const;
   static void turn_cold(replica_state& state, base::duration cold_for, base::time_point now);
-  /// @return whether a replica's service is configured; all are before there is a configuration.
+  /// @return whether a replica's service is configured, or was when the replica was taken over:
+  ///         requests under way may still need it. All are before there is a configuration.
   [[nodiscard]] bool has_known_service(const model::replica& record) const;
   /// Forgets all that was seen of an earlier life, except the calls that are not ended yet.
   void begin_life(const base::replica_id& id, replica_state& state, base::time_point now);
--- a/tests/replicas/replica_lives_test.cc
+++ b/tests/replicas/replica_lives_test.cc
@@ -302,6 +302,15 @@
   BOOST_TEST(is_candidate(r0));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_replica_whose_service_is_configured_no_longer_stays_for_its_requests,
+                        reborn_table) {
+  table.set_configuration(std::make_shared<model::serving_configuration>());
+  put(record_of("late", 1000, "10.0.0.8:80"));
+  update();
+  BOOST_TEST(is_candidate(r0));
+  BOOST_TEST(table.find(base::replica_id("late")) == nullptr);
+}
+
 BOOST_FIXTURE_TEST_CASE(of_two_that_claim_an_address_both_are_tried_until_one_is_refused,
                         reborn_table) {
   put(record_of("r9", 1000, "10.0.0.0:80"));
