--- a/tests/dispatch/replica_restart_test.cc
+++ b/tests/dispatch/replica_restart_test.cc
@@ -242,7 +242,7 @@
   const auto make_next = [&](const std::string& name) {
     pass(milliseconds(30));
     const auto call = last<start_stage_call>();
-    const auto handle = call.target.address.text() + "/" + name;
+    auto handle = call.target.address.text() + "/" + name;
     happen(stage_call_ended{call.call,
                             stage_call_ended::result::answered,
                             {{piece_fault::none, handle}},
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -50,7 +50,7 @@
 std::string entry_of(const std::map<std::string, std::string>& fields) {
   std::string text;
   for (const auto& [name, value] : fields) {
-    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    text.append(text.empty() ? "{\"" : ",\"").append(name).append("\":").append(value);
   }
   return text + "}";
 }
