--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -196,6 +196,10 @@
     calls_.erase(found);
   }
 
+  void close_resting(const base::network_address& address) override {
+    pool_.close_resting(address);
+  }
+
   [[nodiscard]] const connection_counters& counts() const override { return counters_; }
 
  private:
@@ -395,8 +399,9 @@
     }
   }
 
-  serving::answer_head head_of(const response_parser& parser) const {
+  serving::answer_head head_of(const response_parser& parser) {
     auto head = codec_->read_answer(raw_of(parser));
+    counters_.unreadable_loads += head.load_unreadable ? 1 : 0;
     head.closing = head.closing || !parser.keep_alive();
     return head;
   }
--- a/src/upstream/replica_client.h
+++ b/src/upstream/replica_client.h
@@ -25,6 +25,8 @@
   std::uint64_t reused = 0;
   /// Answers that belonged to no call of their connection.
   std::uint64_t surplus_answers = 0;
+  /// Answers that told a load which cannot be read.
+  std::uint64_t unreadable_loads = 0;
 };
 
 /// Not thread-safe.
@@ -44,6 +46,8 @@
   virtual void resume(base::call_id call) = 0;
   /// Gives a call up: its connection is closed and nothing more is reported.
   virtual void cancel(base::call_id call) = 0;
+  /// Closes the connections that rest at an address; calls under way go on.
+  virtual void close_resting(const base::network_address& address) = 0;
   [[nodiscard]] virtual const connection_counters& counts() const = 0;
 };
 
