--- a/tests/platform_fleet/soak_replica.cc
+++ b/tests/platform_fleet/soak_replica.cc
@@ -204,6 +204,8 @@
 }
 
 bool soak_replica::have_all(const std::vector<std::string>& inputs, const std::string& id) {
+  const std::string used_by =
+      id + " was given a result of a replica that has started again since: ";
   bool all = true;
   for (const auto& input : inputs) {
     const auto handle = parse_handle(input);
@@ -214,8 +216,7 @@
     const bool dead = handle->life != life.number;
     all = all && !dead;
     if (dead && soak_clock::now() - life.since > dead_result_bound) {
-      ledger_->note_violation("RESTART", id + " was given " + input + " of a replica that has " +
-                                             "started again since");
+      ledger_->note_violation("RESTART", used_by + input);
     }
   }
   return all;
