Generated accessors for the start and the life of a replica

Cause: the compiler of the messages was not on the machine, so two fields were read and written as unknown ones. Change: they stand in the .proto files, the generated code is made anew (the same compiler gives the committed code for the old files), the stopgap header is gone; the compiler is among the packages that make installs. No change on the wire.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD := build
 PACKAGES := g++ cmake ninja-build ccache clang-format clang-tidy libboost1.81-dev \
   libboost-json1.81-dev libboost-test1.81-dev libboost-url1.81-dev libzmq3-dev cppzmq-dev \
-  libprotobuf-dev prometheus-cpp-dev libcxxopts-dev libgoogle-glog-dev libyaml-cpp-dev \
+  libprotobuf-dev protobuf-compiler prometheus-cpp-dev libcxxopts-dev libgoogle-glog-dev libyaml-cpp-dev \
   libxxhash-dev libssl-dev zlib1g-dev gnuplot-nox
 SEEDS ?= 1000
 
--- a/src/dispatch/replica_news.cc
+++ b/src/dispatch/replica_news.cc
@@ -1,7 +1,5 @@
 #include "dispatch/replica_news.h"
 
-#include "wire/life_fields.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -94,7 +92,7 @@
     said.set_sign(to_wire(own.sign));
     said.set_calls(rounded(own.bad_calls));
     said.set_good_calls(rounded(own.good_calls));
-    wire::set_life_mark(said, life_mark_of(*replicas_->find(id)->record));
+    said.set_life_mark(life_mark_of(*replicas_->find(id)->record));
     said.set_age_milliseconds(static_cast<std::uint32_t>(base::to_milliseconds(now - own.seen_at)));
   }
   return news;
@@ -124,7 +122,7 @@
     return false;
   }
   const auto known = life_mark_of(*state->record);
-  const auto told = wire::life_mark(said);
+  const auto told = said.life_mark();
   return known != 0 && told != 0 && known != told;
 }
 
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -1,6 +1,5 @@
 #include "model/serving_record_parser.h"
 
-#include "wire/life_fields.h"
 #include "wire/published.pb.h"
 
 #include <algorithm>
@@ -258,7 +257,7 @@
   built->slots = std::max(1U, published.slots());
   built->draining = published.draining();
   built->cold_for = milliseconds_of(published.cold_milliseconds());
-  if (const auto started_at = wire::started_at_milliseconds(published); started_at > 0) {
+  if (const auto started_at = published.started_at_milliseconds(); started_at > 0) {
     built->life = replica_life{started_at};
   }
   if (built->id.empty()) {
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -4,7 +4,6 @@
 #include "catalog/catalog.h"
 #include "dispatch/dispatcher.h"
 #include "model/serving_record_parser.h"
-#include "wire/life_fields.h"
 #include "wire/published.pb.h"
 
 #include <boost/test/unit_test.hpp>
@@ -110,7 +109,7 @@
     replica.set_zone(zone);
     replica.set_slots(4);
     replica.set_cold_milliseconds(cold_milliseconds);
-    wire::set_started_at_milliseconds(replica, started_at_milliseconds);
+    replica.set_started_at_milliseconds(started_at_milliseconds);
     put(std::string(model::replica_prefix) + id, replica.SerializeAsString(), false);
   }
 
