Homes of a prompt go by its last shared part alone

Cause: prompts that share a long first part had their homes on a third of the engines. Change: no groups.

--- a/src/engines/part_placement.h
+++ b/src/engines/part_placement.h
@@ -14,8 +14,6 @@
 
 /// The parts of a prompt that others share.
 struct shared_beginning {
-  /// Hash of the first part, where it is long enough to be worth keeping together; 0 otherwise.
-  std::uint64_t group_key = 0;
   /// Hash of the last shared part; 0 where nothing is shared.
   std::uint64_t last_key = 0;
   /// Tokens of all shared parts.
@@ -30,10 +28,12 @@
 /// @param beginning shares something.
 /// @param engines may all be given the prompt; their order does not matter.
 /// @param most how many are wanted.
-/// @return the homes of the prompt, the first one first. Where prompts that differ share a long
-///         first part, they have homes within one group of engines, so that this part is read by a
-///         few engines and not by all; engines beyond the group follow. An engine that comes or
-///         goes changes the homes of few prompts.
+/// @return the homes of the prompt, the first one first. Only the last shared part decides: where
+///         prompts that differ share a first part, it is read by every engine that serves one of
+///         them, which costs about 1 in 100 of all tokens read, and keeps the work even. With such
+///         prompts gathered on a third of the engines the busiest had 2.2 times the mean instead of
+///         1.75 (crowded callers of placement_test). An engine that comes or goes changes the homes
+///         of no other prompts.
 [[nodiscard]] std::vector<const replica_state*>
 homes_of(const shared_beginning& beginning, const std::vector<const replica_state*>& engines,
          std::size_t most);
