--- a/tests/platform/http_codec_test.cc
+++ b/tests/platform/http_codec_test.cc
@@ -152,6 +152,23 @@
   BOOST_TEST(codec->read_answer({200, {{"Content-Encoding", "gzip"}}}).encoded);
 }
 
+BOOST_AUTO_TEST_CASE(a_load_is_read_with_what_newer_replicas_add_and_not_where_it_is_none) {
+  const auto codec = platform::make_http_codec();
+  const auto load = [&](const std::string& text) {
+    return codec->read_answer({200, {{"X-Replica-Load", text}}}).load;
+  };
+  for (const std::string text : {"3,1,8", "3,1,8,100", "3,1,8,usual", "3,1,8,,-4"}) {
+    BOOST_REQUIRE(load(text).has_value());
+    BOOST_TEST(load(text)->running == 3U);
+    BOOST_TEST(load(text)->waiting == 1U);
+    BOOST_TEST(load(text)->slots == 8U);
+  }
+  for (const std::string text : {"", "3", "3,1", "some,1,8", "3,-1,8", "3,1,99999999999", "3,,8"}) {
+    BOOST_TEST(!load(text).has_value());
+  }
+  BOOST_TEST(!codec->read_answer({200, {}}).load.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_says_how_long_its_replica_stays_cold) {
   const auto codec = platform::make_http_codec();
   const auto cold_for = [&](const std::string& text) {
