A zone with few engines does not bound the homes of a prompt

Cause: with later homes only in the zone of the first, a prompt in a zone with one engine had nowhere to go while that engine had much to read; engine_requests_test/a_part_whose_engine_has_much_to_read_has_a_second_home showed it. Ruled out: easing the test; small fleets have one engine a zone. Change: where the zone has fewer engines than homes are compared, homes elsewhere follow.

--- a/src/engines/engine_chooser.cc
+++ b/src/engines/engine_chooser.cc
@@ -2,6 +2,7 @@
 
 #include "replicas/region_spill.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -11,10 +12,11 @@
 /// An engine is passed over for a prompt above this load, in parts of its slots.
 constexpr double engine_load_bound = 0.6;
 /// Homes of a part that are compared. Each is one more engine that may read it.
-/// All are in the zone of the first: the stages of a request are made for that zone seconds before
-/// its prompt is sent, and waits that last less than the stages would move prompts away from their
-/// results, which then hold their room for longer. With 60 engines in five zones and all stage
-/// replicas busy, 6 in 100 long prompts were late instead of 24 with later homes in any zone.
+/// They are in the zone of the first where it has as many: the stages of a request are made for
+/// that zone seconds before its prompt is sent, and waits that last less than the stages would move
+/// prompts away from their results, which then hold their room for longer. With 60 engines in five
+/// zones and all stage replicas busy, 6 in 100 long prompts were late instead of 24 with later
+/// homes in any zone.
 constexpr std::size_t most_homes = 4;
 /// A later home must be better by this many times the reading of the shared tokens: what one prompt
 /// gains there, others that wait behind the second reading lose. Simulated in placement_test with
@@ -28,6 +30,23 @@
 /// that a few requests a minute share, a fifth of a second of an engine each time.
 constexpr base::duration other_region_time = std::chrono::milliseconds(50);
 
+/// @return the first home, the others of its zone, and homes elsewhere where the zone has too few.
+std::vector<const replica_state*> homes_near_first(const shared_beginning& beginning,
+                                                   std::vector<const replica_state*> engines) {
+  const auto first = homes_of(beginning, engines, 1);
+  if (first.empty()) {
+    return {};
+  }
+  const auto& zone = first.front()->record->zone;
+  const auto elsewhere = std::partition(engines.begin(), engines.end(), [&](const auto* engine) {
+    return engine->record->zone == zone;
+  });
+  auto homes = homes_of(beginning, {engines.begin(), elsewhere}, most_homes);
+  const auto others = homes_of(beginning, {elsewhere, engines.end()}, most_homes - homes.size());
+  homes.insert(homes.end(), others.begin(), others.end());
+  return homes;
+}
+
 } // namespace
 
 engine_chooser::engine_chooser(const replica_table& replicas, const engine_directory& directory,
@@ -48,17 +67,10 @@
       free_engines.push_back(engine);
     }
   }
-  const auto first = homes_of(beginning, free_engines, 1);
-  if (first.empty()) {
-    return nullptr;
-  }
-  // Results of the prompt's stages were made for the zone of the first home.
-  const auto& zone = first.front()->record->zone;
-  std::erase_if(free_engines, [&](const auto* engine) { return engine->record->zone != zone; });
   const auto again = base::scaled(directory_->reading_time(beginning.tokens), reading_again_weight);
   const replica_state* best = nullptr;
   base::duration best_wait{};
-  for (const auto* home : homes_of(beginning, free_engines, most_homes)) {
+  for (const auto* home : homes_near_first(beginning, std::move(free_engines))) {
     const auto wait =
         directory_->expected_wait(*home, now) + (best == nullptr ? base::duration{} : again);
     if (best == nullptr || wait < best_wait) {
