Whole answers that wait for memory: large ones fit, and none waits for ever for another

Cause: an answer above 0.55 of the budget was refused for ever; answers without a length each kept what they had gathered and waited for the rest until their deadlines; a call whose answer had waited for memory was never watched again, and one that ended for want of memory would have counted as a failure of its replica. Ruled out: memory in order of arrival for all answers (one large answer would hold every small one up); reserving the largest size for an answer without a length (one at a time in a budget of 10 MB). Change: flow/answer_memory decides (no I/O). An answer larger than its part may have the budget up to 0.9; where all memory of whole answers is held by such as wait, the first may too, and where that is too little and the others' bytes would be enough, the last of them is given up (call_fate::no_memory: made again where the route allows, its replica not blamed). answer_resumed lets the dispatcher watch a call again. Left: a stage's call that is given up so counts as a failure of its replica (docs/design/slow-readers.md).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -177,6 +177,7 @@
   void on(const client_window& what, base::time_point now);
   void on(const call_failed& what, base::time_point now);
   void on(const answer_paused& what, base::time_point now);
+  void on(const answer_resumed& what, base::time_point now);
   void on(const call_answered& what, base::time_point now);
   void on(const stream_opened& what, base::time_point now);
   void on(const stream_bytes& what, base::time_point now);
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -160,9 +160,16 @@
     }
     return;
   }
-  replicas_.note_failure(call.replica, now);
   request->may_have_run = true;
-  record(base::event_kind::stage_retried, *request, call.replica.text(), "no answer");
+  const bool lacked_memory = what.fate == call_fate::no_memory;
+  if (lacked_memory) {
+    // The replica did not fail: it may be chosen again.
+    request->tried.erase(call.replica);
+  } else {
+    replicas_.note_failure(call.replica, now);
+  }
+  record(base::event_kind::stage_retried, *request, call.replica.text(),
+         lacked_memory ? "no memory for the answer" : "no answer");
   repeat_or_fail(*request, now);
 }
 
--- a/src/dispatch/dispatcher_readers.cc
+++ b/src/dispatch/dispatcher_readers.cc
@@ -58,6 +58,12 @@
   }
 }
 
+void dispatcher::on(const answer_resumed& what, base::time_point now) {
+  if (auto* request = find_by_call(what.call)) {
+    watch_progress(*request, request->route->target_latency, now);
+  }
+}
+
 bool dispatcher::can_be_let_go(const active_request& request) {
   // Results of stages would have to be made again for the second attempt.
   return request.call && request.stream_begun && request.route->may_repeat() && !request.graph &&
--- a/src/flow/byte_budget.cc
+++ b/src/flow/byte_budget.cc
@@ -9,8 +9,9 @@
 /// Part of the capacity up to which each use is granted, in the order of `byte_use`. What can be
 /// refused or wait leaves almost half to the windows of streams: of 36 MB 16 MB, which is a narrow
 /// window of 8 KB and an event of 2 KB for each of 1,500 clients. Events that have been read come
-/// last, since refusing one breaks its stream off.
-constexpr std::array<double, byte_uses> limits{0.3, 0.4, 0.5, 0.55, 1.0};
+/// last, since refusing one breaks its stream off; a tenth is theirs alone, so that a large answer
+/// (8 MB of a budget of 10 MB) takes no event's room.
+constexpr std::array<double, byte_uses> limits{0.3, 0.4, 0.5, 0.55, 0.9, 1.0};
 /// Beyond this part the slowest readers are ended before an event would find no room: what they
 /// hold comes back a moment later.
 constexpr double relief_begins = 0.9;
@@ -25,7 +26,7 @@
 
 std::string_view name_of(byte_use use) {
   constexpr std::array<std::string_view, byte_uses> names{
-      "large_body", "buffered_stream", "small_body", "whole_answer", "stream_event"};
+      "large_body", "buffered_stream", "small_body", "whole_answer", "lone_answer", "stream_event"};
   return names[static_cast<std::size_t>(use)];
 }
 
@@ -33,8 +34,16 @@
   return capacity_ == 0 ? 1.0 : static_cast<double>(held_) / static_cast<double>(capacity_);
 }
 
+std::size_t byte_budget::limit_of(byte_use use) const {
+  return static_cast<std::size_t>(static_cast<double>(capacity_) * limits[index(use)]);
+}
+
+bool byte_budget::could_fit(byte_use use, std::size_t bytes) const {
+  return bytes <= limit_of(use);
+}
+
 bool byte_budget::fits(byte_use use, std::size_t bytes) const {
-  const auto limit = static_cast<std::size_t>(static_cast<double>(capacity_) * limits[index(use)]);
+  const auto limit = limit_of(use);
   return held_ <= limit && bytes <= limit - held_;
 }
 
@@ -42,7 +51,8 @@
   if (use == byte_use::stream_event) {
     return static_cast<double>(held_ + bytes) > relief_begins * static_cast<double>(capacity_);
   }
-  return use == byte_use::whole_answer && !fits(use, bytes);
+  const bool is_answer = use == byte_use::whole_answer || use == byte_use::lone_answer;
+  return is_answer && !fits(use, bytes);
 }
 
 bool byte_budget::has_room(byte_use use, std::size_t bytes) {
--- a/src/flow/byte_budget.h
+++ b/src/flow/byte_budget.h
@@ -29,9 +29,10 @@
   buffered_stream, ///< A stream that is read although its client does not read.
   small_body,      ///< A new request with a small body.
   whole_answer,    ///< A whole answer that a replica gives.
+  lone_answer,     ///< One that fits in no other way (`answer_memory`).
   stream_event,    ///< An event that has been read from a replica.
 };
-inline constexpr std::size_t byte_uses = 5;
+inline constexpr std::size_t byte_uses = 6;
 std::string_view name_of(byte_use use);
 
 /// Not thread-safe. The sum of all accounts never exceeds the capacity.
@@ -50,6 +51,8 @@
   /// @return whether `use` may have `bytes` more now. Asks for relief where an answer may
   /// not, or an event soon may not.
   [[nodiscard]] bool has_room(byte_use use, std::size_t bytes);
+  /// @return whether `use` is granted up to `bytes` held in all.
+  [[nodiscard]] bool could_fit(byte_use use, std::size_t bytes) const;
   /// Takes bytes. @return false, with nothing taken, where there is no room; that is counted.
   [[nodiscard]] bool take(byte_holder holder, byte_use use, std::size_t bytes);
   void give_back(byte_holder holder, std::size_t bytes);
@@ -70,6 +73,7 @@
   }
   [[nodiscard]] bool wants_relief(byte_use use, std::size_t bytes) const;
   [[nodiscard]] bool fits(byte_use use, std::size_t bytes) const;
+  [[nodiscard]] std::size_t limit_of(byte_use use) const;
 
   std::size_t capacity_;
   std::size_t held_ = 0;
--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -325,7 +325,7 @@
       exchange* client;
     };
     const auto spared =
-        use == flow::byte_use::whole_answer ? flow::stream_window::widest_bytes * 2 : 0;
+        use == flow::byte_use::stream_event ? 0 : flow::stream_window::widest_bytes * 2;
     std::vector<slow_reader> slow;
     for (const auto& [id, client] : exchanges_) {
       const auto stalled = client->window.stalled_for(now);
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -46,6 +46,7 @@
 enum class call_fate : std::uint8_t {
   not_sent,     ///< No byte was written to the replica.
   may_have_run, ///< Bytes were written; whether the replica worked on them is not known.
+  no_memory,    ///< The replica answers, but this node has no memory to gather the answer.
 };
 /// A call ended without an answer.
 struct call_failed {
@@ -65,6 +66,10 @@
 struct answer_paused {
   base::call_id call = 0;
 };
+/// There is memory again for an answer that was paused: it is read on.
+struct answer_resumed {
+  base::call_id call = 0;
+};
 /// A replica answered whole.
 struct call_answered {
   base::call_id call = 0;
@@ -212,9 +217,9 @@
   bool complete = false;
 };
 
-using event =
-    std::variant<request_arrived, client_left, client_window, call_failed, answer_paused,
-                 call_answered, stream_opened, stream_bytes, stream_closed, stage_call_ended>;
+using event = std::variant<request_arrived, client_left, client_window, call_failed, answer_paused,
+                           answer_resumed, call_answered, stream_opened, stream_bytes,
+                           stream_closed, stage_call_ended>;
 using command =
     std::variant<start_call, cancel_call, pause_call, resume_call, start_stage_call, free_results,
                  respond, open_stream, stream_data, widen_window, end_stream>;
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -1,5 +1,6 @@
 #include "upstream/replica_client.h"
 
+#include "flow/answer_memory.h"
 #include "flow/stream_window.h"
 #include "http/awaitable.h"
 #include "http/endpoint.h"
@@ -63,6 +64,8 @@
   bool paused = false;
   bool cancelled = false;
   bool sent_anything = false;
+  /// The answer was given up for want of memory.
+  bool lacked_memory = false;
   bool written = false;
   bool write_failed = false;
 };
@@ -81,14 +84,12 @@
 /// Memory of an answer, returned when the last holder of its body goes.
 class counted_answer final : public serving::held_memory {
  public:
-  explicit counted_answer(std::shared_ptr<flow::byte_budget> budget)
-      : bytes_(std::move(budget), flow::byte_holder::gathered_answers) {}
-  /// @return whether there was memory for that many more.
-  bool grow(std::size_t bytes) { return bytes_.grow(flow::byte_use::whole_answer, bytes); }
-  [[nodiscard]] std::size_t bytes() const { return bytes_.bytes(); }
+  explicit counted_answer(std::shared_ptr<flow::answer_queue> queue) : memory_(std::move(queue)) {}
+  [[nodiscard]] flow::memory_verdict grow(std::size_t bytes) { return memory_.grow(bytes); }
+  [[nodiscard]] std::size_t bytes() const { return memory_.bytes(); }
 
  private:
-  flow::byte_reservation bytes_;
+  flow::answer_memory memory_;
 };
 
 /// An answer that was read whole.
@@ -146,7 +147,7 @@
                       const serving::serving_settings& settings,
                       std::shared_ptr<flow::byte_budget> budget, event_handler handler)
       : io_(&io), codec_(&codec), settings_(settings), budget_(std::move(budget)),
-        handler_(std::move(handler)) {}
+        answers_(std::make_shared<flow::answer_queue>(budget_)), handler_(std::move(handler)) {}
 
   void start(serving::start_call wanted) override {
     outgoing_call call{wanted.call,
@@ -228,18 +229,29 @@
 
   /// Waits for memory. What is not read meanwhile stays with the replica, which is not to blame for
   /// the silence.
-  /// @return false where the call was cancelled.
+  /// @return false where the call was cancelled or the answer gives way to another.
   asio::awaitable<bool> wait_for_memory(const std::shared_ptr<call_state>& state,
                                         counted_answer& held, std::size_t bytes) {
     boost::system::error_code ignored;
-    bool is_reported = false;
-    while (bytes > 0 && !state->cancelled && !held.grow(bytes)) {
-      if (!std::exchange(is_reported, true)) {
+    bool is_paused = false;
+    while (bytes > 0 && !state->cancelled) {
+      const auto verdict = held.grow(bytes);
+      if (verdict == flow::memory_verdict::granted) {
+        break;
+      }
+      if (verdict == flow::memory_verdict::give_up) {
+        state->lacked_memory = true;
+        co_return false;
+      }
+      if (!std::exchange(is_paused, true)) {
         handler_(serving::answer_paused{state->id});
       }
       state->wake.expires_after(memory_retry_period);
       co_await state->wake.async_wait(http::await_into(ignored));
     }
+    if (is_paused && !state->cancelled) {
+      handler_(serving::answer_resumed{state->id});
+    }
     co_return !state->cancelled;
   }
 
@@ -346,7 +358,7 @@
   asio::awaitable<bool> read_body(const std::shared_ptr<call_state>& state, response_parser& parser,
                                   gathered_answer& answer) {
     auto& body = answer.body;
-    answer.held = std::make_shared<counted_answer>(budget_);
+    answer.held = std::make_shared<counted_answer>(answers_);
     const auto length = parser.content_length().value_or(0);
     if (length > max_whole_answer_bytes) {
       co_return false;
@@ -419,6 +431,9 @@
   }
 
   static serving::call_fate fate_of(const std::shared_ptr<call_state>& state) {
+    if (state->lacked_memory) {
+      return serving::call_fate::no_memory;
+    }
     return state->sent_anything ? serving::call_fate::may_have_run : serving::call_fate::not_sent;
   }
 
@@ -534,6 +549,7 @@
   const serving::request_codec* codec_;
   serving::serving_settings settings_;
   std::shared_ptr<flow::byte_budget> budget_;
+  std::shared_ptr<flow::answer_queue> answers_;
   event_handler handler_;
   connection_pool pool_;
   std::unordered_map<base::call_id, std::shared_ptr<call_state>> calls_;
--- a/tests/dispatch/slow_reader_test.cc
+++ b/tests/dispatch/slow_reader_test.cc
@@ -202,4 +202,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_found_memory_is_watched_again) {
+  arrive(1, "/safe/x");
+  const auto call = last<start_call>();
+  happen(answer_paused{call.call});
+  pass(seconds(3));
+  BOOST_TEST(all<start_call>().size() == 1U);
+  happen(answer_resumed{call.call});
+  pass(milliseconds(600));
+  BOOST_TEST(all<start_call>().size() == 1U);
+  // The rest of the answer does not come: the call is made elsewhere.
+  pass(milliseconds(400));
+  BOOST_TEST(all<start_call>().size() == 2U);
+  BOOST_TEST(last<cancel_call>().call == call.call);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_given_up_for_memory_says_nothing_of_its_replica) {
+  arrive(1, "/safe/x");
+  const auto first = last<start_call>();
+  happen(call_failed{first.call, call_fate::no_memory});
+  // It may be made again, also where it was.
+  BOOST_REQUIRE(all<start_call>().size() == 2U);
+  happen(call_failed{last<start_call>().call, call_fate::no_memory});
+  BOOST_TEST(last<respond>().status == 502U);
+  BOOST_TEST(subject.replicas().find(first.target.replica)->failure_share == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
