--- a/tests/flow/answer_memory_test.cc
+++ b/tests/flow/answer_memory_test.cc
@@ -111,8 +111,10 @@
 
 BOOST_AUTO_TEST_CASE(any_number_of_growing_answers_end_one_after_another) {
   constexpr std::size_t whole_size = 700;
+  constexpr std::size_t answers = 20;
   std::vector<std::unique_ptr<answer_memory>> under_way;
-  for (int number = 0; number < 20; ++number) {
+  under_way.reserve(answers);
+  for (std::size_t number = 0; number < answers; ++number) {
     under_way.push_back(begin());
   }
   std::size_t whole = 0;
@@ -129,7 +131,7 @@
     std::erase(under_way, nullptr);
   }
   BOOST_TEST(under_way.empty());
-  BOOST_TEST(whole + given_up == 20U);
+  BOOST_TEST(whole + given_up == answers);
   // The memory is the first one's until it is whole; who holds nothing yet does not give up.
   BOOST_TEST(whole >= 1U);
   BOOST_TEST(budget->held() == 0U);
