--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -1,8 +1,11 @@
 #include "upstream/replica_client.h"
 
+#include "flow/answer_memory.h"
+#include "flow/stream_window.h"
 #include "http/awaitable.h"
 #include "http/endpoint.h"
 #include "http/socket_options.h"
+#include "upstream/body_reader.h"
 #include "upstream/connection_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,9 +27,12 @@
 namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
 
-/// Bytes of one read of an answer, and of the buffer of a connection that reads one: 1,400 streams
-/// read at once take 2 * 11 MB.
-constexpr std::size_t read_bytes = 8'192;
+/// Bytes of one read of an answer while memory is plentiful, after which other connections get
+/// their turn: one write turn of the clients' side.
+constexpr std::size_t read_bytes = 16'384;
+/// The same once this part of the budget is held: no more than the narrowest window of a stream.
+constexpr std::size_t short_read_bytes = flow::stream_window::narrowest_bytes;
+constexpr double plentiful_part = 0.5;
 /// An answer that finds no memory asks again after this time: a tenth of the least time after which
 /// a slow reader gives its memory up.
 constexpr std::chrono::milliseconds memory_retry_period{200};
@@ -47,8 +53,6 @@
 constexpr std::chrono::milliseconds surplus_settle_time{5};
 constexpr std::chrono::seconds free_timeout{2};
 
-using response_parser = beast_http::response_parser<beast_http::buffer_body>;
-
 /// A call under way.
 struct call_state {
   /// 0 where nobody waits for the answer.
@@ -60,6 +64,8 @@
   bool paused = false;
   bool cancelled = false;
   bool sent_anything = false;
+  /// The answer was given up for want of memory.
+  bool lacked_memory = false;
   bool written = false;
   bool write_failed = false;
 };
@@ -78,14 +84,12 @@
 /// Memory of an answer, returned when the last holder of its body goes.
 class counted_answer final : public serving::held_memory {
  public:
-  explicit counted_answer(std::shared_ptr<flow::byte_budget> budget)
-      : bytes_(std::move(budget), flow::byte_holder::gathered_answers) {}
-  /// @return whether there was memory for that many more.
-  bool grow(std::size_t bytes) { return bytes_.grow(flow::byte_use::whole_answer, bytes); }
-  [[nodiscard]] std::size_t bytes() const { return bytes_.bytes(); }
+  explicit counted_answer(std::shared_ptr<flow::answer_queue> queue) : memory_(std::move(queue)) {}
+  [[nodiscard]] flow::memory_verdict grow(std::size_t bytes) { return memory_.grow(bytes); }
+  [[nodiscard]] std::size_t bytes() const { return memory_.bytes(); }
 
  private:
-  flow::byte_reservation bytes_;
+  flow::answer_memory memory_;
 };
 
 /// An answer that was read whole.
@@ -143,7 +147,7 @@
                       const serving::serving_settings& settings,
                       std::shared_ptr<flow::byte_budget> budget, event_handler handler)
       : io_(&io), codec_(&codec), settings_(settings), budget_(std::move(budget)),
-        handler_(std::move(handler)) {}
+        answers_(std::make_shared<flow::answer_queue>(budget_)), handler_(std::move(handler)) {}
 
   void start(serving::start_call wanted) override {
     outgoing_call call{wanted.call,
@@ -229,18 +233,29 @@
 
   /// Waits for memory. What is not read meanwhile stays with the replica, which is not to blame for
   /// the silence.
-  /// @return false where the call was cancelled.
+  /// @return false where the call was cancelled or the answer gives way to another.
   asio::awaitable<bool> wait_for_memory(const std::shared_ptr<call_state>& state,
                                         counted_answer& held, std::size_t bytes) {
     boost::system::error_code ignored;
-    bool is_reported = false;
-    while (bytes > 0 && !state->cancelled && !held.grow(bytes)) {
-      if (!std::exchange(is_reported, true)) {
+    bool is_paused = false;
+    while (bytes > 0 && !state->cancelled) {
+      const auto verdict = held.grow(bytes);
+      if (verdict == flow::memory_verdict::granted) {
+        break;
+      }
+      if (verdict == flow::memory_verdict::give_up) {
+        state->lacked_memory = true;
+        co_return false;
+      }
+      if (!std::exchange(is_paused, true)) {
         handler_(serving::answer_paused{state->id});
       }
       state->wake.expires_after(memory_retry_period);
       co_await state->wake.async_wait(http::await_into(ignored));
     }
+    if (is_paused && !state->cancelled) {
+      handler_(serving::answer_resumed{state->id});
+    }
     co_return !state->cancelled;
   }
 
@@ -274,7 +289,9 @@
     }
     stream.expires_never();
     http::prepare_socket(stream.socket(), unacknowledged_limit);
-    co_return true;
+    // Bodies are read when the kernel says that some has arrived.
+    stream.socket().non_blocking(true, error);
+    co_return !error;
   }
 
   /// Writes beside the reads: a replica may answer before it has read everything.
@@ -336,30 +353,16 @@
     co_return false;
   }
 
-  /// Reads some of the body. @return the error, if any.
-  static asio::awaitable<boost::system::error_code>
-  read_some(connection& link, response_parser& parser, std::string& bytes) {
-    const auto before = bytes.size();
-    bytes.resize(before + read_bytes);
-    // A read takes no more than the buffer has room for.
-    link.buffer.reserve(read_bytes);
-    parser.get().body().data = bytes.data() + before;
-    parser.get().body().size = read_bytes;
-    parser.get().body().more = true;
-    boost::system::error_code error;
-    co_await beast_http::async_read_some(link.stream, link.buffer, parser, http::await_into(error));
-    if (error == beast_http::error::need_buffer) {
-      error = {};
-    }
-    bytes.resize(before + read_bytes - parser.get().body().size);
-    co_return error;
+  /// @return bytes that one read of a connection may take.
+  [[nodiscard]] std::size_t most_read_bytes() const {
+    return budget_->fullness() < plentiful_part ? read_bytes : short_read_bytes;
   }
 
   /// Reads the rest of the body, as far as there is memory. @return whether it is whole.
   asio::awaitable<bool> read_body(const std::shared_ptr<call_state>& state, response_parser& parser,
                                   gathered_answer& answer) {
     auto& body = answer.body;
-    answer.held = std::make_shared<counted_answer>(budget_);
+    answer.held = std::make_shared<counted_answer>(answers_);
     const auto length = parser.content_length().value_or(0);
     if (length > max_whole_answer_bytes) {
       co_return false;
@@ -370,7 +373,7 @@
     }
     body.reserve(length + read_bytes);
     while (!parser.is_done()) {
-      const auto error = co_await read_some(*state->link, parser, body);
+      const auto error = co_await read_some_body(*state->link, parser, read_bytes, body);
       if (error || state->cancelled || body.size() > max_whole_answer_bytes) {
         co_return false;
       }
@@ -433,6 +436,9 @@
   }
 
   static serving::call_fate fate_of(const std::shared_ptr<call_state>& state) {
+    if (state->lacked_memory) {
+      return serving::call_fate::no_memory;
+    }
     return state->sent_anything ? serving::call_fate::may_have_run : serving::call_fate::not_sent;
   }
 
@@ -490,7 +496,7 @@
         co_return;
       }
       std::string bytes;
-      const auto error = co_await read_some(*state->link, parser, bytes);
+      const auto error = co_await read_some_body(*state->link, parser, most_read_bytes(), bytes);
       if (state->cancelled) {
         co_return;
       }
@@ -548,6 +554,7 @@
   const serving::request_codec* codec_;
   serving::serving_settings settings_;
   std::shared_ptr<flow::byte_budget> budget_;
+  std::shared_ptr<flow::answer_queue> answers_;
   event_handler handler_;
   connection_pool pool_;
   std::unordered_map<base::call_id, std::shared_ptr<call_state>> calls_;
