Streams of unknown length at a stop, and a bound on the exit

Change: a service's runs stand in for a route's by the token only; without tokens a long answer is assumed; a tenth is added to the longest run that counts; the process ends half a second after it gave up what was left.

--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds exit_poll{20};
 /// Time for requests on connections that were accepted last.
 constexpr std::chrono::milliseconds exit_grace{200};
+/// Time after a node has given up what was left for its last answers to be written. Clients that
+/// take none of theirs, and connections without a request, are not waited for beyond it: the kill
+/// that follows 0.7 s after the giving up would cut the others too.
+constexpr std::chrono::milliseconds last_answers_time{500};
 
 std::uint64_t random_seed() {
   std::random_device device;
@@ -246,11 +250,17 @@
   if (serving_) {
     serving_->begin_stop();
   }
+  if (settings_.node.serving) {
+    exit_latest_ =
+        base::boot_clock::now() + settings_.node.serving->stop_longest + last_answers_time;
+  }
   post(node::stop_requested{});
 }
 
 void runtime::exit_when_written() {
-  if (busy() == 0 && base::boot_clock::now() >= exit_not_before_) {
+  const auto now = base::boot_clock::now();
+  const bool is_done = busy() == 0 && now >= exit_not_before_;
+  if (is_done || now >= exit_latest_) {
     log_stopped();
     io_->stop();
     return;
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -88,6 +88,8 @@
   std::optional<base::time_point> wakeup_at_;
   boost::asio::steady_timer exit_timer_;
   base::time_point exit_not_before_;
+  /// The process ends by then; without a bound where no grace is set.
+  base::time_point exit_latest_ = base::time_point::max();
   boost::asio::signal_set signals_;
 };
 
--- a/src/dispatch/dispatcher_stop.cc
+++ b/src/dispatch/dispatcher_stop.cc
@@ -40,7 +40,8 @@
     const auto own_tokens = request.content->own_tokens();
     to_first_event += *with_stages - estimate_.first_byte_of(request.service, own_tokens);
   }
-  work.expected = to_first_event + run.events - passed_on_of(request, run.events);
+  const auto events = work.is_stream ? run.events : base::duration{};
+  work.expected = to_first_event + events - passed_on_of(request, events);
   return work;
 }
 
--- a/src/dispatch/run_times.cc
+++ b/src/dispatch/run_times.cc
@@ -7,14 +7,18 @@
 namespace {
 
 /// Assumed while no runs are known: what a busy engine needs to the first event and for each token,
-/// and an answer of some 250 tokens where the client did not say how many it wants.
+/// and a long answer where the client did not say how many it wants, since one that lasts longer
+/// than expected is cut.
 constexpr base::duration usual_first_event = std::chrono::milliseconds(500);
 constexpr base::duration usual_token_time = std::chrono::milliseconds(10);
-constexpr std::uint32_t usual_tokens = 250;
+constexpr std::uint32_t usual_tokens = 600;
 /// Fewer runs say too little of how long the longest last.
 constexpr std::size_t least_runs = 4;
 /// One in so many runs may be longer than what is expected of the next.
 constexpr std::size_t runs_per_exception = 16;
+/// The next run may be longer than all that were seen: of few the longest is often beaten by some
+/// hundredths.
+constexpr double beyond_seen = 1.1;
 
 run_time usual_run(std::uint32_t output_tokens) {
   const auto tokens = output_tokens > 0 ? output_tokens : usual_tokens;
@@ -24,7 +28,7 @@
 /// @return the longest but for the exceptions.
 double upper_of(std::vector<double> seconds) {
   std::sort(seconds.begin(), seconds.end());
-  return seconds[seconds.size() - 1 - seconds.size() / runs_per_exception];
+  return beyond_seen * seconds[seconds.size() - 1 - seconds.size() / runs_per_exception];
 }
 
 } // namespace
@@ -49,6 +53,13 @@
   return is_known ? &found->second : nullptr;
 }
 
+bool run_times::is_by_token(const history& seen, std::uint32_t output_tokens) {
+  const auto end = seen.latest.begin() + static_cast<std::ptrdiff_t>(seen.count);
+  const auto stated = std::count_if(seen.latest.begin(), end,
+                                    [](const sample& run) { return run.output_tokens > 0; });
+  return output_tokens > 0 && static_cast<std::size_t>(stated) >= least_runs;
+}
+
 double run_times::upper_events(const history& seen, std::uint32_t output_tokens) {
   std::vector<double> whole;
   std::vector<double> by_token;
@@ -59,17 +70,22 @@
       by_token.push_back(run.seconds_of_events / run.output_tokens);
     }
   }
-  const bool is_by_token = output_tokens > 0 && by_token.size() >= least_runs;
-  return is_by_token ? upper_of(std::move(by_token)) * output_tokens : upper_of(std::move(whole));
+  return is_by_token(seen, output_tokens) ? upper_of(std::move(by_token)) * output_tokens
+                                          : upper_of(std::move(whole));
 }
 
 run_time run_times::upper(const std::string& route, const std::string& service,
                           std::uint32_t output_tokens) const {
   const auto* of_route = find(by_route_, route);
-  const auto* seen = of_route != nullptr ? of_route : find(by_service_, service);
+  const auto* of_service = find(by_service_, service);
+  const auto* seen = of_route != nullptr ? of_route : of_service;
   if (seen == nullptr) {
     return usual_run(output_tokens);
   }
+  // By the token, routes of a service are alike; how long their answers are differs too much.
+  if (of_route == nullptr && !is_by_token(*seen, output_tokens)) {
+    return usual_run(output_tokens);
+  }
   std::vector<double> first_events;
   for (std::size_t index = 0; index < seen->count; ++index) {
     first_events.push_back(seen->latest[index].seconds_to_first_event);
--- a/src/dispatch/run_times.h
+++ b/src/dispatch/run_times.h
@@ -28,8 +28,8 @@
             const run_time& seen);
 
   /// @return a time that few of the recent runs of the route took longer than, for as many tokens;
-  ///         that of all runs at the service while too few of the route were seen, and a usual time
-  ///         while too few of those were.
+  ///         that of all runs at the service by the token while too few of the route were seen, and
+  ///         a usual time where that is not known either.
   [[nodiscard]] run_time upper(const std::string& route, const std::string& service,
                                std::uint32_t output_tokens) const;
 
@@ -51,6 +51,8 @@
   using histories = std::unordered_map<std::string, history>;
 
   static void add(history& grown, const sample& added);
+  /// @return whether the tokens of a run and of enough of those seen are known.
+  static bool is_by_token(const history& seen, std::uint32_t output_tokens);
   /// @return seconds from the first event to the end that few of the runs took longer than; by the
   ///         token where the tokens of this one and of enough of them are known.
   static double upper_events(const history& seen, std::uint32_t output_tokens);
