--- a/tests/node/planned_stop_test.cc
+++ b/tests/node/planned_stop_test.cc
@@ -37,7 +37,7 @@
     return settings;
   }
 
-  void happen(node::event what) {
+  void happen(const node::event& what) {
     auto wanted = subject.handle(what, now);
     std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
   }
--- a/tests/platform_fleet/planned_stop_test.cc
+++ b/tests/platform_fleet/planned_stop_test.cc
@@ -13,12 +13,15 @@
 #include "fleet/child_process.h"
 #include "fleet/http_client.h"
 #include "http/awaitable.h"
+#include "http/endpoint.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -129,6 +132,8 @@
     outcome_ = {};
   }
 
+  [[nodiscard]] std::chrono::steady_clock::time_point stop_began() const { return stop_began_; }
+
   /// Asks from the signal until the daemon is gone.
   stop_outcome ask_through_stop(const std::string& path) {
     subject_->daemon->signal(SIGTERM);
@@ -189,6 +194,21 @@
 
 constexpr std::size_t streams_before = 8;
 
+/// Opens a connection every `arrival_period` and sends nothing on any.
+void connect_silently(const std::string& address, const std::atomic<bool>& is_over) {
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> opened;
+  while (!is_over) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket(io);
+    socket.connect(*http::parse_endpoint(address), error);
+    if (!error) {
+      opened.push_back(std::move(socket));
+    }
+    std::this_thread::sleep_for(arrival_period);
+  }
+}
+
 stop_outcome stop_while_asking_for(const std::string& path, int grace_seconds) {
   stopping_daemon subject(grace_seconds);
   asking_crowd crowd(subject);
@@ -220,6 +240,21 @@
   BOOST_TEST((seen.latest_whole >= std::chrono::seconds(2)));
 }
 
+BOOST_AUTO_TEST_CASE(connections_without_a_request_do_not_hold_a_process_beyond_its_grace) {
+  stopping_daemon subject(short_grace_seconds);
+  asking_crowd crowd(subject);
+  crowd.ask_before("/stream/slow/", streams_before);
+  std::atomic<bool> is_over = false;
+  std::thread silent([&] { connect_silently(subject.clients, is_over); });
+  // Streams that end shortly before the stop must.
+  crowd.ask_through_stop("/stream/slow/");
+  subject.daemon->wait();
+  const auto took = std::chrono::steady_clock::now() - crowd.stop_began();
+  is_over = true;
+  silent.join();
+  BOOST_TEST((took < std::chrono::seconds(short_grace_seconds)));
+}
+
 BOOST_AUTO_TEST_CASE(a_stop_ends_although_clients_go_on_asking) {
   const auto seen = stop_while_asking_for("/stream/good/", long_grace_seconds);
   BOOST_TEST(seen.cut == 0U);
