--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -63,9 +63,9 @@
   [[nodiscard]] std::size_t waiting(const std::string& service) const {
     return pool_.waiting(service);
   }
-  /// @return whether calls for pieces are under way.
-  /// A replica started again.
+  /// A replica started again: what its earlier life had of pieces and results is lost.
   void on_restarted(const base::replica_id& replica, base::time_point now);
+  /// @return whether calls for pieces are under way.
   [[nodiscard]] bool has_calls_under_way() const { return pool_.has_calls_under_way(); }
 
   /// Has the pieces of one stage of one request made, at one place.
