--- a/src/dispatch/run_times.cc
+++ b/src/dispatch/run_times.cc
@@ -1,6 +1,7 @@
 #include "dispatch/run_times.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace spurrack::serving {
@@ -25,10 +26,13 @@
   return {usual_first_event, usual_token_time * tokens};
 }
 
-/// @return the longest but for the exceptions.
+/// @return the longest but for the exceptions, and more where they differ and few are known: of
+///         streams of three to six seconds the longest of four was beaten by a second.
 double upper_of(std::vector<double> seconds) {
   std::sort(seconds.begin(), seconds.end());
-  return beyond_seen * seconds[seconds.size() - 1 - seconds.size() / runs_per_exception];
+  const double longest = seconds[seconds.size() - 1 - seconds.size() / runs_per_exception];
+  const double spread = longest - seconds.front();
+  return beyond_seen * (longest + spread / std::sqrt(static_cast<double>(seconds.size())));
 }
 
 } // namespace
