--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -14,6 +14,7 @@
 #include "engines/engine_chooser.h"
 #include "engines/engine_directory.h"
 #include "flow/byte_budget.h"
+#include "quarantine/request_digest.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
 #include "replicas/replica_table.h"
@@ -124,6 +125,8 @@
     /// Keeps the route alive.
     std::shared_ptr<const model::route> route;
     std::string tenant;
+    /// Found when it is first asked for: most requests never need it.
+    mutable std::optional<quarantine::request_digest> digest;
     std::string service;
     std::uint32_t priority = 0;
     /// Regions that its route and its tenant both allowed when it arrived.
@@ -257,6 +260,10 @@
                                                 const replica_state& replica,
                                                 base::time_point now) const;
   const replica_state* choose_replica(const active_request& request, base::time_point now);
+  /// @return what a request is known by when it comes again.
+  static const quarantine::request_digest& digest_of(const active_request& request);
+  /// @return the same for the log line of a call that ended without a whole answer.
+  static std::string identity_text(const active_request& request);
   /// Ends the account of the open call. @return the call.
   open_call close_call(active_request& request);
   /// Takes in what an answer says of its replica.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -37,6 +37,17 @@
                                     : plain_replicas_.choose(demand, now);
 }
 
+const quarantine::request_digest& dispatcher::digest_of(const active_request& request) {
+  if (!request.digest) {
+    request.digest = quarantine::digest_of(*request.content, request.tenant);
+  }
+  return *request.digest;
+}
+
+std::string dispatcher::identity_text(const active_request& request) {
+  return ", request digest " + digest_of(request).text();
+}
+
 bool dispatcher::is_engine(const std::string& service) const {
   const auto* found = configuration_ ? configuration_->find_service(service) : nullptr;
   return found != nullptr && found->engine;
@@ -178,7 +189,7 @@
     replicas_.note_failure(call.replica, now);
   }
   record(base::event_kind::stage_retried, *request, call.replica.text(),
-         lacked_memory ? "no memory for the answer" : "no answer");
+         lacked_memory ? "no memory for the answer" : "no answer" + identity_text(*request));
   repeat_or_fail(*request, now);
 }
 
@@ -371,7 +382,8 @@
     return;
   }
   replicas_.note_failure(call.replica, now);
-  record(base::event_kind::stage_retried, *request, call.replica.text(), "the stream broke off");
+  record(base::event_kind::stage_retried, *request, call.replica.text(),
+         "the stream broke off" + identity_text(*request));
   repeat_or_fail(*request, now);
 }
 
