Requests under which replicas end are known by digest on all nodes and held back

Cause: what is learned when a replica ends was kept of the replica and never of the request that ran there. Each try is new to the node that takes it, so a request that ends every replica was sent on by every node, as often as its route allows. Change: src/quarantine. A call that ends without a whole answer has its replica asked for a connection; refused, published no longer, another process at its address or another life is an end, and is laid to the digests that ran there. First ends meet at three keepers, two and more are told to all nodes. Two ends: one replica a try. Four (five where as many replicas end without it): held back, 503 without a time to come back. A run that ends well clears it.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -60,6 +60,12 @@
     return "residency_confined";
   case event_kind::client_slow:
     return "client_slow";
+  case event_kind::request_crashed_replica:
+    return "request_crashed_replica";
+  case event_kind::request_quarantined:
+    return "request_quarantined";
+  case event_kind::request_cleared:
+    return "request_cleared";
   }
   return "unknown";
 }
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -41,6 +41,9 @@
   residency_refused,
   residency_confined,
   client_slow,
+  request_crashed_replica,
+  request_quarantined,
+  request_cleared,
 };
 
 /// @return the stable lower-case name of `kind`.
--- a/src/daemon/serving_adapters.cc
+++ b/src/daemon/serving_adapters.cc
@@ -18,6 +18,9 @@
   void operator()(serving::close_connections& wanted) const {
     replicas->close_resting(wanted.address);
   }
+  void operator()(serving::probe_replica& wanted) const {
+    replicas->probe(std::move(wanted.target));
+  }
   void operator()(serving::cancel_call& wanted) const { replicas->cancel(wanted.call); }
   void operator()(serving::pause_call& wanted) const { replicas->pause(wanted.call); }
   void operator()(serving::resume_call& wanted) const { replicas->resume(wanted.call); }
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -72,6 +72,7 @@
       engines_(replicas_, directory_, from_here_, plain_replicas_), retries_(settings.retry),
       lending_(retries_, self.zone, random, life),
       news_(replicas_, self.zone, settings.regions, random),
+      crash_news_(crash_ledger_, self.node, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_),
       stop_(settings.stop_takes) {}
@@ -87,6 +88,7 @@
   directory_.set_peers(alive);
   lending_.set_peers(alive);
   news_.set_peers(alive);
+  crash_news_.set_peers(alive);
   stages_.set_peers(std::move(alive));
 }
 
@@ -106,6 +108,7 @@
   directory_.forget_gone();
   stages_.set_configuration(configuration_);
   give_up_earlier_lives(now);
+  find_ended_replicas(now);
   report_unknown_services();
 }
 
@@ -194,6 +197,9 @@
     answer_not_run(active, "deadline passed on arrival", now);
     return;
   }
+  if (refuse_in_quarantine(active, now)) {
+    return;
+  }
   if (turn_away(active) || refuse_too_large(active, now) || refuse_at_stop(active, now) ||
       refuse_hopeless(active, now)) {
     return;
@@ -434,6 +440,7 @@
     stages_.pump(now);
   }
   news_.advance(now);
+  advance_crashes(now);
 }
 
 std::optional<base::time_point> dispatcher::next_wakeup(base::time_point now) const {
@@ -450,6 +457,9 @@
   if (const auto news = news_.next_wakeup()) {
     consider(*news);
   }
+  if (const auto news = crash_news_.next_wakeup()) {
+    consider(*news);
+  }
   if (!awaiting_loans_.empty()) {
     consider(now + loan_check_period);
   }
@@ -461,7 +471,8 @@
   auto engines = directory_.take_messages();
   auto lending = lending_.take_messages();
   auto news = news_.take_messages();
-  for (auto* more : {&engines, &lending, &news}) {
+  auto crashes = crash_news_.take_messages();
+  for (auto* more : {&engines, &lending, &news, &crashes}) {
     std::move(more->begin(), more->end(), std::back_inserter(messages));
   }
   return messages;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -14,6 +14,9 @@
 #include "engines/engine_chooser.h"
 #include "engines/engine_directory.h"
 #include "flow/byte_budget.h"
+#include "quarantine/crash_ledger.h"
+#include "quarantine/crash_news.h"
+#include "quarantine/crash_watch.h"
 #include "quarantine/request_digest.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
@@ -77,6 +80,13 @@
   /// looked at at once.
   void handle_peer(const base::node_id& sender, const wire::replica_news& message,
                    base::time_point now);
+  /// Takes in under which requests other nodes saw replicas end.
+  void handle_peer(const base::network_address& address, const wire::crash_news& message,
+                   base::time_point now);
+  /// This process was paused: others are asked what it missed.
+  void resume_after_pause(base::time_point now) { crash_news_.resume_after_pause(now); }
+  /// Lets a request go that is held back. @return whether anything spoke against it.
+  bool release_request(const quarantine::request_digest& digest, base::time_point now);
   /// Gives up what is past its time and hands out what waits.
   void advance(base::time_point now);
   /// Ends everything that is still open, for a stop that can wait no longer.
@@ -91,12 +101,18 @@
   [[nodiscard]] const engine_directory_counts& engine_counts() const { return directory_.counts(); }
   [[nodiscard]] const replica_news_counts& news() const { return news_.counts(); }
   [[nodiscard]] const lending_counts& lending() const { return lending_.counts(); }
+  [[nodiscard]] const quarantine::crash_ledger& crashes() const { return crash_ledger_; }
+  [[nodiscard]] const quarantine::crash_news_counts& crash_news() const {
+    return crash_news_.counts();
+  }
 
  private:
   /// A call of the request itself.
   struct open_call {
     base::call_id id = 0;
     base::replica_id replica;
+    /// The end of the life it was made at, should that come.
+    quarantine::replica_end life_end = 0;
     base::time_point started;
     /// Where the replica shows no progress until then, the call is made elsewhere.
     std::optional<base::time_point> stalls_at;
@@ -189,6 +205,7 @@
   void on(const stream_bytes& what, base::time_point now);
   void on(const stream_closed& what, base::time_point now);
   void on(const stage_call_ended& what, base::time_point now);
+  void on(const replica_probed& what, base::time_point now);
 
   void admit(const request_arrived& what, std::shared_ptr<const model::route> route,
              const std::optional<model::key_holder>& holder, base::time_point now);
@@ -277,6 +294,29 @@
   /// lend of theirs, and ends it otherwise.
   void send_again_or_end(active_request& request, failed_ending ending, base::time_point now);
   void end_failed(active_request& request, const failed_ending& ending, base::time_point now);
+  /// @return what the end of the published life of a replica is called.
+  static quarantine::replica_end end_of(const model::replica& record);
+  /// A call ended without a whole answer: finds out whether its replica ended with it.
+  void note_lost_call(const active_request& request, const open_call& call, base::time_point now);
+  /// @param evidence what showed that a replica ended, for the log.
+  void note_replica_ended(const base::replica_id& replica, const char* evidence,
+                          base::time_point now);
+  void note_end_under(const quarantine::ended_call& call, const base::replica_id& replica,
+                      const char* evidence, base::time_point now);
+  /// Tells other nodes what has changed, and forgets what is over.
+  void advance_crashes(base::time_point now);
+  /// Finds watched replicas that are published no longer.
+  void find_ended_replicas(base::time_point now);
+  /// A replica answered: it has not ended after all, where that was believed of this life.
+  void withdraw_end(const base::replica_id& replica, base::time_point now);
+  /// A run of a request came to an end and its replica lives.
+  void note_survived(const active_request& request, base::time_point now);
+  [[nodiscard]] quarantine::standing standing_of(const active_request& request,
+                                                 base::time_point now) const;
+  /// Refuses a request that is held back. @return whether it was refused.
+  bool refuse_in_quarantine(active_request& request, base::time_point now);
+  /// A request is held back from now on: those of it that wait or have shown nothing yet end.
+  void quarantine_request(const quarantine::request_digest& digest, base::time_point now);
   [[nodiscard]] static bool has_attempt_left(const active_request& request, base::time_point now);
   /// @return whether another attempt is allowed and would end before a planned stop must; the share
   ///         of repeats is not asked.
@@ -368,6 +408,11 @@
   retry_share retries_;
   retry_lending lending_;
   replica_news news_;
+  quarantine::crash_watch crash_watch_;
+  quarantine::crash_ledger crash_ledger_;
+  quarantine::crash_news crash_news_;
+  base::time_point next_crash_expiry_;
+  std::vector<quarantine::request_digest> newly_held_back_;
   stage_exchange stages_;
   admission_estimate estimate_;
   run_times run_times_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -75,7 +75,7 @@
     give_up(request, deadline_passed, now);
     return;
   }
-  if (end_at_stop(request, now)) {
+  if (end_at_stop(request, now) || refuse_in_quarantine(request, now)) {
     return;
   }
   if (request.graph && request.graph->has_freed_final_inputs()) {
@@ -95,8 +95,14 @@
   auto wanted = call_of(request, *chosen, now);
   request.tried.insert(chosen->record->id);
   ++request.sent;
-  request.call =
-      open_call{wanted.call, chosen->record->id, now, std::nullopt, std::nullopt, std::nullopt, {}};
+  request.call = open_call{wanted.call,
+                           chosen->record->id,
+                           end_of(*chosen->record),
+                           now,
+                           std::nullopt,
+                           std::nullopt,
+                           std::nullopt,
+                           {}};
   clients_at_[chosen->record->id].insert(request.client);
   const bool runs_at_once = !chosen->told || chosen->told->waiting == 0;
   if (!wanted.inputs.empty() && runs_at_once &&
@@ -187,6 +193,7 @@
     request->tried.erase(call.replica);
   } else {
     replicas_.note_failure(call.replica, now);
+    note_lost_call(*request, call, now);
   }
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          lacked_memory ? "no memory for the answer" : "no answer" + identity_text(*request));
@@ -198,6 +205,7 @@
   const auto call = close_call(request);
   if (head.misdirected) {
     replicas_.note_left(call.replica);
+    note_replica_ended(call.replica, "another process has its address", now);
   } else {
     replicas_.note_full(call.replica, now);
   }
@@ -222,6 +230,9 @@
 void dispatcher::note_state(const base::replica_id& replica, const answer_head& head,
                             base::time_point now) {
   replicas_.note_heard(replica, now);
+  if (!head.misdirected) {
+    withdraw_end(replica, now);
+  }
   if (head.load) {
     replicas_.note_load(replica, *head.load, now);
   }
@@ -240,6 +251,7 @@
     return;
   }
   request->may_have_run = true;
+  note_survived(*request, now);
   const bool unusable = is_success(what.head.status) && (!what.head.sealed || what.head.encoded);
   const bool failed = unusable || what.head.status >= status::first_server_error;
   if (!failed) {
@@ -363,6 +375,7 @@
   const bool is_whole = what.complete && !request->events.has_partial();
   if (is_whole) {
     note_run(*request, now);
+    note_survived(*request, now);
   }
   const auto call = close_call(*request);
   if (is_whole) {
@@ -382,6 +395,7 @@
     return;
   }
   replicas_.note_failure(call.replica, now);
+  note_lost_call(*request, call, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          "the stream broke off" + identity_text(*request));
   repeat_or_fail(*request, now);
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -29,7 +29,8 @@
 }
 
 bool dispatcher::can_be_sent_again(const active_request& request, base::time_point now) const {
-  return has_attempt_left(request, now) && has_time_before_stop(request, now);
+  return has_attempt_left(request, now) && has_time_before_stop(request, now) &&
+         standing_of(request, now) == quarantine::standing::free;
 }
 
 bool dispatcher::may_send_again(active_request& request, base::time_point now) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -174,6 +174,9 @@
   membership_.resume_after_pause(now);
   executor_.set_hold(true);
   hold_until_ = now + settings_.resync_wait;
+  if (serving_) {
+    serving_->resume_after_pause(now);
+  }
   begin_resync(now);
 }
 
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -66,6 +66,13 @@
   std::uint64_t refused_while_stopping = 0;
   std::uint64_t ended_while_stopping = 0;
   std::uint64_t given_up_at_stop = 0;
+  /// Ends of replicas that were laid to a request under way there, each request counted.
+  std::uint64_t crashes_under_requests = 0;
+  /// Requests refused since replicas ended under them, and times a request began to be held back.
+  std::uint64_t refused_in_quarantine = 0;
+  std::uint64_t quarantines = 0;
+  /// Requests against which nothing speaks any more, since a run of them ended well.
+  std::uint64_t requests_cleared = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -127,6 +127,18 @@
   bool closing = false;
 };
 
+/// What came of asking a replica for a connection.
+enum class probe_result : std::uint8_t {
+  connected, ///< Something listens at its address.
+  refused,   ///< Nothing does.
+  silent,    ///< No answer in time, or another error: nothing is known.
+};
+/// A replica was asked for a connection.
+struct replica_probed {
+  base::replica_id replica;
+  probe_result result = probe_result::silent;
+};
+
 // --- commands ------------------------------------------------------------------------------------
 
 /// Who is called.
@@ -191,6 +203,11 @@
   base::network_address address;
 };
 
+/// Ask a replica for a connection, which is kept for later calls.
+struct probe_replica {
+  call_target target;
+};
+
 /// Answer a client with a whole answer.
 struct respond {
   base::caller_id client = 0;
@@ -224,10 +241,10 @@
 
 using event = std::variant<request_arrived, client_left, client_window, call_failed, answer_paused,
                            answer_resumed, call_answered, stream_opened, stream_bytes,
-                           stream_closed, stage_call_ended>;
-using command =
-    std::variant<start_call, cancel_call, pause_call, resume_call, start_stage_call, free_results,
-                 close_connections, respond, open_stream, stream_data, widen_window, end_stream>;
+                           stream_closed, stage_call_ended, replica_probed>;
+using command = std::variant<start_call, cancel_call, pause_call, resume_call, start_stage_call,
+                             free_results, close_connections, probe_replica, respond, open_stream,
+                             stream_data, widen_window, end_stream>;
 using command_list = std::vector<command>;
 
 } // namespace spurrack::serving
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -184,6 +184,10 @@
     asio::co_spawn(*io_, run_free(std::move(call)), asio::detached);
   }
 
+  void probe(serving::call_target target) override {
+    asio::co_spawn(*io_, run_probe(std::move(target)), asio::detached);
+  }
+
   void pause(base::call_id call) override { set_paused(call, true); }
   void resume(base::call_id call) override { set_paused(call, false); }
 
@@ -274,24 +278,43 @@
       ++counters_.reused;
       co_return true;
     }
-    const auto endpoint = http::parse_endpoint(call.address.text());
+    state->link = std::make_shared<connection>(*io_);
+    const auto error = co_await open_connection(call.address, *state->link);
+    co_return !error && !state->cancelled;
+  }
+
+  /// Opens a new connection. @return why there is none.
+  asio::awaitable<boost::system::error_code> open_connection(const base::network_address& address,
+                                                             connection& link) {
+    const auto endpoint = http::parse_endpoint(address.text());
     if (!endpoint) {
-      co_return false;
+      co_return asio::error::invalid_argument;
     }
     ++counters_.opened;
-    state->link = std::make_shared<connection>(*io_);
-    auto& stream = state->link->stream;
     boost::system::error_code error;
-    stream.expires_after(settings_.connect_timeout);
-    co_await stream.async_connect(*endpoint, http::await_into(error));
-    if (error || state->cancelled) {
-      co_return false;
+    link.stream.expires_after(settings_.connect_timeout);
+    co_await link.stream.async_connect(*endpoint, http::await_into(error));
+    if (error) {
+      co_return error;
     }
-    stream.expires_never();
-    http::prepare_socket(stream.socket(), unacknowledged_limit);
+    link.stream.expires_never();
+    http::prepare_socket(link.stream.socket(), unacknowledged_limit);
     // Bodies are read when the kernel says that some has arrived.
-    stream.socket().non_blocking(true, error);
-    co_return !error;
+    link.stream.socket().non_blocking(true, error);
+    co_return error;
+  }
+
+  asio::awaitable<void> run_probe(serving::call_target target) {
+    const auto link = std::make_shared<connection>(*io_);
+    const auto error = co_await open_connection(target.address, *link);
+    auto result = serving::probe_result::silent;
+    if (!error) {
+      result = serving::probe_result::connected;
+      pool_.give_back(target.address, link, usual_rest - rest_margin, base::boot_clock::now());
+    } else if (error == asio::error::connection_refused) {
+      result = serving::probe_result::refused;
+    }
+    handler_(serving::replica_probed{target.replica, result});
   }
 
   /// Writes beside the reads: a replica may answer before it has read everything.
--- a/src/upstream/replica_client.h
+++ b/src/upstream/replica_client.h
@@ -41,6 +41,8 @@
   virtual void start(serving::start_stage_call wanted) = 0;
   /// Nothing is reported of this call.
   virtual void start(serving::free_results wanted) = 0;
+  /// Asks for a connection and keeps it; reports `replica_probed`.
+  virtual void probe(serving::call_target target) = 0;
   /// Reads no more of a streamed answer until `resume`.
   virtual void pause(base::call_id call) = 0;
   virtual void resume(base::call_id call) = 0;
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -33,7 +33,8 @@
   /// Answered 503: not run.
   std::size_t refused = 0;
   std::size_t failed = 0;
-  /// Refused with a time to come back.
+  /// Refused since replicas had ended under it, and of these those told when to come back.
+  std::size_t held_back = 0;
   std::size_t told_to_return = 0;
 };
 
@@ -85,6 +86,7 @@
     content->prompt_tokens = 10;
     bodies[requests] = body;
     ++counts[body].tries;
+    paths[requests] = path;
     nodes[node].subject->handle(request_arrived{requests, content, now}, now);
     return requests;
   }
@@ -131,6 +133,29 @@
     later(milliseconds(1500 + random.below(500)), [this, index] { start_replica(index); });
   }
 
+  /// Resets all connections to a replica, which lives on.
+  void reset(unsigned index) {
+    for (const auto& [node, call] : std::exchange(replicas[index].calls, {})) {
+      break_off(node, call);
+    }
+  }
+
+  /// @return a replica that is drawn.
+  unsigned some_replica() { return static_cast<unsigned>(random.below(replicas.size())); }
+
+  /// @return requests that are held back at some node, by their bodies.
+  [[nodiscard]] std::set<std::string> held_back() const {
+    std::set<std::string> found;
+    for (const auto& [body, count] : counts) {
+      if (count.held_back > 0) {
+        found.insert(body);
+      }
+    }
+    return found;
+  }
+
+  [[nodiscard]] dispatcher& node(std::size_t index) { return *nodes[index].subject; }
+
   /// @return sends of a request that reached a replica later than `span` after the third end under
   ///         it.
   [[nodiscard]] std::size_t sends_after_third_end(const std::string& body,
@@ -154,6 +179,8 @@
   /// Other requests a second that arrive at drawn nodes, each with a body of its own.
   std::size_t innocents_a_second = 0;
   std::string innocent_path = "/stream/";
+  /// Whether callers whose request failed or was refused come again, up to three times.
+  bool comes_again = false;
   std::size_t crashes = 0;
   /// Times at which replicas ended under a request, and at which it reached replicas.
   std::map<std::string, std::vector<base::time_point>> ends_under;
@@ -265,23 +292,56 @@
     }
   }
 
+  void carry_out(std::size_t node, const probe_replica& wanted) {
+    const auto life = nodes[node].life;
+    later(milliseconds(1), [this, node, life, wanted] {
+      if (nodes[node].life != life) {
+        return;
+      }
+      const auto* replica = replica_at(wanted.target.address);
+      const bool is_up = replica != nullptr && replica->is_up;
+      nodes[node].subject->handle(
+          replica_probed{wanted.target.replica,
+                         is_up ? probe_result::connected : probe_result::refused},
+          now);
+    });
+  }
+
   void carry_out(std::size_t /*node*/, const respond& answer) {
     auto& count = counts[bodies.at(answer.client)];
-    if (answer.status == 503) {
-      ++count.refused;
+    if (answer.status != 200) {
+      come_again(answer.client);
+    }
+    if (answer.status != 503) {
+      ++(answer.status == 200 ? count.served : count.failed);
+      return;
+    }
+    ++count.refused;
+    if (answer.body.find("held back") != std::string::npos) {
+      ++count.held_back;
       count.told_to_return +=
           std::any_of(answer.headers.begin(), answer.headers.end(),
-                      [](const auto& field) { return field.name == "Retry-After"; })
-              ? 1
-              : 0;
-    } else {
-      ++(answer.status == 200 ? count.served : count.failed);
+                      [](const auto& field) { return field.name == "Retry-After"; });
     }
   }
 
   void carry_out(std::size_t /*node*/, const end_stream& end) {
     auto& count = counts[bodies.at(end.client)];
     ++(end.complete ? count.served : count.failed);
+    if (!end.complete) {
+      come_again(end.client);
+    }
+  }
+
+  void come_again(base::caller_id client) {
+    constexpr std::size_t most_tries = 4;
+    const auto body = bodies.at(client);
+    if (!comes_again || guilty.contains(body) || counts[body].tries >= most_tries) {
+      return;
+    }
+    later(milliseconds(50 + random.below(200)), [this, body, path = paths.at(client)] {
+      arrive(random.below(nodes.size()), path, body);
+    });
   }
 
   emulated_replica* replica_at(const base::network_address& address) {
@@ -368,8 +428,10 @@
   void deliver(std::size_t from, const wire::outgoing& sent) {
     const auto sender = peer_number(from);
     for (std::size_t index = 0; index < nodes.size(); ++index) {
-      if (peer_number(index).address == sent.to && !cut_off.contains(from) &&
-          !cut_off.contains(index)) {
+      const bool is_reached = !cut_off.contains(from) && !cut_off.contains(index);
+      const bool is_lost = sent.message.has_crash_news() &&
+                           (older_build.contains(from) || older_build.contains(index));
+      if (peer_number(index).address == sent.to && is_reached && !is_lost) {
         hand_over(*nodes[index].subject, sender, sent.message);
       }
     }
@@ -384,6 +446,8 @@
       receiver.handle_peer(sender.node, message.replica_news(), now);
     } else if (message.has_retry_lending()) {
       receiver.handle_peer(sender.node, sender.address, message.retry_lending(), now);
+    } else if (message.has_crash_news()) {
+      receiver.handle_peer(sender.address, message.crash_news(), now);
     }
   }
 
@@ -391,6 +455,7 @@
   std::vector<emulated_node> nodes;
   std::multimap<base::time_point, std::function<void()>> due;
   std::map<base::caller_id, std::string> bodies;
+  std::map<base::caller_id, std::string> paths;
   base::caller_id requests = 0;
 };
 
--- /dev/null
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -0,0 +1,180 @@
+/// What a node knows of requests under which replicas ended.
+#include "quarantine/crash_ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace spurrack;
+using namespace spurrack::quarantine;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const base::time_point start{hours(1)};
+
+request_digest digest(unsigned number) {
+  std::array<std::uint8_t, request_digest::byte_count> bytes{};
+  bytes[0] = static_cast<std::uint8_t>(number % 256);
+  bytes[1] = static_cast<std::uint8_t>(number / 256);
+  return request_digest(bytes);
+}
+
+/// Lays the ends with the given numbers to a request, one a second.
+void note(crash_ledger& ledger, unsigned request, std::initializer_list<replica_end> ends) {
+  for (const auto end : ends) {
+    const base::time_point at = start + seconds(end);
+    ledger.note_end(digest(request), {end, at}, at);
+  }
+}
+
+crash_record record_of(unsigned request, std::vector<replica_end> ends) {
+  crash_record record;
+  record.digest = digest(request);
+  for (const auto end : ends) {
+    record.ends.push_back({end, start + seconds(end)});
+  }
+  return record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_ledger_test)
+
+BOOST_AUTO_TEST_CASE(a_request_is_free_then_sent_once_a_try_then_held_back) {
+  crash_ledger ledger;
+  const auto now = start + seconds(10);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::free));
+  note(ledger, 1, {1});
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::free));
+  note(ledger, 1, {2});
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::one_attempt));
+  note(ledger, 1, {3, 4});
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+}
+
+BOOST_AUTO_TEST_CASE(an_end_that_several_nodes_saw_counts_once) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 1, 1, 1});
+  ledger.merge(record_of(1, {1}), start + seconds(5));
+  BOOST_TEST(ledger.ends_of(digest(1)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(what_nodes_know_merges_to_the_same_in_any_order) {
+  std::vector<crash_record> told{record_of(1, {1, 2}), record_of(1, {2, 3}), record_of(1, {4}),
+                                 record_of(1, {1})};
+  told[3].survived_at = start + milliseconds(1500);
+  std::mt19937 order(7);
+  for (int round = 0; round < 20; ++round) {
+    std::shuffle(told.begin(), told.end(), order);
+    crash_ledger ledger;
+    for (const auto& one : told) {
+      ledger.merge(one, start + seconds(10));
+    }
+    BOOST_TEST(ledger.ends_of(digest(1)) == 3U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_ends_well_clears_all_ends_before_it_also_told_later) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4});
+  BOOST_TEST(ledger.note_survived(digest(1), start + seconds(5)));
+  BOOST_TEST((ledger.standing_of(digest(1), start + seconds(6)) == standing::free));
+  const auto change = ledger.merge(record_of(1, {1, 2, 3, 4}), start + seconds(6));
+  BOOST_TEST(change.is_refuted);
+  BOOST_TEST(!change.is_news);
+  BOOST_TEST(ledger.ends_of(digest(1)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ends_shared_with_one_that_is_known_for_more_do_not_count) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4, 5});
+  note(ledger, 2, {1, 2, 3, 4});
+  const auto now = start + seconds(10);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+  BOOST_TEST((ledger.standing_of(digest(2), now) == standing::free));
+}
+
+BOOST_AUTO_TEST_CASE(two_with_the_same_ends_are_tried_until_they_differ) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4});
+  note(ledger, 2, {1, 2, 3, 4});
+  const auto now = start + seconds(10);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::one_attempt));
+  BOOST_TEST((ledger.standing_of(digest(2), now) == standing::one_attempt));
+  note(ledger, 1, {5});
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+  BOOST_TEST((ledger.standing_of(digest(2), now) == standing::free));
+}
+
+BOOST_AUTO_TEST_CASE(a_second_guilty_one_is_found_although_it_shared_an_end_with_the_first) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4, 5});
+  note(ledger, 2, {1, 6, 7, 8});
+  BOOST_TEST((ledger.standing_of(digest(2), start + seconds(10)) == standing::held_back));
+}
+
+BOOST_AUTO_TEST_CASE(where_as_many_end_without_it_more_is_needed) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4});
+  const base::time_point now = start + seconds(10);
+  ledger.merge_ends({{21, now}, {22, now}, {23, now}, {24, now}}, now);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::one_attempt));
+  note(ledger, 1, {5});
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+}
+
+BOOST_AUTO_TEST_CASE(an_end_that_was_none_is_withdrawn_and_not_taken_in_again) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4});
+  const auto now = start + seconds(10);
+  BOOST_TEST(ledger.withdraw(3, now));
+  BOOST_TEST(!ledger.withdraw(3, now));
+  ledger.merge(record_of(1, {3}), now);
+  BOOST_TEST(ledger.ends_of(digest(1)) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(it_is_held_back_for_as_long_as_it_comes_and_tried_once_after) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4});
+  base::time_point now = start + minutes(59);
+  ledger.expire(now);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+  ledger.note_asked(digest(1), now);
+  now += minutes(59);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+  now += minutes(2);
+  ledger.expire(now);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::one_attempt));
+  ledger.note_end(digest(1), {50, now}, now);
+  ledger.note_end(digest(1), {51, now}, now);
+  now += hours(23);
+  ledger.expire(now);
+  BOOST_TEST((ledger.standing_of(digest(1), now) == standing::held_back));
+}
+
+BOOST_AUTO_TEST_CASE(one_end_is_forgotten_after_minutes) {
+  crash_ledger ledger;
+  note(ledger, 1, {1});
+  ledger.expire(start + minutes(11));
+  BOOST_TEST(ledger.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_flood_of_requests_with_one_end_pushes_out_none_with_more) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3, 4});
+  note(ledger, 2, {1, 2});
+  for (unsigned number = 3; number < 3 + 2 * crash_ledger::most_records; ++number) {
+    const base::time_point at = start + seconds(10);
+    ledger.note_end(digest(number), {1000 + number, at}, at);
+  }
+  BOOST_TEST(ledger.all().size() == crash_ledger::most_records);
+  BOOST_TEST(ledger.find(digest(1))->ends.size() == 4U);
+  BOOST_TEST(ledger.find(digest(2))->ends.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
