--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -71,7 +71,7 @@
       plain_replicas_(replicas_, from_here_, random), directory_(self, settings.regions, replicas_),
       engines_(replicas_, directory_, from_here_, plain_replicas_), retries_(settings.retry),
       lending_(retries_, self.zone, random, life),
-      news_(replicas_, self.zone, settings.regions, random),
+      news_(replicas_, self.zone, settings.regions, random), crash_ledger_(settings.quarantine),
       crash_news_(crash_ledger_, self.node, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_),
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -27,12 +27,6 @@
 /// Ends that are remembered beside the records; a bound on memory, 30 a second for 30 s.
 constexpr std::size_t most_indexed_ends = 1024;
 
-/// @return how long a request is held back after it last came or a replica last ended under it. One
-///         that ended more replicas than it takes was tried again already.
-base::duration hold_after(std::size_t ends) {
-  return ends > ends_for_quarantine_among_many ? quarantine_memory : first_hold;
-}
-
 bool knows(const crash_record& record, replica_end end) {
   return std::any_of(record.ends.begin(), record.ends.end(),
                      [&](const end_sighting& known) { return known.end == end; });
@@ -113,7 +107,7 @@
     }
     change.is_news = true;
   }
-  record.was_shared = record.was_shared || record.ends.size() >= ends_for_one_attempt;
+  record.was_shared = record.was_shared || record.ends.size() >= limits_.one_attempt;
   change.begins_quarantine = !was_held_back && standing_of(record, now) == standing::held_back;
   return change;
 }
@@ -191,7 +185,7 @@
 bool crash_ledger::is_explained(replica_end end, const crash_record& record) const {
   return std::any_of(records_.begin(), records_.end(), [&](const auto& entry) {
     const auto& other = entry.second;
-    return other.ends.size() >= ends_for_quarantine && other.ends.size() > record.ends.size() &&
+    return other.ends.size() >= limits_.quarantine && other.ends.size() > record.ends.size() &&
            knows(other, end);
   });
 }
@@ -201,13 +195,13 @@
 /// remain: then this request is likely guilty as well.
 std::size_t crash_ledger::weight_of(const crash_record& record) const {
   const auto all = record.ends.size();
-  if (all < ends_for_one_attempt) {
+  if (all < limits_.one_attempt) {
     return all;
   }
   const auto unexplained = static_cast<std::size_t>(
       std::count_if(record.ends.begin(), record.ends.end(),
                     [&](const end_sighting& seen) { return !is_explained(seen.end, record); }));
-  return unexplained < ends_for_one_attempt ? unexplained : all;
+  return unexplained < limits_.one_attempt ? unexplained : all;
 }
 
 bool crash_ledger::has_double(const crash_record& record) const {
@@ -226,16 +220,16 @@
     others += is_recent && !knows(record, end) && !is_explained(end, record) ? 1 : 0;
   }
   const auto further = 2 * others / record.ends.size();
-  return std::min(ends_for_quarantine + further, ends_for_quarantine_among_many);
+  return std::min(limits_.quarantine + further, limits_.quarantine_among_many);
 }
 
 standing crash_ledger::standing_of(const crash_record& record, base::time_point now) const {
   const auto weight = weight_of(record);
-  if (weight < ends_for_one_attempt) {
+  if (weight < limits_.one_attempt) {
     return standing::free;
   }
-  const bool is_tried = weight < ends_for_quarantine || weight < ends_needed(record, now) ||
-                        (weight < ends_for_quarantine_among_many && has_double(record)) ||
+  const bool is_tried = weight < limits_.quarantine || weight < ends_needed(record, now) ||
+                        (weight < limits_.quarantine_among_many && has_double(record)) ||
                         now - record.newest() >= hold_after(weight);
   return is_tried ? standing::one_attempt : standing::held_back;
 }
@@ -252,8 +246,13 @@
   }
 }
 
-bool crash_ledger::is_over(const crash_record& record, base::time_point now) {
-  const bool was_held_back = record.ends.size() >= ends_for_quarantine;
+/// One that ended more replicas than it takes was tried again already.
+base::duration crash_ledger::hold_after(std::size_t ends) const {
+  return ends > limits_.quarantine_among_many ? quarantine_memory : first_hold;
+}
+
+bool crash_ledger::is_over(const crash_record& record, base::time_point now) const {
+  const bool was_held_back = record.ends.size() >= limits_.quarantine;
   return now - record.newest() >= (was_held_back ? quarantine_memory : suspicion_lifetime);
 }
 
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "quarantine/request_digest.h"
+#include "serving/settings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -28,15 +29,6 @@
   base::time_point at;
 };
 
-/// Ends under one request after which it may be sent once in each try, and no more.
-inline constexpr std::size_t ends_for_one_attempt = 2;
-/// Ends under one request after which it is held back, where few replicas end without it. Where a
-/// sixth of all runs end with their replica for other reasons, chance does the same to one harmless
-/// request in 1,300; three ends would hold back one in 200.
-inline constexpr std::size_t ends_for_quarantine = 4;
-/// The same where as many replicas or more end without it: chance does that to one in 8,000.
-inline constexpr std::size_t ends_for_quarantine_among_many = 5;
-
 /// What a node does with a request that comes.
 enum class standing : std::uint8_t {
   free,        ///< Nothing speaks against it.
@@ -76,6 +68,9 @@
   /// requests with one end each pushes out none with more.
   static constexpr std::size_t most_records = 512;
 
+  explicit crash_ledger(serving::quarantine_limits limits = {}) : limits_(limits) {}
+  [[nodiscard]] const serving::quarantine_limits& limits() const { return limits_; }
+
   /// A replica ended while it ran a request.
   ledger_change note_end(const request_digest& digest, end_sighting seen, base::time_point now);
   /// A run of the request ended without its replica. @return whether anything spoke against it.
@@ -121,8 +116,10 @@
   /// @return ends under a request after which it is held back, as things are.
   [[nodiscard]] std::size_t ends_needed(const crash_record& record, base::time_point now) const;
   [[nodiscard]] standing standing_of(const crash_record& record, base::time_point now) const;
-  [[nodiscard]] static bool is_over(const crash_record& record, base::time_point now);
+  [[nodiscard]] bool is_over(const crash_record& record, base::time_point now) const;
+  [[nodiscard]] base::duration hold_after(std::size_t ends) const;
 
+  serving::quarantine_limits limits_;
   std::map<request_digest, crash_record> records_;
   /// Ends that any record holds or held, and those that others told of.
   std::map<replica_end, base::time_point> ends_;
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -48,6 +48,19 @@
   base::duration requests = std::chrono::milliseconds(3'500);
 };
 
+/// How many ends under one request change how it is treated; see `quarantine/crash_ledger`.
+struct quarantine_limits {
+  /// It may be sent once in each try, and no more: each try shows one thing, and two nodes that do
+  /// not know of each other yet end two replicas instead of four.
+  std::size_t one_attempt = 2;
+  /// It is held back, where few replicas end without it. Where a sixth of all runs end with their
+  /// replica for other reasons, chance does the same to one harmless request in 1,300; three ends
+  /// would hold back one in 200.
+  std::size_t quarantine = 4;
+  /// The same where as many replicas or more end without it: chance does that to one in 8,000.
+  std::size_t quarantine_among_many = 5;
+};
+
 struct serving_settings {
   resource_limits resources;
   /// Region of each zone. What is held to regions is done in no zone that is not named.
@@ -78,6 +91,7 @@
   base::duration longest_rest = std::chrono::seconds(30);
   /// Longest time to open a connection to a replica.
   base::duration connect_timeout = std::chrono::milliseconds(500);
+  quarantine_limits quarantine;
   stop_windows stop_takes;
   /// A stopping node takes only what it expects to end within this time, and gives up what is left
   /// after it.
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -24,6 +24,10 @@
   unsigned replicas = 12;
   /// A replica starts again under its id and tells another start; otherwise under a new id.
   bool keeps_ids = false;
+  quarantine_limits limits = {};
+  /// Calls of a route are refused for this time once two replicas ended under its calls within it,
+  /// by the nodes' doors; 0: never.
+  base::duration route_pause{};
 };
 
 /// What became of the tries of one request.
@@ -64,6 +68,7 @@
         std::make_unique<base::seeded_random>(settings.seed * 1000 + index * 10 + node.life);
     serving_settings limits;
     limits.retry = {0.2, 40, seconds(10)};
+    limits.quarantine = settings.limits;
     node.subject = std::make_unique<dispatcher>(peer_number(index), limits, *node.random, node.life,
                                                 [](auto, const auto&, const auto&, const auto&) {});
     node.subject->update(world.content, now);
@@ -87,6 +92,11 @@
     bodies[requests] = body;
     ++counts[body].tries;
     paths[requests] = path;
+    if (route_is_paused()) {
+      ++counts[body].refused;
+      ++refused_by_pause;
+      return requests;
+    }
     nodes[node].subject->handle(request_arrived{requests, content, now}, now);
     return requests;
   }
@@ -120,6 +130,7 @@
     }
     replica.is_up = false;
     ++crashes;
+    latest_crashes.push_back(now);
     for (const auto& [node, call] : std::exchange(replica.calls, {})) {
       break_off(node, call);
     }
@@ -182,6 +193,7 @@
   /// Whether callers whose request failed or was refused come again, up to three times.
   bool comes_again = false;
   std::size_t crashes = 0;
+  std::size_t refused_by_pause = 0;
   /// Times at which replicas ended under a request, and at which it reached replicas.
   std::map<std::string, std::vector<base::time_point>> ends_under;
   std::map<std::string, std::vector<base::time_point>> reached;
@@ -213,6 +225,12 @@
             base::network_address(name + ":1"), 1};
   }
 
+  [[nodiscard]] bool route_is_paused() const {
+    constexpr std::size_t crashes_for_pause = 2;
+    return latest_crashes.size() >= crashes_for_pause &&
+           now - *(latest_crashes.end() - crashes_for_pause) < settings.route_pause;
+  }
+
   void update_peers(std::size_t index) {
     std::vector<fleet_peer> others;
     for (std::size_t other = 0; other < nodes.size(); ++other) {
@@ -456,6 +474,7 @@
   std::multimap<base::time_point, std::function<void()>> due;
   std::map<base::caller_id, std::string> bodies;
   std::map<base::caller_id, std::string> paths;
+  std::vector<base::time_point> latest_crashes;
   base::caller_id requests = 0;
 };
 
--- a/tests/quarantine/crashing_request_test.cc
+++ b/tests/quarantine/crashing_request_test.cc
@@ -208,7 +208,8 @@
     fleet.older_build = {3, 4, 5};
     fleet.keep_asking("/stream/", "guilty", seconds(20));
     BOOST_TEST_CONTEXT("seed " << seed) {
-      BOOST_TEST(fleet.ends_under["guilty"].size() <= most_ends + 3 * ends_for_quarantine);
+      BOOST_TEST(fleet.ends_under["guilty"].size() <=
+                 most_ends + 3 * quarantine_limits{}.quarantine);
     }
   }
 }
