A failing test: a request whose stage pieces end replica after replica

The same class elsewhere: the gatherer of a piece hands it to the next replica at once, up to four times, and the node that holds the request hears only that no result came.

--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -22,6 +22,8 @@
   std::uint64_t seed = 1;
   std::size_t nodes = 6;
   unsigned replicas = 12;
+  /// Replicas that make the pieces of the two stages of `/staged/`, beside those.
+  unsigned stage_replicas = 0;
   /// A replica starts again under its id and tells another start; otherwise under a new id.
   bool keeps_ids = false;
   quarantine_limits limits = {};
@@ -46,11 +48,12 @@
  public:
   explicit crash_fleet(const crash_fleet_settings& wanted = {})
       : settings(wanted), random(wanted.seed) {
-    for (const std::string id : {"llm-a", "llm-b"}) {
+    for (const std::string id : {"llm-a", "llm-b", "pool-a", "pool-b"}) {
       world.remove_replica(id);
     }
-    for (unsigned index = 0; index < settings.replicas; ++index) {
+    for (unsigned index = 0; index < settings.replicas + settings.stage_replicas; ++index) {
       replicas.push_back({});
+      replicas.back().service = index < settings.replicas ? "llm" : "pool";
       start_replica(index);
     }
     for (std::size_t index = 0; index < settings.nodes; ++index) {
@@ -64,6 +67,7 @@
     auto& node = nodes[index];
     ++node.life;
     node.calls.clear();
+    node.stage_calls.clear();
     node.random =
         std::make_unique<base::seeded_random>(settings.seed * 1000 + index * 10 + node.life);
     serving_settings limits;
@@ -89,7 +93,12 @@
     content->api_key = "key";
     content->time_allowed = seconds(10);
     content->prompt_tokens = 10;
+    if (path == "/staged/") {
+      content->pieces = {2, 1};
+      content->piece_key = "key";
+    }
     bodies[requests] = body;
+    bodies_by_id[content->id] = body;
     ++counts[body].tries;
     paths[requests] = path;
     if (route_is_paused()) {
@@ -187,6 +196,8 @@
   base::time_point now{std::chrono::hours(1)};
   /// Bodies of requests that end each replica which begins to run them.
   std::set<std::string> guilty;
+  /// Bodies of requests whose pieces end each replica that begins to make them.
+  std::set<std::string> guilty_in_stages;
   /// Other requests a second that arrive at drawn nodes, each with a body of its own.
   std::size_t innocents_a_second = 0;
   std::string innocent_path = "/stream/";
@@ -206,6 +217,7 @@
  private:
   struct emulated_replica {
     base::replica_id id;
+    std::string service;
     std::string address;
     bool is_up = false;
     std::uint64_t life = 0;
@@ -217,6 +229,7 @@
     base::incarnation life = 0;
     /// Whether a stream has shown its head, by call.
     std::map<base::call_id, bool> calls;
+    std::set<base::call_id> stage_calls;
   };
 
   static fleet_peer peer_number(std::size_t index) {
@@ -253,10 +266,10 @@
     ++replica.life;
     replica.is_up = true;
     replica.address = "10.1.0." + std::to_string(index + 1) + ":80";
-    const auto name = "llm-" + std::to_string(index);
+    const auto name = replica.service + "-" + std::to_string(index);
     const auto id = settings.keeps_ids ? name : name + "-" + std::to_string(replica.life);
     replica.id = base::replica_id(id);
-    world.add_life(id, "llm", index % 2 == 0 ? "a" : "b", replica.address,
+    world.add_life(id, replica.service, index % 2 == 0 ? "a" : "b", replica.address,
                    settings.keeps_ids ? 1000 + replica.life : 0);
     publish();
   }
@@ -303,8 +316,69 @@
     nodes[node].calls[wanted.call] = false;
   }
 
+  void carry_out(std::size_t node, const start_stage_call& wanted) {
+    const auto life = nodes[node].life;
+    later(milliseconds(1), [this, node, life, wanted] {
+      if (nodes[node].life == life) {
+        reach_stage(node, wanted);
+      }
+    });
+    nodes[node].stage_calls.insert(wanted.call);
+  }
+
+  void reach_stage(std::size_t node, const start_stage_call& wanted) {
+    auto* replica = replica_at(wanted.target.address);
+    if (replica == nullptr || !replica->is_up || replica->id != wanted.target.replica) {
+      end_stage_call({node, wanted.call}, stage_call_ended::result::not_sent, 0);
+      return;
+    }
+    const std::pair key{node, wanted.call};
+    const auto index = static_cast<unsigned>(replica - replicas.data());
+    replica->calls.insert(key);
+    std::set<std::string> called;
+    for (const auto& item : wanted.items) {
+      called.insert(bodies_by_id.at(item.request));
+    }
+    for (const auto& body : called) {
+      reached[body].push_back(now);
+      if (guilty_in_stages.contains(body)) {
+        crash_soon(index, body);
+      }
+    }
+    later(milliseconds(200), [this, index, key, count = wanted.items.size()] {
+      if (replicas[index].calls.erase(key) > 0) {
+        end_stage_call(key, stage_call_ended::result::answered, count);
+      }
+    });
+  }
+
+  void end_stage_call(std::pair<std::size_t, base::call_id> key, stage_call_ended::result how,
+                      std::size_t made) {
+    auto& node = nodes[key.first];
+    if (node.stage_calls.erase(key.second) == 0) {
+      return;
+    }
+    stage_call_ended ended{key.second, how, {}, std::nullopt, false};
+    for (std::size_t piece = 0; piece < made; ++piece) {
+      ended.pieces.push_back({piece_fault::none, "10.1.0.99:80/" + std::to_string(++handles)});
+    }
+    node.subject->handle(ended, now);
+  }
+
+  /// A replica begins to run what it cannot bear.
+  void crash_soon(unsigned index, const std::string& body) {
+    const auto life = replicas[index].life;
+    later(milliseconds(20 + random.below(100)), [this, index, life, body] {
+      if (replicas[index].is_up && replicas[index].life == life) {
+        ends_under[body].push_back(now);
+        crash(index);
+      }
+    });
+  }
+
   void carry_out(std::size_t node, const cancel_call& wanted) {
     nodes[node].calls.erase(wanted.call);
+    nodes[node].stage_calls.erase(wanted.call);
     for (auto& replica : replicas) {
       replica.calls.erase({node, wanted.call});
     }
@@ -406,13 +480,7 @@
     nodes[key.first].subject->handle(stream_opened{key.second, dispatcher_driver::good_head()},
                                      now);
     if (guilty.contains(body)) {
-      const auto life = replicas[index].life;
-      later(milliseconds(20 + random.below(100)), [this, index, life, body] {
-        if (replicas[index].is_up && replicas[index].life == life) {
-          ends_under[body].push_back(now);
-          crash(index);
-        }
-      });
+      crash_soon(index, body);
       return;
     }
     later(milliseconds(300 + random.below(900)), [this, index, key] { end_run(index, key); });
@@ -430,6 +498,7 @@
 
   void break_off(std::size_t index, base::call_id call) {
     auto& node = nodes[index];
+    end_stage_call({index, call}, stage_call_ended::result::failed, 0);
     const auto found = node.calls.find(call);
     if (found == node.calls.end()) {
       return;
@@ -474,6 +543,8 @@
   std::multimap<base::time_point, std::function<void()>> due;
   std::map<base::caller_id, std::string> bodies;
   std::map<base::caller_id, std::string> paths;
+  std::map<base::request_id, std::string> bodies_by_id;
+  std::size_t handles = 0;
   std::vector<base::time_point> latest_crashes;
   base::caller_id requests = 0;
 };
--- a/tests/quarantine/crashing_request_test.cc
+++ b/tests/quarantine/crashing_request_test.cc
@@ -51,7 +51,7 @@
 
 BOOST_AUTO_TEST_CASE(so_it_is_where_replicas_start_again_under_their_ids) {
   for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
-    crash_fleet fleet({seed, 6, 12, true});
+    crash_fleet fleet({seed, 6, 12, 0, true});
     fleet.guilty = {"guilty"};
     fleet.innocents_a_second = 20;
     fleet.keep_asking("/stream/", "guilty", seconds(20));
@@ -84,6 +84,23 @@
   BOOST_TEST(after.told_to_return == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(one_whose_pieces_end_replicas_is_found_too) {
+  for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+    crash_fleet fleet({seed, 6, 6, 6});
+    fleet.guilty_in_stages = {"guilty"};
+    fleet.innocents_a_second = 10;
+    fleet.innocent_path = "/staged/";
+    fleet.comes_again = true;
+    fleet.run(seconds(3));
+    fleet.keep_asking("/staged/", "guilty", seconds(20));
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      check_is_found(fleet, "guilty", most_ends);
+      BOOST_TEST(fleet.held_back() == std::set<std::string>{"guilty"},
+                 boost::test_tools::per_element());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(one_that_reaches_all_nodes_at_once_ends_no_second_round) {
   for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
     crash_fleet fleet({seed});
@@ -144,7 +161,7 @@
 
 BOOST_AUTO_TEST_CASE(nothing_is_held_back_where_replicas_end_for_other_reasons) {
   for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
-    crash_fleet fleet({seed, 6, 8, seed % 2 == 0});
+    crash_fleet fleet({seed, 6, 8, 0, seed % 2 == 0});
     fleet.innocents_a_second = 60;
     fleet.comes_again = true;
     for (unsigned round = 0; round < 60; ++round) {
