Pieces of stages: ends of replicas reach the node that holds the request

A lost call with pieces was known to its gatherer alone, which handed the pieces on at once, up to four times and together with those of others. Change: the gatherer tells the nodes the pieces belong to (stage_work.lost); they lay the end to the request's digest as for its own calls. Pieces whose second call is lost rest 50 ms and go alone. Pieces of a request under which two replicas ended go alone at once and are not made again (single_attempt).

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -112,7 +112,7 @@
     base::call_id id = 0;
     base::replica_id replica;
     /// The end of the life it was made at, should that come.
-    quarantine::replica_end life_end = 0;
+    replica_end life_end = 0;
     base::time_point started;
     /// Where the replica shows no progress until then, the call is made elsewhere.
     std::optional<base::time_point> stalls_at;
@@ -294,10 +294,9 @@
   /// lend of theirs, and ends it otherwise.
   void send_again_or_end(active_request& request, failed_ending ending, base::time_point now);
   void end_failed(active_request& request, const failed_ending& ending, base::time_point now);
-  /// @return what the end of the published life of a replica is called.
-  static quarantine::replica_end end_of(const model::replica& record);
   /// A call ended without a whole answer: finds out whether its replica ended with it.
-  void note_lost_call(const active_request& request, const open_call& call, base::time_point now);
+  void note_lost_call(const active_request& request, const base::replica_id& replica,
+                      replica_end life_end, base::time_point now);
   /// @param evidence what showed that a replica ended, for the log.
   void note_replica_ended(const base::replica_id& replica, const char* evidence,
                           base::time_point now);
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -97,7 +97,7 @@
   ++request.sent;
   request.call = open_call{wanted.call,
                            chosen->record->id,
-                           end_of(*chosen->record),
+                           end_of_life(*chosen->record),
                            now,
                            std::nullopt,
                            std::nullopt,
@@ -193,7 +193,7 @@
     request->tried.erase(call.replica);
   } else {
     replicas_.note_failure(call.replica, now);
-    note_lost_call(*request, call, now);
+    note_lost_call(*request, call.replica, call.life_end, now);
   }
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          lacked_memory ? "no memory for the answer" : "no answer" + identity_text(*request));
@@ -395,7 +395,7 @@
     return;
   }
   replicas_.note_failure(call.replica, now);
-  note_lost_call(*request, call, now);
+  note_lost_call(*request, call.replica, call.life_end, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          "the stream broke off" + identity_text(*request));
   repeat_or_fail(*request, now);
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -2,7 +2,6 @@
 /// letting them go.
 #include "dispatch/dispatcher.h"
 
-#include "base/hashing.h"
 #include "dispatch/dispatcher_constants.h"
 
 #include <utility>
@@ -22,24 +21,17 @@
 
 } // namespace
 
-quarantine::replica_end dispatcher::end_of(const model::replica& record) {
-  const auto start = record.life ? record.life->started_at_milliseconds : 0;
-  return base::stable_hash(record.id.text(), start);
-}
-
 // --- finding out ---------------------------------------------------------------------------------
 
-void dispatcher::note_lost_call(const active_request& request, const open_call& call,
-                                base::time_point now) {
-  const auto* state = replicas_.find(call.replica);
+void dispatcher::note_lost_call(const active_request& request, const base::replica_id& replica,
+                                replica_end life_end, base::time_point now) {
+  const auto* state = replicas_.find(replica);
   // One that leaves as planned ends too, and no request is to blame.
   if (state == nullptr || state->record->draining || state->left) {
     return;
   }
-  const bool is_asked =
-      crash_watch_.note_lost_call(call.replica, {digest_of(request), {call.life_end, now}}, now);
-  if (is_asked) {
-    commands_.emplace_back(probe_replica{{call.replica, state->record->address}});
+  if (crash_watch_.note_lost_call(replica, {digest_of(request), {life_end, now}}, now)) {
+    commands_.emplace_back(probe_replica{{replica, state->record->address}});
   }
 }
 
@@ -121,7 +113,7 @@
   if (state == nullptr) {
     return;
   }
-  const auto end = end_of(*state->record);
+  const auto end = end_of_life(*state->record);
   const auto ended_at = crash_ledger_.find_end(end);
   if (ended_at && now - *ended_at >= withdrawal_time && crash_ledger_.withdraw(end, now)) {
     record_(base::event_kind::request_cleared, {}, replica.text(),
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -31,6 +31,7 @@
   common.due = request.arrived + request.route->target_latency - time_ahead;
   common.deadline = request.ends_at;
   common.permitted_regions = request.permitted_regions;
+  common.single_attempt = standing_of(request, now) != quarantine::standing::free;
   if (step.start_after.empty()) {
     common.piece_key = request.content->piece_key;
   } else {
@@ -90,6 +91,13 @@
 
 bool dispatcher::take_piece_results(base::time_point now) {
   free_fetched_stage_inputs();
+  // Before the results: a lost piece may end its request.
+  for (const auto& lost : stages_.take_lost()) {
+    const auto owner = tickets_.find(lost.ticket);
+    if (owner != tickets_.end()) {
+      note_lost_call(active_.at(owner->second), lost.replica, lost.life_end, now);
+    }
+  }
   const auto results = stages_.take_finished();
   for (const auto& finished : results) {
     const auto owner = tickets_.find(finished.ticket);
--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -34,12 +34,16 @@
 
 } // namespace
 
-base::time_point crash_record::newest() const {
-  base::time_point latest = survived_at.value_or(base::time_point{});
+base::time_point crash_record::newest_end() const {
+  base::time_point latest{};
   for (const auto& seen : ends) {
     latest = std::max(latest, seen.at);
   }
-  return std::max(latest, asked_at);
+  return latest;
+}
+
+base::time_point crash_record::newest() const {
+  return std::max({newest_end(), survived_at.value_or(base::time_point{}), asked_at});
 }
 
 crash_record& crash_ledger::record_of(const request_digest& digest) {
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "quarantine/request_digest.h"
+#include "replicas/replica_lives.h"
 #include "serving/settings.h"
 
 #include <cstddef>
@@ -20,8 +21,7 @@
 
 namespace spurrack::quarantine {
 
-/// Names one life of a replica that is over: a hash of its id and its start, equal on all nodes.
-using replica_end = std::uint64_t;
+using serving::replica_end;
 
 /// When a life ended under a request, by the clock of this node.
 struct end_sighting {
@@ -48,7 +48,9 @@
   /// It last came to this node while it was held back.
   base::time_point asked_at{};
 
+  /// @return when anything was last seen of it.
   [[nodiscard]] base::time_point newest() const;
+  [[nodiscard]] base::time_point newest_end() const;
 };
 
 /// What became of an offer to the ledger.
--- a/src/replicas/replica_lives.cc
+++ b/src/replicas/replica_lives.cc
@@ -1,5 +1,7 @@
 #include "replicas/replica_lives.h"
 
+#include "base/hashing.h"
+
 namespace spurrack::serving {
 namespace {
 
@@ -41,6 +43,11 @@
   });
 }
 
+replica_end end_of_life(const model::replica& record) {
+  const auto start = record.life ? record.life->started_at_milliseconds : 0;
+  return base::stable_hash(record.id.text(), start);
+}
+
 std::uint32_t life_mark_of(const model::replica& record) {
   return record.life
              ? static_cast<std::uint32_t>(1 + record.life->started_at_milliseconds % mark_count)
--- a/src/replicas/replica_lives.h
+++ b/src/replicas/replica_lives.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "model/serving_records.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -41,6 +42,10 @@
   std::map<base::replica_id, known_life> known_;
 };
 
+/// Names the end of one life of a replica: a hash of its id and its start, equal on all nodes.
+using replica_end = std::uint64_t;
+[[nodiscard]] replica_end end_of_life(const model::replica& record);
+
 /// @return a short mark of a replica's life for messages between nodes: equal for equal lives, 0
 ///         where the replica does not tell its life.
 [[nodiscard]] std::uint32_t life_mark_of(const model::replica& record);
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -171,6 +171,7 @@
   wanted.set_result_bytes(placed.work.result_bytes);
   wanted.set_zone(placed.work.zone.text());
   wanted.set_carried_bytes(placed.work.carried_bytes);
+  wanted.set_single_attempt(placed.work.single_attempt);
   for (const auto& region : placed.work.permitted_regions.regions()) {
     wanted.add_permitted_regions(region.text());
   }
@@ -306,6 +307,7 @@
   work.result_bytes = wanted.result_bytes();
   work.zone = base::zone_id(wanted.zone());
   work.carried_bytes = wanted.carried_bytes();
+  work.single_attempt = wanted.single_attempt();
   work.permitted_regions = residency_of(wanted);
   const auto pool_ticket = pool_.submit(std::move(work), now);
   forwarded_by_pool_ticket_[pool_ticket] = {sender, wanted.ticket()};
@@ -360,6 +362,12 @@
       fetched_.push_back(ticket);
     }
   }
+  for (const auto& lost : message.lost()) {
+    const auto placed = placements_.find(lost.ticket());
+    if (placed != placements_.end() && placed->second.holder == sender) {
+      lost_.push_back({lost.ticket(), base::replica_id(lost.replica()), lost.replica_end()});
+    }
+  }
   for (const auto& result : message.made()) {
     take_made(sender, result, now);
   }
@@ -408,8 +416,23 @@
   }
 }
 
+void stage_exchange::take_pool_lost() {
+  for (const auto& lost : pool_.take_lost()) {
+    if (const auto own = own_by_pool_ticket_.find(lost.ticket); own != own_by_pool_ticket_.end()) {
+      lost_.push_back({own->second, lost.replica, lost.life_end});
+    } else if (const auto forwarded = forwarded_by_pool_ticket_.find(lost.ticket);
+               forwarded != forwarded_by_pool_ticket_.end()) {
+      auto& told = *message_to(forwarded->second.origin).add_lost();
+      told.set_ticket(forwarded->second.origin_ticket);
+      told.set_replica(lost.replica.text());
+      told.set_replica_end(lost.life_end);
+    }
+  }
+}
+
 void stage_exchange::take_pool_results(base::time_point now) {
   take_pool_fetched();
+  take_pool_lost();
   for (auto& finished : pool_.take_finished()) {
     const auto own = own_by_pool_ticket_.find(finished.ticket);
     if (own != own_by_pool_ticket_.end()) {
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -95,6 +95,9 @@
   [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
   /// @return pieces of this node whose replica has fetched their inputs since the last call.
   [[nodiscard]] std::vector<piece_ticket> take_fetched() { return std::exchange(fetched_, {}); }
+  /// @return pieces of this node whose calls ended without an answer since the last call, wherever
+  ///         they are made.
+  [[nodiscard]] std::vector<lost_piece> take_lost() { return std::exchange(lost_, {}); }
   [[nodiscard]] command_list take_commands() { return pool_.take_commands(); }
   [[nodiscard]] wire::outbox take_messages();
   [[nodiscard]] const peer_directory& peers() const { return peers_; }
@@ -209,6 +212,8 @@
   void ask_or_move(piece_ticket ticket, placement& placed, base::time_point now);
   void take_pool_results(base::time_point now);
   void take_pool_fetched();
+  /// Tells the nodes whose requests they belong to which pieces were lost with their calls.
+  void take_pool_lost();
   /// Hands waiting pieces of other nodes back to them.
   void hand_back_forwarded(const std::vector<piece_ticket>& waiting, base::time_point now);
   /// Others gather for a service from now on: what waits here goes to them, since results that
@@ -261,6 +266,7 @@
   std::map<base::node_id, wire::stage_work> messages_;
   std::vector<piece_finished> finished_;
   std::vector<piece_ticket> fetched_;
+  std::vector<lost_piece> lost_;
   base::time_point next_refresh_;
   base::time_point next_placement_check_;
   base::time_point next_load_report_;
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -49,7 +49,7 @@
   const auto ticket = next_ticket_++;
   const auto& queue = queues_[work.service];
   const auto* capacity = capacity_of(work.service);
-  pieces_[ticket] = {std::move(work), now, 0};
+  pieces_[ticket] = {std::move(work), now};
   enqueue(ticket);
   const bool full_batch = capacity == nullptr || queue.size() >= capacity->batch;
   next_check_ = full_batch ? base::time_point{} : std::min(next_check_, now + settings_.batch_wait);
@@ -113,7 +113,8 @@
   if (found == pieces_.end()) {
     return;
   }
-  if (found->second.attempts >= most_attempts) {
+  const bool is_given_up = fault == piece_fault::lost && found->second.work.single_attempt;
+  if (is_given_up || found->second.attempts >= most_attempts) {
     finish(ticket, {fault, {}});
     return;
   }
@@ -142,6 +143,18 @@
   }
 }
 
+void stage_pool::note_lost(const open_call& ended, base::time_point now) {
+  for (const auto ticket : ended.tickets) {
+    const auto found = pieces_.find(ticket);
+    if (found != pieces_.end()) {
+      auto& piece = found->second;
+      ++piece.lost_calls;
+      piece.rests_until = piece.lost_calls >= lost_calls_before_alone ? now + lost_piece_rest : now;
+      lost_.push_back({ticket, ended.call.target.replica, ended.life_end});
+    }
+  }
+}
+
 void stage_pool::take_answers(const open_call& ended, const stage_call_ended& answer,
                               base::time_point now) {
   const auto& replica = ended.call.target.replica;
@@ -168,6 +181,7 @@
     replicas_->note_unreachable(replica, now);
     break;
   case stage_call_ended::result::failed:
+    note_lost(ended, now);
     replicas_->note_failure(replica, now);
     replicas_->note_full(replica, now);
     break;
@@ -289,6 +303,7 @@
   calls_.erase(found);
   commands_.emplace_back(cancel_call{call});
   end_call_account(open);
+  note_lost(open, now);
   record_(base::event_kind::stage_retried, open.call.items.front().request,
           open.call.target.replica.text(),
           "call " + std::to_string(call) + ": its replica started again after " +
@@ -497,6 +512,7 @@
   open_call open;
   open.service = name;
   open.started = now;
+  open.life_end = end_of_life(*replica.record);
   open.call.call = next_call_();
   open.call.target = {replica.record->id, replica.record->address};
   for (const auto& position : batch) {
@@ -555,7 +571,7 @@
     return;
   }
   const auto outlooks = outlooks_of(name, *capacity, sets, now);
-  auto groups = groups_in(queue);
+  auto groups = groups_in(queue, now);
   for (const auto* replica : free) {
     const auto batch = take_batch(groups, *replica, outlooks, *capacity, now);
     if (!batch.empty()) {
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -50,6 +50,9 @@
   base::time_point due;
   /// The result is of no use after this.
   base::time_point deadline;
+  /// Replicas have ended under its request: it goes alone and, where its call is lost, is not made
+  /// again.
+  bool single_attempt = false;
 };
 
 /// A piece that is finished, one way or another.
@@ -58,6 +61,14 @@
   piece_outcome outcome;
 };
 
+/// A call with pieces ended without an answer: its replica may have ended while it made them.
+struct lost_piece {
+  piece_ticket ticket = 0;
+  base::replica_id replica;
+  /// The end of the life that was called, should that have come.
+  replica_end life_end = 0;
+};
+
 /// @return whether this node may call a replica with pieces that are held to some regions; whether
 ///         they may go there is asked elsewhere.
 using replica_filter = std::function<bool(const replica_state&, const model::residency&)>;
@@ -97,6 +108,9 @@
   [[nodiscard]] std::vector<piece_finished> take_finished() { return std::exchange(finished_, {}); }
   /// @return pieces whose replica has fetched their inputs since the last call.
   [[nodiscard]] std::vector<piece_ticket> take_fetched() { return std::exchange(fetched_, {}); }
+  /// @return pieces whose calls ended without an answer since the last call; they are made again,
+  ///         or end as `lost`.
+  [[nodiscard]] std::vector<lost_piece> take_lost() { return std::exchange(lost_, {}); }
   [[nodiscard]] command_list take_commands() { return std::exchange(commands_, {}); }
   /// @return pieces of a service that wait for a call.
   [[nodiscard]] std::size_t waiting(const std::string& service) const;
@@ -118,6 +132,10 @@
     piece_work work;
     base::time_point submitted;
     std::uint32_t attempts = 0;
+    /// Calls that ended without an answer while they held it.
+    std::uint32_t lost_calls = 0;
+    /// It is not handed out before this time.
+    base::time_point rests_until{};
   };
   /// Order of handing out.
   struct queue_position {
@@ -128,6 +146,8 @@
   struct open_call {
     start_stage_call call;
     std::string service;
+    /// The end of the life that is called, should that come.
+    replica_end life_end = 0;
     base::time_point started;
     bool told_fetched = false;
     /// Pieces in the order of the call; one that was cancelled has no entry in `pieces_`.
@@ -201,6 +221,9 @@
     const base::zone_id* zone = nullptr;
     double carried_bytes = 0;
     base::time_point submitted;
+    /// Replicas may have ended under its pieces: they go with no others, so that the next call
+    /// shows whether they are to blame, and harms no others.
+    bool goes_alone = false;
     std::vector<queue_position> pieces;
   };
   /// Takes the pieces for the next call to a replica out of the groups: those still in time first,
@@ -219,7 +242,8 @@
   [[nodiscard]] zone_outlooks outlooks_of(const std::string& name,
                                           const model::piece_capacity& capacity,
                                           const residency_list& sets, base::time_point now) const;
-  [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue) const;
+  [[nodiscard]] std::vector<piece_group> groups_in(const service_queue& queue,
+                                                   base::time_point now) const;
   [[nodiscard]] double free_room(const base::replica_id& replica,
                                  const model::piece_capacity& capacity, base::time_point now) const;
   void note_no_room(const open_call& ended, base::time_point now);
@@ -236,6 +260,8 @@
   void end_call_account(const open_call& open);
   void take_answers(const open_call& ended, const stage_call_ended& answer, base::time_point now);
   void settle(piece_ticket ticket, const piece_outcome& outcome);
+  /// Keeps account of the pieces of a call that ended without an answer.
+  void note_lost(const open_call& ended, base::time_point now);
   void record_ended(const open_call& ended, const stage_call_ended& answer,
                     base::time_point now) const;
   void hold_result(const open_call& ended, std::size_t index, const piece_outcome& outcome,
@@ -281,6 +307,7 @@
   std::unordered_map<std::string, held_result> results_;
   std::vector<piece_finished> finished_;
   std::vector<piece_ticket> fetched_;
+  std::vector<lost_piece> lost_;
   /// Time after which a replica is taken to have fetched the inputs of a call.
   base::duration fetch_time_;
   command_list commands_;
--- a/src/stage_work/stage_pool_batches.cc
+++ b/src/stage_work/stage_pool_batches.cc
@@ -15,10 +15,15 @@
 
 } // namespace
 
-std::vector<stage_pool::piece_group> stage_pool::groups_in(const service_queue& queue) const {
+std::vector<stage_pool::piece_group> stage_pool::groups_in(const service_queue& queue,
+                                                           base::time_point now) const {
   std::vector<piece_group> groups;
   for (const auto& position : queue) {
-    const auto& work = pieces_.at(position.ticket).work;
+    const auto& piece = pieces_.at(position.ticket);
+    const auto& work = piece.work;
+    if (piece.rests_until > now) {
+      continue;
+    }
     const bool joins = !groups.empty() && *groups.back().request == work.request &&
                        groups.back().stage == work.stage &&
                        *groups.back().permitted_regions == work.permitted_regions;
@@ -30,9 +35,12 @@
                         &work.permitted_regions,
                         &work.zone,
                         0,
-                        pieces_.at(position.ticket).submitted,
+                        piece.submitted,
+                        false,
                         {}});
     }
+    groups.back().goes_alone = groups.back().goes_alone || work.single_attempt ||
+                               piece.lost_calls >= lost_calls_before_alone;
     groups.back().result_bytes += work.result_bytes;
     groups.back().carried_bytes += work.carried_bytes;
     groups.back().pieces.push_back(position);
@@ -115,6 +123,9 @@
       if (group.pieces.empty() || !permitted || (group.due > now) != in_time) {
         continue;
       }
+      if (group.goes_alone && !batch.empty()) {
+        continue;
+      }
       if (in_time && group.due < now + delay) {
         continue;
       }
@@ -130,6 +141,9 @@
         continue;
       }
       take_pieces(group, batch, places, room);
+      if (group.goes_alone) {
+        return batch;
+      }
     }
   }
   return batch;
--- a/src/stage_work/stage_pool_limits.h
+++ b/src/stage_work/stage_pool_limits.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace spurrack::serving {
 
@@ -14,6 +15,12 @@
 inline constexpr double planned_room = 0.95;
 /// A replica whose calls take this many times as long as published is given only what has the time.
 inline constexpr double slow = 1.6;
+/// Lost calls after which pieces go alone: the first is mostly chance, and a call of their own for
+/// each request of a lost one would take ten times the calls.
+inline constexpr std::uint32_t lost_calls_before_alone = 2;
+/// Such pieces rest this long before they are made again: the node they belong to hears of the loss
+/// and asks the replica for a connection meanwhile, and takes them back if it is to hold them back.
+inline constexpr base::duration lost_piece_rest = std::chrono::milliseconds(50);
 
 /// @return time that a call with `size` pieces takes at a healthy replica.
 inline base::duration usual_time(const model::piece_capacity& capacity, std::size_t size) {
--- a/tests/stage_work/stage_pool_test.cc
+++ b/tests/stage_work/stage_pool_test.cc
@@ -346,4 +346,47 @@
   BOOST_TEST(is_fetched_after(std::chrono::milliseconds(100)));
 }
 
+BOOST_AUTO_TEST_CASE(pieces_of_lost_calls_are_reported_and_go_alone_after_the_second) {
+  submit("r1", std::chrono::seconds(1));
+  submit("r2", std::chrono::seconds(1));
+  for (std::size_t lost_calls = 1; lost_calls <= 2; ++lost_calls) {
+    const auto calls = pump(std::chrono::milliseconds(100));
+    BOOST_REQUIRE(calls.size() == 1);
+    BOOST_TEST(calls.front().items.size() == 2);
+    pool.on_call_ended(
+        {calls.front().call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
+    const auto lost = pool.take_lost();
+    BOOST_REQUIRE(lost.size() == 2);
+    BOOST_TEST(lost.front().replica == calls.front().target.replica);
+  }
+  const auto calls = pump(std::chrono::milliseconds(100));
+  BOOST_REQUIRE(calls.size() == 2);
+  BOOST_TEST(calls[0].items.size() == 1);
+  BOOST_TEST(calls[1].items.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_piece_with_a_single_attempt_goes_alone_and_ends_with_its_call) {
+  piece_work work;
+  work.request = base::request_id("suspected");
+  work.service = "pool";
+  work.piece_key = "k";
+  work.result_bytes = 1000;
+  work.zone = base::zone_id("a");
+  work.due = now + std::chrono::seconds(1);
+  work.deadline = now + std::chrono::seconds(5);
+  work.single_attempt = true;
+  const auto ticket = pool.submit(work, now);
+  submit("other", std::chrono::seconds(2));
+  const auto calls = pump();
+  BOOST_REQUIRE(calls.size() == 2);
+  BOOST_REQUIRE(calls.front().items.size() == 1);
+  BOOST_TEST(calls.front().items.front().request.text() == "suspected");
+  pool.on_call_ended(
+      {calls.front().call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
+  const auto finished = pool.take_finished();
+  BOOST_REQUIRE(finished.size() == 1);
+  BOOST_TEST(finished.front().ticket == ticket);
+  BOOST_TEST((finished.front().outcome.fault == piece_fault::lost));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
