Operators see what is held back and let it go

spurrackctl quarantine lists requests under which replicas ended, with replicas, ages and standing, as each node knows them; spurrackctl release DIGEST lets one go on all nodes (POST /v1/quarantine/release/DIGEST of the operators' listener, which answered GET only before). Metrics for ends laid to requests, quarantines, refusals, clearings and messages.

--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,4 +1,4 @@
-/// spurrackctl: the operators' read-only tool.
+/// spurrackctl: the operators' tool. All but `release` only read.
 #include "ctl/check.h"
 #include "ctl/reports.h"
 #include "ctl/request_log.h"
@@ -35,6 +35,8 @@
     "  templates         templates and tenants in force\n"
     "  costs             cost by tenant, template and stage, over all nodes\n"
     "  timeline          events of all nodes in causal order\n"
+    "  quarantine        requests under which replicas ended, as each node knows them\n"
+    "  release DIGEST    let a request go that is held back; the nodes tell one another\n"
     "  explain REQUEST [LOGFILE...]\n"
     "                    the time line of one request, from live nodes or from their logs\n"
     "  account LOGFILE...\n"
@@ -99,6 +101,13 @@
     std::cerr << "--nodes IP:port[,IP:port...] is required\n";
     return exit_code::bad_usage;
   }
+  if (command == "release" && arguments.size() != 1) {
+    std::cerr << "release takes one request digest\n";
+    return exit_code::bad_usage;
+  }
+  if (command == "release") {
+    return spurrack::ctl::release(arguments.front(), nodes, std::cout, std::cerr);
+  }
   if (command == "explain" && arguments.size() != 1) {
     std::cerr << "explain takes one request id\n";
     return exit_code::bad_usage;
@@ -107,7 +116,8 @@
 }
 
 int run_program(int argc, char** argv) {
-  cxxopts::Options options("spurrackctl", "Shows what a spurrack fleet does. Changes nothing.");
+  cxxopts::Options options("spurrackctl",
+                           "Shows what a spurrack fleet does. Changes nothing, but for release.");
   options.add_options()("nodes", "operator listeners, IP:port, comma between",
                         cxxopts::value<std::string>()->default_value(""))(
       "output", "text or json", cxxopts::value<std::string>()->default_value("text"))(
--- a/src/ctl/reports.cc
+++ b/src/ctl/reports.cc
@@ -141,6 +141,9 @@
         documents, "backends",
         {"backend", "zone", "pool", "in_flight", "concurrency", "average_ms", "leaving", "avoided"},
         out);
+  } else if (command == "quarantine") {
+    print_lists(documents, "requests", {"digest", "standing", "ends", "newest_ms", "replicas"},
+                out);
   } else if (command == "templates") {
     print_lists(documents, "templates", {"template", "revision", "deadline_ms"}, out);
     print_lists(documents, "tenants", {"tenant", "revision", "weight"}, out);
@@ -187,9 +190,9 @@
                  const std::vector<std::string>& nodes, output_format format, std::ostream& out,
                  std::ostream& errors) {
   static const std::map<std::string, std::string> paths{
-      {"status", "/v1/status"},       {"nodes", "/v1/nodes"}, {"backends", "/v1/backends"},
-      {"templates", "/v1/templates"}, {"costs", "/v1/costs"}, {"timeline", "/v1/timeline"},
-      {"explain", "/v1/timeline"}};
+      {"status", "/v1/status"},       {"nodes", "/v1/nodes"},          {"backends", "/v1/backends"},
+      {"templates", "/v1/templates"}, {"costs", "/v1/costs"},          {"timeline", "/v1/timeline"},
+      {"explain", "/v1/timeline"},    {"quarantine", "/v1/quarantine"}};
   const auto path = paths.find(command);
   if (path == paths.end()) {
     errors << "unknown command '" << command << "'; see --help\n";
@@ -219,4 +222,23 @@
   return all_well(command, documents) ? exit_code::well : exit_code::refused;
 }
 
+exit_code release(const std::string& digest, const std::vector<std::string>& nodes,
+                  std::ostream& out, std::ostream& errors) {
+  bool any_accepted = false;
+  for (const auto& address : nodes) {
+    const auto answer = fleet::call(
+        {address, "POST", "/v1/quarantine/release/" + digest, {{"Content-Length", "0"}}, {}});
+    any_accepted = any_accepted || answer.status == 200;
+    if (answer.status == 200) {
+      out << address << ": accepted\n";
+    } else {
+      errors << address << ": "
+             << (answer.error.empty() ? "refused, no digest of 32 hexadecimal digits"
+                                      : answer.error)
+             << "\n";
+    }
+  }
+  return any_accepted ? exit_code::well : exit_code::unreachable;
+}
+
 } // namespace spurrack::ctl
--- a/src/ctl/reports.h
+++ b/src/ctl/reports.h
@@ -17,4 +17,9 @@
                  const std::vector<std::string>& nodes, output_format format, std::ostream& out,
                  std::ostream& errors);
 
+/// Asks nodes to let a request go that is held back; one that accepts tells all others.
+/// @param digest 32 hexadecimal digits, as `quarantine` and the logs show them.
+exit_code release(const std::string& digest, const std::vector<std::string>& nodes,
+                  std::ostream& out, std::ostream& errors);
+
 } // namespace spurrack::ctl
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -163,6 +163,34 @@
               static_cast<double>(lending.lent_thousandths) / serving::one_repeat);
 }
 
+void add_quarantine(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.counts();
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
+  add("spurrack_crashes_under_requests_total",
+      "Ends of replicas laid to requests that ran there, each request counted.",
+      counts.crashes_under_requests);
+  add("spurrack_quarantines_total", "Requests held back since replicas had ended under them.",
+      counts.quarantines);
+  add("spurrack_quarantine_refusals_total", "Tries of requests that were held back.",
+      counts.refused_in_quarantine);
+  add("spurrack_requests_cleared_total",
+      "Requests under which replicas had ended and of which a run ended well since.",
+      counts.requests_cleared);
+  add("spurrack_crash_news_sent_total",
+      "Messages to other nodes on requests under which replicas ended.",
+      dispatcher.crash_news().messages);
+  add("spurrack_crash_news_heard_total",
+      "Records of other nodes on requests under which replicas ended.",
+      dispatcher.crash_news().taken_in);
+  add("spurrack_crash_news_malformed_total", "Such records that could not be read, passed over.",
+      dispatcher.crash_news().malformed);
+  add_gauge(registry, "spurrack_suspected_requests",
+            "Requests that this node knows replicas to have ended under.",
+            static_cast<double>(dispatcher.crashes().all().size()));
+}
+
 void add_engines(Registry& registry, const serving::engine_directory_counts& engines) {
   const auto add = [&](const char* name, const char* help, std::uint64_t value) {
     add_count(registry, name, help, value);
@@ -199,6 +227,7 @@
   add_regions(registry, counts);
   add_planned_stop(registry, counts);
   add_second_chances(registry, dispatcher);
+  add_quarantine(registry, dispatcher);
   add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
   add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
   add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -137,6 +137,38 @@
   return {{"costs", std::move(rows)}};
 }
 
+std::string_view name_of(quarantine::standing standing) {
+  switch (standing) {
+  case quarantine::standing::one_attempt:
+    return "one attempt";
+  case quarantine::standing::held_back:
+    return "held back";
+  case quarantine::standing::free:
+    break;
+  }
+  return "free";
+}
+
+json::object quarantine_document(const node::node& subject, base::time_point now) {
+  json::array requests;
+  if (const auto* serving = subject.serving()) {
+    const auto& ledger = serving->crashes();
+    for (const auto& [digest, record] : ledger.all()) {
+      json::array ends;
+      for (const auto& seen : record.ends) {
+        ends.push_back(json::object{{"replica", seen.replica.text()},
+                                    {"age_ms", base::to_milliseconds(now - seen.at)}});
+      }
+      requests.push_back(json::object{{"digest", digest.text()},
+                                      {"standing", name_of(ledger.standing_of(digest, now))},
+                                      {"ends", record.ends.size()},
+                                      {"newest_ms", base::to_milliseconds(now - record.newest())},
+                                      {"replicas", std::move(ends)}});
+    }
+  }
+  return {{"requests", std::move(requests)}};
+}
+
 json::object timeline_document(const node::node& subject) {
   json::array events;
   for (const auto& entry : subject.events().entries()) {
@@ -171,6 +203,8 @@
     body = templates_document(subject);
   } else if (path == "/v1/costs") {
     body = costs_document(subject);
+  } else if (path == "/v1/quarantine") {
+    body = quarantine_document(subject, now);
   } else if (path == "/v1/timeline") {
     body = timeline_document(subject);
   } else {
@@ -179,4 +213,13 @@
   return http::operator_document{"application/json", json::serialize(body) + "\n"};
 }
 
+std::optional<node::event> read_action(const std::string& path) {
+  constexpr std::string_view release = "/v1/quarantine/release/";
+  if (!path.starts_with(release)) {
+    return std::nullopt;
+  }
+  const auto digest = quarantine::request_digest::from_text(path.substr(release.size()));
+  return digest ? std::optional<node::event>(node::release_wanted{*digest}) : std::nullopt;
+}
+
 } // namespace spurrack::daemon
--- a/src/daemon/operator_documents.h
+++ b/src/daemon/operator_documents.h
@@ -27,6 +27,10 @@
                                                      const process_facts& facts,
                                                      base::time_point now);
 
+/// Reads what an operator asks for.
+/// @return the event that brings it about; nothing where the path asks for nothing.
+std::optional<node::event> read_action(const std::string& path);
+
 /// @return the metrics in the Prometheus text format.
 std::string make_metrics(const node::node& subject, const process_facts& facts,
                          base::time_point now);
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -57,10 +57,12 @@
   } else {
     start_own_interface();
   }
-  operators_ =
-      http::make_operator_server(io, settings_.operator_listen, [this](const std::string& path) {
+  operators_ = http::make_operator_server(
+      io, settings_.operator_listen,
+      [this](const std::string& path) {
         return make_document(path, node_, facts(), base::boot_clock::now());
-      });
+      },
+      [this](const std::string& path) { return act(path); });
   watch_signals();
   logging::write(
       logging::severity::info, "started",
@@ -69,6 +71,15 @@
   post(node::time_passed{});
 }
 
+std::optional<http::operator_document> runtime::act(const std::string& path) {
+  auto wanted = read_action(path);
+  if (!wanted) {
+    return std::nullopt;
+  }
+  post(std::move(*wanted));
+  return http::operator_document{"application/json", "{\"accepted\":true}\n"};
+}
+
 void runtime::start_serving() {
   serving_ = std::make_unique<serving_adapters>(
       *io_, *settings_.serving, *settings_.node.serving, *parts_.codec,
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -55,6 +55,8 @@
   void log_decision(const base::event& what);
   [[nodiscard]] std::size_t busy() const;
   [[nodiscard]] process_facts facts() const;
+  /// Has what an operator asks for done on the next turn of the io_context.
+  std::optional<http::operator_document> act(const std::string& path);
   /// Sees to it that the node is woken no later than it wants; it may be woken before.
   void schedule_wakeup();
   void begin_stop();
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -30,7 +30,7 @@
   if (state == nullptr || state->record->draining || state->left) {
     return;
   }
-  if (crash_watch_.note_lost_call(replica, {digest_of(request), {life_end, now}}, now)) {
+  if (crash_watch_.note_lost_call(replica, {digest_of(request), {life_end, now, replica}}, now)) {
     commands_.emplace_back(probe_replica{{replica, state->record->address}});
   }
 }
--- a/src/http/operator_server.h
+++ b/src/http/operator_server.h
@@ -1,5 +1,5 @@
-/// The operators' HTTP listener: read-only documents about this node. docs/operators/ describes
-/// them.
+/// The operators' HTTP listener: documents about this node (GET) and the few things that operators
+/// ask of it (POST, without a body). docs/operators/ describes them.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +20,8 @@
 
 /// @return the document at a path, such as `/v1/status`; nothing where there is none.
 using document_source = std::function<std::optional<operator_document>(const std::string& path)>;
+/// Does what is asked for by a path. @return what came of it; nothing where there is no such path.
+using action_handler = std::function<std::optional<operator_document>(const std::string& path)>;
 
 /// Not thread-safe.
 class operator_server {
@@ -34,6 +36,7 @@
 /// @throws boost::system::system_error where the address cannot be bound.
 std::unique_ptr<operator_server> make_operator_server(boost::asio::io_context& io,
                                                       const std::string& listen,
-                                                      document_source source);
+                                                      document_source source,
+                                                      action_handler act = nullptr);
 
 } // namespace spurrack::http
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -7,6 +7,7 @@
 #include "execution/answer.h"
 #include "execution/commands.h"
 #include "execution/stage_call.h"
+#include "quarantine/request_digest.h"
 #include "serving/events.h"
 #include "wire/outgoing.h"
 
@@ -60,9 +61,15 @@
   std::vector<base::network_address> seeds;
 };
 
-using event = std::variant<time_passed, peer_message, caller_arrived, caller_left, ticket_wanted,
-                           execution::call_result, execution::call_token, service_answered,
-                           service_failed, stop_requested, seeds_changed, serving::event>;
+/// An operator lets a request go that is held back.
+struct release_wanted {
+  quarantine::request_digest digest;
+};
+
+using event =
+    std::variant<time_passed, peer_message, caller_arrived, caller_left, ticket_wanted,
+                 execution::call_result, execution::call_token, service_answered, service_failed,
+                 stop_requested, seeds_changed, release_wanted, serving::event>;
 
 /// Read a service for what is newer than a revision; the service may hold the answer back until
 /// there is something.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -379,6 +379,12 @@
   membership_.set_seeds(what.seeds);
 }
 
+void node::on(const release_wanted& what, base::time_point now) {
+  if (serving_) {
+    serving_->release_request(what.digest, now);
+  }
+}
+
 void node::on(const serving::event& what, base::time_point now) {
   if (!serving_) {
     return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -127,6 +127,7 @@
   void on(const service_failed& what, base::time_point now);
   void on(const stop_requested& what, base::time_point now);
   void on(const seeds_changed& what, base::time_point now);
+  void on(const release_wanted& what, base::time_point now);
   void on(const serving::event& what, base::time_point now);
 
   void detect_pause(base::time_point now);
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -27,6 +27,8 @@
 struct end_sighting {
   replica_end end = 0;
   base::time_point at;
+  /// For operators; empty where an older node told of it.
+  base::replica_id replica{};
 };
 
 /// What a node does with a request that comes.
--- a/src/quarantine/crash_news.cc
+++ b/src/quarantine/crash_news.cc
@@ -37,6 +37,7 @@
 void add_to(wire::replica_crash& said, const end_sighting& seen, base::time_point now) {
   said.set_replica_end(seen.end);
   said.set_age_milliseconds(age_of(seen.at, now));
+  said.set_replica(seen.replica.text());
 }
 
 void add_to(wire::crash_news& news, const crash_record& record, base::time_point now) {
@@ -59,7 +60,8 @@
 std::vector<end_sighting> ends_of(const crash_list& crashes, base::time_point now) {
   std::vector<end_sighting> ends;
   for (const auto& crash : crashes) {
-    ends.push_back({crash.replica_end(), before(now, crash.age_milliseconds())});
+    ends.push_back({crash.replica_end(), before(now, crash.age_milliseconds()),
+                    base::replica_id(crash.replica())});
   }
   return ends;
 }
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -44,8 +44,7 @@
   std::size_t told_to_return = 0;
 };
 
-class crash_fleet {
- public:
+struct crash_fleet {
   explicit crash_fleet(const crash_fleet_settings& wanted = {})
       : settings(wanted), random(wanted.seed) {
     for (const std::string id : {"llm-a", "llm-b", "pool-a", "pool-b"}) {
@@ -214,7 +213,6 @@
   /// Nodes whose messages on requests that end replicas are lost, as those of an older build.
   std::set<std::size_t> older_build;
 
- private:
   struct emulated_replica {
     base::replica_id id;
     std::string service;
