--- a/tests/platform_fleet/soak_replica.cc
+++ b/tests/platform_fleet/soak_replica.cc
@@ -158,6 +158,11 @@
       !expected.empty() && expected != id_) {
     return {http_message("421 Misdirected Request", "X-Request-Id: " + id + "\r\n", "")};
   }
+  if (target == soak_request::crashing_path) {
+    ended_by_request_ = true;
+    crash();
+    return {"", true};
+  }
   if (target == "/stage-free") {
     return {http_message("200 OK", "", "{}")};
   }
--- a/tests/platform_fleet/soak_replica.h
+++ b/tests/platform_fleet/soak_replica.h
@@ -59,6 +59,9 @@
   /// Runs again under its id after `crash`; it knows nothing of before.
   void start_again();
 
+  /// @return whether it ended under the request that ends replicas since the last call.
+  bool take_ended_by_request() { return ended_by_request_.exchange(false); }
+
   [[nodiscard]] std::string listen_address() const { return server_->address(); }
   [[nodiscard]] const std::string& published_address() const { return published_address_; }
   [[nodiscard]] const std::string& id() const { return id_; }
@@ -91,6 +94,7 @@
   soak_ledger* ledger_;
   std::atomic<replica_mode> mode_ = replica_mode::normal;
   std::atomic<bool> draining_ = false;
+  std::atomic<bool> ended_by_request_ = false;
   std::atomic<std::int64_t> born_milliseconds_;
   std::atomic<std::uint64_t> sequence_ = 0;
   std::atomic<std::uint64_t> calls_ = 0;
--- a/tests/platform_fleet/soak_request.h
+++ b/tests/platform_fleet/soak_request.h
@@ -9,6 +9,8 @@
 
 /// What clients send, and what replicas answer to it.
 struct soak_request {
+  /// Each replica ends that begins to run a request with this path.
+  static constexpr const char* crashing_path = "/stream/crashing";
   /// @return whether requests of a kind have stages before they run.
   static bool has_stages(const std::string& kind) { return kind == "staged" || kind == "held"; }
   /// @return whether requests of a kind are answered with events.
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -1,5 +1,6 @@
 #include "soak_run.h"
 
+#include "crashing_request.h"
 #include "planned_work.h"
 #include "soak_request.h"
 
@@ -40,6 +41,7 @@
     faults_.strike_until(soak_clock::now() + options_.fault_time);
     return_to_calm();
     check_calm();
+    crashing_request(fleet_, ledger_, random_).check();
     check_planned_work();
   }
   resident_bytes_ = fleet_.resident_bytes();
