A store that comes back from an older copy: one order by era, nothing that was acted on comes back

Cause: entries were ordered by (revision, hash) and the highest revision only grew, so what is written again at a lower revision was taken for older on every node, for good, and a configuration that the store had lost was not told from an old one. Change: the era is read from every answer, a typed field; (era, revision, hash) in catalog, messages and deletions; the configuration moves by its own version; a new era is listed at once and again after 3 s, only then is anything gone; replicas known to drain or to be gone are not taken back on the copy's word.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -28,6 +28,8 @@
     return "entry_older_ignored";
   case event_kind::service_behind:
     return "service_behind";
+  case event_kind::service_era:
+    return "service_era";
   case event_kind::backend_leaving:
     return "backend_leaving";
   case event_kind::backend_ejected:
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -25,6 +25,7 @@
   entry_rejected,
   entry_older_ignored,
   service_behind,
+  service_era,
   backend_leaving,
   backend_ejected,
   backend_restarted,
--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -27,6 +27,12 @@
   return key.substr(key.find('/') + 1);
 }
 
+/// What the hash of an entry covers.
+struct hashed_version {
+  base::revision revision = 0;
+  std::uint64_t value_hash = 0;
+};
+
 /// Bytes of a trivially copyable object. All nodes share one byte order.
 template <typename object>
 std::string_view raw_bytes(const object& value) {
@@ -36,7 +42,7 @@
 } // namespace
 
 catalog::version catalog::version_of(const wire::catalog_entry& entry) {
-  return {entry.revision(), base::stable_hash(entry.value(), entry.deleted() ? 1 : 0)};
+  return {entry.era(), entry.revision(), base::stable_hash(entry.value(), entry.deleted() ? 1 : 0)};
 }
 
 std::size_t catalog::bucket_of(const std::string& key) {
@@ -63,25 +69,65 @@
   if (is_known(place, offered.at)) {
     return {apply_verdict::duplicate, {}};
   }
-  if (is_older(entry.key(), place, offered.at)) {
+  // What a configuration says of its own version goes before where it was written.
+  const bool is_configuration = entry.key() == model::configuration_key && !entry.deleted();
+  if (!is_configuration && is_older(entry.key(), place, offered.at)) {
     return {apply_verdict::older, {}};
   }
-  highest_revision_ = std::max(highest_revision_, entry.revision());
+  highest_ = std::max(highest_, offered.at);
   if (entry.deleted()) {
     accept(place, std::move(offered), std::nullopt);
     return {apply_verdict::accepted, {}};
   }
   auto read = read_value(entry.key(), entry.value());
   if (auto* value = std::get_if<any_record>(&read)) {
-    accept(place, std::move(offered), std::move(*value));
+    if (is_configuration && is_older_configuration(place, offered.at, *value)) {
+      return {apply_verdict::older, {}};
+    }
+    auto taken = after_rollback(place, offered.at, std::move(*value));
+    accept(place, std::move(offered), std::move(taken));
     return {apply_verdict::accepted, {}};
   }
+  if (is_older(entry.key(), place, offered.at)) {
+    return {apply_verdict::older, {}};
+  }
   if (place.rejected && offered.at < place.rejected->at) {
     return {apply_verdict::older, {}};
   }
   return reject(place, std::move(offered), std::get<std::string>(std::move(read)));
 }
 
+bool catalog::is_older_configuration(const slot& place, const version& offered,
+                                     const any_record& value) const {
+  if (!switches_.revision_order || !serving_ || !place.accepted) {
+    return false;
+  }
+  const auto& read = std::get<std::shared_ptr<const model::serving_configuration>>(value);
+  if (read->version != serving_->version) {
+    return read->version < serving_->version;
+  }
+  return offered < place.accepted->at;
+}
+
+catalog::any_record catalog::after_rollback(const slot& place, const version& offered,
+                                            any_record value) {
+  auto* replica = std::get_if<std::shared_ptr<const model::replica>>(&value);
+  if (replica == nullptr || !place.accepted || offered.era <= place.accepted->at.era) {
+    return value;
+  }
+  const auto& known = place.accepted->entry;
+  auto changed = std::make_shared<model::replica>(**replica);
+  if (known.deleted()) {
+    changed->may_be_gone = true;
+  } else {
+    const auto before = model::parse_replica(known.value());
+    const auto* record = std::get_if<std::shared_ptr<const model::replica>>(&before);
+    const bool same_life = record != nullptr && (*record)->life == changed->life;
+    changed->draining = changed->draining || (same_life && (*record)->draining);
+  }
+  return std::shared_ptr<const model::replica>(std::move(changed));
+}
+
 catalog::reading catalog::read_value(const std::string& key, const std::string& value) {
   if (key == model::configuration_key) {
     auto read = model::parse_configuration(value);
@@ -148,7 +194,9 @@
   std::uint64_t hash = base::stable_hash(key);
   for (const auto* stored : {&place.accepted, &place.rejected}) {
     const auto at = *stored ? (*stored)->at : version{};
-    hash = base::stable_hash(raw_bytes(at), hash);
+    // Without the era: nodes of an older build, which do not know it, have the same content.
+    const hashed_version hashed{at.revision, at.value_hash};
+    hash = base::stable_hash(raw_bytes(hashed), hash);
   }
   place.hash = hash;
   bucket ^= hash;
@@ -200,7 +248,7 @@
 
 std::vector<wire::catalog_entry>
 catalog::deletions_of_unlisted_replicas(const std::set<std::string>& listed,
-                                        base::revision at) const {
+                                        store_position at) const {
   std::vector<wire::catalog_entry> deletions;
   for (const auto& [id, known] : replicas_) {
     add_deletion_if_unlisted(std::string(model::replica_prefix) + id.text(), listed, at, deletions);
@@ -213,7 +261,7 @@
 
 std::vector<wire::catalog_entry>
 catalog::deletions_of_unlisted_evacuations(const std::set<std::string>& listed,
-                                           base::revision at) const {
+                                           store_position at) const {
   std::vector<wire::catalog_entry> deletions;
   for (const auto& zone : evacuated_zones_) {
     add_deletion_if_unlisted(std::string(model::evacuation_prefix) + zone.text(), listed, at,
@@ -223,14 +271,15 @@
 }
 
 void catalog::add_deletion_if_unlisted(const std::string& key, const std::set<std::string>& listed,
-                                       base::revision at,
+                                       store_position at,
                                        std::vector<wire::catalog_entry>& deletions) const {
-  if (listed.contains(key) || newest_revision_of(key) >= at) {
+  if (listed.contains(key) || newest_position_of(key) >= at) {
     return;
   }
   wire::catalog_entry gone;
   gone.set_key(key);
-  gone.set_revision(at);
+  gone.set_era(at.era);
+  gone.set_revision(at.revision);
   gone.set_deleted(true);
   deletions.push_back(std::move(gone));
 }
@@ -308,12 +357,18 @@
   return found->second.accepted->at.revision;
 }
 
-base::revision catalog::newest_revision_of(const std::string& key) const {
+store_position catalog::newest_position_of(const std::string& key) const {
   const auto found = slots_.find(key);
-  if (found == slots_.end() || !found->second.rejected) {
-    return revision_of(key);
+  store_position newest;
+  if (found == slots_.end()) {
+    return newest;
+  }
+  for (const auto* stored : {&found->second.accepted, &found->second.rejected}) {
+    if (*stored) {
+      newest = std::max(newest, {(*stored)->at.era, (*stored)->at.revision});
+    }
   }
-  return std::max(revision_of(key), found->second.rejected->at.revision);
+  return newest;
 }
 
 std::vector<rejection> catalog::rejections() const {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -1,5 +1,10 @@
-/// Replicated set of published records. Entries only ever move forward in (revision, value hash);
-/// deletes are revisions too. Replicas merge in any order and converge to the same content.
+/// Replicated set of published records. Entries only ever move forward in (era, revision, value
+/// hash); deletes are revisions too. Replicas merge in any order and converge to the same content.
+///
+/// A store that comes back from an older copy begins a new era and gives revisions out again. What
+/// it holds then replaces what was known, with two exceptions, since callers and replicas have
+/// acted on what was lost: the configuration moves forward by its own version alone, and a replica
+/// that was known to drain or to be gone is not taken back on the word of the copy.
 #pragma once
 
 #include "base/safety_switches.h"
@@ -51,6 +56,13 @@
 using tenant_map = std::map<base::tenant_id, std::shared_ptr<const model::tenant>>;
 using replica_map = std::map<base::replica_id, std::shared_ptr<const model::replica>>;
 
+/// A moment of the store.
+struct store_position {
+  base::store_era era = 0;
+  base::revision revision = 0;
+  auto operator<=>(const store_position&) const = default;
+};
+
 /// Not thread-safe. Shared records live on after they are replaced.
 class catalog {
  public:
@@ -95,17 +107,19 @@
   [[nodiscard]] const std::set<base::zone_id>& evacuated_zones() const { return evacuated_zones_; }
   /// Raised whenever the configuration of the serving path, a replica or an evacuation changes.
   [[nodiscard]] std::uint64_t serving_changes() const { return serving_changes_; }
-  /// @param listed keys that a complete listing at revision `at` holds.
+  /// @param listed keys that a complete listing holds.
   /// @return deletions of the known replicas that the listing shows to be gone.
   [[nodiscard]] std::vector<wire::catalog_entry>
-  deletions_of_unlisted_replicas(const std::set<std::string>& listed, base::revision at) const;
+  deletions_of_unlisted_replicas(const std::set<std::string>& listed, store_position at) const;
   /// The same for evacuations that have ended.
   [[nodiscard]] std::vector<wire::catalog_entry>
-  deletions_of_unlisted_evacuations(const std::set<std::string>& listed, base::revision at) const;
+  deletions_of_unlisted_evacuations(const std::set<std::string>& listed, store_position at) const;
 
   /// @return revision at which the accepted value of `key` was published; 0 where there is none.
   [[nodiscard]] base::revision revision_of(const std::string& key) const;
-  [[nodiscard]] base::revision highest_revision() const { return highest_revision_; }
+  /// @return the highest revision seen of the newest era, and that era.
+  [[nodiscard]] base::revision highest_revision() const { return highest_.revision; }
+  [[nodiscard]] base::store_era era() const { return highest_.era; }
   /// Raised whenever a machine entry changes; lets readers rebuild what they derive from the list.
   [[nodiscard]] std::uint64_t machine_changes() const { return machine_changes_; }
   [[nodiscard]] std::vector<rejection> rejections() const;
@@ -118,6 +132,7 @@
  private:
   /// Position in the order in which entries replace one another.
   struct version {
+    base::store_era era = 0;
     base::revision revision = 0;
     std::uint64_t value_hash = 0;
     auto operator<=>(const version&) const = default;
@@ -149,16 +164,24 @@
   static reading read_value(const std::string& key, const std::string& value);
   void accept(slot& place, stored_entry offered, const std::optional<any_record>& value);
   apply_result reject(slot& place, stored_entry offered, std::string reason);
-  /// @return revision of the newest entry of `key`, accepted or not; 0 where there is none.
-  [[nodiscard]] base::revision newest_revision_of(const std::string& key) const;
+  /// @return where the newest entry of `key` was written, accepted or not; zeros where there is
+  /// none.
+  [[nodiscard]] store_position newest_position_of(const std::string& key) const;
+  /// @return whether a valid configuration is older than the one in force: by its own version, and
+  ///         of the same one by where it was written.
+  [[nodiscard]] bool is_older_configuration(const slot& place, const version& offered,
+                                            const any_record& value) const;
+  /// @return the record as it is taken after a lost write: what was known to drain drains on, what
+  ///         was gone may be gone still.
+  static any_record after_rollback(const slot& place, const version& offered, any_record value);
   void rehash(const std::string& key, slot& place);
   void index(const std::string& key, const any_record& value);
   void index(const std::string& key, const model::record& value);
   void remove_from_index(const std::string& key);
   void remove_tenant(const base::tenant_id& name);
-  /// Appends the deletion of `key` where a listing at revision `at` shows it to be gone.
+  /// Appends the deletion of `key` where a listing shows it to be gone.
   void add_deletion_if_unlisted(const std::string& key, const std::set<std::string>& listed,
-                                base::revision at,
+                                store_position at,
                                 std::vector<wire::catalog_entry>& deletions) const;
 
   base::safety_switches switches_;
@@ -176,7 +199,7 @@
   std::uint64_t refused_replicas_ = 0;
   std::set<base::zone_id> evacuated_zones_;
   std::uint64_t serving_changes_ = 0;
-  base::revision highest_revision_ = 0;
+  version highest_;
 };
 
 } // namespace spurrack::catalog
--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -14,18 +14,42 @@
   outstanding_ = true;
   outstanding_since_ = now;
   ++calls_;
-  return cursor_;
+  const bool lists_again = settles_at_ && now >= *settles_at_;
+  return lists_again ? 0 : cursor_;
 }
 
-bool service_watch::on_answer(base::revision service_revision, bool has_changes,
-                              base::time_point now) {
-  const bool went_back = service_revision < cursor_;
+answer_meaning service_watch::on_answer(const service_position& answered, bool has_changes,
+                                        base::time_point now) {
   outstanding_ = false;
-  cursor_ = service_revision;
   last_answer_ = now;
   backoff_ = std::min(retry_first, retry_longest_);
   next_try_ = has_changes ? now + rest_after_changes : now;
-  return went_back;
+  answer_meaning meaning;
+  meaning.is_outdated = answered.era && *answered.era < era_;
+  if (meaning.is_outdated) {
+    next_try_ = now + retry_first;
+    meaning.era = era_;
+    return meaning;
+  }
+  meaning.begins_era = knows_era_ && answered.era && *answered.era > era_;
+  meaning.went_back = !meaning.begins_era && answered.revision < cursor_;
+  if (answered.era) {
+    era_ = *answered.era;
+    knows_era_ = true;
+  }
+  meaning.era = era_;
+  cursor_ = answered.revision;
+  if (meaning.begins_era) {
+    settles_at_ = now + era_settle_time;
+    cursor_ = answered.is_listing ? answered.revision : 0;
+    next_try_ = now;
+  }
+  const bool settles = settles_at_ && now >= *settles_at_;
+  meaning.shows_deletions = answered.is_listing && (!settles_at_ || settles);
+  if (answered.is_listing && settles) {
+    settles_at_.reset();
+  }
+  return meaning;
 }
 
 void service_watch::on_failure(base::time_point now) {
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -10,6 +10,29 @@
 
 namespace spurrack::catalog {
 
+/// Where an answer of the service stands.
+struct service_position {
+  /// Nothing where the answer does not tell.
+  std::optional<base::store_era> era;
+  base::revision revision = 0;
+  /// The answer is a listing of everything.
+  bool is_listing = false;
+};
+
+/// What an answer means for what is known.
+struct answer_meaning {
+  /// The era in which its entries were written.
+  base::store_era era = 0;
+  /// It comes from an era before one that was heard of: nothing of it counts.
+  bool is_outdated = false;
+  /// The service came back from an older copy since the last answer.
+  bool begins_era = false;
+  /// Within one era, the service is behind what it said before.
+  bool went_back = false;
+  /// What a listing lacks is gone; not so in the first one of an era.
+  bool shows_deletions = false;
+};
+
 /// Not thread-safe.
 class service_watch {
  public:
@@ -23,6 +46,9 @@
   /// Rest after an answer that brought changes, so that a burst of them takes few calls. A change
   /// that comes after a quiet time is heard at once.
   static constexpr base::duration rest_after_changes = std::chrono::milliseconds(200);
+  /// After the first listing of a new era the service is listed once more: what was lost with the
+  /// old one is written again within about two seconds, and only what is missing then is gone.
+  static constexpr base::duration era_settle_time = std::chrono::milliseconds(3000);
 
   explicit service_watch(base::duration retry_longest = usual_retry_longest)
       : retry_longest_(retry_longest), backoff_(std::min(retry_first, retry_longest)) {}
@@ -30,11 +56,10 @@
   /// @return the revision after which to read, where a read is due now.
   std::optional<base::revision> next_read(bool holds_job, base::time_point now);
 
-  /// @param service_revision revision the service says it is at. Where it went back (a service
-  ///        restored from a backup), reading goes on from there; what is in force does not go back.
-  /// @param has_changes whether the answer brought any entry.
-  /// @return whether the service is behind what it said before.
-  bool on_answer(base::revision service_revision, bool has_changes, base::time_point now);
+  /// Takes note of an answer. In a new era the service is listed anew, whatever was asked: a watch
+  /// goes on at a revision that now belongs to something else.
+  answer_meaning on_answer(const service_position& answered, bool has_changes,
+                           base::time_point now);
   void on_failure(base::time_point now);
 
   [[nodiscard]] bool has_answered() const { return last_answer_.has_value(); }
@@ -44,6 +69,11 @@
  private:
   bool outstanding_ = false;
   base::revision cursor_ = 0;
+  base::store_era era_ = 0;
+  /// The era was told since the start of this process.
+  bool knows_era_ = false;
+  /// When the service is listed once more after the first listing of an era.
+  std::optional<base::time_point> settles_at_;
   base::time_point outstanding_since_;
   base::time_point next_try_;
   base::duration retry_longest_;
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -163,6 +163,16 @@
               static_cast<double>(lending.lent_thousandths) / serving::one_repeat);
 }
 
+void add_store(Registry& registry, const node::store_counters& store) {
+  add_count(registry, "spurrack_store_eras_total",
+            "Times a service was found to have come back from an older copy, by source.",
+            store.eras_begun);
+  add_count(registry, "spurrack_store_answers_outdated_total",
+            "Answers of an era before the one that is known, passed over.", store.answers_outdated);
+  add_count(registry, "spurrack_store_eras_unreadable_total",
+            "Answers that told an era which cannot be read.", store.eras_unreadable);
+}
+
 void add_quarantine(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
   const auto add = [&](const char* name, const char* help, std::uint64_t value) {
@@ -335,6 +345,7 @@
   add_counter(registry, "spurrack_control_sent_bytes_total", "Bytes sent to peers.",
               static_cast<double>(subject.control().bytes_sent));
   add_control_flows(registry, subject.control());
+  add_store(registry, subject.store());
   add_counter(registry, "spurrack_control_received_bytes_total", "Bytes received from peers.",
               static_cast<double>(subject.control().bytes_received));
   add_counter(registry, "spurrack_peer_messages_dropped_total",
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -38,6 +38,7 @@
   body["may_witness"] = subject.guard().may_witness(now);
   body["configuration_hash"] = std::to_string(content.content_hash());
   body["highest_revision"] = content.highest_revision();
+  body["store_era"] = content.era();
   body["configuration_age_ms"] =
       age_of(subject.watch(node::source_kind::configuration).last_answer(), now);
   body["machine_list_age_ms"] =
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -163,6 +163,8 @@
   base::zone_id zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  /// It was published no longer and is so again only since the store came back from an older copy.
+  bool may_be_gone = false;
   /// How much longer it stays cold, counted from its publication; 0 where it is warm.
   base::duration cold_for{};
   /// Nothing where the replica does not say.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -12,6 +12,7 @@
 #include "wire/outgoing.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -48,6 +49,10 @@
   source_kind source = source_kind::configuration;
   std::vector<wire::catalog_entry> entries;
   base::revision service_revision = 0;
+  /// How often the service came back from an older copy; nothing where it does not tell.
+  std::optional<base::store_era> era;
+  /// It told an era that cannot be read.
+  bool era_unreadable = false;
   /// The entries are everything the service held at that revision, not only what is newer.
   bool complete = false;
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -303,19 +303,25 @@
 
 void node::on(const service_answered& what, base::time_point now) {
   auto& watch = watches_[static_cast<std::size_t>(what.source)];
-  if (watch.on_answer(what.service_revision, !what.entries.empty(), now)) {
-    record(base::event_kind::service_behind, {}, "",
-           "service went back to revision " + std::to_string(what.service_revision));
+  const auto meaning =
+      watch.on_answer({what.era, what.service_revision, what.complete}, !what.entries.empty(), now);
+  note_era(what, meaning);
+  if (meaning.is_outdated) {
+    return;
   }
   auto entries = what.entries;
-  if (what.complete) {
+  for (auto& entry : entries) {
+    entry.set_era(meaning.era);
+  }
+  if (meaning.shows_deletions) {
     std::set<std::string> listed;
     for (const auto& entry : entries) {
       listed.insert(entry.key());
     }
+    const catalog::store_position at{meaning.era, what.service_revision};
     auto gone = what.source == source_kind::machine_list
-                    ? catalog_.deletions_of_unlisted_replicas(listed, what.service_revision)
-                    : catalog_.deletions_of_unlisted_evacuations(listed, what.service_revision);
+                    ? catalog_.deletions_of_unlisted_replicas(listed, at)
+                    : catalog_.deletions_of_unlisted_evacuations(listed, at);
     std::move(gone.begin(), gone.end(), std::back_inserter(entries));
   }
   replicator_.offer(entries, replication_peers(), outbox_);
@@ -324,6 +330,29 @@
   read_services(now);
 }
 
+void node::note_era(const service_answered& what, const catalog::answer_meaning& meaning) {
+  const std::string era = std::to_string(meaning.era);
+  if (what.era_unreadable) {
+    ++store_.eras_unreadable;
+    record(base::event_kind::service_era, {}, "", "unreadable, taken for " + era);
+  }
+  if (meaning.is_outdated) {
+    ++store_.answers_outdated;
+    record(base::event_kind::service_era, {}, std::to_string(*what.era),
+           "an answer of an era before " + era + ", passed over");
+  }
+  if (meaning.begins_era) {
+    ++store_.eras_begun;
+    record(base::event_kind::service_era, {}, era,
+           "the service came back from an older copy, now at revision " +
+               std::to_string(what.service_revision) + "; it is listed anew");
+  }
+  if (meaning.went_back) {
+    record(base::event_kind::service_behind, {}, "",
+           "service went back to revision " + std::to_string(what.service_revision));
+  }
+}
+
 void node::on(const service_failed& what, base::time_point now) {
   watches_[static_cast<std::size_t>(what.source)].on_failure(now);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -73,6 +73,14 @@
   std::uint64_t bytes_received = 0;
 };
 
+/// What answers of the services said of their era.
+struct store_counters {
+  /// Times a service came back from an older copy, each source counted.
+  std::uint64_t eras_begun = 0;
+  std::uint64_t answers_outdated = 0;
+  std::uint64_t eras_unreadable = 0;
+};
+
 /// Not thread-safe; one owner drives it.
 class node {
  public:
@@ -100,6 +108,7 @@
   [[nodiscard]] const admission::stage_scheduler& scheduler() const { return scheduler_; }
   [[nodiscard]] const base::event_log& events() const { return events_; }
   [[nodiscard]] const control_counters& control() const { return control_; }
+  [[nodiscard]] const store_counters& store() const { return store_; }
   /// Counts what the serving path holds of events that are not whole yet; nothing where the node
   /// serves no published routes.
   void set_budget(std::shared_ptr<flow::byte_budget> budget) {
@@ -130,6 +139,8 @@
   void on(const release_wanted& what, base::time_point now);
   void on(const serving::event& what, base::time_point now);
 
+  /// Reports what an answer says of the service's era.
+  void note_era(const service_answered& what, const catalog::answer_meaning& meaning);
   void detect_pause(base::time_point now);
   void begin_resync(base::time_point now);
   void check_resync(const wire::envelope& message, base::time_point now);
@@ -219,6 +230,7 @@
   base::time_point next_periodic_;
   std::uint64_t next_request_ = 1;
   control_counters control_;
+  store_counters store_;
   wire::outbox outbox_;
   command_list commands_;
 };
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -43,6 +43,9 @@
 /// was not longer ago than this: the list of replicas may lag behind by the time that its store was
 /// away.
 constexpr base::duration longest_list_lag = std::chrono::seconds(30);
+/// An entry that nobody writes any more lapses after three heartbeats of about 1.2 s; one that came
+/// back with an older copy of the store is passed over for that time.
+constexpr base::duration lapse_time = std::chrono::milliseconds(4'000);
 /// Half-life of what others reported of failures, as that of an own tally.
 constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
@@ -97,6 +100,9 @@
     }
     if (state.record != record) {
       turn_cold(state, record->cold_for, now);
+      if (record->may_be_gone) {
+        state.paused_until = std::max(state.paused_until, now + lapse_time);
+      }
     }
     state.record = record;
     by_service_[record->service].push_back(id);
--- a/tests/catalog/evacuation_entries_test.cc
+++ b/tests/catalog/evacuation_entries_test.cc
@@ -49,7 +49,7 @@
   content.apply(evacuation_entry("a", 3));
   content.apply(evacuation_entry("b", 4));
   content.apply(evacuation_entry("c", 9));
-  const auto gone = content.deletions_of_unlisted_evacuations({"evacuations/b"}, 8);
+  const auto gone = content.deletions_of_unlisted_evacuations({"evacuations/b"}, {0, 8});
   BOOST_REQUIRE(gone.size() == 1U);
   BOOST_TEST(gone.front().key() == "evacuations/a");
   BOOST_TEST(gone.front().deleted());
--- a/tests/catalog/replica_entries_test.cc
+++ b/tests/catalog/replica_entries_test.cc
@@ -130,11 +130,11 @@
   catalog::catalog content;
   content.apply(entry(1, "r1", good("r1")));
   content.apply(entry(2, "r1", malformed("r1")));
-  const auto gone = content.deletions_of_unlisted_replicas({}, 3);
+  const auto gone = content.deletions_of_unlisted_replicas({}, {0, 3});
   BOOST_TEST_REQUIRE(gone.size() == 1U);
   BOOST_CHECK(content.apply(gone.front()).verdict == apply_verdict::accepted);
   BOOST_TEST(content.rejections().empty());
-  BOOST_TEST(content.deletions_of_unlisted_replicas({}, 4).empty());
+  BOOST_TEST(content.deletions_of_unlisted_replicas({}, {0, 4}).empty());
   BOOST_TEST(!names(content, "r1"));
 }
 
--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -22,7 +22,7 @@
   for (; now < start + std::chrono::seconds(1); now += std::chrono::milliseconds(10)) {
     if (subject.next_read(true, now)) {
       ++calls;
-      subject.on_answer(++revision, true, now);
+      subject.on_answer({std::nullopt, ++revision, false}, true, now);
     }
   }
   BOOST_TEST(calls <= 6U);
@@ -31,7 +31,7 @@
 BOOST_AUTO_TEST_CASE(after_an_answer_without_changes_the_watch_goes_on_at_once) {
   service_watch subject;
   BOOST_TEST(subject.next_read(true, start).has_value());
-  subject.on_answer(7, false, start);
+  subject.on_answer({std::nullopt, 7, false}, false, start);
   const auto after = subject.next_read(true, start);
   BOOST_REQUIRE(after.has_value());
   BOOST_TEST(*after == 7U);
@@ -50,4 +50,60 @@
   BOOST_TEST(calls == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_era_is_listed_at_once_and_once_more_when_what_was_lost_is_back) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({1, 100, true}, true, now);
+  now += std::chrono::seconds(10);
+  BOOST_TEST((subject.next_read(true, now) == 100U));
+  const auto meaning = subject.on_answer({2, 90, false}, true, now);
+  BOOST_TEST(meaning.begins_era);
+  BOOST_TEST(!meaning.went_back);
+  BOOST_TEST((subject.next_read(true, now) == 0U));
+  BOOST_TEST(!subject.on_answer({2, 91, true}, true, now).shows_deletions);
+  now += std::chrono::seconds(1);
+  BOOST_TEST((subject.next_read(true, now) == 91U));
+  subject.on_answer({2, 92, false}, false, now);
+  now += std::chrono::seconds(3);
+  BOOST_TEST((subject.next_read(true, now) == 0U));
+  BOOST_TEST(subject.on_answer({2, 93, true}, true, now).shows_deletions);
+  now += std::chrono::seconds(1);
+  BOOST_TEST((subject.next_read(true, now) == 93U));
+}
+
+BOOST_AUTO_TEST_CASE(two_eras_in_a_row_each_begin_a_listing) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({1, 100, true}, true, now);
+  for (base::store_era era = 2; era <= 3; ++era) {
+    now += std::chrono::seconds(1);
+    subject.next_read(true, now);
+    BOOST_TEST(subject.on_answer({era, 80, false}, false, now).begins_era);
+    BOOST_TEST((subject.next_read(true, now) == 0U));
+    subject.on_answer({era, 80, true}, true, now);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(
+    an_answer_of_an_earlier_era_is_passed_over_and_one_that_tells_none_is_of_the_last) {
+  service_watch subject;
+  subject.next_read(true, start);
+  subject.on_answer({5, 100, true}, true, start);
+  const auto late = subject.on_answer({4, 200, false}, true, start);
+  BOOST_TEST(late.is_outdated);
+  const auto silent = subject.on_answer({std::nullopt, 101, false}, true, start);
+  BOOST_TEST(!silent.is_outdated);
+  BOOST_TEST(silent.era == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(the_first_era_that_is_heard_of_begins_nothing) {
+  service_watch subject;
+  subject.next_read(true, start);
+  const auto meaning = subject.on_answer({7, 100, true}, true, start);
+  BOOST_TEST(!meaning.begins_era);
+  BOOST_TEST(meaning.shows_deletions);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node/store_era_test.cc
@@ -0,0 +1,132 @@
+/// A node before a store that comes back from an older copy.
+#include "node/node.h"
+#include "serving_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace spurrack;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A node that reads the services itself, driven by hand.
+struct reading_node {
+  reading_node() : random(1), subject(settings(), random, now) {
+    catalog::catalog::bucket_set all;
+    all.set();
+    entries = world.content.entries_in(all);
+    answer(1, 100, true, entries);
+  }
+
+  static node::node_settings settings() {
+    node::node_settings wanted;
+    wanted.self = {base::node_id("n"), base::zone_id("a"), base::network_address("n:1"), 1, 1};
+    wanted.serving.emplace();
+    return wanted;
+  }
+
+  void answer(std::optional<base::store_era> era, base::revision revision, bool complete,
+              std::vector<wire::catalog_entry> content,
+              node::source_kind source = node::source_kind::machine_list) {
+    node::service_answered answered;
+    answered.source = source;
+    answered.entries = std::move(content);
+    answered.service_revision = revision;
+    answered.complete = complete;
+    answered.era = era;
+    happen(answered);
+  }
+
+  void happen(const node::event& what) {
+    auto wanted = subject.handle(what, now);
+    std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
+  }
+
+  void pass(base::duration span) {
+    for (const auto end = now + span; now < end;) {
+      now += milliseconds(50);
+      happen(node::time_passed{});
+    }
+  }
+
+  [[nodiscard]] std::optional<base::revision> latest_read(node::source_kind source) const {
+    std::optional<base::revision> latest;
+    for (const auto& command : commands) {
+      const auto* read = std::get_if<node::read_service>(&command);
+      if (read != nullptr && read->source == source) {
+        latest = read->after;
+      }
+    }
+    return latest;
+  }
+
+  [[nodiscard]] std::size_t events(base::event_kind kind) const {
+    const auto& all = subject.events().entries();
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [&](const base::event& one) { return one.kind == kind; }));
+  }
+
+  base::time_point now{std::chrono::hours(1)};
+  base::seeded_random random;
+  serving::published_world world;
+  std::vector<wire::catalog_entry> entries;
+  node::command_list commands;
+  node::node subject;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(node_store_era, reading_node)
+
+BOOST_AUTO_TEST_CASE(
+    a_new_era_is_listed_anew_and_replicas_that_it_lost_stay_until_they_are_missed_twice) {
+  pass(milliseconds(1500));
+  answer(2, 90, false, {});
+  BOOST_TEST((latest_read(node::source_kind::machine_list) == 0U));
+  BOOST_TEST(events(base::event_kind::service_era) == 1U);
+  // A listing that lacks all replicas, a moment after the store came back.
+  answer(2, 90, true, {});
+  BOOST_TEST(!subject.content().replicas().empty());
+  pass(seconds(4));
+  answer(2, 95, true, {});
+  BOOST_TEST(subject.content().replicas().empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_replicas_write_again_at_lower_revisions_is_taken) {
+  auto again = entries;
+  for (auto& entry : again) {
+    entry.set_revision(entry.revision() / 2 + 1);
+  }
+  answer(2, 60, true, again);
+  for (const auto& entry : again) {
+    BOOST_TEST(subject.content().revision_of(entry.key()) == entry.revision());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_of_the_earlier_era_changes_nothing) {
+  answer(2, 90, true, entries);
+  auto late = entries;
+  for (auto& entry : late) {
+    entry.set_revision(900);
+  }
+  answer(1, 900, true, late);
+  BOOST_TEST(subject.content().highest_revision() < 900U);
+  BOOST_TEST(subject.store().answers_outdated == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_era_that_is_missing_or_unreadable_is_taken_for_the_last) {
+  answer(std::nullopt, 101, false, {});
+  node::service_answered unreadable;
+  unreadable.source = node::source_kind::machine_list;
+  unreadable.service_revision = 102;
+  unreadable.era_unreadable = true;
+  happen(unreadable);
+  BOOST_TEST(subject.store().eras_unreadable == 1U);
+  BOOST_TEST(subject.store().eras_begun == 0U);
+  BOOST_TEST(!subject.content().replicas().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -23,6 +23,8 @@
 /// A replica that is good again gets work within this time under load.
 constexpr milliseconds return_patience{3'000};
 constexpr milliseconds poll_interval{20};
+/// Time between the return of the store and the writing of what it lost.
+constexpr milliseconds rollback_time{1'500};
 constexpr std::size_t habits = 3;
 
 } // namespace
@@ -41,6 +43,7 @@
     faults_.strike_until(soak_clock::now() + options_.fault_time);
     return_to_calm();
     check_calm();
+    check_store_rollback();
     crashing_request(fleet_, ledger_, random_).check();
     check_planned_work();
   }
@@ -111,6 +114,31 @@
   check_used_again(unreadable);
 }
 
+void soak_run::check_store_rollback() {
+  auto& leaving = any_replica_of("plain");
+  fleet_.store.take_copy();
+  fleet_.publish_configuration(false);
+  leaving.set_draining(true);
+  fleet_.publish(leaving);
+  std::this_thread::sleep_for(std::max(drain_bound, converge_bound));
+  check_key("extra", 401);
+  const auto bound = soak_clock::now();
+  fleet_.store.restore_copy();
+  std::this_thread::sleep_for(rollback_time);
+  check_key("extra", 401);
+  check_key("base", 200);
+  check_idle_since(leaving, bound, "DRAIN", "it was leaving before the store lost that");
+  for (const auto& replica : fleet_.replicas) {
+    fleet_.publish(*replica);
+  }
+  fleet_.publish_configuration(true);
+  std::this_thread::sleep_for(converge_bound);
+  check_key("extra", 200);
+  leaving.set_draining(false);
+  fleet_.publish(leaving);
+  check_used_again(leaving);
+}
+
 void soak_run::check_planned_work() {
   planned_work work(fleet_, ledger_, random_);
   for (std::size_t number = 0; number < options_.rolling_restarts; ++number) {
--- a/tests/platform_fleet/soak_run.h
+++ b/tests/platform_fleet/soak_run.h
@@ -39,6 +39,9 @@
   /// While nothing unplanned strikes: a replica drains, the entry of one cannot be read, a zone is
   /// evacuated, a key goes and comes back.
   void check_calm();
+  /// The store comes back from a copy taken before a key was taken away and a replica began to
+  /// drain; both stay as they were, and what is written again counts.
+  void check_store_rollback();
   void check_planned_work();
   void check_last_stops();
   void check_key(const std::string& key, unsigned expected);
--- a/tests/platform_fleet/soak_store.cc
+++ b/tests/platform_fleet/soak_store.cc
@@ -48,6 +48,20 @@
   changed_.notify_all();
 }
 
+void soak_store::take_copy() {
+  const std::lock_guard lock(mutex_);
+  copied_items_ = items_;
+  copied_revision_ = revision_;
+}
+
+void soak_store::restore_copy() {
+  const std::lock_guard lock(mutex_);
+  items_ = copied_items_;
+  revision_ = copied_revision_;
+  ++era_;
+  changed_.notify_all();
+}
+
 boost::json::array soak_store::items(const std::string& prefix, std::uint64_t after,
                                      bool with_gone) const {
   boost::json::array found;
@@ -91,10 +105,14 @@
         lock, std::min(longest_watch, milliseconds(number_in(query_value(target, "wait_ms")))),
         [&] { return !items(prefix, after, true).empty(); });
   }
+  const auto era = "Store-Era: " + std::to_string(era_) + "\r\n";
+  if (watch && after > revision_) {
+    return {http_message("410 Gone", era, "")};
+  }
   boost::json::object body{{"at", revision_}, {"more", false}};
   body[watch ? "events" : "items"] = items(prefix, after, watch);
-  return {
-      http_message("200 OK", "Content-Type: application/json\r\n", boost::json::serialize(body))};
+  return {http_message("200 OK", "Content-Type: application/json\r\n" + era,
+                       boost::json::serialize(body))};
 }
 
 } // namespace spurrack::platform_tests
--- a/tests/platform_fleet/soak_store.h
+++ b/tests/platform_fleet/soak_store.h
@@ -27,6 +27,10 @@
   [[nodiscard]] std::string address() const { return server_->address(); }
   void put(const std::string& key, const std::string& value);
   void remove(const std::string& key);
+  /// Keeps what the store holds now.
+  void take_copy();
+  /// Comes back from the copy: a new era, and revisions that are given out again.
+  void restore_copy();
 
  private:
   struct item {
@@ -41,6 +45,9 @@
   std::condition_variable changed_;
   std::map<std::string, item> items_;
   std::uint64_t revision_ = 1;
+  std::uint64_t era_ = 1;
+  std::map<std::string, item> copied_items_;
+  std::uint64_t copied_revision_ = 1;
   std::atomic<store_mode> mode_ = store_mode::normal;
   std::unique_ptr<scripted_server> server_;
 };
