A suspended machine: time asleep is not held against replicas

Cause: after a pause every call under way was past its time without progress before the answer that waits in its socket was read; its replica was reported silent to others, and repeats were spent on calls that had been answered. Ruled out: that anything is decided before the pause is noted (every event goes through detect_pause first, by the boot clock). Change: time limits of calls without progress, of pieces and of slow readers move by the length of the pause.

--- a/src/base/due_times.h
+++ b/src/base/due_times.h
@@ -33,6 +33,16 @@
     }
   }
 
+  /// Moves all times by a span.
+  void postpone_all(duration span) {
+    std::set<std::pair<time_point, key>> moved;
+    for (auto& [what, when] : times_) {
+      when += span;
+      moved.emplace(when, what);
+    }
+    ordered_ = std::move(moved);
+  }
+
   /// @return the earliest time; nothing where no key is held.
   [[nodiscard]] std::optional<time_point> next() const {
     return ordered_.empty() ? std::nullopt : std::optional(ordered_.begin()->first);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -83,8 +83,9 @@
   /// Takes in under which requests other nodes saw replicas end.
   void handle_peer(const base::network_address& address, const wire::crash_news& message,
                    base::time_point now);
-  /// This process was paused: others are asked what it missed.
-  void resume_after_pause(base::time_point now) { crash_news_.resume_after_pause(now); }
+  /// This process was paused, or its machine suspended, for `gap`: others are asked what it missed,
+  /// and the silence of replicas meanwhile says nothing of them.
+  void resume_after_pause(base::duration gap, base::time_point now);
   /// Lets a request go that is held back. @return whether anything spoke against it.
   bool release_request(const quarantine::request_digest& digest, base::time_point now);
   /// Gives up what is past its time and hands out what waits.
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -151,6 +151,21 @@
   return !replicas_.was_heard_after(request.call->replica, shown_at);
 }
 
+/// Answers wait in the sockets of a process that wakes. Without this every call under way is taken
+/// for stalled before its answer is read: its replica is reported silent, and repeats are spent.
+void dispatcher::resume_after_pause(base::duration gap, base::time_point now) {
+  for (auto& [client, request] : active_) {
+    if (request.call && request.call->stalls_at) {
+      *request.call->stalls_at += gap;
+    }
+    if (request.slow_reader_due) {
+      *request.slow_reader_due += gap;
+    }
+  }
+  stages_.resume_after_pause(gap);
+  crash_news_.resume_after_pause(now);
+}
+
 void dispatcher::on_stalled(active_request& request, base::time_point now) {
   const bool silent = is_silent(request);
   if (silent) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -167,15 +167,15 @@
   if (now - last_event_ <= settings_.pause_threshold) {
     return;
   }
-  const auto gap = base::to_milliseconds(now - last_event_);
+  const auto gap = now - last_event_;
   last_event_ = now;
   record(base::event_kind::node_resumed_after_pause, {}, settings_.self.node.text(),
-         std::to_string(gap) + " ms");
+         std::to_string(base::to_milliseconds(gap)) + " ms");
   membership_.resume_after_pause(now);
   executor_.set_hold(true);
   hold_until_ = now + settings_.resync_wait;
   if (serving_) {
-    serving_->resume_after_pause(now);
+    serving_->resume_after_pause(gap, now);
   }
   begin_resync(now);
 }
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -97,6 +97,9 @@
   /// and what it had made takes up no room.
   void on_restarted(const base::replica_id& replica, base::time_point now);
 
+  /// This process was paused for `gap`: calls under way are given that much more time.
+  void resume_after_pause(base::duration gap) { give_ups_.postpone_all(gap); }
+
   /// @return whether the call was one of the pool's.
   bool on_call_ended(const stage_call_ended& ended, base::time_point now);
 
