--- a/tests/node/planned_stop_test.cc
+++ b/tests/node/planned_stop_test.cc
@@ -1,7 +1,6 @@
 /// When a stopping node ends, and what it ends before: with requests that come until the last
 /// moment.
-#include "node/node.h"
-#include "serving_fixture.h"
+#include "driven_node.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,50 +13,21 @@
 
 namespace {
 
-/// A node that serves the published world, driven by hand.
-struct stopping_node {
+/// A node that is told how long its stop may last.
+struct stopping_node : driven_node {
   explicit stopping_node(base::duration stop_longest = milliseconds(7'300))
-      : random(1), subject(settings_with(stop_longest), random, now) {
-    serving::published_world world;
-    node::service_answered published;
-    catalog::catalog::bucket_set all;
-    all.set();
-    published.entries = world.content.entries_in(all);
-    published.service_revision = 100;
-    happen(published);
-  }
+      : driven_node(settings_with(stop_longest), milliseconds(10)) {}
 
   static node::node_settings settings_with(base::duration stop_longest) {
-    node::node_settings settings;
-    settings.self = {base::node_id("n"), base::zone_id("a"), base::network_address("n:1"), 1, 1};
-    settings.serving.emplace();
+    auto settings = usual_settings();
     settings.serving->stop_longest = stop_longest;
     settings.stop_linger = milliseconds(1'500);
     settings.stop_linger_longest = milliseconds(3'500);
     return settings;
   }
 
-  void happen(const node::event& what) {
-    auto wanted = subject.handle(what, now);
-    std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
-  }
-
-  void pass(base::duration span) {
-    for (const auto end = now + span; now < end;) {
-      now += milliseconds(10);
-      happen(node::time_passed{});
-    }
-  }
-
   base::call_id arrive(base::caller_id client, const std::string& path) {
-    auto content = std::make_shared<serving::request_content>();
-    content->method = "POST";
-    content->host = "h";
-    content->path = content->target = path;
-    content->id = base::request_id("r" + std::to_string(client));
-    content->api_key = "key";
-    content->time_allowed = seconds(60);
-    happen(serving::event(serving::request_arrived{client, content, now}));
+    driven_node::arrive(client, path, now, seconds(60));
     return all<serving::start_call>().empty() ? 0 : all<serving::start_call>().back().call;
   }
 
@@ -68,29 +38,11 @@
     happen(serving::event(serving::call_answered{call, head, "body"}));
   }
 
-  template <typename wanted>
-  std::vector<wanted> all() const {
-    std::vector<wanted> found;
-    for (const auto& command : commands) {
-      if (const auto* serving = std::get_if<serving::command>(&command)) {
-        if (const auto* one = std::get_if<wanted>(serving)) {
-          found.push_back(*one);
-        }
-      }
-    }
-    return found;
-  }
-
   bool has_stopped() const {
     return std::any_of(commands.begin(), commands.end(), [](const auto& command) {
       return std::holds_alternative<node::stop_completed>(command);
     });
   }
-
-  base::time_point now{std::chrono::hours(1)};
-  base::seeded_random random;
-  node::node subject;
-  node::command_list commands;
 };
 
 } // namespace
--- a/tests/node/store_era_test.cc
+++ b/tests/node/store_era_test.cc
@@ -1,6 +1,5 @@
 /// A node before a store that comes back from an older copy.
-#include "node/node.h"
-#include "serving_fixture.h"
+#include "driven_node.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,21 +11,9 @@
 
 namespace {
 
-/// A node that reads the services itself, driven by hand.
-struct reading_node {
-  reading_node() : random(1), subject(settings(), random, now) {
-    catalog::catalog::bucket_set all;
-    all.set();
-    entries = world.content.entries_in(all);
-    answer(1, 100, true, entries);
-  }
-
-  static node::node_settings settings() {
-    node::node_settings wanted;
-    wanted.self = {base::node_id("n"), base::zone_id("a"), base::network_address("n:1"), 1, 1};
-    wanted.serving.emplace();
-    return wanted;
-  }
+/// A node that reads the services itself.
+struct reading_node : driven_node {
+  reading_node() { answer(1, 100, true, entries); }
 
   void answer(std::optional<base::store_era> era, base::revision revision, bool complete,
               std::vector<wire::catalog_entry> content,
@@ -40,18 +27,6 @@
     happen(answered);
   }
 
-  void happen(const node::event& what) {
-    auto wanted = subject.handle(what, now);
-    std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
-  }
-
-  void pass(base::duration span) {
-    for (const auto end = now + span; now < end;) {
-      now += milliseconds(50);
-      happen(node::time_passed{});
-    }
-  }
-
   [[nodiscard]] std::optional<base::revision> latest_read(node::source_kind source) const {
     std::optional<base::revision> latest;
     for (const auto& command : commands) {
@@ -68,13 +43,6 @@
     return static_cast<std::size_t>(std::count_if(
         all.begin(), all.end(), [&](const base::event& one) { return one.kind == kind; }));
   }
-
-  base::time_point now{std::chrono::hours(1)};
-  base::seeded_random random;
-  serving::published_world world;
-  std::vector<wire::catalog_entry> entries;
-  node::command_list commands;
-  node::node subject;
 };
 
 } // namespace
--- a/tests/node/suspension_test.cc
+++ b/tests/node/suspension_test.cc
@@ -1,8 +1,7 @@
 /// A machine that is suspended: the steady clock, by which the event loop's timers go, stands,
 /// while the boot clock, by which all decisions go, counts on. So no timer fires when the machine
 /// wakes; whatever waits in a socket comes first, and is judged by a clock that has moved on.
-#include "node/node.h"
-#include "serving_fixture.h"
+#include "driven_node.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -16,53 +15,15 @@
 
 constexpr base::duration suspended_for = seconds(30);
 
-/// A node that serves the published world and has one request under way.
-struct suspended_node {
-  suspended_node() : random(1), subject(settings(), random, now) {
-    serving::published_world world;
-    node::service_answered published;
-    catalog::catalog::bucket_set all;
-    all.set();
-    published.entries = world.content.entries_in(all);
-    published.service_revision = 100;
-    happen(published);
+/// A node that has two requests under way.
+struct suspended_node : driven_node {
+  suspended_node() {
     pass(seconds(2));
     arrive(1, "/stream/", now, seconds(20));
     arrive(2, "/safe/", now, seconds(200));
     BOOST_REQUIRE(calls().size() == 2U);
   }
 
-  static node::node_settings settings() {
-    node::node_settings wanted;
-    wanted.self = {base::node_id("n"), base::zone_id("a"), base::network_address("n:1"), 1, 1};
-    wanted.serving.emplace();
-    return wanted;
-  }
-
-  void happen(const node::event& what) {
-    auto wanted = subject.handle(what, now);
-    std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
-  }
-
-  void pass(base::duration span) {
-    for (const auto end = now + span; now < end;) {
-      now += milliseconds(50);
-      happen(node::time_passed{});
-    }
-  }
-
-  void arrive(base::caller_id client, const std::string& path, base::time_point arrived_at,
-              base::duration allowed) {
-    auto content = std::make_shared<serving::request_content>();
-    content->method = "POST";
-    content->host = "h";
-    content->path = content->target = path;
-    content->id = base::request_id("r" + std::to_string(client));
-    content->api_key = "key";
-    content->time_allowed = allowed;
-    happen(serving::event(serving::request_arrived{client, content, arrived_at}));
-  }
-
   static serving::answer_head good_head() { return serving::dispatcher_driver::good_head(); }
 
   /// The machine sleeps; only the boot clock goes on.
@@ -71,18 +32,6 @@
     commands.clear();
   }
 
-  template <typename wanted>
-  [[nodiscard]] std::vector<wanted> all() const {
-    std::vector<wanted> found;
-    for (const auto& command : commands) {
-      if (const auto* serving = std::get_if<serving::command>(&command)) {
-        if (const auto* one = std::get_if<wanted>(serving)) {
-          found.push_back(*one);
-        }
-      }
-    }
-    return found;
-  }
   [[nodiscard]] std::vector<serving::start_call> calls() const {
     return all<serving::start_call>();
   }
@@ -103,11 +52,6 @@
     }
     return asked;
   }
-
-  base::time_point now{std::chrono::hours(1)};
-  base::seeded_random random;
-  node::command_list commands;
-  node::node subject;
 };
 
 } // namespace
