Eras from builds that tell none, eras that cannot be, one attempt that stalls

Found by reading the whole change: an entry of an older build had era 0 and was older than everything for newer nodes, so a zone whose two readers are old would have told its new nodes nothing; it is now taken for the receiver's era. A single answer with a huge era made every later one look outdated; one more than 1,000 ahead is passed over. A request that is sent once in a try asked others for repeats every 100 ms while its call showed nothing.

--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -47,6 +47,9 @@
   request_cleared,
 };
 
+inline constexpr std::size_t event_kind_count =
+    static_cast<std::size_t>(event_kind::request_cleared) + 1;
+
 /// @return the stable lower-case name of `kind`.
 std::string_view name_of(event_kind kind);
 
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -51,8 +51,8 @@
 using incarnation = std::uint64_t;
 /// Revision of a published record, counted by the service that published it.
 using revision = std::uint64_t;
-/// Counts how often the service that publishes came back from an older copy, after which it gives
-/// revisions out again.
+/// Counts from 1 how often the service that publishes came back from an older copy, after which it
+/// gives revisions out again; 0 where nobody tells.
 using store_era = std::uint64_t;
 
 } // namespace spurrack::base
--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -66,6 +66,11 @@
 apply_result catalog::apply(const wire::catalog_entry& entry) {
   auto& place = slots_[entry.key()];
   stored_entry offered{version_of(entry), entry};
+  if (offered.at.era == 0) {
+    // Of an older build, which may be all that reads the store in this zone: what it tells is news.
+    offered.at.era = highest_.era;
+    offered.entry.set_era(highest_.era);
+  }
   if (is_known(place, offered.at)) {
     return {apply_verdict::duplicate, {}};
   }
@@ -112,7 +117,9 @@
 catalog::any_record catalog::after_rollback(const slot& place, const version& offered,
                                             any_record value) {
   auto* replica = std::get_if<std::shared_ptr<const model::replica>>(&value);
-  if (replica == nullptr || !place.accepted || offered.era <= place.accepted->at.era) {
+  const bool rolls_back =
+      place.accepted && place.accepted->at.era > 0 && offered.era > place.accepted->at.era;
+  if (replica == nullptr || !rolls_back) {
     return value;
   }
   const auto& known = place.accepted->entry;
--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -26,17 +26,15 @@
   next_try_ = has_changes ? now + rest_after_changes : now;
   answer_meaning meaning;
   meaning.is_outdated = answered.era && *answered.era < era_;
-  if (meaning.is_outdated) {
+  meaning.is_implausible = answered.era && era_ > 0 && *answered.era > era_ + most_eras_missed;
+  if (meaning.is_outdated || meaning.is_implausible) {
     next_try_ = now + retry_first;
     meaning.era = era_;
     return meaning;
   }
-  meaning.begins_era = knows_era_ && answered.era && *answered.era > era_;
+  meaning.begins_era = era_ > 0 && answered.era && *answered.era > era_;
   meaning.went_back = !meaning.begins_era && answered.revision < cursor_;
-  if (answered.era) {
-    era_ = *answered.era;
-    knows_era_ = true;
-  }
+  era_ = answered.era.value_or(era_);
   meaning.era = era_;
   cursor_ = answered.revision;
   if (meaning.begins_era) {
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -12,7 +12,7 @@
 
 /// Where an answer of the service stands.
 struct service_position {
-  /// Nothing where the answer does not tell.
+  /// Nothing where the answer does not tell, or tells none that can be read.
   std::optional<base::store_era> era;
   base::revision revision = 0;
   /// The answer is a listing of everything.
@@ -21,8 +21,10 @@
 
 /// What an answer means for what is known.
 struct answer_meaning {
-  /// The era in which its entries were written.
+  /// The era in which its entries were written; 0 where it was never told.
   base::store_era era = 0;
+  /// It tells an era that cannot be: nothing of it counts.
+  bool is_implausible = false;
   /// It comes from an era before one that was heard of: nothing of it counts.
   bool is_outdated = false;
   /// The service came back from an older copy since the last answer.
@@ -49,6 +51,9 @@
   /// After the first listing of a new era the service is listed once more: what was lost with the
   /// old one is written again within about two seconds, and only what is missing then is gone.
   static constexpr base::duration era_settle_time = std::chrono::milliseconds(3000);
+  /// Eras rise by one; a node that was cut off for long may have missed some. An answer that is
+  /// farther ahead is malformed, and believing it would make every later one look outdated.
+  static constexpr base::store_era most_eras_missed = 1'000;
 
   explicit service_watch(base::duration retry_longest = usual_retry_longest)
       : retry_longest_(retry_longest), backoff_(std::min(retry_first, retry_longest)) {}
@@ -70,8 +75,6 @@
   bool outstanding_ = false;
   base::revision cursor_ = 0;
   base::store_era era_ = 0;
-  /// The era was told since the start of this process.
-  bool knows_era_ = false;
   /// When the service is listed once more after the first listing of an era.
   std::optional<base::time_point> settles_at_;
   base::time_point outstanding_since_;
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -193,9 +193,9 @@
 }
 
 void dispatcher::take_up_elsewhere(active_request& request, base::time_point now) {
-  // Without time for another attempt before a planned stop the silent one is still the best there
-  // is.
-  if (!has_time_before_stop(request, now) || choose_replica(request, now) == nullptr) {
+  // Without time for another attempt before a planned stop, and for a request that is sent once in
+  // a try, the silent one is still the best there is.
+  if (!can_be_sent_again(request, now) || choose_replica(request, now) == nullptr) {
     request.call->stalls_at = now + stall_check_period;
     return;
   }
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -49,7 +49,7 @@
   source_kind source = source_kind::configuration;
   std::vector<wire::catalog_entry> entries;
   base::revision service_revision = 0;
-  /// How often the service came back from an older copy; nothing where it does not tell.
+  /// Counts how often the service came back from an older copy; nothing where it does not tell.
   std::optional<base::store_era> era;
   /// It told an era that cannot be read.
   bool era_unreadable = false;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -306,7 +306,7 @@
   const auto meaning =
       watch.on_answer({what.era, what.service_revision, what.complete}, !what.entries.empty(), now);
   note_era(what, meaning);
-  if (meaning.is_outdated) {
+  if (meaning.is_outdated || meaning.is_implausible) {
     return;
   }
   auto entries = what.entries;
@@ -336,6 +336,11 @@
     ++store_.eras_unreadable;
     record(base::event_kind::service_era, {}, "", "unreadable, taken for " + era);
   }
+  if (meaning.is_implausible) {
+    ++store_.eras_unreadable;
+    record(base::event_kind::service_era, {}, std::to_string(*what.era),
+           "too far beyond " + era + " to be one, passed over");
+  }
   if (meaning.is_outdated) {
     ++store_.answers_outdated;
     record(base::event_kind::service_era, {}, std::to_string(*what.era),
--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -98,6 +98,15 @@
   BOOST_TEST(silent.era == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(an_era_that_is_far_ahead_is_not_believed) {
+  service_watch subject;
+  subject.next_read(true, start);
+  subject.on_answer({5, 100, true}, true, start);
+  BOOST_TEST(subject.on_answer({900'000'000, 100, true}, true, start).is_implausible);
+  const auto next = subject.on_answer({6, 90, false}, true, start);
+  BOOST_TEST(next.begins_era);
+}
+
 BOOST_AUTO_TEST_CASE(the_first_era_that_is_heard_of_begins_nothing) {
   service_watch subject;
   subject.next_read(true, start);
--- a/tests/catalog/store_era_test.cc
+++ b/tests/catalog/store_era_test.cc
@@ -147,6 +147,26 @@
   BOOST_TEST(content.replicas().empty());
 }
 
+BOOST_AUTO_TEST_CASE(what_an_older_build_tells_is_news_in_the_era_of_its_receiver) {
+  catalog::catalog content;
+  content.apply(entry(2, 100, replica_key, replica(false)));
+  BOOST_CHECK(content.apply(entry(0, 101, replica_key, replica(true))).verdict ==
+              apply_verdict::accepted);
+  BOOST_TEST(known_replica(content).draining);
+  BOOST_CHECK(content.apply(entry(2, 100, replica_key, replica(false))).verdict ==
+              apply_verdict::older);
+  BOOST_CHECK(content.apply(entry(3, 90, replica_key, replica(false, "10.0.0.2:80"))).verdict ==
+              apply_verdict::accepted);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_told_no_era_before_was_not_rolled_back) {
+  catalog::catalog content;
+  content.apply(entry(0, 100, replica_key, replica(false)));
+  content.apply(entry(0, 110, replica_key, ""));
+  content.apply(entry(1, 120, replica_key, replica(false)));
+  BOOST_TEST(!known_replica(content).may_be_gone);
+}
+
 BOOST_AUTO_TEST_CASE(the_hash_is_that_of_a_build_that_knows_no_era) {
   catalog::catalog with_era;
   catalog::catalog without;
