A reload that is asked for during the start no longer ends the process

Cause: SIGHUP has its usual effect until the runtime handles it. Change: held back from the first line of main, let through once it is handled. Conclusion: milliseconds of linking before main remain.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -8,7 +8,9 @@
 #include "store_client.h"
 
 #include <cxxopts.hpp>
+#include <pthread.h>
 
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -19,6 +21,15 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 3;
 
+/// Holds SIGHUP back or lets it come. Before the runtime handles it, it would end the process.
+/// @param how SIG_BLOCK or SIG_UNBLOCK.
+void mask_reload_signal(int how) {
+  sigset_t reload;
+  sigemptyset(&reload);
+  sigaddset(&reload, SIGHUP);
+  pthread_sigmask(how, &reload, nullptr);
+}
+
 /// @return the settings, or why there are none; no fault is given where the file cannot be read.
 spurrack::settings::settings_result read_settings(const std::string& path) {
   std::ifstream file(path);
@@ -58,6 +69,8 @@
         io, std::move(*settings),
         {spurrack::platform::make_http_codec(), spurrack::platform::make_store_client},
         [path] { return read_settings(path); });
+    // One that came meanwhile is handled now: the settings may have changed after they were read.
+    mask_reload_signal(SIG_UNBLOCK);
     io.run();
   } catch (const std::exception& error) {
     spurrack::logging::write(spurrack::logging::severity::error, "cannot go on",
@@ -84,5 +97,6 @@
 } // namespace
 
 int main(int argc, char** argv) {
+  mask_reload_signal(SIG_BLOCK);
   return spurrack::logging::guarded_main(run_program, argc, argv, exit_bad_settings);
 }
--- a/tests/platform_fleet/serving_process_test.cc
+++ b/tests/platform_fleet/serving_process_test.cc
@@ -237,6 +237,21 @@
   BOOST_TEST(daemon->process().running());
 }
 
+/// Seen: a process that was told to reload its settings a few milliseconds after it was started
+/// ended with that signal. A signal that comes before the process handles it waits; here the
+/// process inherits that it is held back, so that it surely comes before.
+BOOST_AUTO_TEST_CASE(a_reload_that_is_asked_for_during_the_start_is_done_after_it) {
+  sigset_t reload;
+  sigemptyset(&reload);
+  sigaddset(&reload, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &reload, nullptr);
+  const single_daemon started("early-reload", store.address(), "");
+  pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
+  started.process().signal(SIGHUP);
+  wait_for([&] { return started.log().find("settings reloaded") != std::string::npos; });
+  BOOST_TEST(started.process().running());
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_ends_what_is_under_way) {
   std::atomic<bool> reached = false;
   script_one = script_two = [&reached](const http_request& request) {
--- a/tests/platform_fleet/single_daemon.h
+++ b/tests/platform_fleet/single_daemon.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <thread>
@@ -57,6 +58,11 @@
   single_daemon& operator=(const single_daemon&) = delete;
 
   [[nodiscard]] fleet::child_process& process() const { return *process_; }
+  /// @return what the daemon has written so far.
+  [[nodiscard]] std::string log() const {
+    std::ifstream file(folder_ / "daemon.log");
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
   [[nodiscard]] std::string settings_path() const { return (folder_ / "node.yaml").string(); }
 
   const std::string clients = fleet::free_address();
