--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -118,7 +118,7 @@
   return change;
 }
 
-ledger_change crash_ledger::note_end(const request_digest& digest, end_sighting seen,
+ledger_change crash_ledger::note_end(const request_digest& digest, const end_sighting& seen,
                                      base::time_point now) {
   return add(record_of(digest), {seen}, now);
 }
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -76,7 +76,8 @@
   [[nodiscard]] const serving::quarantine_limits& limits() const { return limits_; }
 
   /// A replica ended while it ran a request.
-  ledger_change note_end(const request_digest& digest, end_sighting seen, base::time_point now);
+  ledger_change note_end(const request_digest& digest, const end_sighting& seen,
+                         base::time_point now);
   /// A run of the request ended without its replica. @return whether anything spoke against it.
   bool note_survived(const request_digest& digest, base::time_point now);
   /// An operator lets a request go. @return whether anything spoke against it.
--- a/tests/quarantine/crash_ledger_test.cc
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -32,7 +32,7 @@
   }
 }
 
-crash_record record_of(unsigned request, std::vector<replica_end> ends) {
+crash_record record_of(unsigned request, const std::vector<replica_end>& ends) {
   crash_record record;
   record.digest = digest(request);
   for (const auto end : ends) {
