--- a/tests/wire/older_builds_test.cc
+++ b/tests/wire/older_builds_test.cc
@@ -134,6 +134,7 @@
 std::vector<std::string> bodies_of(const protobuf::Message& envelope) {
   std::vector<std::string> names;
   const auto* body = envelope.GetDescriptor()->FindOneofByName("body");
+  names.reserve(static_cast<std::size_t>(body->field_count()));
   for (int number = 0; number < body->field_count(); ++number) {
     names.push_back(body->field(number)->name());
   }
