A life that seemed over once may end later

Cause: a replica that was heard in the life that had seemed over was kept as alive for ten minutes, so that its real end was laid to no request. Change: what was heard refutes only sightings before it. Test: a_life_that_seemed_over_once_may_end_later, failing before (0 ends counted instead of 1).

--- a/src/quarantine/crash_ledger.cc
+++ b/src/quarantine/crash_ledger.cc
@@ -27,6 +27,15 @@
 /// Ends that are remembered beside the records; a bound on memory, 30 a second for 30 s.
 constexpr std::size_t most_indexed_ends = 1024;
 
+/// Lives that were taken for over and were heard since, and when.
+using heard_lives = std::map<replica_end, base::time_point>;
+
+/// @return whether the life was heard after it seemed to end. It may end later all the same.
+bool was_heard_since(const heard_lives& alive, const end_sighting& seen) {
+  const auto found = alive.find(seen.end);
+  return found != alive.end() && seen.at <= found->second;
+}
+
 bool knows(const crash_record& record, replica_end end) {
   return std::any_of(record.ends.begin(), record.ends.end(),
                      [&](const end_sighting& known) { return known.end == end; });
@@ -73,7 +82,7 @@
 void crash_ledger::merge_ends(const std::vector<end_sighting>& told, base::time_point now) {
   for (const auto& one : told) {
     const bool is_recent = now - one.at < comparison_time;
-    if (is_recent && !alive_.contains(one.end) && ends_.size() < most_indexed_ends) {
+    if (is_recent && !was_heard_since(alive_, one) && ends_.size() < most_indexed_ends) {
       ends_.try_emplace(one.end, one.at);
     }
   }
@@ -100,7 +109,7 @@
   for (const auto& one : seen) {
     const bool is_refuted = record.survived_at && one.at <= *record.survived_at;
     change.is_refuted = change.is_refuted && is_refuted;
-    if (is_refuted || knows(record, one.end) || alive_.contains(one.end)) {
+    if (is_refuted || knows(record, one.end) || was_heard_since(alive_, one)) {
       continue;
     }
     if (record.ends.size() == most_ends) {
--- a/tests/quarantine/crash_ledger_test.cc
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -138,6 +138,19 @@
   BOOST_TEST(ledger.ends_of(digest(1)) == 3U);
 }
 
+/// Seen: a replica was published no longer for a while and heard again in the same life; when it
+/// did end later, nothing was laid to any request, and a sixth replica ended under a guilty one.
+BOOST_AUTO_TEST_CASE(a_life_that_seemed_over_once_may_end_later) {
+  crash_ledger ledger;
+  note(ledger, 1, {1, 2, 3});
+  ledger.withdraw(3, start + seconds(10));
+  const base::time_point later = start + seconds(20);
+  ledger.note_end(digest(2), {3, later}, later);
+  BOOST_TEST(ledger.ends_of(digest(2)) == 1U);
+  ledger.merge_ends({{3, later}}, later);
+  BOOST_TEST(ledger.latest_ends(8, later).front().end == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(it_is_held_back_for_as_long_as_it_comes_and_tried_once_after) {
   crash_ledger ledger;
   note(ledger, 1, {1, 2, 3, 4});
