--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -57,7 +57,7 @@
   /// replica for other reasons, chance does the same to one harmless request in 1,300; three ends
   /// would hold back one in 200.
   std::size_t quarantine = 4;
-  /// The same where as many replicas or more end without it: chance does that to one in 8,000.
+  /// The same where half as many replicas or more end without it: chance does that to one in 8,000.
   std::size_t quarantine_among_many = 5;
 };
 
