Sight: what a replica names as its limit is decoded, logged and counted

Which answers carried a limit could not be seen: the header reached no typed field. The codec reads it (a decimal number, once, 0 to 1,000,000; anything else is unreadable and the limit before stands), each change of what a node heard from a replica is one log line, unreadable ones are counted and logged once a replica and minute. The header is not passed on to clients, as the load that replicas tell is not.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -37,7 +37,8 @@
                                                                "client_slow",
                                                                "request_crashed_replica",
                                                                "request_quarantined",
-                                                               "request_cleared"};
+                                                               "request_cleared",
+                                                               "replica_limit"};
 
 static_assert(!names.back().empty(), "a kind of event has no name");
 
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -238,6 +238,9 @@
   add_planned_stop(registry, counts);
   add_second_chances(registry, dispatcher);
   add_quarantine(registry, dispatcher);
+  add("spurrack_limits_unreadable_total",
+      "Answers that named a limit of their replica which cannot be read.",
+      counts.limits_unreadable);
   add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
   add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
   add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -18,6 +18,7 @@
 #include "quarantine/crash_news.h"
 #include "quarantine/crash_watch.h"
 #include "quarantine/request_digest.h"
+#include "rate_limits/limit_book.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
 #include "replicas/replica_table.h"
@@ -285,7 +286,12 @@
   /// Ends the account of the open call. @return the call.
   open_call close_call(active_request& request);
   /// Takes in what an answer says of its replica.
-  void note_state(const base::replica_id& replica, const answer_head& head, base::time_point now);
+  /// @param call_began when the call that it answers was made.
+  void note_state(const base::replica_id& replica, const answer_head& head,
+                  base::time_point call_began, base::time_point now);
+  /// Takes in what an answer says of the requests that its replica takes.
+  void note_limit(const base::replica_id& replica, const named_limit& limit,
+                  base::time_point call_began, base::time_point now);
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// After an attempt that may have run: once more where that is allowed, else the final answer.
   void repeat_or_fail(active_request& request, base::time_point now);
@@ -408,6 +414,9 @@
   retry_share retries_;
   retry_lending lending_;
   replica_news news_;
+  rate_limits::limit_book limits_;
+  /// Replicas whose limit could not be read, and when that was logged last.
+  std::map<base::replica_id, base::time_point> unreadable_limits_;
   quarantine::crash_watch crash_watch_;
   quarantine::crash_ledger crash_ledger_;
   quarantine::crash_news crash_news_;
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -73,6 +73,8 @@
   std::uint64_t quarantines = 0;
   /// Requests against which nothing speaks any more, since a run of them ended well.
   std::uint64_t requests_cleared = 0;
+  /// Answers that named a limit of their replica which cannot be read.
+  std::uint64_t limits_unreadable = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -125,6 +125,8 @@
   std::vector<piece_outcome> pieces;
   std::optional<replica_load> load;
   bool closing = false;
+  /// Nothing where no answer came.
+  std::optional<named_limit> limit = std::nullopt;
 };
 
 /// What came of asking a replica for a connection.
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -68,6 +68,14 @@
   std::uint32_t slots = 0;
 };
 
+/// What an answer says of the requests that its replica takes from all nodes together.
+struct named_limit {
+  /// Requests a second; nothing where it names no limit.
+  std::optional<double> per_second;
+  /// It names a limit that cannot be read; what it named before stands.
+  bool unreadable = false;
+};
+
 /// What a replica's answer says, besides its bytes.
 struct answer_head {
   unsigned status = 0;
@@ -86,6 +94,7 @@
   std::optional<replica_load> load;
   /// The replica tells a load that cannot be read; what it told before stands, with its age.
   bool load_unreadable = false;
+  named_limit limit;
   /// How much longer the replica stays cold; 0 where it does not say.
   base::duration cold_for{};
 };
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -547,6 +547,9 @@
     } else {
       ended.load = answer->head.load;
       ended.closing = answer->head.closing;
+      if (!answer->head.misdirected) {
+        ended.limit = answer->head.limit;
+      }
       ended.how = result::failed;
       if (answer->head.misdirected) {
         ended.how = result::misdirected;
--- a/tests/platform/http_codec_test.cc
+++ b/tests/platform/http_codec_test.cc
@@ -183,6 +183,31 @@
   BOOST_TEST(!silent.load_unreadable);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_names_what_its_replica_takes) {
+  const auto codec = platform::make_http_codec();
+  const auto named = [&](const std::string& text) {
+    return codec->read_answer({200, {{"Server-Limit", text}}}).limit;
+  };
+  for (const auto& [text, value] : std::vector<std::pair<std::string, double>>{
+           {"0", 0}, {"0.2", 0.2}, {"1", 1}, {" 3.5 ", 3.5}, {"1000", 1000}}) {
+    BOOST_TEST(named(text).per_second.value_or(-1) == value, text);
+    BOOST_TEST(!named(text).unreadable, text);
+  }
+  for (const std::string text :
+       {"", " ", "few", "-1", "nan", "inf", "-inf", "1e300", "1,2", "1 2", "0x10"}) {
+    BOOST_TEST(!named(text).per_second, text);
+    BOOST_TEST(named(text).unreadable, text);
+  }
+  const auto twice = codec->read_answer({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}});
+  BOOST_TEST(twice.limit.unreadable);
+  const auto silent = codec->read_answer({200, {}});
+  BOOST_TEST(!silent.limit.unreadable);
+  BOOST_TEST(!silent.limit.per_second);
+  const auto head = codec->read_answer({200, {{"Server-Limit", "1"}, {"A", "b"}}});
+  BOOST_TEST(value_of(head.headers, "Server-Limit").empty());
+  BOOST_TEST(value_of(head.headers, "A") == "b");
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_says_how_long_its_replica_stays_cold) {
   const auto codec = platform::make_http_codec();
   const auto cold_for = [&](const std::string& text) {
