--- /dev/null
+++ b/tests/rate_limits/limited_fleet.h
@@ -0,0 +1,395 @@
+/// A fleet of dispatchers before replicas of which some name how many requests a second they take,
+/// in virtual time. What reaches each replica is counted as the replica sees it: by all nodes, and
+/// by those that had passed on an answer that named the limit.
+#pragma once
+
+#include "serving_fixture.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace spurrack::rate_limits {
+
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How a fleet is drawn.
+struct limited_fleet_settings {
+  std::uint64_t seed = 1;
+  std::size_t nodes = 6;
+  std::size_t zones = 2;
+  unsigned replicas = 12;
+  /// Time of a message between two nodes.
+  base::duration message_time = milliseconds(2);
+  /// Virtual time passes in steps of this length.
+  base::duration step = milliseconds(1);
+};
+
+/// What became of the requests of a span.
+struct request_counts {
+  std::size_t asked = 0;
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  std::size_t failed = 0;
+};
+
+struct limited_fleet {
+  /// A request reached a replica.
+  struct arrival {
+    base::time_point at;
+    std::size_t node = 0;
+    /// Its node had passed on an answer that named the limit half a second before or earlier.
+    bool is_told = false;
+  };
+  struct emulated_replica {
+    base::replica_id id;
+    std::string address;
+    std::uint64_t life = 1;
+    std::optional<double> limit;
+    /// When it named a limit first in this life.
+    std::optional<base::time_point> named_at;
+    std::vector<arrival> arrivals;
+    /// When each node first passed on an answer that named the limit.
+    std::map<std::size_t, base::time_point> told;
+  };
+  struct emulated_node {
+    std::unique_ptr<base::seeded_random> random;
+    std::unique_ptr<dispatcher> subject;
+    base::incarnation life = 0;
+    std::map<base::call_id, base::caller_id> calls;
+    base::time_point wakes_at;
+    bool is_frozen = false;
+    std::uint64_t messages = 0;
+    std::uint64_t message_bytes = 0;
+  };
+
+  explicit limited_fleet(const limited_fleet_settings& wanted = {})
+      : settings(wanted), random(wanted.seed) {
+    for (const std::string id : {"llm-a", "llm-b", "pool-a", "pool-b", "plain-a", "plain-b"}) {
+      world.remove_replica(id);
+    }
+    for (unsigned index = 0; index < settings.replicas; ++index) {
+      replicas.push_back({});
+      auto& replica = replicas.back();
+      replica.id = base::replica_id("plain-" + std::to_string(index));
+      replica.address = "10.1.0." + std::to_string(index + 1) + ":80";
+      publish(index);
+    }
+    nodes.resize(settings.nodes);
+    for (std::size_t index = 0; index < settings.nodes; ++index) {
+      start_node(index);
+    }
+  }
+
+  [[nodiscard]] fleet_peer peer_number(std::size_t index) const {
+    const auto name = "n" + std::to_string(index);
+    const std::string zone(1, static_cast<char>('a' + index % settings.zones));
+    return {base::node_id(name), base::zone_id(zone), base::network_address(name + ":1"), 1};
+  }
+
+  void publish(unsigned index) {
+    const auto& replica = replicas[index];
+    const std::string zone(1, static_cast<char>('a' + index % settings.zones));
+    world.add_life(replica.id.text(), "plain", zone, replica.address, 1000 + replica.life);
+  }
+
+  /// A replica starts again under its id and names nothing.
+  void restart_replica(unsigned index) {
+    auto& replica = replicas[index];
+    ++replica.life;
+    replica.limit.reset();
+    replica.named_at.reset();
+    replica.told.clear();
+    publish(index);
+    for (auto& node : nodes) {
+      node.subject->update(world.content, now);
+      node.wakes_at = now;
+    }
+  }
+
+  /// Begins a new life of a node, which knows nothing.
+  void start_node(std::size_t index) {
+    auto& node = nodes[index];
+    ++node.life;
+    counts.failed += std::exchange(node.calls, {}).size();
+    node.random =
+        std::make_unique<base::seeded_random>(settings.seed * 1000 + index * 10 + node.life);
+    serving_settings limits;
+    limits.retry = {0.2, 40, seconds(10)};
+    const auto life = static_cast<base::incarnation>(now.time_since_epoch().count());
+    node.subject = std::make_unique<dispatcher>(peer_number(index), limits, *node.random, life,
+                                                [](auto, const auto&, const auto&, const auto&) {});
+    node.subject->update(world.content, now);
+    node.wakes_at = now;
+    for (auto& replica : replicas) {
+      replica.told.erase(index);
+    }
+    for (std::size_t other = 0; other < nodes.size(); ++other) {
+      update_peers(other);
+    }
+  }
+
+  /// Each node sees those of its own part of the fleet; the others are known and taken for dead.
+  void divide(std::function<std::size_t(std::size_t)> part) {
+    part_of = std::move(part);
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+      update_peers(index);
+    }
+  }
+
+  void update_peers(std::size_t index) {
+    if (!nodes[index].subject) {
+      return;
+    }
+    std::vector<fleet_peer> others;
+    for (std::size_t other = 0; other < nodes.size(); ++other) {
+      if (other != index && nodes[other].subject && part_of(other) == part_of(index)) {
+        others.push_back(peer_number(other));
+      }
+    }
+    nodes[index].subject->set_peers(std::move(others), nodes.size() - 1);
+    nodes[index].wakes_at = now;
+  }
+
+  void set_limit(unsigned index, std::optional<double> per_second) {
+    auto& replica = replicas[index];
+    replica.limit = per_second;
+    if (per_second && !replica.named_at) {
+      replica.named_at = now;
+    }
+  }
+
+  /// Has requests arrive at nodes that `choose_node` names, on average so many a second.
+  void load(double per_second, base::duration span,
+            const std::function<std::size_t()>& choose_node) {
+    const auto end = now + span;
+    double due = 0;
+    while (now < end) {
+      due += per_second * base::to_seconds(settings.step) * 2 * random.unit();
+      for (; due >= 1; due -= 1) {
+        arrive(choose_node());
+      }
+      step();
+    }
+  }
+  void load(double per_second, base::duration span) {
+    load(per_second, span, [this] { return random.below(nodes.size()); });
+  }
+
+  void arrive(std::size_t index) {
+    auto& node = nodes[index];
+    auto content = std::make_shared<request_content>();
+    content->method = "POST";
+    content->host = "h";
+    content->path = content->target = "/safe/";
+    content->id = base::request_id("r" + std::to_string(++requests));
+    content->api_key = "key";
+    content->time_allowed = seconds(5);
+    ++counts.asked;
+    if (node.is_frozen) {
+      held_back[index].push_back([this, index, content, client = requests] {
+        nodes[index].subject->handle(request_arrived{client, content, now}, now);
+      });
+      return;
+    }
+    node.subject->handle(request_arrived{requests, content, now}, now);
+    node.wakes_at = now;
+  }
+
+  void run(base::duration span) {
+    const auto end = now + span;
+    while (now < end) {
+      step();
+    }
+  }
+
+  void step() {
+    now += settings.step;
+    while (!due.empty() && due.begin()->first <= now) {
+      const auto what = std::move(due.begin()->second);
+      due.erase(due.begin());
+      what();
+    }
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+      if (!nodes[index].is_frozen && nodes[index].wakes_at <= now) {
+        advance(index);
+      }
+    }
+  }
+
+  /// A node does nothing until it wakes; what reaches it meanwhile waits.
+  void freeze(std::size_t index) { nodes[index].is_frozen = true; }
+  void wake(std::size_t index, base::duration gap) {
+    auto& node = nodes[index];
+    node.is_frozen = false;
+    node.subject->resume_after_pause(gap, now);
+    for (const auto& what : std::exchange(held_back[index], {})) {
+      what();
+    }
+    node.wakes_at = now;
+  }
+
+  /// @return the most requests in any span of `length` that ends after `since`, of nodes that were
+  ///         told, or of all.
+  [[nodiscard]] std::size_t most_within(unsigned index, base::duration length,
+                                        base::time_point since, bool only_told) const {
+    std::vector<base::time_point> times;
+    for (const auto& one : replicas[index].arrivals) {
+      if (one.is_told || !only_told) {
+        times.push_back(one.at);
+      }
+    }
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+      while (times[last] - times[first] >= length) {
+        ++first;
+      }
+      if (times[last] >= since) {
+        most = std::max(most, last - first + 1);
+      }
+    }
+    return most;
+  }
+
+  [[nodiscard]] std::size_t arrived_since(unsigned index, base::time_point since) const {
+    const auto& all = replicas[index].arrivals;
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [&](const auto& one) { return one.at >= since; }));
+  }
+
+  limited_fleet_settings settings;
+  published_world world;
+  base::seeded_random random;
+  base::time_point now{std::chrono::hours(1)};
+  std::vector<emulated_replica> replicas;
+  std::vector<emulated_node> nodes;
+  request_counts counts;
+  std::function<std::size_t(std::size_t)> part_of = [](std::size_t) { return 0; };
+  /// Times between the arrival of a request and its answer.
+  std::vector<base::duration> answer_times;
+
+ private:
+  void later(base::duration span, std::function<void()> what) {
+    due.emplace(now + span, std::move(what));
+  }
+
+  void advance(std::size_t index) {
+    auto& node = nodes[index];
+    node.subject->advance(now);
+    for (auto& command : node.subject->take_commands()) {
+      std::visit([&](const auto& wanted) { carry_out(index, wanted); }, command);
+    }
+    for (auto& message : node.subject->take_messages()) {
+      ++node.messages;
+      node.message_bytes += message.message.ByteSizeLong();
+      later(settings.message_time, [this, index, message] { deliver(index, message); });
+    }
+    const auto next = node.subject->next_wakeup(now);
+    node.wakes_at =
+        next ? std::max<base::time_point>(*next, now + settings.step) : now + milliseconds(100);
+  }
+
+  template <typename other_command>
+  void carry_out(std::size_t /*node*/, const other_command& /*wanted*/) {}
+
+  void carry_out(std::size_t index, const start_call& wanted) {
+    const auto life = nodes[index].life;
+    nodes[index].calls[wanted.call] = 0;
+    later(milliseconds(1), [this, index, life, wanted] {
+      if (nodes[index].life == life) {
+        reach(index, wanted);
+      }
+    });
+  }
+
+  void carry_out(std::size_t index, const cancel_call& wanted) {
+    nodes[index].calls.erase(wanted.call);
+  }
+
+  void carry_out(std::size_t /*node*/, const respond& answer) {
+    if (answer.status == 200) {
+      ++counts.served;
+    } else if (answer.status == 503) {
+      ++counts.refused;
+    } else {
+      ++counts.failed;
+    }
+  }
+
+  void reach(std::size_t index, const start_call& wanted) {
+    const auto found = std::find_if(replicas.begin(), replicas.end(), [&](const auto& replica) {
+      return replica.id == wanted.target.replica;
+    });
+    auto& replica = *found;
+    const auto told = replica.told.find(index);
+    const bool is_told = told != replica.told.end() && now - told->second >= milliseconds(500);
+    replica.arrivals.push_back({now, index, is_told});
+    const auto place = static_cast<std::size_t>(found - replicas.begin());
+    const auto life = nodes[index].life;
+    later(milliseconds(20 + random.below(60)), [this, index, life, place, call = wanted.call] {
+      answer_call(index, life, place, call);
+    });
+  }
+
+  void answer_call(std::size_t index, base::incarnation life, std::size_t place,
+                   base::call_id call) {
+    auto& replica = replicas[place];
+    auto head = dispatcher_driver::good_head();
+    head.limit.per_second = replica.limit;
+    const auto take = [this, index, life, place, call, head] {
+      auto& node = nodes[index];
+      if (node.life != life || !node.calls.contains(call)) {
+        return;
+      }
+      node.calls.erase(call);
+      if (head.limit.per_second) {
+        replicas[place].told.try_emplace(index, now);
+      }
+      node.subject->handle(call_answered{call, head, "body"}, now);
+      node.wakes_at = now;
+    };
+    if (nodes[index].is_frozen) {
+      held_back[index].push_back(take);
+    } else {
+      take();
+    }
+  }
+
+  void deliver(std::size_t from, const wire::outgoing& sent) {
+    for (std::size_t index = 0; index < nodes.size(); ++index) {
+      if (peer_number(index).address != sent.to || part_of(from) != part_of(index)) {
+        continue;
+      }
+      const auto take = [this, index, from, sent] {
+        hand_over(*nodes[index].subject, peer_number(from), sent.message);
+        nodes[index].wakes_at = now;
+      };
+      if (nodes[index].is_frozen) {
+        held_back[index].push_back(take);
+      } else {
+        take();
+      }
+    }
+  }
+
+  void hand_over(dispatcher& receiver, const fleet_peer& sender, const wire::envelope& message) {
+    if (message.has_replica_news()) {
+      receiver.handle_peer(sender.node, message.replica_news(), now);
+    } else if (message.has_retry_lending()) {
+      receiver.handle_peer(sender.node, sender.address, message.retry_lending(), now);
+    }
+  }
+
+  std::multimap<base::time_point, std::function<void()>> due;
+  std::map<std::size_t, std::vector<std::function<void()>>> held_back;
+  base::caller_id requests = 0;
+};
+
+} // namespace spurrack::rate_limits
