A replica gets no more from all nodes together than it names

Callers saw two loaded replicas slow down further: what a replica names in its answers as the requests a second that it takes reached no decision, and each node would have counted for itself.

What a replica names is merged over nodes by version (limit_book) and passed on from node to node; one node a replica issues permits at that pace (permit_issuer), every send takes one (replica_table::call_started asks and books for first sends, repeats, resumed streams, stage calls and results that are freed); requests that no replica may be sent wait in the order of their urgency, or are refused at once where no permit comes in their time.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -201,6 +201,34 @@
             static_cast<double>(dispatcher.crashes().all().size()));
 }
 
+void add_limits(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.limits().counts();
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
+  add("spurrack_limits_unreadable_total",
+      "Answers that named a limit of their replica which cannot be read.", counts.unreadable);
+  add("spurrack_limit_messages_total", "Messages to other nodes on limited replicas.",
+      counts.messages);
+  add("spurrack_limit_news_other_lives_total",
+      "News of other nodes on another life of a limited replica, passed over.",
+      counts.of_other_lives);
+  add("spurrack_permits_issued_total", "Permits for limited replicas that this node issued.",
+      counts.permits_issued);
+  add("spurrack_permits_received_total", "Permits for limited replicas that this node got.",
+      counts.permits_received);
+  add("spurrack_permits_void_total", "Permits that came too late to be of use.",
+      counts.permits_void);
+  add("spurrack_permit_waits_total", "Requests that waited for a permit.",
+      dispatcher.counts().awaited_permits);
+  add("spurrack_permit_refusals_total",
+      "Requests refused since no permit could come in their time.",
+      dispatcher.counts().refused_without_permit);
+  add_gauge(registry, "spurrack_limited_replicas",
+            "Replicas that name how many requests a second they take.",
+            static_cast<double>(dispatcher.limits().limited()));
+}
+
 void add_engines(Registry& registry, const serving::engine_directory_counts& engines) {
   const auto add = [&](const char* name, const char* help, std::uint64_t value) {
     add_count(registry, name, help, value);
@@ -238,9 +266,7 @@
   add_planned_stop(registry, counts);
   add_second_chances(registry, dispatcher);
   add_quarantine(registry, dispatcher);
-  add("spurrack_limits_unreadable_total",
-      "Answers that named a limit of their replica which cannot be read.",
-      counts.limits_unreadable);
+  add_limits(registry, dispatcher);
   add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
   add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
   add("spurrack_streams_resumed_total", "Streams that went on at another replica.",
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -67,7 +67,11 @@
                        base::random_source& random, base::incarnation life,
                        decision_recorder record)
     : self_(self), settings_(settings), record_(std::move(record)), random_(&random),
-      from_here_(self.zone, settings.regions), replicas_(self.node, self.zone, settings, random),
+      from_here_(self.zone, settings.regions),
+      limits_(
+          self, [this](const base::replica_id& id) { return published_for_limits(id); }, random,
+          life),
+      replicas_(self.node, self.zone, settings, random),
       plain_replicas_(replicas_, from_here_, random), directory_(self, settings.regions, replicas_),
       engines_(replicas_, directory_, from_here_, plain_replicas_), retries_(settings.retry),
       lending_(retries_, self.zone, random, life),
@@ -75,7 +79,9 @@
       crash_news_(crash_ledger_, self.node, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, life, record_),
-      stop_(settings.stop_takes) {}
+      stop_(settings.stop_takes) {
+  replicas_.set_limits(limits_);
+}
 
 void dispatcher::set_peers(std::vector<fleet_peer> alive, std::size_t known) {
   retries_.set_fleet_size(known + 1);
@@ -89,6 +95,7 @@
   lending_.set_peers(alive);
   news_.set_peers(alive);
   crash_news_.set_peers(alive);
+  limits_.set_peers(alive, known);
   stages_.set_peers(std::move(alive));
 }
 
@@ -354,6 +361,7 @@
            reason + " after " + std::to_string(base::to_milliseconds(now - request.arrived)) +
                " ms");
   }
+  leave_permit_queue(request);
   ends_.erase({request.ends_at, request.client});
   if (request.next_check) {
     checks_.erase({*request.next_check, request.client});
@@ -432,6 +440,7 @@
 
 void dispatcher::advance(base::time_point now) {
   expire(now);
+  advance_limits(now);
   go_on_with_loans(now);
   check_requests(now);
   stages_.pump(now);
@@ -463,6 +472,12 @@
   if (!awaiting_loans_.empty()) {
     consider(now + loan_check_period);
   }
+  if (const auto limits = limits_.next_wakeup()) {
+    consider(*limits);
+  }
+  if (!awaiting_permits_.empty()) {
+    consider(next_permit_check_);
+  }
   return earliest;
 }
 
@@ -472,7 +487,8 @@
   auto lending = lending_.take_messages();
   auto news = news_.take_messages();
   auto crashes = crash_news_.take_messages();
-  for (auto* more : {&engines, &lending, &news, &crashes}) {
+  auto limits = limits_.take_messages();
+  for (auto* more : {&engines, &lending, &news, &crashes, &limits}) {
     std::move(more->begin(), more->end(), std::back_inserter(messages));
   }
   return messages;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -18,7 +18,7 @@
 #include "quarantine/crash_news.h"
 #include "quarantine/crash_watch.h"
 #include "quarantine/request_digest.h"
-#include "rate_limits/limit_book.h"
+#include "rate_limits/limit_exchange.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
 #include "replicas/replica_table.h"
@@ -26,6 +26,7 @@
 #include "serving/decision_recorder.h"
 #include "serving/events.h"
 #include "serving/settings.h"
+#include "stage_work/drain_rate.h"
 #include "stage_work/stage_exchange.h"
 #include "stage_work/stage_graph.h"
 
@@ -84,6 +85,9 @@
   /// Takes in under which requests other nodes saw replicas end.
   void handle_peer(const base::network_address& address, const wire::crash_news& message,
                    base::time_point now);
+  /// Takes in what another node says of limited replicas.
+  void handle_peer(const base::node_id& sender, const wire::rate_limits& message,
+                   base::time_point now);
   /// This process was paused, or its machine suspended, for `gap`: others are asked what it missed,
   /// and the silence of replicas meanwhile says nothing of them.
   void resume_after_pause(base::duration gap, base::time_point now);
@@ -103,6 +107,7 @@
   [[nodiscard]] const engine_directory_counts& engine_counts() const { return directory_.counts(); }
   [[nodiscard]] const replica_news_counts& news() const { return news_.counts(); }
   [[nodiscard]] const lending_counts& lending() const { return lending_.counts(); }
+  [[nodiscard]] const rate_limits::limit_exchange& limits() const { return limits_; }
   [[nodiscard]] const quarantine::crash_ledger& crashes() const { return crash_ledger_; }
   [[nodiscard]] const quarantine::crash_news_counts& crash_news() const {
     return crash_news_.counts();
@@ -127,6 +132,14 @@
     /// Its replica started again since the call began: it ends unless it shows events soon.
     std::optional<base::time_point> life_ended_at{};
   };
+  /// A request that waits for a permit. The urgent come first, then those that end first.
+  struct waiting_request {
+    std::uint32_t priority = 0;
+    base::time_point ends_at;
+    base::caller_id client = 0;
+    auto operator<=>(const waiting_request&) const = default;
+  };
+  using permit_queue = std::set<waiting_request>;
   /// How a request ends that is not sent again.
   struct failed_ending {
     /// Status of the own answer.
@@ -160,6 +173,8 @@
     std::optional<open_call> call;
     /// Set while it waits for other nodes to lend a repeat: how it ends where they do not.
     std::optional<failed_ending> awaits_loan;
+    /// Set while it waits for a permit to be sent to a limited replica.
+    std::optional<waiting_request> awaits_permit;
     std::set<base::replica_id> tried;
     std::uint32_t sent = 0;
     std::uint32_t not_sent = 0;
@@ -289,9 +304,32 @@
   /// @param call_began when the call that it answers was made.
   void note_state(const base::replica_id& replica, const answer_head& head,
                   base::time_point call_began, base::time_point now);
-  /// Takes in what an answer says of the requests that its replica takes.
-  void note_limit(const base::replica_id& replica, const named_limit& limit,
-                  base::time_point call_began, base::time_point now);
+  /// Keeps to the limits that replicas name, and has the requests looked at that wait for permits.
+  void advance_limits(base::time_point now);
+  void record_limit_changes();
+  [[nodiscard]] std::optional<rate_limits::published_replica>
+  published_for_limits(const base::replica_id& id) const;
+  /// @return what is asked of the replicas of its service for a request.
+  [[nodiscard]] static replica_demand demand_of(const active_request& request);
+  /// A request may be sent limited replicas too: has a permit asked for.
+  void want_permit(const active_request& request, base::time_point now);
+  /// No replica may be sent a request now: it waits for a permit, or is refused at once where none
+  /// can come in its time.
+  /// @return whether either was done; not where no limited replica could serve it.
+  bool await_permit(active_request& request, base::time_point now);
+  /// @return when a request is expected to get a permit, behind so many others; nothing where no
+  ///         limited replica could serve it, and forever where those that could take nothing.
+  [[nodiscard]] std::optional<base::duration> expected_permit_wait(const active_request& request,
+                                                                   std::size_t ahead,
+                                                                   base::time_point now) const;
+  /// Refuses a request that gets no permit in its time, and says when there may be one.
+  void refuse_without_permit(active_request& request, base::duration wait, base::time_point now);
+  void go_on_with_permits(base::time_point now);
+  /// Looks at the requests of one service in their order.
+  void go_on_with_permits_of(const std::string& service, base::time_point now);
+  /// Has as many permits asked for as requests of a service wait.
+  void ask_for_waiting(const std::string& service, base::time_point now);
+  void leave_permit_queue(active_request& request);
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// After an attempt that may have run: once more where that is allowed, else the final answer.
   void repeat_or_fail(active_request& request, base::time_point now);
@@ -407,6 +445,7 @@
   std::shared_ptr<const model::serving_configuration> configuration_;
   base::call_id next_call_ = 1;
   distance from_here_;
+  rate_limits::limit_exchange limits_;
   replica_table replicas_;
   least_loaded_chooser plain_replicas_;
   engine_directory directory_;
@@ -414,9 +453,6 @@
   retry_share retries_;
   retry_lending lending_;
   replica_news news_;
-  rate_limits::limit_book limits_;
-  /// Replicas whose limit could not be read, and when that was logged last.
-  std::map<base::replica_id, base::time_point> unreadable_limits_;
   quarantine::crash_watch crash_watch_;
   quarantine::crash_ledger crash_ledger_;
   quarantine::crash_news crash_news_;
@@ -435,6 +471,11 @@
   std::map<base::replica_id, std::string> unknown_services_;
   /// Requests that wait for a loan, the earliest first.
   std::vector<base::caller_id> awaiting_loans_;
+  /// Requests that wait for permits, by service, and how fast they get them.
+  std::map<std::string, permit_queue> awaiting_permits_;
+  std::map<std::string, drain_rate> permit_drains_;
+  base::time_point next_permit_check_;
+  std::uint64_t permits_seen_ = 0;
   std::set<std::pair<base::time_point, base::caller_id>> ends_;
   std::set<std::pair<base::time_point, base::caller_id>> checks_;
   serving_counters counters_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -31,8 +31,7 @@
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
                                                 base::time_point now) {
-  const replica_demand demand{request.service, *request.content, request.permitted_regions,
-                              request.tried};
+  const auto demand = demand_of(request);
   return is_engine(request.service) ? engines_.choose(demand, now)
                                     : plain_replicas_.choose(demand, now);
 }
@@ -84,7 +83,12 @@
     return;
   }
   const auto* chosen = choose_replica(request, now);
-  if (chosen == nullptr) {
+  if (chosen != nullptr) {
+    want_permit(request, now);
+  } else {
+    if (await_permit(request, now)) {
+      return;
+    }
     if (request.may_have_run) {
       answer_failed(request, status::bad_gateway, "no replica is left", now);
     } else {
@@ -232,7 +236,7 @@
   replicas_.note_heard(replica, now);
   if (!head.misdirected) {
     withdraw_end(replica, now);
-    note_limit(replica, head.limit, call_began, now);
+    replicas_.note_limit(replica, head.limit, call_began, now);
   }
   if (head.load) {
     replicas_.note_load(replica, *head.load, now);
--- a/src/dispatch/dispatcher_second_chances.cc
+++ b/src/dispatch/dispatcher_second_chances.cc
@@ -164,6 +164,7 @@
   }
   stages_.resume_after_pause(gap);
   crash_news_.resume_after_pause(now);
+  limits_.resume_after_pause(now);
 }
 
 void dispatcher::on_stalled(active_request& request, base::time_point now) {
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -51,6 +51,9 @@
   if (serving_ && message.has_crash_news()) {
     serving_->handle_peer(sender, message.crash_news(), now);
   }
+  if (serving_ && message.has_rate_limits()) {
+    serving_->handle_peer(base::node_id(message.sender()), message.rate_limits(), now);
+  }
   if (serving_ && message.has_retry_lending()) {
     serving_->handle_peer(base::node_id(message.sender()), sender, message.retry_lending(), now);
   }
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -46,6 +46,9 @@
 /// An entry that nobody writes any more lapses after three heartbeats of about 1.2 s; one that came
 /// back with an older copy of the store is passed over for that time.
 constexpr base::duration lapse_time = std::chrono::milliseconds(4'000);
+/// Only an answer shows that a limit is lifted or has changed: a limited replica of which nothing
+/// was heard for this time gets the next request that has a permit, before all others.
+constexpr base::duration limit_doubt_time = std::chrono::seconds(2);
 /// Half-life of what others reported of failures, as that of an own tally.
 constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
@@ -77,6 +80,9 @@
     }
     evidence_.forget(id);
     lives_.note_gone(id, now);
+    if (limits_ != nullptr) {
+      limits_->forget(id);
+    }
     return true;
   });
   lives_.forget_gone(now);
@@ -129,6 +135,9 @@
   fresh.earlier_calls_until = came_back_unlisted ? lost_at : now;
   state = std::move(fresh);
   evidence_.forget(id);
+  if (limits_ != nullptr) {
+    limits_->forget(id);
+  }
   changed_.erase(id);
   for (auto& [service, failing] : told_failing_) {
     failing.erase(id);
@@ -214,10 +223,41 @@
 }
 
 bool replica_table::is_available(const replica_state& state, base::time_point now) const {
+  return takes_calls(state, now) && limit_of(state) != 0;
+}
+
+bool replica_table::takes_calls(const replica_state& state, base::time_point now) const {
   return takes_work(state) && state.paused_until <= now && is_reachable(state.record->zone) &&
          bears_request(state, now);
 }
 
+std::optional<double> replica_table::limit_of(const replica_state& state) const {
+  return limits_ == nullptr ? std::nullopt : limits_->book().limit_of(state.record->id);
+}
+
+double replica_table::limited_part(const replica_state& state, base::duration call_time) const {
+  const auto limit = limit_of(state);
+  return limit ? std::min(1.0, *limit * base::to_seconds(call_time)) : 1;
+}
+
+void replica_table::note_limit(const base::replica_id& id, const named_limit& said,
+                               base::time_point call_began, base::time_point now) {
+  if (limits_ != nullptr) {
+    limits_->hear(id, said, call_began, now);
+  }
+}
+
+void replica_table::note_waiting(const base::replica_id& id, std::uint32_t count,
+                                 base::time_point now) {
+  if (limits_ != nullptr) {
+    limits_->note_waiting(id, count, now);
+  }
+}
+
+bool replica_table::could_serve(const replica_demand& demand, const replica_state& state) const {
+  return !demand.excluded.contains(state.record->id) && permits(demand.permitted_regions, state);
+}
+
 std::vector<const replica_state*> replica_table::usable(const replica_demand& demand,
                                                         base::time_point now,
                                                         bool ignore_pauses) const {
@@ -229,18 +269,56 @@
   for (const auto& id : ids->second) {
     const auto& state = replicas_.at(id);
     const bool usable_now = ignore_pauses ? takes_work(state) && bears_request(state, now)
-                                          : is_available(state, now) && state.probed_until <= now;
-    if (usable_now && !demand.excluded.contains(id) && permits(demand.permitted_regions, state)) {
+                                          : takes_calls(state, now) && state.probed_until <= now;
+    if (usable_now && could_serve(demand, state) && may_be_sent(state, now)) {
+      found.push_back(&state);
+    }
+  }
+  return found;
+}
+
+std::vector<const replica_state*> replica_table::short_of_permits(const replica_demand& demand,
+                                                                  base::time_point now) const {
+  std::vector<const replica_state*> found;
+  const auto ids = by_service_.find(demand.service);
+  if (limits_ == nullptr || !limits_->any() || ids == by_service_.end()) {
+    return found;
+  }
+  for (const auto& id : ids->second) {
+    const auto& state = replicas_.at(id);
+    const bool is_limited = limits_->book().limit_of(id).has_value();
+    if (is_limited && takes_calls(state, now) && could_serve(demand, state) &&
+        !may_be_sent(state, now)) {
       found.push_back(&state);
     }
   }
   return found;
 }
 
+const replica_state*
+replica_table::find_limit_in_doubt(const std::vector<const replica_state*>& candidates,
+                                   base::time_point now) const {
+  if (limits_ == nullptr || !limits_->any()) {
+    return nullptr;
+  }
+  const auto found =
+      std::find_if(candidates.begin(), candidates.end(), [&](const replica_state* state) {
+        const auto* record = limits_->book().find(state->record->id);
+        return record != nullptr && record->per_second &&
+               now - record->heard_at >= limit_doubt_time;
+      });
+  return found == candidates.end() ? nullptr : *found;
+}
+
 std::vector<const replica_state*> replica_table::candidates_for(const replica_demand& demand,
                                                                 base::time_point now) const {
   auto found = usable(demand, now, false);
-  return found.empty() ? usable(demand, now, true) : found;
+  if (const auto* in_doubt = find_limit_in_doubt(found, now)) {
+    return {in_doubt};
+  }
+  // A replica that is well and takes a request soon goes before those that rest.
+  const bool waits_for_permit = found.empty() && !short_of_permits(demand, now).empty();
+  return found.empty() && !waits_for_permit ? usable(demand, now, true) : found;
 }
 
 replica_presence replica_table::presence_of(const std::string& service,
@@ -304,7 +382,7 @@
   }
   for (const auto& id : ids->second) {
     const auto& state = replicas_.at(id);
-    if (is_available(state, now)) {
+    if (takes_calls(state, now)) {
       found.push_back(&state);
     }
   }
@@ -326,6 +404,9 @@
   if (const auto* service = cold_service_of(*state, now)) {
     state->cold_sends.take(cold_share_of(*service), now);
   }
+  if (limits_ != nullptr) {
+    limits_->note_sent(id, now);
+  }
 }
 
 void replica_table::call_ended(const base::replica_id& id) {
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "model/serving_records.h"
+#include "rate_limits/limit_exchange.h"
 #include "replicas/cold_limit.h"
 #include "replicas/replica_evidence.h"
 #include "replicas/replica_lives.h"
@@ -105,6 +106,9 @@
   /// @return whether a call that began then is at a life of the replica that is over.
   [[nodiscard]] bool is_at_earlier_life(const base::replica_id& id, base::time_point began) const;
   void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
+  /// Has replicas get no more than they name; without it none is limited.
+  /// @param limits must outlive the table.
+  void set_limits(rate_limits::limit_exchange& limits) { limits_ = &limits; }
   /// Nodes that are alive, this one among them, by zone.
   void set_nodes(std::map<base::zone_id, std::vector<base::node_id>> by_zone) {
     cold_callers_.set_nodes(std::move(by_zone));
@@ -143,18 +147,40 @@
   /// @return the zone of some replica of a service that takes work where a request may run.
   [[nodiscard]] std::optional<base::zone_id> some_zone_of(const std::string& service,
                                                           const model::residency& allowed) const;
-  /// Replicas of a service that may be given work now, own zone first.
+  /// Replicas of a service that take calls, own zone first; `may_be_sent` says which may be called
+  /// now.
   [[nodiscard]] std::vector<const replica_state*> available(const std::string& service,
                                                             base::time_point now) const;
 
-  /// @return whether a replica takes work and calls to it are expected to arrive.
+  /// @return whether a replica takes work and calls to it are expected to arrive. One that names a
+  ///         limit may have to wait for the next.
   [[nodiscard]] bool is_available(const replica_state& state, base::time_point now) const;
+  /// @return whether an available replica may be sent something now, as its limit goes. Each send
+  ///         asks this and is told by `call_started`.
+  [[nodiscard]] bool may_be_sent(const replica_state& state, base::time_point now) const {
+    return limits_ == nullptr || limits_->may_send(state.record->id, now);
+  }
+  /// @return the requests a second that a replica takes from all nodes; nothing where it names no
+  ///         limit.
+  [[nodiscard]] std::optional<double> limit_of(const replica_state& state) const;
+  /// @return what a replica takes of calls that last so long, in parts of what it took if it named
+  ///         no limit and ran one after another.
+  [[nodiscard]] double limited_part(const replica_state& state, base::duration call_time) const;
+  /// @return available replicas that could serve a request but for their limit.
+  [[nodiscard]] std::vector<const replica_state*> short_of_permits(const replica_demand& demand,
+                                                                   base::time_point now) const;
+  /// Calls wait for a limited replica that no other may be sent now.
+  void note_waiting(const base::replica_id& id, std::uint32_t count, base::time_point now);
   /// @return null where the replica is not known any more.
   [[nodiscard]] const replica_state* find(const base::replica_id& id) const;
   /// @return null where no known replica has the address.
   [[nodiscard]] const replica_state* find_at(const base::network_address& address) const;
 
   void call_started(const base::replica_id& id, base::time_point now);
+  /// An answer says what its replica takes from all nodes. @param call_began when its call was
+  /// made.
+  void note_limit(const base::replica_id& id, const named_limit& said, base::time_point call_began,
+                  base::time_point now);
   /// A replica says that it stays cold for this time.
   void note_cold(const base::replica_id& id, base::duration cold_for, base::time_point now);
   void call_ended(const base::replica_id& id);
@@ -208,8 +234,16 @@
   [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
 
  private:
+  /// @return whether a request has not tried a replica yet and is permitted there.
+  [[nodiscard]] bool could_serve(const replica_demand& demand, const replica_state& state) const;
   [[nodiscard]] std::vector<const replica_state*>
   usable(const replica_demand& demand, base::time_point now, bool ignore_pauses) const;
+  /// @return a candidate whose limit nobody has heard of for a while; null where there is none.
+  [[nodiscard]] const replica_state*
+  find_limit_in_doubt(const std::vector<const replica_state*>& candidates,
+                      base::time_point now) const;
+  /// @return whether a replica takes calls that are expected to arrive, whatever its limit.
+  [[nodiscard]] bool takes_calls(const replica_state& state, base::time_point now) const;
   /// @return whether a replica may be given anything at all.
   [[nodiscard]] bool takes_work(const replica_state& state) const;
   /// @return the service that bounds what a replica gets while it is cold; null where the replica
@@ -238,6 +272,7 @@
   std::set<base::zone_id> unreachable_;
   std::set<base::zone_id> evacuated_;
   std::shared_ptr<const model::serving_configuration> configuration_;
+  rate_limits::limit_exchange* limits_ = nullptr;
   /// Finds answers on demand and keeps them.
   mutable cold_callers cold_callers_;
   serving_settings settings_;
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -112,7 +112,8 @@
     /// Set where all its replicas are of one zone.
     std::optional<base::zone_id> zone;
     /// Those of its replicas that can be called now.
-    std::uint32_t replicas = 0;
+    /// Those that can be called now; one that names a limit counts for the part that it takes.
+    double replicas = 0;
   };
   /// Replicas of one service for which one node gathers.
   struct shard {
@@ -176,7 +177,11 @@
   /// Greets those who gather from now on, so that connections to them stand.
   void greet(const std::vector<base::node_id>& gatherers);
   /// @return whether calls to a replica are expected to arrive.
-  [[nodiscard]] bool is_usable(const base::replica_id& id, base::time_point now) const;
+  /// @return 0 where a replica cannot be called, the part of full calls that it takes where it
+  /// names
+  ///         a limit, 1 for any other.
+  [[nodiscard]] double usable_part(const base::replica_id& id, base::duration full_call,
+                                   base::time_point now) const;
   /// Counts the replicas of each shard that can be called.
   void count_usable(base::time_point now);
   /// Fills in for which replicas of the service this node gathers.
--- a/src/stage_work/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -5,6 +5,7 @@
 #include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -161,16 +162,22 @@
   }
 }
 
-bool stage_exchange::is_usable(const base::replica_id& id, base::time_point now) const {
+double stage_exchange::usable_part(const base::replica_id& id, base::duration full_call,
+                                   base::time_point now) const {
   const auto* replica = replicas_->find(id);
-  return replica != nullptr && replicas_->is_available(*replica, now);
+  const bool is_usable = replica != nullptr && replicas_->is_available(*replica, now);
+  return is_usable ? replicas_->limited_part(*replica, full_call) : 0;
 }
 
 void stage_exchange::count_usable(base::time_point now) {
   gatherers_.clear();
   for (const auto& one : shards_) {
-    const auto usable = std::count_if(one.replicas.begin(), one.replicas.end(),
-                                      [&](const auto& replica) { return is_usable(replica, now); });
+    const auto& capacity = *configuration_->find_service(one.service)->pieces;
+    const auto full_call = usual_time(capacity, capacity.batch);
+    double usable = 0;
+    for (const auto& replica : one.replicas) {
+      usable += usable_part(replica, full_call, now);
+    }
     auto& known = gatherers_[one.service];
     auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
       return other.node == one.gatherer && other.region == one.region && other.zone == one.zone;
@@ -179,7 +186,7 @@
       known.push_back({one.gatherer, one.region, one.zone, 0});
       found = std::prev(known.end());
     }
-    found->replicas += static_cast<std::uint32_t>(usable);
+    found->replicas += usable;
   }
 }
 
@@ -190,7 +197,8 @@
   }
   for (const auto& candidate : known->second) {
     if (candidate.node == self_.node) {
-      load.set_replicas(load.replicas() + candidate.replicas);
+      load.set_replicas(load.replicas() +
+                        static_cast<std::uint32_t>(std::ceil(candidate.replicas)));
       load.set_of_zone(candidate.zone.has_value());
     }
   }
@@ -219,7 +227,8 @@
     // In the own zone this node's assignment decides: two gatherers would share the replicas.
     if (gathers && zone != self_.zone && !is_assigned(node) && peer_directory::is_fit(peer) &&
         replicas_->is_reachable(zone) && !replicas_->is_evacuated(zone)) {
-      found.push_back({node, regions_.neighbourhood_of(zone), zone, load->second.replicas()});
+      const auto replicas = static_cast<double>(load->second.replicas());
+      found.push_back({node, regions_.neighbourhood_of(zone), zone, replicas});
     }
   }
   std::erase_if(found, [&](const gatherer& candidate) {
@@ -260,7 +269,9 @@
   const double ahead =
       standing == piece_standing::in_time ? load.waiting : load.waiting + load.waiting_past_due;
   const double calls_ahead = ahead / capacity.batch + load.calls_under_way / 2;
-  const double by_capacity = calls_ahead * full_call / std::max(1U, candidate.replicas);
+  // Replicas of which nothing is known take at least as much as one.
+  const double replicas = candidate.replicas > 0 ? candidate.replicas : 1;
+  const double by_capacity = calls_ahead * full_call / replicas;
   // Room for results may bound a service far below what its calls could carry.
   const double by_rate = load.drain_rate > 0 ? ahead / load.drain_rate : 0;
   return std::max(by_capacity, by_rate);
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -262,6 +262,10 @@
   if (replica == nullptr || replicas_->is_evacuated(replica->record->zone)) {
     return;
   }
+  if (replicas_->limit_of(*replica)) {
+    unfreed_[replica->record->id].push_back(handle);
+    return;
+  }
   for (auto& wanted : commands_) {
     auto* open = std::get_if<free_results>(&wanted);
     if (open != nullptr && open->maker == maker) {
@@ -272,6 +276,25 @@
   commands_.emplace_back(free_results{maker, {handle}});
 }
 
+void stage_pool::free_at_limited(base::time_point now) {
+  for (auto one = unfreed_.begin(); one != unfreed_.end();) {
+    const auto* replica = replicas_->find(one->first);
+    const bool may_be_sent = replica != nullptr && replicas_->may_be_sent(*replica, now);
+    if (replica != nullptr && !may_be_sent) {
+      replicas_->note_waiting(one->first, 1, now);
+      ++one;
+      continue;
+    }
+    if (may_be_sent) {
+      // It counts as any request does, but no answer is awaited.
+      replicas_->call_started(one->first, now);
+      replicas_->call_ended(one->first);
+      commands_.emplace_back(free_results{replica->record->address, std::move(one->second)});
+    }
+    one = unfreed_.erase(one);
+  }
+}
+
 void stage_pool::on_restarted(const base::replica_id& replica, base::time_point now) {
   std::vector<base::call_id> over;
   for (const auto& [call, open] : calls_) {
@@ -294,6 +317,7 @@
     forget_result(handle);
   }
   unknown_room_.erase(replica);
+  unfreed_.erase(replica);
   next_check_ = {};
 }
 
@@ -327,6 +351,9 @@
   if (ended.load) {
     replicas_->note_load(replica, *ended.load, now);
   }
+  if (ended.limit) {
+    replicas_->note_limit(replica, *ended.limit, open.started, now);
+  }
   record_ended(open, ended, now);
   take_answers(open, ended, now);
   return true;
@@ -455,7 +482,11 @@
   std::erase_if(found, [&](const replica_state* state) {
     const auto calls = calls_at_.find(state->record->id);
     const auto under_way = calls == calls_at_.end() ? 0 : calls->second;
-    return under_way >= capacity.slots || !may_take_any(*state, sets);
+    const bool is_free = under_way < capacity.slots && may_take_any(*state, sets);
+    if (is_free && !replicas_->may_be_sent(*state, now)) {
+      replicas_->note_waiting(state->record->id, 1, now);
+    }
+    return !is_free || !replicas_->may_be_sent(*state, now);
   });
   std::stable_partition(found.begin(), found.end(), [&](const replica_state* state) {
     return replica_table::slowness_of(*state, now) < slow;
@@ -592,6 +623,7 @@
   for (auto& [name, queue] : queues_) {
     pump_service(name, queue, now);
   }
+  free_at_limited(now);
 }
 
 std::optional<base::time_point> stage_pool::next_wakeup(base::time_point now) const {
@@ -605,7 +637,7 @@
   consider(input_fetches_.next());
   const bool any_waits = std::any_of(queues_.begin(), queues_.end(),
                                      [](const auto& entry) { return !entry.second.empty(); });
-  if (any_waits) {
+  if (any_waits || !unfreed_.empty()) {
     consider(std::max<base::time_point>(now, next_check_));
   }
   return earliest;
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -256,6 +256,8 @@
   /// @return whether results of an earlier life of a maker may still be asked for.
   [[nodiscard]] bool restarted_of_late(const replica_state& maker, base::time_point now) const;
   void forget_result(const std::string& handle);
+  /// Frees results at limited replicas that may be sent something now.
+  void free_at_limited(base::time_point now);
   /// A replica refused a call: others call it too.
   void note_occupied(const open_call& ended, base::time_point now);
   /// Learns from a call how fast its replica is.
@@ -311,6 +313,8 @@
   std::vector<piece_finished> finished_;
   std::vector<piece_ticket> fetched_;
   std::vector<lost_piece> lost_;
+  /// Results at limited replicas that are to be freed when these may be sent something.
+  std::map<base::replica_id, std::vector<std::string>> unfreed_;
   /// Time after which a replica is taken to have fetched the inputs of a call.
   base::duration fetch_time_;
   command_list commands_;
--- a/tests/rate_limits/limited_fleet.h
+++ b/tests/rate_limits/limited_fleet.h
@@ -380,7 +380,9 @@
   }
 
   void hand_over(dispatcher& receiver, const fleet_peer& sender, const wire::envelope& message) {
-    if (message.has_replica_news()) {
+    if (message.has_rate_limits()) {
+      receiver.handle_peer(sender.node, message.rate_limits(), now);
+    } else if (message.has_replica_news()) {
       receiver.handle_peer(sender.node, message.replica_news(), now);
     } else if (message.has_retry_lending()) {
       receiver.handle_peer(sender.node, sender.address, message.retry_lending(), now);
