A replica that failed is tried again under a light load

Seen by the fault soak and by callers as capacity that stays away: a replica of which a node saw calls fail got nothing more from that node while others were free, since its share of failures falls with calls only and it got no calls.

Change: it is tried again after up to 2 s, by its share of failures; a trial that goes well halves the share.

replica_failures_test: a replica that failed all calls for 10 s gets 5 requests or more of 25 once it was good for 3 s, and while it fails all no more than 13 of 50.

--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -13,6 +13,11 @@
 constexpr base::duration told_load_lifetime = std::chrono::milliseconds(500);
 /// Share of the newest call in the own failure share: about the last seven calls count.
 constexpr double failure_smoothing = 0.15;
+/// A replica that failed is tried again after this time for each part of its calls that failed:
+/// it gets no calls for its failures, so that only a call shows that it is well again.
+constexpr base::duration retrial_time = std::chrono::seconds(2);
+/// A trial that goes well takes this part of the failure share away: few calls are trials.
+constexpr double trial_smoothing = 0.5;
 /// A replica that fails all calls is chosen like one with so many times its slots taken.
 constexpr double failing_load = 3.0;
 /// Share of the newest call in the learned slowness: two calls show what a replica has become.
@@ -417,6 +422,8 @@
 }
 
 void replica_table::note_load(const base::replica_id& id, const replica_load& load,
+  state->is_on_trial = is_due_again(*state, now);
+  state->called_at = now;
                               base::time_point now) {
   if (auto* state = mutable_find(id)) {
     state->told = load;
@@ -460,7 +467,8 @@
   }
   note_heard(id, now);
   state->calls.note(true, now);
-  state->failure_share *= 1 - failure_smoothing;
+  const bool is_end_of_trial = std::exchange(state->is_on_trial, false);
+  state->failure_share *= 1 - (is_end_of_trial ? trial_smoothing : failure_smoothing);
 }
 
 void replica_table::note_pace(const base::replica_id& id, base::duration took, base::duration usual,
@@ -504,6 +512,7 @@
   state->next_pause = state->next_pause == base::duration{}
                           ? settings_.unreachable_pause
                           : std::min(state->next_pause * 2, settings_.unreachable_pause_longest);
+    state->failed_at = now;
   state->paused_until = now + state->next_pause;
 }
 
@@ -634,7 +643,13 @@
 }
 
 double replica_table::failure_share_of(const replica_state& state, base::time_point now) {
-  return std::max(state.failure_share, told_share_now(state.told_failure_excess, state, now));
+  const double own = is_due_again(state, now) ? 0 : state.failure_share;
+  return std::max(own, told_share_now(state.told_failure_excess, state, now));
 }
 
 } // namespace spurrack::serving
+bool replica_table::is_due_again(const replica_state& state, base::time_point now) {
+  const auto latest = std::max(state.failed_at, state.called_at);
+  return state.in_flight == 0 && now - latest >= base::scaled(retrial_time, state.failure_share);
+}
+
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -43,6 +43,10 @@
   base::duration next_pause{};
   /// Share of the latest calls that failed, 0 to 1.
   double failure_share = 0;
+  base::time_point failed_at;
+  base::time_point called_at;
+  /// The latest call was made to see whether it is well again.
+  bool is_on_trial = false;
   /// Calls of this node of late.
   call_tally calls;
   /// Latest sign of life: an answer, its beginning, or an event of a stream.
@@ -248,6 +252,8 @@
   [[nodiscard]] bool takes_work(const replica_state& state) const;
   /// @return the service that bounds what a replica gets while it is cold; null where the replica
   ///         is warm or its service has no such bound.
+  /// @return whether a replica is tried again whatever calls to it have shown.
+  [[nodiscard]] static bool is_due_again(const replica_state& state, base::time_point now);
   [[nodiscard]] const model::service* cold_service_of(const replica_state& state,
                                                       base::time_point now) const;
   /// @return the share of each caller of a cold replica of the service.
