--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -36,6 +36,7 @@
     "  costs             cost by tenant, template and stage, over all nodes\n"
     "  timeline          events of all nodes in causal order\n"
     "  quarantine        requests under which replicas ended, as each node knows them\n"
+    "  limits            replicas that name how many requests a second they take\n"
     "  release DIGEST    let a request go that is held back; the nodes tell one another\n"
     "  explain REQUEST [LOGFILE...]\n"
     "                    the time line of one request, from live nodes or from their logs\n"
--- a/src/ctl/reports.cc
+++ b/src/ctl/reports.cc
@@ -144,6 +144,10 @@
   } else if (command == "quarantine") {
     print_lists(documents, "requests", {"digest", "standing", "ends", "newest_ms", "replicas"},
                 out);
+  } else if (command == "limits") {
+    print_lists(documents, "replicas",
+                {"replica", "per_second", "heard_ms", "issuer", "permits_held", "sent_in_4_s"},
+                out);
   } else if (command == "templates") {
     print_lists(documents, "templates", {"template", "revision", "deadline_ms"}, out);
     print_lists(documents, "tenants", {"tenant", "revision", "weight"}, out);
@@ -190,9 +194,11 @@
                  const std::vector<std::string>& nodes, output_format format, std::ostream& out,
                  std::ostream& errors) {
   static const std::map<std::string, std::string> paths{
-      {"status", "/v1/status"},       {"nodes", "/v1/nodes"},          {"backends", "/v1/backends"},
-      {"templates", "/v1/templates"}, {"costs", "/v1/costs"},          {"timeline", "/v1/timeline"},
-      {"explain", "/v1/timeline"},    {"quarantine", "/v1/quarantine"}};
+      {"status", "/v1/status"},     {"nodes", "/v1/nodes"},
+      {"backends", "/v1/backends"}, {"templates", "/v1/templates"},
+      {"costs", "/v1/costs"},       {"timeline", "/v1/timeline"},
+      {"explain", "/v1/timeline"},  {"quarantine", "/v1/quarantine"},
+      {"limits", "/v1/limits"}};
   const auto path = paths.find(command);
   if (path == paths.end()) {
     errors << "unknown command '" << command << "'; see --help\n";
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -170,6 +170,25 @@
   return {{"requests", std::move(requests)}};
 }
 
+json::object limits_document(const node::node& subject, base::time_point now) {
+  json::array replicas;
+  if (const auto* serving = subject.serving()) {
+    const auto& limits = serving->limits();
+    for (const auto& [replica, record] : limits.book().all()) {
+      const auto* stock = limits.stock_of(replica);
+      json::object row{{"replica", replica.text()},
+                       {"heard_ms", base::to_milliseconds(now - record.heard_at)},
+                       {"version", record.version},
+                       {"issuer", limits.issuer_of(replica).text()},
+                       {"permits_held", stock == nullptr ? 0 : stock->held(now)},
+                       {"sent_in_4_s", stock == nullptr ? 0 : stock->sent_of_late(now)}};
+      row["per_second"] = record.per_second ? json::value(*record.per_second) : nullptr;
+      replicas.push_back(std::move(row));
+    }
+  }
+  return {{"replicas", std::move(replicas)}};
+}
+
 json::object timeline_document(const node::node& subject) {
   json::array events;
   for (const auto& entry : subject.events().entries()) {
@@ -206,6 +225,8 @@
     body = costs_document(subject);
   } else if (path == "/v1/quarantine") {
     body = quarantine_document(subject, now);
+  } else if (path == "/v1/limits") {
+    body = limits_document(subject, now);
   } else if (path == "/v1/timeline") {
     body = timeline_document(subject);
   } else {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -294,6 +294,7 @@
                                                 const replica_state& replica,
                                                 base::time_point now) const;
   const replica_state* choose_replica(const active_request& request, base::time_point now);
+  const replica_state* choose_for(const replica_demand& demand, base::time_point now);
   /// @return what a request is known by when it comes again.
   static const quarantine::request_digest& digest_of(const active_request& request);
   /// @return the same for the log line of a call that ended without a whole answer.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -31,9 +31,12 @@
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
                                                 base::time_point now) {
-  const auto demand = demand_of(request);
-  return is_engine(request.service) ? engines_.choose(demand, now)
-                                    : plain_replicas_.choose(demand, now);
+  return choose_for(demand_of(request), now);
+}
+
+const replica_state* dispatcher::choose_for(const replica_demand& demand, base::time_point now) {
+  return is_engine(demand.service) ? engines_.choose(demand, now)
+                                   : plain_replicas_.choose(demand, now);
 }
 
 const quarantine::request_digest& dispatcher::digest_of(const active_request& request) {
--- a/src/dispatch/dispatcher_limits.cc
+++ b/src/dispatch/dispatcher_limits.cc
@@ -68,7 +68,9 @@
 }
 
 replica_demand dispatcher::demand_of(const active_request& request) {
-  return {request.service, *request.content, request.permitted_regions, request.tried};
+  const auto* results_zone = request.graph ? &request.zone : nullptr;
+  return {request.service, *request.content, request.permitted_regions, request.tried,
+          results_zone};
 }
 
 // --- asking --------------------------------------------------------------------------------------
@@ -78,6 +80,11 @@
     return;
   }
   auto limited = replicas_.short_of_permits(demand_of(request), now);
+  if (request.graph) {
+    // Elsewhere its results would have to be carried, so that a permit there is of no use.
+    std::erase_if(limited,
+                  [&](const replica_state* state) { return state->record->zone != request.zone; });
+  }
   if (!limited.empty()) {
     limits_.note_wanted(base::take_random(limited, *random_)->record->id, now);
   }
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -171,7 +171,9 @@
 }
 
 base::zone_id dispatcher::wanted_zone(const active_request& request, base::time_point now) {
-  if (const auto* expected = choose_replica(request, now)) {
+  auto demand = demand_of(request);
+  demand.is_planned = true;
+  if (const auto* expected = choose_for(demand, now)) {
     return expected->record->zone;
   }
   if (request.permitted_regions.permits(settings_.regions.region_of(self_.zone))) {
--- a/src/rate_limits/limit_exchange.cc
+++ b/src/rate_limits/limit_exchange.cc
@@ -7,9 +7,9 @@
 namespace spurrack::rate_limits {
 namespace {
 
-/// Part of a limit that is issued: requests that are held up on their way arrive together with
-/// later ones, and a permit may be used up to its lifetime after it was issued.
-constexpr double issued_part_of_limit = 0.95;
+/// Part of a limit that is issued. With what an issuer saves up and the lifetime of a permit, the
+/// sends of any ten seconds stay below the limit.
+constexpr double issued_part_of_limit = 0.97;
 /// Permits a second for a replica that takes less, or nothing: only an answer tells that a limit is
 /// lifted.
 constexpr double least_pace = 0.1;
--- a/src/rate_limits/permit_issuer.cc
+++ b/src/rate_limits/permit_issuer.cc
@@ -12,7 +12,7 @@
 constexpr base::duration handover_time = std::chrono::milliseconds(1000);
 /// What is saved up while nobody asks: bursts are short beside the seconds over which a replica is
 /// spared.
-constexpr base::duration saved_up_time = std::chrono::milliseconds(200);
+constexpr base::duration saved_up_time = std::chrono::milliseconds(100);
 /// Permits of high rates are handed out together this often, which bounds messages.
 constexpr base::duration issue_period = std::chrono::milliseconds(10);
 
--- a/src/rate_limits/permit_issuer.h
+++ b/src/rate_limits/permit_issuer.h
@@ -15,7 +15,7 @@
 
 /// A permit that is not used within this time after it came is void: what a node saved up would be
 /// sent at once later.
-inline constexpr base::duration permit_lifetime = std::chrono::milliseconds(300);
+inline constexpr base::duration permit_lifetime = std::chrono::milliseconds(200);
 /// A question that is not answered within this time is asked again, and stands no longer: the node
 /// may have ended, or its requests gone elsewhere.
 inline constexpr base::duration request_lifetime = std::chrono::milliseconds(800);
--- a/src/replicas/replica_chooser.h
+++ b/src/replicas/replica_chooser.h
@@ -20,6 +20,10 @@
   const model::residency& permitted_regions;
   /// Replicas that were tried already.
   const std::set<base::replica_id>& excluded;
+  /// Where the results lie that the request needs; null where it needs none.
+  const base::zone_id* results_zone = nullptr;
+  /// It is sent later, when permits that are held now are void.
+  bool is_planned = false;
 };
 
 /// Contract: chooses among what the replica table offers and changes nothing there.
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -52,8 +52,11 @@
 /// back with an older copy of the store is passed over for that time.
 constexpr base::duration lapse_time = std::chrono::milliseconds(4'000);
 /// Only an answer shows that a limit is lifted or has changed: a limited replica of which nothing
-/// was heard for this time gets the next request that has a permit, before all others.
+/// was heard for this time gets the next request that has a permit, before all others. A long
+/// prompt, most of which another engine may have read, is sent there only much later.
 constexpr base::duration limit_doubt_time = std::chrono::seconds(2);
+constexpr base::duration longest_limit_doubt = std::chrono::seconds(10);
+constexpr std::uint32_t short_prompt_tokens = 1'000;
 /// Half-life of what others reported of failures, as that of an own tally.
 constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
@@ -300,17 +303,33 @@
   return found;
 }
 
+void replica_table::leave_out_limited(std::vector<const replica_state*>& candidates,
+                                      const replica_demand& demand) const {
+  const bool is_bound = demand.results_zone != nullptr || demand.is_planned;
+  if (limits_ == nullptr || !limits_->any() || !is_bound) {
+    return;
+  }
+  const auto is_limited = [&](const replica_state* state) { return limit_of(*state).has_value(); };
+  if (std::all_of(candidates.begin(), candidates.end(), is_limited)) {
+    return;
+  }
+  std::erase_if(candidates, [&](const replica_state* state) {
+    return is_limited(state) && (demand.is_planned || state->record->zone != *demand.results_zone);
+  });
+}
+
 const replica_state*
 replica_table::find_limit_in_doubt(const std::vector<const replica_state*>& candidates,
-                                   base::time_point now) const {
-  if (limits_ == nullptr || !limits_->any()) {
+                                   const replica_demand& demand, base::time_point now) const {
+  if (limits_ == nullptr || !limits_->any() || demand.is_planned) {
     return nullptr;
   }
+  const bool is_short = demand.content.prompt_tokens <= short_prompt_tokens;
+  const auto doubted_after = is_short ? limit_doubt_time : longest_limit_doubt;
   const auto found =
       std::find_if(candidates.begin(), candidates.end(), [&](const replica_state* state) {
         const auto* record = limits_->book().find(state->record->id);
-        return record != nullptr && record->per_second &&
-               now - record->heard_at >= limit_doubt_time;
+        return record != nullptr && record->per_second && now - record->heard_at >= doubted_after;
       });
   return found == candidates.end() ? nullptr : *found;
 }
@@ -318,7 +337,8 @@
 std::vector<const replica_state*> replica_table::candidates_for(const replica_demand& demand,
                                                                 base::time_point now) const {
   auto found = usable(demand, now, false);
-  if (const auto* in_doubt = find_limit_in_doubt(found, now)) {
+  leave_out_limited(found, demand);
+  if (const auto* in_doubt = find_limit_in_doubt(found, demand, now)) {
     return {in_doubt};
   }
   // A replica that is well and takes a request soon goes before those that rest.
@@ -402,6 +422,8 @@
   if (state == nullptr) {
     return;
   }
+  state->is_on_trial = is_due_again(*state, now);
+  state->called_at = now;
   ++state->in_flight;
   if (state->next_pause > base::duration::zero()) {
     state->probed_until = now + probe_time;
@@ -422,8 +444,6 @@
 }
 
 void replica_table::note_load(const base::replica_id& id, const replica_load& load,
-  state->is_on_trial = is_due_again(*state, now);
-  state->called_at = now;
                               base::time_point now) {
   if (auto* state = mutable_find(id)) {
     state->told = load;
@@ -492,6 +512,7 @@
 void replica_table::note_failure(const base::replica_id& id, base::time_point now) {
   if (auto* state = mutable_find(id)) {
     state->calls.note(false, now);
+    state->failed_at = now;
     changed_.insert(id);
     state->failure_share += failure_smoothing * (1 - state->failure_share);
   }
@@ -512,7 +533,6 @@
   state->next_pause = state->next_pause == base::duration{}
                           ? settings_.unreachable_pause
                           : std::min(state->next_pause * 2, settings_.unreachable_pause_longest);
-    state->failed_at = now;
   state->paused_until = now + state->next_pause;
 }
 
@@ -642,14 +662,14 @@
   state.told_failure_excess = excess >= clear_excess ? excess : 0;
 }
 
+bool replica_table::is_due_again(const replica_state& state, base::time_point now) {
+  const auto latest = std::max(state.failed_at, state.called_at);
+  return state.in_flight == 0 && now - latest >= base::scaled(retrial_time, state.failure_share);
+}
+
 double replica_table::failure_share_of(const replica_state& state, base::time_point now) {
   const double own = is_due_again(state, now) ? 0 : state.failure_share;
   return std::max(own, told_share_now(state.told_failure_excess, state, now));
 }
 
 } // namespace spurrack::serving
-bool replica_table::is_due_again(const replica_state& state, base::time_point now) {
-  const auto latest = std::max(state.failed_at, state.called_at);
-  return state.in_flight == 0 && now - latest >= base::scaled(retrial_time, state.failure_share);
-}
-
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -41,7 +41,7 @@
   /// Nothing is sent before this time.
   base::time_point paused_until;
   base::duration next_pause{};
-  /// Share of the latest calls that failed, 0 to 1.
+  /// Share of the latest calls that failed, 0 to 1; when one failed last, and when one was made.
   double failure_share = 0;
   base::time_point failed_at;
   base::time_point called_at;
@@ -242,18 +242,22 @@
   [[nodiscard]] bool could_serve(const replica_demand& demand, const replica_state& state) const;
   [[nodiscard]] std::vector<const replica_state*>
   usable(const replica_demand& demand, base::time_point now, bool ignore_pauses) const;
+  /// Leaves out limited replicas that a request had better not count on: in other zones than its
+  /// results, and all where it is sent later, unless all candidates are limited.
+  void leave_out_limited(std::vector<const replica_state*>& candidates,
+                         const replica_demand& demand) const;
   /// @return a candidate whose limit nobody has heard of for a while; null where there is none.
   [[nodiscard]] const replica_state*
   find_limit_in_doubt(const std::vector<const replica_state*>& candidates,
-                      base::time_point now) const;
+                      const replica_demand& demand, base::time_point now) const;
   /// @return whether a replica takes calls that are expected to arrive, whatever its limit.
   [[nodiscard]] bool takes_calls(const replica_state& state, base::time_point now) const;
+  /// @return whether a replica is tried again whatever calls to it have shown.
+  [[nodiscard]] static bool is_due_again(const replica_state& state, base::time_point now);
   /// @return whether a replica may be given anything at all.
   [[nodiscard]] bool takes_work(const replica_state& state) const;
   /// @return the service that bounds what a replica gets while it is cold; null where the replica
   ///         is warm or its service has no such bound.
-  /// @return whether a replica is tried again whatever calls to it have shown.
-  [[nodiscard]] static bool is_due_again(const replica_state& state, base::time_point now);
   [[nodiscard]] const model::service* cold_service_of(const replica_state& state,
                                                       base::time_point now) const;
   /// @return the share of each caller of a cold replica of the service.
