Trials also of replicas that others reported; stages are refused where no replica takes their request

A replica that was good again got nothing for seconds also where only other nodes had reported failures: the trial counts from the latest report. Limits: a request whose stages would be made in vain is refused on arrival; the urgent go first (tests).

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -208,7 +208,7 @@
     return;
   }
   if (turn_away(active) || refuse_too_large(active, now) || refuse_at_stop(active, now) ||
-      refuse_hopeless(active, now)) {
+      refuse_beyond_limits(active, now) || refuse_hopeless(active, now)) {
     return;
   }
   if (settings_.refuse_early && active.graph) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -323,6 +323,9 @@
   [[nodiscard]] std::optional<base::duration> expected_permit_wait(const active_request& request,
                                                                    std::size_t ahead,
                                                                    base::time_point now) const;
+  /// Refuses a request whose stages would be made in vain, since no replica takes it in its time.
+  /// @return whether it was refused.
+  bool refuse_beyond_limits(active_request& request, base::time_point now);
   /// Refuses a request that gets no permit in its time, and says when there may be one.
   void refuse_without_permit(active_request& request, base::duration wait, base::time_point now);
   void go_on_with_permits(base::time_point now);
--- a/src/dispatch/dispatcher_limits.cc
+++ b/src/dispatch/dispatcher_limits.cc
@@ -150,6 +150,25 @@
   finish(request, status::unavailable, reason, now);
 }
 
+bool dispatcher::refuse_beyond_limits(active_request& request, base::time_point now) {
+  if (!limits_.any() || !request.graph) {
+    return false;
+  }
+  auto demand = demand_of(request);
+  demand.is_planned = true;
+  if (choose_for(demand, now) != nullptr) {
+    return false;
+  }
+  const auto queue = awaiting_permits_.find(request.service);
+  const auto ahead = queue == awaiting_permits_.end() ? 0 : queue->second.size();
+  const auto wait = expected_permit_wait(request, ahead, now);
+  if (!wait || now + *wait <= client_leaves_at(request)) {
+    return false;
+  }
+  refuse_without_permit(request, *wait, now);
+  return true;
+}
+
 bool dispatcher::await_permit(active_request& request, base::time_point now) {
   const waiting_request place{request.priority, request.ends_at, request.client};
   const auto queue = awaiting_permits_.find(request.service);
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -51,12 +51,6 @@
 /// An entry that nobody writes any more lapses after three heartbeats of about 1.2 s; one that came
 /// back with an older copy of the store is passed over for that time.
 constexpr base::duration lapse_time = std::chrono::milliseconds(4'000);
-/// Only an answer shows that a limit is lifted or has changed: a limited replica of which nothing
-/// was heard for this time gets the next request that has a permit, before all others. A long
-/// prompt, most of which another engine may have read, is sent there only much later.
-constexpr base::duration limit_doubt_time = std::chrono::seconds(2);
-constexpr base::duration longest_limit_doubt = std::chrono::seconds(10);
-constexpr std::uint32_t short_prompt_tokens = 1'000;
 /// Half-life of what others reported of failures, as that of an own tally.
 constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
@@ -239,29 +233,6 @@
          bears_request(state, now);
 }
 
-std::optional<double> replica_table::limit_of(const replica_state& state) const {
-  return limits_ == nullptr ? std::nullopt : limits_->book().limit_of(state.record->id);
-}
-
-double replica_table::limited_part(const replica_state& state, base::duration call_time) const {
-  const auto limit = limit_of(state);
-  return limit ? std::min(1.0, *limit * base::to_seconds(call_time)) : 1;
-}
-
-void replica_table::note_limit(const base::replica_id& id, const named_limit& said,
-                               base::time_point call_began, base::time_point now) {
-  if (limits_ != nullptr) {
-    limits_->hear(id, said, call_began, now);
-  }
-}
-
-void replica_table::note_waiting(const base::replica_id& id, std::uint32_t count,
-                                 base::time_point now) {
-  if (limits_ != nullptr) {
-    limits_->note_waiting(id, count, now);
-  }
-}
-
 bool replica_table::could_serve(const replica_demand& demand, const replica_state& state) const {
   return !demand.excluded.contains(state.record->id) && permits(demand.permitted_regions, state);
 }
@@ -285,55 +256,6 @@
   return found;
 }
 
-std::vector<const replica_state*> replica_table::short_of_permits(const replica_demand& demand,
-                                                                  base::time_point now) const {
-  std::vector<const replica_state*> found;
-  const auto ids = by_service_.find(demand.service);
-  if (limits_ == nullptr || !limits_->any() || ids == by_service_.end()) {
-    return found;
-  }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    const bool is_limited = limits_->book().limit_of(id).has_value();
-    if (is_limited && takes_calls(state, now) && could_serve(demand, state) &&
-        !may_be_sent(state, now)) {
-      found.push_back(&state);
-    }
-  }
-  return found;
-}
-
-void replica_table::leave_out_limited(std::vector<const replica_state*>& candidates,
-                                      const replica_demand& demand) const {
-  const bool is_bound = demand.results_zone != nullptr || demand.is_planned;
-  if (limits_ == nullptr || !limits_->any() || !is_bound) {
-    return;
-  }
-  const auto is_limited = [&](const replica_state* state) { return limit_of(*state).has_value(); };
-  if (std::all_of(candidates.begin(), candidates.end(), is_limited)) {
-    return;
-  }
-  std::erase_if(candidates, [&](const replica_state* state) {
-    return is_limited(state) && (demand.is_planned || state->record->zone != *demand.results_zone);
-  });
-}
-
-const replica_state*
-replica_table::find_limit_in_doubt(const std::vector<const replica_state*>& candidates,
-                                   const replica_demand& demand, base::time_point now) const {
-  if (limits_ == nullptr || !limits_->any() || demand.is_planned) {
-    return nullptr;
-  }
-  const bool is_short = demand.content.prompt_tokens <= short_prompt_tokens;
-  const auto doubted_after = is_short ? limit_doubt_time : longest_limit_doubt;
-  const auto found =
-      std::find_if(candidates.begin(), candidates.end(), [&](const replica_state* state) {
-        const auto* record = limits_->book().find(state->record->id);
-        return record != nullptr && record->per_second && now - record->heard_at >= doubted_after;
-      });
-  return found == candidates.end() ? nullptr : *found;
-}
-
 std::vector<const replica_state*> replica_table::candidates_for(const replica_demand& demand,
                                                                 base::time_point now) const {
   auto found = usable(demand, now, false);
@@ -662,14 +584,19 @@
   state.told_failure_excess = excess >= clear_excess ? excess : 0;
 }
 
+double replica_table::known_failure_share(const replica_state& state, base::time_point now) {
+  return std::max(state.failure_share, told_share_now(state.told_failure_excess, state, now));
+}
+
 bool replica_table::is_due_again(const replica_state& state, base::time_point now) {
-  const auto latest = std::max(state.failed_at, state.called_at);
-  return state.in_flight == 0 && now - latest >= base::scaled(retrial_time, state.failure_share);
+  // While others go on reporting failures there is nothing to be learned from a trial.
+  const auto latest = std::max({state.failed_at, state.called_at, state.told_failures_at});
+  return state.in_flight == 0 &&
+         now - latest >= base::scaled(retrial_time, known_failure_share(state, now));
 }
 
 double replica_table::failure_share_of(const replica_state& state, base::time_point now) {
-  const double own = is_due_again(state, now) ? 0 : state.failure_share;
-  return std::max(own, told_share_now(state.told_failure_excess, state, now));
+  return is_due_again(state, now) ? 0 : known_failure_share(state, now);
 }
 
 } // namespace spurrack::serving
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -206,7 +206,7 @@
   ///         has reported a sign of life since.
   [[nodiscard]] bool is_lost(const base::replica_id& id, base::time_point now) const;
   /// @return how likely calls fail, 0 to 1, from own calls, or from reports of others where that is
-  ///         clearly more than at the other replicas of the service.
+  ///         clearly more than at the other replicas of the service; 0 once it is due for a trial.
   [[nodiscard]] static double failure_share_of(const replica_state& state, base::time_point now);
   /// @return what this node's calls show of a replica; nothing where they show nothing of late.
   [[nodiscard]] static std::optional<replica_testimony> own_testimony(const replica_state& state,
@@ -252,6 +252,8 @@
                       const replica_demand& demand, base::time_point now) const;
   /// @return whether a replica takes calls that are expected to arrive, whatever its limit.
   [[nodiscard]] bool takes_calls(const replica_state& state, base::time_point now) const;
+  /// @return the share of calls that failed, from own calls and from reports of others.
+  [[nodiscard]] static double known_failure_share(const replica_state& state, base::time_point now);
   /// @return whether a replica is tried again whatever calls to it have shown.
   [[nodiscard]] static bool is_due_again(const replica_state& state, base::time_point now);
   /// @return whether a replica may be given anything at all.
--- a/tests/rate_limits/limited_calls_test.cc
+++ b/tests/rate_limits/limited_calls_test.cc
@@ -114,6 +114,41 @@
   BOOST_TEST(static_cast<double>(reached) >= 30 * limit * 0.5, reached << " calls in 30 s");
 }
 
+BOOST_AUTO_TEST_CASE(the_urgent_take_a_place_first_then_those_that_end_first) {
+  limited_node node;
+  node.world.add_route("/urgent/", wire::ROUTE_SAFE, "plain").set_priority(0);
+  node.world.add_route("/usual/", wire::ROUTE_SAFE, "plain").set_priority(5);
+  node.world.publish_configuration();
+  node.subject.update(node.world.content, node.now);
+  node.arrive(1, "/safe/");
+  node.happen(call_answered{node.last<start_call>().call, limited_node::limited_head(2), ""});
+  node.arrive(2, "/usual/");
+  node.time_allowed = seconds(4);
+  node.arrive(3, "/usual/");
+  node.arrive(4, "/urgent/");
+  std::vector<std::string> order;
+  std::size_t seen = node.all<start_call>().size();
+  for (int step = 0; step < 150; ++step) {
+    node.pass(milliseconds(20));
+    const auto calls = node.all<start_call>();
+    for (; seen < calls.size(); ++seen) {
+      order.push_back(calls[seen].content->id.text());
+      node.happen(call_answered{calls[seen].call, limited_node::limited_head(2), ""});
+    }
+  }
+  const std::vector<std::string> expected{"r4", "r3", "r2"};
+  BOOST_TEST(order == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(stages_are_not_begun_for_a_replica_that_takes_nothing) {
+  limited_node node;
+  node.arrive(1, "/stream/");
+  node.happen(stream_opened{node.last<start_call>().call, limited_node::limited_head(0)});
+  node.arrive(2, "/staged/", {3, 1});
+  BOOST_TEST(node.last<respond>().status == 503U);
+  BOOST_TEST(node.all<start_stage_call>().empty());
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_limit_leaves_the_one_before) {
   limited_node node;
   node.arrive(1, "/safe/");
