--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -86,19 +86,13 @@
     return;
   }
   const auto* chosen = choose_replica(request, now);
-  if (chosen != nullptr) {
-    want_permit(request, now);
-  } else {
-    if (await_permit(request, now)) {
-      return;
-    }
-    if (request.may_have_run) {
-      answer_failed(request, status::bad_gateway, "no replica is left", now);
-    } else {
-      answer_not_run(request, "no replica", now);
+  if (chosen == nullptr) {
+    if (!await_permit(request, now)) {
+      answer_not_run(request, request.may_have_run ? "no replica is left" : "no replica", now);
     }
     return;
   }
+  want_permit(request, now);
   auto wanted = call_of(request, *chosen, now);
   request.tried.insert(chosen->record->id);
   ++request.sent;
--- a/src/rate_limits/limit_exchange.cc
+++ b/src/rate_limits/limit_exchange.cc
@@ -95,7 +95,7 @@
   const auto published = lookup_(replica);
   const auto near = published ? nodes_by_zone_.find(published->zone) : nodes_by_zone_.end();
   const auto& candidates = near == nodes_by_zone_.end() ? nodes_ : near->second;
-  const auto chosen = base::rendezvous_top("rate_limit/" + replica.text(), candidates, 1).front();
+  auto chosen = base::rendezvous_top("rate_limit/" + replica.text(), candidates, 1).front();
   issuer_by_replica_.emplace(replica, chosen);
   return chosen;
 }
@@ -321,13 +321,14 @@
 // --- messages ------------------------------------------------------------------------------------
 
 void limit_exchange::send(message_map messages) {
-  for (auto& [node, content] : messages) {
-    const auto peer = peers_.find(node);
+  while (!messages.empty()) {
+    auto next = messages.extract(messages.begin());
+    const auto peer = peers_.find(next.key());
     if (peer == peers_.end()) {
       continue;
     }
     wire::outgoing message{peer->second.address, {}};
-    *message.message.mutable_rate_limits() = std::move(content);
+    *message.message.mutable_rate_limits() = std::move(next.mapped());
     messages_.push_back(std::move(message));
     ++counts_.messages;
   }
--- a/tests/rate_limits/limited_fleet.h
+++ b/tests/rate_limits/limited_fleet.h
@@ -188,17 +188,17 @@
     content->method = "POST";
     content->host = "h";
     content->path = content->target = "/safe/";
-    content->id = base::request_id("r" + std::to_string(++requests));
+    content->id = base::request_id("r" + std::to_string(++requests_));
     content->api_key = "key";
     content->time_allowed = seconds(5);
     ++counts.asked;
     if (node.is_frozen) {
-      held_back[index].push_back([this, index, content, client = requests] {
+      held_back_[index].push_back([this, index, content, client = requests_] {
         nodes[index].subject->handle(request_arrived{client, content, now}, now);
       });
       return;
     }
-    node.subject->handle(request_arrived{requests, content, now}, now);
+    node.subject->handle(request_arrived{requests_, content, now}, now);
     node.wakes_at = now;
   }
 
@@ -211,9 +211,9 @@
 
   void step() {
     now += settings.step;
-    while (!due.empty() && due.begin()->first <= now) {
-      const auto what = std::move(due.begin()->second);
-      due.erase(due.begin());
+    while (!due_.empty() && due_.begin()->first <= now) {
+      const auto what = std::move(due_.begin()->second);
+      due_.erase(due_.begin());
       what();
     }
     for (std::size_t index = 0; index < nodes.size(); ++index) {
@@ -229,7 +229,7 @@
     auto& node = nodes[index];
     node.is_frozen = false;
     node.subject->resume_after_pause(gap, now);
-    for (const auto& what : std::exchange(held_back[index], {})) {
+    for (const auto& what : std::exchange(held_back_[index], {})) {
       what();
     }
     node.wakes_at = now;
@@ -277,7 +277,7 @@
 
  private:
   void later(base::duration span, std::function<void()> what) {
-    due.emplace(now + span, std::move(what));
+    due_.emplace(now + span, std::move(what));
   }
 
   void advance(std::size_t index) {
@@ -356,7 +356,7 @@
       node.wakes_at = now;
     };
     if (nodes[index].is_frozen) {
-      held_back[index].push_back(take);
+      held_back_[index].push_back(take);
     } else {
       take();
     }
@@ -372,7 +372,7 @@
         nodes[index].wakes_at = now;
       };
       if (nodes[index].is_frozen) {
-        held_back[index].push_back(take);
+        held_back_[index].push_back(take);
       } else {
         take();
       }
@@ -389,9 +389,9 @@
     }
   }
 
-  std::multimap<base::time_point, std::function<void()>> due;
-  std::map<std::size_t, std::vector<std::function<void()>>> held_back;
-  base::caller_id requests = 0;
+  std::multimap<base::time_point, std::function<void()>> due_;
+  std::map<std::size_t, std::vector<std::function<void()>>> held_back_;
+  base::caller_id requests_ = 0;
 };
 
 } // namespace spurrack::rate_limits
