Requests whose places cannot come in time are refused before their stages are made

Cause, read in the code: a request was admitted by the places at its model replicas as they stood on arrival, and those whose stages were being made beside it did not count; and it was allowed to be late by all its deadline.

Change: all requests of the service that have not been sent count as before it, and the place has to come within 1.3 times the target, as for stages.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -15,8 +15,6 @@
 constexpr base::duration longest_request = std::chrono::minutes(2);
 /// A client that comes back after a refusal has less than this part of its route's time.
 constexpr double first_attempt_time_part = 0.97;
-/// A request is admitted up to this part of its target latency.
-constexpr double admitted_target_part = 1.3;
 /// Part of its time after which a request whose stages are not finished is judged again, and the
 /// part between two judgements from then on: what it needs changes with every replica that is lost.
 /// After the first, two in a row must agree: of seven looks at an estimate with an error one would
--- a/src/dispatch/dispatcher_limits.cc
+++ b/src/dispatch/dispatcher_limits.cc
@@ -159,10 +159,18 @@
   if (choose_for(demand, now) != nullptr) {
     return false;
   }
-  const auto queue = awaiting_permits_.find(request.service);
-  const auto ahead = queue == awaiting_permits_.end() ? 0 : queue->second.size();
-  const auto wait = expected_permit_wait(request, ahead, now);
-  if (!wait || now + *wait <= client_leaves_at(request)) {
+  // Also those come before it whose stages are being made: they want the same places.
+  const auto ahead = std::count_if(active_.begin(), active_.end(), [&](const auto& entry) {
+    const auto& other = entry.second;
+    return other.client != request.client && other.service == request.service && !other.call;
+  });
+  const auto wait = expected_permit_wait(request, static_cast<std::size_t>(ahead), now);
+  const auto target = request.route->target_latency;
+  const auto in_time = request.arrived + base::scaled(target, admitted_target_part);
+  const auto leaves_at = client_leaves_at(request);
+  const auto useful_until =
+      target > base::duration::zero() ? std::min<base::time_point>(in_time, leaves_at) : leaves_at;
+  if (!wait || now + *wait <= useful_until) {
     return false;
   }
   refuse_without_permit(request, *wait, now);
--- a/tests/rate_limits/limited_calls_test.cc
+++ b/tests/rate_limits/limited_calls_test.cc
@@ -149,6 +149,42 @@
   BOOST_TEST(node.all<start_stage_call>().empty());
 }
 
+BOOST_AUTO_TEST_CASE(few_stages_are_made_for_requests_that_find_no_place_afterwards) {
+  limited_node node;
+  node.arrive(1, "/stream/");
+  node.happen(stream_opened{node.last<start_call>().call, limited_node::limited_head(1)});
+  node.happen(stream_closed{node.last<start_call>().call, true});
+  std::size_t pieces = 0;
+  std::size_t answered = 0;
+  std::size_t streams = node.all<start_call>().size();
+  for (base::caller_id client = 10; client < 110; ++client) {
+    node.arrive(client, "/staged/", {1, 1});
+    for (int step = 0; step < 5; ++step) {
+      node.pass(milliseconds(50));
+      const auto calls = node.all<start_stage_call>();
+      for (; answered < calls.size(); ++answered) {
+        stage_call_ended ended{
+            calls[answered].call, stage_call_ended::result::answered, {}, {}, false, named_limit{}};
+        for (std::size_t piece = 0; piece < calls[answered].items.size(); ++piece) {
+          ended.pieces.push_back({piece_fault::none, calls[answered].target.address.text() + "/" +
+                                                         std::to_string(++pieces)});
+        }
+        node.happen(ended);
+      }
+      const auto sent = node.all<start_call>();
+      for (; streams < sent.size(); ++streams) {
+        node.happen(stream_opened{sent[streams].call, limited_node::limited_head(1)});
+        node.happen(stream_bytes{sent[streams].call, "id: 1\ndata: x\n\n"});
+        node.happen(stream_closed{sent[streams].call, true});
+      }
+    }
+  }
+  // Two pieces for each request that is begun; 100 come in 25 s, one a second finds a place.
+  BOOST_TEST_MESSAGE(pieces << " pieces for " << streams << " sent");
+  BOOST_TEST(streams >= 20U, streams << " sent");
+  BOOST_TEST(pieces <= 2 * (streams + 10), pieces << " pieces for " << streams << " sent");
+}
+
 BOOST_AUTO_TEST_CASE(an_unreadable_limit_leaves_the_one_before) {
   limited_node node;
   node.arrive(1, "/safe/");
