--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -493,10 +493,11 @@
     const auto calls = calls_at_.find(state->record->id);
     const auto under_way = calls == calls_at_.end() ? 0 : calls->second;
     const bool is_free = under_way < capacity.slots && may_take_any(*state, sets);
-    if (is_free && !replicas_->may_be_sent(*state, now)) {
+    const bool may_be_sent = is_free && replicas_->may_be_sent(*state, now);
+    if (is_free && !may_be_sent) {
       replicas_->note_waiting(state->record->id, 1, now);
     }
-    return !is_free || !replicas_->may_be_sent(*state, now);
+    return !may_be_sent;
   });
   std::stable_partition(found.begin(), found.end(), [&](const replica_state* state) {
     return replica_table::slowness_of(*state, now) < slow;
