--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -38,7 +38,9 @@
                                                                "request_crashed_replica",
                                                                "request_quarantined",
                                                                "request_cleared",
-                                                               "replica_limit"};
+                                                               "replica_limit",
+                                                               "replica_leaving",
+                                                               "replica_backoff"};
 
 static_assert(!names.back().empty(), "a kind of event has no name");
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -46,10 +46,12 @@
   request_quarantined,
   request_cleared,
   replica_limit,
+  replica_leaving,
+  replica_backoff,
 };
 
 inline constexpr std::size_t event_kind_count =
-    static_cast<std::size_t>(event_kind::replica_limit) + 1;
+    static_cast<std::size_t>(event_kind::replica_backoff) + 1;
 
 /// @return the stable lower-case name of `kind`.
 std::string_view name_of(event_kind kind);
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -37,6 +37,7 @@
     "  timeline          events of all nodes in causal order\n"
     "  quarantine        requests under which replicas ended, as each node knows them\n"
     "  limits            replicas that name how many requests a second they take\n"
+    "  unavailable       replicas that said that they leave, or asked for a pause\n"
     "  release DIGEST    let a request go that is held back; the nodes tell one another\n"
     "  explain REQUEST [LOGFILE...]\n"
     "                    the time line of one request, from live nodes or from their logs\n"
--- a/src/ctl/reports.cc
+++ b/src/ctl/reports.cc
@@ -148,6 +148,8 @@
     print_lists(documents, "replicas",
                 {"replica", "per_second", "heard_ms", "issuer", "permits_held", "sent_in_4_s"},
                 out);
+  } else if (command == "unavailable") {
+    print_lists(documents, "replicas", {"replica", "why", "since_ms", "left_ms", "said_by"}, out);
   } else if (command == "templates") {
     print_lists(documents, "templates", {"template", "revision", "deadline_ms"}, out);
     print_lists(documents, "tenants", {"tenant", "revision", "weight"}, out);
@@ -198,7 +200,7 @@
       {"backends", "/v1/backends"}, {"templates", "/v1/templates"},
       {"costs", "/v1/costs"},       {"timeline", "/v1/timeline"},
       {"explain", "/v1/timeline"},  {"quarantine", "/v1/quarantine"},
-      {"limits", "/v1/limits"}};
+      {"limits", "/v1/limits"},     {"unavailable", "/v1/unavailable"}};
   const auto path = paths.find(command);
   if (path == paths.end()) {
     errors << "unknown command '" << command << "'; see --help\n";
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -201,18 +201,42 @@
             static_cast<double>(dispatcher.crashes().all().size()));
 }
 
-void add_limits(Registry& registry, const serving::dispatcher& dispatcher) {
-  const auto& counts = dispatcher.limits().counts();
+/// What replicas say of themselves with their answers.
+void add_statements(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.statements().counts();
+  const auto& backoffs = dispatcher.replicas().backoffs();
   const auto add = [&](const char* name, const char* help, std::uint64_t value) {
     add_count(registry, name, help, value);
   };
+  add("spurrack_statement_messages_total",
+      "Messages to other nodes on what replicas say of themselves.", counts.messages);
   add("spurrack_limits_unreadable_total",
       "Answers that named a limit of their replica which cannot be read.", counts.unreadable);
-  add("spurrack_limit_messages_total", "Messages to other nodes on limited replicas.",
-      counts.messages);
   add("spurrack_limit_news_other_lives_total",
       "News of other nodes on another life of a limited replica, passed over.",
       counts.of_other_lives);
+  add("spurrack_replica_departures_total",
+      "Replicas that this node learned to be leaving from an answer, its own or another node's.",
+      counts.departures);
+  add("spurrack_replica_departures_heard_total",
+      "Of these, replicas that said so to this node first.", counts.departures_heard);
+  add("spurrack_replica_departures_unreadable_total",
+      "Answers that said of the leaving of their replica what cannot be read.",
+      counts.leaving_unreadable);
+  add("spurrack_replica_backoffs_total",
+      "Answers by which a replica asked this node for a pause, or for a longer one.",
+      backoffs.asked);
+  add("spurrack_replica_backoffs_unreadable_total",
+      "Answers that asked for a pause which cannot be read.", backoffs.unreadable);
+}
+
+void add_limits(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.limits().counts();
+  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
+  add("spurrack_limit_messages_total", "Messages to other nodes that ask for permits or give them.",
+      counts.messages);
   add("spurrack_permits_issued_total", "Permits for limited replicas that this node issued.",
       counts.permits_issued);
   add("spurrack_permits_received_total", "Permits for limited replicas that this node got.",
@@ -266,6 +290,7 @@
   add_planned_stop(registry, counts);
   add_second_chances(registry, dispatcher);
   add_quarantine(registry, dispatcher);
+  add_statements(registry, dispatcher);
   add_limits(registry, dispatcher);
   add("spurrack_stage_pieces_total", "Pieces of stages asked for.", counts.stage_pieces);
   add("spurrack_results_freed_total", "Results of stages given up.", counts.results_freed);
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -189,6 +189,31 @@
   return {{"replicas", std::move(replicas)}};
 }
 
+/// Replicas that are sent nothing since they said so: they leave, or asked this node for a pause.
+json::object unavailable_document(const node::node& subject, base::time_point now) {
+  json::array replicas;
+  if (const auto* serving = subject.serving()) {
+    for (const auto& [process, known] : serving->statements().departures().all()) {
+      replicas.push_back(json::object{{"replica", process.replica.text()},
+                                      {"why", "leaves"},
+                                      {"since_ms", base::to_milliseconds(now - known.since)},
+                                      {"left_ms", nullptr},
+                                      {"said_by", known.source}});
+    }
+    for (const auto& [id, state] : serving->replicas().all()) {
+      if (state.backoff.is_active(now)) {
+        replicas.push_back(
+            json::object{{"replica", id.text()},
+                         {"why", "asked for a pause"},
+                         {"since_ms", base::to_milliseconds(now - state.backoff.asked_at())},
+                         {"left_ms", base::to_milliseconds(state.backoff.until() - now)},
+                         {"said_by", "the replica"}});
+      }
+    }
+  }
+  return {{"replicas", std::move(replicas)}};
+}
+
 json::object timeline_document(const node::node& subject) {
   json::array events;
   for (const auto& entry : subject.events().entries()) {
@@ -227,6 +252,8 @@
     body = quarantine_document(subject, now);
   } else if (path == "/v1/limits") {
     body = limits_document(subject, now);
+  } else if (path == "/v1/unavailable") {
+    body = unavailable_document(subject, now);
   } else if (path == "/v1/timeline") {
     body = timeline_document(subject);
   } else {
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -66,8 +66,9 @@
                        decision_recorder record)
     : self_(self), settings_(settings), record_(std::move(record)), random_(&random),
       from_here_(self.zone, settings.regions),
+      statements_([this](const base::replica_id& id) { return find_published(id); }, random),
       limits_(
-          self, [this](const base::replica_id& id) { return published_for_limits(id); }, random,
+          self, statements_, [this](const base::replica_id& id) { return find_published(id); },
           life),
       replicas_(self.node, self.zone, settings, random),
       plain_replicas_(replicas_, from_here_, random), directory_(self, settings.regions, replicas_),
@@ -79,6 +80,7 @@
           self, replicas_, settings, [this] { return next_call_++; }, life, record_),
       stop_(settings.stop_takes) {
   replicas_.set_limits(limits_);
+  replicas_.set_statements(statements_);
 }
 
 void dispatcher::set_peers(std::vector<fleet_peer> alive, std::size_t known) {
@@ -93,6 +95,7 @@
   lending_.set_peers(alive);
   news_.set_peers(alive);
   crash_news_.set_peers(alive);
+  statements_.set_peers(alive);
   limits_.set_peers(alive, known);
   stages_.set_peers(std::move(alive));
 }
@@ -473,6 +476,9 @@
   if (const auto limits = limits_.next_wakeup()) {
     consider(*limits);
   }
+  if (const auto statements = statements_.next_wakeup()) {
+    consider(*statements);
+  }
   if (!awaiting_permits_.empty()) {
     consider(next_permit_check_);
   }
@@ -486,7 +492,8 @@
   auto news = news_.take_messages();
   auto crashes = crash_news_.take_messages();
   auto limits = limits_.take_messages();
-  for (auto* more : {&engines, &lending, &news, &crashes, &limits}) {
+  auto statements = statements_.take_messages();
+  for (auto* more : {&engines, &lending, &news, &crashes, &limits, &statements}) {
     std::move(more->begin(), more->end(), std::back_inserter(messages));
   }
   return messages;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -85,7 +85,7 @@
   /// Takes in under which requests other nodes saw replicas end.
   void handle_peer(const base::network_address& address, const wire::crash_news& message,
                    base::time_point now);
-  /// Takes in what another node says of limited replicas.
+  /// Takes in what another node says of what replicas say of themselves, and of permits.
   void handle_peer(const base::node_id& sender, const wire::rate_limits& message,
                    base::time_point now);
   /// This process was paused, or its machine suspended, for `gap`: others are asked what it missed,
@@ -107,6 +107,9 @@
   [[nodiscard]] const engine_directory_counts& engine_counts() const { return directory_.counts(); }
   [[nodiscard]] const replica_news_counts& news() const { return news_.counts(); }
   [[nodiscard]] const lending_counts& lending() const { return lending_.counts(); }
+  [[nodiscard]] const replica_statements::statement_exchange& statements() const {
+    return statements_;
+  }
   [[nodiscard]] const rate_limits::limit_exchange& limits() const { return limits_; }
   [[nodiscard]] const quarantine::crash_ledger& crashes() const { return crash_ledger_; }
   [[nodiscard]] const quarantine::crash_news_counts& crash_news() const {
@@ -222,6 +225,7 @@
   void on(const stream_bytes& what, base::time_point now);
   void on(const stream_closed& what, base::time_point now);
   void on(const stage_call_ended& what, base::time_point now);
+  void on(const statement_heard& what, base::time_point now);
   void on(const replica_probed& what, base::time_point now);
 
   void admit(const request_arrived& what, std::shared_ptr<const model::route> route,
@@ -301,15 +305,14 @@
   static std::string identity_text(const active_request& request);
   /// Ends the account of the open call. @return the call.
   open_call close_call(active_request& request);
-  /// Takes in what an answer says of its replica.
-  /// @param call_began when the call that it answers was made.
-  void note_state(const base::replica_id& replica, const answer_head& head,
-                  base::time_point call_began, base::time_point now);
+  /// Takes in that a replica answered.
+  void note_answer(const base::replica_id& replica, const answer_head& head, base::time_point now);
   /// Keeps to the limits that replicas name, and has the requests looked at that wait for permits.
   void advance_limits(base::time_point now);
-  void record_limit_changes();
-  [[nodiscard]] std::optional<rate_limits::published_replica>
-  published_for_limits(const base::replica_id& id) const;
+  /// Reports what replicas say of themselves that was not known before.
+  void record_statements();
+  [[nodiscard]] std::optional<replica_statements::published_replica>
+  find_published(const base::replica_id& id) const;
   /// @return what is asked of the replicas of its service for a request.
   [[nodiscard]] static replica_demand demand_of(const active_request& request);
   /// A request may be sent limited replicas too: has a permit asked for.
@@ -449,6 +452,7 @@
   std::shared_ptr<const model::serving_configuration> configuration_;
   base::call_id next_call_ = 1;
   distance from_here_;
+  replica_statements::statement_exchange statements_;
   rate_limits::limit_exchange limits_;
   replica_table replicas_;
   least_loaded_chooser plain_replicas_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -228,17 +228,12 @@
   }
 }
 
-void dispatcher::note_state(const base::replica_id& replica, const answer_head& head,
-                            base::time_point call_began, base::time_point now) {
+void dispatcher::note_answer(const base::replica_id& replica, const answer_head& head,
+                             base::time_point now) {
   replicas_.note_heard(replica, now);
   if (!head.misdirected) {
     withdraw_end(replica, now);
-    replicas_.note_limit(replica, head.limit, call_began, now);
   }
-  if (head.load) {
-    replicas_.note_load(replica, *head.load, now);
-  }
-  replicas_.note_cold(replica, head.cold_for, now);
 }
 
 void dispatcher::on(const call_answered& what, base::time_point now) {
@@ -247,7 +242,7 @@
     return;
   }
   const auto& replica = request->call->replica;
-  note_state(replica, what.head, request->call->started, now);
+  note_answer(replica, what.head, now);
   if (what.head.not_executed || what.head.misdirected) {
     on_not_executed(*request, what.head, now);
     return;
@@ -299,7 +294,7 @@
     return;
   }
   const auto replica = request->call->replica;
-  note_state(replica, what.head, request->call->started, now);
+  note_answer(replica, what.head, now);
   request->may_have_run = true;
   if (!what.head.sealed || what.head.encoded) {
     commands_.emplace_back(cancel_call{what.call});
--- a/src/dispatch/dispatcher_limits.cc
+++ b/src/dispatch/dispatcher_limits.cc
@@ -7,7 +7,6 @@
 #include "dispatch/return_time.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <iterator>
 
 namespace spurrack::serving {
@@ -21,44 +20,11 @@
 /// More than any request may wait.
 constexpr base::duration for_ever = std::chrono::hours(1);
 
-std::string limit_text(const rate_limits::belief_change& change) {
-  if (change.limit.unreadable) {
-    return "its limit cannot be read, the one before stands";
-  }
-  if (!change.limit.per_second) {
-    return "names no limit any more, says " + change.source;
-  }
-  char text[64];
-  std::snprintf(text, sizeof(text), "takes %g requests a second from all nodes, says ",
-                *change.limit.per_second);
-  return text + change.source;
-}
-
 } // namespace
 
-std::optional<rate_limits::published_replica>
-dispatcher::published_for_limits(const base::replica_id& id) const {
-  const auto* state = replicas_.find(id);
-  if (state == nullptr) {
-    return std::nullopt;
-  }
-  return rate_limits::published_replica{state->record->zone, life_mark_of(*state->record)};
-}
-
-void dispatcher::handle_peer(const base::node_id& sender, const wire::rate_limits& message,
-                             base::time_point now) {
-  limits_.handle(sender, message, now);
-}
-
-void dispatcher::record_limit_changes() {
-  for (const auto& change : limits_.take_changes()) {
-    record_(base::event_kind::replica_limit, {}, change.replica.text(), limit_text(change));
-  }
-}
-
 void dispatcher::advance_limits(base::time_point now) {
+  statements_.advance(now);
   limits_.advance(now);
-  record_limit_changes();
   const auto received = limits_.counts().permits_received;
   if (received != permits_seen_) {
     permits_seen_ = received;
--- a/src/rate_limits/limit_exchange.cc
+++ b/src/rate_limits/limit_exchange.cc
@@ -18,49 +18,16 @@
 /// many replicas are limited.
 constexpr base::duration ask_period = std::chrono::milliseconds(50);
 constexpr std::size_t most_asked = 4;
-/// Nodes that each node passes a change on to, so often, and the time between: of 300 nodes one in
-/// some thousands misses it, and messages may be lost.
-constexpr std::size_t fanout = 4;
-constexpr std::size_t times_told = 2;
-constexpr base::duration tell_period = std::chrono::milliseconds(100);
-/// Random nodes are reminded of what all should know: one that started, or that missed a message,
-/// hears of it within the three seconds in which nodes in contact learn of each other's news.
-constexpr base::duration reminder_period = std::chrono::milliseconds(1000);
-constexpr std::size_t reminded_at_once = 3;
-/// A limit that cannot be read is told once in this time for each replica.
-constexpr base::duration unreadable_period = std::chrono::minutes(1);
-/// Records in one message, about 30 bytes each.
-constexpr std::size_t most_records = 16;
-
-wire::named_limit to_wire(const base::replica_id& replica, const limit_record& record,
-                          base::time_point now) {
-  wire::named_limit said;
-  said.set_replica(replica.text());
-  said.set_life_mark(record.life);
-  said.set_per_second(record.per_second.value_or(0));
-  said.set_lifted(!record.per_second);
-  said.set_version(record.version);
-  said.set_age_milliseconds(static_cast<std::uint32_t>(
-      std::max<std::int64_t>(0, base::to_milliseconds(now - record.heard_at))));
-  return said;
-}
-
-limit_record from_wire(const wire::named_limit& said, base::time_point now) {
-  limit_record record;
-  record.life = said.life_mark();
-  if (!said.lifted()) {
-    record.per_second = said.per_second();
-  }
-  record.version = said.version();
-  record.heard_at = now - std::chrono::milliseconds(said.age_milliseconds());
-  return record;
-}
+/// Permits for replicas that name no limit any more are forgotten this often.
+constexpr base::duration review_period = std::chrono::milliseconds(1000);
 
 } // namespace
 
-limit_exchange::limit_exchange(serving::fleet_peer self, replica_lookup lookup,
-                               base::random_source& random, base::incarnation life)
-    : self_(std::move(self)), lookup_(std::move(lookup)), random_(&random), next_question_(life) {
+limit_exchange::limit_exchange(serving::fleet_peer self,
+                               const replica_statements::statement_exchange& statements,
+                               replica_statements::replica_lookup lookup, base::incarnation life)
+    : self_(std::move(self)), statements_(&statements), lookup_(std::move(lookup)),
+      next_question_(life) {
   set_peers({}, 0);
 }
 
@@ -106,74 +73,22 @@
 }
 
 std::size_t limit_exchange::limited() const {
-  const auto& records = book_.all();
+  const auto& records = book().all();
   return static_cast<std::size_t>(
       std::count_if(records.begin(), records.end(),
                     [](const auto& entry) { return entry.second.per_second.has_value(); }));
 }
 
-// --- what replicas name --------------------------------------------------------------------------
-
-void limit_exchange::note_changed(const base::replica_id& replica, const std::string& source) {
-  changed_[replica] = times_told;
-  changes_.push_back({replica, {book_.limit_of(replica)}, source});
-}
-
-void limit_exchange::note_unreadable(const base::replica_id& replica, base::time_point now) {
-  ++counts_.unreadable;
-  const auto [told, is_first] = unreadable_told_at_.try_emplace(replica, now);
-  if (is_first || now - told->second >= unreadable_period) {
-    told->second = now;
-    changes_.push_back({replica, {book_.limit_of(replica), true}, "the replica"});
-  }
-}
-
-void limit_exchange::hear(const base::replica_id& replica, const serving::named_limit& said,
-                          base::time_point call_began, base::time_point now) {
-  if (said.unreadable) {
-    note_unreadable(replica, now);
-    return;
-  }
-  if (!said.per_second && book_.find(replica) == nullptr) {
-    return;
-  }
-  const auto published = lookup_(replica);
-  if (published && book_.hear(replica, published->life, {said.per_second, call_began}, now)) {
-    note_changed(replica, "the replica");
-  }
-}
-
-void limit_exchange::merge(const base::node_id& sender, const wire::named_limit& told,
-                           base::time_point now) {
-  const base::replica_id replica(told.replica());
-  const auto published = lookup_(replica);
-  if (!published || published->life != told.life_mark()) {
-    ++counts_.of_other_lives;
-    return;
-  }
-  const auto before = book_.limit_of(replica);
-  if (!book_.merge(replica, from_wire(told, now))) {
-    return;
-  }
-  changed_[replica] = times_told;
-  if (book_.limit_of(replica) != before) {
-    changes_.push_back({replica, {book_.limit_of(replica)}, sender.text()});
-  }
-}
-
 void limit_exchange::forget(const base::replica_id& replica) {
-  book_.forget(replica);
   stocks_.erase(replica);
   issuers_.erase(replica);
-  changed_.erase(replica);
-  unreadable_told_at_.erase(replica);
   issuer_by_replica_.erase(replica);
 }
 
 // --- permits -------------------------------------------------------------------------------------
 
 bool limit_exchange::may_send(const base::replica_id& replica, base::time_point now) const {
-  if (!book_.limit_of(replica)) {
+  if (!book().limit_of(replica)) {
     return true;
   }
   const auto* stock = stock_of(replica);
@@ -181,7 +96,7 @@
 }
 
 void limit_exchange::note_sent(const base::replica_id& replica, base::time_point now) {
-  if (!book_.limit_of(replica)) {
+  if (!book().limit_of(replica)) {
     return;
   }
   stocks_[replica].take(now);
@@ -216,7 +131,7 @@
     return;
   }
   auto& message = messages[issuer];
-  *message.add_limits() = to_wire(replica, *book_.find(replica), now);
+  *message.add_limits() = statements_->limit_message(replica, now);
   auto& wanted = *message.add_wanted();
   wanted.set_replica(replica.text());
   wanted.set_number(next_question_);
@@ -227,7 +142,7 @@
 void limit_exchange::withdraw(message_map& messages, base::time_point now) {
   std::erase_if(waited_for_, [&](const base::replica_id& replica) {
     const auto stock = stocks_.find(replica);
-    if (stock == stocks_.end() || !book_.limit_of(replica)) {
+    if (stock == stocks_.end() || !book().limit_of(replica)) {
       return true;
     }
     const bool in_vain = stock->second.asks_in_vain(now);
@@ -249,7 +164,7 @@
   std::deque<base::replica_id> later;
   for (const auto& replica : std::exchange(wanted_, {})) {
     const auto stock = stocks_.find(replica);
-    const bool is_limited = stock != stocks_.end() && book_.limit_of(replica).has_value();
+    const bool is_limited = stock != stocks_.end() && book().limit_of(replica).has_value();
     const auto count = is_limited ? stock->second.to_ask(now) : 0;
     const auto issuer = issuer_of(replica);
     const bool has_room =
@@ -279,7 +194,7 @@
   next_issue_.reset();
   message_map messages;
   for (auto& [replica, issuer] : issuers_) {
-    const auto limit = book_.limit_of(replica);
+    const auto limit = book().limit_of(replica);
     if (!limit) {
       continue;
     }
@@ -334,75 +249,18 @@
   }
 }
 
-std::vector<base::node_id> limit_exchange::random_peers(std::size_t count) {
-  std::vector<base::node_id> left;
-  for (const auto& [node, peer] : peers_) {
-    left.push_back(node);
-  }
-  std::vector<base::node_id> chosen;
-  while (chosen.size() < count && !left.empty()) {
-    chosen.push_back(base::take_random(left, *random_));
-  }
-  return chosen;
-}
-
-void limit_exchange::tell(base::time_point now) {
-  if (changed_.empty() || now < next_tell_) {
-    return;
-  }
-  next_tell_ = now + tell_period;
-  wire::rate_limits news;
-  for (auto one = changed_.begin();
-       one != changed_.end() && news.limits_size() < static_cast<int>(most_records);) {
-    auto& [replica, times_left] = *one;
-    if (const auto* record = book_.find(replica)) {
-      *news.add_limits() = to_wire(replica, *record, now);
-    }
-    one = --times_left == 0 ? changed_.erase(one) : std::next(one);
-  }
-  if (news.limits_size() == 0) {
-    return;
-  }
-  message_map messages;
-  for (const auto& node : random_peers(fanout)) {
-    messages[node] = news;
-  }
-  send(std::move(messages));
-}
-
-void limit_exchange::remind(base::time_point now) {
-  if (book_.empty() || now < next_reminder_) {
-    return;
-  }
-  next_reminder_ = now + reminder_period;
-  book_.forget_lifted(now);
-  std::erase_if(stocks_, [&](const auto& entry) { return book_.find(entry.first) == nullptr; });
-  const auto& records = book_.all();
-  wire::rate_limits news;
-  auto next = records.upper_bound(reminded_last_);
-  for (std::size_t taken = 0; taken < std::min(most_records, records.size()); ++taken) {
-    if (next == records.end()) {
-      next = records.begin();
-    }
-    *news.add_limits() = to_wire(next->first, next->second, now);
-    reminded_last_ = next->first;
-    ++next;
-  }
-  if (news.limits_size() == 0) {
+void limit_exchange::forget_unlimited(base::time_point now) {
+  if (stocks_.empty() || now < next_review_) {
     return;
   }
-  message_map messages;
-  for (const auto& node : random_peers(reminded_at_once)) {
-    messages[node] = news;
-  }
-  send(std::move(messages));
+  next_review_ = now + review_period;
+  std::erase_if(stocks_, [&](const auto& entry) { return book().find(entry.first) == nullptr; });
 }
 
 void limit_exchange::advance(base::time_point now) {
   ask(now);
   issue(now);
-  tell(now);
-  remind(now);
+  forget_unlimited(now);
 }
 
 std::optional<base::time_point> limit_exchange::next_wakeup() const {
@@ -413,23 +271,14 @@
   if (!wanted_.empty() || !waited_for_.empty()) {
     consider(next_ask_);
   }
-  if (!changed_.empty()) {
-    consider(next_tell_);
-  }
-  if (!book_.empty()) {
-    consider(next_reminder_);
-  }
   return earliest;
 }
 
 void limit_exchange::handle(const base::node_id& sender, const wire::rate_limits& message,
                             base::time_point now) {
-  for (const auto& told : message.limits()) {
-    merge(sender, told, now);
-  }
   for (const auto& asked : message.wanted()) {
     const base::replica_id replica(asked.replica());
-    if (!book_.limit_of(replica) || issuer_of(replica) != self_.node) {
+    if (!book().limit_of(replica) || issuer_of(replica) != self_.node) {
       continue;
     }
     issuers_.try_emplace(replica, now)
--- a/src/rate_limits/limit_book.cc
+++ b/src/replica_statements/limit_book.cc
@@ -1,9 +1,9 @@
-#include "rate_limits/limit_book.h"
+#include "replica_statements/limit_book.h"
 
 #include <algorithm>
 #include <limits>
 
-namespace spurrack::rate_limits {
+namespace spurrack::replica_statements {
 namespace {
 
 /// A limit that was lifted is remembered for this time, so that late news does not bring it back.
@@ -91,4 +91,4 @@
   return record == nullptr ? std::nullopt : record->per_second;
 }
 
-} // namespace spurrack::rate_limits
+} // namespace spurrack::replica_statements
--- a/src/rate_limits/limit_book.h
+++ b/src/replica_statements/limit_book.h
@@ -13,7 +13,7 @@
 #include <map>
 #include <optional>
 
-namespace spurrack::rate_limits {
+namespace spurrack::replica_statements {
 
 /// Tells lives of a replica apart; 0 where it is not known.
 using life_mark = std::uint32_t;
@@ -62,4 +62,4 @@
   std::map<base::replica_id, limit_record> records_;
 };
 
-} // namespace spurrack::rate_limits
+} // namespace spurrack::replica_statements
--- /dev/null
+++ b/src/replicas/replica_backoff.cc
@@ -0,0 +1,56 @@
+#include "replicas/replica_backoff.h"
+
+#include <algorithm>
+
+namespace spurrack::serving {
+namespace {
+
+/// No request is held for longer than this time: a longer pause would only hide the replica.
+constexpr base::duration longest_backoff = std::chrono::minutes(2);
+/// An answer lets so many more calls be under way: doubles them where calls last long, since the
+/// answered one may still be.
+constexpr std::uint32_t calls_per_answer = 2;
+
+} // namespace
+
+bool replica_backoff::ask(base::duration span, std::uint32_t in_flight, base::time_point now) {
+  const base::time_point ends_at = now + std::min(span, longest_backoff);
+  if (ends_at <= now || ends_at <= until_) {
+    return false;
+  }
+  asked_at_ = now;
+  until_ = ends_at;
+  slow_start_ = slow_start{in_flight, 1};
+  return true;
+}
+
+bool replica_backoff::permits_call(std::uint32_t in_flight, base::time_point now) const {
+  if (is_active(now)) {
+    return false;
+  }
+  return !slow_start_ || in_flight < slow_start_->earlier_calls + slow_start_->allowed;
+}
+
+void replica_backoff::note_answer(base::time_point call_began, std::uint32_t slots) {
+  if (!slow_start_ || call_began < until_) {
+    return;
+  }
+  slow_start_->allowed += calls_per_answer;
+  if (slow_start_->allowed >= slots) {
+    slow_start_.reset();
+  }
+}
+
+void replica_backoff::note_turned_away() {
+  if (slow_start_) {
+    slow_start_->allowed = 1;
+  }
+}
+
+void replica_backoff::note_call_ended(std::uint32_t in_flight) {
+  if (slow_start_) {
+    slow_start_->earlier_calls = std::min(slow_start_->earlier_calls, in_flight);
+  }
+}
+
+} // namespace spurrack::serving
--- a/src/replicas/replica_lives.cc
+++ b/src/replicas/replica_lives.cc
@@ -2,6 +2,8 @@
 
 #include "base/hashing.h"
 
+#include <algorithm>
+
 namespace spurrack::serving {
 namespace {
 
@@ -48,6 +50,11 @@
   return base::stable_hash(record.id.text(), start);
 }
 
+std::uint32_t process_mark_of(const model::replica& record) {
+  const auto hash = base::stable_hash(record.address.text(), end_of_life(record));
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(hash));
+}
+
 std::uint32_t life_mark_of(const model::replica& record) {
   return record.life
              ? static_cast<std::uint32_t>(1 + record.life->started_at_milliseconds % mark_count)
--- a/src/replicas/replica_lives.h
+++ b/src/replicas/replica_lives.h
@@ -50,4 +50,8 @@
 ///         where the replica does not tell its life.
 [[nodiscard]] std::uint32_t life_mark_of(const model::replica& record);
 
+/// @return a mark of the process of a replica for messages between nodes, never 0: it differs for
+///         another start under the same id, and for another address.
+[[nodiscard]] std::uint32_t process_mark_of(const model::replica& record);
+
 } // namespace spurrack::serving
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -82,9 +82,7 @@
     }
     evidence_.forget(id);
     lives_.note_gone(id, now);
-    if (limits_ != nullptr) {
-      limits_->forget(id);
-    }
+    forget_statements(id);
     return true;
   });
   lives_.forget_gone(now);
@@ -113,6 +111,7 @@
       }
     }
     state.record = record;
+    note_process(state);
     by_service_[record->service].push_back(id);
     by_address_[record->address] = id;
   }
@@ -137,9 +136,7 @@
   fresh.earlier_calls_until = came_back_unlisted ? lost_at : now;
   state = std::move(fresh);
   evidence_.forget(id);
-  if (limits_ != nullptr) {
-    limits_->forget(id);
-  }
+  forget_statements(id);
   changed_.erase(id);
   for (auto& [service, failing] : told_failing_) {
     failing.erase(id);
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -6,7 +6,9 @@
 #include "base/time.h"
 #include "model/serving_records.h"
 #include "rate_limits/limit_exchange.h"
+#include "replica_statements/statement_exchange.h"
 #include "replicas/cold_limit.h"
+#include "replicas/replica_backoff.h"
 #include "replicas/replica_evidence.h"
 #include "replicas/replica_lives.h"
 #include "serving/events.h"
@@ -29,6 +31,8 @@
 /// One replica with what this node has seen of it.
 struct replica_state {
   std::shared_ptr<const model::replica> record;
+  /// Tells its process apart from others under the same id.
+  replica_statements::process_mark process = 0;
   /// Calls of this node that are under way.
   std::uint32_t in_flight = 0;
   /// Load the replica reported last, and when.
@@ -41,6 +45,8 @@
   /// Nothing is sent before this time.
   base::time_point paused_until;
   base::duration next_pause{};
+  /// The pause that it asked this node for.
+  replica_backoff backoff;
   /// Share of the latest calls that failed, 0 to 1; when one failed last, and when one was made.
   double failure_share = 0;
   base::time_point failed_at;
@@ -81,6 +87,20 @@
   base::time_point earlier_calls_until;
 };
 
+/// A replica asked this node for a pause, or for one that cannot be read.
+struct backoff_change {
+  base::replica_id replica;
+  /// From now on; of no meaning where it cannot be read.
+  base::duration span{};
+  bool unreadable = false;
+};
+
+/// Pauses that replicas asked this node for, for metrics.
+struct backoff_counts {
+  std::uint64_t asked = 0;
+  std::uint64_t unreadable = 0;
+};
+
 /// Whether a request that is held to some regions can be served there.
 enum class replica_presence : std::uint8_t {
   none,       ///< No replica of the service is published there.
@@ -113,6 +133,11 @@
   /// Has replicas get no more than they name; without it none is limited.
   /// @param limits must outlive the table.
   void set_limits(rate_limits::limit_exchange& limits) { limits_ = &limits; }
+  /// Has all nodes know what replicas say of themselves; without it this is not told.
+  /// @param statements must outlive the table.
+  void set_statements(replica_statements::statement_exchange& statements) {
+    statements_ = &statements;
+  }
   /// Nodes that are alive, this one among them, by zone.
   void set_nodes(std::map<base::zone_id, std::vector<base::node_id>> by_zone) {
     cold_callers_.set_nodes(std::move(by_zone));
@@ -181,10 +206,15 @@
   [[nodiscard]] const replica_state* find_at(const base::network_address& address) const;
 
   void call_started(const base::replica_id& id, base::time_point now);
-  /// An answer says what its replica takes from all nodes. @param call_began when its call was
-  /// made.
-  void note_limit(const base::replica_id& id, const named_limit& said, base::time_point call_began,
-                  base::time_point now);
+  /// The head of an answer says something of its replica. What an earlier life said is passed over.
+  void note_statement(const statement_heard& heard, base::time_point now);
+  /// @return whether a process of a replica said that it leaves, to this node or another.
+  [[nodiscard]] bool says_it_leaves(const replica_state& state) const;
+  /// @return pauses that were asked for since the last call.
+  [[nodiscard]] std::vector<backoff_change> take_backoff_changes() {
+    return std::exchange(backoff_changes_, {});
+  }
+  [[nodiscard]] const backoff_counts& backoffs() const { return backoff_counts_; }
   /// A replica says that it stays cold for this time.
   void note_cold(const base::replica_id& id, base::duration cold_for, base::time_point now);
   void call_ended(const base::replica_id& id);
@@ -238,6 +268,10 @@
   [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
 
  private:
+  /// A replica is published in another process than before: what the one before asked for is over.
+  static void note_process(replica_state& state);
+  void forget_statements(const base::replica_id& id);
+  void note_backoff(replica_state& state, const statement_heard& heard, base::time_point now);
   /// @return whether a request has not tried a replica yet and is permitted there.
   [[nodiscard]] bool could_serve(const replica_demand& demand, const replica_state& state) const;
   [[nodiscard]] std::vector<const replica_state*>
@@ -285,6 +319,11 @@
   std::set<base::zone_id> evacuated_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   rate_limits::limit_exchange* limits_ = nullptr;
+  replica_statements::statement_exchange* statements_ = nullptr;
+  std::vector<backoff_change> backoff_changes_;
+  backoff_counts backoff_counts_;
+  /// When a pause of a replica that cannot be read was reported last.
+  std::map<base::replica_id, base::time_point> unreadable_backoff_told_at_;
   /// Finds answers on demand and keeps them.
   mutable cold_callers cold_callers_;
   serving_settings settings_;
--- a/src/replicas/replica_table_limits.cc
+++ b/src/replicas/replica_table_limits.cc
@@ -26,13 +26,6 @@
   return limit ? std::min(1.0, *limit * base::to_seconds(call_time)) : 1;
 }
 
-void replica_table::note_limit(const base::replica_id& id, const named_limit& said,
-                               base::time_point call_began, base::time_point now) {
-  if (limits_ != nullptr) {
-    limits_->hear(id, said, call_began, now);
-  }
-}
-
 void replica_table::note_waiting(const base::replica_id& id, std::uint32_t count,
                                  base::time_point now) {
   if (limits_ != nullptr) {
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "serving/replica_statement.h"
 #include "serving/request.h"
 
 #include <cstdint>
@@ -123,10 +124,14 @@
   };
   result how = result::failed;
   std::vector<piece_outcome> pieces;
-  std::optional<replica_load> load;
-  bool closing = false;
-  /// Nothing where no answer came.
-  std::optional<named_limit> limit = std::nullopt;
+};
+
+/// The head of an answer of any kind came: what it says of its replica, before its body is read.
+struct statement_heard {
+  base::replica_id replica;
+  /// When its call was made: the replica said so later than that.
+  base::time_point call_began;
+  replica_statement said;
 };
 
 /// What came of asking a replica for a connection.
@@ -196,7 +201,7 @@
 /// Results that nobody needs any more.
 struct free_results {
   /// Replica that made them.
-  base::network_address maker;
+  call_target maker;
   std::vector<std::string> handles;
 };
 
@@ -243,7 +248,7 @@
 
 using event = std::variant<request_arrived, client_left, client_window, call_failed, answer_paused,
                            answer_resumed, call_answered, stream_opened, stream_bytes,
-                           stream_closed, stage_call_ended, replica_probed>;
+                           stream_closed, stage_call_ended, statement_heard, replica_probed>;
 using command = std::variant<start_call, cancel_call, pause_call, resume_call, start_stage_call,
                              free_results, close_connections, probe_replica, respond, open_stream,
                              stream_data, widen_window, end_stream>;
--- /dev/null
+++ b/src/serving/replica_statement.h
@@ -0,0 +1,52 @@
+/// What a replica says of itself with an answer, besides the answer: one typed value, decoded in
+/// one place from every kind of answer.
+#pragma once
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace spurrack::serving {
+
+/// Load of a replica as it told it with an answer.
+struct replica_load {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+/// What an answer says of the requests that its replica takes from all nodes together.
+struct named_limit {
+  /// Requests a second; nothing where it names no limit.
+  std::optional<double> per_second;
+  /// It names a limit that cannot be read; what it named before stands.
+  bool unreadable = false;
+};
+
+/// What an answer says of the time for which its replica wants nothing from this node.
+struct asked_backoff {
+  /// From the answer on; nothing where it asks for none.
+  std::optional<base::duration> span;
+  /// It asks for one that cannot be read.
+  bool unreadable = false;
+};
+
+struct replica_statement {
+  /// It leaves: it wants no new requests any more.
+  bool leaving = false;
+  /// It says of its leaving what cannot be read.
+  bool leaving_unreadable = false;
+  asked_backoff backoff;
+  named_limit limit;
+  std::optional<replica_load> load;
+  /// It tells a load that cannot be read; what it told before stands, with its age.
+  bool load_unreadable = false;
+  /// How much longer it stays cold; 0 where it does not say.
+  base::duration cold_for{};
+  /// It closes the connection, as leaving replicas do, and others now and then: no decision reads
+  /// it.
+  bool closing = false;
+};
+
+} // namespace spurrack::serving
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -61,22 +61,7 @@
   }
 };
 
-/// Load of a replica as it told it with an answer.
-struct replica_load {
-  std::uint32_t running = 0;
-  std::uint32_t waiting = 0;
-  std::uint32_t slots = 0;
-};
-
-/// What an answer says of the requests that its replica takes from all nodes together.
-struct named_limit {
-  /// Requests a second; nothing where it names no limit.
-  std::optional<double> per_second;
-  /// It names a limit that cannot be read; what it named before stands.
-  bool unreadable = false;
-};
-
-/// What a replica's answer says, besides its bytes.
+/// What a replica's answer says of the request, besides its bytes.
 struct answer_head {
   unsigned status = 0;
   /// Header fields that are passed on to the client.
@@ -89,14 +74,6 @@
   bool misdirected = false;
   /// The body is encoded, although nobody asked for it.
   bool encoded = false;
-  /// The replica closes its connections: it may be leaving.
-  bool closing = false;
-  std::optional<replica_load> load;
-  /// The replica tells a load that cannot be read; what it told before stands, with its age.
-  bool load_unreadable = false;
-  named_limit limit;
-  /// How much longer the replica stays cold; 0 where it does not say.
-  base::duration cold_for{};
 };
 
 } // namespace spurrack::serving
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -268,12 +268,12 @@
   }
   for (auto& wanted : commands_) {
     auto* open = std::get_if<free_results>(&wanted);
-    if (open != nullptr && open->maker == maker) {
+    if (open != nullptr && open->maker.address == maker) {
       open->handles.push_back(handle);
       return;
     }
   }
-  commands_.emplace_back(free_results{maker, {handle}});
+  commands_.emplace_back(free_results{{replica->record->id, maker}, {handle}});
 }
 
 bool stage_pool::is_short_of_room(const replica_state& replica, base::time_point now) const {
@@ -299,7 +299,8 @@
       // It counts as any request does, but no answer is awaited.
       replicas_->call_started(one->first, now);
       replicas_->call_ended(one->first);
-      commands_.emplace_back(free_results{replica->record->address, std::move(one->second)});
+      commands_.emplace_back(
+          free_results{{one->first, replica->record->address}, std::move(one->second)});
     }
     one = unfreed_.erase(one);
   }
@@ -355,15 +356,8 @@
   const auto open = std::move(found->second);
   calls_.erase(found);
   next_check_ = {};
-  const auto& replica = open.call.target.replica;
   end_call_account(open);
   learn_fetch_time(open, ended, now);
-  if (ended.load) {
-    replicas_->note_load(replica, *ended.load, now);
-  }
-  if (ended.limit) {
-    replicas_->note_limit(replica, *ended.limit, open.started, now);
-  }
   record_ended(open, ended, now);
   take_answers(open, ended, now);
   return true;
@@ -390,7 +384,7 @@
     commands_.emplace_back(cancel_call{call});
     const auto replica = calls_.at(call).call.target.replica;
     note_pace(calls_.at(call), now);
-    on_call_ended({call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
+    on_call_ended({call, stage_call_ended::result::failed, {}}, now);
     replicas_->note_unreachable(replica, now);
   }
 }
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -73,12 +73,13 @@
 /// What is to be sent, and how.
 struct outgoing_call {
   base::call_id id = 0;
-  base::network_address address;
+  serving::call_target target;
   serving::encoded_call content;
   /// Set for requests: the answer must name it.
   std::optional<std::string> request;
   bool streaming = false;
   rest_bounds rest;
+  base::time_point began = base::boot_clock::now();
 };
 
 /// Memory of an answer, returned when the last holder of its body goes.
@@ -151,7 +152,7 @@
 
   void start(serving::start_call wanted) override {
     outgoing_call call{wanted.call,
-                       wanted.target.address,
+                       wanted.target,
                        codec_->encode(wanted),
                        wanted.content->id.text(),
                        wanted.streaming,
@@ -163,12 +164,8 @@
   }
 
   void start(serving::start_stage_call wanted) override {
-    outgoing_call call{wanted.call,
-                       wanted.target.address,
-                       codec_->encode(wanted),
-                       std::nullopt,
-                       false,
-                       {surplus_settle_time, settings_.longest_rest}};
+    outgoing_call call{wanted.call,  wanted.target, codec_->encode(wanted),
+                       std::nullopt, false,         {surplus_settle_time, settings_.longest_rest}};
     auto state = open(wanted.call);
     asio::co_spawn(*io_, run_pieces(std::move(state), std::move(call), std::move(wanted)),
                    asio::detached);
@@ -273,13 +270,13 @@
   /// Takes a kept connection or opens one. @return whether there is one.
   asio::awaitable<bool> connect(const std::shared_ptr<call_state>& state,
                                 const outgoing_call& call) {
-    state->link = pool_.take(call.address, call.rest, base::boot_clock::now());
+    state->link = pool_.take(call.target.address, call.rest, base::boot_clock::now());
     if (state->link) {
       ++counters_.reused;
       co_return true;
     }
     state->link = std::make_shared<connection>(*io_);
-    const auto error = co_await open_connection(call.address, *state->link);
+    const auto error = co_await open_connection(call.target.address, *state->link);
     co_return !error && !state->cancelled;
   }
 
@@ -419,17 +416,22 @@
     if (clean) {
       // A resting connection needs no room.
       link.buffer.shrink_to_fit();
-      pool_.give_back(call.address, state->link, rest_of(parser), base::boot_clock::now());
+      pool_.give_back(call.target.address, state->link, rest_of(parser), base::boot_clock::now());
     } else {
       link.stream.close();
     }
   }
 
-  serving::answer_head head_of(const response_parser& parser) {
-    auto head = codec_->read_answer(raw_of(parser));
-    counters_.unreadable_loads += head.load_unreadable ? 1 : 0;
-    head.closing = head.closing || !parser.keep_alive();
-    return head;
+  /// Reads the head of an answer, and passes on what it says of its replica.
+  serving::answer_head head_of(const response_parser& parser, const outgoing_call& call) {
+    auto raw = raw_of(parser);
+    auto said = codec_->read_statement(raw);
+    if (said) {
+      counters_.unreadable_loads += said->load_unreadable ? 1 : 0;
+      said->closing = said->closing || !parser.keep_alive();
+      handler_(serving::statement_heard{call.target.replica, call.began, *said});
+    }
+    return codec_->read_answer(std::move(raw));
   }
 
   asio::awaitable<std::optional<gathered_answer>> exchange(std::shared_ptr<call_state> state,
@@ -441,13 +443,13 @@
       going_well = co_await read_head(state, call, parser);
     }
     if (going_well) {
+      answer.head = head_of(*parser, call);
       going_well = co_await read_body(state, *parser, answer);
     }
     if (!going_well) {
       close(state);
       co_return std::nullopt;
     }
-    answer.head = head_of(*parser);
     keep_or_close(state, call, *parser);
     co_return answer;
   }
@@ -491,7 +493,7 @@
       report(state, call.id, serving::call_failed{call.id, fate_of(state)});
       co_return;
     }
-    auto head = head_of(*parser);
+    auto head = head_of(*parser, call);
     if (!is_success(head.status)) {
       gathered_answer answer;
       const bool whole = co_await read_body(state, *parser, answer);
@@ -545,11 +547,6 @@
     if (!answer) {
       ended.how = state->sent_anything ? result::failed : result::not_sent;
     } else {
-      ended.load = answer->head.load;
-      ended.closing = answer->head.closing;
-      if (!answer->head.misdirected) {
-        ended.limit = answer->head.limit;
-      }
       ended.how = result::failed;
       if (answer->head.misdirected) {
         ended.how = result::misdirected;
--- a/tests/dispatch/client_leaves_test.cc
+++ b/tests/dispatch/client_leaves_test.cc
@@ -14,7 +14,7 @@
   leaving_client() { time_allowed = seconds(20); }
 
   void answer_pieces(const start_stage_call& call) {
-    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
+    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}};
     for (std::size_t index = 0; index < call.items.size(); ++index) {
       ended.pieces.push_back({piece_fault::none, call.target.address.text() + "/h" +
                                                      std::to_string(call.call) + "-" +
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -202,9 +202,7 @@
   const auto maker = first.target.address.text();
   happen(stage_call_ended{first.call,
                           stage_call_ended::result::answered,
-                          {{piece_fault::none, maker + "/1"}, {piece_fault::none, maker + "/2"}},
-                          std::nullopt,
-                          false});
+                          {{piece_fault::none, maker + "/1"}, {piece_fault::none, maker + "/2"}}});
   pass(std::chrono::milliseconds(20));
   const auto second = last<start_stage_call>();
   BOOST_REQUIRE(second.items.size() == 1);
@@ -212,11 +210,8 @@
              boost::test_tools::per_element());
   BOOST_TEST(second.items[0].piece_key.empty());
   const auto second_maker = second.target.address.text();
-  happen(stage_call_ended{second.call,
-                          stage_call_ended::result::answered,
-                          {{piece_fault::none, second_maker + "/3"}},
-                          std::nullopt,
-                          false});
+  happen(stage_call_ended{
+      second.call, stage_call_ended::result::answered, {{piece_fault::none, second_maker + "/3"}}});
   BOOST_TEST(last<free_results>().handles.size() == 2);
   const auto call = last<start_call>();
   BOOST_TEST(call.inputs == std::vector<std::string>{second_maker + "/3"},
@@ -234,9 +229,7 @@
   const auto maker = first.target.address.text();
   happen(stage_call_ended{first.call,
                           stage_call_ended::result::answered,
-                          {{piece_fault::none, maker + "/1"}, {piece_fault::none, maker + "/2"}},
-                          std::nullopt,
-                          false});
+                          {{piece_fault::none, maker + "/1"}, {piece_fault::none, maker + "/2"}}});
   pass(std::chrono::milliseconds(30));
   BOOST_TEST(all<start_stage_call>().size() == 2);
   BOOST_TEST(all<free_results>().empty());
@@ -252,19 +245,14 @@
     const auto first = last<start_stage_call>();
     happen(stage_call_ended{first.call,
                             stage_call_ended::result::answered,
-                            {{piece_fault::none, first.target.address.text() + "/1"}},
-                            std::nullopt,
-                            false});
+                            {{piece_fault::none, first.target.address.text() + "/1"}}});
     pass(std::chrono::milliseconds(100));
     return last<start_stage_call>().call;
   };
   const auto second = play(1);
   BOOST_TEST(all<free_results>().size() == 1);
-  happen(stage_call_ended{second,
-                          stage_call_ended::result::answered,
-                          {{piece_fault::input_gone, ""}},
-                          std::nullopt,
-                          false});
+  happen(stage_call_ended{
+      second, stage_call_ended::result::answered, {{piece_fault::input_gone, ""}}});
   happen(client_left{1});
   commands.clear();
   play(2);
@@ -277,16 +265,11 @@
   const auto first = last<start_stage_call>();
   happen(stage_call_ended{first.call,
                           stage_call_ended::result::answered,
-                          {{piece_fault::none, first.target.address.text() + "/1"}},
-                          std::nullopt,
-                          false});
+                          {{piece_fault::none, first.target.address.text() + "/1"}}});
   pass(std::chrono::milliseconds(20));
   const auto second = last<start_stage_call>();
-  happen(stage_call_ended{second.call,
-                          stage_call_ended::result::answered,
-                          {{piece_fault::input_gone, ""}},
-                          std::nullopt,
-                          false});
+  happen(stage_call_ended{
+      second.call, stage_call_ended::result::answered, {{piece_fault::input_gone, ""}}});
   pass(std::chrono::milliseconds(20));
   BOOST_TEST(last<start_stage_call>().items.front().stage == 0);
 }
@@ -302,9 +285,7 @@
     const auto made = last<start_stage_call>();
     happen(stage_call_ended{made.call,
                             stage_call_ended::result::answered,
-                            {{piece_fault::none, made.target.address.text() + handle}},
-                            std::nullopt,
-                            false});
+                            {{piece_fault::none, made.target.address.text() + handle}}});
   }
   const auto first = last<start_stage_call>();
   const auto call = last<start_call>().call;
@@ -314,11 +295,8 @@
   pass(std::chrono::milliseconds(20));
   const auto again = last<start_stage_call>();
   BOOST_TEST(again.call != first.call);
-  happen(stage_call_ended{again.call,
-                          stage_call_ended::result::answered,
-                          {{piece_fault::late, ""}},
-                          std::nullopt,
-                          false});
+  happen(
+      stage_call_ended{again.call, stage_call_ended::result::answered, {{piece_fault::late, ""}}});
   BOOST_TEST(all<respond>().empty());
   BOOST_TEST(!last<end_stream>().complete);
 }
@@ -328,9 +306,7 @@
   pass(std::chrono::milliseconds(20));
   happen(stage_call_ended{last<start_stage_call>().call,
                           stage_call_ended::result::answered,
-                          {{piece_fault::late, ""}},
-                          std::nullopt,
-                          false});
+                          {{piece_fault::late, ""}}});
   BOOST_TEST(last<respond>().status == 503);
   BOOST_TEST(all<start_call>().empty());
 }
--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -110,16 +110,14 @@
   evacuate(zone);
   happen(stage_call_ended{first.call,
                           stage_call_ended::result::answered,
-                          {{piece_fault::none, first.target.address.text() + "/h"}},
-                          std::nullopt,
-                          false});
+                          {{piece_fault::none, first.target.address.text() + "/h"}}});
   pass(milliseconds(50));
   BOOST_TEST(all<start_stage_call>().size() == 2U);
   BOOST_TEST(last<start_stage_call>().target.replica.text() != name);
   happen(client_left{1});
   pass(milliseconds(50));
   for (const auto& freed : all<free_results>()) {
-    BOOST_TEST(freed.maker != first.target.address);
+    BOOST_TEST(freed.maker.address != first.target.address);
   }
 }
 
--- a/tests/dispatch/replica_restart_test.cc
+++ b/tests/dispatch/replica_restart_test.cc
@@ -243,11 +243,8 @@
     pass(milliseconds(30));
     const auto call = last<start_stage_call>();
     auto handle = call.target.address.text() + "/" + name;
-    happen(stage_call_ended{call.call,
-                            stage_call_ended::result::answered,
-                            {{piece_fault::none, handle}},
-                            std::nullopt,
-                            false});
+    happen(stage_call_ended{
+        call.call, stage_call_ended::result::answered, {{piece_fault::none, handle}}});
     return handle;
   };
   arrive(1, "/staged/x", {1, 1});
--- a/tests/dispatch/request_residency_test.cc
+++ b/tests/dispatch/request_residency_test.cc
@@ -86,8 +86,7 @@
     const auto calls = all<start_stage_call>();
     for (; answered < calls.size(); ++answered) {
       const auto& call = calls[answered];
-      stage_call_ended ended{
-          call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
+      stage_call_ended ended{call.call, stage_call_ended::result::answered, {}};
       for (std::size_t index = 0; index < call.items.size(); ++index) {
         ended.pieces.push_back(
             {piece_fault::none, call.target.address.text() + "/h" + std::to_string(++handles)});
@@ -372,7 +371,7 @@
     constexpr std::array<how, 8> ways{how::answered, how::answered,   how::answered,
                                       how::answered, how::refused,    how::failed,
                                       how::not_sent, how::misdirected};
-    stage_call_ended ended{call.call, ways[drawn_.below(ways.size())], {}, std::nullopt, false};
+    stage_call_ended ended{call.call, ways[drawn_.below(ways.size())], {}};
     for (std::size_t index = 0; index < call.items.size(); ++index) {
       const auto fault = drawn_.below(8);
       if (fault == 0) {
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -189,6 +190,17 @@
     take();
   }
 
+  /// The head of the answer to a call of any kind says something of its replica.
+  void say(base::call_id call, const replica_statement& said) {
+    const auto& made = made_calls_.at(call);
+    happen(statement_heard{made.replica, made.at, said});
+  }
+  /// A call is answered whole, with what the replica says of itself.
+  void answer(base::call_id call, const replica_statement& said, const answer_head& head) {
+    say(call, said);
+    happen(call_answered{call, head, ""});
+  }
+
   void pass(base::duration span) {
     constexpr base::duration step = std::chrono::milliseconds(5);
     const auto end = now + span;
@@ -239,10 +251,29 @@
   command_list commands;
 
  private:
+  struct made_call {
+    base::replica_id replica;
+    base::time_point at;
+  };
+
+  template <typename other_command>
+  void note_call(const other_command& /*wanted*/) {}
+  void note_call(const start_call& wanted) {
+    made_calls_[wanted.call] = {wanted.target.replica, now};
+  }
+  void note_call(const start_stage_call& wanted) {
+    made_calls_[wanted.call] = {wanted.target.replica, now};
+  }
+
   void take() {
     auto wanted = subject.take_commands();
+    for (const auto& command : wanted) {
+      std::visit([this](const auto& one) { note_call(one); }, command);
+    }
     std::move(wanted.begin(), wanted.end(), std::back_inserter(commands));
   }
+
+  std::map<base::call_id, made_call> made_calls_;
 };
 
 } // namespace spurrack::serving
--- a/tests/platform/http_codec_test.cc
+++ b/tests/platform/http_codec_test.cc
@@ -130,19 +130,21 @@
 
 BOOST_AUTO_TEST_CASE(an_answer_is_read_with_what_it_says_of_its_replica) {
   const auto codec = platform::make_http_codec();
-  const auto head = codec->read_answer({200,
-                                        {{"X-Request-Id", "abc"},
-                                         {"x-response-seal", "s"},
-                                         {"X-Replica-Load", "3,1,8"},
-                                         {"Connection", "close"},
-                                         {"Content-Length", "2"},
-                                         {"Content-Type", "text/plain"}}});
+  const serving::raw_answer raw{200,
+                                {{"X-Request-Id", "abc"},
+                                 {"x-response-seal", "s"},
+                                 {"X-Replica-Load", "3,1,8"},
+                                 {"Connection", "close"},
+                                 {"Content-Length", "2"},
+                                 {"Content-Type", "text/plain"}}};
+  const auto head = codec->read_answer(raw);
+  const auto said = codec->read_statement(raw).value();
   BOOST_TEST(head.sealed);
   BOOST_TEST(!head.not_executed);
-  BOOST_TEST(head.closing);
-  BOOST_REQUIRE(head.load.has_value());
-  BOOST_TEST(head.load->running == 3);
-  BOOST_TEST(head.load->slots == 8);
+  BOOST_TEST(said.closing);
+  BOOST_REQUIRE(said.load.has_value());
+  BOOST_TEST(said.load->running == 3);
+  BOOST_TEST(said.load->slots == 8);
   BOOST_TEST(value_of(head.headers, "x-response-seal") == "s");
   BOOST_TEST(value_of(head.headers, "Content-Type") == "text/plain");
   BOOST_TEST(value_of(head.headers, "Connection").empty());
@@ -156,7 +158,7 @@
   const auto codec = platform::make_http_codec();
   for (const std::string text : {"3,1,8", "3, 1, 8", "3,1,8,", "3,1,8,100", "3,1,8,soon",
                                  "3,1,8,-5", "3,1,8,1e99,7,x", "3,1,8,99999999999999999999"}) {
-    const auto head = codec->read_answer({200, {{"X-Replica-Load", text}}});
+    const auto head = codec->read_statement({200, {{"X-Replica-Load", text}}}).value();
     BOOST_TEST_CONTEXT(text) {
       BOOST_REQUIRE(head.load.has_value());
       BOOST_TEST(head.load->running == 3);
@@ -172,13 +174,13 @@
   for (const std::string text :
        {"", " ", ",", ",,", "3", "3,1", "many,1,8", "3,-1,8", "3,1,8.5", "3;1;8", "+3,1,8",
         "99999999999,1,8", "4000000000,1,8", "3,100001,8", "3 1 8", "nan,0,8"}) {
-    const auto head = codec->read_answer({200, {{"X-Replica-Load", text}}});
+    const auto head = codec->read_statement({200, {{"X-Replica-Load", text}}}).value();
     BOOST_TEST_CONTEXT(text) {
       BOOST_TEST(!head.load.has_value());
       BOOST_TEST(head.load_unreadable);
     }
   }
-  const auto silent = codec->read_answer({200, {}});
+  const auto silent = codec->read_statement({200, {}}).value();
   BOOST_TEST(!silent.load.has_value());
   BOOST_TEST(!silent.load_unreadable);
 }
@@ -186,7 +188,7 @@
 BOOST_AUTO_TEST_CASE(an_answer_names_what_its_replica_takes) {
   const auto codec = platform::make_http_codec();
   const auto named = [&](const std::string& text) {
-    return codec->read_answer({200, {{"Server-Limit", text}}}).limit;
+    return codec->read_statement({200, {{"Server-Limit", text}}}).value().limit;
   };
   for (const auto& [text, value] : std::vector<std::pair<std::string, double>>{
            {"0", 0}, {"0.2", 0.2}, {"1", 1}, {" 3.5 ", 3.5}, {"1000", 1000}}) {
@@ -198,9 +200,12 @@
     BOOST_TEST(!named(text).per_second, text);
     BOOST_TEST(named(text).unreadable, text);
   }
-  const auto twice = codec->read_answer({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}});
+  const auto twice =
+      codec->read_statement({200, {{"Server-Limit", "1"}, {"Server-Limit", "2"}}}).value();
   BOOST_TEST(twice.limit.unreadable);
-  const auto silent = codec->read_answer({200, {}});
+  // Another process has the address: it says nothing of the replica that was meant.
+  BOOST_TEST(!codec->read_statement({421, {{"Server-Limit", "3"}}}).has_value());
+  const auto silent = codec->read_statement({200, {}}).value();
   BOOST_TEST(!silent.limit.unreadable);
   BOOST_TEST(!silent.limit.per_second);
   const auto head = codec->read_answer({200, {{"Server-Limit", "1"}, {"A", "b"}}});
@@ -211,12 +216,78 @@
 BOOST_AUTO_TEST_CASE(an_answer_says_how_long_its_replica_stays_cold) {
   const auto codec = platform::make_http_codec();
   const auto cold_for = [&](const std::string& text) {
-    return base::to_milliseconds(codec->read_answer({200, {{"X-Cold-Ms", text}}}).cold_for);
+    return base::to_milliseconds(
+        codec->read_statement({200, {{"X-Cold-Ms", text}}}).value().cold_for);
   };
   BOOST_TEST(cold_for("2500") == 2500);
   BOOST_TEST(cold_for("-1") == 0);
   BOOST_TEST(cold_for("soon") == 0);
-  BOOST_TEST(base::to_milliseconds(codec->read_answer({200, {}}).cold_for) == 0);
+  BOOST_TEST(base::to_milliseconds(codec->read_statement({200, {}}).value().cold_for) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_any_status_says_that_its_replica_leaves) {
+  const auto codec = platform::make_http_codec();
+  const auto read = [&](unsigned status, const header_list& headers) {
+    return codec->read_statement({status, headers}).value();
+  };
+  for (const unsigned status : {200U, 204U, 409U, 429U, 500U, 503U}) {
+    BOOST_TEST(read(status, {{"Server-Leaving", "1"}}).leaving, status);
+  }
+  BOOST_TEST(read(200, {{"server-leaving", " 1 "}}).leaving);
+  BOOST_TEST(read(200, {{"Server-Leaving", "1"}, {"Server-Leaving", "1"}}).leaving);
+  for (const std::string text : {"", " ", "0", "yes", "-1", "1.0", "1e300", "true"}) {
+    const auto said = read(200, {{"Server-Leaving", text}});
+    BOOST_TEST(!said.leaving, text);
+    BOOST_TEST(said.leaving_unreadable, text);
+  }
+  BOOST_TEST(!read(200, {}).leaving);
+  BOOST_TEST(!read(200, {}).leaving_unreadable);
+  const auto head = codec->read_answer({200, {{"Server-Leaving", "1"}, {"A", "b"}}});
+  BOOST_TEST(value_of(head.headers, "Server-Leaving").empty());
+  BOOST_TEST(value_of(head.headers, "A") == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_503_names_the_time_in_which_its_replica_wants_nothing) {
+  const auto codec = platform::make_http_codec();
+  const auto asked = [&](unsigned status, const header_list& headers) {
+    return codec->read_statement({status, headers}).value().backoff;
+  };
+  const auto seconds_of = [&](const std::string& text) {
+    const auto span = asked(503, {{"Retry-After", text}}).span;
+    return span ? base::to_seconds(*span) : -1;
+  };
+  for (const auto& [text, value] : std::vector<std::pair<std::string, double>>{
+           {"0", 0}, {"0.05", 0.05}, {"3", 3}, {" 3 ", 3}, {"120", 120}, {"2.75", 2.75}}) {
+    BOOST_TEST(seconds_of(text) == value, boost::test_tools::tolerance(1e-9));
+  }
+  // Longer than anybody waits, and still a time that a clock can add.
+  BOOST_TEST(seconds_of("1e300") >= 86'400.0);
+  for (const std::string text : {"", " ", "soon", "-1", "nan", "inf", "-inf", "3 s", "1,2",
+                                 "Thu, 03 Dec 2026 09:00:00 GMT"}) {
+    const auto backoff = asked(503, {{"Retry-After", text}});
+    BOOST_TEST(!backoff.span, text);
+    BOOST_TEST(backoff.unreadable, text);
+  }
+  BOOST_TEST(asked(503, {{"Retry-After", "1"}, {"Retry-After", "2"}}).unreadable);
+  BOOST_TEST(!asked(503, {}).span);
+  BOOST_TEST(!asked(503, {}).unreadable);
+  for (const unsigned status : {200U, 429U, 500U}) {
+    BOOST_TEST(!asked(status, {{"Retry-After", "3"}}).span, status);
+    BOOST_TEST(!asked(status, {{"Retry-After", "soon"}}).unreadable, status);
+  }
+  // With or without the word that the request has not run.
+  BOOST_TEST(asked(503, {{"Retry-After", "3"}, {"X-Not-Executed", "1"}}).span.has_value());
+  // Also a client is told.
+  const auto head = codec->read_answer({503, {{"Retry-After", "3"}}});
+  BOOST_TEST(value_of(head.headers, "Retry-After") == "3");
+}
+
+BOOST_AUTO_TEST_CASE(results_are_freed_at_their_maker_only) {
+  const auto codec = platform::make_http_codec();
+  const auto encoded = codec->encode(serving::free_results{
+      {base::replica_id("i-1"), base::network_address("10.0.0.1:80")}, {"10.0.0.1:80/h"}});
+  BOOST_TEST(encoded.target == "/stage-free");
+  BOOST_TEST(value_of(encoded.headers, "X-Expect-Replica") == "i-1");
 }
 
 BOOST_AUTO_TEST_CASE(pieces_are_asked_and_read_in_order) {
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -356,7 +356,7 @@
     if (node.stage_calls.erase(key.second) == 0) {
       return;
     }
-    stage_call_ended ended{key.second, how, {}, std::nullopt, false};
+    stage_call_ended ended{key.second, how, {}};
     for (std::size_t piece = 0; piece < made; ++piece) {
       ended.pieces.push_back({piece_fault::none, "10.1.0.99:80/" + std::to_string(++handles)});
     }
--- a/tests/rate_limits/limit_exchange_test.cc
+++ b/tests/rate_limits/limit_exchange_test.cc
@@ -1,5 +1,5 @@
 /// What nodes tell each other of limited replicas: how fast all know, and how much it costs.
-#include "rate_limits/limit_exchange.h"
+#include "permit_node.h"
 
 #include "base/random.h"
 
@@ -11,6 +11,7 @@
 
 using namespace spurrack;
 using namespace spurrack::rate_limits;
+using replica_statements::published_replica;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -34,12 +35,12 @@
   }
 
   void add(std::size_t index) {
-    nodes.push_back(std::make_unique<limit_exchange>(
+    nodes.push_back(std::make_unique<permit_node>(
         peers[index],
         [](const auto& replica) {
           return replica.text() == "unknown"
                      ? std::nullopt
-                     : std::optional(published_replica{base::zone_id("a"), 1});
+                     : std::optional(published_replica{base::zone_id("a"), 1, 1});
         },
         *randoms[index], index + 1));
   }
@@ -65,7 +66,7 @@
   [[nodiscard]] std::size_t knowing(const base::replica_id& replica) const {
     return static_cast<std::size_t>(
         std::count_if(nodes.begin(), nodes.end(), [&](const auto& node) {
-          return node->book().limit_of(replica).has_value();
+          return node->statements().limits().limit_of(replica).has_value();
         }));
   }
 
@@ -79,7 +80,7 @@
   base::time_point now{std::chrono::hours(1)};
   std::vector<serving::fleet_peer> peers;
   std::vector<std::unique_ptr<base::seeded_random>> randoms;
-  std::vector<std::unique_ptr<limit_exchange>> nodes;
+  std::vector<std::unique_ptr<permit_node>> nodes;
   std::vector<message_under_way> under_way;
   std::size_t bytes = 0;
 };
@@ -126,7 +127,8 @@
   for (; fleet.now - begun < seconds(10);) {
     for (auto& node : fleet.nodes) {
       const auto replica = fleet.random.below(140);
-      node->note_wanted(base::replica_id("i-0123456789-" + std::to_string(replica)), fleet.now);
+      node->permits().note_wanted(base::replica_id("i-0123456789-" + std::to_string(replica)),
+                                  fleet.now);
     }
     fleet.run(milliseconds(100));
   }
@@ -147,8 +149,8 @@
   unknown.set_replica("unknown");
   unknown.set_life_mark(1);
   fleet.nodes[0]->handle(base::node_id("n1"), news, fleet.now);
-  BOOST_TEST(!fleet.nodes[0]->any());
-  BOOST_TEST(fleet.nodes[0]->counts().of_other_lives == 2U);
+  BOOST_TEST(!fleet.nodes[0]->permits().any());
+  BOOST_TEST(fleet.nodes[0]->statements().counts().of_other_lives == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(permits_that_nobody_asked_for_are_void) {
@@ -159,8 +161,8 @@
   granted.set_replica("r");
   granted.set_count(50);
   fleet.nodes[0]->handle(base::node_id("n1"), news, fleet.now);
-  BOOST_TEST(!fleet.nodes[0]->may_send(limited, fleet.now));
-  BOOST_TEST(fleet.nodes[0]->counts().permits_void == 50U);
+  BOOST_TEST(!fleet.nodes[0]->permits().may_send(limited, fleet.now));
+  BOOST_TEST(fleet.nodes[0]->permits().counts().permits_void == 50U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rate_limits/limit_policies_test.cc
+++ b/tests/rate_limits/limit_policies_test.cc
@@ -1,7 +1,7 @@
 /// Three ways to keep what a replica names over all nodes together, drawn over many seeds: a few
 /// callers with a bucket each (as for cold replicas), an equal share for every node, and one node
 /// that issues permits by demand. Prints a table for docs/design/rate-limits.md.
-#include "rate_limits/limit_exchange.h"
+#include "permit_node.h"
 #include "replicas/cold_limit.h"
 
 #include "base/random.h"
@@ -114,10 +114,10 @@
     }
     for (std::size_t node = 0; node < nodes; ++node) {
       random_.push_back(std::make_unique<base::seeded_random>(seed * 1000 + node));
-      exchanges_.push_back(std::make_unique<limit_exchange>(
+      exchanges_.push_back(std::make_unique<permit_node>(
           all[node],
           [](const auto&) {
-            return published_replica{zone, 1};
+            return replica_statements::published_replica{zone, 1, 1};
           },
           *random_[node], node + 1));
       auto others = all;
@@ -140,12 +140,12 @@
     }
   }
   void want(std::size_t node, std::size_t waiting, base::time_point now) override {
-    exchanges_[node]->note_waiting(replica, static_cast<std::uint32_t>(waiting), now);
+    exchanges_[node]->permits().note_waiting(replica, static_cast<std::uint32_t>(waiting), now);
   }
   bool try_send(std::size_t node, base::time_point now) override {
-    const bool may_send = exchanges_[node]->may_send(replica, now);
+    const bool may_send = exchanges_[node]->permits().may_send(replica, now);
     if (may_send) {
-      exchanges_[node]->note_sent(replica, now);
+      exchanges_[node]->permits().note_sent(replica, now);
       exchanges_[node]->hear(replica, {limit_}, now, now);
     }
     return may_send;
@@ -160,7 +160,7 @@
   };
   double limit_;
   std::vector<std::unique_ptr<base::seeded_random>> random_;
-  std::vector<std::unique_ptr<limit_exchange>> exchanges_;
+  std::vector<std::unique_ptr<permit_node>> exchanges_;
   std::vector<message_under_way> under_way_;
   std::uint64_t messages_ = 0;
 };
--- a/tests/rate_limits/limited_calls_test.cc
+++ b/tests/rate_limits/limited_calls_test.cc
@@ -18,10 +18,10 @@
     subject.update(world.content, now);
   }
 
-  static answer_head limited_head(double per_second, unsigned code = 200) {
-    auto head = good_head(code);
-    head.limit.per_second = per_second;
-    return head;
+  static replica_statement limited(double per_second) {
+    replica_statement said;
+    said.limit.per_second = per_second;
+    return said;
   }
 
   /// @return calls of any kind that went to a replica since `first` commands.
@@ -44,7 +44,8 @@
 BOOST_AUTO_TEST_CASE(a_request_waits_for_its_place_at_the_only_replica) {
   limited_node node;
   node.arrive(1, "/safe/");
-  node.happen(call_answered{node.last<start_call>().call, limited_node::limited_head(1), ""});
+  node.answer(node.last<start_call>().call, limited_node::limited(1),
+              dispatcher_driver::good_head());
   const auto before = node.commands.size();
   node.arrive(2, "/safe/");
   BOOST_TEST(node.sent_since(before) == 0U);
@@ -60,7 +61,8 @@
   constexpr double limit = 1;
   for (const base::caller_id client : {1, 2, 3, 4}) {
     node.arrive(client, "/safe/");
-    node.happen(call_answered{node.last<start_call>().call, limited_node::limited_head(limit), ""});
+    node.answer(node.last<start_call>().call, limited_node::limited(limit),
+                dispatcher_driver::good_head());
   }
   BOOST_REQUIRE(node.subject.limits().limited() == 2U);
   const auto before = node.commands.size();
@@ -92,9 +94,8 @@
     // The pool answers what it has; each result is one more to be freed.
     const auto calls = node.all<start_stage_call>();
     for (; answered < calls.size(); ++answered) {
-      stage_call_ended ended{
-          calls[answered].call,     stage_call_ended::result::answered, {}, {}, false,
-          named_limit{limit, false}};
+      node.say(calls[answered].call, limited_node::limited(limit));
+      stage_call_ended ended{calls[answered].call, stage_call_ended::result::answered, {}};
       for (std::size_t piece = 0; piece < calls[answered].items.size(); ++piece) {
         ended.pieces.push_back({piece_fault::none, calls[answered].target.address.text() + "/" +
                                                        std::to_string(answered) + "." +
@@ -121,7 +122,8 @@
   node.world.publish_configuration();
   node.subject.update(node.world.content, node.now);
   node.arrive(1, "/safe/");
-  node.happen(call_answered{node.last<start_call>().call, limited_node::limited_head(2), ""});
+  node.answer(node.last<start_call>().call, limited_node::limited(2),
+              dispatcher_driver::good_head());
   node.arrive(2, "/usual/");
   node.time_allowed = seconds(4);
   node.arrive(3, "/usual/");
@@ -133,7 +135,7 @@
     const auto calls = node.all<start_call>();
     for (; seen < calls.size(); ++seen) {
       order.push_back(calls[seen].content->id.text());
-      node.happen(call_answered{calls[seen].call, limited_node::limited_head(2), ""});
+      node.answer(calls[seen].call, limited_node::limited(2), dispatcher_driver::good_head());
     }
   }
   const std::vector<std::string> expected{"r4", "r3", "r2"};
@@ -143,7 +145,8 @@
 BOOST_AUTO_TEST_CASE(stages_are_not_begun_for_a_replica_that_takes_nothing) {
   limited_node node;
   node.arrive(1, "/stream/");
-  node.happen(stream_opened{node.last<start_call>().call, limited_node::limited_head(0)});
+  node.say(node.last<start_call>().call, limited_node::limited(0));
+  node.happen(stream_opened{node.last<start_call>().call, dispatcher_driver::good_head()});
   node.arrive(2, "/staged/", {3, 1});
   BOOST_TEST(node.last<respond>().status == 503U);
   BOOST_TEST(node.all<start_stage_call>().empty());
@@ -152,7 +155,8 @@
 BOOST_AUTO_TEST_CASE(few_stages_are_made_for_requests_that_find_no_place_afterwards) {
   limited_node node;
   node.arrive(1, "/stream/");
-  node.happen(stream_opened{node.last<start_call>().call, limited_node::limited_head(1)});
+  node.say(node.last<start_call>().call, limited_node::limited(1));
+  node.happen(stream_opened{node.last<start_call>().call, dispatcher_driver::good_head()});
   node.happen(stream_closed{node.last<start_call>().call, true});
   std::size_t pieces = 0;
   std::size_t answered = 0;
@@ -163,8 +167,8 @@
       node.pass(milliseconds(50));
       const auto calls = node.all<start_stage_call>();
       for (; answered < calls.size(); ++answered) {
-        stage_call_ended ended{
-            calls[answered].call, stage_call_ended::result::answered, {}, {}, false, named_limit{}};
+        node.say(calls[answered].call, {});
+        stage_call_ended ended{calls[answered].call, stage_call_ended::result::answered, {}};
         for (std::size_t piece = 0; piece < calls[answered].items.size(); ++piece) {
           ended.pieces.push_back({piece_fault::none, calls[answered].target.address.text() + "/" +
                                                          std::to_string(++pieces)});
@@ -173,7 +177,8 @@
       }
       const auto sent = node.all<start_call>();
       for (; streams < sent.size(); ++streams) {
-        node.happen(stream_opened{sent[streams].call, limited_node::limited_head(1)});
+        node.say(sent[streams].call, limited_node::limited(1));
+        node.happen(stream_opened{sent[streams].call, dispatcher_driver::good_head()});
         node.happen(stream_bytes{sent[streams].call, "id: 1\ndata: x\n\n"});
         node.happen(stream_closed{sent[streams].call, true});
       }
@@ -188,34 +193,24 @@
 BOOST_AUTO_TEST_CASE(an_unreadable_limit_leaves_the_one_before) {
   limited_node node;
   node.arrive(1, "/safe/");
-  node.happen(call_answered{node.last<start_call>().call, limited_node::limited_head(1), ""});
+  node.answer(node.last<start_call>().call, limited_node::limited(1),
+              dispatcher_driver::good_head());
   node.arrive(2, "/safe/");
   node.pass(milliseconds(2500));
-  auto head = dispatcher_driver::good_head();
-  head.limit.unreadable = true;
-  node.happen(call_answered{node.last<start_call>().call, head, ""});
+  replica_statement said;
+  said.limit.unreadable = true;
+  node.answer(node.last<start_call>().call, said, dispatcher_driver::good_head());
   BOOST_TEST(node.subject.limits().limited() == 1U);
-  BOOST_TEST(node.subject.limits().counts().unreadable == 1U);
+  BOOST_TEST(node.subject.statements().counts().unreadable == 1U);
   BOOST_TEST(node.last<respond>().status == 200U);
 }
 
 BOOST_AUTO_TEST_CASE(a_refusal_of_the_replica_names_its_limit_too) {
   limited_node node;
   node.arrive(1, "/unsafe/");
-  auto head = dispatcher_driver::full_head();
-  head.limit.per_second = 3;
-  node.happen(call_answered{node.last<start_call>().call, head, ""});
+  node.answer(node.last<start_call>().call, limited_node::limited(3),
+              dispatcher_driver::full_head());
   BOOST_TEST(node.subject.limits().limited() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(what_another_process_at_the_address_names_says_nothing) {
-  limited_node node;
-  node.arrive(1, "/safe/");
-  auto head = dispatcher_driver::good_head(421);
-  head.misdirected = true;
-  head.limit.per_second = 3;
-  node.happen(call_answered{node.last<start_call>().call, head, ""});
-  BOOST_TEST(node.subject.limits().limited() == 0U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/rate_limits/limited_fleet.h
+++ b/tests/rate_limits/limited_fleet.h
@@ -1,6 +1,7 @@
-/// A fleet of dispatchers before replicas of which some name how many requests a second they take,
-/// in virtual time. What reaches each replica is counted as the replica sees it: by all nodes, and
-/// by those that had passed on an answer that named the limit.
+/// A fleet of dispatchers before replicas that say something of themselves in their answers, in
+/// virtual time: how many requests a second they take, that they leave, for how long they want
+/// nothing. What reaches each replica is counted as the replica sees it: by all nodes, and by those
+/// that had passed such an answer on.
 #pragma once
 
 #include "serving_fixture.h"
@@ -25,8 +26,9 @@
   std::size_t nodes = 6;
   std::size_t zones = 2;
   unsigned replicas = 12;
-  /// Time of a message between two nodes.
+  /// Time of a message between two nodes, and the share of them that is lost.
   base::duration message_time = milliseconds(2);
+  double lost_messages = 0;
   /// Virtual time passes in steps of this length.
   base::duration step = milliseconds(1);
 };
@@ -43,6 +45,7 @@
   /// A request reached a replica.
   struct arrival {
     base::time_point at;
+    base::time_point sent_at;
     std::size_t node = 0;
     /// Its node had passed on an answer that named the limit half a second before or earlier.
     bool is_told = false;
@@ -54,6 +57,20 @@
     std::optional<double> limit;
     /// When it named a limit first in this life.
     std::optional<base::time_point> named_at;
+    /// Its answers say that it leaves.
+    bool is_leaving = false;
+    /// Until then it turns all requests away and asks for this pause.
+    base::time_point turns_away_until;
+    base::duration pause{};
+    /// Pauses that each node was asked for, as far as it has passed the answers on.
+    struct asked_pause {
+      std::size_t node = 0;
+      base::time_point from;
+      base::time_point until;
+    };
+    std::vector<asked_pause> pauses;
+    /// When each node passed on an answer that said that it leaves first.
+    std::map<std::size_t, base::time_point> told_leaving;
     std::vector<arrival> arrivals;
     /// When each node first passed on an answer that named the limit.
     std::map<std::size_t, base::time_point> told;
@@ -62,7 +79,8 @@
     std::unique_ptr<base::seeded_random> random;
     std::unique_ptr<dispatcher> subject;
     base::incarnation life = 0;
-    std::map<base::call_id, base::caller_id> calls;
+    /// Calls under way, and when they were made.
+    std::map<base::call_id, base::time_point> calls;
     base::time_point wakes_at;
     bool is_frozen = false;
     std::uint64_t messages = 0;
@@ -105,14 +123,50 @@
     ++replica.life;
     replica.limit.reset();
     replica.named_at.reset();
+    replica.is_leaving = false;
+    replica.told_leaving.clear();
     replica.told.clear();
     publish(index);
+    update_nodes();
+  }
+
+  void update_nodes() {
     for (auto& node : nodes) {
       node.subject->update(world.content, now);
       node.wakes_at = now;
     }
   }
 
+  /// The answers of a replica say from now on that it leaves.
+  void begin_leaving(unsigned index) { replicas[index].is_leaving = true; }
+
+  /// A replica turns all requests away for a while, and asks each node for a pause.
+  void turn_away(unsigned index, base::duration span, base::duration pause) {
+    replicas[index].turns_away_until = now + span;
+    replicas[index].pause = pause;
+  }
+
+  /// @return requests that a node sent to a replica after it had passed on that it leaves.
+  [[nodiscard]] std::size_t sent_after_leaving_was_told(unsigned index) const {
+    const auto& replica = replicas[index];
+    return static_cast<std::size_t>(
+        std::count_if(replica.arrivals.begin(), replica.arrivals.end(), [&](const arrival& one) {
+          const auto told = replica.told_leaving.find(one.node);
+          return told != replica.told_leaving.end() && one.sent_at > told->second;
+        }));
+  }
+
+  /// @return requests that a node sent to a replica in a pause that it had been asked for.
+  [[nodiscard]] std::size_t sent_in_pauses(unsigned index) const {
+    const auto& replica = replicas[index];
+    return static_cast<std::size_t>(
+        std::count_if(replica.arrivals.begin(), replica.arrivals.end(), [&](const arrival& one) {
+          return std::any_of(replica.pauses.begin(), replica.pauses.end(), [&](const auto& pause) {
+            return pause.node == one.node && pause.from < one.sent_at && one.sent_at < pause.until;
+          });
+        }));
+  }
+
   /// Begins a new life of a node, which knows nothing.
   void start_node(std::size_t index) {
     auto& node = nodes[index];
@@ -129,6 +183,8 @@
     node.wakes_at = now;
     for (auto& replica : replicas) {
       replica.told.erase(index);
+      replica.told_leaving.erase(index);
+      std::erase_if(replica.pauses, [&](const auto& one) { return one.node == index; });
     }
     for (std::size_t other = 0; other < nodes.size(); ++other) {
       update_peers(other);
@@ -272,8 +328,8 @@
   std::vector<emulated_node> nodes;
   request_counts counts;
   std::function<std::size_t(std::size_t)> part_of = [](std::size_t) { return 0; };
-  /// Times between the arrival of a request and its answer.
-  std::vector<base::duration> answer_times;
+  /// Times after which refused clients were told to come back.
+  std::vector<base::duration> return_times;
 
  private:
   void later(base::duration span, std::function<void()> what) {
@@ -289,6 +345,9 @@
     for (auto& message : node.subject->take_messages()) {
       ++node.messages;
       node.message_bytes += message.message.ByteSizeLong();
+      if (random.unit() < settings.lost_messages) {
+        continue;
+      }
       later(settings.message_time, [this, index, message] { deliver(index, message); });
     }
     const auto next = node.subject->next_wakeup(now);
@@ -301,10 +360,10 @@
 
   void carry_out(std::size_t index, const start_call& wanted) {
     const auto life = nodes[index].life;
-    nodes[index].calls[wanted.call] = 0;
-    later(milliseconds(1), [this, index, life, wanted] {
+    nodes[index].calls[wanted.call] = now;
+    later(milliseconds(1), [this, index, life, wanted, sent_at = now] {
       if (nodes[index].life == life) {
-        reach(index, wanted);
+        reach(index, wanted, sent_at);
       }
     });
   }
@@ -314,6 +373,11 @@
   }
 
   void carry_out(std::size_t /*node*/, const respond& answer) {
+    const auto is_own_refusal = [](const header& field) { return field.name == "Retry-After"; };
+    const auto named = std::find_if(answer.headers.begin(), answer.headers.end(), is_own_refusal);
+    if (answer.status == 503 && named != answer.headers.end()) {
+      return_times.push_back(base::from_seconds(std::stod(named->value)));
+    }
     if (answer.status == 200) {
       ++counts.served;
     } else if (answer.status == 503) {
@@ -323,35 +387,51 @@
     }
   }
 
-  void reach(std::size_t index, const start_call& wanted) {
+  void reach(std::size_t index, const start_call& wanted, base::time_point sent_at) {
     const auto found = std::find_if(replicas.begin(), replicas.end(), [&](const auto& replica) {
       return replica.id == wanted.target.replica;
     });
     auto& replica = *found;
     const auto told = replica.told.find(index);
     const bool is_told = told != replica.told.end() && now - told->second >= milliseconds(500);
-    replica.arrivals.push_back({now, index, is_told});
+    replica.arrivals.push_back({now, sent_at, index, is_told});
     const auto place = static_cast<std::size_t>(found - replicas.begin());
     const auto life = nodes[index].life;
-    later(milliseconds(20 + random.below(60)), [this, index, life, place, call = wanted.call] {
-      answer_call(index, life, place, call);
+    const bool is_turned_away = now < replica.turns_away_until;
+    const auto work = milliseconds(is_turned_away ? 1 : 20 + random.below(60));
+    later(work, [this, index, life, place, is_turned_away, call = wanted.call] {
+      answer_call(index, life, place, call, is_turned_away);
     });
   }
 
-  void answer_call(std::size_t index, base::incarnation life, std::size_t place,
-                   base::call_id call) {
+  void answer_call(std::size_t index, base::incarnation life, std::size_t place, base::call_id call,
+                   bool is_turned_away) {
     auto& replica = replicas[place];
-    auto head = dispatcher_driver::good_head();
-    head.limit.per_second = replica.limit;
-    const auto take = [this, index, life, place, call, head] {
+    const auto head =
+        is_turned_away ? dispatcher_driver::full_head() : dispatcher_driver::good_head();
+    replica_statement said;
+    said.limit.per_second = replica.limit;
+    said.leaving = replica.is_leaving;
+    if (is_turned_away) {
+      said.backoff.span = replica.pause;
+    }
+    const auto take = [this, index, life, place, call, head, said] {
       auto& node = nodes[index];
       if (node.life != life || !node.calls.contains(call)) {
         return;
       }
+      const auto began = node.calls.at(call);
       node.calls.erase(call);
-      if (head.limit.per_second) {
+      if (said.limit.per_second) {
         replicas[place].told.try_emplace(index, now);
       }
+      if (said.leaving) {
+        replicas[place].told_leaving.try_emplace(index, now);
+      }
+      if (said.backoff.span) {
+        replicas[place].pauses.push_back({index, now, now + *said.backoff.span});
+      }
+      node.subject->handle(statement_heard{replicas[place].id, began, said}, now);
       node.subject->handle(call_answered{call, head, "body"}, now);
       node.wakes_at = now;
     };
--- /dev/null
+++ b/tests/rate_limits/permit_node.h
@@ -0,0 +1,59 @@
+/// What one node knows of replicas that name limits, and the permits it holds and issues.
+#pragma once
+
+#include "base/random.h"
+#include "rate_limits/limit_exchange.h"
+#include "replica_statements/statement_exchange.h"
+
+#include <utility>
+#include <vector>
+
+namespace spurrack::rate_limits {
+
+class permit_node {
+ public:
+  permit_node(const serving::fleet_peer& self, const replica_statements::replica_lookup& lookup,
+              base::random_source& random, base::incarnation life)
+      : statements_(lookup, random), permits_(self, statements_, lookup, life) {}
+  permit_node(const permit_node&) = delete;
+  permit_node& operator=(const permit_node&) = delete;
+  ~permit_node() = default;
+
+  void set_peers(const std::vector<serving::fleet_peer>& alive, std::size_t known) {
+    statements_.set_peers(alive);
+    permits_.set_peers(alive, known);
+  }
+  void hear(const base::replica_id& replica, const serving::named_limit& said,
+            base::time_point call_began, base::time_point now) {
+    serving::replica_statement statement;
+    statement.limit = said;
+    statements_.hear(replica, statement, call_began, now);
+  }
+  void forget(const base::replica_id& replica) {
+    statements_.forget(replica);
+    permits_.forget(replica);
+  }
+  void handle(const base::node_id& sender, const wire::rate_limits& message, base::time_point now) {
+    statements_.handle(sender, message, now);
+    permits_.handle(sender, message, now);
+  }
+  void advance(base::time_point now) {
+    statements_.advance(now);
+    permits_.advance(now);
+  }
+  [[nodiscard]] wire::outbox take_messages() {
+    auto messages = statements_.take_messages();
+    auto more = permits_.take_messages();
+    std::move(more.begin(), more.end(), std::back_inserter(messages));
+    return messages;
+  }
+
+  [[nodiscard]] replica_statements::statement_exchange& statements() { return statements_; }
+  [[nodiscard]] limit_exchange& permits() { return permits_; }
+
+ private:
+  replica_statements::statement_exchange statements_;
+  limit_exchange permits_;
+};
+
+} // namespace spurrack::rate_limits
--- a/tests/rate_limits/limit_book_test.cc
+++ b/tests/replica_statements/limit_book_test.cc
@@ -1,5 +1,5 @@
 /// What nodes believe of a replica's limit, in whatever order the news comes.
-#include "rate_limits/limit_book.h"
+#include "replica_statements/limit_book.h"
 
 #include "base/random.h"
 
@@ -8,7 +8,7 @@
 #include <vector>
 
 using namespace spurrack;
-using namespace spurrack::rate_limits;
+using namespace spurrack::replica_statements;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/tests/stage_work/exchange_fleet.h
+++ b/tests/stage_work/exchange_fleet.h
@@ -151,7 +151,7 @@
 
   void answer(exchange_node& gatherer) {
     const auto call = gatherer.calls.back();
-    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
+    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}};
     for (std::size_t index = 0; index < call.items.size(); ++index) {
       ended.pieces.push_back(
           {piece_fault::none, call.target.address.text() + "/h" + std::to_string(index)});
--- a/tests/stage_work/piece_residency_test.cc
+++ b/tests/stage_work/piece_residency_test.cc
@@ -189,7 +189,7 @@
     using how = stage_call_ended::result;
     constexpr std::array<how, 6> ways{how::answered, how::answered, how::answered,
                                       how::refused,  how::failed,   how::not_sent};
-    stage_call_ended ended{call.call, ways[drawn_.below(ways.size())], {}, std::nullopt, false};
+    stage_call_ended ended{call.call, ways[drawn_.below(ways.size())], {}};
     if (ended.how == how::answered) {
       for (std::size_t index = 0; index < call.items.size(); ++index) {
         const bool fails = drawn_.below(6) == 0;
--- a/tests/stage_work/stage_pool_test.cc
+++ b/tests/stage_work/stage_pool_test.cc
@@ -44,7 +44,7 @@
   }
 
   stage_call_ended answered(const start_stage_call& call) {
-    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}, std::nullopt, false};
+    stage_call_ended ended{call.call, stage_call_ended::result::answered, {}};
     for (std::size_t index = 0; index < call.items.size(); ++index) {
       ended.pieces.push_back(
           {piece_fault::none, call.target.address.text() + "/" + std::to_string(handles++)});
@@ -130,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(a_refused_call_is_made_elsewhere) {
   submit("r1", std::chrono::seconds(1));
   const auto first = pump().front();
-  pool.on_call_ended({first.call, stage_call_ended::result::refused, {}, std::nullopt, false}, now);
+  pool.on_call_ended({first.call, stage_call_ended::result::refused, {}}, now);
   const auto second = pump();
   BOOST_REQUIRE(second.size() == 1);
   BOOST_TEST(second.front().target.replica != first.target.replica);
@@ -262,8 +262,7 @@
   for (const auto end = now + std::chrono::seconds(3); now < end;) {
     for (const auto& call : pump()) {
       ++refused;
-      pool.on_call_ended({call.call, stage_call_ended::result::refused, {}, std::nullopt, false},
-                         now);
+      pool.on_call_ended({call.call, stage_call_ended::result::refused, {}}, now);
     }
   }
   BOOST_TEST_MESSAGE("refused calls in 3 s at 2 replicas: " << refused);
@@ -353,8 +352,7 @@
     const auto calls = pump(std::chrono::milliseconds(100));
     BOOST_REQUIRE(calls.size() == 1);
     BOOST_TEST(calls.front().items.size() == 2);
-    pool.on_call_ended(
-        {calls.front().call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
+    pool.on_call_ended({calls.front().call, stage_call_ended::result::failed, {}}, now);
     const auto lost = pool.take_lost();
     BOOST_REQUIRE(lost.size() == 2);
     BOOST_TEST(lost.front().replica == calls.front().target.replica);
@@ -381,8 +379,7 @@
   BOOST_REQUIRE(calls.size() == 2);
   BOOST_REQUIRE(calls.front().items.size() == 1);
   BOOST_TEST(calls.front().items.front().request.text() == "suspected");
-  pool.on_call_ended(
-      {calls.front().call, stage_call_ended::result::failed, {}, std::nullopt, false}, now);
+  pool.on_call_ended({calls.front().call, stage_call_ended::result::failed, {}}, now);
   const auto finished = pool.take_finished();
   BOOST_REQUIRE(finished.size() == 1);
   BOOST_TEST(finished.front().ticket == ticket);
