A replica that says that it leaves is sent nothing more, by any node

Cause: nothing read the word. Ruled out: the list lifting it (none was applied), calls chosen before (the clients sent them later).

Sends ask replica_table::may_be_sent; takes_work, gatherers, freed results and permits follow it. What is under way there goes on.

--- a/src/dispatch/dispatcher_statements.cc
+++ b/src/dispatch/dispatcher_statements.cc
@@ -61,6 +61,7 @@
       record_(base::event_kind::replica_limit, {}, change.replica.text(), limit_text(change));
     } else {
       record_(base::event_kind::replica_leaving, {}, change.replica.text(), leaving_text(change));
+      stages_.on_departure();
     }
   }
   for (const auto& change : replicas_.take_backoff_changes()) {
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -176,7 +176,8 @@
 }
 
 bool replica_table::takes_work(const replica_state& state) const {
-  return !state.record->draining && !state.left && !evacuated_.contains(state.record->zone);
+  return !state.record->draining && !state.left && !says_it_leaves(state) &&
+         !evacuated_.contains(state.record->zone);
 }
 
 const model::service* replica_table::cold_service_of(const replica_state& state,
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -184,11 +184,9 @@
   /// @return whether a replica takes work and calls to it are expected to arrive. One that names a
   ///         limit may have to wait for the next.
   [[nodiscard]] bool is_available(const replica_state& state, base::time_point now) const;
-  /// @return whether an available replica may be sent something now, as its limit goes. Each send
+  /// @return whether a replica may be sent something now, as what it says of itself goes. Each send
   ///         asks this and is told by `call_started`.
-  [[nodiscard]] bool may_be_sent(const replica_state& state, base::time_point now) const {
-    return limits_ == nullptr || limits_->may_send(state.record->id, now);
-  }
+  [[nodiscard]] bool may_be_sent(const replica_state& state, base::time_point now) const;
   /// @return the requests a second that a replica takes from all nodes; nothing where it names no
   ///         limit.
   [[nodiscard]] std::optional<double> limit_of(const replica_state& state) const;
@@ -268,6 +266,10 @@
   [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
 
  private:
+  /// @return whether the limit that a replica names leaves room for one more request now.
+  [[nodiscard]] bool has_permit(const replica_state& state, base::time_point now) const {
+    return limits_ == nullptr || limits_->may_send(state.record->id, now);
+  }
   /// A replica is published in another process than before: what the one before asked for is over.
   static void note_process(replica_state& state);
   void forget_statements(const base::replica_id& id);
--- a/src/replicas/replica_table_limits.cc
+++ b/src/replicas/replica_table_limits.cc
@@ -28,7 +28,7 @@
 
 void replica_table::note_waiting(const base::replica_id& id, std::uint32_t count,
                                  base::time_point now) {
-  if (limits_ != nullptr) {
+  if (limits_ != nullptr && limits_->book().limit_of(id)) {
     limits_->note_waiting(id, count, now);
   }
 }
@@ -44,7 +44,7 @@
     const auto& state = replicas_.at(id);
     const bool is_limited = limits_->book().limit_of(id).has_value();
     if (is_limited && takes_calls(state, now) && could_serve(demand, state) &&
-        !may_be_sent(state, now)) {
+        !has_permit(state, now)) {
       found.push_back(&state);
     }
   }
--- a/src/replicas/replica_table_statements.cc
+++ b/src/replicas/replica_table_statements.cc
@@ -34,6 +34,10 @@
          statements_->departures().includes({state.record->id, state.process});
 }
 
+bool replica_table::may_be_sent(const replica_state& state, base::time_point now) const {
+  return !says_it_leaves(state) && has_permit(state, now);
+}
+
 void replica_table::note_statement(const statement_heard& heard, base::time_point now) {
   auto* state = mutable_find(heard.replica);
   if (state == nullptr || is_at_earlier_life(heard.replica, heard.call_began)) {
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -63,6 +63,8 @@
   [[nodiscard]] std::size_t waiting(const std::string& service) const {
     return pool_.waiting(service);
   }
+  /// Some replica said that it leaves: the others are divided anew, so that nothing waits for it.
+  void on_departure() { shards_are_stale_ = true; }
   /// A replica started again: what its earlier life had of pieces and results is lost.
   void on_restarted(const base::replica_id& replica, base::time_point now);
   /// This process was paused for `gap`: calls under way are given that much more time.
--- a/src/stage_work/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -45,7 +45,8 @@
     const auto* service =
         configuration_ ? configuration_->find_service(replica.record->service) : nullptr;
     const auto& zone = replica.record->zone;
-    const bool takes_work = !replica.record->draining && !replicas_->is_evacuated(zone);
+    const bool takes_work = !replica.record->draining && !replicas_->says_it_leaves(replica) &&
+                            !replicas_->is_evacuated(zone);
     if (service != nullptr && service->pieces && takes_work) {
       groups[{service->name, regions_.neighbourhood_of(zone)}][zone].push_back(id);
     }
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -258,8 +258,9 @@
   forget_result(handle);
   const auto maker = maker_of(handle);
   const auto* replica = replicas_->find_at(maker);
-  // Nothing is sent to an evacuated zone; what lies there expires.
-  if (replica == nullptr || replicas_->is_evacuated(replica->record->zone)) {
+  // Nothing is sent to an evacuated zone, nor to a replica that leaves; what lies there expires.
+  if (replica == nullptr || replicas_->is_evacuated(replica->record->zone) ||
+      replicas_->says_it_leaves(*replica)) {
     return;
   }
   if (replicas_->limit_of(*replica)) {
@@ -285,6 +286,10 @@
 void stage_pool::free_at_limited(bool only_short_of_room, base::time_point now) {
   for (auto one = unfreed_.begin(); one != unfreed_.end();) {
     const auto* replica = replicas_->find(one->first);
+    if (replica != nullptr && replicas_->says_it_leaves(*replica)) {
+      one = unfreed_.erase(one);
+      continue;
+    }
     if (only_short_of_room && replica != nullptr && !is_short_of_room(*replica, now)) {
       ++one;
       continue;
