A replica that asks for a pause gets nothing from that node until it is over

Cause: nothing read Retry-After; a replica that turned a request away was left out for 60 ms, and where all rest, pauses are passed over.

Now the pause counts from the head of the answer, the longest of those that stand, also where no other replica is left: a request waits for a place, the urgent first, or is refused at once with the rest of the pause as Retry-After. Calls begin again with one, and each answer lets two more be under way; for ten seconds they are no more than the slots. Pieces, outlooks of zones, gatherers and freed results follow it. Other nodes learn of it as load.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -243,11 +243,12 @@
       counts.permits_received);
   add("spurrack_permits_void_total", "Permits that came too late to be of use.",
       counts.permits_void);
-  add("spurrack_permit_waits_total", "Requests that waited for a permit.",
-      dispatcher.counts().awaited_permits);
+  add("spurrack_permit_waits_total",
+      "Requests that waited for a replica that names a limit or asked for a pause.",
+      dispatcher.counts().awaited_places);
   add("spurrack_permit_refusals_total",
-      "Requests refused since no permit could come in their time.",
-      dispatcher.counts().refused_without_permit);
+      "Requests refused since no such replica takes them in their time.",
+      dispatcher.counts().refused_without_place);
   add_gauge(registry, "spurrack_limited_replicas",
             "Replicas that name how many requests a second they take.",
             static_cast<double>(dispatcher.limits().limited()));
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -209,7 +209,7 @@
     return;
   }
   if (turn_away(active) || refuse_too_large(active, now) || refuse_at_stop(active, now) ||
-      refuse_beyond_limits(active, now) || refuse_hopeless(active, now)) {
+      refuse_without_outlook(active, now) || refuse_hopeless(active, now)) {
     return;
   }
   if (settings_.refuse_early && active.graph) {
@@ -326,7 +326,7 @@
     return;
   }
   refuse(request.client, request.content->id, status::unavailable, reason,
-         return_time(settings_.retry_after, request.ends_at - now, *random_));
+         return_time(least_return_time(request, now), request.ends_at - now, *random_));
   finish(request, status::unavailable, reason, now);
 }
 
@@ -362,7 +362,7 @@
            reason + " after " + std::to_string(base::to_milliseconds(now - request.arrived)) +
                " ms");
   }
-  leave_permit_queue(request);
+  leave_place_queue(request);
   ends_.erase({request.ends_at, request.client});
   if (request.next_check) {
     checks_.erase({*request.next_check, request.client});
@@ -441,7 +441,7 @@
 
 void dispatcher::advance(base::time_point now) {
   expire(now);
-  advance_limits(now);
+  advance_statements(now);
   go_on_with_loans(now);
   check_requests(now);
   stages_.pump(now);
@@ -479,8 +479,8 @@
   if (const auto statements = statements_.next_wakeup()) {
     consider(*statements);
   }
-  if (!awaiting_permits_.empty()) {
-    consider(next_permit_check_);
+  if (!awaiting_places_.empty()) {
+    consider(next_place_check_);
   }
   return earliest;
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -135,14 +135,15 @@
     /// Its replica started again since the call began: it ends unless it shows events soon.
     std::optional<base::time_point> life_ended_at{};
   };
-  /// A request that waits for a permit. The urgent come first, then those that end first.
+  /// A request that waits for a place at a replica. The urgent come first, then those that end
+  /// first.
   struct waiting_request {
     std::uint32_t priority = 0;
     base::time_point ends_at;
     base::caller_id client = 0;
     auto operator<=>(const waiting_request&) const = default;
   };
-  using permit_queue = std::set<waiting_request>;
+  using place_queue = std::set<waiting_request>;
   /// How a request ends that is not sent again.
   struct failed_ending {
     /// Status of the own answer.
@@ -176,8 +177,8 @@
     std::optional<open_call> call;
     /// Set while it waits for other nodes to lend a repeat: how it ends where they do not.
     std::optional<failed_ending> awaits_loan;
-    /// Set while it waits for a permit to be sent to a limited replica.
-    std::optional<waiting_request> awaits_permit;
+    /// Set while it waits for a replica that may be sent it.
+    std::optional<waiting_request> awaits_place;
     std::set<base::replica_id> tried;
     std::uint32_t sent = 0;
     std::uint32_t not_sent = 0;
@@ -307,8 +308,9 @@
   open_call close_call(active_request& request);
   /// Takes in that a replica answered.
   void note_answer(const base::replica_id& replica, const answer_head& head, base::time_point now);
-  /// Keeps to the limits that replicas name, and has the requests looked at that wait for permits.
-  void advance_limits(base::time_point now);
+  /// Tells what replicas say of themselves, keeps to the limits that they name, and has the
+  /// requests looked at that wait for a place.
+  void advance_statements(base::time_point now);
   /// Reports what replicas say of themselves that was not known before.
   void record_statements();
   [[nodiscard]] std::optional<replica_statements::published_replica>
@@ -317,26 +319,46 @@
   [[nodiscard]] static replica_demand demand_of(const active_request& request);
   /// A request may be sent limited replicas too: has a permit asked for.
   void want_permit(const active_request& request, base::time_point now);
-  /// No replica may be sent a request now: it waits for a permit, or is refused at once where none
+  [[nodiscard]] static waiting_request place_of(const active_request& request);
+  /// @return whether requests that go before this one wait, and the first could be sent now.
+  [[nodiscard]] bool is_behind_others(const active_request& request, base::time_point now);
+  /// @return after which time a client that is refused may find a replica.
+  [[nodiscard]] base::duration least_return_time(const active_request& request,
+                                                 base::time_point now) const;
+  /// No replica may be sent a request now: it waits for a place, or is refused at once where none
   /// can come in its time.
-  /// @return whether either was done; not where no limited replica could serve it.
-  bool await_permit(active_request& request, base::time_point now);
-  /// @return when a request is expected to get a permit, behind so many others; nothing where no
-  ///         limited replica could serve it, and forever where those that could take nothing.
-  [[nodiscard]] std::optional<base::duration> expected_permit_wait(const active_request& request,
-                                                                   std::size_t ahead,
-                                                                   base::time_point now) const;
+  /// @return whether either was done; not where no replica that has places later could serve it.
+  bool await_place(active_request& request, base::time_point now);
+  void enqueue_for_place(active_request& request);
+  /// @return when a request is expected to get a place, behind so many others; nothing where no
+  ///         replica that has places later could serve it, and forever where those that could take
+  ///         nothing.
+  [[nodiscard]] std::optional<base::duration> expected_wait_for_place(const active_request& request,
+                                                                      std::size_t ahead,
+                                                                      base::time_point now) const;
+  /// @return when a permit of some of these replicas is expected, behind so many others.
+  [[nodiscard]] base::duration
+  expected_permit_wait(const std::string& service, const std::vector<const replica_state*>& limited,
+                       std::size_t ahead, base::time_point now) const;
+  /// @return requests a second of a service that got their places of late; nothing where none
+  ///         waited.
+  [[nodiscard]] std::optional<double> drain_rate_of(const std::string& service,
+                                                    base::time_point now) const;
+  /// @return the time until a request behind so many others is sent, where the first pause of a
+  ///         replica ends after `opening`.
+  [[nodiscard]] base::duration wait_behind(const std::string& service, base::duration opening,
+                                           std::size_t ahead, base::time_point now) const;
   /// Refuses a request whose stages would be made in vain, since no replica takes it in its time.
   /// @return whether it was refused.
-  bool refuse_beyond_limits(active_request& request, base::time_point now);
-  /// Refuses a request that gets no permit in its time, and says when there may be one.
-  void refuse_without_permit(active_request& request, base::duration wait, base::time_point now);
-  void go_on_with_permits(base::time_point now);
+  bool refuse_without_outlook(active_request& request, base::time_point now);
+  /// Refuses a request that gets no place in its time, and says when there may be one.
+  void refuse_without_place(active_request& request, base::duration wait, base::time_point now);
+  void go_on_with_places(base::time_point now);
   /// Looks at the requests of one service in their order.
-  void go_on_with_permits_of(const std::string& service, base::time_point now);
+  void go_on_with_places_of(const std::string& service, base::time_point now);
   /// Has as many permits asked for as requests of a service wait.
   void ask_for_waiting(const std::string& service, base::time_point now);
-  void leave_permit_queue(active_request& request);
+  void leave_place_queue(active_request& request);
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// After an attempt that may have run: once more where that is allowed, else the final answer.
   void repeat_or_fail(active_request& request, base::time_point now);
@@ -480,9 +502,11 @@
   /// Requests that wait for a loan, the earliest first.
   std::vector<base::caller_id> awaiting_loans_;
   /// Requests that wait for permits, by service, and how fast they get them.
-  std::map<std::string, permit_queue> awaiting_permits_;
-  std::map<std::string, drain_rate> permit_drains_;
-  base::time_point next_permit_check_;
+  std::map<std::string, place_queue> awaiting_places_;
+  std::map<std::string, drain_rate> place_drains_;
+  base::time_point next_place_check_;
+  /// Set while those who wait are looked at in their order.
+  bool hands_out_places_ = false;
   std::uint64_t permits_seen_ = 0;
   std::set<std::pair<base::time_point, base::caller_id>> ends_;
   std::set<std::pair<base::time_point, base::caller_id>> checks_;
--- a/src/dispatch/dispatcher_limits.cc
+++ b/src/dispatch/dispatcher_places.cc
@@ -1,5 +1,5 @@
-/// Requests whose replicas take no more than they name: they wait for a permit, the urgent first,
-/// and are refused at once where none can come in their time.
+/// Requests that no replica takes now, since each names a limit or asked for a pause: they wait for
+/// a place, the urgent first, and are refused at once where none can come in their time.
 #include "dispatch/dispatcher.h"
 
 #include "base/hashing.h"
@@ -13,7 +13,7 @@
 namespace {
 
 /// Waiting requests are looked at this often; also whenever permits come.
-constexpr base::duration permit_check_period = std::chrono::milliseconds(25);
+constexpr base::duration place_check_period = std::chrono::milliseconds(25);
 /// A request that waits already is given up only where this part of the expected wait exceeds the
 /// time it has left: waits vary as much as they last, and what it has waited would be lost.
 constexpr double certain_wait_part = 0.5;
@@ -22,15 +22,15 @@
 
 } // namespace
 
-void dispatcher::advance_limits(base::time_point now) {
+void dispatcher::advance_statements(base::time_point now) {
   statements_.advance(now);
   limits_.advance(now);
   const auto received = limits_.counts().permits_received;
   if (received != permits_seen_) {
     permits_seen_ = received;
-    next_permit_check_ = now;
+    next_place_check_ = now;
   }
-  go_on_with_permits(now);
+  go_on_with_places(now);
 }
 
 replica_demand dispatcher::demand_of(const active_request& request) {
@@ -57,7 +57,7 @@
 }
 
 void dispatcher::ask_for_waiting(const std::string& service, base::time_point now) {
-  const auto& queue = awaiting_permits_.at(service);
+  const auto& queue = awaiting_places_.at(service);
   // What the first in the queue may use, the others may, but for regions and tried replicas.
   const auto limited =
       replicas_.short_of_permits(demand_of(active_.at(queue.begin()->client)), now);
@@ -79,13 +79,25 @@
 
 // --- waiting -------------------------------------------------------------------------------------
 
-std::optional<base::duration> dispatcher::expected_permit_wait(const active_request& request,
-                                                               std::size_t ahead,
-                                                               base::time_point now) const {
-  const auto limited = replicas_.short_of_permits(demand_of(request), now);
-  if (limited.empty()) {
-    return std::nullopt;
+std::optional<base::duration> dispatcher::expected_wait_for_place(const active_request& request,
+                                                                  std::size_t ahead,
+                                                                  base::time_point now) const {
+  const auto demand = demand_of(request);
+  std::optional<base::duration> least;
+  if (const auto opening = replicas_.time_to_opening(demand, now)) {
+    least = wait_behind(request.service, *opening, ahead, now);
+  }
+  const auto limited = replicas_.short_of_permits(demand, now);
+  if (!limited.empty()) {
+    const auto wait = expected_permit_wait(request.service, limited, ahead, now);
+    least = std::min(least.value_or(wait), wait);
   }
+  return least;
+}
+
+base::duration dispatcher::expected_permit_wait(const std::string& service,
+                                                const std::vector<const replica_state*>& limited,
+                                                std::size_t ahead, base::time_point now) const {
   double per_second = 0;
   for (const auto* replica : limited) {
     per_second += replicas_.limit_of(*replica).value_or(0);
@@ -94,17 +106,28 @@
     return for_ever;
   }
   // Other nodes get permits too: what came here of late says more, where requests waited for it.
-  const auto drain = permit_drains_.find(request.service);
-  const auto of_late = drain == permit_drains_.end() ? std::nullopt : drain->second.per_second(now);
-  const auto rate = std::min(per_second, of_late.value_or(per_second));
+  const auto rate = std::min(per_second, drain_rate_of(service, now).value_or(per_second));
   return base::from_seconds(
       std::min(static_cast<double>(ahead + 1) / rate, base::to_seconds(for_ever)));
 }
 
-void dispatcher::refuse_without_permit(active_request& request, base::duration wait,
-                                       base::time_point now) {
-  ++counters_.refused_without_permit;
-  leave_permit_queue(request);
+std::optional<double> dispatcher::drain_rate_of(const std::string& service,
+                                                base::time_point now) const {
+  const auto drain = place_drains_.find(service);
+  return drain == place_drains_.end() ? std::nullopt : drain->second.per_second(now);
+}
+
+base::duration dispatcher::wait_behind(const std::string& service, base::duration opening,
+                                       std::size_t ahead, base::time_point now) const {
+  // After a pause calls begin slowly; how fast is known once some have begun.
+  const auto of_late = drain_rate_of(service, now);
+  return of_late ? opening + base::from_seconds(static_cast<double>(ahead) / *of_late) : opening;
+}
+
+void dispatcher::refuse_without_place(active_request& request, base::duration wait,
+                                      base::time_point now) {
+  ++counters_.refused_without_place;
+  leave_place_queue(request);
   const auto reason = "replicas take no more now, a place is expected after " +
                       std::to_string(base::to_milliseconds(wait)) + " ms";
   if (request.may_have_run || request.stream_begun) {
@@ -116,8 +139,9 @@
   finish(request, status::unavailable, reason, now);
 }
 
-bool dispatcher::refuse_beyond_limits(active_request& request, base::time_point now) {
-  if (!limits_.any() || !request.graph) {
+bool dispatcher::refuse_without_outlook(active_request& request, base::time_point now) {
+  const bool all_take_any = !limits_.any() && !replicas_.any_backoff(now);
+  if (all_take_any || !request.graph) {
     return false;
   }
   auto demand = demand_of(request);
@@ -130,7 +154,7 @@
     const auto& other = entry.second;
     return other.client != request.client && other.service == request.service && !other.call;
   });
-  const auto wait = expected_permit_wait(request, static_cast<std::size_t>(ahead), now);
+  const auto wait = expected_wait_for_place(request, static_cast<std::size_t>(ahead), now);
   const auto target = request.route->target_latency;
   const auto in_time = request.arrived + base::scaled(target, admitted_target_part);
   const auto leaves_at = client_leaves_at(request);
@@ -139,62 +163,92 @@
   if (!wait || now + *wait <= useful_until) {
     return false;
   }
-  refuse_without_permit(request, *wait, now);
+  refuse_without_place(request, *wait, now);
   return true;
 }
 
-bool dispatcher::await_permit(active_request& request, base::time_point now) {
-  const waiting_request place{request.priority, request.ends_at, request.client};
-  const auto queue = awaiting_permits_.find(request.service);
-  const auto ahead = queue == awaiting_permits_.end()
+bool dispatcher::is_behind_others(const active_request& request, base::time_point now) {
+  const auto queue = awaiting_places_.find(request.service);
+  if (hands_out_places_ || queue == awaiting_places_.end()) {
+    return false;
+  }
+  const auto& first = *queue->second.begin();
+  return first < place_of(request) && choose_replica(active_.at(first.client), now) != nullptr;
+}
+
+dispatcher::waiting_request dispatcher::place_of(const active_request& request) {
+  return {request.priority, request.ends_at, request.client};
+}
+
+bool dispatcher::await_place(active_request& request, base::time_point now) {
+  const auto place = place_of(request);
+  const auto queue = awaiting_places_.find(request.service);
+  const auto ahead = queue == awaiting_places_.end()
                          ? 0
                          : std::distance(queue->second.begin(), queue->second.lower_bound(place));
-  const auto wait = expected_permit_wait(request, static_cast<std::size_t>(ahead), now);
+  const auto wait = expected_wait_for_place(request, static_cast<std::size_t>(ahead), now);
   if (!wait) {
     return false;
   }
   if (now + *wait > client_leaves_at(request)) {
-    refuse_without_permit(request, *wait, now);
+    refuse_without_place(request, *wait, now);
     return true;
   }
-  ++counters_.awaited_permits;
+  ++counters_.awaited_places;
   record(base::event_kind::replica_limit, request, request.service,
-         "waits for a permit behind " + std::to_string(ahead) + " requests, " +
+         "waits for a place behind " + std::to_string(ahead) + " requests, " +
              std::to_string(base::to_milliseconds(*wait)) + " ms expected");
-  request.awaits_permit = place;
-  awaiting_permits_[request.service].insert(place);
+  enqueue_for_place(request);
   ask_for_waiting(request.service, now);
   return true;
 }
 
-void dispatcher::leave_permit_queue(active_request& request) {
-  if (!request.awaits_permit) {
+base::duration dispatcher::least_return_time(const active_request& request,
+                                             base::time_point now) const {
+  const std::set<base::replica_id> none_tried;
+  const replica_demand demand{request.service, *request.content, request.permitted_regions,
+                              none_tried, nullptr};
+  const auto opening = replicas_.time_to_opening(demand, now);
+  const bool some_take_it = !opening || !replicas_.candidates_for(demand, now).empty();
+  return some_take_it ? base::duration{settings_.retry_after}
+                      : std::max<base::duration>(settings_.retry_after, *opening);
+}
+
+void dispatcher::enqueue_for_place(active_request& request) {
+  const auto place = place_of(request);
+  request.awaits_place = place;
+  awaiting_places_[request.service].insert(place);
+}
+
+void dispatcher::leave_place_queue(active_request& request) {
+  if (!request.awaits_place) {
     return;
   }
-  const auto queue = awaiting_permits_.find(request.service);
-  queue->second.erase(*request.awaits_permit);
+  const auto queue = awaiting_places_.find(request.service);
+  queue->second.erase(*request.awaits_place);
   if (queue->second.empty()) {
-    awaiting_permits_.erase(queue);
+    awaiting_places_.erase(queue);
   }
-  request.awaits_permit.reset();
+  request.awaits_place.reset();
 }
 
-void dispatcher::go_on_with_permits(base::time_point now) {
-  if (awaiting_permits_.empty() || now < next_permit_check_) {
+void dispatcher::go_on_with_places(base::time_point now) {
+  if (awaiting_places_.empty() || now < next_place_check_) {
     return;
   }
-  next_permit_check_ = now + permit_check_period;
+  next_place_check_ = now + place_check_period;
   std::vector<std::string> services;
-  for (const auto& [service, queue] : awaiting_permits_) {
+  for (const auto& [service, queue] : awaiting_places_) {
     services.push_back(service);
   }
   for (const auto& service : services) {
-    go_on_with_permits_of(service, now);
+    go_on_with_places_of(service, now);
   }
 }
 
-void dispatcher::go_on_with_permits_of(const std::string& service, base::time_point now) {
-  const auto waiting = awaiting_permits_.at(service);
+void dispatcher::go_on_with_places_of(const std::string& service, base::time_point now) {
+  const auto waiting = awaiting_places_.at(service);
+  hands_out_places_ = true;
   std::size_t ahead = 0;
   for (const auto& place : waiting) {
     auto& request = active_.at(place.client);
@@ -202,23 +256,24 @@
       continue;
     }
     if (choose_replica(request, now) != nullptr) {
-      leave_permit_queue(request);
-      permit_drains_[service].note_handed_out(1, waiting.size() - 1, now);
+      leave_place_queue(request);
+      place_drains_[service].note_handed_out(1, waiting.size() - 1, now);
       send_to_replica(request, now);
       continue;
     }
-    const auto wait = expected_permit_wait(request, ahead, now);
+    const auto wait = expected_wait_for_place(request, ahead, now);
     if (!wait) {
-      // No limited replica is left for it: it ends as any request without a replica.
-      leave_permit_queue(request);
+      // No replica is left that takes it later: it ends as any request without a replica.
+      leave_place_queue(request);
       send_to_replica(request, now);
     } else if (now + base::scaled(*wait, certain_wait_part) > client_leaves_at(request)) {
-      refuse_without_permit(request, *wait, now);
+      refuse_without_place(request, *wait, now);
     } else {
       ++ahead;
     }
   }
-  if (awaiting_permits_.contains(service)) {
+  hands_out_places_ = false;
+  if (awaiting_places_.contains(service)) {
     ask_for_waiting(service, now);
   }
 }
--- a/src/dispatch/replica_news.cc
+++ b/src/dispatch/replica_news.cc
@@ -94,6 +94,8 @@
     said.set_good_calls(rounded(own.good_calls));
     said.set_life_mark(life_mark_of(*replicas_->find(id)->record));
     said.set_age_milliseconds(static_cast<std::uint32_t>(base::to_milliseconds(now - own.seen_at)));
+    said.set_backoff_milliseconds(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, base::to_milliseconds(own.backs_off_until - now))));
   }
   return news;
 }
@@ -137,9 +139,10 @@
       continue;
     }
     const base::duration age = std::chrono::milliseconds(said.age_milliseconds());
+    const base::duration backoff = std::chrono::milliseconds(said.backoff_milliseconds());
     replicas_->take_in(replica, sender,
                        {from_wire(said.sign()), static_cast<double>(said.good_calls()),
-                        static_cast<double>(said.calls()), now - age},
+                        static_cast<double>(said.calls()), now - age, now + backoff},
                        now);
     ++counts_.taken_in;
     if (replicas_->is_lost(replica, now)) {
--- a/src/replicas/replica_backoff.cc
+++ b/src/replicas/replica_backoff.cc
@@ -28,17 +28,15 @@
   if (is_active(now)) {
     return false;
   }
-  return !slow_start_ || in_flight < slow_start_->earlier_calls + slow_start_->allowed;
+  const bool starts_slowly = slow_start_ && now < until_ + slow_start_time;
+  return !starts_slowly || in_flight < slow_start_->earlier_calls + slow_start_->allowed;
 }
 
 void replica_backoff::note_answer(base::time_point call_began, std::uint32_t slots) {
   if (!slow_start_ || call_began < until_) {
     return;
   }
-  slow_start_->allowed += calls_per_answer;
-  if (slow_start_->allowed >= slots) {
-    slow_start_.reset();
-  }
+  slow_start_->allowed = std::min(slow_start_->allowed + calls_per_answer, std::max(1U, slots));
 }
 
 void replica_backoff::note_turned_away() {
--- a/src/replicas/replica_backoff.h
+++ b/src/replicas/replica_backoff.h
@@ -2,8 +2,8 @@
 /// begin again afterwards. No I/O.
 ///
 /// At the end of that time a replica that turned requests away would get at once all that waited
-/// for it. So calls begin with one, and each answer lets two more be under way (slow start), until
-/// all its slots may be used.
+/// for it. So calls begin with one, and each answer lets two more be under way (slow start); for
+/// some seconds they are never more than its slots.
 #pragma once
 
 #include "base/time.h"
@@ -13,6 +13,9 @@
 
 namespace spurrack::serving {
 
+/// So long after a pause the calls under way are bounded.
+inline constexpr base::duration slow_start_time = std::chrono::seconds(10);
+
 /// Not thread-safe.
 class replica_backoff {
  public:
@@ -32,6 +35,8 @@
   /// A call ended. @param in_flight those that are left.
   void note_call_ended(std::uint32_t in_flight);
 
+  /// @return whether a pause was ever asked for.
+  [[nodiscard]] bool was_asked() const { return until_ != base::time_point{}; }
   /// @return when the latest pause was asked for, and when it ends; a time before the first pause.
   [[nodiscard]] base::time_point asked_at() const { return asked_at_; }
   [[nodiscard]] base::time_point until() const { return until_; }
--- a/src/replicas/replica_evidence.cc
+++ b/src/replicas/replica_evidence.cc
@@ -54,6 +54,22 @@
       }));
 }
 
+replica_evidence::told_backoffs replica_evidence::backoffs(const base::replica_id& replica,
+                                                           base::time_point now) const {
+  told_backoffs told;
+  const auto found = said_.find(replica);
+  if (found == said_.end()) {
+    return told;
+  }
+  for (const auto& [witness, said] : found->second) {
+    if (said.backs_off_until > now) {
+      ++told.nodes;
+      told.until = std::max(told.until, said.backs_off_until);
+    }
+  }
+  return told;
+}
+
 double replica_evidence::failure_share(const base::replica_id& replica, const call_tally& own,
                                        base::time_point now) const {
   double good = assumed_good_calls + own.good(now);
--- a/src/replicas/replica_evidence.h
+++ b/src/replicas/replica_evidence.h
@@ -45,6 +45,8 @@
   double bad_calls = 0;
   /// When it was seen, by the clock of this node.
   base::time_point seen_at;
+  /// The replica asked that node for a pause until then.
+  base::time_point backs_off_until{};
 };
 
 /// How long a node's report that a replica is lost counts: longer troubles are reported again.
@@ -61,6 +63,12 @@
   /// @return nodes that found the replica silent or unreachable, not before `since`.
   [[nodiscard]] std::size_t lost_votes(const base::replica_id& replica, base::time_point since,
                                        base::time_point now) const;
+  /// Nodes that a replica asked for a pause which lasts, and when the last of these pauses ends.
+  struct told_backoffs {
+    std::size_t nodes = 0;
+    base::time_point until;
+  };
+  [[nodiscard]] told_backoffs backoffs(const base::replica_id& replica, base::time_point now) const;
   /// @return part of the calls that failed, those of this node among them, 0 to 1; little where
   ///         there were few calls.
   [[nodiscard]] double failure_share(const base::replica_id& replica, const call_tally& own,
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -51,6 +51,11 @@
 /// An entry that nobody writes any more lapses after three heartbeats of about 1.2 s; one that came
 /// back with an older copy of the store is passed over for that time.
 constexpr base::duration lapse_time = std::chrono::milliseconds(4'000);
+/// Each node that a replica asked for a pause counts as this load, in parts of its slots, and all
+/// together as no more than the other: what those nodes keep from it must not all go to the next
+/// that turns requests away, nor is it shown that this node would be turned away.
+constexpr double load_of_told_backoff = 0.1;
+constexpr double most_load_of_told_backoffs = 0.5;
 /// Half-life of what others reported of failures, as that of an own tally.
 constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
@@ -223,7 +228,7 @@
 }
 
 bool replica_table::is_available(const replica_state& state, base::time_point now) const {
-  return takes_calls(state, now) && limit_of(state) != 0;
+  return takes_calls(state, now) && !state.backoff.is_active(now) && limit_of(state) != 0;
 }
 
 bool replica_table::takes_calls(const replica_state& state, base::time_point now) const {
@@ -261,9 +266,10 @@
   if (const auto* in_doubt = find_limit_in_doubt(found, demand, now)) {
     return {in_doubt};
   }
-  // A replica that is well and takes a request soon goes before those that rest.
-  const bool waits_for_permit = found.empty() && !short_of_permits(demand, now).empty();
-  return found.empty() && !waits_for_permit ? usable(demand, now, true) : found;
+  // A replica that is well and takes a request soon goes before those that rest after failures.
+  const bool takes_soon = found.empty() && (!short_of_permits(demand, now).empty() ||
+                                            time_to_opening(demand, now).has_value());
+  return found.empty() && !takes_soon ? usable(demand, now, true) : found;
 }
 
 replica_presence replica_table::presence_of(const std::string& service,
@@ -315,7 +321,8 @@
         static_cast<double>(state.in_flight) - static_cast<double>(state.in_flight_when_told);
     calls = std::max(calls, told + own_since);
   }
-  return calls / std::max(1U, state.record->slots);
+  const double told_backoffs = state.told_backoff_until > now ? state.told_backoff_load : 0;
+  return calls / std::max(1U, state.record->slots) + told_backoffs;
 }
 
 std::vector<const replica_state*> replica_table::available(const std::string& service,
@@ -360,6 +367,7 @@
   auto* state = mutable_find(id);
   if (state != nullptr && state->in_flight > 0) {
     --state->in_flight;
+    state->backoff.note_call_ended(state->in_flight);
   }
 }
 
@@ -459,6 +467,7 @@
 void replica_table::note_full(const base::replica_id& id, base::time_point now) {
   if (auto* state = mutable_find(id)) {
     state->paused_until = std::max(state->paused_until, now + settings_.full_pause);
+    state->backoff.note_turned_away();
   }
 }
 
@@ -468,6 +477,7 @@
     const auto rest =
         base::from_seconds(base::to_seconds(usual) * (least_occupied_calls + random_->unit()));
     state->paused_until = std::max<base::time_point>(state->paused_until, now + rest);
+    state->backoff.note_turned_away();
   }
 }
 
@@ -486,6 +496,7 @@
   own.good_calls = state.calls.good(now);
   own.bad_calls = state.calls.bad(now);
   own.seen_at = now;
+  own.backs_off_until = state.backoff.until();
   const auto lost_at = std::max(state.silent_at, state.unreachable_at);
   const bool is_heard =
       state.heard_at != base::time_point{} && now - state.heard_at < testimony_lifetime;
@@ -541,6 +552,7 @@
     state->told_heard_at = std::max(state->told_heard_at, said.seen_at);
   }
   learn_told_failures(*state, now);
+  learn_told_backoffs(*state, now);
   const bool rests = state->paused_until > now;
   if (!rests && is_lost(id, now) && may_eject(state->record->service, now)) {
     ++ejections_;
@@ -550,6 +562,13 @@
   }
 }
 
+void replica_table::learn_told_backoffs(replica_state& state, base::time_point now) const {
+  const auto told = evidence_.backoffs(state.record->id, now);
+  state.told_backoff_load =
+      std::min(most_load_of_told_backoffs, load_of_told_backoff * static_cast<double>(told.nodes));
+  state.told_backoff_until = told.until;
+}
+
 double replica_table::told_share_now(double told, const replica_state& state,
                                      base::time_point now) {
   const double halvings =
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -69,6 +69,9 @@
   double told_failure_excess = 0;
   double told_failure_share = 0;
   base::time_point told_failures_at;
+  /// Load that it is taken to have besides, since it asked other nodes for pauses, and until when.
+  double told_backoff_load = 0;
+  base::time_point told_backoff_until;
   /// It rests until then because others found it lost, not this node.
   base::time_point ejected_until;
   /// After a rest it is given one request until it is heard, or until this time. Calls with pieces
@@ -187,6 +190,10 @@
   /// @return whether a replica may be sent something now, as what it says of itself goes. Each send
   ///         asks this and is told by `call_started`.
   [[nodiscard]] bool may_be_sent(const replica_state& state, base::time_point now) const;
+  /// @return whether the limit that a replica names leaves room for one more request now.
+  [[nodiscard]] bool has_permit(const replica_state& state, base::time_point now) const {
+    return limits_ == nullptr || limits_->may_send(state.record->id, now);
+  }
   /// @return the requests a second that a replica takes from all nodes; nothing where it names no
   ///         limit.
   [[nodiscard]] std::optional<double> limit_of(const replica_state& state) const;
@@ -196,6 +203,17 @@
   /// @return available replicas that could serve a request but for their limit.
   [[nodiscard]] std::vector<const replica_state*> short_of_permits(const replica_demand& demand,
                                                                    base::time_point now) const;
+  /// @return whether a replica takes calls but for the pause that it asked for, or the slow start
+  ///         after it.
+  [[nodiscard]] bool rests_only_for_backoff(const replica_state& state, base::time_point now) const;
+  /// @return whether some replica asked for a pause that lasts, or calls to it begin again slowly.
+  [[nodiscard]] bool any_backoff(base::time_point now) const {
+    return now < latest_backoff_end_ + slow_start_time;
+  }
+  /// @return the time until some replica that could serve a request, but asked for a pause, may be
+  ///         sent one; zero where calls to it begin again slowly, nothing where there is none.
+  [[nodiscard]] std::optional<base::duration> time_to_opening(const replica_demand& demand,
+                                                              base::time_point now) const;
   /// Calls wait for a limited replica that no other may be sent now.
   void note_waiting(const base::replica_id& id, std::uint32_t count, base::time_point now);
   /// @return null where the replica is not known any more.
@@ -266,10 +284,6 @@
   [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
 
  private:
-  /// @return whether the limit that a replica names leaves room for one more request now.
-  [[nodiscard]] bool has_permit(const replica_state& state, base::time_point now) const {
-    return limits_ == nullptr || limits_->may_send(state.record->id, now);
-  }
   /// A replica is published in another process than before: what the one before asked for is over.
   static void note_process(replica_state& state);
   void forget_statements(const base::replica_id& id);
@@ -311,6 +325,8 @@
   replica_state* mutable_find(const base::replica_id& id);
   /// @return what is left by now of a share that was reported.
   static double told_share_now(double told, const replica_state& state, base::time_point now);
+  /// Learns from reports how many other nodes a replica asked for a pause.
+  void learn_told_backoffs(replica_state& state, base::time_point now) const;
   /// Learns from reports how much more a replica fails than the others of its service.
   void learn_told_failures(replica_state& state, base::time_point now);
   /// @return whether one more replica of the service may be paused on the reports of others.
@@ -324,6 +340,8 @@
   replica_statements::statement_exchange* statements_ = nullptr;
   std::vector<backoff_change> backoff_changes_;
   backoff_counts backoff_counts_;
+  /// When the latest of all pauses that were asked for ends.
+  base::time_point latest_backoff_end_;
   /// When a pause of a replica that cannot be read was reported last.
   std::map<base::replica_id, base::time_point> unreadable_backoff_told_at_;
   /// Finds answers on demand and keeps them.
--- a/src/replicas/replica_table_statements.cc
+++ b/src/replicas/replica_table_statements.cc
@@ -1,6 +1,8 @@
 /// What replicas say of themselves with their answers.
 #include "replicas/replica_table.h"
 
+#include "replicas/replica_chooser.h"
+
 #include <algorithm>
 
 namespace spurrack::serving {
@@ -35,7 +37,32 @@
 }
 
 bool replica_table::may_be_sent(const replica_state& state, base::time_point now) const {
-  return !says_it_leaves(state) && has_permit(state, now);
+  return !says_it_leaves(state) && state.backoff.permits_call(state.in_flight, now) &&
+         has_permit(state, now);
+}
+
+bool replica_table::rests_only_for_backoff(const replica_state& state, base::time_point now) const {
+  // Other rests, as after a refusal, may end before.
+  const auto opens_at = std::max(now, state.backoff.until());
+  return !state.backoff.permits_call(state.in_flight, now) && takes_calls(state, opens_at);
+}
+
+std::optional<base::duration> replica_table::time_to_opening(const replica_demand& demand,
+                                                             base::time_point now) const {
+  std::optional<base::duration> least;
+  const auto ids = by_service_.find(demand.service);
+  if (!any_backoff(now) || ids == by_service_.end()) {
+    return least;
+  }
+  for (const auto& id : ids->second) {
+    const auto& state = replicas_.at(id);
+    if (rests_only_for_backoff(state, now) && could_serve(demand, state)) {
+      const auto left =
+          std::max<base::duration>(state.backoff.until() - now, base::duration::zero());
+      least = std::min(least.value_or(left), left);
+    }
+  }
+  return least;
 }
 
 void replica_table::note_statement(const statement_heard& heard, base::time_point now) {
@@ -61,6 +88,8 @@
     const auto others = state.in_flight - std::min(state.in_flight, 1U);
     if (state.backoff.ask(*asked.span, others, now)) {
       ++backoff_counts_.asked;
+      latest_backoff_end_ = std::max(latest_backoff_end_, state.backoff.until());
+      changed_.insert(heard.replica);
       backoff_changes_.push_back({heard.replica, state.backoff.until() - now, false});
     }
     return;
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -73,10 +73,10 @@
   std::uint64_t quarantines = 0;
   /// Requests against which nothing speaks any more, since a run of them ended well.
   std::uint64_t requests_cleared = 0;
-  /// Requests that waited for a permit to be sent to a limited replica, and those refused since
-  /// none could come in their time.
-  std::uint64_t awaited_permits = 0;
-  std::uint64_t refused_without_permit = 0;
+  /// Requests that waited for a place at replicas that name limits or asked for pauses, and those
+  /// refused since none could come in their time.
+  std::uint64_t awaited_places = 0;
+  std::uint64_t refused_without_place = 0;
   std::uint64_t stage_pieces = 0;
   std::uint64_t results_freed = 0;
   std::uint64_t streams_resumed = 0;
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -113,9 +113,11 @@
     model::neighbourhood region;
     /// Set where all its replicas are of one zone.
     std::optional<base::zone_id> zone;
-    /// Those of its replicas that can be called now.
-    /// Those that can be called now; one that names a limit counts for the part that it takes.
+    /// Those of its replicas that can be called; one that names a limit counts for the part that it
+    /// takes. Where none can be called now, those that can once their pauses are over.
     double replicas = 0;
+    /// When the first of these pauses ends; a time before now where some replica can be called.
+    base::time_point opens_at;
   };
   /// Replicas of one service for which one node gathers.
   struct shard {
@@ -178,12 +180,16 @@
                   const std::vector<base::node_id>& candidates);
   /// Greets those who gather from now on, so that connections to them stand.
   void greet(const std::vector<base::node_id>& gatherers);
-  /// @return whether calls to a replica are expected to arrive.
-  /// @return 0 where a replica cannot be called, the part of full calls that it takes where it
-  /// names
-  ///         a limit, 1 for any other.
-  [[nodiscard]] double usable_part(const base::replica_id& id, base::duration full_call,
-                                   base::time_point now) const;
+  /// What the replicas of a shard bear.
+  struct usable_replicas {
+    /// Those that can be called now: 1 for each, the part of full calls that it takes for one that
+    /// names a limit.
+    double now = 0;
+    /// Those that asked this node for a pause, and when the first pause ends.
+    double pausing = 0;
+    base::time_point opens_at = base::time_point::max();
+  };
+  [[nodiscard]] usable_replicas count_usable_of(const shard& one, base::time_point now) const;
   /// Counts the replicas of each shard that can be called.
   void count_usable(base::time_point now);
   /// Fills in for which replicas of the service this node gathers.
--- a/src/stage_work/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -163,31 +163,47 @@
   }
 }
 
-double stage_exchange::usable_part(const base::replica_id& id, base::duration full_call,
-                                   base::time_point now) const {
-  const auto* replica = replicas_->find(id);
-  const bool is_usable = replica != nullptr && replicas_->is_available(*replica, now);
-  return is_usable ? replicas_->limited_part(*replica, full_call) : 0;
+stage_exchange::usable_replicas stage_exchange::count_usable_of(const shard& one,
+                                                                base::time_point now) const {
+  const auto& capacity = *configuration_->find_service(one.service)->pieces;
+  const auto full_call = usual_time(capacity, capacity.batch);
+  usable_replicas usable;
+  for (const auto& id : one.replicas) {
+    const auto* replica = replicas_->find(id);
+    if (replica == nullptr) {
+      continue;
+    }
+    const auto part = replicas_->limited_part(*replica, full_call);
+    if (replicas_->is_available(*replica, now)) {
+      usable.now += part;
+    } else if (replicas_->rests_only_for_backoff(*replica, now)) {
+      usable.pausing += part;
+      usable.opens_at = std::min(usable.opens_at, replica->backoff.until());
+    }
+  }
+  return usable;
 }
 
 void stage_exchange::count_usable(base::time_point now) {
   gatherers_.clear();
   for (const auto& one : shards_) {
-    const auto& capacity = *configuration_->find_service(one.service)->pieces;
-    const auto full_call = usual_time(capacity, capacity.batch);
-    double usable = 0;
-    for (const auto& replica : one.replicas) {
-      usable += usable_part(replica, full_call, now);
-    }
+    const auto usable = count_usable_of(one, now);
     auto& known = gatherers_[one.service];
     auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
       return other.node == one.gatherer && other.region == one.region && other.zone == one.zone;
     });
     if (found == known.end()) {
-      known.push_back({one.gatherer, one.region, one.zone, 0});
+      known.push_back({one.gatherer, one.region, one.zone, 0, {}});
       found = std::prev(known.end());
     }
-    found->replicas += usable;
+    const bool opens_later = found->opens_at > now;
+    if (usable.now > 0) {
+      found->replicas = (opens_later ? 0 : found->replicas) + usable.now;
+      found->opens_at = {};
+    } else if (usable.pausing > 0 && (opens_later || found->replicas == 0)) {
+      found->replicas += usable.pausing;
+      found->opens_at = opens_later ? std::min(found->opens_at, usable.opens_at) : usable.opens_at;
+    }
   }
 }
 
@@ -229,7 +245,7 @@
     if (gathers && zone != self_.zone && !is_assigned(node) && peer_directory::is_fit(peer) &&
         replicas_->is_reachable(zone) && !replicas_->is_evacuated(zone)) {
       const auto replicas = static_cast<double>(load->second.replicas());
-      found.push_back({node, regions_.neighbourhood_of(zone), zone, replicas});
+      found.push_back({node, regions_.neighbourhood_of(zone), zone, replicas, {}});
     }
   }
   std::erase_if(found, [&](const gatherer& candidate) {
@@ -275,7 +291,8 @@
   const double by_capacity = calls_ahead * full_call / replicas;
   // Room for results may bound a service far below what its calls could carry.
   const double by_rate = load.drain_rate > 0 ? ahead / load.drain_rate : 0;
-  return std::max(by_capacity, by_rate);
+  const double until_open = std::max(0.0, base::to_seconds(candidate.opens_at - now));
+  return until_open + std::max(by_capacity, by_rate);
 }
 
 double stage_exchange::distance_seconds(const gatherer& candidate, const base::zone_id& zone,
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -263,7 +263,8 @@
       replicas_->says_it_leaves(*replica)) {
     return;
   }
-  if (replicas_->limit_of(*replica)) {
+  // The pump asks whether something may be sent now.
+  if (replicas_->limit_of(*replica) || replica->backoff.was_asked()) {
     unfreed_[replica->record->id].push_back(handle);
     return;
   }
@@ -283,7 +284,7 @@
          free_room(replica.record->id, *capacity, now) < capacity->result_room_bytes * scarce_room;
 }
 
-void stage_pool::free_at_limited(bool only_short_of_room, base::time_point now) {
+void stage_pool::free_where_permitted(bool only_short_of_room, base::time_point now) {
   for (auto one = unfreed_.begin(); one != unfreed_.end();) {
     const auto* replica = replicas_->find(one->first);
     if (replica != nullptr && replicas_->says_it_leaves(*replica)) {
@@ -301,9 +302,11 @@
       continue;
     }
     if (may_be_sent) {
-      // It counts as any request does, but no answer is awaited.
-      replicas_->call_started(one->first, now);
-      replicas_->call_ended(one->first);
+      if (replicas_->limit_of(*replica)) {
+        // It counts as any request does, but no answer is awaited.
+        replicas_->call_started(one->first, now);
+        replicas_->call_ended(one->first);
+      }
       commands_.emplace_back(
           free_results{{one->first, replica->record->address}, std::move(one->second)});
     }
@@ -631,11 +634,11 @@
   note_fetched_inputs(now);
   drop_expired(now);
   // Freeing counts against a limit as pieces do: it goes before them only where they find no room.
-  free_at_limited(true, now);
+  free_where_permitted(true, now);
   for (auto& [name, queue] : queues_) {
     pump_service(name, queue, now);
   }
-  free_at_limited(false, now);
+  free_where_permitted(false, now);
 }
 
 std::optional<base::time_point> stage_pool::next_wakeup(base::time_point now) const {
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -258,7 +258,7 @@
   void forget_result(const std::string& handle);
   /// Frees results at limited replicas that may be sent something now.
   /// @param only_short_of_room those that would take no piece for want of room.
-  void free_at_limited(bool only_short_of_room, base::time_point now);
+  void free_where_permitted(bool only_short_of_room, base::time_point now);
   [[nodiscard]] bool is_short_of_room(const replica_state& replica, base::time_point now) const;
   /// A replica refused a call: others call it too.
   void note_occupied(const open_call& ended, base::time_point now);
--- a/src/stage_work/stage_pool_batches.cc
+++ b/src/stage_work/stage_pool_batches.cc
@@ -90,11 +90,12 @@
     if (free_room(replica->record->id, capacity, now) < capacity.result_room_bytes * scarce_room) {
       free_at = std::max<base::time_point>(free_at, now + full_call);
     }
+    free_at = std::max(free_at, replica->backoff.until());
     const auto limit = replicas_->limit_of(*replica);
     if (limit == 0.0) {
       continue;
     }
-    if (limit && !replicas_->may_be_sent(*replica, now)) {
+    if (limit && !replicas_->has_permit(*replica, now)) {
       free_at = std::max<base::time_point>(free_at, now + base::from_seconds(1 / *limit));
     }
     const zone_outlook fresh{free_at, full_call, capacity.batch, 0, 0};
