--- /dev/null
+++ b/tests/platform/stated_words_test.cc
@@ -0,0 +1,73 @@
+/// Each header field that the adapter of the platform names stands in the table of words by which
+/// other parties tell something of themselves, with the decision that reads it or the reason why
+/// none does: a new word cannot stay unread unseen.
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace {
+
+std::string read_source(const std::string& path) {
+  std::ifstream file(std::string(SPURRACK_SOURCE) + "/" + path);
+  BOOST_REQUIRE_MESSAGE(file, path << " is missing");
+  std::ostringstream content;
+  content << file.rdbuf();
+  return content.str();
+}
+
+std::set<std::string> matches_in(const std::string& text, const std::string& pattern) {
+  const std::regex wanted(pattern);
+  std::set<std::string> found;
+  for (auto match = std::sregex_iterator(text.begin(), text.end(), wanted);
+       match != std::sregex_iterator(); ++match) {
+    found.insert((*match)[1]);
+  }
+  return found;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stated_words_test)
+
+BOOST_AUTO_TEST_CASE(each_header_field_stands_in_the_table) {
+  const auto table = read_source("docs/design/replica-statements.md");
+  // Names of header fields in the form of the platform: words that begin with a capital, joined by
+  // hyphens.
+  const auto names =
+      matches_in(read_source("platform/names.h"), "\"([A-Z][A-Za-z]*(?:-[A-Z][A-Za-z]*)+)\"");
+  BOOST_TEST(names.size() >= 20U);
+  for (const auto& name : names) {
+    BOOST_TEST(table.find("`" + name) != std::string::npos,
+               name << " is not in docs/design/replica-statements.md");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(each_field_of_a_replicas_entry_stands_in_the_table) {
+  const auto table = read_source("docs/design/replica-statements.md");
+  for (const std::string name : {"service", "address", "zone", "version", "slots", "state",
+                                 "cold_left_ms", "sequence", "born"}) {
+    BOOST_TEST(table.find("`" + name + "`") != std::string::npos, name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(each_test_that_the_table_names_exists) {
+  const auto table = read_source("docs/design/replica-statements.md");
+  const std::string folders[] = {"replica_statements", "rate_limits", "replicas",
+                                 "platform",           "dispatch",    "stage_work",
+                                 "upstream",           "engines",     "catalog"};
+  for (const auto& name : matches_in(table, "([a-z_]+_test)\\b")) {
+    bool exists = false;
+    for (const auto& folder : folders) {
+      exists = exists ||
+               std::ifstream(std::string(SPURRACK_SOURCE) + "/tests/" + folder + "/" + name + ".cc")
+                   .good();
+    }
+    BOOST_TEST(exists, name << " is named and does not exist");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
