--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -322,6 +322,9 @@
   [[nodiscard]] static waiting_request place_of(const active_request& request);
   /// @return whether requests that go before this one wait, and the first could be sent now.
   [[nodiscard]] bool is_behind_others(const active_request& request, base::time_point now);
+  /// @return the replica that takes a request now; null where it waits for its turn or a place, or
+  ///         was answered since no replica takes it in its time.
+  const replica_state* choose_in_turn(active_request& request, base::time_point now);
   /// @return after which time a client that is refused may find a replica.
   [[nodiscard]] base::duration least_return_time(const active_request& request,
                                                  base::time_point now) const;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -85,17 +85,8 @@
     remake_final_inputs(request, now);
     return;
   }
-  if (is_behind_others(request, now)) {
-    // Places that have come free go to those who wait; this one is next to them.
-    enqueue_for_place(request);
-    go_on_with_places_of(request.service, now);
-    return;
-  }
-  const auto* chosen = choose_replica(request, now);
+  const auto* chosen = choose_in_turn(request, now);
   if (chosen == nullptr) {
-    if (!await_place(request, now)) {
-      answer_not_run(request, request.may_have_run ? "no replica is left" : "no replica", now);
-    }
     return;
   }
   want_permit(request, now);
--- a/src/dispatch/dispatcher_places.cc
+++ b/src/dispatch/dispatcher_places.cc
@@ -176,6 +176,20 @@
   return first < place_of(request) && choose_replica(active_.at(first.client), now) != nullptr;
 }
 
+const replica_state* dispatcher::choose_in_turn(active_request& request, base::time_point now) {
+  if (is_behind_others(request, now)) {
+    // Places that have come free go to those who wait; this one is next to them.
+    enqueue_for_place(request);
+    go_on_with_places_of(request.service, now);
+    return nullptr;
+  }
+  const auto* chosen = choose_replica(request, now);
+  if (chosen == nullptr && !await_place(request, now)) {
+    answer_not_run(request, request.may_have_run ? "no replica is left" : "no replica", now);
+  }
+  return chosen;
+}
+
 dispatcher::waiting_request dispatcher::place_of(const active_request& request) {
   return {request.priority, request.ends_at, request.client};
 }
