--- a/tests/platform/stated_words_test.cc
+++ b/tests/platform/stated_words_test.cc
@@ -3,6 +3,7 @@
 /// none does: a new word cannot stay unread unseen.
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
 #include <fstream>
 #include <regex>
 #include <set>
@@ -62,9 +63,8 @@
   for (const auto& name : matches_in(table, "([a-z_]+_test)\\b")) {
     bool exists = false;
     for (const auto& folder : folders) {
-      exists = exists ||
-               std::ifstream(std::string(SPURRACK_SOURCE) + "/tests/" + folder + "/" + name + ".cc")
-                   .good();
+      const auto file = std::filesystem::path(SPURRACK_SOURCE) / "tests" / folder / (name + ".cc");
+      exists = exists || std::filesystem::exists(file);
     }
     BOOST_TEST(exists, name << " is named and does not exist");
   }
