What a replica says that cannot be read is counted and reported at one place

The exchange of statements and the replica table each kept when an unreadable word was reported last, with a period of their own. Metrics add their counts by one function instead of seven equal lambdas. Two includes that nothing uses go.

Behaviour is as it was; one test asks the exchange for the count that it asked the table for. Unit tests: no errors.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -96,6 +96,13 @@
   add_counter(registry, name, help, static_cast<double>(value));
 }
 
+/// @return what adds a count to a registry.
+auto count_adder(Registry& registry) {
+  return [&registry](const char* name, const char* help, std::uint64_t value) {
+    add_count(registry, name, help, value);
+  };
+}
+
 void add_regions(Registry& registry, const serving::serving_counters& counts) {
   auto& by_ring = BuildCounter()
                       .Name("spurrack_replica_calls_by_ring_total")
@@ -129,9 +136,7 @@
 
 void add_second_chances(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_count(registry, name, help, value);
-  };
+  const auto add = count_adder(registry);
   add("spurrack_repeats_total", "Requests sent to a second replica.", counts.repeats);
   add("spurrack_repeats_denied_total", "Repeats beyond this node's share of the bound.",
       counts.repeats_denied);
@@ -175,9 +180,7 @@
 
 void add_quarantine(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_count(registry, name, help, value);
-  };
+  const auto add = count_adder(registry);
   add("spurrack_crashes_under_requests_total",
       "Ends of replicas laid to requests that ran there, each request counted.",
       counts.crashes_under_requests);
@@ -204,10 +207,7 @@
 /// What replicas say of themselves with their answers.
 void add_statements(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.statements().counts();
-  const auto& backoffs = dispatcher.replicas().backoffs();
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_count(registry, name, help, value);
-  };
+  const auto add = count_adder(registry);
   add("spurrack_statement_messages_total",
       "Messages to other nodes on what replicas say of themselves.", counts.messages);
   add("spurrack_limits_unreadable_total",
@@ -225,16 +225,14 @@
       counts.leaving_unreadable);
   add("spurrack_replica_backoffs_total",
       "Answers by which a replica asked this node for a pause, or for a longer one.",
-      backoffs.asked);
+      dispatcher.replicas().backoffs());
   add("spurrack_replica_backoffs_unreadable_total",
-      "Answers that asked for a pause which cannot be read.", backoffs.unreadable);
+      "Answers that asked for a pause which cannot be read.", counts.backoff_unreadable);
 }
 
 void add_limits(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.limits().counts();
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_count(registry, name, help, value);
-  };
+  const auto add = count_adder(registry);
   add("spurrack_limit_messages_total", "Messages to other nodes that ask for permits or give them.",
       counts.messages);
   add("spurrack_permits_issued_total", "Permits for limited replicas that this node issued.",
@@ -255,9 +253,7 @@
 }
 
 void add_engines(Registry& registry, const serving::engine_directory_counts& engines) {
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_count(registry, name, help, value);
-  };
+  const auto add = count_adder(registry);
   add("spurrack_engine_sends_told_total", "Prompts reported to the account holder of their engine.",
       engines.sends_told);
   add("spurrack_engine_waits_told_total", "Long waits at engines reported to the region.",
@@ -283,9 +279,7 @@
     answers.Add({{"status", std::to_string(status)}}).Increment(static_cast<double>(count));
   }
   add_first_byte_times(registry, counts.first_byte);
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_count(registry, name, help, value);
-  };
+  const auto add = count_adder(registry);
   add("spurrack_replica_calls_total", "Requests sent to replicas.", counts.calls);
   add_regions(registry, counts);
   add_planned_stop(registry, counts);
@@ -332,9 +326,7 @@
 }
 
 void add_readers(Registry& registry, const http::reader_counters& readers) {
-  const auto add = [&](const char* name, const char* help, std::uint64_t value) {
-    add_counter(registry, name, help, static_cast<double>(value));
-  };
+  const auto add = count_adder(registry);
   add("spurrack_windows_closed_total", "Times a replica's side had to rest for its client.",
       readers.windows_closed);
   add_counter(registry, "spurrack_streams_paused_seconds_total",
--- a/src/dispatch/dispatcher_statements.cc
+++ b/src/dispatch/dispatcher_statements.cc
@@ -6,9 +6,38 @@
 namespace spurrack::serving {
 namespace {
 
-std::string limit_text(const replica_statements::belief_change& change) {
+using replica_statements::belief_change;
+
+base::event_kind kind_of(belief_change::matter what) {
+  switch (what) {
+  case belief_change::matter::leaving:
+    return base::event_kind::replica_leaving;
+  case belief_change::matter::backoff:
+    return base::event_kind::replica_backoff;
+  case belief_change::matter::limit:
+    break;
+  }
+  return base::event_kind::replica_limit;
+}
+
+std::string unreadable_text(belief_change::matter what) {
+  switch (what) {
+  case belief_change::matter::leaving:
+    return "what it says of its leaving cannot be read";
+  case belief_change::matter::backoff:
+    return "the pause that it asks for cannot be read";
+  case belief_change::matter::limit:
+    break;
+  }
+  return "its limit cannot be read, the one before stands";
+}
+
+std::string text_of(const belief_change& change) {
   if (change.unreadable) {
-    return "its limit cannot be read, the one before stands";
+    return unreadable_text(change.what);
+  }
+  if (change.what == belief_change::matter::leaving) {
+    return "leaves, says " + change.source;
   }
   if (!change.per_second) {
     return "names no limit any more, says " + change.source;
@@ -19,17 +48,6 @@
   return text + change.source;
 }
 
-std::string leaving_text(const replica_statements::belief_change& change) {
-  return change.unreadable ? "what it says of its leaving cannot be read"
-                           : "leaves, says " + change.source;
-}
-
-std::string backoff_text(const backoff_change& change) {
-  return change.unreadable
-             ? "the pause that it asks for cannot be read"
-             : "wants nothing for " + std::to_string(base::to_milliseconds(change.span)) + " ms";
-}
-
 } // namespace
 
 std::optional<replica_statements::published_replica>
@@ -55,17 +73,15 @@
 }
 
 void dispatcher::record_statements() {
-  using matter = replica_statements::belief_change::matter;
   for (const auto& change : statements_.take_changes()) {
-    if (change.what == matter::limit) {
-      record_(base::event_kind::replica_limit, {}, change.replica.text(), limit_text(change));
-    } else {
-      record_(base::event_kind::replica_leaving, {}, change.replica.text(), leaving_text(change));
+    record_(kind_of(change.what), {}, change.replica.text(), text_of(change));
+    if (change.what == belief_change::matter::leaving) {
       stages_.on_departure();
     }
   }
   for (const auto& change : replicas_.take_backoff_changes()) {
-    record_(base::event_kind::replica_backoff, {}, change.replica.text(), backoff_text(change));
+    record_(base::event_kind::replica_backoff, {}, change.replica.text(),
+            "wants nothing for " + std::to_string(base::to_milliseconds(change.span)) + " ms");
   }
 }
 
--- a/src/rate_limits/limit_exchange.cc
+++ b/src/rate_limits/limit_exchange.cc
@@ -3,7 +3,6 @@
 #include "base/hashing.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace spurrack::rate_limits {
 namespace {
--- a/src/rate_limits/limit_exchange.h
+++ b/src/rate_limits/limit_exchange.h
@@ -19,7 +19,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
--- a/src/replica_statements/statement_exchange.cc
+++ b/src/replica_statements/statement_exchange.cc
@@ -98,24 +98,35 @@
 void statement_exchange::hear(const base::replica_id& replica,
                               const serving::replica_statement& said, base::time_point call_began,
                               base::time_point now) {
-  const auto published = lookup_(replica);
+  using matter = belief_change::matter;
   if (said.limit.unreadable) {
-    ++counts_.unreadable;
-    note_unreadable(replica, belief_change::matter::limit, now);
-  } else if (published) {
-    hear_limit(replica, *published, said.limit, call_began, now);
+    note_unreadable(replica, matter::limit, counts_.unreadable, now);
   }
   if (said.leaving_unreadable) {
-    ++counts_.leaving_unreadable;
-    note_unreadable(replica, belief_change::matter::leaving, now);
+    note_unreadable(replica, matter::leaving, counts_.leaving_unreadable, now);
+  }
+  if (said.backoff.unreadable) {
+    note_unreadable(replica, matter::backoff, counts_.backoff_unreadable, now);
   }
-  if (said.leaving && published) {
+  // Most answers say nothing that all nodes should know.
+  const bool concerns_limit =
+      !said.limit.unreadable && (said.limit.per_second || limits_.find(replica) != nullptr);
+  if (!concerns_limit && !said.leaving) {
+    return;
+  }
+  const auto published = lookup_(replica);
+  if (published && concerns_limit) {
+    hear_limit(replica, *published, said.limit, call_began, now);
+  }
+  if (published && said.leaving) {
     hear_leaving(replica, *published, now);
   }
 }
 
 void statement_exchange::note_unreadable(const base::replica_id& replica,
-                                         belief_change::matter what, base::time_point now) {
+                                         belief_change::matter what, std::uint64_t& count,
+                                         base::time_point now) {
+  ++count;
   const auto [told, is_first] = unreadable_told_at_.try_emplace({replica, what}, now);
   if (is_first || now - told->second >= unreadable_period) {
     told->second = now;
@@ -127,9 +138,6 @@
                                     const published_replica& published,
                                     const serving::named_limit& said, base::time_point call_began,
                                     base::time_point now) {
-  if (!said.per_second && limits_.find(replica) == nullptr) {
-    return;
-  }
   if (limits_.hear(replica, published.life, {said.per_second, call_began}, now)) {
     changed_limits_[replica] = times_told;
     changes_.push_back(
@@ -188,9 +196,8 @@
 void statement_exchange::forget(const base::replica_id& replica) {
   limits_.forget(replica);
   changed_limits_.erase(replica);
-  for (const auto what : {belief_change::matter::limit, belief_change::matter::leaving}) {
-    unreadable_told_at_.erase({replica, what});
-  }
+  std::erase_if(unreadable_told_at_,
+                [&](const auto& entry) { return entry.first.first == replica; });
 }
 
 // --- messages ------------------------------------------------------------------------------------
--- a/src/replica_statements/statement_exchange.h
+++ b/src/replica_statements/statement_exchange.h
@@ -37,7 +37,7 @@
 
 /// This node believes something else of a replica than before, or cannot read what it says.
 struct belief_change {
-  enum class matter : std::uint8_t { limit, leaving };
+  enum class matter : std::uint8_t { limit, leaving, backoff };
   matter what = matter::limit;
   base::replica_id replica;
   /// The limit in force; of no meaning for other matters.
@@ -50,9 +50,11 @@
 /// For metrics.
 struct statement_counts {
   std::uint64_t messages = 0;
-  /// Answers that named a limit which cannot be read, and that said of leaving what cannot be read.
+  /// Answers that named a limit which cannot be read, said of leaving what cannot be read, and
+  /// asked for a pause which cannot be read.
   std::uint64_t unreadable = 0;
   std::uint64_t leaving_unreadable = 0;
+  std::uint64_t backoff_unreadable = 0;
   /// News of another life of a replica than the one this node knows, which was passed over.
   std::uint64_t of_other_lives = 0;
   /// Processes of replicas that this node learned to be leaving, and those that it heard so itself.
@@ -101,7 +103,7 @@
                     base::time_point now);
   /// Counts what cannot be read, and reports it once in a while for each replica.
   void note_unreadable(const base::replica_id& replica, belief_change::matter what,
-                       base::time_point now);
+                       std::uint64_t& count, base::time_point now);
   void merge(const base::node_id& sender, const wire::named_limit& told, base::time_point now);
   void merge(const base::node_id& sender, const wire::replica_departure& told,
              base::time_point now);
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -90,18 +90,11 @@
   base::time_point earlier_calls_until;
 };
 
-/// A replica asked this node for a pause, or for one that cannot be read.
+/// A replica asked this node for a pause, or for a longer one.
 struct backoff_change {
   base::replica_id replica;
-  /// From now on; of no meaning where it cannot be read.
+  /// From now on.
   base::duration span{};
-  bool unreadable = false;
-};
-
-/// Pauses that replicas asked this node for, for metrics.
-struct backoff_counts {
-  std::uint64_t asked = 0;
-  std::uint64_t unreadable = 0;
 };
 
 /// Whether a request that is held to some regions can be served there.
@@ -230,7 +223,8 @@
   [[nodiscard]] std::vector<backoff_change> take_backoff_changes() {
     return std::exchange(backoff_changes_, {});
   }
-  [[nodiscard]] const backoff_counts& backoffs() const { return backoff_counts_; }
+  /// @return how often a replica asked for a pause, or for a longer one.
+  [[nodiscard]] std::uint64_t backoffs() const { return backoffs_; }
   /// A replica says that it stays cold for this time.
   void note_cold(const base::replica_id& id, base::duration cold_for, base::time_point now);
   void call_ended(const base::replica_id& id);
@@ -339,11 +333,9 @@
   rate_limits::limit_exchange* limits_ = nullptr;
   replica_statements::statement_exchange* statements_ = nullptr;
   std::vector<backoff_change> backoff_changes_;
-  backoff_counts backoff_counts_;
+  std::uint64_t backoffs_ = 0;
   /// When the latest of all pauses that were asked for ends.
   base::time_point latest_backoff_end_;
-  /// When a pause of a replica that cannot be read was reported last.
-  std::map<base::replica_id, base::time_point> unreadable_backoff_told_at_;
   /// Finds answers on demand and keeps them.
   mutable cold_callers cold_callers_;
   serving_settings settings_;
--- a/src/replicas/replica_table_statements.cc
+++ b/src/replicas/replica_table_statements.cc
@@ -6,12 +6,6 @@
 #include <algorithm>
 
 namespace spurrack::serving {
-namespace {
-
-/// A pause that cannot be read is reported once in this time for each replica.
-constexpr base::duration unreadable_period = std::chrono::minutes(1);
-
-} // namespace
 
 void replica_table::note_process(replica_state& state) {
   const auto process = process_mark_of(*state.record);
@@ -22,7 +16,6 @@
 }
 
 void replica_table::forget_statements(const base::replica_id& id) {
-  unreadable_backoff_told_at_.erase(id);
   if (limits_ != nullptr) {
     limits_->forget(id);
   }
@@ -82,27 +75,18 @@
 
 void replica_table::note_backoff(replica_state& state, const statement_heard& heard,
                                  base::time_point now) {
-  const auto& asked = heard.said.backoff;
-  if (asked.span) {
-    // The answered call does not count as under way any more.
-    const auto others = state.in_flight - std::min(state.in_flight, 1U);
-    if (state.backoff.ask(*asked.span, others, now)) {
-      ++backoff_counts_.asked;
-      latest_backoff_end_ = std::max(latest_backoff_end_, state.backoff.until());
-      changed_.insert(heard.replica);
-      backoff_changes_.push_back({heard.replica, state.backoff.until() - now, false});
-    }
-    return;
-  }
-  state.backoff.note_answer(heard.call_began, state.record->slots);
-  if (!asked.unreadable) {
+  const auto& span = heard.said.backoff.span;
+  if (!span) {
+    state.backoff.note_answer(heard.call_began, state.record->slots);
     return;
   }
-  ++backoff_counts_.unreadable;
-  const auto [told, is_first] = unreadable_backoff_told_at_.try_emplace(heard.replica, now);
-  if (is_first || now - told->second >= unreadable_period) {
-    told->second = now;
-    backoff_changes_.push_back({heard.replica, {}, true});
+  // The answered call does not count as under way any more.
+  const auto others = state.in_flight - std::min(state.in_flight, 1U);
+  if (state.backoff.ask(*span, others, now)) {
+    ++backoffs_;
+    latest_backoff_end_ = std::max(latest_backoff_end_, state.backoff.until());
+    changed_.insert(heard.replica);
+    backoff_changes_.push_back({heard.replica, state.backoff.until() - now});
   }
 }
 
--- a/tests/replica_statements/stated_calls_test.cc
+++ b/tests/replica_statements/stated_calls_test.cc
@@ -26,18 +26,8 @@
 struct stated_node : dispatcher_driver {
   /// @return calls of any kind that went to a replica since `first` commands.
   [[nodiscard]] std::size_t sent_to(const base::replica_id& replica, std::size_t first) const {
-    std::size_t count = 0;
-    for (std::size_t index = first; index < commands.size(); ++index) {
-      const auto& command = commands[index];
-      if (const auto* call = std::get_if<start_call>(&command)) {
-        count += call->target.replica == replica;
-      } else if (const auto* pieces = std::get_if<start_stage_call>(&command)) {
-        count += pieces->target.replica == replica;
-      } else if (const auto* freed = std::get_if<free_results>(&command)) {
-        count += freed->maker.replica == replica;
-      }
-    }
-    return count;
+    const auto called = called_since(first);
+    return static_cast<std::size_t>(std::count(called.begin(), called.end(), replica));
   }
 
   /// Answers all calls with pieces that were made since the last time.
@@ -255,7 +245,7 @@
   node.answer(call.call, said, dispatcher_driver::good_head());
   BOOST_TEST(node.last<respond>().status == 200U);
   BOOST_TEST(node.subject.statements().counts().leaving_unreadable == 1U);
-  BOOST_TEST(node.subject.replicas().backoffs().unreadable == 1U);
+  BOOST_TEST(node.subject.statements().counts().backoff_unreadable == 1U);
   const auto before = node.commands.size();
   for (base::caller_id client = 2; client < 30; ++client) {
     node.arrive(client, "/safe/");
