--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -13,9 +13,6 @@
 constexpr base::duration told_load_lifetime = std::chrono::milliseconds(500);
 /// Share of the newest call in the own failure share: about the last seven calls count.
 constexpr double failure_smoothing = 0.15;
-/// A replica that failed is tried again after this time for each part of its calls that failed:
-/// it gets no calls for its failures, so that only a call shows that it is well again.
-constexpr base::duration retrial_time = std::chrono::seconds(2);
 /// A trial that goes well takes this part of the failure share away: few calls are trials.
 constexpr double trial_smoothing = 0.5;
 /// A replica that fails all calls is chosen like one with so many times its slots taken.
@@ -28,22 +25,11 @@
 /// call at a time and lets some wait, so it is busy for at least as long; retries at a fixed short
 /// period from many nodes would mostly be refused again.
 constexpr double least_occupied_calls = 0.5;
-/// Nodes that must have found a replica lost before one that has not called it believes so: one
-/// caller's own link may be what is lost.
-constexpr std::size_t least_witnesses = 2;
-/// At most this part of the replicas of a service rest on the reports of others, and at least one
-/// where there are two: under an overload all seem silent, and resting many makes it worse.
-constexpr std::size_t ejected_divisor = 3;
 /// A replica that rested is given one request in this time until it is heard.
 constexpr base::duration probe_time = std::chrono::milliseconds(1000);
 /// A replica that stays silent is reported again after this time, a third of the lifetime of a
 /// report.
 constexpr base::duration silence_renewal = std::chrono::milliseconds(1000);
-/// A replica fails more than others of its service where its share is higher by this: requests
-/// that fail everywhere alike say nothing of a replica, and chance makes a tenth.
-constexpr double clear_excess = 0.2;
-/// Other failing replicas that are looked at to learn what is usual.
-constexpr std::size_t most_compared = 64;
 /// A replica that could not be reached and was heard afterwards had started again in between, if it
 /// was not longer ago than this: the list of replicas may lag behind by the time that its store was
 /// away.
@@ -51,13 +37,6 @@
 /// An entry that nobody writes any more lapses after three heartbeats of about 1.2 s; one that came
 /// back with an older copy of the store is passed over for that time.
 constexpr base::duration lapse_time = std::chrono::milliseconds(4'000);
-/// Each node that a replica asked for a pause counts as this load, in parts of its slots, and all
-/// together as no more than the other: what those nodes keep from it must not all go to the next
-/// that turns requests away, nor is it shown that this node would be turned away.
-constexpr double load_of_told_backoff = 0.1;
-constexpr double most_load_of_told_backoffs = 0.5;
-/// Half-life of what others reported of failures, as that of an own tally.
-constexpr base::duration told_failures_half_life = std::chrono::seconds(5);
 
 } // namespace
 
@@ -487,133 +466,4 @@
   }
 }
 
-// --- reports of other nodes
-// ------------------------------------------------------------------------
-
-std::optional<replica_testimony> replica_table::own_testimony(const replica_state& state,
-                                                              base::time_point now) {
-  replica_testimony own;
-  own.good_calls = state.calls.good(now);
-  own.bad_calls = state.calls.bad(now);
-  own.seen_at = now;
-  own.backs_off_until = state.backoff.until();
-  const auto lost_at = std::max(state.silent_at, state.unreachable_at);
-  const bool is_heard =
-      state.heard_at != base::time_point{} && now - state.heard_at < testimony_lifetime;
-  const bool disputes =
-      is_heard && state.told_lost_at != base::time_point{} && state.heard_at > state.told_lost_at;
-  const bool is_lost = lost_at > state.heard_at && now - lost_at < testimony_lifetime;
-  if (!disputes && is_lost) {
-    own.sign = lost_at == state.silent_at ? replica_sign::silent : replica_sign::unreachable;
-    own.seen_at = lost_at;
-  } else if (!disputes && own.bad_calls > 0) {
-    own.sign = replica_sign::failing;
-  } else if (is_heard) {
-    own.seen_at = state.heard_at;
-  } else {
-    return std::nullopt;
-  }
-  return own;
-}
-
-bool replica_table::is_lost(const base::replica_id& id, base::time_point now) const {
-  const auto* state = find(id);
-  if (state == nullptr) {
-    return false;
-  }
-  const auto own = own_testimony(*state, now);
-  const bool own_vote = own && is_loss(own->sign) && own->seen_at > state->told_heard_at;
-  const auto heard_at = std::max(state->heard_at, state->told_heard_at);
-  return evidence_.lost_votes(id, heard_at, now) + (own_vote ? 1 : 0) >= least_witnesses;
-}
-
-bool replica_table::may_eject(const std::string& service, base::time_point now) const {
-  const auto ids = by_service_.find(service);
-  if (ids == by_service_.end() || ids->second.size() < 2) {
-    return false;
-  }
-  const auto resting = std::count_if(ids->second.begin(), ids->second.end(), [&](const auto& id) {
-    return replicas_.at(id).ejected_until > now;
-  });
-  const auto most = std::max<std::size_t>(1, ids->second.size() / ejected_divisor);
-  return static_cast<std::size_t>(resting) < most;
-}
-
-void replica_table::take_in(const base::replica_id& id, const base::node_id& witness,
-                            const replica_testimony& said, base::time_point now) {
-  auto* state = mutable_find(id);
-  if (state == nullptr) {
-    return;
-  }
-  evidence_.take_in(id, witness, said);
-  if (is_loss(said.sign)) {
-    state->told_lost_at = std::max(state->told_lost_at, said.seen_at);
-  } else if (said.sign == replica_sign::well) {
-    state->told_heard_at = std::max(state->told_heard_at, said.seen_at);
-  }
-  learn_told_failures(*state, now);
-  learn_told_backoffs(*state, now);
-  const bool rests = state->paused_until > now;
-  if (!rests && is_lost(id, now) && may_eject(state->record->service, now)) {
-    ++ejections_;
-    state->next_pause = std::max(state->next_pause, settings_.unreachable_pause);
-    state->paused_until = now + state->next_pause;
-    state->ejected_until = state->paused_until;
-  }
-}
-
-void replica_table::learn_told_backoffs(replica_state& state, base::time_point now) const {
-  const auto told = evidence_.backoffs(state.record->id, now);
-  state.told_backoff_load =
-      std::min(most_load_of_told_backoffs, load_of_told_backoff * static_cast<double>(told.nodes));
-  state.told_backoff_until = told.until;
-}
-
-double replica_table::told_share_now(double told, const replica_state& state,
-                                     base::time_point now) {
-  const double halvings =
-      base::to_seconds(now - state.told_failures_at) / base::to_seconds(told_failures_half_life);
-  return told * std::exp2(-halvings);
-}
-
-void replica_table::learn_told_failures(replica_state& state, base::time_point now) {
-  const auto& id = state.record->id;
-  const auto replicas = by_service_[state.record->service].size();
-  auto& failing = told_failing_[state.record->service];
-  failing.insert(id);
-  double others = 0;
-  std::size_t compared = 0;
-  for (const auto& other_id : failing) {
-    const auto* other = find(other_id);
-    if (other != nullptr && other != &state && compared < most_compared) {
-      others += told_share_now(other->told_failure_share, *other, now);
-      ++compared;
-    }
-  }
-  // Replicas without any report count as not failing.
-  const auto sampled_part = static_cast<double>(std::max<std::size_t>(1, compared)) /
-                            static_cast<double>(std::max<std::size_t>(1, failing.size() - 1));
-  const auto usual =
-      others / sampled_part / static_cast<double>(std::max<std::size_t>(1, replicas - 1));
-  state.told_failure_share = evidence_.failure_share(id, state.calls, now);
-  state.told_failures_at = now;
-  const double excess = state.told_failure_share - usual;
-  state.told_failure_excess = excess >= clear_excess ? excess : 0;
-}
-
-double replica_table::known_failure_share(const replica_state& state, base::time_point now) {
-  return std::max(state.failure_share, told_share_now(state.told_failure_excess, state, now));
-}
-
-bool replica_table::is_due_again(const replica_state& state, base::time_point now) {
-  // While others go on reporting failures there is nothing to be learned from a trial.
-  const auto latest = std::max({state.failed_at, state.called_at, state.told_failures_at});
-  return state.in_flight == 0 &&
-         now - latest >= base::scaled(retrial_time, known_failure_share(state, now));
-}
-
-double replica_table::failure_share_of(const replica_state& state, base::time_point now) {
-  return is_due_again(state, now) ? 0 : known_failure_share(state, now);
-}
-
 } // namespace spurrack::serving
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -256,7 +256,7 @@
   /// @return whether results of an earlier life of a maker may still be asked for.
   [[nodiscard]] bool restarted_of_late(const replica_state& maker, base::time_point now) const;
   void forget_result(const std::string& handle);
-  /// Frees results at limited replicas that may be sent something now.
+  /// Frees results that wait for it where their makers may be sent something now.
   /// @param only_short_of_room those that would take no piece for want of room.
   void free_where_permitted(bool only_short_of_room, base::time_point now);
   [[nodiscard]] bool is_short_of_room(const replica_state& replica, base::time_point now) const;
@@ -315,7 +315,7 @@
   std::vector<piece_finished> finished_;
   std::vector<piece_ticket> fetched_;
   std::vector<lost_piece> lost_;
-  /// Results at limited replicas that are to be freed when these may be sent something.
+  /// Results that are to be freed when their makers may be sent something again.
   std::map<base::replica_id, std::vector<std::string>> unfreed_;
   /// Time after which a replica is taken to have fetched the inputs of a call.
   base::duration fetch_time_;
