Fleets of tests share their virtual time, drivers their calls

crash_fleet and limited_fleet each kept a queue of what is due; two tests each looked for the first node that was told, and two counted calls of any kind. virtual_time, limited_fleet::first_told_leaving and dispatcher_driver::called_since serve both. Assertions are as they were. A comment in soak_run.h stands at its function again.

--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -229,6 +229,22 @@
     return found.back();
   }
 
+  /// @return the replicas of all calls since `first` commands, of any kind, and of freed results.
+  [[nodiscard]] std::vector<base::replica_id> called_since(std::size_t first) const {
+    std::vector<base::replica_id> called;
+    for (std::size_t index = first; index < commands.size(); ++index) {
+      const auto& command = commands[index];
+      if (const auto* call = std::get_if<start_call>(&command)) {
+        called.push_back(call->target.replica);
+      } else if (const auto* pieces = std::get_if<start_stage_call>(&command)) {
+        called.push_back(pieces->target.replica);
+      } else if (const auto* freed = std::get_if<free_results>(&command)) {
+        called.push_back(freed->maker.replica);
+      }
+    }
+    return called;
+  }
+
   static answer_head good_head(unsigned status = 200) {
     answer_head head;
     head.status = status;
--- a/tests/platform_fleet/soak_run.h
+++ b/tests/platform_fleet/soak_run.h
@@ -39,11 +39,12 @@
   /// While nothing unplanned strikes: a replica drains, the entry of one cannot be read, a zone is
   /// evacuated, a key goes and comes back.
   void check_calm();
-  /// The store comes back from a copy taken before a key was taken away and a replica began to
-  /// drain; both stay as they were, and what is written again counts.
+  /// A replica names how many requests a second it takes, and none afterwards.
   void check_limited_replica();
   /// Replicas say in their answers that they leave, or want nothing for a while.
   void check_stating_replicas();
+  /// The store comes back from a copy taken before a key was taken away and a replica began to
+  /// drain; both stay as they were, and what is written again counts.
   void check_store_rollback();
   void check_planned_work();
   void check_last_stops();
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "serving_fixture.h"
+#include "virtual_time.h"
 
 #include <map>
 #include <memory>
@@ -44,7 +45,7 @@
   std::size_t told_to_return = 0;
 };
 
-struct crash_fleet {
+struct crash_fleet : virtual_time {
   explicit crash_fleet(const crash_fleet_settings& wanted = {})
       : settings(wanted), random(wanted.seed) {
     for (const std::string id : {"llm-a", "llm-b", "pool-a", "pool-b"}) {
@@ -192,7 +193,6 @@
   crash_fleet_settings settings;
   published_world world;
   base::seeded_random random;
-  base::time_point now{std::chrono::hours(1)};
   /// Bodies of requests that end each replica which begins to run them.
   std::set<std::string> guilty;
   /// Bodies of requests whose pieces end each replica that begins to make them.
@@ -272,18 +272,6 @@
     publish();
   }
 
-  void later(base::duration span, std::function<void()> what) {
-    due.emplace(now + span, std::move(what));
-  }
-
-  void happen_due() {
-    while (!due.empty() && due.begin()->first <= now) {
-      const auto what = std::move(due.begin()->second);
-      due.erase(due.begin());
-      what();
-    }
-  }
-
   void serve_innocents() {
     if (innocents_a_second > 0 && random.below(1000) < innocents_a_second) {
       arrive(random.below(nodes.size()), innocent_path, "innocent-" + std::to_string(requests + 1));
@@ -538,7 +526,6 @@
 
   std::vector<emulated_replica> replicas;
   std::vector<emulated_node> nodes;
-  std::multimap<base::time_point, std::function<void()>> due;
   std::map<base::caller_id, std::string> bodies;
   std::map<base::caller_id, std::string> paths;
   std::map<base::request_id, std::string> bodies_by_id;
--- a/tests/rate_limits/limited_calls_test.cc
+++ b/tests/rate_limits/limited_calls_test.cc
@@ -23,18 +23,6 @@
     said.limit.per_second = per_second;
     return said;
   }
-
-  /// @return calls of any kind that went to a replica since `first` commands.
-  [[nodiscard]] std::size_t sent_since(std::size_t first) const {
-    std::size_t count = 0;
-    for (std::size_t index = first; index < commands.size(); ++index) {
-      const auto& command = commands[index];
-      count += std::holds_alternative<start_call>(command) ||
-               std::holds_alternative<start_stage_call>(command) ||
-               std::holds_alternative<free_results>(command);
-    }
-    return count;
-  }
 };
 
 } // namespace
@@ -48,10 +36,10 @@
               dispatcher_driver::good_head());
   const auto before = node.commands.size();
   node.arrive(2, "/safe/");
-  BOOST_TEST(node.sent_since(before) == 0U);
+  BOOST_TEST(node.called_since(before).size() == 0U);
   // A second without permits when an issuer begins, then one a second.
   node.pass(milliseconds(2500));
-  BOOST_TEST(node.sent_since(before) == 1U);
+  BOOST_TEST(node.called_since(before).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(repeats_count_as_first_sends_do) {
@@ -77,7 +65,7 @@
       }
     }
   }
-  const auto sent = node.sent_since(before);
+  const auto sent = node.called_since(before).size();
   BOOST_TEST(static_cast<double>(sent) <= 2 * (30 * limit + 5), sent << " sends in 30 s");
   BOOST_TEST(node.subject.counts().repeats > 0U);
 }
--- a/tests/rate_limits/limited_fleet.h
+++ b/tests/rate_limits/limited_fleet.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "serving_fixture.h"
+#include "virtual_time.h"
 
 #include <functional>
 #include <map>
@@ -41,7 +42,7 @@
   std::size_t failed = 0;
 };
 
-struct limited_fleet {
+struct limited_fleet : virtual_time {
   /// A request reached a replica.
   struct arrival {
     base::time_point at;
@@ -156,6 +157,15 @@
         }));
   }
 
+  /// @return when a node passed on first that a replica leaves; the end of time where none has.
+  [[nodiscard]] base::time_point first_told_leaving(unsigned index) const {
+    base::time_point first = base::time_point::max();
+    for (const auto& [node, at] : replicas[index].told_leaving) {
+      first = std::min(first, at);
+    }
+    return first;
+  }
+
   /// @return requests that a node sent to a replica in a pause that it had been asked for.
   [[nodiscard]] std::size_t sent_in_pauses(unsigned index) const {
     const auto& replica = replicas[index];
@@ -267,11 +277,7 @@
 
   void step() {
     now += settings.step;
-    while (!due_.empty() && due_.begin()->first <= now) {
-      const auto what = std::move(due_.begin()->second);
-      due_.erase(due_.begin());
-      what();
-    }
+    happen_due();
     for (std::size_t index = 0; index < nodes.size(); ++index) {
       if (!nodes[index].is_frozen && nodes[index].wakes_at <= now) {
         advance(index);
@@ -323,7 +329,6 @@
   limited_fleet_settings settings;
   published_world world;
   base::seeded_random random;
-  base::time_point now{std::chrono::hours(1)};
   std::vector<emulated_replica> replicas;
   std::vector<emulated_node> nodes;
   request_counts counts;
@@ -332,10 +337,6 @@
   std::vector<base::duration> return_times;
 
  private:
-  void later(base::duration span, std::function<void()> what) {
-    due_.emplace(now + span, std::move(what));
-  }
-
   void advance(std::size_t index) {
     auto& node = nodes[index];
     node.subject->advance(now);
@@ -469,7 +470,6 @@
     }
   }
 
-  std::multimap<base::time_point, std::function<void()>> due_;
   std::map<std::size_t, std::vector<std::function<void()>>> held_back_;
   base::caller_id requests_ = 0;
 };
--- a/tests/replica_statements/leaving_replica_test.cc
+++ b/tests/replica_statements/leaving_replica_test.cc
@@ -14,19 +14,10 @@
 constexpr base::duration healthy_bound = milliseconds(500);
 constexpr base::duration lossy_bound = seconds(2);
 
-/// @return when a node passed on first that a replica leaves.
-base::time_point first_told(const limited_fleet& fleet, unsigned replica) {
-  base::time_point first = base::time_point::max();
-  for (const auto& [node, at] : fleet.replicas[replica].told_leaving) {
-    first = std::min(first, at);
-  }
-  return first;
-}
-
 /// @return requests that any node sent a replica later than that after a node was told.
 std::size_t sent_later_than(const limited_fleet& fleet, unsigned replica, base::duration bound) {
   const auto& arrivals = fleet.replicas[replica].arrivals;
-  const auto since = first_told(fleet, replica) + bound;
+  const auto since = fleet.first_told_leaving(replica) + bound;
   return static_cast<std::size_t>(std::count_if(
       arrivals.begin(), arrivals.end(), [&](const auto& one) { return one.sent_at > since; }));
 }
--- a/tests/replica_statements/statement_ways_test.cc
+++ b/tests/replica_statements/statement_ways_test.cc
@@ -34,12 +34,8 @@
     fleet.load(60, seconds(2));
     fleet.begin_leaving(0);
     fleet.load(60, seconds(8));
-    const auto& replica = fleet.replicas[0];
-    base::time_point told = base::time_point::max();
-    for (const auto& [node, at] : replica.told_leaving) {
-      told = std::min(told, at);
-    }
-    for (const auto& one : replica.arrivals) {
+    const auto told = fleet.first_told_leaving(0);
+    for (const auto& one : fleet.replicas[0].arrivals) {
       if (one.sent_at > told) {
         figures.sent_after += 1.0 / drawn_fleets;
         figures.stopped_after =
