One replica that changes costs a node what one replica costs

Cause: each entry that changes had every node build the table of 6,000 replicas anew (two searches by id for each, three indexes), divide all stage replicas and consider all nodes anew, and every 50 ms each node counted the replicas of all shards, also where nobody asked. Changes come in proportion to the fleet, so the work of a node grew with n x n.

Ruled out: a rarer look at all (a change would wait, and the cost stays n); comparing both lists side by side (6,000 looks a change).

Change: the catalog keeps the latest changes by replica, and the table takes over those; only a new configuration looks at all. replica_index finds states by service and address by pointer: a choice does not search by id any more. Who gathers moved into shard_map, which keeps the nodes that may gather until a node changes, looks only at replicas that make pieces, and divides changes that come within 50 ms together; what the shards bear is counted where a caller asks. An entry whose id is not that of its key is refused.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -148,7 +148,11 @@
     if (auto* refused = std::get_if<model::refusal_reason>(&read)) {
       return std::move(refused->text);
     }
-    return any_record(std::get<0>(std::move(read)));
+    auto& replica = std::get<std::shared_ptr<const model::replica>>(read);
+    if (replica->id.text() != name_part(key)) {
+      return "its id is not that of its key";
+    }
+    return any_record(std::move(replica));
   }
   if (key.starts_with(model::evacuation_prefix)) {
     auto read = model::parse_evacuation(value);
@@ -215,14 +219,14 @@
   } else if (const auto* fleet =
                  std::get_if<std::shared_ptr<const model::serving_configuration>>(&value)) {
     serving_ = *fleet;
-    ++serving_changes_;
+    changes_.add({});
   } else if (const auto* emptied = std::get_if<model::evacuation>(&value)) {
     evacuated_zones_.insert(emptied->zone);
-    ++serving_changes_;
+    changes_.add({});
   } else {
-    replicas_[base::replica_id(name_part(key))] =
-        std::get<std::shared_ptr<const model::replica>>(value);
-    ++serving_changes_;
+    const auto& replica = std::get<std::shared_ptr<const model::replica>>(value);
+    replicas_[replica->id] = replica;
+    changes_.add(replica->id);
   }
 }
 
@@ -247,9 +251,13 @@
     machines_.erase(name);
     ++machine_changes_;
   } else if (key.starts_with(model::replica_prefix)) {
-    serving_changes_ += replicas_.erase(base::replica_id(name));
+    if (replicas_.erase(base::replica_id(name)) > 0) {
+      changes_.add(base::replica_id(name));
+    }
   } else if (key.starts_with(model::evacuation_prefix)) {
-    serving_changes_ += evacuated_zones_.erase(base::zone_id(name));
+    if (evacuated_zones_.erase(base::zone_id(name)) > 0) {
+      changes_.add({});
+    }
   }
 }
 
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "base/safety_switches.h"
+#include "catalog/change_log.h"
 #include "model/record_parser.h"
 #include "model/serving_records.h"
 #include "wire/peer.pb.h"
@@ -106,7 +107,13 @@
   /// Zones whose replicas are to be sent nothing.
   [[nodiscard]] const std::set<base::zone_id>& evacuated_zones() const { return evacuated_zones_; }
   /// Raised whenever the configuration of the serving path, a replica or an evacuation changes.
-  [[nodiscard]] std::uint64_t serving_changes() const { return serving_changes_; }
+  [[nodiscard]] std::uint64_t serving_changes() const { return changes_.count(); }
+  /// @return the replicas that changed since a reader saw `serving_changes()`; nothing where it has
+  ///         to look at all of them.
+  [[nodiscard]] std::optional<std::vector<base::replica_id>>
+  replicas_changed_since(std::uint64_t seen) const {
+    return changes_.since(seen);
+  }
   /// @param listed keys that a complete listing holds.
   /// @return deletions of the known replicas that the listing shows to be gone.
   [[nodiscard]] std::vector<wire::catalog_entry>
@@ -198,7 +205,7 @@
   std::set<std::string> refused_replica_keys_;
   std::uint64_t refused_replicas_ = 0;
   std::set<base::zone_id> evacuated_zones_;
-  std::uint64_t serving_changes_ = 0;
+  change_log changes_;
   version highest_;
 };
 
--- /dev/null
+++ b/src/catalog/change_log.h
@@ -0,0 +1,54 @@
+/// Which replicas changed of late, so that readers look at those and not at all.
+#pragma once
+
+#include "base/ids.h"
+
+#include <boost/circular_buffer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace spurrack::catalog {
+
+/// Changes of the serving path in their order, the latest few thousand. Not thread-safe.
+class change_log {
+ public:
+  /// More changes than a reader that looks ten times a second misses in a listing of a large fleet
+  /// are not kept: it reads everything then.
+  static constexpr std::size_t most_kept = 4'096;
+
+  /// @param replica empty where something else changed.
+  void add(base::replica_id replica) {
+    ++count_;
+    kept_.push_back(std::move(replica));
+  }
+  /// @return changes ever added.
+  [[nodiscard]] std::uint64_t count() const { return count_; }
+  /// @param seen how many changes a reader has seen.
+  /// @return the replicas of all changes since, those that changed at several times as often;
+  ///         nothing where not all of them are kept.
+  [[nodiscard]] std::optional<std::vector<base::replica_id>> since(std::uint64_t seen) const {
+    if (seen > count_ || count_ - seen > kept_.size()) {
+      return std::nullopt;
+    }
+    std::vector<base::replica_id> changed;
+    for (auto at = kept_.size() - static_cast<std::size_t>(count_ - seen); at < kept_.size();
+         ++at) {
+      // What is replaced goes and comes.
+      const bool is_same = !changed.empty() && changed.back() == kept_[at];
+      if (!kept_[at].empty() && !is_same) {
+        changed.push_back(kept_[at]);
+      }
+    }
+    return changed;
+  }
+
+ private:
+  std::uint64_t count_ = 0;
+  boost::circular_buffer_space_optimized<base::replica_id> kept_{most_kept};
+};
+
+} // namespace spurrack::catalog
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -108,18 +108,32 @@
 
 void dispatcher::update(const catalog::catalog& content, base::time_point now) {
   lending_.begin(now);
-  configuration_ = content.serving();
-  replicas_.set_configuration(configuration_);
-  replicas_.update(content.replicas(), now);
+  const bool is_configured_anew = configuration_ != content.serving();
+  if (is_configured_anew) {
+    configuration_ = content.serving();
+    replicas_.set_configuration(configuration_);
+    directory_.set_configuration(configuration_);
+    stages_.set_configuration(configuration_);
+  }
+  update_replicas(content, is_configured_anew, now);
   replicas_.set_evacuated(content.evacuated_zones(), now);
-  directory_.set_configuration(configuration_);
-  directory_.forget_gone();
-  stages_.set_configuration(configuration_);
+  stages_.on_replicas_changed();
   give_up_earlier_lives(now);
   find_ended_replicas(now);
   report_unknown_services();
 }
 
+void dispatcher::update_replicas(const catalog::catalog& content, bool all, base::time_point now) {
+  const auto changed = all ? std::nullopt : content.replicas_changed_since(seen_changes_);
+  seen_changes_ = content.serving_changes();
+  if (changed) {
+    replicas_.update(content.replicas(), *changed, now);
+  } else {
+    replicas_.update(content.replicas(), now);
+  }
+  directory_.forget_gone();
+}
+
 void dispatcher::handle(const event& what, base::time_point now) {
   std::visit([&](const auto& happened) { on(happened, now); }, what);
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -440,6 +440,8 @@
   /// otherwise it is looked at again soon, since either may change.
   void take_up_elsewhere(active_request& request, base::time_point now);
   /// Replicas started again under their id: what is kept of their earlier lives is given up.
+  /// Takes over what changed of the published replicas, or all of them.
+  void update_replicas(const catalog::catalog& content, bool all, base::time_point now);
   void give_up_earlier_lives(base::time_point now);
   void give_up_earlier_life(const replica_restart& restart, base::time_point now);
   /// Has a call at a life that is over made elsewhere, or ended where that is not allowed.
@@ -475,6 +477,8 @@
   decision_recorder record_;
   base::random_source* random_;
   std::shared_ptr<const model::serving_configuration> configuration_;
+  /// Changes of the catalog that were taken over.
+  std::uint64_t seen_changes_ = 0;
   base::call_id next_call_ = 1;
   distance from_here_;
   replica_statements::statement_exchange statements_;
--- a/src/fleet_view/peer_directory.cc
+++ b/src/fleet_view/peer_directory.cc
@@ -119,20 +119,22 @@
 
 std::vector<base::node_id> peer_directory::set_gatherers(const std::set<base::node_id>& gatherers,
                                                          base::time_point now) {
+  std::set<base::node_id> known;
+  std::copy_if(gatherers.begin(), gatherers.end(), std::inserter(known, known.end()),
+               [this](const base::node_id& node) { return peers_.contains(node); });
+  if (known == gatherers_) {
+    return {};
+  }
   for (const auto& node : gatherers_) {
-    if (!gatherers.contains(node)) {
+    if (!known.contains(node)) {
       peers_.at(node).gathers_since.reset();
     }
   }
-  gatherers_.clear();
+  gatherers_ = std::move(known);
   listeners_.reset();
   std::vector<base::node_id> added;
-  for (const auto& node : gatherers) {
+  for (const auto& node : gatherers_) {
     auto* peer = find(node);
-    if (peer == nullptr) {
-      continue;
-    }
-    gatherers_.insert(node);
     if (!peer->gathers_since) {
       peer->gathers_since = now;
       added.push_back(node);
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -52,52 +52,78 @@
   }
 }
 
-void replica_table::update(
-    const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
-    base::time_point now) {
-  const auto is_gone = [&](const base::replica_id& id) {
-    const auto found = published.find(id);
-    return found == published.end() || !has_known_service(*found->second);
-  };
-  std::erase_if(replicas_, [&](const auto& entry) {
-    const auto& id = entry.first;
-    if (!is_gone(id)) {
-      return false;
+void replica_table::update(const published_replicas& published, base::time_point now) {
+  std::vector<base::replica_id> gone;
+  for (const auto& [id, state] : replicas_) {
+    if (!published.contains(id)) {
+      gone.push_back(id);
     }
-    evidence_.forget(id);
-    lives_.note_gone(id, now);
-    forget_statements(id);
-    return true;
-  });
-  lives_.forget_gone(now);
-  by_service_.clear();
-  by_address_.clear();
-  of_unknown_services_.clear();
-  for (auto& [service, failing] : told_failing_) {
-    std::erase_if(failing, is_gone);
   }
+  for (const auto& id : gone) {
+    remove(id, now);
+  }
+  of_unknown_services_.clear();
   for (const auto& [id, record] : published) {
-    if (!has_known_service(*record)) {
-      of_unknown_services_[id] = record->service;
-      continue;
-    }
-    auto& state = replicas_[id];
-    if (state.record != record) {
-      if (auto restart = lives_.note_published(*record)) {
-        begin_life(id, state, now);
-        restarts_.push_back(std::move(*restart));
-      }
-    }
-    if (state.record != record) {
-      turn_cold(state, record->cold_for, now);
-      if (record->may_be_gone) {
-        state.paused_until = std::max(state.paused_until, now + lapse_time);
-      }
+    take_over(record, now);
+  }
+  lives_.forget_gone(now);
+}
+
+void replica_table::update(const published_replicas& published,
+                           const std::vector<base::replica_id>& changed, base::time_point now) {
+  for (const auto& id : changed) {
+    if (const auto found = published.find(id); found != published.end()) {
+      take_over(found->second, now);
+    } else {
+      of_unknown_services_.erase(id);
+      remove(id, now);
     }
-    state.record = record;
-    note_process(state);
-    by_service_[record->service].push_back(id);
-    by_address_[record->address] = id;
+  }
+  lives_.forget_gone(now);
+}
+
+void replica_table::take_over(const std::shared_ptr<const model::replica>& record,
+                              base::time_point now) {
+  ++records_compared_;
+  const auto& id = record->id;
+  if (!has_known_service(*record)) {
+    of_unknown_services_[id] = record->service;
+    remove(id, now);
+    return;
+  }
+  of_unknown_services_.erase(id);
+  auto& state = replicas_[id];
+  if (state.record == record) {
+    return;
+  }
+  if (state.record) {
+    index_.remove(state);
+  }
+  if (auto restart = lives_.note_published(*record)) {
+    begin_life(id, state, now);
+    restarts_.push_back(std::move(*restart));
+  }
+  turn_cold(state, record->cold_for, now);
+  if (record->may_be_gone) {
+    state.paused_until = std::max(state.paused_until, now + lapse_time);
+  }
+  state.record = record;
+  note_process(state);
+  index_.add(state);
+}
+
+void replica_table::remove(const base::replica_id& id, base::time_point now) {
+  const auto found = replicas_.find(id);
+  if (found == replicas_.end()) {
+    return;
+  }
+  index_.remove(found->second);
+  replicas_.erase(found);
+  evidence_.forget(id);
+  lives_.note_gone(id, now);
+  forget_statements(id);
+  for (auto& [service, failing] : told_failing_) {
+    failing.erase(id);
   }
 }
 
@@ -202,8 +228,8 @@
 }
 
 const replica_state* replica_table::find_at(const base::network_address& address) const {
-  const auto found = by_address_.find(address);
-  return found == by_address_.end() ? nullptr : find(found->second);
+  const auto* id = index_.at_address(address);
+  return id == nullptr ? nullptr : find(*id);
 }
 
 bool replica_table::is_available(const replica_state& state, base::time_point now) const {
@@ -223,16 +249,11 @@
                                                         base::time_point now,
                                                         bool ignore_pauses) const {
   std::vector<const replica_state*> found;
-  const auto ids = by_service_.find(demand.service);
-  if (ids == by_service_.end()) {
-    return found;
-  }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    const bool usable_now = ignore_pauses ? takes_work(state) && bears_request(state, now)
-                                          : takes_calls(state, now) && state.probed_until <= now;
-    if (usable_now && could_serve(demand, state) && may_be_sent(state, now)) {
-      found.push_back(&state);
+  for (const auto* state : index_.of_service(demand.service)) {
+    const bool usable_now = ignore_pauses ? takes_work(*state) && bears_request(*state, now)
+                                          : takes_calls(*state, now) && state->probed_until <= now;
+    if (usable_now && could_serve(demand, *state) && may_be_sent(*state, now)) {
+      found.push_back(state);
     }
   }
   return found;
@@ -253,16 +274,11 @@
 
 replica_presence replica_table::presence_of(const std::string& service,
                                             const model::residency& allowed) const {
-  const auto ids = by_service_.find(service);
   auto presence = replica_presence::none;
-  if (ids == by_service_.end()) {
-    return presence;
-  }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    if (permits(allowed, state)) {
-      presence = std::max(presence, takes_work(state) ? replica_presence::takes_work
-                                                      : replica_presence::takes_none);
+  for (const auto* state : index_.of_service(service)) {
+    if (permits(allowed, *state)) {
+      presence = std::max(presence, takes_work(*state) ? replica_presence::takes_work
+                                                       : replica_presence::takes_none);
     }
   }
   return presence;
@@ -270,14 +286,9 @@
 
 std::optional<base::zone_id> replica_table::some_zone_of(const std::string& service,
                                                          const model::residency& allowed) const {
-  const auto ids = by_service_.find(service);
-  if (ids == by_service_.end()) {
-    return std::nullopt;
-  }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    if (permits(allowed, state) && takes_work(state)) {
-      return state.record->zone;
+  for (const auto* state : index_.of_service(service)) {
+    if (permits(allowed, *state) && takes_work(*state)) {
+      return state->record->zone;
     }
   }
   return std::nullopt;
@@ -307,14 +318,9 @@
 std::vector<const replica_state*> replica_table::available(const std::string& service,
                                                            base::time_point now) const {
   std::vector<const replica_state*> found;
-  const auto ids = by_service_.find(service);
-  if (ids == by_service_.end()) {
-    return found;
-  }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    if (takes_calls(state, now)) {
-      found.push_back(&state);
+  for (const auto* state : index_.of_service(service)) {
+    if (takes_calls(*state, now)) {
+      found.push_back(state);
     }
   }
   std::stable_partition(found.begin(), found.end(), [&](const replica_state* state) {
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -1,4 +1,10 @@
 /// Replicas as this node sees them: published, and what calls have shown since.
+///
+/// Kept: one `replica_state` for each replica of a configured service, found by id; `replica_index`
+/// finds them by service and by address. What a change costs: a replica that is published, changes
+/// or is gone, about what one replica costs whatever the fleet (`take_over`); a new configuration, a
+/// look at every replica (`update` of all). What a choice costs: a look at each replica of its
+/// service, without a copy of its identifier or a search by it.
 #pragma once
 
 #include "base/ids.h"
@@ -8,9 +14,10 @@
 #include "rate_limits/limit_exchange.h"
 #include "replica_statements/statement_exchange.h"
 #include "replicas/cold_limit.h"
-#include "replicas/replica_backoff.h"
 #include "replicas/replica_evidence.h"
+#include "replicas/replica_index.h"
 #include "replicas/replica_lives.h"
+#include "replicas/replica_state.h"
 #include "serving/events.h"
 #include "serving/settings.h"
 
@@ -28,68 +35,6 @@
 
 struct replica_demand;
 
-/// One replica with what this node has seen of it.
-struct replica_state {
-  std::shared_ptr<const model::replica> record;
-  /// Tells its process apart from others under the same id.
-  replica_statements::process_mark process = 0;
-  /// Calls of this node that are under way.
-  std::uint32_t in_flight = 0;
-  /// Load the replica reported last, and when.
-  std::optional<replica_load> told;
-  base::time_point told_at;
-  /// Own calls under way when the load was reported.
-  std::uint32_t in_flight_when_told = 0;
-  /// The replica said itself that it leaves, or its address belongs to another.
-  bool left = false;
-  /// Nothing is sent before this time.
-  base::time_point paused_until;
-  base::duration next_pause{};
-  /// The pause that it asked this node for.
-  replica_backoff backoff;
-  /// Share of the latest calls that failed, 0 to 1; when one failed last, and when one was made.
-  double failure_share = 0;
-  base::time_point failed_at;
-  base::time_point called_at;
-  /// The latest call was made to see whether it is well again.
-  bool is_on_trial = false;
-  /// Calls of this node of late.
-  call_tally calls;
-  /// Latest sign of life: an answer, its beginning, or an event of a stream.
-  base::time_point heard_at;
-  /// Latest sign of life that another node reported, and latest time one reported it lost.
-  base::time_point told_heard_at;
-  base::time_point told_lost_at;
-  /// Latest time a call of this node was found without progress while nothing was heard.
-  base::time_point silent_at;
-  /// Latest time a connection to it failed.
-  base::time_point unreachable_at;
-  /// Share of the calls of all nodes that failed, as far as they reported, beyond that of the other
-  /// replicas of its service, and when it was learned.
-  double told_failure_excess = 0;
-  double told_failure_share = 0;
-  base::time_point told_failures_at;
-  /// Load that it is taken to have besides, since it asked other nodes for pauses, and until when.
-  double told_backoff_load = 0;
-  base::time_point told_backoff_until;
-  /// It rests until then because others found it lost, not this node.
-  base::time_point ejected_until;
-  /// After a rest it is given one request until it is heard, or until this time. Calls with pieces
-  /// are not bound by it: one gatherer makes them, one after another.
-  base::time_point probed_until;
-  /// How many times as long as published its calls took of late, and when that was seen last.
-  double slowness = 1;
-  base::time_point slowness_seen_at;
-  /// It is slow until then and bears few requests.
-  base::time_point cold_until;
-  /// Requests that this node may send it while it is cold.
-  cold_bucket cold_sends;
-  /// When this node learned that it had started again; nothing where it has not seen that.
-  std::optional<base::time_point> restart_seen_at;
-  /// Calls that began until then are at an earlier life; only after a restart.
-  base::time_point earlier_calls_until;
-};
-
 /// A replica asked this node for a pause, or for a longer one.
 struct backoff_change {
   base::replica_id replica;
@@ -104,6 +49,8 @@
   takes_work, ///< Some replica may be given work, if not at this moment.
 };
 
+using published_replicas = std::map<base::replica_id, std::shared_ptr<const model::replica>>;
+
 /// Not thread-safe.
 class replica_table {
  public:
@@ -113,7 +60,9 @@
 
   /// Takes over the published replicas; what was seen of those that stay in the same life is kept.
   /// Those of services that are not configured are passed over.
-  void update(const std::map<base::replica_id, std::shared_ptr<const model::replica>>& published,
+  void update(const published_replicas& published, base::time_point now);
+  /// The same where only some differ from what was taken over last, and the configuration does not.
+  void update(const published_replicas& published, const std::vector<base::replica_id>& changed,
               base::time_point now);
   /// @return the service that each published replica names which was passed over for it.
   [[nodiscard]] const std::map<base::replica_id, std::string>& of_unknown_services() const {
@@ -275,7 +224,14 @@
   void note_occupied(const base::replica_id& id, base::duration usual, base::time_point now);
   void note_left(const base::replica_id& id);
 
-  [[nodiscard]] const std::map<base::replica_id, replica_state>& all() const { return replicas_; }
+  using state_map = std::unordered_map<base::replica_id, replica_state>;
+  [[nodiscard]] const state_map& all() const { return replicas_; }
+  /// @return the replicas of a service, by id.
+  [[nodiscard]] const replica_index::state_list& of_service(const std::string& service) const {
+    return index_.of_service(service);
+  }
+  /// @return published records that updates have compared with what was known, since the start.
+  [[nodiscard]] std::uint64_t records_compared() const { return records_compared_; }
 
  private:
   /// A replica is published in another process than before: what the one before asked for is over.
@@ -314,6 +270,10 @@
   /// @return whether a replica's service is configured, or was when the replica was taken over:
   ///         requests under way may still need it. All are before there is a configuration.
   [[nodiscard]] bool has_known_service(const model::replica& record) const;
+  /// A replica is published, for the first time or otherwise than before.
+  void take_over(const std::shared_ptr<const model::replica>& record, base::time_point now);
+  /// A replica is published no longer, or its service is not configured.
+  void remove(const base::replica_id& id, base::time_point now);
   /// Forgets all that was seen of an earlier life, except the calls that are not ended yet.
   void begin_life(const base::replica_id& id, replica_state& state, base::time_point now);
   replica_state* mutable_find(const base::replica_id& id);
@@ -340,12 +300,12 @@
   mutable cold_callers cold_callers_;
   serving_settings settings_;
   base::random_source* random_;
-  std::map<base::replica_id, replica_state> replicas_;
+  state_map replicas_;
+  replica_index index_;
+  std::uint64_t records_compared_ = 0;
   replica_lives lives_;
   std::vector<replica_restart> restarts_;
   std::map<base::replica_id, std::string> of_unknown_services_;
-  std::unordered_map<std::string, std::vector<base::replica_id>> by_service_;
-  std::unordered_map<base::network_address, base::replica_id> by_address_;
   replica_evidence evidence_;
   /// Replicas of each service of which failures were reported.
   std::unordered_map<std::string, std::set<base::replica_id>> told_failing_;
--- a/src/replicas/replica_table_limits.cc
+++ b/src/replicas/replica_table_limits.cc
@@ -36,16 +36,14 @@
 std::vector<const replica_state*> replica_table::short_of_permits(const replica_demand& demand,
                                                                   base::time_point now) const {
   std::vector<const replica_state*> found;
-  const auto ids = by_service_.find(demand.service);
-  if (limits_ == nullptr || !limits_->any() || ids == by_service_.end()) {
+  if (limits_ == nullptr || !limits_->any()) {
     return found;
   }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    const bool is_limited = limits_->book().limit_of(id).has_value();
-    if (is_limited && takes_calls(state, now) && could_serve(demand, state) &&
-        !has_permit(state, now)) {
-      found.push_back(&state);
+  for (const auto* state : index_.of_service(demand.service)) {
+    const bool is_limited = limits_->book().limit_of(state->record->id).has_value();
+    if (is_limited && takes_calls(*state, now) && could_serve(demand, *state) &&
+        !has_permit(*state, now)) {
+      found.push_back(state);
     }
   }
   return found;
--- a/src/replicas/replica_table_reports.cc
+++ b/src/replicas/replica_table_reports.cc
@@ -70,14 +70,14 @@
 }
 
 bool replica_table::may_eject(const std::string& service, base::time_point now) const {
-  const auto ids = by_service_.find(service);
-  if (ids == by_service_.end() || ids->second.size() < 2) {
+  const auto& states = index_.of_service(service);
+  if (states.size() < 2) {
     return false;
   }
-  const auto resting = std::count_if(ids->second.begin(), ids->second.end(), [&](const auto& id) {
-    return replicas_.at(id).ejected_until > now;
+  const auto resting = std::count_if(states.begin(), states.end(), [&](const auto* state) {
+    return state->ejected_until > now;
   });
-  const auto most = std::max<std::size_t>(1, ids->second.size() / ejected_divisor);
+  const auto most = std::max<std::size_t>(1, states.size() / ejected_divisor);
   return static_cast<std::size_t>(resting) < most;
 }
 
@@ -120,7 +120,7 @@
 
 void replica_table::learn_told_failures(replica_state& state, base::time_point now) {
   const auto& id = state.record->id;
-  const auto replicas = by_service_[state.record->service].size();
+  const auto replicas = index_.of_service(state.record->service).size();
   auto& failing = told_failing_[state.record->service];
   failing.insert(id);
   double others = 0;
--- a/src/replicas/replica_table_statements.cc
+++ b/src/replicas/replica_table_statements.cc
@@ -43,15 +43,13 @@
 std::optional<base::duration> replica_table::time_to_opening(const replica_demand& demand,
                                                              base::time_point now) const {
   std::optional<base::duration> least;
-  const auto ids = by_service_.find(demand.service);
-  if (!any_backoff(now) || ids == by_service_.end()) {
+  if (!any_backoff(now)) {
     return least;
   }
-  for (const auto& id : ids->second) {
-    const auto& state = replicas_.at(id);
-    if (rests_only_for_backoff(state, now) && could_serve(demand, state)) {
+  for (const auto* state : index_.of_service(demand.service)) {
+    if (rests_only_for_backoff(*state, now) && could_serve(demand, *state)) {
       const auto left =
-          std::max<base::duration>(state.backoff.until() - now, base::duration::zero());
+          std::max<base::duration>(state->backoff.until() - now, base::duration::zero());
       least = std::min(least.value_or(left), left);
     }
   }
--- /dev/null
+++ b/src/stage_work/shard_map.cc
@@ -0,0 +1,172 @@
+#include "stage_work/shard_map.h"
+
+#include "base/hashing.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// Replicas that one node gathers for; more are divided over several nodes.
+constexpr std::size_t most_replicas_per_shard = 16;
+/// Replicas of a zone that make a shard of their own where a service has more than one shard: with
+/// fewer, calls would go out half empty or wait for the one replica that is free.
+constexpr std::size_t least_replicas_of_zone = 4;
+/// Nodes that may use less than this part of what the strongest may do not gather.
+constexpr double least_share_of_strongest = 0.5;
+
+} // namespace
+
+shard_map::shard_map(fleet_peer self, model::zone_regions regions, const replica_table& replicas,
+                     const peer_directory& peers)
+    : self_(std::move(self)), regions_(std::move(regions)), replicas_(&replicas), peers_(&peers) {}
+
+bool shard_map::has_shards_of(const std::string& service) const {
+  return std::any_of(shards_.begin(), shards_.end(),
+                     [&](const shard& one) { return one.service == service; });
+}
+
+std::set<base::node_id> shard_map::gatherers() const {
+  std::set<base::node_id> found;
+  for (const auto& one : shards_) {
+    found.insert(one.gatherer);
+  }
+  return found;
+}
+
+bool shard_map::gathers_for_other_zones() const {
+  return std::any_of(shards_.begin(), shards_.end(), [&](const shard& one) {
+    return one.gatherer == self_.node && !one.zone;
+  });
+}
+
+void shard_map::assign(const model::serving_configuration& configuration, bool stopping) {
+  shards_.clear();
+  if (!candidates_ || stopping != stopping_) {
+    stopping_ = stopping;
+    candidates_ = find_candidates(stopping);
+  }
+  for (const auto& [name, service] : configuration.services) {
+    if (!service.pieces) {
+      continue;
+    }
+    for (const auto& [region, replicas] : replicas_by_region(name)) {
+      divide({name, region, std::nullopt, {}, {}}, replicas);
+    }
+  }
+  note_own_shards();
+}
+
+void shard_map::note_own_shards() {
+  own_replicas_.clear();
+  own_services_.clear();
+  for (const auto& one : shards_) {
+    if (one.gatherer == self_.node) {
+      own_replicas_.insert(one.replicas.begin(), one.replicas.end());
+      own_services_[one.service].insert(one.region);
+    }
+  }
+}
+
+std::map<model::neighbourhood, shard_map::zone_replicas>
+shard_map::replicas_by_region(const std::string& service) {
+  zone_replicas by_zone;
+  for (const auto* state : replicas_->of_service(service)) {
+    ++looks_;
+    const auto& record = *state->record;
+    const bool takes_work = !record.draining && !replicas_->says_it_leaves(*state) &&
+                            !replicas_->is_evacuated(record.zone);
+    if (takes_work) {
+      by_zone[record.zone].push_back(state);
+    }
+  }
+  std::map<model::neighbourhood, zone_replicas> regions;
+  for (auto& [zone, replicas] : by_zone) {
+    regions[regions_.neighbourhood_of(zone)][zone] = std::move(replicas);
+  }
+  return regions;
+}
+
+shard_map::candidate_nodes shard_map::find_candidates(bool stopping) {
+  std::map<base::zone_id, double> strongest_of_zone;
+  std::map<model::neighbourhood, double> strongest_of_region;
+  const auto note = [&](const base::zone_id& zone, double share) {
+    auto& in_zone = strongest_of_zone[zone];
+    in_zone = std::max(in_zone, share);
+    auto& in_region = strongest_of_region[regions_.neighbourhood_of(zone)];
+    in_region = std::max(in_region, share);
+  };
+  candidate_nodes found;
+  const auto consider = [&](const fleet_peer& node) {
+    ++looks_;
+    if (node.processor_share >= strongest_of_zone[node.zone] * least_share_of_strongest) {
+      found.by_zone[node.zone].push_back(node.node);
+    }
+    const auto region = regions_.neighbourhood_of(node.zone);
+    if (node.processor_share >= strongest_of_region[region] * least_share_of_strongest) {
+      found.by_region[region].push_back(node.node);
+      found.all.push_back(node.node);
+    }
+  };
+  if (!stopping) {
+    note(self_.zone, self_.processor_share);
+  }
+  for (const auto& [node, peer] : peers_->all()) {
+    if (peer_directory::is_fit(peer)) {
+      note(peer.peer.zone, peer.peer.processor_share);
+    }
+  }
+  for (const auto& [node, peer] : peers_->all()) {
+    if (peer_directory::is_fit(peer)) {
+      consider(peer.peer);
+    }
+  }
+  if (!stopping || found.all.empty()) {
+    consider(self_);
+  }
+  return found;
+}
+
+void shard_map::divide(const shard& common, const zone_replicas& replicas) {
+  std::size_t count = 0;
+  for (const auto& [zone, members] : replicas) {
+    count += members.size();
+  }
+  state_list together;
+  for (const auto& [zone, members] : replicas) {
+    const auto near = candidates_->by_zone.find(zone);
+    const bool has_gatherer = near != candidates_->by_zone.end() &&
+                              count > most_replicas_per_shard &&
+                              members.size() >= least_replicas_of_zone;
+    if (!has_gatherer) {
+      together.insert(together.end(), members.begin(), members.end());
+    } else if (zone == self_.zone) {
+      auto of_zone = common;
+      of_zone.zone = zone;
+      add_shards(of_zone, members, near->second);
+    }
+  }
+  const auto near = candidates_->by_region.find(common.region);
+  add_shards(common, together,
+             near == candidates_->by_region.end() ? candidates_->all : near->second);
+}
+
+void shard_map::add_shards(const shard& common, const state_list& replicas,
+                           const std::vector<base::node_id>& candidates) {
+  const auto count = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
+  const auto place = common.zone ? common.zone->text() : common.region.name;
+  const auto first = shards_.size();
+  for (std::size_t index = 0; index < count; ++index) {
+    auto added = common;
+    const auto name = common.service + "/" + place + "/" + std::to_string(index);
+    added.gatherer = base::rendezvous_top(name, candidates, 1).front();
+    shards_.push_back(std::move(added));
+  }
+  for (const auto* replica : replicas) {
+    const auto& id = replica->record->id;
+    shards_[first + base::stable_hash(id.text()) % count].replicas.push_back(id);
+  }
+}
+
+} // namespace spurrack::serving
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -43,7 +43,7 @@
                                decision_recorder record)
     : self_(std::move(self)), regions_(settings.regions), replicas_(&replicas),
       pool_(replicas, settings, std::move(next_call), std::move(record)), peers_(self_, regions_),
-      life_(first_ticket), next_ticket_(first_ticket) {
+      shards_(self_, regions_, replicas, peers_), life_(first_ticket), next_ticket_(first_ticket) {
   pool_.set_filter([this](const replica_state& replica, const model::residency& permitted_regions) {
     return may_call(replica, permitted_regions);
   });
@@ -51,24 +51,21 @@
 
 bool stage_exchange::may_call(const replica_state& replica,
                               const model::residency& permitted_regions) const {
-  if (own_replicas_.contains(replica.record->id)) {
+  if (shards_.own_replicas().contains(replica.record->id)) {
     return true;
   }
   // Pieces that none of the own replicas may make would wait here for ever.
-  const auto own = own_services_.find(replica.record->service);
-  return own == own_services_.end() ||
+  const auto own = shards_.own_services().find(replica.record->service);
+  return own == shards_.own_services().end() ||
          std::none_of(own->second.begin(), own->second.end(),
                       [&](const auto& place) { return permitted_regions.permits(place.region); });
 }
 
 report_audience stage_exchange::audience() const {
-  const bool for_other_zones = std::any_of(shards_.begin(), shards_.end(), [&](const shard& one) {
-    return one.gatherer == self_.node && !one.zone;
-  });
-  if (for_other_zones) {
+  if (shards_.gathers_for_other_zones()) {
     return report_audience::everybody;
   }
-  const bool for_zone = !own_replicas_.empty() || !forwarded_tickets_.empty() || stopping_;
+  const bool for_zone = !shards_.own_replicas().empty() || !forwarded_tickets_.empty() || stopping_;
   return for_zone ? report_audience::own_zone : report_audience::nobody;
 }
 
@@ -81,7 +78,7 @@
 
 void stage_exchange::set_peers(std::vector<fleet_peer> peers) {
   peers_.update(std::move(peers));
-  shards_are_stale_ = true;
+  note_peers_changed();
 }
 
 void stage_exchange::begin_stop(base::time_point now) {
@@ -193,7 +190,7 @@
       ask_or_move(ticket, placed, now);
     } else if (now - placed.sent_at > acceptance_limit) {
       peers_.give_up(placed.holder, now);
-      shards_are_stale_ = true;
+      note_peers_changed();
       refresh(now);
       move(ticket, placed, now);
     }
@@ -260,7 +257,7 @@
   peer.life = message.life();
   peer.leaving = message.leaving();
   if (restarted || leaves) {
-    shards_are_stale_ = true;
+    note_peers_changed();
     refresh(now);
   }
   if (!restarted) {
@@ -343,7 +340,7 @@
     return;
   }
   if (peers_.note_heard(*peer, now)) {
-    shards_are_stale_ = true;
+    note_peers_changed();
   }
   note_life(*peer, message, now);
   peers_.take_loads(*peer, message, now);
@@ -473,6 +470,10 @@
     return;
   }
   next_load_report_ = now + load_report_period;
+  const auto receivers = peers_.next_receivers(audience());
+  if (receivers.empty()) {
+    return;
+  }
   wire::stage_work report;
   for (const auto& [name, service] : configuration_->services) {
     if (!service.pieces) {
@@ -485,12 +486,12 @@
     load.set_waiting_past_due(static_cast<std::uint32_t>(pool_.waiting(name) - in_time));
     load.set_calls_under_way(static_cast<std::uint32_t>(pool_.calls_under_way(name)));
     load.set_drain_rate(pool_.drain_rate_of(name, now).value_or(0));
-    describe_own_shards(load);
+    describe_own_shards(load, now);
   }
   if (report.loads_size() == 0) {
     return;
   }
-  for (const auto& node : peers_.next_receivers(audience())) {
+  for (const auto& node : receivers) {
     *message_to(node).mutable_loads() = report.loads();
   }
 }
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -15,6 +15,7 @@
 #include "replicas/distance.h"
 #include "replicas/replica_table.h"
 #include "serving/settings.h"
+#include "stage_work/shard_map.h"
 #include "stage_work/stage_pool.h"
 #include "wire/outgoing.h"
 
@@ -24,7 +25,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,6 +63,8 @@
   [[nodiscard]] std::size_t waiting(const std::string& service) const {
     return pool_.waiting(service);
   }
+  /// Replicas came, went or changed.
+  void on_replicas_changed() { replicas_changed_ = true; }
   /// Some replica said that it leaves: the others are divided anew, so that nothing waits for it.
   void on_departure() { shards_are_stale_ = true; }
   /// A replica started again: what its earlier life had of pieces and results is lost.
@@ -105,6 +107,7 @@
   [[nodiscard]] command_list take_commands() { return pool_.take_commands(); }
   [[nodiscard]] wire::outbox take_messages();
   [[nodiscard]] const peer_directory& peers() const { return peers_; }
+  [[nodiscard]] const shard_map& shards() const { return shards_; }
 
  private:
   /// A node that gathers the pieces for some replicas of a service.
@@ -119,22 +122,6 @@
     /// When the first of these pauses ends; a time before now where some replica can be called.
     base::time_point opens_at;
   };
-  /// Replicas of one service for which one node gathers.
-  struct shard {
-    std::string service;
-    model::neighbourhood region;
-    std::optional<base::zone_id> zone;
-    std::vector<base::replica_id> replicas;
-    base::node_id gatherer;
-  };
-  /// Replicas of one service in one region, by zone.
-  using zone_replicas = std::map<base::zone_id, std::vector<base::replica_id>>;
-  /// Replicas of one service in one region.
-  struct replica_group {
-    std::string service;
-    model::neighbourhood region;
-    auto operator<=>(const replica_group&) const = default;
-  };
   /// Where a piece of this node is.
   struct placement {
     piece_work work;
@@ -161,23 +148,10 @@
     piece_outcome outcome;
   };
 
-  /// Nodes that may gather pieces.
-  struct candidate_nodes {
-    std::map<base::zone_id, std::vector<base::node_id>> by_zone;
-    std::map<model::neighbourhood, std::vector<base::node_id>> by_region;
-    std::vector<base::node_id> all;
-  };
-  [[nodiscard]] candidate_nodes find_candidates() const;
+  /// Other nodes came or went, or are fit for work or not otherwise than before.
+  void note_peers_changed();
   /// Divides all replicas into shards and finds the gatherer of each.
   void assign_shards(base::time_point now);
-  [[nodiscard]] std::map<replica_group, zone_replicas> group_replicas() const;
-  /// Divides the replicas of a group into shards. Those of other zones that have gatherers of their
-  /// own are left out.
-  void divide(const replica_group& group, const zone_replicas& replicas,
-              const candidate_nodes& candidates);
-  /// Adds shards of replicas that all stand behind the same candidates.
-  void add_shards(const shard& common, const std::vector<base::replica_id>& replicas,
-                  const std::vector<base::node_id>& candidates);
   /// Greets those who gather from now on, so that connections to them stand.
   void greet(const std::vector<base::node_id>& gatherers);
   /// What the replicas of a shard bear.
@@ -190,10 +164,13 @@
     base::time_point opens_at = base::time_point::max();
   };
   [[nodiscard]] usable_replicas count_usable_of(const shard& one, base::time_point now) const;
+  /// @return gatherers of the shards of a service, with what their replicas bear now.
+  [[nodiscard]] const std::vector<gatherer>& assigned_gatherers(const std::string& service,
+                                                                base::time_point now) const;
   /// Counts the replicas of each shard that can be called.
-  void count_usable(base::time_point now);
+  void count_usable(base::time_point now) const;
   /// Fills in for which replicas of the service this node gathers.
-  void describe_own_shards(wire::stage_load& load) const;
+  void describe_own_shards(wire::stage_load& load, base::time_point now) const;
   /// @return gatherers of a service that this node has assigned, and those of other zones that
   ///         report; only such that can be reached and whose replicas lie in allowed regions.
   [[nodiscard]] std::vector<gatherer> gatherers_of(const std::string& service,
@@ -260,14 +237,14 @@
   stage_pool pool_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   peer_directory peers_;
-  /// Replicas this node gathers for, and the services they belong to with where they are.
-  std::set<base::replica_id> own_replicas_;
-  std::map<std::string, std::set<model::neighbourhood>> own_services_;
-  std::vector<shard> shards_;
-  /// Gatherers of the shards by service.
-  std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
+  shard_map shards_;
   /// The shards are to be found anew.
   bool shards_are_stale_ = true;
+  /// Replicas have changed since the shards were found.
+  bool replicas_changed_ = false;
+  /// Gatherers of the shards by service, counted where a caller asks for them.
+  mutable std::unordered_map<std::string, std::vector<gatherer>> gatherers_;
+  mutable bool counts_are_stale_ = true;
   /// The node that keeps account of the room of a result, where that is another.
   std::unordered_map<std::string, base::node_id> result_holders_;
   std::uint64_t life_;
--- a/src/stage_work/stage_exchange_gatherers.cc
+++ b/src/stage_work/stage_exchange_gatherers.cc
@@ -14,66 +14,41 @@
 
 /// How often silence and pauses of replicas are looked at.
 constexpr base::duration refresh_period = std::chrono::milliseconds(50);
-/// Replicas that one node gathers for; more are divided over several nodes.
-constexpr std::size_t most_replicas_per_shard = 16;
-/// Replicas of a zone that make a shard of their own where a service has more than one shard: with
-/// fewer, calls would go out half empty or wait for the one replica that is free.
-constexpr std::size_t least_replicas_of_zone = 4;
-/// Nodes that may use less than this part of what the strongest may do not gather.
-constexpr double least_share_of_strongest = 0.5;
 
 } // namespace
 
 void stage_exchange::refresh(base::time_point now) {
-  const bool look_due = now >= next_refresh_;
-  if (look_due) {
+  if (now >= next_refresh_) {
     next_refresh_ = now + refresh_period;
-    shards_are_stale_ = peers_.update_silence(now) || shards_are_stale_;
+    if (peers_.update_silence(now)) {
+      note_peers_changed();
+    }
+    // Replicas that change in a row are taken in together.
+    shards_are_stale_ = shards_are_stale_ || replicas_changed_;
+    counts_are_stale_ = true;
   }
   if (shards_are_stale_) {
-    shards_are_stale_ = false;
     assign_shards(now);
-  } else if (look_due) {
-    count_usable(now);
   }
 }
 
-std::map<stage_exchange::replica_group, stage_exchange::zone_replicas>
-stage_exchange::group_replicas() const {
-  std::map<replica_group, zone_replicas> groups;
-  for (const auto& [id, replica] : replicas_->all()) {
-    const auto* service =
-        configuration_ ? configuration_->find_service(replica.record->service) : nullptr;
-    const auto& zone = replica.record->zone;
-    const bool takes_work = !replica.record->draining && !replicas_->says_it_leaves(replica) &&
-                            !replicas_->is_evacuated(zone);
-    if (service != nullptr && service->pieces && takes_work) {
-      groups[{service->name, regions_.neighbourhood_of(zone)}][zone].push_back(id);
-    }
-  }
-  return groups;
+void stage_exchange::note_peers_changed() {
+  shards_.note_peers_changed();
+  shards_are_stale_ = true;
 }
 
 void stage_exchange::assign_shards(base::time_point now) {
-  own_replicas_.clear();
-  const auto gathered_before = std::exchange(own_services_, {});
-  shards_.clear();
-  const auto candidates = find_candidates();
-  for (const auto& [group, replicas] : group_replicas()) {
-    divide(group, replicas, candidates);
-  }
-  std::set<base::node_id> elected;
-  for (const auto& one : shards_) {
-    elected.insert(one.gatherer);
-    if (one.gatherer == self_.node) {
-      own_replicas_.insert(one.replicas.begin(), one.replicas.end());
-      own_services_[one.service].insert(one.region);
-    }
+  shards_are_stale_ = false;
+  replicas_changed_ = false;
+  counts_are_stale_ = true;
+  if (!configuration_) {
+    return;
   }
-  greet(peers_.set_gatherers(elected, now));
-  count_usable(now);
+  const auto gathered_before = shards_.own_services();
+  shards_.assign(*configuration_, stopping_);
+  greet(peers_.set_gatherers(shards_.gatherers(), now));
   for (const auto& [service, places] : gathered_before) {
-    if (!own_services_.contains(service) && gatherers_.contains(service)) {
+    if (!shards_.own_services().contains(service) && shards_.has_shards_of(service)) {
       hand_over(service, now);
     }
   }
@@ -86,83 +61,6 @@
   }
 }
 
-stage_exchange::candidate_nodes stage_exchange::find_candidates() const {
-  std::map<base::zone_id, double> strongest_of_zone;
-  std::map<model::neighbourhood, double> strongest_of_region;
-  const auto note = [&](const base::zone_id& zone, double share) {
-    auto& in_zone = strongest_of_zone[zone];
-    in_zone = std::max(in_zone, share);
-    auto& in_region = strongest_of_region[regions_.neighbourhood_of(zone)];
-    in_region = std::max(in_region, share);
-  };
-  candidate_nodes found;
-  const auto consider = [&](const fleet_peer& node) {
-    if (node.processor_share >= strongest_of_zone[node.zone] * least_share_of_strongest) {
-      found.by_zone[node.zone].push_back(node.node);
-    }
-    const auto region = regions_.neighbourhood_of(node.zone);
-    if (node.processor_share >= strongest_of_region[region] * least_share_of_strongest) {
-      found.by_region[region].push_back(node.node);
-      found.all.push_back(node.node);
-    }
-  };
-  if (!stopping_) {
-    note(self_.zone, self_.processor_share);
-  }
-  for (const auto& [node, peer] : peers_.all()) {
-    if (peer_directory::is_fit(peer)) {
-      note(peer.peer.zone, peer.peer.processor_share);
-    }
-  }
-  for (const auto& [node, peer] : peers_.all()) {
-    if (peer_directory::is_fit(peer)) {
-      consider(peer.peer);
-    }
-  }
-  if (!stopping_ || found.all.empty()) {
-    consider(self_);
-  }
-  return found;
-}
-
-void stage_exchange::divide(const replica_group& group, const zone_replicas& replicas,
-                            const candidate_nodes& candidates) {
-  std::size_t count = 0;
-  for (const auto& [zone, members] : replicas) {
-    count += members.size();
-  }
-  std::vector<base::replica_id> together;
-  for (const auto& [zone, members] : replicas) {
-    const auto near = candidates.by_zone.find(zone);
-    const bool has_gatherer = near != candidates.by_zone.end() && count > most_replicas_per_shard &&
-                              members.size() >= least_replicas_of_zone;
-    if (!has_gatherer) {
-      together.insert(together.end(), members.begin(), members.end());
-    } else if (zone == self_.zone) {
-      add_shards({group.service, group.region, zone, {}, {}}, members, near->second);
-    }
-  }
-  const auto near = candidates.by_region.find(group.region);
-  add_shards({group.service, group.region, std::nullopt, {}, {}}, together,
-             near == candidates.by_region.end() ? candidates.all : near->second);
-}
-
-void stage_exchange::add_shards(const shard& common, const std::vector<base::replica_id>& replicas,
-                                const std::vector<base::node_id>& candidates) {
-  const auto count = (replicas.size() + most_replicas_per_shard - 1) / most_replicas_per_shard;
-  const auto place = common.zone ? common.zone->text() : common.region.name;
-  const auto first = shards_.size();
-  for (std::size_t index = 0; index < count; ++index) {
-    auto added = common;
-    const auto name = common.service + "/" + place + "/" + std::to_string(index);
-    added.gatherer = base::rendezvous_top(name, candidates, 1).front();
-    shards_.push_back(std::move(added));
-  }
-  for (const auto& replica : replicas) {
-    shards_[first + base::stable_hash(replica.text()) % count].replicas.push_back(replica);
-  }
-}
-
 stage_exchange::usable_replicas stage_exchange::count_usable_of(const shard& one,
                                                                 base::time_point now) const {
   const auto& capacity = *configuration_->find_service(one.service)->pieces;
@@ -184,9 +82,20 @@
   return usable;
 }
 
-void stage_exchange::count_usable(base::time_point now) {
+const std::vector<stage_exchange::gatherer>&
+stage_exchange::assigned_gatherers(const std::string& service, base::time_point now) const {
+  static const std::vector<gatherer> none;
+  if (counts_are_stale_) {
+    counts_are_stale_ = false;
+    count_usable(now);
+  }
+  const auto found = gatherers_.find(service);
+  return found == gatherers_.end() ? none : found->second;
+}
+
+void stage_exchange::count_usable(base::time_point now) const {
   gatherers_.clear();
-  for (const auto& one : shards_) {
+  for (const auto& one : shards_.shards()) {
     const auto usable = count_usable_of(one, now);
     auto& known = gatherers_[one.service];
     auto found = std::find_if(known.begin(), known.end(), [&](const gatherer& other) {
@@ -207,12 +116,8 @@
   }
 }
 
-void stage_exchange::describe_own_shards(wire::stage_load& load) const {
-  const auto known = gatherers_.find(load.service());
-  if (known == gatherers_.end()) {
-    return;
-  }
-  for (const auto& candidate : known->second) {
+void stage_exchange::describe_own_shards(wire::stage_load& load, base::time_point now) const {
+  for (const auto& candidate : assigned_gatherers(load.service(), now)) {
     if (candidate.node == self_.node) {
       load.set_replicas(load.replicas() +
                         static_cast<std::uint32_t>(std::ceil(candidate.replicas)));
@@ -225,12 +130,11 @@
 stage_exchange::gatherers_of(const std::string& service, const model::residency& permitted_regions,
                              base::time_point now) const {
   std::vector<gatherer> found;
-  if (const auto known = gatherers_.find(service); known != gatherers_.end()) {
-    std::copy_if(known->second.begin(), known->second.end(), std::back_inserter(found),
-                 [this](const gatherer& candidate) {
-                   return candidate.node == self_.node || peers_.find(candidate.node) != nullptr;
-                 });
-  }
+  const auto& assigned = assigned_gatherers(service, now);
+  std::copy_if(assigned.begin(), assigned.end(), std::back_inserter(found),
+               [this](const gatherer& candidate) {
+                 return candidate.node == self_.node || peers_.find(candidate.node) != nullptr;
+               });
   const auto is_assigned = [&](const base::node_id& node) {
     return std::any_of(found.begin(), found.end(),
                        [&](const gatherer& other) { return other.node == node; });
