Few nodes of a region watch the store, whatever its zones

Cause: calls grew with zones (2 x 2 z / 2 s) and every watcher asked again after every change; the wait was 2 s because a watch whose answer is lost looks like one that waits.

Ways weighed: longer waits alone (a lost answer would stay lost as long); one zone for all (its cut or its refusal leaves nobody); each zone by turns (a change waits for the turn). Ruled out: telling the age of the last answer with every message (at 584 nodes it spreads in 2 to 3 s, no sooner than the wait).

Change: two zones watch for all zones of their region, the first in rendezvous order among those that a node hears, so that a zone that is cut off watches for itself; two nodes in each. The store may hold a watch for 6 s, and a watch that has not told for 1 s what peers know already is begun anew, once. News are listed for passing on only where there are any.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -80,6 +80,8 @@
     return {apply_verdict::older, {}};
   }
   highest_ = std::max(highest_, offered.at);
+  auto& newest = is_replica_key(entry.key()) ? newest_replica_ : newest_operator_;
+  newest = std::max(newest, store_position{offered.at.era, offered.at.revision});
   if (entry.deleted()) {
     accept(place, std::move(offered), std::nullopt);
     return {apply_verdict::accepted, {}};
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -127,6 +127,9 @@
   /// @return the highest revision seen of the newest era, and that era.
   [[nodiscard]] base::revision highest_revision() const { return highest_.revision; }
   [[nodiscard]] base::store_era era() const { return highest_.era; }
+  /// @return where the newest entry of a replica was written, and the newest of any other kind.
+  [[nodiscard]] store_position newest_replica_position() const { return newest_replica_; }
+  [[nodiscard]] store_position newest_operator_position() const { return newest_operator_; }
   /// Raised whenever a machine entry changes; lets readers rebuild what they derive from the list.
   [[nodiscard]] std::uint64_t machine_changes() const { return machine_changes_; }
   [[nodiscard]] std::vector<rejection> rejections() const;
@@ -207,6 +210,8 @@
   std::set<base::zone_id> evacuated_zones_;
   change_log changes_;
   version highest_;
+  store_position newest_replica_;
+  store_position newest_operator_;
 };
 
 } // namespace spurrack::catalog
--- a/src/catalog/replicator.cc
+++ b/src/catalog/replicator.cc
@@ -105,9 +105,8 @@
   period_ = brought_news ? exchange_period : std::min(period_ * 2, longest_exchange_period);
 }
 
-void replicator::handle(const wire::envelope& message,
-                        const std::vector<base::network_address>& peers, base::time_point now,
-                        wire::outbox& out) {
+void replicator::handle(const wire::envelope& message, const peer_lister& peers,
+                        base::time_point now, wire::outbox& out) {
   if (message.has_catalog_push()) {
     take_push(message, peers, out);
   } else if (message.has_catalog_buckets()) {
@@ -117,8 +116,8 @@
   }
 }
 
-void replicator::take_push(const wire::envelope& message,
-                           const std::vector<base::network_address>& peers, wire::outbox& out) {
+void replicator::take_push(const wire::envelope& message, const peer_lister& peers,
+                           wire::outbox& out) {
   const auto& push = message.catalog_push();
   const auto entries = unpack_entries(push);
   if (!entries) {
@@ -133,7 +132,9 @@
   if (push.answers_comparison()) {
     note_answer(base::network_address(message.sender_address()), !fresh.empty());
   }
-  pass_on(fresh, push.hops_left(), rumour_fanout, peers, out);
+  if (!fresh.empty() && push.hops_left() > 0) {
+    pass_on(fresh, push.hops_left(), rumour_fanout, peers(), out);
+  }
 }
 
 bool replicator::may_answer(std::size_t entries, base::time_point now) {
--- a/src/catalog/replicator.h
+++ b/src/catalog/replicator.h
@@ -21,6 +21,10 @@
 
 namespace spurrack::catalog {
 
+/// @return the addresses to which news may be passed on; asked for only where there are any, since
+/// listing them is dear in a large fleet.
+using peer_lister = std::function<std::vector<base::network_address>()>;
+
 /// Called for every entry that was offered and was not a duplicate.
 using apply_observer = std::function<void(const wire::catalog_entry&, const apply_result&)>;
 
@@ -64,16 +68,15 @@
                base::time_point now, wire::outbox& out);
 
   /// Handles push, buckets and pull; other bodies are ignored.
-  void handle(const wire::envelope& message, const std::vector<base::network_address>& peers,
-              base::time_point now, wire::outbox& out);
+  void handle(const wire::envelope& message, const peer_lister& peers, base::time_point now,
+              wire::outbox& out);
 
  private:
   bool take(const wire::catalog_entry& entry);
   void pass_on(const std::vector<wire::catalog_entry>& fresh, std::uint32_t hops,
                std::size_t fanout, const std::vector<base::network_address>& peers,
                wire::outbox& out);
-  void take_push(const wire::envelope& message, const std::vector<base::network_address>& peers,
-                 wire::outbox& out);
+  void take_push(const wire::envelope& message, const peer_lister& peers, wire::outbox& out);
   void answer_buckets(const wire::envelope& message, base::time_point now, wire::outbox& out);
   void answer_pull(const wire::envelope& message, wire::outbox& out);
   /// @return whether an answer of this size may be given now.
--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -5,12 +5,14 @@
 namespace spurrack::catalog {
 
 std::optional<base::revision> service_watch::next_read(bool holds_job, base::time_point now) {
-  if (outstanding_ && now - outstanding_since_ < watch_timeout) {
+  if (outstanding_ && now - outstanding_since_ < watch_timeout && !is_lost(now)) {
     return std::nullopt;
   }
   if (!holds_job || now < next_try_) {
     return std::nullopt;
   }
+  begun_anew_ = outstanding_;
+  behind_since_.reset();
   outstanding_ = true;
   outstanding_since_ = now;
   ++calls_;
@@ -18,9 +20,20 @@
   return lists_again ? 0 : cursor_;
 }
 
+void service_watch::note_known(base::store_era era, base::revision newest, base::time_point now) {
+  const bool is_behind =
+      outstanding_ && !begun_anew_ && cursor_ > 0 && era == era_ && newest > cursor_;
+  behind_since_ = is_behind ? behind_since_.value_or(now) : std::optional<base::time_point>();
+}
+
+bool service_watch::is_lost(base::time_point now) const {
+  return behind_since_ && now - *behind_since_ >= lost_answer_time;
+}
+
 answer_meaning service_watch::on_answer(const service_position& answered, bool has_changes,
                                         base::time_point now) {
   outstanding_ = false;
+  begun_anew_ = false;
   last_answer_ = now;
   backoff_ = std::min(retry_first, retry_longest_);
   next_try_ = has_changes ? now + rest_after_changes : now;
@@ -52,6 +65,7 @@
 
 void service_watch::on_failure(base::time_point now) {
   outstanding_ = false;
+  begun_anew_ = false;
   next_try_ = now + backoff_;
   backoff_ = std::min(backoff_ * 2, retry_longest_);
 }
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -1,5 +1,8 @@
-/// When this node reads the configuration service, and from which revision. Only a few nodes of a
-/// zone hold the job, so calls to the service grow with zones and not with nodes.
+/// When this node reads the configuration service, and from which revision. Only a few nodes hold
+/// the job, so that calls to the service do not grow with nodes or zones.
+///
+/// The service holds a watch for long, and an answer that was lost looks like one that is held. So
+/// a watch that does not tell what others know already is begun anew.
 #pragma once
 
 #include "base/ids.h"
@@ -40,10 +43,16 @@
  public:
   /// Nodes of a zone that watch at the same time.
   static constexpr std::size_t watchers_per_zone = 2;
+  /// Zones of a region whose nodes watch for all of them.
+  static constexpr std::size_t watching_zones = 2;
+  /// How long the service may hold a watch. A node that is not answered at all notices only then.
+  static constexpr base::duration watch_hold = std::chrono::seconds(6);
+  /// What others know and a watch has not told for this time was told in an answer that is lost.
+  static constexpr base::duration lost_answer_time = std::chrono::seconds(1);
   static constexpr base::duration retry_first = std::chrono::milliseconds(250);
   /// Longest time between two tries where the service does not answer.
   static constexpr base::duration usual_retry_longest = std::chrono::seconds(8);
-  /// A watch without answer is given up after this time (the service holds one for half of it).
+  /// A watch without answer is given up after this time, longer than the service holds one.
   static constexpr base::duration watch_timeout = std::chrono::seconds(20);
   /// Rest after an answer that brought changes, so that a burst of them takes few calls. A change
   /// that comes after a quiet time is heard at once.
@@ -61,6 +70,9 @@
   /// @return the revision after which to read, where a read is due now.
   std::optional<base::revision> next_read(bool holds_job, base::time_point now);
 
+  /// Takes note of what is known of the service from anybody, before `next_read`.
+  void note_known(base::store_era era, base::revision newest, base::time_point now);
+
   /// Takes note of an answer. In a new era the service is listed anew, whatever was asked: a watch
   /// goes on at a revision that now belongs to something else.
   answer_meaning on_answer(const service_position& answered, bool has_changes,
@@ -72,7 +84,13 @@
   [[nodiscard]] std::uint64_t calls() const { return calls_; }
 
  private:
+  [[nodiscard]] bool is_lost(base::time_point now) const;
+
   bool outstanding_ = false;
+  /// Since when others know what the watch under way has not told; nothing where they do not, and
+  /// after the watch was begun anew for it: a listing may name a revision that changed nothing.
+  std::optional<base::time_point> behind_since_;
+  bool begun_anew_ = false;
   base::revision cursor_ = 0;
   base::store_era era_ = 0;
   /// When the service is listed once more after the first listing of an era.
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -407,6 +407,18 @@
   return std::find(holders.begin(), holders.end(), self_.node) != holders.end();
 }
 
+bool membership::holds_job_of_region(std::string_view job, std::size_t zones, std::size_t count,
+                                     base::time_point now) const {
+  std::vector<base::zone_id> heard{self_.zone};
+  for (const auto& [zone, nodes] : live().remote) {
+    if (!regions_.are_regions_apart(self_.zone, zone) && zones_.hears(zone, now)) {
+      heard.push_back(zone);
+    }
+  }
+  const auto doing = base::rendezvous_top(job, heard, zones);
+  return std::find(doing.begin(), doing.end(), self_.zone) != doing.end() && holds_job(job, count);
+}
+
 base::duration membership::expected_detection_time() const {
   // A member escapes all probes of one period with probability about 1/e, so the first probe that
   // meets a dead member comes after e/(e-1) periods on average.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -103,6 +103,12 @@
   [[nodiscard]] const std::vector<base::network_address>& seeds() const { return seeds_; }
   /// @return whether this node is among the `count` that hold a job of its zone.
   [[nodiscard]] bool holds_job(std::string_view job, std::size_t count) const;
+  /// A few zones of a region do a job for all: those that come first among the zones that a node
+  /// hears, so that a zone that is cut off does it for itself.
+  /// @param zones how many do it. @param count how many nodes of each.
+  /// @return whether this node is one of them.
+  [[nodiscard]] bool holds_job_of_region(std::string_view job, std::size_t zones, std::size_t count,
+                                         base::time_point now) const;
   [[nodiscard]] base::incarnation incarnation() const { return incarnation_; }
   /// @return when this node met the first other one; nothing where a published list names them.
   [[nodiscard]] std::optional<base::time_point> introduced_at() const { return introduced_at_; }
--- a/src/membership/zone_contact.cc
+++ b/src/membership/zone_contact.cc
@@ -109,6 +109,11 @@
   return std::clamp<base::duration>(learned, shortest_silence_limit, longest_silence);
 }
 
+bool zone_contact::hears(const base::zone_id& zone, base::time_point now) const {
+  const auto found = contacts_.find(zone);
+  return found != contacts_.end() && now - found->second.heard < silence_limit(found->second);
+}
+
 std::set<base::zone_id> zone_contact::silent(base::time_point now) const {
   std::set<base::zone_id> zones;
   for (const auto& [zone, known] : contacts_) {
--- a/src/membership/zone_contact.h
+++ b/src/membership/zone_contact.h
@@ -37,6 +37,8 @@
   /// This process was paused: every zone gets time to be heard again.
   void resume_after_pause(base::time_point now);
 
+  /// @return whether a zone was heard of lately.
+  [[nodiscard]] bool hears(const base::zone_id& zone, base::time_point now) const;
   /// @return zones that were heard of once, and not lately.
   [[nodiscard]] std::set<base::zone_id> silent(base::time_point now) const;
 
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -80,7 +80,12 @@
 /// there is something.
 struct read_service {
   source_kind source = source_kind::configuration;
+  /// 0: everything is listed.
   base::revision after = 0;
+  /// A listing that is some seconds old serves as well.
+  bool may_be_old = false;
+  /// How long the service may hold the answer back.
+  base::duration hold{};
 };
 struct send_ticket {
   base::caller_id caller = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,22 +16,6 @@
 /// Peers asked at once for what this node missed: with 10 of them one answers even while half the
 /// fleet starts, and a fleet that starts as a whole is not flooded.
 constexpr std::size_t most_resync_peers = 10;
-/// A starting node that serves published routes reads the services itself after a random part of
-/// this time for each member it knows, unless peers have told it everything by then: of a large
-/// fleet that starts as a whole, few nodes read, and a small one loses no time. Strong nodes read
-/// in the first half of the time, others after all of it: on a link of 10 Mbit/s 3,000 replicas
-/// take more than a second, and each node that reads them takes 12 ms of the store's link from all
-/// others.
-constexpr base::duration wait_for_peers_per_member = std::chrono::milliseconds(12);
-constexpr base::duration longest_wait_for_peers = std::chrono::milliseconds(1200);
-/// Nodes with at least this part of the processor of the strongest one known are strong.
-constexpr float least_share_of_strong_node = 0.5F;
-/// Until then after its introduction a starting node knows neither how large the fleet is nor
-/// whether it is a strong one: two rounds of questions for members. Without it 178 of 300 nodes
-/// that returned together read the store (control_traffic_test).
-constexpr base::duration time_to_meet = std::chrono::milliseconds(200);
-/// A starting node that knows nobody waits this long to be introduced at a seed.
-constexpr base::duration introduction_wait = std::chrono::milliseconds(300);
 /// Messages a node sends to itself while it handles one event; a bound against loops.
 constexpr std::size_t most_loopback_rounds = 8;
 
@@ -241,41 +225,6 @@
   check_ready(now);
 }
 
-void node::read_services(base::time_point now) {
-  const std::array<const char*, source_count> jobs{"watch/configuration", "watch/machines"};
-  for (std::size_t index = 0; index < source_count; ++index) {
-    const bool holds =
-        ready_ ? membership_.holds_job(jobs[index], catalog::service_watch::watchers_per_zone)
-               : now - started_ >= wait_for_peers();
-    const auto after = watches_[index].next_read(holds, now);
-    if (after) {
-      commands_.emplace_back(read_service{static_cast<source_kind>(index), *after});
-    }
-  }
-}
-
-base::duration node::wait_for_peers() const {
-  if (!serving_) {
-    return {};
-  }
-  const auto known = static_cast<int>(membership_.members().size());
-  if (known == 0) {
-    return membership_.seeds().empty() ? base::duration{} : introduction_wait;
-  }
-  const auto longest = std::min(wait_for_peers_per_member * known, longest_wait_for_peers);
-  const double part = is_strong() ? wait_for_peers_part_ / 2 : 1 + wait_for_peers_part_;
-  const auto introduced = membership_.introduced_at().value_or(started_) - started_;
-  return introduced + time_to_meet + base::from_seconds(base::to_seconds(longest) * part);
-}
-
-bool node::is_strong() const {
-  const auto own = settings_.self.processor_share;
-  const auto& known = membership_.members();
-  return std::none_of(known.begin(), known.end(), [&](const auto& entry) {
-    return own < entry.second.processor_share * least_share_of_strong_node;
-  });
-}
-
 bool node::is_near(const base::zone_id& zone) const {
   const auto& own = settings_.self.zone;
   return !serving_ || !settings_.serving->regions.are_regions_apart(own, zone);
@@ -299,68 +248,7 @@
                         static_cast<std::uint32_t>(place - nodes.begin()));
 }
 
-// --- platform ------------------------------------------------------------------------------------
-
-void node::on(const service_answered& what, base::time_point now) {
-  auto& watch = watches_[static_cast<std::size_t>(what.source)];
-  const auto meaning =
-      watch.on_answer({what.era, what.service_revision, what.complete}, !what.entries.empty(), now);
-  note_era(what, meaning);
-  if (meaning.is_outdated || meaning.is_implausible) {
-    return;
-  }
-  auto entries = what.entries;
-  for (auto& entry : entries) {
-    entry.set_era(meaning.era);
-  }
-  if (meaning.shows_deletions) {
-    std::set<std::string> listed;
-    for (const auto& entry : entries) {
-      listed.insert(entry.key());
-    }
-    const catalog::store_position at{meaning.era, what.service_revision};
-    auto gone = what.source == source_kind::machine_list
-                    ? catalog_.deletions_of_unlisted_replicas(listed, at)
-                    : catalog_.deletions_of_unlisted_evacuations(listed, at);
-    std::move(gone.begin(), gone.end(), std::back_inserter(entries));
-  }
-  replicator_.offer(entries, replication_peers(), outbox_);
-  apply_machine_changes(now);
-  check_ready(now);
-  read_services(now);
-}
-
-void node::note_era(const service_answered& what, const catalog::answer_meaning& meaning) {
-  const std::string era = std::to_string(meaning.era);
-  if (what.era_unreadable) {
-    ++store_.eras_unreadable;
-    record(base::event_kind::service_era, {}, "", "unreadable, taken for " + era);
-  }
-  if (meaning.is_implausible) {
-    ++store_.eras_unreadable;
-    record(base::event_kind::service_era, {}, std::to_string(*what.era),
-           "too far beyond " + era + " to be one, passed over");
-  }
-  if (meaning.is_outdated) {
-    ++store_.answers_outdated;
-    record(base::event_kind::service_era, {}, std::to_string(*what.era),
-           "an answer of an era before " + era + ", passed over");
-  }
-  if (meaning.begins_era) {
-    ++store_.eras_begun;
-    record(base::event_kind::service_era, {}, era,
-           "the service came back from an older copy, now at revision " +
-               std::to_string(what.service_revision) + "; it is listed anew");
-  }
-  if (meaning.went_back) {
-    record(base::event_kind::service_behind, {}, "",
-           "service went back to revision " + std::to_string(what.service_revision));
-  }
-}
-
-void node::on(const service_failed& what, base::time_point now) {
-  watches_[static_cast<std::size_t>(what.source)].on_failure(now);
-}
+// --- catalog -------------------------------------------------------------------------------------
 
 void node::apply_serving_changes(base::time_point now) {
   if (serving_ && catalog_.serving_changes() != seen_serving_changes_) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -146,7 +146,13 @@
   void check_resync(const wire::envelope& message, base::time_point now);
   void check_ready(base::time_point now);
   void run_periodic(base::time_point now);
+  /// @return whether this node watches a service for others as long as it lives.
+  [[nodiscard]] bool has_watch_job(source_kind source, base::time_point now) const;
+  [[nodiscard]] bool reads_service(source_kind source, base::time_point now) const;
   void read_services(base::time_point now);
+  /// This node cannot read a service: another, which may reach it, is asked to watch it.
+  void hand_over_watch(source_kind source, base::time_point now);
+  void on_watch_handover(const wire::watch_handover& asked, base::time_point now);
   void apply_machine_changes(base::time_point now);
   void apply_serving_changes(base::time_point now);
   void update_serving_peers(base::time_point now);
@@ -204,6 +210,14 @@
   catalog::catalog catalog_;
   catalog::replicator replicator_;
   std::array<catalog::service_watch, source_count> watches_;
+  /// A service that this node watches for another.
+  struct watch_substitution {
+    base::time_point until;
+    std::uint32_t handovers_left = 0;
+    /// When this node may ask another to watch for it.
+    base::time_point next_handover;
+  };
+  std::array<watch_substitution, source_count> substitutions_;
   membership::membership membership_;
   routing::backend_table backends_;
   admission::stage_scheduler scheduler_;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -22,10 +22,7 @@
   const base::network_address sender(message.sender_address());
   const bool from_zone = message.sender_zone() == settings_.self.zone.text();
   membership_.handle(message, now, outbox_);
-  // Only a push is passed on; listing whom to is dear in a large fleet.
-  const auto passed_on_to =
-      message.has_catalog_push() ? replication_peers() : std::vector<base::network_address>{};
-  replicator_.handle(message, passed_on_to, now, outbox_);
+  replicator_.handle(message, [this] { return replication_peers(); }, now, outbox_);
   for (const auto& notice : message.acknowledgement().leaving()) {
     on_backend_notice(notice, true, now);
   }
@@ -57,6 +54,9 @@
   if (serving_ && message.has_retry_lending()) {
     serving_->handle_peer(base::node_id(message.sender()), sender, message.retry_lending(), now);
   }
+  if (message.has_watch_handover()) {
+    on_watch_handover(message.watch_handover(), now);
+  }
   const bool probe =
       message.has_ping() || message.has_acknowledgement() || message.has_zone_digest();
   if (probe) {
--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -50,6 +50,52 @@
   BOOST_TEST(calls == 5U);
 }
 
+BOOST_AUTO_TEST_CASE(a_watch_that_does_not_tell_what_others_know_is_begun_anew) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({1, 100, true}, true, now);
+  now += std::chrono::seconds(1);
+  BOOST_TEST((subject.next_read(true, now) == 100U));
+  // Peers bring the same news a moment before the answer, which is nothing unusual.
+  subject.note_known(1, 101, now);
+  now += service_watch::lost_answer_time / 2;
+  subject.note_known(1, 101, now);
+  BOOST_TEST(!subject.next_read(true, now).has_value());
+  now += service_watch::lost_answer_time / 2;
+  subject.note_known(1, 101, now);
+  BOOST_TEST((subject.next_read(true, now) == 100U));
+}
+
+BOOST_AUTO_TEST_CASE(a_revision_that_changed_nothing_has_a_watch_begun_anew_once) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({1, 100, true}, true, now);
+  now += std::chrono::seconds(1);
+  std::size_t reads = 0;
+  for (int step = 0; step < 50; ++step) {
+    subject.note_known(1, 105, now);
+    reads += subject.next_read(true, now).has_value() ? 1 : 0;
+    now += std::chrono::milliseconds(100);
+  }
+  BOOST_TEST(reads == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_known_of_another_era_says_nothing_of_a_watch) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({2, 100, true}, true, now);
+  now += std::chrono::seconds(1);
+  BOOST_TEST(subject.next_read(true, now).has_value());
+  for (int step = 0; step < 50; ++step) {
+    subject.note_known(1, 900, now);
+    BOOST_TEST(!subject.next_read(true, now).has_value());
+    now += std::chrono::milliseconds(100);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_new_era_is_listed_at_once_and_once_more_when_what_was_lost_is_back) {
   service_watch subject;
   auto now = start;
