A held watch is probed, and held as long as the bounds of changes allow

Cause: all watches under way when the store falls silent are lost together, nobody knows newer, and with a hold of 6 s they are given up after 7 s only. Ruled out: the spread between nodes (both machines of the watching zones were late too).

Change: while a watch is held, the store is asked every 2 s for one key that may be old, which costs a tenth of a call; without an answer in 1 s the watch is begun anew or handed over. While changes keep coming, a watcher rests for 0.2 s, then twice as long up to a fifth of the bound; a change after a quiet time is read at once.

--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -15,6 +15,7 @@
   behind_since_.reset();
   outstanding_ = true;
   outstanding_since_ = now;
+  probed_at_ = now;
   ++calls_;
   const bool lists_again = settles_at_ && now >= *settles_at_;
   return lists_again ? 0 : cursor_;
@@ -26,6 +27,14 @@
   behind_since_ = is_behind ? behind_since_.value_or(now) : std::optional<base::time_point>();
 }
 
+bool service_watch::takes_probe(base::time_point now) {
+  const bool is_due = outstanding_ && cursor_ > 0 && now - probed_at_ >= probe_period;
+  if (is_due) {
+    probed_at_ = now;
+  }
+  return is_due;
+}
+
 bool service_watch::is_lost(base::time_point now) const {
   return behind_since_ && now - *behind_since_ >= lost_answer_time;
 }
@@ -35,8 +44,11 @@
   outstanding_ = false;
   begun_anew_ = false;
   last_answer_ = now;
-  backoff_ = std::min(retry_first, retry_longest_);
-  next_try_ = has_changes ? now + rest_after_changes : now;
+  backoff_ = std::min(retry_first, timing_.retry_longest);
+  const bool keep_coming = has_changes && now - outstanding_since_ < rest_;
+  rest_ = keep_coming ? std::min(rest_ * 2, std::max(timing_.rest_longest, rest_after_changes))
+                      : rest_after_changes;
+  next_try_ = has_changes ? now + rest_ : now;
   answer_meaning meaning;
   meaning.is_outdated = answered.era && *answered.era < era_;
   meaning.is_implausible = answered.era && era_ > 0 && *answered.era > era_ + most_eras_missed;
@@ -67,7 +79,7 @@
   outstanding_ = false;
   begun_anew_ = false;
   next_try_ = now + backoff_;
-  backoff_ = std::min(backoff_ * 2, retry_longest_);
+  backoff_ = std::min(backoff_ * 2, timing_.retry_longest);
 }
 
 } // namespace spurrack::catalog
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -1,8 +1,10 @@
 /// When this node reads the configuration service, and from which revision. Only a few nodes hold
 /// the job, so that calls to the service do not grow with nodes or zones.
 ///
-/// The service holds a watch for long, and an answer that was lost looks like one that is held. So
-/// a watch that does not tell what others know already is begun anew.
+/// The service holds a watch for long, and an answer that was lost looks like one that is held, as
+/// does a service that answers this node no more. So a watch that does not tell what others know
+/// already is begun anew, and while one is held the service is probed, which costs it a tenth of a
+/// call.
 #pragma once
 
 #include "base/ids.h"
@@ -38,6 +40,16 @@
   bool shows_deletions = false;
 };
 
+/// What depends on how soon changes must be known.
+struct watch_timing {
+  /// Longest time between two tries where the service does not answer.
+  base::duration retry_longest = std::chrono::seconds(8);
+  /// How long the service may hold a watch.
+  base::duration hold = std::chrono::seconds(2);
+  /// Longest rest between two reads while changes keep coming.
+  base::duration rest_longest = std::chrono::milliseconds(200);
+};
+
 /// Not thread-safe.
 class service_watch {
  public:
@@ -45,17 +57,15 @@
   static constexpr std::size_t watchers_per_zone = 2;
   /// Zones of a region whose nodes watch for all of them.
   static constexpr std::size_t watching_zones = 2;
-  /// How long the service may hold a watch. A node that is not answered at all notices only then.
-  static constexpr base::duration watch_hold = std::chrono::seconds(6);
+  /// While a watch is held, the service is asked this often whether it still answers this node.
+  static constexpr base::duration probe_period = std::chrono::seconds(2);
   /// What others know and a watch has not told for this time was told in an answer that is lost.
   static constexpr base::duration lost_answer_time = std::chrono::seconds(1);
   static constexpr base::duration retry_first = std::chrono::milliseconds(250);
-  /// Longest time between two tries where the service does not answer.
-  static constexpr base::duration usual_retry_longest = std::chrono::seconds(8);
   /// A watch without answer is given up after this time, longer than the service holds one.
   static constexpr base::duration watch_timeout = std::chrono::seconds(20);
-  /// Rest after an answer that brought changes, so that a burst of them takes few calls. A change
-  /// that comes after a quiet time is heard at once.
+  /// Rest after an answer that brought changes, so that a burst of them takes few calls; doubled up
+  /// to the longest while changes keep coming. One that comes after a quiet time is heard at once.
   static constexpr base::duration rest_after_changes = std::chrono::milliseconds(200);
   /// After the first listing of a new era the service is listed once more: what was lost with the
   /// old one is written again within about two seconds, and only what is missing then is gone.
@@ -64,12 +74,15 @@
   /// farther ahead is malformed, and believing it would make every later one look outdated.
   static constexpr base::store_era most_eras_missed = 1'000;
 
-  explicit service_watch(base::duration retry_longest = usual_retry_longest)
-      : retry_longest_(retry_longest), backoff_(std::min(retry_first, retry_longest)) {}
+  explicit service_watch(const watch_timing& timing = {})
+      : timing_(timing), backoff_(std::min(retry_first, timing.retry_longest)) {}
+  [[nodiscard]] base::duration hold() const { return timing_.hold; }
 
   /// @return the revision after which to read, where a read is due now.
   std::optional<base::revision> next_read(bool holds_job, base::time_point now);
 
+  /// @return whether the service is to be probed now.
+  bool takes_probe(base::time_point now);
   /// Takes note of what is known of the service from anybody, before `next_read`.
   void note_known(base::store_era era, base::revision newest, base::time_point now);
 
@@ -97,7 +110,10 @@
   std::optional<base::time_point> settles_at_;
   base::time_point outstanding_since_;
   base::time_point next_try_;
-  base::duration retry_longest_;
+  watch_timing timing_;
+  base::duration rest_ = rest_after_changes;
+  /// When the read under way was begun, or the service was probed for it last.
+  base::time_point probed_at_;
   base::duration backoff_;
   std::optional<base::time_point> last_answer_;
   std::uint64_t calls_ = 0;
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -171,6 +171,8 @@
     callers_->send_ticket(ticket->caller, std::move(ticket->ticket), ticket->lifetime);
   } else if (auto* read = std::get_if<node::read_service>(&wanted)) {
     platform_->read(*read);
+  } else if (auto* probe = std::get_if<node::probe_service>(&wanted)) {
+    platform_->probe(*probe);
   } else if (auto* serving = std::get_if<serving::command>(&wanted)) {
     serving_->carry_out(std::move(*serving));
   } else if (auto* decision = std::get_if<node::log_decision>(&wanted)) {
--- a/src/engines/engine_chooser.h
+++ b/src/engines/engine_chooser.h
@@ -10,12 +10,11 @@
 
 namespace spurrack::serving {
 
-/// In an idle fleet prompts with the same first part go to a few engines. Among them, the first home
-/// of the shared parts, unless a later home would read all of the prompt sooner than
-/// the first gets to it. Later homes are in the zone of the first, as far as it has engines. Parts
-/// that take long to read have their homes anywhere in the fleet; for others, engines of other
-/// regions are looked at only where those of the own are loaded by more than the way costs. Not
-/// thread-safe.
+/// In an idle fleet prompts with the same first part go to a few engines. Among them, the first
+/// home of the shared parts, unless a later home would read all of the prompt sooner than the first
+/// gets to it. Later homes are in the zone of the first, as far as it has engines. Parts that take
+/// long to read have their homes anywhere in the fleet; for others, engines of other regions are
+/// looked at only where those of the own are loaded by more than the way costs. Not thread-safe.
 class engine_chooser final : public replica_chooser {
  public:
   /// @param replicas, directory must outlive this object.
--- a/src/engines/engine_directory.h
+++ b/src/engines/engine_directory.h
@@ -70,8 +70,8 @@
 
   /// @param engines how many there are.
   /// @return how many of them read a part with which many prompts begin. Few in an idle fleet, by
-  ///         what this node sent of late: there an engine gets a prompt so seldom that it would read
-  ///         the part again for nearly each. All under a load, which is even then.
+  ///         what this node sent of late: there an engine gets a prompt so seldom that it would
+  ///         read the part again for nearly each. All under a load, which is even then.
   [[nodiscard]] std::size_t readers_of_a_part(std::size_t engines, base::time_point now) const;
 
   [[nodiscard]] wire::outbox take_messages();
--- a/src/engines/part_placement.cc
+++ b/src/engines/part_placement.cc
@@ -51,9 +51,9 @@
           beginning.last_key, beginning.tokens};
 }
 
-std::vector<const replica_state*>
-readers_of_first_part(const shared_beginning& beginning, std::vector<const replica_state*> engines,
-                      std::size_t most) {
+std::vector<const replica_state*> readers_of_first_part(const shared_beginning& beginning,
+                                                        std::vector<const replica_state*> engines,
+                                                        std::size_t most) {
   const bool is_only_part = beginning.first_key == beginning.last_key;
   if (is_only_part || engines.size() <= most) {
     return engines;
--- a/src/engines/sending_rate.cc
+++ b/src/engines/sending_rate.cc
@@ -6,7 +6,8 @@
 namespace spurrack::serving {
 namespace {
 
-/// A node of a large fleet sends one prompt in a few seconds: a shorter time would be mostly chance.
+/// A node of a large fleet sends one prompt in a few seconds: a shorter time would be mostly
+/// chance.
 constexpr base::duration memory_time = std::chrono::seconds(30);
 /// The first prompts are taken to be those of this time.
 constexpr base::duration least_time = std::chrono::seconds(10);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -87,6 +87,11 @@
   /// How long the service may hold the answer back.
   base::duration hold{};
 };
+/// Ask a service for little, beside a read that it holds. Only a failure is told, as that of a
+/// read.
+struct probe_service {
+  source_kind source = source_kind::configuration;
+};
 struct send_ticket {
   base::caller_id caller = 0;
   std::string ticket;
@@ -99,9 +104,10 @@
 /// All requests have ended after `stop_requested`; the process may exit.
 struct stop_completed {};
 
-using command = std::variant<wire::outgoing, execution::start_call, execution::cancel_call,
-                             execution::send_token, execution::send_answer, read_service,
-                             send_ticket, stop_completed, serving::command, log_decision>;
+using command =
+    std::variant<wire::outgoing, execution::start_call, execution::cancel_call,
+                 execution::send_token, execution::send_answer, read_service, probe_service,
+                 send_ticket, stop_completed, serving::command, log_decision>;
 using command_list = std::vector<command>;
 
 } // namespace spurrack::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -60,8 +60,8 @@
                            "revision " + std::to_string(entry.revision()) +
                                (result.reason.empty() ? "" : ": " + result.reason));
                   }),
-      watches_{catalog::service_watch(settings_.service_retry_longest),
-               catalog::service_watch(settings_.service_retry_longest)},
+      watches_{catalog::service_watch(settings_.service_timing),
+               catalog::service_watch(settings_.service_timing)},
       membership_(
           settings_.self, settings_.membership_timing, random,
           [this](const membership::member& subject) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -37,8 +37,7 @@
   routing::routing_limits routing;
   /// A gap between two events longer than this means the process was paused.
   base::duration pause_threshold = std::chrono::milliseconds(1000);
-  /// Longest time between two reads of a platform service that does not answer.
-  base::duration service_retry_longest = catalog::service_watch::usual_retry_longest;
+  catalog::watch_timing service_timing;
   /// How long a node waits for peers before it is ready on the service's word, or serves alone.
   base::duration resync_wait = std::chrono::milliseconds(1000);
   /// A stopping node ends only after no request reached it for this time: the balancer learns of
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -22,7 +22,8 @@
   const base::network_address sender(message.sender_address());
   const bool from_zone = message.sender_zone() == settings_.self.zone.text();
   membership_.handle(message, now, outbox_);
-  replicator_.handle(message, [this] { return replication_peers(); }, now, outbox_);
+  replicator_.handle(
+      message, [this] { return replication_peers(); }, now, outbox_);
   for (const auto& notice : message.acknowledgement().leaving()) {
     on_backend_notice(notice, true, now);
   }
--- a/src/publication/http_publication_client.cc
+++ b/src/publication/http_publication_client.cc
@@ -84,6 +84,8 @@
   void read(const node::read_service& what) override {
     asio::co_spawn(*io_, run(what), asio::detached);
   }
+  /// Watches are held too briefly for it.
+  void probe(const node::probe_service& /*what*/) override {}
 
  private:
   asio::awaitable<void> run(node::read_service what) {
--- a/src/publication/publication_client.h
+++ b/src/publication/publication_client.h
@@ -24,6 +24,8 @@
 
   /// Begins a read; the service may hold the answer until something newer is published.
   virtual void read(const node::read_service& what) = 0;
+  /// Asks the service for little; a failure is told as that of a read.
+  virtual void probe(const node::probe_service& what) = 0;
 };
 
 } // namespace spurrack::publication
--- a/src/replica_statements/departure_book.cc
+++ b/src/replica_statements/departure_book.cc
@@ -26,9 +26,8 @@
 }
 
 void departure_book::forget_old(base::time_point now) {
-  const auto forgotten = std::erase_if(known_, [&](const auto& entry) {
-    return now - entry.second.seen_at >= remembered_time;
-  });
+  const auto forgotten = std::erase_if(
+      known_, [&](const auto& entry) { return now - entry.second.seen_at >= remembered_time; });
   if (forgotten > 0) {
     marks_.clear();
     for (const auto& [process, known] : known_) {
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -2,8 +2,8 @@
 ///
 /// Kept: one `replica_state` for each replica of a configured service, found by id; `replica_index`
 /// finds them by service and by address. What a change costs: a replica that is published, changes
-/// or is gone, about what one replica costs whatever the fleet (`take_over`); a new configuration, a
-/// look at every replica (`update` of all). What a choice costs: a look at each replica of its
+/// or is gone, about what one replica costs whatever the fleet (`take_over`); a new configuration,
+/// a look at every replica (`update` of all). What a choice costs: a look at each replica of its
 /// service, without a copy of its identifier or a search by it.
 #pragma once
 
--- a/src/replicas/replica_table_reports.cc
+++ b/src/replicas/replica_table_reports.cc
@@ -74,9 +74,8 @@
   if (states.size() < 2) {
     return false;
   }
-  const auto resting = std::count_if(states.begin(), states.end(), [&](const auto* state) {
-    return state->ejected_until > now;
-  });
+  const auto resting = std::count_if(states.begin(), states.end(),
+                                     [&](const auto* state) { return state->ejected_until > now; });
   const auto most = std::max<std::size_t>(1, states.size() / ejected_divisor);
   return static_cast<std::size_t>(resting) < most;
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -140,6 +140,31 @@
 /// answers to be written and 0.2 s for a process that is late.
 constexpr double end_margin_seconds = 0.7;
 
+/// A change is on all nodes this long after a watcher has read it, and a read that is not answered
+/// is given up this long after its hold.
+constexpr base::duration spread_time = std::chrono::milliseconds(1'000);
+constexpr base::duration give_up_time = std::chrono::milliseconds(1'000);
+
+/// Of the time in which a change must be in force, a watcher may rest this part.
+constexpr double rest_part = 0.2;
+
+/// A watch that is lost as a disturbance begins is noticed when its hold is over, and a change
+/// after the disturbance must be in force in its time nevertheless.
+catalog::watch_timing read_watch_timing(mapping_reader& section) {
+  constexpr std::int64_t longest = 60'000;
+  constexpr std::int64_t usual = 2'000;
+  const auto settled = section.milliseconds("settle_ms", 0, longest, usual);
+  const auto changed = section.milliseconds("change_bound_ms", 100, longest, usual);
+  const auto drained = section.milliseconds("drain_bound_ms", 100, longest, usual);
+  const auto bound = std::min(changed, drained);
+  catalog::watch_timing timing;
+  timing.hold = std::max<base::duration>(settled + bound - spread_time - give_up_time, timing.hold);
+  timing.rest_longest = base::scaled(bound, rest_part);
+  timing.retry_longest = section.milliseconds("store_retry_longest_ms", 100, 60'000,
+                                              milliseconds_of(std::chrono::milliseconds(500)));
+  return timing;
+}
+
 void read_serving(mapping_reader& reader, daemon_settings& result) {
   auto section = reader.mapping("serving", false);
   if (!section) {
@@ -188,8 +213,7 @@
   result.node.stop_linger = std::chrono::milliseconds(1'500);
   result.node.stop_linger_longest = std::min(serving.stop_longest, serving.stop_takes.requests);
   result.node.resync_wait = std::chrono::milliseconds(300);
-  result.node.service_retry_longest = section->milliseconds(
-      "store_retry_longest_ms", 100, 60'000, milliseconds_of(std::chrono::milliseconds(500)));
+  result.node.service_timing = read_watch_timing(*section);
   section->finish();
 }
 
--- a/src/simulation/emulated_platform.h
+++ b/src/simulation/emulated_platform.h
@@ -33,6 +33,13 @@
   /// Nothing is answered with where the service is down.
   void read(const node::read_service& what, answer_handler answer);
 
+  /// @return whether the service answers a question that it need not look up.
+  bool answer_probe() {
+    ++probes_;
+    return mode_ != platform_mode::down;
+  }
+  /// A probe costs a tenth of a call.
+  [[nodiscard]] std::uint64_t probes() const { return probes_; }
   [[nodiscard]] base::revision revision() const { return revision_; }
   [[nodiscard]] std::uint64_t calls() const { return calls_; }
   /// @return reads from the beginning.
@@ -59,6 +66,7 @@
   platform_mode mode_ = platform_mode::up;
   std::uint64_t calls_ = 0;
   std::uint64_t listings_ = 0;
+  std::uint64_t probes_ = 0;
   std::uint64_t next_watch_ = 1;
   std::map<std::uint64_t, watch> watches_;
 };
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -225,6 +225,8 @@
     tickets_[ticket->caller] = ticket->ticket;
   } else if (auto* read = std::get_if<node::read_service>(&wanted)) {
     read_platform(slot, *read);
+  } else if (auto* probe = std::get_if<node::probe_service>(&wanted)) {
+    probe_platform(slot, *probe);
   } else if (std::holds_alternative<node::stop_completed>(wanted)) {
     for (auto& [id, record] : callers_) {
       record.cut_by_stop =
@@ -297,23 +299,58 @@
   });
 }
 
+bool fleet_simulation::reaches_platform(const node_slot& slot) const {
+  const auto cut = cuts_.find(slot.profile.zone);
+  return !turned_away_.contains(slot.profile.zone) && (cut == cuts_.end() || !cut->second);
+}
+
+void fleet_simulation::probe_platform(const node_slot& slot, const node::probe_service& what) {
+  const bool answers =
+      reaches_platform(slot) && now() >= platform_silent_until_ && platform_.answer_probe();
+  if (!answers) {
+    events_.after(connect_timeout, [=, this, name = slot.profile.name, life = slot.life] {
+      deliver(name, life, node::service_failed{what.source});
+    });
+  }
+}
+
 void fleet_simulation::read_platform(node_slot& slot, const node::read_service& what) {
   const auto name = slot.profile.name;
   const auto life = slot.life;
-  const auto reachable = [this, zone = slot.profile.zone] {
-    const auto cut = cuts_.find(zone);
-    return !turned_away_.contains(zone) && (cut == cuts_.end() || !cut->second);
+  const auto reachable = [this, name] { return reaches_platform(nodes_.at(name)); };
+  const auto source = static_cast<std::size_t>(what.source);
+  const auto number = ++slot.reads[source];
+  // Of reads of a source only the latest counts, as with the platform's client.
+  const auto is_latest = [this, name, source, number] {
+    return nodes_.at(name).reads[source] == number;
   };
-  const auto fail = [this, name, life, what] {
-    events_.after(connect_timeout,
-                  [=, this] { deliver(name, life, node::service_failed{what.source}); });
+  const auto fail_after = [=, this](base::duration span) {
+    events_.after(span, [=, this] {
+      if (is_latest()) {
+        deliver(name, life, node::service_failed{what.source});
+      }
+    });
   };
+  const auto fail = [fail_after] { fail_after(connect_timeout); };
+  const auto began = now();
   events_.after(platform_delay, [=, this] {
+    if (platform_silent_until_ > began) {
+      fail_after(what.hold + connect_timeout);
+      return;
+    }
     if (!reachable()) {
       fail();
       return;
     }
     platform_.read(what, [=, this](const std::optional<node::service_answered>& answer) {
+      if (!is_latest()) {
+        return;
+      }
+      if (platform_silent_until_ > began) {
+        const base::duration held = now() - began;
+        fail_after(std::max<base::duration>(what.hold - held, base::duration{}) + connect_timeout);
+        return;
+      }
       if (!answer || !reachable()) {
         fail();
         return;
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -10,6 +10,7 @@
 #include "simulation/link.h"
 #include "simulation/traffic_ledger.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -141,6 +142,8 @@
   [[nodiscard]] bool is_cut(const std::string& zone) const { return cuts_.contains(zone); }
   /// The platform answers no node of these zones, while it serves all others.
   void turn_away(std::set<std::string> zones) { turned_away_ = std::move(zones); }
+  /// The platform's service answers nothing for a while, also not what it holds now.
+  void silence_platform(base::duration span) { platform_silent_until_ = now() + span; }
   void set_loss(double loss) { settings_.network.loss = loss; }
 
   // --- back ends
@@ -177,6 +180,8 @@
     base::time_point frozen_until;
     std::optional<base::duration> freeze_before_effect;
     base::time_point wake_scheduled;
+    /// Reads of each source that were begun.
+    std::array<std::uint64_t, node::source_count> reads{};
     link sending;
     link receiving;
   };
@@ -202,7 +207,9 @@
   void carry_out(node_slot& slot, node::command& wanted);
   void schedule_wakeup(node_slot& slot);
   void send_message(node_slot& from, wire::outgoing& message);
+  [[nodiscard]] bool reaches_platform(const node_slot& slot) const;
   void read_platform(node_slot& slot, const node::read_service& what);
+  void probe_platform(const node_slot& slot, const node::probe_service& what);
   /// Carries the pages of an answer to the node that asked, one after the other.
   void carry_pages(const std::shared_ptr<store_transfer>& transfer);
   void start_call(node_slot& slot, const execution::stage_call& call);
@@ -229,6 +236,7 @@
   /// Zones cut from the others; the value says whether from the platform too.
   std::map<std::string, bool> cuts_;
   std::set<std::string> turned_away_;
+  base::time_point platform_silent_until_;
   std::map<std::pair<std::string, base::call_id>, open_call_ref> open_calls_;
   std::map<base::caller_id, caller_record> callers_;
   std::map<base::caller_id, std::string> tickets_;
--- a/src/stage_work/shard_map.cc
+++ b/src/stage_work/shard_map.cc
@@ -36,9 +36,8 @@
 }
 
 bool shard_map::gathers_for_other_zones() const {
-  return std::any_of(shards_.begin(), shards_.end(), [&](const shard& one) {
-    return one.gatherer == self_.node && !one.zone;
-  });
+  return std::any_of(shards_.begin(), shards_.end(),
+                     [&](const shard& one) { return one.gatherer == self_.node && !one.zone; });
 }
 
 void shard_map::assign(const model::serving_configuration& configuration, bool stopping) {
--- a/src/stage_work/shard_map.h
+++ b/src/stage_work/shard_map.h
@@ -31,9 +31,9 @@
 /// Few replicas are one shard of their region; many are divided by zone, and only those of the own
 /// zone are kept here: gatherers of other zones tell of themselves.
 ///
-/// Kept: the nodes that may gather, found anew when a node comes, goes or changes; the shards, found
-/// anew when that happens or a replica with pieces does. Finding the shards looks once at each
-/// replica with pieces and copies the identifiers of those of the own zone. Not thread-safe.
+/// Kept: the nodes that may gather, found anew when a node comes, goes or changes; the shards,
+/// found anew when that happens or a replica with pieces does. Finding the shards looks once at
+/// each replica with pieces and copies the identifiers of those of the own zone. Not thread-safe.
 class shard_map {
  public:
   /// @param replicas, peers must outlive this object.
--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -28,6 +28,29 @@
   BOOST_TEST(calls <= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(changes_that_keep_coming_are_read_ever_more_rarely) {
+  watch_timing timing;
+  timing.rest_longest = std::chrono::milliseconds(800);
+  service_watch subject(timing);
+  auto now = start;
+  std::size_t calls = 0;
+  base::revision revision = 1;
+  for (; now < start + std::chrono::seconds(6); now += std::chrono::milliseconds(10)) {
+    if (subject.next_read(true, now)) {
+      ++calls;
+      subject.on_answer({std::nullopt, ++revision, false}, true, now);
+    }
+  }
+  // After 0.2 and 0.4 s, then every 0.8 s.
+  BOOST_TEST(calls <= 10U);
+  // After a quiet time a change is read on within the first rest again.
+  now += std::chrono::seconds(5);
+  BOOST_TEST(subject.next_read(true, now).has_value());
+  now += std::chrono::seconds(1);
+  subject.on_answer({std::nullopt, ++revision, false}, true, now);
+  BOOST_TEST(subject.next_read(true, now + service_watch::rest_after_changes).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(after_an_answer_without_changes_the_watch_goes_on_at_once) {
   service_watch subject;
   BOOST_TEST(subject.next_read(true, start).has_value());
--- a/tests/dispatch/replica_changes_test.cc
+++ b/tests/dispatch/replica_changes_test.cc
@@ -1,5 +1,5 @@
-/// Replicas that change one after the other before a node that knows very many: what a change costs,
-/// and that nothing is missed.
+/// Replicas that change one after the other before a node that knows very many: what a change
+/// costs, and that nothing is missed.
 #include "serving_fixture.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/simulation/store_calls_test.cc
+++ b/tests/simulation/store_calls_test.cc
@@ -29,6 +29,8 @@
         {"node-" + std::to_string(index), "z" + std::to_string(index % zones)});
   }
   settings.lists_nodes = false;
+  settings.node.service_timing.hold = seconds(8);
+  settings.node.service_timing.rest_longest = std::chrono::milliseconds(1'000);
   return settings;
 }
 
@@ -98,6 +100,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_store_that_was_silent_is_watched_again_within_two_seconds) {
+  for (const auto silence : {std::chrono::milliseconds(3'300), std::chrono::milliseconds(9'000)}) {
+    fleet_simulation fleet(region_settings(24, 4));
+    fleet.start_all_nodes();
+    BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
+    fleet.run_for(seconds(10));
+    fleet.silence_platform(silence);
+    fleet.run_for(silence + seconds(1));
+    fleet.platform().publish(std::string(model::configuration_key), configuration_of(2));
+    BOOST_TEST(all_hold(fleet, 2, seconds(1)), silence.count() << " ms");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_zone_that_hears_no_other_watches_for_itself) {
   constexpr int zones = 4;
   for (int cut = 0; cut < zones; ++cut) {
