Calls to the store by cause and the roles of a node, for operators

An operator of a large fleet could not tell which nodes watch the store, relay, gather or hold accounts, nor why the store is called. Metrics spurrack_store_calls_total and spurrack_node_role and the status document tell it; the simulation counts watchers by it.

--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -16,9 +16,11 @@
   outstanding_ = true;
   outstanding_since_ = now;
   probed_at_ = now;
-  ++calls_;
   const bool lists_again = settles_at_ && now >= *settles_at_;
-  return lists_again ? 0 : cursor_;
+  const auto after = lists_again ? 0 : cursor_;
+  ++(after == 0 ? calls_.listings : calls_.watches);
+  calls_.begun_anew += begun_anew_ ? 1 : 0;
+  return after;
 }
 
 void service_watch::note_known(base::store_era era, base::revision newest, base::time_point now) {
@@ -31,6 +33,7 @@
   const bool is_due = outstanding_ && cursor_ > 0 && now - probed_at_ >= probe_period;
   if (is_due) {
     probed_at_ = now;
+    ++calls_.probes;
   }
   return is_due;
 }
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -50,6 +50,16 @@
   base::duration rest_longest = std::chrono::milliseconds(200);
 };
 
+/// Calls to the service, by why they were made.
+struct service_calls {
+  /// Of everything, that may be old or must not.
+  std::uint64_t listings = 0;
+  std::uint64_t watches = 0;
+  /// Watches begun anew since what others knew was not told.
+  std::uint64_t begun_anew = 0;
+  std::uint64_t probes = 0;
+};
+
 /// Not thread-safe.
 class service_watch {
  public:
@@ -94,7 +104,7 @@
 
   [[nodiscard]] bool has_answered() const { return last_answer_.has_value(); }
   [[nodiscard]] std::optional<base::time_point> last_answer() const { return last_answer_; }
-  [[nodiscard]] std::uint64_t calls() const { return calls_; }
+  [[nodiscard]] const service_calls& calls() const { return calls_; }
 
  private:
   [[nodiscard]] bool is_lost(base::time_point now) const;
@@ -116,7 +126,7 @@
   base::time_point probed_at_;
   base::duration backoff_;
   std::optional<base::time_point> last_answer_;
-  std::uint64_t calls_ = 0;
+  service_calls calls_;
 };
 
 } // namespace spurrack::catalog
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -1,5 +1,7 @@
 #include "daemon/operator_documents.h"
 
+#include "node/node_roles.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -178,6 +180,39 @@
             "Answers that told an era which cannot be read.", store.eras_unreadable);
 }
 
+void add_store_calls(Registry& registry, const node::node& subject) {
+  auto& calls = BuildCounter()
+                    .Name("spurrack_store_calls_total")
+                    .Help("Calls of this node to the platform's store, by source and cause.")
+                    .Register(registry);
+  const auto add = [&](const char* source, node::source_kind kind) {
+    const auto& made = subject.watch(kind).calls();
+    const auto add_cause = [&](const char* cause, std::uint64_t count) {
+      calls.Add({{"source", source}, {"cause", cause}}).Increment(static_cast<double>(count));
+    };
+    add_cause("listing", made.listings);
+    add_cause("watch", made.watches);
+    add_cause("begun_anew", made.begun_anew);
+    add_cause("probe", made.probes);
+  };
+  add("configuration", node::source_kind::configuration);
+  add("replicas", node::source_kind::machine_list);
+}
+
+void add_roles(Registry& registry, const node::node& subject, base::time_point now) {
+  auto& family = BuildGauge()
+                     .Name("spurrack_node_role")
+                     .Help("What this node does for others: 1 or how many times.")
+                     .Register(registry);
+  const auto add = [&](const char* role, double value) { family.Add({{"role", role}}).Set(value); };
+  const auto roles = node::roles_of(subject, now);
+  add("watches_configuration", roles.watches_configuration ? 1 : 0);
+  add("watches_replicas", roles.watches_replicas ? 1 : 0);
+  add("relay", roles.relays ? 1 : 0);
+  add("gatherer", static_cast<double>(roles.shards));
+  add("account_holder", static_cast<double>(roles.engine_accounts));
+}
+
 void add_quarantine(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
   const auto add = count_adder(registry);
@@ -393,6 +428,8 @@
               static_cast<double>(subject.control().bytes_sent));
   add_control_flows(registry, subject.control());
   add_store(registry, subject.store());
+  add_store_calls(registry, subject);
+  add_roles(registry, subject, now);
   add_counter(registry, "spurrack_control_received_bytes_total", "Bytes received from peers.",
               static_cast<double>(subject.control().bytes_received));
   add_counter(registry, "spurrack_peer_messages_dropped_total",
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -1,5 +1,7 @@
 #include "daemon/operator_documents.h"
 
+#include "node/node_roles.h"
+
 #include <boost/json.hpp>
 
 #include <array>
@@ -21,6 +23,13 @@
   return base::to_milliseconds(now - *moment);
 }
 
+json::object calls_document(const catalog::service_calls& calls) {
+  return {{"listings", calls.listings},
+          {"watches", calls.watches},
+          {"begun_anew", calls.begun_anew},
+          {"probes", calls.probes}};
+}
+
 json::object status_document(const node::node& subject, base::time_point now) {
   const auto& content = subject.content();
   json::object body;
@@ -43,8 +52,15 @@
       age_of(subject.watch(node::source_kind::configuration).last_answer(), now);
   body["machine_list_age_ms"] =
       age_of(subject.watch(node::source_kind::machine_list).last_answer(), now);
-  body["service_calls"] = subject.watch(node::source_kind::configuration).calls() +
-                          subject.watch(node::source_kind::machine_list).calls();
+  body["service_calls"] = json::object{
+      {"configuration", calls_document(subject.watch(node::source_kind::configuration).calls())},
+      {"machine_list", calls_document(subject.watch(node::source_kind::machine_list).calls())}};
+  const auto roles = node::roles_of(subject, now);
+  body["roles"] = json::object{{"watches_configuration", roles.watches_configuration},
+                               {"watches_replicas", roles.watches_replicas},
+                               {"relays", roles.relays},
+                               {"shards", roles.shards},
+                               {"engine_accounts", roles.engine_accounts}};
   json::array rejections;
   for (const auto& rejected : content.rejections()) {
     rejections.push_back(json::object{{"key", rejected.key},
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -104,6 +104,9 @@
   [[nodiscard]] std::size_t active() const { return active_.size(); }
   [[nodiscard]] const serving_counters& counts() const { return counters_; }
   [[nodiscard]] const replica_table& replicas() const { return replicas_; }
+  [[nodiscard]] const stage_exchange& stages() const { return stages_; }
+  /// @return engines whose account this node holds.
+  [[nodiscard]] std::size_t engine_accounts() const { return directory_.accounts(); }
   [[nodiscard]] const engine_directory_counts& engine_counts() const { return directory_.counts(); }
   [[nodiscard]] const replica_news_counts& news() const { return news_.counts(); }
   [[nodiscard]] const lending_counts& lending() const { return lending_.counts(); }
--- a/src/engines/engine_directory.h
+++ b/src/engines/engine_directory.h
@@ -76,6 +76,8 @@
 
   [[nodiscard]] wire::outbox take_messages();
   [[nodiscard]] const engine_directory_counts& counts() const { return counts_; }
+  /// @return engines whose account this node holds or held.
+  [[nodiscard]] std::size_t accounts() const { return accounts_.size(); }
 
  private:
   /// @return the peer that holds an engine's account; null where this node does.
--- a/src/membership/membership_contacts.cc
+++ b/src/membership/membership_contacts.cc
@@ -122,9 +122,13 @@
 
 // --- relays --------------------------------------------------------------------------------------
 
-void membership::relay_digests(base::time_point now, wire::outbox& out) {
+bool membership::is_relay() const {
   const auto& relays = live().relays.at(self_.zone);
-  if (std::find(relays.begin(), relays.end(), self_.node) != relays.end()) {
+  return std::find(relays.begin(), relays.end(), self_.node) != relays.end();
+}
+
+void membership::relay_digests(base::time_point now, wire::outbox& out) {
+  if (is_relay()) {
     tell_other_zones(now, out);
     tell_own_zone(now, out);
   }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -108,6 +108,9 @@
   [[nodiscard]] const base::event_log& events() const { return events_; }
   [[nodiscard]] const control_counters& control() const { return control_; }
   [[nodiscard]] const store_counters& store() const { return store_; }
+  /// @return whether this node reads a service of the platform now: for others, as it starts, or in
+  ///         place of a node that cannot.
+  [[nodiscard]] bool reads_service(source_kind source, base::time_point now) const;
   /// Counts what the serving path holds of events that are not whole yet; nothing where the node
   /// serves no published routes.
   void set_budget(std::shared_ptr<flow::byte_budget> budget) {
@@ -147,7 +150,6 @@
   void run_periodic(base::time_point now);
   /// @return whether this node watches a service for others as long as it lives.
   [[nodiscard]] bool has_watch_job(source_kind source, base::time_point now) const;
-  [[nodiscard]] bool reads_service(source_kind source, base::time_point now) const;
   void read_services(base::time_point now);
   /// This node cannot read a service: another, which may reach it, is asked to watch it.
   void hand_over_watch(source_kind source, base::time_point now);
--- a/tests/simulation/store_calls_test.cc
+++ b/tests/simulation/store_calls_test.cc
@@ -2,6 +2,8 @@
 /// store answers only a part of the nodes.
 #include "serving_fleet.h"
 
+#include "node/node_roles.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -82,6 +84,26 @@
   BOOST_TEST(more_zones <= expected + watches);
 }
 
+BOOST_AUTO_TEST_CASE(two_nodes_of_two_zones_watch_and_two_of_each_zone_relay) {
+  constexpr int zones = 6;
+  fleet_simulation fleet(region_settings(48, zones));
+  fleet.start_all_nodes();
+  BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
+  fleet.run_for(seconds(10));
+  int configuration = 0;
+  int replicas = 0;
+  int relays = 0;
+  for (const auto& name : fleet.node_names()) {
+    const auto roles = node::roles_of(fleet.node(name), fleet.now());
+    configuration += roles.watches_configuration ? 1 : 0;
+    replicas += roles.watches_replicas ? 1 : 0;
+    relays += roles.relays ? 1 : 0;
+  }
+  BOOST_TEST(configuration == 4);
+  BOOST_TEST(replicas == 4);
+  BOOST_TEST(relays == 2 * zones);
+}
+
 BOOST_AUTO_TEST_CASE(a_change_reaches_all_while_the_store_turns_away_any_two_zones) {
   constexpr int zones = 4;
   for (int one = 0; one < zones; ++one) {
