--- a/tests/catalog/replica_entries_test.cc
+++ b/tests/catalog/replica_entries_test.cc
@@ -177,4 +177,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_names_another_replica_than_its_key_is_refused) {
+  catalog::catalog content;
+  content.apply(entry(1, "r1", good("r1")));
+  BOOST_TEST((content.apply(entry(2, "r2", good("r1"))).verdict == apply_verdict::rejected));
+  BOOST_TEST((content.apply(entry(3, "r3", good(""))).verdict == apply_verdict::rejected));
+  BOOST_TEST(content.replicas().size() == 1U);
+  BOOST_TEST(names(content, "r1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
