--- a/src/simulation/emulated_platform.cc
+++ b/src/simulation/emulated_platform.cc
@@ -2,6 +2,7 @@
 
 #include "model/record_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace spurrack::simulation {
@@ -35,7 +36,8 @@
   }
   const auto id = next_watch_++;
   watches_.emplace(id, watch{request, std::move(answer)});
-  events_->schedule_after(watch_timeout, [this, id] { finish_watch(id); });
+  events_->schedule_after(std::min<base::duration>(request.max_hold_time, watch_timeout),
+                          [this, id] { finish_watch(id); });
 }
 
 void emulated_platform::finish_watch(std::uint64_t watch_id) {
--- a/src/simulation/emulated_platform.h
+++ b/src/simulation/emulated_platform.h
@@ -23,7 +23,8 @@
 class emulated_platform {
  public:
   using answer_handler = std::function<void(const std::optional<node::service_answered>&)>;
-  /// Time after which a watch is answered even if no entry has changed.
+  /// Maximum time after which a watch is answered even if no entry has changed; a read may request
+  /// a shorter time (`node::read_service::max_hold_time`).
   static constexpr base::duration watch_timeout = std::chrono::seconds(8);
 
   explicit emulated_platform(event_queue& events) : events_(&events) {}
@@ -39,7 +40,7 @@
   /// Reads the entries that changed after revision `request.after`. Answers at once if the latest
   /// revision differs from `request.after` or the platform is down. Otherwise the read becomes a
   /// watch: it is answered at the next change of the entries or of the mode, at the latest after
-  /// `watch_timeout`.
+  /// the requested hold time or `watch_timeout`.
   /// @param answer called with std::nullopt if the platform is down.
   void read(const node::read_service& request, answer_handler answer);
 
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr base::duration connect_timeout = std::chrono::milliseconds(400);
+/// Time after which a read without an answer fails, counted from the end of its hold time.
+constexpr base::duration unanswered_call_timeout = std::chrono::seconds(1);
 constexpr base::duration platform_delay = std::chrono::milliseconds(3);
 constexpr base::duration poll_interval = std::chrono::milliseconds(10);
 /// Number of bytes that TCP and ZeroMQ add to each message.
@@ -80,6 +82,7 @@
       node_settings.seeds.emplace_back(other.name);
     }
   }
+  instance.has_pending_read = {};
   instance.uplink = link(instance.profile.link_bytes_per_second);
   instance.downlink = link(instance.profile.link_bytes_per_second);
   instance.logic = std::make_unique<node::node>(node_settings, *instance.random, now());
@@ -285,6 +288,10 @@
   if (found == nodes_.end() || random_.next_fraction() < settings_.network.loss_probability) {
     return;
   }
+  if (sender.access_to_peers == peer_access::none ||
+      sender.access_to_peers == peer_access::receives_only) {
+    return;
+  }
   const auto message_bytes = message.message.ByteSizeLong();
   traffic_.add({message.message.body_case(), sender.profile.name, found->first}, message_bytes);
   const double transmitted_bytes = static_cast<double>(message_bytes) + transport_overhead_bytes;
@@ -298,7 +305,9 @@
                                    envelope = std::move(message.message)] {
     auto& receiver = nodes_.at(name);
     const auto received_at = receiver.downlink.transmit(transmitted_bytes, now());
-    if (!received_at || !are_connected(sender_zone, receiver.profile.zone)) {
+    if (!received_at || !are_connected(sender_zone, receiver.profile.zone) ||
+        receiver.access_to_peers == peer_access::none ||
+        receiver.access_to_peers == peer_access::sends_only) {
       return;
     }
     events_.schedule_at(*received_at, [this, name, incarnation, envelope] {
@@ -310,7 +319,27 @@
 bool fleet_simulation::can_reach_platform(const node_instance& instance) const {
   const auto partition = partitions_.find(instance.profile.zone);
   return !zones_without_platform_.contains(instance.profile.zone) &&
-         (partition == partitions_.end() || !partition->second);
+         (partition == partitions_.end() || !partition->second) &&
+         instance.access_to_store == store_access::reachable;
+}
+
+void fleet_simulation::set_store_access(const std::string& name, store_access access) {
+  auto& instance = nodes_.at(name);
+  instance.access_to_store = access;
+  if (access == store_access::silent) {
+    instance.silenced_at = now();
+  }
+  for (std::size_t source = 0; source < node::source_count; ++source) {
+    if (access == store_access::refused && instance.has_pending_read[source]) {
+      // The counter is increased so that the result of the pending read is dropped.
+      ++instance.service_reads_started[source];
+      instance.has_pending_read[source] = false;
+      events_.schedule_after(platform_delay, [this, name, incarnation = instance.incarnation,
+                                              source] {
+        deliver(name, incarnation, node::service_failed{static_cast<node::source_kind>(source)});
+      });
+    }
+  }
 }
 
 void fleet_simulation::probe_platform(const node_instance& instance,
@@ -333,21 +362,31 @@
   const auto read_number = ++instance.service_reads_started[source];
   // If the node has started a later read of the same source before the platform answers, the result
   // of this read is dropped, as in the daemon's client of the platform's store.
+  instance.has_pending_read[source] = true;
   const auto is_latest = [this, name, source, read_number] {
     return nodes_.at(name).service_reads_started[source] == read_number;
   };
   const auto fail_after = [=, this](base::duration delay) {
     events_.schedule_after(delay, [=, this] {
       if (is_latest()) {
+        nodes_.at(name).has_pending_read[source] = false;
         deliver(name, incarnation, node::service_failed{request.source});
       }
     });
   };
-  const auto fail = [fail_after] { fail_after(connect_timeout); };
+  const auto fail = [=, this] {
+    const bool is_refused = nodes_.at(name).access_to_store == store_access::refused;
+    fail_after(is_refused ? platform_delay : connect_timeout);
+  };
   const auto started_at = now();
+  const auto is_silenced = [this, name, started_at] {
+    const auto& reader = nodes_.at(name);
+    return platform_hangs_until_ > started_at || reader.silenced_at > started_at ||
+           reader.access_to_store == store_access::silent;
+  };
   events_.schedule_after(platform_delay, [=, this] {
-    if (platform_hangs_until_ > started_at) {
-      fail_after(request.max_hold_time + connect_timeout);
+    if (is_silenced()) {
+      fail_after(request.max_hold_time + unanswered_call_timeout);
       return;
     }
     if (!is_reachable()) {
@@ -358,16 +397,17 @@
       if (!is_latest()) {
         return;
       }
-      if (platform_hangs_until_ > started_at) {
+      if (is_silenced()) {
         const base::duration elapsed = now() - started_at;
         fail_after(std::max<base::duration>(request.max_hold_time - elapsed, base::duration{}) +
-                   connect_timeout);
+                   unanswered_call_timeout);
         return;
       }
       if (!answer || !is_reachable()) {
         fail();
         return;
       }
+      nodes_.at(name).has_pending_read[source] = false;
       auto transfer = std::make_shared<store_transfer>(
           store_transfer{name, incarnation, *answer, answer->entries.size()});
       transfer_pages(transfer);
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -50,6 +50,16 @@
   base::duration page_timeout = std::chrono::milliseconds(1000);
 };
 
+/// What a node experiences when it calls the platform's store.
+enum class store_access : std::uint8_t {
+  reachable,
+  refused, ///< Calls fail at once, and calls under way are reset.
+  silent,  ///< Calls, including calls under way, get no answer and fail at their timeouts.
+};
+
+/// Which messages between a node and its peers are delivered.
+enum class peer_access : std::uint8_t { both_ways, none, sends_only, receives_only };
+
 /// Properties of a simulated node.
 struct node_profile {
   std::string name;
@@ -170,6 +180,15 @@
   void set_loss_probability(double loss_probability) {
     settings_.network.loss_probability = loss_probability;
   }
+  /// Changes how the platform treats the calls of one node, also calls that are under way.
+  void set_store_access(const std::string& name, store_access access);
+  [[nodiscard]] store_access store_access_of(const std::string& name) const {
+    return nodes_.at(name).access_to_store;
+  }
+  /// Changes which messages between one node and its peers are delivered.
+  void set_peer_access(const std::string& name, peer_access access) {
+    nodes_.at(name).access_to_peers = access;
+  }
 
   // --- back ends
   emulated_backend& backend(const std::string& name) { return *backends_.at(name); }
@@ -219,6 +238,13 @@
     /// Number of reads that the node has started, one count for each platform service; the index is
     /// the `source_kind`.
     std::array<std::uint64_t, node::source_count> service_reads_started{};
+    /// Whether the latest of these reads has no result yet, by platform service.
+    std::array<bool, node::source_count> has_pending_read{};
+    store_access access_to_store = store_access::reachable;
+    /// Time at which the node last lost its access to the store without a reset. Reads that started
+    /// before this time get no answer.
+    base::time_point silenced_at;
+    peer_access access_to_peers = peer_access::both_ways;
     link uplink;
     link downlink;
   };
