Dispatcher: request state in a header of its own; refusals name what decided them

A refusal by the configuration (401, 404) told neither the version that decided it nor its age, so a node with an outdated configuration could not be told from one that was right. The log line now has version, era and age of the knowledge. If a later configuration may exist, the answer is 503 with Retry-After: a final refusal because of a route or key that was added meanwhile would be wrong, and clients do not repeat it.

--- /dev/null
+++ b/src/dispatch/active_request.h
@@ -0,0 +1,136 @@
+/// State of one request on the serving path from its arrival until its answer is complete.
+#pragma once
+
+#include "dispatch/event_stream.h"
+#include "flow/byte_budget.h"
+#include "model/serving_records.h"
+#include "quarantine/request_digest.h"
+#include "replicas/replica_table.h"
+#include "serving/events.h"
+#include "stage_work/stage_exchange.h"
+#include "stage_work/stage_graph.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace spurrack::serving {
+
+/// A call that runs the request itself, in contrast to calls for pieces of its stages.
+struct open_call {
+  base::call_id id = 0;
+  base::replica_id replica;
+  /// Identifies the exit of the called incarnation, with the same value on all nodes, and is
+  /// known before the exit happens. If the replica exits during the call, the exit is recorded
+  /// with this identifier under the request.
+  replica_exit incarnation_exit = 0;
+  base::time_point started_at;
+  /// Time at which the call counts as stalled unless it makes progress before; std::nullopt if
+  /// its progress is not watched.
+  std::optional<base::time_point> stalls_at;
+  /// Time at which the stage results that the call reads are freed, because the replica should
+  /// have fetched them by then. std::nullopt if no such time is set: the call reads no stage
+  /// results, they were already freed, or they are kept until the first event or the answer
+  /// arrives.
+  std::optional<base::time_point> inputs_fetched_at;
+  /// Time of the check that first found the call stalled and its replica declared down, if every
+  /// check since then found the same; std::nullopt otherwise.
+  std::optional<base::time_point> down_since;
+  /// Time at which the replica table was last told that the replica sends data for this call.
+  base::time_point contact_noted_at;
+  /// Set only if the call seems to have been sent to an earlier incarnation of its replica: time
+  /// at which this node learned of the restart. If the request cannot be retried and no event of
+  /// its stream arrives within `restart_confirm_time` after this time, the request fails.
+  std::optional<base::time_point> restart_seen_at{};
+};
+
+/// Entry in an admission queue. Ordered by priority (0 is the most urgent), then by deadline.
+struct waiting_request {
+  std::uint32_t priority = 0;
+  base::time_point deadline;
+  base::caller_id client = 0;
+  auto operator<=>(const waiting_request&) const = default;
+};
+using admission_queue = std::set<waiting_request>;
+
+/// How a request is answered if it is not retried.
+struct failure_outcome {
+  /// HTTP status if this node answers itself.
+  unsigned http_status = 0;
+  std::string reason;
+  /// Answer of a replica to forward; std::nullopt if this node answers itself.
+  std::optional<call_answered> answer;
+  /// Whether no replica has run the request; if so, the answer of this node says that.
+  bool is_not_run = false;
+};
+
+/// A request that has arrived and whose answer is not complete.
+struct active_request {
+  base::caller_id client = 0;
+  std::shared_ptr<const request_content> content;
+  /// Shared with the configuration, so that the route outlives configuration changes.
+  std::shared_ptr<const model::route> route;
+  std::string tenant;
+  /// Computed on first use, because most requests never need their digest.
+  mutable std::optional<quarantine::request_digest> digest;
+  std::string service;
+  std::uint32_t priority = 0;
+  /// Regions that both the route and the tenant allowed when the request arrived.
+  model::residency permitted_regions;
+  std::uint64_t configuration_version = 0;
+  base::time_point arrived_at;
+  /// Time by which the client gets the final answer.
+  base::time_point deadline;
+  /// Progress of the stages; null if the route has no stages.
+  std::unique_ptr<stage_graph> graph;
+  /// Zone of the replica that will probably run the request.
+  base::zone_id expected_zone;
+  std::map<piece_ticket, piece_position> pieces;
+  std::optional<open_call> call;
+  /// How the request is answered if no other node transfers retry budget to this node; set only
+  /// while the request waits for a transfer.
+  std::optional<failure_outcome> pending_failure;
+  /// Entry in the admission queue; set only while the request waits for a slot at a replica.
+  std::optional<waiting_request> queue_entry;
+  /// Replicas that are not chosen for the next attempt because an earlier attempt went to them.
+  std::set<base::replica_id> tried_replicas;
+  /// Number of attempts, without those that reached no replica.
+  std::uint32_t attempts = 0;
+  std::uint32_t unreached_attempts = 0;
+  /// Whether some replica may have begun to run the request.
+  bool may_have_run = false;
+  bool has_begun_stream = false;
+  /// Time of the next check whether the stages can still end in time; std::nullopt if the request
+  /// is not checked.
+  std::optional<base::time_point> next_feasibility_check_at;
+  /// Whether the latest feasibility check found that the request cannot be served in time;
+  /// std::nullopt before the first check.
+  std::optional<bool> was_infeasible_at_last_check;
+  std::optional<answer_head> stream_head;
+  /// Times of the first and the latest event of the stream, and the longest time between two
+  /// consecutive events.
+  base::time_point first_event_at;
+  base::time_point latest_event_at;
+  base::duration longest_event_gap{};
+  event_stream events;
+  /// Memory reserved in the byte budget for the bytes of an incomplete event that `events`
+  /// buffers.
+  std::optional<flow::byte_reservation> partial_event_reservation;
+  /// Whether reading from the replica is paused because the client reads too slowly.
+  bool is_window_closed = false;
+  /// Time at which the paused stream is suspended, or its remainder is buffered; set only while
+  /// `is_window_closed`.
+  std::optional<base::time_point> slow_client_check_at;
+  /// Whether the stream is suspended: its call was cancelled because the client reads too slowly,
+  /// and the request is sent to a replica again when the client reads on.
+  bool is_suspended = false;
+  /// Whether the stream was ever suspended or buffered because its client read too slowly.
+  bool is_slow_client = false;
+  /// Time for which the next check of the request is scheduled; std::nullopt if none is.
+  std::optional<base::time_point> next_check_at;
+};
+
+} // namespace spurrack::serving
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -151,7 +151,7 @@
   record_(kind, request.content->id, subject, detail);
 }
 
-dispatcher::active_request* dispatcher::find_by_call(base::call_id call) {
+active_request* dispatcher::find_by_call(base::call_id call) {
   const auto found = clients_by_call_.find(call);
   return found == clients_by_call_.end() ? nullptr : &active_.at(found->second);
 }
@@ -160,17 +160,35 @@
 
 void dispatcher::answer_with_error(base::caller_id client, const base::request_id& id,
                                    unsigned http_status, const std::string& reason,
-                                   base::duration retry_after) {
+                                   base::duration retry_after, const std::string& log_detail) {
   respond answer{client, id, http_status, {}, "{\"error\":\"" + reason + "\"}\n"};
   answer.headers.push_back({"Content-Type", "application/json"});
   if (retry_after > base::duration::zero()) {
     answer.headers.push_back({"Retry-After", seconds_text(retry_after)});
   }
   ++counters_.answers[http_status];
-  record_(base::event_kind::request_answered, id, std::to_string(http_status), reason);
+  record_(base::event_kind::request_answered, id, std::to_string(http_status), reason + log_detail);
   commands_.emplace_back(std::move(answer));
 }
 
+void dispatcher::refuse_by_configuration(const request_arrived& arrival, unsigned http_status,
+                                         const std::string& reason) {
+  const auto& known = configuration_knowledge_;
+  const auto detail =
+      ", configuration " + std::to_string(configuration_->version) + ", era " +
+      std::to_string(known.era) + ", " +
+      (known.age ? "confirmed " + std::to_string(base::to_milliseconds(*known.age)) + " ms ago"
+                 : "never confirmed");
+  if (known.is_overdue) {
+    // A later configuration may allow the request, so the refusal must not be final.
+    answer_with_error(arrival.client, arrival.content->id, status::unavailable,
+                      "the configuration may be outdated", settings_.retry_after,
+                      ": " + reason + detail);
+    return;
+  }
+  answer_with_error(arrival.client, arrival.content->id, http_status, reason, {}, detail);
+}
+
 void dispatcher::on_event(const request_arrived& arrival, base::time_point now) {
   const auto& content = *arrival.content;
   if (!configuration_) {
@@ -180,7 +198,7 @@
   }
   auto route = configuration_->find_route(content.host, content.path);
   if (!route) {
-    answer_with_error(arrival.client, content.id, status::not_found, "no such route", {});
+    refuse_by_configuration(arrival, status::not_found, "no such route");
     return;
   }
   std::optional<model::access_key_holder> holder;
@@ -189,7 +207,7 @@
     holder = found->second;
   }
   if (!holder && !route->is_public && !configuration_->keys.empty()) {
-    answer_with_error(arrival.client, content.id, status::unauthorized, "unknown key", {});
+    refuse_by_configuration(arrival, status::unauthorized, "unknown key");
     return;
   }
   admit(arrival, std::move(route), holder, now);
--- a/src/dispatch/dispatcher_admission_queue.cc
+++ b/src/dispatch/dispatcher_admission_queue.cc
@@ -212,7 +212,7 @@
   return chosen;
 }
 
-dispatcher::waiting_request dispatcher::queue_entry_of(const active_request& request) {
+waiting_request dispatcher::queue_entry_of(const active_request& request) {
   return {request.priority, request.deadline, request.client};
 }
 
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -157,7 +157,7 @@
   schedule_check(request);
 }
 
-dispatcher::open_call dispatcher::close_call(active_request& request) {
+open_call dispatcher::close_call(active_request& request) {
   auto call = *request.call;
   clients_by_call_.erase(call.id);
   replicas_.call_ended(call.replica);
--- a/tests/dispatch/dispatcher_test.cc
+++ b/tests/dispatch/dispatcher_test.cc
@@ -36,6 +36,24 @@
   BOOST_TEST(all<start_call>().empty());
 }
 
+// Guards against a final refusal because of a route or key that a later configuration may have.
+BOOST_AUTO_TEST_CASE(outdated_configuration_refuses_only_temporarily) {
+  subject.set_configuration_knowledge({1, std::chrono::seconds(3), true});
+  send_request(1, "/none/x");
+  const auto answer = last<respond>();
+  BOOST_TEST(answer.status == 503);
+  BOOST_TEST(std::any_of(answer.headers.begin(), answer.headers.end(),
+                         [](const auto& field) { return field.name == "Retry-After"; }));
+  send_request(2, "/safe/x");
+  BOOST_TEST(all<start_call>().size() == 1);
+  api_key = "wrong";
+  send_request(3, "/safe/x");
+  BOOST_TEST(last<respond>().status == 503);
+  subject.set_configuration_knowledge({1, std::chrono::milliseconds(10), false});
+  send_request(4, "/safe/x");
+  BOOST_TEST(last<respond>().status == 401);
+}
+
 BOOST_AUTO_TEST_CASE(without_a_configuration_nothing_is_denied) {
   dispatcher fresh({base::node_id("n"), base::zone_id("a"), base::network_address("n:1")}, {},
                    random, 1, [](auto, const auto&, const auto&, const auto&) {});
