--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -40,7 +40,9 @@
                                                                "request_cleared",
                                                                "replica_limit",
                                                                "replica_leaving",
-                                                               "replica_backoff"};
+                                                               "replica_backoff",
+                                                               "knowledge_overdue",
+                                                               "knowledge_confirmed"};
 
 static_assert(!names.back().empty(), "a kind of event has no name");
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -48,10 +48,12 @@
   replica_limit,
   replica_leaving,
   replica_backoff,
+  knowledge_overdue,
+  knowledge_confirmed,
 };
 
 inline constexpr std::size_t event_kind_count =
-    static_cast<std::size_t>(event_kind::replica_backoff) + 1;
+    static_cast<std::size_t>(event_kind::knowledge_confirmed) + 1;
 
 std::string_view name_of(event_kind kind);
 
--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -23,6 +23,11 @@
   return key.starts_with(model::replica_prefix);
 }
 
+source_kind source_of(const std::string& key) {
+  const bool is_in_machine_list = is_replica_key(key) || key.starts_with(model::machine_prefix);
+  return is_in_machine_list ? source_kind::machine_list : source_kind::configuration;
+}
+
 std::string name_in_key(const std::string& key) {
   return key.substr(key.find('/') + 1);
 }
@@ -352,6 +357,24 @@
   return entries;
 }
 
+std::vector<wire::catalog_entry> catalog::entries_after(source_kind source,
+                                                        store_position position) const {
+  std::vector<wire::catalog_entry> entries;
+  for (const auto& [key, state] : key_states_) {
+    if (source_of(key) != source) {
+      continue;
+    }
+    for (const auto* stored : {&state.accepted, &state.rejected}) {
+      const bool is_later = *stored && store_position{(*stored)->entry_version.era,
+                                                      (*stored)->entry_version.revision} > position;
+      if (is_later) {
+        entries.push_back((*stored)->entry);
+      }
+    }
+  }
+  return entries;
+}
+
 std::size_t catalog::count_in(const bucket_set& buckets) const {
   std::size_t count = 0;
   for (const auto& [key, current] : key_states_) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -20,6 +20,7 @@
 
 #include "base/safety_switches.h"
 #include "catalog/change_log.h"
+#include "catalog/source_kind.h"
 #include "model/record_parser.h"
 #include "model/serving_records.h"
 #include "wire/peer.pb.h"
@@ -69,13 +70,6 @@
 using tenant_map = std::map<base::tenant_id, std::shared_ptr<const model::tenant>>;
 using replica_map = std::map<base::replica_id, std::shared_ptr<const model::replica>>;
 
-/// Position of a write in the order of all writes to the store: by era, then by revision.
-struct store_position {
-  base::store_era era = 0;
-  base::revision revision = 0;
-  auto operator<=>(const store_position&) const = default;
-};
-
 /// Entries that one node knows, and the records that are in effect. Not thread-safe. A reader
 /// shares the ownership of a record, and may still use the record after the catalog has replaced
 /// it.
@@ -100,6 +94,11 @@
   /// @return copies of the accepted and rejected entries of all keys in the buckets.
   [[nodiscard]] std::vector<wire::catalog_entry> entries_in(const bucket_set& buckets) const;
 
+  /// @return copies of the accepted and rejected entries of a service that were written after
+  ///         `position`. Takes time in proportion to the number of all keys.
+  [[nodiscard]] std::vector<wire::catalog_entry> entries_after(source_kind source,
+                                                               store_position position) const;
+
   /// @return number of entries that `entries_in` would copy.
   [[nodiscard]] std::size_t count_in(const bucket_set& buckets) const;
 
--- a/src/catalog/replicator.cc
+++ b/src/catalog/replicator.cc
@@ -30,8 +30,8 @@
 }
 
 void replicator::apply_and_gossip(const std::vector<wire::catalog_entry>& entries,
-                                  const std::vector<base::network_address>& peers,
-                                  wire::outbox& out) {
+                                  const std::optional<wire::entry_range>& range,
+                                  const gossip_receivers& receivers, wire::outbox& out) {
   std::vector<wire::catalog_entry> new_entries;
   for (const auto& entry : entries) {
     if (apply_entry(entry)) {
@@ -40,25 +40,32 @@
   }
   const bool is_first_listing =
       new_entries.size() >= min_first_listing_entries && new_entries.size() * 2 >= content_->size();
-  if (!is_first_listing) {
-    forward(new_entries, gossip_hops, reader_fanout, peers, out);
+  if (!is_first_listing && !new_entries.empty()) {
+    forward(range ? entries : new_entries, range, gossip_hops, reader_fanout, receivers, out);
   }
 }
 
-void replicator::forward(const std::vector<wire::catalog_entry>& new_entries, std::uint32_t hops,
-                         std::size_t fanout, const std::vector<base::network_address>& peers,
-                         wire::outbox& out) {
-  if (new_entries.empty() || hops == 0) {
+void replicator::forward(const std::vector<wire::catalog_entry>& entries,
+                         const std::optional<wire::entry_range>& range, std::uint32_t hops,
+                         std::size_t fanout, const gossip_receivers& receivers, wire::outbox& out) {
+  if (entries.empty() || hops == 0) {
     return;
   }
   wire::catalog_push body;
   body.set_hops_left(hops - 1);
-  pack_entries(new_entries, body);
-  auto candidates = peers;
-  for (std::size_t sent = 0; sent < fanout && !candidates.empty(); ++sent) {
-    wire::outgoing push{base::take_random(candidates, *random_), {}};
+  if (range) {
+    *body.mutable_range() = *range;
+  }
+  pack_entries(entries, body);
+  const auto send_to = [&](const base::network_address& receiver) {
+    wire::outgoing push{receiver, {}};
     *push.message.mutable_catalog_push() = body;
     out.push_back(std::move(push));
+  };
+  std::for_each(receivers.relays.begin(), receivers.relays.end(), send_to);
+  auto candidates = receivers.peers;
+  for (std::size_t sent = 0; sent < fanout && !candidates.empty(); ++sent) {
+    send_to(base::take_random(candidates, *random_));
   }
 }
 
@@ -110,18 +117,23 @@
                              : std::min(comparison_interval_ * 2, max_comparison_interval);
 }
 
-void replicator::handle(const wire::envelope& message, const peer_lister& peers,
-                        base::time_point now, wire::outbox& out) {
+bool replicator::handle(const wire::envelope& message, const peer_lister& peers,
+                        base::time_point now, const source_knowledge_table& knowledge,
+                        wire::outbox& out) {
   if (message.has_catalog_push()) {
-    apply_push(message, peers, out);
-  } else if (message.has_catalog_buckets()) {
+    return apply_push(message, peers, out);
+  }
+  if (message.has_catalog_buckets()) {
     answer_buckets(message, now, out);
   } else if (message.has_catalog_pull()) {
     answer_pull(message, out);
+  } else if (message.has_entry_request()) {
+    answer_request(message, knowledge, now, out);
   }
+  return true;
 }
 
-void replicator::apply_push(const wire::envelope& message, const peer_lister& peers,
+bool replicator::apply_push(const wire::envelope& message, const peer_lister& peers,
                             wire::outbox& out) {
   const auto& push = message.catalog_push();
   const auto entries = unpack_entries(push);
@@ -138,8 +150,11 @@
     note_answer(base::network_address(message.sender_address()), !new_entries.empty());
   }
   if (!new_entries.empty() && push.hops_left() > 0) {
-    forward(new_entries, push.hops_left(), gossip_fanout, peers(), out);
+    const auto range = push.has_range() ? std::optional(push.range()) : std::nullopt;
+    forward(range ? *entries : new_entries, range, push.hops_left(), gossip_fanout, {{}, peers()},
+            out);
   }
+  return entries.has_value();
 }
 
 bool replicator::may_answer_with_entries(std::size_t entries, base::time_point now) {
@@ -181,6 +196,7 @@
   const bool may_send_entries = may_answer_with_entries(content_->count_in(differing), now);
   if (may_send_entries) {
     pack_entries(content_->entries_in(differing), answer);
+    answer.set_is_complete(true);
   }
   // The pull, which requests entries, is sent before the push, which contains entries. If the peer
   // applied the push first, its answer to the pull would contain the pushed entries again.
@@ -190,6 +206,31 @@
   out.push_back(std::move(push));
 }
 
+void replicator::answer_request(const wire::envelope& message,
+                                const source_knowledge_table& knowledge, base::time_point now,
+                                wire::outbox& out) {
+  const auto& request = message.entry_request();
+  if (request.source() >= source_count) {
+    return;
+  }
+  const store_position after{request.after_era(), request.after_revision()};
+  const auto through = knowledge[request.source()].known_through();
+  const auto entries = content_->entries_after(static_cast<source_kind>(request.source()), after);
+  if (through <= after || !may_answer_with_entries(entries.size(), now)) {
+    return;
+  }
+  wire::outgoing push{base::network_address(message.sender_address()), {}};
+  auto& body = *push.message.mutable_catalog_push();
+  auto& range = *body.mutable_range();
+  range.set_source(request.source());
+  range.set_after_era(after.era);
+  range.set_after_revision(after.revision);
+  range.set_through_era(through.era);
+  range.set_through_revision(through.revision);
+  pack_entries(entries, body);
+  out.push_back(std::move(push));
+}
+
 void replicator::answer_pull(const wire::envelope& message, wire::outbox& out) {
   bucket_set wanted;
   for (const auto bucket : message.catalog_pull().buckets()) {
--- a/src/catalog/replicator.h
+++ b/src/catalog/replicator.h
@@ -22,8 +22,10 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "catalog/catalog.h"
+#include "catalog/source_knowledge.h"
 #include "wire/outgoing.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -41,6 +43,15 @@
 /// the message, with an empty entry and the result `rejected`.
 using apply_observer = std::function<void(const wire::catalog_entry&, const apply_result&)>;
 
+/// Knowledge of one node, by service; the index is the `source_kind`.
+using source_knowledge_table = std::array<source_knowledge, source_count>;
+
+/// Receivers of new entries. A node may be in both lists and then may receive the entries twice.
+struct gossip_receivers {
+  std::vector<base::network_address> relays;
+  std::vector<base::network_address> peers;
+};
+
 /// Replicates the catalog of one node. Not thread-safe.
 class replicator {
  public:
@@ -87,8 +98,12 @@
 
   /// Applies entries that were read from a platform service, and gossips the new entries to peers
   /// unless the read counts as the first listing.
+  /// @param range range of the service's entries that `entries` contains completely; std::nullopt
+  ///        if unknown. If a range is given and any entry is new, all entries are gossiped, so that
+  ///        receivers have the whole range.
   void apply_and_gossip(const std::vector<wire::catalog_entry>& entries,
-                        const std::vector<base::network_address>& peers, wire::outbox& out);
+                        const std::optional<wire::entry_range>& range,
+                        const gossip_receivers& receivers, wire::outbox& out);
 
   /// Starts a comparison with a peer if the content hash of the peer differs from this node's hash,
   /// the difference has lasted for `settle_time`, and the comparison interval has passed since the
@@ -101,21 +116,28 @@
   void compare(const base::network_address& peer, std::uint64_t peer_hash, bool is_eager,
                base::time_point now, wire::outbox& out);
 
-  /// Handles messages with the body `catalog_push`, `catalog_buckets` or `catalog_pull`; ignores
-  /// messages with another body.
-  void handle(const wire::envelope& message, const peer_lister& peers, base::time_point now,
-              wire::outbox& out);
+  /// Handles messages with the body `catalog_push`, `catalog_buckets`, `catalog_pull` or
+  /// `entry_request`; ignores messages with another body.
+  /// @param knowledge knowledge of this node, by service; bounds what the answer to an
+  ///        `entry_request` contains completely.
+  /// @return false if the message contains entries that cannot be read.
+  bool handle(const wire::envelope& message, const peer_lister& peers, base::time_point now,
+              const source_knowledge_table& knowledge, wire::outbox& out);
 
  private:
   /// Applies an entry. Then calls the observer, unless the result is `duplicate` or
   /// `rejected_again`.
   /// @return whether the entry was new: the result is neither `duplicate` nor `older`.
   bool apply_entry(const wire::catalog_entry& entry);
-  /// Sends new entries to `fanout` random peers, unless `hops`, the number of hops left, is 0.
-  void forward(const std::vector<wire::catalog_entry>& new_entries, std::uint32_t hops,
-               std::size_t fanout, const std::vector<base::network_address>& peers,
-               wire::outbox& out);
-  void apply_push(const wire::envelope& message, const peer_lister& peers, wire::outbox& out);
+  /// Sends entries to all relays and to `fanout` random peers, unless `hops`, the number of hops
+  /// left, is 0.
+  void forward(const std::vector<wire::catalog_entry>& entries,
+               const std::optional<wire::entry_range>& range, std::uint32_t hops,
+               std::size_t fanout, const gossip_receivers& receivers, wire::outbox& out);
+  /// @return false if the entries cannot be read.
+  bool apply_push(const wire::envelope& message, const peer_lister& peers, wire::outbox& out);
+  void answer_request(const wire::envelope& message, const source_knowledge_table& knowledge,
+                      base::time_point now, wire::outbox& out);
   void answer_buckets(const wire::envelope& message, base::time_point now, wire::outbox& out);
   void answer_pull(const wire::envelope& message, wire::outbox& out);
   /// Decides whether the answer to a comparison may contain entries, and counts a large answer in
--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -3,26 +3,54 @@
 #include <algorithm>
 
 namespace spurrack::catalog {
+namespace {
+
+/// Maximum time that the answer to a watch is expected to take from the service to this node.
+constexpr base::duration answer_time_allowance = std::chrono::milliseconds(200);
+
+} // namespace
 
 std::optional<base::revision> service_watch::next_read(bool may_read, base::time_point now) {
-  if (is_pending_ && now - pending_since_ < watch_timeout && !has_lost_answer(now)) {
-    return std::nullopt;
-  }
-  if (!may_read || now < next_read_at_) {
+  const bool is_waiting = is_pending_ && now - pending_since_ < watch_timeout &&
+                          !has_lost_answer(now) && !should_replace_;
+  if (is_waiting || !may_read || now < next_read_at_) {
     return std::nullopt;
   }
+  should_replace_ = false;
   is_restarted_ = is_pending_;
   behind_since_.reset();
   is_pending_ = true;
   pending_since_ = now;
   last_probe_at_ = now;
+  if (era_ == 0 && cursor_ == 0) {
+    era_ = known_through_.era;
+  }
+  if (era_ == known_through_.era) {
+    cursor_ = std::max(cursor_, known_through_.revision);
+  }
   const bool should_relist = relist_at_ && now >= *relist_at_;
   const auto after = should_relist ? 0 : cursor_;
   ++(after == 0 ? calls_.listings : calls_.watches);
   calls_.restarted_watches += is_restarted_ ? 1 : 0;
+  requested_after_ = {after == 0 ? 0 : era_, after};
+  allows_stale_ = after == 0 && !has_answered();
+  hold_time_ = timing_.max_hold_time;
   return after;
 }
 
+void service_watch::request_read(base::time_point now) {
+  should_replace_ = true;
+  next_read_at_ = std::min(next_read_at_, now);
+}
+
+base::time_point service_watch::confirmed_time(base::time_point now) const {
+  const base::time_point hold_ends_at = pending_since_ + hold_time_;
+  // An answer that comes before the end of the hold time left the service at an unknown time.
+  return now >= hold_ends_at
+             ? std::min(now, hold_ends_at)
+             : std::max<base::time_point>(pending_since_, now - answer_time_allowance);
+}
+
 void service_watch::note_latest_revision(base::store_era era, base::revision latest,
                                          base::time_point now) {
   const bool is_behind =
@@ -63,10 +91,18 @@
     meaning.era = era_;
     return meaning;
   }
+  if (!allows_stale_) {
+    meaning.confirmed_at = confirmed_time(now);
+  }
   meaning.is_new_era = era_ > 0 && answered.era && *answered.era > era_;
   meaning.has_earlier_revision = !meaning.is_new_era && answered.revision < cursor_;
   era_ = answered.era.value_or(era_);
   meaning.era = era_;
+  if (answered.is_listing) {
+    meaning.after = store_position{};
+  } else if (requested_after_.era == era_ || requested_after_.era == 0) {
+    meaning.after = requested_after_;
+  }
   cursor_ = answered.revision;
   if (meaning.is_new_era) {
     relist_at_ = now + era_settle_time;
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -15,6 +15,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "catalog/source_kind.h"
 
 #include <algorithm>
 #include <optional>
@@ -46,6 +47,13 @@
   bool is_new_era = false;
   /// Whether the answer reports an earlier revision than the previous answer, in the same era.
   bool has_earlier_revision = false;
+  /// Position after which the answer contains all entries of the service; {0, 0} for a listing.
+  /// std::nullopt if the answer belongs to another era than the position after which it was
+  /// requested, so that earlier entries of its era may be missing.
+  std::optional<store_position> after;
+  /// Time at which the service had written no entry after the position of the answer; std::nullopt
+  /// if that time is unknown because a stale answer was allowed.
+  std::optional<base::time_point> confirmed_at;
   /// Whether the caller must delete the known entries of the service that are missing from the
   /// answer. Set for a listing, except in the first `era_settle_time` of a new era.
   bool should_delete_unlisted = false;
@@ -120,6 +128,20 @@
   /// @return the revision after which to watch, or 0 for a listing; std::nullopt if no read is due.
   std::optional<base::revision> next_read(bool may_read, base::time_point now);
 
+  /// @return whether the read that `next_read` last started may be answered with a listing that is
+  ///         some seconds old: only the first read, because the next read requests the changes
+  ///         since the listing.
+  [[nodiscard]] bool allows_stale() const { return allows_stale_; }
+  /// Sets the hold time of the read that `next_read` last started, from which the time of a
+  /// confirmation is derived.
+  void set_hold_time(base::duration hold_time) { hold_time_ = hold_time; }
+  [[nodiscard]] bool is_pending() const { return is_pending_; }
+  /// Makes a read due at once, even if the answer to a read is pending or a retry is due later.
+  void request_read(base::time_point now);
+  /// Records that this node has all entries of the service through a position, so that the next
+  /// read may request only later entries.
+  void note_known_through(store_position known_through) { known_through_ = known_through; }
+
   /// Starts a probe if a probe is due.
   /// @return whether the caller must now send a probe to the service.
   bool start_probe_if_due(base::time_point now);
@@ -141,6 +163,9 @@
   [[nodiscard]] const service_calls& calls() const { return calls_; }
 
  private:
+  /// @return time at which the service had written no entry after the position of an answer that
+  ///         arrives now.
+  [[nodiscard]] base::time_point confirmed_time(base::time_point now) const;
   /// @return whether the answer to the pending watch counts as lost.
   [[nodiscard]] bool has_lost_answer(base::time_point now) const;
 
@@ -154,6 +179,13 @@
   /// derived from a listing. Such a deletion has the revision of the listing. If the service wrote
   /// no entry at this revision, no watch reports the revision.
   std::optional<base::time_point> behind_since_;
+  /// Whether the next read replaces the pending read.
+  bool should_replace_ = false;
+  bool allows_stale_ = false;
+  base::duration hold_time_{};
+  store_position known_through_;
+  /// Revision after which the pending read requests entries, and its era; 0 for a listing.
+  store_position requested_after_;
   /// Whether the pending read replaced another pending read.
   bool is_restarted_ = false;
   /// Revision after which the next watch returns entries; 0 if the next read is a listing.
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -106,6 +106,21 @@
   };
 }
 
+void add_knowledge_ages(Registry& registry, const node::node& subject, base::time_point now) {
+  auto& ages = BuildGauge()
+                   .Name("spurrack_store_knowledge_age_seconds")
+                   .Help("Time since the platform's store was last known to have no entries that "
+                         "this node lacks.")
+                   .Register(registry);
+  const auto add = [&](const char* name, node::source_kind source) {
+    if (const auto age = subject.knowledge(source).age(now)) {
+      ages.Add({{"source", name}}).Set(base::to_seconds(*age));
+    }
+  };
+  add("configuration", node::source_kind::configuration);
+  add("machine_list", node::source_kind::machine_list);
+}
+
 void add_regions(Registry& registry, const serving::serving_counters& counts) {
   auto& by_locality = BuildCounter()
                           .Name("spurrack_replica_calls_by_ring_total")
@@ -473,6 +488,7 @@
   add_count(registry, "spurrack_replica_entries_refused_total",
             "Published entries of replicas rejected as malformed.",
             subject.published_catalog().rejected_replica_entries());
+  add_knowledge_ages(registry, subject, now);
   const auto answered_at = subject.watch(node::source_kind::configuration).last_answer_at();
   if (answered_at) {
     add_gauge(registry, "spurrack_configuration_age_seconds",
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -23,6 +23,28 @@
   return base::to_milliseconds(now - *at);
 }
 
+/// Returns the age of what a node knows of a platform service, in milliseconds; null if it is
+/// unknown. A node that serves no published routes learns the age only from its own reads.
+json::value knowledge_age(const node::node& subject, node::source_kind source,
+                          base::time_point now) {
+  const auto& confirmed = subject.knowledge(source).confirmed();
+  return confirmed ? age_of(confirmed->at, now)
+                   : age_of(subject.watch(source).last_answer_at(), now);
+}
+
+json::object knowledge_document(const node::node& subject, node::source_kind source,
+                                base::time_point now) {
+  const auto& known = subject.knowledge(source);
+  json::object body{{"era", known.known_through().era},
+                    {"revision", known.known_through().revision},
+                    {"behind", known.is_behind()},
+                    {"overdue", subject.is_knowledge_overdue(source, now)}};
+  body["age_ms"] = known.confirmed() ? age_of(known.confirmed()->at, now) : json::value(nullptr);
+  body["confirmed_by"] =
+      known.confirmed() ? json::value(known.confirmed()->reader) : json::value(nullptr);
+  return body;
+}
+
 json::object calls_document(const catalog::service_calls& calls) {
   return {{"listings", calls.listings},
           {"watches", calls.watches},
@@ -49,10 +71,11 @@
   body["configuration_hash"] = std::to_string(content.content_hash());
   body["highest_revision"] = content.highest_revision();
   body["store_era"] = content.era();
-  body["configuration_age_ms"] =
-      age_of(subject.watch(node::source_kind::configuration).last_answer_at(), now);
-  body["machine_list_age_ms"] =
-      age_of(subject.watch(node::source_kind::machine_list).last_answer_at(), now);
+  body["configuration_age_ms"] = knowledge_age(subject, node::source_kind::configuration, now);
+  body["machine_list_age_ms"] = knowledge_age(subject, node::source_kind::machine_list, now);
+  body["knowledge"] = json::object{
+      {"configuration", knowledge_document(subject, node::source_kind::configuration, now)},
+      {"machine_list", knowledge_document(subject, node::source_kind::machine_list, now)}};
   body["service_calls"] = json::object{
       {"configuration", calls_document(subject.watch(node::source_kind::configuration).calls())},
       {"machine_list", calls_document(subject.watch(node::source_kind::machine_list).calls())}};
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -418,17 +418,69 @@
   return std::find(job_nodes.begin(), job_nodes.end(), self_.node) != job_nodes.end();
 }
 
-bool membership::has_region_job(std::string_view job, std::size_t zones, std::size_t count,
-                                base::time_point now) const {
+std::optional<std::size_t> membership::region_job_rank(std::string_view job, std::size_t zones,
+                                                       std::size_t count,
+                                                       base::time_point now) const {
   std::vector<base::zone_id> reachable{self_.zone};
   for (const auto& [zone, nodes] : live().remote) {
     if (!regions_.are_in_different_regions(self_.zone, zone) && zones_.is_reachable(zone, now)) {
       reachable.push_back(zone);
     }
   }
-  const auto chosen = base::rendezvous_top(job, reachable, zones);
-  return std::find(chosen.begin(), chosen.end(), self_.zone) != chosen.end() &&
-         has_zone_job(job, count);
+  const auto chosen_zones = base::rendezvous_top(job, reachable, zones);
+  const auto own_zone = std::find(chosen_zones.begin(), chosen_zones.end(), self_.zone);
+  if (own_zone == chosen_zones.end()) {
+    return std::nullopt;
+  }
+  const auto chosen_nodes = base::rendezvous_top(job, live_zone_nodes(), count);
+  const auto own_node = std::find(chosen_nodes.begin(), chosen_nodes.end(), self_.node);
+  if (own_node == chosen_nodes.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(own_zone - chosen_zones.begin()) * count +
+         static_cast<std::size_t>(own_node - chosen_nodes.begin());
+}
+
+std::size_t membership::zone_rank(std::string_view subject) const {
+  const auto& nodes = live_zone_nodes();
+  const auto ordered = base::rendezvous_top(subject, nodes, nodes.size());
+  return static_cast<std::size_t>(std::find(ordered.begin(), ordered.end(), self_.node) -
+                                  ordered.begin());
+}
+
+membership::region_size membership::own_region_size() const {
+  region_size size{1, live_zone_nodes().size()};
+  for (const auto& [zone, nodes] : live().remote) {
+    if (!regions_.are_in_different_regions(self_.zone, zone)) {
+      ++size.zones;
+      size.nodes += nodes.size();
+    }
+  }
+  return size;
+}
+
+std::vector<std::vector<base::network_address>> membership::relays_of_other_zones() const {
+  std::vector<std::vector<base::network_address>> by_zone;
+  for (const auto& [zone, relays] : live().relays) {
+    if (zone == self_.zone || regions_.are_in_different_regions(self_.zone, zone)) {
+      continue;
+    }
+    auto& addresses = by_zone.emplace_back();
+    for (const auto& relay : relays) {
+      addresses.push_back(members_.at(relay).address);
+    }
+  }
+  return by_zone;
+}
+
+std::vector<base::network_address> membership::relays_of_own_zone() const {
+  std::vector<base::network_address> addresses;
+  for (const auto& relay : live().relays.at(self_.zone)) {
+    if (relay != self_.node) {
+      addresses.push_back(members_.at(relay).address);
+    }
+  }
+  return addresses;
 }
 
 base::duration membership::expected_detection_time() const {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -143,7 +143,29 @@
   /// @param count number of nodes of each of these zones that do the job.
   /// @return whether this node does the job.
   [[nodiscard]] bool has_region_job(std::string_view job, std::size_t zones, std::size_t count,
-                                    base::time_point now) const;
+                                    base::time_point now) const {
+    return region_job_rank(job, zones, count, now).has_value();
+  }
+  /// @return position of this node among the nodes that do a region job, starting at 0;
+  ///         std::nullopt if this node does not do the job.
+  [[nodiscard]] std::optional<std::size_t> region_job_rank(std::string_view job, std::size_t zones,
+                                                           std::size_t count,
+                                                           base::time_point now) const;
+  /// @return position of this node among the live nodes of its zone, ordered by rendezvous hashing
+  ///         with `subject`.
+  [[nodiscard]] std::size_t zone_rank(std::string_view subject) const;
+  /// Numbers of zones and nodes.
+  struct region_size {
+    std::size_t zones = 1;
+    std::size_t nodes = 1;
+  };
+  /// @return size of this node's region, including this node; nodes of other zones count even if
+  ///         they are dead.
+  [[nodiscard]] region_size own_region_size() const;
+  /// @return the relays of each other zone of this node's region.
+  [[nodiscard]] std::vector<std::vector<base::network_address>> relays_of_other_zones() const;
+  /// @return the other relays of this node's zone.
+  [[nodiscard]] std::vector<base::network_address> relays_of_own_zone() const;
   [[nodiscard]] base::incarnation incarnation() const { return incarnation_; }
   /// @return time at which a message added the first member; std::nullopt if no message has added a
   ///         member. Members that the published list adds do not count.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -4,6 +4,7 @@
 
 #include "base/event_log.h"
 #include "base/ids.h"
+#include "catalog/source_kind.h"
 #include "execution/answer.h"
 #include "execution/commands.h"
 #include "execution/stage_call.h"
@@ -19,10 +20,8 @@
 
 namespace spurrack::node {
 
-/// The two platform services, which publish the entries of the platform's store: `configuration`
-/// publishes the configuration, `machine_list` the machines and replicas.
-enum class source_kind : std::uint8_t { configuration, machine_list };
-inline constexpr std::size_t source_count = 2;
+using catalog::source_count;
+using catalog::source_kind;
 
 /// A time was reached at which the node has work to do (see `node::next_wakeup`).
 struct time_passed {};
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -23,6 +23,10 @@
 /// Maximum number of rounds, within one event, in which messages from this node to itself are
 /// processed; prevents endless loops.
 constexpr std::size_t max_loopback_rounds = 8;
+/// Time for which a starting node waits for a confirmation that its catalog is current. The store
+/// may be down for longer, and a node that restarts meanwhile must serve nevertheless.
+constexpr base::duration confirmation_timeout = std::chrono::milliseconds(1'500);
+constexpr std::array all_sources{source_kind::configuration, source_kind::machine_list};
 
 /// Copies the safety switches of a node to the settings of the guard and of routing.
 node_settings with_switches(node_settings settings) {
@@ -67,6 +71,9 @@
                   }),
       watches_{catalog::service_watch(settings_.service_timing),
                catalog::service_watch(settings_.service_timing)},
+      turns_{catalog::read_turns(settings_.knowledge_limits),
+             catalog::read_turns(settings_.knowledge_limits)},
+      last_peer_message_at_(now),
       membership_(
           settings_.self, settings_.membership_timing, random,
           [this](const membership::member& subject) {
@@ -130,6 +137,9 @@
   consider(executor_.next_deadline());
   consider(guard_.next_deadline());
   consider(scheduler_.next_wakeup(last_event_at_));
+  for (const auto& missing : missing_entries_) {
+    consider(missing ? std::optional(missing->request_at) : std::nullopt);
+  }
   if (serving_) {
     consider(serving_->next_wakeup(last_event_at_));
   }
@@ -200,7 +210,13 @@
   const bool has_waited = now - started_at_ >= settings_.resync_timeout;
   const bool is_up_to_date = is_synced_with_peer_ || (have_services_answered && has_waited);
   const bool has_content = serving_ ? catalog_.serving() != nullptr : catalog_.size() > 0;
-  if (has_content && is_up_to_date) {
+  // A peer with the same catalog may be as outdated as a stale listing. Only if the services
+  // confirm nothing to any node, for example because they are down, does such a catalog suffice.
+  const bool is_confirmed = !serving_ || now - started_at_ >= confirmation_timeout ||
+                            std::none_of(all_sources.begin(), all_sources.end(), [&](auto source) {
+                              return is_knowledge_overdue(source, now);
+                            });
+  if (has_content && is_up_to_date && is_confirmed) {
     is_ready_ = true;
     record(base::event_kind::node_ready, {}, settings_.self.node.text(), "");
   }
@@ -213,6 +229,7 @@
     next_periodic_at_ = now + periodic_interval;
     run_periodic(now);
   }
+  request_missing_entries(now);
 }
 
 void node::run_periodic(base::time_point now) {
@@ -221,6 +238,7 @@
   update_serving_peers(now);
   executor_.retry_stalled_calls(now);
   read_services(now);
+  log_knowledge_changes(now);
   if (!is_ready_) {
     request_resync(now);
   }
@@ -319,6 +337,10 @@
   }
   if (std::holds_alternative<serving::request_arrived>(input_event)) {
     quiet_since_ = now;
+    const auto& configuration = knowledge(source_kind::configuration);
+    serving_->set_configuration_knowledge({configuration.known_through().era,
+                                           configuration.age(now),
+                                           is_knowledge_overdue(source_kind::configuration, now)});
   }
   serving_->handle(input_event, now);
 }
@@ -432,6 +454,7 @@
     envelope.set_catalog_hash(hash);
     envelope.set_sender_is_ready(is_ready_);
     add_leave_notices(envelope);
+    add_knowledge(envelope, now);
     const auto sent_at = clock_.next(now);
     envelope.mutable_sent_at()->set_wall_microseconds(sent_at.wall_microseconds);
     envelope.mutable_sent_at()->set_logical(sent_at.logical);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "base/random.h"
 #include "base/safety_switches.h"
 #include "catalog/catalog.h"
+#include "catalog/read_turns.h"
 #include "catalog/replicator.h"
 #include "catalog/service_watch.h"
 #include "dispatch/dispatcher.h"
@@ -47,6 +48,9 @@
   /// suspended.
   base::duration suspension_threshold = std::chrono::milliseconds(1000);
   catalog::watch_timing service_timing;
+  /// Ages at which the knowledge of the platform services must be confirmed again. Used only by
+  /// nodes that serve published routes.
+  catalog::knowledge_limits knowledge_limits;
   /// Time for which a node waits, after its start and after a suspension, for a message which shows
   /// that a peer has the same catalog as this node. After this time, a starting node becomes ready
   /// as soon as both platform services have answered, and a node that was suspended dispatches
@@ -146,6 +150,14 @@
   [[nodiscard]] const catalog::service_watch& watch(source_kind source) const {
     return watches_[static_cast<std::size_t>(source)];
   }
+  /// @return what this node knows of a platform service. Maintained only by nodes that serve
+  ///         published routes.
+  [[nodiscard]] const catalog::source_knowledge& knowledge(source_kind source) const {
+    return knowledge_[static_cast<std::size_t>(source)];
+  }
+  /// @return whether the service may have written entries that must be in effect by now and that
+  ///         this node does not know.
+  [[nodiscard]] bool is_knowledge_overdue(source_kind source, base::time_point now) const;
 
  private:
   void on(const time_passed& input_event, base::time_point now);
@@ -180,8 +192,51 @@
   /// @return whether this node is one of the nodes that watch a platform service for a whole zone
   ///         or region.
   [[nodiscard]] bool has_watch_job(source_kind source, base::time_point now) const;
+  /// @return position of this node among the nodes that have the job to watch a platform service;
+  ///         std::nullopt if this node does not have the job.
+  [[nodiscard]] std::optional<std::size_t> reader_rank(source_kind source,
+                                                       base::time_point now) const;
+  /// @return hold time of the next read.
+  /// @param is_turn whether the read is due because the knowledge of this node is too old.
+  [[nodiscard]] base::duration hold_time_of(source_kind source, bool is_turn,
+                                            base::time_point now) const;
+
+  // --- knowledge of the platform services (node_knowledge.cc)
+  /// @return whether this node must read a platform service because its knowledge is too old and
+  ///         its turn has come.
+  [[nodiscard]] bool is_turn_to_read(source_kind source, base::time_point now) const;
+  /// Updates the knowledge of a service after an answer, and reports a new confirmation to peers.
+  void note_read(const service_answered& answer, const catalog::answer_meaning& meaning,
+                 base::time_point now);
+  /// @return a random relay of each zone of the region. These receive new entries directly, so that
+  ///         they have the entries when they forward the read report that tells of the entries.
+  [[nodiscard]] std::vector<base::network_address> one_relay_per_zone();
+  /// Sends a read report to the relays of the region and to nodes of the zone.
+  void send_read_report();
+  /// Sends a read report to the nodes of the zone, unless they were already sent the same
+  /// knowledge.
+  void forward_read_report();
+  /// Applies the knowledge that a peer sent, and requests the entries that this node lacks.
+  /// @param has_entries false if the message contains entries that cannot be read.
+  void note_peer_knowledge(const wire::envelope& message, bool has_entries, base::time_point now);
+  void note_peer_knowledge(const wire::service_knowledge& told, const std::string& sender,
+                           bool is_content_equal, base::time_point now);
+  /// Records the sender of a message as the peer from which this node requests missing entries, if
+  /// the sender has entries that this node lacks.
+  void note_missing_entries(const wire::service_knowledge& told,
+                            const base::network_address& sender, base::time_point now);
+  /// Requests the entries that have been missing for some time.
+  void request_missing_entries(base::time_point now);
+  /// Adds the knowledge of this node to a message that spreads knowledge.
+  void add_knowledge(wire::envelope& message, base::time_point now) const;
+  /// Logs if the knowledge of a service has become overdue or is confirmed again.
+  void log_knowledge_changes(base::time_point now);
+
   /// Starts the due reads and probes of the platform services.
   void read_services(base::time_point now);
+  /// Ends the substitution for other nodes if another node has confirmed the knowledge of a service
+  /// later than this node.
+  void end_superfluous_substitution(source_kind source);
   /// Hands over the watch of a platform service after this node failed to read the service: asks a
   /// random peer to watch the service in place of this node. `max_handovers` and
   /// `handover_interval` limit how often a watch is handed over.
@@ -270,6 +325,9 @@
   /// State of the substitution for one platform service: this node watches the service in place of
   /// another node that cannot read the service.
   struct watch_substitution {
+    /// Time for which a node watches a service in place of another node. If the watch is taken over
+    /// again within this time, the time starts again.
+    static constexpr base::duration duration = std::chrono::seconds(10);
     /// End of the substitution. At or before the current time if this node now substitutes for no
     /// other node.
     base::time_point ends_at;
@@ -280,6 +338,26 @@
     base::time_point next_handover_at;
   };
   std::array<watch_substitution, source_count> substitutions_;
+  catalog::source_knowledge_table knowledge_;
+  std::array<catalog::read_turns, source_count> turns_;
+  /// Knowledge of a service that this node, as a relay, last sent to the nodes of its zone.
+  struct forwarded_knowledge {
+    catalog::store_position through;
+    base::time_point confirmed_at;
+  };
+  std::array<forwarded_knowledge, source_count> last_forwarded_;
+  /// Entries of a service that a peer has and this node lacks.
+  struct missing_entries {
+    /// Peer that last told that it has the entries.
+    base::network_address peer;
+    /// Time at which the entries are requested if they are still missing.
+    base::time_point request_at;
+  };
+  std::array<std::optional<missing_entries>, source_count> missing_entries_;
+  /// Whether the knowledge of a service was overdue at the last check.
+  std::array<bool, source_count> was_overdue_{};
+  /// Time at which this node last received a message from a peer.
+  base::time_point last_peer_message_at_;
   membership::membership membership_;
   routing::backend_table backends_;
   admission::stage_scheduler scheduler_;
--- /dev/null
+++ b/src/node/node_knowledge.cc
@@ -0,0 +1,262 @@
+/// Knowledge of the platform services: how this node learns from its own reads and from peers that
+/// its entries are current, and when it reads a service itself because nobody confirms that.
+#include "node/node.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace spurrack::node {
+namespace {
+
+constexpr std::array<const char*, source_count> source_names{"configuration", "machine list"};
+
+/// Time without any message from a peer after which this node counts as isolated. In a connected
+/// fleet, a node receives several messages in each probe period.
+constexpr base::duration isolation_time = std::chrono::milliseconds(600);
+/// Time for which this node waits for gossip in flight before it requests missing entries, and the
+/// maximum random time that is added so that few nodes request the same entries together.
+constexpr base::duration entry_request_delay = std::chrono::milliseconds(80);
+constexpr base::duration max_entry_request_jitter = std::chrono::milliseconds(60);
+/// Time after which missing entries are requested again, from another peer.
+constexpr base::duration entry_request_timeout = std::chrono::milliseconds(150);
+/// Maximum number of nodes of its zone to which a reader sends its read reports directly.
+constexpr std::size_t max_report_receivers = 20;
+/// Minimum time by which a confirmation must be later than the known one for a relay to forward it.
+constexpr base::duration min_forwarded_progress = std::chrono::milliseconds(50);
+
+wire::outgoing read_report_to(const base::network_address& receiver, bool forward_to_zone) {
+  wire::outgoing message{receiver, {}};
+  message.message.mutable_read_report()->set_forward_to_zone(forward_to_zone);
+  return message;
+}
+
+/// @return whether a message carries knowledge: messages that are sent often and to many nodes, and
+///         messages with entries.
+bool spreads_knowledge(const wire::envelope& message) {
+  return message.has_ping() || message.has_acknowledgement() || message.has_zone_digest() ||
+         message.has_catalog_push() || message.has_read_report();
+}
+
+catalog::store_position position_of(const wire::service_knowledge& told) {
+  return {told.era(), told.revision()};
+}
+
+} // namespace
+
+bool node::is_knowledge_overdue(source_kind source, base::time_point now) const {
+  const auto age = knowledge(source).age(now);
+  return age.value_or(now - started_at_) > settings_.knowledge_limits.change_bound ||
+         (!age && !is_ready_);
+}
+
+bool node::is_turn_to_read(source_kind source, base::time_point now) const {
+  const auto index = static_cast<std::size_t>(source);
+  const auto age = knowledge_[index].age(now);
+  const auto& limits = settings_.knowledge_limits;
+  if (!serving_ || !is_ready_ || (age && *age < limits.confirm_interval)) {
+    return false;
+  }
+  const auto region = membership_.own_region_size();
+  catalog::turn_order order;
+  order.reader_rank = reader_rank(source, now);
+  if (order.reader_rank && !watches_[index].is_pending()) {
+    // The watch itself retries a failed read, at increasing intervals.
+    return false;
+  }
+  order.zone_rank = membership_.zone_rank(source_names[index]);
+  order.zones = region.zones;
+  order.nodes = region.nodes;
+  order.is_isolated = now - last_peer_message_at_ >= isolation_time;
+  return turns_[index].is_due(order, age, now);
+}
+
+void node::note_read(const service_answered& answer, const catalog::answer_meaning& meaning,
+                     base::time_point now) {
+  if (!serving_) {
+    return;
+  }
+  const auto index = static_cast<std::size_t>(answer.source);
+  const catalog::store_position through{meaning.era, answer.service_revision};
+  if (turns_[index].has_attempt()) {
+    turns_[index].note_answer();
+    // Goes on reading the service until another node confirms the knowledge of the service.
+    substitutions_[index].ends_at = now + watch_substitution::duration;
+  }
+  if (meaning.after) {
+    knowledge_[index].add_range(*meaning.after, through);
+  }
+  knowledge_[index].note_peer_position(through);
+  if (meaning.confirmed_at) {
+    knowledge_[index].confirm({through, *meaning.confirmed_at, settings_.self.node.text()});
+    send_read_report();
+  }
+}
+
+void node::send_read_report() {
+  auto zone_peers = zone_peer_addresses();
+  for (std::size_t sent = 0; sent < max_report_receivers && !zone_peers.empty(); ++sent) {
+    outbox_.push_back(read_report_to(base::take_random(zone_peers, *random_), false));
+  }
+  for (const auto& relay : membership_.relays_of_own_zone()) {
+    outbox_.push_back(read_report_to(relay, true));
+  }
+  for (const auto& relays : membership_.relays_of_other_zones()) {
+    for (const auto& relay : relays) {
+      outbox_.push_back(read_report_to(relay, true));
+    }
+  }
+}
+
+std::vector<base::network_address> node::one_relay_per_zone() {
+  std::vector<base::network_address> chosen;
+  if (!serving_) {
+    return chosen;
+  }
+  if (auto own = membership_.relays_of_own_zone(); !own.empty()) {
+    chosen.push_back(base::take_random(own, *random_));
+  }
+  for (auto& relays : membership_.relays_of_other_zones()) {
+    if (!relays.empty()) {
+      chosen.push_back(base::take_random(relays, *random_));
+    }
+  }
+  return chosen;
+}
+
+void node::note_peer_knowledge(const wire::envelope& message, bool has_entries,
+                               base::time_point now) {
+  const auto& push = message.catalog_push();
+  if (has_entries && push.has_range() && push.range().source() < source_count) {
+    const auto& range = push.range();
+    knowledge_[range.source()].add_range({range.after_era(), range.after_revision()},
+                                         {range.through_era(), range.through_revision()});
+  }
+  const bool is_content_equal =
+      (has_entries && push.is_complete()) || message.catalog_hash() == catalog_.content_hash();
+  for (const auto& told : message.knowledge()) {
+    if (told.source() >= source_count) {
+      continue;
+    }
+    note_peer_knowledge(told, message.sender(), is_content_equal, now);
+    note_missing_entries(told, base::network_address(message.sender_address()), now);
+  }
+  request_missing_entries(now);
+  if (message.read_report().forward_to_zone()) {
+    forward_read_report();
+  }
+}
+
+void node::forward_read_report() {
+  bool has_progress = false;
+  for (std::size_t source = 0; source < source_count; ++source) {
+    const auto& known = knowledge_[source];
+    auto& forwarded = last_forwarded_[source];
+    const auto confirmed_at = known.confirmed() ? known.confirmed()->at : base::time_point{};
+    if (known.known_through() > forwarded.through ||
+        confirmed_at - forwarded.confirmed_at >= min_forwarded_progress) {
+      forwarded = {known.known_through(), confirmed_at};
+      has_progress = true;
+    }
+  }
+  if (!has_progress) {
+    return;
+  }
+  for (const auto& peer : membership_.live_peers()) {
+    outbox_.push_back(read_report_to(peer.address, false));
+  }
+}
+
+void node::note_peer_knowledge(const wire::service_knowledge& told, const std::string& sender,
+                               bool is_content_equal, base::time_point now) {
+  auto& known = knowledge_[told.source()];
+  const auto through = position_of(told);
+  if (is_content_equal) {
+    known.advance(through);
+  }
+  known.note_peer_position(through);
+  if (told.age_milliseconds() > 0) {
+    const base::time_point at = now - std::chrono::milliseconds(told.age_milliseconds() - 1);
+    known.confirm({through, at, told.confirmed_by().empty() ? sender : told.confirmed_by()});
+  }
+}
+
+void node::note_missing_entries(const wire::service_knowledge& told,
+                                const base::network_address& sender, base::time_point now) {
+  const auto& known = knowledge_[told.source()];
+  // A starting node receives all entries by a comparison of catalogs instead.
+  if (!is_ready_ || position_of(told) <= known.known_through()) {
+    return;
+  }
+  auto& missing = missing_entries_[told.source()];
+  if (!missing) {
+    const auto jitter = base::scaled(max_entry_request_jitter, random_->next_fraction());
+    missing = missing_entries{sender, now + entry_request_delay + jitter};
+  }
+  missing->peer = sender;
+}
+
+void node::request_missing_entries(base::time_point now) {
+  for (std::size_t source = 0; source < source_count; ++source) {
+    const auto& known = knowledge_[source];
+    auto& missing = missing_entries_[source];
+    if (missing && !known.is_behind()) {
+      missing.reset();
+    }
+    if (!missing || now < missing->request_at) {
+      continue;
+    }
+    missing->request_at = now + entry_request_timeout;
+    wire::outgoing request{missing->peer, {}};
+    auto& body = *request.message.mutable_entry_request();
+    body.set_source(static_cast<std::uint32_t>(source));
+    body.set_after_era(known.known_through().era);
+    body.set_after_revision(known.known_through().revision);
+    outbox_.push_back(std::move(request));
+  }
+}
+
+void node::add_knowledge(wire::envelope& message, base::time_point now) const {
+  if (!serving_ || !spreads_knowledge(message)) {
+    return;
+  }
+  for (std::size_t source = 0; source < source_count; ++source) {
+    const auto& known = knowledge_[source];
+    if (known.known_through() == catalog::store_position{}) {
+      continue;
+    }
+    auto& told = *message.add_knowledge();
+    told.set_source(static_cast<std::uint32_t>(source));
+    told.set_era(known.known_through().era);
+    told.set_revision(known.known_through().revision);
+    const auto age = known.age(now);
+    constexpr std::int64_t max_age = std::numeric_limits<std::int32_t>::max();
+    if (age) {
+      told.set_age_milliseconds(
+          static_cast<std::uint32_t>(std::min(base::to_milliseconds(*age), max_age)) + 1);
+      told.set_confirmed_by(known.confirmed()->reader);
+    }
+  }
+}
+
+void node::log_knowledge_changes(base::time_point now) {
+  for (const auto source : {source_kind::configuration, source_kind::machine_list}) {
+    const auto index = static_cast<std::size_t>(source);
+    const bool is_overdue = serving_ && is_ready_ && is_knowledge_overdue(source, now);
+    if (is_overdue == was_overdue_[index]) {
+      continue;
+    }
+    was_overdue_[index] = is_overdue;
+    const auto& known = knowledge_[index];
+    const auto& confirmed = known.confirmed();
+    const auto age = known.age(now);
+    record(is_overdue ? base::event_kind::knowledge_overdue : base::event_kind::knowledge_confirmed,
+           {}, source_names[index],
+           "known through revision " + std::to_string(known.known_through().revision) + " of era " +
+               std::to_string(known.known_through().era) +
+               (age ? ", confirmed " + std::to_string(base::to_milliseconds(*age)) + " ms ago by " +
+                          confirmed->reader
+                    : ", never confirmed"));
+  }
+}
+
+} // namespace spurrack::node
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -9,6 +9,7 @@
   const auto& message = input_event.message;
   ++control_.messages_received;
   control_.bytes_received += message.ByteSizeLong();
+  last_peer_message_at_ = now;
   clock_.observe({message.sent_at().wall_microseconds(), message.sent_at().logical()}, now);
   const base::node_id sender(message.sender());
   if (membership_.may_be_member(sender)) {
@@ -22,8 +23,11 @@
   const base::network_address sender(message.sender_address());
   const bool is_from_own_zone = message.sender_zone() == settings_.self.zone.text();
   membership_.handle(message, now, outbox_);
-  replicator_.handle(
-      message, [this] { return replication_peers(); }, now, outbox_);
+  const bool has_entries = replicator_.handle(
+      message, [this] { return replication_peers(); }, now, knowledge_, outbox_);
+  if (serving_) {
+    note_peer_knowledge(message, has_entries, now);
+  }
   for (const auto& notice : message.acknowledgement().leaving()) {
     on_backend_notice(notice, true, now);
   }
--- a/src/node/node_store.cc
+++ b/src/node/node_store.cc
@@ -38,13 +38,27 @@
 /// cannot read the service, one watch in 27 reaches no node that can read the service. This is
 /// acceptable because several nodes watch each service.
 constexpr std::uint32_t max_handovers = 2;
-/// Time for which a node watches a service in place of another node. If a watch of the service is
-/// handed over to the node again within this time, the time starts again. While the store answers
-/// no node, the store receives no more calls than the nodes with the job to watch would make
-/// without handovers.
-constexpr base::duration substitution_duration = std::chrono::seconds(10);
 /// Minimum interval between two times at which a node hands over the watch that is its own job.
-constexpr base::duration handover_interval = substitution_duration / 2;
+constexpr base::duration handover_interval = std::chrono::seconds(5);
+
+/// Hold time of a read that must be answered at once, to confirm that this node knows all entries.
+constexpr base::duration immediate_hold_time = std::chrono::milliseconds(1);
+
+/// @return range of the service's entries that an answer contains completely; std::nullopt if it is
+///         unknown, or for a listing, which may contain more entries than are gossiped.
+std::optional<wire::entry_range> range_of(const service_answered& answer,
+                                          const catalog::answer_meaning& meaning) {
+  if (answer.is_listing || !meaning.after) {
+    return std::nullopt;
+  }
+  wire::entry_range range;
+  range.set_source(static_cast<std::uint32_t>(answer.source));
+  range.set_after_era(meaning.after->era);
+  range.set_after_revision(meaning.after->revision);
+  range.set_through_era(meaning.era);
+  range.set_through_revision(answer.service_revision);
+  return range;
+}
 
 constexpr std::array<const char*, source_count> watch_jobs{"watch/configuration", "watch/machines"};
 
@@ -53,11 +67,33 @@
 // --- reading -------------------------------------------------------------------------------------
 
 bool node::has_watch_job(source_kind source, base::time_point now) const {
-  using catalog::service_watch;
   const auto* job = watch_jobs[static_cast<std::size_t>(source)];
-  return serving_ ? membership_.has_region_job(job, service_watch::watching_zones_per_region,
-                                               service_watch::watchers_per_zone, now)
-                  : membership_.has_zone_job(job, service_watch::watchers_per_zone);
+  return serving_ ? reader_rank(source, now).has_value()
+                  : membership_.has_zone_job(job, catalog::service_watch::watchers_per_zone);
+}
+
+std::optional<std::size_t> node::reader_rank(source_kind source, base::time_point now) const {
+  using catalog::service_watch;
+  return membership_.region_job_rank(watch_jobs[static_cast<std::size_t>(source)],
+                                     service_watch::watching_zones_per_region,
+                                     service_watch::watchers_per_zone, now);
+}
+
+base::duration node::hold_time_of(source_kind source, bool is_turn, base::time_point now) const {
+  const auto index = static_cast<std::size_t>(source);
+  const auto longest = watches_[index].max_hold_time();
+  if (!serving_) {
+    return longest;
+  }
+  if (is_turn || !knowledge_[index].confirmed()) {
+    return immediate_hold_time;
+  }
+  // The first reader confirms the knowledge of all nodes at short intervals, and so does a node
+  // that took over. The other readers only have to report changes at once if the first reader
+  // fails.
+  const bool is_confirming =
+      now < substitutions_[index].ends_at || reader_rank(source, now) == std::size_t{0};
+  return is_confirming ? std::min(longest, settings_.knowledge_limits.confirm_interval) : longest;
 }
 
 bool node::should_read_service(source_kind source, base::time_point now) const {
@@ -74,11 +110,17 @@
     const auto latest = source == source_kind::machine_list ? catalog_.latest_replica_position()
                                                             : catalog_.latest_operator_position();
     watch.note_latest_revision(latest.era, latest.revision, now);
-    if (const auto after = watch.next_read(should_read_service(source, now), now)) {
-      // The first listing may be stale: the next read requests the changes since this listing, and
-      // the service answers that read at once if there are any.
-      const bool allow_stale = *after == 0 && !watch.has_answered();
-      commands_.emplace_back(read_service{source, *after, allow_stale, watch.max_hold_time()});
+    watch.note_known_through(knowledge(source).known_through());
+    end_superfluous_substitution(source);
+    const bool is_turn = is_turn_to_read(source, now);
+    if (is_turn) {
+      turns_[static_cast<std::size_t>(source)].note_attempt(now);
+      watch.request_read(now);
+    }
+    if (const auto after = watch.next_read(is_turn || should_read_service(source, now), now)) {
+      const auto hold_time = hold_time_of(source, is_turn, now);
+      watch.set_hold_time(hold_time);
+      commands_.emplace_back(read_service{source, *after, watch.allows_stale(), hold_time});
     }
     if (serving_ && watch.start_probe_if_due(now)) {
       commands_.emplace_back(probe_service{source});
@@ -86,6 +128,15 @@
   }
 }
 
+void node::end_superfluous_substitution(source_kind source) {
+  const auto index = static_cast<std::size_t>(source);
+  const auto& confirmed = knowledge_[index].confirmed();
+  const bool has_other_reader = confirmed && confirmed->reader != settings_.self.node.text();
+  if (serving_ && has_other_reader && !watches_[index].is_pending()) {
+    substitutions_[index].ends_at = {};
+  }
+}
+
 base::duration node::peer_wait_time() const {
   if (!serving_) {
     return {};
@@ -135,7 +186,9 @@
                          : catalog_.deletions_of_unlisted_evacuations(listed, position);
     std::move(deletions.begin(), deletions.end(), std::back_inserter(entries));
   }
-  replicator_.apply_and_gossip(entries, replication_peers(), outbox_);
+  replicator_.apply_and_gossip(entries, range_of(answer, meaning),
+                               {one_relay_per_zone(), replication_peers()}, outbox_);
+  note_read(answer, meaning, now);
   apply_machine_changes(now);
   update_readiness(now);
   read_services(now);
@@ -171,7 +224,9 @@
 
 void node::on(const service_failed& failure, base::time_point now) {
   watches_[static_cast<std::size_t>(failure.source)].on_failure(now);
-  hand_over_watch(failure.source, now);
+  if (!serving_) {
+    hand_over_watch(failure.source, now);
+  }
 }
 
 // --- watches in place of other nodes -------------------------------------------------------------
@@ -200,7 +255,7 @@
     return;
   }
   auto& substitution = substitutions_[handover.source()];
-  substitution.ends_at = now + substitution_duration;
+  substitution.ends_at = now + watch_substitution::duration;
   substitution.handovers_left = std::min(handover.handovers_left(), max_handovers - 1);
   read_services(now);
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -141,38 +141,34 @@
 /// are aborted.
 constexpr double stop_margin_seconds = 0.7;
 
-/// Time within which a published change that one node has read reaches all other nodes.
-constexpr base::duration propagation_time = std::chrono::milliseconds(1'000);
-/// Time for which a watch may stay unanswered beyond its hold time before it is cancelled.
-constexpr base::duration read_timeout_after_hold = std::chrono::milliseconds(1'000);
+/// Maximum hold time of a watch. Lost watches are detected sooner, because other nodes confirm
+/// positions at short intervals.
+constexpr base::duration max_watch_hold_time = std::chrono::seconds(15);
 
 /// Maximum interval between two reads of a watching node, as a fraction of the time within which a
 /// change must be in effect.
 constexpr double read_interval_fraction = 0.2;
 
-/// Reads the time limits within which changes must be in effect, and derives the timing of watches
-/// from them. A watch is a long poll: the store holds it, that is, delays its answer, until there
-/// is a change or the hold time has passed. If a watch is lost when a disturbance such as a
-/// partition begins, the loss is detected only after the hold time. Nevertheless, a change that is
-/// published after the disturbance must be in effect within its time limit.
-catalog::watch_timing read_watch_timing(mapping_reader& section) {
+/// Reads the time limits within which changes must be in effect, and derives from them the timing
+/// of watches and the ages at which nodes confirm their knowledge. A watch is a long poll: the
+/// store holds it, that is, delays its answer, until there is a change or the hold time has passed.
+/// `settle_ms` is accepted but no longer affects the timing: it excuses a disturbed node, but not
+/// the nodes that rely on its watch.
+void read_watch_timing(mapping_reader& section, node::node_settings& result) {
   constexpr std::int64_t max_milliseconds = 60'000;
   constexpr std::int64_t default_milliseconds = 2'000;
-  const auto settle_time =
-      section.milliseconds("settle_ms", 0, max_milliseconds, default_milliseconds);
+  section.milliseconds("settle_ms", 0, max_milliseconds, default_milliseconds);
   const auto change_bound =
       section.milliseconds("change_bound_ms", 100, max_milliseconds, default_milliseconds);
   const auto drain_bound =
       section.milliseconds("drain_bound_ms", 100, max_milliseconds, default_milliseconds);
   const auto shortest_bound = std::min(change_bound, drain_bound);
-  catalog::watch_timing timing;
-  timing.max_hold_time = std::max<base::duration>(settle_time + shortest_bound - propagation_time -
-                                                      read_timeout_after_hold,
-                                                  timing.max_hold_time);
+  auto& timing = result.service_timing;
+  timing.max_hold_time = max_watch_hold_time;
+  result.knowledge_limits = catalog::limits_for(shortest_bound);
   timing.max_read_interval = base::scaled(shortest_bound, read_interval_fraction);
   timing.max_retry_interval = section.milliseconds("store_retry_longest_ms", 100, 60'000,
                                                    milliseconds_of(std::chrono::milliseconds(500)));
-  return timing;
 }
 
 void read_serving(mapping_reader& reader, daemon_settings& result) {
@@ -225,7 +221,7 @@
   result.node.max_stop_linger_time =
       std::min(serving.max_stop_duration, serving.stop_admission.requests);
   result.node.resync_timeout = std::chrono::milliseconds(300);
-  result.node.service_timing = read_watch_timing(*section);
+  read_watch_timing(*section, result.node);
   section->finish();
 }
 
--- /dev/null
+++ b/tests/catalog/source_knowledge_test.cc
@@ -0,0 +1,60 @@
+/// Knowledge of a node about a platform service: which confirmations cover the entries of the node.
+/// Guards against a node that counts as current although it lacks entries.
+#include "catalog/source_knowledge.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+using namespace spurrack::catalog;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr base::time_point start{std::chrono::hours(1)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(source_knowledge_test)
+
+BOOST_AUTO_TEST_CASE(a_confirmation_of_entries_that_the_node_lacks_does_not_make_it_current) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.confirm({{1, 10}, start, "a"});
+  subject.note_peer_position({1, 12});
+  subject.confirm({{1, 12}, start + milliseconds(500), "b"});
+  BOOST_TEST(subject.is_behind());
+  BOOST_TEST((subject.age(start + milliseconds(600)) == milliseconds(600)));
+  subject.add_range({1, 10}, {1, 12});
+  BOOST_TEST(!subject.is_behind());
+  BOOST_TEST((subject.age(start + milliseconds(600)) == milliseconds(100)));
+  BOOST_TEST(subject.confirmed()->reader == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_range_that_does_not_join_the_known_entries_is_not_counted) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.add_range({1, 11}, {1, 12});
+  BOOST_TEST((subject.known_through() == store_position{1, 10}));
+  subject.add_range({1, 8}, {1, 12});
+  BOOST_TEST((subject.known_through() == store_position{1, 12}));
+}
+
+BOOST_AUTO_TEST_CASE(a_later_era_is_ahead_although_its_revisions_are_lower) {
+  source_knowledge subject;
+  subject.advance({1, 100});
+  subject.note_peer_position({2, 90});
+  BOOST_TEST(subject.is_behind());
+  subject.advance({2, 90});
+  BOOST_TEST(!subject.is_behind());
+}
+
+BOOST_AUTO_TEST_CASE(an_earlier_confirmation_does_not_replace_a_later_one) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.confirm({{1, 10}, start + milliseconds(500), "a"});
+  subject.confirm({{1, 9}, start, "b"});
+  BOOST_TEST(subject.confirmed()->reader == "a");
+  BOOST_TEST(!source_knowledge().age(start).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/simulation/reader_disturbance_test.cc
+++ b/tests/simulation/reader_disturbance_test.cc
@@ -215,4 +215,41 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(change_is_in_force_in_time_while_two_disturbances_overlap) {
+  base::duration longest{};
+  const auto& all = disturbances();
+  for (std::size_t first = 0; first < all.size(); ++first) {
+    const auto& second = all[(first + 5) % all.size()];
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+      const auto time = play({40, 4}, seed, {&all[first], &second});
+      BOOST_TEST(time <= limit_with_two_disturbances,
+                 all[first].name << " and " << second.name << ", seed " << seed << ": "
+                                 << base::to_milliseconds(time) << " ms");
+      longest = std::max(longest, time);
+    }
+  }
+  BOOST_TEST_MESSAGE("two disturbances: at the most " << base::to_milliseconds(longest) << " ms");
+}
+
+BOOST_AUTO_TEST_CASE(every_change_of_a_storm_and_of_many_routes_is_in_force_in_time) {
+  fleet_simulation fleet(simulation::one_region_settings(40, 4, true, 1));
+  fleet.start_all_nodes();
+  BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
+  fleet.run_for(seconds(4));
+  constexpr std::uint64_t changes = 40;
+  constexpr base::duration change_interval = milliseconds(250);
+  constexpr std::uint64_t changes_in_time_limit = limit_with_one_disturbance / change_interval;
+  const auto names = fleet.node_names();
+  for (std::uint64_t version = 2; version < 2 + changes; ++version) {
+    fleet.platform().publish(std::string(model::configuration_key),
+                             simulation::configuration_of(version, 700));
+    fleet.run_for(change_interval);
+    for (const auto& name : names) {
+      BOOST_TEST((version <= changes_in_time_limit + 1 ||
+                  simulation::has_version(fleet, name, version - changes_in_time_limit)),
+                 name << " at version " << version);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
