--- /dev/null
+++ b/tests/platform/store_client_test.cc
@@ -0,0 +1,103 @@
+/// Client of the platform's store before a server on loopback.
+#include "store_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+using namespace spurrack;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Store that answers the first request of each connection and is silent afterwards.
+class silent_store {
+ public:
+  explicit silent_store(asio::io_context& io)
+      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  [[nodiscard]] int requests() const { return requests_; }
+
+ private:
+  struct connection {
+    explicit connection(asio::ip::tcp::socket accepted) : socket(std::move(accepted)) {}
+    asio::ip::tcp::socket socket;
+    asio::streambuf received;
+    bool has_answered = false;
+  };
+
+  void accept() {
+    acceptor_.async_accept([this](const auto& error, asio::ip::tcp::socket socket) {
+      if (!error) {
+        read(std::make_shared<connection>(std::move(socket)));
+        accept();
+      }
+    });
+  }
+  void read(const std::shared_ptr<connection>& client) {
+    asio::async_read_until(client->socket, client->received, "\r\n\r\n",
+                           [this, client](const auto& error, std::size_t bytes) {
+                             if (error) {
+                               return;
+                             }
+                             client->received.consume(bytes);
+                             ++requests_;
+                             if (!std::exchange(client->has_answered, true)) {
+                               answer(client);
+                             }
+                             read(client);
+                           });
+  }
+  static void answer(const std::shared_ptr<connection>& client) {
+    static const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    asio::async_write(client->socket, asio::buffer(text), [client](const auto&, std::size_t) {});
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  int requests_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(store_client_test)
+
+// Guards against two operations at the same time on the connection of the probes, which end the
+// process, if a probe lasts longer than the interval between probes.
+BOOST_AUTO_TEST_CASE(probes_of_a_silent_store_do_not_overlap) {
+  asio::io_context io(1);
+  silent_store store(io);
+  int failures = 0;
+  const auto client = platform::make_store_client(
+      io, store.address(), {[](auto) {}, [&](const node::service_failed&) { ++failures; }});
+  const node::probe_service probe{node::source_kind::configuration};
+  client->probe(probe);
+  io.run_for(milliseconds(200));
+  BOOST_TEST(store.requests() == 1);
+  // The second probe gets no answer. Further probes start while it waits for its timeout of 1 s.
+  for (int count = 0; count < 4; ++count) {
+    client->probe(probe);
+    io.run_for(milliseconds(200));
+  }
+  BOOST_TEST(store.requests() == 2);
+  io.run_for(milliseconds(500));
+  BOOST_TEST(failures == 1);
+  client->probe(probe);
+  io.run_for(milliseconds(200));
+  BOOST_TEST(store.requests() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
