Read reports name the range without entries that they confirm

Cause: a reader's confirmation names the latest position of the whole store. A node whose catalog differs, because entries of the other service are on their way, could not tell whether it lacks entries before that position, and requested them from a relay; under a constant churn of replicas that is one request a node and confirmation, each answered by a look at all keys of the relay.

The change: read reports carry the range from the sender's latest entry of the service through the confirmed position, without entries, as a push that is not forwarded.

--- a/src/node/node_knowledge.cc
+++ b/src/node/node_knowledge.cc
@@ -24,12 +24,53 @@
 /// Minimum time by which a confirmation must be later than the known one for a relay to forward it.
 constexpr base::duration min_forwarded_progress = std::chrono::milliseconds(50);
 
-wire::outgoing read_report_to(const base::network_address& receiver, bool forward_to_zone) {
-  wire::outgoing message{receiver, {}};
-  message.message.mutable_read_report()->set_forward_to_zone(forward_to_zone);
+wire::outgoing read_report_to(const base::network_address& relay) {
+  wire::outgoing message{relay, {}};
+  message.message.mutable_read_report()->set_forward_to_zone(true);
   return message;
 }
 
+/// Returns, for each service whose knowledge has changed since `reported`, the range from its
+/// latest entry through the position known, which contains no entries. A receiver that has the
+/// latest entry then has all entries through the position, whatever the other service has written
+/// meanwhile. Updates `reported`.
+template <typename reported_table>
+std::vector<wire::entry_range>
+take_unreported_ranges(const catalog::source_knowledge_table& knowledge, reported_table& reported,
+                       const catalog::catalog& content) {
+  std::vector<wire::entry_range> ranges;
+  for (std::size_t source = 0; source < source_count; ++source) {
+    const auto& known = knowledge[source];
+    const auto through = known.known_through();
+    const auto confirmed_at = known.confirmed() ? known.confirmed()->at : base::time_point{};
+    if (through <= reported[source].through &&
+        confirmed_at - reported[source].confirmed_at < min_forwarded_progress) {
+      continue;
+    }
+    reported[source] = {through, confirmed_at};
+    const auto latest = static_cast<source_kind>(source) == source_kind::machine_list
+                            ? content.latest_replica_position()
+                            : content.latest_operator_position();
+    wire::entry_range range;
+    range.set_source(static_cast<std::uint32_t>(source));
+    range.set_after_era(std::min(latest, through).era);
+    range.set_after_revision(std::min(latest, through).revision);
+    range.set_through_era(through.era);
+    range.set_through_revision(through.revision);
+    ranges.push_back(std::move(range));
+  }
+  return ranges;
+}
+
+void push_ranges(const std::vector<wire::entry_range>& ranges,
+                 const base::network_address& receiver, wire::outbox& out) {
+  for (const auto& range : ranges) {
+    wire::outgoing message{receiver, {}};
+    *message.message.mutable_catalog_push()->mutable_range() = range;
+    out.push_back(std::move(message));
+  }
+}
+
 /// @return whether a message carries knowledge: messages that are sent often and to many nodes, and
 ///         messages with entries.
 bool spreads_knowledge(const wire::envelope& message) {
@@ -93,17 +134,20 @@
 }
 
 void node::send_read_report() {
+  const auto ranges = take_unreported_ranges(knowledge_, last_forwarded_, catalog_);
   auto zone_peers = zone_peer_addresses();
   for (std::size_t sent = 0; sent < max_report_receivers && !zone_peers.empty(); ++sent) {
-    outbox_.push_back(read_report_to(base::take_random(zone_peers, *random_), false));
+    push_ranges(ranges, base::take_random(zone_peers, *random_), outbox_);
   }
+  const auto report_to_relay = [&](const base::network_address& relay) {
+    push_ranges(ranges, relay, outbox_);
+    outbox_.push_back(read_report_to(relay));
+  };
   for (const auto& relay : membership_.relays_of_own_zone()) {
-    outbox_.push_back(read_report_to(relay, true));
+    report_to_relay(relay);
   }
   for (const auto& relays : membership_.relays_of_other_zones()) {
-    for (const auto& relay : relays) {
-      outbox_.push_back(read_report_to(relay, true));
-    }
+    std::for_each(relays.begin(), relays.end(), report_to_relay);
   }
 }
 
@@ -147,22 +191,9 @@
 }
 
 void node::forward_read_report() {
-  bool has_progress = false;
-  for (std::size_t source = 0; source < source_count; ++source) {
-    const auto& known = knowledge_[source];
-    auto& forwarded = last_forwarded_[source];
-    const auto confirmed_at = known.confirmed() ? known.confirmed()->at : base::time_point{};
-    if (known.known_through() > forwarded.through ||
-        confirmed_at - forwarded.confirmed_at >= min_forwarded_progress) {
-      forwarded = {known.known_through(), confirmed_at};
-      has_progress = true;
-    }
-  }
-  if (!has_progress) {
-    return;
-  }
+  const auto ranges = take_unreported_ranges(knowledge_, last_forwarded_, catalog_);
   for (const auto& peer : membership_.live_peers()) {
-    outbox_.push_back(read_report_to(peer.address, false));
+    push_ranges(ranges, peer.address, outbox_);
   }
 }
 
