Knowledge of the store: one place for what was written twice

Read again as a whole, the change had the same logic in several places: - which service publishes a key stood in the catalog and in the emulated store, whose two copies had to agree for ranges of entries to be right: catalog::source_of serves both; - the latest position of a service was chosen in the reads and in the read reports: catalog::latest_position; - the range of a message was filled field by field in three places: catalog::make_entry_range; - the rank of a node in its zone was computed three times in membership, one of them in a loop of its own: zone_job_rank; - the list of the two services stood three times: catalog::all_sources; - store_calls had its own configuration_of and test for a version, now those of one_region_fleet.h. has_region_job had no caller since the ranks came and is gone.

Assertions of tests are as they were.

--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -23,11 +23,6 @@
   return key.starts_with(model::replica_prefix);
 }
 
-source_kind source_of(const std::string& key) {
-  const bool is_in_machine_list = is_replica_key(key) || key.starts_with(model::machine_prefix);
-  return is_in_machine_list ? source_kind::machine_list : source_kind::configuration;
-}
-
 std::string name_in_key(const std::string& key) {
   return key.substr(key.find('/') + 1);
 }
@@ -47,6 +42,11 @@
 
 } // namespace
 
+source_kind source_of(const std::string& key) {
+  const bool is_in_machine_list = is_replica_key(key) || key.starts_with(model::machine_prefix);
+  return is_in_machine_list ? source_kind::machine_list : source_kind::configuration;
+}
+
 catalog::version catalog::version_of(const wire::catalog_entry& entry) {
   return {entry.era(), entry.revision(), base::stable_hash(entry.value(), entry.deleted() ? 1 : 0)};
 }
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -70,6 +70,9 @@
 using tenant_map = std::map<base::tenant_id, std::shared_ptr<const model::tenant>>;
 using replica_map = std::map<base::replica_id, std::shared_ptr<const model::replica>>;
 
+/// @return the service that publishes a key.
+[[nodiscard]] source_kind source_of(const std::string& key);
+
 /// Entries that one node knows, and the records that are in effect. Not thread-safe. A reader
 /// shares the ownership of a record, and may still use the record after the catalog has replaced
 /// it.
@@ -160,6 +163,12 @@
   [[nodiscard]] store_position latest_operator_position() const {
     return latest_operator_position_;
   }
+  /// @return `latest_replica_position` or `latest_operator_position`, by service. The position may
+  ///         be later than that of the service's latest entry, but not earlier.
+  [[nodiscard]] store_position latest_position(source_kind source) const {
+    return source == source_kind::machine_list ? latest_replica_position_
+                                               : latest_operator_position_;
+  }
   /// Increases whenever an entry of a machine is accepted, so that a reader that derives data from
   /// `machines()` knows when to recompute the data.
   [[nodiscard]] std::uint64_t machine_changes() const { return machine_changes_; }
--- a/src/catalog/entry_packing.cc
+++ b/src/catalog/entry_packing.cc
@@ -36,6 +36,17 @@
 
 } // namespace
 
+wire::entry_range make_entry_range(source_kind source, store_position after,
+                                   store_position through) {
+  wire::entry_range range;
+  range.set_source(static_cast<std::uint32_t>(source));
+  range.set_after_era(after.era);
+  range.set_after_revision(after.revision);
+  range.set_through_era(through.era);
+  range.set_through_revision(through.revision);
+  return range;
+}
+
 void pack_entries(const std::vector<wire::catalog_entry>& entries, wire::catalog_push& message) {
   std::size_t bytes = 0;
   for (const auto& entry : entries) {
--- a/src/catalog/entry_packing.h
+++ b/src/catalog/entry_packing.h
@@ -4,6 +4,7 @@
 /// and 50 kB compressed (tests/catalog/entry_packing_test.cc).
 #pragma once
 
+#include "catalog/source_kind.h"
 #include "wire/peer.pb.h"
 
 #include <optional>
@@ -11,6 +12,10 @@
 
 namespace spurrack::catalog {
 
+/// @return the range of the entries of a service after one position, through another.
+[[nodiscard]] wire::entry_range make_entry_range(source_kind source, store_position after,
+                                                 store_position through);
+
 /// Adds entries to a message. The entries are compressed if their total size is large.
 void pack_entries(const std::vector<wire::catalog_entry>& entries, wire::catalog_push& message);
 
--- a/src/catalog/replicator.cc
+++ b/src/catalog/replicator.cc
@@ -215,18 +215,14 @@
   }
   const store_position after{request.after_era(), request.after_revision()};
   const auto through = knowledge[request.source()].known_through();
-  const auto entries = content_->entries_after(static_cast<source_kind>(request.source()), after);
+  const auto source = static_cast<source_kind>(request.source());
+  const auto entries = content_->entries_after(source, after);
   if (through <= after || !may_answer_with_entries(entries.size(), now)) {
     return;
   }
   wire::outgoing push{base::network_address(message.sender_address()), {}};
   auto& body = *push.message.mutable_catalog_push();
-  auto& range = *body.mutable_range();
-  range.set_source(request.source());
-  range.set_after_era(after.era);
-  range.set_after_revision(after.revision);
-  range.set_through_era(through.era);
-  range.set_through_revision(through.revision);
+  *body.mutable_range() = make_entry_range(source, after, through);
   pack_entries(entries, body);
   out.push_back(std::move(push));
 }
--- a/src/catalog/source_kind.h
+++ b/src/catalog/source_kind.h
@@ -3,6 +3,7 @@
 
 #include "base/ids.h"
 
+#include <array>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
@@ -12,7 +13,8 @@
 /// The two platform services, which publish the entries of the platform's store: `configuration`
 /// publishes the configuration, `machine_list` the machines and replicas.
 enum class source_kind : std::uint8_t { configuration, machine_list };
-inline constexpr std::size_t source_count = 2;
+inline constexpr std::array all_sources{source_kind::configuration, source_kind::machine_list};
+inline constexpr std::size_t source_count = all_sources.size();
 
 /// Position of a write in the order of all writes to the store: by era, then by revision.
 struct store_position {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -414,8 +414,17 @@
 }
 
 bool membership::has_zone_job(std::string_view job, std::size_t count) const {
+  return zone_job_rank(job, count).has_value();
+}
+
+std::optional<std::size_t> membership::zone_job_rank(std::string_view job,
+                                                     std::size_t count) const {
   const auto job_nodes = base::rendezvous_top(job, live_zone_nodes(), count);
-  return std::find(job_nodes.begin(), job_nodes.end(), self_.node) != job_nodes.end();
+  const auto own_node = std::find(job_nodes.begin(), job_nodes.end(), self_.node);
+  if (own_node == job_nodes.end()) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(own_node - job_nodes.begin());
 }
 
 std::optional<std::size_t> membership::region_job_rank(std::string_view job, std::size_t zones,
@@ -432,20 +441,16 @@
   if (own_zone == chosen_zones.end()) {
     return std::nullopt;
   }
-  const auto chosen_nodes = base::rendezvous_top(job, live_zone_nodes(), count);
-  const auto own_node = std::find(chosen_nodes.begin(), chosen_nodes.end(), self_.node);
-  if (own_node == chosen_nodes.end()) {
+  const auto rank_in_zone = zone_job_rank(job, count);
+  if (!rank_in_zone) {
     return std::nullopt;
   }
-  return static_cast<std::size_t>(own_zone - chosen_zones.begin()) * count +
-         static_cast<std::size_t>(own_node - chosen_nodes.begin());
+  return static_cast<std::size_t>(own_zone - chosen_zones.begin()) * count + *rank_in_zone;
 }
 
 std::size_t membership::zone_rank(std::string_view subject) const {
-  const auto& nodes = live_zone_nodes();
-  const auto ordered = base::rendezvous_top(subject, nodes, nodes.size());
-  return static_cast<std::size_t>(std::find(ordered.begin(), ordered.end(), self_.node) -
-                                  ordered.begin());
+  // This node is one of the live nodes of its zone, so it always has a rank.
+  return zone_job_rank(subject, live_zone_nodes().size()).value_or(0);
 }
 
 membership::region_size membership::own_region_size() const {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -141,13 +141,8 @@
   /// for itself.
   /// @param zones number of zones whose nodes do the job.
   /// @param count number of nodes of each of these zones that do the job.
-  /// @return whether this node does the job.
-  [[nodiscard]] bool has_region_job(std::string_view job, std::size_t zones, std::size_t count,
-                                    base::time_point now) const {
-    return region_job_rank(job, zones, count, now).has_value();
-  }
-  /// @return position of this node among the nodes that do a region job, starting at 0;
-  ///         std::nullopt if this node does not do the job.
+  /// @return position of this node among the nodes that do the job, starting at 0; std::nullopt if
+  ///         this node does not do the job.
   [[nodiscard]] std::optional<std::size_t> region_job_rank(std::string_view job, std::size_t zones,
                                                            std::size_t count,
                                                            base::time_point now) const;
@@ -283,6 +278,10 @@
   [[nodiscard]] float processor_share_of(const base::node_id& node) const;
   std::optional<base::node_id> next_probe_target();
   wire::envelope ping_message(std::uint64_t sequence, const member* target);
+  /// @return position of this node among the nodes that do a zone job, starting at 0; std::nullopt
+  ///         if this node does not do the job.
+  [[nodiscard]] std::optional<std::size_t> zone_job_rank(std::string_view job,
+                                                         std::size_t count) const;
   [[nodiscard]] bool is_in_own_zone(const member& other) const { return other.zone == self_.zone; }
   /// @return number of messages in which one member update is sent before it leaves the gossip
   ///         queue.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -20,6 +20,7 @@
 
 namespace spurrack::node {
 
+using catalog::all_sources;
 using catalog::source_count;
 using catalog::source_kind;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -26,7 +26,6 @@
 /// Time for which a starting node waits for a confirmation that its catalog is current. The store
 /// may be down for longer, and a node that restarts meanwhile must serve nevertheless.
 constexpr base::duration confirmation_timeout = std::chrono::milliseconds(1'500);
-constexpr std::array all_sources{source_kind::configuration, source_kind::machine_list};
 
 /// Copies the safety switches of a node to the settings of the guard and of routing.
 node_settings with_switches(node_settings settings) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -340,7 +340,7 @@
   std::array<watch_substitution, source_count> substitutions_;
   catalog::source_knowledge_table knowledge_;
   std::array<catalog::read_turns, source_count> turns_;
-  /// Knowledge of a service that this node, as a relay, last sent to the nodes of its zone.
+  /// Knowledge of a service that this node, as a reader or relay, last sent in a read report.
   struct forwarded_knowledge {
     catalog::store_position through;
     base::time_point confirmed_at;
--- a/src/node/node_knowledge.cc
+++ b/src/node/node_knowledge.cc
@@ -1,5 +1,6 @@
 /// Knowledge of the platform services: how this node learns from its own reads and from peers that
 /// its entries are current, and when it reads a service itself because nobody confirms that.
+#include "catalog/entry_packing.h"
 #include "node/node.h"
 
 #include <algorithm>
@@ -48,16 +49,9 @@
       continue;
     }
     reported[source] = {through, confirmed_at};
-    const auto latest = static_cast<source_kind>(source) == source_kind::machine_list
-                            ? content.latest_replica_position()
-                            : content.latest_operator_position();
-    wire::entry_range range;
-    range.set_source(static_cast<std::uint32_t>(source));
-    range.set_after_era(std::min(latest, through).era);
-    range.set_after_revision(std::min(latest, through).revision);
-    range.set_through_era(through.era);
-    range.set_through_revision(through.revision);
-    ranges.push_back(std::move(range));
+    const auto kind = static_cast<source_kind>(source);
+    const auto after = std::min(content.latest_position(kind), through);
+    ranges.push_back(catalog::make_entry_range(kind, after, through));
   }
   return ranges;
 }
@@ -270,7 +264,7 @@
 }
 
 void node::log_knowledge_changes(base::time_point now) {
-  for (const auto source : {source_kind::configuration, source_kind::machine_list}) {
+  for (const auto source : all_sources) {
     const auto index = static_cast<std::size_t>(source);
     const bool is_overdue = serving_ && is_ready_ && is_knowledge_overdue(source, now);
     if (is_overdue == was_overdue_[index]) {
--- a/src/node/node_store.cc
+++ b/src/node/node_store.cc
@@ -1,5 +1,6 @@
 /// Reads of the platform services: which nodes read a service at which time, and how a node
 /// processes the answers of the services.
+#include "catalog/entry_packing.h"
 #include "node/node.h"
 
 #include <algorithm>
@@ -51,13 +52,8 @@
   if (answer.is_listing || !meaning.after) {
     return std::nullopt;
   }
-  wire::entry_range range;
-  range.set_source(static_cast<std::uint32_t>(answer.source));
-  range.set_after_era(meaning.after->era);
-  range.set_after_revision(meaning.after->revision);
-  range.set_through_era(meaning.era);
-  range.set_through_revision(answer.service_revision);
-  return range;
+  return catalog::make_entry_range(answer.source, *meaning.after,
+                                   {meaning.era, answer.service_revision});
 }
 
 constexpr std::array<const char*, source_count> watch_jobs{"watch/configuration", "watch/machines"};
@@ -105,10 +101,9 @@
 }
 
 void node::read_services(base::time_point now) {
-  for (const auto source : {source_kind::configuration, source_kind::machine_list}) {
+  for (const auto source : all_sources) {
     auto& watch = watches_[static_cast<std::size_t>(source)];
-    const auto latest = source == source_kind::machine_list ? catalog_.latest_replica_position()
-                                                            : catalog_.latest_operator_position();
+    const auto latest = catalog_.latest_position(source);
     watch.note_latest_revision(latest.era, latest.revision, now);
     watch.note_known_through(knowledge(source).known_through());
     end_superfluous_substitution(source);
--- a/src/simulation/emulated_platform.cc
+++ b/src/simulation/emulated_platform.cc
@@ -1,7 +1,6 @@
 #include "simulation/emulated_platform.h"
 
-#include "model/record_parser.h"
-#include "model/serving_record_parser.h"
+#include "catalog/catalog.h"
 
 #include <algorithm>
 #include <utility>
@@ -69,11 +68,8 @@
   if (request.allow_stale && stale_listing_revision_) {
     answer.service_revision = *stale_listing_revision_;
   }
-  const bool reads_machine_list = request.source == node::source_kind::machine_list;
   for (const auto& [key, entry] : entries_) {
-    const bool is_in_machine_list =
-        key.starts_with(model::machine_prefix) || key.starts_with(model::replica_prefix);
-    const bool is_requested = is_in_machine_list == reads_machine_list;
+    const bool is_requested = catalog::source_of(key) == request.source;
     if (!is_requested || entry.revision <= request.after ||
         entry.revision > answer.service_revision) {
       continue;
--- a/tests/simulation/store_calls_test.cc
+++ b/tests/simulation/store_calls_test.cc
@@ -1,6 +1,6 @@
 /// Simulated fleets in one region: number of reads that a fleet sends to the platform's store, and
 /// time until changes reach all nodes while only some nodes have access to the store.
-#include "serving_fleet.h"
+#include "one_region_fleet.h"
 
 #include "node/node_roles.h"
 
@@ -49,20 +49,13 @@
   return fleet.platform().calls() - calls_before;
 }
 
-std::string configuration_of(std::uint64_t version) {
-  wire::published_configuration configuration;
-  configuration.set_version(version);
-  return configuration.SerializeAsString();
-}
-
 /// @return whether all nodes have the configuration of `version` or a later one within `timeout`.
 bool wait_for_version(fleet_simulation& fleet, std::uint64_t version, base::duration timeout) {
   const auto names = fleet.node_names();
   return fleet.run_until(
       [&] {
         return std::all_of(names.begin(), names.end(), [&](const auto& name) {
-          const auto configuration = fleet.node(name).published_catalog().serving();
-          return configuration != nullptr && configuration->version >= version;
+          return simulation::has_version(fleet, name, version);
         });
       },
       timeout);
@@ -114,7 +107,8 @@
       BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
       fleet.run_for(seconds(10));
       fleet.block_platform_access({"z" + std::to_string(first), "z" + std::to_string(second)});
-      fleet.platform().publish(std::string(model::configuration_key), configuration_of(2));
+      fleet.platform().publish(std::string(model::configuration_key),
+                               simulation::configuration_of(2));
       const auto published_at = fleet.now();
       BOOST_TEST(wait_for_version(fleet, 2, seconds(5)),
                  "z" << first << " and z" << second << " have no store access");
@@ -133,7 +127,8 @@
     fleet.run_for(seconds(10));
     fleet.hang_platform(unresponsive_time);
     fleet.run_for(unresponsive_time + seconds(1));
-    fleet.platform().publish(std::string(model::configuration_key), configuration_of(2));
+    fleet.platform().publish(std::string(model::configuration_key),
+                             simulation::configuration_of(2));
     BOOST_TEST(wait_for_version(fleet, 2, seconds(1)), unresponsive_time.count() << " ms");
   }
 }
@@ -146,7 +141,8 @@
     BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
     fleet.run_for(seconds(10));
     fleet.partition_zone("z" + std::to_string(zone), false);
-    fleet.platform().publish(std::string(model::configuration_key), configuration_of(2));
+    fleet.platform().publish(std::string(model::configuration_key),
+                             simulation::configuration_of(2));
     BOOST_TEST(wait_for_version(fleet, 2, seconds(4)), "z" << zone << " is partitioned");
   }
 }
