Reproduce misread ends of calls: partitioned nodes, overrun and silent replicas, late restarts, known red

The emulated fleet plays them now: nodes partitioned from all replicas in three forms (connections hang, are reset, or live on while new ones are refused), brittle replicas that crash if they must reject too much, replicas that fall silent for 0.8 to 1.5 s, and replicas that crash again before their restart is published.

--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -3,6 +3,7 @@
 /// removed from the published list of replicas later, and restarts after 1.5 to 2 s.
 #pragma once
 
+#include "replica_faults.h"
 #include "serving_fixture.h"
 #include "virtual_time.h"
 
@@ -29,6 +30,10 @@
   /// under a new id.
   bool keeps_ids_on_restart = false;
   quarantine_limits limits = {};
+  /// Minimum downtime of a crashed replica; the downtime exceeds it by up to 500 ms.
+  base::duration min_downtime = milliseconds(1500);
+  /// Time after a restart at which the restart is published. Not used if replicas get new ids.
+  base::duration publication_delay{};
   /// Emulates a policy without quarantine: nodes refuse all requests while at least two crashes of
   /// replicas are less than this time ago; 0 to disable the policy.
   base::duration route_pause{};
@@ -145,8 +150,9 @@
     replica.is_up = false;
     ++crashes;
     crash_times.push_back(now);
+    connections.close_all_to(index);
     for (const auto& [node, call] : std::exchange(replica.calls, {})) {
-      abort_call(node, call);
+      end_call_of_ended_replica(node, call);
     }
     const base::replica_id id = replica.id;
     if (!settings.keeps_ids_on_restart) {
@@ -155,9 +161,37 @@
         publish();
       });
     }
-    schedule(milliseconds(1500 + random.below(500)), [this, index] { start_replica(index); });
+    schedule(settings.min_downtime + milliseconds(random.below(500)),
+             [this, index] { start_replica(index); });
+  }
+
+  /// Begins or ends a fault of the connections between a node and all replicas.
+  void set_path_fault(std::size_t node, path_fault fault) {
+    connections.set_fault(node, fault);
+    for (const auto& [call, has_head] : std::map(nodes[node].calls)) {
+      if (fault == path_fault::is_reset) {
+        end_at_replicas(node, call);
+        abort_call(node, call);
+      } else if (fault == path_fault::hangs) {
+        hang_up(node, call);
+      }
+    }
+  }
+
+  /// Makes a replica brittle: it has room for `room` requests, and crashes if it must reject more
+  /// than `max_rejections` of them within a second.
+  void make_brittle(unsigned index, unsigned max_rejections, std::size_t room) {
+    replicas[index].brittle = brittle_state{max_rejections, room};
+  }
+  void end_brittleness() {
+    for (auto& replica : replicas) {
+      replica.brittle.reset();
+    }
   }
 
+  /// Makes a replica neither read nor write for a while; its connections stay open.
+  void silence(unsigned index, base::duration span) { replicas[index].silent_until = now + span; }
+
   /// Resets all connections to a replica, which keeps running.
   void reset(unsigned index) {
     for (const auto& [node, call] : std::exchange(replicas[index].calls, {})) {
@@ -228,6 +262,9 @@
     bool is_up = false;
     std::uint64_t incarnation = 0;
     std::set<std::pair<std::size_t, base::call_id>> calls;
+    /// Set while the replica is brittle.
+    std::optional<brittle_state> brittle{};
+    base::time_point silent_until{};
   };
   struct emulated_node {
     std::unique_ptr<base::seeded_random> random;
@@ -276,7 +313,20 @@
     const auto id =
         settings.keeps_ids_on_restart ? name : name + "-" + std::to_string(replica.incarnation);
     replica.id = base::replica_id(id);
-    published.add_incarnation(id, replica.service, index % 2 == 0 ? "a" : "b", replica.address,
+    const auto published_at = settings.keeps_ids_on_restart && replica.incarnation > 1
+                                  ? settings.publication_delay
+                                  : base::duration::zero();
+    if (published_at == base::duration::zero()) {
+      publish_replica(index);
+    } else {
+      schedule(published_at, [this, index] { publish_replica(index); });
+    }
+  }
+
+  void publish_replica(unsigned index) {
+    const auto& replica = replicas[index];
+    published.add_incarnation(replica.id.text(), replica.service, index % 2 == 0 ? "a" : "b",
+                              replica.address,
                               settings.keeps_ids_on_restart ? 1000 + replica.incarnation : 0);
     publish();
   }
@@ -372,11 +422,18 @@
     });
   }
 
+  void end_at_replicas(std::size_t node, base::call_id call) {
+    for (auto& replica : replicas) {
+      replica.calls.erase({node, call});
+    }
+  }
+
   void execute(std::size_t node, const cancel_call& command) {
     nodes[node].calls.erase(command.call);
     nodes[node].stage_calls.erase(command.call);
-    for (auto& replica : replicas) {
-      replica.calls.erase({node, command.call});
+    // A replica that does not learn that the connection was closed goes on with the call.
+    if (connections.fault_of(node) != path_fault::hangs) {
+      end_at_replicas(node, command.call);
     }
   }
 
@@ -386,15 +443,27 @@
       if (nodes[node].incarnation != incarnation) {
         return;
       }
+      if (connections.fault_of(node) == path_fault::hangs) {
+        schedule(connect_timeout, [this, node, incarnation, command] {
+          end_probe(node, incarnation, command.target.replica, probe_result::unresponsive);
+        });
+        return;
+      }
       const auto* replica = replica_at(command.target.address);
       const bool is_up = replica != nullptr && replica->is_up;
-      nodes[node].subject->handle(
-          replica_probed{command.target.replica,
-                         is_up ? probe_result::connected : probe_result::refused},
-          now);
+      const bool is_reached = connections.fault_of(node) == path_fault::none;
+      end_probe(node, incarnation, command.target.replica,
+                is_up && is_reached ? probe_result::connected : probe_result::refused);
     });
   }
 
+  void end_probe(std::size_t node, base::incarnation incarnation, const base::replica_id& replica,
+                 probe_result result) {
+    if (nodes[node].incarnation == incarnation) {
+      nodes[node].subject->handle(replica_probed{replica, result}, now);
+    }
+  }
+
   void execute(std::size_t /*node*/, const respond& answer) {
     auto& count = counts[bodies.at(answer.client)];
     if (answer.status != 200) {
@@ -446,9 +515,23 @@
       return;
     }
     auto* replica = replica_at(command.target.address);
-    if (replica == nullptr || !replica->is_up) {
-      nodes[node].calls.erase(command.call);
-      nodes[node].subject->handle(call_failed{command.call, call_failure::not_sent}, now);
+    const auto number = static_cast<unsigned>(replica - replicas.data());
+    if (replica != nullptr && connections.fault_of(node) == path_fault::hangs) {
+      if (connections.has_open_connection(node, number)) {
+        hang_up(node, command.call);
+      } else {
+        schedule(connect_timeout, [this, node, call = command.call] { fail_unsent(node, call); });
+      }
+      return;
+    }
+    if (replica == nullptr || !replica->is_up || !connections.passes_call(node, number)) {
+      fail_unsent(node, command.call);
+      return;
+    }
+    connections.note_connected(node, number);
+    if (now < replica->silent_until) {
+      schedule(replica->silent_until - now,
+               [this, node, command] { reach_replica(node, command); });
       return;
     }
     if (replica->id != command.target.replica) {
@@ -458,6 +541,10 @@
       nodes[node].subject->handle(call_answered{command.call, head, ""}, now);
       return;
     }
+    if (replica->brittle && replica->calls.size() >= replica->brittle->room) {
+      reject_for_room(node, command, number);
+      return;
+    }
     const auto& body = command.content->body;
     replica_arrivals[body].push_back(now);
     const std::pair key{node, command.call};
@@ -467,14 +554,56 @@
              [this, index, key, body] { begin_run(index, key, body); });
   }
 
+  void reject_for_room(std::size_t node, const start_call& command, unsigned index) {
+    nodes[node].calls.erase(command.call);
+    ++rejections;
+    const bool is_overrun = replicas[index].brittle->note_rejected(now);
+    nodes[node].subject->handle(
+        call_answered{command.call, dispatcher_driver::not_executed_head(), ""}, now);
+    if (is_overrun) {
+      ++falls;
+      crash(index);
+    }
+  }
+
+  void fail_unsent(std::size_t node, base::call_id call) {
+    if (nodes[node].calls.erase(call) > 0) {
+      nodes[node].subject->handle(call_failed{call, call_failure::not_sent}, now);
+    }
+  }
+
+  /// Leaves a call without any answer until the kernel of the node gives up its connection.
+  void hang_up(std::size_t node, base::call_id call) {
+    schedule(tcp_user_timeout, [this, node, call] {
+      if (connections.fault_of(node) == path_fault::hangs) {
+        abort_call(node, call);
+      }
+    });
+  }
+
+  /// Ends a call at a replica that has crashed, unless the node does not learn of it.
+  void end_call_of_ended_replica(std::size_t node, base::call_id call) {
+    if (connections.fault_of(node) != path_fault::hangs) {
+      abort_call(node, call);
+    }
+  }
+
   void begin_run(unsigned index, std::pair<std::size_t, base::call_id> key,
                  const std::string& body) {
     if (!replicas[index].calls.contains(key)) {
       return;
     }
-    nodes[key.first].calls[key.second] = true;
-    nodes[key.first].subject->handle(stream_opened{key.second, dispatcher_driver::good_head()},
-                                     now);
+    if (now < replicas[index].silent_until) {
+      schedule(replicas[index].silent_until - now,
+               [this, index, key, body] { begin_run(index, key, body); });
+      return;
+    }
+    const bool is_heard = connections.fault_of(key.first) != path_fault::hangs;
+    if (is_heard && nodes[key.first].calls.contains(key.second)) {
+      nodes[key.first].calls[key.second] = true;
+      nodes[key.first].subject->handle(stream_opened{key.second, dispatcher_driver::good_head()},
+                                       now);
+    }
     if (crashing_bodies.contains(body)) {
       schedule_crash(index, body);
       return;
@@ -483,11 +612,17 @@
   }
 
   void end_run(unsigned index, std::pair<std::size_t, base::call_id> key) {
+    if (now < replicas[index].silent_until) {
+      schedule(replicas[index].silent_until - now, [this, index, key] { end_run(index, key); });
+      return;
+    }
     if (replicas[index].calls.erase(key) == 0) {
       return;
     }
     auto& node = nodes[key.first];
-    node.calls.erase(key.second);
+    if (connections.fault_of(key.first) == path_fault::hangs || node.calls.erase(key.second) == 0) {
+      return;
+    }
     node.subject->handle(stream_bytes{key.second, "id: 1\ndata: x\n\n"}, now);
     node.subject->handle(stream_closed{key.second, true}, now);
   }
@@ -535,6 +670,15 @@
     }
   }
 
+  /// Timeout of nodes for opening a connection.
+  static constexpr base::duration connect_timeout = milliseconds(500);
+  /// Time after which the kernel of a node gives up a connection that passes no bytes.
+  static constexpr base::duration tcp_user_timeout = milliseconds(1500);
+
+  /// Requests that brittle replicas rejected, and crashes of brittle replicas for this reason.
+  std::size_t rejections = 0;
+  std::size_t falls = 0;
+  replica_paths connections;
   std::vector<emulated_replica> replicas;
   std::vector<emulated_node> nodes;
   std::map<base::caller_id, std::string> bodies;
