Crash logs: which exit, what counts, what explains it, which bound, and what is dropped

Two hypotheses of the incident (wrong exits booked, real exits lost) looked alike in the logs: a line told the digest and the count only. Each exit that is recorded, or learned from another node, now comes with the exit's number, the counted, explained and required exits; lost calls that are dropped without evidence are told too. No change of logic.

--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -78,9 +78,9 @@
   ++counters_.crashes_under_requests;
   record_(base::event_kind::request_crashed_replica, {}, replica.text(),
           "request digest " + call.digest.text() + ", " + evidence + ", its call ended " +
-              std::to_string(base::to_milliseconds(now - call.exit.at)) + " ms ago, " +
-              std::to_string(crash_registry_.counted_exits_of(call.digest)) +
-              " replica exits under it");
+              std::to_string(base::to_milliseconds(now - call.exit.at)) + " ms ago, exit " +
+              std::to_string(call.exit.exit) + ", " +
+              crash_registry_.assess(call.digest, now).text());
   crash_reports_.note_changed(call.digest);
   if (change.begins_quarantine) {
     newly_quarantined_.push_back(call.digest);
@@ -90,6 +90,9 @@
 void dispatcher::handle_peer(const base::network_address& address, const wire::crash_news& message,
                              base::time_point now) {
   for (const auto& learned : crash_reports_.handle(address, message, now)) {
+    record_(base::event_kind::request_crashed_replica, {}, address.text(),
+            "request digest " + learned.digest.text() + ", told by another node, " +
+                crash_registry_.assess(learned.digest, now).text());
     if (learned.begins_quarantine) {
       newly_quarantined_.push_back(learned.digest);
     }
@@ -99,7 +102,10 @@
 void dispatcher::advance_crashes(base::time_point now) {
   if (now >= next_crash_expiry_at_) {
     next_crash_expiry_at_ = now + crash_expiry_interval;
-    crash_detector_.drop_expired(now);
+    for (const auto& [replica, calls] : crash_detector_.drop_expired(now)) {
+      record_(base::event_kind::request_cleared, {}, replica.text(),
+              std::to_string(calls) + " lost calls are dropped, no evidence that it exited");
+    }
     crash_registry_.expire(now);
   }
   // Quarantines begin here and not when the exit is recorded, because a quarantine may remove the
--- a/src/quarantine/crash_detector.cc
+++ b/src/quarantine/crash_detector.cc
@@ -59,10 +59,17 @@
   }
 }
 
-void crash_detector::drop_expired(base::time_point now) {
+std::map<base::replica_id, std::size_t> crash_detector::drop_expired(base::time_point now) {
+  std::map<base::replica_id, std::size_t> dropped;
   std::erase_if(replicas_, [&](const auto& entry) {
-    return now - entry.second.last_lost_call_at >= watch_duration;
+    const auto& [id, watched] = entry;
+    const bool is_expired = now - watched.last_lost_call_at >= watch_duration;
+    if (is_expired) {
+      dropped[id] = watched.calls.size();
+    }
+    return is_expired;
   });
+  return dropped;
 }
 
 std::vector<base::replica_id> crash_detector::watched_replicas() const {
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -44,7 +44,8 @@
   void note_probe_failed(const base::replica_id& replica);
   /// Drops all lost calls of a replica if the last of them is so old that an exit of the replica
   /// would have been detected by now.
-  void drop_expired(base::time_point now);
+  /// @return number of dropped calls of each such replica.
+  std::map<base::replica_id, std::size_t> drop_expired(base::time_point now);
   /// @return replicas with lost calls.
   [[nodiscard]] std::vector<base::replica_id> watched_replicas() const;
 
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -214,6 +214,28 @@
   return record == nullptr ? 0 : counted_exits(*record);
 }
 
+exit_assessment crash_registry::assess(const request_digest& digest, base::time_point now) const {
+  exit_assessment judged;
+  const auto* record = find(digest);
+  if (record == nullptr || record->exits.empty()) {
+    return judged;
+  }
+  judged.recorded = record->exits.size();
+  judged.explained = static_cast<std::size_t>(std::count_if(
+      record->exits.begin(), record->exits.end(), [&](const exit_observation& observation) {
+        return is_explained(observation.exit, *record);
+      }));
+  judged.counted = counted_exits(*record);
+  judged.required = exits_required(*record, now);
+  return judged;
+}
+
+std::string exit_assessment::text() const {
+  return std::to_string(counted) + " of " + std::to_string(recorded) + " exits count, " +
+         std::to_string(explained) + " explained by other requests, " + std::to_string(required) +
+         " required for quarantine";
+}
+
 void crash_registry::update_explanations() const {
   explanations_are_stale_ = false;
   explaining_exit_counts_.clear();
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -29,6 +29,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace spurrack::quarantine {
@@ -71,6 +72,20 @@
   [[nodiscard]] base::time_point last_exit_at() const;
 };
 
+/// How the exits under one request are judged now, for logs.
+struct exit_assessment {
+  /// Number of exits in the record.
+  std::size_t recorded = 0;
+  /// Number of recorded exits that another request probably caused.
+  std::size_t explained = 0;
+  /// Number of exits that count against the request.
+  std::size_t counted = 0;
+  /// Number of counted exits at which the request is quarantined.
+  std::size_t required = 0;
+
+  [[nodiscard]] std::string text() const;
+};
+
 /// Effect of a reported exit or a merged record on the registry.
 struct registry_change {
   /// Whether the registry learned of an exit, or of a surviving run that cleared known exits.
@@ -124,6 +139,7 @@
   void note_refused(const request_digest& digest, base::time_point now);
   /// @return number of exits under a request, without those that another request probably caused.
   [[nodiscard]] std::size_t counted_exits_of(const request_digest& digest) const;
+  [[nodiscard]] exit_assessment assess(const request_digest& digest, base::time_point now) const;
   /// @return whether there are no records; callers then skip the computation of digests.
   [[nodiscard]] bool empty() const { return records_.empty(); }
   /// @return record of a request; null if there is none.
