Crash detection: a refused probe shows an exit only if other paths of the node work

What callers saw: a request under which three replicas had ended was sent on. Cause: on a node whose connections to all replicas are reset and refused, each lost call sends a probe, the probe is refused, and all lost calls of that replica became exits under innocent requests. Those count as exits that are not recorded under the crashing request and raise its bound from four to five; the fifth came up to 7 s after the fourth. Ruled out for this form: lost exits (the registry held more exits than replicas crashed).

A refused probe is followed by probes of replicas of other zones and services, four at a time: one that accepts, or activity on open connections to other replicas 50 ms after the lost call, confirms the exit within a second; without it the list decides, as before. Open connections are needed as evidence because new ones alone may be refused.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -519,6 +519,9 @@
   if (const auto next_report_at = crash_reports_.next_wakeup()) {
     consider(*next_report_at);
   }
+  if (crash_detector_.has_refused_replicas(now)) {
+    consider(next_activity_check_at_);
+  }
   if (!clients_awaiting_budget_.empty()) {
     consider(now + budget_check_interval);
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -355,6 +355,12 @@
   /// @param evidence observation that showed the exit, for the log.
   void note_replica_exit(const base::replica_id& replica, const char* evidence,
                          base::time_point now);
+  /// Probes other replicas if a replica with lost calls refused a connection: if another one
+  /// accepts, the refusal shows an exit and not a partition of this node.
+  void probe_other_replicas(base::time_point now);
+  /// Records the exits of the replicas that refused connections, if connections of this node to
+  /// another replica are shown to work.
+  void confirm_refused_replicas(base::time_point now);
   /// Records the exit of a replica as an exit under the request of one lost call.
   void note_exit_under_request(const quarantine::lost_call& call, const base::replica_id& replica,
                                const char* evidence, base::time_point now);
@@ -501,6 +507,17 @@
   quarantine::crash_registry crash_registry_;
   quarantine::crash_report_exchange crash_reports_;
   base::time_point next_crash_expiry_at_;
+  /// Replica that last accepted a probe.
+  struct accepted_probe {
+    base::replica_id replica;
+    base::time_point at;
+  };
+  accepted_probe latest_connection_;
+  /// Replicas that are being probed to find out whether this node is partitioned.
+  std::set<base::replica_id> path_probes_under_way_;
+  /// Replicas that were probed for this since the first of the present refusals.
+  std::vector<base::replica_id> path_probed_;
+  base::time_point next_activity_check_at_;
   /// Requests whose quarantine begins with the next `advance`.
   std::vector<quarantine::request_digest> newly_quarantined_;
   stage_exchange stages_;
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -6,6 +6,7 @@
 
 #include "dispatch/dispatcher_constants.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace spurrack::serving {
@@ -19,6 +20,18 @@
 /// Interval at which expired records of exits are dropped; each record lives for 10 s or longer.
 constexpr base::duration crash_expiry_interval = std::chrono::seconds(1);
 
+/// Number of other replicas that are probed at once to find out whether a replica that refuses
+/// connections exited, or this node is partitioned from replicas. Each round in which none accepts
+/// a connection is followed by another one, with other replicas.
+constexpr std::size_t probes_per_round = 4;
+/// Maximum number of replicas that are probed until the question is decided or given up.
+constexpr std::size_t max_path_probes = 16;
+/// Activity of other replicas shows that the connections of this node work if it follows the lost
+/// call by this time: connections that break at the same moment are noticed one after another.
+constexpr base::duration min_later_activity = std::chrono::milliseconds(50);
+/// Interval at which refused replicas are checked for activity of other replicas.
+constexpr base::duration activity_check_interval = std::chrono::milliseconds(50);
+
 constexpr const char* quarantine_reason =
     "held back: replicas ended while they ran this request; sending it again does not help";
 
@@ -42,15 +55,60 @@
 void dispatcher::on_event(const replica_probed& probe, base::time_point now) {
   switch (probe.result) {
   case probe_result::refused:
-    note_replica_exit(probe.replica, "it refuses connections", now);
+    if (crash_detector_.refused_replicas(now).empty()) {
+      path_probed_.clear();
+    }
+    crash_detector_.note_refused(probe.replica, now);
     break;
   case probe_result::connected:
     crash_detector_.note_connected(probe.replica, now);
+    latest_connection_ = {probe.replica, now};
+    confirm_refused_replicas(now);
     break;
   case probe_result::unresponsive:
     crash_detector_.note_probe_failed(probe.replica);
     break;
   }
+  path_probes_under_way_.erase(probe.replica);
+  probe_other_replicas(now);
+}
+
+void dispatcher::probe_other_replicas(base::time_point now) {
+  if (!path_probes_under_way_.empty() || !crash_detector_.has_refused_replicas(now)) {
+    return;
+  }
+  const auto refused = crash_detector_.refused_replicas(now);
+  if (refused.empty()) {
+    return;
+  }
+  // Replicas that were probed since the first refusal show nothing new.
+  auto excluded = crash_detector_.watched_replicas();
+  excluded.insert(excluded.end(), path_probed_.begin(), path_probed_.end());
+  for (const auto* other : replicas_.replicas_on_different_paths(excluded, probes_per_round)) {
+    if (path_probed_.size() < max_path_probes) {
+      path_probed_.push_back(other->record->id);
+      path_probes_under_way_.insert(other->record->id);
+      commands_.emplace_back(probe_replica{{other->record->id, other->record->address}});
+    }
+  }
+  if (path_probed_.empty()) {
+    note_replica_exit(refused.front().replica, "it refuses connections, no other is known", now);
+  }
+}
+
+void dispatcher::confirm_refused_replicas(base::time_point now) {
+  if (!crash_detector_.has_refused_replicas(now)) {
+    return;
+  }
+  for (const auto& [replica, lost_at] : crash_detector_.refused_replicas(now)) {
+    const bool has_connected =
+        latest_connection_.at > lost_at && latest_connection_.replica != replica;
+    if (has_connected) {
+      note_replica_exit(replica, "it refuses connections and another replica accepts them", now);
+    } else if (replicas_.was_other_active_after(replica, lost_at + min_later_activity)) {
+      note_replica_exit(replica, "it refuses connections and open ones to others work", now);
+    }
+  }
 }
 
 void dispatcher::find_exited_replicas(base::time_point now) {
@@ -108,6 +166,10 @@
     }
     crash_registry_.expire(now);
   }
+  if (now >= next_activity_check_at_ && crash_detector_.has_refused_replicas(now)) {
+    next_activity_check_at_ = now + activity_check_interval;
+    confirm_refused_replicas(now);
+  }
   // Quarantines begin here and not when the exit is recorded, because a quarantine may remove the
   // very request that is being processed then.
   for (const auto& digest : std::exchange(newly_quarantined_, {})) {
--- a/src/quarantine/crash_detector.cc
+++ b/src/quarantine/crash_detector.cc
@@ -1,5 +1,6 @@
 #include "quarantine/crash_detector.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace spurrack::quarantine {
@@ -48,10 +49,31 @@
   const auto found = replicas_.find(replica);
   if (found != replicas_.end()) {
     found->second.is_probe_pending = false;
+    found->second.is_refused = false;
     found->second.connected_at = now;
   }
 }
 
+void crash_detector::note_refused(const base::replica_id& replica, base::time_point now) {
+  const auto found = replicas_.find(replica);
+  if (found != replicas_.end()) {
+    found->second.is_probe_pending = false;
+    found->second.is_refused = true;
+    path_checks_end_at_ = std::max(path_checks_end_at_, now + path_check_time);
+  }
+}
+
+std::vector<crash_detector::refused_replica>
+crash_detector::refused_replicas(base::time_point now) const {
+  std::vector<refused_replica> refused;
+  for (const auto& [id, watched] : replicas_) {
+    if (watched.is_refused && now - watched.last_lost_call_at < path_check_time) {
+      refused.push_back({id, watched.last_lost_call_at});
+    }
+  }
+  return refused;
+}
+
 void crash_detector::note_probe_failed(const base::replica_id& replica) {
   const auto found = replicas_.find(replica);
   if (found != replicas_.end()) {
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -26,6 +26,11 @@
   exit_observation exit;
 };
 
+/// Time after a lost call within which a refused probe shows that the replica exited, if the paths
+/// of this node are shown to work. Later, the state of the paths shows nothing about the time of
+/// the refusal.
+inline constexpr base::duration path_check_time = std::chrono::milliseconds(1000);
+
 /// Keeps lost calls (calls that ended without a complete answer) of replicas of which it is not
 /// known yet whether they exited. Not thread-safe.
 class crash_detector {
@@ -42,6 +47,21 @@
   void note_connected(const base::replica_id& replica, base::time_point now);
   /// Records that a probe failed without showing whether the replica runs.
   void note_probe_failed(const base::replica_id& replica);
+  /// Records that the replica refused the connection of a probe. Either the replica exited, or this
+  /// node itself is partitioned: the caller must find out which.
+  void note_refused(const base::replica_id& replica, base::time_point now);
+  /// Lost calls of a replica that refused a probe.
+  struct refused_replica {
+    base::replica_id replica;
+    base::time_point last_lost_call_at;
+  };
+  /// @return replicas that refused a probe, if their last lost call is less than `path_check_time`
+  ///         ago.
+  [[nodiscard]] std::vector<refused_replica> refused_replicas(base::time_point now) const;
+  /// @return whether a replica refused a probe and is not known yet to have exited.
+  [[nodiscard]] bool has_refused_replicas(base::time_point now) const {
+    return now < path_checks_end_at_;
+  }
   /// Drops all lost calls of a replica if the last of them is so old that an exit of the replica
   /// would have been detected by now.
   /// @return number of dropped calls of each such replica.
@@ -54,11 +74,15 @@
     std::vector<lost_call> calls;
     /// Whether a probe has been requested and its result is not known yet.
     bool is_probe_pending = false;
+    /// Whether the replica refused the connection of the last probe.
+    bool is_refused = false;
     /// Time at which the replica last accepted a probe.
     std::optional<base::time_point> connected_at;
     base::time_point last_lost_call_at;
   };
   std::map<base::replica_id, watched_replica> replicas_;
+  /// Time from which no replica that refused a probe can be confirmed any more.
+  base::time_point path_checks_end_at_;
 };
 
 } // namespace spurrack::quarantine
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -232,6 +232,16 @@
   ///         health reports, to another node.
   [[nodiscard]] bool was_active_after(const base::replica_id& id, base::time_point when) const;
 
+  /// @return whether any other replica sent something to this node after `when`.
+  [[nodiscard]] bool was_other_active_after(const base::replica_id& id,
+                                            base::time_point when) const;
+  /// @return up to `most` replicas of as many zones and services as possible, so that their paths
+  ///         from this node have little in common. Of one zone and service, those that this node
+  ///         heard from last come first.
+  [[nodiscard]] std::vector<const replica_state*>
+  replicas_on_different_paths(const std::vector<base::replica_id>& excluded,
+                              std::size_t most) const;
+
   /// Records the health report of another node on a replica. If the replica is then declared down
   /// and not paused yet, ejects it, unless too many replicas of its service are already ejected.
   void record_report(const base::replica_id& id, const base::node_id& reporter,
--- a/src/replicas/replica_table_reports.cc
+++ b/src/replicas/replica_table_reports.cc
@@ -81,6 +81,42 @@
          min_down_reporters;
 }
 
+bool replica_table::was_other_active_after(const base::replica_id& id,
+                                           base::time_point when) const {
+  return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
+    return entry.second.last_activity_at > when && entry.first != id;
+  });
+}
+
+std::vector<const replica_state*>
+replica_table::replicas_on_different_paths(const std::vector<base::replica_id>& excluded,
+                                           std::size_t most) const {
+  using path = std::pair<base::zone_id, std::string>;
+  std::map<path, std::vector<const replica_state*>> by_path;
+  for (const auto& [id, state] : replicas_) {
+    if (std::find(excluded.begin(), excluded.end(), id) == excluded.end()) {
+      by_path[{state.record->zone, state.record->service}].push_back(&state);
+    }
+  }
+  const auto reachability = [](const replica_state* state) {
+    const auto down_at = std::max(state->unreachable_at, state->unresponsive_at);
+    return std::pair(down_at <= state->last_activity_at, state->last_activity_at);
+  };
+  std::vector<const replica_state*> chosen;
+  for (auto& [shared_path, states] : by_path) {
+    std::sort(states.begin(), states.end(), [&](const auto* left, const auto* right) {
+      return reachability(left) > reachability(right);
+    });
+  }
+  for (std::size_t rank = 0; chosen.size() < most && !by_path.empty(); ++rank) {
+    std::erase_if(by_path, [&](const auto& entry) { return entry.second.size() <= rank; });
+    for (auto next = by_path.begin(); next != by_path.end() && chosen.size() < most; ++next) {
+      chosen.push_back(next->second[rank]);
+    }
+  }
+  return chosen;
+}
+
 bool replica_table::can_eject(const std::string& service, base::time_point now) const {
   const auto& states = index_.of_service(service);
   if (states.size() < 2) {
