Quarantine: later exits of other replicas do not end it

What callers saw: a request under which three (here four) replicas had ended was sent on, seconds later. Ruled out: a survived run (none is logged), an expired record.

An exit counts as unrelated only if it is not later than the last exit under the request: only then can it show that the request was there by chance.

--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -289,8 +289,11 @@
 
 std::size_t crash_registry::exits_required(const crash_record& record, base::time_point now) const {
   std::size_t unrelated_exits = 0;
+  // Exits after the last one under the request do not show that it was a coincidence: a request that
+  // is quarantined stays quarantined, whatever happens to other replicas meanwhile.
+  const auto last_exit_at = record.last_exit_at();
   for (const auto& [exit, at] : exits_) {
-    const bool is_recent = now - at < recent_exit_window;
+    const bool is_recent = now - at < recent_exit_window && at <= last_exit_at;
     unrelated_exits +=
         is_recent && !contains_exit(record, exit) && !is_explained(exit, record) ? 1 : 0;
   }
