Crash records: an exit is one of a process, not of a published incarnation, and other nodes' word confirms lost calls

What callers saw: a request crashed replicas on and on. Ruled out: a survived run, an evicted or expired record.

An exit now carries when its lost call began; a call that began after an exit ran in a later process, which is counted on its own. Exits that only the list shows have no time and match any process of the incarnation; so do calls whose connection timed out (the call may never have arrived). An answer withdraws an exit only if the list was confirmed 5 s after the exit. A node that hears of an exit books its own calls that were lost at that moment or still wait there. While a refused replica is unconfirmed, other replicas are probed again every 100 ms: in a small service all others may have crashed too.

Fields of messages are only added. The late-restart case has four more replicas of another service: with four replicas in all, all of which crash within a second, nothing shows whether the node itself is cut off.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -520,7 +520,7 @@
     consider(*next_report_at);
   }
   if (crash_detector_.has_refused_replicas(now)) {
-    consider(next_activity_check_at_);
+    consider(next_path_check_at_);
   }
   if (!clients_awaiting_budget_.empty()) {
     consider(now + budget_check_interval);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -71,6 +71,11 @@
   void set_configuration_knowledge(const configuration_knowledge& knowledge) {
     configuration_knowledge_ = knowledge;
   }
+  /// Sets the time at which the store was last known to have no later list of replicas than this
+  /// node. Without this call the list always counts as current.
+  void set_replica_list_confirmed_at(base::time_point confirmed_at) {
+    replica_list_confirmed_at_ = confirmed_at;
+  }
   /// Applies the published configuration, replicas and evacuations.
   void update(const catalog::catalog& content, base::time_point now);
   /// @param known_peers number of other nodes that are known, including dead nodes.
@@ -347,9 +352,16 @@
   /// can neither be retried nor wait, it fails with `outcome`.
   void retry_or_fail_with(active_request& request, failure_outcome outcome, base::time_point now);
   void fail_with(active_request& request, const failure_outcome& outcome, base::time_point now);
+  void note_lost_call(const active_request& request, const open_call& call, bool has_timed_out,
+                      base::time_point now);
   /// Records a lost call, and has its replica probed to find out whether the replica exited.
+  /// @param started_at time at which the call began; the epoch if it may not have reached the
+  ///        replica.
   void note_lost_call(const active_request& request, const base::replica_id& replica,
-                      replica_exit incarnation_exit, base::time_point now);
+                      replica_exit incarnation_exit, base::time_point started_at,
+                      base::time_point now);
+  /// The same as `note_replica_exit`, if the calls ended because the replica exited.
+  void note_timed_exit(const base::replica_id& replica, const char* evidence, base::time_point now);
   /// Counts the exit of a replica against each request that had a lost call (one that ended without
   /// a complete answer) at this replica.
   /// @param evidence observation that showed the exit, for the log.
@@ -364,6 +376,9 @@
   /// Records the exit of a replica as an exit under the request of one lost call.
   void note_exit_under_request(const quarantine::lost_call& call, const base::replica_id& replica,
                                const char* evidence, base::time_point now);
+  /// Records the exits that other nodes saw under the requests of this node that had a call at the
+  /// replica then: a partitioned node does not notice the end of its calls, or not why they ended.
+  void apply_told_exits(base::time_point now);
   /// Drops expired records of exits, begins the quarantines that are due, and sends due crash
   /// reports to other nodes.
   void advance_crashes(base::time_point now);
@@ -491,6 +506,7 @@
   base::random_source* random_;
   std::shared_ptr<const model::serving_configuration> configuration_;
   configuration_knowledge configuration_knowledge_;
+  base::time_point replica_list_confirmed_at_ = base::time_point::max();
   std::uint64_t applied_changes_ = 0;
   base::call_id next_call_ = 1;
   distance distance_from_self_;
@@ -517,7 +533,7 @@
   std::set<base::replica_id> path_probes_under_way_;
   /// Replicas that were probed for this since the first of the present refusals.
   std::vector<base::replica_id> path_probed_;
-  base::time_point next_activity_check_at_;
+  base::time_point next_path_check_at_;
   /// Requests whose quarantine begins with the next `advance`.
   std::vector<quarantine::request_digest> newly_quarantined_;
   stage_exchange stages_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -196,7 +196,7 @@
     request->tried_replicas.erase(call.replica);
   } else {
     replicas_.note_failure(call.replica, now);
-    note_lost_call(*request, call.replica, call.incarnation_exit, now);
+    note_lost_call(*request, call, failure.has_timed_out, now);
   }
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          lacked_memory ? "no memory for the answer" : "no answer" + digest_text(*request));
@@ -401,7 +401,7 @@
     return;
   }
   replicas_.note_failure(call.replica, now);
-  note_lost_call(*request, call.replica, call.incarnation_exit, now);
+  note_lost_call(*request, call, closed.has_timed_out, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          "the stream broke off" + digest_text(*request));
   retry_or_fail(*request, now);
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -12,10 +12,10 @@
 namespace spurrack::serving {
 namespace {
 
-/// An answer of a replica disproves a recorded exit only if it arrives at least this long after the
-/// time of the exit. If the replica had exited and restarted, its new incarnation would be
-/// published by then: replicas publish their entries every second or two, and the list of replicas
-/// at this node lags by no more than the remainder of this time.
+/// An answer of a replica disproves a recorded exit only if it arrives, and the list of replicas
+/// was known to be current, at least this long after the time of the exit. If the replica had
+/// exited and restarted, its new incarnation would be published by then: replicas publish their
+/// entries every second or two.
 constexpr base::duration min_withdrawal_age = std::chrono::seconds(5);
 /// Interval at which expired records of exits are dropped; each record lives for 10 s or longer.
 constexpr base::duration crash_expiry_interval = std::chrono::seconds(1);
@@ -29,8 +29,9 @@
 /// Activity of other replicas shows that the connections of this node work if it follows the lost
 /// call by this time: connections that break at the same moment are noticed one after another.
 constexpr base::duration min_later_activity = std::chrono::milliseconds(50);
-/// Interval at which refused replicas are checked for activity of other replicas.
-constexpr base::duration activity_check_interval = std::chrono::milliseconds(50);
+/// Interval at which activity of other replicas is checked, and other replicas are probed again, to
+/// confirm that a refused replica exited.
+constexpr base::duration path_check_interval = std::chrono::milliseconds(100);
 
 constexpr const char* quarantine_reason =
     "held back: replicas ended while they ran this request; sending it again does not help";
@@ -39,15 +40,23 @@
 
 // --- detection -----------------------------------------------------------------------------------
 
+void dispatcher::note_lost_call(const active_request& request, const open_call& call,
+                                bool has_timed_out, base::time_point now) {
+  // A call whose connection timed out may never have reached the replica.
+  const auto started_at = has_timed_out ? base::time_point{} : call.started_at;
+  note_lost_call(request, call.replica, call.incarnation_exit, started_at, now);
+}
+
 void dispatcher::note_lost_call(const active_request& request, const base::replica_id& replica,
-                                replica_exit incarnation_exit, base::time_point now) {
+                                replica_exit incarnation_exit, base::time_point started_at,
+                                base::time_point now) {
   const auto* state = replicas_.find(replica);
   // A draining replica exits as planned, so no request is the cause of the exit.
   if (state == nullptr || state->record->draining || state->is_replaced) {
     return;
   }
-  if (crash_detector_.note_lost_call(replica,
-                                     {digest_of(request), {incarnation_exit, now, replica}}, now)) {
+  if (crash_detector_.note_lost_call(
+          replica, {digest_of(request), {incarnation_exit, now, replica, started_at}}, now)) {
     commands_.emplace_back(probe_replica{{replica, state->record->address}});
   }
 }
@@ -92,7 +101,7 @@
     }
   }
   if (path_probed_.empty()) {
-    note_replica_exit(refused.front().replica, "it refuses connections, no other is known", now);
+    note_timed_exit(refused.front().replica, "it refuses connections, no other is known", now);
   }
 }
 
@@ -104,9 +113,9 @@
     const bool has_connected =
         latest_connection_.at > lost_at && latest_connection_.replica != replica;
     if (has_connected) {
-      note_replica_exit(replica, "it refuses connections and another replica accepts them", now);
+      note_timed_exit(replica, "it refuses connections and another replica accepts them", now);
     } else if (replicas_.was_other_active_after(replica, lost_at + min_later_activity)) {
-      note_replica_exit(replica, "it refuses connections and open ones to others work", now);
+      note_timed_exit(replica, "it refuses connections and open ones to others work", now);
     }
   }
 }
@@ -119,9 +128,18 @@
   }
 }
 
+void dispatcher::note_timed_exit(const base::replica_id& replica, const char* evidence,
+                                 base::time_point now) {
+  for (const auto& call : crash_detector_.take_lost_calls(replica)) {
+    note_exit_under_request(call, replica, evidence, now);
+  }
+}
+
 void dispatcher::note_replica_exit(const base::replica_id& replica, const char* evidence,
                                    base::time_point now) {
-  for (const auto& call : crash_detector_.take_lost_calls(replica)) {
+  for (auto& call : crash_detector_.take_lost_calls(replica)) {
+    // The calls may have ended for another reason before the replica exited.
+    call.exit.call_started_at = {};
     note_exit_under_request(call, replica, evidence, now);
   }
 }
@@ -155,6 +173,31 @@
       newly_quarantined_.push_back(learned.digest);
     }
   }
+  apply_told_exits(now);
+}
+
+void dispatcher::apply_told_exits(base::time_point now) {
+  for (const auto& told : crash_reports_.take_told_exits()) {
+    for (auto& call : crash_detector_.take_calls_lost_to(told.exit, told.at)) {
+      call.exit.call_started_at = {};
+      note_exit_under_request(call, call.exit.replica, "another node saw it exit", now);
+    }
+    const auto clients = clients_by_replica_.find(told.replica);
+    if (clients == clients_by_replica_.end()) {
+      continue;
+    }
+    for (const auto client : clients->second) {
+      const auto& request = active_.at(client);
+      const auto& call = *request.call;
+      const bool ran_at_exit = call.incarnation_exit == told.exit && call.started_at < told.at &&
+                               request.latest_event_at < told.at &&
+                               !replicas_.was_active_after(told.replica, told.at);
+      if (ran_at_exit) {
+        note_exit_under_request({digest_of(request), {told.exit, told.at, told.replica}},
+                                told.replica, "another node saw it exit during the call", now);
+      }
+    }
+  }
 }
 
 void dispatcher::advance_crashes(base::time_point now) {
@@ -166,9 +209,12 @@
     }
     crash_registry_.expire(now);
   }
-  if (now >= next_activity_check_at_ && crash_detector_.has_refused_replicas(now)) {
-    next_activity_check_at_ = now + activity_check_interval;
+  if (now >= next_path_check_at_ && crash_detector_.has_refused_replicas(now)) {
+    next_path_check_at_ = now + path_check_interval;
     confirm_refused_replicas(now);
+    // Replicas that refused too may have restarted.
+    path_probed_.clear();
+    probe_other_replicas(now);
   }
   // Quarantines begin here and not when the exit is recorded, because a quarantine may remove the
   // very request that is being processed then.
@@ -191,6 +237,7 @@
   const auto exit_id = exit_id_of(*state->record);
   const auto exited_at = crash_registry_.exit_time_of(exit_id);
   if (exited_at && now - *exited_at >= min_withdrawal_age &&
+      replica_list_confirmed_at_ >= *exited_at + min_withdrawal_age &&
       crash_registry_.withdraw(exit_id, now)) {
     record_(base::event_kind::request_cleared, {}, replica.text(),
             "the replica answered in the incarnation that seemed to have exited " +
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -98,7 +98,8 @@
   for (const auto& lost : stages_.take_lost()) {
     const auto owner = clients_by_ticket_.find(lost.ticket);
     if (owner != clients_by_ticket_.end()) {
-      note_lost_call(active_.at(owner->second), lost.replica, lost.incarnation_exit, now);
+      note_lost_call(active_.at(owner->second), lost.replica, lost.incarnation_exit,
+                     lost.call_time ? now - *lost.call_time : base::time_point{}, now);
     }
   }
   const auto results = stages_.take_finished();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -340,6 +340,8 @@
     serving_->set_configuration_knowledge({configuration.known_through().era,
                                            configuration.age(now),
                                            is_knowledge_overdue(source_kind::configuration, now)});
+    const auto& replica_list = knowledge(source_kind::machine_list).confirmed();
+    serving_->set_replica_list_confirmed_at(replica_list ? replica_list->at : base::time_point{});
   }
   serving_->handle(input_event, now);
 }
--- a/src/quarantine/crash_detector.cc
+++ b/src/quarantine/crash_detector.cc
@@ -45,6 +45,24 @@
   return calls;
 }
 
+std::vector<lost_call> crash_detector::take_calls_lost_to(replica_exit exit,
+                                                          base::time_point exited_at) {
+  std::vector<lost_call> taken;
+  for (auto& [id, watched] : replicas_) {
+    std::erase_if(watched.calls, [&](const lost_call& call) {
+      const auto distance =
+          call.exit.at > exited_at ? call.exit.at - exited_at : exited_at - call.exit.at;
+      const bool is_lost_to_exit = call.exit.exit == exit && distance < path_check_time;
+      if (is_lost_to_exit) {
+        taken.push_back(call);
+      }
+      return is_lost_to_exit;
+    });
+  }
+  std::erase_if(replicas_, [](const auto& entry) { return entry.second.calls.empty(); });
+  return taken;
+}
+
 void crash_detector::note_connected(const base::replica_id& replica, base::time_point now) {
   const auto found = replicas_.find(replica);
   if (found != replicas_.end()) {
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -42,6 +42,9 @@
   /// Returns and clears the lost calls of a replica. Called when the replica is known to have
   /// exited: it refuses connections, has restarted, or is no longer published.
   std::vector<lost_call> take_lost_calls(const base::replica_id& replica);
+  /// Returns and clears the lost calls at the incarnation that exited at `exited_at`, if they ended
+  /// shortly before or after that time.
+  std::vector<lost_call> take_calls_lost_to(replica_exit exit, base::time_point exited_at);
   /// Records that the replica accepted the connection of a probe. So the replica still runs, or it
   /// has restarted; its record in the published list will show a restart.
   void note_connected(const base::replica_id& replica, base::time_point now);
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -33,6 +33,10 @@
 /// Maximum number of indexed exits, to limit memory: enough for 30 exits per second over 30 s.
 constexpr std::size_t max_indexed_exits = 1024;
 
+/// Maximum error of a time that another node reported: the delay of its message. A call that seems
+/// to have begun less than this time after an exit may have begun before it.
+constexpr base::duration report_time_error = std::chrono::milliseconds(200);
+
 /// Withdrawn exits, with the times at which their replicas were found to be running.
 using withdrawn_exit_times = std::map<replica_exit, base::time_point>;
 
@@ -43,9 +47,9 @@
   return found != withdrawn.end() && observation.at <= found->second;
 }
 
-bool contains_exit(const crash_record& record, replica_exit exit) {
+bool contains_exit(const crash_record& record, const exit_key& exit) {
   return std::any_of(record.exits.begin(), record.exits.end(),
-                     [&](const exit_observation& known) { return known.exit == exit; });
+                     [&](const exit_observation& known) { return known.key() == exit; });
 }
 
 } // namespace
@@ -86,13 +90,40 @@
   explanations_are_stale_ = true;
 }
 
+std::uint32_t crash_registry::index_exit(const exit_observation& observation) {
+  std::uint32_t next_process = 0;
+  for (auto known = exits_.lower_bound({observation.exit, 0});
+       known != exits_.end() && known->first.first == observation.exit; ++known) {
+    auto& [at, call_started_at, replica] = known->second;
+    if (!observation.is_timed()) {
+      return known->first.second;
+    }
+    if (call_started_at == base::time_point{}) {
+      known->second = {observation.at, observation.call_started_at, observation.replica};
+      return known->first.second;
+    }
+    const bool began_later = observation.call_started_at > at + report_time_error;
+    const bool ended_earlier = observation.at + report_time_error < call_started_at;
+    if (!began_later && !ended_earlier) {
+      at = std::min(at, observation.at);
+      call_started_at = std::max(call_started_at, observation.call_started_at);
+      return known->first.second;
+    }
+    next_process = known->first.second + 1;
+  }
+  if (exits_.size() < max_indexed_exits) {
+    exits_[{observation.exit, next_process}] = {observation.at, observation.call_started_at,
+                                                observation.replica};
+  }
+  return next_process;
+}
+
 void crash_registry::merge_exits(const std::vector<exit_observation>& received,
                                  base::time_point now) {
   for (const auto& observation : received) {
     const bool is_recent = now - observation.at < recent_exit_window;
-    if (is_recent && !is_withdrawn_exit(withdrawn_exits_, observation) &&
-        exits_.size() < max_indexed_exits) {
-      exits_.try_emplace(observation.exit, observation.at);
+    if (is_recent && !is_withdrawn_exit(withdrawn_exits_, observation)) {
+      index_exit(observation);
     }
   }
 }
@@ -100,9 +131,9 @@
 std::vector<exit_observation> crash_registry::latest_exits(std::size_t most,
                                                            base::time_point now) const {
   std::vector<exit_observation> latest;
-  for (const auto& [exit, at] : exits_) {
-    if (now - at < recent_exit_window) {
-      latest.push_back({exit, at});
+  for (const auto& [key, known] : exits_) {
+    if (now - known.at < recent_exit_window) {
+      latest.push_back({key.first, known.at, known.replica, known.call_started_at, key.second});
     }
   }
   std::sort(latest.begin(), latest.end(),
@@ -117,20 +148,20 @@
   registry_change change;
   const bool was_quarantined = quarantine_state_of(record, now) == quarantine_state::quarantined;
   change.is_refuted = !observations.empty() && record.survived_at.has_value();
-  for (const auto& observation : observations) {
+  for (auto observation : observations) {
     const bool is_refuted = record.survived_at && observation.at <= *record.survived_at;
     change.is_refuted = change.is_refuted && is_refuted;
-    if (is_refuted || contains_exit(record, observation.exit) ||
-        is_withdrawn_exit(withdrawn_exits_, observation)) {
+    if (is_refuted || is_withdrawn_exit(withdrawn_exits_, observation)) {
+      continue;
+    }
+    observation.process = index_exit(observation);
+    if (contains_exit(record, observation.key())) {
       continue;
     }
     if (record.exits.size() == max_exits_per_record) {
       break;
     }
     record.exits.push_back(observation);
-    if (exits_.size() < max_indexed_exits) {
-      exits_.try_emplace(observation.exit, observation.at);
-    }
     change.has_new_information = true;
     explanations_are_stale_ = true;
   }
@@ -182,7 +213,9 @@
 }
 
 bool crash_registry::withdraw(replica_exit exit, base::time_point now) {
-  if (exits_.erase(exit) == 0) {
+  const auto erased =
+      std::erase_if(exits_, [&](const auto& entry) { return entry.first.first == exit; });
+  if (erased == 0) {
     return false;
   }
   if (withdrawn_exits_.size() == max_withdrawn_exits) {
@@ -200,8 +233,12 @@
 }
 
 std::optional<base::time_point> crash_registry::exit_time_of(replica_exit exit) const {
-  const auto found = exits_.find(exit);
-  return found == exits_.end() ? std::nullopt : std::optional(found->second);
+  std::optional<base::time_point> latest;
+  for (auto known = exits_.lower_bound({exit, 0});
+       known != exits_.end() && known->first.first == exit; ++known) {
+    latest = std::max(latest.value_or(known->second.at), known->second.at);
+  }
+  return latest;
 }
 
 const crash_record* crash_registry::find(const request_digest& digest) const {
@@ -223,7 +260,7 @@
   judged.recorded = record->exits.size();
   judged.explained = static_cast<std::size_t>(std::count_if(
       record->exits.begin(), record->exits.end(), [&](const exit_observation& observation) {
-        return is_explained(observation.exit, *record);
+        return is_explained(observation.key(), *record);
       }));
   judged.counted = counted_exits(*record);
   judged.required = exits_required(*record, now);
@@ -244,13 +281,13 @@
       continue;
     }
     for (const auto& observation : record.exits) {
-      auto& most = explaining_exit_counts_[observation.exit];
+      auto& most = explaining_exit_counts_[observation.key()];
       most = std::max(most, record.exits.size());
     }
   }
 }
 
-bool crash_registry::is_explained(replica_exit exit, const crash_record& record) const {
+bool crash_registry::is_explained(const exit_key& exit, const crash_record& record) const {
   if (explanations_are_stale_) {
     update_explanations();
   }
@@ -271,7 +308,7 @@
   }
   const auto unexplained = static_cast<std::size_t>(std::count_if(
       record.exits.begin(), record.exits.end(), [&](const exit_observation& observation) {
-        return !is_explained(observation.exit, record);
+        return !is_explained(observation.key(), record);
       }));
   return unexplained < limits_.single_attempt ? unexplained : all;
 }
@@ -282,18 +319,18 @@
     return other.digest != record.digest && other.exits.size() == record.exits.size() &&
            std::all_of(record.exits.begin(), record.exits.end(),
                        [&](const exit_observation& observation) {
-                         return contains_exit(other, observation.exit);
+                         return contains_exit(other, observation.key());
                        });
   });
 }
 
 std::size_t crash_registry::exits_required(const crash_record& record, base::time_point now) const {
   std::size_t unrelated_exits = 0;
-  // Exits after the last one under the request do not show that it was a coincidence: a request that
-  // is quarantined stays quarantined, whatever happens to other replicas meanwhile.
+  // Exits after the last one under the request do not show that it was a coincidence: a request
+  // that is quarantined stays quarantined, whatever happens to other replicas meanwhile.
   const auto last_exit_at = record.last_exit_at();
-  for (const auto& [exit, at] : exits_) {
-    const bool is_recent = now - at < recent_exit_window && at <= last_exit_at;
+  for (const auto& [exit, known] : exits_) {
+    const bool is_recent = now - known.at < recent_exit_window && known.at <= last_exit_at;
     unrelated_exits +=
         is_recent && !contains_exit(record, exit) && !is_explained(exit, record) ? 1 : 0;
   }
@@ -345,7 +382,7 @@
       std::erase_if(records_, [&](const auto& entry) { return is_expired(entry.second, now); });
   explanations_are_stale_ = explanations_are_stale_ || forgotten > 0;
   std::erase_if(exits_,
-                [&](const auto& entry) { return now - entry.second >= short_record_lifetime; });
+                [&](const auto& entry) { return now - entry.second.at >= short_record_lifetime; });
   std::erase_if(withdrawn_exits_,
                 [&](const auto& entry) { return now - entry.second >= short_record_lifetime; });
 }
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -30,12 +30,16 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace spurrack::quarantine {
 
 using serving::replica_exit;
 
+/// Identifies an exit within one registry: incarnation that exited, and number of its process.
+using exit_key = std::pair<replica_exit, std::uint32_t>;
+
 /// Exit of one incarnation of a replica, as observed by this node or reported by another node.
 struct exit_observation {
   /// Identifier of the incarnation that exited, the same on all nodes.
@@ -44,6 +48,18 @@
   base::time_point at;
   /// Replica that exited, for operators; empty if a node of an older version reported the exit.
   base::replica_id replica{};
+  /// Time at which the lost call began, if the end of the call was the exit; the epoch if the exit
+  /// is only known to have happened at some time. A call that began after an exit ran in a later
+  /// process of the replica.
+  base::time_point call_started_at{};
+  /// Number that the registry gives to the process that exited: an incarnation that is published
+  /// late stands for several processes, one after another. Differs from node to node.
+  std::uint32_t process = 0;
+
+  /// @return whether the process was running from `call_started_at` to `at` and exited then.
+  [[nodiscard]] bool is_timed() const { return call_started_at != base::time_point{}; }
+  /// @return identifier of the exit within one registry.
+  [[nodiscard]] exit_key key() const { return {exit, process}; }
 };
 
 /// What a node does with a request that arrives.
@@ -152,12 +168,15 @@
   /// Returns the record of a request; creates a record if there is none.
   crash_record& record_of(const request_digest& digest);
   void evict_record_with_fewest_exits();
+  /// Adds an exit to the index, or updates the times of the known exit of the same process.
+  /// @return number of the process that exited.
+  std::uint32_t index_exit(const exit_observation& observation);
   registry_change add(crash_record& record, const std::vector<exit_observation>& observations,
                       base::time_point now);
   /// @return whether another request is the more likely cause of `exit`, an exit in `record`: the
   ///         other request has this exit as well, has more exits than `record`, and has enough
   ///         exits for quarantine.
-  [[nodiscard]] bool is_explained(replica_exit exit, const crash_record& record) const;
+  [[nodiscard]] bool is_explained(const exit_key& exit, const crash_record& record) const;
   /// Recomputes `explaining_exit_counts_` from all records.
   void update_explanations() const;
   /// @return whether another request has exactly the exits of `record`, so that either request may
@@ -179,12 +198,19 @@
   std::map<request_digest, crash_record> records_;
   /// Index of known exits, with their times: exits in present and dropped records, and exits that
   /// other nodes reported without a record.
-  std::map<replica_exit, base::time_point> exits_;
+  struct known_exit {
+    /// Earliest time at which a node saw a call of the process end.
+    base::time_point at;
+    /// Latest begin of a lost call of the process.
+    base::time_point call_started_at;
+    base::replica_id replica;
+  };
+  std::map<exit_key, known_exit> exits_;
   /// For each exit under a request with enough exits for quarantine: the number of exits under that
   /// request; the largest such number if several such requests have this exit. Recomputed on the
   /// first use after a change. Without this map, the record of each arriving request would be
   /// compared with all other records.
-  mutable std::map<replica_exit, std::size_t> explaining_exit_counts_;
+  mutable std::map<exit_key, std::size_t> explaining_exit_counts_;
   mutable bool explanations_are_stale_ = false;
   /// Withdrawn exits, with the times at which their replicas were found to be running.
   std::map<replica_exit, base::time_point> withdrawn_exits_;
--- a/src/quarantine/crash_report_exchange.cc
+++ b/src/quarantine/crash_report_exchange.cc
@@ -3,6 +3,7 @@
 #include "base/hashing.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace spurrack::quarantine {
 namespace {
@@ -46,6 +47,9 @@
   wire_record.set_replica_end(observation.exit);
   wire_record.set_age_milliseconds(age_of(observation.at, now));
   wire_record.set_replica(observation.replica.text());
+  if (observation.call_started_at != base::time_point{}) {
+    wire_record.set_call_milliseconds(1 + age_of(observation.call_started_at, observation.at));
+  }
 }
 
 void add_to(wire::crash_news& report, const crash_record& record, base::time_point now) {
@@ -68,8 +72,12 @@
 std::vector<exit_observation> exits_from_wire(const crash_list& crashes, base::time_point now) {
   std::vector<exit_observation> exits;
   for (const auto& crash : crashes) {
-    exits.push_back({crash.replica_end(), time_at_age(now, crash.age_milliseconds()),
-                     base::replica_id(crash.replica())});
+    exit_observation exit{crash.replica_end(), time_at_age(now, crash.age_milliseconds()),
+                          base::replica_id(crash.replica())};
+    if (crash.call_milliseconds() > 0) {
+      exit.call_started_at = time_at_age(exit.at, crash.call_milliseconds() - 1);
+    }
+    exits.push_back(std::move(exit));
   }
   return exits;
 }
@@ -239,7 +247,13 @@
                                                           base::time_point now) {
   std::vector<learned_record> learned;
   wire::crash_news reply;
-  registry_->merge_exits(exits_from_wire(message.latest_ends(), now), now);
+  const auto note_told = [&](const std::vector<exit_observation>& exits) {
+    std::copy_if(exits.begin(), exits.end(), std::back_inserter(told_exits_),
+                 [](const exit_observation& told) { return told.is_timed(); });
+  };
+  const auto latest_exits = exits_from_wire(message.latest_ends(), now);
+  registry_->merge_exits(latest_exits, now);
+  note_told(latest_exits);
   for (const auto& wire_record : message.records()) {
     const auto record = from_wire(wire_record, now);
     if (!record) {
@@ -247,6 +261,7 @@
       continue;
     }
     ++counts_.received_records;
+    note_told(record->exits);
     const auto change = registry_->merge(*record, now);
     const auto* known = registry_->find(record->digest);
     if (change.is_refuted && known != nullptr) {
--- a/src/quarantine/crash_report_exchange.h
+++ b/src/quarantine/crash_report_exchange.h
@@ -68,6 +68,11 @@
   std::vector<learned_record> handle(const base::network_address& sender,
                                      const wire::crash_news& message, base::time_point now);
 
+  /// @return the exits with known times in the messages of other nodes since the last call of this
+  ///         function. They may confirm that lost calls of this node were lost to an exit.
+  [[nodiscard]] std::vector<exit_observation> take_told_exits() {
+    return std::exchange(told_exits_, {});
+  }
   [[nodiscard]] wire::outbox take_messages() { return std::exchange(outgoing_messages_, {}); }
   [[nodiscard]] const crash_report_counts& counts() const { return counts_; }
 
@@ -100,6 +105,7 @@
   std::size_t queries_left_ = 0;
   /// Whether this process has queried other nodes for missed records at least once.
   bool has_queried_ = false;
+  std::vector<exit_observation> told_exits_;
   wire::outbox outgoing_messages_;
   crash_report_counts counts_;
 };
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -54,6 +54,9 @@
 struct call_failed {
   base::call_id call = 0;
   call_failure failure = call_failure::may_have_run;
+  /// Whether the connection was given up because the other side acknowledged nothing. This shows
+  /// nothing about the replica: the path to it may be interrupted.
+  bool has_timed_out = false;
 };
 /// Memory reservation for an answer. Its bytes count against the memory budget of this process
 /// until this object is destroyed.
@@ -96,6 +99,8 @@
   base::call_id call = 0;
   /// Whether the end of the stream matches its framing, so that the answer is complete.
   bool complete = false;
+  /// Whether the connection was given up because the other side acknowledged nothing.
+  bool has_timed_out = false;
 };
 
 /// Why a piece has no result.
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -378,7 +378,11 @@
   for (const auto& lost : message.lost()) {
     const auto placed = placements_.find(lost.ticket());
     if (placed != placements_.end() && placed->second.holder == sender) {
-      lost_.push_back({lost.ticket(), base::replica_id(lost.replica()), lost.replica_end()});
+      lost_piece piece{lost.ticket(), base::replica_id(lost.replica()), lost.replica_end()};
+      if (lost.call_milliseconds() > 0) {
+        piece.call_time = std::chrono::milliseconds(lost.call_milliseconds() - 1);
+      }
+      lost_.push_back(std::move(piece));
     }
   }
   for (const auto& result : message.made()) {
@@ -434,13 +438,17 @@
   for (const auto& lost : pool_.take_lost()) {
     if (const auto own = own_ticket_by_pool_ticket_.find(lost.ticket);
         own != own_ticket_by_pool_ticket_.end()) {
-      lost_.push_back({own->second, lost.replica, lost.incarnation_exit});
+      lost_.push_back({own->second, lost.replica, lost.incarnation_exit, lost.call_time});
     } else if (const auto forwarded = forwarded_by_pool_ticket_.find(lost.ticket);
                forwarded != forwarded_by_pool_ticket_.end()) {
       auto& reported = *message_to(forwarded->second.origin).add_lost();
       reported.set_ticket(forwarded->second.origin_ticket);
       reported.set_replica(lost.replica.text());
       reported.set_replica_end(lost.incarnation_exit);
+      if (lost.call_time) {
+        reported.set_call_milliseconds(
+            1 + static_cast<std::uint32_t>(base::to_milliseconds(*lost.call_time)));
+      }
     }
   }
 }
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -146,7 +146,8 @@
       ++piece.lost_calls;
       piece.backoff_ends_at =
           piece.lost_calls >= lost_calls_before_isolation ? now + lost_piece_backoff : now;
-      lost_.push_back({ticket, call.command.target.replica, call.incarnation_exit});
+      lost_.push_back(
+          {ticket, call.command.target.replica, call.incarnation_exit, now - call.started_at});
     }
   }
 }
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -79,6 +79,8 @@
   /// Identifier that the exit of the called incarnation has, if the incarnation exited. Whether it
   /// did is unknown.
   replica_exit incarnation_exit = 0;
+  /// Time from the begin of the call until it was lost; std::nullopt if that is unknown.
+  std::optional<base::duration> call_time{};
 };
 
 /// @return whether this node may call a replica with pieces of a residency. Whether the residency
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -75,6 +75,13 @@
   /// Whether the complete call was written.
   bool is_written = false;
   bool write_failed = false;
+  /// Whether the kernel gave up the connection because the replica acknowledged nothing.
+  bool has_timed_out = false;
+
+  void note_read_error(const boost::system::error_code& error) {
+    has_timed_out =
+        has_timed_out || error == asio::error::timed_out || error == asio::error::host_unreachable;
+  }
 };
 
 /// A call to send, and the requirements for its connection and answer.
@@ -376,6 +383,7 @@
       boost::system::error_code error;
       co_await beast_http::async_read_header(replica_connection.stream, replica_connection.buffer,
                                              *parser, http::await_into(error));
+      state->note_read_error(error);
       if (error || state->is_cancelled) {
         co_return false;
       }
@@ -420,6 +428,7 @@
     while (!parser.is_done()) {
       const auto error =
           co_await read_some_body(*state->replica_connection, parser, max_read_bytes, body);
+      state->note_read_error(error);
       if (error || state->is_cancelled || body.size() > max_whole_answer_bytes) {
         co_return false;
       }
@@ -504,7 +513,8 @@
     }
     auto answer = co_await exchange(state, call);
     if (!answer) {
-      report(state, call.id, serving::call_failed{call.id, failure_of(state)});
+      report(state, call.id,
+             serving::call_failed{call.id, failure_of(state), state->has_timed_out});
     } else {
       report(state, call.id,
              serving::call_answered{call.id, std::move(answer->head), std::move(answer->body),
@@ -520,7 +530,8 @@
     }
     if (!succeeded) {
       close(state);
-      report(state, call.id, serving::call_failed{call.id, failure_of(state)});
+      report(state, call.id,
+             serving::call_failed{call.id, failure_of(state), state->has_timed_out});
       co_return;
     }
     auto head = head_of(*parser, call);
@@ -534,7 +545,8 @@
                                       std::move(answer.reservation)});
       } else {
         close(state);
-        report(state, call.id, serving::call_failed{call.id, failure_of(state)});
+        report(state, call.id,
+               serving::call_failed{call.id, failure_of(state), state->has_timed_out});
       }
       co_return;
     }
@@ -553,6 +565,7 @@
       std::string bytes;
       const auto error =
           co_await read_some_body(*state->replica_connection, parser, stream_read_bytes(), bytes);
+      state->note_read_error(error);
       if (state->is_cancelled) {
         co_return;
       }
@@ -566,7 +579,7 @@
     } else {
       close(state);
     }
-    report(state, call.id, serving::stream_closed{call.id, is_complete});
+    report(state, call.id, serving::stream_closed{call.id, is_complete, state->has_timed_out});
   }
 
   asio::awaitable<void> run_pieces(std::shared_ptr<call_state> state, outgoing_call call,
--- a/tests/quarantine/crash_evidence_test.cc
+++ b/tests/quarantine/crash_evidence_test.cc
@@ -195,6 +195,7 @@
     auto settings = settings_of(seed);
     settings.keeps_ids_on_restart = true;
     settings.replicas = 4;
+    settings.stage_replicas = 4;
     settings.min_downtime = milliseconds(400);
     settings.publication_delay = milliseconds(500 + 500 * (seed % 10));
     crash_fleet fleet(settings);
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -340,6 +340,9 @@
 
   void advance(std::size_t index) {
     auto& node = nodes[index];
+    if (settings.publication_delay > base::duration::zero()) {
+      node.subject->set_replica_list_confirmed_at(now - settings.publication_delay);
+    }
     node.subject->advance(now);
     for (auto& command : node.subject->take_commands()) {
       std::visit([&](const auto& typed_command) { execute(index, typed_command); }, command);
@@ -576,7 +579,7 @@
   void hang_up(std::size_t node, base::call_id call) {
     schedule(tcp_user_timeout, [this, node, call] {
       if (connections.fault_of(node) == path_fault::hangs) {
-        abort_call(node, call);
+        abort_call(node, call, true);
       }
     });
   }
@@ -627,7 +630,7 @@
     node.subject->handle(stream_closed{key.second, true}, now);
   }
 
-  void abort_call(std::size_t index, base::call_id call) {
+  void abort_call(std::size_t index, base::call_id call, bool has_timed_out = false) {
     auto& node = nodes[index];
     end_stage_call({index, call}, stage_call_ended::result::failed, 0);
     const auto found = node.calls.find(call);
@@ -637,9 +640,9 @@
     const bool has_head = found->second;
     node.calls.erase(found);
     if (has_head) {
-      node.subject->handle(stream_closed{call, false}, now);
+      node.subject->handle(stream_closed{call, false, has_timed_out}, now);
     } else {
-      node.subject->handle(call_failed{call, call_failure::may_have_run}, now);
+      node.subject->handle(call_failed{call, call_failure::may_have_run, has_timed_out}, now);
     }
   }
 
