Crash records: exits of overrun brittle replicas count under no request, and only a success shows a survived run

Each node tells the others what brittle replicas rejected of its calls, at most every 50 ms, directly and once, so that the counts of all nodes add up (brittle_registry). An exit after more rejections within a second than announced is an overrun and is taken out of all records. Nothing is sent while no replica says that it is brittle.

An answer cleared the exits under its request whatever it was: also a failure of a replica that never began the run. Only a success does now.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -376,6 +376,8 @@
   /// Records the exit of a replica as an exit under the request of one lost call.
   void note_exit_under_request(const quarantine::lost_call& call, const base::replica_id& replica,
                                const char* evidence, base::time_point now);
+  /// Finds recent exits of brittle replicas that were overrun; no request is their cause.
+  void find_overrun_replicas(base::time_point now);
   /// Records the exits that other nodes saw under the requests of this node that had a call at the
   /// replica then: a partitioned node does not notice the end of its calls, or not why they ended.
   void apply_told_exits(base::time_point now);
@@ -534,6 +536,7 @@
   /// Replicas that were probed for this since the first of the present refusals.
   std::vector<base::replica_id> path_probed_;
   base::time_point next_path_check_at_;
+  base::time_point next_overrun_check_at_;
   /// Requests whose quarantine begins with the next `advance`.
   std::vector<quarantine::request_digest> newly_quarantined_;
   stage_exchange stages_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -252,13 +252,15 @@
     return;
   }
   request->may_have_run = true;
-  note_survived(*request, now);
   const bool is_unusable =
       is_success(answered.head.status) && (!answered.head.sealed || answered.head.encoded);
   const bool has_failed = is_unusable || answered.head.status >= status::first_server_error;
   if (!has_failed) {
     replicas_.note_success(replica, now);
     if (is_success(answered.head.status)) {
+      // Only a success shows that the run came to its end: a replica may fail a request before it
+      // runs it.
+      note_survived(*request, now);
       note_completed_run(*request, now);
     }
     forward_answer(*request, answered, now);
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -33,6 +33,12 @@
 /// confirm that a refused replica exited.
 constexpr base::duration path_check_interval = std::chrono::milliseconds(100);
 
+/// Interval at which recent exits are compared with the rejections of brittle replicas: the last
+/// rejections become known some milliseconds after the exit.
+constexpr base::duration overrun_check_interval = std::chrono::milliseconds(20);
+/// Maximum number of exits that are compared, the latest first.
+constexpr std::size_t max_overrun_checks = 64;
+
 constexpr const char* quarantine_reason =
     "held back: replicas ended while they ran this request; sending it again does not help";
 
@@ -176,6 +182,22 @@
   apply_told_exits(now);
 }
 
+void dispatcher::find_overrun_replicas(base::time_point now) {
+  const auto& brittle_replicas = self_reports_.brittle_replicas();
+  if (brittle_replicas.empty() || now < next_overrun_check_at_) {
+    return;
+  }
+  next_overrun_check_at_ = now + overrun_check_interval;
+  for (const auto& exit : crash_registry_.latest_exits(max_overrun_checks, now)) {
+    if (brittle_replicas.was_overrun(exit.replica, exit.at) &&
+        crash_registry_.mark_overrun(exit.key())) {
+      record_(base::event_kind::request_cleared, {}, exit.replica.text(),
+              "the replica crashed because it was overrun, exit " + std::to_string(exit.exit) +
+                  " counts under no request");
+    }
+  }
+}
+
 void dispatcher::apply_told_exits(base::time_point now) {
   for (const auto& told : crash_reports_.take_told_exits()) {
     for (auto& call : crash_detector_.take_calls_lost_to(told.exit, told.at)) {
@@ -216,6 +238,7 @@
     path_probed_.clear();
     probe_other_replicas(now);
   }
+  find_overrun_replicas(now);
   // Quarantines begin here and not when the exit is recorded, because a quarantine may remove the
   // very request that is being processed then.
   for (const auto& digest : std::exchange(newly_quarantined_, {})) {
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -94,12 +94,13 @@
   std::uint32_t next_process = 0;
   for (auto known = exits_.lower_bound({observation.exit, 0});
        known != exits_.end() && known->first.first == observation.exit; ++known) {
-    auto& [at, call_started_at, replica] = known->second;
+    auto& [at, call_started_at, replica, is_overrun] = known->second;
     if (!observation.is_timed()) {
       return known->first.second;
     }
     if (call_started_at == base::time_point{}) {
-      known->second = {observation.at, observation.call_started_at, observation.replica};
+      known->second = {observation.at, observation.call_started_at, observation.replica,
+                       is_overrun};
       return known->first.second;
     }
     const bool began_later = observation.call_started_at > at + report_time_error;
@@ -113,7 +114,7 @@
   }
   if (exits_.size() < max_indexed_exits) {
     exits_[{observation.exit, next_process}] = {observation.at, observation.call_started_at,
-                                                observation.replica};
+                                                observation.replica, false};
   }
   return next_process;
 }
@@ -155,7 +156,9 @@
       continue;
     }
     observation.process = index_exit(observation);
-    if (contains_exit(record, observation.key())) {
+    const auto known = exits_.find(observation.key());
+    const bool is_overrun = known != exits_.end() && known->second.is_overrun;
+    if (is_overrun || contains_exit(record, observation.key())) {
       continue;
     }
     if (record.exits.size() == max_exits_per_record) {
@@ -232,6 +235,21 @@
   return true;
 }
 
+bool crash_registry::mark_overrun(const exit_key& exit) {
+  const auto found = exits_.find(exit);
+  if (found == exits_.end() || std::exchange(found->second.is_overrun, true)) {
+    return false;
+  }
+  explanations_are_stale_ = true;
+  std::size_t removed = 0;
+  for (auto& [digest, record] : records_) {
+    removed += std::erase_if(record.exits, [&](const exit_observation& observation) {
+      return observation.key() == exit;
+    });
+  }
+  return removed > 0;
+}
+
 std::optional<base::time_point> crash_registry::exit_time_of(replica_exit exit) const {
   std::optional<base::time_point> latest;
   for (auto known = exits_.lower_bound({exit, 0});
@@ -330,7 +348,8 @@
   // that is quarantined stays quarantined, whatever happens to other replicas meanwhile.
   const auto last_exit_at = record.last_exit_at();
   for (const auto& [exit, known] : exits_) {
-    const bool is_recent = now - known.at < recent_exit_window && known.at <= last_exit_at;
+    const bool is_recent =
+        now - known.at < recent_exit_window && known.at <= last_exit_at && !known.is_overrun;
     unrelated_exits +=
         is_recent && !contains_exit(record, exit) && !is_explained(exit, record) ? 1 : 0;
   }
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -144,6 +144,10 @@
   /// withdrawal, that is a new exit and is recorded.
   /// @return whether the registry knew the exit.
   bool withdraw(replica_exit exit, base::time_point now);
+  /// Records that the replica crashed because it had to reject too many requests: removes the exit
+  /// from all records, and counts it neither for nor against any request.
+  /// @return whether the registry knew the exit under any request.
+  bool mark_overrun(const exit_key& exit);
   [[nodiscard]] std::optional<base::time_point> exit_time_of(replica_exit exit) const;
 
   /// @return whether a request that arrives now is unrestricted, limited to a single attempt, or
@@ -204,6 +208,8 @@
     /// Latest begin of a lost call of the process.
     base::time_point call_started_at;
     base::replica_id replica;
+    /// Whether the replica crashed because it was overrun, so that no request is the cause.
+    bool is_overrun = false;
   };
   std::map<exit_key, known_exit> exits_;
   /// For each exit under a request with enough exits for quarantine: the number of exits under that
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -469,6 +469,7 @@
   if (auto* state = mutable_find(id)) {
     state->paused_until = std::max(state->paused_until, now + settings_.full_backoff);
     state->backoff.note_rejected();
+    note_rejected(id, now);
   }
 }
 
@@ -479,6 +480,13 @@
         base::to_seconds(usual) * (min_occupied_pause_in_call_times + random_->next_fraction()));
     state->paused_until = std::max<base::time_point>(state->paused_until, now + pause);
     state->backoff.note_rejected();
+    note_rejected(id, now);
+  }
+}
+
+void replica_table::note_rejected(const base::replica_id& id, base::time_point now) {
+  if (self_reports_ != nullptr) {
+    self_reports_->note_rejected(id, now);
   }
 }
 
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -372,6 +372,8 @@
   /// Resets everything observed of the earlier incarnation except its calls in flight.
   void begin_incarnation(const base::replica_id& id, replica_state& state, base::time_point now);
   replica_state* mutable_find(const base::replica_id& id);
+  /// Records that a replica rejected a call for want of room.
+  void note_rejected(const base::replica_id& id, base::time_point now);
   /// @return a failure share computed from reports, after its decay until now.
   static double decayed_share(double reported, const replica_state& state, base::time_point now);
   /// Recomputes the load that is added for the backoffs that a replica requested from other nodes.
--- a/src/self_reports/self_report_exchange.cc
+++ b/src/self_reports/self_report_exchange.cc
@@ -26,6 +26,13 @@
 /// each takes about 30 bytes.
 constexpr std::size_t max_records_per_message = 16;
 
+/// Minimum interval between two reports on rejections by brittle replicas. Short, since such a
+/// replica counts the rejections of one second.
+constexpr base::duration rejections_interval = std::chrono::milliseconds(50);
+/// Maximum number of nodes that a report on rejections is sent to; they are drawn at random in a
+/// larger fleet, which then counts fewer rejections than there were.
+constexpr std::size_t max_rejection_receivers = 32;
+
 std::uint32_t age_in_milliseconds(base::time_point earlier, base::time_point now) {
   return static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, base::to_milliseconds(now - earlier)));
@@ -117,6 +124,9 @@
   if (report.backoff.is_unreadable) {
     note_unreadable(replica, topic::backoff, counts_.unreadable_backoffs, now);
   }
+  if (report.brittleness.max_rejections) {
+    brittle_.note_announced(replica, *report.brittleness.max_rejections, now);
+  }
   // Most answers report nothing that concerns other nodes; the replica of such an answer is not
   // looked up in the published list. An answer without a limit concerns other nodes if a limit of
   // the replica is known, since the answer may lift that limit.
@@ -256,6 +266,23 @@
   }
 }
 
+void self_report_exchange::send_rejections(base::time_point now) {
+  if (!brittle_.has_unsent() || now < next_rejections_at_) {
+    return;
+  }
+  next_rejections_at_ = now + rejections_interval;
+  brittle_.drop_expired(now);
+  wire::rate_limits message;
+  for (const auto& unsent : brittle_.take_unsent()) {
+    auto& told = *message.add_rejections();
+    told.set_replica(unsent.replica.text());
+    told.set_max_rejections(unsent.max_rejections);
+    told.set_count(unsent.count);
+    told.set_age_milliseconds(age_in_milliseconds(unsent.last_at, now));
+  }
+  send_to_random_peers(message, max_rejection_receivers);
+}
+
 bool self_report_exchange::is_published(const drain_registry::key& process) const {
   const auto published = lookup_(process.replica);
   return published && published->process == process.process;
@@ -310,6 +337,7 @@
 
 void self_report_exchange::advance(base::time_point now) {
   send_changes(now);
+  send_rejections(now);
   send_reminder(now);
 }
 
@@ -321,6 +349,9 @@
   if (!pending_limits_.empty() || !pending_drains_.empty()) {
     consider(next_changes_at_);
   }
+  if (brittle_.has_unsent()) {
+    consider(next_rejections_at_);
+  }
   if (!limits_.empty() || !drains_.empty()) {
     consider(next_reminder_at_);
   }
@@ -335,6 +366,12 @@
   for (const auto& received : message.departures()) {
     merge(sender, received, now);
   }
+  for (const auto& received : message.rejections()) {
+    const auto age = std::chrono::milliseconds(received.age_milliseconds());
+    brittle_.merge({base::replica_id(received.replica()), received.max_rejections(),
+                    received.count(), now - age},
+                   now);
+  }
 }
 
 } // namespace spurrack::self_reports
--- a/src/self_reports/self_report_exchange.h
+++ b/src/self_reports/self_report_exchange.h
@@ -10,6 +10,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "fleet_view/peer_directory.h"
+#include "self_reports/brittle_registry.h"
 #include "self_reports/drain_registry.h"
 #include "self_reports/limit_registry.h"
 #include "serving/replica_self_report.h"
@@ -82,6 +83,12 @@
   [[nodiscard]] const limit_registry& limits() const { return limits_; }
   [[nodiscard]] const drain_registry& drain_announcements() const { return drains_; }
 
+  [[nodiscard]] const brittle_registry& brittle_replicas() const { return brittle_; }
+
+  /// Records that a replica rejected a call of this node for want of room.
+  void note_rejected(const base::replica_id& replica, base::time_point now) {
+    brittle_.note_rejected(replica, now);
+  }
   /// Records what an answer reports of its replica.
   /// @param call_started_at time at which the call was made; the replica wrote the report later.
   void record_self_report(const base::replica_id& replica,
@@ -135,6 +142,8 @@
                               const std::string& source, base::time_point now);
   /// Queues messages with pending changes to random peers.
   void send_changes(base::time_point now);
+  /// Queues a message to the other nodes with the rejections of this node's calls.
+  void send_rejections(base::time_point now);
   /// Queues the reminder if it is due, and drops expired records.
   void send_reminder(base::time_point now);
   void add_limits_to_reminder(wire::rate_limits& message, base::time_point now);
@@ -155,6 +164,8 @@
   /// topic.
   std::map<std::pair<base::replica_id, self_report_change::topic>, base::time_point>
       unreadable_reported_at_;
+  brittle_registry brittle_;
+  base::time_point next_rejections_at_;
   base::time_point next_changes_at_;
   base::time_point next_reminder_at_;
   /// Keys of the last limit and of the last drain announcement in the latest reminder. The next
--- a/src/serving/replica_self_report.h
+++ b/src/serving/replica_self_report.h
@@ -27,6 +27,16 @@
   bool is_unreadable = false;
 };
 
+/// Announcement of a replica in an answer that it is brittle: it crashes if it must reject too many
+/// requests within a second for want of room.
+struct announced_brittleness {
+  /// Number of rejections within a second that the replica bears; std::nullopt if the answer does
+  /// not announce that the replica is brittle.
+  std::optional<std::uint32_t> max_rejections;
+  /// Whether the answer holds an announcement that cannot be parsed; it changes nothing.
+  bool is_unreadable = false;
+};
+
 /// Backoff that a replica requests from this node in an answer (Retry-After).
 struct requested_backoff {
   /// Duration of the backoff, from the arrival of the answer; std::nullopt if the answer requests
@@ -43,6 +53,7 @@
   bool is_drain_unreadable = false;
   requested_backoff backoff;
   announced_limit limit;
+  announced_brittleness brittleness;
   /// std::nullopt if the answer reports no load.
   std::optional<replica_load> load;
   /// Whether the answer reports a load that cannot be parsed; the load reported earlier is then
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -557,10 +557,20 @@
              [this, index, key, body] { begin_run(index, key, body); });
   }
 
+  /// Delivers the announcement of a brittle replica that comes with the head of each answer.
+  void announce_brittleness(std::size_t node, unsigned index) {
+    if (replicas[index].brittle) {
+      replica_self_report report;
+      report.brittleness.max_rejections = replicas[index].brittle->max_rejections;
+      nodes[node].subject->handle(self_report_received{replicas[index].id, now, report}, now);
+    }
+  }
+
   void reject_for_room(std::size_t node, const start_call& command, unsigned index) {
     nodes[node].calls.erase(command.call);
     ++rejections;
     const bool is_overrun = replicas[index].brittle->note_rejected(now);
+    announce_brittleness(node, index);
     nodes[node].subject->handle(
         call_answered{command.call, dispatcher_driver::not_executed_head(), ""}, now);
     if (is_overrun) {
@@ -604,6 +614,7 @@
     const bool is_heard = connections.fault_of(key.first) != path_fault::hangs;
     if (is_heard && nodes[key.first].calls.contains(key.second)) {
       nodes[key.first].calls[key.second] = true;
+      announce_brittleness(key.first, index);
       nodes[key.first].subject->handle(stream_opened{key.second, dispatcher_driver::good_head()},
                                        now);
     }
@@ -668,6 +679,8 @@
       receiver.handle_peer(sender.node, message.replica_news(), now);
     } else if (message.has_retry_lending()) {
       receiver.handle_peer(sender.node, sender.address, message.retry_lending(), now);
+    } else if (message.has_rate_limits()) {
+      receiver.handle_peer(sender.node, message.rate_limits(), now);
     } else if (message.has_crash_news()) {
       receiver.handle_peer(sender.address, message.crash_news(), now);
     }
