--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -111,6 +111,8 @@
     bodies_by_id[content->id] = body;
     ++counts[body].attempts;
     paths[requests] = path;
+    nodes_of_clients[requests] = node;
+    ++attempts_at[node].attempts;
     if (route_is_paused()) {
       ++counts[body].refused;
       ++refused_by_route_pause;
@@ -250,6 +252,9 @@
   std::map<std::string, std::vector<base::time_point>> replica_arrivals;
   /// Outcomes of attempts, by body of the request.
   std::map<std::string, attempt_counts> counts;
+  /// Outcomes of attempts, by the node that received them.
+  std::map<std::size_t, attempt_counts> attempts_at;
+  std::map<base::caller_id, std::size_t> nodes_of_clients;
   /// Nodes that neither send nor receive messages.
   std::set<std::size_t> partitioned;
   /// Nodes that neither send nor receive crash reports, as if they ran an older build.
@@ -377,6 +382,17 @@
 
   void reach_stage_replica(std::size_t node, const start_stage_call& command) {
     auto* replica = replica_at(command.target.address);
+    const auto number = static_cast<unsigned>(replica - replicas.data());
+    if (replica != nullptr && !connections.passes_call(node, number)) {
+      const bool hangs = connections.fault_of(node) == path_fault::hangs;
+      schedule(hangs ? connect_timeout : base::duration::zero(), [this, node, call = command.call] {
+        end_stage_call({node, call}, stage_call_ended::result::not_sent, 0);
+      });
+      return;
+    }
+    if (replica != nullptr) {
+      connections.note_connected(node, number);
+    }
     if (replica == nullptr || !replica->is_up || replica->id != command.target.replica) {
       end_stage_call({node, command.call}, stage_call_ended::result::not_sent, 0);
       return;
@@ -472,6 +488,7 @@
     if (answer.status != 200) {
       retry(answer.client);
     }
+    attempts_at[nodes_of_clients.at(answer.client)].served += answer.status == 200 ? 1 : 0;
     if (answer.status != 503) {
       ++(answer.status == 200 ? count.served : count.failed);
       return;
@@ -488,6 +505,7 @@
   void execute(std::size_t /*node*/, const end_stream& end) {
     auto& count = counts[bodies.at(end.client)];
     ++(end.complete ? count.served : count.failed);
+    attempts_at[nodes_of_clients.at(end.client)].served += end.complete ? 1 : 0;
     if (!end.complete) {
       retry(end.client);
     }
--- /dev/null
+++ b/tests/quarantine/partitioned_node_test.cc
@@ -0,0 +1,96 @@
+/// Guards against nodes that are partitioned from all replicas, while clients and other nodes reach
+/// them, and take their own fault for the fault of the replicas: their word made all nodes pause
+/// sound replicas, and the pieces of other nodes' requests waited at them.
+#include "crash_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace spurrack;
+using namespace spurrack::quarantine;
+
+namespace {
+
+constexpr std::uint64_t seed_count = 10;
+constexpr base::duration cut_time = seconds(8);
+/// Time after the begin of a cut from which the other nodes must serve as before.
+constexpr base::duration settle_time = seconds(1);
+/// Minimum share of attempts served at nodes that are not cut, compared with the same fleet without
+/// a cut.
+constexpr double min_served_ratio = 0.95;
+
+/// @return share of the attempts at the nodes from `first` on that are served while the nodes
+///         before `first` are cut with `fault`, from `settle_time` on.
+double served_share(std::uint64_t seed, const std::string& path, std::size_t first,
+                    path_fault fault) {
+  crash_fleet fleet({.seed = seed, .stage_replicas = 4});
+  fleet.harmless_path = path;
+  fleet.harmless_per_second = 5;
+  fleet.run(seconds(3));
+  for (std::size_t node = 0; node < first; ++node) {
+    fleet.set_path_fault(node, fault);
+  }
+  fleet.run(settle_time);
+  fleet.attempts_at.clear();
+  fleet.run(cut_time);
+  fleet.harmless_per_second = 0;
+  fleet.run(seconds(3));
+  std::size_t attempts = 0;
+  std::size_t served = 0;
+  for (std::size_t node = first; node < fleet.nodes.size(); ++node) {
+    attempts += fleet.attempts_at[node].attempts;
+    served += fleet.attempts_at[node].served;
+  }
+  return static_cast<double>(served) / static_cast<double>(std::max<std::size_t>(1, attempts));
+}
+
+void check_others_are_served(const std::string& path) {
+  for (const auto fault : {path_fault::hangs, path_fault::is_reset, path_fault::refuses_new}) {
+    for (const std::size_t cut_nodes : {1U, 2U, 5U}) {
+      double sum = 0;
+      double sum_without_cut = 0;
+      for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        sum += served_share(seed, path, cut_nodes, fault);
+        sum_without_cut += served_share(seed, path, cut_nodes, path_fault::none);
+      }
+      BOOST_TEST(sum >= min_served_ratio * sum_without_cut,
+                 path << " with fault " << static_cast<int>(fault) << " of " << cut_nodes
+                      << " nodes: served " << sum / seed_count << ", without a cut "
+                      << sum_without_cut / seed_count);
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(partitioned_node_test)
+
+BOOST_AUTO_TEST_CASE(streams_at_other_nodes_are_served_as_without_partitioned_nodes) {
+  check_others_are_served("/stream/");
+}
+
+BOOST_AUTO_TEST_CASE(stages_at_other_nodes_are_computed_as_without_partitioned_nodes) {
+  check_others_are_served("/staged/");
+}
+
+BOOST_AUTO_TEST_CASE(no_replica_is_paused_on_the_word_of_partitioned_nodes) {
+  for (const auto fault : {path_fault::hangs, path_fault::is_reset, path_fault::refuses_new}) {
+    for (const std::size_t cut_nodes : {2U, 5U}) {
+      for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+        crash_fleet fleet({.seed = seed});
+        fleet.harmless_per_second = 40;
+        fleet.run(seconds(2));
+        for (std::size_t node = 0; node < cut_nodes; ++node) {
+          fleet.set_path_fault(node, fault);
+        }
+        fleet.run(seconds(4));
+        for (std::size_t node = cut_nodes; node < fleet.nodes.size(); ++node) {
+          BOOST_TEST(fleet.node(node).replicas().ejections() == 0U,
+                     "fault " << static_cast<int>(fault) << " of " << cut_nodes << " nodes, seed "
+                              << seed);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
