--- a/tests/platform/replica_statement_table_test.cc
+++ b/tests/platform/replica_statement_table_test.cc
@@ -57,9 +57,9 @@
 
 BOOST_AUTO_TEST_CASE(every_test_in_the_table_exists) {
   const auto table = read_source("docs/design/replica-statements.md");
-  const std::string folders[] = {"replica_statements", "rate_limits", "replicas",
-                                 "platform",           "dispatch",    "stage_work",
-                                 "upstream",           "engines",     "catalog"};
+  const std::string folders[] = {
+      "replica_statements", "rate_limits", "replicas", "platform", "dispatch",
+      "stage_work",         "upstream",    "engines",  "catalog",  "quarantine"};
   for (const auto& name : matches_in(table, "([a-z_]+_test)\\b")) {
     bool exists = false;
     for (const auto& folder : folders) {
--- a/tests/quarantine/crash_ledger_test.cc
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -127,14 +127,47 @@
 
 BOOST_AUTO_TEST_CASE(unrelated_exits_raise_the_number_of_exits_required_for_quarantine) {
   crash_registry registry;
+  const base::time_point earlier = start + seconds(2);
+  registry.merge_exits({{21, earlier}, {22, earlier}, {23, earlier}, {24, earlier}}, earlier);
   note_exits(registry, 1, {1, 2, 3, 4});
   const base::time_point now = start + seconds(10);
-  registry.merge_exits({{21, now}, {22, now}, {23, now}, {24, now}}, now);
   BOOST_TEST((registry.quarantine_state_of(digest(1), now) == quarantine_state::single_attempt));
   note_exits(registry, 1, {5});
   BOOST_TEST((registry.quarantine_state_of(digest(1), now) == quarantine_state::quarantined));
 }
 
+BOOST_AUTO_TEST_CASE(later_exits_of_other_replicas_do_not_end_a_quarantine) {
+  crash_registry registry;
+  note_exits(registry, 1, {1, 2, 3, 4});
+  const base::time_point now = start + seconds(10);
+  registry.merge_exits({{21, now}, {22, now}, {23, now}, {24, now}}, now);
+  BOOST_TEST((registry.quarantine_state_of(digest(1), now) == quarantine_state::quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(two_exits_within_one_published_incarnation_count_twice) {
+  crash_registry registry;
+  const auto exit_at = [](std::uint64_t started, std::uint64_t ended) {
+    return exit_observation{7, start + seconds(ended), {}, start + seconds(started)};
+  };
+  registry.note_exit(digest(1), exit_at(1, 2), start + seconds(2));
+  registry.note_exit(digest(1), exit_at(1, 2), start + seconds(2));
+  BOOST_TEST(registry.counted_exits_of(digest(1)) == 1U);
+  registry.note_exit(digest(1), exit_at(4, 5), start + seconds(5));
+  BOOST_TEST(registry.counted_exits_of(digest(1)) == 2U);
+  // An exit whose time is unknown may be either of them.
+  registry.note_exit(digest(1), {7, start + seconds(9)}, start + seconds(9));
+  BOOST_TEST(registry.counted_exits_of(digest(1)) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_exit_of_an_overrun_replica_counts_for_no_request) {
+  crash_registry registry;
+  note_exits(registry, 1, {1, 2, 3, 4});
+  BOOST_TEST(registry.mark_overrun({3, 0}));
+  BOOST_TEST(registry.counted_exits_of(digest(1)) == 3U);
+  registry.merge(record_of(1, {3}), start + seconds(6));
+  BOOST_TEST(registry.counted_exits_of(digest(1)) == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_withdrawn_exit_is_removed_and_not_merged_again) {
   crash_registry registry;
   note_exits(registry, 1, {1, 2, 3, 4});
