Partitioned nodes doubt themselves first: their word counts for nothing, and their duties move

What callers saw: while two nodes were cut off from all replicas, the others served 78 of 182 first tries.

path_monitor: a failed call raises doubt until a replica accepts a connection; meanwhile two replicas of different zones and services are probed at a time. After four failed probes the node suspects itself, and is partitioned if another node heard from a replica since. Reports are held back in doubt and marked when suspected: others discard what it said before, contradict it, and count it for nothing. A partitioned node hands its pieces over as in a graceful stop (message field leaving) until a connection succeeds, tried every 200 ms. Anchor: Lifeguard's local health for SWIM.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -40,6 +40,7 @@
                                                                "request_cleared",
                                                                "replica_limit",
                                                                "replica_leaving",
+                                                               "node_partitioned",
                                                                "replica_backoff",
                                                                "knowledge_overdue",
                                                                "knowledge_confirmed"};
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -47,6 +47,7 @@
   request_cleared,
   replica_limit,
   replica_leaving,
+  node_partitioned,
   replica_backoff,
   knowledge_overdue,
   knowledge_confirmed,
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -250,9 +250,9 @@
   if (refuse_if_quarantined(active, now)) {
     return;
   }
-  if (refuse_by_residency(active) || refuse_too_large(active, now) ||
-      refuse_while_stopping(active, now) || refuse_without_expected_slot(active, now) ||
-      refuse_infeasible(active, now)) {
+  if (refuse_while_partitioned(active, now) || refuse_by_residency(active) ||
+      refuse_too_large(active, now) || refuse_while_stopping(active, now) ||
+      refuse_without_expected_slot(active, now) || refuse_infeasible(active, now)) {
     return;
   }
   if (settings_.refuse_early && active.graph) {
@@ -498,6 +498,7 @@
     // Finished pieces may allow other stages to begin.
     stages_.dispatch_waiting(now);
   }
+  check_paths(now);
   replica_reports_.advance(now);
   advance_crashes(now);
 }
@@ -519,6 +520,9 @@
   if (const auto next_report_at = crash_reports_.next_wakeup()) {
     consider(*next_report_at);
   }
+  if (const auto next_round_at = paths_.next_wakeup()) {
+    consider(*next_round_at);
+  }
   if (crash_detector_.has_refused_replicas(now)) {
     consider(next_path_check_at_);
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -23,6 +23,7 @@
 #include "rate_limits/limit_exchange.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
+#include "replicas/path_monitor.h"
 #include "replicas/replica_table.h"
 #include "serving/counters.h"
 #include "serving/decision_recorder.h"
@@ -93,6 +94,8 @@
   /// Begins a graceful stop: other nodes batch the pieces of stages from now on, and only requests
   /// that are expected to complete by `must_end_at` are accepted or sent to a replica.
   void begin_stop(base::time_point now, base::time_point must_end_at);
+  /// @return whether this node cannot reach any replica while other nodes can.
+  [[nodiscard]] bool is_partitioned() const { return paths_.state() == path_state::partitioned; }
   /// @return whether requests of this node's clients are active, or this node has calls for pieces
   ///         under way. The pieces may belong to requests of any node.
   [[nodiscard]] bool is_busy() const { return !active_.empty() || stages_.has_calls_under_way(); }
@@ -204,6 +207,12 @@
   bool refuse_too_large(active_request& request, base::time_point now);
   /// Refuses a request with stages if the first byte of its answer is not expected in time.
   bool refuse_infeasible(active_request& request, base::time_point now);
+  /// Refuses a request at once while this node is partitioned from all replicas and hears from none
+  /// on open connections either.
+  bool refuse_while_partitioned(active_request& request, base::time_point now);
+  /// Probes replicas while the paths of this node are in doubt, and applies the result.
+  void check_paths(base::time_point now);
+  void apply_path_state(base::time_point now);
   /// Refuses a request that a stopping node has no time to complete.
   bool refuse_while_stopping(active_request& request, base::time_point now);
   /// Aborts a request that is not expected to complete before the end of a graceful stop. The
@@ -521,6 +530,9 @@
   retry_budget retry_budget_;
   retry_budget_exchange budget_exchange_;
   replica_report_exchange replica_reports_;
+  path_monitor paths_;
+  /// State of `paths_` that the other parts of the dispatcher were last told.
+  path_state applied_path_state_ = path_state::working;
   quarantine::crash_detector crash_detector_;
   quarantine::crash_registry crash_registry_;
   quarantine::crash_report_exchange crash_reports_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -176,6 +176,9 @@
     return;
   }
   const auto call = close_call(*request);
+  if (failure.failure != call_failure::no_memory) {
+    paths_.note_failure(now);
+  }
   if (failure.failure == call_failure::not_sent) {
     replicas_.note_unreachable(call.replica, now);
     --request->attempts;
@@ -403,6 +406,7 @@
     return;
   }
   replicas_.note_failure(call.replica, now);
+  paths_.note_failure(now);
   note_lost_call(*request, call, closed.has_timed_out, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          "the stream broke off" + digest_text(*request));
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -68,6 +68,7 @@
 }
 
 void dispatcher::on_event(const replica_probed& probe, base::time_point now) {
+  paths_.note_probed(probe.replica, probe.result == probe_result::connected, now);
   switch (probe.result) {
   case probe_result::refused:
     if (crash_detector_.refused_replicas(now).empty()) {
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -124,6 +124,9 @@
                              base::time_point now) {
   const auto ejections_before = replicas_.ejections();
   const auto down_replicas = replica_reports_.handle(sender, message, now);
+  if (const auto heard_at = replica_reports_.latest_activity_at_peers()) {
+    paths_.note_heard_by_peer(*heard_at);
+  }
   if (replicas_.ejections() > ejections_before) {
     record_(base::event_kind::backend_ejected, {}, down_replicas.front().text(),
             "declared down by two nodes, the latest " + sender.text() + ", " +
@@ -177,6 +180,7 @@
   const bool is_unresponsive = is_replica_unresponsive(request);
   if (is_unresponsive) {
     replicas_.note_unresponsive(request.call->replica, now);
+    paths_.note_failure(now);
   }
   if (request.route->is_repeatable() && has_attempt_left(request, now)) {
     retry_stalled_call(request, now);
@@ -216,6 +220,7 @@
   commands_.emplace_back(cancel_call{request.call->id});
   const auto call = close_call(request);
   replicas_.note_stalled(call.replica, now);
+  paths_.note_failure(now);
   request.may_have_run = true;
   request.events.drop_partial_event();
   record(base::event_kind::stage_retried, request, call.replica.text(), "no progress");
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -166,6 +166,10 @@
 }
 
 void dispatcher::on_event(const stage_call_ended& ended, base::time_point now) {
+  if (ended.outcome == stage_call_ended::result::failed ||
+      ended.outcome == stage_call_ended::result::not_sent) {
+    paths_.note_failure(now);
+  }
   if (stages_.on_call_ended(ended, now)) {
     process_piece_results(now);
   }
--- a/src/dispatch/replica_report_exchange.cc
+++ b/src/dispatch/replica_report_exchange.cc
@@ -68,7 +68,8 @@
 
 std::optional<base::time_point> replica_report_exchange::next_wakeup() const {
   const bool has_reports = !pending_.empty() || replicas_->has_changed_health();
-  return has_reports ? std::optional(next_message_at_) : std::nullopt;
+  return has_reports && path_state_ != path_state::in_doubt ? std::optional(next_message_at_)
+                                                            : std::nullopt;
 }
 
 wire::replica_news replica_report_exchange::collect_reports(base::time_point now) {
@@ -107,10 +108,13 @@
 }
 
 void replica_report_exchange::advance(base::time_point now) {
-  if (now < next_message_at_ || (pending_.empty() && !replicas_->has_changed_health())) {
+  const bool is_in_doubt = path_state_ == path_state::in_doubt;
+  if (is_in_doubt || now < next_message_at_ ||
+      (pending_.empty() && !replicas_->has_changed_health())) {
     return;
   }
-  const auto report_batch = collect_reports(now);
+  auto report_batch = collect_reports(now);
+  report_batch.set_reporter_is_in_doubt(path_state_ != path_state::working);
   if (report_batch.evidence_size() == 0) {
     return;
   }
@@ -124,6 +128,14 @@
   }
 }
 
+void replica_report_exchange::set_path_state(path_state state, base::time_point now) {
+  if (path_state_ == path_state::in_doubt && state == path_state::suspected) {
+    // Other nodes must learn soon that the earlier reports of this node are doubtful.
+    next_message_at_ = now;
+  }
+  path_state_ = state;
+}
+
 bool replica_report_exchange::is_of_other_incarnation(const wire::replica_evidence& entry) const {
   const auto* state = replicas_->find(base::replica_id(entry.replica()));
   if (state == nullptr) {
@@ -139,6 +151,9 @@
                                                               const wire::replica_news& message,
                                                               base::time_point now) {
   std::vector<base::replica_id> down;
+  if (message.reporter_is_in_doubt()) {
+    replicas_->discard_reports_of(sender, now);
+  }
   for (const auto& entry : message.evidence()) {
     const base::replica_id replica(entry.replica());
     if (is_of_other_incarnation(entry)) {
@@ -147,8 +162,17 @@
     }
     const base::duration age = std::chrono::milliseconds(entry.age_milliseconds());
     const base::duration backoff = std::chrono::milliseconds(entry.backoff_milliseconds());
+    const auto health = from_wire(entry.sign());
+    if (message.reporter_is_in_doubt()) {
+      replicas_->note_doubtful_report(replica, health, now - age);
+      continue;
+    }
+    if (health == replica_health::healthy) {
+      latest_activity_at_peers_ =
+          std::max(latest_activity_at_peers_.value_or(now - age), now - age);
+    }
     replicas_->record_report(replica, sender,
-                             {from_wire(entry.sign()), static_cast<double>(entry.good_calls()),
+                             {health, static_cast<double>(entry.good_calls()),
                               static_cast<double>(entry.calls()), now - age, now + backoff},
                              now);
     ++counts_.applied;
--- a/src/dispatch/replica_report_exchange.h
+++ b/src/dispatch/replica_report_exchange.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "fleet_view/peer_directory.h"
 #include "model/residency.h"
+#include "replicas/path_monitor.h"
 #include "replicas/replica_table.h"
 #include "wire/outgoing.h"
 #include "wire/peer.pb.h"
@@ -47,6 +48,15 @@
   void advance(base::time_point now);
   [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
 
+  /// Sets the state of this node's own paths to replicas. While they are in doubt, no reports are
+  /// sent; once this node suspects that it is cut off, they are marked as doubtful, so that other
+  /// nodes only contradict them.
+  void set_path_state(path_state state, base::time_point now);
+  /// @return latest time at which another node heard from any replica, according to its reports;
+  ///         std::nullopt if no report said so.
+  [[nodiscard]] std::optional<base::time_point> latest_activity_at_peers() const {
+    return latest_activity_at_peers_;
+  }
   /// Records the reports of another node.
   /// @return replicas of the message that are now declared down.
   std::vector<base::replica_id> handle(const base::node_id& sender,
@@ -68,6 +78,8 @@
   model::zone_regions regions_;
   base::random_source* random_;
   std::vector<base::network_address> region_peers_;
+  path_state path_state_ = path_state::working;
+  std::optional<base::time_point> latest_activity_at_peers_;
   /// Replicas whose reports did not fit into the last message.
   std::set<base::replica_id> pending_;
   base::time_point next_message_at_;
--- a/src/replicas/replica_evidence.cc
+++ b/src/replicas/replica_evidence.cc
@@ -43,6 +43,16 @@
   }
 }
 
+std::vector<base::replica_id> replica_evidence::discard_reports_of(const base::node_id& reporter) {
+  std::vector<base::replica_id> reported;
+  for (auto& [replica, reports] : reports_) {
+    if (reports.erase(reporter) > 0) {
+      reported.push_back(replica);
+    }
+  }
+  return reported;
+}
+
 std::size_t replica_evidence::count_down_reporters(const base::replica_id& replica,
                                                    base::time_point since,
                                                    base::time_point now) const {
--- a/src/replicas/replica_evidence.h
+++ b/src/replicas/replica_evidence.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace spurrack::serving {
 
@@ -63,6 +64,9 @@
   void record_report(const base::replica_id& replica, const base::node_id& reporter,
                      const replica_health_report& report);
   void forget(const base::replica_id& replica) { reports_.erase(replica); }
+  /// Discards the reports of a node.
+  /// @return the replicas on which it had reported.
+  std::vector<base::replica_id> discard_reports_of(const base::node_id& reporter);
   /// @return the number of nodes whose latest report says that the replica is down. Reports that
   ///         were observed before `since` or have expired do not count.
   [[nodiscard]] std::size_t count_down_reporters(const base::replica_id& replica,
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -246,6 +246,15 @@
   /// and not paused yet, ejects it, unless too many replicas of its service are already ejected.
   void record_report(const base::replica_id& id, const base::node_id& reporter,
                      const replica_health_report& report, base::time_point now);
+  /// Discards the reports of a node that doubts its own paths to replicas, and ends the ejections
+  /// that depended on them.
+  void discard_reports_of(const base::node_id& reporter, base::time_point now);
+  /// Records a report of a node that doubts its own paths: it is no evidence, but this node
+  /// contradicts it if it hears from the replica.
+  void note_doubtful_report(const base::replica_id& id, replica_health health,
+                            base::time_point seen_at);
+  /// @return whether any replica sent something to this node after `when`.
+  [[nodiscard]] bool was_any_active_after(base::time_point when) const;
   /// @return whether at least two nodes (this node may be one of them) found a replica unresponsive
   ///         or unreachable and this node knows of no activity of the replica since.
   [[nodiscard]] bool is_declared_down(const base::replica_id& id, base::time_point now) const;
--- a/src/replicas/replica_table_reports.cc
+++ b/src/replicas/replica_table_reports.cc
@@ -152,6 +152,36 @@
   }
 }
 
+void replica_table::discard_reports_of(const base::node_id& reporter, base::time_point now) {
+  for (const auto& id : evidence_.discard_reports_of(reporter)) {
+    auto* state = mutable_find(id);
+    if (state == nullptr) {
+      continue;
+    }
+    update_reported_failures(*state, now);
+    update_reported_backoffs(*state, now);
+    const bool depended_on_reporter = state->ejected_until > now && !is_declared_down(id, now);
+    if (depended_on_reporter) {
+      state->paused_until = now;
+      state->ejected_until = now;
+      state->unreachable_backoff = {};
+    }
+  }
+}
+
+void replica_table::note_doubtful_report(const base::replica_id& id, replica_health health,
+                                         base::time_point seen_at) {
+  auto* state = mutable_find(id);
+  if (state != nullptr && means_down(health)) {
+    state->peer_reported_down_at = std::max(state->peer_reported_down_at, seen_at);
+  }
+}
+
+bool replica_table::was_any_active_after(base::time_point when) const {
+  return std::any_of(replicas_.begin(), replicas_.end(),
+                     [&](const auto& entry) { return entry.second.last_activity_at > when; });
+}
+
 void replica_table::update_reported_backoffs(replica_state& state, base::time_point now) const {
   const auto backoffs = evidence_.reported_backoffs_of(state.record->id, now);
   state.reported_backoff_load = std::min(
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -60,6 +60,8 @@
   /// Retries that the retry budget allowed, including those that resume suspended streams of slow
   /// clients.
   std::uint64_t retries = 0;
+  /// Requests refused because this node is partitioned from all replicas.
+  std::uint64_t refused_while_partitioned = 0;
   /// Number of times that a retry was denied because the retry budget was used up.
   std::uint64_t retries_denied = 0;
   /// Retries that waited for retry budget transferred by other nodes.
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -77,7 +77,7 @@
     return report_audience::everybody;
   }
   const bool for_zone =
-      !shards_.own_replicas().empty() || !forwarded_pool_tickets_.empty() || is_stopping_;
+      !shards_.own_replicas().empty() || !forwarded_pool_tickets_.empty() || hands_over_pieces();
   return for_zone ? report_audience::own_zone : report_audience::nobody;
 }
 
@@ -100,6 +100,15 @@
   return_forwarded(pool_.waiting_tickets(), now);
 }
 
+void stage_exchange::set_partitioned(bool is_partitioned, base::time_point now) {
+  is_partitioned_ = is_partitioned;
+  are_shards_stale_ = true;
+  next_load_report_at_ = {};
+  if (is_partitioned) {
+    return_forwarded(pool_.waiting_tickets(), now);
+  }
+}
+
 void stage_exchange::move_waiting_pieces(const std::string& service, base::time_point now) {
   const auto waiting = pool_.waiting_tickets(service);
   return_forwarded(waiting, now);
@@ -269,10 +278,10 @@
 void stage_exchange::note_incarnation(peer_state& peer, const wire::stage_work& message,
                                       base::time_point now) {
   const bool has_restarted = peer.incarnation != 0 && peer.incarnation != message.life();
-  const bool has_begun_stop = message.leaving() && !peer.is_stopping;
+  const bool has_changed_availability = message.leaving() != peer.is_stopping;
   peer.incarnation = message.life();
   peer.is_stopping = message.leaving();
-  if (has_restarted || has_begun_stop) {
+  if (has_restarted || has_changed_availability) {
     note_peers_changed();
     refresh(now);
   }
@@ -397,7 +406,7 @@
   for (const auto& handle : message.released()) {
     pool_.release(handle);
   }
-  if (is_stopping_) {
+  if (hands_over_pieces()) {
     return_forwarded(pool_.waiting_tickets(), now);
   }
 }
@@ -546,7 +555,7 @@
     if (peer != nullptr) {
       wire::outgoing message{peer->peer.address, {}};
       content.set_life(incarnation_);
-      content.set_leaving(is_stopping_);
+      content.set_leaving(hands_over_pieces());
       *message.message.mutable_stage_work() = std::move(content);
       out.push_back(std::move(message));
     }
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -74,6 +74,9 @@
   /// Begins a graceful stop: returns the waiting pieces of other nodes to their origins, which
   /// place them at other nodes.
   void begin_stop(base::time_point now);
+  /// Sets whether this node is partitioned from all replicas. While it is, other nodes batch the
+  /// pieces, as during a graceful stop.
+  void set_partitioned(bool is_partitioned, base::time_point now);
   /// @return number of pieces of a service that wait for a call in this node's pool.
   [[nodiscard]] std::size_t waiting_count(const std::string& service) const {
     return pool_.waiting_count(service);
@@ -339,7 +342,11 @@
   std::unordered_map<std::string, base::node_id> result_accounting_nodes_;
   /// Identifier of this incarnation of the node, sent with each message.
   std::uint64_t incarnation_;
+  /// @return whether other nodes are to batch the pieces.
+  [[nodiscard]] bool hands_over_pieces() const { return is_stopping_ || is_partitioned_; }
+
   bool is_stopping_ = false;
+  bool is_partitioned_ = false;
   piece_ticket next_ticket_;
   /// Unfinished pieces of this node's requests, at any holder, by the tickets that `submit`
   /// returned.
--- a/src/stage_work/stage_exchange_batchers.cc
+++ b/src/stage_work/stage_exchange_batchers.cc
@@ -48,7 +48,7 @@
     return;
   }
   const auto own_services_before = shards_.own_services();
-  shards_.assign(*configuration_, is_stopping_);
+  shards_.assign(*configuration_, hands_over_pieces());
   connect_to_batchers(peers_.set_batchers(shards_.batchers(), now));
   for (const auto& [service, regions] : own_services_before) {
     if (!shards_.own_services().contains(service) && shards_.has_shards_of(service)) {
