--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -246,6 +246,9 @@
       counts.quarantines);
   add("spurrack_quarantine_refusals_total", "Requests refused because they were quarantined.",
       counts.refused_in_quarantine);
+  add("spurrack_partition_refusals_total",
+      "Requests refused because this node was partitioned from all replicas.",
+      counts.refused_while_partitioned);
   add("spurrack_requests_cleared_total",
       "Requests no longer suspected because a run of them ended without an exit of its replica.",
       counts.requests_cleared);
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -87,7 +87,7 @@
   serving_ = std::make_unique<serving_adapters>(
       *io_, *settings_.serving, *settings_.node.serving, *adapters_.codec,
       [this](serving::event event) { post(std::move(event)); },
-      [this] { return node_.is_ready(); });
+      [this] { return node_.accepts_clients(); });
   node_.set_byte_budget(serving_->budget());
   publication_ = adapters_.make_store_client(
       *io_, settings_.serving->store,
@@ -136,6 +136,10 @@
     applied_configuration_ = node_.published_catalog().serving();
     serving_->set_limits(applied_configuration_->limits);
   }
+  if (serving_) {
+    // Clients that keep their connections would keep coming to a node that cannot serve them.
+    serving_->set_closes_after_answers(node_.serving()->is_partitioned());
+  }
   if (node_.is_ready() != was_ready) {
     logging::write(logging::severity::info, node_.is_ready() ? "ready" : "not ready");
   }
--- a/src/daemon/serving_adapters.h
+++ b/src/daemon/serving_adapters.h
@@ -30,6 +30,7 @@
   void carry_out(serving::command command);
   void set_limits(const model::client_limits& limits) { clients_->set_limits(limits); }
   void begin_stop() { clients_->begin_stop(); }
+  void set_closes_after_answers(bool closes) { clients_->set_closes_after_answers(closes); }
   void stop_accepting() { clients_->stop_accepting(); }
   [[nodiscard]] std::size_t busy_connections() const { return clients_->busy_connections(); }
   [[nodiscard]] std::size_t client_connections() const { return clients_->connections(); }
--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -181,6 +181,8 @@
   }
   ~ingress_server_impl() override { resources_.budget->set_relief(nullptr); }
 
+  void set_closes_after_answers(bool closes) override { closes_after_answers_ = closes; }
+
   void carry_out(serving::respond command) override {
     const auto found = exchanges_.find(command.client);
     if (found == exchanges_.end()) {
@@ -191,7 +193,7 @@
       auto own_headers = codec_->local_answer_headers(*command.locally_answered_request);
       std::move(own_headers.begin(), own_headers.end(), std::back_inserter(command.headers));
     }
-    client.connection = is_stopping_ ? after_answer::close : client.connection;
+    client.connection = closes_after_answers() ? after_answer::close : client.connection;
     client.is_final = true;
     if (client.is_streaming) {
       // A second head inside a stream would not be a valid answer. The client recognizes the answer
@@ -212,7 +214,7 @@
     const auto found = exchanges_.find(command.client);
     if (found != exchanges_.end()) {
       auto& client = *found->second;
-      client.connection = is_stopping_ ? after_answer::close : client.connection;
+      client.connection = closes_after_answers() ? after_answer::close : client.connection;
       client.is_streaming = true;
       push(client, {chunked_head(command.status, command.headers, client.connection), nullptr});
     }
@@ -374,6 +376,8 @@
     }
   }
 
+  [[nodiscard]] bool closes_after_answers() const { return is_stopping_ || closes_after_answers_; }
+
   asio::awaitable<void> serve(asio::ip::tcp::socket socket) {
     ++connections_;
     set_tcp_options(socket, tcp_user_timeout);
@@ -655,6 +659,7 @@
   base::time_point next_relief_at_;
   model::client_limits limits_;
   bool is_stopping_ = false;
+  bool closes_after_answers_ = false;
   std::size_t connections_ = 0;
   std::size_t busy_connections_ = 0;
   base::caller_id next_client_ = 1;
--- a/src/http/ingress_server.h
+++ b/src/http/ingress_server.h
@@ -67,6 +67,9 @@
 
   /// Sets the limits on size and time for requests that begin to arrive from now on.
   virtual void set_limits(const model::client_limits& limits) = 0;
+  /// Sets whether each answer announces that the connection will be closed after this answer, so
+  /// that clients turn to other nodes. Unlike a graceful stop, this can be undone.
+  virtual void set_closes_after_answers(bool closes) = 0;
   /// Begins a graceful stop: from now on, each answer announces that the connection will be closed
   /// after this answer.
   virtual void begin_stop() = 0;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -120,6 +120,11 @@
   [[nodiscard]] base::time_point next_wakeup() const;
 
   [[nodiscard]] bool is_ready() const { return is_ready_ && !is_stopping_; }
+  /// @return whether load balancers are to direct clients here: the node is ready and can reach
+  ///         replicas, or no other node can either.
+  [[nodiscard]] bool accepts_clients() const {
+    return is_ready() && !(serving_ && serving_->is_partitioned());
+  }
   [[nodiscard]] bool is_stopping() const { return is_stopping_; }
   [[nodiscard]] const node_settings& settings() const { return settings_; }
   [[nodiscard]] const membership::membership& members() const { return membership_; }
