--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -4,9 +4,11 @@
 #include "flow/stream_window.h"
 #include "http/answer_writer.h"
 #include "http/awaitable.h"
+#include "http/client_exchange.h"
 #include "http/connection_acceptor.h"
 #include "http/count_guard.h"
 #include "http/endpoint.h"
+#include "http/ingress_refusal.h"
 #include "http/read_deadline.h"
 #include "http/socket_options.h"
 
@@ -70,61 +72,6 @@
 /// A search for the slowest clients frees at least the fraction 1 / `relief_divisor` of the byte
 /// budget, if the answers that may be aborted hold as much.
 constexpr std::size_t relief_divisor = 20;
-/// Value of Retry-After, in seconds, in the answer to a request that is refused for lack of memory,
-/// or to a connection that is refused because too many connections are open.
-constexpr const char* retry_after_seconds = "0.500";
-
-/// Bytes of an answer to write to a client (a head, a body or a chunk), and their memory
-/// reservation.
-struct unwritten_bytes {
-  std::string bytes;
-  /// Memory reservation of the body of a complete answer; null for all other bytes.
-  std::shared_ptr<const serving::memory_reservation> body_memory;
-  /// Number of bytes reserved in `client_exchange::reservation`: the size of `bytes` if they are
-  /// stream events, 0 otherwise.
-  std::size_t reserved_bytes = 0;
-  /// Number of bytes at the start of `bytes` that the socket already accepted, without blocking,
-  /// before the rest was queued.
-  std::size_t written_bytes = 0;
-  [[nodiscard]] std::string_view remaining_bytes() const {
-    return std::string_view(bytes).substr(written_bytes);
-  }
-};
-
-/// State of a request that the serving path is processing, and of its answer.
-struct client_exchange {
-  client_exchange(asio::io_context& io, base::caller_id client,
-                  asio::ip::tcp::socket& connection_socket,
-                  std::shared_ptr<flow::byte_budget> budget)
-      : id(client), socket(&connection_socket),
-        reservation(std::move(budget), flow::byte_holder::unwritten_streams),
-        window(base::boot_clock::now()), wake(io, asio::steady_timer::time_point::max()) {}
-  base::caller_id id;
-  /// Socket of the client's connection; outlives the exchange.
-  asio::ip::tcp::socket* socket;
-  /// Bytes to write to the client, in order.
-  std::deque<unwritten_bytes> unwritten;
-  /// Memory reservation of the stream events that are not written to the client yet.
-  flow::byte_reservation reservation;
-  flow::stream_window window;
-  /// Cancelled to wake the coroutine that waits for a change of this exchange.
-  asio::steady_timer wake;
-  /// Whether the answer ends with the bytes in `unwritten`.
-  bool is_final = false;
-  /// Whether the answer ends incomplete: the connection is closed after the bytes in `unwritten`.
-  bool is_incomplete = false;
-  bool is_disconnected = false;
-  /// Set if the answer was aborted: no more bytes are written.
-  std::optional<serving::disconnect_reason> abort_reason;
-  /// Whether `watch_for_disconnect` has ended for this exchange.
-  bool has_watch_ended = false;
-  /// Whether an asynchronous write is in progress; later bytes must wait until it ends.
-  bool is_writing = false;
-  bool head_only = false;
-  /// Whether the answer is a stream whose head was queued.
-  bool is_streaming = false;
-  after_answer connection = after_answer::keep_open;
-};
 
 /// Content of a request with the memory reservation of its body.
 struct content_with_memory {
@@ -132,40 +79,6 @@
   flow::byte_reservation body_reservation;
 };
 
-/// Answer to a request that is refused before it reaches the serving path.
-struct refusal {
-  unsigned status = 400;
-  std::string reason;
-  /// Whether the answer has a Retry-After header.
-  bool is_retryable = false;
-};
-
-constexpr unsigned bad_request_status = 400;
-const refusal connection_limit_refusal{503, "too many connections", true};
-const refusal memory_refusal{503, "no memory for the body", true};
-
-std::string text_of(const refusal& response) {
-  serving::header_list headers{{"Content-Type", "application/json"}};
-  if (response.is_retryable) {
-    headers.push_back({"Retry-After", retry_after_seconds});
-  }
-  const auto body = "{\"error\":\"" + response.reason + "\"}\n";
-  return whole_answer(response.status, headers, body, false, after_answer::close);
-}
-
-refusal refusal_of(const boost::system::error_code& error) {
-  if (error == beast::error::timeout) {
-    return {408, "the request took too long to arrive"};
-  }
-  if (error == beast_http::error::body_limit) {
-    return {413, "the body is too large"};
-  }
-  if (error == beast_http::error::header_limit || error == beast_http::error::buffer_overflow) {
-    return {431, "the header is too large"};
-  }
-  return {400, "malformed request"};
-}
-
 class ingress_server_impl final : public ingress_server {
  public:
   ingress_server_impl(asio::io_context& io, const asio::ip::tcp::endpoint& listen,
--- /dev/null
+++ b/src/upstream/replica_call.h
@@ -0,0 +1,102 @@
+/// One call to a replica: its state while it is under way, its content, and the answer that is
+/// buffered for it.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "flow/answer_memory_reservation.h"
+#include "serving/events.h"
+#include "serving/request_codec.h"
+#include "upstream/body_reader.h"
+#include "upstream/connection_pool.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace spurrack::upstream {
+
+/// Idle timeout of a connection to a replica that announces no timeout.
+inline constexpr std::chrono::seconds default_idle_timeout{4};
+/// Margin before the end of a replica's idle timeout: within it, an idle connection is not used,
+/// because the replica might close the connection while a call is sent.
+inline constexpr std::chrono::milliseconds idle_timeout_margin{700};
+
+/// State of an active call.
+struct call_state {
+  /// Id of the call; 0 if the call has no final event.
+  base::call_id id = 0;
+  explicit call_state(boost::asio::io_context& io)
+      : wake(io, boost::asio::steady_timer::time_point::max()) {}
+  std::shared_ptr<connection> replica_connection;
+  /// Cancelled to wake the coroutine of the call when `is_paused` or `is_cancelled` changes.
+  boost::asio::steady_timer wake;
+  bool is_paused = false;
+  bool is_cancelled = false;
+  bool has_sent_bytes = false;
+  /// Whether the answer was aborted for lack of memory.
+  bool lacked_memory = false;
+  /// Whether the complete call was written.
+  bool is_written = false;
+  bool write_failed = false;
+  /// Whether the kernel gave up the connection because the replica acknowledged nothing.
+  bool has_timed_out = false;
+
+  void note_read_error(const boost::system::error_code& error) {
+    has_timed_out = has_timed_out || error == boost::asio::error::timed_out ||
+                    error == boost::asio::error::host_unreachable;
+  }
+};
+
+/// A call to send, and the requirements for its connection and answer.
+struct outgoing_call {
+  base::call_id id = 0;
+  serving::call_target target;
+  serving::encoded_call content;
+  /// Id of the client's request, which the answer must name; std::nullopt for calls that carry no
+  /// request of a client.
+  std::optional<std::string> request_id;
+  bool is_streaming = false;
+  /// Idle time that a pooled connection must have for this call.
+  idle_time_bounds idle_time;
+  base::time_point started_at = base::boot_clock::now();
+};
+
+/// Memory reservation of an answer. All holders of the answer's body share it; the memory is
+/// released when the last holder is destroyed.
+class answer_reservation final : public serving::memory_reservation {
+ public:
+  explicit answer_reservation(std::shared_ptr<flow::answer_memory_queue> queue)
+      : memory_(std::move(queue)) {}
+  [[nodiscard]] flow::memory_request_result grow(std::size_t bytes) { return memory_.grow(bytes); }
+  [[nodiscard]] std::size_t bytes() const { return memory_.bytes(); }
+
+ private:
+  flow::answer_memory_reservation memory_;
+};
+
+/// An answer that is buffered until complete.
+struct buffered_answer {
+  serving::answer_head head;
+  std::string body;
+  std::shared_ptr<answer_reservation> reservation;
+};
+
+/// @return the head of a call in its wire format, with the length of its body.
+[[nodiscard]] std::string serialize_head(const serving::encoded_call& content);
+/// @return status and header fields of an answer.
+[[nodiscard]] serving::raw_answer raw_answer_of(const response_parser& parser);
+/// @return the idle timeout of the replica's connection, shortened by `idle_timeout_margin`. The
+///         idle timeout is the one that the replica announces in Keep-Alive; if it announces none,
+///         `default_idle_timeout`.
+[[nodiscard]] base::duration idle_timeout_of(const response_parser& parser);
+[[nodiscard]] bool is_success(unsigned status);
+[[nodiscard]] bool is_interim(unsigned status);
+
+} // namespace spurrack::upstream
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -7,6 +7,7 @@
 #include "http/socket_options.h"
 #include "upstream/body_reader.h"
 #include "upstream/connection_pool.h"
+#include "upstream/replica_call.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,11 +46,6 @@
 /// Maximum number of surplus answers (answers that belong to no call) that are skipped during one
 /// call. At the next surplus answer, the call fails and its connection is closed.
 constexpr unsigned max_surplus_answers = 4;
-/// Idle timeout of a connection to a replica that announces no timeout.
-constexpr std::chrono::seconds default_idle_timeout{4};
-/// Margin before the end of a replica's idle timeout: within it, an idle connection is not used,
-/// because the replica might close the connection while a call is sent.
-constexpr std::chrono::milliseconds idle_timeout_margin{700};
 /// Time after which the kernel closes the connection to a replica that acknowledges neither bytes
 /// nor keep-alive probes: three retransmissions, after 0.2, 0.4 and 0.8 s, have failed by then.
 constexpr std::chrono::milliseconds tcp_user_timeout{1'500};
@@ -59,109 +55,6 @@
 constexpr std::chrono::milliseconds surplus_settle_time{5};
 constexpr std::chrono::seconds free_results_timeout{2};
 
-/// State of an active call.
-struct call_state {
-  /// Id of the call; 0 if the call has no final event.
-  base::call_id id = 0;
-  explicit call_state(asio::io_context& io) : wake(io, asio::steady_timer::time_point::max()) {}
-  std::shared_ptr<connection> replica_connection;
-  /// Cancelled to wake the coroutine of the call when `is_paused` or `is_cancelled` changes.
-  asio::steady_timer wake;
-  bool is_paused = false;
-  bool is_cancelled = false;
-  bool has_sent_bytes = false;
-  /// Whether the answer was aborted for lack of memory.
-  bool lacked_memory = false;
-  /// Whether the complete call was written.
-  bool is_written = false;
-  bool write_failed = false;
-  /// Whether the kernel gave up the connection because the replica acknowledged nothing.
-  bool has_timed_out = false;
-
-  void note_read_error(const boost::system::error_code& error) {
-    has_timed_out =
-        has_timed_out || error == asio::error::timed_out || error == asio::error::host_unreachable;
-  }
-};
-
-/// A call to send, and the requirements for its connection and answer.
-struct outgoing_call {
-  base::call_id id = 0;
-  serving::call_target target;
-  serving::encoded_call content;
-  /// Id of the client's request, which the answer must name; std::nullopt for calls that carry no
-  /// request of a client.
-  std::optional<std::string> request_id;
-  bool is_streaming = false;
-  /// Idle time that a pooled connection must have for this call.
-  idle_time_bounds idle_time;
-  base::time_point started_at = base::boot_clock::now();
-};
-
-/// Memory reservation of an answer. All holders of the answer's body share it; the memory is
-/// released when the last holder is destroyed.
-class answer_reservation final : public serving::memory_reservation {
- public:
-  explicit answer_reservation(std::shared_ptr<flow::answer_memory_queue> queue)
-      : memory_(std::move(queue)) {}
-  [[nodiscard]] flow::memory_request_result grow(std::size_t bytes) { return memory_.grow(bytes); }
-  [[nodiscard]] std::size_t bytes() const { return memory_.bytes(); }
-
- private:
-  flow::answer_memory_reservation memory_;
-};
-
-/// An answer that is buffered until complete.
-struct buffered_answer {
-  serving::answer_head head;
-  std::string body;
-  std::shared_ptr<answer_reservation> reservation;
-};
-
-std::string serialize_head(const serving::encoded_call& content) {
-  std::string text = content.method + " " + content.target + " HTTP/1.1\r\n";
-  for (const auto& field : content.headers) {
-    text += field.name + ": " + field.value + "\r\n";
-  }
-  if (content.has_body) {
-    text += "Content-Length: " + std::to_string(content.body.size()) + "\r\n";
-  }
-  return text + "\r\n";
-}
-
-serving::raw_answer raw_answer_of(const response_parser& parser) {
-  serving::raw_answer raw;
-  raw.status = parser.get().result_int();
-  for (const auto& field : parser.get()) {
-    raw.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
-  return raw;
-}
-
-/// @return the idle timeout of the replica's connection, shortened by `idle_timeout_margin`. The
-///         idle timeout is the one that the replica announces in Keep-Alive; if it announces none,
-///         `default_idle_timeout`.
-base::duration idle_timeout_of(const response_parser& parser) {
-  const auto text = parser.get()[beast_http::field::keep_alive];
-  const auto position = text.find("timeout=");
-  if (position == beast::string_view::npos) {
-    return default_idle_timeout - idle_timeout_margin;
-  }
-  const auto number = text.substr(position + std::string_view("timeout=").size());
-  unsigned seconds = 0;
-  std::from_chars(number.data(), number.data() + number.size(), seconds);
-  return std::max<base::duration>(std::chrono::seconds(seconds) - idle_timeout_margin,
-                                  base::duration::zero());
-}
-
-bool is_success(unsigned status) {
-  return status >= 200 && status < 300;
-}
-
-bool is_interim(unsigned status) {
-  return status < 200;
-}
-
 class replica_client_impl final : public replica_client {
  public:
   replica_client_impl(asio::io_context& io, const serving::request_codec& codec,
