--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -191,6 +191,12 @@
     }
   }
 
+  /// Counts only the attempts from now on in `attempts_at`.
+  void count_attempts_from_now() {
+    attempts_at.clear();
+    nodes_of_clients.clear();
+  }
+
   /// Makes a replica neither read nor write for a while; its connections stay open.
   void silence(unsigned index, base::duration span) { replicas[index].silent_until = now + span; }
 
@@ -488,7 +494,7 @@
     if (answer.status != 200) {
       retry(answer.client);
     }
-    attempts_at[nodes_of_clients.at(answer.client)].served += answer.status == 200 ? 1 : 0;
+    note_outcome(answer.client, answer.status == 200);
     if (answer.status != 503) {
       ++(answer.status == 200 ? count.served : count.failed);
       return;
@@ -505,12 +511,18 @@
   void execute(std::size_t /*node*/, const end_stream& end) {
     auto& count = counts[bodies.at(end.client)];
     ++(end.complete ? count.served : count.failed);
-    attempts_at[nodes_of_clients.at(end.client)].served += end.complete ? 1 : 0;
+    note_outcome(end.client, end.complete);
     if (!end.complete) {
       retry(end.client);
     }
   }
 
+  void note_outcome(base::caller_id client, bool is_served) {
+    if (const auto node = nodes_of_clients.find(client); node != nodes_of_clients.end()) {
+      attempts_at[node->second].served += is_served ? 1 : 0;
+    }
+  }
+
   void retry(base::caller_id client) {
     constexpr std::size_t max_attempts = 4;
     const auto body = bodies.at(client);
--- a/tests/quarantine/partitioned_node_test.cc
+++ b/tests/quarantine/partitioned_node_test.cc
@@ -30,7 +30,7 @@
     fleet.set_path_fault(node, fault);
   }
   fleet.run(settle_time);
-  fleet.attempts_at.clear();
+  fleet.count_attempts_from_now();
   fleet.run(cut_time);
   fleet.harmless_per_second = 0;
   fleet.run(seconds(3));
@@ -93,6 +93,32 @@
   check_others_are_served("/staged/");
 }
 
+/// A partitioned node refuses what it cannot serve; it does not pass requests on to another node.
+BOOST_AUTO_TEST_CASE(requests_at_partitioned_nodes_are_served_as_at_others) {
+  for (const auto fault : {path_fault::hangs, path_fault::is_reset, path_fault::refuses_new}) {
+    crash_fleet fleet({.seed = 1});
+    fleet.harmless_per_second = 20;
+    fleet.run(seconds(3));
+    fleet.set_path_fault(0, fault);
+    fleet.run(settle_time);
+    fleet.count_attempts_from_now();
+    fleet.run(cut_time);
+    fleet.harmless_per_second = 0;
+    fleet.run(seconds(3));
+    const auto share_at = [&](std::size_t node) {
+      const auto& count = fleet.attempts_at[node];
+      return static_cast<double>(count.served) / static_cast<double>(count.attempts);
+    };
+    double others = 0;
+    for (std::size_t node = 1; node < fleet.nodes.size(); ++node) {
+      others += share_at(node) / static_cast<double>(fleet.nodes.size() - 1);
+    }
+    BOOST_TEST(share_at(0) >= min_served_ratio * others,
+               "fault " << static_cast<int>(fault) << ": the partitioned node served "
+                        << share_at(0) << ", the others " << others);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_replica_is_paused_on_the_word_of_partitioned_nodes) {
   for (const auto fault : {path_fault::hangs, path_fault::is_reset, path_fault::refuses_new}) {
     for (const std::size_t cut_nodes : {2U, 5U}) {
