Partitioned nodes pass the requests that reach them on to a node that hears from replicas

What callers saw: first tries at nodes that were cut off from all replicas were served 3 of 63 times. Such a node had no second way.

A node that suspects a partition asks up to eight nodes every 400 ms which of them hear from replicas (relay_offer); an answer also is the proof that the node itself is cut off. The request goes to the listener for clients of the offering node with the fewest requests of this node under way, as the client sent it, with its key, the time left and a mark that forbids a second hop; a client that sets the mark gains nothing. The other node checks, counts, stages and retries it as a request of its own; this node does not count it against the retry budget. Answers and streams are forwarded as they arrive through the replica client and its windows. Confined requests go to nodes of the permitted regions. Without an offer the request is refused at once, as before.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -249,6 +249,9 @@
   add("spurrack_partition_refusals_total",
       "Requests refused because this node was partitioned from all replicas.",
       counts.refused_while_partitioned);
+  add("spurrack_requests_passed_on_total",
+      "Requests passed on to another node because this node was partitioned from all replicas.",
+      counts.passed_on);
   add("spurrack_requests_cleared_total",
       "Requests no longer suspected because a run of them ended without an exit of its replica.",
       counts.requests_cleared);
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -45,6 +45,8 @@
   /// at which this node learned of the restart. If the request cannot be retried and no event of
   /// its stream arrives within `restart_confirm_time` after this time, the request fails.
   std::optional<base::time_point> restart_seen_at{};
+  /// Node to which the request was passed on; std::nullopt if the call is one at a replica.
+  std::optional<base::node_id> relay_node{};
 };
 
 /// Entry in an admission queue. Ordered by priority (0 is the most urgent), then by deadline.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -83,7 +83,8 @@
       retry_budget_(settings.retry),
       budget_exchange_(retry_budget_, self.zone, random, incarnation),
       replica_reports_(replicas_, self.zone, settings.regions, random),
-      crash_registry_(settings.quarantine), crash_reports_(crash_registry_, self.node, random),
+      relays_(settings.client_address, random), crash_registry_(settings.quarantine),
+      crash_reports_(crash_registry_, self.node, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, incarnation, record_),
       stop_plan_(settings.stop_admission) {
@@ -102,6 +103,7 @@
   engine_directory_.set_peers(alive);
   budget_exchange_.set_peers(alive);
   replica_reports_.set_peers(alive);
+  relays_.set_peers(alive);
   crash_reports_.set_peers(alive);
   self_reports_.set_peers(alive);
   limits_.set_peers(alive, known_peers);
@@ -237,7 +239,10 @@
     request.graph = std::make_unique<stage_graph>(*request.route, arrival.content->pieces);
     request.expected_zone = preferred_zone(request, now);
   }
-  retry_budget_.count_request(request.service, now);
+  // A request that is passed on is counted by the node that serves it.
+  if (!is_partitioned()) {
+    retry_budget_.count_request(request.service, now);
+  }
   deadlines_.emplace(request.deadline, arrival.client);
   auto& active = active_[arrival.client] = std::move(request);
   record(base::event_kind::request_received, active, active.route->name,
@@ -250,6 +255,9 @@
   if (refuse_if_quarantined(active, now)) {
     return;
   }
+  if (pass_on(active, now)) {
+    return;
+  }
   if (refuse_while_partitioned(active, now) || refuse_by_residency(active) ||
       refuse_too_large(active, now) || refuse_while_stopping(active, now) ||
       refuse_without_expected_slot(active, now) || refuse_infeasible(active, now)) {
@@ -547,10 +555,11 @@
   auto budget_messages = budget_exchange_.take_messages();
   auto report_messages = replica_reports_.take_messages();
   auto crash_messages = crash_reports_.take_messages();
+  auto relay_messages = relays_.take_messages();
   auto limit_messages = limits_.take_messages();
   auto self_report_messages = self_reports_.take_messages();
   for (auto* list : {&engine_messages, &budget_messages, &report_messages, &crash_messages,
-                     &limit_messages, &self_report_messages}) {
+                     &limit_messages, &self_report_messages, &relay_messages}) {
     std::move(list->begin(), list->end(), std::back_inserter(messages));
   }
   return messages;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "dispatch/admission_estimate.h"
 #include "dispatch/configuration_knowledge.h"
 #include "dispatch/event_stream.h"
+#include "dispatch/relay_exchange.h"
 #include "dispatch/replica_report_exchange.h"
 #include "dispatch/retry_budget.h"
 #include "dispatch/retry_budget_exchange.h"
@@ -113,6 +114,9 @@
   /// down, this node's calls at that replica are checked for stalls at once.
   void handle_peer(const base::node_id& sender, const wire::replica_news& message,
                    base::time_point now);
+  /// Processes another node's question for nodes that hear from replicas, or its answer to one.
+  void handle_peer(const base::node_id& sender, const base::network_address& address,
+                   const wire::relay_offer& message, base::time_point now);
   /// Merges another node's records of requests under which replicas exited.
   void handle_peer(const base::network_address& address, const wire::crash_news& message,
                    base::time_point now);
@@ -210,6 +214,13 @@
   /// Refuses a request at once while this node is partitioned from all replicas and hears from none
   /// on open connections either.
   bool refuse_while_partitioned(active_request& request, base::time_point now);
+  /// Passes a request on to another node if this node is partitioned from all replicas and another
+  /// one offered itself. A request passes one other node at most.
+  /// @return whether the request was passed on.
+  bool pass_on(active_request& request, base::time_point now);
+  /// Forwards the answer of the node to which a request was passed on.
+  void on_relay_answer(active_request& request, const call_answered& answered,
+                       base::time_point now);
   /// Probes replicas while the paths of this node are in doubt, and applies the result.
   void check_paths(base::time_point now);
   void apply_path_state(base::time_point now);
@@ -531,6 +542,7 @@
   retry_budget_exchange budget_exchange_;
   replica_report_exchange replica_reports_;
   path_monitor paths_;
+  relay_exchange relays_;
   /// State of `paths_` that the other parts of the dispatcher were last told.
   path_state applied_path_state_ = path_state::working;
   quarantine::crash_detector crash_detector_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -82,7 +82,8 @@
     abort_request(request, deadline_passed, now);
     return;
   }
-  if (abort_if_late_for_stop(request, now) || refuse_if_quarantined(request, now)) {
+  if (abort_if_late_for_stop(request, now) || refuse_if_quarantined(request, now) ||
+      pass_on(request, now)) {
     return;
   }
   if (request.graph && request.graph->has_missing_final_inputs()) {
@@ -166,6 +167,9 @@
   if (at_replica->second.empty()) {
     clients_by_replica_.erase(at_replica);
   }
+  if (call.relay_node) {
+    relays_.note_ended(*call.relay_node);
+  }
   request.call.reset();
   return call;
 }
@@ -176,7 +180,9 @@
     return;
   }
   const auto call = close_call(*request);
-  if (failure.failure != call_failure::no_memory) {
+  if (call.relay_node) {
+    relays_.note_unreachable(*call.relay_node);
+  } else if (failure.failure != call_failure::no_memory) {
     paths_.note_failure(now);
   }
   if (failure.failure == call_failure::not_sent) {
@@ -248,6 +254,10 @@
   if (request == nullptr) {
     return;
   }
+  if (request->call->relay_node) {
+    on_relay_answer(*request, answered, now);
+    return;
+  }
   const auto& replica = request->call->replica;
   note_answer(replica, answered.head, now);
   if (answered.head.not_executed || answered.head.misdirected) {
@@ -370,6 +380,10 @@
   note_event(*request, now);
   note_contact(*request->call, now);
   commands_.emplace_back(stream_data{request->client, std::move(whole_events)});
+  if (request->call->relay_node) {
+    // The other node watches the progress of its replica.
+    return;
+  }
   const auto stall_timeout =
       std::chrono::duration_cast<base::duration>(request->route->gap_target * stream_stall_factor);
   watch_progress(*request, stall_timeout, now);
@@ -406,7 +420,9 @@
     return;
   }
   replicas_.note_failure(call.replica, now);
-  paths_.note_failure(now);
+  if (!call.relay_node) {
+    paths_.note_failure(now);
+  }
   note_lost_call(*request, call, closed.has_timed_out, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          "the stream broke off" + digest_text(*request));
--- a/src/dispatch/dispatcher_constants.h
+++ b/src/dispatch/dispatcher_constants.h
@@ -10,6 +10,7 @@
 constexpr unsigned unauthorized = 401;
 constexpr unsigned not_found = 404;
 constexpr unsigned conflict = 409;
+constexpr unsigned too_many_requests = 429;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned unavailable = 503;
 constexpr unsigned timed_out = 504;
--- a/src/dispatch/dispatcher_paths.cc
+++ b/src/dispatch/dispatcher_paths.cc
@@ -50,6 +50,7 @@
     paths_.begin_round(probed, now);
   }
   apply_path_state(now);
+  relays_.advance(paths_.state() >= path_state::suspected, now);
 }
 
 void dispatcher::apply_path_state(base::time_point now) {
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -62,6 +62,8 @@
   std::uint64_t retries = 0;
   /// Requests refused because this node is partitioned from all replicas.
   std::uint64_t refused_while_partitioned = 0;
+  /// Requests passed on to another node for the same reason.
+  std::uint64_t passed_on = 0;
   /// Number of times that a retry was denied because the retry budget was used up.
   std::uint64_t retries_denied = 0;
   /// Retries that waited for retry budget transferred by other nodes.
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -168,6 +168,8 @@
   base::duration time_left{};
   /// Tenant of the request; empty if there is none.
   std::string tenant;
+  /// Whether the target is another node, which serves the request as that of a client.
+  bool passes_on = false;
   /// Whether the answer is forwarded as it arrives; otherwise it is buffered until complete.
   bool streaming = false;
   /// Whether the request may run only once. Such a request is sent only on a new connection or on
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -52,6 +52,8 @@
   std::uint32_t output_tokens = 0;
   /// Parts of the prompt, in order; the last part belongs to this request or its session alone.
   std::vector<prompt_part> prompt_parts;
+  /// Whether another node passed the request on to this node. It is then not passed on again.
+  bool was_passed_on = false;
   /// Number of pieces of each stage of the route, in the order of the stages.
   std::vector<std::uint32_t> pieces;
   std::string piece_key;
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -76,6 +76,9 @@
 };
 
 struct serving_settings {
+  /// Address at which this node accepts the requests of clients, for other nodes; empty if the node
+  /// does not know an address that other nodes can use.
+  base::network_address client_address;
   resource_limits resources;
   /// Region of each zone. Work that is confined to regions does not run in a zone that is missing
   /// here.
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -180,8 +180,10 @@
   endpoints.listen = read_address(*section, "listen");
   endpoints.readiness_listen = read_address(*section, "readiness_listen");
   endpoints.store = read_address(*section, "store");
-  result.serving = std::move(endpoints);
   serving::serving_settings serving;
+  const bool is_on_all_interfaces = endpoints.listen.starts_with("0.0.0.0:");
+  serving.client_address = base::network_address(is_on_all_interfaces ? "" : endpoints.listen);
+  result.serving = std::move(endpoints);
   auto& retry = serving.retry;
   retry.ratio = section->number("retry_ratio", 0, 10, retry.ratio);
   retry.allowance = section->number("retry_allowance", 0, 1e6, retry.allowance);
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -80,6 +80,7 @@
     node.random =
         std::make_unique<base::seeded_random>(settings.seed * 1000 + index * 10 + node.incarnation);
     serving_settings limits;
+    limits.client_address = client_address_of(index);
     limits.retry = {0.2, 40, seconds(10)};
     limits.quarantine = settings.limits;
     node.subject =
@@ -286,6 +287,10 @@
     std::set<base::call_id> stage_calls;
   };
 
+  static base::network_address client_address_of(std::size_t index) {
+    return base::network_address("n" + std::to_string(index) + ":80");
+  }
+
   static fleet_peer peer_number(std::size_t index) {
     const auto name = "n" + std::to_string(index);
     return {base::node_id(name), base::zone_id(index % 2 == 0 ? "a" : "b"),
@@ -366,7 +371,61 @@
   template <typename other_command>
   void execute(std::size_t /*node*/, const other_command& /*wanted*/) {}
 
+  /// A request that one node passed on to another one.
+  struct passed_request {
+    std::size_t from = 0;
+    base::call_id call = 0;
+    std::size_t to = 0;
+  };
+
+  void pass_on(std::size_t node, const start_call& command) {
+    for (std::size_t target = 0; target < nodes.size(); ++target) {
+      if (client_address_of(target) != command.target.address) {
+        continue;
+      }
+      auto content = std::make_shared<request_content>(*command.content);
+      content->was_passed_on = true;
+      content->time_allowed = command.time_left;
+      const auto client = ++requests;
+      ++passed_on;
+      bodies[client] = content->body;
+      passed_requests[client] = {node, command.call, target};
+      nodes[target].subject->handle(request_arrived{client, content, now}, now);
+    }
+  }
+
+  /// @return whether the client is a node that passed a request on; the event is delivered to it.
+  template <typename make_event>
+  bool deliver_to_origin(base::caller_id client, bool is_last, const make_event& event_for) {
+    const auto found = passed_requests.find(client);
+    if (found == passed_requests.end()) {
+      return false;
+    }
+    const auto passed = found->second;
+    if (is_last) {
+      passed_requests.erase(found);
+    }
+    nodes[passed.from].subject->handle(event_for(passed.call), now);
+    return true;
+  }
+
+  void execute(std::size_t /*node*/, const open_stream& opened) {
+    deliver_to_origin(opened.client, false, [](base::call_id call) {
+      return stream_opened{call, dispatcher_driver::good_head()};
+    });
+  }
+
+  void execute(std::size_t /*node*/, const stream_data& data) {
+    deliver_to_origin(data.client, false, [&](base::call_id call) {
+      return stream_bytes{call, data.bytes};
+    });
+  }
+
   void execute(std::size_t node, const start_call& command) {
+    if (command.passes_on) {
+      schedule(milliseconds(1), [this, node, command] { pass_on(node, command); });
+      return;
+    }
     const auto incarnation = nodes[node].incarnation;
     schedule(milliseconds(1), [this, node, incarnation, command] {
       if (nodes[node].incarnation == incarnation) {
@@ -454,6 +513,12 @@
   }
 
   void execute(std::size_t node, const cancel_call& command) {
+    for (const auto& [client, passed] : std::map(passed_requests)) {
+      if (passed.from == node && passed.call == command.call) {
+        passed_requests.erase(client);
+        nodes[passed.to].subject->handle(client_disconnected{client}, now);
+      }
+    }
     nodes[node].calls.erase(command.call);
     nodes[node].stage_calls.erase(command.call);
     // A replica that does not learn that the connection was closed goes on with the call.
@@ -490,6 +555,15 @@
   }
 
   void execute(std::size_t /*node*/, const respond& answer) {
+    const bool is_passed = deliver_to_origin(answer.client, true, [&](base::call_id call) {
+      auto head = dispatcher_driver::good_head(answer.status);
+      head.sealed = !answer.locally_answered_request.has_value();
+      head.headers = answer.headers;
+      return call_answered{call, head, answer.body};
+    });
+    if (is_passed) {
+      return;
+    }
     auto& count = counts[bodies.at(answer.client)];
     if (answer.status != 200) {
       retry(answer.client);
@@ -509,6 +583,12 @@
   }
 
   void execute(std::size_t /*node*/, const end_stream& end) {
+    const bool is_passed = deliver_to_origin(end.client, true, [&](base::call_id call) {
+      return stream_closed{call, end.complete};
+    });
+    if (is_passed) {
+      return;
+    }
     auto& count = counts[bodies.at(end.client)];
     ++(end.complete ? count.served : count.failed);
     note_outcome(end.client, end.complete);
@@ -709,6 +789,8 @@
       receiver.handle_peer(sender.node, message.replica_news(), now);
     } else if (message.has_retry_lending()) {
       receiver.handle_peer(sender.node, sender.address, message.retry_lending(), now);
+    } else if (message.has_relay_offer()) {
+      receiver.handle_peer(sender.node, sender.address, message.relay_offer(), now);
     } else if (message.has_rate_limits()) {
       receiver.handle_peer(sender.node, message.rate_limits(), now);
     } else if (message.has_crash_news()) {
@@ -721,6 +803,8 @@
   /// Time after which the kernel of a node gives up a connection that passes no bytes.
   static constexpr base::duration tcp_user_timeout = milliseconds(1500);
 
+  std::map<base::caller_id, passed_request> passed_requests;
+  std::size_t passed_on = 0;
   /// Requests that brittle replicas rejected, and crashes of brittle replicas for this reason.
   std::size_t rejections = 0;
   std::size_t falls = 0;
