Tests: emulated probes find that a replica accepts connections

Three test fleets gave probes no answer, which no network does: a connection is established, refused or times out. The node then stays in doubt and holds its health reports back.

--- a/tests/dispatch/down_replica_test.cc
+++ b/tests/dispatch/down_replica_test.cc
@@ -16,6 +16,7 @@
 
 struct reporting_driver : dispatcher_driver {
   explicit reporting_driver(const serving_settings& settings = {}) : dispatcher_driver(settings) {
+    answers_probes = true;
     subject.set_peers(
         {{base::node_id("other"), base::zone_id("a"), base::network_address("other:1"), 1}}, 1);
   }
--- a/tests/dispatch/replica_restart_test.cc
+++ b/tests/dispatch/replica_restart_test.cc
@@ -24,6 +24,7 @@
   }
 
   void add_peer() {
+    answers_probes = true;
     subject.set_peers(
         {{base::node_id("other"), base::zone_id("a"), base::network_address("other:1"), 1}}, 1);
   }
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -267,6 +267,8 @@
   std::string api_key = "key";
   std::optional<base::duration> time_allowed = std::chrono::seconds(5);
   command_list commands;
+  /// Whether each probe finds at once that its replica accepts connections.
+  bool answers_probes = false;
 
  private:
   struct made_call {
@@ -286,7 +288,16 @@
     for (const auto& command : new_commands) {
       std::visit([this](const auto& typed_command) { note_call(typed_command); }, command);
     }
+    std::vector<base::replica_id> probed;
+    for (const auto& command : new_commands) {
+      if (const auto* probe = std::get_if<probe_replica>(&command); probe && answers_probes) {
+        probed.push_back(probe->target.replica);
+      }
+    }
     std::move(new_commands.begin(), new_commands.end(), std::back_inserter(commands));
+    for (const auto& replica : probed) {
+      deliver(replica_probed{replica, probe_result::connected});
+    }
   }
 
   std::map<base::call_id, made_call> made_calls_;
--- a/tests/dispatch/shared_evidence_test.cc
+++ b/tests/dispatch/shared_evidence_test.cc
@@ -95,6 +95,10 @@
     for (const auto& command : node.subject.take_commands()) {
       if (const auto* call = std::get_if<start_call>(&command)) {
         begin(index, *call);
+      } else if (const auto* probe = std::get_if<probe_replica>(&command)) {
+        // The unresponsive replica accepts connections and answers nothing.
+        node.subject.handle(replica_probed{probe->target.replica, probe_result::connected}, now);
+        node.subject.advance(now);
       } else if (const auto* cancelled = std::get_if<cancel_call>(&command)) {
         node.answers.erase(cancelled->call);
       } else if (const auto* answer = std::get_if<respond>(&command)) {
