Log the software version of a called replica, and what a resumed request resumes

Two hypotheses of the incident look alike in the logs: a client that resumes at another node, and a node that goes on at another replica within one answer. The version that a replica publishes was decoded and dropped; now model::replica holds it (a very long one is shortened with its hash) and stage_dispatched names it. No choice heeds either yet.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -37,6 +37,9 @@
 using backend_id = identifier<struct backend_tag>;
 /// A replica keeps its identifier when it restarts; see `model::replica_incarnation`.
 using replica_id = identifier<struct replica_tag>;
+/// Version of a replica's software, compared for equality only; empty if the replica publishes
+/// none. The version of the weights of a model is another one.
+using software_version = identifier<struct software_version_tag>;
 using pool_id = identifier<struct pool_tag>;
 using tenant_id = identifier<struct tenant_tag>;
 using template_id = identifier<struct template_tag>;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -49,6 +49,15 @@
   return "the client left";
 }
 
+/// @return text for the log on what a request resumes; empty if it resumes nothing.
+std::string resumption_text(const request_content& content) {
+  if (!content.resume_after) {
+    return {};
+  }
+  return ", resumes after event " + std::to_string(*content.resume_after) + " what " +
+         (content.first_attempt ? content.first_attempt->text() : "an unnamed attempt") + " began";
+}
+
 /// Picks one of the route's services by weight; every node picks the same service for a request.
 const std::string& pick_service(const model::route& route, const base::request_id& id) {
   std::uint64_t total = 0;
@@ -247,7 +256,8 @@
   auto& active = active_[arrival.client] = std::move(request);
   record(base::event_kind::request_received, active, active.route->name,
          "configuration " + std::to_string(active.configuration_version) + ", " +
-             std::to_string(base::to_milliseconds(allowed)) + " ms");
+             std::to_string(base::to_milliseconds(allowed)) + " ms" +
+             resumption_text(*active.content));
   if (active.deadline <= now) {
     answer_not_run(active, "deadline passed on arrival", now);
     return;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -117,7 +117,8 @@
   record(base::event_kind::stage_dispatched, request, chosen->record->id.text(),
          "attempt " + std::to_string(request.attempts) + ", own calls " +
              std::to_string(chosen->in_flight) + ", " +
-             std::to_string(base::to_milliseconds(new_call.time_left)) + " ms left");
+             std::to_string(base::to_milliseconds(new_call.time_left)) + " ms left, software " +
+             chosen->record->version.text());
   note_locality(request, *chosen, now);
   const auto stall_timeout = progress_timeout(request, *chosen, now);
   if (is_engine(request.service)) {
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -1,5 +1,6 @@
 #include "model/serving_record_parser.h"
 
+#include "base/hashing.h"
 #include "wire/published.pb.h"
 
 #include <algorithm>
@@ -184,6 +185,17 @@
   return limits;
 }
 
+/// Shortens a very long version. Versions of equal text stay equal, others stay different.
+base::software_version build_version(const std::string& published) {
+  constexpr std::size_t max_bytes = 80;
+  constexpr std::size_t kept_bytes = 48;
+  if (published.size() <= max_bytes) {
+    return base::software_version(published);
+  }
+  return base::software_version(published.substr(0, kept_bytes) + "..." +
+                                std::to_string(base::stable_hash(published)));
+}
+
 std::shared_ptr<const serving_configuration>
 build_configuration(const wire::published_configuration& published) {
   auto built = std::make_shared<serving_configuration>();
@@ -257,6 +269,7 @@
   built->service = published.service();
   built->address = base::network_address(published.address());
   built->zone = base::zone_id(published.zone());
+  built->version = build_version(published.version());
   built->slots = std::max(1U, published.slots());
   built->draining = published.draining();
   built->cold_for = milliseconds_of(published.cold_milliseconds());
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -177,6 +177,7 @@
   std::string service;
   base::network_address address;
   base::zone_id zone;
+  base::software_version version;
   /// Number of requests that the replica can run at the same time.
   std::uint32_t slots = 1;
   bool draining = false;
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -47,6 +47,9 @@
   std::string api_key;
   /// Identifier of the last event that the client has received, if the request resumes a stream.
   std::optional<std::uint64_t> resume_after;
+  /// Id of the client attempt that brought the first event of the resumed stream; std::nullopt if
+  /// the client did not send it.
+  std::optional<base::request_id> first_attempt;
   std::string model;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t output_tokens = 0;
