A stream goes on only at the service and software version that began it

Ruled out: a replica that restarts at an address with other software. It gets a new id, and answers 421.

The first event of a resumable stream binds its request to the version of the replica that wrote it. replica_requirements carries the version, and replica_table::could_serve heeds it, the one check behind all lists of candidates. A node at which a client resumes looks the origin up: three witnesses, found by rendezvous hashing in the zone that began and in two others, keep it in bounded memory until no client can resume. While one version is known, and the list of replicas is current, nothing is sent and an unknown stream goes on at the only version; otherwise an unknown one is refused at once. A version that has left is told at once, without a Retry-After; one not listed yet with. New requests leave a nearly full version room, and wait after bound ones of their priority. A relay is told the attempt that began.

It works because the decision needs one fact, the version, which every node can now find without knowing who began the stream.

--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -42,6 +42,7 @@
   residency_refused,
   residency_confined,
   client_slow,
+  stream_resumed,
   request_crashed_replica,
   request_quarantined,
   request_cleared,
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -269,6 +269,38 @@
             static_cast<double>(dispatcher.crashes().all().size()));
 }
 
+void add_stream_origins(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.counts();
+  auto& resumptions = BuildCounter()
+                          .Name("spurrack_stream_resumptions_total")
+                          .Help("Requests to resume a stream, by outcome.")
+                          .Register(registry);
+  const auto add_outcome = [&](const char* outcome, std::uint64_t count) {
+    resumptions.Add({{"outcome", outcome}}).Increment(static_cast<double>(count));
+  };
+  add_outcome("bound", counts.resumptions_bound);
+  add_outcome("only_version", counts.resumptions_at_only_version);
+  add_outcome("unknown", counts.resumptions_of_unknown_origin);
+  add_outcome("left", counts.resumptions_of_left_version);
+  add_outcome("without_slot", counts.resumptions_without_slot);
+  const auto& origins = dispatcher.stream_origins();
+  add_gauge(registry, "spurrack_stream_origins_kept", "Origins of streams in memory.",
+            static_cast<double>(origins.registry().size()));
+  const auto add = count_adder(registry);
+  add("spurrack_stream_origins_dropped_total",
+      "Origins of streams dropped before their time because there were too many.",
+      origins.registry().dropped_early());
+  add("spurrack_stream_origin_messages_total", "Messages sent about origins of streams.",
+      origins.counts().sent_messages);
+  add("spurrack_stream_origin_records_total", "Origins of streams sent to witnesses.",
+      origins.counts().sent_records);
+  add("spurrack_stream_origin_queries_total", "Queries sent for origins of streams.",
+      origins.counts().sent_queries);
+  add("spurrack_stream_origin_late_answers_total",
+      "Answers about origins of streams that arrived after their look-up had ended.",
+      origins.counts().late_answers);
+}
+
 /// Adds to `registry` the metrics about the self-reports that replicas send in their answers.
 void add_self_reports(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.replica_self_reports().counts();
@@ -353,6 +385,7 @@
   add_graceful_stop(registry, counts);
   add_retries(registry, dispatcher);
   add_quarantine(registry, dispatcher);
+  add_stream_origins(registry, dispatcher);
   add_self_reports(registry, dispatcher);
   add_limits(registry, dispatcher);
   add("spurrack_stage_pieces_total", "Pieces of stages submitted.", counts.stage_pieces);
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -9,6 +9,7 @@
 #include "serving/events.h"
 #include "stage_work/stage_exchange.h"
 #include "stage_work/stage_graph.h"
+#include "streams/stream_origin.h"
 
 #include <cstdint>
 #include <map>
@@ -47,11 +48,15 @@
   std::optional<base::time_point> restart_seen_at{};
   /// Node to which the request was passed on; std::nullopt if the call is one at a replica.
   std::optional<base::node_id> relay_node{};
+  /// Software version of the replica; not known if the request was passed on.
+  base::software_version version{};
 };
 
-/// Entry in an admission queue. Ordered by priority (0 is the most urgent), then by deadline.
+/// Entry in an admission queue. Ordered by priority (0 is the most urgent), then requests that are
+/// bound to a software version before others, then by deadline.
 struct waiting_request {
   std::uint32_t priority = 0;
+  bool is_unbound = true;
   base::time_point deadline;
   base::caller_id client = 0;
   auto operator<=>(const waiting_request&) const = default;
@@ -105,6 +110,19 @@
   /// Whether some replica may have begun to run the request.
   bool may_have_run = false;
   bool has_begun_stream = false;
+  /// Identifies the stream over all attempts of its client; set if the route is resumable.
+  std::optional<streams::stream_key> stream_key;
+  /// Software version that wrote the events which the client has. The stream goes on only at a
+  /// replica of this version. std::nullopt if the client has no event, or if `has_settled_origin`
+  /// is false and the version is not known yet.
+  std::optional<base::software_version> bound_version;
+  /// Whether it was looked up which service and version began the stream.
+  bool has_settled_origin = false;
+  /// Whether the request passed the checks on arrival; a request that resumes a stream waits for
+  /// its origin before.
+  bool has_passed_admission = false;
+  /// Number of calls that were made for the request.
+  std::uint32_t calls = 0;
   /// Time of the next check whether the stages can still end in time; std::nullopt if the request
   /// is not checked.
   std::optional<base::time_point> next_feasibility_check_at;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -92,8 +92,10 @@
       retry_budget_(settings.retry),
       budget_exchange_(retry_budget_, self.zone, random, incarnation),
       replica_reports_(replicas_, self.zone, settings.regions, random),
-      relays_(settings.client_address, random), crash_registry_(settings.quarantine),
-      crash_reports_(crash_registry_, self.node, random),
+      relays_(settings.client_address, random),
+      origins_(self, [this](const auto& service,
+                            auto now) { return version_knowledge_of(service, now); }),
+      crash_registry_(settings.quarantine), crash_reports_(crash_registry_, self.node, random),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, incarnation, record_),
       stop_plan_(settings.stop_admission) {
@@ -113,6 +115,7 @@
   budget_exchange_.set_peers(alive);
   replica_reports_.set_peers(alive);
   relays_.set_peers(alive);
+  origins_.set_peers(alive);
   crash_reports_.set_peers(alive);
   self_reports_.set_peers(alive);
   limits_.set_peers(alive, known_peers);
@@ -140,6 +143,8 @@
   handle_replica_restarts(now);
   find_exited_replicas(now);
   report_unknown_services();
+  share_origins(now);
+  end_streams_of_left_versions(now);
 }
 
 void dispatcher::update_replicas(const catalog::catalog& content, bool all, base::time_point now) {
@@ -230,7 +235,10 @@
   active_request request;
   request.client = arrival.client;
   request.content = arrival.content;
-  request.service = pick_service(*route, arrival.content->id);
+  const auto& content = *arrival.content;
+  const bool resumes = content.resume_after && content.first_attempt;
+  const auto& first_attempt = resumes ? *content.first_attempt : content.id;
+  request.service = pick_service(*route, first_attempt);
   request.tenant = holder ? holder->tenant.text() : "";
   request.priority = holder && holder->priority ? *holder->priority : route->priority;
   request.permitted_regions = route->permitted_regions;
@@ -244,6 +252,9 @@
   request.deadline = arrival.arrived_at + allowed;
   request.events = event_stream(arrival.content->resume_after);
   request.route = std::move(route);
+  if (is_resumable_stream(request)) {
+    request.stream_key = streams::key_of(request.tenant, first_attempt);
+  }
   if (!request.route->stages.empty()) {
     request.graph = std::make_unique<stage_graph>(*request.route, arrival.content->pieces);
     request.expected_zone = preferred_zone(request, now);
@@ -265,9 +276,14 @@
   if (refuse_if_quarantined(active, now)) {
     return;
   }
-  if (pass_on(active, now)) {
+  if (pass_on(active, now) || (needs_origin(active) && !settle_origin(active, now))) {
     return;
   }
+  start_request(active, now);
+}
+
+void dispatcher::start_request(active_request& active, base::time_point now) {
+  active.has_passed_admission = true;
   if (refuse_while_partitioned(active, now) || refuse_by_residency(active) ||
       refuse_too_large(active, now) || refuse_while_stopping(active, now) ||
       refuse_without_expected_slot(active, now) || refuse_infeasible(active, now)) {
@@ -510,6 +526,11 @@
   abort_expired_requests(now);
   advance_self_reports(now);
   check_requests_awaiting_budget(now);
+  origins_.advance(now);
+  process_origin_findings(now);
+  if (next_share_check_at_ <= now) {
+    share_origins(now);
+  }
   check_requests(now);
   stages_.dispatch_waiting(now);
   if (process_piece_results(now)) {
@@ -547,6 +568,9 @@
   if (!clients_awaiting_budget_.empty()) {
     consider(now + budget_check_interval);
   }
+  if (const auto next_origin_at = origins_.next_wakeup()) {
+    consider(*next_origin_at);
+  }
   if (const auto next_limit_at = limits_.next_wakeup()) {
     consider(*next_limit_at);
   }
@@ -566,10 +590,11 @@
   auto report_messages = replica_reports_.take_messages();
   auto crash_messages = crash_reports_.take_messages();
   auto relay_messages = relays_.take_messages();
+  auto origin_messages = origins_.take_messages();
   auto limit_messages = limits_.take_messages();
   auto self_report_messages = self_reports_.take_messages();
   for (auto* list : {&engine_messages, &budget_messages, &report_messages, &crash_messages,
-                     &limit_messages, &self_report_messages, &relay_messages}) {
+                     &limit_messages, &self_report_messages, &relay_messages, &origin_messages}) {
     std::move(list->begin(), list->end(), std::back_inserter(messages));
   }
   return messages;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -33,6 +33,7 @@
 #include "stage_work/drain_rate.h"
 #include "stage_work/stage_exchange.h"
 #include "stage_work/stage_graph.h"
+#include "streams/origin_exchange.h"
 
 #include <cstdint>
 #include <functional>
@@ -117,6 +118,9 @@
   /// Processes another node's question for nodes that hear from replicas, or its answer to one.
   void handle_peer(const base::node_id& sender, const base::network_address& address,
                    const wire::relay_offer& message, base::time_point now);
+  /// Processes origins of streams, queries for origins, or answers to such queries.
+  void handle_peer(const base::node_id& sender, const base::network_address& address,
+                   const wire::stream_origins& message, base::time_point now);
   /// Merges another node's records of requests under which replicas exited.
   void handle_peer(const base::network_address& address, const wire::crash_news& message,
                    base::time_point now);
@@ -161,6 +165,7 @@
   [[nodiscard]] const self_reports::self_report_exchange& replica_self_reports() const {
     return self_reports_;
   }
+  [[nodiscard]] const streams::origin_exchange& stream_origins() const { return origins_; }
   [[nodiscard]] const rate_limits::limit_exchange& limits() const { return limits_; }
   [[nodiscard]] const quarantine::crash_registry& crashes() const { return crash_registry_; }
   [[nodiscard]] const quarantine::crash_report_counts& crash_reports() const {
@@ -191,6 +196,59 @@
 
   void admit(const request_arrived& arrival, std::shared_ptr<const model::route> route,
              const std::optional<model::access_key_holder>& holder, base::time_point now);
+  /// Checks a request on arrival, after its service is settled, and lets it continue if no check
+  /// refuses it.
+  void start_request(active_request& request, base::time_point now);
+
+  // Origins of resumed streams.
+
+  [[nodiscard]] static bool is_resumable_stream(const active_request& request);
+  /// @return whether the client has events of the stream and it is not known which version wrote
+  ///         them.
+  [[nodiscard]] static bool needs_origin(const active_request& request);
+  /// @return what this node knows of the software versions of a service.
+  [[nodiscard]] streams::version_knowledge version_knowledge_of(const std::string& service,
+                                                                base::time_point now) const;
+  /// Finds out which service and version began the stream of a request, and binds the request to
+  /// them. If the origin must be looked up at other nodes, the request waits and continues later.
+  /// @return whether the request may continue now; false if it waits or was refused.
+  bool settle_origin(active_request& request, base::time_point now);
+  /// Binds a request to the origin of its stream, or refuses it if the origin is not known and the
+  /// service may have several versions, or if no replica of the version accepts work.
+  /// @return whether the request may continue.
+  bool apply_origin(active_request& request, const streams::origin_finding& finding,
+                    base::time_point now);
+  /// @return version to which a stream of unknown origin is bound; std::nullopt if there is not
+  ///         exactly one.
+  [[nodiscard]] std::optional<base::software_version>
+  only_version_of(const std::string& service, const streams::origin_finding& finding,
+                  base::time_point now) const;
+  /// Refuses a request to resume a stream, or breaks its answer off, because the stream cannot go
+  /// on at the version that began it.
+  /// @param retry_after zero if waiting does not help.
+  void refuse_resumption(active_request& request, const std::string& reason,
+                         base::duration retry_after, base::time_point now);
+  /// Refuses a request whose version no longer accepts work.
+  bool refuse_if_version_left(active_request& request, base::time_point now);
+  /// @return whether a request is bound to a version of which no replica accepts work.
+  [[nodiscard]] bool has_version_left(const active_request& request) const;
+  /// @return text for the log: replicas of the version that serve, are full and are leaving.
+  [[nodiscard]] std::string version_text(const active_request& request, base::time_point now) const;
+  /// Continues the requests whose look-ups have ended.
+  void process_origin_findings(base::time_point now);
+  /// Records at which origin a resumable stream begins or goes on.
+  void note_stream_sent(active_request& request, const replica_state& chosen, base::time_point now);
+  /// @return whether the witnesses are told the origin of a request's stream: another node might
+  ///         otherwise let it go on at another version, or at another service of the route.
+  [[nodiscard]] bool is_origin_shared(const active_request& request) const;
+  /// Binds a stream to the version of the replica that wrote its event.
+  void bind_stream(active_request& request, base::time_point now);
+  /// Tells the witnesses of open streams their origins if a second version of their service
+  /// appeared, or can no longer be ruled out.
+  void share_origins(base::time_point now);
+  /// Ends suspended streams whose version has left.
+  void end_streams_of_left_versions(base::time_point now);
+
   /// Refuses a request that may run in no region, or whose permitted regions lack a replica that
   /// accepts work of a service that the request needs. Like every function that returns bool and
   /// whose name begins with `refuse_` or `abort_if_`, it returns whether it ended the request.
@@ -358,8 +416,12 @@
   /// Goes through the admission queue of one service in order: sends the requests that have a slot,
   /// and refuses those that are not expected to get a slot in time.
   void process_admission_queue(const std::string& service, base::time_point now);
-  /// Requests one permit for each queued request of a service.
+  /// Requests one permit for each queued request of a service: for each software version that
+  /// requests are bound to, and for the requests that are bound to none.
   void request_permits_for_waiting(const std::string& service, base::time_point now);
+  /// Requests one permit for each of `waiting_requests` requests that may run where `first` may.
+  void request_permits_for(const active_request& first, std::size_t waiting_requests,
+                           base::time_point now);
   void leave_admission_queue(active_request& request);
   void on_not_executed(active_request& request, const answer_head& head, base::time_point now);
   /// Retries a request after an attempt that may have run, if its route, its attempts, its deadline
@@ -543,6 +605,12 @@
   replica_report_exchange replica_reports_;
   path_monitor paths_;
   relay_exchange relays_;
+  streams::origin_exchange origins_;
+  /// Clients whose request waits for the origin of a stream.
+  std::map<streams::stream_key, std::vector<base::caller_id>> awaiting_origin_;
+  /// Services of whose open streams the witnesses know.
+  std::set<std::string> shared_services_;
+  base::time_point next_share_check_at_;
   /// State of `paths_` that the other parts of the dispatcher were last told.
   path_state applied_path_state_ = path_state::working;
   quarantine::crash_detector crash_detector_;
--- a/src/dispatch/dispatcher_admission_queue.cc
+++ b/src/dispatch/dispatcher_admission_queue.cc
@@ -24,6 +24,32 @@
 /// an endless wait: no request is meant to wait as long.
 constexpr base::duration unbounded_wait = std::chrono::hours(1);
 
+/// @return whether two requests may run at the same replicas.
+/// @param left software version that one of them is bound to; @param right that of the other.
+bool may_share_replicas(const std::optional<base::software_version>& left,
+                        const std::optional<base::software_version>& right) {
+  return !left || !right || *left == *right;
+}
+
+/// Counts queued requests by the software version that they are bound to.
+class waiting_counts {
+ public:
+  void add(const std::optional<base::software_version>& bound_version) { ++counts_[bound_version]; }
+  /// @return number of counted requests that may run at the same replicas as a request.
+  /// @param bound_version version that the request is bound to.
+  [[nodiscard]] std::size_t
+  competing_with(const std::optional<base::software_version>& bound_version) const {
+    std::size_t competing = 0;
+    for (const auto& [version, count] : counts_) {
+      competing += may_share_replicas(version, bound_version) ? count : 0;
+    }
+    return competing;
+  }
+
+ private:
+  std::map<std::optional<base::software_version>, std::size_t> counts_;
+};
+
 } // namespace
 
 void dispatcher::advance_self_reports(base::time_point now) {
@@ -39,8 +65,12 @@
 
 replica_requirements dispatcher::requirements_of(const active_request& request) {
   const auto* results_zone = request.graph ? &request.expected_zone : nullptr;
-  return {request.service, *request.content, request.permitted_regions, request.tried_replicas,
-          results_zone};
+  return {.service = request.service,
+          .content = *request.content,
+          .permitted_regions = request.permitted_regions,
+          .excluded_replicas = request.tried_replicas,
+          .results_zone = results_zone,
+          .version = request.bound_version ? &*request.bound_version : nullptr};
 }
 
 // --- permits -------------------------------------------------------------------------------------
@@ -63,12 +93,28 @@
 }
 
 void dispatcher::request_permits_for_waiting(const std::string& service, base::time_point now) {
-  const auto& queue = admission_queues_.at(service);
-  // Permits are requested for the replicas that could serve the first request in the queue. These
-  // replicas could also serve the other queued requests, unless those have other permitted regions
-  // or have already tried some of the replicas.
-  const auto limited =
-      replicas_.candidates_without_permit(requirements_of(active_.at(queue.begin()->client)), now);
+  // Permits are requested for the replicas that could serve the first request of each group. These
+  // replicas could also serve the other requests of the group, unless those have other permitted
+  // regions or have already tried some of the replicas.
+  struct waiting_group {
+    const active_request* first = nullptr;
+    std::size_t requests = 0;
+  };
+  std::map<std::optional<base::software_version>, waiting_group> groups;
+  for (const auto& entry : admission_queues_.at(service)) {
+    const auto& request = active_.at(entry.client);
+    auto& group = groups[request.bound_version];
+    group.first = group.first == nullptr ? &request : group.first;
+    ++group.requests;
+  }
+  for (const auto& [bound_version, group] : groups) {
+    request_permits_for(*group.first, group.requests, now);
+  }
+}
+
+void dispatcher::request_permits_for(const active_request& first, std::size_t waiting_requests,
+                                     base::time_point now) {
+  const auto limited = replicas_.candidates_without_permit(requirements_of(first), now);
   if (limited.empty()) {
     return;
   }
@@ -76,14 +122,14 @@
   // together are therefore as many as the queued requests, apart from rounding up for each replica.
   // The chosen replicas rotate with time: the nodes that issue the permits of some of them may be
   // down, and other replicas are then chosen next.
-  const auto replica_count = std::min(limited.size(), queue.size());
+  const auto replica_count = std::min(limited.size(), waiting_requests);
   const auto permits_per_replica =
-      static_cast<std::uint32_t>((queue.size() + replica_count - 1) / replica_count);
+      static_cast<std::uint32_t>((waiting_requests + replica_count - 1) / replica_count);
   const auto rotation =
       static_cast<std::uint64_t>(now.time_since_epoch() / rate_limits::query_lifetime);
-  const auto first = (base::stable_hash(self_.node.text()) + rotation) % limited.size();
+  const auto start = (base::stable_hash(self_.node.text()) + rotation) % limited.size();
   for (std::size_t index = 0; index < replica_count; ++index) {
-    const auto* replica = limited[(first + index) % limited.size()];
+    const auto* replica = limited[(start + index) % limited.size()];
     limits_.note_waiting(replica->record->id, permits_per_replica, now);
   }
 }
@@ -146,6 +192,7 @@
 void dispatcher::refuse_without_slot(active_request& request, base::duration wait,
                                      base::time_point now) {
   ++counters_.refused_without_slot;
+  counters_.resumptions_without_slot += request.bound_version ? 1 : 0;
   leave_admission_queue(request);
   const auto reason = "replicas take no more now, a place is expected after " +
                       std::to_string(base::to_milliseconds(wait)) + " ms";
@@ -193,9 +240,12 @@
   if (is_processing_queue_ || queue == admission_queues_.end()) {
     return false;
   }
-  const auto& first = *queue->second.begin();
-  return first < queue_entry_of(request) &&
-         choose_replica(active_.at(first.client), now) != nullptr;
+  const auto first =
+      std::find_if(queue->second.begin(), queue->second.end(), [&](const auto& queued) {
+        return may_share_replicas(active_.at(queued.client).bound_version, request.bound_version);
+      });
+  return first != queue->second.end() && *first < queue_entry_of(request) &&
+         choose_replica(active_.at(first->client), now) != nullptr;
 }
 
 const replica_state* dispatcher::choose_in_turn(active_request& request, base::time_point now) {
@@ -206,24 +256,29 @@
     return nullptr;
   }
   const auto* chosen = choose_replica(request, now);
-  if (chosen == nullptr && !queue_or_refuse(request, now)) {
+  if (chosen == nullptr && !refuse_if_version_left(request, now) &&
+      !queue_or_refuse(request, now)) {
     answer_not_run(request, request.may_have_run ? "no replica is left" : "no replica", now);
   }
   return chosen;
 }
 
 waiting_request dispatcher::queue_entry_of(const active_request& request) {
-  return {request.priority, request.deadline, request.client};
+  return {request.priority, !request.bound_version, request.deadline, request.client};
 }
 
 bool dispatcher::queue_or_refuse(active_request& request, base::time_point now) {
   const auto entry = queue_entry_of(request);
   const auto queue = admission_queues_.find(request.service);
-  const auto requests_ahead =
-      queue == admission_queues_.end()
-          ? 0
-          : std::distance(queue->second.begin(), queue->second.lower_bound(entry));
-  const auto wait = expected_queue_wait(request, static_cast<std::size_t>(requests_ahead), now);
+  waiting_counts ahead;
+  if (queue != admission_queues_.end()) {
+    const auto own_position = queue->second.lower_bound(entry);
+    for (auto queued = queue->second.begin(); queued != own_position; ++queued) {
+      ahead.add(active_.at(queued->client).bound_version);
+    }
+  }
+  const auto requests_ahead = ahead.competing_with(request.bound_version);
+  const auto wait = expected_queue_wait(request, requests_ahead, now);
   if (!wait) {
     return false;
   }
@@ -243,8 +298,12 @@
 base::duration dispatcher::shortest_retry_after(const active_request& request,
                                                 base::time_point now) const {
   const std::set<base::replica_id> no_tried_replicas;
-  const replica_requirements demand{request.service, *request.content, request.permitted_regions,
-                                    no_tried_replicas, nullptr};
+  const replica_requirements demand{.service = request.service,
+                                    .content = *request.content,
+                                    .permitted_regions = request.permitted_regions,
+                                    .excluded_replicas = no_tried_replicas,
+                                    .version =
+                                        request.bound_version ? &*request.bound_version : nullptr};
   const auto backoff_wait = replicas_.time_until_backoff_ends(demand, now);
   const bool can_be_called_now = !backoff_wait || !replicas_.candidates_for(demand, now).empty();
   return can_be_called_now ? base::duration{settings_.retry_after}
@@ -286,7 +345,7 @@
 void dispatcher::process_admission_queue(const std::string& service, base::time_point now) {
   const auto waiting = admission_queues_.at(service);
   is_processing_queue_ = true;
-  std::size_t requests_ahead = 0;
+  waiting_counts still_waiting;
   for (const auto& entry : waiting) {
     auto& request = active_.at(entry.client);
     if (abort_if_late_for_stop(request, now)) {
@@ -298,6 +357,7 @@
       send_to_replica(request, now);
       continue;
     }
+    const auto requests_ahead = still_waiting.competing_with(request.bound_version);
     const auto wait = expected_queue_wait(request, requests_ahead, now);
     if (!wait) {
       // No replica will accept the request later: it is answered like any request without a
@@ -307,7 +367,7 @@
     } else if (now + base::scaled(*wait, certain_wait_fraction) > client_deadline_of(request)) {
       refuse_without_slot(request, *wait, now);
     } else {
-      ++requests_ahead;
+      still_waiting.add(request.bound_version);
     }
   }
   is_processing_queue_ = false;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -83,7 +83,7 @@
     return;
   }
   if (abort_if_late_for_stop(request, now) || refuse_if_quarantined(request, now) ||
-      pass_on(request, now)) {
+      pass_on(request, now) || (needs_origin(request) && !settle_origin(request, now))) {
     return;
   }
   if (request.graph && request.graph->has_missing_final_inputs()) {
@@ -107,6 +107,8 @@
                            std::nullopt,
                            std::nullopt,
                            {}};
+  request.call->version = chosen->record->version;
+  note_stream_sent(request, *chosen, now);
   clients_by_replica_[chosen->record->id].insert(request.client);
   const bool runs_at_once = !chosen->reported_load || chosen->reported_load->waiting == 0;
   if (!new_call.inputs.empty() && runs_at_once &&
@@ -378,6 +380,7 @@
     return;
   }
   begin_stream(*request, now);
+  bind_stream(*request, now);
   note_event(*request, now);
   note_contact(*request->call, now);
   commands_.emplace_back(stream_data{request->client, std::move(whole_events)});
@@ -399,6 +402,9 @@
   if (is_whole) {
     note_completed_run(*request, now);
     note_survived(*request, now);
+    if (request->stream_key) {
+      origins_.note_completed(*request->stream_key);
+    }
   }
   const auto call = close_call(*request);
   if (is_whole) {
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -48,6 +48,9 @@
   passed.streaming = request.route->kind == model::route_kind::streaming;
   passed.runs_at_most_once = !request.route->is_repeatable();
   passed.resume_after = request.events.last_id();
+  if (passed.resume_after && !request.content->first_attempt) {
+    passed.first_attempt = request.content->id;
+  }
   ++request.attempts;
   open_call call{passed.call,  passed.target.replica, 0, now, std::nullopt,
                  std::nullopt, std::nullopt,          {}};
@@ -56,6 +59,9 @@
   clients_by_replica_[passed.target.replica].insert(request.client);
   clients_by_call_[passed.call] = request.client;
   relays_.note_started(chosen->node);
+  if (request.stream_key && !passed.resume_after) {
+    origins_.forget(*request.stream_key);
+  }
   ++counters_.passed_on;
   record(base::event_kind::request_forwarded, request, chosen->node.text(),
          "partitioned from all replicas, attempt " + std::to_string(request.attempts));
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -207,6 +207,11 @@
   // If a graceful stop leaves no time for another attempt, or suspected crashes limit the request
   // to one attempt, the stalled call is still the best option.
   if (!can_retry(request, now) || choose_replica(request, now) == nullptr) {
+    if (has_version_left(request) && is_replica_unresponsive(request)) {
+      answer_failed(request, status::bad_gateway, "the software version of the stream has left",
+                    now);
+      return;
+    }
     request.call->stalls_at = now + stall_check_interval;
     return;
   }
--- /dev/null
+++ b/src/dispatch/dispatcher_streams.cc
@@ -0,0 +1,249 @@
+/// Origins of resumed streams: a stream goes on only at the service and the software version that
+/// began it, within one answer and over all attempts of its client.
+#include "dispatch/dispatcher.h"
+
+#include "dispatch/dispatcher_constants.h"
+#include "dispatch/retry_after.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// Age of the list of replicas from which a second software version of a service can no longer be
+/// ruled out.
+constexpr base::duration max_replica_list_age = std::chrono::seconds(3);
+/// Interval at which this node checks whether the witnesses of its open streams must be told.
+constexpr base::duration share_check_interval = std::chrono::milliseconds(250);
+
+bool has_service(const model::route& route, const std::string& service) {
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [&](const auto& target) { return target.service == service; });
+}
+
+/// @return text for the log: who knew the origin of a stream, or how many nodes did not.
+std::string evidence_text(const streams::origin_finding& finding) {
+  if (finding.is_contradictory) {
+    return "contradictory origins, told by " + finding.source;
+  }
+  if (finding.origin) {
+    return "begun by " + finding.origin->service + " " + finding.origin->version.text() +
+           ", told by " + finding.source + " " +
+           std::to_string(base::to_milliseconds(finding.age)) + " ms after it was recorded";
+  }
+  return "origin not known, " + std::to_string(finding.answered) + " of " +
+         std::to_string(finding.queried) + " nodes answered" +
+         (finding.peers_know_several_versions ? ", one knows several versions" : "");
+}
+
+} // namespace
+
+bool dispatcher::is_resumable_stream(const active_request& request) {
+  return request.route->kind == model::route_kind::streaming && request.route->resumable;
+}
+
+bool dispatcher::needs_origin(const active_request& request) {
+  return request.stream_key && request.events.last_id() && !request.bound_version &&
+         !request.has_settled_origin;
+}
+
+streams::version_knowledge dispatcher::version_knowledge_of(const std::string& service,
+                                                            base::time_point now) const {
+  if (replicas_.versions().has_several(service, now)) {
+    return streams::version_knowledge::several;
+  }
+  return now - replica_list_confirmed_at_ > max_replica_list_age
+             ? streams::version_knowledge::outdated
+             : streams::version_knowledge::one;
+}
+
+// --- look-up -------------------------------------------------------------------------------------
+
+bool dispatcher::settle_origin(active_request& request, base::time_point now) {
+  const auto& stream = *request.stream_key;
+  const auto finding = origins_.look_up(stream, request.service, now);
+  if (!finding) {
+    awaiting_origin_[stream].push_back(request.client);
+    return false;
+  }
+  return apply_origin(request, *finding, now);
+}
+
+void dispatcher::process_origin_findings(base::time_point now) {
+  for (const auto& [stream, finding] : origins_.take_findings()) {
+    const auto waiting = awaiting_origin_.find(stream);
+    if (waiting == awaiting_origin_.end()) {
+      continue;
+    }
+    const auto clients = std::move(waiting->second);
+    awaiting_origin_.erase(waiting);
+    for (const auto client : clients) {
+      const auto found = active_.find(client);
+      if (found == active_.end() || !apply_origin(found->second, finding, now)) {
+        continue;
+      }
+      if (found->second.has_passed_admission) {
+        send_to_replica(found->second, now);
+      } else {
+        start_request(found->second, now);
+      }
+    }
+  }
+}
+
+std::optional<base::software_version>
+dispatcher::only_version_of(const std::string& service, const streams::origin_finding& finding,
+                            base::time_point now) const {
+  const auto knowledge = version_knowledge_of(service, now);
+  const bool is_known_to_be_one =
+      knowledge == streams::version_knowledge::one ||
+      (knowledge == streams::version_knowledge::outdated && finding.peers_know_one_version);
+  const auto versions = replicas_.versions().published(service);
+  const bool may_go_on = is_known_to_be_one && !finding.is_contradictory &&
+                         !finding.peers_know_several_versions && versions.size() == 1;
+  return may_go_on ? std::optional(versions.front()) : std::nullopt;
+}
+
+bool dispatcher::apply_origin(active_request& request, const streams::origin_finding& finding,
+                              base::time_point now) {
+  request.has_settled_origin = true;
+  // Where the stream goes on now replaces its recorded origin.
+  request.calls = std::max(request.calls, finding.call);
+  const auto evidence = evidence_text(finding);
+  const auto& origin = finding.origin;
+  if (origin && !has_service(*request.route, origin->service)) {
+    // The route was moved to another service, of which the client has no event.
+    record(base::event_kind::stream_resumed, request, request.service,
+           evidence + ", the route now leads to " + request.service);
+    return true;
+  }
+  if (origin) {
+    request.service = origin->service;
+    request.bound_version = origin->version;
+  } else {
+    request.bound_version = only_version_of(request.service, finding, now);
+  }
+  if (!request.bound_version && replicas_.versions().published(request.service).empty()) {
+    refuse_resumption(request, "no replica", settings_.retry_after, now);
+    return false;
+  }
+  if (!request.bound_version) {
+    ++counters_.resumptions_of_unknown_origin;
+    record(base::event_kind::stream_resumed, request, request.service, evidence + ", refused");
+    refuse_resumption(request, "it is not known which software version began the stream", {}, now);
+    return false;
+  }
+  record(base::event_kind::stream_resumed, request, request.service,
+         evidence + ", " + version_text(request, now));
+  if (refuse_if_version_left(request, now)) {
+    return false;
+  }
+  ++(origin ? counters_.resumptions_bound : counters_.resumptions_at_only_version);
+  return true;
+}
+
+std::string dispatcher::version_text(const active_request& request, base::time_point now) const {
+  const auto available = replicas_.version_availability_of(request.service, *request.bound_version,
+                                                           request.permitted_regions, now);
+  return "goes on at " + request.bound_version->text() + ": " + std::to_string(available.serving) +
+         " replicas serve, " + std::to_string(available.full) + " are full, " +
+         std::to_string(available.leaving) + " are leaving";
+}
+
+// --- refusal -------------------------------------------------------------------------------------
+
+bool dispatcher::has_version_left(const active_request& request) const {
+  return request.bound_version &&
+         replicas_.presence_of(request.service, request.permitted_regions,
+                               &*request.bound_version) != replica_presence::accepts_work;
+}
+
+bool dispatcher::refuse_if_version_left(active_request& request, base::time_point now) {
+  if (!has_version_left(request)) {
+    return false;
+  }
+  ++counters_.resumptions_of_left_version;
+  // A version that was never listed here is new, and its replicas will be listed soon.
+  const bool is_new = !replicas_.versions().has_seen(request.service, *request.bound_version, now);
+  refuse_resumption(request, "no replica of the software version that began the stream serves",
+                    is_new ? settings_.retry_after : base::duration{}, now);
+  return true;
+}
+
+void dispatcher::refuse_resumption(active_request& request, const std::string& reason,
+                                   base::duration retry_after, base::time_point now) {
+  if (request.may_have_run || request.has_begun_stream) {
+    answer_failed(request, status::bad_gateway, reason, now);
+    return;
+  }
+  answer_with_error(request.client, request.content->id, status::unavailable, reason,
+                    jittered_retry_after(retry_after, request.deadline - now, *random_));
+  finish(request, status::unavailable, reason, now);
+}
+
+void dispatcher::end_streams_of_left_versions(base::time_point now) {
+  std::vector<base::caller_id> ended;
+  for (const auto& [client, request] : active_) {
+    if (request.is_suspended && has_version_left(request)) {
+      ended.push_back(client);
+    }
+  }
+  for (const auto client : ended) {
+    ++counters_.resumptions_of_left_version;
+    answer_failed(active_.at(client), status::bad_gateway,
+                  "no replica of the software version that began the stream serves", now);
+  }
+}
+
+// --- records -------------------------------------------------------------------------------------
+
+void dispatcher::note_stream_sent(active_request& request, const replica_state& chosen,
+                                  base::time_point now) {
+  if (!request.stream_key) {
+    return;
+  }
+  const auto allowed =
+      request.content->time_allowed.value_or(request.deadline - request.arrived_at);
+  origins_.note_sent(*request.stream_key, {request.service, chosen.record->version},
+                     ++request.calls, request.arrived_at + allowed - now, is_origin_shared(request),
+                     now);
+}
+
+bool dispatcher::is_origin_shared(const active_request& request) const {
+  return shared_services_.contains(request.service) || request.route->services.size() > 1;
+}
+
+void dispatcher::bind_stream(active_request& request, base::time_point now) {
+  if (!request.stream_key || request.bound_version || request.call->relay_node) {
+    return;
+  }
+  request.bound_version = request.call->version;
+  if (request.calls > 1 && is_origin_shared(request)) {
+    // A witness that missed the latest call would know the origin of an earlier one.
+    origins_.share(*request.stream_key, now);
+  }
+  origins_.note_first_event(now);
+}
+
+void dispatcher::share_origins(base::time_point now) {
+  next_share_check_at_ = now + share_check_interval;
+  if (!configuration_) {
+    return;
+  }
+  for (const auto& [name, service] : configuration_->services) {
+    if (version_knowledge_of(name, now) == streams::version_knowledge::one) {
+      shared_services_.erase(name);
+    } else if (shared_services_.insert(name).second) {
+      origins_.share_open_streams(name, now);
+    }
+  }
+}
+
+void dispatcher::handle_peer(const base::node_id& sender, const base::network_address& address,
+                             const wire::stream_origins& message, base::time_point now) {
+  origins_.handle(sender, address, message, now);
+  process_origin_findings(now);
+}
+
+} // namespace spurrack::serving
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -340,12 +340,16 @@
     serving_->set_configuration_knowledge({configuration.known_through().era,
                                            configuration.age(now),
                                            is_knowledge_overdue(source_kind::configuration, now)});
-    const auto& replica_list = knowledge(source_kind::machine_list).confirmed();
-    serving_->set_replica_list_confirmed_at(replica_list ? replica_list->at : base::time_point{});
+    update_replica_list_age();
   }
   serving_->handle(input_event, now);
 }
 
+void node::update_replica_list_age() {
+  const auto& replica_list = knowledge(source_kind::machine_list).confirmed();
+  serving_->set_replica_list_confirmed_at(replica_list ? replica_list->at : base::time_point{});
+}
+
 // --- graceful stop -------------------------------------------------------------------------------
 
 void node::on(const stop_requested& /*input_event*/, base::time_point now) {
@@ -367,6 +371,7 @@
     execute_guard_decisions(now);
     executor_.dispatch_waiting(now);
     if (serving_) {
+      update_replica_list_age();
       serving_->advance(now);
       for (auto& queued : serving_->take_commands()) {
         commands_.emplace_back(std::move(queued));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -249,6 +249,8 @@
   void on_watch_handover(const wire::watch_handover& handover, base::time_point now);
   void apply_machine_changes(base::time_point now);
   void apply_serving_changes(base::time_point now);
+  /// Tells the serving path when the list of replicas was last known to be current.
+  void update_replica_list_age();
   void update_serving_peers(base::time_point now);
   /// @return time after its start for which this node waits for peers to send the catalog before it
   ///         reads the platform services.
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -56,6 +56,9 @@
   if (serving_ && message.has_relay_offer()) {
     serving_->handle_peer(base::node_id(message.sender()), sender, message.relay_offer(), now);
   }
+  if (serving_ && message.has_stream_origins()) {
+    serving_->handle_peer(base::node_id(message.sender()), sender, message.stream_origins(), now);
+  }
   if (serving_ && message.has_rate_limits()) {
     serving_->handle_peer(base::node_id(message.sender()), message.rate_limits(), now);
   }
--- a/src/replicas/replica_chooser.h
+++ b/src/replicas/replica_chooser.h
@@ -26,6 +26,9 @@
   /// Whether the request is only planned: it is sent later, when the rate-limit permits that this
   /// node holds now have expired.
   bool is_planned = false;
+  /// Software version that the replica must have, because a replica of this version wrote the
+  /// events that the client has; null if any version will do.
+  const base::software_version* version = nullptr;
 };
 
 /// Chooses a replica for each request. Implementations choose among the candidates of the replica
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -18,6 +18,9 @@
 constexpr double trial_weight = 0.5;
 /// Load that is added to a replica that fails all calls, as a multiple of its slots.
 constexpr double all_calls_failing_load = 3.0;
+/// Fraction of the slots of a software version up to which requests that are not bound to the
+/// version are sent there, while another version has room.
+constexpr double max_unbound_load = 0.8;
 /// Weight of the newest call in the slowdown: two calls suffice to learn the current slowdown.
 constexpr double newest_call_weight = 0.6;
 /// Half-life of the slowdown. A slow replica is tried again after a few half-lives, because faults
@@ -103,7 +106,9 @@
   }
   if (state.record) {
     index_.remove(state);
+    versions_.note_removed(state.record->service, state.record->version, now);
   }
+  versions_.note_published(record->service, record->version);
   if (auto restart = incarnations_.note_published(*record)) {
     begin_incarnation(id, state, now);
     restarts_.push_back(std::move(*restart));
@@ -123,6 +128,8 @@
     return;
   }
   index_.remove(found->second);
+  const auto& record = *found->second.record;
+  versions_.note_removed(record.service, record.version, now);
   replicas_.erase(found);
   evidence_.forget(id);
   incarnations_.note_unpublished(id, now);
@@ -252,7 +259,8 @@
 bool replica_table::could_serve(const replica_requirements& demand,
                                 const replica_state& state) const {
   return !demand.excluded_replicas.contains(state.record->id) &&
-         permits(demand.permitted_regions, state);
+         permits(demand.permitted_regions, state) &&
+         (demand.version == nullptr || *demand.version == state.record->version);
 }
 
 std::vector<const replica_state*> replica_table::usable_replicas(const replica_requirements& demand,
@@ -273,6 +281,7 @@
                                                                 base::time_point now) const {
   auto found = usable_replicas(demand, now, false);
   exclude_limited(found, demand);
+  leave_room_for_bound_streams(found, demand, now);
   if (const auto* stale_limit = find_candidate_with_stale_limit(found, demand, now)) {
     return {stale_limit};
   }
@@ -283,11 +292,40 @@
   return found.empty() && !accepts_soon ? usable_replicas(demand, now, true) : found;
 }
 
+void replica_table::leave_room_for_bound_streams(std::vector<const replica_state*>& candidates,
+                                                 const replica_requirements& demand,
+                                                 base::time_point now) const {
+  if (demand.version != nullptr || !versions_.has_several_published(demand.service)) {
+    return;
+  }
+  struct capacity {
+    double calls = 0;
+    double slots = 0;
+    [[nodiscard]] bool has_room() const { return calls < max_unbound_load * slots; }
+  };
+  std::map<base::software_version, capacity> capacities;
+  for (const auto* state : candidates) {
+    auto& of_version = capacities[state->record->version];
+    of_version.calls += load_of(*state, now) * state->record->slots;
+    of_version.slots += state->record->slots;
+  }
+  const bool has_room_elsewhere =
+      std::any_of(capacities.begin(), capacities.end(),
+                  [](const auto& entry) { return entry.second.has_room(); });
+  if (has_room_elsewhere) {
+    std::erase_if(candidates, [&](const replica_state* state) {
+      return !capacities.at(state->record->version).has_room();
+    });
+  }
+}
+
 replica_presence replica_table::presence_of(const std::string& service,
-                                            const model::residency& allowed) const {
+                                            const model::residency& allowed,
+                                            const base::software_version* version) const {
   auto presence = replica_presence::none;
   for (const auto* state : index_.of_service(service)) {
-    if (permits(allowed, *state)) {
+    const bool has_version = version == nullptr || *version == state->record->version;
+    if (has_version && permits(allowed, *state)) {
       presence = std::max(presence, accepts_work(*state) ? replica_presence::accepts_work
                                                          : replica_presence::accepts_none);
     }
@@ -295,6 +333,26 @@
   return presence;
 }
 
+version_availability replica_table::version_availability_of(const std::string& service,
+                                                            const base::software_version& version,
+                                                            const model::residency& allowed,
+                                                            base::time_point now) const {
+  version_availability found;
+  for (const auto* state : index_.of_service(service)) {
+    if (state->record->version != version || !permits(allowed, *state)) {
+      continue;
+    }
+    if (!accepts_work(*state)) {
+      ++found.leaving;
+    } else if (!accepts_calls(*state, now) || load_of(*state, now) >= 1) {
+      ++found.full;
+    } else {
+      ++found.serving;
+    }
+  }
+  return found;
+}
+
 std::optional<base::zone_id>
 replica_table::any_accepting_zone(const std::string& service,
                                   const model::residency& allowed) const {
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -27,6 +27,7 @@
 #include "replicas/replica_incarnations.h"
 #include "replicas/replica_index.h"
 #include "replicas/replica_state.h"
+#include "replicas/version_history.h"
 #include "self_reports/self_report_exchange.h"
 #include "serving/events.h"
 #include "serving/settings.h"
@@ -63,6 +64,14 @@
   accepts_work,
 };
 
+/// Numbers of published replicas of a software version.
+struct version_availability {
+  std::size_t serving = 0;
+  /// Replicas whose slots are all taken, or that are paused.
+  std::size_t full = 0;
+  std::size_t leaving = 0;
+};
+
 using published_replicas = std::map<base::replica_id, std::shared_ptr<const model::replica>>;
 
 /// Decides which replicas may be sent a request. Not thread-safe.
@@ -145,8 +154,17 @@
     return !allowed.is_restricted() ||
            allowed.permits(settings_.regions.region_of(state.record->zone));
   }
+  /// @param version software version that the replicas must have; null if any will do.
   [[nodiscard]] replica_presence presence_of(const std::string& service,
-                                             const model::residency& allowed) const;
+                                             const model::residency& allowed,
+                                             const base::software_version* version = nullptr) const;
+  /// @return how the replicas of a software version in the permitted regions can serve now.
+  [[nodiscard]] version_availability version_availability_of(const std::string& service,
+                                                             const base::software_version& version,
+                                                             const model::residency& allowed,
+                                                             base::time_point now) const;
+  /// @return software versions of the replicas of each service.
+  [[nodiscard]] const version_history& versions() const { return versions_; }
   /// @return the zone of a replica of the service that accepts work and is in the permitted
   ///         regions; std::nullopt if there is none.
   [[nodiscard]] std::optional<base::zone_id>
@@ -327,7 +345,7 @@
   void note_backoff(replica_state& state, const self_report_received& received,
                     base::time_point now);
   /// @return whether a replica is neither excluded from a request nor outside the permitted regions
-  ///         of the request.
+  ///         of the request, and has the software version that the request is bound to.
   [[nodiscard]] bool could_serve(const replica_requirements& demand,
                                  const replica_state& state) const;
   /// @param ignore_pauses whether to include replicas that are paused, that were sent a probe, or
@@ -342,6 +360,10 @@
   /// limit.
   void exclude_limited(std::vector<const replica_state*>& candidates,
                        const replica_requirements& demand) const;
+  /// Removes the candidates of software versions that are nearly full, unless the request is bound
+  /// to a version or all versions are nearly full: resumed streams can run nowhere else.
+  void leave_room_for_bound_streams(std::vector<const replica_state*>& candidates,
+                                    const replica_requirements& demand, base::time_point now) const;
   /// @return a candidate whose limit no recent answer has confirmed; null if there is none.
   [[nodiscard]] const replica_state*
   find_candidate_with_stale_limit(const std::vector<const replica_state*>& candidates,
@@ -409,6 +431,7 @@
   base::random_source* random_;
   state_map replicas_;
   replica_index index_;
+  version_history versions_;
   std::uint64_t records_compared_ = 0;
   replica_incarnations incarnations_;
   std::vector<replica_restart> restarts_;
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -105,6 +105,16 @@
   std::uint64_t results_freed = 0;
   /// Streams resumed at another replica after their replica broke them off.
   std::uint64_t streams_resumed = 0;
+  /// Requests to resume a stream that go on: at the version that began the stream, or at the only
+  /// version of a service.
+  std::uint64_t resumptions_bound = 0;
+  std::uint64_t resumptions_at_only_version = 0;
+  /// Requests to resume a stream that were refused: because it is not known which version began the
+  /// stream, because no replica of this version accepts work, or because the replicas of this
+  /// version had no slot in time.
+  std::uint64_t resumptions_of_unknown_origin = 0;
+  std::uint64_t resumptions_of_left_version = 0;
+  std::uint64_t resumptions_without_slot = 0;
   /// Streams whose client read too slowly for so long that the stream was suspended or buffered.
   std::uint64_t slow_clients = 0;
   /// Streams that were suspended: their call to the replica was cancelled until their client reads
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -178,6 +178,9 @@
   bool runs_at_most_once = false;
   /// Identifier of the last event that the client has received, if the call resumes a stream.
   std::optional<std::uint64_t> resume_after;
+  /// Set if the call passes a stream on that began at this node's client attempt: id of the
+  /// attempt.
+  std::optional<base::request_id> first_attempt;
   /// Urgency of the request, from 0 (most urgent) to 9 (least urgent); std::nullopt for the
   /// replica's default.
   std::optional<std::uint32_t> urgency;
--- /dev/null
+++ b/src/streams/origin_registry.cc
@@ -0,0 +1,86 @@
+#include "streams/origin_registry.h"
+
+#include <algorithm>
+
+namespace spurrack::streams {
+
+std::shared_ptr<const stream_origin> origin_registry::shared(const stream_origin& origin) {
+  auto& known = origins_[origin];
+  auto found = known.lock();
+  if (!found) {
+    found = std::make_shared<const stream_origin>(origin);
+    known = found;
+  }
+  return found;
+}
+
+void origin_registry::record(const stream_key& stream, const stream_origin& origin,
+                             std::uint32_t call, base::time_point expires_at, bool is_open_here,
+                             base::time_point now) {
+  const auto [entry, is_new] = records_.try_emplace(stream);
+  auto& known = entry->second;
+  const bool is_same = known.origin && *known.origin == origin;
+  if (is_new || call > known.call) {
+    known.origin = shared(origin);
+    known.call = call;
+  } else if (call == known.call && !is_same) {
+    known.origin.reset();
+  }
+  known.recorded_at = now;
+  known.is_open_here = known.is_open_here || is_open_here;
+  set_expiry(stream, known, std::max(known.expires_at, expires_at));
+  if (records_.size() > max_records) {
+    drop_first_to_expire();
+  }
+}
+
+void origin_registry::set_expiry(const stream_key& stream, origin_record& record,
+                                 base::time_point expires_at) {
+  by_expiry_.erase({record.expires_at, stream});
+  record.expires_at = expires_at;
+  by_expiry_.emplace(expires_at, stream);
+}
+
+void origin_registry::drop_first_to_expire() {
+  records_.erase(by_expiry_.begin()->second);
+  by_expiry_.erase(by_expiry_.begin());
+  ++dropped_early_;
+}
+
+void origin_registry::forget(const stream_key& stream) {
+  if (const auto found = records_.find(stream); found != records_.end()) {
+    by_expiry_.erase({found->second.expires_at, stream});
+    records_.erase(found);
+  }
+}
+
+void origin_registry::note_completed(const stream_key& stream) {
+  if (const auto found = records_.find(stream); found != records_.end()) {
+    found->second.is_open_here = false;
+  }
+}
+
+const origin_record* origin_registry::find(const stream_key& stream, base::time_point now) const {
+  const auto found = records_.find(stream);
+  return found == records_.end() || found->second.expires_at <= now ? nullptr : &found->second;
+}
+
+std::vector<stream_key> origin_registry::open_streams_of(const std::string& service) const {
+  std::vector<stream_key> found;
+  for (const auto& [stream, known] : records_) {
+    if (known.is_open_here && known.origin && known.origin->service == service) {
+      found.push_back(stream);
+    }
+  }
+  return found;
+}
+
+void origin_registry::drop_expired(base::time_point now) {
+  while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
+    records_.erase(by_expiry_.begin()->second);
+    by_expiry_.erase(by_expiry_.begin());
+  }
+  std::erase_if(origins_, [](const auto& entry) { return entry.second.expired(); });
+}
+
+} // namespace spurrack::streams
--- a/tests/dispatch/peer_messages.h
+++ b/tests/dispatch/peer_messages.h
@@ -21,6 +21,8 @@
     receiver.handle_peer(sender.node, sender.address, message.relay_offer(), now);
   } else if (message.has_rate_limits()) {
     receiver.handle_peer(sender.node, message.rate_limits(), now);
+  } else if (message.has_stream_origins()) {
+    receiver.handle_peer(sender.node, sender.address, message.stream_origins(), now);
   } else if (message.has_crash_news()) {
     receiver.handle_peer(sender.address, message.crash_news(), now);
   }
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -22,7 +22,8 @@
   [engines]="engines replicas rate_limits self_reports fleet_view serving model wire base"
   [stage_work]="stage_work replicas rate_limits self_reports fleet_view serving model wire base"
   [quarantine]="quarantine fleet_view rate_limits self_reports replicas serving model wire base"
-  [dispatch]="dispatch quarantine stage_work engines replicas rate_limits self_reports fleet_view flow serving catalog model wire base"
+  [streams]="streams fleet_view serving model wire base"
+  [dispatch]="dispatch streams quarantine stage_work engines replicas rate_limits self_reports fleet_view flow serving catalog model wire base"
   [node]="node dispatch quarantine fleet_view serving execution admission idempotency routing membership catalog model wire base"
   [simulation]="simulation node serving execution admission idempotency routing membership catalog model wire base"
   [settings]="settings node serving execution admission routing membership catalog model wire base"
@@ -57,7 +58,7 @@
 # The folders of the decision logic (listed below) may not include headers for I/O or threads.
 if grep -nE '#include <(boost/asio|boost/beast|zmq|sys/socket|fstream|iostream|thread)' \
   base/*.h base/*.cc model/*.h model/*.cc catalog/* membership/* routing/* admission/* \
-  idempotency/* execution/* serving/* flow/* fleet_view/* self_reports/* rate_limits/* replicas/* engines/* stage_work/* quarantine/* dispatch/* node/* simulation/* 2>/dev/null; then
+  idempotency/* execution/* serving/* flow/* fleet_view/* self_reports/* rate_limits/* replicas/* engines/* stage_work/* quarantine/* streams/* dispatch/* node/* simulation/* 2>/dev/null; then
   echo "decision logic may not do I/O"
   bad=1
 fi
