--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -3,6 +3,7 @@
 
 #include "dispatch/dispatcher_constants.h"
 #include "engines/prefix_placement.h"
+#include "serving/answer_status.h"
 
 #include <algorithm>
 #include <utility>
@@ -27,10 +28,6 @@
 /// again, and the first event would not arrive sooner (docs/design/engines.md).
 constexpr double engine_stall_factor = 2;
 
-bool is_success(unsigned http_status) {
-  return http_status >= 200 && http_status < 300;
-}
-
 } // namespace
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -4,6 +4,7 @@
 #include "dispatch/dispatcher.h"
 
 #include "dispatch/dispatcher_constants.h"
+#include "serving/answer_status.h"
 
 #include <algorithm>
 #include <utility>
@@ -76,12 +77,11 @@
 void dispatcher::on_relay_answer(active_request& request, const call_answered& answered,
                                  base::time_point now) {
   const auto& head = answered.head;
-  const bool is_success = head.status >= 200 && head.status < 300;
   // The other node promises with these statuses that the request has not run and will not run.
   const bool is_not_run = !head.sealed && (head.status == status::unavailable ||
                                            head.status == status::too_many_requests);
   request.may_have_run = request.may_have_run || !is_not_run;
-  const bool is_valid = !is_success || (head.sealed && !head.encoded);
+  const bool is_valid = !is_success(head.status) || (head.sealed && !head.encoded);
   const bool contradicts_earlier_attempt = is_not_run && request.may_have_run;
   if (!is_valid || contradicts_earlier_attempt) {
     answer_failed(request, status::bad_gateway, "the other node's answer is not valid", now);
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -44,10 +44,6 @@
                                   base::duration::zero());
 }
 
-bool is_success(unsigned status) {
-  return status >= 200 && status < 300;
-}
-
 bool is_interim(unsigned status) {
   return status < 200;
 }
--- a/src/upstream/replica_call.h
+++ b/src/upstream/replica_call.h
@@ -96,7 +96,6 @@
 ///         idle timeout is the one that the replica announces in Keep-Alive; if it announces none,
 ///         `default_idle_timeout`.
 [[nodiscard]] base::duration idle_timeout_of(const response_parser& parser);
-[[nodiscard]] bool is_success(unsigned status);
 [[nodiscard]] bool is_interim(unsigned status);
 
 } // namespace spurrack::upstream
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -5,6 +5,7 @@
 #include "http/awaitable.h"
 #include "http/endpoint.h"
 #include "http/socket_options.h"
+#include "serving/answer_status.h"
 #include "upstream/body_reader.h"
 #include "upstream/connection_pool.h"
 #include "upstream/replica_call.h"
@@ -428,7 +429,7 @@
       co_return;
     }
     auto head = head_of(*parser, call);
-    if (!is_success(head.status)) {
+    if (!serving::is_success(head.status)) {
       buffered_answer answer;
       const bool is_complete = co_await read_body(state, *parser, answer);
       if (is_complete) {
@@ -489,7 +490,7 @@
         ended.outcome = result::misdirected;
       } else if (answer->head.not_executed) {
         ended.outcome = result::refused;
-      } else if (is_success(answer->head.status)) {
+      } else if (serving::is_success(answer->head.status)) {
         if (auto pieces = codec_->read_pieces(command, answer->body)) {
           ended.outcome = result::answered;
           ended.pieces = std::move(*pieces);
