--- a/tests/wire/older_builds_test.cc
+++ b/tests/wire/older_builds_test.cc
@@ -22,7 +22,7 @@
 
 namespace {
 
-const std::vector<std::string> older_builds{"c31a56b", "926104e", "8a417d3"};
+const std::vector<std::string> older_builds{"c31a56b", "926104e", "8a417d3", "bdcb790"};
 
 std::string recorded_folder() {
   return std::string(SPURRACK_SOURCE) + "/tests/wire/recorded/";
