A stream ends if its replica restarts under its id with other software

What callers could see: a replica that restarts under its own id with another version passes the check of the expected id. Until the list shows the restart, a call that is meant for the old version may run at the new one, and the stream holds events of both.

When the list shows another version than the one that a call of a resumable stream was made for, the call is cancelled: without an event it is retried at the bound version, with events the answer is broken off and the origin of the stream is recorded as contradictory, so that no attempt of the client goes on at a guess. Witnesses keep a contradiction that they are told. What was delivered before the list showed the restart cannot be taken back.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -246,6 +246,11 @@
   /// Tells the witnesses of open streams their origins if a second version of their service
   /// appeared, or can no longer be ruled out.
   void share_origins(base::time_point now);
+  /// Cancels a call of a resumable stream whose replica restarted under its id with other software,
+  /// because either version may write, or have written, its events: retries a call without an
+  /// event, and breaks the answer off otherwise.
+  /// @return whether the call was cancelled.
+  bool end_call_at_other_software(active_request& request, base::time_point now);
   /// Ends suspended streams whose version has left.
   void end_streams_of_left_versions(base::time_point now);
 
--- a/src/dispatch/dispatcher_replica_restarts.cc
+++ b/src/dispatch/dispatcher_replica_restarts.cc
@@ -50,6 +50,9 @@
   const auto clients = found->second;
   for (const auto client : clients) {
     auto& request = active_.at(client);
+    if (end_call_at_other_software(request, now)) {
+      continue;
+    }
     const bool shows_events = request.latest_event_at > request.call->started_at &&
                               now - request.latest_event_at < restart_confirm_time;
     if (!shows_events &&
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -196,6 +196,29 @@
   }
 }
 
+bool dispatcher::end_call_at_other_software(active_request& request, base::time_point now) {
+  const auto* replica = replicas_.find(request.call->replica);
+  if (!request.stream_key || replica == nullptr ||
+      replica->record->version == request.call->version) {
+    return false;
+  }
+  const bool has_events = request.latest_event_at > request.call->started_at;
+  commands_.emplace_back(cancel_call{request.call->id});
+  const auto call = close_call(request);
+  request.may_have_run = true;
+  record(base::event_kind::stage_retried, request, call.replica.text(),
+         "its replica restarted with software " + replica->record->version.text());
+  if (has_events) {
+    // The events may be of either version, so the origin is not known from now on.
+    origins_.note_sent(*request.stream_key, {request.service, replica->record->version},
+                       request.calls, request.deadline - now, is_origin_shared(request), now);
+    answer_failed(request, status::bad_gateway, "its replica restarted with other software", now);
+  } else {
+    retry_or_fail(request, now);
+  }
+  return true;
+}
+
 // --- records -------------------------------------------------------------------------------------
 
 void dispatcher::note_stream_sent(active_request& request, const replica_state& chosen,
--- a/src/streams/origin_exchange.cc
+++ b/src/streams/origin_exchange.cc
@@ -100,10 +100,14 @@
     ++counts_.malformed;
     return;
   }
-  const auto lifetime = std::chrono::milliseconds(told.lifetime_milliseconds());
+  const base::duration lifetime = std::chrono::milliseconds(told.lifetime_milliseconds());
+  const auto expires_at = now + std::min(lifetime, max_lifetime);
   ++counts_.kept_records;
-  registry_.record(*stream, origin_in(told), told.call(),
-                   now + std::min<base::duration>(lifetime, max_lifetime), false, now);
+  if (told.is_contradictory()) {
+    registry_.record_contradiction(*stream, told.call(), expires_at, now);
+  } else {
+    registry_.record(*stream, origin_in(told), told.call(), expires_at, false, now);
+  }
 }
 
 // --- look-ups ------------------------------------------------------------------------------------
--- a/src/streams/origin_registry.cc
+++ b/src/streams/origin_registry.cc
@@ -26,9 +26,22 @@
   } else if (call == known.call && !is_same) {
     known.origin.reset();
   }
-  known.recorded_at = now;
   known.is_open_here = known.is_open_here || is_open_here;
-  set_expiry(stream, known, std::max(known.expires_at, expires_at));
+  keep_until(stream, known, expires_at, now);
+}
+
+void origin_registry::record_contradiction(const stream_key& stream, std::uint32_t call,
+                                           base::time_point expires_at, base::time_point now) {
+  auto& known = records_[stream];
+  known.origin.reset();
+  known.call = std::max(known.call, call);
+  keep_until(stream, known, expires_at, now);
+}
+
+void origin_registry::keep_until(const stream_key& stream, origin_record& record,
+                                 base::time_point expires_at, base::time_point now) {
+  record.recorded_at = now;
+  set_expiry(stream, record, std::max(record.expires_at, expires_at));
   if (records_.size() > max_records) {
     drop_first_to_expire();
   }
--- a/src/streams/origin_registry.h
+++ b/src/streams/origin_registry.h
@@ -40,6 +40,10 @@
   /// Records the origin of a stream.
   void record(const stream_key& stream, const stream_origin& origin, std::uint32_t call,
               base::time_point expires_at, bool is_open_here, base::time_point now);
+  /// Records that different origins of a stream were recorded elsewhere.
+  /// @param call number of the latest call with which the stream may have begun.
+  void record_contradiction(const stream_key& stream, std::uint32_t call,
+                            base::time_point expires_at, base::time_point now);
   /// Removes the record of a stream.
   void forget(const stream_key& stream);
   /// Records that this node has completed a stream.
@@ -56,6 +60,10 @@
 
  private:
   std::shared_ptr<const stream_origin> shared(const stream_origin& origin);
+  /// Sets the times of a record that was just made or changed, and drops another one if there are
+  /// too many.
+  void keep_until(const stream_key& stream, origin_record& record, base::time_point expires_at,
+                  base::time_point now);
   void set_expiry(const stream_key& stream, origin_record& record, base::time_point expires_at);
   void drop_first_to_expire();
 
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -103,8 +103,10 @@
   /// Publishes an incarnation of a replica; without a start time if `started_at_milliseconds` is 0.
   void add_incarnation(const std::string& id, const std::string& service, const std::string& zone,
                        const std::string& address, std::uint64_t started_at_milliseconds,
-                       std::uint32_t cold_milliseconds = 0) {
+                       std::uint32_t cold_milliseconds = 0,
+                       const std::string& software_version = "") {
     wire::published_replica replica;
+    replica.set_version(software_version);
     replica.set_id(id);
     replica.set_service(service);
     replica.set_address(address);
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -110,8 +110,7 @@
   BOOST_TEST(subject.counts().resumptions_of_unknown_origin == 3U);
 }
 
-BOOST_FIXTURE_TEST_CASE(stream_of_another_tenant_is_answered_like_an_unknown_one,
-                        resuming_driver) {
+BOOST_FIXTURE_TEST_CASE(stream_of_another_tenant_is_answered_like_an_unknown_one, resuming_driver) {
   auto& access = *published.configuration.add_tenants();
   access.set_tenant("other");
   access.add_api_keys("other key");
@@ -198,8 +197,7 @@
 }
 
 /// A new version is told by a witness before this node's list holds its replicas.
-BOOST_FIXTURE_TEST_CASE(stream_of_a_version_that_is_not_listed_yet_may_come_back,
-                        resuming_driver) {
+BOOST_FIXTURE_TEST_CASE(stream_of_a_version_that_is_not_listed_yet_may_come_back, resuming_driver) {
   const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
   subject.set_peers({witness}, 1);
   wire::stream_origins message;
@@ -242,9 +240,27 @@
   }
 }
 
+/// The restart may be published after the new process accepted calls that were meant for the old.
+BOOST_FIXTURE_TEST_CASE(stream_ends_if_its_replica_restarts_with_other_software, resuming_driver) {
+  published.add_incarnation("three-a", "llm", "a", "10.2.0.1:80", 1000);
+  for (const std::string id : {"one-a", "one-b", "two-a", "two-b"}) {
+    published.remove_replica(id);
+  }
+  update();
+  send_request(1, "/stream/");
+  const auto call = last<start_call>();
+  deliver(stream_opened{call.call, good_head()});
+  deliver(stream_bytes{call.call, "id: 1\ndata: x\n\n"});
+  published.add_incarnation("three-a", "llm", "a", "10.2.0.1:80", 2000, 0, "v3");
+  update();
+  advance_time(milliseconds(10));
+  BOOST_TEST(!last<end_stream>().complete);
+  resume(2, "r1");
+  BOOST_TEST(!has_retry_after(refusal()));
+}
+
 /// Resumed streams can run nowhere else; new requests can.
-BOOST_FIXTURE_TEST_CASE(new_requests_leave_room_at_a_version_that_is_nearly_full,
-                        resuming_driver) {
+BOOST_FIXTURE_TEST_CASE(new_requests_leave_room_at_a_version_that_is_nearly_full, resuming_driver) {
   published.remove_replica("two-b");
   update();
   for (base::caller_id client = 1; client <= 9; ++client) {
--- a/tests/streams/origin_registry_test.cc
+++ b/tests/streams/origin_registry_test.cc
@@ -54,6 +54,14 @@
   BOOST_TEST(registry.find(key("a"), start)->origin == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(contradiction_that_another_node_told_is_kept) {
+  origin_registry registry;
+  registry.record_contradiction(key("a"), 1, start + seconds(10), start);
+  registry.record(key("a"), first, 1, start + seconds(10), false, start);
+  BOOST_REQUIRE(registry.find(key("a"), start) != nullptr);
+  BOOST_TEST(registry.find(key("a"), start)->origin == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(records_are_bounded_and_the_first_to_expire_are_dropped) {
   origin_registry registry;
   for (std::size_t number = 0; number <= origin_registry::max_records; ++number) {
