--- a/tests/streams/stream_fleet.h
+++ b/tests/streams/stream_fleet.h
@@ -7,9 +7,12 @@
 #include "serving_fixture.h"
 #include "virtual_time.h"
 
+#include <algorithm>
 #include <charconv>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -60,17 +63,12 @@
   std::uint64_t last_event = 0;
   /// Software versions of the replicas whose events the client received.
   std::set<std::string> versions;
-  /// Versions of the stream's events, in order.
-  std::vector<std::string> events;
   bool was_resumed = false;
   /// Whether an event or the end followed a resumption.
   bool went_on = false;
   bool is_complete = false;
   /// Reason in the last refusal of an attempt to resume.
   std::string refusal;
-  bool refusal_has_retry_after = false;
-  /// Unread answers: the client reads nothing until this time.
-  base::time_point reads_again_at{};
 };
 
 class stream_fleet : public virtual_time {
@@ -540,7 +538,6 @@
       stream.last_event = id;
       stream.fruitless_attempts = 0;
       stream.versions.insert(std::string(event.substr(data + data_field.size())));
-      stream.events.emplace_back(event.substr(data + data_field.size()));
       stream.went_on = stream.went_on || stream.was_resumed;
       if (is_first) {
         stream.first_attempt = attempt.id;
@@ -617,11 +614,9 @@
     }
     auto& stream = *attempts.at(answer.client).stream;
     base::duration retry_after{};
-    stream.refusal_has_retry_after = false;
     for (const auto& field : answer.headers) {
       if (field.name == "Retry-After") {
         retry_after = base::from_seconds(std::stod(field.value));
-        stream.refusal_has_retry_after = true;
       }
     }
     stream.refusal = std::to_string(answer.status) + " " + answer.body;
