--- a/src/streams/origin_witnesses.cc
+++ b/src/streams/origin_witnesses.cc
@@ -65,6 +65,7 @@
   }
   zones.resize(std::min(zones.size(), witness_count));
   std::vector<std::vector<base::network_address>> nodes_by_zone;
+  nodes_by_zone.reserve(zones.size());
   for (const auto& zone : zones) {
     nodes_by_zone.push_back(top_nodes(stream, zone, witness_count));
   }
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -59,7 +59,7 @@
 
   /// @return the last refusal; fails if the last request was not refused at once.
   respond refusal() {
-    const auto answer = last<respond>();
+    auto answer = last<respond>();
     BOOST_TEST(answer.status == 503U);
     return answer;
   }
