--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -54,7 +54,8 @@
   return arguments.count("most-nodes") > 0 ? with_max_nodes(parsed) : parsed;
 }
 
-int run(int argc, char** argv) {
+/// @return the options of the program, without the usual ones.
+cxxopts::Options soak_program_options() {
   cxxopts::Options options("platform_fault_soak",
                            "Real daemons with an emulated platform, under random faults.");
   options.add_options()("first-seed", "first seed",
@@ -79,6 +80,11 @@
       "most-nodes", "as many daemons as this machine can run, with one client each")(
       "two-regions", "each zone is a region, and some requests are confined to one region")(
       "fault-seconds", "length of a phase of faults", cxxopts::value<double>()->default_value("6"));
+  return options;
+}
+
+int run(int argc, char** argv) {
+  auto options = soak_program_options();
   logging::add_usual_options(options);
   const auto arguments = options.parse(argc, argv);
   if (logging::handle_usual_options(options, arguments)) {
--- a/tests/platform_fleet/soak_client.cc
+++ b/tests/platform_fleet/soak_client.cc
@@ -193,8 +193,9 @@
     const auto version =
         event.substr(version_at, event.size() - version_at - std::strlen(event_end));
     if (event != soak_request::event(id, progress.last_event + 1, version)) {
-      recorder_->note_violation("ORDER", id + " received after event " +
-                                             std::to_string(progress.last_event) + ": " + event);
+      auto detail = id + " received after event " + std::to_string(progress.last_event);
+      detail += ": " + event;
+      recorder_->note_violation("ORDER", detail);
       return;
     }
     ++progress.last_event;
--- a/tests/streams/stream_fleet.h
+++ b/tests/streams/stream_fleet.h
@@ -489,7 +489,7 @@
         content->first_attempt = base::request_id(stream.first_attempt);
       }
     }
-    const auto client = ++last_client;
+    const auto client = ++last_client_;
     attempts[client] = {*node, &stream, content->id.text()};
     nodes[*node].subject->handle(request_arrived{client, content, now}, now);
   }
@@ -684,7 +684,7 @@
       if (command.first_attempt) {
         content->first_attempt = command.first_attempt;
       }
-      const auto client = ++last_client;
+      const auto client = ++last_client_;
       attempts[client] = {target,      nullptr, content->id.text(), node, nodes[node].incarnation,
                           command.call};
       nodes[node].passed[command.call] = client;
@@ -722,7 +722,7 @@
   }
 
   void remove_replica(unsigned index) {
-    if (std::exchange(removed[index], true)) {
+    if (std::exchange(removed_[index], true)) {
       return;
     }
     published.remove_replica(replicas[index].id.text());
@@ -796,8 +796,8 @@
     node.subject->handle(call_failed{key.second, call_failure::may_have_run}, now);
   }
 
-  base::caller_id last_client = 0;
-  std::map<unsigned, bool> removed;
+  base::caller_id last_client_ = 0;
+  std::map<unsigned, bool> removed_;
 };
 
 } // namespace spurrack::streams
