Log how the end of an answer without framing was seen

The events of the replica client now say that only the end of the connection showed the end, the log tells it with the number of events or bytes, and the result of a probe tells when the probe began. No decision uses any of it yet.

--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -265,6 +265,11 @@
     return;
   }
   request->may_have_run = true;
+  if (answered.ends_with_connection) {
+    record(base::event_kind::stage_completed, *request, replica.text(),
+           "answer without framing ended with its connection after " +
+               std::to_string(answered.body.size()) + " bytes");
+  }
   const bool is_unusable =
       is_success(answered.head.status) && (!answered.head.sealed || answered.head.encoded);
   const bool has_failed = is_unusable || answered.head.status >= status::first_server_error;
@@ -396,6 +401,12 @@
     return;
   }
   const bool is_whole = closed.complete && !request->events.has_partial();
+  if (closed.ends_with_connection) {
+    record(base::event_kind::stage_completed, *request, request->call->replica.text(),
+           "stream without framing ended with its connection after " +
+               std::to_string(request->events.events()) + " events, " +
+               (is_whole ? "between events" : "inside an event"));
+  }
   if (is_whole) {
     note_completed_run(*request, now);
     note_survived(*request, now);
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -83,6 +83,9 @@
   std::string body;
   /// Memory reservation of the body, kept as long as the body; may be null.
   std::shared_ptr<const memory_reservation> body_memory = nullptr;
+  /// Whether the answer has neither a length nor chunks, so that only the end of its connection
+  /// shows its end. The kernel also closes the connections of a replica that exits.
+  bool ends_with_connection = false;
 };
 /// The head of a streamed answer arrived.
 struct stream_opened {
@@ -101,6 +104,9 @@
   bool complete = false;
   /// Whether the connection was given up because the other side acknowledged nothing.
   bool has_timed_out = false;
+  /// Whether the stream has neither a length nor chunks, so that only the end of its connection
+  /// shows its end. The kernel also closes the connections of a replica that exits.
+  bool ends_with_connection = false;
 };
 
 /// Why a piece has no result.
@@ -152,6 +158,8 @@
 struct replica_probed {
   base::replica_id replica;
   probe_result result = probe_result::unresponsive;
+  /// Time at which the probe began to connect; the epoch if it is not known.
+  base::time_point began_at{};
 };
 
 // --- commands ------------------------------------------------------------------------------------
--- a/src/upstream/replica_call.h
+++ b/src/upstream/replica_call.h
@@ -86,6 +86,8 @@
   serving::answer_head head;
   std::string body;
   std::shared_ptr<answer_reservation> reservation;
+  /// Whether only the end of the connection showed the end of the answer.
+  bool ends_with_connection = false;
 };
 
 /// @return the head of a call in its wire format, with the length of its body.
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -223,6 +223,7 @@
   }
 
   asio::awaitable<void> run_probe(serving::call_target target) {
+    const auto began_at = base::boot_clock::now();
     const auto replica_connection = std::make_shared<connection>(*io_);
     const auto error = co_await open_connection(target.address, *replica_connection);
     auto result = serving::probe_result::unresponsive;
@@ -233,7 +234,7 @@
     } else if (error == asio::error::connection_refused) {
       result = serving::probe_result::refused;
     }
-    handler_(serving::replica_probed{target.replica, result});
+    handler_(serving::replica_probed{target.replica, result, began_at});
   }
 
   /// Writes a call while its answer is already being read: a replica may answer before it has read
@@ -382,6 +383,7 @@
       close(state);
       co_return std::nullopt;
     }
+    answer.ends_with_connection = parser->need_eof();
     keep_or_close(state, call, *parser);
     co_return answer;
   }
@@ -412,7 +414,7 @@
     } else {
       report(state, call.id,
              serving::call_answered{call.id, std::move(answer->head), std::move(answer->body),
-                                    std::move(answer->reservation)});
+                                    std::move(answer->reservation), answer->ends_with_connection});
     }
   }
 
@@ -473,7 +475,9 @@
     } else {
       close(state);
     }
-    report(state, call.id, serving::stream_closed{call.id, is_complete, state->has_timed_out});
+    report(state, call.id,
+           serving::stream_closed{call.id, is_complete, state->has_timed_out,
+                                  is_complete && parser.need_eof()});
   }
 
   asio::awaitable<void> run_pieces(std::shared_ptr<call_state> state, outgoing_call call,
