--- /dev/null
+++ b/tests/dispatch/unframed_answer_test.cc
@@ -0,0 +1,209 @@
+/// Guards against an answer without length and chunks that is taken for whole because the exit of its
+/// replica closed the connection: the client got a part of the answer as the whole, and the exits
+/// under a request that crashes replicas were cleared by the very runs that crashed them.
+#include "serving_fixture.h"
+
+using namespace spurrack;
+using namespace spurrack::serving;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string first_event = "id: 1\ndata: x\n\n";
+const std::string second_event = "id: 2\ndata: y\n\n";
+
+stream_closed ended_by_connection(base::call_id call) {
+  return {.call = call, .complete = true, .ends_with_connection = true};
+}
+
+call_answered answer_ended_by_connection(base::call_id call) {
+  call_answered answered{call, dispatcher_driver::good_head(), "body"};
+  answered.ends_with_connection = true;
+  return answered;
+}
+
+/// Begins a stream without framing that delivers one event.
+start_call begin_stream(dispatcher_driver& node, const std::string& path = "/stream/") {
+  node.send_request(1, path);
+  const auto call = node.last<start_call>();
+  node.deliver(stream_opened{call.call, dispatcher_driver::good_head()});
+  node.deliver(stream_bytes{call.call, first_event});
+  return call;
+}
+
+/// Delivers the result of the probe that follows the end of an answer.
+void end_probe(dispatcher_driver& node, const base::replica_id& replica, probe_result result) {
+  const auto began_at = node.now;
+  node.advance_time(milliseconds(2));
+  node.deliver(replica_probed{replica, result, began_at});
+}
+
+bool has_ended_as_complete(const dispatcher_driver& node) {
+  const auto ends = node.all<end_stream>();
+  return !ends.empty() && ends.back().complete;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(unframed_answer_test)
+
+BOOST_AUTO_TEST_CASE(a_stream_is_complete_if_its_replica_still_accepts_connections) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node);
+  node.deliver(ended_by_connection(call.call));
+  BOOST_TEST(node.all<end_stream>().empty());
+  BOOST_TEST((node.last<probe_replica>().target.replica == call.target.replica));
+  end_probe(node, call.target.replica, probe_result::connected);
+  BOOST_TEST(has_ended_as_complete(node));
+  BOOST_TEST(node.all<start_call>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_another_replica_if_its_replica_exited_between_two_events) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node);
+  node.deliver(ended_by_connection(call.call));
+  end_probe(node, call.target.replica, probe_result::refused);
+  BOOST_TEST(node.all<end_stream>().empty());
+  const auto resumed = node.last<start_call>();
+  BOOST_TEST((resumed.target.replica != call.target.replica));
+  BOOST_TEST((resumed.resume_after == std::optional<std::uint64_t>(1)));
+  node.deliver(stream_opened{resumed.call, dispatcher_driver::good_head()});
+  node.deliver(stream_bytes{resumed.call, second_event});
+  node.deliver(stream_closed{resumed.call, true});
+  BOOST_TEST(has_ended_as_complete(node));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_be_resumed_is_broken_off_if_its_replica_exited) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node, "/fixed/");
+  node.deliver(ended_by_connection(call.call));
+  end_probe(node, call.target.replica, probe_result::refused);
+  BOOST_REQUIRE(node.all<end_stream>().size() == 1U);
+  BOOST_TEST(!has_ended_as_complete(node));
+  BOOST_TEST(node.all<start_call>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_head_without_an_event_is_no_answer) {
+  dispatcher_driver node;
+  node.send_request(1, "/stream/");
+  const auto call = node.last<start_call>();
+  node.deliver(stream_opened{call.call, dispatcher_driver::good_head()});
+  node.deliver(ended_by_connection(call.call));
+  BOOST_TEST(node.all<end_stream>().empty());
+  BOOST_TEST(node.all<start_call>().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_goes_on_at_another_replica) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node);
+  node.deliver(stream_bytes{call.call, "id: 2\nda"});
+  node.deliver(ended_by_connection(call.call));
+  BOOST_TEST(node.all<end_stream>().empty());
+  BOOST_TEST(node.all<start_call>().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(activity_of_the_replica_on_another_connection_shows_that_it_went_on) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node);
+  node.send_request(2, "/stream/");
+  const auto other = node.last<start_call>();
+  node.send_request(3, "/stream/");
+  const auto third = node.last<start_call>();
+  const auto& beside = other.target.replica == call.target.replica ? other : third;
+  BOOST_REQUIRE((beside.target.replica == call.target.replica));
+  node.deliver(ended_by_connection(call.call));
+  node.advance_time(milliseconds(60));
+  node.deliver(stream_opened{beside.call, dispatcher_driver::good_head()});
+  BOOST_TEST(has_ended_as_complete(node));
+}
+
+BOOST_AUTO_TEST_CASE(a_probe_that_began_before_the_end_shows_nothing) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node);
+  const auto began_at = node.now;
+  node.advance_time(milliseconds(2));
+  node.deliver(ended_by_connection(call.call));
+  node.deliver(replica_probed{call.target.replica, probe_result::connected, began_at});
+  BOOST_TEST(node.all<end_stream>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_a_sign_of_its_replica_does_not_look_complete) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node, "/fixed/");
+  node.deliver(ended_by_connection(call.call));
+  node.advance_time(milliseconds(1'500));
+  BOOST_REQUIRE(node.all<end_stream>().size() == 1U);
+  BOOST_TEST(!has_ended_as_complete(node));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_waits_for_a_sign_that_its_replica_went_on) {
+  for (const std::string path : {"/safe/", "/unsafe/"}) {
+    dispatcher_driver node;
+    node.send_request(1, path);
+    const auto call = node.last<start_call>();
+    node.deliver(answer_ended_by_connection(call.call));
+    BOOST_TEST(node.all<respond>().empty());
+    end_probe(node, call.target.replica, probe_result::connected);
+    BOOST_REQUIRE(node.all<respond>().size() == 1U);
+    BOOST_TEST(node.last<respond>().status == 200U);
+    BOOST_TEST(node.last<respond>().body == "body");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_of_a_replica_that_exited_is_not_forwarded) {
+  dispatcher_driver node;
+  node.send_request(1, "/safe/");
+  const auto call = node.last<start_call>();
+  node.deliver(answer_ended_by_connection(call.call));
+  end_probe(node, call.target.replica, probe_result::refused);
+  BOOST_TEST(node.all<respond>().empty());
+  BOOST_REQUIRE(node.all<start_call>().size() == 2U);
+  node.deliver(
+      call_answered{node.last<start_call>().call, dispatcher_driver::good_head(), "other"});
+  BOOST_TEST(node.last<respond>().body == "other");
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_runs_at_most_once_is_not_sent_again_after_its_replica_exited) {
+  dispatcher_driver node;
+  node.send_request(1, "/unsafe/");
+  const auto call = node.last<start_call>();
+  node.deliver(answer_ended_by_connection(call.call));
+  end_probe(node, call.target.replica, probe_result::refused);
+  BOOST_TEST(node.all<start_call>().size() == 1U);
+  BOOST_TEST(node.last<respond>().status == 502U);
+}
+
+BOOST_AUTO_TEST_CASE(a_client_may_leave_and_a_deadline_may_pass_while_an_end_is_not_settled) {
+  dispatcher_driver node;
+  const auto left = begin_stream(node);
+  node.deliver(ended_by_connection(left.call));
+  node.deliver(client_disconnected{1});
+  end_probe(node, left.target.replica, probe_result::connected);
+  BOOST_TEST(node.all<end_stream>().empty());
+  BOOST_TEST(!node.subject.is_busy());
+  node.time_allowed = milliseconds(100);
+  node.send_request(2, "/safe/");
+  const auto late = node.last<start_call>();
+  node.deliver(answer_ended_by_connection(late.call));
+  node.advance_time(milliseconds(150));
+  BOOST_TEST(node.last<respond>().status == 504U);
+  end_probe(node, late.target.replica, probe_result::connected);
+  BOOST_TEST(node.all<respond>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_does_not_clear_exits_if_its_replica_exited) {
+  dispatcher_driver node;
+  const auto call = begin_stream(node);
+  node.deliver(ended_by_connection(call.call));
+  end_probe(node, call.target.replica, probe_result::refused);
+  for (const auto& probe : node.all<probe_replica>()) {
+    if (probe.target.replica != call.target.replica) {
+      node.deliver(replica_probed{probe.target.replica, probe_result::connected, node.now});
+    }
+  }
+  const auto& records = node.subject.crashes().all();
+  BOOST_REQUIRE(records.size() == 1U);
+  BOOST_TEST(records.begin()->second.exits.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -38,6 +38,9 @@
   /// Emulates a policy without quarantine: nodes refuse all requests while at least two crashes of
   /// replicas are less than this time ago; 0 to disable the policy.
   base::duration route_pause{};
+  /// Whether replicas answer with neither a length nor chunks: an answer ends with its connection,
+  /// which the kernel also closes if the replica crashes.
+  bool unframed_answers = false;
 };
 
 /// Number of attempts of clients to send one request, by outcome.
@@ -548,10 +551,13 @@
     });
   }
 
+  /// Ends a probe that began to connect at the present time, or `connect_timeout` ago.
   void end_probe(std::size_t node, base::incarnation incarnation, const base::replica_id& replica,
                  probe_result result) {
+    const bool has_timed_out = result == probe_result::unresponsive;
+    const auto began_at = now - (has_timed_out ? connect_timeout : base::duration::zero());
     if (nodes[node].incarnation == incarnation) {
-      nodes[node].subject->handle(replica_probed{replica, result}, now);
+      nodes[node].subject->handle(replica_probed{replica, result, began_at}, now);
     }
   }
 
@@ -663,6 +669,7 @@
     replica_arrivals[body].push_back(now);
     const std::pair key{node, command.call};
     replica->calls.insert(key);
+    latest_event_ids[key] = command.resume_after.value_or(0);
     const auto index = static_cast<unsigned>(replica - replicas.data());
     schedule(milliseconds(50 + random.below(100)),
              [this, index, key, body] { begin_run(index, key, body); });
@@ -707,9 +714,27 @@
 
   /// Ends a call at a replica that has crashed, unless the node does not learn of it.
   void end_call_of_ended_replica(std::size_t node, base::call_id call) {
-    if (connections.fault_of(node) != path_fault::hangs) {
+    if (connections.fault_of(node) == path_fault::hangs) {
+      return;
+    }
+    const auto found = nodes[node].calls.find(call);
+    const bool has_head = found != nodes[node].calls.end() && found->second;
+    if (!settings.unframed_answers || !has_head) {
       abort_call(node, call);
+      return;
     }
+    nodes[node].calls.erase(found);
+    const bool breaks_inside_event = random.below(3) == 0;
+    if (breaks_inside_event) {
+      nodes[node].subject->handle(stream_bytes{call, "id: 9\nda"}, now);
+    }
+    nodes[node].subject->handle(stream_closed{call, true, false, true}, now);
+  }
+
+  /// Delivers the next event of a stream to the node that called.
+  void write_event(std::pair<std::size_t, base::call_id> key) {
+    const auto id = std::to_string(++latest_event_ids[key]);
+    nodes[key.first].subject->handle(stream_bytes{key.second, "id: " + id + "\ndata: x\n\n"}, now);
   }
 
   void begin_run(unsigned index, std::pair<std::size_t, base::call_id> key,
@@ -728,6 +753,9 @@
       announce_brittleness(key.first, index);
       nodes[key.first].subject->handle(stream_opened{key.second, dispatcher_driver::good_head()},
                                        now);
+      if (settings.unframed_answers && random.below(2) == 0) {
+        write_event(key);
+      }
     }
     if (crashing_bodies.contains(body)) {
       schedule_crash(index, body);
@@ -748,8 +776,8 @@
     if (connections.fault_of(key.first) == path_fault::hangs || node.calls.erase(key.second) == 0) {
       return;
     }
-    node.subject->handle(stream_bytes{key.second, "id: 1\ndata: x\n\n"}, now);
-    node.subject->handle(stream_closed{key.second, true}, now);
+    write_event(key);
+    node.subject->handle(stream_closed{key.second, true, false, settings.unframed_answers}, now);
   }
 
   void abort_call(std::size_t index, base::call_id call, bool has_timed_out = false) {
@@ -785,6 +813,8 @@
   /// Time after which the kernel of a node gives up a connection that passes no bytes.
   static constexpr base::duration tcp_user_timeout = milliseconds(1500);
 
+  /// Id of the latest event of each stream, by node and call.
+  std::map<std::pair<std::size_t, base::call_id>, std::uint64_t> latest_event_ids;
   std::map<base::caller_id, passed_request> passed_requests;
   std::size_t passed_on = 0;
   /// Requests that brittle replicas rejected, and crashes of brittle replicas for this reason.
