An answer that ends with its connection is whole only if its replica goes on

What callers saw: a request under which three replicas had ended was sent on and on. Cause: an answer with neither a length nor chunks counted as whole at the end of its connection. The kernel closes the connections of a process that exits just as a replica does that has completed its answer, so each run that crashed its replica after the head or between two events cleared the exits recorded under its request, on all nodes. Change: the end of such an answer is settled by what the replica does next. It is probed with a connection, which later calls use (the answer's own connection is gone). A connection accepted after the end, or bytes on another connection later than 50 ms after it: whole, and the run survived. Refused, or nothing seen within 0.8 s: broken off, a lost call; a resumable stream goes on at another replica after its last event. A stream without any event is no answer. The word of a relay no longer clears exits: the node that called the replica knows. Cost: one connection per answer without framing, which the next call would have opened; one round trip of delay at the end of such an answer. Why it works: acceptance begun after the end shows that a process listens then, and a crashed replica is not back within the connect timeout of 0.5 s.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -255,6 +255,12 @@
   add("spurrack_requests_cleared_total",
       "Requests no longer suspected because a run of them ended without an exit of its replica.",
       counts.requests_cleared);
+  add("spurrack_unframed_answers_total",
+      "Answers with neither a length nor chunks, which end with their connection.",
+      counts.unframed_answers);
+  add("spurrack_unframed_answers_rejected_total",
+      "Answers that ended with their connection and whose replica was not seen to go on.",
+      counts.unframed_answers_rejected);
   add("spurrack_crash_news_sent_total",
       "Messages to other nodes about requests under which replicas exited.",
       dispatcher.crash_reports().sent_messages);
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -50,6 +50,18 @@
   std::optional<base::node_id> relay_node{};
   /// Software version of the replica; not known if the request was passed on.
   base::software_version version{};
+  /// Address of the replica; empty if the request was passed on.
+  base::network_address address{};
+};
+
+/// End of an answer that has neither a length nor chunks, while it is not known whether the replica
+/// completed the answer or exited.
+struct unsettled_answer_end {
+  /// Call that the answer ended; it is closed already.
+  open_call call;
+  /// Answer to forward if it is whole; std::nullopt for a stream.
+  std::optional<call_answered> answer;
+  base::time_point ended_at;
 };
 
 /// Entry in an admission queue. Ordered by priority (0 is the most urgent), then requests that are
@@ -97,6 +109,8 @@
   base::zone_id expected_zone;
   std::map<piece_ticket, piece_position> pieces;
   std::optional<open_call> call;
+  /// Set only while the end of the last call's answer is not settled.
+  std::optional<unsettled_answer_end> unsettled_end;
   /// How the request is answered if no other node transfers retry budget to this node; set only
   /// while the request waits for a transfer.
   std::optional<failure_outcome> pending_failure;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -161,6 +161,9 @@
     commands_.emplace_back(cancel_call{request.call->id});
     close_call(request);
   }
+  if (request.unsettled_end) {
+    take_unsettled_end(request);
+  }
   for (const auto& [ticket, position] : request.pieces) {
     stages_.cancel(ticket);
     clients_by_ticket_.erase(ticket);
@@ -210,6 +213,9 @@
     consider(request.call->stalls_at);
     consider(request.call->inputs_fetched_at);
   }
+  if (request.unsettled_end) {
+    consider(settle_deadline_of(*request.unsettled_end));
+  }
   consider(request.slow_client_check_at);
   return next;
 }
@@ -232,7 +238,7 @@
     auto& request = active_.at(client);
     due_checks_.erase(due_checks_.begin());
     request.next_check_at.reset();
-    if (!abort_if_infeasible(request, now)) {
+    if (!abort_if_infeasible(request, now) && !reject_end_if_overdue(request, now)) {
       free_fetched_inputs(request, now);
       if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
         on_stalled(request, now);
@@ -240,7 +246,7 @@
         handle_slow_client(request, now);
       }
     }
-    // Both on_stalled and handle_slow_client may have removed the request.
+    // Each of these may have removed the request.
     if (const auto found = active_.find(client); found != active_.end()) {
       schedule_check(found->second);
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -307,7 +307,8 @@
   [[nodiscard]] static base::duration streamed_time_of(const active_request& request,
                                                        base::duration expected_streaming_time);
   /// Records the duration of a completed run, unless its stream was resumed or its client was slow.
-  void note_completed_run(const active_request& request, base::time_point now);
+  void note_completed_run(const active_request& request, const open_call& call,
+                          base::time_point now);
   /// Checks whether the stages of a request can still end in time, if that check is due. Aborts the
   /// request if its first check or two consecutive checks find that they cannot.
   bool abort_if_infeasible(active_request& request, base::time_point now);
@@ -477,10 +478,42 @@
   /// if the exit is at least `min_withdrawal_age` old: the answer shows that the incarnation runs.
   void withdraw_exit(const base::replica_id& replica, base::time_point now);
   /// Records that a run ended without an exit, which clears the exits recorded under its request.
-  void note_survived(const active_request& request, base::time_point now);
+  /// @param evidence observation that shows that the replica went on, for the log.
+  void note_survived(const active_request& request, const char* evidence,
+                     base::time_point survived_at);
   [[nodiscard]] quarantine::quarantine_state quarantine_state_of(const active_request& request,
                                                                  base::time_point now) const;
   bool refuse_if_quarantined(active_request& request, base::time_point now);
+
+  // Answers that end with their connection.
+
+  /// Closes the call of a request whose answer ended with its connection, and probes the replica.
+  /// The request waits until the replica is seen to go on or to have exited.
+  /// @param answer answer to forward if it is whole; std::nullopt for a stream.
+  void settle_later(active_request& request, std::optional<call_answered> answer,
+                    base::time_point now);
+  /// Removes the unsettled end from the request and from the index, and returns it.
+  unsettled_answer_end take_unsettled_end(active_request& request);
+  /// @return clients whose answer from the replica ended at `seen_at` or before and is not settled.
+  [[nodiscard]] std::vector<base::caller_id>
+  clients_with_end_before(const base::replica_id& replica, base::time_point seen_at) const;
+  /// Settles the answers that had ended when a probe of their replica began.
+  void settle_by_probe(const replica_probed& probe, base::time_point now);
+  /// Accepts the ends that precede bytes of their replica on another connection.
+  void settle_by_activity(const base::replica_id& replica, base::time_point now);
+  /// Rejects the end of an answer if nothing was seen of its replica in time.
+  bool reject_end_if_overdue(active_request& request, base::time_point now);
+  /// @return time at which an end that is not settled is rejected.
+  [[nodiscard]] static base::time_point settle_deadline_of(const unsettled_answer_end& end);
+  /// Forwards an answer whose replica went on after its end.
+  void accept_end(active_request& request, const char* evidence, base::time_point now);
+  /// Treats an answer as broken off, because its replica is not known to have gone on.
+  void reject_end(active_request& request, const char* evidence, base::time_point now);
+  /// Ends the stream of a client as complete.
+  void complete_stream(active_request& request, base::time_point now);
+  /// Retries a request whose stream was broken off, or ends the stream of its client.
+  void break_off_stream(active_request& request, bool has_timed_out, base::time_point now);
+
   /// Begins the quarantine of requests with a digest. Active requests with this digest continue if
   /// their call has delivered an event of its stream; the others are refused, or answered as failed
   /// if they may have run.
@@ -644,6 +677,8 @@
   std::unordered_map<base::call_id, base::caller_id> clients_by_call_;
   /// By replica, the clients whose request has a call there.
   std::unordered_map<base::replica_id, std::set<base::caller_id>> clients_by_replica_;
+  /// By replica, the clients whose answer from it ended with its connection and is not settled.
+  std::unordered_map<base::replica_id, std::set<base::caller_id>> unsettled_ends_;
   std::unordered_map<piece_ticket, base::caller_id> clients_by_ticket_;
   /// For each replica of an unconfigured service: the name of the service in the last
   /// `entry_rejected` event about the replica.
--- /dev/null
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -0,0 +1,187 @@
+/// Answers that end with their connection: they have neither a length nor chunks. A replica that
+/// completes such an answer and a replica that exits close the connection alike, so the answer is
+/// whole only if the replica is seen to go on afterwards.
+#include "dispatch/dispatcher.h"
+
+#include "dispatch/dispatcher_constants.h"
+
+#include <utility>
+
+namespace spurrack::serving {
+namespace {
+
+/// Time after the end of an answer within which its replica must be seen to go on. Longer than the
+/// connect timeout of the probe, and shorter than a replica takes to start again.
+constexpr base::duration settle_timeout = std::chrono::milliseconds(800);
+
+/// @return whether a stream ended before it delivered anything that its client does not have.
+bool has_no_event(const active_request& request) {
+  return request.events.events() == 0 && !request.content->resume_after;
+}
+
+} // namespace
+
+// --- settling ------------------------------------------------------------------------------------
+
+void dispatcher::settle_later(active_request& request, std::optional<call_answered> answer,
+                              base::time_point now) {
+  auto call = close_call(request);
+  commands_.emplace_back(probe_replica{{call.replica, call.address}});
+  unsettled_ends_[call.replica].insert(request.client);
+  request.unsettled_end = unsettled_answer_end{std::move(call), std::move(answer), now};
+  ++counters_.unframed_answers;
+  schedule_check(request);
+}
+
+unsettled_answer_end dispatcher::take_unsettled_end(active_request& request) {
+  auto end = *std::exchange(request.unsettled_end, std::nullopt);
+  const auto at_replica = unsettled_ends_.find(end.call.replica);
+  at_replica->second.erase(request.client);
+  if (at_replica->second.empty()) {
+    unsettled_ends_.erase(at_replica);
+  }
+  return end;
+}
+
+std::vector<base::caller_id> dispatcher::clients_with_end_before(const base::replica_id& replica,
+                                                                 base::time_point seen_at) const {
+  std::vector<base::caller_id> clients;
+  const auto found = unsettled_ends_.find(replica);
+  if (found == unsettled_ends_.end()) {
+    return clients;
+  }
+  for (const auto client : found->second) {
+    if (active_.at(client).unsettled_end->ended_at <= seen_at) {
+      clients.push_back(client);
+    }
+  }
+  return clients;
+}
+
+void dispatcher::settle_by_probe(const replica_probed& probe, base::time_point now) {
+  for (const auto client : clients_with_end_before(probe.replica, probe.began_at)) {
+    auto& request = active_.at(client);
+    if (probe.result == probe_result::connected) {
+      accept_end(request, "its replica accepts connections", now);
+    } else {
+      reject_end(request,
+                 probe.result == probe_result::refused ? "its replica refuses connections"
+                                                       : "its replica does not answer",
+                 now);
+    }
+  }
+}
+
+void dispatcher::settle_by_activity(const base::replica_id& replica, base::time_point now) {
+  if (unsettled_ends_.empty()) {
+    return;
+  }
+  for (const auto client : clients_with_end_before(replica, now - min_later_activity)) {
+    accept_end(active_.at(client), "its replica sent something on another connection", now);
+  }
+}
+
+bool dispatcher::reject_end_if_overdue(active_request& request, base::time_point now) {
+  if (!request.unsettled_end || now < request.unsettled_end->ended_at + settle_timeout) {
+    return false;
+  }
+  reject_end(request, "nothing was seen of its replica", now);
+  return true;
+}
+
+base::time_point dispatcher::settle_deadline_of(const unsettled_answer_end& end) {
+  return end.ended_at + settle_timeout;
+}
+
+// --- outcomes ------------------------------------------------------------------------------------
+
+void dispatcher::accept_end(active_request& request, const char* evidence, base::time_point now) {
+  const auto end = take_unsettled_end(request);
+  record(base::event_kind::stage_completed, request, end.call.replica.text(),
+         std::string("the answer without framing is whole, ") + evidence + " " +
+             std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end");
+  note_survived(request, evidence, end.ended_at);
+  note_completed_run(request, end.call, end.ended_at);
+  replicas_.note_success(end.call.replica, now);
+  if (end.answer) {
+    forward_answer(request, *end.answer, now);
+  } else {
+    complete_stream(request, now);
+  }
+}
+
+void dispatcher::reject_end(active_request& request, const char* evidence, base::time_point now) {
+  const auto end = take_unsettled_end(request);
+  ++counters_.unframed_answers_rejected;
+  record(base::event_kind::stage_retried, request, end.call.replica.text(),
+         std::string("the answer without framing is not known to be whole, ") + evidence + " " +
+             std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end" +
+             digest_text(request));
+  replicas_.note_failure(end.call.replica, now);
+  note_lost_call(request, end.call, false, now);
+  retry_or_fail(request, now);
+}
+
+void dispatcher::complete_stream(active_request& request, base::time_point now) {
+  if (request.stream_key) {
+    origins_.note_completed(*request.stream_key);
+  }
+  begin_stream(request, now);
+  if (request.first_event_at == base::time_point{}) {
+    // No new event arrived, for example because the client resumed the stream after its last
+    // event. The end of the stream is then the first message to the client and counts as its
+    // first event.
+    request.first_event_at = now;
+  }
+  commands_.emplace_back(end_stream{request.client, true});
+  finish(request, request.stream_head->status,
+         "the stream is complete, first event at " +
+             std::to_string(base::to_milliseconds(request.first_event_at - request.arrived_at)) +
+             " ms, longest pause " +
+             std::to_string(base::to_milliseconds(request.longest_event_gap)) + " ms,",
+         now);
+}
+
+void dispatcher::break_off_stream(active_request& request, bool has_timed_out,
+                                  base::time_point now) {
+  const auto call = close_call(request);
+  replicas_.note_failure(call.replica, now);
+  if (!call.relay_node) {
+    paths_.note_failure(now);
+  }
+  note_lost_call(request, call, has_timed_out, now);
+  record(base::event_kind::stage_retried, request, call.replica.text(),
+         "the stream broke off" + digest_text(request));
+  retry_or_fail(request, now);
+}
+
+void dispatcher::on_event(const stream_closed& closed, base::time_point now) {
+  auto* request = find_by_call(closed.call);
+  if (request == nullptr) {
+    return;
+  }
+  const bool is_from_replica = !request->call->relay_node;
+  const bool is_broken_off = !closed.complete || request->events.has_partial() ||
+                             (closed.ends_with_connection && has_no_event(*request));
+  if (closed.ends_with_connection) {
+    record(base::event_kind::stage_completed, *request, request->call->replica.text(),
+           "stream without framing ended with its connection after " +
+               std::to_string(request->events.events()) + " events, " +
+               (request->events.has_partial() ? "inside an event" : "between events"));
+  }
+  if (is_broken_off) {
+    break_off_stream(*request, closed.has_timed_out, now);
+  } else if (closed.ends_with_connection && is_from_replica) {
+    settle_later(*request, std::nullopt, now);
+  } else {
+    const auto call = close_call(*request);
+    note_completed_run(*request, call, now);
+    if (is_from_replica) {
+      note_survived(*request, "its answer was whole", now);
+    }
+    replicas_.note_success(call.replica, now);
+    complete_stream(*request, now);
+  }
+}
+
+} // namespace spurrack::serving
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -105,6 +105,7 @@
                            std::nullopt,
                            {}};
   request.call->version = chosen->record->version;
+  request.call->address = chosen->record->address;
   note_stream_sent(request, *chosen, now);
   clients_by_replica_[chosen->record->id].insert(request.client);
   const bool runs_at_once = !chosen->reported_load || chosen->reported_load->waiting == 0;
@@ -238,6 +239,7 @@
       now - call.contact_noted_at >= contact_note_interval) {
     call.contact_noted_at = now;
     replicas_.note_activity(call.replica, now);
+    settle_by_activity(call.replica, now);
   }
 }
 
@@ -246,6 +248,7 @@
   replicas_.note_activity(replica, now);
   if (!head.misdirected) {
     withdraw_exit(replica, now);
+    settle_by_activity(replica, now);
   }
 }
 
@@ -274,13 +277,17 @@
       is_success(answered.head.status) && (!answered.head.sealed || answered.head.encoded);
   const bool has_failed = is_unusable || answered.head.status >= status::first_server_error;
   if (!has_failed) {
-    replicas_.note_success(replica, now);
     if (is_success(answered.head.status)) {
+      if (answered.ends_with_connection) {
+        settle_later(*request, answered, now);
+        return;
+      }
       // Only a success shows that the run came to its end: a replica may fail a request before it
       // runs it.
-      note_survived(*request, now);
-      note_completed_run(*request, now);
+      note_survived(*request, "its answer was whole", now);
+      note_completed_run(*request, *request->call, now);
     }
+    replicas_.note_success(replica, now);
     forward_answer(*request, answered, now);
     return;
   }
@@ -395,53 +402,4 @@
   watch_progress(*request, stall_timeout, now);
 }
 
-void dispatcher::on_event(const stream_closed& closed, base::time_point now) {
-  auto* request = find_by_call(closed.call);
-  if (request == nullptr) {
-    return;
-  }
-  const bool is_whole = closed.complete && !request->events.has_partial();
-  if (closed.ends_with_connection) {
-    record(base::event_kind::stage_completed, *request, request->call->replica.text(),
-           "stream without framing ended with its connection after " +
-               std::to_string(request->events.events()) + " events, " +
-               (is_whole ? "between events" : "inside an event"));
-  }
-  if (is_whole) {
-    note_completed_run(*request, now);
-    note_survived(*request, now);
-    if (request->stream_key) {
-      origins_.note_completed(*request->stream_key);
-    }
-  }
-  const auto call = close_call(*request);
-  if (is_whole) {
-    begin_stream(*request, now);
-    if (request->first_event_at == base::time_point{}) {
-      // No new event arrived, for example because the client resumed the stream after its last
-      // event. The end of the stream is then the first message to the client and counts as its
-      // first event.
-      request->first_event_at = now;
-    }
-    replicas_.note_success(call.replica, now);
-    commands_.emplace_back(end_stream{request->client, true});
-    finish(
-        *request, request->stream_head->status,
-        "the stream is complete, first event at " +
-            std::to_string(base::to_milliseconds(request->first_event_at - request->arrived_at)) +
-            " ms, longest pause " +
-            std::to_string(base::to_milliseconds(request->longest_event_gap)) + " ms,",
-        now);
-    return;
-  }
-  replicas_.note_failure(call.replica, now);
-  if (!call.relay_node) {
-    paths_.note_failure(now);
-  }
-  note_lost_call(*request, call, closed.has_timed_out, now);
-  record(base::event_kind::stage_retried, *request, call.replica.text(),
-         "the stream broke off" + digest_text(*request));
-  retry_or_fail(*request, now);
-}
-
 } // namespace spurrack::serving
--- a/src/dispatch/dispatcher_constants.h
+++ b/src/dispatch/dispatcher_constants.h
@@ -1,6 +1,9 @@
 /// Constants that several files of the dispatcher use.
 #pragma once
 
+#include "base/time.h"
+
+#include <chrono>
 #include <cstdint>
 
 namespace spurrack::serving {
@@ -27,4 +30,9 @@
 /// Maximum number of times that stages of a request are recomputed because results were lost.
 inline constexpr std::uint32_t max_recomputations = 2;
 
+/// Bytes of a replica, or of other replicas, show something about the time after the end of a call
+/// if they follow the end by this time: connections that break at the same moment are noticed one
+/// after another, and bytes may have been sent before.
+inline constexpr base::duration min_later_activity = std::chrono::milliseconds(50);
+
 } // namespace spurrack::serving
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -26,9 +26,6 @@
 constexpr std::size_t probes_per_round = 4;
 /// Maximum number of replicas that are probed until the question is decided or given up.
 constexpr std::size_t max_path_probes = 16;
-/// Activity of other replicas shows that the connections of this node work if it follows the lost
-/// call by this time: connections that break at the same moment are noticed one after another.
-constexpr base::duration min_later_activity = std::chrono::milliseconds(50);
 /// Interval at which activity of other replicas is checked, and other replicas are probed again, to
 /// confirm that a refused replica exited.
 constexpr base::duration path_check_interval = std::chrono::milliseconds(100);
@@ -68,6 +65,7 @@
 }
 
 void dispatcher::on_event(const replica_probed& probe, base::time_point now) {
+  settle_by_probe(probe, now);
   paths_.note_probed(probe.replica, probe.result == probe_result::connected, now);
   switch (probe.result) {
   case probe_result::refused:
@@ -269,15 +267,17 @@
   }
 }
 
-void dispatcher::note_survived(const active_request& request, base::time_point now) {
+void dispatcher::note_survived(const active_request& request, const char* evidence,
+                               base::time_point survived_at) {
   if (crash_registry_.empty()) {
     return;
   }
   const auto& digest = digest_of(request);
-  if (crash_registry_.note_survived(digest, now)) {
+  if (crash_registry_.note_survived(digest, survived_at)) {
     ++counters_.requests_cleared;
     record(base::event_kind::request_cleared, request, "",
-           "request digest " + digest.text() + ", a run of it ended and its replica survived");
+           "request digest " + digest.text() + ", a run of it ended and its replica survived, " +
+               evidence);
     crash_reports_.note_changed(digest);
   }
 }
--- a/src/dispatch/dispatcher_stop.cc
+++ b/src/dispatch/dispatcher_stop.cc
@@ -93,8 +93,8 @@
   }
 }
 
-void dispatcher::note_completed_run(const active_request& request, base::time_point now) {
-  const auto& call = *request.call;
+void dispatcher::note_completed_run(const active_request& request, const open_call& call,
+                                    base::time_point now) {
   // A stream that was resumed by this node or by its client, or that a slow client delayed, does
   // not show the time of a whole run.
   const bool is_whole_run =
--- a/tests/dispatch/unframed_answer_test.cc
+++ b/tests/dispatch/unframed_answer_test.cc
@@ -1,6 +1,6 @@
-/// Guards against an answer without length and chunks that is taken for whole because the exit of its
-/// replica closed the connection: the client got a part of the answer as the whole, and the exits
-/// under a request that crashes replicas were cleared by the very runs that crashed them.
+/// Guards against an answer without length and chunks that is taken for whole because the exit of
+/// its replica closed the connection: the client got a part of the answer as the whole, and the
+/// exits under a request that crashes replicas were cleared by the very runs that crashed them.
 #include "serving_fixture.h"
 
 using namespace spurrack;
@@ -196,6 +196,7 @@
   const auto call = begin_stream(node);
   node.deliver(ended_by_connection(call.call));
   end_probe(node, call.target.replica, probe_result::refused);
+  node.advance_time(milliseconds(5));
   for (const auto& probe : node.all<probe_replica>()) {
     if (probe.target.replica != call.target.replica) {
       node.deliver(replica_probed{probe.target.replica, probe_result::connected, node.now});
--- a/tests/quarantine/unframed_crash_test.cc
+++ b/tests/quarantine/unframed_crash_test.cc
@@ -1,5 +1,6 @@
-/// Guards against a request that crashes replicas and is acquitted by the runs that crashed them: the
-/// answers have no framing, the exit of a replica closes its connections as if the answer were whole.
+/// Guards against a request that crashes replicas and is acquitted by the runs that crashed them:
+/// the answers have no framing, the exit of a replica closes its connections as if the answer were
+/// whole.
 #include "crash_fleet.h"
 
 #include <boost/test/unit_test.hpp>
