Exits under another suspected request do not raise what is required of a request

Cause: the number of exits required for quarantine rises from four to five if many replicas exit that did not run the request. Exits under a second crashing request counted among them, until that request had four exits itself; and the window of 30 s ended at the present time, so a judgement could change with no new exit. Change: an exit under any request that has two exits or more is not unrelated; the window ends at the latest exit under the judged request.

--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -160,8 +160,7 @@
   record_(base::event_kind::request_crashed_replica, {}, replica.text(),
           "request digest " + call.digest.text() + ", " + evidence + ", its call ended " +
               std::to_string(base::to_milliseconds(now - call.exit.at)) + " ms ago, exit " +
-              std::to_string(call.exit.exit) + ", " +
-              crash_registry_.assess(call.digest, now).text());
+              std::to_string(call.exit.exit) + ", " + crash_registry_.assess(call.digest).text());
   crash_reports_.note_changed(call.digest);
   if (change.begins_quarantine) {
     newly_quarantined_.push_back(call.digest);
@@ -173,7 +172,7 @@
   for (const auto& learned : crash_reports_.handle(address, message, now)) {
     record_(base::event_kind::request_crashed_replica, {}, address.text(),
             "request digest " + learned.digest.text() + ", told by another node, " +
-                crash_registry_.assess(learned.digest, now).text());
+                crash_registry_.assess(learned.digest).text());
     if (learned.begins_quarantine) {
       newly_quarantined_.push_back(learned.digest);
     }
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -269,7 +269,7 @@
   return record == nullptr ? 0 : counted_exits(*record);
 }
 
-exit_assessment crash_registry::assess(const request_digest& digest, base::time_point now) const {
+exit_assessment crash_registry::assess(const request_digest& digest) const {
   exit_assessment judged;
   const auto* record = find(digest);
   if (record == nullptr || record->exits.empty()) {
@@ -281,7 +281,7 @@
         return is_explained(observation.key(), *record);
       }));
   judged.counted = counted_exits(*record);
-  judged.required = exits_required(*record, now);
+  judged.required = exits_required(*record);
   return judged;
 }
 
@@ -294,7 +294,13 @@
 void crash_registry::update_explanations() const {
   explanations_are_stale_ = false;
   explaining_exit_counts_.clear();
+  suspected_exits_.clear();
   for (const auto& [digest, record] : records_) {
+    if (record.exits.size() >= limits_.single_attempt) {
+      for (const auto& observation : record.exits) {
+        suspected_exits_.insert(observation.key());
+      }
+    }
     if (record.exits.size() < limits_.quarantine) {
       continue;
     }
@@ -342,16 +348,19 @@
   });
 }
 
-std::size_t crash_registry::exits_required(const crash_record& record, base::time_point now) const {
+std::size_t crash_registry::exits_required(const crash_record& record) const {
+  if (explanations_are_stale_) {
+    update_explanations();
+  }
   std::size_t unrelated_exits = 0;
   // Exits after the last one under the request do not show that it was a coincidence: a request
   // that is quarantined stays quarantined, whatever happens to other replicas meanwhile.
   const auto last_exit_at = record.last_exit_at();
   for (const auto& [exit, known] : exits_) {
-    const bool is_recent =
-        now - known.at < recent_exit_window && known.at <= last_exit_at && !known.is_overrun;
+    const bool is_recent = last_exit_at - known.at < recent_exit_window &&
+                           known.at <= last_exit_at && !known.is_overrun;
     unrelated_exits +=
-        is_recent && !contains_exit(record, exit) && !is_explained(exit, record) ? 1 : 0;
+        is_recent && !contains_exit(record, exit) && !suspected_exits_.contains(exit) ? 1 : 0;
   }
   const auto additional = 2 * unrelated_exits / record.exits.size();
   return std::min(limits_.quarantine + additional, limits_.quarantine_with_unrelated_exits);
@@ -364,7 +373,7 @@
     return quarantine_state::unrestricted;
   }
   const bool may_be_tried =
-      counted < limits_.quarantine || counted < exits_required(record, now) ||
+      counted < limits_.quarantine || counted < exits_required(record) ||
       (counted < limits_.quarantine_with_unrelated_exits && has_indistinguishable_record(record)) ||
       now - record.last_update_at() >= quarantine_duration(counted);
   return may_be_tried ? quarantine_state::single_attempt : quarantine_state::quarantined;
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -159,7 +159,7 @@
   void note_refused(const request_digest& digest, base::time_point now);
   /// @return number of exits under a request, without those that another request probably caused.
   [[nodiscard]] std::size_t counted_exits_of(const request_digest& digest) const;
-  [[nodiscard]] exit_assessment assess(const request_digest& digest, base::time_point now) const;
+  [[nodiscard]] exit_assessment assess(const request_digest& digest) const;
   /// @return whether there are no records; callers then skip the computation of digests.
   [[nodiscard]] bool empty() const { return records_.empty(); }
   /// @return record of a request; null if there is none.
@@ -188,9 +188,10 @@
   [[nodiscard]] bool has_indistinguishable_record(const crash_record& record) const;
   /// @return number of exits in `record`, without those that another request probably caused.
   [[nodiscard]] std::size_t counted_exits(const crash_record& record) const;
-  /// @return minimum number of exits at which the request is quarantined. It is higher if many
-  ///         replicas that did not run the request exited recently.
-  [[nodiscard]] std::size_t exits_required(const crash_record& record, base::time_point now) const;
+  /// @return minimum number of exits at which the request is quarantined. It is higher if, in the
+  ///         30 s before the latest exit under the request, many replicas exited that ran neither
+  ///         this request nor another suspected one.
+  [[nodiscard]] std::size_t exits_required(const crash_record& record) const;
   [[nodiscard]] quarantine_state quarantine_state_of(const crash_record& record,
                                                      base::time_point now) const;
   [[nodiscard]] bool is_expired(const crash_record& record, base::time_point now) const;
@@ -217,6 +218,8 @@
   /// first use after a change. Without this map, the record of each arriving request would be
   /// compared with all other records.
   mutable std::map<exit_key, std::size_t> explaining_exit_counts_;
+  /// Exits under requests that have enough exits for a single attempt.
+  mutable std::set<exit_key> suspected_exits_;
   mutable bool explanations_are_stale_ = false;
   /// Withdrawn exits, with the times at which their replicas were found to be running.
   std::map<replica_exit, base::time_point> withdrawn_exits_;
