--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -96,9 +96,15 @@
     }
   }
 
-  /// Sends a request to a node. @return id of the client.
-  base::caller_id send_request(std::size_t node, const std::string& path, const std::string& body) {
+  /// Sends a request to a node.
+  /// @param parts ids of the parts of the prompt; none if the request has no prompt.
+  /// @return id of the client.
+  base::caller_id send_request(std::size_t node, const std::string& path, const std::string& body,
+                               const std::vector<std::string>& parts = {}) {
     auto content = std::make_shared<request_content>();
+    for (const auto& part : parts) {
+      content->prompt_parts.push_back({part, 10});
+    }
     content->method = "POST";
     content->host = "h";
     content->path = content->target = path;
@@ -114,6 +120,7 @@
     }
     bodies[requests] = body;
     bodies_by_id[content->id] = body;
+    parts_by_body[body] = parts;
     ++counts[body].attempts;
     paths[requests] = path;
     nodes_of_clients[requests] = node;
@@ -214,6 +221,19 @@
 
   unsigned random_replica() { return static_cast<unsigned>(random.below(replicas.size())); }
 
+  /// @return what crashes a replica that runs a request: its body, or the id of a part of its
+  ///         prompt; std::nullopt if the request is harmless.
+  [[nodiscard]] std::optional<std::string> crash_cause_of(const std::string& body) const {
+    if (crashing_bodies.contains(body)) {
+      return body;
+    }
+    const auto& parts = parts_by_body.at(body);
+    const auto found = std::find_if(parts.begin(), parts.end(), [&](const auto& part) {
+      return crashing_parts.contains(part);
+    });
+    return found == parts.end() ? std::nullopt : std::optional(*found);
+  }
+
   /// @return bodies of the requests of which any node refused an attempt because of quarantine.
   [[nodiscard]] std::set<std::string> quarantined_bodies() const {
     std::set<std::string> found;
@@ -231,12 +251,18 @@
   ///         crashed its third replica; 0 if it crashed fewer.
   [[nodiscard]] std::size_t sends_after_third_exit(const std::string& body,
                                                    base::duration span) const {
-    const auto exits = exits_under.find(body);
-    if (exits == exits_under.end() || exits->second.size() < 3) {
+    return sends_after_exit(3, body, span);
+  }
+  /// @param number number of the exit, from 1 on.
+  /// @param cause body of a request, or id of a prompt part.
+  [[nodiscard]] std::size_t sends_after_exit(std::size_t number, const std::string& cause,
+                                             base::duration span) const {
+    const auto exits = exits_under.find(cause);
+    if (exits == exits_under.end() || exits->second.size() < number) {
       return 0;
     }
-    const auto since = exits->second[2] + span;
-    const auto& sent = replica_arrivals.at(body);
+    const auto since = exits->second[number - 1] + span;
+    const auto& sent = replica_arrivals.at(cause);
     return static_cast<std::size_t>(
         std::count_if(sent.begin(), sent.end(), [&](auto at) { return at > since; }));
   }
@@ -246,6 +272,10 @@
   base::seeded_random random;
   /// Bodies of requests that crash each replica which runs them.
   std::set<std::string> crashing_bodies;
+  /// Ids of prompt parts that crash each replica which writes an answer to a request with them.
+  std::set<std::string> crashing_parts;
+  /// One in so many runs ends with an exit of its replica that no request causes; 0 for none.
+  std::size_t runs_per_unplanned_exit = 0;
   /// Bodies of requests whose pieces crash each replica which computes them.
   std::set<std::string> bodies_crashing_in_stages;
   /// Harmless requests per second that arrive at random nodes, each with a different body.
@@ -613,11 +643,11 @@
   void retry(base::caller_id client) {
     constexpr std::size_t max_attempts = 4;
     const auto body = bodies.at(client);
-    if (!clients_retry || crashing_bodies.contains(body) || counts[body].attempts >= max_attempts) {
+    if (!clients_retry || crash_cause_of(body) || counts[body].attempts >= max_attempts) {
       return;
     }
     schedule(milliseconds(50 + random.below(200)), [this, body, path = paths.at(client)] {
-      send_request(random.below(nodes.size()), path, body);
+      send_request(random.below(nodes.size()), path, body, parts_by_body.at(body));
     });
   }
 
@@ -667,6 +697,9 @@
     }
     const auto& body = command.content->body;
     replica_arrivals[body].push_back(now);
+    for (const auto& part : command.content->prompt_parts) {
+      replica_arrivals[part.id].push_back(now);
+    }
     const std::pair key{node, command.call};
     replica->calls.insert(key);
     latest_event_ids[key] = command.resume_after.value_or(0);
@@ -757,10 +790,13 @@
         write_event(key);
       }
     }
-    if (crashing_bodies.contains(body)) {
-      schedule_crash(index, body);
+    if (const auto cause = crash_cause_of(body)) {
+      schedule_crash(index, *cause);
       return;
     }
+    if (runs_per_unplanned_exit > 0 && random.below(runs_per_unplanned_exit) == 0) {
+      schedule_crash(index, "unplanned");
+    }
     schedule(milliseconds(300 + random.below(900)), [this, index, key] { end_run(index, key); });
   }
 
@@ -826,6 +862,7 @@
   std::map<base::caller_id, std::string> bodies;
   std::map<base::caller_id, std::string> paths;
   std::map<base::request_id, std::string> bodies_by_id;
+  std::map<std::string, std::vector<std::string>> parts_by_body;
   std::size_t handles = 0;
   std::vector<base::time_point> crash_times;
   base::caller_id requests = 0;
