Count exits by prompt part: one registry for requests and parts

Cause: the digest of a request covers its body, so each request had a record of one or two exits of its own. Class: a thing is recognized by the whole of what came, though a piece of it does the harm. Change: a suspect is a request or a prompt part (never the last part). An exit is recorded under the request and its shared parts in one registry, with one judgement, one exchange and one release. A part counts each request twice at most; it is quarantined at five exits without a surviving run, six if many unrelated replicas exited; a surviving run of any request with it clears it. Parts that always came together are told apart by a request that has one of them. The registry ranks an eighth of its records per eviction and holds 2,048.

--- a/src/ctl/reports.cc
+++ b/src/ctl/reports.cc
@@ -143,8 +143,8 @@
         {"backend", "zone", "pool", "in_flight", "concurrency", "average_ms", "leaving", "avoided"},
         out);
   } else if (command == "quarantine") {
-    print_lists(documents, "requests", {"digest", "standing", "ends", "newest_ms", "replicas"},
-                out);
+    print_lists(documents, "requests",
+                {"digest", "kind", "standing", "ends", "newest_ms", "replicas"}, out);
   } else if (command == "limits") {
     print_lists(documents, "replicas",
                 {"replica", "per_second", "heard_ms", "issuer", "permits_held", "sent_in_4_s"},
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -246,6 +246,9 @@
       counts.quarantines);
   add("spurrack_quarantine_refusals_total", "Requests refused because they were quarantined.",
       counts.refused_in_quarantine);
+  add("spurrack_quarantine_part_refusals_total",
+      "Requests refused because a part of their prompt was quarantined.",
+      counts.refused_for_prompt_part);
   add("spurrack_partition_refusals_total",
       "Requests refused because this node was partitioned from all replicas.",
       counts.refused_while_partitioned);
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -200,12 +200,13 @@
         exits.push_back(json::object{{"replica", observation.replica.text()},
                                      {"age_ms", base::to_milliseconds(now - observation.at)}});
       }
-      requests.push_back(
-          json::object{{"digest", digest.text()},
-                       {"standing", name_of(registry.quarantine_state_of(digest, now))},
-                       {"ends", record.exits.size()},
-                       {"newest_ms", base::to_milliseconds(now - record.last_update_at())},
-                       {"replicas", std::move(exits)}});
+      requests.push_back(json::object{
+          {"digest", digest.text()},
+          {"kind", record.kind == quarantine::suspect_kind::request ? "request" : "prompt part"},
+          {"standing", name_of(registry.quarantine_state_of(digest, now))},
+          {"ends", record.exits.size()},
+          {"newest_ms", base::to_milliseconds(now - record.last_update_at())},
+          {"replicas", std::move(exits)}});
     }
   }
   return {{"requests", std::move(requests)}};
@@ -311,7 +312,7 @@
   if (!path.starts_with(release_prefix)) {
     return std::nullopt;
   }
-  const auto digest = quarantine::request_digest::from_text(path.substr(release_prefix.size()));
+  const auto digest = quarantine::suspect_digest::from_text(path.substr(release_prefix.size()));
   return digest ? std::optional<node::event>(node::release_requested{*digest}) : std::nullopt;
 }
 
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -4,7 +4,7 @@
 #include "dispatch/event_stream.h"
 #include "flow/byte_budget.h"
 #include "model/serving_records.h"
-#include "quarantine/request_digest.h"
+#include "quarantine/suspect.h"
 #include "replicas/replica_table.h"
 #include "serving/events.h"
 #include "stage_work/stage_exchange.h"
@@ -93,8 +93,9 @@
   /// Shared with the configuration, so that the route outlives configuration changes.
   std::shared_ptr<const model::route> route;
   std::string tenant;
-  /// Computed on first use, because most requests never need their digest.
-  mutable std::optional<quarantine::request_digest> digest;
+  /// What may crash a replica that runs the request; the request itself comes first. Computed on
+  /// first use, because most requests never need it.
+  mutable std::vector<quarantine::suspect> suspects;
   std::string service;
   std::uint32_t priority = 0;
   /// Regions that both the route and the tenant allowed when the request arrived.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -20,7 +20,7 @@
 #include "quarantine/crash_detector.h"
 #include "quarantine/crash_registry.h"
 #include "quarantine/crash_report_exchange.h"
-#include "quarantine/request_digest.h"
+#include "quarantine/suspect.h"
 #include "rate_limits/limit_exchange.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
@@ -132,9 +132,9 @@
   /// and extends the times by which replicas must show progress.
   /// @param gap duration of the suspension.
   void resume_after_suspension(base::duration gap, base::time_point now);
-  /// Ends the quarantine of a request on behalf of an operator.
-  /// @return whether the crash registry had a record of the request.
-  bool release_request(const quarantine::request_digest& digest, base::time_point now);
+  /// Ends the quarantine of a suspect on behalf of an operator.
+  /// @return whether the crash registry had a record of the suspect.
+  bool release_suspect(const quarantine::suspect_digest& digest, base::time_point now);
   /// Aborts requests whose deadline has passed, runs all other checks that are due, and dispatches
   /// waiting requests and pieces.
   void advance(base::time_point now);
@@ -351,8 +351,10 @@
                                                 base::time_point now) const;
   const replica_state* choose_replica(const active_request& request, base::time_point now);
   const replica_state* choose_replica_for(const replica_requirements& demand, base::time_point now);
-  /// @return digest of a request, computed on first use.
-  static const quarantine::request_digest& digest_of(const active_request& request);
+  /// @return what may crash a replica that runs a request, computed on first use.
+  static const std::vector<quarantine::suspect>& suspects_of(const active_request& request);
+  /// @return name of a suspect of a request for the log: its kind and digest, and the id of a part.
+  static std::string name_of(const quarantine::suspect& subject, const active_request& request);
   /// @return text with the digest, for the log entry of a call that ended without a whole answer.
   static std::string digest_text(const active_request& request);
   /// Removes the open call from the request and from all indexes, and returns it.
@@ -514,10 +516,10 @@
   /// Retries a request whose stream was broken off, or ends the stream of its client.
   void break_off_stream(active_request& request, bool has_timed_out, base::time_point now);
 
-  /// Begins the quarantine of requests with a digest. Active requests with this digest continue if
-  /// their call has delivered an event of its stream; the others are refused, or answered as failed
-  /// if they may have run.
-  void quarantine_request(const quarantine::request_digest& digest, base::time_point now);
+  /// Begins the quarantine of a suspect. Active requests with the suspect continue if their call
+  /// has delivered an event of its stream; the others are refused, or answered as failed if they
+  /// may have run.
+  void begin_quarantine(const quarantine::suspect_digest& digest, base::time_point now);
   [[nodiscard]] static bool has_attempt_left(const active_request& request, base::time_point now);
   /// @return whether route, deadline and quarantine state allow another attempt, and it is expected
   ///         to complete before the end of a graceful stop. Does not check the retry budget.
@@ -667,8 +669,8 @@
   std::vector<base::replica_id> path_probed_;
   base::time_point next_path_check_at_;
   base::time_point next_overrun_check_at_;
-  /// Requests whose quarantine begins with the next `advance`.
-  std::vector<quarantine::request_digest> newly_quarantined_;
+  /// Suspects whose quarantine begins with the next `advance`.
+  std::vector<quarantine::suspect_digest> newly_quarantined_;
   stage_exchange stages_;
   admission_estimate admission_estimate_;
   run_times run_times_;
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -41,15 +41,15 @@
                                    : plain_chooser_.choose(demand, now);
 }
 
-const quarantine::request_digest& dispatcher::digest_of(const active_request& request) {
-  if (!request.digest) {
-    request.digest = quarantine::digest_of(*request.content, request.tenant);
+const std::vector<quarantine::suspect>& dispatcher::suspects_of(const active_request& request) {
+  if (request.suspects.empty()) {
+    request.suspects = quarantine::suspects_of(*request.content, request.tenant);
   }
-  return *request.digest;
+  return request.suspects;
 }
 
 std::string dispatcher::digest_text(const active_request& request) {
-  return ", request digest " + digest_of(request).text();
+  return ", request digest " + suspects_of(request).front().digest.text();
 }
 
 bool dispatcher::is_engine(const std::string& service) const {
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -38,6 +38,20 @@
 
 constexpr const char* quarantine_reason =
     "held back: replicas ended while they ran this request; sending it again does not help";
+/// Does not tell the client which part it is, since other tenants may have sent requests with it.
+constexpr const char* part_quarantine_reason = "held back: replicas ended while they ran requests "
+                                               "like this one; sending it again does not help";
+
+std::string text_of(const quarantine::crash_record& record) {
+  return (record.kind == quarantine::suspect_kind::request ? "request digest "
+                                                           : "prompt part digest ") +
+         record.digest.text();
+}
+
+const char* reason_text(const quarantine::suspect& subject) {
+  return subject.kind == quarantine::suspect_kind::request ? quarantine_reason
+                                                           : part_quarantine_reason;
+}
 
 } // namespace
 
@@ -59,7 +73,7 @@
     return;
   }
   if (crash_detector_.note_lost_call(
-          replica, {digest_of(request), {incarnation_exit, now, replica, started_at}}, now)) {
+          replica, {suspects_of(request), {incarnation_exit, now, replica, started_at}}, now)) {
     commands_.emplace_back(probe_replica{{replica, state->record->address}});
   }
 }
@@ -152,27 +166,33 @@
 void dispatcher::note_exit_under_request(const quarantine::lost_call& call,
                                          const base::replica_id& replica, const char* evidence,
                                          base::time_point now) {
-  const auto change = crash_registry_.note_exit(call.digest, call.exit, now);
-  if (!change.has_new_information) {
-    return;
-  }
-  ++counters_.crashes_under_requests;
-  record_(base::event_kind::request_crashed_replica, {}, replica.text(),
-          "request digest " + call.digest.text() + ", " + evidence + ", its call ended " +
-              std::to_string(base::to_milliseconds(now - call.exit.at)) + " ms ago, exit " +
-              std::to_string(call.exit.exit) + ", " + crash_registry_.assess(call.digest).text());
-  crash_reports_.note_changed(call.digest);
-  if (change.begins_quarantine) {
-    newly_quarantined_.push_back(call.digest);
+  auto observation = call.exit;
+  observation.request = std::hash<quarantine::suspect_digest>{}(call.suspects.front().digest);
+  for (const auto& subject : call.suspects) {
+    const auto change = crash_registry_.note_exit(subject, observation, now);
+    if (!change.has_new_information) {
+      continue;
+    }
+    ++counters_.crashes_under_requests;
+    record_(base::event_kind::request_crashed_replica, {}, replica.text(),
+            text_of(*crash_registry_.find(subject.digest)) + ", " + evidence + ", its call ended " +
+                std::to_string(base::to_milliseconds(now - call.exit.at)) + " ms ago, exit " +
+                std::to_string(call.exit.exit) + ", " +
+                crash_registry_.assess(subject.digest).text());
+    crash_reports_.note_changed(subject.digest);
+    if (change.begins_quarantine) {
+      newly_quarantined_.push_back(subject.digest);
+    }
   }
 }
 
 void dispatcher::handle_peer(const base::network_address& address, const wire::crash_news& message,
                              base::time_point now) {
   for (const auto& learned : crash_reports_.handle(address, message, now)) {
+    const auto* known = crash_registry_.find(learned.digest);
     record_(base::event_kind::request_crashed_replica, {}, address.text(),
-            "request digest " + learned.digest.text() + ", told by another node, " +
-                crash_registry_.assess(learned.digest).text());
+            (known == nullptr ? learned.digest.text() : text_of(*known)) +
+                ", told by another node, " + crash_registry_.assess(learned.digest).text());
     if (learned.begins_quarantine) {
       newly_quarantined_.push_back(learned.digest);
     }
@@ -213,7 +233,7 @@
                                request.latest_event_at < told.at &&
                                !replicas_.was_active_after(told.replica, told.at);
       if (ran_at_exit) {
-        note_exit_under_request({digest_of(request), {told.exit, told.at, told.replica}},
+        note_exit_under_request({suspects_of(request), {told.exit, told.at, told.replica}},
                                 told.replica, "another node saw it exit during the call", now);
       }
     }
@@ -240,7 +260,7 @@
   // Quarantines begin here and not when the exit is recorded, because a quarantine may remove the
   // very request that is being processed then.
   for (const auto& digest : std::exchange(newly_quarantined_, {})) {
-    quarantine_request(digest, now);
+    begin_quarantine(digest, now);
   }
   crash_reports_.advance(now);
 }
@@ -271,21 +291,23 @@
   if (crash_registry_.empty()) {
     return;
   }
-  const auto& digest = digest_of(request);
-  if (crash_registry_.note_survived(digest, survived_at)) {
+  for (const auto& subject : suspects_of(request)) {
+    if (!crash_registry_.note_survived(subject.digest, survived_at)) {
+      continue;
+    }
     ++counters_.requests_cleared;
     record(base::event_kind::request_cleared, request, "",
-           "request digest " + digest.text() + ", a run of it ended and its replica survived, " +
+           name_of(subject, request) + ", a run with it ended and its replica survived, " +
                evidence);
-    crash_reports_.note_changed(digest);
+    crash_reports_.note_changed(subject.digest);
   }
 }
 
-bool dispatcher::release_request(const quarantine::request_digest& digest, base::time_point now) {
+bool dispatcher::release_suspect(const quarantine::suspect_digest& digest, base::time_point now) {
   const bool was_known = crash_registry_.release(digest, now);
   if (was_known) {
     record_(base::event_kind::request_cleared, {}, "",
-            "request digest " + digest.text() + ", released by an operator");
+            "digest " + digest.text() + ", released by an operator");
     crash_reports_.note_changed(digest);
   }
   return was_known;
@@ -293,50 +315,64 @@
 
 // --- quarantine ----------------------------------------------------------------------------------
 
+std::string dispatcher::name_of(const quarantine::suspect& subject, const active_request& request) {
+  const auto& suspects = suspects_of(request);
+  const auto position = static_cast<std::size_t>(&subject - suspects.data());
+  return position == 0 ? "request digest " + subject.digest.text()
+                       : "prompt part " + request.content->prompt_parts[position - 1].id +
+                             ", digest " + subject.digest.text();
+}
+
 quarantine::quarantine_state dispatcher::quarantine_state_of(const active_request& request,
                                                              base::time_point now) const {
   return crash_registry_.empty() ? quarantine::quarantine_state::unrestricted
-                                 : crash_registry_.quarantine_state_of(digest_of(request), now);
+                                 : crash_registry_.judge(suspects_of(request), now).state;
 }
 
 bool dispatcher::refuse_if_quarantined(active_request& request, base::time_point now) {
-  if (quarantine_state_of(request, now) != quarantine::quarantine_state::quarantined) {
+  if (crash_registry_.empty()) {
+    return false;
+  }
+  const auto judgement = crash_registry_.judge(suspects_of(request), now);
+  if (judgement.state != quarantine::quarantine_state::quarantined) {
     return false;
   }
-  const auto& digest = digest_of(request);
-  crash_registry_.note_refused(digest, now);
-  ++counters_.refused_in_quarantine;
+  const auto& subject = *judgement.reason;
+  const bool is_whole_request = subject.kind == quarantine::suspect_kind::request;
+  crash_registry_.note_refused(subject.digest, now);
+  ++(is_whole_request ? counters_.refused_in_quarantine : counters_.refused_for_prompt_part);
   record(base::event_kind::request_quarantined, request, "",
-         "request digest " + digest.text() + ", " +
-             std::to_string(crash_registry_.counted_exits_of(digest)) + " replica exits under it");
+         name_of(subject, request) + ", " + crash_registry_.assess(subject.digest).text());
+  const auto* reason = reason_text(subject);
   if (request.may_have_run || request.has_begun_stream) {
-    answer_failed(request, status::bad_gateway, quarantine_reason, now);
+    answer_failed(request, status::bad_gateway, reason, now);
     return true;
   }
   // The answer states that the request was not run. It has no Retry-After time because a retry does
   // not help.
-  answer_with_error(request.client, request.content->id, status::unavailable, quarantine_reason,
-                    {});
-  finish(request, status::unavailable, quarantine_reason, now);
+  answer_with_error(request.client, request.content->id, status::unavailable, reason, {});
+  finish(request, status::unavailable, reason, now);
   return true;
 }
 
-void dispatcher::quarantine_request(const quarantine::request_digest& digest,
-                                    base::time_point now) {
+void dispatcher::begin_quarantine(const quarantine::suspect_digest& digest, base::time_point now) {
   const auto* found = crash_registry_.find(digest);
   if (found == nullptr) {
     return;
   }
   ++counters_.quarantines;
   record_(base::event_kind::request_quarantined, {}, "",
-          "request digest " + digest.text() + ", quarantined, " +
-              std::to_string(crash_registry_.counted_exits_of(digest)) +
-              " replica exits under it, the latest " +
-              std::to_string(base::to_milliseconds(now - found->last_update_at())) + " ms ago");
+          text_of(*found) + ", quarantined, " + crash_registry_.assess(digest).text() +
+              ", the latest " + std::to_string(base::to_milliseconds(now - found->last_exit_at())) +
+              " ms ago");
   std::vector<base::caller_id> clients;
   for (const auto& [client, request] : active_) {
     const bool shows_events = request.call && request.latest_event_at > request.call->started_at;
-    if (!shows_events && digest_of(request) == digest) {
+    const auto& suspects = suspects_of(request);
+    const bool has_suspect =
+        std::any_of(suspects.begin(), suspects.end(),
+                    [&](const quarantine::suspect& subject) { return subject.digest == digest; });
+    if (!shows_events && has_suspect) {
       clients.push_back(client);
     }
   }
--- a/src/dispatch/dispatcher_replica_restarts.cc
+++ b/src/dispatch/dispatcher_replica_restarts.cc
@@ -68,7 +68,7 @@
   auto& call = *request.call;
   const auto replica = call.replica;
   record(base::event_kind::stage_retried, request, replica.text(), "its replica restarted");
-  note_exit_under_request({digest_of(request), {call.incarnation_exit, now, replica}}, replica,
+  note_exit_under_request({suspects_of(request), {call.incarnation_exit, now, replica}}, replica,
                           "it restarted under its id", now);
   replicas_.call_ended(replica);
   auto& at_replica = clients_by_replica_.at(replica);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -8,7 +8,7 @@
 #include "execution/answer.h"
 #include "execution/commands.h"
 #include "execution/stage_call.h"
-#include "quarantine/request_digest.h"
+#include "quarantine/suspect.h"
 #include "serving/events.h"
 #include "wire/outgoing.h"
 
@@ -75,10 +75,10 @@
 struct seeds_changed {
   std::vector<base::network_address> seeds;
 };
-/// An operator ends the quarantine of a request. Nodes refuse a quarantined request because
+/// An operator ends the quarantine of a suspect. Nodes refuse a quarantined request because
 /// replicas exited while they ran it.
 struct release_requested {
-  quarantine::request_digest digest;
+  quarantine::suspect_digest digest;
 };
 
 using event =
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -326,7 +326,7 @@
 
 void node::on(const release_requested& input_event, base::time_point now) {
   if (serving_) {
-    serving_->release_request(input_event.digest, now);
+    serving_->release_suspect(input_event.digest, now);
   }
 }
 
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -8,7 +8,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "quarantine/crash_registry.h"
-#include "quarantine/request_digest.h"
+#include "quarantine/suspect.h"
 #include "serving/events.h"
 
 #include <cstddef>
@@ -20,7 +20,8 @@
 
 /// A call that ended without a complete answer, and the exit of its replica that may be the reason.
 struct lost_call {
-  request_digest digest;
+  /// What may have crashed the replica: the request, and the shared parts of its prompt.
+  std::vector<suspect> suspects;
   /// Assumed exit of the called incarnation. The time of the exit is set to the time at which the
   /// call ended.
   exit_observation exit;
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -1,6 +1,8 @@
 #include "quarantine/crash_registry.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace spurrack::quarantine {
@@ -18,6 +20,12 @@
 /// Lifetime of a record with enough exits for quarantine, counted from the latest exit under the
 /// request, its latest run without an exit, or its latest refusal, whichever is last.
 constexpr base::duration quarantine_record_lifetime = std::chrono::hours(24);
+/// Exits under one request count at most so many times in the record of a prompt part: if the same
+/// request is sent again and again, the request is the likely cause, and it has a record itself.
+constexpr std::size_t max_exits_per_request = 2;
+/// Share of the records of a full registry that are ranked at once, so that not each eviction looks
+/// at all records.
+constexpr std::size_t ranked_fraction = 8;
 /// Maximum number of exits in one record; more exits would not change the quarantine state.
 constexpr std::size_t max_exits_per_record = 12;
 /// Maximum number of withdrawn exits that are kept; a further withdrawal evicts the exit that was
@@ -66,14 +74,15 @@
   return std::max({last_exit_at(), survived_at.value_or(base::time_point{}), last_refused_at});
 }
 
-crash_record& crash_registry::record_of(const request_digest& digest) {
-  const auto found = records_.find(digest);
+crash_record& crash_registry::record_of(const suspect& subject) {
+  const auto found = records_.find(subject.digest);
   if (found != records_.end()) {
     return found->second;
   }
   evict_record_with_fewest_exits();
-  auto& record = records_[digest];
-  record.digest = digest;
+  auto& record = records_[subject.digest];
+  record.digest = subject.digest;
+  record.kind = subject.kind;
   return record;
 }
 
@@ -81,12 +90,34 @@
   if (records_.size() < max_records) {
     return;
   }
-  const auto evicted =
-      std::min_element(records_.begin(), records_.end(), [](const auto& left, const auto& right) {
-        return std::pair(left.second.exits.size(), left.second.last_update_at()) <
-               std::pair(right.second.exits.size(), right.second.last_update_at());
-      });
-  records_.erase(evicted);
+  while (!next_evicted_.empty()) {
+    const auto digest = next_evicted_.back();
+    next_evicted_.pop_back();
+    const auto found = records_.find(digest);
+    if (found != records_.end() && found->second.exits.size() <= 1) {
+      erase_record(found);
+      return;
+    }
+  }
+  using rank = std::tuple<std::size_t, base::time_point, suspect_digest>;
+  std::vector<rank> ranked;
+  ranked.reserve(records_.size());
+  for (const auto& [digest, record] : records_) {
+    ranked.emplace_back(record.exits.size(), record.last_update_at(), digest);
+  }
+  const auto end = ranked.begin() + max_records / ranked_fraction;
+  std::partial_sort(ranked.begin(), end, ranked.end());
+  // The first one is evicted now; the others with at most one exit are next, in this order.
+  for (auto next = std::prev(end); next != ranked.begin(); --next) {
+    if (std::get<std::size_t>(*next) <= 1) {
+      next_evicted_.push_back(std::get<suspect_digest>(*next));
+    }
+  }
+  erase_record(records_.find(std::get<suspect_digest>(ranked.front())));
+}
+
+void crash_registry::erase_record(std::map<suspect_digest, crash_record>::iterator record) {
+  records_.erase(record);
   explanations_are_stale_ = true;
 }
 
@@ -174,13 +205,13 @@
   return change;
 }
 
-registry_change crash_registry::note_exit(const request_digest& digest,
+registry_change crash_registry::note_exit(const suspect& subject,
                                           const exit_observation& observation,
                                           base::time_point now) {
-  return add(record_of(digest), {observation}, now);
+  return add(record_of(subject), {observation}, now);
 }
 
-bool crash_registry::note_survived(const request_digest& digest, base::time_point now) {
+bool crash_registry::note_survived(const suspect_digest& digest, base::time_point now) {
   const auto found = records_.find(digest);
   if (found == records_.end()) {
     return false;
@@ -193,7 +224,7 @@
   return had_exits;
 }
 
-bool crash_registry::release(const request_digest& digest, base::time_point now) {
+bool crash_registry::release(const suspect_digest& digest, base::time_point now) {
   return note_survived(digest, now);
 }
 
@@ -201,7 +232,7 @@
   if (received.exits.empty() && !records_.contains(received.digest)) {
     return {};
   }
-  auto& record = record_of(received.digest);
+  auto& record = record_of({received.digest, received.kind});
   bool is_cleared = false;
   if (received.survived_at && received.survived_at > record.survived_at) {
     record.survived_at = received.survived_at;
@@ -259,17 +290,17 @@
   return latest;
 }
 
-const crash_record* crash_registry::find(const request_digest& digest) const {
+const crash_record* crash_registry::find(const suspect_digest& digest) const {
   const auto found = records_.find(digest);
   return found == records_.end() ? nullptr : &found->second;
 }
 
-std::size_t crash_registry::counted_exits_of(const request_digest& digest) const {
+std::size_t crash_registry::counted_exits_of(const suspect_digest& digest) const {
   const auto* record = find(digest);
   return record == nullptr ? 0 : counted_exits(*record);
 }
 
-exit_assessment crash_registry::assess(const request_digest& digest) const {
+exit_assessment crash_registry::assess(const suspect_digest& digest) const {
   exit_assessment judged;
   const auto* record = find(digest);
   if (record == nullptr || record->exits.empty()) {
@@ -295,18 +326,26 @@
   explanations_are_stale_ = false;
   explaining_exit_counts_.clear();
   suspected_exits_.clear();
+  twins_.clear();
   for (const auto& [digest, record] : records_) {
     if (record.exits.size() >= limits_.single_attempt) {
       for (const auto& observation : record.exits) {
         suspected_exits_.insert(observation.key());
       }
     }
-    if (record.exits.size() < limits_.quarantine) {
+    const auto distinct = distinct_exits(record);
+    if (distinct < base_requirement(record)) {
       continue;
     }
+    std::vector<exit_key> keys;
     for (const auto& observation : record.exits) {
       auto& most = explaining_exit_counts_[observation.key()];
-      most = std::max(most, record.exits.size());
+      most = std::max(most, distinct);
+      keys.push_back(observation.key());
+    }
+    if (record.kind == suspect_kind::prompt_part) {
+      std::sort(keys.begin(), keys.end());
+      twins_[std::move(keys)].push_back(digest);
     }
   }
 }
@@ -316,7 +355,43 @@
     update_explanations();
   }
   const auto found = explaining_exit_counts_.find(exit);
-  return found != explaining_exit_counts_.end() && found->second > record.exits.size();
+  return found != explaining_exit_counts_.end() && found->second > distinct_exits(record);
+}
+
+std::size_t crash_registry::distinct_exits(const crash_record& record) {
+  if (record.kind == suspect_kind::request) {
+    return record.exits.size();
+  }
+  std::map<std::uint64_t, std::size_t> exits_by_request;
+  for (const auto& observation : record.exits) {
+    ++exits_by_request[observation.request];
+  }
+  std::size_t distinct = 0;
+  for (const auto& [request, exits] : exits_by_request) {
+    distinct += std::min(exits, max_exits_per_request);
+  }
+  return distinct;
+}
+
+std::size_t crash_registry::base_requirement(const crash_record& record) const {
+  return record.kind == suspect_kind::request ? limits_.quarantine : limits_.prompt_part_quarantine;
+}
+
+bool crash_registry::has_absent_twin(const crash_record& record,
+                                     const std::vector<suspect>& suspects) const {
+  if (explanations_are_stale_) {
+    update_explanations();
+  }
+  std::vector<exit_key> keys;
+  std::transform(record.exits.begin(), record.exits.end(), std::back_inserter(keys),
+                 [](const exit_observation& observation) { return observation.key(); });
+  std::sort(keys.begin(), keys.end());
+  const auto found = twins_.find(keys);
+  return found != twins_.end() &&
+         std::any_of(found->second.begin(), found->second.end(), [&](const suspect_digest& twin) {
+           return std::none_of(suspects.begin(), suspects.end(),
+                               [&](const suspect& present) { return present.digest == twin; });
+         });
 }
 
 /// A harmless request may have exits in common with a crashing request: up to 128 requests run at a
@@ -326,7 +401,7 @@
 /// `record` remain unexplained, the request of `record` probably causes exits as well, and all its
 /// exits are counted.
 std::size_t crash_registry::counted_exits(const crash_record& record) const {
-  const auto all = record.exits.size();
+  const auto all = distinct_exits(record);
   if (all < limits_.single_attempt) {
     return all;
   }
@@ -340,7 +415,8 @@
 bool crash_registry::has_indistinguishable_record(const crash_record& record) const {
   return std::any_of(records_.begin(), records_.end(), [&](const auto& entry) {
     const auto& other = entry.second;
-    return other.digest != record.digest && other.exits.size() == record.exits.size() &&
+    return other.kind == record.kind && other.digest != record.digest &&
+           other.exits.size() == record.exits.size() &&
            std::all_of(record.exits.begin(), record.exits.end(),
                        [&](const exit_observation& observation) {
                          return contains_exit(other, observation.key());
@@ -362,6 +438,10 @@
     unrelated_exits +=
         is_recent && !contains_exit(record, exit) && !suspected_exits_.contains(exit) ? 1 : 0;
   }
+  if (record.kind == suspect_kind::prompt_part) {
+    const bool are_many = unrelated_exits >= limits_.many_unrelated_exits * record.exits.size();
+    return limits_.prompt_part_quarantine + (are_many ? 1 : 0);
+  }
   const auto additional = 2 * unrelated_exits / record.exits.size();
   return std::min(limits_.quarantine + additional, limits_.quarantine_with_unrelated_exits);
 }
@@ -372,20 +452,41 @@
   if (counted < limits_.single_attempt) {
     return quarantine_state::unrestricted;
   }
-  const bool may_be_tried =
-      counted < limits_.quarantine || counted < exits_required(record) ||
-      (counted < limits_.quarantine_with_unrelated_exits && has_indistinguishable_record(record)) ||
-      now - record.last_update_at() >= quarantine_duration(counted);
+  const bool is_undecided = record.kind == suspect_kind::request &&
+                            counted < limits_.quarantine_with_unrelated_exits &&
+                            has_indistinguishable_record(record);
+  const bool may_be_tried = counted < base_requirement(record) ||
+                            counted < exits_required(record) || is_undecided ||
+                            now - record.last_update_at() >= quarantine_duration(counted);
   return may_be_tried ? quarantine_state::single_attempt : quarantine_state::quarantined;
 }
 
-quarantine_state crash_registry::quarantine_state_of(const request_digest& digest,
+request_judgement crash_registry::judge(const std::vector<suspect>& suspects,
+                                        base::time_point now) const {
+  request_judgement judgement;
+  for (const auto& subject : suspects) {
+    const auto* record = find(subject.digest);
+    if (record == nullptr) {
+      continue;
+    }
+    auto state = quarantine_state_of(*record, now);
+    if (state == quarantine_state::quarantined && has_absent_twin(*record, suspects)) {
+      state = quarantine_state::single_attempt;
+    }
+    if (state > judgement.state) {
+      judgement = {state, &subject};
+    }
+  }
+  return judgement;
+}
+
+quarantine_state crash_registry::quarantine_state_of(const suspect_digest& digest,
                                                      base::time_point now) const {
   const auto* record = find(digest);
   return record == nullptr ? quarantine_state::unrestricted : quarantine_state_of(*record, now);
 }
 
-void crash_registry::note_refused(const request_digest& digest, base::time_point now) {
+void crash_registry::note_refused(const suspect_digest& digest, base::time_point now) {
   const auto found = records_.find(digest);
   if (found != records_.end()) {
     found->second.last_refused_at = now;
@@ -400,7 +501,7 @@
 }
 
 bool crash_registry::is_expired(const crash_record& record, base::time_point now) const {
-  const bool was_quarantined = record.exits.size() >= limits_.quarantine;
+  const bool was_quarantined = record.exits.size() >= base_requirement(record);
   return now - record.last_update_at() >=
          (was_quarantined ? quarantine_record_lifetime : short_record_lifetime);
 }
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -1,8 +1,10 @@
-/// Registry of the requests under which replicas crashed, as far as this node knows, and of the
-/// quarantine state of each such request. A request is identified by its digest, so that it is
-/// recognized when a client sends it again. No I/O; the dispatcher refuses the requests.
+/// Registry of the suspects under which replicas crashed, as far as this node knows, and of the
+/// quarantine state of each suspect. A suspect is a request, or a prompt part that several requests
+/// have in common. It is identified by its digest, so that it is recognized whenever a client sends
+/// the request again, or another request with the part. No I/O; the dispatcher refuses requests.
 ///
 /// Terms:
+/// - request with a suspect: the suspect request itself, or any request whose prompt has the part.
 /// - run: the execution of a request by a replica.
 /// - exit: the end of one incarnation (process) of a replica that was not draining. An exit under a
 ///   request is an exit while the replica ran the request. It is recorded under every request that
@@ -20,7 +22,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "quarantine/request_digest.h"
+#include "quarantine/suspect.h"
 #include "replicas/replica_incarnations.h"
 #include "serving/settings.h"
 
@@ -55,6 +57,8 @@
   /// Number that the registry gives to the process that exited: an incarnation that is published
   /// late stands for several processes, one after another. Differs from node to node.
   std::uint32_t process = 0;
+  /// In the record of a prompt part: hash of the request that the replica ran; 0 if not known.
+  std::uint64_t request = 0;
 
   /// @return whether the process was running from `call_started_at` to `at` and exited then.
   [[nodiscard]] bool is_timed() const { return call_started_at != base::time_point{}; }
@@ -70,9 +74,10 @@
   quarantined,    ///< The request is refused.
 };
 
-/// Exits of replicas under one request. The records of several nodes may be merged in any order.
+/// Exits of replicas under one suspect. The records of several nodes may be merged in any order.
 struct crash_record {
-  request_digest digest;
+  suspect_digest digest;
+  suspect_kind kind = suspect_kind::request;
   /// Exits without duplicates, in the order in which this node learned of them.
   std::vector<exit_observation> exits;
   /// Time of the latest surviving run of the request or release by an operator, whichever is
@@ -102,6 +107,13 @@
   [[nodiscard]] std::string text() const;
 };
 
+/// How a request is judged by its suspects.
+struct request_judgement {
+  quarantine_state state = quarantine_state::unrestricted;
+  /// Suspect that is the reason for the state; null if the request is unrestricted.
+  const suspect* reason = nullptr;
+};
+
 /// Effect of a reported exit or a merged record on the registry.
 struct registry_change {
   /// Whether the registry learned of an exit, or of a surviving run that cleared known exits.
@@ -115,22 +127,22 @@
 /// Crash records by request digest, and an index of recent exits. Not thread-safe.
 class crash_registry {
  public:
-  /// Maximum number of records: 100 kB at 200 bytes each. When the registry is full, a new record
+  /// Maximum number of records: 500 kB at 250 bytes each. When the registry is full, a new record
   /// evicts the record with the fewest exits, and of several such records the least recently
-  /// updated one: a flood of requests with one exit each evicts no record with more exits.
-  static constexpr std::size_t max_records = 512;
+  /// updated one: a flood of suspects with one exit each evicts no record with more exits.
+  static constexpr std::size_t max_records = 2048;
 
   explicit crash_registry(serving::quarantine_limits limits = {}) : limits_(limits) {}
   [[nodiscard]] const serving::quarantine_limits& limits() const { return limits_; }
 
-  registry_change note_exit(const request_digest& digest, const exit_observation& observation,
+  registry_change note_exit(const suspect& subject, const exit_observation& observation,
                             base::time_point now);
   /// Records a surviving run of a request and clears the exits under the request.
   /// @return whether the registry held exits under the request.
-  bool note_survived(const request_digest& digest, base::time_point now);
+  bool note_survived(const suspect_digest& digest, base::time_point now);
   /// Clears the exits under a request on behalf of an operator.
   /// @return whether the registry held exits under the request.
-  bool release(const request_digest& digest, base::time_point now);
+  bool release(const suspect_digest& digest, base::time_point now);
   /// Merges a record that another node sent.
   registry_change merge(const crash_record& received, base::time_point now);
   /// Adds recent exits that another node sent to the index of exits. The exits may have occurred
@@ -152,26 +164,33 @@
 
   /// @return whether a request that arrives now is unrestricted, limited to a single attempt, or
   ///         quarantined.
-  [[nodiscard]] quarantine_state quarantine_state_of(const request_digest& digest,
+  [[nodiscard]] quarantine_state quarantine_state_of(const suspect_digest& digest,
                                                      base::time_point now) const;
+  /// Judges a request that arrives now by its suspects: the most restricted one decides. If a
+  /// quarantined prompt part cannot be told apart from another one, which the request does not
+  /// have, the request gets a single attempt, which tells them apart.
+  /// @param suspects must outlive the result.
+  [[nodiscard]] request_judgement judge(const std::vector<suspect>& suspects,
+                                        base::time_point now) const;
   /// Records that a quarantined request was refused. This prolongs the quarantine, so that it
   /// lasts as long as clients keep sending the request.
-  void note_refused(const request_digest& digest, base::time_point now);
+  void note_refused(const suspect_digest& digest, base::time_point now);
   /// @return number of exits under a request, without those that another request probably caused.
-  [[nodiscard]] std::size_t counted_exits_of(const request_digest& digest) const;
-  [[nodiscard]] exit_assessment assess(const request_digest& digest) const;
+  [[nodiscard]] std::size_t counted_exits_of(const suspect_digest& digest) const;
+  [[nodiscard]] exit_assessment assess(const suspect_digest& digest) const;
   /// @return whether there are no records; callers then skip the computation of digests.
   [[nodiscard]] bool empty() const { return records_.empty(); }
   /// @return record of a request; null if there is none.
-  [[nodiscard]] const crash_record* find(const request_digest& digest) const;
-  [[nodiscard]] const std::map<request_digest, crash_record>& all() const { return records_; }
+  [[nodiscard]] const crash_record* find(const suspect_digest& digest) const;
+  [[nodiscard]] const std::map<suspect_digest, crash_record>& all() const { return records_; }
   /// Drops the records, indexed exits and withdrawn exits that have expired.
   void expire(base::time_point now);
 
  private:
   /// Returns the record of a request; creates a record if there is none.
-  crash_record& record_of(const request_digest& digest);
+  crash_record& record_of(const suspect& subject);
   void evict_record_with_fewest_exits();
+  void erase_record(std::map<suspect_digest, crash_record>::iterator record);
   /// Adds an exit to the index, or updates the times of the known exit of the same process.
   /// @return number of the process that exited.
   std::uint32_t index_exit(const exit_observation& observation);
@@ -181,7 +200,17 @@
   ///         other request has this exit as well, has more exits than `record`, and has enough
   ///         exits for quarantine.
   [[nodiscard]] bool is_explained(const exit_key& exit, const crash_record& record) const;
-  /// Recomputes `explaining_exit_counts_` from all records.
+  /// @return number of exits in the record, of which those under one request count at most
+  ///         `max_exits_per_request` times in the record of a prompt part.
+  [[nodiscard]] static std::size_t distinct_exits(const crash_record& record);
+  /// @return number of exits at which a suspect of the kind of `record` is quarantined if few
+  ///         unrelated replicas exited.
+  [[nodiscard]] std::size_t base_requirement(const crash_record& record) const;
+  /// @return whether a request without the part of `record`'s twin can tell the two apart.
+  /// @param suspects suspects of that request.
+  [[nodiscard]] bool has_absent_twin(const crash_record& record,
+                                     const std::vector<suspect>& suspects) const;
+  /// Recomputes the data that is derived from all records.
   void update_explanations() const;
   /// @return whether another request has exactly the exits of `record`, so that either request may
   ///         have caused them.
@@ -200,7 +229,9 @@
   [[nodiscard]] base::duration quarantine_duration(std::size_t exits) const;
 
   serving::quarantine_limits limits_;
-  std::map<request_digest, crash_record> records_;
+  std::map<suspect_digest, crash_record> records_;
+  /// Records that are evicted next if they still have at most one exit, the first one at the end.
+  std::vector<suspect_digest> next_evicted_;
   /// Index of known exits, with their times: exits in present and dropped records, and exits that
   /// other nodes reported without a record.
   struct known_exit {
@@ -220,6 +251,9 @@
   mutable std::map<exit_key, std::size_t> explaining_exit_counts_;
   /// Exits under requests that have enough exits for a single attempt.
   mutable std::set<exit_key> suspected_exits_;
+  /// Prompt parts with enough exits for quarantine, by the exits under them: the parts of one entry
+  /// always came together and cannot be told apart.
+  mutable std::map<std::vector<exit_key>, std::vector<suspect_digest>> twins_;
   mutable bool explanations_are_stale_ = false;
   /// Withdrawn exits, with the times at which their replicas were found to be running.
   std::map<replica_exit, base::time_point> withdrawn_exits_;
--- a/src/quarantine/crash_report_exchange.cc
+++ b/src/quarantine/crash_report_exchange.cc
@@ -50,11 +50,14 @@
   if (observation.call_started_at != base::time_point{}) {
     wire_record.set_call_milliseconds(1 + age_of(observation.call_started_at, observation.at));
   }
+  wire_record.set_request(observation.request);
 }
 
 void add_to(wire::crash_news& report, const crash_record& record, base::time_point now) {
   auto& wire_record = *report.add_records();
   wire_record.set_request_digest(record.digest.bytes());
+  wire_record.set_suspect(record.kind == suspect_kind::request ? wire::SUSPECT_REQUEST
+                                                               : wire::SUSPECT_PROMPT_PART);
   for (const auto& observation : record.exits) {
     add_to(*wire_record.add_crashes(), observation, now);
   }
@@ -77,6 +80,7 @@
     if (crash.call_milliseconds() > 0) {
       exit.call_started_at = time_at_age(exit.at, crash.call_milliseconds() - 1);
     }
+    exit.request = crash.request();
     exits.push_back(std::move(exit));
   }
   return exits;
@@ -84,12 +88,14 @@
 
 /// @return std::nullopt if the record holds no valid digest.
 std::optional<crash_record> from_wire(const wire::crash_record& wire_record, base::time_point now) {
-  const auto digest = request_digest::from_bytes(wire_record.request_digest());
+  const auto digest = suspect_digest::from_bytes(wire_record.request_digest());
   if (!digest) {
     return std::nullopt;
   }
   crash_record record;
   record.digest = *digest;
+  record.kind = wire_record.suspect() == wire::SUSPECT_PROMPT_PART ? suspect_kind::prompt_part
+                                                                   : suspect_kind::request;
   record.exits = exits_from_wire(wire_record.crashes(), now);
   if (wire_record.survived()) {
     record.survived_at = time_at_age(now, wire_record.survived_age_milliseconds());
@@ -147,7 +153,7 @@
 }
 
 std::vector<base::network_address>
-crash_report_exchange::aggregators_of(const request_digest& digest) const {
+crash_report_exchange::aggregators_of(const suspect_digest& digest) const {
   std::vector<base::network_address> aggregators;
   for (const auto& node : base::rendezvous_top(digest.bytes(), nodes_, aggregator_count)) {
     if (node != self_) {
--- a/src/quarantine/crash_report_exchange.h
+++ b/src/quarantine/crash_report_exchange.h
@@ -37,7 +37,7 @@
 
 /// A request whose record changed because of a message from another node.
 struct learned_record {
-  request_digest digest;
+  suspect_digest digest;
   /// Whether the change put the request into quarantine.
   bool begins_quarantine = false;
 };
@@ -55,7 +55,7 @@
   /// included because a client may send a request again to any node.
   void set_peers(const std::vector<serving::fleet_peer>& alive);
   /// Schedules the record of a request for sending. To be called after the record changed.
-  void note_changed(const request_digest& digest) { changed_digests_.insert(digest); }
+  void note_changed(const suspect_digest& digest) { changed_digests_.insert(digest); }
   /// Schedules queries to other nodes for the records that this process missed while suspended.
   void resume_after_suspension(base::time_point now) { begin_queries(now); }
   /// Queues the messages that are due.
@@ -83,7 +83,7 @@
   void send_reminder(base::time_point now);
   [[nodiscard]] std::vector<base::network_address> random_peers(std::size_t count) const;
   [[nodiscard]] std::vector<base::network_address>
-  aggregators_of(const request_digest& digest) const;
+  aggregators_of(const suspect_digest& digest) const;
   /// @return the most recently updated records among those that are sent to all nodes, the latest
   ///         first; no more than `most` records.
   [[nodiscard]] std::vector<const crash_record*> broadcast_records(std::size_t most) const;
@@ -96,7 +96,7 @@
   std::vector<base::node_id> nodes_;
   std::map<base::node_id, base::network_address> addresses_;
   /// Requests whose records are scheduled for sending.
-  std::set<request_digest> changed_digests_;
+  std::set<suspect_digest> changed_digests_;
   base::time_point next_changes_at_;
   base::time_point next_reminder_at_;
   /// Time of the next round of queries for missed records; std::nullopt if none is scheduled.
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -73,6 +73,11 @@
   /// an exit of the replica for other reasons, one harmless request in 8,000 has this number of
   /// exits by chance.
   std::size_t quarantine_with_unrelated_exits = 5;
+  /// Number of exits at which requests with a prompt part are quarantined. One more is required if
+  /// the recent exits of replicas that ran no request with the part are `many_unrelated_exits`
+  /// times as many. It is higher than that of a request, since it refuses many requests at once.
+  std::size_t prompt_part_quarantine = 5;
+  std::size_t many_unrelated_exits = 2;
 };
 
 struct serving_settings {
--- a/tests/quarantine/crash_ledger_test.cc
+++ b/tests/quarantine/crash_ledger_test.cc
@@ -18,11 +18,11 @@
 
 const base::time_point start{hours(1)};
 
-request_digest digest(unsigned number) {
-  std::array<std::uint8_t, request_digest::byte_count> bytes{};
+suspect_digest digest(unsigned number) {
+  std::array<std::uint8_t, suspect_digest::byte_count> bytes{};
   bytes[0] = static_cast<std::uint8_t>(number % 256);
   bytes[1] = static_cast<std::uint8_t>(number / 256);
-  return request_digest(bytes);
+  return suspect_digest(bytes);
 }
 
 /// Records exits with the given ids under a request. The time of each exit is its id, in seconds
@@ -31,7 +31,7 @@
                 std::initializer_list<replica_exit> exits) {
   for (const auto exit : exits) {
     const base::time_point at = start + seconds(exit);
-    registry.note_exit(digest(request), {exit, at}, at);
+    registry.note_exit({digest(request)}, {exit, at}, at);
   }
 }
 
@@ -149,13 +149,13 @@
   const auto exit_at = [](std::uint64_t started, std::uint64_t ended) {
     return exit_observation{7, start + seconds(ended), {}, start + seconds(started)};
   };
-  registry.note_exit(digest(1), exit_at(1, 2), start + seconds(2));
-  registry.note_exit(digest(1), exit_at(1, 2), start + seconds(2));
+  registry.note_exit({digest(1)}, exit_at(1, 2), start + seconds(2));
+  registry.note_exit({digest(1)}, exit_at(1, 2), start + seconds(2));
   BOOST_TEST(registry.counted_exits_of(digest(1)) == 1U);
-  registry.note_exit(digest(1), exit_at(4, 5), start + seconds(5));
+  registry.note_exit({digest(1)}, exit_at(4, 5), start + seconds(5));
   BOOST_TEST(registry.counted_exits_of(digest(1)) == 2U);
   // An exit whose time is unknown may be either of them.
-  registry.note_exit(digest(1), {7, start + seconds(9)}, start + seconds(9));
+  registry.note_exit({digest(1)}, {7, start + seconds(9)}, start + seconds(9));
   BOOST_TEST(registry.counted_exits_of(digest(1)) == 2U);
 }
 
@@ -187,7 +187,7 @@
   note_exits(registry, 1, {1, 2, 3});
   registry.withdraw(3, start + seconds(10));
   const base::time_point later = start + seconds(20);
-  registry.note_exit(digest(2), {3, later}, later);
+  registry.note_exit({digest(2)}, {3, later}, later);
   BOOST_TEST(registry.counted_exits_of(digest(2)) == 1U);
   registry.merge_exits({{3, later}}, later);
   BOOST_TEST(registry.latest_exits(8, later).front().exit == 3U);
@@ -205,8 +205,8 @@
   now += minutes(2);
   registry.expire(now);
   BOOST_TEST((registry.quarantine_state_of(digest(1), now) == quarantine_state::single_attempt));
-  registry.note_exit(digest(1), {50, now}, now);
-  registry.note_exit(digest(1), {51, now}, now);
+  registry.note_exit({digest(1)}, {50, now}, now);
+  registry.note_exit({digest(1)}, {51, now}, now);
   now += hours(23);
   registry.expire(now);
   BOOST_TEST((registry.quarantine_state_of(digest(1), now) == quarantine_state::quarantined));
@@ -225,7 +225,7 @@
   note_exits(registry, 2, {1, 2});
   for (unsigned number = 3; number < 3 + 2 * crash_registry::max_records; ++number) {
     const base::time_point at = start + seconds(10);
-    registry.note_exit(digest(number), {1000 + number, at}, at);
+    registry.note_exit({digest(number)}, {1000 + number, at}, at);
   }
   BOOST_TEST(registry.all().size() == crash_registry::max_records);
   BOOST_TEST(registry.find(digest(1))->exits.size() == 4U);
--- a/tests/quarantine/crash_news_test.cc
+++ b/tests/quarantine/crash_news_test.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
-request_digest some_digest(std::uint8_t number) {
-  return request_digest(std::array<std::uint8_t, request_digest::byte_count>{number});
+suspect_digest some_digest(std::uint8_t number) {
+  return suspect_digest(std::array<std::uint8_t, suspect_digest::byte_count>{number});
 }
 
 /// One node: its registry and its exchange.
@@ -57,7 +57,7 @@
   /// Records an exit under a request at one node.
   void note_exit(std::size_t index, std::uint8_t request, replica_exit exit) {
     auto& node = *nodes[index];
-    node.registry.note_exit(some_digest(request), {exit, now}, now);
+    node.registry.note_exit({some_digest(request)}, {exit, now}, now);
     node.exchange.note_changed(some_digest(request));
   }
 
--- a/tests/quarantine/crashing_request_test.cc
+++ b/tests/quarantine/crashing_request_test.cc
@@ -241,7 +241,7 @@
   fleet.send_repeatedly("/stream/", "guilty", seconds(5));
   fleet.crashing_bodies.clear();
   const auto digest = fleet.node(0).crashes().all().begin()->first;
-  BOOST_TEST(fleet.node(0).release_request(digest, fleet.now));
+  BOOST_TEST(fleet.node(0).release_suspect(digest, fleet.now));
   fleet.run(seconds(1));
   const auto quarantined = fleet.counts["guilty"].quarantined;
   for (std::size_t node = 0; node < fleet.settings.nodes; ++node) {
