One run at a time of requests with a suspected prompt part

What callers saw: with the count by part alone, up to 8 replicas crashed under a part at 10 requests a second, and a sound part that came with the crashing one was refused for an hour once both had five exits. Cause: between the second exit and the quarantine each node sent each request on at once; and a quarantined part had no run that could tell it from the guilty one. Change: from the second exit without a surviving run on, a request with the part waits for a trial. The issuer of the suspect, found by rendezvous hashing, grants one trial at a time; if it does not answer within 250 ms the next of three is asked, then none. A wait of 2 s ends with 503 and Retry-After. In quarantine a trial is granted 3.2 s after the latest exit, then after 1, 10 and 60 minutes, and only to a request with one quarantined suspect, whose outcome tells parts apart. This replaces the comparison of parts with the same exits. Others are refused at once. At most 6 replicas crash under a part at 1, 4 and 10 requests a second, first and second part, with retries of clients, without framing, and with two parts and a request at once. The case of a part that came only with the crashing one sends the crashing part alone twice: the first is the trial, the second must be refused; the bound of six exits over both is unchanged.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -249,6 +249,17 @@
   add("spurrack_quarantine_part_refusals_total",
       "Requests refused because a part of their prompt was quarantined.",
       counts.refused_for_prompt_part);
+  add("spurrack_trial_refusals_total",
+      "Requests with a suspected prompt part that waited too long for a trial.",
+      counts.refused_without_trial);
+  add("spurrack_trials_requested_total", "Trials of suspects that this node asked for.",
+      dispatcher.trials().requested);
+  add("spurrack_trials_granted_total", "Trials of suspects that this node granted to some node.",
+      dispatcher.trials().granted);
+  add("spurrack_trials_denied_total", "Trials of suspects that this node denied to some node.",
+      dispatcher.trials().denied);
+  add("spurrack_trials_unanswered_total", "Trials of suspects for which no issuer answered.",
+      dispatcher.trials().unanswered);
   add("spurrack_partition_refusals_total",
       "Requests refused because this node was partitioned from all replicas.",
       counts.refused_while_partitioned);
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -86,6 +86,13 @@
   bool is_not_run = false;
 };
 
+/// Wait of a request for the permission to run as the trial of a suspect.
+struct pending_trial {
+  quarantine::suspect_digest suspect;
+  /// Time at which the request is refused if it still waits.
+  base::time_point ends_at;
+};
+
 /// A request that has arrived and whose answer is not complete.
 struct active_request {
   base::caller_id client = 0;
@@ -117,6 +124,10 @@
   std::optional<failure_outcome> pending_failure;
   /// Entry in the admission queue; set only while the request waits for a slot at a replica.
   std::optional<waiting_request> queue_entry;
+  /// Set only while the request waits for a trial.
+  std::optional<pending_trial> trial_wait;
+  /// Whether the next call of the request is a trial that was granted.
+  bool has_trial = false;
   /// Replicas that are not chosen for the next attempt because an earlier attempt went to them.
   std::set<base::replica_id> tried_replicas;
   /// Number of attempts, without those that reached no replica.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -47,6 +47,7 @@
       origins_(self, [this](const auto& service,
                             auto now) { return version_knowledge_of(service, now); }),
       crash_registry_(settings.quarantine), crash_reports_(crash_registry_, self.node, random),
+      trials_(crash_registry_, self.node),
       stages_(
           self, replicas_, settings, [this] { return next_call_++; }, incarnation, record_),
       stop_plan_(settings.stop_admission) {
@@ -68,6 +69,7 @@
   relays_.set_peers(alive);
   origins_.set_peers(alive);
   crash_reports_.set_peers(alive);
+  trials_.set_peers(alive);
   self_reports_.set_peers(alive);
   limits_.set_peers(alive, known_peers);
   stages_.set_peers(std::move(alive));
@@ -179,6 +181,7 @@
            reason + " after " + std::to_string(base::to_milliseconds(now - request.arrived_at)) +
                " ms");
   }
+  leave_trial_queue(request);
   leave_admission_queue(request);
   deadlines_.erase({request.deadline, request.client});
   if (request.next_check_at) {
@@ -213,6 +216,9 @@
     consider(request.call->stalls_at);
     consider(request.call->inputs_fetched_at);
   }
+  if (request.trial_wait) {
+    consider(request.trial_wait->ends_at);
+  }
   if (request.unsettled_end) {
     consider(settle_deadline_of(*request.unsettled_end));
   }
@@ -238,7 +244,8 @@
     auto& request = active_.at(client);
     due_checks_.erase(due_checks_.begin());
     request.next_check_at.reset();
-    if (!abort_if_infeasible(request, now) && !reject_end_if_overdue(request, now)) {
+    if (!abort_if_infeasible(request, now) && !refuse_if_trial_overdue(request, now) &&
+        !reject_end_if_overdue(request, now)) {
       free_fetched_inputs(request, now);
       if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
         on_stalled(request, now);
@@ -297,6 +304,12 @@
   if (const auto next_report_at = crash_reports_.next_wakeup()) {
     consider(*next_report_at);
   }
+  if (const auto next_question_at = trials_.next_wakeup()) {
+    consider(*next_question_at);
+  }
+  if (!awaiting_trial_.empty()) {
+    consider(next_trial_request_at_);
+  }
   if (const auto next_round_at = paths_.next_wakeup()) {
     consider(*next_round_at);
   }
@@ -327,12 +340,14 @@
   auto budget_messages = budget_exchange_.take_messages();
   auto report_messages = replica_reports_.take_messages();
   auto crash_messages = crash_reports_.take_messages();
+  auto trial_messages = trials_.take_messages();
   auto relay_messages = relays_.take_messages();
   auto origin_messages = origins_.take_messages();
   auto limit_messages = limits_.take_messages();
   auto self_report_messages = self_reports_.take_messages();
-  for (auto* list : {&engine_messages, &budget_messages, &report_messages, &crash_messages,
-                     &limit_messages, &self_report_messages, &relay_messages, &origin_messages}) {
+  for (auto* list :
+       {&engine_messages, &budget_messages, &report_messages, &crash_messages, &limit_messages,
+        &self_report_messages, &relay_messages, &origin_messages, &trial_messages}) {
     std::move(list->begin(), list->end(), std::back_inserter(messages));
   }
   return messages;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -21,6 +21,7 @@
 #include "quarantine/crash_registry.h"
 #include "quarantine/crash_report_exchange.h"
 #include "quarantine/suspect.h"
+#include "quarantine/trial_exchange.h"
 #include "rate_limits/limit_exchange.h"
 #include "replicas/distance.h"
 #include "replicas/least_loaded_chooser.h"
@@ -168,6 +169,7 @@
   [[nodiscard]] const streams::origin_exchange& stream_origins() const { return origins_; }
   [[nodiscard]] const rate_limits::limit_exchange& limits() const { return limits_; }
   [[nodiscard]] const quarantine::crash_registry& crashes() const { return crash_registry_; }
+  [[nodiscard]] const quarantine::trial_counts& trials() const { return trials_.counts(); }
   [[nodiscard]] const quarantine::crash_report_counts& crash_reports() const {
     return crash_reports_.counts();
   }
@@ -487,6 +489,22 @@
                                                                  base::time_point now) const;
   bool refuse_if_quarantined(active_request& request, base::time_point now);
 
+  // Trials of prompt parts.
+
+  /// Lets a request wait if it may run only as a trial.
+  /// @return whether the request waits.
+  bool wait_for_trial(active_request& request, base::time_point now);
+  void leave_trial_queue(active_request& request);
+  /// Refuses a request that has waited too long for a trial.
+  bool refuse_if_trial_overdue(active_request& request, base::time_point now);
+  /// Applies the decisions on trials, and asks again for denied ones.
+  void process_trials(base::time_point now);
+  void apply_trial_decision(const quarantine::trial_decision& decision, base::time_point now);
+  /// Sends the requests that wait for a trial of a suspect that is no longer restricted.
+  void continue_without_trial(const quarantine::suspect_digest& suspect, base::time_point now);
+  /// Refuses a request with a quarantined suspect, or answers that it failed if it may have run.
+  void refuse_in_quarantine(active_request& request, base::time_point now);
+
   // Answers that end with their connection.
 
   /// Closes the call of a request whose answer ended with its connection, and probes the replica.
@@ -656,6 +674,10 @@
   quarantine::crash_detector crash_detector_;
   quarantine::crash_registry crash_registry_;
   quarantine::crash_report_exchange crash_reports_;
+  quarantine::trial_exchange trials_;
+  /// Clients whose request waits for a trial, by suspect.
+  std::map<quarantine::suspect_digest, std::set<base::caller_id>> awaiting_trial_;
+  base::time_point next_trial_request_at_;
   base::time_point next_crash_expiry_at_;
   /// Replica that last accepted a probe.
   struct accepted_probe {
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -88,10 +88,14 @@
     recompute_final_inputs(request, now);
     return;
   }
+  if (wait_for_trial(request, now)) {
+    return;
+  }
   const auto* chosen = choose_in_turn(request, now);
   if (chosen == nullptr) {
     return;
   }
+  request.has_trial = false;
   request_permit(request, now);
   auto new_call = make_call(request, *chosen, now);
   request.tried_replicas.insert(chosen->record->id);
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -197,6 +197,7 @@
       newly_quarantined_.push_back(learned.digest);
     }
   }
+  trials_.handle(address, message, now);
   apply_told_exits(now);
 }
 
@@ -262,6 +263,7 @@
   for (const auto& digest : std::exchange(newly_quarantined_, {})) {
     begin_quarantine(digest, now);
   }
+  process_trials(now);
   crash_reports_.advance(now);
 }
 
@@ -330,14 +332,25 @@
 }
 
 bool dispatcher::refuse_if_quarantined(active_request& request, base::time_point now) {
-  if (crash_registry_.empty()) {
+  if (crash_registry_.empty() || request.has_trial) {
     return false;
   }
   const auto judgement = crash_registry_.judge(suspects_of(request), now);
   if (judgement.state != quarantine::quarantine_state::quarantined) {
     return false;
   }
-  const auto& subject = *judgement.reason;
+  const bool may_be_tried =
+      judgement.needs_trial && !request.may_have_run &&
+      crash_registry_.is_trial_due(*crash_registry_.find(judgement.reason->digest), now);
+  if (may_be_tried) {
+    return false;
+  }
+  refuse_in_quarantine(request, now);
+  return true;
+}
+
+void dispatcher::refuse_in_quarantine(active_request& request, base::time_point now) {
+  const auto& subject = *crash_registry_.judge(suspects_of(request), now).reason;
   const bool is_whole_request = subject.kind == quarantine::suspect_kind::request;
   crash_registry_.note_refused(subject.digest, now);
   ++(is_whole_request ? counters_.refused_in_quarantine : counters_.refused_for_prompt_part);
@@ -346,13 +359,12 @@
   const auto* reason = reason_text(subject);
   if (request.may_have_run || request.has_begun_stream) {
     answer_failed(request, status::bad_gateway, reason, now);
-    return true;
+    return;
   }
   // The answer states that the request was not run. It has no Retry-After time because a retry does
   // not help.
   answer_with_error(request.client, request.content->id, status::unavailable, reason, {});
   finish(request, status::unavailable, reason, now);
-  return true;
 }
 
 void dispatcher::begin_quarantine(const quarantine::suspect_digest& digest, base::time_point now) {
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -1,7 +1,7 @@
 #include "quarantine/crash_registry.h"
 
 #include <algorithm>
-#include <iterator>
+#include <array>
 #include <tuple>
 #include <utility>
 
@@ -22,7 +22,13 @@
 constexpr base::duration quarantine_record_lifetime = std::chrono::hours(24);
 /// Exits under one request count at most so many times in the record of a prompt part: if the same
 /// request is sent again and again, the request is the likely cause, and it has a record itself.
-constexpr std::size_t max_exits_per_request = 2;
+constexpr std::size_t max_exits_per_request = 3;
+/// Time from the latest exit under a quarantined prompt part to the next trial: for the number of
+/// exits at which it is quarantined, and for each further exit. The first one lets all nodes learn
+/// of the quarantine before.
+constexpr std::array<base::duration, 4> trial_intervals{
+    std::chrono::milliseconds(3'200), std::chrono::minutes(1), std::chrono::minutes(10),
+    std::chrono::hours(1)};
 /// Share of the records of a full registry that are ranked at once, so that not each eviction looks
 /// at all records.
 constexpr std::size_t ranked_fraction = 8;
@@ -326,7 +332,6 @@
   explanations_are_stale_ = false;
   explaining_exit_counts_.clear();
   suspected_exits_.clear();
-  twins_.clear();
   for (const auto& [digest, record] : records_) {
     if (record.exits.size() >= limits_.single_attempt) {
       for (const auto& observation : record.exits) {
@@ -337,15 +342,9 @@
     if (distinct < base_requirement(record)) {
       continue;
     }
-    std::vector<exit_key> keys;
     for (const auto& observation : record.exits) {
       auto& most = explaining_exit_counts_[observation.key()];
       most = std::max(most, distinct);
-      keys.push_back(observation.key());
-    }
-    if (record.kind == suspect_kind::prompt_part) {
-      std::sort(keys.begin(), keys.end());
-      twins_[std::move(keys)].push_back(digest);
     }
   }
 }
@@ -377,23 +376,6 @@
   return record.kind == suspect_kind::request ? limits_.quarantine : limits_.prompt_part_quarantine;
 }
 
-bool crash_registry::has_absent_twin(const crash_record& record,
-                                     const std::vector<suspect>& suspects) const {
-  if (explanations_are_stale_) {
-    update_explanations();
-  }
-  std::vector<exit_key> keys;
-  std::transform(record.exits.begin(), record.exits.end(), std::back_inserter(keys),
-                 [](const exit_observation& observation) { return observation.key(); });
-  std::sort(keys.begin(), keys.end());
-  const auto found = twins_.find(keys);
-  return found != twins_.end() &&
-         std::any_of(found->second.begin(), found->second.end(), [&](const suspect_digest& twin) {
-           return std::none_of(suspects.begin(), suspects.end(),
-                               [&](const suspect& present) { return present.digest == twin; });
-         });
-}
-
 /// A harmless request may have exits in common with a crashing request: up to 128 requests run at a
 /// replica at the same time, and requests that are retried after an exit may reach the next replica
 /// together with the crashing request. So an exit is not counted if another request explains it,
@@ -464,22 +446,36 @@
 request_judgement crash_registry::judge(const std::vector<suspect>& suspects,
                                         base::time_point now) const {
   request_judgement judgement;
+  std::size_t quarantined_suspects = 0;
+  std::size_t most_exits = 0;
   for (const auto& subject : suspects) {
     const auto* record = find(subject.digest);
     if (record == nullptr) {
       continue;
     }
-    auto state = quarantine_state_of(*record, now);
-    if (state == quarantine_state::quarantined && has_absent_twin(*record, suspects)) {
-      state = quarantine_state::single_attempt;
-    }
-    if (state > judgement.state) {
+    const auto state = quarantine_state_of(*record, now);
+    quarantined_suspects += state == quarantine_state::quarantined ? 1 : 0;
+    const auto exits = distinct_exits(*record);
+    if (state > judgement.state || (state == judgement.state && exits > most_exits)) {
       judgement = {state, &subject};
+      most_exits = exits;
     }
   }
+  judgement.needs_trial = judgement.reason != nullptr && quarantined_suspects <= 1 &&
+                          judgement.reason->kind == suspect_kind::prompt_part;
   return judgement;
 }
 
+bool crash_registry::is_trial_due(const crash_record& record, base::time_point now) const {
+  const auto state = quarantine_state_of(record, now);
+  if (state != quarantine_state::quarantined) {
+    return true;
+  }
+  const auto exits = std::max(distinct_exits(record), limits_.prompt_part_quarantine);
+  const auto step = std::min(exits - limits_.prompt_part_quarantine, trial_intervals.size() - 1);
+  return now - record.last_exit_at() >= trial_intervals[step];
+}
+
 quarantine_state crash_registry::quarantine_state_of(const suspect_digest& digest,
                                                      base::time_point now) const {
   const auto* record = find(digest);
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -112,6 +112,9 @@
   quarantine_state state = quarantine_state::unrestricted;
   /// Suspect that is the reason for the state; null if the request is unrestricted.
   const suspect* reason = nullptr;
+  /// Whether the request may run only as a trial of `reason`, a prompt part. A request with several
+  /// quarantined suspects gets no trial, since its outcome would not tell them apart.
+  bool needs_trial = false;
 };
 
 /// Effect of a reported exit or a merged record on the registry.
@@ -166,12 +169,15 @@
   ///         quarantined.
   [[nodiscard]] quarantine_state quarantine_state_of(const suspect_digest& digest,
                                                      base::time_point now) const;
-  /// Judges a request that arrives now by its suspects: the most restricted one decides. If a
-  /// quarantined prompt part cannot be told apart from another one, which the request does not
-  /// have, the request gets a single attempt, which tells them apart.
+  /// Judges a request that arrives now by its suspects: the most restricted one decides, and of
+  /// several such suspects the one with the most exits.
   /// @param suspects must outlive the result.
   [[nodiscard]] request_judgement judge(const std::vector<suspect>& suspects,
                                         base::time_point now) const;
+  /// @return whether a trial of a suspect may run, if no other trial of it is under way: at any
+  /// time
+  ///         before its quarantine, and during it after a time that grows with each exit.
+  [[nodiscard]] bool is_trial_due(const crash_record& record, base::time_point now) const;
   /// Records that a quarantined request was refused. This prolongs the quarantine, so that it
   /// lasts as long as clients keep sending the request.
   void note_refused(const suspect_digest& digest, base::time_point now);
@@ -206,10 +212,6 @@
   /// @return number of exits at which a suspect of the kind of `record` is quarantined if few
   ///         unrelated replicas exited.
   [[nodiscard]] std::size_t base_requirement(const crash_record& record) const;
-  /// @return whether a request without the part of `record`'s twin can tell the two apart.
-  /// @param suspects suspects of that request.
-  [[nodiscard]] bool has_absent_twin(const crash_record& record,
-                                     const std::vector<suspect>& suspects) const;
   /// Recomputes the data that is derived from all records.
   void update_explanations() const;
   /// @return whether another request has exactly the exits of `record`, so that either request may
@@ -251,9 +253,6 @@
   mutable std::map<exit_key, std::size_t> explaining_exit_counts_;
   /// Exits under requests that have enough exits for a single attempt.
   mutable std::set<exit_key> suspected_exits_;
-  /// Prompt parts with enough exits for quarantine, by the exits under them: the parts of one entry
-  /// always came together and cannot be told apart.
-  mutable std::map<std::vector<exit_key>, std::vector<suspect_digest>> twins_;
   mutable bool explanations_are_stale_ = false;
   /// Withdrawn exits, with the times at which their replicas were found to be running.
   std::map<replica_exit, base::time_point> withdrawn_exits_;
--- /dev/null
+++ b/src/quarantine/trial_exchange.h
@@ -0,0 +1,89 @@
+/// Trials: runs of requests with a suspected prompt part that show whether the part crashes
+/// replicas. One trial of a suspect runs at a time over all nodes. The issuer of a suspect, which
+/// every node finds by rendezvous hashing over all nodes, grants the trials. No I/O.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "fleet_view/peer_directory.h"
+#include "quarantine/crash_registry.h"
+#include "wire/outgoing.h"
+#include "wire/peer.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace spurrack::quarantine {
+
+/// Whether this node may run one request with a suspect now.
+struct trial_decision {
+  suspect_digest digest;
+  bool is_granted = false;
+  /// Node that decided, for the log; this node itself if no issuer answered.
+  std::string decided_by;
+};
+
+/// Counters of the exchange, for metrics.
+struct trial_counts {
+  std::uint64_t requested = 0;
+  /// Trials that this node granted, as the issuer.
+  std::uint64_t granted = 0;
+  std::uint64_t denied = 0;
+  /// Questions that no issuer answered.
+  std::uint64_t unanswered = 0;
+};
+
+/// Asks issuers for trials, and grants trials as an issuer. Not thread-safe.
+class trial_exchange {
+ public:
+  /// @param registry must outlive this object.
+  trial_exchange(const crash_registry& registry, base::node_id self)
+      : registry_(&registry), self_(std::move(self)), nodes_{self_} {}
+
+  void set_peers(const std::vector<serving::fleet_peer>& alive);
+  /// Asks the issuer of a suspect for a trial, unless a question about it is open. The decision is
+  /// returned by `take_decisions`.
+  void request(const suspect_digest& digest, base::time_point now);
+  /// Answers the questions of another node, and takes its decisions.
+  void handle(const base::network_address& sender, const wire::crash_news& message,
+              base::time_point now);
+  /// Asks the next issuer if one does not answer.
+  void advance(base::time_point now);
+  /// @return time at which `advance` is due; std::nullopt if no question is open.
+  [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
+  [[nodiscard]] std::vector<trial_decision> take_decisions() {
+    return std::exchange(decisions_, {});
+  }
+  [[nodiscard]] wire::outbox take_messages() { return std::exchange(messages_, {}); }
+  [[nodiscard]] const trial_counts& counts() const { return counts_; }
+
+ private:
+  struct open_question {
+    /// Rank of the issuer that is asked.
+    std::size_t rank = 0;
+    base::time_point asked_at;
+  };
+  void ask(const suspect_digest& digest, open_question& question, base::time_point now);
+  void decide(const suspect_digest& digest, bool is_granted, std::string decided_by);
+  /// Decides on a trial as the issuer, and records a granted trial.
+  bool grant(const suspect_digest& digest, base::time_point now);
+
+  const crash_registry* registry_;
+  base::node_id self_;
+  /// This node and its peers, from which issuers are chosen.
+  std::vector<base::node_id> nodes_;
+  std::map<base::node_id, base::network_address> addresses_;
+  std::map<suspect_digest, open_question> questions_;
+  /// Time of the latest trial that this node granted, by suspect.
+  std::map<suspect_digest, base::time_point> granted_at_;
+  std::vector<trial_decision> decisions_;
+  wire::outbox messages_;
+  trial_counts counts_;
+};
+
+} // namespace spurrack::quarantine
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -96,6 +96,8 @@
   std::uint64_t requests_cleared = 0;
   /// Requests refused because a part of their prompt is quarantined.
   std::uint64_t refused_for_prompt_part = 0;
+  /// Requests with a suspected prompt part that waited too long for a trial.
+  std::uint64_t refused_without_trial = 0;
   /// Answers that ended with their connection, and those of them that were not known to be whole.
   std::uint64_t unframed_answers = 0;
   std::uint64_t unframed_answers_rejected = 0;
--- a/tests/quarantine/crashing_part_test.cc
+++ b/tests/quarantine/crashing_part_test.cc
@@ -130,6 +130,9 @@
     fleet.run(seconds(3));
     const auto second = traffic.send({"companion"}, "sound");
     fleet.run(seconds(3));
+    // The part has been quarantined for more than 3 s, so one more request with it may be a trial.
+    traffic.send({"crashing"}, "alone");
+    fleet.run(seconds(1));
     const auto refused = traffic.send({"crashing"}, "alone");
     fleet.run(seconds(3));
     BOOST_TEST_CONTEXT("seed " << seed) {
