The first trial of a quarantined part comes soon, however many exits came at once

What callers would see: a sound part that came with the crashing one, with six exits or more when it was quarantined, was refused for one minute, with eight for an hour, since the time to the first trial grew with all exits. It now grows with the exits in trials: those 3.2 s or more after the one before.

--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -23,12 +23,13 @@
 /// Exits under one request count at most so many times in the record of a prompt part: if the same
 /// request is sent again and again, the request is the likely cause, and it has a record itself.
 constexpr std::size_t max_exits_per_request = 3;
-/// Time from the latest exit under a quarantined prompt part to the next trial: for the number of
-/// exits at which it is quarantined, and for each further exit. The first one lets all nodes learn
-/// of the quarantine before.
+/// Minimum time between an exit under a quarantined prompt part and the next trial of the part: all
+/// nodes learn of the quarantine before.
+constexpr base::duration min_trial_interval = std::chrono::milliseconds(3'200);
+/// Time from the latest exit to the first trial in quarantine, and to the next one after each trial
+/// that ended with an exit.
 constexpr std::array<base::duration, 4> trial_intervals{
-    std::chrono::milliseconds(3'200), std::chrono::minutes(1), std::chrono::minutes(10),
-    std::chrono::hours(1)};
+    min_trial_interval, std::chrono::minutes(1), std::chrono::minutes(10), std::chrono::hours(1)};
 /// Share of the records of a full registry that are ranked at once, so that not each eviction looks
 /// at all records.
 constexpr std::size_t ranked_fraction = 8;
@@ -447,7 +448,9 @@
                                         base::time_point now) const {
   request_judgement judgement;
   std::size_t quarantined_suspects = 0;
-  std::size_t most_exits = 0;
+  // A part goes before a request in the same state, since it may be tried; then the most exits.
+  using rank = std::tuple<quarantine_state, suspect_kind, std::size_t>;
+  rank highest{quarantine_state::unrestricted, suspect_kind::prompt_part, 0};
   for (const auto& subject : suspects) {
     const auto* record = find(subject.digest);
     if (record == nullptr) {
@@ -455,10 +458,10 @@
     }
     const auto state = quarantine_state_of(*record, now);
     quarantined_suspects += state == quarantine_state::quarantined ? 1 : 0;
-    const auto exits = distinct_exits(*record);
-    if (state > judgement.state || (state == judgement.state && exits > most_exits)) {
+    const rank own{state, subject.kind, distinct_exits(*record)};
+    if (state != quarantine_state::unrestricted && own > highest) {
       judgement = {state, &subject};
-      most_exits = exits;
+      highest = own;
     }
   }
   judgement.needs_trial = judgement.reason != nullptr && quarantined_suspects <= 1 &&
@@ -467,15 +470,26 @@
 }
 
 bool crash_registry::is_trial_due(const crash_record& record, base::time_point now) const {
-  const auto state = quarantine_state_of(record, now);
-  if (state != quarantine_state::quarantined) {
+  if (quarantine_state_of(record, now) != quarantine_state::quarantined) {
     return true;
   }
-  const auto exits = std::max(distinct_exits(record), limits_.prompt_part_quarantine);
-  const auto step = std::min(exits - limits_.prompt_part_quarantine, trial_intervals.size() - 1);
+  const auto step = std::min(exits_in_trials(record), trial_intervals.size() - 1);
   return now - record.last_exit_at() >= trial_intervals[step];
 }
 
+std::size_t crash_registry::exits_in_trials(const crash_record& record) const {
+  std::vector<base::time_point> times;
+  for (const auto& observation : record.exits) {
+    times.push_back(observation.at);
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t in_trials = 0;
+  for (auto index = base_requirement(record); index < times.size(); ++index) {
+    in_trials += times[index] - times[index - 1] >= min_trial_interval ? 1 : 0;
+  }
+  return in_trials;
+}
+
 quarantine_state crash_registry::quarantine_state_of(const suspect_digest& digest,
                                                      base::time_point now) const {
   const auto* record = find(digest);
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -212,6 +212,9 @@
   /// @return number of exits at which a suspect of the kind of `record` is quarantined if few
   ///         unrelated replicas exited.
   [[nodiscard]] std::size_t base_requirement(const crash_record& record) const;
+  /// @return number of exits of a quarantined suspect that came so long after the exit before that
+  ///         they happened in trials.
+  [[nodiscard]] std::size_t exits_in_trials(const crash_record& record) const;
   /// Recomputes the data that is derived from all records.
   void update_explanations() const;
   /// @return whether another request has exactly the exits of `record`, so that either request may
