--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -74,21 +74,25 @@
   return new_call;
 }
 
-void dispatcher::send_to_replica(active_request& request, base::time_point now) {
+bool dispatcher::may_be_sent_now(active_request& request, base::time_point now) {
   if (request.deadline <= now) {
     abort_request(request, deadline_passed, now);
-    return;
+    return false;
   }
   if (abort_if_late_for_stop(request, now) || refuse_if_quarantined(request, now) ||
       pass_on(request, now) || (needs_origin(request) && !settle_origin(request, now))) {
-    return;
+    return false;
   }
   if (request.graph && request.graph->has_missing_final_inputs()) {
     // The stage results were freed after an earlier attempt, and are recomputed for this attempt.
     recompute_final_inputs(request, now);
-    return;
+    return false;
   }
-  if (wait_for_trial(request, now)) {
+  return !wait_for_trial(request, now);
+}
+
+void dispatcher::send_to_replica(active_request& request, base::time_point now) {
+  if (!may_be_sent_now(request, now)) {
     return;
   }
   const auto* chosen = choose_in_turn(request, now);
--- a/tests/dispatch/unframed_answer_test.cc
+++ b/tests/dispatch/unframed_answer_test.cc
@@ -25,7 +25,7 @@
 /// Begins a stream without framing that delivers one event.
 start_call begin_stream(dispatcher_driver& node, const std::string& path = "/stream/") {
   node.send_request(1, path);
-  const auto call = node.last<start_call>();
+  auto call = node.last<start_call>();
   node.deliver(stream_opened{call.call, dispatcher_driver::good_head()});
   node.deliver(stream_bytes{call.call, first_event});
   return call;
--- a/tests/quarantine/prompt_traffic.h
+++ b/tests/quarantine/prompt_traffic.h
@@ -78,7 +78,7 @@
 
   /// Sends one request with the given shared parts and a last part of its own.
   std::string send(std::vector<std::string> shared_parts, const std::string& kind) {
-    const auto body = kind + "-" + std::to_string(++sent_);
+    auto body = kind + "-" + std::to_string(++sent_);
     shared_parts.push_back("own of " + body);
     fleet_->send_request(fleet_->random.below(fleet_->nodes.size()), "/stream/", body,
                          shared_parts);
