--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -344,8 +344,8 @@
   /// @return command that sends a request to the chosen replica.
   [[nodiscard]] start_call make_call(const active_request& request, const replica_state& chosen,
                                      base::time_point now);
-  /// Checks a request before it is sent to a replica, and ends it, passes it on or lets it wait if a
-  /// check demands that.
+  /// Checks a request before it is sent to a replica, and ends it, passes it on or lets it wait if
+  /// a check demands that.
   /// @return whether the request may be sent now.
   bool may_be_sent_now(active_request& request, base::time_point now);
   void send_to_replica(active_request& request, base::time_point now);
