Exits under another suspect count as unrelated again; only a quarantined suspect explains them

Cause: where replicas exit for other reasons, harmless requests have two exits now and then; their exits then no longer raised what is required. Kept: the window that ends at the latest exit under the suspect.

--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -332,13 +332,7 @@
 void crash_registry::update_explanations() const {
   explanations_are_stale_ = false;
   explaining_exit_counts_.clear();
-  suspected_exits_.clear();
   for (const auto& [digest, record] : records_) {
-    if (record.exits.size() >= limits_.single_attempt) {
-      for (const auto& observation : record.exits) {
-        suspected_exits_.insert(observation.key());
-      }
-    }
     const auto distinct = distinct_exits(record);
     if (distinct < base_requirement(record)) {
       continue;
@@ -408,9 +402,6 @@
 }
 
 std::size_t crash_registry::exits_required(const crash_record& record) const {
-  if (explanations_are_stale_) {
-    update_explanations();
-  }
   std::size_t unrelated_exits = 0;
   // Exits after the last one under the request do not show that it was a coincidence: a request
   // that is quarantined stays quarantined, whatever happens to other replicas meanwhile.
@@ -419,7 +410,7 @@
     const bool is_recent = last_exit_at - known.at < recent_exit_window &&
                            known.at <= last_exit_at && !known.is_overrun;
     unrelated_exits +=
-        is_recent && !contains_exit(record, exit) && !suspected_exits_.contains(exit) ? 1 : 0;
+        is_recent && !contains_exit(record, exit) && !is_explained(exit, record) ? 1 : 0;
   }
   if (record.kind == suspect_kind::prompt_part) {
     const bool are_many = unrelated_exits >= limits_.many_unrelated_exits * record.exits.size();
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -222,9 +222,9 @@
   [[nodiscard]] bool has_indistinguishable_record(const crash_record& record) const;
   /// @return number of exits in `record`, without those that another request probably caused.
   [[nodiscard]] std::size_t counted_exits(const crash_record& record) const;
-  /// @return minimum number of exits at which the request is quarantined. It is higher if, in the
-  ///         30 s before the latest exit under the request, many replicas exited that ran neither
-  ///         this request nor another suspected one.
+  /// @return minimum number of exits at which the suspect is quarantined. It is higher if, in the
+  ///         30 s before the latest exit under the suspect, many replicas exited that did not run
+  ///         it, and no quarantined suspect explains their exits.
   [[nodiscard]] std::size_t exits_required(const crash_record& record) const;
   [[nodiscard]] quarantine_state quarantine_state_of(const crash_record& record,
                                                      base::time_point now) const;
@@ -254,8 +254,6 @@
   /// first use after a change. Without this map, the record of each arriving request would be
   /// compared with all other records.
   mutable std::map<exit_key, std::size_t> explaining_exit_counts_;
-  /// Exits under requests that have enough exits for a single attempt.
-  mutable std::set<exit_key> suspected_exits_;
   mutable bool explanations_are_stale_ = false;
   /// Withdrawn exits, with the times at which their replicas were found to be running.
   std::map<replica_exit, base::time_point> withdrawn_exits_;
