Hash of the request in a prompt part's exits: the hash that is equal on all nodes

The record of a part carries a hash of the request that ran, and nodes compare hashes that others sent. It was std::hash, which may differ between two builds; the same request would then count as two. base::stable_hash exists for that. Behaviour within one build is unchanged.

--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -4,6 +4,7 @@
 /// call.
 #include "dispatch/dispatcher.h"
 
+#include "base/hashing.h"
 #include "dispatch/dispatcher_constants.h"
 
 #include <algorithm>
@@ -167,7 +168,7 @@
                                          const base::replica_id& replica, const char* evidence,
                                          base::time_point now) {
   auto observation = call.exit;
-  observation.request = std::hash<quarantine::suspect_digest>{}(call.suspects.front().digest);
+  observation.request = base::stable_hash(call.suspects.front().digest.bytes());
   for (const auto& subject : call.suspects) {
     const auto change = crash_registry_.note_exit(subject, observation, now);
     if (!change.has_new_information) {
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -57,7 +57,8 @@
   /// Number that the registry gives to the process that exited: an incarnation that is published
   /// late stands for several processes, one after another. Differs from node to node.
   std::uint32_t process = 0;
-  /// In the record of a prompt part: hash of the request that the replica ran; 0 if not known.
+  /// In the record of a prompt part: hash of the request that the replica ran, the same on all
+  /// nodes; 0 if not known.
   std::uint64_t request = 0;
 
   /// @return whether the process was running from `call_started_at` to `at` and exited then.
