Aggregators and issuers of a suspect: one ranking of the nodes

trial_exchange had copied the peers, their addresses and the rendezvous hashing of crash_report_exchange. suspect_nodes serves both.

--- a/src/quarantine/crash_report_exchange.cc
+++ b/src/quarantine/crash_report_exchange.cc
@@ -1,7 +1,5 @@
 #include "quarantine/crash_report_exchange.h"
 
-#include "base/hashing.h"
-
 #include <algorithm>
 #include <iterator>
 
@@ -107,16 +105,7 @@
 
 crash_report_exchange::crash_report_exchange(crash_registry& registry, base::node_id self,
                                              base::random_source& random)
-    : registry_(&registry), self_(std::move(self)), random_(&random) {}
-
-void crash_report_exchange::set_peers(const std::vector<serving::fleet_peer>& alive) {
-  nodes_.assign({self_});
-  addresses_.clear();
-  for (const auto& peer : alive) {
-    nodes_.push_back(peer.node);
-    addresses_[peer.node] = peer.address;
-  }
-}
+    : registry_(&registry), random_(&random), nodes_(std::move(self)) {}
 
 void crash_report_exchange::begin_queries(base::time_point now) {
   has_queried_ = true;
@@ -125,7 +114,7 @@
 }
 
 void crash_report_exchange::send_queries(base::time_point now) {
-  if (!has_queried_ && !addresses_.empty()) {
+  if (!has_queried_ && !nodes_.addresses().empty()) {
     begin_queries(now);
   }
   if (!next_query_at_ || now < *next_query_at_) {
@@ -142,7 +131,7 @@
 
 std::vector<base::network_address> crash_report_exchange::random_peers(std::size_t count) const {
   std::vector<base::network_address> candidates;
-  for (const auto& [node, address] : addresses_) {
+  for (const auto& [node, address] : nodes_.addresses()) {
     candidates.push_back(address);
   }
   std::vector<base::network_address> chosen;
@@ -155,9 +144,9 @@
 std::vector<base::network_address>
 crash_report_exchange::aggregators_of(const suspect_digest& digest) const {
   std::vector<base::network_address> aggregators;
-  for (const auto& node : base::rendezvous_top(digest.bytes(), nodes_, aggregator_count)) {
-    if (node != self_) {
-      aggregators.push_back(addresses_.at(node));
+  for (const auto& node : nodes_.ranked(digest, aggregator_count)) {
+    if (node != nodes_.self()) {
+      aggregators.push_back(nodes_.addresses().at(node));
     }
   }
   return aggregators;
--- a/src/quarantine/crash_report_exchange.h
+++ b/src/quarantine/crash_report_exchange.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "fleet_view/peer_directory.h"
 #include "quarantine/crash_registry.h"
+#include "quarantine/suspect_nodes.h"
 #include "wire/outgoing.h"
 #include "wire/peer.pb.h"
 
@@ -53,7 +54,7 @@
 
   /// Replaces the peers with the live nodes of all regions, except this node. All regions are
   /// included because a client may send a request again to any node.
-  void set_peers(const std::vector<serving::fleet_peer>& alive);
+  void set_peers(const std::vector<serving::fleet_peer>& alive) { nodes_.set_peers(alive); }
   /// Schedules the record of a request for sending. To be called after the record changed.
   void note_changed(const suspect_digest& digest) { changed_digests_.insert(digest); }
   /// Schedules queries to other nodes for the records that this process missed while suspended.
@@ -93,11 +94,9 @@
   void send(const base::network_address& to, wire::crash_news report, base::time_point now);
 
   crash_registry* registry_;
-  base::node_id self_;
   base::random_source* random_;
-  /// This node and its peers, from which aggregators are chosen.
-  std::vector<base::node_id> nodes_;
-  std::map<base::node_id, base::network_address> addresses_;
+  /// Nodes from which the aggregators of a suspect are chosen.
+  suspect_nodes nodes_;
   /// Requests whose records are scheduled for sending.
   std::set<suspect_digest> changed_digests_;
   base::time_point next_changes_at_;
--- a/src/quarantine/trial_exchange.cc
+++ b/src/quarantine/trial_exchange.cc
@@ -1,7 +1,5 @@
 #include "quarantine/trial_exchange.h"
 
-#include "base/hashing.h"
-
 #include <algorithm>
 
 namespace spurrack::quarantine {
@@ -19,15 +17,6 @@
 
 } // namespace
 
-void trial_exchange::set_peers(const std::vector<serving::fleet_peer>& alive) {
-  nodes_.assign({self_});
-  addresses_.clear();
-  for (const auto& peer : alive) {
-    nodes_.push_back(peer.node);
-    addresses_[peer.node] = peer.address;
-  }
-}
-
 void trial_exchange::request(const suspect_digest& digest, base::time_point now) {
   const auto [question, is_new] = questions_.try_emplace(digest);
   if (is_new) {
@@ -39,7 +28,7 @@
 void trial_exchange::ask(const suspect_digest& digest, open_question& question,
                          base::time_point now) {
   question.asked_at = now;
-  const auto issuers = base::rendezvous_top(digest.bytes(), nodes_, issuer_count);
+  const auto issuers = nodes_.ranked(digest, issuer_count);
   if (question.rank >= issuers.size()) {
     // No issuer is in contact. Only a suspect that is not quarantined may be tried without one.
     ++counts_.unanswered;
@@ -48,11 +37,11 @@
     return;
   }
   const auto& issuer = issuers[question.rank];
-  if (issuer == self_) {
-    decide(digest, grant(digest, now), self_.text());
+  if (issuer == nodes_.self()) {
+    decide(digest, grant(digest, now), issuer.text());
     return;
   }
-  wire::outgoing message{addresses_.at(issuer), {}};
+  wire::outgoing message{nodes_.addresses().at(issuer), {}};
   message.message.mutable_crash_news()->add_trial_requests(digest.bytes());
   messages_.push_back(std::move(message));
 }
--- a/src/quarantine/trial_exchange.h
+++ b/src/quarantine/trial_exchange.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "fleet_view/peer_directory.h"
 #include "quarantine/crash_registry.h"
+#include "quarantine/suspect_nodes.h"
 #include "wire/outgoing.h"
 #include "wire/peer.pb.h"
 
@@ -43,9 +44,9 @@
  public:
   /// @param registry must outlive this object.
   trial_exchange(const crash_registry& registry, base::node_id self)
-      : registry_(&registry), self_(std::move(self)), nodes_{self_} {}
+      : registry_(&registry), nodes_(std::move(self)) {}
 
-  void set_peers(const std::vector<serving::fleet_peer>& alive);
+  void set_peers(const std::vector<serving::fleet_peer>& alive) { nodes_.set_peers(alive); }
   /// Asks the issuer of a suspect for a trial, unless a question about it is open. The decision is
   /// returned by `take_decisions`.
   void request(const suspect_digest& digest, base::time_point now);
@@ -74,10 +75,8 @@
   bool grant(const suspect_digest& digest, base::time_point now);
 
   const crash_registry* registry_;
-  base::node_id self_;
-  /// This node and its peers, from which issuers are chosen.
-  std::vector<base::node_id> nodes_;
-  std::map<base::node_id, base::network_address> addresses_;
+  /// Nodes from which the issuers of a suspect are chosen.
+  suspect_nodes nodes_;
   std::map<suspect_digest, open_question> questions_;
   /// Time of the latest trial that this node granted, by suspect.
   std::map<suspect_digest, base::time_point> granted_at_;
