Count the distinct exits of a record once per judgement

is_explained counted the exits of the judged record anew for each exit that it was asked about: up to 1,024 times for a quarantined part, at each arrival of a request with it. The callers now pass the number. Not measured.

--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -314,9 +314,10 @@
     return judged;
   }
   judged.recorded = record->exits.size();
+  const auto own_exits = distinct_exits(*record);
   judged.explained = static_cast<std::size_t>(std::count_if(
       record->exits.begin(), record->exits.end(), [&](const exit_observation& observation) {
-        return is_explained(observation.key(), *record);
+        return is_explained(observation.key(), own_exits);
       }));
   judged.counted = counted_exits(*record);
   judged.required = exits_required(*record);
@@ -344,12 +345,12 @@
   }
 }
 
-bool crash_registry::is_explained(const exit_key& exit, const crash_record& record) const {
+bool crash_registry::is_explained(const exit_key& exit, std::size_t own_exits) const {
   if (explanations_are_stale_) {
     update_explanations();
   }
   const auto found = explaining_exit_counts_.find(exit);
-  return found != explaining_exit_counts_.end() && found->second > distinct_exits(record);
+  return found != explaining_exit_counts_.end() && found->second > own_exits;
 }
 
 std::size_t crash_registry::distinct_exits(const crash_record& record) {
@@ -383,9 +384,8 @@
     return all;
   }
   const auto unexplained = static_cast<std::size_t>(std::count_if(
-      record.exits.begin(), record.exits.end(), [&](const exit_observation& observation) {
-        return !is_explained(observation.key(), record);
-      }));
+      record.exits.begin(), record.exits.end(),
+      [&](const exit_observation& observation) { return !is_explained(observation.key(), all); }));
   return unexplained < limits_.single_attempt ? unexplained : all;
 }
 
@@ -403,6 +403,7 @@
 
 std::size_t crash_registry::exits_required(const crash_record& record) const {
   std::size_t unrelated_exits = 0;
+  const auto own_exits = distinct_exits(record);
   // Exits after the last one under the request do not show that it was a coincidence: a request
   // that is quarantined stays quarantined, whatever happens to other replicas meanwhile.
   const auto last_exit_at = record.last_exit_at();
@@ -410,7 +411,7 @@
     const bool is_recent = last_exit_at - known.at < recent_exit_window &&
                            known.at <= last_exit_at && !known.is_overrun;
     unrelated_exits +=
-        is_recent && !contains_exit(record, exit) && !is_explained(exit, record) ? 1 : 0;
+        is_recent && !contains_exit(record, exit) && !is_explained(exit, own_exits) ? 1 : 0;
   }
   if (record.kind == suspect_kind::prompt_part) {
     const bool are_many = unrelated_exits >= limits_.many_unrelated_exits * record.exits.size();
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -203,10 +203,10 @@
   std::uint32_t index_exit(const exit_observation& observation);
   registry_change add(crash_record& record, const std::vector<exit_observation>& observations,
                       base::time_point now);
-  /// @return whether another request is the more likely cause of `exit`, an exit in `record`: the
-  ///         other request has this exit as well, has more exits than `record`, and has enough
-  ///         exits for quarantine.
-  [[nodiscard]] bool is_explained(const exit_key& exit, const crash_record& record) const;
+  /// @return whether another suspect is the more likely cause of `exit` than one with this exit and
+  ///         `own_exits` distinct exits: the other one has this exit as well, has more distinct
+  ///         exits, and has enough of them for quarantine.
+  [[nodiscard]] bool is_explained(const exit_key& exit, std::size_t own_exits) const;
   /// @return number of exits in the record, of which those under one request count at most
   ///         `max_exits_per_request` times in the record of a prompt part.
   [[nodiscard]] static std::size_t distinct_exits(const crash_record& record);
