Calls that end whole, and calls that end without a whole answer: one function each for streams and unframed answers

accept_end and the end of a framed stream noted the same three things, reject_end and break_off_stream the same four; the deadline of an unsettled end was written twice.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -533,6 +533,15 @@
   void accept_end(active_request& request, const char* evidence, base::time_point now);
   /// Treats an answer as broken off, because its replica is not known to have gone on.
   void reject_end(active_request& request, const char* evidence, base::time_point now);
+  /// Records that a call ended with a whole answer. The end shows that the run survived unless the
+  /// call went to another node, which judges that itself.
+  void note_whole_answer(const active_request& request, const open_call& call, const char* evidence,
+                         base::time_point ended_at, base::time_point now);
+  /// Records a closed call that ended without a whole answer, and retries the request or lets it
+  /// fail.
+  /// @param detail how the call ended, for the log.
+  void handle_lost_answer(active_request& request, const open_call& call, bool has_timed_out,
+                          const std::string& detail, base::time_point now);
   /// Ends the stream of a client as complete.
   void complete_stream(active_request& request, base::time_point now);
   /// Retries a request whose stream was broken off, or ends the stream of its client.
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -82,7 +82,7 @@
 }
 
 bool dispatcher::reject_end_if_overdue(active_request& request, base::time_point now) {
-  if (!request.unsettled_end || now < request.unsettled_end->ended_at + settle_timeout) {
+  if (!request.unsettled_end || now < settle_deadline_of(*request.unsettled_end)) {
     return false;
   }
   reject_end(request, "nothing was seen of its replica", now);
@@ -100,9 +100,7 @@
   record(base::event_kind::stage_completed, request, end.call.replica.text(),
          std::string("the answer without framing is whole, ") + evidence + " " +
              std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end");
-  note_survived(request, evidence, end.ended_at);
-  note_completed_run(request, end.call, end.ended_at);
-  replicas_.note_success(end.call.replica, now);
+  note_whole_answer(request, end.call, evidence, end.ended_at, now);
   if (end.answer) {
     forward_answer(request, *end.answer, now);
   } else {
@@ -113,12 +111,30 @@
 void dispatcher::reject_end(active_request& request, const char* evidence, base::time_point now) {
   const auto end = take_unsettled_end(request);
   ++counters_.unframed_answers_rejected;
-  record(base::event_kind::stage_retried, request, end.call.replica.text(),
-         std::string("the answer without framing is not known to be whole, ") + evidence + " " +
-             std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end" +
-             digest_text(request));
-  replicas_.note_failure(end.call.replica, now);
-  note_lost_call(request, end.call, false, now);
+  handle_lost_answer(
+      request, end.call, false,
+      std::string("the answer without framing is not known to be whole, ") + evidence + " " +
+          std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end",
+      now);
+}
+
+void dispatcher::note_whole_answer(const active_request& request, const open_call& call,
+                                   const char* evidence, base::time_point ended_at,
+                                   base::time_point now) {
+  if (!call.relay_node) {
+    note_survived(request, evidence, ended_at);
+  }
+  note_completed_run(request, call, ended_at);
+  replicas_.note_success(call.replica, now);
+}
+
+void dispatcher::handle_lost_answer(active_request& request, const open_call& call,
+                                    bool has_timed_out, const std::string& detail,
+                                    base::time_point now) {
+  replicas_.note_failure(call.replica, now);
+  note_lost_call(request, call, has_timed_out, now);
+  record(base::event_kind::stage_retried, request, call.replica.text(),
+         detail + digest_text(request));
   retry_or_fail(request, now);
 }
 
@@ -145,14 +161,10 @@
 void dispatcher::break_off_stream(active_request& request, bool has_timed_out,
                                   base::time_point now) {
   const auto call = close_call(request);
-  replicas_.note_failure(call.replica, now);
   if (!call.relay_node) {
     paths_.note_failure(now);
   }
-  note_lost_call(request, call, has_timed_out, now);
-  record(base::event_kind::stage_retried, request, call.replica.text(),
-         "the stream broke off" + digest_text(request));
-  retry_or_fail(request, now);
+  handle_lost_answer(request, call, has_timed_out, "the stream broke off", now);
 }
 
 void dispatcher::on_event(const stream_closed& closed, base::time_point now) {
@@ -175,11 +187,7 @@
     settle_later(*request, std::nullopt, now);
   } else {
     const auto call = close_call(*request);
-    note_completed_run(*request, call, now);
-    if (is_from_replica) {
-      note_survived(*request, "its answer was whole", now);
-    }
-    replicas_.note_success(call.replica, now);
+    note_whole_answer(*request, call, "its answer was whole", now, now);
     complete_stream(*request, now);
   }
 }
