Name of a suspect's kind in one place; a refused request is judged once

The names stood in the operators' page and in the log, and a refusal judged the request a second time to find the suspect that its caller had just found.

--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -200,13 +200,13 @@
         exits.push_back(json::object{{"replica", observation.replica.text()},
                                      {"age_ms", base::to_milliseconds(now - observation.at)}});
       }
-      requests.push_back(json::object{
-          {"digest", digest.text()},
-          {"kind", record.kind == quarantine::suspect_kind::request ? "request" : "prompt part"},
-          {"standing", name_of(registry.quarantine_state_of(digest, now))},
-          {"ends", record.exits.size()},
-          {"newest_ms", base::to_milliseconds(now - record.last_update_at())},
-          {"replicas", std::move(exits)}});
+      requests.push_back(
+          json::object{{"digest", digest.text()},
+                       {"kind", quarantine::name_of(record.kind)},
+                       {"standing", name_of(registry.quarantine_state_of(digest, now))},
+                       {"ends", record.exits.size()},
+                       {"newest_ms", base::to_milliseconds(now - record.last_update_at())},
+                       {"replicas", std::move(exits)}});
     }
   }
   return {{"requests", std::move(requests)}};
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -507,7 +507,9 @@
   /// Sends the requests that wait for a trial of a suspect that is no longer restricted.
   void continue_without_trial(const quarantine::suspect_digest& suspect, base::time_point now);
   /// Refuses a request with a quarantined suspect, or answers that it failed if it may have run.
-  void refuse_in_quarantine(active_request& request, base::time_point now);
+  /// @param subject the suspect, one of `suspects_of(request)`.
+  void refuse_in_quarantine(active_request& request, const quarantine::suspect& subject,
+                            base::time_point now);
 
   // Answers that end with their connection.
 
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -44,9 +44,7 @@
                                                "like this one; sending it again does not help";
 
 std::string text_of(const quarantine::crash_record& record) {
-  return (record.kind == quarantine::suspect_kind::request ? "request digest "
-                                                           : "prompt part digest ") +
-         record.digest.text();
+  return std::string(quarantine::name_of(record.kind)) + " digest " + record.digest.text();
 }
 
 const char* reason_text(const quarantine::suspect& subject) {
@@ -346,12 +344,12 @@
   if (may_be_tried) {
     return false;
   }
-  refuse_in_quarantine(request, now);
+  refuse_in_quarantine(request, *judgement.reason, now);
   return true;
 }
 
-void dispatcher::refuse_in_quarantine(active_request& request, base::time_point now) {
-  const auto& subject = *crash_registry_.judge(suspects_of(request), now).reason;
+void dispatcher::refuse_in_quarantine(active_request& request, const quarantine::suspect& subject,
+                                      base::time_point now) {
   const bool is_whole_request = subject.kind == quarantine::suspect_kind::request;
   crash_registry_.note_refused(subject.digest, now);
   ++(is_whole_request ? counters_.refused_in_quarantine : counters_.refused_for_prompt_part);
--- a/src/dispatch/dispatcher_trials.cc
+++ b/src/dispatch/dispatcher_trials.cc
@@ -86,7 +86,9 @@
                               quarantine::quarantine_state::quarantined;
   if (!decision.is_granted && is_quarantined) {
     for (const auto client : std::set(waiting->second)) {
-      refuse_in_quarantine(active_.at(client), now);
+      auto& request = active_.at(client);
+      const auto judgement = crash_registry_.judge(suspects_of(request), now);
+      refuse_in_quarantine(request, *judgement.reason, now);
     }
     return;
   }
--- a/src/quarantine/suspect.cc
+++ b/src/quarantine/suspect.cc
@@ -4,6 +4,10 @@
 
 namespace spurrack::quarantine {
 
+std::string_view name_of(suspect_kind kind) {
+  return kind == suspect_kind::request ? "request" : "prompt part";
+}
+
 suspect_digest digest_of(const serving::prompt_part& part, std::string_view model) {
   return base::digest::of({"prompt part", model, part.id});
 }
--- a/src/quarantine/suspect.h
+++ b/src/quarantine/suspect.h
@@ -16,6 +16,9 @@
   prompt_part, ///< A part of prompts, whichever requests have it.
 };
 
+/// @return name of a kind for logs and operators.
+[[nodiscard]] std::string_view name_of(suspect_kind kind);
+
 /// Digests of suspects of different kinds differ.
 using suspect_digest = base::digest;
 
