Log each answer that ends early with its evidence

What callers saw: an answer that ended without being whole (LOST). The logs named a reason, but not since when the replica was silent, who heard it last, whether this process itself stood, or how old its configuration was, so that the silence of a replica could not be told from a stand of the node.

Change: each way in which an answer ends before its deadline names an end_evidence; answer_ended_early logs it once, with the silence, the latest activity here and at other nodes, this node's latest stand, the configuration in effect and its age, and the attempts. Counted by evidence in spurrack_answers_ended_early_total. No decision changes.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -26,7 +26,8 @@
     "request_quarantined", "request_cleared",
     "replica_limit",       "replica_leaving",
     "node_partitioned",    "replica_backoff",
-    "knowledge_overdue",   "knowledge_confirmed"};
+    "knowledge_overdue",   "knowledge_confirmed",
+    "answer_ended_early"};
 
 static_assert(!names.back().empty(), "a kind of event has no name");
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -52,10 +52,11 @@
   replica_backoff,
   knowledge_overdue,
   knowledge_confirmed,
+  answer_ended_early,
 };
 
 inline constexpr std::size_t event_kind_count =
-    static_cast<std::size_t>(event_kind::knowledge_confirmed) + 1;
+    static_cast<std::size_t>(event_kind::answer_ended_early) + 1;
 
 std::string_view name_of(event_kind kind);
 
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -165,6 +165,13 @@
   add("spurrack_ended_at_lost_replicas_total",
       "Requests ended before their deadline because their replica was declared down or restarted.",
       counts.ended_at_down_replicas);
+  auto& early_ends = BuildCounter()
+                         .Name("spurrack_answers_ended_early_total")
+                         .Help("Answers that ended before they were whole, by evidence.")
+                         .Register(registry);
+  for (const auto& [evidence, count] : counts.early_ends) {
+    early_ends.Add({{"evidence", std::string(evidence)}}).Increment(static_cast<double>(count));
+  }
   add("spurrack_replica_ejections_total", "Ejections of replicas that two nodes reported as down.",
       dispatcher.replicas().ejections());
   add("spurrack_replica_restarts_total", "Restarts of replicas under the same id.",
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -1,6 +1,7 @@
 /// State of one request on the serving path from its arrival until its answer is complete.
 #pragma once
 
+#include "dispatch/end_evidence.h"
 #include "dispatch/event_stream.h"
 #include "flow/byte_budget.h"
 #include "model/serving_records.h"
@@ -117,6 +118,8 @@
   base::zone_id expected_zone;
   std::map<piece_ticket, piece_position> pieces;
   std::optional<open_call> call;
+  /// Evidence on which the latest call ended without a whole answer.
+  end_evidence lost_call = end_evidence::none;
   /// Set only while the end of the last call's answer is not settled.
   std::optional<unsettled_answer_end> unsettled_end;
   /// How the request is answered if no other node transfers retry budget to this node; set only
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -86,6 +86,7 @@
   const bool has_new_configuration = configuration_ != content.serving();
   if (has_new_configuration) {
     configuration_ = content.serving();
+    configuration_applied_at_ = now;
     replicas_.set_configuration(configuration_);
     engine_directory_.set_configuration(configuration_);
     stages_.set_configuration(configuration_);
@@ -137,7 +138,7 @@
 void dispatcher::answer_not_run(active_request& request, const std::string& reason,
                                 base::time_point now) {
   if (request.may_have_run || request.has_begun_stream) {
-    answer_failed(request, status::bad_gateway, reason, now);
+    answer_failed(request, status::bad_gateway, reason, request.lost_call, now);
     return;
   }
   answer_with_error(
@@ -147,7 +148,9 @@
 }
 
 void dispatcher::answer_failed(active_request& request, unsigned http_status,
-                               const std::string& reason, base::time_point now) {
+                               const std::string& reason, end_evidence evidence,
+                               base::time_point now) {
+  record_early_end(request, reason, evidence, now);
   if (request.has_begun_stream) {
     commands_.emplace_back(end_stream{request.client, false});
     record(base::event_kind::request_answered, request, "broken off", reason);
@@ -191,9 +194,9 @@
 }
 
 void dispatcher::abort_request(active_request& request, const std::string& reason,
-                               base::time_point now) {
+                               end_evidence evidence, base::time_point now) {
   if (request.may_have_run || request.call) {
-    answer_failed(request, status::timed_out, reason, now);
+    answer_failed(request, status::timed_out, reason, evidence, now);
   } else {
     answer_not_run(request, reason, now);
   }
@@ -201,7 +204,8 @@
 
 void dispatcher::abort_expired_requests(base::time_point now) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
-    abort_request(active_.at(deadlines_.begin()->second), deadline_passed, now);
+    abort_request(active_.at(deadlines_.begin()->second), deadline_passed,
+                  end_evidence::deadline_passed, now);
   }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/active_request.h"
 #include "dispatch/admission_estimate.h"
 #include "dispatch/configuration_knowledge.h"
+#include "dispatch/end_evidence.h"
 #include "dispatch/event_stream.h"
 #include "dispatch/relay_exchange.h"
 #include "dispatch/replica_report_exchange.h"
@@ -133,6 +134,8 @@
   /// and extends the times by which replicas must show progress.
   /// @param gap duration of the suspension.
   void resume_after_suspension(base::duration gap, base::time_point now);
+  /// Records that this process stood: for `stand` it neither read its sockets nor handled events.
+  void note_stand(base::duration stand, base::time_point now);
   /// Ends the quarantine of a suspect on behalf of an operator.
   /// @return whether the crash registry had a record of the suspect.
   bool release_suspect(const quarantine::suspect_digest& digest, base::time_point now);
@@ -585,7 +588,8 @@
   /// Counts the buffered bytes of an incomplete event against the byte budget.
   /// @return whether the budget has enough memory left for the bytes.
   bool reserve_partial_event(active_request& request);
-  void abort_request(active_request& request, const std::string& reason, base::time_point now);
+  void abort_request(active_request& request, const std::string& reason, end_evidence evidence,
+                     base::time_point now);
   /// @return time at which a request must be checked next, for its feasibility, fetched inputs, a
   ///         stalled call or a slow client; std::nullopt if it needs no check.
   [[nodiscard]] static std::optional<base::time_point>
@@ -638,8 +642,15 @@
                                const std::string& reason);
   /// Answers that a request was not run, or that it failed if it may have run.
   void answer_not_run(active_request& request, const std::string& reason, base::time_point now);
+  /// Answers that a request failed, or breaks off its stream.
   void answer_failed(active_request& request, unsigned http_status, const std::string& reason,
-                     base::time_point now);
+                     end_evidence evidence, base::time_point now);
+  /// Counts and records an answer that ends before it is whole, with what is known of its replica.
+  void record_early_end(const active_request& request, const std::string& reason,
+                        end_evidence evidence, base::time_point now);
+  /// @return text for the log: since when the replica of a request is silent, who heard it last,
+  ///         and what it is published as.
+  [[nodiscard]] std::string silence_text(const active_request& request, base::time_point now) const;
   /// Removes a request: cancels its pieces and call, and frees its results.
   void finish(active_request& request, unsigned http_status, const std::string& reason,
               base::time_point now);
@@ -662,9 +673,13 @@
   decision_recorder record_;
   base::random_source* random_;
   std::shared_ptr<const model::serving_configuration> configuration_;
+  base::time_point configuration_applied_at_;
   configuration_knowledge configuration_knowledge_;
   base::time_point replica_list_confirmed_at_ = base::time_point::max();
   std::uint64_t applied_changes_ = 0;
+  /// Time for which this process stood last, and the time at which it went on.
+  base::duration latest_stand_{};
+  base::time_point latest_stand_ended_at_;
   base::call_id next_call_ = 1;
   distance distance_from_self_;
   self_reports::self_report_exchange self_reports_;
--- a/src/dispatch/dispatcher_admission_queue.cc
+++ b/src/dispatch/dispatcher_admission_queue.cc
@@ -197,7 +197,7 @@
   const auto reason = "replicas take no more now, a place is expected after " +
                       std::to_string(base::to_milliseconds(wait)) + " ms";
   if (request.may_have_run || request.has_begun_stream) {
-    answer_failed(request, status::bad_gateway, reason, now);
+    answer_failed(request, status::bad_gateway, reason, request.lost_call, now);
     return;
   }
   answer_with_error(request.client, request.content->id, status::unavailable, reason,
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -110,6 +110,7 @@
 
 void dispatcher::reject_end(active_request& request, const char* evidence, base::time_point now) {
   const auto end = take_unsettled_end(request);
+  request.lost_call = end_evidence::connection_ended;
   ++counters_.unframed_answers_rejected;
   handle_lost_answer(
       request, end.call, false,
@@ -161,6 +162,7 @@
 void dispatcher::break_off_stream(active_request& request, bool has_timed_out,
                                   base::time_point now) {
   const auto call = close_call(request);
+  request.lost_call = end_evidence::connection_ended;
   if (!call.relay_node) {
     paths_.note_failure(now);
   }
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -76,7 +76,7 @@
 
 bool dispatcher::may_be_sent_now(active_request& request, base::time_point now) {
   if (request.deadline <= now) {
-    abort_request(request, deadline_passed, now);
+    abort_request(request, deadline_passed, end_evidence::deadline_passed, now);
     return false;
   }
   if (abort_if_late_for_stop(request, now) || refuse_if_quarantined(request, now) ||
@@ -201,7 +201,8 @@
     if (++request->unreached_attempts < max_unreached_attempts) {
       send_to_replica(*request, now);
     } else if (request->may_have_run) {
-      answer_failed(*request, status::bad_gateway, "replicas cannot be reached", now);
+      answer_failed(*request, status::bad_gateway, "replicas cannot be reached", request->lost_call,
+                    now);
     } else {
       answer_not_run(*request, "replicas cannot be reached", now);
     }
@@ -209,6 +210,7 @@
   }
   request->may_have_run = true;
   const bool lacked_memory = failure.failure == call_failure::no_memory;
+  request->lost_call = lacked_memory ? end_evidence::no_memory : end_evidence::connection_ended;
   if (lacked_memory) {
     // The replica did not fail, so it may be chosen again.
     request->tried_replicas.erase(call.replica);
@@ -300,6 +302,7 @@
     return;
   }
   const auto call = close_call(*request);
+  request->lost_call = end_evidence::replica_failed;
   replicas_.note_failure(call.replica, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          "status " + std::to_string(answered.head.status));
@@ -340,6 +343,7 @@
     commands_.emplace_back(cancel_call{opened.call});
     replicas_.note_failure(replica, now);
     close_call(*request);
+    request->lost_call = end_evidence::replica_failed;
     retry_or_fail(*request, now);
     return;
   }
@@ -390,7 +394,8 @@
   }
   auto whole_events = request->events.feed(chunk.bytes);
   if (!reserve_partial_event(*request)) {
-    answer_failed(*request, status::bad_gateway, "no memory for an event that is not whole", now);
+    answer_failed(*request, status::bad_gateway, "no memory for an event that is not whole",
+                  end_evidence::no_memory, now);
     return;
   }
   if (whole_events.empty()) {
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -357,7 +357,7 @@
          name_of(subject, request) + ", " + crash_registry_.assess(subject.digest).text());
   const auto* reason = reason_text(subject);
   if (request.may_have_run || request.has_begun_stream) {
-    answer_failed(request, status::bad_gateway, reason, now);
+    answer_failed(request, status::bad_gateway, reason, end_evidence::quarantined, now);
     return;
   }
   // The answer states that the request was not run. It has no Retry-After time because a retry does
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -84,7 +84,8 @@
   const bool is_valid = !is_success(head.status) || (head.sealed && !head.encoded);
   const bool contradicts_earlier_attempt = is_not_run && request.may_have_run;
   if (!is_valid || contradicts_earlier_attempt) {
-    answer_failed(request, status::bad_gateway, "the other node's answer is not valid", now);
+    answer_failed(request, status::bad_gateway, "the other node's answer is not valid",
+                  end_evidence::relay_failed, now);
     return;
   }
   forward_answer(request, answered, now);
--- a/src/dispatch/dispatcher_replica_restarts.cc
+++ b/src/dispatch/dispatcher_replica_restarts.cc
@@ -94,7 +94,8 @@
     call.stalls_at = now + restart_confirm_time;
   } else if (now >= decision_deadline) {
     ++counters_.ended_at_down_replicas;
-    answer_failed(request, status::bad_gateway, "the replica started again", now);
+    answer_failed(request, status::bad_gateway, "the replica started again",
+                  end_evidence::replica_restarted, now);
   } else {
     call.stalls_at = decision_deadline;
   }
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -84,7 +84,7 @@
   } else if (outcome.is_not_run) {
     answer_not_run(request, outcome.reason, now);
   } else {
-    answer_failed(request, outcome.http_status, outcome.reason, now);
+    answer_failed(request, outcome.http_status, outcome.reason, request.lost_call, now);
   }
 }
 
@@ -197,7 +197,7 @@
     call.down_since = now;
   } else if (now - *call.down_since >= down_confirm_time) {
     ++counters_.ended_at_down_replicas;
-    answer_failed(request, status::bad_gateway, "the replica is lost", now);
+    answer_failed(request, status::bad_gateway, "the replica is lost", end_evidence::silence, now);
     return;
   }
   call.stalls_at = now + down_check_interval;
@@ -209,7 +209,7 @@
   if (!can_retry(request, now) || choose_replica(request, now) == nullptr) {
     if (has_version_left(request) && is_replica_unresponsive(request)) {
       answer_failed(request, status::bad_gateway, "the software version of the stream has left",
-                    now);
+                    end_evidence::silence, now);
       return;
     }
     request.call->stalls_at = now + stall_check_interval;
@@ -227,6 +227,7 @@
   replicas_.note_stalled(call.replica, now);
   paths_.note_failure(now);
   request.may_have_run = true;
+  request.lost_call = end_evidence::silence;
   request.events.drop_partial_event();
   record(base::event_kind::stage_retried, request, call.replica.text(), "no progress");
   send_to_replica(request, now);
--- a/src/dispatch/dispatcher_stop.cc
+++ b/src/dispatch/dispatcher_stop.cc
@@ -89,7 +89,8 @@
 void dispatcher::abort_all_requests(base::time_point now) {
   counters_.aborted_at_stop += active_.size();
   while (!active_.empty()) {
-    abort_request(active_.begin()->second, "stopped before it ended", now);
+    abort_request(active_.begin()->second, "stopped before it ended", end_evidence::node_stopping,
+                  now);
   }
 }
 
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -174,7 +174,7 @@
 void dispatcher::refuse_resumption(active_request& request, const std::string& reason,
                                    base::duration retry_after, base::time_point now) {
   if (request.may_have_run || request.has_begun_stream) {
-    answer_failed(request, status::bad_gateway, reason, now);
+    answer_failed(request, status::bad_gateway, reason, end_evidence::version_left, now);
     return;
   }
   answer_with_error(request.client, request.content->id, status::unavailable, reason,
@@ -192,7 +192,8 @@
   for (const auto client : ended) {
     ++counters_.resumptions_of_left_version;
     answer_failed(active_.at(client), status::bad_gateway,
-                  "no replica of the software version that began the stream serves", now);
+                  "no replica of the software version that began the stream serves",
+                  end_evidence::version_left, now);
   }
 }
 
@@ -206,13 +207,15 @@
   commands_.emplace_back(cancel_call{request.call->id});
   const auto call = close_call(request);
   request.may_have_run = true;
+  request.lost_call = end_evidence::replica_restarted;
   record(base::event_kind::stage_retried, request, call.replica.text(),
          "its replica restarted with software " + replica->record->version.text());
   if (has_events) {
     // The events may be of either version, so the origin is not known from now on.
     origins_.note_sent(*request.stream_key, {request.service, replica->record->version},
                        request.calls, request.deadline - now, is_origin_shared(request), now);
-    answer_failed(request, status::bad_gateway, "its replica restarted with other software", now);
+    answer_failed(request, status::bad_gateway, "its replica restarted with other software",
+                  end_evidence::replica_restarted, now);
   } else {
     retry_or_fail(request, now);
   }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -10,6 +10,8 @@
 /// Longest regular interval between two events; a longer interval is a gap. A node that runs
 /// without interruption processes an event at least every `periodic_interval`.
 constexpr base::duration max_regular_event_interval = 2 * periodic_interval;
+/// Shortest time that counts as a stand of this process: replicas pause for less inside a stream.
+constexpr base::duration min_stand = std::chrono::milliseconds(50);
 /// Maximum numbers of members of other zones among the peers that `replication_peers` returns.
 /// Members in the region of this node are near; members in other regions are far, and traffic to
 /// far members is expensive. If no far member is known, near members take the places of far
@@ -162,6 +164,10 @@
   if (now - last_event_at_ > max_regular_event_interval) {
     quiet_since_ = now;
   }
+  const auto stand = now - last_event_at_ - periodic_interval;
+  if (serving_ && stand >= min_stand) {
+    serving_->note_stand(stand, now);
+  }
   if (now - last_event_at_ <= settings_.suspension_threshold) {
     return;
   }
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace spurrack::serving {
 
@@ -71,6 +72,8 @@
   /// Requests that failed before their deadline because their replica was declared down or had
   /// restarted.
   std::uint64_t ended_at_down_replicas = 0;
+  /// Answers that ended before they were whole, by the name of the evidence.
+  std::map<std::string_view, std::uint64_t> early_ends;
   /// Replicas that restarted under the same id.
   std::uint64_t replica_restarts = 0;
   /// Calls that were in flight at the earlier incarnation of a replica when the replica restarted.
