Silence of a replica ends no answer; a call is given up only for a certain successor

Cause: silence was taken for death. A call without progress was broken off once two nodes had reported the same silence for half a second, at once if its software version drained, and cancelled before it was known whether another replica could go on: the new attempt queued, waited for a trial, or computed stages again whose results were freed with the first event, and each of these could end the stream. The end of an answer without framing was rejected if its replica answered no probe for 0.8 s.

Ruled out: a second call beside the silent one (a run must not continue at two replicas), longer timeouts.

Change: answer_failed takes an end_evidence, and silence does not suffice before the deadline. A stalled call is given up only for a replica that can take it at once (certain_successor); stages are computed again beside the open call, once the silence has lasted as long as that takes; a request whose successor fails waits for the next one. A silent replica is probed; two refused connections end its calls. Ends without framing stay undecided while the replica is silent, and a connection that is accepted late counts only once the list of replicas shows that it did not restart. A replica that sends something again is no longer paused, and calls that stall together double its pause once.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -24,25 +24,24 @@
 /// A call that runs the request itself, in contrast to calls for pieces of its stages.
 struct open_call {
   base::call_id id = 0;
-  base::replica_id replica;
+  base::replica_id replica{};
   /// Identifies the exit of the called incarnation, with the same value on all nodes, and is
   /// known before the exit happens. If the replica exits during the call, the exit is recorded
   /// with this identifier under the request.
   replica_exit incarnation_exit = 0;
-  base::time_point started_at;
+  base::time_point started_at{};
   /// Time at which the call counts as stalled unless it makes progress before; std::nullopt if
   /// its progress is not watched.
-  std::optional<base::time_point> stalls_at;
+  std::optional<base::time_point> stalls_at{};
   /// Time at which the stage results that the call reads are freed, because the replica should
   /// have fetched them by then. std::nullopt if no such time is set: the call reads no stage
   /// results, they were already freed, or they are kept until the first event or the answer
   /// arrives.
-  std::optional<base::time_point> inputs_fetched_at;
-  /// Time of the check that first found the call stalled and its replica declared down, if every
-  /// check since then found the same; std::nullopt otherwise.
-  std::optional<base::time_point> down_since;
+  std::optional<base::time_point> inputs_fetched_at{};
+  /// Whether a check found the call stalled since its last progress.
+  bool was_found_stalled = false;
   /// Time at which the replica table was last told that the replica sends data for this call.
-  base::time_point contact_noted_at;
+  base::time_point contact_noted_at{};
   /// Set only if the call seems to have been sent to an earlier incarnation of its replica: time
   /// at which this node learned of the restart. If the request cannot be retried and no event of
   /// its stream arrives within `restart_confirm_time` after this time, the request fails.
@@ -63,6 +62,12 @@
   /// Answer to forward if it is whole; std::nullopt for a stream.
   std::optional<call_answered> answer;
   base::time_point ended_at;
+  /// Time at which the replica is probed again, or the list of replicas is looked at, unless the end
+  /// is settled before.
+  base::time_point next_check_at;
+  /// Time at which a probe first found that the replica accepts connections, if it began too late
+  /// to tell the replica from a new process.
+  std::optional<base::time_point> connected_at{};
 };
 
 /// Entry in an admission queue. Ordered by priority (0 is the most urgent), then requests that are
@@ -120,6 +125,12 @@
   std::optional<open_call> call;
   /// Evidence on which the latest call ended without a whole answer.
   end_evidence lost_call = end_evidence::none;
+  /// Whether the stages are computed again while the call is open, because it is stalled and a
+  /// successor would need their results.
+  bool recomputes_beside_call = false;
+  /// Time at which the request is sent again; set only if its call was given up although the
+  /// replica may live, and no replica took the request since.
+  std::optional<base::time_point> send_again_at;
   /// Set only while the end of the last call's answer is not settled.
   std::optional<unsettled_answer_end> unsettled_end;
   /// How the request is answered if no other node transfers retry budget to this node; set only
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -150,6 +150,10 @@
 void dispatcher::answer_failed(active_request& request, unsigned http_status,
                                const std::string& reason, end_evidence evidence,
                                base::time_point now) {
+  if (!may_end_answer(evidence) && now < request.deadline) {
+    wait_for_replica(request, reason, now);
+    return;
+  }
   record_early_end(request, reason, evidence, now);
   if (request.has_begun_stream) {
     commands_.emplace_back(end_stream{request.client, false});
@@ -224,9 +228,10 @@
     consider(request.trial_wait->ends_at);
   }
   if (request.unsettled_end) {
-    consider(settle_deadline_of(*request.unsettled_end));
+    consider(request.unsettled_end->next_check_at);
   }
   consider(request.slow_client_check_at);
+  consider(request.send_again_at);
   return next;
 }
 
@@ -249,12 +254,15 @@
     due_checks_.erase(due_checks_.begin());
     request.next_check_at.reset();
     if (!abort_if_infeasible(request, now) && !refuse_if_trial_overdue(request, now) &&
-        !reject_end_if_overdue(request, now)) {
+        !accept_end_if_confirmed(request, now)) {
+      probe_unsettled_end(request, now);
       free_fetched_inputs(request, now);
       if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
         on_stalled(request, now);
       } else if (request.slow_client_check_at && *request.slow_client_check_at <= now) {
         handle_slow_client(request, now);
+      } else {
+        send_again_if_due(request, now);
       }
     }
     // Each of these may have removed the request.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -14,6 +14,7 @@
 #include "dispatch/retry_budget.h"
 #include "dispatch/retry_budget_exchange.h"
 #include "dispatch/run_times.h"
+#include "dispatch/silence_probes.h"
 #include "dispatch/stop_plan.h"
 #include "engines/engine_chooser.h"
 #include "engines/engine_directory.h"
@@ -282,6 +283,8 @@
   /// Refuses a request at once while this node is partitioned from all replicas and hears from none
   /// on open connections either.
   bool refuse_while_partitioned(active_request& request, base::time_point now);
+  /// @return node to which a request may be passed on now; std::nullopt if there is none.
+  std::optional<relay> choose_relay(const active_request& request, base::time_point now);
   /// Passes a request on to another node if this node is partitioned from all replicas and another
   /// one offered itself. A request passes one other node at most.
   /// @return whether the request was passed on.
@@ -352,6 +355,8 @@
   /// @return whether the request may be sent now.
   bool may_be_sent_now(active_request& request, base::time_point now);
   void send_to_replica(active_request& request, base::time_point now);
+  /// Calls the replica that was chosen for a request.
+  void call_replica(active_request& request, const replica_state& chosen, base::time_point now);
   [[nodiscard]] bool is_engine(const std::string& service) const;
   /// @return time within which a call at a healthy replica makes progress; 0 if progress is not
   ///         watched.
@@ -371,7 +376,7 @@
   /// Records that a replica is active because it sent an answer. If an exit of its current
   /// incarnation is recorded and the answer shows that this incarnation still runs, withdraws the
   /// recorded exit.
-  void note_answer(const base::replica_id& replica, const answer_head& head, base::time_point now);
+  void note_answer(active_request& request, const answer_head& head, base::time_point now);
   /// Sends due messages about self-reports and permits, and processes the admission queues.
   void advance_self_reports(base::time_point now);
   /// Records an event for each drain, limit or backoff that a replica has newly reported of itself.
@@ -528,16 +533,22 @@
   clients_with_end_before(const base::replica_id& replica, base::time_point seen_at) const;
   /// Settles the answers that had ended when a probe of their replica began.
   void settle_by_probe(const replica_probed& probe, base::time_point now);
-  /// Accepts the ends that precede bytes of their replica on another connection.
-  void settle_by_activity(const base::replica_id& replica, base::time_point now);
-  /// Rejects the end of an answer if nothing was seen of its replica in time.
-  bool reject_end_if_overdue(active_request& request, base::time_point now);
-  /// @return time at which an end that is not settled is rejected.
-  [[nodiscard]] static base::time_point settle_deadline_of(const unsettled_answer_end& end);
+  /// Accepts the ends that precede bytes of their replica on another call.
+  void settle_by_activity(const open_call& active_call, base::time_point now);
+  /// Accepts an end whose replica accepts connections again after a while, once the list of
+  /// replicas shows that it did not restart.
+  /// @return whether the request was answered.
+  bool accept_end_if_confirmed(active_request& request, base::time_point now);
+  /// Probes the replica of an unsettled end again if that is due.
+  void probe_unsettled_end(active_request& request, base::time_point now);
+  /// Rejects the ends of answers by an earlier incarnation of a replica.
+  void reject_ends_of_earlier_incarnation(const base::replica_id& replica, base::time_point now);
   /// Forwards an answer whose replica went on after its end.
   void accept_end(active_request& request, const char* evidence, base::time_point now);
-  /// Treats an answer as broken off, because its replica is not known to have gone on.
-  void reject_end(active_request& request, const char* evidence, base::time_point now);
+  /// Treats an answer as broken off, because its replica has exited.
+  /// @param reason text for the log.
+  void reject_end(active_request& request, const char* reason, end_evidence evidence,
+                  base::time_point now);
   /// Records that a call ended with a whole answer. The end shows that the run survived unless the
   /// call went to another node, which judges that itself.
   void note_whole_answer(const active_request& request, const open_call& call, const char* evidence,
@@ -602,17 +613,37 @@
   /// Schedules an immediate check of each call at a replica that is declared down, if the call's
   /// route allows retries and the replica is not known to have sent anything since the call began.
   void recheck_calls_at(const base::replica_id& replica, base::time_point now);
-  /// Handles a stalled call. If the route, the attempts and the deadline allow another attempt,
-  /// calls `retry_stalled_call`. Otherwise the request fails once its replica has stayed declared
-  /// down for `down_confirm_time`; if the replica has restarted,
-  /// `check_call_at_earlier_incarnation` decides instead. Until the request is retried or fails,
-  /// further checks are scheduled.
+  /// Handles a stalled call: moves it if the route, the attempts and the deadline allow another
+  /// attempt. Otherwise the call stays until it ends, its replica is known to have exited or its
+  /// deadline passes. Until then, further checks are scheduled.
   void on_stalled(active_request& request, base::time_point now);
+  /// Records that a replica sends nothing, and has it probed.
+  void note_unresponsive(const open_call& call, base::time_point now);
+  /// Records that the call of a request makes progress: it is not moved any more.
+  void note_progress(active_request& request, base::time_point now);
+  /// Ends the calls that made no progress since a probe began which showed that their replica has
+  /// exited.
+  void end_calls_at_exited_replica(const replica_probed& probe, base::time_point now);
+  /// @return time at which the call of a request began or delivered its latest event.
+  [[nodiscard]] static base::time_point last_progress_of(const active_request& request);
   /// @return whether the replica is not known to have sent anything since the call's last progress.
   [[nodiscard]] bool is_replica_unresponsive(const active_request& request) const;
-  /// Retries a stalled call at another replica if that is allowed and a replica is available;
-  /// otherwise schedules another check, because permission and replicas may change.
-  void retry_stalled_call(active_request& request, base::time_point now);
+  /// @return replica that can run a request at once, so that its present call may be given up for
+  ///         it: place, permit, inputs and attempts are there. Null if something of it is not.
+  const replica_state* certain_successor(const active_request& request, base::time_point now);
+  /// Gives a stalled call up for a certain successor; otherwise schedules another check, because
+  /// permission and replicas may change.
+  void move_stalled_call(active_request& request, base::time_point now);
+  void give_up_stalled_call(active_request& request, base::time_point now);
+  /// Computes the stages of a request again while its stalled call stays open, once the silence has
+  /// lasted as long as that takes.
+  void recompute_beside_call(active_request& request, base::time_point now);
+  /// Ends a recomputation because the call goes on or the stages cannot be computed.
+  void drop_recomputation(active_request& request);
+  /// Lets a request wait whose call was given up although its replica may live, and which no
+  /// replica takes now: it is sent again until its deadline.
+  void wait_for_replica(active_request& request, const std::string& reason, base::time_point now);
+  void send_again_if_due(active_request& request, base::time_point now);
   /// Applies the published replicas that changed since the last update, or `all` of them.
   void update_replicas(const catalog::catalog& content, bool all, base::time_point now);
   /// Drops the state of earlier incarnations of replicas that restarted under their id.
@@ -642,7 +673,8 @@
                                const std::string& reason);
   /// Answers that a request was not run, or that it failed if it may have run.
   void answer_not_run(active_request& request, const std::string& reason, base::time_point now);
-  /// Answers that a request failed, or breaks off its stream.
+  /// Answers that a request failed, or breaks off its stream. If the evidence does not allow to end
+  /// an answer, the request waits for a replica instead.
   void answer_failed(active_request& request, unsigned http_status, const std::string& reason,
                      end_evidence evidence, base::time_point now);
   /// Counts and records an answer that ends before it is whole, with what is known of its replica.
@@ -692,6 +724,9 @@
   retry_budget_exchange budget_exchange_;
   replica_report_exchange replica_reports_;
   path_monitor paths_;
+  silence_probes silence_probes_;
+  /// Time before which the silence of replicas is not judged, because this process has just stood.
+  base::time_point silence_judged_from_;
   relay_exchange relays_;
   streams::origin_exchange origins_;
   /// Clients whose request waits for the origin of a stream.
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -10,9 +10,15 @@
 namespace spurrack::serving {
 namespace {
 
-/// Time after the end of an answer within which its replica must be seen to go on. Longer than the
-/// connect timeout of the probe, and shorter than a replica takes to start again.
-constexpr base::duration settle_timeout = std::chrono::milliseconds(800);
+/// Interval at which the replica of an answer whose end is not settled is probed; longer than the
+/// connect timeout of a probe.
+constexpr base::duration settle_probe_interval = std::chrono::milliseconds(800);
+/// Time after the end of an answer in which a new connection shows that its replica went on: a
+/// replica takes longer to start again.
+constexpr base::duration min_restart_time = std::chrono::milliseconds(800);
+/// Time after which the list of replicas shows that a replica restarted: replicas publish their
+/// entries every second or two.
+constexpr base::duration restart_publication_time = std::chrono::milliseconds(2'000);
 
 /// @return whether a stream ended before it delivered anything that its client does not have.
 bool has_no_event(const active_request& request) {
@@ -28,7 +34,8 @@
   auto call = close_call(request);
   commands_.emplace_back(probe_replica{{call.replica, call.address}});
   unsettled_ends_[call.replica].insert(request.client);
-  request.unsettled_end = unsettled_answer_end{std::move(call), std::move(answer), now};
+  request.unsettled_end =
+      unsettled_answer_end{std::move(call), std::move(answer), now, now + settle_probe_interval};
   ++counters_.unframed_answers;
   schedule_check(request);
 }
@@ -61,36 +68,69 @@
 void dispatcher::settle_by_probe(const replica_probed& probe, base::time_point now) {
   for (const auto client : clients_with_end_before(probe.replica, probe.began_at)) {
     auto& request = active_.at(client);
-    if (probe.result == probe_result::connected) {
+    auto& end = *request.unsettled_end;
+    if (probe.result == probe_result::refused) {
+      reject_end(request, "its replica refuses connections", end_evidence::connection_refused, now);
+    } else if (probe.result == probe_result::connected &&
+               probe.began_at - end.ended_at < min_restart_time) {
       accept_end(request, "its replica accepts connections", now);
-    } else {
-      reject_end(request,
-                 probe.result == probe_result::refused ? "its replica refuses connections"
-                                                       : "its replica does not answer",
-                 now);
+    } else if (probe.result == probe_result::connected && !end.connected_at) {
+      end.connected_at = probe.began_at;
+      end.next_check_at = probe.began_at + restart_publication_time;
     }
   }
 }
 
-void dispatcher::settle_by_activity(const base::replica_id& replica, base::time_point now) {
+void dispatcher::settle_by_activity(const open_call& active_call, base::time_point now) {
   if (unsettled_ends_.empty()) {
     return;
   }
-  for (const auto client : clients_with_end_before(replica, now - min_later_activity)) {
-    accept_end(active_.at(client), "its replica sent something on another connection", now);
+  for (const auto client : clients_with_end_before(active_call.replica, now - min_later_activity)) {
+    auto& request = active_.at(client);
+    const auto ended_at = request.unsettled_end->ended_at;
+    // A call that was open before the end shows that its process did not change.
+    if (now - ended_at < min_restart_time || active_call.started_at <= ended_at) {
+      accept_end(request, "its replica sent something on another connection", now);
+    }
   }
 }
 
-bool dispatcher::reject_end_if_overdue(active_request& request, base::time_point now) {
-  if (!request.unsettled_end || now < settle_deadline_of(*request.unsettled_end)) {
+bool dispatcher::accept_end_if_confirmed(active_request& request, base::time_point now) {
+  if (!request.unsettled_end || !request.unsettled_end->connected_at) {
+    return false;
+  }
+  const auto& end = *request.unsettled_end;
+  const auto confirmed_at = *end.connected_at + restart_publication_time;
+  const auto* replica = replicas_.find(end.call.replica);
+  const bool is_same_process =
+      replica != nullptr && exit_id_of(*replica->record) == end.call.incarnation_exit;
+  if (now < confirmed_at || replica_list_confirmed_at_ < confirmed_at || !is_same_process) {
     return false;
   }
-  reject_end(request, "nothing was seen of its replica", now);
+  accept_end(request, "its replica accepts connections and has not restarted", now);
   return true;
 }
 
-base::time_point dispatcher::settle_deadline_of(const unsettled_answer_end& end) {
-  return end.ended_at + settle_timeout;
+void dispatcher::probe_unsettled_end(active_request& request, base::time_point now) {
+  if (!request.unsettled_end || now < request.unsettled_end->next_check_at) {
+    return;
+  }
+  auto& end = *request.unsettled_end;
+  end.next_check_at = now + settle_probe_interval;
+  if (!end.connected_at) {
+    commands_.emplace_back(probe_replica{{end.call.replica, end.call.address}});
+  }
+}
+
+void dispatcher::reject_ends_of_earlier_incarnation(const base::replica_id& replica,
+                                                    base::time_point now) {
+  for (const auto client : clients_with_end_before(replica, now)) {
+    auto& request = active_.at(client);
+    if (replicas_.was_sent_to_earlier_incarnation(replica,
+                                                  request.unsettled_end->call.started_at)) {
+      reject_end(request, "its replica restarted", end_evidence::replica_restarted, now);
+    }
+  }
 }
 
 // --- outcomes ------------------------------------------------------------------------------------
@@ -108,15 +148,16 @@
   }
 }
 
-void dispatcher::reject_end(active_request& request, const char* evidence, base::time_point now) {
+void dispatcher::reject_end(active_request& request, const char* reason, end_evidence evidence,
+                            base::time_point now) {
   const auto end = take_unsettled_end(request);
-  request.lost_call = end_evidence::connection_ended;
+  request.lost_call = evidence;
   ++counters_.unframed_answers_rejected;
-  handle_lost_answer(
-      request, end.call, false,
-      std::string("the answer without framing is not known to be whole, ") + evidence + " " +
-          std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end",
-      now);
+  handle_lost_answer(request, end.call, false,
+                     std::string("the answer without framing is not known to be whole, ") + reason +
+                         " " + std::to_string(base::to_milliseconds(now - end.ended_at)) +
+                         " ms after its end",
+                     now);
 }
 
 void dispatcher::note_whole_answer(const active_request& request, const open_call& call,
--- a/src/dispatch/dispatcher_arrival.cc
+++ b/src/dispatch/dispatcher_arrival.cc
@@ -274,6 +274,10 @@
 void dispatcher::continue_request(active_request& request, base::time_point now) {
   if (request.graph && !request.graph->is_done()) {
     submit_pieces(request, now);
+  } else if (request.call) {
+    // The next check of the stalled call moves it.
+    request.call->stalls_at = now;
+    schedule_check(request);
   } else {
     send_to_replica(request, now);
   }
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -83,6 +83,11 @@
       pass_on(request, now) || (needs_origin(request) && !settle_origin(request, now))) {
     return false;
   }
+  if (request.graph && !request.graph->is_done()) {
+    // The stages are being computed again; their last result sends the request.
+    request.recomputes_beside_call = false;
+    return false;
+  }
   if (request.graph && request.graph->has_missing_final_inputs()) {
     // The stage results were freed after an earlier attempt, and are recomputed for this attempt.
     recompute_final_inputs(request, now);
@@ -95,44 +100,43 @@
   if (!may_be_sent_now(request, now)) {
     return;
   }
-  const auto* chosen = choose_in_turn(request, now);
-  if (chosen == nullptr) {
-    return;
+  if (const auto* chosen = choose_in_turn(request, now)) {
+    call_replica(request, *chosen, now);
   }
+}
+
+void dispatcher::call_replica(active_request& request, const replica_state& chosen,
+                              base::time_point now) {
   request.has_trial = false;
   request_permit(request, now);
-  auto new_call = make_call(request, *chosen, now);
-  request.tried_replicas.insert(chosen->record->id);
+  auto new_call = make_call(request, chosen, now);
+  request.tried_replicas.insert(chosen.record->id);
   ++request.attempts;
-  request.call = open_call{new_call.call,
-                           chosen->record->id,
-                           exit_id_of(*chosen->record),
-                           now,
-                           std::nullopt,
-                           std::nullopt,
-                           std::nullopt,
-                           {}};
-  request.call->version = chosen->record->version;
-  request.call->address = chosen->record->address;
-  note_stream_sent(request, *chosen, now);
-  clients_by_replica_[chosen->record->id].insert(request.client);
-  const bool runs_at_once = !chosen->reported_load || chosen->reported_load->waiting == 0;
+  request.call = open_call{.id = new_call.call,
+                           .replica = chosen.record->id,
+                           .incarnation_exit = exit_id_of(*chosen.record),
+                           .started_at = now,
+                           .version = chosen.record->version,
+                           .address = chosen.record->address};
+  note_stream_sent(request, chosen, now);
+  clients_by_replica_[chosen.record->id].insert(request.client);
+  const bool runs_at_once = !chosen.reported_load || chosen.reported_load->waiting == 0;
   if (!new_call.inputs.empty() && runs_at_once &&
       settings_.input_fetch_time > base::duration::zero()) {
     request.call->inputs_fetched_at = now + settings_.input_fetch_time;
   }
   clients_by_call_[new_call.call] = request.client;
-  record(base::event_kind::stage_dispatched, request, chosen->record->id.text(),
+  record(base::event_kind::stage_dispatched, request, chosen.record->id.text(),
          "attempt " + std::to_string(request.attempts) + ", own calls " +
-             std::to_string(chosen->in_flight) + ", " +
+             std::to_string(chosen.in_flight) + ", " +
              std::to_string(base::to_milliseconds(new_call.time_left)) + " ms left, software " +
-             chosen->record->version.text());
-  note_locality(request, *chosen, now);
-  const auto stall_timeout = progress_timeout(request, *chosen, now);
+             chosen.record->version.text());
+  note_locality(request, chosen, now);
+  const auto stall_timeout = progress_timeout(request, chosen, now);
   if (is_engine(request.service)) {
-    engine_directory_.note_sent(*chosen, sent_prompt_of(*request.content), now);
+    engine_directory_.note_sent(chosen, sent_prompt_of(*request.content), now);
   }
-  replicas_.call_started(chosen->record->id, now);
+  replicas_.call_started(chosen.record->id, now);
   ++counters_.calls;
   const auto call_id = new_call.call;
   commands_.emplace_back(std::move(new_call));
@@ -232,6 +236,10 @@
   } else {
     replicas_.note_full(call.replica, now);
   }
+  if (request.lost_call == end_evidence::silence) {
+    // A call that may have gone on was given up for this attempt, which did not run.
+    --request.attempts;
+  }
   record(base::event_kind::stage_retried, request, call.replica.text(),
          "not executed, status " + std::to_string(head.status));
   if (head.status == status::conflict && request.graph &&
@@ -249,16 +257,18 @@
       now - call.contact_noted_at >= contact_note_interval) {
     call.contact_noted_at = now;
     replicas_.note_activity(call.replica, now);
-    settle_by_activity(call.replica, now);
+    settle_by_activity(call, now);
   }
 }
 
-void dispatcher::note_answer(const base::replica_id& replica, const answer_head& head,
+void dispatcher::note_answer(active_request& request, const answer_head& head,
                              base::time_point now) {
-  replicas_.note_activity(replica, now);
+  const auto& call = *request.call;
+  replicas_.note_activity(call.replica, now);
+  note_progress(request, now);
   if (!head.misdirected) {
-    withdraw_exit(replica, now);
-    settle_by_activity(replica, now);
+    withdraw_exit(call.replica, now);
+    settle_by_activity(call, now);
   }
 }
 
@@ -272,7 +282,7 @@
     return;
   }
   const auto& replica = request->call->replica;
-  note_answer(replica, answered.head, now);
+  note_answer(*request, answered.head, now);
   if (answered.head.not_executed || answered.head.misdirected) {
     on_not_executed(*request, answered.head, now);
     return;
@@ -320,6 +330,9 @@
 void dispatcher::forward_answer(active_request& request, const call_answered& answer,
                                 base::time_point now) {
   if (request.has_begun_stream) {
+    record_early_end(request,
+                     "the replica answered with status " + std::to_string(answer.head.status),
+                     end_evidence::replica_failed, now);
     commands_.emplace_back(end_stream{request.client, false});
   } else {
     commands_.emplace_back(respond{request.client, std::nullopt, answer.head.status,
@@ -337,7 +350,7 @@
     return;
   }
   const auto replica = request->call->replica;
-  note_answer(replica, opened.head, now);
+  note_answer(*request, opened.head, now);
   request->may_have_run = true;
   if (!opened.head.sealed || opened.head.encoded) {
     commands_.emplace_back(cancel_call{opened.call});
@@ -403,6 +416,7 @@
   }
   begin_stream(*request, now);
   bind_stream(*request, now);
+  note_progress(*request, now);
   note_event(*request, now);
   note_contact(*request->call, now);
   commands_.emplace_back(stream_data{request->client, std::move(whole_events)});
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -79,6 +79,9 @@
 
 void dispatcher::on_event(const replica_probed& probe, base::time_point now) {
   settle_by_probe(probe, now);
+  if (silence_probes_.note(probe, now)) {
+    end_calls_at_exited_replica(probe, now);
+  }
   paths_.note_probed(probe.replica, probe.result == probe_result::connected, now);
   switch (probe.result) {
   case probe_result::refused:
--- a/src/dispatch/dispatcher_early_ends.cc
+++ b/src/dispatch/dispatcher_early_ends.cc
@@ -14,11 +14,6 @@
 
 } // namespace
 
-void dispatcher::note_stand(base::duration stand, base::time_point now) {
-  latest_stand_ = stand;
-  latest_stand_ended_at_ = now;
-}
-
 void dispatcher::record_early_end(const active_request& request, const std::string& reason,
                                   end_evidence evidence, base::time_point now) {
   ++counters_.early_ends[serving::name_of(evidence)];
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -31,12 +31,15 @@
   }
 }
 
-bool dispatcher::pass_on(active_request& request, base::time_point now) {
-  if (!is_partitioned() || request.content->was_passed_on || request.deadline <= now ||
-      request.attempts >= request.route->max_attempts) {
-    return false;
+std::optional<relay> dispatcher::choose_relay(const active_request& request, base::time_point now) {
+  if (!is_partitioned() || request.content->was_passed_on || !has_attempt_left(request, now)) {
+    return std::nullopt;
   }
-  const auto chosen = relays_.choose(request.permitted_regions, settings_.regions, now);
+  return relays_.choose(request.permitted_regions, settings_.regions, now);
+}
+
+bool dispatcher::pass_on(active_request& request, base::time_point now) {
+  const auto chosen = choose_relay(request, now);
   if (!chosen) {
     return false;
   }
@@ -53,9 +56,10 @@
     passed.first_attempt = request.content->id;
   }
   ++request.attempts;
-  open_call call{passed.call,  passed.target.replica, 0, now, std::nullopt,
-                 std::nullopt, std::nullopt,          {}};
-  call.relay_node = chosen->node;
+  const open_call call{.id = passed.call,
+                       .replica = passed.target.replica,
+                       .started_at = now,
+                       .relay_node = chosen->node};
   request.call = call;
   clients_by_replica_[passed.target.replica].insert(request.client);
   clients_by_call_[passed.call] = request.client;
--- a/src/dispatch/dispatcher_replica_restarts.cc
+++ b/src/dispatch/dispatcher_replica_restarts.cc
@@ -43,6 +43,7 @@
       request.graph->note_lost_results_of(restart.earlier_address);
     }
   }
+  reject_ends_of_earlier_incarnation(replica, now);
   const auto found = clients_by_replica_.find(replica);
   if (found == clients_by_replica_.end()) {
     return;
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -1,4 +1,4 @@
-/// Retries: attempts and retry budget, stalled calls, and calls at replicas that are down.
+/// Retries: attempts and retry budget, health reports of other nodes.
 #include "dispatch/dispatcher.h"
 
 #include "dispatch/dispatcher_constants.h"
@@ -7,23 +7,6 @@
 #include <utility>
 
 namespace spurrack::serving {
-namespace {
-
-/// Interval at which a stalled call is checked again if it cannot be retried now, for example
-/// because no other replica or no retry budget is available. Requests at a replica that goes down
-/// should be retried within one second; the interval is a tenth of it.
-constexpr base::duration stall_check_interval = std::chrono::milliseconds(100);
-/// Interval at which a stalled call that cannot be retried is checked again, to find out whether
-/// its replica is declared down. It is a quarter of the second within which the request should be
-/// answered.
-constexpr base::duration down_check_interval = std::chrono::milliseconds(250);
-/// Time for which a replica must stay declared down before a request at it that cannot be retried
-/// fails. In this time, other nodes that still have contact with the replica can report that it is
-/// healthy. The time is short enough for the request to be answered within one second.
-constexpr base::duration down_confirm_time = std::chrono::milliseconds(500);
-
-} // namespace
-
 // --- retry budget --------------------------------------------------------------------------------
 
 bool dispatcher::has_attempt_left(const active_request& request, base::time_point now) {
@@ -137,28 +120,6 @@
   }
 }
 
-void dispatcher::recheck_calls_at(const base::replica_id& replica, base::time_point now) {
-  const auto found = clients_by_replica_.find(replica);
-  if (found == clients_by_replica_.end()) {
-    return;
-  }
-  for (const auto client : found->second) {
-    auto& request = active_.at(client);
-    const bool is_watched = request.call->stalls_at && *request.call->stalls_at > now;
-    const bool shows_events = request.latest_event_at > request.call->started_at;
-    if (is_watched && !shows_events && request.route->is_repeatable() &&
-        is_replica_unresponsive(request)) {
-      request.call->stalls_at = now;
-      schedule_check(request);
-    }
-  }
-}
-
-bool dispatcher::is_replica_unresponsive(const active_request& request) const {
-  const auto last_progress_at = std::max(request.call->started_at, request.latest_event_at);
-  return !replicas_.was_active_after(request.call->replica, last_progress_at);
-}
-
 /// After a suspension, answers wait unread in the sockets. If the stall timeouts were not extended,
 /// every active call would count as stalled before its answer is read: its replica would be
 /// reported unresponsive, and retries would be spent.
@@ -176,61 +137,4 @@
   limits_.resume_after_suspension(now);
 }
 
-void dispatcher::on_stalled(active_request& request, base::time_point now) {
-  const bool is_unresponsive = is_replica_unresponsive(request);
-  if (is_unresponsive) {
-    replicas_.note_unresponsive(request.call->replica, now);
-    paths_.note_failure(now);
-  }
-  if (request.route->is_repeatable() && has_attempt_left(request, now)) {
-    retry_stalled_call(request, now);
-    return;
-  }
-  auto& call = *request.call;
-  if (call.restart_seen_at) {
-    check_call_at_earlier_incarnation(request, now);
-    return;
-  }
-  if (!is_unresponsive || !replicas_.is_declared_down(call.replica, now)) {
-    call.down_since.reset();
-  } else if (!call.down_since) {
-    call.down_since = now;
-  } else if (now - *call.down_since >= down_confirm_time) {
-    ++counters_.ended_at_down_replicas;
-    answer_failed(request, status::bad_gateway, "the replica is lost", end_evidence::silence, now);
-    return;
-  }
-  call.stalls_at = now + down_check_interval;
-}
-
-void dispatcher::retry_stalled_call(active_request& request, base::time_point now) {
-  // If a graceful stop leaves no time for another attempt, or suspected crashes limit the request
-  // to one attempt, the stalled call is still the best option.
-  if (!can_retry(request, now) || choose_replica(request, now) == nullptr) {
-    if (has_version_left(request) && is_replica_unresponsive(request)) {
-      answer_failed(request, status::bad_gateway, "the software version of the stream has left",
-                    end_evidence::silence, now);
-      return;
-    }
-    request.call->stalls_at = now + stall_check_interval;
-    return;
-  }
-  if (!try_take_retry(request, now)) {
-    // The other calls at the replica will need retries too.
-    budget_exchange_.query_peers(request.service,
-                                 clients_by_replica_.at(request.call->replica).size(), now);
-    request.call->stalls_at = now + stall_check_interval;
-    return;
-  }
-  commands_.emplace_back(cancel_call{request.call->id});
-  const auto call = close_call(request);
-  replicas_.note_stalled(call.replica, now);
-  paths_.note_failure(now);
-  request.may_have_run = true;
-  request.lost_call = end_evidence::silence;
-  request.events.drop_partial_event();
-  record(base::event_kind::stage_retried, request, call.replica.text(), "no progress");
-  send_to_replica(request, now);
-}
-
 } // namespace spurrack::serving
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -125,6 +125,10 @@
     continue_request(request, now);
     return;
   }
+  if (request.recomputes_beside_call) {
+    drop_recomputation(request);
+    return;
+  }
   if (outcome.fault == piece_fault::input_gone &&
       request.graph->recomputations() < max_recomputations) {
     const auto obsolete_results = request.graph->recompute_inputs_of(
--- a/src/dispatch/dispatcher_stop.cc
+++ b/src/dispatch/dispatcher_stop.cc
@@ -82,7 +82,11 @@
     return false;
   }
   ++counters_.ended_while_stopping;
-  answer_not_run(request, stopping_reason, now);
+  if (request.may_have_run) {
+    answer_failed(request, status::bad_gateway, stopping_reason, end_evidence::node_stopping, now);
+  } else {
+    answer_not_run(request, stopping_reason, now);
+  }
   return true;
 }
 
--- a/src/dispatch/end_evidence.h
+++ b/src/dispatch/end_evidence.h
@@ -28,6 +28,12 @@
 inline constexpr std::size_t end_evidence_count =
     static_cast<std::size_t>(end_evidence::deadline_passed) + 1;
 
+/// @return whether an answer may end on the evidence before its deadline. A replica that is silent
+///         may go on, and a client that reads slowly may read on.
+[[nodiscard]] constexpr bool may_end_answer(end_evidence evidence) {
+  return evidence != end_evidence::silence && evidence != end_evidence::client_too_slow;
+}
+
 /// @return name for logs and metrics.
 [[nodiscard]] constexpr std::string_view name_of(end_evidence evidence) {
   constexpr std::array<std::string_view, end_evidence_count> names{"none",
--- /dev/null
+++ b/src/dispatch/silence_probes.cc
@@ -0,0 +1,49 @@
+#include "dispatch/silence_probes.h"
+
+namespace spurrack::serving {
+namespace {
+
+/// Time between two probes of a silent replica; not shorter than the connect timeout of a probe.
+constexpr base::duration probe_interval = std::chrono::milliseconds(500);
+/// Time between a refused probe and the next one.
+constexpr base::duration refused_probe_interval = std::chrono::milliseconds(200);
+/// Time for which a record is kept after its next probe was due.
+constexpr base::duration record_lifetime = std::chrono::seconds(2);
+
+} // namespace
+
+bool silence_probes::begin_if_due(const base::replica_id& replica, base::time_point now) {
+  drop_expired(now);
+  auto& record = records_[replica];
+  if (now < record.next_probe_at) {
+    return false;
+  }
+  record.next_probe_at = now + probe_interval;
+  return true;
+}
+
+bool silence_probes::note(const replica_probed& probe, base::time_point now) {
+  const auto found = records_.find(probe.replica);
+  if (found == records_.end()) {
+    return false;
+  }
+  auto& record = found->second;
+  if (probe.result != probe_result::refused) {
+    record.refused_since = {};
+    return false;
+  }
+  const auto began_at = probe.began_at == base::time_point{} ? now : probe.began_at;
+  if (record.refused_since == base::time_point{}) {
+    record.refused_since = began_at;
+    record.next_probe_at = began_at + refused_probe_interval;
+  }
+  return began_at - record.refused_since >= refused_probe_interval;
+}
+
+void silence_probes::drop_expired(base::time_point now) {
+  std::erase_if(records_, [&](const auto& entry) {
+    return now - entry.second.next_probe_at >= record_lifetime;
+  });
+}
+
+} // namespace spurrack::serving
--- /dev/null
+++ b/src/dispatch/silence_probes.h
@@ -0,0 +1,37 @@
+/// Probes of replicas that are silent: a new connection tells a replica whose process has ended,
+/// which refuses it, from one that is silent for another reason.
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "serving/events.h"
+
+#include <cstddef>
+#include <unordered_map>
+
+namespace spurrack::serving {
+
+/// Decides when a silent replica is probed, and judges the results. Holds one entry for each
+/// replica that was probed recently. Not thread-safe.
+class silence_probes {
+ public:
+  /// @return whether a probe of a silent replica is due; if so, the caller must start it.
+  bool begin_if_due(const base::replica_id& replica, base::time_point now);
+  /// Records the result of a probe, by whatever part of this node it was started.
+  /// @return whether the results show that the process of the replica has ended: it refused
+  /// connections repeatedly. A
+  ///         replica that has too many connections may refuse a single one.
+  bool note(const replica_probed& probe, base::time_point now);
+
+ private:
+  struct probe_record {
+    base::time_point next_probe_at;
+    /// Start of the first of the refused probes in a row; the epoch if the latest was not refused.
+    base::time_point refused_since;
+  };
+  void drop_expired(base::time_point now);
+
+  std::unordered_map<base::replica_id, probe_record> records_;
+};
+
+} // namespace spurrack::serving
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -443,6 +443,11 @@
       changed_health_.insert(id);
     }
     state->last_activity_at = now;
+    if (state->unreachable_backoff > base::duration::zero()) {
+      // The replica was paused because it was silent or could not be reached.
+      state->paused_until = std::min(state->paused_until, now);
+      state->ejected_until = std::min(state->ejected_until, now);
+    }
     state->unreachable_backoff = {};
     state->probe_until = {};
   }
@@ -516,6 +521,10 @@
   }
   state->unreachable_at = now;
   changed_health_.insert(id);
+  if (state->unreachable_backoff > base::duration::zero() && now < state->paused_until) {
+    // Calls that fail together show one fault.
+    return;
+  }
   state->unreachable_backoff =
       state->unreachable_backoff == base::duration{}
           ? settings_.unreachable_backoff
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -276,6 +276,10 @@
   /// @return whether at least two nodes (this node may be one of them) found a replica unresponsive
   ///         or unreachable and this node knows of no activity of the replica since.
   [[nodiscard]] bool is_declared_down(const base::replica_id& id, base::time_point now) const;
+  /// @return whether the latest news of a replica, by this node or another, is that it sends
+  /// nothing
+  ///         or cannot be reached, and the news is recent.
+  [[nodiscard]] static bool seems_silent(const replica_state& state, base::time_point now);
   /// @return the expected share of calls to a replica that fail, 0 to 1: zero once the replica is
   ///         due for a trial call, otherwise the higher of two values. The first value is the share
   ///         of this node's latest calls to the replica that failed. The second value compares the
--- a/src/replicas/replica_table_reports.cc
+++ b/src/replicas/replica_table_reports.cc
@@ -81,6 +81,13 @@
          min_down_reporters;
 }
 
+bool replica_table::seems_silent(const replica_state& state, base::time_point now) {
+  const auto down_at =
+      std::max({state.unresponsive_at, state.unreachable_at, state.peer_reported_down_at});
+  const auto heard_at = std::max(state.last_activity_at, state.peer_reported_activity_at);
+  return down_at > heard_at && now - down_at < down_report_lifetime;
+}
+
 bool replica_table::was_other_active_after(const base::replica_id& id,
                                            base::time_point when) const {
   return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -69,11 +69,15 @@
   std::uint64_t retries_denied = 0;
   /// Retries that waited for retry budget transferred by other nodes.
   std::uint64_t retries_on_transferred_budget = 0;
-  /// Requests that failed before their deadline because their replica was declared down or had
+  /// Calls that ended before their deadline because their replica refused connections or had
   /// restarted.
   std::uint64_t ended_at_down_replicas = 0;
   /// Answers that ended before they were whole, by the name of the evidence.
   std::map<std::string_view, std::uint64_t> early_ends;
+  /// Stalled calls that were given up for a replica that could take them at once.
+  std::uint64_t calls_moved = 0;
+  /// Silences of calls that were found stalled and then made progress.
+  latency_histogram silences_survived;
   /// Replicas that restarted under the same id.
   std::uint64_t replica_restarts = 0;
   /// Calls that were in flight at the earlier incarnation of a replica when the replica restarted.
--- a/src/stage_work/stage_graph.cc
+++ b/src/stage_work/stage_graph.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace spurrack::serving {
+namespace {
+
+/// Handle of a piece whose computation was given up; such a piece counts as freed.
+constexpr const char* dropped_handle = "dropped";
+
+} // namespace
 
 stage_graph::stage_graph(const model::route& route, const std::vector<std::uint32_t>& pieces)
     : route_(&route) {
@@ -90,6 +96,18 @@
   return std::find(dependencies.begin(), dependencies.end(), dependency) != dependencies.end();
 }
 
+void stage_graph::drop_unfinished() {
+  for (auto& pieces : stages_) {
+    for (auto& piece : pieces) {
+      if (piece.handle.empty()) {
+        piece.is_submitted = true;
+        piece.is_freed = true;
+        piece.handle = dropped_handle;
+      }
+    }
+  }
+}
+
 bool stage_graph::is_under_way(piece_position position) const {
   const auto& piece = stages_[position.stage][position.piece];
   return piece.is_submitted && piece.handle.empty();
--- a/src/stage_work/stage_graph.h
+++ b/src/stage_work/stage_graph.h
@@ -53,6 +53,9 @@
   /// return value are as in `recompute_inputs_of`.
   std::vector<std::string>
   recompute_final_inputs(const std::function<bool(const std::string&)>& is_result_lost);
+  /// Treats the pieces without a result as computed and freed, so that a later recomputation
+  /// computes them again with their inputs.
+  void drop_unfinished();
   /// @return whether the piece at `position` is submitted and not finished.
   [[nodiscard]] bool is_under_way(piece_position position) const;
 
--- a/tests/dispatch/unframed_answer_test.cc
+++ b/tests/dispatch/unframed_answer_test.cc
@@ -131,7 +131,29 @@
   dispatcher_driver node;
   const auto call = begin_stream(node, "/fixed/");
   node.deliver(ended_by_connection(call.call));
+  // The replica may only be silent, so the end is not known before the deadline.
   node.advance_time(milliseconds(1'500));
+  BOOST_TEST(node.all<end_stream>().empty());
+  node.advance_time(*node.time_allowed);
+  BOOST_REQUIRE(node.all<end_stream>().size() == 1U);
+  BOOST_TEST(!has_ended_as_complete(node));
+}
+
+/// After a silence, the process that accepts a connection may be a new one.
+BOOST_AUTO_TEST_CASE(a_replica_that_accepts_connections_late_may_have_restarted) {
+  dispatcher_driver node;
+  node.published.add_incarnation("llm-a", "llm", "a", "10.3.0.1:80", 1'000);
+  node.published.remove_replica("llm-b");
+  node.subject.update(node.published.content, node.now);
+  const auto call = begin_stream(node, "/fixed/");
+  node.deliver(ended_by_connection(call.call));
+  node.advance_time(milliseconds(1'500));
+  end_probe(node, call.target.replica, probe_result::connected);
+  node.advance_time(milliseconds(1'000));
+  BOOST_TEST(node.all<end_stream>().empty());
+  node.published.add_incarnation("llm-a", "llm", "a", "10.3.0.1:80", 2'000);
+  node.subject.update(node.published.content, node.now);
+  node.advance_time(milliseconds(5));
   BOOST_REQUIRE(node.all<end_stream>().size() == 1U);
   BOOST_TEST(!has_ended_as_complete(node));
 }
