--- a/tests/streams/silence_fleet.cc
+++ b/tests/streams/silence_fleet.cc
@@ -112,6 +112,11 @@
   serving_settings limits;
   limits.client_address = base::network_address("n" + std::to_string(index) + ":80");
   limits.retry = settings_.retry;
+  std::map<base::zone_id, base::region_id> regions;
+  for (const auto& zone : zones) {
+    regions[base::zone_id(zone)] = base::region_id("region");
+  }
+  limits.regions = model::zone_regions(regions);
   node.subject = std::make_unique<dispatcher>(
       peer_number(index), limits, *node.random, node.incarnation,
       [this, index](base::event_kind kind, const base::request_id& request,
--- a/tests/streams/silence_fleet_replicas.cc
+++ b/tests/streams/silence_fleet_replicas.cc
@@ -145,8 +145,9 @@
           age(known.peer_reported_activity_at) + ", unresponsive " + age(known.unresponsive_at) +
           ", unreachable " + age(known.unreachable_at) + ", reported down " +
           age(known.peer_reported_down_at) + ", ejection ended " + age(known.ejected_until) +
-          ", pause ended " + age(known.paused_until) +
-          "; open calls there:" + open_calls_text(replica) + ": " + client.path + client.trace);
+          ", pause ended " + age(known.paused_until) + ", its stand ended " +
+          age(nodes_[client.node].stands_until) + "; open calls there:" + open_calls_text(replica) +
+          ": " + client.path + client.trace);
 }
 
 // --- entries -------------------------------------------------------------------------------------
