A silent replica gets no new work; a successor needs a place; inputs of a silent replica are kept

Cause: certain_successor looked at no free place, so that it chose engines with 11 to 16 calls on 8 slots, which rejected the call; beside a release no other replica of the version was left then. A recomputation beside an open call marked the request as run. Results were freed 80 ms after a call, by the clock, also if the replica had fetched nothing yet. A node that found a replica silent paused it only if another node found the same, or if the call was moved.

Change: a successor has a load below 1, and none is chosen while replicas of the version leave. Results are freed once the replica was heard after the call began. The node's own finding pauses the replica; while a call in flight would show that it goes on, it gets no trial for 3 s. Calls that began before a pause do not double it.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -62,8 +62,8 @@
   /// Answer to forward if it is whole; std::nullopt for a stream.
   std::optional<call_answered> answer;
   base::time_point ended_at;
-  /// Time at which the replica is probed again, or the list of replicas is looked at, unless the end
-  /// is settled before.
+  /// Time at which the replica is probed again, or the list of replicas is looked at, unless the
+  /// end is settled before.
   base::time_point next_check_at;
   /// Time at which a probe first found that the replica accepts connections, if it began too late
   /// to tell the replica from a new process.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -273,7 +273,13 @@
 }
 
 void dispatcher::free_fetched_inputs(active_request& request, base::time_point now) {
-  if (request.call && request.call->inputs_fetched_at && *request.call->inputs_fetched_at <= now) {
+  if (!request.call || !request.call->inputs_fetched_at || now < *request.call->inputs_fetched_at) {
+    return;
+  }
+  if (is_replica_unresponsive(request)) {
+    // A silent replica may not have fetched anything yet.
+    request.call->inputs_fetched_at = now + settings_.input_fetch_time;
+  } else {
     request.call->inputs_fetched_at.reset();
     release_results(request.graph->take_unneeded_results(true));
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -631,6 +631,9 @@
   /// @return replica that can run a request at once, so that its present call may be given up for
   ///         it: place, permit, inputs and attempts are there. Null if something of it is not.
   const replica_state* certain_successor(const active_request& request, base::time_point now);
+  /// @return whether replicas of the version that a request is bound to are leaving: the next ones
+  ///         may leave before a successor takes the request.
+  [[nodiscard]] bool is_version_leaving(const active_request& request, base::time_point now) const;
   /// Gives a stalled call up for a certain successor; otherwise schedules another check, because
   /// permission and replicas may change.
   void move_stalled_call(active_request& request, base::time_point now);
@@ -659,7 +662,7 @@
   /// Records an event, once per replica and service, for replicas of unconfigured services.
   void report_unknown_services();
   /// Frees the stage results that a call reads, once the time by which its replica should have
-  /// fetched them has passed.
+  /// fetched them has passed and the replica was heard since the call began.
   void free_fetched_inputs(active_request& request, base::time_point now);
   void abort_expired_requests(base::time_point now);
 
--- a/src/dispatch/dispatcher_arrival.cc
+++ b/src/dispatch/dispatcher_arrival.cc
@@ -252,7 +252,7 @@
   }
   const auto allowed = client_deadline_of(request) - request.arrived_at;
   request.next_feasibility_check_at = now + base::scaled(allowed, check_interval_fraction);
-  if (request.graph->is_done() || request.may_have_run) {
+  if (request.graph->is_done() || request.may_have_run || request.call) {
     return false;
   }
   const auto target_at = request.arrived_at + request.route->target_latency;
--- a/src/dispatch/dispatcher_silence.cc
+++ b/src/dispatch/dispatcher_silence.cc
@@ -75,7 +75,7 @@
 }
 
 void dispatcher::note_unresponsive(const open_call& call, base::time_point now) {
-  replicas_.note_unresponsive(call.replica, now);
+  replicas_.note_unresponsive(call.replica, call.started_at, now);
   paths_.note_failure(now);
   if (!call.restart_seen_at && silence_probes_.begin_if_due(call.replica, now)) {
     commands_.emplace_back(probe_replica{{call.replica, call.address}});
@@ -118,15 +118,24 @@
   const bool has_inputs =
       !request.graph || (request.graph->is_done() && !request.graph->has_missing_final_inputs());
   if (!has_inputs || is_partitioned() || needs_origin(request) || !can_retry(request, now) ||
-      is_behind_waiting_requests(request, now)) {
+      is_version_leaving(request, now) || is_behind_waiting_requests(request, now)) {
     return nullptr;
   }
   const auto* chosen = choose_replica(request, now);
   const bool is_certain = chosen != nullptr && replicas_.is_available(*chosen, now) &&
+                          replica_table::load_of(*chosen, now) < 1 &&
                           !replica_table::seems_silent(*chosen, now);
   return is_certain ? chosen : nullptr;
 }
 
+bool dispatcher::is_version_leaving(const active_request& request, base::time_point now) const {
+  return request.bound_version &&
+         replicas_
+                 .version_availability_of(request.service, *request.bound_version,
+                                          request.permitted_regions, now)
+                 .leaving > 0;
+}
+
 void dispatcher::move_stalled_call(active_request& request, base::time_point now) {
   auto& call = *request.call;
   // A replica that restarted has ended the call; a call at a silent replica may still go on.
@@ -157,7 +166,7 @@
 void dispatcher::give_up_stalled_call(active_request& request, base::time_point now) {
   commands_.emplace_back(cancel_call{request.call->id});
   const auto call = close_call(request);
-  replicas_.note_stalled(call.replica, now);
+  replicas_.note_stalled(call.replica, call.started_at, now);
   paths_.note_failure(now);
   request.may_have_run = true;
   request.lost_call =
@@ -213,7 +222,6 @@
   const bool is_worth_it =
       now - last_progress_of(request) >= time_again && now + time_again <= request.deadline;
   if (is_worth_it) {
-    request.may_have_run = true;
     request.recomputes_beside_call = true;
     recompute_final_inputs(request, now);
   }
--- a/src/replicas/replica_state.h
+++ b/src/replicas/replica_state.h
@@ -33,6 +33,8 @@
   /// Length of the latest pause after a failed connection or an ejection; doubles with each further
   /// failed connection. Zero once the replica has sent something since.
   base::duration unreachable_backoff{};
+  /// Time at which the latest pause after a failed connection or a call without progress began.
+  base::time_point silent_pause_at;
   replica_backoff backoff;
   /// Share of this node's latest calls that failed, 0 to 1.
   double failure_share = 0;
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -268,8 +268,10 @@
                                                                  bool ignore_pauses) const {
   std::vector<const replica_state*> found;
   for (const auto* state : index_.of_service(demand.service)) {
-    const bool is_usable = ignore_pauses ? accepts_work(*state) && cold_limit_permits(*state, now)
-                                         : accepts_calls(*state, now) && state->probe_until <= now;
+    const bool is_usable = ignore_pauses
+                               ? accepts_work(*state) && cold_limit_permits(*state, now)
+                               : accepts_calls(*state, now) && state->probe_until <= now &&
+                                     !is_silent_here(*state, now);
     if (is_usable && could_serve(demand, *state) && may_send_to(*state, now)) {
       found.push_back(state);
     }
@@ -453,11 +455,13 @@
   }
 }
 
-void replica_table::note_unresponsive(const base::replica_id& id, base::time_point now) {
+void replica_table::note_unresponsive(const base::replica_id& id, base::time_point began_at,
+                                      base::time_point now) {
   auto* state = mutable_find(id);
   if (state == nullptr) {
     return;
   }
+  pause_silent(*state, began_at, now);
   if (state->unresponsive_at <= state->last_activity_at ||
       now - state->unresponsive_at >= unresponsive_report_interval) {
     state->unresponsive_at = now;
@@ -509,27 +513,34 @@
   }
 }
 
-void replica_table::note_stalled(const base::replica_id& id, base::time_point now) {
+void replica_table::note_stalled(const base::replica_id& id, base::time_point began_at,
+                                 base::time_point now) {
   note_failure(id, now);
-  note_unreachable(id, now);
+  note_unreachable(id, began_at, now);
 }
 
-void replica_table::note_unreachable(const base::replica_id& id, base::time_point now) {
+void replica_table::note_unreachable(const base::replica_id& id, base::time_point began_at,
+                                     base::time_point now) {
   auto* state = mutable_find(id);
   if (state == nullptr) {
     return;
   }
   state->unreachable_at = now;
   changed_health_.insert(id);
-  if (state->unreachable_backoff > base::duration::zero() && now < state->paused_until) {
-    // Calls that fail together show one fault.
+  pause_silent(*state, began_at, now);
+}
+
+void replica_table::pause_silent(replica_state& state, base::time_point began_at,
+                                 base::time_point now) const {
+  if (state.unreachable_backoff > base::duration::zero() && began_at < state.silent_pause_at) {
     return;
   }
-  state->unreachable_backoff =
-      state->unreachable_backoff == base::duration{}
+  state.silent_pause_at = now;
+  state.unreachable_backoff =
+      state.unreachable_backoff == base::duration{}
           ? settings_.unreachable_backoff
-          : std::min(state->unreachable_backoff * 2, settings_.max_unreachable_backoff);
-  state->paused_until = now + state->unreachable_backoff;
+          : std::min(state.unreachable_backoff * 2, settings_.max_unreachable_backoff);
+  state.paused_until = now + state.unreachable_backoff;
 }
 
 void replica_table::note_full(const base::replica_id& id, base::time_point now) {
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -245,7 +245,10 @@
   void note_activity(const base::replica_id& id, base::time_point now);
   /// Records that a call makes no progress, and that the replica has sent nothing to this node on
   /// any call since that call began or last made progress.
-  void note_unresponsive(const base::replica_id& id, base::time_point now);
+  /// The replica is paused until it sends something, at most as long as after a failed connection.
+  /// @param began_at time at which the call began.
+  void note_unresponsive(const base::replica_id& id, base::time_point began_at,
+                         base::time_point now);
   /// @return whether the replica sent something after `when`, either to this node or, according to
   ///         health reports, to another node.
   [[nodiscard]] bool was_active_after(const base::replica_id& id, base::time_point when) const;
@@ -280,6 +283,10 @@
   /// nothing
   ///         or cannot be reached, and the news is recent.
   [[nodiscard]] static bool seems_silent(const replica_state& state, base::time_point now);
+  /// @return whether a call of this node that is in flight at a replica found it silent, and nobody
+  ///         has heard of it since. The call shows when the replica goes on, so no trial is needed
+  ///         within the time for which a report of silence counts.
+  [[nodiscard]] static bool is_silent_here(const replica_state& state, base::time_point now);
   /// @return the expected share of calls to a replica that fail, 0 to 1: zero once the replica is
   ///         due for a trial call, otherwise the higher of two values. The first value is the share
   ///         of this node's latest calls to the replica that failed. The second value compares the
@@ -314,10 +321,17 @@
   /// down or cut off from the network, which open connections do not show. Pauses the replica as
   /// after a failed connection, so that the next request with the same prompt prefix does not stall
   /// there too.
-  void note_stalled(const base::replica_id& id, base::time_point now);
+  /// @param began_at time at which the call began.
+  void note_stalled(const base::replica_id& id, base::time_point began_at, base::time_point now);
   /// Records that no connection to the replica could be made, and pauses it. The pause doubles with
   /// each failed connection, up to `serving_settings::max_unreachable_backoff`.
-  void note_unreachable(const base::replica_id& id, base::time_point now);
+  /// @param began_at time at which the connection or the call began. If the pause in effect began
+  ///        later, the failure shows the fault that the replica is paused for already.
+  void note_unreachable(const base::replica_id& id, base::time_point now) {
+    note_unreachable(id, now, now);
+  }
+  void note_unreachable(const base::replica_id& id, base::time_point began_at,
+                        base::time_point now);
   /// Records that the replica rejected a call or failed a call with pieces, and pauses it for
   /// `serving_settings::full_backoff`.
   void note_full(const base::replica_id& id, base::time_point now);
@@ -407,6 +421,9 @@
   /// Resets everything observed of the earlier incarnation except its calls in flight.
   void begin_incarnation(const base::replica_id& id, replica_state& state, base::time_point now);
   replica_state* mutable_find(const base::replica_id& id);
+  /// Pauses a replica because a connection failed or a call that began at `began_at` makes no
+  /// progress, unless a pause that began later shows the same fault.
+  void pause_silent(replica_state& state, base::time_point began_at, base::time_point now) const;
   /// Records that a replica rejected a call for want of room.
   void note_rejected(const base::replica_id& id, base::time_point now);
   /// @return a failure share computed from reports, after its decay until now.
--- a/src/replicas/replica_table_reports.cc
+++ b/src/replicas/replica_table_reports.cc
@@ -88,6 +88,12 @@
   return down_at > heard_at && now - down_at < down_report_lifetime;
 }
 
+bool replica_table::is_silent_here(const replica_state& state, base::time_point now) {
+  const auto heard_at = std::max(state.last_activity_at, state.peer_reported_activity_at);
+  return state.in_flight > 0 && state.unresponsive_at > heard_at &&
+         now - state.silent_pause_at < down_report_lifetime;
+}
+
 bool replica_table::was_other_active_after(const base::replica_id& id,
                                            base::time_point when) const {
   return std::any_of(replicas_.begin(), replicas_.end(), [&](const auto& entry) {
