The TCP user timeout of a connection to a replica belongs to its call

What callers saw: a request that must not run twice was failed, and a begun or resumed stream was broken off, because their replica had read nothing of a long body for 1.5 s, although it went on after 2.5 s (a stopped process, a held link).

Cause: each connection had a TCP user timeout of 1,500 ms. The kernel ends a connection that acknowledges nothing for this time, and also one whose receive window stays closed that long. Besides, if a write was under way, the kernel told the cause to the write alone: the read saw an ordinary end, so that has_timed_out was false and the call counted as lost at its replica.

Change: a call that may run only once, resumes a stream or has begun one keeps its connection until its deadline. A repeatable call that has delivered nothing is given up after 1.5 s, as before. Idle connections have 1.5 s again. The option is set only if it differs from the one of the connection: never for repeatable calls that are answered whole, twice for a stream. Errors of writes are noted like those of reads.

Why it works: the user timeout counts from the first byte that is not acknowledged, so that a timeout of the time left cannot pass before the deadline.

--- a/src/http/socket_options.cc
+++ b/src/http/socket_options.cc
@@ -8,13 +8,18 @@
 
 namespace spurrack::http {
 
+void set_tcp_user_timeout(boost::asio::ip::tcp::socket& socket,
+                          std::chrono::milliseconds tcp_user_timeout) {
+  const auto timeout_milliseconds = static_cast<unsigned>(tcp_user_timeout.count());
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_milliseconds,
+               sizeof(timeout_milliseconds));
+}
+
 void set_tcp_options(boost::asio::ip::tcp::socket& socket,
                      std::chrono::milliseconds tcp_user_timeout) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  const auto timeout_milliseconds = static_cast<unsigned>(tcp_user_timeout.count());
-  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_milliseconds,
-               sizeof(timeout_milliseconds));
+  set_tcp_user_timeout(socket, tcp_user_timeout);
   // A peer that lost power sends no reset: only data or keep-alive probes that it does not
   // acknowledge reveal the loss.
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -14,6 +14,11 @@
 void set_tcp_options(boost::asio::ip::tcp::socket& socket,
                      std::chrono::milliseconds tcp_user_timeout);
 
+/// Sets the time after which the kernel closes the connection if the peer acknowledges neither data
+/// nor keep-alive probes, or keeps its receive window closed while bytes wait to be sent.
+void set_tcp_user_timeout(boost::asio::ip::tcp::socket& socket,
+                          std::chrono::milliseconds tcp_user_timeout);
+
 /// Checks without blocking whether a connection has ended.
 /// @return true if no received bytes are left to read and the connection has ended: the peer has
 ///         closed it, or it has failed.
--- a/src/upstream/connection_pool.h
+++ b/src/upstream/connection_pool.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -31,6 +32,9 @@
   /// connection.
   std::uint64_t idle_periods = 0;
   bool is_idle = false;
+  /// Time after which the kernel closes the connection if its replica acknowledges nothing, as set
+  /// for the socket; zero until it is set.
+  std::chrono::milliseconds tcp_user_timeout{};
 };
 
 /// Range of idle times within which a connection may be taken from the pool.
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -1,5 +1,7 @@
 #include "upstream/replica_call.h"
 
+#include "http/socket_options.h"
+
 #include <boost/beast/http/field.hpp>
 
 #include <algorithm>
@@ -11,6 +13,22 @@
 namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
 
+std::chrono::milliseconds tcp_user_timeout_of(const outgoing_call& call, base::time_point now) {
+  if (!call.must_stay) {
+    return default_tcp_user_timeout;
+  }
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(call.started_at + call.time_left - now);
+  return std::max(left, default_tcp_user_timeout);
+}
+
+void use_tcp_user_timeout(connection& replica_connection, std::chrono::milliseconds timeout) {
+  if (replica_connection.tcp_user_timeout != timeout) {
+    replica_connection.tcp_user_timeout = timeout;
+    http::set_tcp_user_timeout(replica_connection.stream.socket(), timeout);
+  }
+}
+
 std::string serialize_head(const serving::encoded_call& content) {
   std::string text = content.method + " " + content.target + " HTTP/1.1\r\n";
   for (const auto& field : content.headers) {
--- a/src/upstream/replica_call.h
+++ b/src/upstream/replica_call.h
@@ -28,6 +28,12 @@
 /// because the replica might close the connection while a call is sent.
 inline constexpr std::chrono::milliseconds idle_timeout_margin{700};
 
+/// Time after which the kernel closes the connection to a replica that acknowledges neither bytes
+/// nor keep-alive probes, or that keeps its receive window closed: three retransmissions, after
+/// 0.2, 0.4 and 0.8 s, have failed by then. Applies to idle connections, and to calls that can be
+/// repeated at another replica.
+inline constexpr std::chrono::milliseconds default_tcp_user_timeout{1'500};
+
 /// State of an active call.
 struct call_state {
   /// Id of the call; 0 if the call has no final event.
@@ -48,7 +54,9 @@
   /// Whether the kernel gave up the connection because the replica acknowledged nothing.
   bool has_timed_out = false;
 
-  void note_read_error(const boost::system::error_code& error) {
+  /// Notes an error of a read or a write. If both are under way, the kernel reports the cause of
+  /// the end of the connection to only one of them.
+  void note_connection_error(const boost::system::error_code& error) {
     has_timed_out = has_timed_out || error == boost::asio::error::timed_out ||
                     error == boost::asio::error::host_unreachable;
   }
@@ -66,8 +74,21 @@
   /// Idle time that a pooled connection must have for this call.
   idle_time_bounds idle_time;
   base::time_point started_at = base::boot_clock::now();
+  /// Time until the deadline of the call, from `started_at`.
+  base::duration time_left{};
+  /// Whether the call cannot be repeated at another replica, since it may run only once or its
+  /// client has received events of its stream. Such a call waits for a silent replica until its
+  /// deadline.
+  bool must_stay = false;
 };
 
+/// @return the time after which the kernel may close the connection of a call whose replica
+///         acknowledges nothing: no earlier than the deadline of a call that must stay.
+[[nodiscard]] std::chrono::milliseconds tcp_user_timeout_of(const outgoing_call& call,
+                                                            base::time_point now);
+/// Sets the TCP user timeout of a connection, unless it is set already.
+void use_tcp_user_timeout(connection& replica_connection, std::chrono::milliseconds timeout);
+
 /// Memory reservation of an answer. All holders of the answer's body share it; the memory is
 /// released when the last holder is destroyed.
 class answer_reservation final : public serving::memory_reservation {
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -47,9 +47,6 @@
 /// Maximum number of surplus answers (answers that belong to no call) that are skipped during one
 /// call. At the next surplus answer, the call fails and its connection is closed.
 constexpr unsigned max_surplus_answers = 4;
-/// Time after which the kernel closes the connection to a replica that acknowledges neither bytes
-/// nor keep-alive probes: three retransmissions, after 0.2, 0.4 and 0.8 s, have failed by then.
-constexpr std::chrono::milliseconds tcp_user_timeout{1'500};
 /// Time for which a pooled connection must have been idle before it carries a call that may run
 /// only once, or a call that cannot recognize a surplus answer: if the replica sends bytes after a
 /// complete answer, they arrive within this time, and the connection is closed.
@@ -72,6 +69,8 @@
                        command.content->id.text(),
                        command.streaming,
                        {{}, settings_.max_idle_time}};
+    call.time_left = command.time_left;
+    call.must_stay = command.runs_at_most_once || command.resume_after.has_value();
     if (command.runs_at_most_once) {
       call.idle_time = {surplus_settle_time, settings_.single_run_max_idle_time};
     }
@@ -194,16 +193,21 @@
         pool_.take(call.target.address, call.idle_time, base::boot_clock::now());
     if (state->replica_connection) {
       ++counters_.reused;
+      use_tcp_user_timeout(*state->replica_connection,
+                           tcp_user_timeout_of(call, base::boot_clock::now()));
       co_return true;
     }
     state->replica_connection = std::make_shared<connection>(*io_);
-    const auto error = co_await open_connection(call.target.address, *state->replica_connection);
+    const auto error = co_await open_connection(call.target.address, *state->replica_connection,
+                                                tcp_user_timeout_of(call, base::boot_clock::now()));
     co_return !error && !state->is_cancelled;
   }
 
   /// Opens a new connection. @return the error, if any.
+  /// @param timeout TCP user timeout of the connection.
   asio::awaitable<boost::system::error_code> open_connection(const base::network_address& address,
-                                                             connection& replica_connection) {
+                                                             connection& replica_connection,
+                                                             std::chrono::milliseconds timeout) {
     const auto endpoint = http::parse_endpoint(address.text());
     if (!endpoint) {
       co_return asio::error::invalid_argument;
@@ -216,7 +220,8 @@
       co_return error;
     }
     replica_connection.stream.expires_never();
-    http::set_tcp_options(replica_connection.stream.socket(), tcp_user_timeout);
+    http::set_tcp_options(replica_connection.stream.socket(), timeout);
+    replica_connection.tcp_user_timeout = timeout;
     // Bodies are read after the kernel reports that bytes have arrived, without blocking.
     replica_connection.stream.socket().non_blocking(true, error);
     co_return error;
@@ -225,7 +230,8 @@
   asio::awaitable<void> run_probe(serving::call_target target) {
     const auto began_at = base::boot_clock::now();
     const auto replica_connection = std::make_shared<connection>(*io_);
-    const auto error = co_await open_connection(target.address, *replica_connection);
+    const auto error =
+        co_await open_connection(target.address, *replica_connection, default_tcp_user_timeout);
     auto result = serving::probe_result::unresponsive;
     if (!error) {
       result = serving::probe_result::connected;
@@ -248,6 +254,7 @@
     co_await asio::async_write(replica_connection->stream, text, http::await_into(error));
     state->is_written = !error;
     state->write_failed = error.failed();
+    state->note_connection_error(error);
   }
 
   /// Connects and begins to write. Moves the body of the call to the coroutine that writes the
@@ -278,7 +285,7 @@
       boost::system::error_code error;
       co_await beast_http::async_read_header(replica_connection.stream, replica_connection.buffer,
                                              *parser, http::await_into(error));
-      state->note_read_error(error);
+      state->note_connection_error(error);
       if (error || state->is_cancelled) {
         co_return false;
       }
@@ -323,7 +330,7 @@
     while (!parser.is_done()) {
       const auto error =
           co_await read_some_body(*state->replica_connection, parser, max_read_bytes, body);
-      state->note_read_error(error);
+      state->note_connection_error(error);
       if (error || state->is_cancelled || body.size() > max_whole_answer_bytes) {
         co_return false;
       }
@@ -347,6 +354,8 @@
     if (is_reusable) {
       // An idle connection needs no buffer.
       replica_connection.buffer.shrink_to_fit();
+      // Keep-alive probes find a dead idle connection within the default timeout.
+      use_tcp_user_timeout(replica_connection, default_tcp_user_timeout);
       pool_.give_back(call.target.address, state->replica_connection, idle_timeout_of(parser),
                       base::boot_clock::now());
     } else {
@@ -446,6 +455,9 @@
       }
       co_return;
     }
+    call.must_stay = true;
+    use_tcp_user_timeout(*state->replica_connection,
+                         tcp_user_timeout_of(call, base::boot_clock::now()));
     handler_(serving::stream_opened{call.id, std::move(head)});
     co_await forward_stream(state, call, *parser);
   }
@@ -461,7 +473,7 @@
       std::string bytes;
       const auto error =
           co_await read_some_body(*state->replica_connection, parser, stream_read_bytes(), bytes);
-      state->note_read_error(error);
+      state->note_connection_error(error);
       if (state->is_cancelled) {
         co_return;
       }
