Silence alone fails no piece: a call is given up only for workers that take its pieces

What callers saw: a request whose pieces were at a silent stage worker was refused ("stage brought no result") although the worker went on 0.5 to 3 s later, or its pieces were computed twice.

Cause: the timeout of a call (four times its expected duration plus 400 ms) ended the call as a failure. A piece with a single attempt was then lost for good, each timeout used up one of the four attempts of a piece, two timeouts isolated it, and the call was cancelled also if no other worker was free, so that its results were thrown away. A connection that the kernel gave up after 1.5 s counted the same.

Change: at its timeout a call's worker is paused and reported as silent, once. The call is given up only if other workers with a free slot would be sent all its pieces now (the same selection of batches as for waiting pieces), or if none of its pieces is wanted any more; otherwise it stays and is checked each 100 ms. Calls of single attempts stay. stage_call_ended tells has_timed_out; silence uses up no attempt and isolates no piece. Pieces are still reported as lost, since the worker may have exited, which only its exit then shows. Connections of calls with single attempts last until their deadline.

Why it works: a worker that goes on answers its open call; a worker that does not is replaced as soon as another one has a place, and its pieces end at their deadline otherwise.

--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -137,6 +137,9 @@
   };
   result outcome = result::failed;
   std::vector<piece_outcome> pieces;
+  /// Whether the connection was given up because the other side acknowledged nothing. This shows
+  /// nothing about the replica: the path to it may be interrupted.
+  bool has_timed_out = false;
 };
 
 /// The head of an answer of any kind arrived, and its body is not read yet. The event carries what
@@ -224,6 +227,8 @@
   base::call_id call = 0;
   call_target target;
   std::vector<piece_item> items;
+  /// Whether the pieces must not be sent to another replica while this one may still compute them.
+  bool runs_at_most_once = false;
 };
 /// Frees stage results that are no longer needed, by their handles.
 struct free_results {
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -146,10 +146,9 @@
       ++piece.lost_calls;
       piece.backoff_ends_at =
           piece.lost_calls >= lost_calls_before_isolation ? now + lost_piece_backoff : now;
-      lost_.push_back(
-          {ticket, call.command.target.replica, call.incarnation_exit, now - call.started_at});
     }
   }
+  report_lost_pieces(call, now);
 }
 
 void stage_pool::apply_answer(const open_call& call, const stage_call_ended& answer,
@@ -178,6 +177,11 @@
     replicas_->note_unreachable(replica, now);
     break;
   case stage_call_ended::result::failed:
+    if (answer.has_timed_out) {
+      give_up_pieces(call, now);
+      replicas_->note_stalled(replica, now);
+      return;
+    }
     note_lost_pieces(call, now);
     replicas_->note_failure(replica, now);
     replicas_->note_full(replica, now);
@@ -296,16 +300,6 @@
               (faults.empty() ? "" : ", piece faults" + faults));
 }
 
-void stage_pool::cancel_timed_out_calls(base::time_point now) {
-  for (const auto call : call_timeouts_.take_due(now)) {
-    commands_.emplace_back(cancel_call{call});
-    const auto replica = calls_.at(call).command.target.replica;
-    note_call_time(calls_.at(call), now);
-    on_call_ended({call, stage_call_ended::result::failed, {}}, now);
-    replicas_->note_unreachable(replica, now);
-  }
-}
-
 void stage_pool::drop_expired(base::time_point now) {
   for (const auto ticket : waiting_deadlines_.take_due(now)) {
     const auto& work = pieces_.at(ticket).work;
@@ -395,6 +389,10 @@
   open.incarnation_exit = exit_id_of(*replica.record);
   open.command.call = next_call_();
   open.command.target = {replica.record->id, replica.record->address};
+  open.command.runs_at_most_once =
+      std::any_of(batch.begin(), batch.end(), [&](const queue_position& position) {
+        return pieces_.at(position.ticket).work.single_attempt;
+      });
   for (const auto& position : batch) {
     dequeue(queue, position);
     auto& piece = pieces_.at(position.ticket);
@@ -469,7 +467,7 @@
   }
   next_check_at_ = now + queue_check_interval;
   forget_expired_results(now);
-  cancel_timed_out_calls(now);
+  check_overdue_calls(now);
   note_fetched_inputs(now);
   drop_expired(now);
   // A request to free results counts like a call against the limit on calls of its replica. A
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -126,8 +126,8 @@
   bool on_call_ended(const stage_call_ended& ended, base::time_point now);
 
   /// Starts calls for waiting pieces if replicas are free, expires pieces past their deadline and
-  /// cancels calls that timed out. Returns immediately while nothing has changed and the next check
-  /// is not due.
+  /// gives up calls past their timeout if other replicas take their pieces. Returns immediately
+  /// while nothing has changed and the next check is not due.
   void dispatch_waiting(base::time_point now);
   /// @return latest time for the next `dispatch_waiting`; std::nullopt if there is nothing to wait
   ///         for.
@@ -187,6 +187,8 @@
     /// Whether the inputs of the call are assumed to be fetched and its pieces were added to
     /// `fetched_`.
     bool has_reported_fetch = false;
+    /// Whether the call is past its timeout.
+    bool is_overdue = false;
     /// Tickets of the pieces of the call, in the order of the pieces in the call. If a piece was
     /// cancelled since, its ticket is still listed but has no entry in `pieces_`.
     std::vector<piece_ticket> tickets;
@@ -196,6 +198,8 @@
   using service_queue = std::set<queue_position>;
   void enqueue(piece_ticket ticket);
   void dequeue(service_queue& queue, const queue_position& position);
+  /// @return positions in the queue of the pieces of a call that are not cancelled.
+  [[nodiscard]] std::vector<queue_position> remaining_pieces_of(const open_call& call) const;
   /// A result that occupies memory at its replica.
   struct held_result {
     base::replica_id replica;
@@ -208,8 +212,18 @@
   void dispatch_service(const std::string& name, service_queue& queue, base::time_point now);
   /// Finishes waiting pieces past their deadline as `expired`.
   void drop_expired(base::time_point now);
-  /// Cancels calls that timed out and marks their replicas as unreachable.
-  void cancel_timed_out_calls(base::time_point now);
+  /// Pauses the replicas of calls that are past their timeout, and gives up the calls whose pieces
+  /// other replicas take at once, or whose pieces are all cancelled. The other calls stay open and
+  /// are checked again.
+  void check_overdue_calls(base::time_point now);
+  /// @return whether other replicas with a free slot would be sent all pieces of a call now, if the
+  ///         call were given up. False if a piece of the call has a single attempt.
+  [[nodiscard]] bool has_certain_successors(const open_call& call, base::time_point now) const;
+  /// Cancels a call and queues its pieces again.
+  void give_up_call(base::call_id call, base::time_point now);
+  /// Reports the pieces of a call that ended by silence alone as lost, and queues them again. The
+  /// call counts neither as an attempt nor for the isolation of its pieces.
+  void give_up_pieces(const open_call& call, base::time_point now);
   /// For each call whose inputs are assumed to be fetched by now: adds the pieces of the call to
   /// `fetched_`, except those cancelled since.
   void note_fetched_inputs(base::time_point now);
@@ -340,6 +354,8 @@
   void apply_outcome(piece_ticket ticket, const piece_outcome& outcome);
   /// Reports the pieces of a lost call as lost and sets their backoff.
   void note_lost_pieces(const open_call& call, base::time_point now);
+  /// Reports the pieces of a call as lost, except those cancelled since.
+  void report_lost_pieces(const open_call& call, base::time_point now);
   /// Writes the event for the end of a call.
   void record_call_end(const open_call& call, const stage_call_ended& answer,
                        base::time_point now) const;
@@ -371,7 +387,7 @@
   std::map<std::string, std::size_t> call_counts_by_service_;
   /// Deadlines of the pieces that wait for a call.
   base::due_times<piece_ticket> waiting_deadlines_;
-  /// Times at which calls without an answer are cancelled.
+  /// Times at which calls without an answer are checked.
   base::due_times<base::call_id> call_timeouts_;
   /// Times at which replicas are assumed to have fetched the inputs of their calls. Calls without
   /// inputs, and calls whose time has passed, have no entry.
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -17,10 +17,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace spurrack::upstream {
 namespace {
@@ -53,6 +55,15 @@
 constexpr std::chrono::milliseconds surplus_settle_time{5};
 constexpr std::chrono::seconds free_results_timeout{2};
 
+/// @return the time until the latest deadline of the pieces of a call.
+base::duration longest_time_left(const std::vector<serving::piece_item>& items) {
+  base::duration longest{};
+  for (const auto& item : items) {
+    longest = std::max(longest, item.time_left);
+  }
+  return longest;
+}
+
 class replica_client_impl final : public replica_client {
  public:
   replica_client_impl(asio::io_context& io, const serving::request_codec& codec,
@@ -81,6 +92,8 @@
     outgoing_call call{
         command.call, command.target, codec_->encode(command),
         std::nullopt, false,          {surplus_settle_time, settings_.max_idle_time}};
+    call.time_left = longest_time_left(command.items);
+    call.must_stay = command.runs_at_most_once;
     auto state = register_call(command.call);
     asio::co_spawn(*io_, run_pieces(std::move(state), std::move(call), std::move(command)),
                    asio::detached);
@@ -500,6 +513,7 @@
     auto answer = co_await exchange(state, call);
     if (!answer) {
       ended.outcome = state->has_sent_bytes ? result::failed : result::not_sent;
+      ended.has_timed_out = state->has_timed_out;
     } else {
       ended.outcome = result::failed;
       if (answer->head.misdirected) {
--- a/tests/upstream/silent_connection_test.cc
+++ b/tests/upstream/silent_connection_test.cc
@@ -99,6 +99,17 @@
     return command;
   }
 
+  [[nodiscard]] serving::start_stage_call stage_call(bool runs_at_most_once) {
+    serving::start_stage_call command;
+    command.call = next_call++;
+    command.target = target();
+    serving::piece_item item;
+    item.time_left = time_left;
+    command.items.push_back(item);
+    command.runs_at_most_once = runs_at_most_once;
+    return command;
+  }
+
   [[nodiscard]] serving::start_call streamed_call() {
     auto command = call(false);
     command.streaming = true;
@@ -178,6 +189,24 @@
   BOOST_TEST(closed->complete);
 }
 
+// Guards against a piece with a single attempt being failed because its worker stopped reading.
+BOOST_AUTO_TEST_CASE(a_stage_call_that_runs_once_waits_for_a_replica_that_stops_reading) {
+  start_replica({{silence}});
+  const auto ended = run<serving::stage_call_ended>(stage_call(true));
+  BOOST_REQUIRE(ended.has_value());
+  BOOST_TEST((ended->outcome == serving::stage_call_ended::result::answered));
+}
+
+// Guards against the silence of a worker being told as a failure of its call.
+BOOST_AUTO_TEST_CASE(a_stage_call_that_is_given_up_tells_the_timeout) {
+  start_replica({{time_left}});
+  const auto ended = run<serving::stage_call_ended>(stage_call(false));
+  BOOST_REQUIRE(ended.has_value());
+  BOOST_TEST((ended->outcome == serving::stage_call_ended::result::failed));
+  BOOST_TEST(ended->has_timed_out);
+  BOOST_TEST(base::to_milliseconds(duration) < max_give_up_time.count());
+}
+
 // Guards against a repeatable call waiting until its deadline at a replica that reads nothing.
 BOOST_AUTO_TEST_CASE(a_repeatable_call_without_answer_is_given_up) {
   start_replica({{time_left}});
