A node that stood moves none of its pieces on account of its own stand

What was missing: after a stand of 1 s or more a node took the time for which it had read nothing for the silence of its batcher, moved its pieces at once, and they were computed twice.

Cause: resume_after_suspension extended only the timeouts of the calls in the node's own pool.

Change: all of these times move by the stand.

Why it works: times before a stand are compared with times after it only without the stand.

--- a/src/fleet_view/peer_directory.cc
+++ b/src/fleet_view/peer_directory.cc
@@ -203,6 +203,17 @@
   return changed;
 }
 
+void peer_directory::resume_after_suspension(base::duration gap) {
+  for (auto& [node, peer] : peers_) {
+    if (peer.last_contact_at) {
+      *peer.last_contact_at += gap;
+    }
+    if (peer.first_checked_at) {
+      *peer.first_checked_at += gap;
+    }
+  }
+}
+
 bool peer_directory::note_contact(peer_state& peer, base::time_point now) {
   peer.last_contact_at = now;
   const bool was_unresponsive = peer.unresponsive_since.has_value();
--- a/src/fleet_view/peer_directory.h
+++ b/src/fleet_view/peer_directory.h
@@ -94,6 +94,9 @@
   /// for ten seconds, so that they may be sent work again.
   /// @return whether any mark changed.
   bool update_responsiveness(base::time_point now);
+  /// Adds `gap`, the duration for which this process stood, to the times of the last contact: in
+  /// this time, it read no messages.
+  void resume_after_suspension(base::duration gap);
   /// Records that a message arrived from the peer, and clears its mark as unresponsive.
   /// @return whether the peer was unresponsive before.
   bool note_contact(peer_state& peer, base::time_point now);
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -501,6 +501,18 @@
 
 // --- time and messages ---------------------------------------------------------------------------
 
+void stage_exchange::resume_after_suspension(base::duration gap) {
+  pool_.resume_after_suspension(gap);
+  peers_.resume_after_suspension(gap);
+  for (auto& [ticket, placed] : placements_) {
+    placed.sent_at += gap;
+    placed.queried_at += gap;
+    if (placed.confirmed_at) {
+      *placed.confirmed_at += gap;
+    }
+  }
+}
+
 void stage_exchange::send_loads(base::time_point now) {
   if (now < next_load_report_at_ || !configuration_) {
     return;
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -89,9 +89,10 @@
   /// Cancels the calls to the earlier incarnation of a replica that restarted, queues their pieces
   /// again and forgets the results of that incarnation.
   void on_replica_restarted(const base::replica_id& replica, base::time_point now);
-  /// Extends the timeouts of the calls under way by `gap`, the duration for which this process was
-  /// suspended.
-  void resume_after_suspension(base::duration gap) { pool_.resume_after_suspension(gap); }
+  /// Adds `gap`, the duration for which this process was suspended, to the timeouts of the calls
+  /// under way, and to the times of the latest contact with other nodes and with the holders of its
+  /// pieces: this process judges nobody by the time for which it did not read.
+  void resume_after_suspension(base::duration gap);
   [[nodiscard]] bool has_calls_under_way() const { return pool_.has_calls_under_way(); }
 
   /// Submits the pieces of one stage of one request, all to the same batcher.
