configuration_cost: processor time, and the name of the key from platform/

What was missing: the tool measured wall time, which the scheduler of a busy machine fills with steps of 4 ms; it subtracted one measurement from another (a step of -3.9 ms was seen); and it wrote out a key of the users' platform, which check_layers refuses.

Change: processor time of the thread; catalog::apply is printed as it was measured, with its own parsing; the key comes from platform/names.h.

--- a/tools/configuration_cost.cc
+++ b/tools/configuration_cost.cc
@@ -5,6 +5,7 @@
 #include "logging/guarded_main.h"
 #include "logging/usual_options.h"
 #include "model/serving_record_parser.h"
+#include "names.h"
 #include "node/node.h"
 #include "record_translator.h"
 
@@ -14,8 +15,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <iostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -94,8 +97,9 @@
 }
 
 std::string make_store_answer(const std::string& configuration, std::uint64_t revision) {
-  const json::object event{
-      {"tls_key", "op/config"}, {"revision", revision}, {"value", encode_base64(configuration)}};
+  const json::object event{{"tls_key", json::string(platform::names::configuration_key)},
+                           {"revision", revision},
+                           {"value", encode_base64(configuration)}};
   return json::serialize(json::object{{"at", revision}, {"events", json::array{event}}});
 }
 
@@ -127,30 +131,36 @@
   return entries;
 }
 
-/// Measures the time since its construction or since the previous lap.
+/// Measures the processor time of this thread since its construction or since the previous lap, so
+/// that other processes on the machine hardly change the result.
 class stopwatch {
  public:
-  /// @return milliseconds since the previous call.
+  /// @return milliseconds of processor time since the previous call.
   double lap() {
-    const auto now = std::chrono::steady_clock::now();
-    const auto milliseconds = std::chrono::duration<double, std::milli>(now - started_at_).count();
-    started_at_ = now;
-    return milliseconds;
+    const double now = processor_milliseconds();
+    return now - std::exchange(started_at_, now);
   }
 
  private:
-  std::chrono::steady_clock::time_point started_at_ = std::chrono::steady_clock::now();
+  static double processor_milliseconds() {
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) / 1e6;
+  }
+
+  double started_at_ = processor_milliseconds();
 };
 
-/// Durations of the steps, in milliseconds.
+/// Processor times of the steps, in milliseconds.
 struct step_times {
   double parse_answer = 0;
   double translate = 0;
   double parse_record = 0;
+  /// `catalog::apply`, which parses the record too.
   double apply = 0;
   double update_dispatcher = 0;
   double pack = 0;
-  /// `node::handle` of the answer with its commands: the steps `parse_record` to `pack` and the
+  /// `node::handle` of the answer with its commands: the steps `apply` to `pack` and the
   /// messages to peers.
   double node = 0;
   double serialize_messages = 0;
@@ -185,15 +195,16 @@
     const auto document = json::parse(answer);
     times.parse_answer = watch.lap();
     const auto& value = document.at("events").at(0).at("value").get_string();
-    auto entry = make_entry(std::string(model::configuration_key),
-                            platform::translate_value("op/config", decode(value)), revision_);
+    auto entry = make_entry(
+        std::string(model::configuration_key),
+        platform::translate_value(platform::names::configuration_key, decode(value)), revision_);
     times.translate = watch.lap();
     times.entry_bytes = entry.ByteSizeLong();
     watch.lap();
     const auto parsed = model::parse_configuration(entry.value());
     times.parse_record = watch.lap();
     content_.apply(entry);
-    times.apply = watch.lap() - times.parse_record;
+    times.apply = watch.lap();
     dispatcher_.update(content_, now_);
     times.update_dispatcher = watch.lap();
     wire::catalog_push push;
@@ -242,7 +253,8 @@
 
   wire::catalog_entry translated(const std::string& configuration) {
     return make_entry(std::string(model::configuration_key),
-                      platform::translate_value("op/config", configuration), ++revision_);
+                      platform::translate_value(platform::names::configuration_key, configuration),
+                      ++revision_);
   }
 
   void introduce_peer(const std::string& name) {
@@ -276,8 +288,9 @@
 
 int run_program(int argc, char** argv) {
   constexpr int default_runs = 3;
-  cxxopts::Options options("configuration_cost",
-                           "Measures the steps of applying a configuration, in milliseconds.");
+  cxxopts::Options options(
+      "configuration_cost",
+      "Measures the steps of applying a configuration, in milliseconds of processor time.");
   options.add_options()("routes", "numbers of routes",
                         cxxopts::value<std::vector<std::size_t>>()->default_value("50,700,2000"))(
       "runs", "changes of the configuration for each number",
@@ -289,7 +302,7 @@
   }
   std::cout << "| routes | run | bytes of the record | parse the answer | decode, translate | "
                "parse the record | "
-               "catalog (without parsing) | dispatcher::update | pack | node::handle | serialize "
+               "catalog::apply (parses) | dispatcher::update | pack | node::handle | serialize "
                "(messages) | total |\n"
                "|---|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const auto routes : given["routes"].as<std::vector<std::size_t>>()) {
