Membership: time in which this process read no messages is no silence of a peer

What was missing: membership heard only of suspensions longer than a second. A stand of 300 to 900 ms counted as a missing acknowledgement (after 500 ms), used up the time in which a suspected peer refutes, and made a zone unreachable after 0.9 to 1.2 s without contact, while the messages waited in this process's sockets.

Change: membership::note_stand extends the pending probes, the suspicions and the zone contacts by the stand. The pending probe is still judged.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -373,6 +373,26 @@
   }
 }
 
+void membership::note_stand(base::duration stand, base::time_point now) {
+  const auto extend = [&](base::time_point& started_at) {
+    started_at = std::min<base::time_point>(started_at + stand, now);
+  };
+  if (probe_) {
+    extend(probe_->started_at);
+    // A new probe would replace the pending one, which would then never be judged.
+    next_probe_at_ += stand;
+  }
+  for (auto& [sequence, pending] : indirect_probes_) {
+    extend(pending.started_at);
+  }
+  for (auto& [node, other] : members_) {
+    if (other.state == wire::SUSPECT) {
+      extend(other.state_since);
+    }
+  }
+  zones_.note_stand(stand, now);
+}
+
 void membership::resume_after_suspension(base::time_point now) {
   probe_.reset();
   indirect_probes_.clear();
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -110,6 +110,10 @@
   /// Runs the periodic work: probes, suspicion timeouts, requests for members and digests. Call
   /// about every 100 ms.
   void tick(base::time_point now, wire::outbox& out);
+  /// Extends the timeouts of probes, suspicions and zone contacts by a time for which this process
+  /// read no messages.
+  /// @param now end of that time.
+  void note_stand(base::duration stand, base::time_point now);
   /// Drops pending probes and restarts suspicion timeouts after a suspension of this process, so
   /// that no member is declared dead because this process did not run.
   void resume_after_suspension(base::time_point now);
--- a/src/membership/zone_contact.cc
+++ b/src/membership/zone_contact.cc
@@ -121,6 +121,12 @@
   }
 }
 
+void zone_contact::note_stand(base::duration stand, base::time_point now) {
+  for (auto& [zone, state] : zone_states_) {
+    state.last_contact_at = std::min<base::time_point>(state.last_contact_at + stand, now);
+  }
+}
+
 base::duration zone_contact::contact_timeout(const zone_state& state) {
   const auto adaptive_timeout =
       state.mean_gap * mean_gap_factor + state.gap_deviation * gap_deviation_factor;
--- a/src/membership/zone_contact.h
+++ b/src/membership/zone_contact.h
@@ -53,6 +53,10 @@
   /// Called after a suspension of this process. Moves the times of the last contacts forward, so
   /// that no zone counts as unreachable only because this process could not receive messages.
   void resume_after_suspension(base::time_point now);
+  /// Moves the times of the last contacts forward by a time for which this process read no
+  /// messages.
+  /// @param now end of that time.
+  void note_stand(base::duration stand, base::time_point now);
 
   /// @return whether the time since the last contact with a zone is shorter than the contact
   ///         timeout of the zone; false if there was no contact since the start of this process.
