Node: a stand that the process noted, and input that waited, before its clocks

What was missing: a node saw a stand only as a gap of more than 150 ms between two events, and looked at all clocks after the first event of what had waited. With a stand of up to 140 ms just before a stall timeout, the calls of three streams were given up although the bytes of all three waited in the sockets.

Change: node::note_stand tells membership and the dispatcher about a stand of any length that the process measured; one that is noted is not counted again as a gap. node::handle_unread processes all events that waited and then advances the clocks of published routes once. Deadlines and leases of own pipelines still come first.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -130,6 +130,19 @@
   return std::exchange(commands_, {});
 }
 
+command_list node::handle_unread(const std::vector<event>& events, base::time_point now) {
+  detect_suspension(now);
+  last_event_at_ = now;
+  // Deadlines and leases of own pipelines count on while the process stands.
+  executor_.expire(now);
+  guard_.tick(now);
+  for (const auto& input_event : events) {
+    std::visit([&](const auto& concrete_event) { on(concrete_event, now); }, input_event);
+  }
+  flush(now);
+  return std::exchange(commands_, {});
+}
+
 base::time_point node::next_wakeup() const {
   auto earliest = next_periodic_at_;
   const auto consider = [&](const std::optional<base::time_point>& wakeup_at) {
@@ -164,9 +177,10 @@
   if (now - last_event_at_ > max_regular_event_interval) {
     quiet_since_ = now;
   }
-  const auto stand = now - last_event_at_ - periodic_interval;
-  if (serving_ && stand >= min_stand) {
-    serving_->note_stand(stand, now);
+  // A stand that the caller has noted is not counted again.
+  const auto stand = now - std::max(last_event_at_, stand_noted_at_) - periodic_interval;
+  if (stand >= min_stand) {
+    forward_stand(stand, now);
   }
   if (now - last_event_at_ <= settings_.suspension_threshold) {
     return;
@@ -184,6 +198,23 @@
   request_resync(now);
 }
 
+void node::note_stand(base::duration stand, base::time_point now) {
+  const bool is_suspension = now - last_event_at_ > settings_.suspension_threshold;
+  if (is_suspension) {
+    // The next event detects the suspension, whose treatment includes that of a stand.
+    return;
+  }
+  stand_noted_at_ = now;
+  forward_stand(stand, now);
+}
+
+void node::forward_stand(base::duration stand, base::time_point now) {
+  membership_.note_stand(stand, now);
+  if (serving_) {
+    serving_->note_stand(stand, now);
+  }
+}
+
 void node::request_resync(base::time_point /*now*/) {
   auto peers = replication_peers();
   for (std::size_t sent = 0; sent < max_resync_peers && !peers.empty(); ++sent) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -116,6 +116,17 @@
   /// @return commands that the caller must carry out, in the order of the list.
   command_list handle(const event& input_event, base::time_point now);
 
+  /// Processes events that waited in the sockets while this process stood. All of them are
+  /// processed before the node looks at the clocks of requests on published routes, of their calls
+  /// and, if the last event is `time_passed`, of its peers.
+  /// @return commands that the caller must carry out, in the order of the list.
+  command_list handle_unread(const std::vector<event>& events, base::time_point now);
+
+  /// Notes that this process did not read its sockets for a time: silence of replicas in this time
+  /// counts for nobody. Call before the events that waited meanwhile are processed.
+  /// @param now end of the stand.
+  void note_stand(base::duration stand, base::time_point now);
+
   /// @return time at which the caller must deliver the event `time_passed` at the latest.
   [[nodiscard]] base::time_point next_wakeup() const;
 
@@ -185,6 +196,8 @@
   /// Detects from the time since the last event whether the process or its machine was suspended.
   /// If so, pauses the dispatch of stage calls and sends resync requests.
   void detect_suspension(base::time_point now);
+  /// Tells the failure detectors of peers and replicas about a stand of this process.
+  void forward_stand(base::duration stand, base::time_point now);
   void request_resync(base::time_point now);
   /// If the sender of the message has the same, non-empty catalog as this node, marks this node as
   /// up to date and updates the readiness of this node. If such a message also answers a resync
@@ -324,6 +337,8 @@
   node_settings settings_;
   base::time_point started_at_;
   base::time_point last_event_at_;
+  /// End of the last stand that the caller noted.
+  base::time_point stand_noted_at_;
   base::hybrid_clock clock_;
   base::event_log events_;
   catalog::catalog catalog_;
