Event loop: input that waits in sockets is handled before clocks after a stand

What was missing: the wake-up was handled before events that had been read in the same turn of the loop, and after a stand (a long event, the metrics, a process without processor) the first event already looked at all clocks while bytes waited in the sockets. Nothing measured how long the loop stood, or over what.

Change: event_pump, the part of the runtime between the adapters and the node, measures each event with its commands, each operator document, the reading of the settings, and how late the wake-up and the delivery of events are. From 50 ms on it notes the stand (log line "event loop stood", spurrack_loop_stands_total, spurrack_loop_longest_stand_seconds), lets the loop poll its sockets for 2 to 8 turns (at most 20 ms more after the second), and hands all events to the node together, with time_passed last. The wake-up of a loop on time first handles the events of its turn. On time, the pump costs one more reading of the clock for each event and one for each delivery, and no turn.

Ruled out: handling waiting events at an earlier time (calls that they start would get deadlines in the past); a shorter wake-up interval (work while on time).

Not seen: a stand of less than 50 ms plus the time to the next wake-up, in a handler that is neither measured nor between the posting and the delivery of an event, for example the parsing of the store's answer.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -502,9 +502,30 @@
   }
 }
 
+void add_stands(Registry& registry, const stand_counters& stands) {
+  auto& counts = BuildCounter()
+                     .Name("spurrack_loop_stands_total")
+                     .Help("Times for which the event loop read no input for 50 ms or longer, by "
+                           "what it handled.")
+                     .Register(registry);
+  auto& longest =
+      BuildGauge()
+          .Name("spurrack_loop_longest_stand_seconds")
+          .Help("Longest time for which the event loop read no input, by what it handled.")
+          .Register(registry);
+  for (const auto& [handled, totals] : stands) {
+    const prometheus::Labels labels{{"handled", std::string(handled)}};
+    counts.Add(labels).Increment(static_cast<double>(totals.count));
+    longest.Add(labels).Set(base::to_seconds(totals.longest));
+  }
+}
+
 std::string make_metrics(const node::node& subject, const process_stats& stats,
                          base::time_point now) {
   Registry registry;
+  if (stats.stands != nullptr) {
+    add_stands(registry, *stats.stands);
+  }
   const auto& counts = subject.executor().counts();
   add_pipelines(registry, counts);
   add_refusals(registry, counts);
--- a/src/daemon/operator_documents.h
+++ b/src/daemon/operator_documents.h
@@ -1,6 +1,7 @@
 /// Documents that the operator listener serves: the state of the node as JSON, and its metrics.
 #pragma once
 
+#include "daemon/event_pump.h"
 #include "flow/byte_budget.h"
 #include "http/ingress_server.h"
 #include "http/operator_server.h"
@@ -15,6 +16,8 @@
 struct process_stats {
   std::uint64_t dropped_peer_messages = 0;
   std::size_t busy_connections = 0;
+  /// Stands of the event loop.
+  const stand_counters* stands = nullptr;
   /// This and the following pointers are null if the node does not serve published routes.
   const http::ingress_counters* client_counters = nullptr;
   const flow::byte_budget* budget = nullptr;
--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -6,8 +6,6 @@
 #include "peers/zmq_transport.h"
 #include "publication/http_publication_client.h"
 
-#include <boost/asio/post.hpp>
-
 #include <csignal>
 #include <random>
 #include <utility>
@@ -50,8 +48,12 @@
                  platform_adapters adapters, settings_loader load_settings)
     : io_(&io), settings_(with_process_start(std::move(settings))), random_(random_seed()),
       node_(settings_.node, random_, base::boot_clock::now()), adapters_(std::move(adapters)),
-      load_settings_(std::move(load_settings)), wakeup_(io), exit_timer_(io),
-      signals_(io, SIGTERM, SIGINT, SIGHUP) {
+      load_settings_(std::move(load_settings)),
+      pump_(io, {[this](const node::event& input_event) { handle(input_event); },
+                 [this](const std::vector<node::event>& events) { handle_unread(events); },
+                 [this](const loop_stand& stand) { note_stand(stand); },
+                 [this] { return node_.next_wakeup(); }}),
+      exit_timer_(io), signals_(io, SIGTERM, SIGINT, SIGHUP) {
   peers_ = peers::make_zmq_transport(
       io, settings_.peer_listen, settings_.curve,
       [this](wire::envelope message) { post(node::peer_message{std::move(message)}); });
@@ -63,7 +65,10 @@
   operators_ = http::make_operator_server(
       io, settings_.operator_listen,
       [this](const std::string& path) {
-        return make_document(path, node_, stats(), base::boot_clock::now());
+        const auto started_at = base::boot_clock::now();
+        auto document = make_document(path, node_, stats(), started_at);
+        pump_.note_work("operator_document", started_at);
+        return document;
       },
       [this](const std::string& path) { return handle_action(path); });
   watch_signals();
@@ -113,25 +118,35 @@
 }
 
 void runtime::post(node::event input_event) {
-  queued_events_.push_back(std::move(input_event));
-  if (queued_events_.size() == 1) {
-    boost::asio::post(*io_, [this] { handle_queued_events(); });
-  }
+  pump_.post(std::move(input_event));
 }
 
-void runtime::handle_queued_events() {
-  for (const auto& input_event : std::exchange(queued_events_, {})) {
-    handle(input_event);
-  }
-  schedule_wakeup();
+void runtime::handle(const node::event& input_event) {
+  const bool was_ready = node_.is_ready();
+  carry_out_all(node_.handle(input_event, base::boot_clock::now()));
+  note_changes(was_ready);
 }
 
-void runtime::handle(const node::event& input_event) {
+void runtime::handle_unread(const std::vector<node::event>& events) {
   const bool was_ready = node_.is_ready();
-  auto commands = node_.handle(input_event, base::boot_clock::now());
+  carry_out_all(node_.handle_unread(events, base::boot_clock::now()));
+  note_changes(was_ready);
+}
+
+void runtime::note_stand(const loop_stand& stand) {
+  logging::write(logging::severity::warning, "event loop stood",
+                 {{"milliseconds", std::to_string(base::to_milliseconds(stand.duration))},
+                  {"handled", std::string(stand.handled)}});
+  node_.note_stand(stand.duration, base::boot_clock::now());
+}
+
+void runtime::carry_out_all(node::command_list commands) {
   for (auto& command : commands) {
     carry_out(command);
   }
+}
+
+void runtime::note_changes(bool was_ready) {
   if (serving_ && node_.published_catalog().serving() != applied_configuration_) {
     applied_configuration_ = node_.published_catalog().serving();
     serving_->set_limits(applied_configuration_->limits);
@@ -145,26 +160,6 @@
   }
 }
 
-void runtime::schedule_wakeup() {
-  const auto now = base::boot_clock::now();
-  const auto next_wakeup = node_.next_wakeup();
-  if (wakeup_at_ && *wakeup_at_ > now && *wakeup_at_ <= next_wakeup) {
-    // Each event of a streamed answer moves the node's next wakeup time to a later time. The timer
-    // is not set again for each such event: the pending timer stays, fires too early, and is then
-    // set to the node's wakeup time at that moment.
-    return;
-  }
-  wakeup_at_ = next_wakeup;
-  wakeup_.expires_after(std::max<base::duration>(next_wakeup - now, base::duration::zero()));
-  wakeup_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      wakeup_at_.reset();
-      handle(node::time_passed{});
-      schedule_wakeup();
-    }
-  });
-}
-
 void runtime::carry_out(node::command& command) {
   if (auto* message = std::get_if<wire::outgoing>(&command)) {
     peers_->send(*message);
@@ -215,7 +210,8 @@
 }
 
 process_stats runtime::stats() const {
-  process_stats current{peers_->dropped_messages(), busy_connections(), nullptr, nullptr, nullptr};
+  process_stats current{
+      peers_->dropped_messages(), busy_connections(), &pump_.stands(), nullptr, nullptr, nullptr};
   if (serving_) {
     current.client_counters = &serving_->client_counters();
     current.budget = serving_->budget().get();
@@ -256,7 +252,9 @@
 }
 
 void runtime::reload() {
+  const auto started_at = base::boot_clock::now();
   const auto loaded = load_settings_();
+  pump_.note_work("settings", started_at);
   if (!loaded.value) {
     const auto fault =
         loaded.faults.empty() ? "cannot be read" : model::describe(loaded.faults.front());
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "backends/backend_client.h"
+#include "daemon/event_pump.h"
 #include "daemon/operator_documents.h"
 #include "daemon/serving_adapters.h"
 #include "http/caller_server.h"
@@ -50,9 +51,15 @@
   /// Queues an event for the node. The node receives the event in a later handler of the
   /// io_context, never while the node is handling another event.
   void post(node::event input_event);
-  /// Handles the events that are queued at the time of the call, in order.
-  void handle_queued_events();
   void handle(const node::event& input_event);
+  /// Handles the events that waited during a stand of the loop; the last one is `time_passed`.
+  void handle_unread(const std::vector<node::event>& events);
+  /// Logs a stand of the loop and tells the node.
+  void note_stand(const loop_stand& stand);
+  void carry_out_all(node::command_list commands);
+  /// Applies what an event changed in the state of the node to the adapters, and logs a change of
+  /// its readiness.
+  void note_changes(bool was_ready);
   void carry_out(node::command& command);
   void start_pipeline_interface();
   void start_serving_path();
@@ -62,9 +69,6 @@
   /// Queues the action that an operator requested.
   /// @return the answer to the operator; std::nullopt if the path names no action.
   std::optional<http::operator_document> handle_action(const std::string& path);
-  /// Ensures that the node receives `time_passed` no later than at its next wakeup time. An earlier
-  /// timer that is already pending is kept.
-  void schedule_wakeup();
   void begin_stop();
   void watch_signals();
   /// Reads the settings again and applies those that can change in a running process: the seeds.
@@ -94,11 +98,7 @@
   /// Published configuration whose limits on clients are in effect.
   std::shared_ptr<const model::serving_configuration> applied_configuration_;
   std::unique_ptr<http::operator_server> operators_;
-  /// Posted events that the next `handle_queued_events` will handle, in order.
-  std::vector<node::event> queued_events_;
-  boost::asio::steady_timer wakeup_;
-  /// Time at which `wakeup_` fires; std::nullopt if it is not armed.
-  std::optional<base::time_point> wakeup_at_;
+  event_pump pump_;
   boost::asio::steady_timer exit_timer_;
   base::time_point earliest_exit_at_;
   /// Time from which a stopping process exits even if connections are busy. `time_point::max()`
