Event loop: parsing of the store's answers counts as work; a daemon that stood says so

What was missing: the store client parses and translates an answer in a handler of its own, which the event pump did not see: a listing of many replicas or a large configuration could occupy the loop without a stand being noted.

Change: publication::read_observer::on_parsed tells of each parsed part before the answer is reported; the runtime notes it as "store_answer".

--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -97,7 +97,8 @@
   publication_ = adapters_.make_store_client(
       *io_, settings_.serving->store,
       {[this](node::service_answered answer) { post(std::move(answer)); },
-       [this](node::service_failed failure) { post(failure); }});
+       [this](node::service_failed failure) { post(failure); },
+       [this](base::time_point started_at) { pump_.note_work("store_answer", started_at); }});
 }
 
 void runtime::start_pipeline_interface() {
--- a/src/publication/publication_client.h
+++ b/src/publication/publication_client.h
@@ -15,6 +15,9 @@
 struct read_observer {
   std::function<void(node::service_answered)> on_answer;
   std::function<void(node::service_failed)> on_failure;
+  /// Called after an answer, or a part of it, was parsed; may be empty. In this time the thread
+  /// read no sockets.
+  std::function<void(base::time_point started_at)> on_parsed = {};
 };
 
 /// Client that reads the services. Not thread-safe.
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -100,4 +100,22 @@
   BOOST_TEST(store.requests() == 3);
 }
 
+// Guards against a large answer whose parsing occupies the loop unseen, so that bytes of replicas
+// that waited meanwhile count as missing.
+BOOST_AUTO_TEST_CASE(parsing_of_an_answer_is_reported_before_the_answer) {
+  asio::io_context io(1);
+  silent_store store(io);
+  std::string order;
+  const auto client = platform::make_store_client(
+      io, store.address(),
+      {[&](const node::service_answered&) { order += "answer"; }, [&](auto) { order += "failure"; },
+       [&](base::time_point started_at) {
+         BOOST_TEST((started_at <= base::boot_clock::now()));
+         order += "parsed,";
+       }});
+  client->read({node::source_kind::configuration, 0, true, {}});
+  io.run_for(milliseconds(200));
+  BOOST_TEST(order == "parsed,parsed,answer");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_fleet/serving_process_test.cc
+++ b/tests/platform_fleet/serving_process_test.cc
@@ -264,6 +264,19 @@
   BOOST_TEST(started.process().is_running());
 }
 
+/// Guards against a stand of the process that is neither logged nor counted, so that silence cannot
+/// be told from delay.
+BOOST_AUTO_TEST_CASE(a_stopped_and_continued_process_reports_its_stand) {
+  const std::string metric = "spurrack_loop_stands_total{handled=\"outside_loop\"}";
+  daemon->process().signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  daemon->process().signal(SIGCONT);
+  wait_for([&] {
+    return fleet::get(daemon->operator_address, "/metrics").body.find(metric) != std::string::npos;
+  });
+  BOOST_TEST(daemon->log().find("event loop stood") != std::string::npos);
+}
+
 /// After SIGTERM, the daemon is not ready, completes its running request and exits with code 0.
 BOOST_AUTO_TEST_CASE(a_planned_stop_ends_what_is_under_way) {
   std::atomic<bool> has_reached_replica = false;
