Fault soak: silent replicas beside planned work

Missing: the soak of real processes had no replica that falls silent and goes on, and its planned work ran without disturbances of replicas. A cut at a living, silent replica could not show.

--- a/tests/platform_fleet/graceful_stops.cc
+++ b/tests/platform_fleet/graceful_stops.cc
@@ -18,6 +18,7 @@
     return;
   }
   recorder_->count("planned stop");
+  node.stop_began_at = soak_clock::now();
   fleet_->signal(node, SIGTERM);
   stop_threads_.emplace_back([this, &node, should_restart] { finish(node, should_restart); });
 }
--- a/tests/platform_fleet/soak_replica.cc
+++ b/tests/platform_fleet/soak_replica.cc
@@ -133,6 +133,8 @@
   incarnations_->advance(published_address_);
   server_->set_accepting_connections(false);
   server_->shut_down_connections();
+  server_->set_silent(false);
+  recorder_->note_replica_end(id_);
 }
 
 void soak_replica::restart() {
--- a/tests/platform_fleet/soak_replica.h
+++ b/tests/platform_fleet/soak_replica.h
@@ -72,6 +72,9 @@
   void set_backoff(std::chrono::milliseconds backoff) { backoff_ = backoff; }
   /// Sets whether the next store entry has the state `draining`.
   void set_draining(bool draining) { is_draining_ = draining; }
+  /// Makes the replica silent, as a stopped process is, or lets it go on where it was. A crash ends
+  /// a silence.
+  void set_silent(bool is_silent) { server_->set_silent(is_silent); }
   /// Crashes the replica at once: its running requests and its results are lost.
   void crash();
   /// Starts the replica again after `crash`, under the same id and without its earlier state.
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -4,6 +4,7 @@
 #include "planned_maintenance.h"
 #include "rate_limit_check.h"
 #include "self_report_check.h"
+#include "silence_phase.h"
 #include "soak_request.h"
 #include "software_roll.h"
 
@@ -24,6 +25,8 @@
 constexpr milliseconds evacuation_timeout{3'000};
 /// Time for which the soak observes replicas that must not receive requests.
 constexpr milliseconds idle_observation_time{500};
+/// Time for which the soak observes whether requests are served after silences.
+constexpr milliseconds served_observation_time{2'000};
 /// Maximum time until a replica that is usable again receives a request under load.
 constexpr milliseconds first_request_timeout{3'000};
 constexpr milliseconds poll_interval{20};
@@ -61,6 +64,9 @@
       crashing_request_check(fleet_, recorder_, random_).check();
     }
     check_planned_maintenance();
+    if (options_.has_silences) {
+      check_silences();
+    }
   }
   resident_bytes_ = fleet_.resident_bytes();
   stop_clients();
@@ -191,6 +197,19 @@
   }
 }
 
+void soak_run::check_silences() {
+  // The phase has its own random source, so that its random choices do not change the faults to
+  // which the seeds in seeds.txt lead.
+  silence_phase(fleet_, recorder_, seed_ + 2).run();
+  if (!fleet_.wait_until_all_ready(options_.ready_timeout)) {
+    recorder_.note_violation("RECOVER", "not all nodes became ready after silences");
+  }
+  std::this_thread::sleep_for(settle_time);
+  const auto counts_before = recorder_.counts();
+  std::this_thread::sleep_for(served_observation_time);
+  check_success_rate(counts_before);
+}
+
 void soak_run::check_final_stops() {
   graceful_stops stops(fleet_, recorder_);
   for (const auto& node : fleet_.nodes) {
--- a/tests/platform_fleet/soak_run.h
+++ b/tests/platform_fleet/soak_run.h
@@ -26,6 +26,8 @@
   /// Whether the software of the replicas of the service `model` changes during the faults, one
   /// replica after the other.
   bool should_roll_software = false;
+  /// Whether each phase ends with replicas that are silent beside planned work (`silence_phase`).
+  bool has_silences = false;
   /// Number of rolling restarts of all nodes in each phase.
   std::size_t rolling_restarts = 1;
 };
@@ -67,6 +69,9 @@
   void check_store_rollback();
   /// Runs the rolling restarts and checks that all nodes become ready again.
   void check_planned_maintenance();
+  /// Runs the silences beside planned work. Then checks that all nodes become ready again, and that
+  /// requests are served again.
+  void check_silences();
   /// Stops all nodes gracefully and checks that they exit in time.
   void check_final_stops();
   /// Sends a request with an API key to every node and checks the status of each answer.
