--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -163,7 +163,7 @@
       "Retries that waited for retry budget transferred by other nodes.",
       counts.retries_on_transferred_budget);
   add("spurrack_ended_at_lost_replicas_total",
-      "Requests ended before their deadline because their replica was declared down or restarted.",
+      "Calls ended before their deadline because their replica refused connections or restarted.",
       counts.ended_at_down_replicas);
   auto& early_ends = BuildCounter()
                          .Name("spurrack_answers_ended_early_total")
