--- a/tests/stage_work/silent_worker_test.cc
+++ b/tests/stage_work/silent_worker_test.cc
@@ -98,7 +98,7 @@
         ended.pieces.push_back(
             {piece_fault::none, call.target.address.text() + "/" + std::to_string(handles++)});
       }
-      end_call(std::move(ended));
+      end_call(ended);
     }
     for (auto& call : std::exchange(target.unread, {})) {
       receive(target, std::move(call));
@@ -117,7 +117,7 @@
   }
 
   /// A worker that finishes a cancelled call finds its connection closed.
-  void end_call(stage_call_ended ended) {
+  void end_call(const stage_call_ended& ended) {
     if (!cancelled.contains(ended.call)) {
       open.erase(ended.call);
       pool.on_call_ended(ended, now);
--- a/tests/streams/drawn_silences_test.cc
+++ b/tests/streams/drawn_silences_test.cc
@@ -22,7 +22,7 @@
 
 void draw_change(silence_fleet& fleet) {
   const std::vector<std::string> services{"llm", "plain", "pool", "other"};
-  const auto service = services[fleet.random.below(services.size())];
+  const auto& service = services[fleet.random.below(services.size())];
   switch (fleet.random.below(7)) {
   case 0:
   case 1:
--- a/tests/streams/silence_fleet.cc
+++ b/tests/streams/silence_fleet.cc
@@ -171,7 +171,7 @@
   };
   if (const auto unread = node.unread.find(key.call);
       node.incarnation == key.incarnation && unread != node.unread.end()) {
-    unread->second.push_back(std::move(handle));
+    unread->second.emplace_back(std::move(handle));
     return;
   }
   handle();
--- a/tests/streams/silence_fleet_changes.cc
+++ b/tests/streams/silence_fleet_changes.cc
@@ -71,7 +71,7 @@
     return;
   }
   changed_at_ = now;
-  const auto zone = zones[random.below(zones.size())];
+  const auto& zone = zones[random.below(zones.size())];
   published_.evacuate(zone);
   publish();
   schedule(span, [this, zone] {
--- a/tests/streams/silence_fleet_replicas.cc
+++ b/tests/streams/silence_fleet_replicas.cc
@@ -254,7 +254,7 @@
 void silence_fleet::send_from(std::size_t index, const run_key& key, const event& sent) {
   auto& replica = replicas_[index];
   if (is_silent(replica) || !replica.held.empty()) {
-    replica.held.push_back([this, key, sent] { deliver(key, sent); });
+    replica.held.emplace_back([this, key, sent] { deliver(key, sent); });
   } else {
     deliver(key, sent);
   }
