--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -520,18 +520,11 @@
   }
 }
 
-std::string make_metrics(const node::node& subject, const process_stats& stats,
-                         base::time_point now) {
-  Registry registry;
+/// Adds what the adapters and the event loop of this process count.
+void add_process(Registry& registry, const process_stats& stats) {
   if (stats.stands != nullptr) {
     add_stands(registry, *stats.stands);
   }
-  const auto& counts = subject.executor().counts();
-  add_pipelines(registry, counts);
-  add_refusals(registry, counts);
-  if (subject.serving() != nullptr) {
-    add_serving(registry, *subject.serving());
-  }
   if (stats.budget != nullptr) {
     add_budget(registry, *stats.budget);
     add_client_counters(registry, *stats.client_counters);
@@ -539,6 +532,18 @@
               "Answers of replicas that report an unreadable load.",
               stats.replica_connections->unreadable_loads);
   }
+}
+
+std::string make_metrics(const node::node& subject, const process_stats& stats,
+                         base::time_point now) {
+  Registry registry;
+  add_process(registry, stats);
+  const auto& counts = subject.executor().counts();
+  add_pipelines(registry, counts);
+  add_refusals(registry, counts);
+  if (subject.serving() != nullptr) {
+    add_serving(registry, *subject.serving());
+  }
   add_counter(registry, "spurrack_retries_total", "Retries of stage calls.",
               static_cast<double>(counts.retries));
   add_counter(registry, "spurrack_late_answers_total",
