--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -151,10 +151,7 @@
   if (request.unsettled_end) {
     take_unsettled_end(request);
   }
-  for (const auto& [ticket, position] : request.pieces) {
-    stages_.cancel(ticket);
-    clients_by_ticket_.erase(ticket);
-  }
+  cancel_pieces(request);
   if (request.graph) {
     release_results(request.graph->take_unneeded_results(true));
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -230,6 +230,8 @@
   void free_fetched_stage_inputs();
   void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
                          base::time_point now);
+  /// Cancels the submitted pieces of a request.
+  void cancel_pieces(active_request& request);
   /// @return whether a stage result is taken for lost: the replica that holds it is no longer
   ///         published, is paused after failures, or another process has its address.
   [[nodiscard]] bool is_result_lost(const std::string& handle, base::time_point now) const;
--- a/src/dispatch/dispatcher_early_ends.cc
+++ b/src/dispatch/dispatcher_early_ends.cc
@@ -1,8 +1,6 @@
 /// Answers that end before they are whole: what is counted and logged of each.
 #include "dispatch/dispatcher.h"
 
-#include <algorithm>
-
 namespace spurrack::serving {
 namespace {
 
@@ -38,10 +36,9 @@
   if (!request.call) {
     return ", no call";
   }
-  const auto last_progress_at = std::max(request.call->started_at, request.latest_event_at);
   const auto* replica = replicas_.find(request.call->replica);
-  std::string text =
-      ", silent for " + std::to_string(base::to_milliseconds(now - last_progress_at)) + " ms";
+  std::string text = ", silent for " +
+                     std::to_string(base::to_milliseconds(now - last_progress_of(request))) + " ms";
   if (replica == nullptr) {
     return text + ", its replica is not published";
   }
--- a/src/dispatch/dispatcher_silence.cc
+++ b/src/dispatch/dispatcher_silence.cc
@@ -108,15 +108,14 @@
 void dispatcher::end_calls_at_exited_replica(const base::replica_id& replica,
                                              base::time_point refused_since, base::time_point now) {
   const auto found = clients_by_replica_.find(replica);
-  if (found == clients_by_replica_.end()) {
+  if (found == clients_by_replica_.end() || replicas_.was_active_after(replica, refused_since)) {
     return;
   }
   for (const auto client : std::set(found->second)) {
     auto& request = active_.at(client);
     // What an exited replica had sent before may still wait unread.
     const bool is_read = !request.is_window_closed && request.call->stalls_at;
-    if (!is_read || last_progress_of(request) >= refused_since ||
-        replicas_.was_active_after(replica, refused_since)) {
+    if (!is_read || last_progress_of(request) >= refused_since) {
       continue;
     }
     commands_.emplace_back(cancel_call{request.call->id});
@@ -233,8 +232,7 @@
 void dispatcher::recompute_beside_call(active_request& request, base::time_point now) {
   // Before its first event, the call may still fetch the present results.
   const bool lacks_inputs = request.graph && request.has_begun_stream && request.graph->is_done() &&
-                            request.graph->has_missing_final_inputs() &&
-                            request.graph->recomputations() < max_recomputations;
+                            request.graph->has_missing_final_inputs() && !cannot_recompute(request);
   if (!lacks_inputs || !can_retry(request, now) ||
       retry_budget_.shortfall(request.service, now) > 0) {
     return;
@@ -258,10 +256,7 @@
 
 void dispatcher::drop_recomputation(active_request& request) {
   request.recomputes_beside_call = false;
-  for (const auto& [ticket, position] : std::exchange(request.pieces, {})) {
-    stages_.cancel(ticket);
-    clients_by_ticket_.erase(ticket);
-  }
+  cancel_pieces(request);
   request.graph->drop_unfinished();
   release_results(request.graph->take_unneeded_results(true));
 }
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -139,6 +139,13 @@
   answer_not_run(request, "stage " + std::to_string(position.stage) + " brought no result", now);
 }
 
+void dispatcher::cancel_pieces(active_request& request) {
+  for (const auto& [ticket, position] : std::exchange(request.pieces, {})) {
+    stages_.cancel(ticket);
+    clients_by_ticket_.erase(ticket);
+  }
+}
+
 bool dispatcher::is_result_lost(const std::string& handle, base::time_point now) const {
   const auto* producer = replicas_.find_at(producer_of(handle));
   return producer == nullptr || producer->is_replaced || producer->paused_until > now;
