--- a/tests/quarantine/crash_fleet.cc
+++ b/tests/quarantine/crash_fleet.cc
@@ -46,6 +46,7 @@
 base::caller_id crash_fleet::send_request(std::size_t node, const std::string& path,
                                           const std::string& body,
                                           const std::vector<std::string>& parts) {
+  parts_by_body[body] = parts;
   auto content = std::make_shared<request_content>();
   for (const auto& part : parts) {
     content->prompt_parts.push_back({part, 10});
@@ -57,7 +58,7 @@
   content->has_body = true;
   content->id = base::request_id("r" + std::to_string(++requests));
   content->api_key = "key";
-  content->time_allowed = seconds(10);
+  content->time_allowed = crash_cause_of(body) ? settings.crashing_time_allowed : seconds(10);
   content->prompt_tokens = 10;
   if (path == "/staged/") {
     content->pieces = {2, 1};
@@ -65,7 +66,6 @@
   }
   bodies[requests] = body;
   bodies_by_id[content->id] = body;
-  parts_by_body[body] = parts;
   ++counts[body].attempts;
   paths[requests] = path;
   nodes_of_clients[requests] = node;
@@ -75,8 +75,14 @@
     ++refused_by_route_pause;
     return requests;
   }
-  nodes[node].subject->handle(request_arrived{requests, content, now}, now);
-  return requests;
+  const auto client = requests;
+  nodes[node].subject->handle(request_arrived{client, content, now}, now);
+  if (settings.client_patience > base::duration::zero() && crash_cause_of(body)) {
+    schedule(settings.client_patience, [this, node, client] {
+      nodes[node].subject->handle(client_disconnected{client}, now);
+    });
+  }
+  return client;
 }
 
 void crash_fleet::send_repeatedly(const std::string& path, const std::string& body,
@@ -150,6 +156,22 @@
       std::count_if(sent.begin(), sent.end(), [&](auto at) { return at > since; }));
 }
 
+bool crash_fleet::ran_at_once(const std::string& body) const {
+  const auto exits = exits_under.find(body);
+  if (exits == exits_under.end()) {
+    return false;
+  }
+  const auto& arrivals = replica_arrivals.at(body);
+  const auto& senders = arrival_nodes.at(body);
+  const auto runs = std::min(arrivals.size(), exits->second.size());
+  for (std::size_t run = 1; run < runs; ++run) {
+    if (arrivals[run] < exits->second[run - 1] && senders[run] != senders[run - 1]) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool crash_fleet::route_is_paused() const {
   constexpr std::size_t crashes_for_pause = 2;
   return crash_times.size() >= crashes_for_pause &&
--- a/tests/quarantine/crash_fleet.h
+++ b/tests/quarantine/crash_fleet.h
@@ -1,6 +1,7 @@
 /// Simulated fleet of dispatchers and replicas in virtual time; the replicas crash when they run
-/// certain requests. Messages between nodes take 2 ms. A crashed replica refuses connections, is
-/// removed from the published list of replicas later, and restarts after 1.5 to 2 s.
+/// certain requests. Messages between nodes take 2 ms. A crashed replica refuses connections, or
+/// answers none, is removed from the published list of replicas later, and restarts after 1.5 to
+/// 2 s.
 #pragma once
 
 #include "crash_fleet_settings.h"
@@ -88,6 +89,10 @@
   [[nodiscard]] std::size_t sends_after_exit(std::size_t number, const std::string& cause,
                                              base::duration span) const;
 
+  /// @return whether two nodes sent a request to replicas so that the second run began before the
+  ///         replica of the first one crashed.
+  [[nodiscard]] bool ran_at_once(const std::string& body) const;
+
   crash_fleet_settings settings;
   published_catalog published;
   base::seeded_random random;
@@ -112,6 +117,8 @@
   std::map<std::string, std::vector<base::time_point>> exits_under;
   /// Times at which a request reached replicas, by its body.
   std::map<std::string, std::vector<base::time_point>> replica_arrivals;
+  /// Nodes that sent a request to replicas, by its body, in the order of `replica_arrivals`.
+  std::map<std::string, std::vector<std::size_t>> arrival_nodes;
   /// Outcomes of attempts, by body of the request.
   std::map<std::string, attempt_counts> counts;
   /// Outcomes of attempts, by the node that received them.
@@ -193,7 +200,7 @@
   void reach_stage_replica(std::size_t node, const start_stage_call& command);
 
   void end_stage_call(std::pair<std::size_t, base::call_id> key, stage_call_ended::result how,
-                      std::size_t piece_count);
+                      std::size_t piece_count, bool has_timed_out = false);
 
   /// Crashes a replica after 20 to 120 ms, unless its current incarnation exits earlier.
   void schedule_crash(unsigned index, const std::string& body);
@@ -230,6 +237,13 @@
   /// Leaves a call without any answer until the kernel of the node gives up its connection.
   void hang_up(std::size_t node, base::call_id call);
 
+  /// Ends a call at a replica that has crashed without closing it, once the kernel of the node
+  /// gives up the connection.
+  void time_out_call(std::size_t node, base::call_id call);
+
+  /// @return time after which a caller learns that a replica does not accept its connection.
+  [[nodiscard]] base::duration refusal_time(const emulated_replica& replica) const;
+
   /// Ends a call at a replica that has crashed, unless the node does not learn of it.
   void end_call_of_ended_replica(std::size_t node, base::call_id call);
 
--- a/tests/quarantine/crash_fleet_commands.cc
+++ b/tests/quarantine/crash_fleet_commands.cc
@@ -117,6 +117,12 @@
     const auto* replica = replica_at(command.target.address);
     const bool is_up = replica != nullptr && replica->is_up;
     const bool is_reached = connections.fault_of(node) == path_fault::none;
+    if (is_reached && replica != nullptr && refusal_time(*replica) > base::duration::zero()) {
+      schedule(connect_timeout, [this, node, incarnation, command] {
+        end_probe(node, incarnation, command.target.replica, probe_result::unresponsive);
+      });
+      return;
+    }
     end_probe(node, incarnation, command.target.replica,
               is_up && is_reached ? probe_result::connected : probe_result::refused);
   });
--- a/tests/quarantine/crash_fleet_replicas.cc
+++ b/tests/quarantine/crash_fleet_replicas.cc
@@ -15,11 +15,20 @@
   crash_times.push_back(now);
   connections.close_all_to(index);
   for (const auto& [node, call] : std::exchange(replica.calls, {})) {
-    end_call_of_ended_replica(node, call);
+    switch (settings.crashes_by) {
+    case crash_kind::closes:
+      end_call_of_ended_replica(node, call);
+      break;
+    case crash_kind::times_out:
+      time_out_call(node, call);
+      break;
+    case crash_kind::stays_open:
+      break;
+    }
   }
   const base::replica_id id = replica.id;
   if (!settings.keeps_ids_on_restart) {
-    schedule(milliseconds(1800), [this, id] {
+    schedule(milliseconds(1800) + settings.publication_delay, [this, id] {
       published.remove_replica(id.text());
       publish();
     });
@@ -37,13 +46,17 @@
   const auto id =
       settings.keeps_ids_on_restart ? name : name + "-" + std::to_string(replica.incarnation);
   replica.id = base::replica_id(id);
-  const auto published_at = settings.keeps_ids_on_restart && replica.incarnation > 1
-                                ? settings.publication_delay
-                                : base::duration::zero();
+  const auto published_at =
+      replica.incarnation > 1 ? settings.publication_delay : base::duration::zero();
   if (published_at == base::duration::zero()) {
     publish_replica(index);
   } else {
-    schedule(published_at, [this, index] { publish_replica(index); });
+    schedule(published_at, [this, index, incarnation = replica.incarnation] {
+      const bool is_current = replicas[index].incarnation == incarnation;
+      if (is_current || settings.keeps_ids_on_restart) {
+        publish_replica(index);
+      }
+    });
   }
 }
 
@@ -69,7 +82,10 @@
     connections.note_connected(node, number);
   }
   if (replica == nullptr || !replica->is_up || replica->id != command.target.replica) {
-    end_stage_call({node, command.call}, stage_call_ended::result::not_sent, 0);
+    const auto known_after = replica == nullptr ? base::duration::zero() : refusal_time(*replica);
+    schedule(known_after, [this, key = std::pair{node, command.call}] {
+      end_stage_call(key, stage_call_ended::result::not_sent, 0);
+    });
     return;
   }
   const std::pair key{node, command.call};
@@ -81,6 +97,7 @@
   }
   for (const auto& body : called_bodies) {
     replica_arrivals[body].push_back(now);
+    arrival_nodes[body].push_back(node);
     if (bodies_crashing_in_stages.contains(body)) {
       schedule_crash(index, body);
     }
@@ -93,12 +110,14 @@
 }
 
 void crash_fleet::end_stage_call(std::pair<std::size_t, base::call_id> key,
-                                 stage_call_ended::result how, std::size_t piece_count) {
+                                 stage_call_ended::result how, std::size_t piece_count,
+                                 bool has_timed_out) {
   auto& node = nodes[key.first];
   if (node.stage_calls.erase(key.second) == 0) {
     return;
   }
   stage_call_ended ended{key.second, how, {}};
+  ended.has_timed_out = has_timed_out;
   for (std::size_t piece = 0; piece < piece_count; ++piece) {
     ended.pieces.push_back({piece_fault::none, "10.1.0.99:80/" + std::to_string(++handles)});
   }
@@ -145,7 +164,8 @@
     return;
   }
   if (replica == nullptr || !replica->is_up || !connections.passes_call(node, number)) {
-    fail_unsent(node, command.call);
+    const auto known_after = replica == nullptr ? base::duration::zero() : refusal_time(*replica);
+    schedule(known_after, [this, node, call = command.call] { fail_unsent(node, call); });
     return;
   }
   connections.note_connected(node, number);
@@ -166,6 +186,7 @@
   }
   const auto& body = command.content->body;
   replica_arrivals[body].push_back(now);
+  arrival_nodes[body].push_back(node);
   for (const auto& part : command.content->prompt_parts) {
     replica_arrivals[part.id].push_back(now);
   }
@@ -212,6 +233,19 @@
   });
 }
 
+void crash_fleet::time_out_call(std::size_t node, base::call_id call) {
+  schedule(tcp_user_timeout, [this, node, call, incarnation = nodes[node].incarnation] {
+    if (nodes[node].incarnation == incarnation) {
+      abort_call(node, call, true);
+    }
+  });
+}
+
+base::duration crash_fleet::refusal_time(const emulated_replica& replica) const {
+  const bool refuses = replica.is_up || settings.crashes_by == crash_kind::closes;
+  return refuses ? base::duration::zero() : connect_timeout;
+}
+
 void crash_fleet::end_call_of_ended_replica(std::size_t node, base::call_id call) {
   if (connections.fault_of(node) == path_fault::hangs) {
     return;
@@ -283,7 +317,7 @@
 
 void crash_fleet::abort_call(std::size_t index, base::call_id call, bool has_timed_out) {
   auto& node = nodes[index];
-  end_stage_call({index, call}, stage_call_ended::result::failed, 0);
+  end_stage_call({index, call}, stage_call_ended::result::failed, 0, has_timed_out);
   const auto found = node.calls.find(call);
   if (found == node.calls.end()) {
     return;
--- a/tests/quarantine/crash_fleet_settings.h
+++ b/tests/quarantine/crash_fleet_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "replica_faults.h"
 #include "serving/settings.h"
 
 #include <chrono>
@@ -27,8 +28,14 @@
   quarantine_limits limits = {};
   /// Minimum downtime of a crashed replica; the downtime exceeds it by up to 500 ms.
   base::duration min_downtime = milliseconds(1500);
-  /// Time after a restart at which the restart is published. Not used if replicas get new ids.
+  /// Delay of the list of replicas: of the removal of a crashed replica, and of its restart.
   base::duration publication_delay{};
+  /// What callers learn from the connections of a replica that crashes.
+  crash_kind crashes_by = crash_kind::closes;
+  /// Time after which clients of crashing requests leave; 0 if they never leave.
+  base::duration client_patience{};
+  /// Time until the deadline of crashing requests.
+  base::duration crashing_time_allowed = seconds(10);
   /// Emulates a policy without quarantine: nodes refuse all requests while at least two crashes of
   /// replicas are less than this time ago; 0 to disable the policy.
   base::duration route_pause{};
--- a/tests/quarantine/replica_faults.h
+++ b/tests/quarantine/replica_faults.h
@@ -1,5 +1,6 @@
 /// Faults between simulated nodes and replicas: nodes that are partitioned from all replicas while
-/// clients and other nodes reach them, brittle replicas, and replicas that fall silent for a while.
+/// clients and other nodes reach them, brittle replicas, replicas that fall silent for a while, and
+/// replicas that crash without closing their connections.
 #pragma once
 
 #include "base/time.h"
@@ -21,6 +22,14 @@
   refuses_new, ///< Open connections work, and new connections are refused.
 };
 
+/// What callers learn from the connections of a replica that crashes.
+enum class crash_kind : std::uint8_t {
+  closes,     ///< The kernel closes open connections and refuses new ones.
+  times_out,  ///< Open connections pass no bytes until the kernel of the caller gives them up, and
+              ///< new ones are not established.
+  stays_open, ///< Open connections pass no bytes for good, and new ones are not established.
+};
+
 /// Open connections between nodes and replicas, and the path faults of the nodes.
 class replica_paths {
  public:
