--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -33,6 +33,9 @@
   /// Time at which the call counts as stalled unless it makes progress before; std::nullopt if
   /// its progress is not watched.
   std::optional<base::time_point> stalls_at{};
+  /// Time at which the replica is probed if it has been silent, a moment before the call counts as
+  /// stalled; std::nullopt if the progress of the call is not watched.
+  std::optional<base::time_point> silence_check_at{};
   /// Time at which the stage results that the call reads are freed, because the replica should
   /// have fetched them by then. std::nullopt if no such time is set: the call reads no stage
   /// results, they were already freed, or they are kept until the first event or the answer
@@ -46,6 +49,11 @@
   /// at which this node learned of the restart. If the request cannot be retried and no event of
   /// its stream arrives within `restart_confirm_time` after this time, the request fails.
   std::optional<base::time_point> restart_seen_at{};
+  /// Whether an exit of the replica is suspected or recorded because of this call's silence.
+  bool is_exit_noted = false;
+  /// Time at which the replica was published no longer, without having announced a planned end;
+  /// std::nullopt if it is published.
+  std::optional<base::time_point> unpublished_at{};
   /// Node to which the request was passed on; std::nullopt if the call is one at a replica.
   std::optional<base::node_id> relay_node{};
   /// Software version of the replica; not known if the request was passed on.
@@ -122,6 +130,8 @@
   /// Zone of the replica that will probably run the request.
   base::zone_id expected_zone;
   std::map<piece_ticket, piece_position> pieces;
+  /// Submitted pieces whose calls are silent past their timeout.
+  std::set<piece_ticket> silent_pieces;
   std::optional<open_call> call;
   /// Evidence on which the latest call ended without a whole answer.
   end_evidence lost_call = end_evidence::none;
@@ -142,6 +152,9 @@
   std::optional<pending_trial> trial_wait;
   /// Whether the next call of the request is a trial that was granted.
   bool has_trial = false;
+  /// Suspect of whose present run the issuers were told; std::nullopt if the request has no run, or
+  /// is not suspected.
+  std::optional<quarantine::suspect_digest> held_trial{};
   /// Replicas that are not chosen for the next attempt because an earlier attempt went to them.
   std::set<base::replica_id> tried_replicas;
   /// Number of attempts, without those that reached no replica.
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -13,6 +13,24 @@
 /// be retried or must fail. If an answer of another node arrives earlier, they are checked at once.
 constexpr base::duration budget_check_interval = std::chrono::milliseconds(25);
 
+/// @return why the open call of a request ends, if its answer ends on `evidence`.
+call_end call_end_on(end_evidence evidence) {
+  switch (evidence) {
+  case end_evidence::deadline_passed:
+    return call_end::deadline_passed;
+  case end_evidence::no_memory:
+    return call_end::no_memory;
+  case end_evidence::replica_restarted:
+    return call_end::restarted_replica;
+  case end_evidence::connection_refused:
+    return call_end::connection_refused;
+  case end_evidence::silence:
+    return call_end::silence;
+  default:
+    return call_end::given_up;
+  }
+}
+
 const char* reason_text(disconnect_reason reason) {
   switch (reason) {
   case disconnect_reason::unread:
@@ -72,6 +90,7 @@
   replicas_.set_evacuated(content.evacuated_zones(), now);
   stages_.on_replicas_changed();
   handle_replica_restarts(now);
+  apply_removed_replicas(now);
   find_exited_replicas(now);
   report_unknown_services();
   share_origins(now);
@@ -108,7 +127,8 @@
 void dispatcher::on_event(const client_disconnected& disconnection, base::time_point now) {
   const auto found = active_.find(disconnection.client);
   if (found != active_.end()) {
-    finish(found->second, status::client_gone, reason_text(disconnection.reason), now);
+    finish(found->second, status::client_gone, reason_text(disconnection.reason), now,
+           call_end::client_left);
   }
 }
 
@@ -139,14 +159,14 @@
   } else {
     answer_with_error(request.client, request.content->id, http_status, reason, {});
   }
-  finish(request, http_status, reason, now);
+  finish(request, http_status, reason, now, call_end_on(evidence));
 }
 
 void dispatcher::finish(active_request& request, unsigned http_status, const std::string& reason,
-                        base::time_point now) {
+                        base::time_point now, call_end end) {
   if (request.call) {
     commands_.emplace_back(cancel_call{request.call->id});
-    close_call(request);
+    close_call(request, end, now);
   }
   if (request.unsettled_end) {
     take_unsettled_end(request);
@@ -164,6 +184,7 @@
                " ms");
   }
   leave_trial_queue(request);
+  release_trial(request, true, now);
   leave_admission_queue(request);
   deadlines_.erase({request.deadline, request.client});
   if (request.next_check_at) {
@@ -197,6 +218,7 @@
   };
   if (request.call) {
     consider(request.call->stalls_at);
+    consider(request.call->silence_check_at);
     consider(request.call->inputs_fetched_at);
   }
   if (request.trial_wait) {
@@ -231,6 +253,7 @@
     if (!abort_if_infeasible(request, now) && !refuse_if_trial_overdue(request, now) &&
         !accept_end_if_confirmed(request, now)) {
       probe_unsettled_end(request, now);
+      check_silence_of(request, now);
       free_fetched_inputs(request, now);
       if (request.call && request.call->stalls_at && *request.call->stalls_at <= now) {
         on_stalled(request, now);
@@ -300,6 +323,9 @@
   if (const auto next_question_at = trials_.next_wakeup()) {
     consider(*next_question_at);
   }
+  for (const auto& [replica, check_at] : silence_checks_) {
+    consider(check_at);
+  }
   if (!awaiting_trial_.empty()) {
     consider(next_trial_request_at_);
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -230,6 +230,12 @@
   void free_fetched_stage_inputs();
   void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
                          base::time_point now);
+  /// Records that the call with a piece was lost, or is silent past its timeout.
+  void note_lost_piece(active_request& request, const lost_piece& lost, base::time_point now);
+  /// Withdraws the pieces of requests with a suspect whose calls are silent: they are computed
+  /// again only as a trial.
+  void withdraw_silent_pieces_of(const quarantine::suspect_digest& digest, base::time_point now);
+  void withdraw_silent_pieces(active_request& request, base::time_point now);
   /// Cancels the submitted pieces of a request.
   void cancel_pieces(active_request& request);
   /// @return whether a stage result is taken for lost: the replica that holds it is no longer
@@ -266,8 +272,15 @@
   static std::string name_of(const quarantine::suspect& subject, const active_request& request);
   /// @return text with the digest, for the log entry of a call that ended without a whole answer.
   static std::string digest_text(const active_request& request);
-  /// Removes the open call from the request and from all indexes, and returns it.
-  open_call close_call(active_request& request);
+  /// Removes the open call from the request and from all indexes, and returns it. Leaves what is
+  /// needed to count an exit of the replica later. Every call of a request ends here.
+  open_call close_call(active_request& request, call_end end, base::time_point now);
+  /// Records a call that ended without a whole answer, as `trace_of(end)` demands.
+  void leave_trace(const active_request& request, const open_call& call, call_end end,
+                   base::time_point now);
+  /// Records the exit of a replica that is published no longer under a request whose call there
+  /// made no progress since.
+  void note_unpublished_exit(const active_request& request, open_call& call, base::time_point now);
   /// Records that a replica is active because it sent an answer. If an exit of its current
   /// incarnation is recorded and the answer shows that this incarnation still runs, withdraws the
   /// recorded exit.
@@ -351,14 +364,12 @@
   /// can neither be retried nor wait, it fails with `outcome`.
   void retry_or_fail_with(active_request& request, failure_outcome outcome, base::time_point now);
   void fail_with(active_request& request, const failure_outcome& outcome, base::time_point now);
-  void note_lost_call(const active_request& request, const open_call& call, bool has_timed_out,
-                      base::time_point now);
   /// Records a lost call, and has its replica probed to find out whether the replica exited.
-  /// @param started_at time at which the call began; the epoch if it may not have reached the
-  ///        replica.
-  void note_lost_call(const active_request& request, const base::replica_id& replica,
-                      replica_exit incarnation_exit, base::time_point started_at,
-                      base::time_point now);
+  /// @param exit assumed exit, at the present time. Its call has no known begin if the call may not
+  ///        have reached the replica.
+  /// @param started_at time at which the call began.
+  void note_lost_call(const active_request& request, const quarantine::exit_observation& exit,
+                      base::time_point started_at, call_trace trace, base::time_point now);
   /// The same as `note_replica_exit`, if the calls ended because the replica exited.
   void note_timed_exit(const base::replica_id& replica, const char* evidence, base::time_point now);
   /// Counts the exit of a replica against each request that had a lost call (one that ended without
@@ -396,12 +407,77 @@
                                                                  base::time_point now) const;
   bool refuse_if_quarantined(active_request& request, base::time_point now);
 
-  // Trials of prompt parts.
+  // Suspected exits.
+
+  /// Probes a replica that is silent, and looks a moment later whether its exit is suspected.
+  void watch_silence(const base::replica_id& replica, base::time_point now);
+  /// Watches the silence of the replica of a call if that is due.
+  void check_silence_of(active_request& request, base::time_point now);
+  /// Looks at the replicas that `watch_silence` probed.
+  void check_silences(base::time_point now);
+  /// @return whether an exit of a replica is suspected: it has been silent for some time, answers
+  /// no
+  ///         new connection, and others are heard.
+  [[nodiscard]] bool seems_exited(const replica_state& replica, base::time_point silent_since,
+                                  base::time_point now) const;
+  /// Suspects that the replica of a call has exited, if it seems so.
+  void suspect_exit_of(active_request& request, base::time_point now);
+  /// The same for the open and the lost calls at a replica.
+  void suspect_exits_at(const base::replica_id& replica, base::time_point now);
+  /// @param suspects what the replica ran.
+  /// @param evidence observation that raises the suspicion, for the log.
+  void note_suspected_exit(const std::vector<quarantine::suspect>& suspects,
+                           const quarantine::suspected_exit& suspicion, const char* evidence,
+                           base::time_point now);
+  /// @return time at which a replica was last heard, by this node or by another one.
+  [[nodiscard]] base::time_point last_heard_of(const replica_state& replica) const;
+  /// @return whether another replica was heard after a time.
+  [[nodiscard]] bool hears_others_after(const base::replica_id& replica,
+                                        base::time_point when) const;
+  /// Records that a call delivers bytes, which disproves earlier suspicions of its replica.
+  void disprove_suspicions(const open_call& call, base::time_point now);
+  /// Ends the suspicions that a sign of life of a replica disproves.
+  void disprove_suspicions(const quarantine::disproved_exit& sign, const base::replica_id& replica,
+                           const char* evidence);
+  /// Ends the suspicions of an incarnation because its exit is proven, and records the exit under
+  /// the requests that it ran.
+  /// @param exited_at time of the exit; std::nullopt if the list shows that the incarnation ended.
+  void prove_suspicions(replica_exit exit, std::optional<base::time_point> exited_at,
+                        const char* evidence, base::time_point now);
+  /// Proves the suspicions of replicas that were removed from the list without having announced it.
+  void apply_removed_replicas(base::time_point now);
+  /// Disproves the suspicions of replicas that a current list still shows, and of those that
+  /// announce a planned end.
+  void check_suspicions(base::time_point now);
+  /// Tells the issuers of a suspect of the runs with it that are under way at this node.
+  void hold_runs_of(const quarantine::suspect_digest& digest, base::time_point now);
+
+  // Trials.
 
   /// Lets a request wait if it may run only as a trial.
   /// @return whether the request waits.
   bool wait_for_trial(active_request& request, base::time_point now);
+  /// The same before its stages are computed, if the whole request is the suspect: its pieces may
+  /// crash replicas too.
+  bool wait_for_trial_of_stages(active_request& request, base::time_point now);
+  void join_trial_queue(active_request& request, const quarantine::suspect_digest& digest,
+                        base::time_point now);
   void leave_trial_queue(active_request& request);
+  /// Lets a request whose call is stalled wait for the permission to run elsewhere, if that call is
+  /// the only one under which an exit is suspected.
+  void await_trial_of_stalled_call(active_request& request, base::time_point now);
+  /// Lets a request go on whose wait for a trial has ended.
+  void continue_after_trial_wait(active_request& request, base::time_point now);
+  /// Runs the trial that was granted to a request.
+  void begin_trial(active_request& request, base::time_point now);
+  /// Tells the issuers that a run of a suspected request is over.
+  /// @param is_known whether it is known how it ended.
+  void release_trial(active_request& request, bool is_known, base::time_point now);
+  /// Refuses a request at once that gets no trial until suspected exits are proven or disproved.
+  void refuse_held(active_request& request, const quarantine::suspect& subject,
+                   base::time_point now);
+  /// Refuses the requests that wait for a trial of a suspect and get none now.
+  void refuse_waiting_if_held(const quarantine::suspect_digest& digest, base::time_point now);
   /// Refuses a request that has waited too long for a trial.
   bool refuse_if_trial_overdue(active_request& request, base::time_point now);
   /// Applies the decisions on trials, and asks again for denied ones.
@@ -451,11 +527,10 @@
   /// call went to another node, which judges that itself.
   void note_whole_answer(const active_request& request, const open_call& call, const char* evidence,
                          base::time_point ended_at, base::time_point now);
-  /// Records a closed call that ended without a whole answer, and retries the request or lets it
-  /// fail.
+  /// Retries a request whose call was closed without a whole answer, or lets it fail.
   /// @param detail how the call ended, for the log.
-  void handle_lost_answer(active_request& request, const open_call& call, bool has_timed_out,
-                          const std::string& detail, base::time_point now);
+  void handle_lost_answer(active_request& request, const open_call& call, const std::string& detail,
+                          base::time_point now);
   /// Ends the stream of a client as complete.
   void complete_stream(active_request& request, base::time_point now);
   /// Retries a request whose stream was broken off, or ends the stream of its client.
@@ -577,8 +652,9 @@
   void record_early_end(const active_request& request, const std::string& reason,
                         end_evidence evidence, base::time_point now);
   /// Removes a request: cancels its pieces and call, and frees its results.
+  /// @param end why its call ends, if it is open.
   void finish(active_request& request, unsigned http_status, const std::string& reason,
-              base::time_point now);
+              base::time_point now, call_end end = call_end::given_up);
   void release_results(const std::vector<std::string>& handles);
   /// Sets the preferred zone of the pieces of a stage so that few bytes are transferred between
   /// zones. It is the zone that holds the most bytes of a piece's inputs, if these are more than
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -34,7 +34,7 @@
   if (request.recomputes_beside_call) {
     drop_recomputation(request);
   }
-  auto call = close_call(request);
+  auto call = close_call(request, call_end::not_settled, now);
   commands_.emplace_back(probe_replica{{call.replica, call.address}});
   unsettled_ends_[call.replica].insert(request.client);
   request.unsettled_end =
@@ -159,7 +159,8 @@
   const auto end = take_unsettled_end(request);
   request.lost_call = evidence;
   ++counters_.unframed_answers_rejected;
-  handle_lost_answer(request, end.call, false,
+  leave_trace(request, end.call, call_end::connection_ended, now);
+  handle_lost_answer(request, end.call,
                      std::string("the answer without framing is not known to be whole, ") + reason +
                          " " + std::to_string(base::to_milliseconds(now - end.ended_at)) +
                          " ms after its end",
@@ -177,10 +178,8 @@
 }
 
 void dispatcher::handle_lost_answer(active_request& request, const open_call& call,
-                                    bool has_timed_out, const std::string& detail,
-                                    base::time_point now) {
+                                    const std::string& detail, base::time_point now) {
   replicas_.note_failure(call.replica, now);
-  note_lost_call(request, call, has_timed_out, now);
   record(base::event_kind::stage_retried, request, call.replica.text(),
          detail + digest_text(request));
   retry_or_fail(request, now);
@@ -208,12 +207,13 @@
 
 void dispatcher::break_off_stream(active_request& request, bool has_timed_out,
                                   base::time_point now) {
-  const auto call = close_call(request);
+  const auto call = close_call(
+      request, has_timed_out ? call_end::connection_timed_out : call_end::connection_ended, now);
   request.lost_call = evidence_of(has_timed_out);
   if (!call.relay_node) {
     paths_.note_failure(now);
   }
-  handle_lost_answer(request, call, has_timed_out, "the stream broke off", now);
+  handle_lost_answer(request, call, "the stream broke off", now);
 }
 
 void dispatcher::on_event(const stream_closed& closed, base::time_point now) {
@@ -235,7 +235,7 @@
   } else if (closed.ends_with_connection && is_from_replica) {
     settle_later(*request, std::nullopt, now);
   } else {
-    const auto call = close_call(*request);
+    const auto call = close_call(*request, call_end::whole_answer, now);
     note_whole_answer(*request, call, "its answer was whole", now, now);
     complete_stream(*request, now);
   }
--- a/src/dispatch/dispatcher_arrival.cc
+++ b/src/dispatch/dispatcher_arrival.cc
@@ -278,7 +278,9 @@
 
 void dispatcher::continue_request(active_request& request, base::time_point now) {
   if (request.graph && !request.graph->is_done()) {
-    submit_pieces(request, now);
+    if (!wait_for_trial_of_stages(request, now)) {
+      submit_pieces(request, now);
+    }
   } else if (request.call) {
     if (!request.is_window_closed) {
       // The next check of the stalled call moves it.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -19,6 +19,9 @@
 /// Time without an event after which a stream counts as stalled, as a multiple of the target gap
 /// between two events.
 constexpr double stream_stall_factor = 2.5;
+/// Time without an event after which the replica of a stream is probed if it sends nothing else
+/// either, as a multiple of the target gap.
+constexpr double stream_silence_factor = 1.5;
 /// Minimum interval at which the events of a stream are recorded as contact with its replica;
 /// recording each event would cost a look-up per event.
 constexpr base::duration contact_note_interval = std::chrono::milliseconds(100);
@@ -28,6 +31,19 @@
 /// again, and the first event would not arrive sooner (docs/design/engines.md).
 constexpr double engine_stall_factor = 2;
 
+/// @return why a call ended that ended without an answer for the client.
+call_end call_end_of(const call_failed& failure) {
+  switch (failure.failure) {
+  case call_failure::not_sent:
+    return call_end::not_run;
+  case call_failure::no_memory:
+    return call_end::no_memory;
+  case call_failure::may_have_run:
+    break;
+  }
+  return failure.has_timed_out ? call_end::connection_timed_out : call_end::connection_ended;
+}
+
 } // namespace
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
@@ -169,38 +185,27 @@
 void dispatcher::watch_progress(active_request& request, base::duration timeout,
                                 base::time_point now) {
   request.call->stalls_at.reset();
+  request.call->silence_check_at.reset();
   // While reading from the replica is paused, missing progress says nothing about the replica.
   const bool is_read = !request.is_window_closed;
   if (is_read && timeout > base::duration::zero()) {
     const bool is_safe_route = request.route->kind == model::route_kind::safe;
     const double factor = is_safe_route ? safe_route_stall_fraction : 1.0;
     request.call->stalls_at = now + std::chrono::duration_cast<base::duration>(timeout * factor);
+    const bool has_events = request.latest_event_at > request.call->started_at;
+    request.call->silence_check_at =
+        has_events ? now + base::scaled(request.route->gap_target, stream_silence_factor)
+                   : *request.call->stalls_at - silence_probes::answer_time;
   }
   schedule_check(request);
 }
 
-open_call dispatcher::close_call(active_request& request) {
-  auto call = *request.call;
-  clients_by_call_.erase(call.id);
-  replicas_.call_ended(call.replica);
-  const auto at_replica = clients_by_replica_.find(call.replica);
-  at_replica->second.erase(request.client);
-  if (at_replica->second.empty()) {
-    clients_by_replica_.erase(at_replica);
-  }
-  if (call.relay_node) {
-    relays_.note_ended(*call.relay_node);
-  }
-  request.call.reset();
-  return call;
-}
-
 void dispatcher::on_event(const call_failed& failure, base::time_point now) {
   auto* request = find_by_call(failure.call);
   if (request == nullptr) {
     return;
   }
-  const auto call = close_call(*request);
+  const auto call = close_call(*request, call_end_of(failure), now);
   if (call.relay_node) {
     relays_.note_unreachable(*call.relay_node);
   } else if (failure.failure != call_failure::no_memory) {
@@ -228,7 +233,6 @@
     request->tried_replicas.erase(call.replica);
   } else {
     replicas_.note_failure(call.replica, now);
-    note_lost_call(*request, call, failure.has_timed_out, now);
   }
   record(base::event_kind::stage_retried, *request, call.replica.text(),
          lacked_memory ? "no memory for the answer" : "no answer" + digest_text(*request));
@@ -241,9 +245,10 @@
 
 void dispatcher::on_not_executed(active_request& request, const answer_head& head,
                                  base::time_point now) {
-  const auto call = close_call(request);
+  const auto call = close_call(request, call_end::not_run, now);
   if (head.misdirected) {
     replicas_.note_replaced(call.replica);
+    prove_suspicions(call.incarnation_exit, std::nullopt, "another process has its address", now);
     note_replica_exit(call.replica, "another process has its address", now);
   } else {
     replicas_.note_full(call.replica, now);
@@ -269,6 +274,7 @@
       now - call.contact_noted_at >= contact_note_interval) {
     call.contact_noted_at = now;
     replicas_.note_activity(call.replica, now);
+    disprove_suspicions(call, now);
     settle_by_activity(call.replica, now);
   }
 }
@@ -279,6 +285,7 @@
   replicas_.note_activity(call.replica, now);
   note_progress(request, now);
   if (!head.misdirected) {
+    disprove_suspicions(call, now);
     withdraw_exit(call.replica, now);
     settle_by_activity(call.replica, now);
   }
@@ -323,7 +330,7 @@
     forward_answer(*request, answered, now);
     return;
   }
-  const auto call = close_call(*request);
+  const auto call = close_call(*request, call_end::failed_answer, now);
   request->lost_call = end_evidence::replica_failed;
   replicas_.note_failure(call.replica, now);
   record(base::event_kind::stage_retried, *request, call.replica.text(),
@@ -351,7 +358,7 @@
                                    answer.head.headers, answer.body, answer.body_memory});
     counters_.first_byte.add(now - request.arrived_at);
   }
-  finish(request, answer.head.status, "the replica's answer", now);
+  finish(request, answer.head.status, "the replica's answer", now, call_end::whole_answer);
 }
 
 // --- streams -------------------------------------------------------------------------------------
@@ -367,7 +374,7 @@
   if (!opened.head.sealed || opened.head.encoded) {
     commands_.emplace_back(cancel_call{opened.call});
     replicas_.note_failure(replica, now);
-    close_call(*request);
+    close_call(*request, call_end::failed_answer, now);
     request->lost_call = end_evidence::replica_failed;
     retry_or_fail(*request, now);
     return;
--- a/src/dispatch/dispatcher_constants.h
+++ b/src/dispatch/dispatcher_constants.h
@@ -30,6 +30,10 @@
 /// Maximum number of times that stages of a request are recomputed because results were lost.
 inline constexpr std::uint32_t max_recomputations = 2;
 
+/// Minimum time for which a replica must have been silent before an exit is suspected. Besides, it
+/// must leave a new connection unanswered.
+inline constexpr base::duration min_suspected_silence = std::chrono::milliseconds(250);
+
 /// Bytes of a replica, or of other replicas, show something about the time after the end of a call
 /// if they follow the end by this time: connections that break at the same moment are noticed one
 /// after another, and bytes may have been sent before.
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -56,24 +56,20 @@
 
 // --- detection -----------------------------------------------------------------------------------
 
-void dispatcher::note_lost_call(const active_request& request, const open_call& call,
-                                bool has_timed_out, base::time_point now) {
-  // A call whose connection timed out may never have reached the replica.
-  const auto started_at = has_timed_out ? base::time_point{} : call.started_at;
-  note_lost_call(request, call.replica, call.incarnation_exit, started_at, now);
-}
-
-void dispatcher::note_lost_call(const active_request& request, const base::replica_id& replica,
-                                replica_exit incarnation_exit, base::time_point started_at,
+void dispatcher::note_lost_call(const active_request& request,
+                                const quarantine::exit_observation& exit,
+                                base::time_point started_at, call_trace trace,
                                 base::time_point now) {
-  const auto* state = replicas_.find(replica);
+  const auto* state = replicas_.find(exit.replica);
   // A draining replica exits as planned, so no request is the cause of the exit.
   if (state == nullptr || state->record->draining || state->is_replaced) {
     return;
   }
-  if (crash_detector_.note_lost_call(
-          replica, {suspects_of(request), {incarnation_exit, now, replica, started_at}}, now)) {
-    commands_.emplace_back(probe_replica{{replica, state->record->address}});
+  const bool is_abandoned = trace == call_trace::abandoned;
+  if (crash_detector_.note_lost_call(exit.replica,
+                                     {suspects_of(request), exit, started_at, is_abandoned},
+                                     trace == call_trace::lost, now)) {
+    commands_.emplace_back(probe_replica{{exit.replica, state->record->address}});
   }
 }
 
@@ -97,6 +93,7 @@
     break;
   case probe_result::unresponsive:
     crash_detector_.note_probe_failed(probe.replica);
+    suspect_exits_at(probe.replica, now);
     break;
   }
   path_probes_under_way_.erase(probe.replica);
@@ -152,6 +149,7 @@
 void dispatcher::note_timed_exit(const base::replica_id& replica, const char* evidence,
                                  base::time_point now) {
   for (const auto& call : crash_detector_.take_lost_calls(replica)) {
+    prove_suspicions(call.exit.exit, now, evidence, now);
     note_exit_under_request(call, replica, evidence, now);
   }
 }
@@ -182,6 +180,10 @@
                 std::to_string(call.exit.exit) + ", " +
                 crash_registry_.assess(subject.digest).text());
     crash_reports_.note_changed(subject.digest);
+    if (trials_.has_run(subject.digest)) {
+      crash_reports_.send_at_once(subject.digest, now);
+      trials_.note_outcome(subject.digest, now);
+    }
     if (change.begins_quarantine) {
       newly_quarantined_.push_back(subject.digest);
     }
@@ -198,6 +200,9 @@
     if (learned.begins_quarantine) {
       newly_quarantined_.push_back(learned.digest);
     }
+    if (learned.is_suspected) {
+      hold_runs_of(learned.digest, now);
+    }
   }
   trials_.handle(address, message, now);
   apply_told_exits(now);
@@ -221,6 +226,7 @@
 
 void dispatcher::apply_told_exits(base::time_point now) {
   for (const auto& told : crash_reports_.take_told_exits()) {
+    prove_suspicions(told.exit, told.at, "another node saw it exit", now);
     for (auto& call : crash_detector_.take_calls_lost_to(told.exit, told.at)) {
       call.exit.call_started_at = {};
       note_exit_under_request(call, call.exit.replica, "another node saw it exit", now);
@@ -246,12 +252,15 @@
 void dispatcher::advance_crashes(base::time_point now) {
   if (now >= next_crash_expiry_at_) {
     next_crash_expiry_at_ = now + crash_expiry_interval;
-    for (const auto& [replica, calls] : crash_detector_.drop_expired(now)) {
+    for (const auto& [replica, calls] :
+         crash_detector_.drop_expired(std::min(now, replica_list_confirmed_at_), now)) {
       record_(base::event_kind::request_cleared, {}, replica.text(),
               std::to_string(calls) + " lost calls are dropped, no evidence that it exited");
     }
     crash_registry_.expire(now);
+    check_suspicions(now);
   }
+  check_silences(now);
   if (now >= next_path_check_at_ && crash_detector_.has_refused_replicas(now)) {
     next_path_check_at_ = now + path_check_interval;
     confirm_refused_replicas(now);
@@ -338,6 +347,10 @@
     return false;
   }
   const auto judgement = crash_registry_.judge(suspects_of(request), now);
+  if (judgement.is_held && !request.call) {
+    refuse_held(request, *judgement.reason, now);
+    return true;
+  }
   if (judgement.state != quarantine::quarantine_state::quarantined) {
     return false;
   }
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -89,7 +89,7 @@
   const bool contradicts_earlier_attempt = is_not_run && request.may_have_run;
   if (contradicts_earlier_attempt && !may_end_answer(request.lost_call)) {
     // The request was passed on for a call that may have gone on.
-    close_call(request);
+    close_call(request, call_end::relay_ended, now);
     --request.attempts;
     answer_failed(request, status::bad_gateway, "the other node refused it", request.lost_call,
                   now);
--- a/src/dispatch/dispatcher_replica_restarts.cc
+++ b/src/dispatch/dispatcher_replica_restarts.cc
@@ -33,6 +33,7 @@
   ++counters_.replica_restarts;
   record_(base::event_kind::backend_restarted, {}, replica.text(),
           "restarted, its earlier incarnation was at " + restart.earlier_address.text());
+  prove_suspicions(restart.earlier_exit, std::nullopt, "it restarted under its id", now);
   note_replica_exit(replica, "it restarted under its id", now);
   engine_directory_.forget(replica);
   stages_.on_replica_restarted(replica, now);
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -15,7 +15,8 @@
 
 bool dispatcher::can_retry(const active_request& request, base::time_point now) const {
   return has_attempt_left(request, now) && has_time_before_stop(request, now) &&
-         quarantine_state_of(request, now) == quarantine::quarantine_state::unrestricted;
+         (request.has_trial ||
+          quarantine_state_of(request, now) == quarantine::quarantine_state::unrestricted);
 }
 
 bool dispatcher::try_take_retry(active_request& request, base::time_point now) {
--- a/src/dispatch/dispatcher_silence.cc
+++ b/src/dispatch/dispatcher_silence.cc
@@ -78,6 +78,10 @@
   if (is_replica_unresponsive(request)) {
     note_unresponsive(call, now);
   }
+  if (!call.is_exit_noted && !call.restart_seen_at) {
+    watch_silence(call.replica, now);
+    suspect_exit_of(request, now);
+  }
   if (request.route->is_repeatable() && has_attempt_left(request, now)) {
     move_stalled_call(request, now);
   } else if (call.restart_seen_at) {
@@ -119,11 +123,11 @@
       continue;
     }
     commands_.emplace_back(cancel_call{request.call->id});
-    const auto call = close_call(request);
+    const auto call = close_call(request, call_end::connection_refused, now);
     request.may_have_run = true;
     request.lost_call = end_evidence::connection_refused;
     ++counters_.ended_at_down_replicas;
-    handle_lost_answer(request, call, false, "its replica refuses connections", now);
+    handle_lost_answer(request, call, "its replica refuses connections", now);
   }
 }
 
@@ -154,6 +158,11 @@
 }
 
 void dispatcher::move_stalled_call(active_request& request, base::time_point now) {
+  if (!request.has_trial &&
+      quarantine_state_of(request, now) != quarantine::quarantine_state::unrestricted) {
+    await_trial_of_stalled_call(request, now);
+    return;
+  }
   auto& call = *request.call;
   // A replica that restarted has ended the call; a call at a silent replica may still go on.
   const bool has_ended = call.restart_seen_at && choose_replica(request, now) != nullptr;
@@ -182,7 +191,7 @@
 
 void dispatcher::give_up_stalled_call(active_request& request, base::time_point now) {
   commands_.emplace_back(cancel_call{request.call->id});
-  const auto call = close_call(request);
+  const auto call = close_call(request, call_end::silence, now);
   replicas_.note_stalled(call.replica, call.started_at, now);
   paths_.note_failure(now);
   request.may_have_run = true;
--- a/src/dispatch/dispatcher_slow_clients.cc
+++ b/src/dispatch/dispatcher_slow_clients.cc
@@ -99,7 +99,7 @@
     return;
   }
   commands_.emplace_back(cancel_call{request.call->id});
-  const auto call = close_call(request);
+  const auto call = close_call(request, call_end::client_too_slow, now);
   request.lost_call = end_evidence::client_too_slow;
   // The replica did not fail and probably still has the prompt cached, so it may be chosen again.
   request.tried_replicas.erase(call.replica);
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -98,8 +98,7 @@
   for (const auto& lost : stages_.take_lost()) {
     const auto owner = clients_by_ticket_.find(lost.ticket);
     if (owner != clients_by_ticket_.end()) {
-      note_lost_call(active_.at(owner->second), lost.replica, lost.incarnation_exit,
-                     lost.call_time ? now - *lost.call_time : base::time_point{}, now);
+      note_lost_piece(active_.at(owner->second), lost, now);
     }
   }
   const auto results = stages_.take_finished();
@@ -115,10 +114,65 @@
   return !results.empty();
 }
 
+void dispatcher::note_lost_piece(active_request& request, const lost_piece& lost,
+                                 base::time_point now) {
+  const auto started_at = lost.call_time ? now - *lost.call_time : base::time_point{};
+  // A call that took that long is past its timeout, and its connection need not have ended.
+  const bool is_silent = lost.call_time && *lost.call_time >= min_suspected_silence;
+  note_lost_call(request, {lost.incarnation_exit, now, lost.replica, started_at}, started_at,
+                 is_silent ? call_trace::abandoned : call_trace::lost, now);
+  if (is_silent) {
+    request.silent_pieces.insert(lost.ticket);
+    watch_silence(lost.replica, now);
+  }
+}
+
+void dispatcher::withdraw_silent_pieces_of(const quarantine::suspect_digest& digest,
+                                           base::time_point now) {
+  std::vector<base::caller_id> clients;
+  for (const auto& [client, request] : active_) {
+    if (!request.silent_pieces.empty() && suspects_of(request).front().digest == digest) {
+      clients.push_back(client);
+    }
+  }
+  for (const auto client : clients) {
+    withdraw_silent_pieces(active_.at(client), now);
+  }
+}
+
+void dispatcher::withdraw_silent_pieces(active_request& request, base::time_point now) {
+  bool is_withdrawn = false;
+  for (const auto ticket : std::exchange(request.silent_pieces, {})) {
+    const auto found = request.pieces.find(ticket);
+    if (found != request.pieces.end()) {
+      request.graph->withdraw(found->second);
+      request.pieces.erase(found);
+      stages_.cancel(ticket);
+      clients_by_ticket_.erase(ticket);
+      is_withdrawn = true;
+    }
+  }
+  if (!is_withdrawn || request.call) {
+    return;
+  }
+  request.has_trial = false;
+  release_trial(request, true, now);
+  const auto judgement = crash_registry_.judge(suspects_of(request), now);
+  const bool may_be_tried =
+      judgement.needs_trial && crash_registry_.possible_exits_of(judgement.reason->digest) <
+                                   crash_registry_.limits().single_attempt;
+  if (may_be_tried) {
+    continue_request(request, now);
+  } else {
+    answer_not_run(request, "a replica fell silent while it computed a piece", now);
+  }
+}
+
 void dispatcher::on_piece_finished(active_request& request, piece_ticket ticket,
                                    const piece_outcome& outcome, base::time_point now) {
   const auto position = request.pieces.at(ticket);
   request.pieces.erase(ticket);
+  request.silent_pieces.erase(ticket);
   if (outcome.fault == piece_fault::none) {
     request.graph->complete(position, outcome.handle);
     release_results(request.graph->take_unneeded_results(false));
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -6,6 +6,7 @@
 #include "catalog/catalog.h"
 #include "dispatch/active_request.h"
 #include "dispatch/admission_estimate.h"
+#include "dispatch/call_end.h"
 #include "dispatch/configuration_knowledge.h"
 #include "dispatch/end_evidence.h"
 #include "dispatch/event_stream.h"
@@ -180,6 +181,8 @@
   replica_report_exchange replica_reports_;
   path_monitor paths_;
   silence_probes silence_probes_;
+  /// Replicas that are probed because they are silent, with the times at which that is judged.
+  std::unordered_map<base::replica_id, base::time_point> silence_checks_;
   /// Time before which the silence of replicas is not judged, because this process has just stood.
   base::time_point silence_judged_from_;
   relay_exchange relays_;
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -195,7 +195,7 @@
   }
   const bool has_events = request.latest_event_at > request.call->started_at;
   commands_.emplace_back(cancel_call{request.call->id});
-  const auto call = close_call(request);
+  const auto call = close_call(request, call_end::restarted_replica, now);
   request.may_have_run = true;
   request.lost_call = end_evidence::replica_restarted;
   record(base::event_kind::stage_retried, request, call.replica.text(),
--- a/src/dispatch/silence_probes.cc
+++ b/src/dispatch/silence_probes.cc
@@ -19,6 +19,9 @@
     return false;
   }
   record.next_probe_at = now + probe_interval;
+  if (record.unanswered_since == base::time_point{}) {
+    record.unanswered_since = now;
+  }
   return true;
 }
 
@@ -30,6 +33,9 @@
     return std::nullopt;
   }
   auto& record = found->second;
+  if (probe.result != probe_result::unresponsive) {
+    record.unanswered_since = {};
+  }
   if (probe.result != probe_result::refused) {
     record.refused_since = {};
     return std::nullopt;
@@ -44,6 +50,23 @@
              : std::nullopt;
 }
 
+bool silence_probes::is_unanswered(const base::replica_id& replica, base::time_point silent_since,
+                                   base::time_point now) const {
+  const auto found = records_.find(replica);
+  if (found == records_.end()) {
+    return false;
+  }
+  const auto unanswered_since = found->second.unanswered_since;
+  return unanswered_since != base::time_point{} && unanswered_since >= silent_since &&
+         now - unanswered_since >= answer_time;
+}
+
+void silence_probes::note_heard(const base::replica_id& replica) {
+  if (const auto found = records_.find(replica); found != records_.end()) {
+    found->second.unanswered_since = {};
+  }
+}
+
 void silence_probes::drop_expired(base::time_point now) {
   std::erase_if(records_, [&](const auto& entry) {
     return now - entry.second.next_probe_at >= record_lifetime;
--- a/src/dispatch/silence_probes.h
+++ b/src/dispatch/silence_probes.h
@@ -22,12 +22,25 @@
   ///         has ended: it refused at least two. A replica that has too many connections may refuse
   ///         a single one.
   std::optional<base::time_point> note(const replica_probed& probe, base::time_point now);
+  /// Records that the replica sent something on an open connection.
+  void note_heard(const base::replica_id& replica);
+  /// @param silent_since time at which the replica was last heard.
+  /// @return whether a probe that began later has been without any answer for so long that a
+  /// replica
+  ///         whose machine runs would have answered.
+  [[nodiscard]] bool is_unanswered(const base::replica_id& replica, base::time_point silent_since,
+                                   base::time_point now) const;
+  /// Time within which a replica whose machine runs answers a new connection: twice the longest
+  /// round trip between regions.
+  static constexpr base::duration answer_time = std::chrono::milliseconds(100);
 
  private:
   struct probe_record {
     base::time_point next_probe_at;
     /// Start of the first of the refused probes in a row; the epoch if the latest was not refused.
     base::time_point refused_since;
+    /// Start of the first of the unanswered probes in a row; the epoch if the latest was answered.
+    base::time_point unanswered_since;
   };
   void drop_expired(base::time_point now);
 
--- a/src/quarantine/crash_detector.cc
+++ b/src/quarantine/crash_detector.cc
@@ -14,6 +14,13 @@
 /// is listed in another incarnation, within about four seconds. The calls are kept for two and a
 /// half times as long, since the list may lag.
 constexpr base::duration watch_duration = std::chrono::seconds(10);
+/// Time after the last lost call of a replica from which a current list shows whether it exited.
+constexpr base::duration exit_publication_time = std::chrono::seconds(5);
+/// Time for which lost calls are kept at most, also while the list is not current.
+constexpr base::duration max_watch_duration = std::chrono::minutes(2);
+/// Time after the end of an abandoned call from which a sign of life shows that its run did not
+/// crash the replica. A replica ends a run soon after its connection closes.
+constexpr base::duration abandoned_run_time = std::chrono::milliseconds(500);
 /// Maximum number of calls without a complete answer that are kept for one replica: no replica runs
 /// more calls at once.
 constexpr std::size_t max_calls_per_replica = 128;
@@ -21,20 +28,39 @@
 } // namespace
 
 bool crash_detector::note_lost_call(const base::replica_id& replica, const lost_call& call,
-                                    base::time_point now) {
+                                    bool wants_probe, base::time_point now) {
   auto& watched = replicas_[replica];
   if (watched.calls.size() < max_calls_per_replica) {
     watched.calls.push_back(call);
   }
   watched.last_lost_call_at = now;
   const bool was_connected = watched.connected_at && now - *watched.connected_at < probe_interval;
-  if (watched.is_probe_pending || was_connected) {
+  if (!wants_probe || watched.is_probe_pending || was_connected) {
     return false;
   }
   watched.is_probe_pending = true;
   return true;
 }
 
+void crash_detector::note_heard(const base::replica_id& replica, base::time_point now) {
+  const auto found = replicas_.find(replica);
+  if (found == replicas_.end()) {
+    return;
+  }
+  auto& calls = found->second.calls;
+  std::erase_if(calls, [&](const lost_call& call) {
+    return call.is_abandoned && now - call.exit.at >= abandoned_run_time;
+  });
+  if (calls.empty()) {
+    replicas_.erase(found);
+  }
+}
+
+std::vector<lost_call> crash_detector::lost_calls_of(const base::replica_id& replica) const {
+  const auto found = replicas_.find(replica);
+  return found == replicas_.end() ? std::vector<lost_call>{} : found->second.calls;
+}
+
 std::vector<lost_call> crash_detector::take_lost_calls(const base::replica_id& replica) {
   const auto found = replicas_.find(replica);
   if (found == replicas_.end()) {
@@ -66,9 +92,11 @@
 void crash_detector::note_connected(const base::replica_id& replica, base::time_point now) {
   const auto found = replicas_.find(replica);
   if (found != replicas_.end()) {
-    found->second.is_probe_pending = false;
+    // A probe of another part of the node must not delay those of lost calls that follow.
+    if (std::exchange(found->second.is_probe_pending, false)) {
+      found->second.connected_at = now;
+    }
     found->second.is_refused = false;
-    found->second.connected_at = now;
   }
 }
 
@@ -99,11 +127,15 @@
   }
 }
 
-std::map<base::replica_id, std::size_t> crash_detector::drop_expired(base::time_point now) {
+std::map<base::replica_id, std::size_t>
+crash_detector::drop_expired(base::time_point list_confirmed_at, base::time_point now) {
   std::map<base::replica_id, std::size_t> dropped;
   std::erase_if(replicas_, [&](const auto& entry) {
     const auto& [id, watched] = entry;
-    const bool is_expired = now - watched.last_lost_call_at >= watch_duration;
+    const auto age = now - watched.last_lost_call_at;
+    const bool is_listed_since =
+        list_confirmed_at >= watched.last_lost_call_at + exit_publication_time;
+    const bool is_expired = age >= (is_listed_since ? watch_duration : max_watch_duration);
     if (is_expired) {
       dropped[id] = watched.calls.size();
     }
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -25,6 +25,11 @@
   /// Assumed exit of the called incarnation. The time of the exit is set to the time at which the
   /// call ended.
   exit_observation exit;
+  /// Time at which the call began, also if it may not have reached the replica.
+  base::time_point started_at{};
+  /// Whether this node ended the call itself, without a sign that the replica exited. Such a call
+  /// is dropped once the replica is heard some time later.
+  bool is_abandoned = false;
 };
 
 /// Time after a lost call within which a refused probe shows that the replica exited, if the paths
@@ -38,8 +43,14 @@
  public:
   /// Records a call that ended without a complete answer. Precondition: the replica was not
   /// draining.
+  /// @param wants_probe whether the replica is to be probed unless that is done already.
   /// @return whether the caller must probe the replica now.
-  bool note_lost_call(const base::replica_id& replica, const lost_call& call, base::time_point now);
+  bool note_lost_call(const base::replica_id& replica, const lost_call& call, bool wants_probe,
+                      base::time_point now);
+  /// Drops the abandoned calls of a replica that was heard now, if they ended some time ago.
+  void note_heard(const base::replica_id& replica, base::time_point now);
+  /// @return lost calls of a replica; they are kept.
+  [[nodiscard]] std::vector<lost_call> lost_calls_of(const base::replica_id& replica) const;
   /// Returns and clears the lost calls of a replica. Called when the replica is known to have
   /// exited: it refuses connections, has restarted, or is no longer published.
   std::vector<lost_call> take_lost_calls(const base::replica_id& replica);
@@ -68,8 +79,10 @@
   }
   /// Drops all lost calls of a replica if the last of them is so old that an exit of the replica
   /// would have been detected by now.
+  /// @param list_confirmed_at time at which the list of replicas was last known to be current.
   /// @return number of dropped calls of each such replica.
-  std::map<base::replica_id, std::size_t> drop_expired(base::time_point now);
+  std::map<base::replica_id, std::size_t> drop_expired(base::time_point list_confirmed_at,
+                                                       base::time_point now);
   /// @return replicas with lost calls.
   [[nodiscard]] std::vector<base::replica_id> watched_replicas() const;
 
--- a/src/quarantine/crash_registry.cc
+++ b/src/quarantine/crash_registry.cc
@@ -13,6 +13,9 @@
 /// counted from its withdrawal. A client sends a request again within seconds, a scheduled job
 /// within minutes.
 constexpr base::duration short_record_lifetime = std::chrono::minutes(10);
+/// Lifetime of a record without exits after a surviving run: other nodes are told of the run
+/// before.
+constexpr base::duration cleared_record_lifetime = std::chrono::minutes(1);
 /// Duration of a first quarantine, counted from the latest exit under the request or its latest
 /// refusal. If the request does not arrive for this time, it may be tried again, because the
 /// operators may have repaired the replicas.
@@ -48,6 +51,15 @@
 /// Maximum number of indexed exits, to limit memory: enough for 30 exits per second over 30 s.
 constexpr std::size_t max_indexed_exits = 1024;
 
+/// Time from the first suspected exit under a request to its first trial: the nodes that run the
+/// request meanwhile learn of the suspicion and answer it, over the longest path between regions.
+constexpr base::duration first_trial_delay = std::chrono::milliseconds(250);
+
+/// Time after the last but one exit before quarantine in which trials of a request follow one
+/// another. Later, all nodes in contact know of the exits, and the next trial waits longer.
+constexpr base::duration prompt_trial_time = std::chrono::milliseconds(2'500);
+constexpr base::duration paused_trial_interval = std::chrono::minutes(1);
+
 /// Maximum error of a time that another node reported: the delay of its message. A call that seems
 /// to have begun less than this time after an exit may have begun before it.
 constexpr base::duration report_time_error = std::chrono::milliseconds(200);
@@ -78,7 +90,9 @@
 }
 
 base::time_point crash_record::last_update_at() const {
-  return std::max({last_exit_at(), survived_at.value_or(base::time_point{}), last_refused_at});
+  const auto latest_suspicion_at = suspected.empty() ? base::time_point{} : suspected_at;
+  return std::max({last_exit_at(), survived_at.value_or(base::time_point{}), last_refused_at,
+                   latest_suspicion_at});
 }
 
 crash_record& crash_registry::record_of(const suspect& subject) {
@@ -101,7 +115,7 @@
     const auto digest = next_evicted_.back();
     next_evicted_.pop_back();
     const auto found = records_.find(digest);
-    if (found != records_.end() && found->second.exits.size() <= 1) {
+    if (found != records_.end() && found->second.possible_exits() <= 1) {
       erase_record(found);
       return;
     }
@@ -110,7 +124,7 @@
   std::vector<rank> ranked;
   ranked.reserve(records_.size());
   for (const auto& [digest, record] : records_) {
-    ranked.emplace_back(record.exits.size(), record.last_update_at(), digest);
+    ranked.emplace_back(record.possible_exits(), record.last_update_at(), digest);
   }
   const auto end = ranked.begin() + max_records / ranked_fraction;
   std::partial_sort(ranked.begin(), end, ranked.end());
@@ -203,6 +217,12 @@
       break;
     }
     record.exits.push_back(observation);
+    std::erase_if(record.suspected, [&](const exit_key& key) {
+      const auto suspicion = suspected_.all().find(key);
+      return key.first == observation.exit &&
+             (suspicion == suspected_.all().end() ||
+              observation.at >= suspicion->second.silent_since - report_time_error);
+    });
     change.has_new_information = true;
     explanations_are_stale_ = true;
   }
@@ -212,6 +232,78 @@
   return change;
 }
 
+registry_change crash_registry::note_suspected(const suspect& subject,
+                                               const suspected_exit& suspicion) {
+  registry_change change;
+  if (const auto* known = find(subject.digest);
+      known != nullptr && known->survived_at && suspicion.silent_since <= *known->survived_at) {
+    change.is_refuted = true;
+    return change;
+  }
+  const auto is_proven = [&](const crash_record& record) {
+    return std::any_of(record.exits.begin(), record.exits.end(), [&](const auto& observation) {
+      return observation.exit == suspicion.exit && observation.at >= suspicion.silent_since;
+    });
+  };
+  const auto* known = find(subject.digest);
+  if (known != nullptr && is_proven(*known)) {
+    return change;
+  }
+  const auto key = suspected_.add(suspicion);
+  if (!key) {
+    return change;
+  }
+  auto& record = record_of(subject);
+  if (record.suspected.empty()) {
+    record.suspected_at = suspicion.noted_at;
+  }
+  change.has_new_information = record.suspected.insert(*key).second;
+  record.was_suspected = true;
+  record.was_broadcast = true;
+  return change;
+}
+
+std::vector<std::pair<suspect_digest, registry_change>>
+crash_registry::prove_suspected(replica_exit exit, std::optional<base::time_point> exited_at,
+                                base::time_point now) {
+  std::vector<std::pair<suspect_digest, registry_change>> changes;
+  for (const auto& [key, suspicion] : suspected_.take(exit, exited_at)) {
+    for (auto& [digest, record] : records_) {
+      if (record.suspected.erase(key) > 0) {
+        const exit_observation proven{exit, suspicion.silent_since, suspicion.replica,
+                                      suspicion.call_started_at};
+        changes.emplace_back(digest, add(record, {proven}, now));
+      }
+    }
+  }
+  return changes;
+}
+
+std::vector<suspect_digest> crash_registry::disprove_suspected(const disproved_exit& disproved) {
+  return forget_suspected(suspected_.disprove(disproved));
+}
+
+std::vector<suspect_digest> crash_registry::forget_suspected(const std::vector<exit_key>& keys) {
+  std::vector<suspect_digest> changed;
+  if (keys.empty()) {
+    return changed;
+  }
+  for (auto& [digest, record] : records_) {
+    std::size_t removed = 0;
+    for (const auto& key : keys) {
+      removed += record.suspected.erase(key);
+    }
+    if (removed > 0) {
+      changed.push_back(digest);
+    }
+  }
+  std::erase_if(records_, [](const auto& entry) {
+    const auto& record = entry.second;
+    return record.exits.empty() && record.suspected.empty() && !record.survived_at;
+  });
+  return changed;
+}
+
 registry_change crash_registry::note_exit(const suspect& subject,
                                           const exit_observation& observation,
                                           base::time_point now) {
@@ -224,8 +316,13 @@
     return false;
   }
   auto& record = found->second;
-  const bool had_exits = !record.exits.empty();
+  const bool had_exits = !record.exits.empty() || !record.suspected.empty();
   record.exits.clear();
+  std::erase_if(record.suspected, [&](const exit_key& key) {
+    const auto suspicion = suspected_.all().find(key);
+    return suspicion == suspected_.all().end() || suspicion->second.silent_since <= now;
+  });
+  record.was_suspected = !record.suspected.empty();
   record.survived_at = now;
   explanations_are_stale_ = true;
   return had_exits;
@@ -246,9 +343,19 @@
     is_cleared = std::erase_if(record.exits, [&](const exit_observation& observation) {
                    return observation.at <= *record.survived_at;
                  }) > 0;
+    is_cleared = std::erase_if(record.suspected,
+                               [&](const exit_key& key) {
+                                 const auto suspicion = suspected_.all().find(key);
+                                 return suspicion == suspected_.all().end() ||
+                                        suspicion->second.silent_since <= *record.survived_at;
+                               }) > 0 ||
+                 is_cleared;
+    record.was_suspected = !record.suspected.empty();
     explanations_are_stale_ = true;
   }
   auto change = add(record, received.exits, now);
+  const bool is_suspicion_refuted = record.survived_at && record.exits.empty();
+  record.was_suspected = record.was_suspected || (received.was_suspected && !is_suspicion_refuted);
   change.has_new_information = change.has_new_information || is_cleared;
   return change;
 }
@@ -310,7 +417,12 @@
 exit_assessment crash_registry::assess(const suspect_digest& digest) const {
   exit_assessment judged;
   const auto* record = find(digest);
-  if (record == nullptr || record->exits.empty()) {
+  if (record == nullptr) {
+    return judged;
+  }
+  judged.suspected = record->suspected.size();
+  if (record->exits.empty()) {
+    judged.required = base_requirement(*record);
     return judged;
   }
   judged.recorded = record->exits.size();
@@ -326,8 +438,8 @@
 
 std::string exit_assessment::text() const {
   return std::to_string(counted) + " of " + std::to_string(recorded) + " exits count, " +
-         std::to_string(explained) + " explained by other requests, " + std::to_string(required) +
-         " required for quarantine";
+         std::to_string(suspected) + " suspected, " + std::to_string(explained) +
+         " explained by other requests, " + std::to_string(required) + " required for quarantine";
 }
 
 void crash_registry::update_explanations() const {
@@ -425,7 +537,8 @@
                                                      base::time_point now) const {
   const auto counted = counted_exits(record);
   if (counted < limits_.single_attempt) {
-    return quarantine_state::unrestricted;
+    return record.suspected.empty() ? quarantine_state::unrestricted
+                                    : quarantine_state::single_attempt;
   }
   const bool is_undecided = record.kind == suspect_kind::request &&
                             counted < limits_.quarantine_with_unrelated_exits &&
@@ -456,12 +569,69 @@
       highest = own;
     }
   }
-  judgement.needs_trial = judgement.reason != nullptr && quarantined_suspects <= 1 &&
-                          judgement.reason->kind == suspect_kind::prompt_part;
+  if (judgement.reason == nullptr) {
+    return judgement;
+  }
+  const bool is_whole_request = judgement.reason->kind == suspect_kind::request;
+  if (is_whole_request) {
+    const auto& record = *find(judgement.reason->digest);
+    judgement.is_held = is_held(record) || is_paused(record, now);
+  }
+  judgement.needs_trial = is_whole_request ? judgement.state == quarantine_state::single_attempt &&
+                                                 !judgement.is_held &&
+                                                 find(judgement.reason->digest)->was_suspected
+                                           : quarantined_suspects <= 1;
   return judgement;
 }
 
+bool crash_registry::is_held(const crash_record& record) const {
+  if (record.suspected.empty()) {
+    return false;
+  }
+  const auto required = record.exits.empty() ? base_requirement(record) : exits_required(record);
+  return counted_exits(record) + record.suspected.size() >= required;
+}
+
+std::size_t crash_registry::possible_exits_of(const suspect_digest& digest) const {
+  const auto* record = find(digest);
+  return record == nullptr ? 0 : counted_exits(*record) + record->suspected.size();
+}
+
+std::vector<base::time_point>
+crash_registry::possible_exit_times(const crash_record& record) const {
+  std::vector<base::time_point> times;
+  for (const auto& observation : record.exits) {
+    times.push_back(observation.at);
+  }
+  for (const auto& key : record.suspected) {
+    if (const auto found = suspected_.all().find(key); found != suspected_.all().end()) {
+      times.push_back(found->second.silent_since);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
+bool crash_registry::is_paused(const crash_record& record, base::time_point now) const {
+  if (!record.was_suspected) {
+    return false;
+  }
+  const auto times = possible_exit_times(record);
+  const auto possible = counted_exits(record) + record.suspected.size();
+  if (std::min(possible, times.size()) + 1 < limits_.quarantine) {
+    return false;
+  }
+  const auto known_at = times[limits_.quarantine - 2] + prompt_trial_time;
+  return now >= known_at && now - times.back() < paused_trial_interval;
+}
+
 bool crash_registry::is_trial_due(const crash_record& record, base::time_point now) const {
+  if (record.kind == suspect_kind::request) {
+    const bool is_settled =
+        record.suspected.empty() || now - record.suspected_at >= first_trial_delay;
+    return is_settled && !is_held(record) && !is_paused(record, now) &&
+           quarantine_state_of(record, now) != quarantine_state::quarantined;
+  }
   if (quarantine_state_of(record, now) != quarantine_state::quarantined) {
     return true;
   }
@@ -503,12 +673,19 @@
 }
 
 bool crash_registry::is_expired(const crash_record& record, base::time_point now) const {
+  if (!record.suspected.empty()) {
+    return false;
+  }
   const bool was_quarantined = record.exits.size() >= base_requirement(record);
+  if (!was_quarantined && record.exits.empty()) {
+    return now - record.last_update_at() >= cleared_record_lifetime;
+  }
   return now - record.last_update_at() >=
          (was_quarantined ? quarantine_record_lifetime : short_record_lifetime);
 }
 
 void crash_registry::expire(base::time_point now) {
+  forget_suspected(suspected_.take_expired(now));
   const auto forgotten =
       std::erase_if(records_, [&](const auto& entry) { return is_expired(entry.second, now); });
   explanations_are_stale_ = explanations_are_stale_ || forgotten > 0;
--- a/src/quarantine/crash_registry.h
+++ b/src/quarantine/crash_registry.h
@@ -11,6 +11,10 @@
 ///   the replica ran, since it is not known which of them caused it.
 /// - surviving run: a run that ended without an exit of its replica. It shows that earlier exits
 ///   under the request had another cause.
+/// - suspected exit: a replica fell silent while it ran a request, and has not been heard since. It
+///   convicts no request, but a request with one runs at one replica at a time over all nodes, and
+///   is held if so many of its exits are suspected that it would be quarantined if they were
+///   proven.
 /// - withdrawn exit: a recorded exit that turned out to be wrong, because the replica answered
 ///   later in the same incarnation.
 ///
@@ -23,6 +27,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "quarantine/suspect.h"
+#include "quarantine/suspected_exits.h"
 #include "replicas/replica_incarnations.h"
 #include "serving/settings.h"
 
@@ -37,11 +42,6 @@
 
 namespace spurrack::quarantine {
 
-using serving::replica_exit;
-
-/// Identifies an exit within one registry: incarnation that exited, and number of its process.
-using exit_key = std::pair<replica_exit, std::uint32_t>;
-
 /// Exit of one incarnation of a replica, as observed by this node or reported by another node.
 struct exit_observation {
   /// Identifier of the incarnation that exited, the same on all nodes.
@@ -81,14 +81,24 @@
   suspect_kind kind = suspect_kind::request;
   /// Exits without duplicates, in the order in which this node learned of them.
   std::vector<exit_observation> exits;
+  /// Exits under the request that are suspected; only in the record of a request.
+  std::set<exit_key> suspected;
+  /// Whether exits under the request were suspected since its last surviving run: its replicas may
+  /// exit without a word, so that it runs at one replica at a time.
+  bool was_suspected = false;
+  /// Time at which this node learned of the first of the suspected exits.
+  base::time_point suspected_at{};
   /// Time of the latest surviving run of the request or release by an operator, whichever is
   /// later; std::nullopt if there was neither. `exits` holds only exits after this time.
   std::optional<base::time_point> survived_at;
-  /// Whether the record has ever held two or more exits. Such a record is sent to all nodes.
+  /// Whether the record has ever held two or more exits, or a suspected one. Such a record is sent
+  /// to all nodes.
   bool was_broadcast = false;
   /// Time at which this node last refused the request because it was quarantined.
   base::time_point last_refused_at{};
 
+  /// @return number of exits, proven or suspected.
+  [[nodiscard]] std::size_t possible_exits() const { return exits.size() + suspected.size(); }
   /// @return time of the latest exit, surviving run or refusal.
   [[nodiscard]] base::time_point last_update_at() const;
   [[nodiscard]] base::time_point last_exit_at() const;
@@ -102,6 +112,8 @@
   std::size_t explained = 0;
   /// Number of exits that count against the request.
   std::size_t counted = 0;
+  /// Number of suspected exits.
+  std::size_t suspected = 0;
   /// Number of counted exits at which the request is quarantined.
   std::size_t required = 0;
 
@@ -113,9 +125,12 @@
   quarantine_state state = quarantine_state::unrestricted;
   /// Suspect that is the reason for the state; null if the request is unrestricted.
   const suspect* reason = nullptr;
-  /// Whether the request may run only as a trial of `reason`, a prompt part. A request with several
-  /// quarantined suspects gets no trial, since its outcome would not tell them apart.
+  /// Whether the request may run only as a trial of `reason`. A request with several quarantined
+  /// suspects gets no trial, since its outcome would not tell them apart.
   bool needs_trial = false;
+  /// Whether the request gets no trial until a suspected exit is proven or disproved, or until a
+  /// later time.
+  bool is_held = false;
 };
 
 /// Effect of a reported exit or a merged record on the registry.
@@ -141,6 +156,19 @@
 
   registry_change note_exit(const suspect& subject, const exit_observation& observation,
                             base::time_point now);
+  /// Records that a replica fell silent under a request.
+  registry_change note_suspected(const suspect& subject, const suspected_exit& suspicion);
+  /// Ends the suspicions of an incarnation because its exit is proven, and records the exit under
+  /// the requests that it ran.
+  /// @param exited_at as for `suspected_exits::take`.
+  /// @return digests of these requests, and whether the quarantine of each begins.
+  std::vector<std::pair<suspect_digest, registry_change>>
+  prove_suspected(replica_exit exit, std::optional<base::time_point> exited_at,
+                  base::time_point now);
+  /// Ends the suspicions of an incarnation because the replica was heard again in the same process.
+  /// @return digests of the requests that it ran.
+  std::vector<suspect_digest> disprove_suspected(const disproved_exit& disproved);
+  [[nodiscard]] const suspected_exits& suspected() const { return suspected_; }
   /// Records a surviving run of a request and clears the exits under the request.
   /// @return whether the registry held exits under the request.
   bool note_survived(const suspect_digest& digest, base::time_point now);
@@ -176,9 +204,15 @@
   [[nodiscard]] request_judgement judge(const std::vector<suspect>& suspects,
                                         base::time_point now) const;
   /// @return whether a trial of a suspect may run, if no other trial of it is under way: at any
-  /// time
-  ///         before its quarantine, and during it after a time that grows with each exit.
+  ///         time before its quarantine, and during the quarantine of a prompt part after a time
+  ///         that grows with each exit. A trial of a request waits until other nodes have told of
+  ///         the runs under way when its first exit was suspected, and until enough suspected exits
+  ///         are proven or disproved.
   [[nodiscard]] bool is_trial_due(const crash_record& record, base::time_point now) const;
+  /// @return whether a request would be quarantined if its suspected exits were proven.
+  [[nodiscard]] bool is_held(const crash_record& record) const;
+  /// @return number of exits under a request, proven ones that count and suspected ones.
+  [[nodiscard]] std::size_t possible_exits_of(const suspect_digest& digest) const;
   /// Records that a quarantined request was refused. This prolongs the quarantine, so that it
   /// lasts as long as clients keep sending the request.
   void note_refused(const suspect_digest& digest, base::time_point now);
@@ -203,6 +237,9 @@
   std::uint32_t index_exit(const exit_observation& observation);
   registry_change add(crash_record& record, const std::vector<exit_observation>& observations,
                       base::time_point now);
+  /// Removes suspected exits from all records.
+  /// @return digests of the records that held one of them.
+  std::vector<suspect_digest> forget_suspected(const std::vector<exit_key>& keys);
   /// @return whether another suspect is the more likely cause of `exit` than one with this exit and
   ///         `own_exits` distinct exits: the other one has this exit as well, has more distinct
   ///         exits, and has enough of them for quarantine.
@@ -213,6 +250,11 @@
   /// @return number of exits at which a suspect of the kind of `record` is quarantined if few
   ///         unrelated replicas exited.
   [[nodiscard]] std::size_t base_requirement(const crash_record& record) const;
+  /// @return times of the exits of a request, proven and suspected ones, the earliest first.
+  [[nodiscard]] std::vector<base::time_point> possible_exit_times(const crash_record& record) const;
+  /// @return whether a request that lacks one exit for quarantine waits for a later trial, because
+  ///         its exits are so old that a client sent it again only after all nodes knew of them.
+  [[nodiscard]] bool is_paused(const crash_record& record, base::time_point now) const;
   /// @return number of exits of a quarantined suspect that came so long after the exit before that
   ///         they happened in trials.
   [[nodiscard]] std::size_t exits_in_trials(const crash_record& record) const;
@@ -236,6 +278,7 @@
 
   serving::quarantine_limits limits_;
   std::map<suspect_digest, crash_record> records_;
+  suspected_exits suspected_;
   /// Records that are evicted next if they still have at most one exit, the first one at the end.
   std::vector<suspect_digest> next_evicted_;
   /// Index of known exits, with their times: exits in present and dropped records, and exits that
--- a/src/quarantine/crash_report_exchange.cc
+++ b/src/quarantine/crash_report_exchange.cc
@@ -33,6 +33,10 @@
 /// Maximum number of exits, of 15 bytes each, that a message carries beside its records. If two
 /// replicas exit per second, these are the exits of the last six seconds.
 constexpr std::size_t max_exits_per_message = 12;
+/// Maximum number of disproved suspicions that a message carries, and the time for which they are
+/// sent.
+constexpr std::size_t max_disproved_per_message = 12;
+constexpr base::duration disproved_report_time = std::chrono::seconds(5);
 /// Maximum number of records in the reply to a node that queries missed records.
 constexpr std::size_t max_records_per_reply = 32;
 
@@ -51,7 +55,17 @@
   wire_record.set_request(observation.request);
 }
 
-void add_to(wire::crash_news& report, const crash_record& record, base::time_point now) {
+void add_to(wire::replica_crash& wire_record, const suspected_exit& suspicion,
+            base::time_point now) {
+  wire_record.set_replica_end(suspicion.exit);
+  wire_record.set_replica(suspicion.replica.text());
+  wire_record.set_age_milliseconds(age_of(suspicion.silent_since, now));
+  wire_record.set_call_milliseconds(1 + age_of(suspicion.call_started_at, suspicion.silent_since));
+  wire_record.set_noted_age_milliseconds(age_of(suspicion.noted_at, now));
+}
+
+void add_to(wire::crash_news& report, const crash_record& record, const suspected_exits& suspected,
+            base::time_point now) {
   auto& wire_record = *report.add_records();
   wire_record.set_request_digest(record.digest.bytes());
   wire_record.set_suspect(record.kind == suspect_kind::request ? wire::SUSPECT_REQUEST
@@ -59,6 +73,13 @@
   for (const auto& observation : record.exits) {
     add_to(*wire_record.add_crashes(), observation, now);
   }
+  wire_record.set_was_suspected(record.was_suspected);
+  for (const auto& key : record.suspected) {
+    const auto found = suspected.all().find(key);
+    if (found != suspected.all().end()) {
+      add_to(*wire_record.add_suspected(), found->second, now);
+    }
+  }
   if (record.survived_at) {
     wire_record.set_survived(true);
     wire_record.set_survived_age_milliseconds(age_of(*record.survived_at, now));
@@ -84,6 +105,17 @@
   return exits;
 }
 
+suspected_exit suspicion_from_wire(const wire::replica_crash& wire_record, base::time_point now) {
+  suspected_exit suspicion;
+  suspicion.exit = wire_record.replica_end();
+  suspicion.replica = base::replica_id(wire_record.replica());
+  suspicion.silent_since = time_at_age(now, wire_record.age_milliseconds());
+  const auto call_time = std::max<std::uint32_t>(1, wire_record.call_milliseconds()) - 1;
+  suspicion.call_started_at = time_at_age(suspicion.silent_since, call_time);
+  suspicion.noted_at = time_at_age(now, wire_record.noted_age_milliseconds());
+  return suspicion;
+}
+
 /// @return std::nullopt if the record holds no valid digest.
 std::optional<crash_record> from_wire(const wire::crash_record& wire_record, base::time_point now) {
   const auto digest = suspect_digest::from_bytes(wire_record.request_digest());
@@ -94,6 +126,7 @@
   record.digest = *digest;
   record.kind = wire_record.suspect() == wire::SUSPECT_PROMPT_PART ? suspect_kind::prompt_part
                                                                    : suspect_kind::request;
+  record.was_suspected = wire_record.was_suspected();
   record.exits = exits_from_wire(wire_record.crashes(), now);
   if (wire_record.survived()) {
     record.survived_at = time_at_age(now, wire_record.survived_age_milliseconds());
@@ -184,7 +217,7 @@
   for (const auto* record : take_changed_records(max_records_per_message)) {
     for (const auto& to :
          record->was_broadcast ? gossip_receivers : aggregators_of(record->digest)) {
-      add_to(reports[to], *record, now);
+      add_to(reports[to], *record, registry_->suspected(), now);
     }
   }
   for (auto& [to, message] : reports) {
@@ -213,7 +246,7 @@
   next_reminder_at_ = now + reminder_interval;
   wire::crash_news reminder;
   for (const auto* record : broadcast_records(max_records_per_message)) {
-    add_to(reminder, *record, now);
+    add_to(reminder, *record, registry_->suspected(), now);
   }
   if (reminder.records_size() == 0) {
     return;
@@ -228,12 +261,34 @@
   for (const auto& observation : registry_->latest_exits(max_exits_per_message, now)) {
     add_to(*report.add_latest_ends(), observation, now);
   }
+  for (const auto& disproved : registry_->suspected().latest_disproved(max_disproved_per_message)) {
+    if (now - disproved.heard_at < disproved_report_time) {
+      auto& told = *report.add_disproved();
+      told.set_replica_end(disproved.exit);
+      told.set_age_milliseconds(age_of(disproved.heard_at, now));
+      if (disproved.call_started_at != base::time_point{}) {
+        told.set_call_milliseconds(1 + age_of(disproved.call_started_at, disproved.heard_at));
+      }
+    }
+  }
   wire::outgoing message{to, {}};
   *message.message.mutable_crash_news() = std::move(report);
   outgoing_messages_.push_back(std::move(message));
   ++counts_.sent_messages;
 }
 
+void crash_report_exchange::send_at_once(const suspect_digest& digest, base::time_point now) {
+  const auto* record = registry_->find(digest);
+  if (record == nullptr) {
+    return;
+  }
+  for (const auto& to : aggregators_of(digest)) {
+    wire::crash_news report;
+    add_to(report, *record, registry_->suspected(), now);
+    send(to, std::move(report), now);
+  }
+}
+
 void crash_report_exchange::advance(base::time_point now) {
   send_queries(now);
   send_changes(now);
@@ -266,6 +321,15 @@
   const auto latest_exits = exits_from_wire(message.latest_ends(), now);
   registry_->merge_exits(latest_exits, now);
   note_told(latest_exits);
+  for (const auto& told : message.disproved()) {
+    disproved_exit disproved{told.replica_end(), {}, time_at_age(now, told.age_milliseconds())};
+    if (told.call_milliseconds() > 0) {
+      disproved.call_started_at = time_at_age(disproved.heard_at, told.call_milliseconds() - 1);
+    }
+    for (const auto& digest : registry_->disprove_suspected(disproved)) {
+      learned.push_back({digest, false});
+    }
+  }
   for (const auto& wire_record : message.records()) {
     const auto record = from_wire(wire_record, now);
     if (!record) {
@@ -274,22 +338,30 @@
     }
     ++counts_.received_records;
     note_told(record->exits);
-    const auto change = registry_->merge(*record, now);
+    auto change = registry_->merge(*record, now);
+    bool is_suspected = false;
+    for (const auto& wire_suspicion : wire_record.suspected()) {
+      const auto suspicion = suspicion_from_wire(wire_suspicion, now);
+      const auto noted =
+          registry_->note_suspected({record->digest, suspect_kind::request}, suspicion);
+      is_suspected = is_suspected || noted.has_new_information;
+    }
+    change.has_new_information = change.has_new_information || is_suspected;
     const auto* known = registry_->find(record->digest);
     if (change.is_refuted && known != nullptr) {
-      add_to(reply, *known, now);
+      add_to(reply, *known, registry_->suspected(), now);
     }
     if (!change.has_new_information) {
       continue;
     }
-    learned.push_back({record->digest, change.begins_quarantine});
+    learned.push_back({record->digest, change.begins_quarantine, is_suspected});
     if (known != nullptr && known->was_broadcast) {
       note_changed(record->digest);
     }
   }
   if (message.wants_all()) {
     for (const auto* record : broadcast_records(max_records_per_reply)) {
-      add_to(reply, *record, now);
+      add_to(reply, *record, registry_->suspected(), now);
     }
   }
   if (reply.records_size() > 0) {
--- a/src/quarantine/crash_report_exchange.h
+++ b/src/quarantine/crash_report_exchange.h
@@ -2,11 +2,11 @@
 ///
 /// The first exit under a request is reported to three nodes, the aggregators of the request, which
 /// are chosen by rendezvous hashing over all nodes: the aggregators combine exits that different
-/// nodes observed. Once two exits under the request are known, its record spreads to all nodes by
-/// gossip, so the traffic of a node does not grow with the fleet. Nodes send a record only when it
-/// changes. While they know any request that has had two exits, they also send one reminder per
-/// second, which repeats the latest records to a random node: reminders reach nodes that missed a
-/// message, were partitioned or restarted.
+/// nodes observed. Once two exits under the request are known, or one is suspected, its record
+/// spreads to all nodes by gossip, so the traffic of a node does not grow with the fleet. Nodes
+/// send a record only when it changes. While they know any request that has had two exits, they
+/// also send one reminder per second, which repeats the latest records to a random node: reminders
+/// reach nodes that missed a message, were partitioned or restarted.
 #pragma once
 
 #include "base/ids.h"
@@ -41,6 +41,8 @@
   suspect_digest digest;
   /// Whether the change put the request into quarantine.
   bool begins_quarantine = false;
+  /// Whether the sender suspects exits under the request.
+  bool is_suspected = false;
 };
 
 /// Sends the crash records of this node to other nodes, and merges the records that it receives
@@ -57,6 +59,9 @@
   void set_peers(const std::vector<serving::fleet_peer>& alive) { nodes_.set_peers(alive); }
   /// Schedules the record of a request for sending. To be called after the record changed.
   void note_changed(const suspect_digest& digest) { changed_digests_.insert(digest); }
+  /// Queues the record of a request for its aggregators at once. To be called before a trial of the
+  /// request ends, so that the issuer of the next one knows how it ended.
+  void send_at_once(const suspect_digest& digest, base::time_point now);
   /// Schedules queries to other nodes for the records that this process missed while suspended.
   void resume_after_suspension(base::time_point now) { begin_queries(now); }
   /// Queues the messages that are due.
--- a/src/replicas/replica_incarnations.cc
+++ b/src/replicas/replica_incarnations.cc
@@ -15,6 +15,10 @@
 /// is the same as before. 21 bits are three bytes of a message; the whole start time would be six.
 constexpr std::uint64_t fingerprint_count = (1U << 21U) - 1;
 
+replica_exit exit_id_of(const base::replica_id& replica, std::uint64_t started_at_milliseconds) {
+  return base::stable_hash(replica.text(), started_at_milliseconds);
+}
+
 } // namespace
 
 std::optional<replica_restart> replica_incarnations::note_published(const model::replica& record) {
@@ -26,7 +30,8 @@
   auto& known = position->second;
   std::optional<replica_restart> restart;
   if (!is_new && known.incarnation != *record.incarnation) {
-    restart = replica_restart{record.id, known.address};
+    restart = replica_restart{record.id, known.address,
+                              exit_id_of(record.id, known.incarnation.started_at_milliseconds)};
   }
   known = {*record.incarnation, record.address, std::nullopt};
   return restart;
@@ -48,7 +53,7 @@
 
 replica_exit exit_id_of(const model::replica& record) {
   const auto start = record.incarnation ? record.incarnation->started_at_milliseconds : 0;
-  return base::stable_hash(record.id.text(), start);
+  return exit_id_of(record.id, start);
 }
 
 std::uint32_t process_fingerprint_of(const model::replica& record) {
--- a/src/replicas/replica_incarnations.h
+++ b/src/replicas/replica_incarnations.h
@@ -14,11 +14,26 @@
 
 namespace spurrack::serving {
 
+/// Identifies the exit of one incarnation of a replica (the end of its process, by a crash or
+/// otherwise): a hash of the replica's id and start time, equal on all nodes.
+using replica_exit = std::uint64_t;
+[[nodiscard]] replica_exit exit_id_of(const model::replica& record);
+
 /// Restart of a replica that keeps its id.
 struct replica_restart {
   base::replica_id replica;
   /// Address of the earlier incarnation.
   base::network_address earlier_address;
+  /// Exit of the earlier incarnation.
+  replica_exit earlier_exit = 0;
+};
+
+/// Replica that is published no longer.
+struct removed_replica {
+  base::replica_id replica;
+  replica_exit exit = 0;
+  /// Whether its last record announced a planned end.
+  bool was_draining = false;
 };
 
 /// Latest published incarnation of each replica. Not thread-safe.
@@ -47,11 +62,6 @@
   std::map<base::replica_id, known_incarnation> replicas_;
 };
 
-/// Identifies the exit of one incarnation of a replica (the end of its process, by a crash or
-/// otherwise): a hash of the replica's id and start time, equal on all nodes.
-using replica_exit = std::uint64_t;
-[[nodiscard]] replica_exit exit_id_of(const model::replica& record);
-
 /// @return a short fingerprint of a replica's incarnation for messages between nodes: equal for
 ///         equal incarnations, 0 if the record has no incarnation.
 [[nodiscard]] std::uint32_t incarnation_fingerprint_of(const model::replica& record);
--- a/src/replicas/replica_table.cc
+++ b/src/replicas/replica_table.cc
@@ -130,6 +130,7 @@
   index_.remove(found->second);
   const auto& record = *found->second.record;
   versions_.note_removed(record.service, record.version, now);
+  removed_.push_back({id, exit_id_of(record), record.draining});
   replicas_.erase(found);
   evidence_.forget(id);
   incarnations_.note_unpublished(id, now);
--- a/src/replicas/replica_table.h
+++ b/src/replicas/replica_table.h
@@ -100,6 +100,8 @@
   [[nodiscard]] std::vector<replica_restart> take_restarts() {
     return std::exchange(restarts_, {});
   }
+  /// @return replicas that calls of `update` have removed since the last call of this function.
+  [[nodiscard]] std::vector<removed_replica> take_removed() { return std::exchange(removed_, {}); }
   /// @return whether a call that began at `began_at` was sent to an earlier incarnation of the
   ///         replica.
   [[nodiscard]] bool was_sent_to_earlier_incarnation(const base::replica_id& id,
@@ -456,6 +458,7 @@
   std::uint64_t records_compared_ = 0;
   replica_incarnations incarnations_;
   std::vector<replica_restart> restarts_;
+  std::vector<removed_replica> removed_;
   std::map<base::replica_id, std::string> replicas_of_unknown_services_;
   replica_evidence evidence_;
   /// Replicas on which other nodes sent health reports, by service.
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -94,6 +94,17 @@
   /// Unplanned exits of replicas while they ran requests of this node, counted once for each of
   /// these requests.
   std::uint64_t crashes_under_requests = 0;
+  /// Calls that ended, by the name of the reason.
+  std::map<std::string_view, std::uint64_t> closed_calls;
+  /// Exits of replicas that were suspected because they fell silent while they ran requests of this
+  /// node, counted once for each of these requests.
+  std::uint64_t suspected_exits = 0;
+  /// Suspected exits, of any node, that this node found proven, once for each request; and that it
+  /// found not to have happened.
+  std::uint64_t proven_exits = 0;
+  std::uint64_t disproved_exits = 0;
+  /// Requests refused because they would be quarantined if their suspected exits were proven.
+  std::uint64_t refused_while_held = 0;
   /// Requests refused or aborted because they were quarantined.
   std::uint64_t refused_in_quarantine = 0;
   /// Number of times that a request was put into quarantine at this node.
--- a/src/stage_work/stage_graph.cc
+++ b/src/stage_work/stage_graph.cc
@@ -70,6 +70,10 @@
   return found;
 }
 
+void stage_graph::withdraw(piece_position position) {
+  stages_[position.stage][position.piece].is_submitted = false;
+}
+
 void stage_graph::note_inputs_fetched(piece_position position) {
   stages_[position.stage][position.piece].has_fetched_inputs = true;
 }
--- a/src/stage_work/stage_graph.h
+++ b/src/stage_work/stage_graph.h
@@ -28,6 +28,8 @@
   /// @return pieces whose inputs are complete and that were not returned before; marks them as
   ///         submitted.
   std::vector<piece_position> take_ready();
+  /// Lets `take_ready` return a submitted piece again, because its call was given up.
+  void withdraw(piece_position position);
   /// Records that the replica that runs a piece has fetched the inputs of the piece.
   void note_inputs_fetched(piece_position position);
   /// Records the handle of the result of a piece; see `producer_of` for its format.
--- a/src/stage_work/stage_pool_silence.cc
+++ b/src/stage_work/stage_pool_silence.cc
@@ -12,6 +12,10 @@
 /// its timeout.
 constexpr base::duration overdue_check_interval = std::chrono::milliseconds(100);
 
+/// Time from the timeout of a call to the first such look: meanwhile the nodes of its requests find
+/// out whether the replica answers new connections, and withdraw pieces that may have crashed it.
+constexpr base::duration first_give_up_delay = std::chrono::milliseconds(200);
+
 } // namespace
 
 void stage_pool::check_overdue_calls(base::time_point now) {
@@ -21,6 +25,9 @@
       open.is_overdue = true;
       note_call_time(open, now);
       replicas_->note_stalled(open.command.target.replica, open.started_at, now);
+      report_lost_pieces(open, now);
+      call_timeouts_.set(call, now + first_give_up_delay);
+      continue;
     }
     if (remaining_pieces_of(open).empty() || has_certain_successors(open, now)) {
       give_up_call(call, now);
