--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -248,6 +248,23 @@
   add("spurrack_crashes_under_requests_total",
       "Exits of replicas attributed to requests; an exit counts for each request that ran there.",
       counts.crashes_under_requests);
+  add("spurrack_suspected_exits_total",
+      "Exits under requests of this node that are suspected because a replica fell silent.",
+      counts.suspected_exits);
+  add("spurrack_proven_suspicions_total", "Suspected exits that this node found proven.",
+      counts.proven_exits);
+  add("spurrack_disproved_suspicions_total",
+      "Suspected exits that this node found not to have happened.", counts.disproved_exits);
+  add("spurrack_held_refusals_total",
+      "Requests refused until it is known whether replicas exited under them.",
+      counts.refused_while_held);
+  auto& closed_calls = BuildCounter()
+                           .Name("spurrack_closed_calls_total")
+                           .Help("Calls at replicas that ended, by reason.")
+                           .Register(registry);
+  for (const auto& [reason, count] : counts.closed_calls) {
+    closed_calls.Add({{"reason", std::string(reason)}}).Increment(static_cast<double>(count));
+  }
   add("spurrack_quarantines_total",
       "Times a request was quarantined because replicas exited while they ran it.",
       counts.quarantines);
--- a/src/upstream/body_reader.cc
+++ b/src/upstream/body_reader.cc
@@ -42,7 +42,13 @@
       error = {};
     }
   }
-  return error == beast_http::error::need_more ? error_code() : error;
+  if (error == beast_http::error::need_more) {
+    error = {};
+  }
+  if (!error && !parser.is_done() && received.size() > max_framing_bytes) {
+    error = beast_http::error::header_limit;
+  }
+  return error;
 }
 
 asio::awaitable<error_code> read_some_body(connection& source, response_parser& parser,
--- a/src/upstream/body_reader.h
+++ b/src/upstream/body_reader.h
@@ -17,12 +17,17 @@
 
 using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+/// Maximum number of bytes of incomplete framing that are kept: the size line of a chunk with its
+/// extensions, or the trailer of a body. These bytes carry no content, and no budget counts them.
+inline constexpr std::size_t max_framing_bytes = 16'384;
+
 /// Parses the received bytes of a body as far as possible.
 /// @param received bytes read from the connection; the parsed bytes are removed, incomplete framing
 ///        stays.
 /// @param parser must have parsed the head.
 /// @param body text to which the parsed bytes of the body are appended.
-/// @return the error if the bytes are not a valid body; no error if more bytes are needed.
+/// @return the error if the bytes are not a valid body, or hold more than `max_framing_bytes` of
+///         incomplete framing; no error if more bytes are needed.
 boost::system::error_code parse_received_body(boost::beast::flat_buffer& received,
                                               response_parser& parser, std::string& body);
 
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -46,6 +46,9 @@
 constexpr std::uint32_t max_answer_header_bytes = 65'536;
 /// Maximum size of the body of an answer that is buffered until complete.
 constexpr std::size_t max_whole_answer_bytes = 8'000'000;
+/// Maximum number of interim answers (status 1xx) before an answer. At the next one, the call fails
+/// and its connection is closed.
+constexpr unsigned max_interim_answers = 16;
 /// Maximum number of surplus answers (answers that belong to no call) that are skipped during one
 /// call. At the next surplus answer, the call fails and its connection is closed.
 constexpr unsigned max_surplus_answers = 4;
@@ -291,6 +294,7 @@
                                   const outgoing_call& call,
                                   std::optional<response_parser>& parser) {
     auto& replica_connection = *state->replica_connection;
+    unsigned interim = 0;
     for (unsigned surplus = 0; surplus <= max_surplus_answers;) {
       parser.emplace();
       parser->header_limit(max_answer_header_bytes);
@@ -304,6 +308,9 @@
         co_return false;
       }
       if (is_interim(parser->get().result_int())) {
+        if (++interim > max_interim_answers) {
+          co_return false;
+        }
         continue;
       }
       if (!call.request_id ||
--- a/tests/upstream/body_reader_test.cc
+++ b/tests/upstream/body_reader_test.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace {
 
@@ -90,4 +91,24 @@
   BOOST_TEST(!parsed.is_complete);
 }
 
+/// Guards against a replica that sends framing without end, which would fill the memory of the
+/// node.
+BOOST_AUTO_TEST_CASE(framing_without_end_is_an_error) {
+  constexpr std::size_t endless_bytes = 1'000'000;
+  const std::string begin = std::string(head) + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string filler(endless_bytes, '1');
+  const std::vector<std::string> endless{
+      begin + "5;" + filler,                         // a chunk extension
+      begin + std::string(endless_bytes, '0'),       // digits of a chunk size
+      begin + "5\r\nfirst\r\n0\r\nfield: " + filler, // a trailer
+  };
+  for (const auto& text : endless) {
+    for (const std::size_t step : {1'000U, 65'536U}) {
+      const auto parsed = parse_in_steps(text, step);
+      BOOST_TEST(parsed.error.failed());
+      BOOST_TEST(parsed.unparsed_bytes <= upstream::max_framing_bytes + step);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/upstream/replica_stand_in.h
+++ b/tests/upstream/replica_stand_in.h
@@ -29,6 +29,8 @@
   std::chrono::milliseconds silence{};
   /// Whether the answer is a stream that begins before the silence.
   bool begins_stream = false;
+  /// Number of interim answers (status 100) before the answer.
+  std::size_t interim_answers = 0;
 };
 
 /// Serves connections on the io_context of the test. Not thread-safe.
@@ -99,6 +101,12 @@
     if (error) {
       co_return error;
     }
+    std::string interim;
+    for (std::size_t sent = 0; sent < handling.interim_answers; ++sent) {
+      interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    co_await boost::asio::async_write(socket, boost::asio::buffer(interim),
+                                      http::await_into(error));
     const std::string end =
         handling.begins_stream ? "0\r\n\r\n" : "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
     co_await boost::asio::async_write(socket, boost::asio::buffer(end), http::await_into(error));
--- a/tests/upstream/silent_connection_test.cc
+++ b/tests/upstream/silent_connection_test.cc
@@ -241,4 +241,23 @@
   BOOST_TEST(client->counts().reused == 1u);
 }
 
+// Guards against a call that reads interim answers without end, beyond its attempts and budgets.
+BOOST_AUTO_TEST_CASE(a_call_with_interim_answers_without_end_fails) {
+  call_handling handling;
+  handling.interim_answers = 100'000;
+  start_replica({handling});
+  const auto failed = run<serving::call_failed>(call(false));
+  BOOST_REQUIRE(failed.has_value());
+  BOOST_TEST((failed->failure == serving::call_failure::may_have_run));
+}
+
+BOOST_AUTO_TEST_CASE(a_few_interim_answers_are_skipped) {
+  call_handling handling;
+  handling.interim_answers = 3;
+  start_replica({handling});
+  const auto answered = run<serving::call_answered>(call(false));
+  BOOST_REQUIRE(answered.has_value());
+  BOOST_TEST(answered->body == "done");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
