--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -242,12 +242,10 @@
   add("account_holder", static_cast<double>(roles.engine_accounts));
 }
 
-void add_quarantine(Registry& registry, const serving::dispatcher& dispatcher) {
+/// Calls that ended, and exits of replicas that are suspected because of how they ended.
+void add_call_ends(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
   const auto add = count_adder(registry);
-  add("spurrack_crashes_under_requests_total",
-      "Exits of replicas attributed to requests; an exit counts for each request that ran there.",
-      counts.crashes_under_requests);
   add("spurrack_suspected_exits_total",
       "Exits under requests of this node that are suspected because a replica fell silent.",
       counts.suspected_exits);
@@ -265,6 +263,14 @@
   for (const auto& [reason, count] : counts.closed_calls) {
     closed_calls.Add({{"reason", std::string(reason)}}).Increment(static_cast<double>(count));
   }
+}
+
+void add_quarantine(Registry& registry, const serving::dispatcher& dispatcher) {
+  const auto& counts = dispatcher.counts();
+  const auto add = count_adder(registry);
+  add("spurrack_crashes_under_requests_total",
+      "Exits of replicas attributed to requests; an exit counts for each request that ran there.",
+      counts.crashes_under_requests);
   add("spurrack_quarantines_total",
       "Times a request was quarantined because replicas exited while they ran it.",
       counts.quarantines);
@@ -428,6 +434,7 @@
   add_regions(registry, counts);
   add_graceful_stop(registry, counts);
   add_retries(registry, dispatcher);
+  add_call_ends(registry, dispatcher);
   add_quarantine(registry, dispatcher);
   add_stream_origins(registry, dispatcher);
   add_self_reports(registry, dispatcher);
