Withdraw the pieces of suspected requests only between events

Found by reading: a suspicion that arose while a call was being closed withdrew the silent pieces of every request with the suspect, also of the request whose call was closing. If its stages were computed again beside the call, the request was answered and removed, and the caller of `close_call` went on with it: use after free.

Change: the withdrawal waits for the next `advance`, in the same place and for the same reason as quarantines. Nothing else changes.

--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -269,11 +269,14 @@
     probe_other_replicas(now);
   }
   find_overrun_replicas(now);
-  // Quarantines begin here and not when the exit is recorded, because a quarantine may remove the
-  // very request that is being processed then.
+  // Quarantines begin and pieces are withdrawn here and not when the exit is recorded or suspected,
+  // because both may remove the very request that is being processed then.
   for (const auto& digest : std::exchange(newly_quarantined_, {})) {
     begin_quarantine(digest, now);
   }
+  for (const auto& digest : std::exchange(newly_suspected_, {})) {
+    withdraw_silent_pieces_of(digest, now);
+  }
   process_trials(now);
   crash_reports_.advance(now);
 }
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -214,6 +214,8 @@
   std::vector<base::replica_id> path_probed_;
   base::time_point next_path_check_at_;
   base::time_point next_overrun_check_at_;
+  /// Requests under which an exit was suspected since the last `advance`.
+  std::vector<quarantine::suspect_digest> newly_suspected_;
   /// Suspects whose quarantine begins with the next `advance`.
   std::vector<quarantine::suspect_digest> newly_quarantined_;
   stage_exchange stages_;
--- a/src/dispatch/dispatcher_suspicions.cc
+++ b/src/dispatch/dispatcher_suspicions.cc
@@ -140,7 +140,7 @@
     trials_.note_outcome(subject.digest, now);
   }
   hold_runs_of(subject.digest, now);
-  withdraw_silent_pieces_of(subject.digest, now);
+  newly_suspected_.push_back(subject.digest);
 }
 
 void dispatcher::disprove_suspicions(const open_call& call, base::time_point now) {
