Log the signal that ends a process

serving_process_test a_process_that_a_signal_ends_logs_the_signal: SIGSEGV and SIGABRT, the line and the exit status.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,6 +1,7 @@
 /// spurrackd: the daemon. Reads its settings, starts one node and runs until SIGTERM or SIGINT.
 #include "daemon/runtime.h"
 #include "http_codec.h"
+#include "logging/fatal_signal.h"
 #include "logging/guarded_main.h"
 #include "logging/json_log.h"
 #include "logging/usual_options.h"
@@ -64,6 +65,8 @@
   }
   spurrack::logging::start("spurrackd", settings->node.self.node.text(),
                            settings->node.self.zone.text());
+  spurrack::logging::log_fatal_signals(settings->node.self.node.text(),
+                                       settings->node.self.zone.text());
   try {
     boost::asio::io_context io(1);
     spurrack::daemon::runtime runtime(
--- a/tests/platform_fleet/serving_process_test.cc
+++ b/tests/platform_fleet/serving_process_test.cc
@@ -277,6 +277,20 @@
   BOOST_TEST(daemon->log().find("event loop stood") != std::string::npos);
 }
 
+/// Guards against a process that a signal ends without a line in its log, so that an end by itself
+/// cannot be told from a kill.
+BOOST_AUTO_TEST_CASE(a_process_that_a_signal_ends_logs_the_signal) {
+  for (const int signal_number : {SIGSEGV, SIGABRT}) {
+    const single_daemon doomed("doomed", store.address(), "");
+    doomed.process().signal(signal_number);
+    constexpr int signal_exit_base = 128;
+    BOOST_TEST(doomed.process().wait() == signal_exit_base + signal_number);
+    const auto expected =
+        "\"message\":\"ended by a signal\",\"signal\":" + std::to_string(signal_number);
+    BOOST_TEST(doomed.log().find(expected) != std::string::npos);
+  }
+}
+
 /// After SIGTERM, the daemon is not ready, completes its running request and exits with code 0.
 BOOST_AUTO_TEST_CASE(a_planned_stop_ends_what_is_under_way) {
   std::atomic<bool> has_reached_replica = false;
