A stage service that the configuration dropped is not looked up as if it were there

Cause: expected_wait_seconds dereferenced find_service() without a check. It gets there for a service that only the load reports of another zone still name. The shards of an earlier configuration were looked up in the new one in the same way (count_callable_replicas_of).

Ruled out: the pool and the dispatcher, which check (by reading, and by the property test).

Change: the capacity is looked up once, in the choice of a batcher; none means no batcher, and the pool ends the piece with a fault of its own, not_configured. A shard carries the time of a full call. Unknown peers are checked. To other nodes the piece is reported as not run, since the origin may have an older or a newer configuration.

Before: dropped_service_test, five of seven cases end with an access violation; changing_configuration_test (100 drawn series) ends in the first. After: both pass.

Why it works: nothing dereferences a look-up by a name from another source; what is absent has a typed outcome.

--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -190,7 +190,17 @@
     resubmit_after_loss(request, obsolete_results, now);
     return;
   }
-  answer_not_run(request, "stage " + std::to_string(position.stage) + " brought no result", now);
+  const auto stage = "stage " + std::to_string(position.stage);
+  if (outcome.fault == piece_fault::not_configured) {
+    record(base::event_kind::stage_cancelled, request,
+           request.route->stages[position.stage].service,
+           stage + ": configuration " + std::to_string(configuration_->version) +
+               " has no such stage service, the request arrived under configuration " +
+               std::to_string(request.configuration_version));
+    answer_not_run(request, stage + " is no longer configured", now);
+    return;
+  }
+  answer_not_run(request, stage + " brought no result", now);
 }
 
 void dispatcher::cancel_pieces(active_request& request) {
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -112,13 +112,14 @@
 /// Why a piece has no result.
 enum class piece_fault : std::uint8_t {
   none,
-  late,          ///< The deadline of the piece had passed when the replica was about to run it.
-  input_gone,    ///< A result that the piece needs no longer exists.
-  out_of_memory, ///< The replica has no free memory for the result.
-  error,         ///< The replica failed to compute the result.
-  not_run,       ///< The replica did not accept the call and ran no piece.
-  lost,          ///< The call ended without an answer.
-  expired,       ///< The deadline of the piece passed before the piece was sent to a replica.
+  late,           ///< The deadline of the piece had passed when the replica was about to run it.
+  input_gone,     ///< A result that the piece needs no longer exists.
+  out_of_memory,  ///< The replica has no free memory for the result.
+  error,          ///< The replica failed to compute the result.
+  not_run,        ///< The replica did not accept the call and ran no piece.
+  lost,           ///< The call ended without an answer.
+  expired,        ///< The deadline of the piece passed before the piece was sent to a replica.
+  not_configured, ///< The configuration has no such stage service. Not reported to other nodes.
 };
 struct piece_outcome {
   piece_fault fault = piece_fault::none;
--- a/src/stage_work/shard_map.cc
+++ b/src/stage_work/shard_map.cc
@@ -1,6 +1,7 @@
 #include "stage_work/shard_map.h"
 
 #include "base/hashing.h"
+#include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -54,8 +55,10 @@
     if (!service.pieces) {
       continue;
     }
+    const auto full_call_time =
+        nominal_call_time(*service.pieces, service.pieces->max_pieces_per_call);
     for (const auto& [region, replicas] : replicas_by_region(name)) {
-      divide_into_shards({name, region, std::nullopt, {}, {}}, replicas);
+      divide_into_shards({name, full_call_time, region, std::nullopt, {}, {}}, replicas);
     }
   }
   note_own_shards();
--- a/src/stage_work/shard_map.h
+++ b/src/stage_work/shard_map.h
@@ -21,6 +21,8 @@
 /// A shard: replicas of one service for which the same node, the batcher, batches pieces.
 struct shard {
   std::string service;
+  /// Duration of a call with a full batch, by the configuration with which the shard was formed.
+  base::duration full_call_time{};
   model::effective_region region;
   /// Set if the shard belongs to one zone; std::nullopt for a shard of a region.
   std::optional<base::zone_id> zone;
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -168,14 +168,15 @@
                            const std::optional<base::node_id>& chosen, base::time_point now) {
   placed.sent_at = now;
   placed.confirmed_at.reset();
-  if (!chosen || *chosen == self_.node) {
+  auto* holder = chosen ? peers_.find(*chosen) : nullptr;
+  if (holder == nullptr) {
     placed.holder = {};
     placed.pool_ticket = pool_.submit(placed.work, now);
     own_ticket_by_pool_ticket_[placed.pool_ticket] = ticket;
     return;
   }
   placed.holder = *chosen;
-  ++peers_.find(*chosen)->sent_since_report[placed.work.service];
+  ++holder->sent_since_report[placed.work.service];
   auto& request = *message_to(*chosen).add_wanted();
   request.set_ticket(ticket);
   request.set_request(placed.work.request.text());
@@ -475,6 +476,10 @@
     }
     const auto forwarded = forwarded_by_pool_ticket_.find(finished.ticket);
     if (forwarded != forwarded_by_pool_ticket_.end()) {
+      if (finished.outcome.fault == piece_fault::not_configured) {
+        // The origin may have an earlier or a later configuration, and decides by its own.
+        finished.outcome.fault = piece_fault::not_run;
+      }
       finish_forwarded(forwarded->second, finished.outcome, now);
       forwarded_pool_tickets_.erase({forwarded->second.origin, forwarded->second.origin_ticket});
       forwarded_by_pool_ticket_.erase(forwarded);
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -116,7 +116,8 @@
   void refresh(base::time_point now);
   /// @return time for which a piece submitted now is expected to wait for its call, plus the cost
   ///         of the distance to the batcher; std::nullopt if no batcher has a replica that it can
-  ///         call for the piece, now or when a requested backoff ends.
+  ///         call for the piece, now or when a requested backoff ends, or if the service is not a
+  ///         stage service of the configuration in force.
   [[nodiscard]] std::optional<base::duration>
   expected_wait(const service_demand& demand, piece_order order, base::time_point now) const;
 
@@ -235,7 +236,8 @@
                                         double result_bytes) const;
   /// @param result_bytes total size of the results of all pieces that are placed together.
   /// @return the batcher with the lowest expected wait for a piece, the cost of the distance
-  ///         included; std::nullopt if no batcher has replicas that the piece may use.
+  ///         included; std::nullopt if no batcher has replicas that the piece may use, or if the
+  ///         service is not a stage service of the configuration in force.
   [[nodiscard]] std::optional<base::node_id>
   choose_batcher(const piece_work& work, double result_bytes, base::time_point now) const;
   /// Pieces and calls of a service at a batcher: those that the batcher reported last, and the
@@ -254,6 +256,7 @@
   /// @return time that a piece is expected to wait at a batcher for its call, in seconds, without
   ///         the cost of the distance.
   [[nodiscard]] double expected_wait_seconds(const batcher& candidate, const std::string& service,
+                                             const model::piece_capacity& capacity,
                                              piece_order order, base::time_point now) const;
   /// Sends a piece to a batcher, or submits it to this node's pool if `chosen` is this node or
   /// std::nullopt.
--- a/src/stage_work/stage_exchange_batchers.cc
+++ b/src/stage_work/stage_exchange_batchers.cc
@@ -67,15 +67,13 @@
 
 stage_exchange::callable_replica_count
 stage_exchange::count_callable_replicas_of(const shard& entry, base::time_point now) const {
-  const auto& capacity = *configuration_->find_service(entry.service)->pieces;
-  const auto full_call_time = nominal_call_time(capacity, capacity.max_pieces_per_call);
   callable_replica_count callable;
   for (const auto& id : entry.replicas) {
     const auto* replica = replicas_->find(id);
     if (replica == nullptr) {
       continue;
     }
-    const auto fraction = replicas_->limited_capacity_fraction(*replica, full_call_time);
+    const auto fraction = replicas_->limited_capacity_fraction(*replica, entry.full_call_time);
     if (replicas_->is_available(*replica, now)) {
       callable.now += fraction;
     } else if (replicas_->is_blocked_only_by_backoff(*replica, now)) {
@@ -146,15 +144,18 @@
                        [&](const batcher& other) { return other.node == node; });
   };
   for (const auto& node : peers_.reporting_batchers()) {
-    const auto& peer = *peers_.find(node);
-    const auto load = peer.loads.find(service);
-    const bool is_batcher = load != peer.loads.end() && load->second.replicas() > 0 &&
-                            load->second.of_zone() && peer_directory::has_fresh_loads(peer, now);
-    const auto& zone = peer.peer.zone;
+    const auto* peer = peers_.find(node);
+    if (peer == nullptr) {
+      continue;
+    }
+    const auto load = peer->loads.find(service);
+    const bool is_batcher = load != peer->loads.end() && load->second.replicas() > 0 &&
+                            load->second.of_zone() && peer_directory::has_fresh_loads(*peer, now);
+    const auto& zone = peer->peer.zone;
     // For this node's own zone, only the batchers that this node itself selected are used, not
     // nodes that announce themselves: otherwise two batchers might share the replicas.
     if (is_batcher && zone != self_.zone && !is_assigned(node) &&
-        peer_directory::is_eligible(peer) && replicas_->is_reachable(zone) &&
+        peer_directory::is_eligible(*peer) && replicas_->is_reachable(zone) &&
         !replicas_->is_evacuated(zone)) {
       const auto replicas = static_cast<double>(load->second.replicas());
       found.push_back({node, regions_.effective_region_of(zone), zone, replicas, {}});
@@ -178,6 +179,9 @@
   }
   batcher_load load;
   const auto* peer = peers_.find(node);
+  if (peer == nullptr) {
+    return load;
+  }
   if (const auto reported = peer->loads.find(service); reported != peer->loads.end()) {
     load = {static_cast<double>(reported->second.waiting()),
             static_cast<double>(reported->second.waiting_past_due()),
@@ -191,13 +195,11 @@
 }
 
 double stage_exchange::expected_wait_seconds(const batcher& candidate, const std::string& service,
+                                             const model::piece_capacity& capacity,
                                              piece_order order, base::time_point now) const {
-  const auto* found = configuration_->find_service(service);
-  const auto& capacity = *found->pieces;
   const auto load = load_of(candidate.node, service, now);
   const double full_call_time =
-      base::to_seconds(capacity.call_time) +
-      base::to_seconds(capacity.piece_time) * capacity.max_pieces_per_call;
+      base::to_seconds(nominal_call_time(capacity, capacity.max_pieces_per_call));
   const double pieces_ahead = order == piece_order::in_time
                                   ? load.waiting_in_time
                                   : load.waiting_in_time + load.waiting_past_due;
@@ -226,10 +228,14 @@
 std::optional<base::duration> stage_exchange::expected_wait(const service_demand& demand,
                                                             piece_order order,
                                                             base::time_point now) const {
+  const auto* capacity = pool_.capacity_of(demand.service);
+  if (capacity == nullptr) {
+    return std::nullopt;
+  }
   std::optional<double> least;
   for (const auto& candidate : batchers_of(demand.service, demand.permitted_regions, now)) {
     if (candidate.callable_replicas > 0) {
-      const double wait = expected_wait_seconds(candidate, demand.service, order, now) +
+      const double wait = expected_wait_seconds(candidate, demand.service, *capacity, order, now) +
                           distance_seconds(candidate, demand.zone, 0);
       least = std::min(least.value_or(wait), wait);
     }
@@ -240,13 +246,19 @@
 std::optional<base::node_id> stage_exchange::choose_batcher(const piece_work& work,
                                                             double result_bytes,
                                                             base::time_point now) const {
+  const auto* capacity = pool_.capacity_of(work.service);
+  if (capacity == nullptr) {
+    // This node's pool ends the piece.
+    return std::nullopt;
+  }
   std::optional<base::node_id> best;
   bool best_can_call = false;
   double best_cost = 0;
   for (const auto& candidate : batchers_of(work.service, work.permitted_regions, now)) {
     const bool can_call = candidate.callable_replicas > 0;
-    const double cost = expected_wait_seconds(candidate, work.service, piece_order::in_time, now) +
-                        distance_seconds(candidate, work.zone, result_bytes);
+    const double cost =
+        expected_wait_seconds(candidate, work.service, *capacity, piece_order::in_time, now) +
+        distance_seconds(candidate, work.zone, result_bytes);
     const bool better = can_call == best_can_call ? cost < best_cost : can_call;
     if (!best || better) {
       best = candidate.node;
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -435,7 +435,7 @@
     while (!queue.empty()) {
       const auto ticket = queue.begin()->ticket;
       dequeue(queue, {queue.begin()->due, ticket});
-      finish(ticket, {piece_fault::not_run, {}});
+      finish(ticket, {piece_fault::not_configured, {}});
     }
     return;
   }
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -98,8 +98,12 @@
              std::function<base::call_id()> next_call, decision_recorder record);
 
   /// Replaces the capacities of the services. Waiting pieces of services that are no longer
-  /// configured finish as `not_run`.
+  /// configured finish as `not_configured`.
   void set_configuration(std::shared_ptr<const model::serving_configuration> configuration);
+  /// @return capacity of the replicas of a service in the configuration in force; null if the
+  ///         service is not configured or has no pieces. Other nodes, and pieces and shards of an
+  ///         earlier configuration, may name such a service.
+  [[nodiscard]] const model::piece_capacity* capacity_of(const std::string& name) const;
   /// Restricts the replicas that may be called; without a filter all replicas may be called.
   void set_filter(replica_filter filter) { filter_ = std::move(filter); }
 
@@ -365,10 +369,6 @@
   /// Queues a piece again, or finishes it with `fault` if it has no attempts left.
   void requeue(piece_ticket ticket, piece_fault fault);
   void finish(piece_ticket ticket, piece_outcome outcome);
-  /// @return capacity of the replicas of a service; null if the service is not configured or has no
-  ///         pieces.
-  const model::piece_capacity* capacity_of(const std::string& name) const;
-
   replica_table* replicas_;
   serving_settings settings_;
   std::function<base::call_id()> next_call_;
