No key held is not the same as no keys needed

Cause: the dispatcher refused an unknown key only if some key was held. The parser kept nothing of a tenant without keys, and the translator dropped an empty list of tenants, so that the dispatcher could not know.

Ruled out: kept connections judged by an older configuration; each request is judged anew.

Change: "the configuration has tenants" is a fact of its own (has_tenants) from the platform's record to the dispatcher. A record of an older build lacks the field, and has tenants if it lists one. Two more of the class: a key without text allowed every request that carries no key, and a key of two tenants was the last one's, silently; both are refused, and the log says so.

Why it works: an empty set of keys now matches nothing, and only the absence of the field opens the routes.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -85,6 +85,7 @@
     replicas_.set_configuration(configuration_);
     engine_directory_.set_configuration(configuration_);
     stages_.set_configuration(configuration_);
+    report_keys();
   }
   update_replicas(content, has_new_configuration, now);
   replicas_.set_evacuated(content.evacuated_zones(), now);
@@ -97,6 +98,22 @@
   end_streams_of_left_versions(now);
 }
 
+void dispatcher::report_keys() {
+  if (!configuration_ || !configuration_->has_tenants) {
+    return;
+  }
+  const auto subject = "configuration " + std::to_string(configuration_->version);
+  if (configuration_->keys.empty()) {
+    record_(base::event_kind::entry_accepted, {}, subject,
+            "no tenant holds a key: requests are refused on all routes that are not public");
+  }
+  if (configuration_->ambiguous_keys > 0) {
+    record_(base::event_kind::entry_rejected, {}, subject,
+            std::to_string(configuration_->ambiguous_keys) +
+                " keys are held by several tenants and are refused");
+  }
+}
+
 void dispatcher::update_replicas(const catalog::catalog& content, bool all, base::time_point now) {
   const auto changed = all ? std::nullopt : content.replicas_changed_since(applied_changes_);
   applied_changes_ = content.serving_changes();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -615,6 +615,8 @@
   /// replica takes now: it is sent again until its deadline.
   void wait_for_replica(active_request& request, const std::string& reason, base::time_point now);
   void send_again_if_due(active_request& request, base::time_point now);
+  /// Records an event if no tenant of the configuration holds a key, or several hold the same key.
+  void report_keys();
   /// Applies the published replicas that changed since the last update, or `all` of them.
   void update_replicas(const catalog::catalog& content, bool all, base::time_point now);
   /// Drops the state of earlier incarnations of replicas that restarted under their id.
--- a/src/dispatch/dispatcher_arrival.cc
+++ b/src/dispatch/dispatcher_arrival.cc
@@ -110,7 +110,7 @@
       found != configuration_->keys.end()) {
     holder = found->second;
   }
-  if (!holder && !route->is_public && !configuration_->keys.empty()) {
+  if (!holder && !route->is_public && configuration_->has_tenants) {
     refuse_by_configuration(arrival, status::unauthorized, "unknown key");
     return;
   }
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -158,17 +158,40 @@
   return built;
 }
 
-void add_keys(const wire::published_access& published, serving_configuration& configuration) {
+/// Adds the keys of a tenant. A key without text is not added, because requests without a key would
+/// be allowed by it.
+/// @param ambiguous receives the keys that another tenant holds as well.
+void add_keys(const wire::published_access& published, serving_configuration& configuration,
+              std::set<std::string>& ambiguous) {
   access_key_holder holder{base::tenant_id(published.tenant()), std::nullopt,
                            build_residency(published.permitted_regions())};
   if (published.has_priority()) {
     holder.priority = published.priority();
   }
   for (const auto& key : published.api_keys()) {
-    configuration.keys[key] = holder;
+    if (key.empty()) {
+      continue;
+    }
+    const auto [known, is_new] = configuration.keys.emplace(key, holder);
+    if (!is_new && known->second.tenant != holder.tenant) {
+      ambiguous.insert(key);
+    }
   }
 }
 
+void add_tenants(const wire::published_configuration& published,
+                 serving_configuration& configuration) {
+  configuration.has_tenants = published.has_tenants() || published.tenants_size() > 0;
+  std::set<std::string> ambiguous;
+  for (const auto& tenant : published.tenants()) {
+    add_keys(tenant, configuration, ambiguous);
+  }
+  for (const auto& key : ambiguous) {
+    configuration.keys.erase(key);
+  }
+  configuration.ambiguous_keys = ambiguous.size();
+}
+
 client_limits build_limits(const wire::published_limits& published) {
   client_limits limits;
   const auto replace = [](std::uint32_t& value, std::uint32_t given) {
@@ -213,9 +236,7 @@
       return left->path_prefix.size() > right->path_prefix.size();
     });
   }
-  for (const auto& given : published.tenants()) {
-    add_keys(given, *built);
-  }
+  add_tenants(published, *built);
   built->limits = build_limits(published.limits());
   return built;
 }
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "model/residency.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -147,9 +148,14 @@
  public:
   std::uint64_t version = 0;
   std::unordered_map<std::string, service> services;
-  /// Tenants that hold an access key, by the text of the key. If there are none, no request needs a
-  /// key.
+  /// Whether the configuration has tenants, so that a request needs a key unless its route is
+  /// public. Independent of `keys`: no tenant need hold a key.
+  bool has_tenants = false;
+  /// Tenants that hold an access key, by the text of the key.
   std::unordered_map<std::string, access_key_holder> keys;
+  /// Number of keys that several tenants hold. They are not in `keys`, so that they are refused: it
+  /// is not known in which tenant's name a request with such a key would run.
+  std::size_t ambiguous_keys = 0;
   client_limits limits;
   /// Routes by host, for each host sorted by length of the path prefix, longest first.
   std::unordered_map<std::string, std::vector<std::shared_ptr<const route>>> routes_by_host;
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -108,6 +108,35 @@
   BOOST_TEST(configuration.limits.max_body_bytes == 200);
 }
 
+/// Guards against a list of tenants without keys, or without tenants, that is taken for no list.
+BOOST_AUTO_TEST_CASE(a_list_of_tenants_is_told_from_none) {
+  const auto with_tenants = [](const std::string& tenants) {
+    return parsed(R"({"version":7,"routes":[)" + valid_route + "]," + services + tenants + "}");
+  };
+  const std::map<std::string, bool> cases{{"", false},
+                                          {R"(,"tenants":null)", false},
+                                          {R"(,"tenants":[])", true},
+                                          {R"(,"tenants":[{"name":"t","api_keys":[]}])", true},
+                                          {R"(,"tenants":[{"name":"t"}])", true},
+                                          {R"(,"tenants":[{"name":"t","api_keys":null}])", true}};
+  for (const auto& [text, has_tenants] : cases) {
+    const auto result = with_tenants(text);
+    const auto& configuration = *std::get<0>(result);
+    BOOST_TEST(configuration.has_tenants == has_tenants, text);
+    BOOST_TEST(configuration.keys.empty(), text);
+  }
+}
+
+/// Records of older builds lack the field that tells whether there is a list of tenants.
+BOOST_AUTO_TEST_CASE(a_record_of_an_older_build_with_tenants_needs_keys) {
+  auto record =
+      platform::translate_configuration(R"({"version":7,"routes":[)" + valid_route + "]," +
+                                        services + R"(,"tenants":[{"name":"t","api_keys":[]}]})");
+  record.clear_has_tenants();
+  const auto result = model::parse_configuration(record.SerializeAsString());
+  BOOST_TEST(std::get<0>(result)->has_tenants);
+}
+
 BOOST_AUTO_TEST_CASE(regions_of_routes_and_tenants_are_translated) {
   const auto text = std::string(R"({"version":7,"routes":[
       {"name":"r","host":"h","path_prefix":"/a/","kind":"safe","service":"llm",
--- a/tests/platform_fleet/serving_process_test.cc
+++ b/tests/platform_fleet/serving_process_test.cc
@@ -52,10 +52,15 @@
     return R"({"service":"s","zone":"z","slots":4,"state":"ready","address":")" + address + "\"}";
   }
 
-  static std::string configuration() {
-    return R"({"version":1,"services":[{"name":"s"}],"limits":{"max_header_bytes":2000,
+  /// @param tenants JSON of the list of tenants.
+  static std::string
+  configuration(int version = 1,
+                const std::string& tenants = R"([{"name":"t","api_keys":["k"]}])") {
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"services":[{"name":"s"}],"limits":{"max_header_bytes":2000,
       "max_body_bytes":5000,"header_timeout_ms":400,"idle_timeout_ms":3000},
-      "tenants":[{"name":"t","api_keys":["k"]}],"routes":[
+      "tenants":)" +
+           tenants + R"(,"routes":[
       {"name":"safe","host":"h","path_prefix":"/safe/","kind":"safe","service":"s",
        "max_attempts":2,"target_latency_ms":5000},
       {"name":"unsafe","host":"h","path_prefix":"/unsafe/","kind":"unsafe","service":"s",
@@ -65,17 +70,26 @@
   }
 
   fleet::http_answer send(const std::string& path, const std::string& id,
-                          const std::string& body = "") const {
+                          const std::string& body = "", const std::string& key = "k") const {
     return fleet::call({daemon->client_address,
                         "POST",
                         path,
                         {{"Host", "h"},
                          {"X-Request-Id", id},
                          {"X-Deadline-Ms", "4000"},
-                         {"Authorization", "Token k"}},
+                         {"Authorization", "Token " + key}},
                         body});
   }
 
+  /// Waits until requests with a key are answered with `expected`.
+  void wait_for_status(const std::string& key, unsigned expected) const {
+    int number = 0;
+    wait_for([&] {
+      const auto id = "wait-" + key + std::to_string(++number);
+      return send("/unsafe/x", id, "", key).status == expected;
+    });
+  }
+
   /// Sends bytes to the address at which the daemon listens for clients.
   /// @return bytes of the answer.
   [[nodiscard]] std::string send_raw(const std::string& bytes) const {
@@ -241,6 +255,24 @@
   BOOST_TEST(replica_one.requests().size() + replica_two.requests().size() == 0);
 }
 
+/// Guards against a daemon that serves everybody once no tenant holds a key: the last key is taken
+/// away, then the last tenant is removed, then a new key comes.
+BOOST_AUTO_TEST_CASE(nobody_is_served_while_no_key_is_held) {
+  BOOST_TEST(send("/unsafe/x", "before").status == 200);
+  store.put("op/config", configuration(2, R"([{"name":"t","api_keys":[]}])"));
+  wait_for_status("k", 401);
+  store.put("op/config", configuration(3, "[]"));
+  std::this_thread::sleep_for(milliseconds(1'000));
+  const auto run_before = replica_one.requests().size() + replica_two.requests().size();
+  for (const std::string key : {"k", "never-held", ""}) {
+    BOOST_TEST(send("/unsafe/x", "without-keys-" + key, "", key).status == 401, key);
+  }
+  BOOST_TEST(replica_one.requests().size() + replica_two.requests().size() == run_before);
+  store.put("op/config", configuration(4, R"([{"name":"t","api_keys":["new"]}])"));
+  wait_for_status("new", 200);
+  BOOST_TEST(send("/unsafe/x", "after", "", "k").status == 401);
+}
+
 BOOST_AUTO_TEST_CASE(sighup_reloads_settings_and_rejects_invalid_settings) {
   daemon->process().signal(SIGHUP);
   std::ofstream(daemon->settings_path()) << "node: 1\nodd: true\n";
--- a/tests/platform_fleet/soak_configuration.cc
+++ b/tests/platform_fleet/soak_configuration.cc
@@ -46,6 +46,17 @@
   return text;
 }
 
+std::string tenants(const configuration_contents& contents) {
+  if (contents.keys == held_keys::no_tenant) {
+    return {};
+  }
+  std::string keys;
+  if (contents.keys == held_keys::by_tenant) {
+    keys = contents.has_extra_key ? R"("base","extra")" : R"("base")";
+  }
+  return R"({"name":"tenant","api_keys":[)" + keys + "]}";
+}
+
 std::string unused_routes(const configuration_contents& contents) {
   std::string text;
   for (std::size_t number = 0; number < contents.unused_routes; ++number) {
@@ -59,10 +70,9 @@
 } // namespace
 
 std::string configuration_text(std::uint64_t version, const configuration_contents& contents) {
-  const std::string keys = contents.has_extra_key ? R"("base","extra")" : R"("base")";
   return R"({"version":)" + std::to_string(version) + "," + services_and_limits +
-         R"(,"tenants":[{"name":"tenant","api_keys":[)" + keys + R"(]}],"routes":[)" +
-         client_routes(contents) + unused_routes(contents) + "]}";
+         R"(,"tenants":[)" + tenants(contents) + R"(],"routes":[)" + client_routes(contents) +
+         unused_routes(contents) + "]}";
 }
 
 } // namespace spurrack::platform_tests
--- a/tests/platform_fleet/soak_configuration.h
+++ b/tests/platform_fleet/soak_configuration.h
@@ -11,8 +11,16 @@
 /// Region of the zone `east`, which is the only region of the requests that are confined to one.
 inline const std::string east_region = "north";
 
+/// Which tenants and keys a configuration contains.
+enum class held_keys : std::uint8_t {
+  by_tenant, ///< The tenant holds the keys of the clients.
+  none,      ///< The tenant holds no key.
+  no_tenant, ///< The list of tenants is empty.
+};
+
 /// Contents of a configuration beside the routes of the clients.
 struct configuration_contents {
+  held_keys keys = held_keys::by_tenant;
   /// Whether the configuration contains the API key `extra`.
   bool has_extra_key = true;
   /// Whether there is a route for requests that are confined to the region `east_region`.
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -70,6 +70,9 @@
   }
   resident_bytes_ = fleet_.resident_bytes();
   stop_clients();
+  if (!fleet_.mixes_builds()) {
+    check_revocation_of_all_keys();
+  }
   check_final_stops();
   return recorder_.violations();
 }
@@ -210,6 +213,19 @@
   check_success_rate(counts_before);
 }
 
+void soak_run::check_revocation_of_all_keys() {
+  const auto keys = seed_ % 2 == 0 ? held_keys::none : held_keys::no_tenant;
+  fleet_.publish_configuration(configuration_contents{.keys = keys});
+  std::this_thread::sleep_for(convergence_timeout);
+  for (const std::string key : {"base", "extra", "never-held"}) {
+    check_api_key(key, 401);
+  }
+  fleet_.publish_configuration(true);
+  std::this_thread::sleep_for(convergence_timeout);
+  check_api_key("base", 200);
+  check_api_key("never-held", 401);
+}
+
 void soak_run::check_final_stops() {
   graceful_stops stops(fleet_, recorder_);
   for (const auto& node : fleet_.nodes) {
--- a/tests/platform_fleet/soak_run.h
+++ b/tests/platform_fleet/soak_run.h
@@ -72,6 +72,9 @@
   /// Runs the silences beside planned work. Then checks that all nodes become ready again, and that
   /// requests are served again.
   void check_silences();
+  /// Takes all keys, or the only tenant, out of the configuration and checks that nobody is served;
+  /// then checks that the keys are allowed again once they are back.
+  void check_revocation_of_all_keys();
   /// Stops all nodes gracefully and checks that they exit in time.
   void check_final_stops();
   /// Sends a request with an API key to every node and checks the status of each answer.
