Check of promises: no pipe that a match closes early

On a busy machine the check said once that docs/PROMISES.md names long_cut_test, which is no test, though it is one. Cause: `git ls-files | grep -q` under pipefail: grep ends at the first match, git gets SIGPIPE, and the pipe fails.

--- a/tools/check_promises.sh
+++ b/tools/check_promises.sh
@@ -5,11 +5,12 @@
 cd "$(dirname "$0")/.."
 
 missing=0
+test_files=$(git ls-files tests)
 # Only names of at least three words are checked: shorter names in docs/PROMISES.md denote test suites, files and faults
 # of the simulation.
 while read -r name; do
   if ! git grep -qE -- "\b$name" tests src/base/safety_switches.h src/simulation &&
-    ! git ls-files tests | grep -qE "/$name\.cc$"; then
+    ! grep -qE "/$name\.cc$" <<< "$test_files"; then
     echo "docs/PROMISES.md names $name, which is no test"
     missing=1
   fi
