--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -3,7 +3,6 @@
 #include "daemon/metric_builders.h"
 
 #include <prometheus/counter.h>
-#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 
 #include <array>
@@ -15,7 +14,6 @@
 namespace {
 
 using prometheus::BuildCounter;
-using prometheus::BuildGauge;
 using prometheus::BuildHistogram;
 using prometheus::Histogram;
 using prometheus::Registry;
