--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -124,9 +124,8 @@
   /// @return zone, incarnation and process of a replica; std::nullopt if it is not published.
   [[nodiscard]] std::optional<self_reports::published_replica>
   find_published(const base::replica_id& id) const;
-  /// @return time at which the list of replicas was last known to be complete; the earliest
-  /// possible
-  ///         time if it never was.
+  /// @return time at which the list of replicas was last known to be complete; a time before the
+  ///         start of this process if it never was.
   [[nodiscard]] base::time_point replica_list_confirmed_at() const {
     return list_coverage_.confirmed_at().value_or(base::time_point{});
   }
--- a/src/dispatch/dispatcher_version_questions.cc
+++ b/src/dispatch/dispatcher_version_questions.cc
@@ -2,8 +2,8 @@
 /// knew the list of replicas.
 #include "dispatch/dispatcher.h"
 
-#include <algorithm>
-#include <utility>
+#include <set>
+#include <string>
 
 namespace spurrack::serving {
 namespace {
--- a/tests/streams/lost_nodes_test.cc
+++ b/tests/streams/lost_nodes_test.cc
@@ -32,13 +32,16 @@
   }
 }
 
+using node_set = std::set<std::size_t>;
+
+node_set no_node(const stream_fleet& /*fleet*/) {
+  return {};
+}
+
 /// Rolls v1 to v2 at once, and kills nodes some time after the last replica of v1 began to drain.
-disturbance roll_and_kill(
-    base::duration after_drain, base::duration spread,
-    std::function<std::set<std::size_t>(const stream_fleet&)> survivors = [](const auto&) {
-      return std::set<std::size_t>();
-    }) {
-  return [=](stream_fleet& fleet) {
+disturbance roll_and_kill(base::duration after_drain, base::duration spread,
+                          const std::function<node_set(const stream_fleet&)>& survivors = no_node) {
+  return [after_drain, spread, survivors](stream_fleet& fleet) {
     replace_version(fleet, "v1", "v2");
     fleet.run(after_drain);
     fleet.kill_nodes_except(survivors(fleet), spread, downtime);
@@ -52,8 +55,8 @@
   check_order(name, settings, disturb, 0);
 }
 
-std::set<std::size_t> nodes_of_zone(const stream_fleet& fleet, const std::string& zone) {
-  std::set<std::size_t> found;
+node_set nodes_of_zone(const stream_fleet& fleet, const std::string& zone) {
+  node_set found;
   for (std::size_t index = 0; index < fleet.nodes.size(); ++index) {
     if (fleet.zone_of(index) == zone) {
       found.insert(index);
@@ -83,9 +86,8 @@
 BOOST_AUTO_TEST_CASE(streams_keep_their_version_if_one_node_or_zone_survives) {
   const auto settings = returning_clients(three_each);
   const auto kill_at = drain_time + milliseconds(100);
-  check_versions("one node", settings, roll_and_kill(kill_at, seconds(0), [](const auto&) {
-                   return std::set<std::size_t>{4};
-                 }));
+  check_versions("one node", settings,
+                 roll_and_kill(kill_at, seconds(0), [](const auto&) { return node_set{4}; }));
   check_versions("one zone", settings, roll_and_kill(kill_at, seconds(0), [](const auto& fleet) {
                    return nodes_of_zone(fleet, "b");
                  }));
