The end of an answer that its replica left open is never told on as certain

Cause: an answer with neither a length nor chunks ends with its connection. Such an end counted as whole if the replica went on living, and the client got a length or a last chunk that no replica had sent. A replica that lives and breaks this one answer off looks the same.

Change: the end stays open. No body, no event, or an end inside an event: the answer is lost. A repeatable request runs once more to show the end, if attempts, retry budget and time allow, and the route does not habitually leave its ends open. Otherwise the client gets the answer as the replica gave it: without length and chunks, ending with its connection, so that it judges by seal and body. Until such an answer is whole, each close of its connection is a reset, also that of a killed process. One line in the event log tells what became of each such end, with bytes, last id, age of the evidence, and how the client's answer is framed; a counter by kind.

Why it works: a mark of the end that the client sees comes only from a replica that sent one for this request.

--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -171,6 +171,13 @@
   add("spurrack_unframed_answers_rejected_total",
       "Answers that ended with their connection and whose replica was not seen to go on.",
       counts.unframed_answers_rejected);
+  auto& open_ends = BuildCounter()
+                        .Name("spurrack_open_answer_ends_total")
+                        .Help("Answers with neither a length nor chunks, by what became of them.")
+                        .Register(registry);
+  for (const auto& [outcome, count] : counts.open_ends) {
+    open_ends.Add({{"outcome", std::string(outcome)}}).Increment(static_cast<double>(count));
+  }
   add("spurrack_crash_news_sent_total",
       "Messages to other nodes about requests under which replicas exited.",
       dispatcher.crash_reports().sent_messages);
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -78,6 +78,19 @@
   std::optional<base::time_point> connected_at{};
 };
 
+/// End of an answer that has neither a length nor chunks and whose replica went on afterwards: the
+/// answer may be whole, or broken off.
+struct open_answer_end {
+  /// Call that the answer ended; it is closed already.
+  open_call call;
+  /// The answer; std::nullopt for a stream, whose events the client has.
+  std::optional<call_answered> answer;
+  base::time_point ended_at;
+  /// Time at which the client gets the end although no other run has shown it; std::nullopt if the
+  /// deadline of the request is that time.
+  std::optional<base::time_point> passed_on_at{};
+};
+
 /// Entry in an admission queue. Ordered by priority (0 is the most urgent), then requests that are
 /// bound to a software version before others, then by deadline.
 struct waiting_request {
@@ -143,6 +156,8 @@
   std::optional<base::time_point> send_again_at;
   /// Set only while the end of the last call's answer is not settled.
   std::optional<unsettled_answer_end> unsettled_end;
+  /// Set only while another run of the request is to show whether the answer was whole.
+  std::optional<open_answer_end> open_end;
   /// How the request is answered if no other node transfers retry budget to this node; set only
   /// while the request waits for a transfer.
   std::optional<failure_outcome> pending_failure;
@@ -183,6 +198,9 @@
   /// std::nullopt before the first check.
   std::optional<bool> was_infeasible_at_last_check;
   std::optional<answer_head> stream_head;
+  /// Whether the client's stream has no chunks and ends with its connection, because the replica
+  /// that began it marks no end either.
+  bool ends_stream_with_connection = false;
   /// Times of the first and the latest event of the stream, and the longest time between two
   /// consecutive events.
   base::time_point first_event_at;
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -87,6 +87,7 @@
     stages_.set_configuration(configuration_);
     if (configuration_) {
       stream_ages_.keep_routes_of(*configuration_);
+      framing_habits_.keep_routes_of(*configuration_);
     }
     report_keys();
   }
@@ -172,6 +173,9 @@
     wait_for_replica(request, reason, now);
     return;
   }
+  if (pass_on_kept_end(request, now)) {
+    return;
+  }
   record_early_end(request, reason, evidence, now);
   if (request.has_begun_stream) {
     commands_.emplace_back(end_stream{request.client, false});
@@ -247,6 +251,9 @@
   if (request.unsettled_end) {
     consider(request.unsettled_end->next_check_at);
   }
+  if (request.open_end) {
+    consider(request.open_end->passed_on_at);
+  }
   consider(request.slow_client_check_at);
   consider(request.send_again_at);
   return next;
@@ -271,7 +278,7 @@
     due_checks_.erase(due_checks_.begin());
     request.next_check_at.reset();
     if (!abort_if_infeasible(request, now) && !refuse_if_trial_overdue(request, now) &&
-        !accept_end_if_confirmed(request, now)) {
+        !accept_end_if_confirmed(request, now) && !pass_on_overdue_end(request, now)) {
       probe_unsettled_end(request, now);
       check_silence_of(request, now);
       free_fetched_inputs(request, now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "dispatch/dispatcher_state.h"
+#include "dispatch/open_end.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -521,6 +522,9 @@
   /// @param answer answer to forward if it is whole; std::nullopt for a stream.
   void settle_later(active_request& request, std::optional<call_answered> answer,
                     base::time_point now);
+  /// Settles the end of a whole answer without framing later. Without a body, it counts as lost.
+  void handle_unframed_answer(active_request& request, const call_answered& answer,
+                              base::time_point now);
   /// Removes the unsettled end from the request and from the index, and returns it.
   unsettled_answer_end take_unsettled_end(active_request& request);
   /// @return clients whose answer from the replica ended at `seen_at` or before and is not settled.
@@ -541,22 +545,49 @@
   void probe_unsettled_end(active_request& request, base::time_point now);
   /// Rejects the ends of answers by an earlier incarnation of a replica.
   void reject_ends_of_earlier_incarnation(const base::replica_id& replica, base::time_point now);
-  /// Forwards an answer whose replica went on after its end.
+  /// Lets a request go on whose answer ended with its connection and whose replica went on.
   void accept_end(active_request& request, const char* evidence, base::time_point now);
   /// Treats an answer as broken off, because its replica has exited.
   /// @param reason text for the log.
   void reject_end(active_request& request, const char* reason, end_evidence evidence,
                   base::time_point now);
-  /// Records that a call ended with a whole answer. The end shows that the run survived unless the
-  /// call went to another node, which judges that itself.
-  void note_whole_answer(const active_request& request, const open_call& call, const char* evidence,
-                         base::time_point ended_at, base::time_point now);
+  /// Counts and logs what became of an answer whose replica marked no end.
+  /// @param subject replica or node of the call.
+  void note_open_end(const active_request& request, open_end_outcome outcome,
+                     const std::string& subject, const std::string& detail);
+  /// @return whether another run of the request may show if an answer was whole: it is repeatable,
+  ///         replicas of its route normally mark the ends of their answers, and the run can end in
+  ///         time.
+  [[nodiscard]] bool can_run_for_end(const active_request& request, const open_answer_end& end,
+                                     base::time_point now) const;
+  /// Runs the request again to see its end, or passes the end on as it is.
+  void handle_open_end(active_request& request, open_answer_end end, base::time_point now);
+  /// Gives the client an answer without a marked end. A stream with chunks is broken off instead.
+  void pass_on_open_end(active_request& request, const open_answer_end& end, base::time_point now);
+  /// Passes on the end that the request keeps while another run is to show it.
+  /// @return whether there was such an end, so that the request is answered.
+  bool pass_on_kept_end(active_request& request, base::time_point now);
+  /// Does so if the client would have to wait too long for the other run.
+  bool pass_on_overdue_end(active_request& request, base::time_point now);
+  /// Records that another run brought more than an answer whose end was not marked.
+  void refute_open_end(active_request& request, base::time_point now);
+  /// Records that a call of the request brought a marked end.
+  /// @param answer the whole answer; null for a stream.
+  void note_marked_end(active_request& request, const call_answered* answer);
+  /// Records that the run of a call has ended and that its replica went on. The end shows that the
+  /// run survived unless the call went to another node, which judges that itself.
+  void note_ended_run(const active_request& request, const open_call& call, const char* evidence,
+                      base::time_point ended_at, base::time_point now);
   /// Retries a request whose call was closed without a whole answer, or lets it fail.
   /// @param detail how the call ended, for the log.
   void handle_lost_answer(active_request& request, const open_call& call, const std::string& detail,
                           base::time_point now);
   /// Ends the stream of a client as complete.
   void complete_stream(active_request& request, base::time_point now);
+  /// Ends the stream of a client with its last chunk, or with its connection if it has no chunks.
+  /// @param reason text for the log.
+  void end_stream_in_order(active_request& request, const std::string& reason,
+                           base::time_point now);
   /// Retries a request whose stream was broken off, or ends the stream of its client.
   void break_off_stream(active_request& request, bool has_timed_out, base::time_point now);
 
@@ -671,7 +702,8 @@
   /// Answers that a request was not run, or that it failed if it may have run.
   void answer_not_run(active_request& request, const std::string& reason, base::time_point now);
   /// Answers that a request failed, or breaks off its stream. If the evidence does not allow to end
-  /// an answer, the request waits for a replica instead.
+  /// an answer, the request waits for a replica instead. If the request keeps an answer whose end
+  /// was not marked, the client gets that answer.
   void answer_failed(active_request& request, unsigned http_status, const std::string& reason,
                      end_evidence evidence, base::time_point now);
   /// Counts and records an answer that ends before it is whole, with what is known of its replica.
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -1,6 +1,7 @@
 /// Answers that end with their connection: they have neither a length nor chunks. A replica that
 /// completes such an answer and a replica that exits close the connection alike, so the answer is
-/// whole only if the replica is seen to go on afterwards.
+/// lost unless the replica is seen to go on afterwards. A replica that goes on may have broken the
+/// answer off all the same: see dispatcher_open_ends.cc.
 #include "dispatch/dispatcher.h"
 
 #include "dispatch/dispatcher_constants.h"
@@ -43,6 +44,18 @@
   schedule_check(request);
 }
 
+void dispatcher::handle_unframed_answer(active_request& request, const call_answered& answer,
+                                        base::time_point now) {
+  if (!answer.body.empty()) {
+    settle_later(request, answer, now);
+    return;
+  }
+  const auto call = close_call(request, call_end::connection_ended, now);
+  request.lost_call = end_evidence::connection_ended;
+  note_open_end(request, open_end_outcome::no_body, call.replica.text(), "");
+  handle_lost_answer(request, call, "answer without framing and without a body", now);
+}
+
 unsettled_answer_end dispatcher::take_unsettled_end(active_request& request) {
   auto end = *std::exchange(request.unsettled_end, std::nullopt);
   const auto at_replica = unsettled_ends_.find(end.call.replica);
@@ -142,16 +155,12 @@
 // --- outcomes ------------------------------------------------------------------------------------
 
 void dispatcher::accept_end(active_request& request, const char* evidence, base::time_point now) {
-  const auto end = take_unsettled_end(request);
+  auto end = take_unsettled_end(request);
   record(base::event_kind::stage_completed, request, end.call.replica.text(),
-         std::string("the answer without framing is whole, ") + evidence + " " +
+         std::string("the answer without framing may be whole, ") + evidence + " " +
              std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end");
-  note_whole_answer(request, end.call, evidence, end.ended_at, now);
-  if (end.answer) {
-    forward_answer(request, *end.answer, now);
-  } else {
-    complete_stream(request, now);
-  }
+  note_ended_run(request, end.call, evidence, end.ended_at, now);
+  handle_open_end(request, {std::move(end.call), std::move(end.answer), end.ended_at}, now);
 }
 
 void dispatcher::reject_end(active_request& request, const char* reason, end_evidence evidence,
@@ -159,6 +168,7 @@
   const auto end = take_unsettled_end(request);
   request.lost_call = evidence;
   ++counters_.unframed_answers_rejected;
+  note_open_end(request, open_end_outcome::replica_exited, end.call.replica.text(), "");
   leave_trace(request, end.call, call_end::connection_ended, now);
   handle_lost_answer(request, end.call,
                      std::string("the answer without framing is not known to be whole, ") + reason +
@@ -167,9 +177,9 @@
                      now);
 }
 
-void dispatcher::note_whole_answer(const active_request& request, const open_call& call,
-                                   const char* evidence, base::time_point ended_at,
-                                   base::time_point now) {
+void dispatcher::note_ended_run(const active_request& request, const open_call& call,
+                                const char* evidence, base::time_point ended_at,
+                                base::time_point now) {
   if (!call.relay_node) {
     note_survived(request, evidence, ended_at);
   }
@@ -189,6 +199,11 @@
   if (request.stream_key) {
     origins_.note_completed(*request.stream_key);
   }
+  end_stream_in_order(request, "the stream is complete", now);
+}
+
+void dispatcher::end_stream_in_order(active_request& request, const std::string& reason,
+                                     base::time_point now) {
   begin_stream(request, now);
   if (request.first_event_at == base::time_point{}) {
     // No new event arrived, for example because the client resumed the stream after its last
@@ -198,7 +213,7 @@
   }
   commands_.emplace_back(end_stream{request.client, true});
   finish(request, request.stream_head->status,
-         "the stream is complete, first event at " +
+         reason + ", first event at " +
              std::to_string(base::to_milliseconds(request.first_event_at - request.arrived_at)) +
              " ms, longest pause " +
              std::to_string(base::to_milliseconds(request.longest_event_gap)) + " ms,",
@@ -210,6 +225,9 @@
   const auto call = close_call(
       request, has_timed_out ? call_end::connection_timed_out : call_end::connection_ended, now);
   request.lost_call = evidence_of(has_timed_out);
+  if (request.events.has_partial()) {
+    refute_open_end(request, now);
+  }
   if (!call.relay_node) {
     paths_.note_failure(now);
   }
@@ -222,21 +240,28 @@
     return;
   }
   const bool is_from_replica = !request->call->relay_node;
+  const auto replica = request->call->replica.text();
   const bool is_broken_off = !closed.complete || request->events.has_partial() ||
                              (closed.ends_with_connection && has_no_event(*request));
-  if (closed.ends_with_connection) {
-    record(base::event_kind::stage_completed, *request, request->call->replica.text(),
-           "stream without framing ended with its connection after " +
-               std::to_string(request->events.events()) + " events, " +
-               (request->events.has_partial() ? "inside an event" : "between events"));
+  if (is_broken_off && closed.complete && closed.ends_with_connection) {
+    note_open_end(*request,
+                  request->events.has_partial() ? open_end_outcome::inside_event
+                                                : open_end_outcome::no_body,
+                  replica, "");
   }
   if (is_broken_off) {
     break_off_stream(*request, closed.has_timed_out, now);
   } else if (closed.ends_with_connection && is_from_replica) {
     settle_later(*request, std::nullopt, now);
+  } else if (closed.ends_with_connection) {
+    // The other node has settled the end, and has run the request again if that could show more.
+    request->open_end.reset();
+    pass_on_open_end(*request,
+                     {close_call(*request, call_end::relay_ended, now), std::nullopt, now}, now);
   } else {
     const auto call = close_call(*request, call_end::whole_answer, now);
-    note_whole_answer(*request, call, "its answer was whole", now, now);
+    note_ended_run(*request, call, "its answer was whole", now, now);
+    note_marked_end(*request, nullptr);
     complete_stream(*request, now);
   }
 }
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -307,24 +307,20 @@
     return;
   }
   request->may_have_run = true;
-  if (answered.ends_with_connection) {
-    record(base::event_kind::stage_completed, *request, replica.text(),
-           "answer without framing ended with its connection after " +
-               std::to_string(answered.body.size()) + " bytes");
-  }
   const bool is_unusable =
       is_success(answered.head.status) && (!answered.head.sealed || answered.head.encoded);
   const bool has_failed = is_unusable || answered.head.status >= status::first_server_error;
   if (!has_failed) {
     if (is_success(answered.head.status)) {
       if (answered.ends_with_connection) {
-        settle_later(*request, answered, now);
+        handle_unframed_answer(*request, answered, now);
         return;
       }
       // Only a success shows that the run came to its end: a replica may fail a request before it
       // runs it.
       note_survived(*request, "its answer was whole", now);
       note_completed_run(*request, *request->call, now);
+      note_marked_end(*request, &answered);
     }
     replicas_.note_success(replica, now);
     forward_answer(*request, answered, now);
@@ -355,7 +351,8 @@
     commands_.emplace_back(end_stream{request.client, false});
   } else {
     commands_.emplace_back(respond{request.client, std::nullopt, answer.head.status,
-                                   answer.head.headers, answer.body, answer.body_memory});
+                                   answer.head.headers, answer.body, answer.body_memory,
+                                   answer.ends_with_connection});
     counters_.first_byte.add(now - request.arrived_at);
   }
   finish(request, answer.head.status, "the replica's answer", now, call_end::whole_answer);
@@ -381,6 +378,7 @@
   }
   if (!request->has_begun_stream) {
     request->stream_head = opened.head;
+    request->ends_stream_with_connection = opened.ends_with_connection;
   }
   record(base::event_kind::stage_completed, *request, replica.text(),
          "head of the stream after " +
@@ -392,8 +390,9 @@
     return;
   }
   request.has_begun_stream = true;
-  commands_.emplace_back(
-      open_stream{request.client, request.stream_head->status, request.stream_head->headers});
+  commands_.emplace_back(open_stream{request.client, request.stream_head->status,
+                                     request.stream_head->headers,
+                                     request.ends_stream_with_connection});
   counters_.first_byte.add(now - request.arrived_at);
   record(base::event_kind::stage_completed, request, "",
          "first event after " + std::to_string(base::to_milliseconds(now - request.arrived_at)) +
@@ -433,6 +432,7 @@
   if (whole_events.empty()) {
     return;
   }
+  refute_open_end(*request, now);
   begin_stream(*request, now);
   bind_stream(*request, now);
   note_progress(*request, now);
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -85,7 +85,8 @@
   const bool is_not_run = !head.sealed && (head.status == status::unavailable ||
                                            head.status == status::too_many_requests);
   request.may_have_run = request.may_have_run || !is_not_run;
-  const bool is_valid = !is_success(head.status) || (head.sealed && !head.encoded);
+  const bool has_content = !answered.ends_with_connection || !answered.body.empty();
+  const bool is_valid = !is_success(head.status) || (head.sealed && !head.encoded && has_content);
   const bool contradicts_earlier_attempt = is_not_run && request.may_have_run;
   if (contradicts_earlier_attempt && !may_end_answer(request.lost_call)) {
     // The request was passed on for a call that may have gone on.
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -63,6 +63,9 @@
 
 void dispatcher::fail_with(active_request& request, const failure_outcome& outcome,
                            base::time_point now) {
+  if (pass_on_kept_end(request, now)) {
+    return;
+  }
   if (outcome.answer) {
     forward_answer(request, *outcome.answer, now);
   } else if (outcome.is_not_run) {
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -10,6 +10,7 @@
 #include "dispatch/configuration_knowledge.h"
 #include "dispatch/end_evidence.h"
 #include "dispatch/event_stream.h"
+#include "dispatch/framing_habits.h"
 #include "dispatch/relay_exchange.h"
 #include "dispatch/replica_report_exchange.h"
 #include "dispatch/retry_budget.h"
@@ -241,6 +242,7 @@
   stage_exchange stages_;
   admission_estimate admission_estimate_;
   run_times run_times_;
+  framing_habits framing_habits_;
   stop_plan stop_plan_;
   std::unordered_map<base::caller_id, active_request> active_;
   std::unordered_map<base::call_id, base::caller_id> clients_by_call_;
--- a/src/dispatch/end_evidence.h
+++ b/src/dispatch/end_evidence.h
@@ -18,6 +18,7 @@
   relay_failed,       ///< The node to which the request was passed on answered that it failed.
   silence,            ///< The replica sent nothing, and the call was moved to another replica.
   client_too_slow,    ///< The call was cancelled until its client reads on.
+  end_not_marked,     ///< The replica marked no end, and no other run showed whether it was whole.
   inputs_lost,        ///< The results of its stages were lost again and again.
   no_memory,          ///< This node has no memory for the answer.
   quarantined,        ///< Replicas exited under the request, so that it may not run again.
@@ -45,6 +46,7 @@
                                                                    "relay_failed",
                                                                    "silence",
                                                                    "client_too_slow",
+                                                                   "end_not_marked",
                                                                    "inputs_lost",
                                                                    "no_memory",
                                                                    "quarantined",
--- a/src/http/answer_writer.cc
+++ b/src/http/answer_writer.cc
@@ -54,6 +54,10 @@
   return head(status, headers, connection) + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+std::string open_ended_head(unsigned status, const serving::header_list& headers) {
+  return head(status, headers, after_answer::close) + "\r\n";
+}
+
 std::string chunk(std::string_view bytes) {
   char size[32];
   std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
--- a/src/http/answer_writer.h
+++ b/src/http/answer_writer.h
@@ -27,6 +27,10 @@
 std::string chunked_head(unsigned status, const serving::header_list& headers,
                          after_answer connection);
 
+/// @return the head of an answer whose body has neither a length nor chunks and ends with the
+///         connection.
+std::string open_ended_head(unsigned status, const serving::header_list& headers);
+
 /// @return one chunk with its framing.
 /// @param bytes must not be empty: an empty chunk ends the body.
 std::string chunk(std::string_view bytes);
--- a/src/http/client_exchange.h
+++ b/src/http/client_exchange.h
@@ -72,6 +72,9 @@
   bool head_only = false;
   /// Whether the answer is a stream whose head was queued.
   bool is_streaming = false;
+  /// Whether the answer has neither a length nor chunks, so that the end of the connection is its
+  /// end. Until the answer is complete, each close of the connection resets it.
+  bool ends_with_connection = false;
   after_answer connection = after_answer::keep_open;
 };
 
--- a/src/http/ingress_server.cc
+++ b/src/http/ingress_server.cc
@@ -115,9 +115,14 @@
       client.wake.cancel();
       return;
     }
-    push(client, {fixed_length_head(command.status, command.headers, command.body.size(),
-                                    client.connection),
-                  nullptr});
+    if (command.ends_with_connection && has_body(command.status) && !client.head_only) {
+      begin_open_ended(client);
+      push(client, {open_ended_head(command.status, command.headers), nullptr});
+    } else {
+      push(client, {fixed_length_head(command.status, command.headers, command.body.size(),
+                                      client.connection),
+                    nullptr});
+    }
     if (has_body(command.status) && !client.head_only && !command.body.empty()) {
       push(client, {std::move(command.body), std::move(command.body_memory)});
     }
@@ -129,14 +134,21 @@
       auto& client = *found->second;
       client.connection = closes_after_answers() ? after_answer::close : client.connection;
       client.is_streaming = true;
-      push(client, {chunked_head(command.status, command.headers, client.connection), nullptr});
+      if (command.ends_with_connection) {
+        begin_open_ended(client);
+        push(client, {open_ended_head(command.status, command.headers), nullptr});
+      } else {
+        push(client, {chunked_head(command.status, command.headers, client.connection), nullptr});
+      }
     }
   }
 
   void carry_out(serving::stream_data command) override {
     const auto found = exchanges_.find(command.client);
     if (found != exchanges_.end()) {
-      push_events(*found->second, chunk(command.bytes));
+      auto& client = *found->second;
+      push_events(client,
+                  client.ends_with_connection ? std::move(command.bytes) : chunk(command.bytes));
     }
   }
 
@@ -155,9 +167,11 @@
     if (found == exchanges_.end()) {
       return;
     }
-    found->second->is_final = true;
-    found->second->is_incomplete = !command.complete;
-    push(*found->second, {command.complete ? std::string(last_chunk) : std::string(), nullptr});
+    auto& client = *found->second;
+    client.is_final = true;
+    client.is_incomplete = !command.complete;
+    const bool has_last_chunk = command.complete && !client.ends_with_connection;
+    push(client, {has_last_chunk ? std::string(last_chunk) : std::string(), nullptr});
   }
 
   void set_limits(const model::client_limits& limits) override { limits_ = limits; }
@@ -193,6 +207,20 @@
     }
   }
 
+  /// Prepares the connection of an answer that ends with it: a close before the end of the answer,
+  /// also one by the kernel because this process exits, resets the connection, so that the client
+  /// does not take it for the end.
+  static void begin_open_ended(client_exchange& client) {
+    client.ends_with_connection = true;
+    client.connection = after_answer::close;
+    set_reset_on_close(*client.socket, true);
+  }
+
+  static void set_reset_on_close(asio::ip::tcp::socket& socket, bool resets) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+  }
+
   /// Writes as many bytes as the socket accepts without blocking, so that an event needs neither a
   /// timer nor a wake-up while its client keeps reading. Errors are ignored: the next asynchronous
   /// write reports them.
@@ -453,6 +481,11 @@
     while (!exchange->has_watch_ended) {
       co_await exchange->wake.async_wait(await_into(ignored));
     }
+    if (exchange->ends_with_connection && is_complete) {
+      set_reset_on_close(stream.socket(), false);
+    } else if (exchange->ends_with_connection) {
+      stream.close();
+    }
     co_return is_complete && exchange->connection == after_answer::keep_open;
   }
 
--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -257,6 +257,16 @@
   return nullptr;
 }
 
+std::unordered_set<std::string> serving_configuration::route_names() const {
+  std::unordered_set<std::string> names;
+  for (const auto& [host, routes] : routes_by_host) {
+    for (const auto& route : routes) {
+      names.insert(route->name);
+    }
+  }
+  return names;
+}
+
 const service* serving_configuration::find_service(const std::string& name) const {
   const auto found = services.find(name);
   return found == services.end() ? nullptr : &found->second;
--- a/src/model/serving_records.h
+++ b/src/model/serving_records.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace spurrack::model {
@@ -164,6 +165,8 @@
   /// @return the route with the longest path prefix that matches `path`; null if none matches.
   [[nodiscard]] std::shared_ptr<const route> find_route(std::string_view host,
                                                         std::string_view path) const;
+  /// @return names of all routes.
+  [[nodiscard]] std::unordered_set<std::string> route_names() const;
   /// @return null if the service does not exist.
   [[nodiscard]] const service* find_service(const std::string& name) const;
 };
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -116,7 +116,10 @@
   std::uint64_t refused_for_prompt_part = 0;
   /// Requests with a suspected prompt part that waited too long for a trial.
   std::uint64_t refused_without_trial = 0;
-  /// Answers that ended with their connection, and those of them that were not known to be whole.
+  /// Answers that ended with their connection, by what became of them.
+  std::map<std::string_view, std::uint64_t> open_ends;
+  /// Answers whose end was settled later because they ended with their connection, and those of
+  /// them whose replica was not seen to go on.
   std::uint64_t unframed_answers = 0;
   std::uint64_t unframed_answers_rejected = 0;
   /// Requests that waited for a slot at replicas that announce a limit or requested a backoff.
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -91,6 +91,8 @@
 struct stream_opened {
   base::call_id call = 0;
   answer_head head;
+  /// Whether the stream has neither a length nor chunks, so that it will end with its connection.
+  bool ends_with_connection = false;
 };
 /// Bytes of a streamed answer arrived.
 struct stream_bytes {
@@ -251,7 +253,7 @@
   call_target target;
 };
 
-/// Sends a complete answer to a client.
+/// Sends an answer to a client, and ends it.
 struct respond {
   base::caller_id client = 0;
   /// Id of the request if spurrack itself answers; std::nullopt if the answer is a replica's.
@@ -261,12 +263,18 @@
   std::string body;
   /// Memory reservation of the body, kept as long as the body; may be null.
   std::shared_ptr<const memory_reservation> body_memory = nullptr;
+  /// Whether the answer is sent without a length and ends with the client's connection, because its
+  /// replica marked no end either: a length would state that the body is whole.
+  bool ends_with_connection = false;
 };
 /// Begins a streamed answer.
 struct open_stream {
   base::caller_id client = 0;
   unsigned status = 0;
   header_list headers;
+  /// Whether the stream is sent without chunks and ends with the client's connection, because its
+  /// replica marks no end either.
+  bool ends_with_connection = false;
 };
 /// Sends further bytes of a streamed answer.
 struct stream_data {
@@ -281,8 +289,9 @@
 /// Ends a streamed answer.
 struct end_stream {
   base::caller_id client = 0;
-  /// Whether the answer is complete. If not, the connection is reset so that the client cannot take
-  /// the answer for complete.
+  /// Whether the answer ends in order: with its last chunk, or with the end of its connection if it
+  /// has no chunks. If not, the client sees that the answer was broken off: the last chunk is
+  /// missing, or the connection is reset.
   bool complete = false;
 };
 
--- a/src/streams/stream_ages.cc
+++ b/src/streams/stream_ages.cc
@@ -1,7 +1,6 @@
 #include "streams/stream_ages.h"
 
 #include <algorithm>
-#include <set>
 
 namespace spurrack::streams {
 
@@ -11,12 +10,7 @@
 }
 
 void stream_ages::keep_routes_of(const model::serving_configuration& configuration) {
-  std::set<std::string> names;
-  for (const auto& [host, routes] : configuration.routes_by_host) {
-    for (const auto& route : routes) {
-      names.insert(route->name);
-    }
-  }
+  const auto names = configuration.route_names();
   std::erase_if(longest_allowed_, [&](const auto& entry) { return !names.contains(entry.first); });
 }
 
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -468,7 +468,7 @@
         keep_or_close(state, call, *parser);
         report(state, call.id,
                serving::call_answered{call.id, std::move(head), std::move(answer.body),
-                                      std::move(answer.reservation)});
+                                      std::move(answer.reservation), parser->need_eof()});
       } else {
         close(state);
         report(state, call.id,
@@ -479,7 +479,7 @@
     call.must_stay = true;
     use_tcp_user_timeout(*state->replica_connection,
                          tcp_user_timeout_of(call, base::boot_clock::now()));
-    handler_(serving::stream_opened{call.id, std::move(head)});
+    handler_(serving::stream_opened{call.id, std::move(head), parser->need_eof()});
     co_await forward_stream(state, call, *parser);
   }
 
