Store: an answer without its list is no empty list

No caller has reported it. A listing whose answer lacked its items, its revision or the word whether pages follow was taken for a complete list without entries, so that all replicas would count as removed; found by looking for the class of the open ends: what is missing was taken for none.

The stand-in of two older cases answered {} and now answers an empty listing; what they check is unchanged.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 using namespace spurrack;
@@ -20,11 +21,17 @@
 
 namespace {
 
+/// Listing without entries.
+const std::string empty_listing = R"({"items":[],"more":false,"at":1})";
+
 /// Store that answers the first request of each connection and is silent afterwards.
 class silent_store {
  public:
-  explicit silent_store(asio::io_context& io)
-      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}) {
+  /// @param body JSON text of each answer.
+  explicit silent_store(asio::io_context& io, const std::string& body = empty_listing)
+      : text_("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+              body),
+        acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}) {
     accept();
   }
   [[nodiscard]] std::string address() const {
@@ -62,11 +69,11 @@
                              read(client);
                            });
   }
-  static void answer(const std::shared_ptr<connection>& client) {
-    static const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
-    asio::async_write(client->socket, asio::buffer(text), [client](const auto&, std::size_t) {});
+  void answer(const std::shared_ptr<connection>& client) const {
+    asio::async_write(client->socket, asio::buffer(text_), [client](const auto&, std::size_t) {});
   }
 
+  std::string text_;
   asio::ip::tcp::acceptor acceptor_;
   int requests_ = 0;
 };
@@ -118,4 +125,39 @@
   BOOST_TEST(order == "parsed,parsed,answer");
 }
 
+/// Reads a source once from a store whose answers have a given body.
+/// @param after revision to watch from; 0 for a listing.
+/// @return whether the body was taken for an answer.
+bool is_accepted(const std::string& body, std::uint64_t after) {
+  asio::io_context io(1);
+  silent_store store(io, body);
+  std::optional<bool> accepted;
+  const auto client =
+      platform::make_store_client(io, store.address(),
+                                  {[&](const node::service_answered&) { accepted = true; },
+                                   [&](const node::service_failed&) { accepted = false; }});
+  client->read({node::source_kind::machine_list, after, true, {}});
+  while (!accepted && io.run_one_for(milliseconds(2'000)) > 0) {
+  }
+  BOOST_REQUIRE(accepted.has_value());
+  return *accepted;
+}
+
+// Guards against an answer that lacks its list, its revision or the word whether pages follow, and
+// is taken for a list without entries: all replicas would count as removed.
+BOOST_AUTO_TEST_CASE(an_answer_without_its_list_is_no_empty_list) {
+  BOOST_TEST(is_accepted(empty_listing, 0));
+  BOOST_TEST(is_accepted(R"({"events":[],"at":7})", 6));
+  for (const std::string body :
+       {R"({})", R"({"more":false,"at":1})", R"({"items":[],"at":1})",
+        R"({"items":[],"more":false})", R"({"items":[],"more":true,"at":1})",
+        R"({"items":null,"more":false,"at":1})", R"([])", ""}) {
+    BOOST_TEST(!is_accepted(body, 0), body);
+  }
+  for (const std::string body :
+       {R"({})", R"({"at":7})", R"({"events":[]})", R"({"events":{},"at":7})"}) {
+    BOOST_TEST(!is_accepted(body, 6), body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
