Peer transport: a signal during a poll of libzmq ends no daemon

Cause: most calls of libzmq poll for commands of its own threads, also those that do not wait. A signal during such a poll makes the call fail with EINTR, which cppzmq throws; zmq_transport.cc caught it nowhere, and the exception left the event loop.

Change: every call of libzmq in the transport goes through `repeat_if_interrupted`. A call that fails with EINTR has done nothing, so it is repeated.

--- a/src/peers/zmq_transport.cc
+++ b/src/peers/zmq_transport.cc
@@ -44,6 +44,51 @@
   return "tcp://" + address;
 }
 
+/// Calls a function of libzmq again until no signal interrupts it. libzmq polls for its own
+/// commands in most calls, also in those that do not wait. If a signal arrives meanwhile, the call
+/// fails with EINTR and has done nothing.
+/// @return result of the call.
+template <typename zmq_call>
+auto repeat_if_interrupted(zmq_call call) {
+  while (true) {
+    try {
+      return call();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) {
+        throw;
+      }
+    }
+  }
+}
+
+/// Receives a frame without waiting. @return whether there was one.
+bool receive(zmq::socket_t& socket, zmq::message_t& frame) {
+  return repeat_if_interrupted([&] { return socket.recv(frame, zmq::recv_flags::dontwait); })
+      .has_value();
+}
+
+/// @return whether the frame that was received last is followed by another one of its message.
+bool has_more_frames(zmq::socket_t& socket) {
+  return repeat_if_interrupted([&] { return socket.get(zmq::sockopt::rcvmore); });
+}
+
+/// @return false if a send that does not wait could not queue the frame.
+bool send_frame(zmq::socket_t& socket, zmq::message_t frame, zmq::send_flags flags) {
+  return repeat_if_interrupted([&] { return socket.send(frame, flags); }).has_value();
+}
+
+void bind_socket(zmq::socket_t& socket, const std::string& endpoint) {
+  repeat_if_interrupted([&] { socket.bind(endpoint); });
+}
+
+void connect_socket(zmq::socket_t& socket, const std::string& endpoint) {
+  repeat_if_interrupted([&] { socket.connect(endpoint); });
+}
+
+int descriptor_of(zmq::socket_t& socket) {
+  return repeat_if_interrupted([&] { return socket.get(zmq::sockopt::fd); });
+}
+
 void set_common_options(zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::maxmsgsize, max_message_bytes);
@@ -61,7 +106,7 @@
  public:
   watched_socket(boost::asio::io_context& io, zmq::socket_t socket,
                  std::function<void()> on_readable)
-      : socket_(std::move(socket)), descriptor_(io, socket_.get(zmq::sockopt::fd)),
+      : socket_(std::move(socket)), descriptor_(io, descriptor_of(socket_)),
         on_readable_(std::move(on_readable)) {}
   watched_socket(const watched_socket&) = delete;
   watched_socket& operator=(const watched_socket&) = delete;
@@ -102,7 +147,7 @@
       router.set(zmq::sockopt::zap_domain, "spurrack");
     }
     try {
-      router.bind(endpoint_of(listen));
+      bind_socket(router, endpoint_of(listen));
     } catch (const zmq::error_t& error) {
       throw std::system_error(error.num(), std::generic_category(), "bind " + listen);
     }
@@ -118,7 +163,7 @@
     auto& socket = dealer_for(message.to);
     zmq::message_t payload(message.message.ByteSizeLong());
     message.message.SerializeToArray(payload.data(), static_cast<int>(payload.size()));
-    if (!socket.send(payload, zmq::send_flags::dontwait)) {
+    if (!send_frame(socket, std::move(payload), zmq::send_flags::dontwait)) {
       ++dropped_messages_;
     }
   }
@@ -145,17 +190,17 @@
       socket.set(zmq::sockopt::curve_publickey, keys_->public_key);
       socket.set(zmq::sockopt::curve_secretkey, keys_->secret_key);
     }
-    socket.connect(endpoint_of(to.text()));
+    connect_socket(socket, endpoint_of(to.text()));
     return dealers_.emplace(to, std::move(socket)).first->second;
   }
 
   void receive_all() {
     zmq::message_t sender;
-    while (router_->socket().recv(sender, zmq::recv_flags::dontwait)) {
+    while (receive(router_->socket(), sender)) {
       zmq::message_t payload;
-      bool more = router_->socket().get(zmq::sockopt::rcvmore);
-      while (more && router_->socket().recv(payload, zmq::recv_flags::dontwait)) {
-        more = router_->socket().get(zmq::sockopt::rcvmore);
+      bool more = has_more_frames(router_->socket());
+      while (more && receive(router_->socket(), payload)) {
+        more = has_more_frames(router_->socket());
       }
       wire::envelope message;
       if (message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
@@ -168,7 +213,7 @@
   /// of the fleet.
   void start_authentication() {
     zmq::socket_t replier(context_, zmq::socket_type::rep);
-    replier.bind(authentication_endpoint);
+    bind_socket(replier, authentication_endpoint);
     authenticator_.emplace(*io_, std::move(replier), [this] { authenticate_all(); });
     authenticator_->watch();
     boost::asio::post(*io_, [this] { authenticate_all(); });
@@ -178,12 +223,12 @@
     while (true) {
       std::vector<std::string> frames;
       zmq::message_t frame;
-      if (!authenticator_->socket().recv(frame, zmq::recv_flags::dontwait)) {
+      if (!receive(authenticator_->socket(), frame)) {
         return;
       }
       frames.push_back(frame.to_string());
-      while (authenticator_->socket().get(zmq::sockopt::rcvmore) &&
-             authenticator_->socket().recv(frame, zmq::recv_flags::dontwait)) {
+      while (has_more_frames(authenticator_->socket()) &&
+             receive(authenticator_->socket(), frame)) {
         frames.push_back(frame.to_string());
       }
       reply_authentication(frames);
@@ -206,7 +251,7 @@
     for (std::size_t index = 0; index < reply.size(); ++index) {
       const auto flags =
           index + 1 < reply.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
-      authenticator_->socket().send(zmq::buffer(reply[index]), flags);
+      send_frame(authenticator_->socket(), zmq::message_t(reply[index]), flags);
     }
   }
 
