Fault soak: the end of a replica is recorded before its clients can see it

A client that saw its answer cut by the restart of a replica asked the recorder before the restart was recorded, and reported the answer as lost. The record is now written first. The check is unchanged.

--- a/tests/platform_fleet/broken_answer_phase.cc
+++ b/tests/platform_fleet/broken_answer_phase.cc
@@ -31,8 +31,8 @@
 
 void broken_answer_phase::restart_at_once(soak_replica& replica) {
   const bool has_new_id = random_.below(2) == 0;
-  replica.crash();
   fleet_->last_restart_at_once = soak_clock::now();
+  replica.crash();
   std::this_thread::sleep_for(min_start_time +
                               milliseconds(random_.below(start_time_spread_milliseconds)));
   if (has_new_id) {
--- a/tests/platform_fleet/soak_replica.cc
+++ b/tests/platform_fleet/soak_replica.cc
@@ -130,11 +130,12 @@
           [this](const http_request& request) { return answer(request); })) {}
 
 void soak_replica::crash() {
+  // Recorded first: clients see the end at once and ask the recorder for its reason.
+  recorder_->note_replica_end(id_);
   incarnations_->advance(published_address_);
   server_->set_accepting_connections(false);
   server_->shut_down_connections();
   server_->set_silent(false);
-  recorder_->note_replica_end(id_);
 }
 
 void soak_replica::restart() {
