Answers without framing on kept connections, at a killed daemon and at a planned stop

An answer without framing ends with its connection, so each close must say what it is. What callers would see: a request on a kept connection that is lost behind such an answer, or a partial answer that looks like an ended one because the kernel closes the sockets of a killed process with FIN.

Four cases of open_answer_ends_test: a client that keeps its connection sees "Connection: close" and the close, its next request there is not run, and it is served on a new connection; a request sent while such an answer is on its way is not run; a daemon that gets SIGKILL inside such an answer (a stream, and 7.5 MB that are still being written) resets the connection; SIGTERM lets it end in order, whole.

--- a/tests/platform_fleet/open_answer_ends_test.cc
+++ b/tests/platform_fleet/open_answer_ends_test.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <list>
 #include <map>
@@ -337,6 +338,13 @@
     plans_[request.id] = request;
   }
 
+  /// Lets each run of a request get `answer`.
+  void plan(const planned_request& request, const scripted_answer& answer) {
+    plan(request);
+    const std::lock_guard lock(mutex_);
+    answers_[request.id] = answer;
+  }
+
   /// @return for each run of a request, the id of its first event.
   [[nodiscard]] std::vector<int> runs_of(const std::string& id) const {
     const std::lock_guard lock(mutex_);
@@ -388,6 +396,9 @@
     const auto after = static_cast<int>(leading_number(std::string(request["Last-Event-Id"])));
     auto& runs = first_events_[id];
     runs.push_back(after + 1);
+    if (const auto answer = answers_.find(id); answer != answers_.end()) {
+      return answer->second;
+    }
     const attempt_text text{plan, static_cast<int>(runs.size()), after + 1};
     if (text.run > 1) {
       return {text.whole()};
@@ -401,6 +412,8 @@
 
   mutable std::mutex mutex_;
   std::map<std::string, planned_request> plans_;
+  /// Answers to all runs of some requests, by id.
+  std::map<std::string, scripted_answer> answers_;
   /// For each request, the id of the first event of each run, in the order of the runs.
   std::map<std::string, std::vector<int>> first_events_;
   scripted_server replica_one_;
@@ -567,4 +580,112 @@
   }
 }
 
+/// Guards against a client that waits on a kept connection for the end of an answer without
+/// framing, or whose next request is lost on that connection.
+BOOST_AUTO_TEST_CASE(an_open_end_closes_a_kept_connection) {
+  open_answer_fleet fleet("kept");
+  for (const auto kind : {route_kind::unsafe, route_kind::single}) {
+    const std::string suffix = route_names.at(static_cast<std::size_t>(kind));
+    const planned_request before{"before-" + suffix, cut_place::unframed_whole, connection_end::fin,
+                                 kind};
+    fleet.plan(before, {attempt_text{before}.whole()});
+    const planned_request open_ended{"open-" + suffix, cut_place::unframed_whole,
+                                     connection_end::fin, kind};
+    fleet.plan(open_ended);
+    const planned_request after{"after-" + suffix, cut_place::unframed_whole, connection_end::fin,
+                                kind};
+    fleet.plan(after, {attempt_text{after}.whole()});
+
+    framing_client client(fleet.daemon().client_address);
+    BOOST_TEST(client.send(open_answer_fleet::request_text(before)));
+    const auto framed = client.read(client_patience);
+    BOOST_TEST(framed.is_told_whole());
+    BOOST_TEST(framed.header("connection") != "close");
+    BOOST_TEST(client.send(open_answer_fleet::request_text(open_ended)));
+    const auto answer = client.read(client_patience);
+    BOOST_TEST(answer.has_open_end(), name_of(answer.framing) + ", " + name_of(answer.end));
+    BOOST_TEST(answer.header("connection") == "close");
+    BOOST_TEST(answer.body == attempt_text{open_ended}.body());
+    static_cast<void>(client.send(open_answer_fleet::request_text(after)));
+    BOOST_TEST(client.read(client_patience).status == 0);
+    BOOST_TEST(fleet.runs_of(after.id).empty());
+
+    framing_client second(fleet.daemon().client_address);
+    BOOST_TEST(second.send(open_answer_fleet::request_text(after)));
+    BOOST_TEST(second.read(client_patience).is_told_whole());
+    BOOST_TEST(fleet.runs_of(after.id).size() == 1);
+  }
+}
+
+/// Guards against a request that is run, but never answered, because its client sent it while an
+/// answer without framing was on its way.
+BOOST_AUTO_TEST_CASE(a_request_behind_an_open_end_is_not_run) {
+  open_answer_fleet fleet("pipelined");
+  const planned_request first{"first", cut_place::unframed_whole, connection_end::fin,
+                              route_kind::single};
+  auto slow = scripted_answer{attempt_text{first}.head() + "\r\n" + attempt_text{first}.part()};
+  slow.delayed_bytes = {attempt_text{first}.body().substr(attempt_text{first}.part().size())};
+  slow.pause = milliseconds(400);
+  slow.close = true;
+  fleet.plan(first, slow);
+  const planned_request second{"second", cut_place::unframed_whole, connection_end::fin,
+                               route_kind::unsafe};
+  fleet.plan(second);
+  framing_client client(fleet.daemon().client_address);
+  BOOST_TEST(client.send(open_answer_fleet::request_text(first)));
+  BOOST_TEST(client.wait_for_bytes(1, client_patience));
+  BOOST_TEST(client.send(open_answer_fleet::request_text(second)));
+  const auto answer = client.read(client_patience);
+  BOOST_TEST(!answer.is_told_whole());
+  BOOST_TEST(answer.body == attempt_text{first}.body());
+  BOOST_TEST(fleet.runs_of(second.id).empty());
+}
+
+/// Guards against an answer without framing whose client takes the exit of the daemon for its end.
+BOOST_AUTO_TEST_CASE(a_killed_daemon_resets_answers_without_framing) {
+  constexpr std::size_t large_bytes = 7'500'000;
+  for (const auto kind : {route_kind::single, route_kind::unsafe}) {
+    open_answer_fleet fleet("killed");
+    const planned_request request{"killed", cut_place::unframed_short, connection_end::silence,
+                                  kind};
+    scripted_answer answer{attempt_text{request}.broken_off()};
+    if (!is_stream(kind)) {
+      // More than the buffers of the connection hold, so that the daemon is still writing.
+      answer.bytes = attempt_text{request}.head() + "\r\n" + std::string(large_bytes, 'x');
+      answer.close = true;
+    }
+    fleet.plan(request, answer);
+    framing_client client(fleet.daemon().client_address);
+    BOOST_TEST(client.send(open_answer_fleet::request_text(request)));
+    BOOST_TEST(client.wait_for_bytes(1, client_patience));
+    fleet.daemon().process().signal(SIGKILL);
+    fleet.daemon().process().wait();
+    const auto received = client.read(client_patience);
+    BOOST_TEST(received.status == 200);
+    BOOST_TEST(name_of(received.framing) == "connection");
+    BOOST_TEST(name_of(received.end) == "reset");
+  }
+}
+
+/// Guards against an answer without framing that a planned stop cuts, or ends before its replica
+/// has.
+BOOST_AUTO_TEST_CASE(a_planned_stop_lets_an_answer_without_framing_end) {
+  open_answer_fleet fleet("stopping");
+  const planned_request request{"stopping", cut_place::unframed_whole, connection_end::fin,
+                                route_kind::single};
+  auto slow = scripted_answer{attempt_text{request}.head() + "\r\n" + attempt_text{request}.part()};
+  slow.delayed_bytes = {attempt_text{request}.body().substr(attempt_text{request}.part().size())};
+  slow.pause = milliseconds(800);
+  slow.close = true;
+  fleet.plan(request, slow);
+  framing_client client(fleet.daemon().client_address);
+  BOOST_TEST(client.send(open_answer_fleet::request_text(request)));
+  BOOST_TEST(client.wait_for_bytes(1, client_patience));
+  fleet.daemon().process().signal(SIGTERM);
+  const auto answer = client.read(client_patience);
+  BOOST_TEST(answer.has_open_end(), name_of(answer.framing) + ", " + name_of(answer.end));
+  BOOST_TEST(answer.body == attempt_text{request}.body());
+  BOOST_TEST(fleet.daemon().process().wait() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
