Open ends without retry budget and on routes that never mark an end

Traced: a resumable stream that broke off visibly went on in the same answer for 2 of 6 requests only. Cause: the retry budget, no fault. Ruled out: paused replicas (the same replicas served the next request at once). The log line "answer_ended_early" does not name the budget; spurrack_repeats_denied_total counts it.

Two cases of open_answer_ends_test: without budget, an open end of a repeatable request goes to the client after one run, open, an empty one is a failure, a broken stream is cut visibly, and the denials are counted; on a route whose last 8 answers had open ends, each later request runs once.

--- a/tests/platform_fleet/open_answer_ends_test.cc
+++ b/tests/platform_fleet/open_answer_ends_test.cc
@@ -321,14 +321,17 @@
 /// first attempt of each planned request, and answer each later attempt with a whole answer.
 class open_answer_fleet {
  public:
-  explicit open_answer_fleet(const std::string& name)
+  static constexpr auto ample_retries = "  retry_ratio: 10\n  retry_allowance: 1000\n";
+
+  /// @param serving_settings as in `single_daemon`.
+  explicit open_answer_fleet(const std::string& name,
+                             const std::string& serving_settings = ample_retries)
       : replica_one_([this](const http_request& request) { return answer(request); }),
         replica_two_([this](const http_request& request) { return answer(request); }) {
     store_.put("op/config", configuration());
     store_.put("servers/i-one", replica_record(replica_one_.address()));
     store_.put("servers/i-two", replica_record(replica_two_.address()));
-    daemon_.emplace("open-answer-" + name, store_.address(),
-                    "  retry_ratio: 10\n  retry_allowance: 1000\n");
+    daemon_.emplace("open-answer-" + name, store_.address(), serving_settings);
   }
 
   [[nodiscard]] const single_daemon& daemon() const { return *daemon_; }
@@ -688,4 +691,56 @@
   BOOST_TEST(fleet.daemon().process().wait() == 0);
 }
 
+/// Guards against an answer whose end is not marked, or a stream that broke off, that is told as
+/// whole, or against a whole answer that is lost, if the retry budget allows no second run. Guards
+/// also against such a denial that nobody can see.
+BOOST_AUTO_TEST_CASE(without_retry_budget_an_open_end_stays_open) {
+  open_answer_fleet fleet("budget", "  retry_ratio: 0\n  retry_allowance: 0\n");
+  const auto send = [&](cut_place place, route_kind kind) {
+    const planned_request request{"budget-" + std::to_string(static_cast<int>(place)) + "-" +
+                                      std::to_string(static_cast<int>(kind)),
+                                  place, connection_end::fin, kind};
+    auto answer = fleet.send(request);
+    const auto runs = fleet.runs_of(request.id);
+    BOOST_TEST(runs.size() == 1);
+    BOOST_TEST(answer_check(request, answer, runs).fault() == "");
+    return answer;
+  };
+  for (const auto kind : {route_kind::safe, route_kind::resumable}) {
+    BOOST_TEST(send(cut_place::unframed_whole, kind).has_open_end());
+    BOOST_TEST(send(cut_place::unframed_short, kind).has_open_end());
+    BOOST_TEST(!send(cut_place::unframed_no_body, kind).is_success());
+  }
+  const auto broken_off = send(cut_place::chunks_body_short, route_kind::resumable);
+  BOOST_TEST(broken_off.is_success());
+  BOOST_TEST(!broken_off.is_told_whole());
+  const auto metrics = fleet::get(fleet.daemon().operator_address, "/metrics").body;
+  BOOST_TEST(metrics.find("spurrack_repeats_denied_total 7\n") != std::string::npos);
+}
+
+/// Guards against a route whose replicas never mark the end of an answer and on which each request
+/// runs twice for that.
+BOOST_AUTO_TEST_CASE(a_route_that_never_marks_ends_runs_each_request_once) {
+  open_answer_fleet fleet("habit");
+  constexpr int learning_requests = 8;
+  constexpr int later_requests = 4;
+  for (const auto kind : {route_kind::safe, route_kind::resumable}) {
+    for (int number = 0; number < learning_requests + later_requests; ++number) {
+      const planned_request request{std::string(route_names.at(static_cast<std::size_t>(kind))) +
+                                        std::to_string(number),
+                                    cut_place::unframed_whole, connection_end::fin, kind};
+      // If a resumed run had nothing to add, its answer would have no event and count as lost.
+      fleet.plan(request, {attempt_text{request}.broken_off(), true});
+      framing_client client(fleet.daemon().client_address);
+      BOOST_TEST(client.send(open_answer_fleet::request_text(request)));
+      const auto answer = client.read(client_patience);
+      if (number >= learning_requests) {
+        BOOST_TEST(answer.has_open_end(), name_of(answer.framing) + ", " + name_of(answer.end));
+        BOOST_TEST(answer.body == attempt_text{request}.body());
+        BOOST_TEST(fleet.runs_of(request.id).size() == 1, request.id);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
