--- a/tests/platform_fleet/scripted_server.h
+++ b/tests/platform_fleet/scripted_server.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <fcntl.h>
 #include <functional>
 #include <list>
 #include <memory>
@@ -117,6 +118,8 @@
       if (error || is_stopping_) {
         return;
       }
+      // A process that the test starts must not keep the connection open.
+      ::fcntl(socket->native_handle(), F_SETFD, FD_CLOEXEC);
       const std::lock_guard lock(mutex_);
       remove_ended_connections();
       if (!is_accepting_connections_) {
