A connection accepted after an end no longer clears the exits of its request

Cause: a connection that a replica accepts, or bytes for a call that began later, within 800 ms of such an end counted as the same process. The run then left no trace, so that the exit was recorded nowhere, and it cleared the earlier exits of its request.

Ruled out: the probe itself (it was accepted, by the next process), and late publication (the restart was published 150 ms to 300 ms later and found no call).

Change: such a sign still lets the request go on at once. Its call is kept as an accepted end. It counts as an exit if the list shows a restart or a removal, and clears its request if the same process is seen: bytes for a call that began before the end, or a list 5 s later with the same incarnation. A run does not clear exits later than itself. Accepted ends are kept apart from lost calls, so that many of them neither push out lost calls nor prolong their time. A refused connection counts no accepted end: its replica exited later than that.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -428,6 +428,9 @@
   /// @param evidence observation that shows that the replica went on, for the log.
   void note_survived(const active_request& request, const char* evidence,
                      base::time_point survived_at);
+  /// The same for calls whose requests may have ended. A request with an exit later than its run is
+  /// not cleared.
+  void note_survived(const std::vector<quarantine::lost_call>& calls, const char* evidence);
   [[nodiscard]] quarantine::quarantine_state quarantine_state_of(const active_request& request,
                                                                  base::time_point now) const;
   bool refuse_if_quarantined(active_request& request, base::time_point now);
@@ -532,11 +535,16 @@
   clients_with_end_before(const base::replica_id& replica, base::time_point seen_at) const;
   /// Settles the answers that had ended when a probe of their replica began.
   void settle_by_probe(const replica_probed& probe, base::time_point now);
-  /// Accepts the ends that shortly precede bytes of their replica on another connection.
-  void settle_by_activity(const base::replica_id& replica, base::time_point now);
-  /// @return whether the replica of an end cannot have started again since.
+  /// Accepts the ends that shortly precede bytes of their replica on another connection, and clears
+  /// the requests whose ends the bytes show to be of a process that goes on.
+  /// @param heard call for which the replica sent something now.
+  void settle_by_activity(const open_call& heard, base::time_point now);
+  /// @return whether the replica of an end is not likely to have started again since.
   [[nodiscard]] bool is_too_soon_to_restart(const unsettled_answer_end& end,
                                             base::time_point now) const;
+  /// Clears the requests of ends of which only a connection showed that the replica went on, once
+  /// the list of replicas shows that it did not restart.
+  void clear_listed_ends(base::time_point now);
   /// Accepts an end whose replica accepts connections again after a while, once the list of
   /// replicas shows that it did not restart.
   /// @return whether the request was answered.
@@ -546,7 +554,13 @@
   /// Rejects the ends of answers by an earlier incarnation of a replica.
   void reject_ends_of_earlier_incarnation(const base::replica_id& replica, base::time_point now);
   /// Lets a request go on whose answer ended with its connection and whose replica went on.
-  void accept_end(active_request& request, const char* evidence, base::time_point now);
+  /// @param is_same_process whether the process of the call went on; if not, it may be another one
+  ///        that was started again at once, and the run may have crashed the first one.
+  void accept_end(active_request& request, const char* evidence, bool is_same_process,
+                  base::time_point now);
+  /// Keeps the call of an end as one at which its replica may have exited.
+  void watch_accepted_end(const active_request& request, const unsettled_answer_end& end,
+                          base::time_point now);
   /// Treats an answer as broken off, because its replica has exited.
   /// @param reason text for the log.
   void reject_end(active_request& request, const char* reason, end_evidence evidence,
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -1,11 +1,15 @@
 /// Answers that end with their connection: they have neither a length nor chunks. A replica that
 /// completes such an answer and a replica that exits close the connection alike, so the answer is
 /// lost unless the replica is seen to go on afterwards. A replica that goes on may have broken the
-/// answer off all the same: see dispatcher_open_ends.cc.
+/// answer off all the same: see dispatcher_open_ends.cc. A connection that the replica accepts, or
+/// an answer to a later call, may be of a process that was started again at once: the request goes
+/// on, but the exits recorded under it are kept until the process of the call is seen to have gone
+/// on.
 #include "dispatch/dispatcher.h"
 
 #include "dispatch/dispatcher_constants.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace spurrack::serving {
@@ -14,8 +18,8 @@
 /// Interval at which the replica of an answer whose end is not settled is probed; longer than the
 /// connect timeout of a probe.
 constexpr base::duration settle_probe_interval = std::chrono::milliseconds(800);
-/// Time after the end of an answer in which a new connection shows that its replica went on: a
-/// replica takes longer to start again.
+/// Time after the end of an answer in which a new connection lets the request go on: most replicas
+/// take longer to start again.
 constexpr base::duration min_restart_time = std::chrono::milliseconds(800);
 /// Time after which the list of replicas shows that a replica has ended: the entry of one that
 /// renews it no more lapses after three heartbeats of a second or two.
@@ -88,7 +92,7 @@
     if (probe.result == probe_result::refused) {
       reject_end(request, "its replica refuses connections", end_evidence::connection_refused, now);
     } else if (probe.result == probe_result::connected && is_too_soon_to_restart(end, now)) {
-      accept_end(request, "its replica accepts connections", now);
+      accept_end(request, "its replica accepts connections", false, now);
     } else if (probe.result == probe_result::connected && !end.connected_at) {
       end.connected_at = probe.began_at;
       end.next_check_at = probe.began_at + restart_publication_time;
@@ -96,18 +100,32 @@
   }
 }
 
-void dispatcher::settle_by_activity(const base::replica_id& replica, base::time_point now) {
+void dispatcher::settle_by_activity(const open_call& heard, base::time_point now) {
+  if (heard.relay_node) {
+    return;
+  }
+  const auto ended_by = now - min_later_activity;
+  note_survived(crash_detector_.take_survived_ends(heard.replica, heard.started_at, ended_by),
+                "an earlier call of its replica went on");
   if (unsettled_ends_.empty()) {
     return;
   }
-  for (const auto client : clients_with_end_before(replica, now - min_later_activity)) {
+  for (const auto client : clients_with_end_before(heard.replica, ended_by)) {
     auto& request = active_.at(client);
+    const bool is_same_process = heard.started_at < request.unsettled_end->ended_at;
     if (is_too_soon_to_restart(*request.unsettled_end, now)) {
-      accept_end(request, "its replica sent something on another connection", now);
+      accept_end(request, "its replica sent something on another connection", is_same_process, now);
     }
   }
 }
 
+void dispatcher::clear_listed_ends(base::time_point now) {
+  // The calls of replicas that restarted or left the list have been taken already.
+  const auto list_confirmed_at = std::min(now, replica_list_confirmed_at());
+  note_survived(crash_detector_.take_listed_ends(list_confirmed_at),
+                "a current list still shows its replica");
+}
+
 bool dispatcher::is_too_soon_to_restart(const unsettled_answer_end& end,
                                         base::time_point now) const {
   // After a stand of this process, the end may be older than it seems.
@@ -126,7 +144,7 @@
   if (now < confirmed_at || replica_list_confirmed_at() < confirmed_at || !is_same_process) {
     return false;
   }
-  accept_end(request, "its replica accepts connections and has not restarted", now);
+  accept_end(request, "its replica accepts connections and has not restarted", true, now);
   return true;
 }
 
@@ -154,15 +172,33 @@
 
 // --- outcomes ------------------------------------------------------------------------------------
 
-void dispatcher::accept_end(active_request& request, const char* evidence, base::time_point now) {
+void dispatcher::accept_end(active_request& request, const char* evidence, bool is_same_process,
+                            base::time_point now) {
   auto end = take_unsettled_end(request);
   record(base::event_kind::stage_completed, request, end.call.replica.text(),
          std::string("the answer without framing may be whole, ") + evidence + " " +
              std::to_string(base::to_milliseconds(now - end.ended_at)) + " ms after its end");
-  note_ended_run(request, end.call, evidence, end.ended_at, now);
+  if (is_same_process) {
+    note_ended_run(request, end.call, evidence, end.ended_at, now);
+  } else {
+    watch_accepted_end(request, end, now);
+  }
   handle_open_end(request, {std::move(end.call), std::move(end.answer), end.ended_at}, now);
 }
 
+void dispatcher::watch_accepted_end(const active_request& request, const unsettled_answer_end& end,
+                                    base::time_point now) {
+  note_completed_run(request, end.call, end.ended_at);
+  replicas_.note_success(end.call.replica, now);
+  const auto* state = replicas_.find(end.call.replica);
+  if (end.call.relay_node || state == nullptr || state->record->draining || state->is_replaced) {
+    return;
+  }
+  crash_detector_.note_accepted_end({suspects_of(request),
+                                     {end.call.incarnation_exit, end.ended_at, end.call.replica},
+                                     end.call.started_at});
+}
+
 void dispatcher::reject_end(active_request& request, const char* reason, end_evidence evidence,
                             base::time_point now) {
   const auto end = take_unsettled_end(request);
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -275,7 +275,7 @@
     call.contact_noted_at = now;
     replicas_.note_activity(call.replica, now);
     disprove_suspicions(call, now);
-    settle_by_activity(call.replica, now);
+    settle_by_activity(call, now);
   }
 }
 
@@ -287,7 +287,7 @@
   if (!head.misdirected) {
     disprove_suspicions(call, now);
     withdraw_exit(call.replica, now);
-    settle_by_activity(call.replica, now);
+    settle_by_activity(call, now);
   }
 }
 
--- a/src/dispatch/dispatcher_crashes.cc
+++ b/src/dispatch/dispatcher_crashes.cc
@@ -8,6 +8,7 @@
 #include "dispatch/dispatcher_constants.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace spurrack::serving {
@@ -144,6 +145,11 @@
       note_replica_exit(replica, "it is published no longer", now);
     }
   }
+  for (const auto& replica : crash_detector_.replicas_with_accepted_ends()) {
+    if (replicas_.find(replica) == nullptr) {
+      note_replica_exit(replica, "it is published no longer", now);
+    }
+  }
 }
 
 void dispatcher::note_timed_exit(const base::replica_id& replica, const char* evidence,
@@ -156,7 +162,10 @@
 
 void dispatcher::note_replica_exit(const base::replica_id& replica, const char* evidence,
                                    base::time_point now) {
-  for (auto& call : crash_detector_.take_lost_calls(replica)) {
+  auto calls = crash_detector_.take_lost_calls(replica);
+  auto accepted_ends = crash_detector_.take_accepted_ends(replica);
+  std::move(accepted_ends.begin(), accepted_ends.end(), std::back_inserter(calls));
+  for (auto& call : calls) {
     // The calls may have ended for another reason before the replica exited.
     call.exit.call_started_at = {};
     note_exit_under_request(call, replica, evidence, now);
@@ -252,6 +261,7 @@
 void dispatcher::advance_crashes(base::time_point now) {
   if (now >= next_crash_expiry_at_) {
     next_crash_expiry_at_ = now + crash_expiry_interval;
+    clear_listed_ends(now);
     for (const auto& [replica, calls] :
          crash_detector_.drop_expired(std::min(now, replica_list_confirmed_at()), now)) {
       record_(base::event_kind::request_cleared, {}, replica.text(),
@@ -319,6 +329,24 @@
   }
 }
 
+void dispatcher::note_survived(const std::vector<quarantine::lost_call>& calls,
+                               const char* evidence) {
+  for (const auto& call : calls) {
+    for (const auto& subject : call.suspects) {
+      const auto* known = crash_registry_.find(subject.digest);
+      const bool has_later_exit = known != nullptr && known->last_exit_at() > call.exit.at;
+      if (has_later_exit || !crash_registry_.note_survived(subject.digest, call.exit.at)) {
+        continue;
+      }
+      ++counters_.requests_cleared;
+      record_(base::event_kind::request_cleared, {}, call.exit.replica.text(),
+              std::string(quarantine::name_of(subject.kind)) + " digest " + subject.digest.text() +
+                  ", a run with it ended and its replica survived, " + evidence);
+      crash_reports_.note_changed(subject.digest);
+    }
+  }
+}
+
 bool dispatcher::release_suspect(const quarantine::suspect_digest& digest, base::time_point now) {
   const bool was_known = crash_registry_.release(digest, now);
   if (was_known) {
--- a/src/quarantine/crash_detector.cc
+++ b/src/quarantine/crash_detector.cc
@@ -1,6 +1,7 @@
 #include "quarantine/crash_detector.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace spurrack::quarantine {
@@ -25,6 +26,15 @@
 /// more calls at once.
 constexpr std::size_t max_calls_per_replica = 128;
 
+/// Removes and returns the calls for which `is_taken` returns true.
+template <typename predicate>
+std::vector<lost_call> take_if(std::vector<lost_call>& calls, predicate is_taken) {
+  std::vector<lost_call> taken;
+  std::copy_if(calls.begin(), calls.end(), std::back_inserter(taken), is_taken);
+  std::erase_if(calls, is_taken);
+  return taken;
+}
+
 } // namespace
 
 bool crash_detector::note_lost_call(const base::replica_id& replica, const lost_call& call,
@@ -56,6 +66,55 @@
   }
 }
 
+void crash_detector::note_accepted_end(const lost_call& call) {
+  auto& ends = accepted_ends_[call.exit.replica];
+  if (ends.size() >= max_calls_per_replica) {
+    ends.erase(ends.begin());
+  }
+  ends.push_back(call);
+}
+
+std::vector<lost_call> crash_detector::take_accepted_ends(const base::replica_id& replica) {
+  auto taken = accepted_ends_.extract(replica);
+  return taken.empty() ? std::vector<lost_call>{} : std::move(taken.mapped());
+}
+
+std::vector<lost_call> crash_detector::take_survived_ends(const base::replica_id& replica,
+                                                          base::time_point heard_call_started_at,
+                                                          base::time_point ended_by) {
+  const auto found = accepted_ends_.find(replica);
+  if (found == accepted_ends_.end()) {
+    return {};
+  }
+  auto taken = take_if(found->second, [&](const lost_call& call) {
+    return heard_call_started_at < call.exit.at && call.exit.at <= ended_by;
+  });
+  if (found->second.empty()) {
+    accepted_ends_.erase(found);
+  }
+  return taken;
+}
+
+std::vector<lost_call> crash_detector::take_listed_ends(base::time_point list_confirmed_at) {
+  std::vector<lost_call> taken;
+  for (auto& [replica, ends] : accepted_ends_) {
+    auto listed = take_if(ends, [&](const lost_call& call) {
+      return call.exit.at + exit_publication_time <= list_confirmed_at;
+    });
+    std::move(listed.begin(), listed.end(), std::back_inserter(taken));
+  }
+  std::erase_if(accepted_ends_, [](const auto& entry) { return entry.second.empty(); });
+  return taken;
+}
+
+std::vector<base::replica_id> crash_detector::replicas_with_accepted_ends() const {
+  std::vector<base::replica_id> ids;
+  for (const auto& [id, ends] : accepted_ends_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
 std::vector<lost_call> crash_detector::lost_calls_of(const base::replica_id& replica) const {
   const auto found = replicas_.find(replica);
   return found == replicas_.end() ? std::vector<lost_call>{} : found->second.calls;
--- a/src/quarantine/crash_detector.h
+++ b/src/quarantine/crash_detector.h
@@ -49,6 +49,26 @@
                       base::time_point now);
   /// Drops the abandoned calls of a replica that was heard now, if they ended some time ago.
   void note_heard(const base::replica_id& replica, base::time_point now);
+  /// Records a call whose answer ended with its connection, may be whole, and was followed by a
+  /// connection that the replica accepted: the replica went on, or was started again at once. If
+  /// too many are kept for the replica, the oldest is dropped.
+  void note_accepted_end(const lost_call& call);
+  /// Returns and clears the accepted ends of a replica that is known to have exited at some time:
+  /// it has restarted, or is no longer published.
+  std::vector<lost_call> take_accepted_ends(const base::replica_id& replica);
+  /// Returns and clears the accepted ends whose process is seen to go on, because the replica sends
+  /// something for a call that began before them.
+  /// @param heard_call_started_at time at which that call began.
+  /// @param ended_by latest time of an end of which the bytes show something.
+  std::vector<lost_call> take_survived_ends(const base::replica_id& replica,
+                                            base::time_point heard_call_started_at,
+                                            base::time_point ended_by);
+  /// Returns and clears the accepted ends that are so old that the list of replicas would show an
+  /// exit by now.
+  /// @param list_confirmed_at time at which the list of replicas was last known to be current.
+  std::vector<lost_call> take_listed_ends(base::time_point list_confirmed_at);
+  /// @return replicas with accepted ends.
+  [[nodiscard]] std::vector<base::replica_id> replicas_with_accepted_ends() const;
   /// @return lost calls of a replica; they are kept.
   [[nodiscard]] std::vector<lost_call> lost_calls_of(const base::replica_id& replica) const;
   /// Returns and clears the lost calls of a replica. Called when the replica is known to have
@@ -98,6 +118,8 @@
     base::time_point last_lost_call_at;
   };
   std::map<base::replica_id, watched_replica> replicas_;
+  /// By replica, accepted ends, the oldest first; no replica has an empty list.
+  std::map<base::replica_id, std::vector<lost_call>> accepted_ends_;
   /// Time from which no replica that refused a probe can be confirmed any more.
   base::time_point path_checks_end_at_;
 };
