Events end at any line end, and a stream does not resume after events without id

Callers: a stream whose lines end with CR, or whose event ends with LF and a CR LF blank line, gave no event before its end and was then broken off; so was a whole stream with one more blank line at its end. On a resumable route a stream broken off after events without an id ran again after an older id, or from its start, and its client received these events twice within one answer.

Cause: the end of an event was searched as "\n\n" or "\r\n\r\n" only; ids were read as the number at the start of any text ("9-1" as 9), so that events were taken for duplicates; nothing remembered that an event without id was passed on after the last id.

Ruled out: results that depend on the split of LF or CR LF streams. Every pair of cuts gave the same events before.

Change: the parser reads line by line and reads each byte once; the last id field counts, as at the client; a byte order mark of a later run is removed; comments are no events. `can_resume` is false after an event without id, and such a request has no attempt left: no retry, suspension, move at a stall or run for an open end.

paused_stream_does_not_count_as_stalled expected a second run of a stream without ids, which is this fault. It now looks for the probe of a stalled call and for no second run; a new case checks the second run of a stream with ids.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -609,6 +609,8 @@
   /// has delivered an event of its stream; the others are refused, or answered as failed if they
   /// may have run.
   void begin_quarantine(const quarantine::suspect_digest& digest, base::time_point now);
+  /// @return whether attempts and time are left. A stream whose client has an event without an
+  ///         identifier after `last_id` has none: another run would repeat this event.
   [[nodiscard]] static bool has_attempt_left(const active_request& request, base::time_point now);
   /// @return whether route, deadline and quarantine state allow another attempt, and it is expected
   ///         to complete before the end of a graceful stop. Does not check the retry budget.
--- a/src/dispatch/event_stream.h
+++ b/src/dispatch/event_stream.h
@@ -8,7 +8,9 @@
 
 namespace spurrack::serving {
 
-/// Buffers bytes of a text/event-stream and returns the whole events. Not thread-safe.
+/// Buffers bytes of a text/event-stream and returns the whole events. Lines end with LF, CR or
+/// CR LF, also mixed within one stream; a blank line ends an event. The split of the bytes changes
+/// nothing but the call that returns an event. Not thread-safe.
 class event_stream {
  public:
   /// @param after identifier of the last event that was already forwarded; events up to and
@@ -16,12 +18,17 @@
   explicit event_stream(std::optional<std::uint64_t> after = std::nullopt) : last_id_(after) {}
 
   /// Appends bytes to the stream.
-  /// @return whole new events that the bytes complete, in order.
+  /// @return whole new events that the bytes complete, in order, with comments and further blank
+  ///         lines. If the blank line of an event begins with CR, the event is returned at the next
+  ///         byte, which may be LF; at once if the line before ends with CR alone.
   std::string feed(std::string_view bytes);
 
   /// @return identifier of the last whole event that has one, or `after` if there was none yet.
   [[nodiscard]] std::optional<std::uint64_t> last_id() const { return last_id_; }
-  /// @return number of events that `feed` has returned.
+  /// @return whether another run can go on after `last_id`. False once `feed` has returned an event
+  ///         without an identifier after it: another run would repeat this event.
+  [[nodiscard]] bool can_resume() const { return !has_event_after_last_id_; }
+  /// @return number of events that `feed` has returned; comments are not counted.
   [[nodiscard]] std::uint64_t events() const { return events_; }
   /// @return whether bytes of an incomplete event are buffered.
   [[nodiscard]] bool has_partial() const { return !pending_.empty(); }
@@ -29,16 +36,48 @@
   [[nodiscard]] std::size_t partial_bytes() const { return pending_.size(); }
   /// Drops the buffered bytes of an incomplete event, before another call resumes the stream after
   /// the last whole event.
-  void drop_partial_event() { pending_.clear(); }
+  void drop_partial_event();
 
  private:
-  /// Records the identifier of an event.
-  /// @return whether the event is new; events with an identifier up to `last_id` are duplicates.
-  bool accept_once(std::string_view event);
+  /// Position of a stream within its lines.
+  struct line_position {
+    bool is_line_empty = true;
+    /// Whether the last byte is CR, so that LF at the next byte belongs to the same line end.
+    bool follows_carriage_return = false;
+    /// Whether the last whole line ends with CR alone.
+    bool ends_lines_with_carriage_return = false;
+  };
+
+  /// @return whether the next byte to scan is the LF of a line end that began with CR.
+  [[nodiscard]] bool is_second_of_line_end() const;
+  /// Scans the LF of a line end that began with CR.
+  void skip_line_feed();
+  /// Scans the bytes of `pending_` that were not scanned yet, up to the end of an event, with the
+  /// LF of its blank line.
+  /// @return whether an event ends at `scanned_bytes_`.
+  bool scan_to_event_end();
+  /// Records a whole event.
+  /// @return the bytes to forward; empty if the event was already forwarded.
+  std::string_view accept_once(std::string_view event);
+  /// @return whether an event is new; events with an identifier up to `last_id` are duplicates.
+  bool is_new(std::optional<std::uint64_t> id);
 
   std::string pending_;
+  /// Number of bytes of `pending_` that are known to end no event.
+  std::size_t scanned_bytes_ = 0;
+  line_position position_;
   std::optional<std::uint64_t> last_id_;
   std::uint64_t events_ = 0;
+  bool has_event_after_last_id_ = false;
+  /// Whether no event of the current run has ended yet.
+  bool is_run_begin_ = true;
+  /// Whether the run repeats events before `last_id_`, so that events without an identifier are
+  /// duplicates too.
+  bool is_repeating_ = false;
+  /// Whether the last event was forwarded.
+  bool was_last_forwarded_ = false;
+  /// Whether bytes of any run were forwarded.
+  bool has_forwarded_ = false;
 };
 
 } // namespace spurrack::serving
--- a/tests/dispatch/slow_client_test.cc
+++ b/tests/dispatch/slow_client_test.cc
@@ -52,7 +52,7 @@
 
 BOOST_AUTO_TEST_CASE(paused_stream_does_not_count_as_stalled) {
   // Without an event identifier the stream cannot be resumed, so it is neither suspended nor
-  // retried.
+  // retried; a probe shows that it counts as stalled.
   send_request(1, "/stream/x");
   const auto call = last<start_call>();
   deliver(stream_opened{call.call, good_head()});
@@ -63,10 +63,26 @@
   advance_time(seconds(10));
   BOOST_TEST(all<start_call>().size() == 1U);
   BOOST_TEST(all<cancel_call>().empty());
+  BOOST_TEST(all<probe_replica>().empty());
   // The stall timeout applies again after the client reads on.
   open_window();
   advance_time(seconds(3));
-  BOOST_TEST(all<start_call>().size() == 2U);
+  BOOST_TEST(!all<probe_replica>().empty());
+  BOOST_TEST(all<start_call>().size() == 1U);
+  BOOST_TEST(all<cancel_call>().empty());
+}
+
+BOOST_AUTO_TEST_CASE(stall_timeout_moves_a_stream_after_its_client_reads_on) {
+  const auto call = begin("/stream/x");
+  close_window();
+  deliver(stream_bytes{call.call, "ta: y\n\n"});
+  advance_time(milliseconds(1'400));
+  BOOST_TEST(all<start_call>().size() == 1U);
+  BOOST_TEST(all<cancel_call>().empty());
+  open_window();
+  advance_time(seconds(3));
+  BOOST_REQUIRE(all<start_call>().size() == 2U);
+  BOOST_TEST(last<start_call>().resume_after.value() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(a_resumable_stream_is_let_go_and_taken_up_at_the_last_event) {
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -108,6 +108,55 @@
   }
 }
 
+// Guards against a client that receives events twice within one answer: events without an id after
+// the last id, which a second run would send again.
+BOOST_FIXTURE_TEST_CASE(a_stream_with_events_without_id_after_its_last_id_is_not_run_again,
+                        resuming_driver) {
+  const std::vector<std::string> begins{"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n"};
+  const std::vector<stream_closed> ends{{.complete = false},
+                                        {.complete = true, .ends_with_connection = true}};
+  base::caller_id client = 1;
+  for (const auto& begin_bytes : begins) {
+    for (auto end : ends) {
+      send_request(client, "/stream/");
+      const auto call = last<start_call>();
+      deliver(stream_opened{call.call, good_head(), end.ends_with_connection});
+      deliver(stream_bytes{call.call, begin_bytes});
+      end.call = call.call;
+      deliver(end);
+      const auto began_at = now;
+      advance_time(milliseconds(2));
+      deliver(replica_probed{call.target.replica, probe_result::connected, began_at});
+      BOOST_TEST(last<start_call>().call == call.call);
+      BOOST_REQUIRE(last<end_stream>().client == client);
+      BOOST_TEST(last<end_stream>().complete == end.complete);
+      ++client;
+    }
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_stream_with_events_without_id_is_not_run_again, resuming_driver) {
+  send_request(1, "/stream/");
+  const auto call = last<start_call>();
+  deliver(stream_opened{call.call, good_head()});
+  deliver(stream_bytes{call.call, "id: 1\ndata: a\n\ndata: b\n\n"});
+  advance_time(stream_timeout + seconds(1));
+  BOOST_TEST(all<start_call>().size() == 1U);
+  BOOST_REQUIRE(all<end_stream>().size() == 1U);
+  BOOST_TEST(!last<end_stream>().complete);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_goes_on_after_an_id_that_follows_events_without_id,
+                        resuming_driver) {
+  send_request(1, "/stream/");
+  const auto call = last<start_call>();
+  deliver(stream_opened{call.call, good_head()});
+  deliver(stream_bytes{call.call, "data: a\n\n: comment\n\nid: 1\ndata: b\n\n: comment\n\n"});
+  deliver(stream_closed{call.call, false});
+  BOOST_REQUIRE(all<start_call>().size() == 2U);
+  BOOST_TEST(last<start_call>().resume_after.value() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(resumed_stream_goes_on_at_its_version_over_several_attempts,
                         resuming_driver) {
   for (base::caller_id client = 100; client <= 2000; client += 100) {
