An empty chunked answer in three parts no longer ends the process

Callers: a replica that sends an empty chunked body as "0 CR LF", then one byte, then the rest, ends the node (SIGABRT), with all its clients.

Cause: Boost.Beast 1.81 (basic_parser, parse_chunk_header) notes the last chunk at its size line and asserts at least five bytes at the next call; the last chunk of an empty body has exactly four there. The build defines no NDEBUG, so the assertion is active.

Ruled out: last chunks after other chunks, which hold the CR LF before them.

Change: a part of a last chunk is not parsed before the rest has arrived. It ends no event, and an answer that ends there is incomplete either way.

--- a/src/upstream/body_reader.cc
+++ b/src/upstream/body_reader.cc
@@ -4,6 +4,8 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include <string_view>
+
 namespace spurrack::upstream {
 namespace {
 
@@ -23,13 +25,27 @@
   return error;
 }
 
+/// @return whether the received bytes are at most a part of a last chunk. The parser asserts that
+/// it
+///         gets the last chunk of an empty body in no more than two parts, so it must not get a
+///         part.
+bool is_part_of_last_chunk(const boost::beast::flat_buffer& received,
+                           const response_parser& parser) {
+  constexpr std::string_view last_chunk = "0\r\n\r\n";
+  constexpr std::size_t size_line_bytes = 3;
+  const std::string_view bytes(static_cast<const char*>(received.data().data()), received.size());
+  return parser.chunked() && bytes.size() >= size_line_bytes && bytes.size() < last_chunk.size() &&
+         last_chunk.starts_with(bytes);
+}
+
 } // namespace
 
 error_code parse_received_body(boost::beast::flat_buffer& received, response_parser& parser,
                                std::string& body) {
   error_code error;
   parser.eager(true);
-  while (!error && received.size() > 0 && !parser.is_done()) {
+  while (!error && received.size() > 0 && !parser.is_done() &&
+         !is_part_of_last_chunk(received, parser)) {
     const auto previous_size = body.size();
     const auto capacity = received.size();
     body.resize(previous_size + capacity);
--- a/tests/upstream/body_reader_test.cc
+++ b/tests/upstream/body_reader_test.cc
@@ -68,6 +68,31 @@
   }
 }
 
+// Guards against an assertion that ends the process if the last chunk of an empty body arrives in
+// three parts.
+BOOST_AUTO_TEST_CASE(an_empty_chunked_body_is_complete_for_any_split_of_its_bytes) {
+  const auto text = std::string(head) + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  for (std::size_t step = 1; step <= 5; ++step) {
+    const auto parsed = parse_in_steps(text, step);
+    BOOST_TEST(!parsed.error);
+    BOOST_TEST(parsed.is_complete);
+    BOOST_TEST(parsed.body.empty());
+    BOOST_TEST(parsed.unparsed_bytes == 0U);
+  }
+}
+
+// Guards against content of a chunk that is lost because it looks like a last chunk.
+BOOST_AUTO_TEST_CASE(content_like_a_last_chunk_is_complete_for_any_split_of_its_bytes) {
+  const auto text = std::string(head) +
+                    "Transfer-Encoding: chunked\r\n\r\n5\r\n0\r\n\r\n\r\n3\r\n0\r\n\r\n0\r\n\r\n";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    const auto parsed = parse_in_steps(text, step);
+    BOOST_TEST(!parsed.error);
+    BOOST_TEST(parsed.is_complete);
+    BOOST_TEST(parsed.body == "0\r\n\r\n0\r\n");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_after_a_body_stay_in_the_buffer) {
   const auto parsed =
       parse_in_steps(std::string(head) + std::string(with_length) + "HTTP/1.1 200", 100);
