--- a/tests/dispatch/event_stream_test.cc
+++ b/tests/dispatch/event_stream_test.cc
@@ -34,7 +34,7 @@
 
 const std::string byte_order_mark = "\xEF\xBB\xBF";
 
-std::vector<stream_case> stream_cases() {
+std::vector<stream_case> cases_of_line_ends() {
   return {
       {"LF", {{"id: 1\ndata: a\n\n"}, {"id: 2\ndata: b\n\n"}}, 2, 2},
       {"CR LF", {{"id: 1\r\ndata: a\r\n\r\n"}, {"id: 2\r\ndata: b\r\n\r\n"}}, 2, 2},
@@ -52,6 +52,11 @@
       {"byte order mark", {{byte_order_mark + "id: 1\ndata: a\n\n"}}, 1, 1},
       {"comments", {{": hello\n\n"}, {"id: 1\ndata: a\n\n"}, {":\r\n: two\r\n\r\n"}}, 1, 1},
       {"comment inside an event", {{": c\nid: 1\n:\ndata: a\n\n"}}, 1, 1},
+  };
+}
+
+std::vector<stream_case> cases_of_ids() {
+  return {
       {"no id", {{"data: a\n\n"}, {"data: b\r\n\r\n"}}, {}, 2, false},
       {"no id after an id", {{"id: 1\ndata: a\n\n"}, {"data: b\n\n"}}, 1, 2, false},
       {"no id between ids",
@@ -74,6 +79,12 @@
        {{"id: 5\ndata: a\n\n"}, {"id: 4\r\ndata: b\r\n\r\n", false}, {"id: 6\ndata: c\n\n"}},
        6,
        2},
+      {"first line that names a version", {{"x-weight-versions: 3\nid: 1\ndata: a\n\n"}}, 1, 1},
+  };
+}
+
+std::vector<stream_case> cases_of_runs() {
+  return {
       {"run that begins at its last event",
        {{"id: 4\r\ndata: a\r\n\r\n", false}, {"id: 5\r\ndata: b\r\n\r\n"}},
        5,
@@ -95,10 +106,17 @@
        1,
        false,
        4},
-      {"first line that names a version", {{"x-weight-versions: 3\nid: 1\ndata: a\n\n"}}, 1, 1},
   };
 }
 
+std::vector<stream_case> stream_cases() {
+  auto cases = cases_of_line_ends();
+  for (const auto& more : {cases_of_ids(), cases_of_runs()}) {
+    cases.insert(cases.end(), more.begin(), more.end());
+  }
+  return cases;
+}
+
 std::string text_of(const stream_case& checked) {
   std::string text;
   for (const auto& part : checked.blocks) {
