--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -5,7 +5,6 @@
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 
-#include <array>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -124,22 +124,19 @@
   /// @return whether the request may continue.
   bool apply_origin(active_request& request, const streams::origin_finding& finding,
                     base::time_point now);
+  /// @param own what this node knows of the versions of the request's service.
   /// @return version to which a stream of unknown origin is bound; std::nullopt unless this node or
   ///         a queried one knows that no other version can have begun the stream.
   [[nodiscard]] std::optional<base::software_version>
-  only_version_of(const active_request& request, const streams::origin_finding& finding,
-                  base::time_point now) const;
+  only_version_of(const active_request& request, const streams::version_evidence& own,
+                  const streams::origin_finding& finding, base::time_point now) const;
   /// @return earliest time at which the stream that a request resumes may have begun.
   [[nodiscard]] base::time_point earliest_begin_of(const active_request& request,
                                                    base::time_point now) const;
-  /// @return whether this node or a queried one knows of several versions of the service, or of
-  ///         contradictory origins.
-  [[nodiscard]] bool is_second_version_known(const active_request& request,
-                                             const streams::origin_finding& finding,
-                                             base::time_point now) const;
   /// @return text for the log: how long ago the stream may have begun, and for how long this node
   ///         and the queried ones know the versions of the service.
   [[nodiscard]] std::string version_evidence_text(const active_request& request,
+                                                  const streams::version_evidence& own,
                                                   const streams::origin_finding& finding,
                                                   base::time_point now) const;
   /// Refuses a request to resume a stream, or breaks its answer off, because the stream cannot go
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -34,6 +34,14 @@
          (finding.peers_know_several_versions ? ", one knows several versions" : "");
 }
 
+/// @return whether this node or a queried one knows of several versions of the service, or of
+///         contradictory origins.
+bool is_second_version_known(const streams::version_evidence& own,
+                             const streams::origin_finding& finding) {
+  return own.knowledge == streams::version_knowledge::several || finding.is_contradictory ||
+         finding.peers_know_several_versions;
+}
+
 } // namespace
 
 bool dispatcher::is_resumable_stream(const active_request& request) {
@@ -84,13 +92,10 @@
 }
 
 std::optional<base::software_version>
-dispatcher::only_version_of(const active_request& request, const streams::origin_finding& finding,
-                            base::time_point now) const {
-  using streams::version_knowledge;
-  const auto own = version_evidence_of(request.service, now);
+dispatcher::only_version_of(const active_request& request, const streams::version_evidence& own,
+                            const streams::origin_finding& finding, base::time_point now) const {
   const auto versions = replicas_.versions().published(request.service);
-  if (own.knowledge == version_knowledge::several || finding.is_contradictory ||
-      finding.peers_know_several_versions || versions.size() != 1) {
+  if (is_second_version_known(own, finding) || versions.size() != 1) {
     return std::nullopt;
   }
   const auto& version = versions.front();
@@ -101,8 +106,8 @@
   const auto is_proof = [&](const std::optional<streams::sole_version>& sole) {
     return sole && sole->since <= earliest_begin;
   };
-  const bool is_proven =
-      (own.knowledge == version_knowledge::one && is_proof(own.sole)) || is_proof(finding.sole);
+  const bool is_proven = (own.knowledge == streams::version_knowledge::one && is_proof(own.sole)) ||
+                         is_proof(finding.sole);
   return is_proven ? std::optional(version) : std::nullopt;
 }
 
@@ -115,12 +120,12 @@
 }
 
 std::string dispatcher::version_evidence_text(const active_request& request,
+                                              const streams::version_evidence& own,
                                               const streams::origin_finding& finding,
                                               base::time_point now) const {
   const auto age_of = [now](base::time_point at) {
     return std::to_string(base::to_milliseconds(now - at)) + " ms";
   };
-  const auto own = version_evidence_of(request.service, now);
   const auto unbroken_since = list_coverage_.unbroken_since();
   std::string text = ", begun at most " + age_of(earliest_begin_of(request, now)) + " ago, list ";
   text += unbroken_since ? "known without a gap for " + age_of(*unbroken_since) : "never confirmed";
@@ -140,8 +145,10 @@
   // Where the stream goes on now replaces its recorded origin.
   request.calls = std::max(request.calls, finding.call);
   const auto& origin = finding.origin;
-  const auto evidence = evidence_text(finding) +
-                        (origin ? std::string() : version_evidence_text(request, finding, now));
+  const auto own = version_evidence_of(request.service, now);
+  const auto evidence =
+      evidence_text(finding) +
+      (origin ? std::string() : version_evidence_text(request, own, finding, now));
   if (origin && !has_service(*request.route, origin->service)) {
     // The route was moved to another service, of which the client has no event.
     record(base::event_kind::stream_resumed, request, request.service,
@@ -152,15 +159,15 @@
     request.service = origin->service;
     request.bound_version = origin->version;
   } else {
-    request.bound_version = only_version_of(request, finding, now);
+    request.bound_version = only_version_of(request, own, finding, now);
   }
   if (!request.bound_version && replicas_.versions().published(request.service).empty()) {
     refuse_resumption(request, "no replica", settings_.retry_after, now);
     return false;
   }
   if (!request.bound_version) {
-    ++(is_second_version_known(request, finding, now) ? counters_.resumptions_of_unknown_origin
-                                                      : counters_.resumptions_without_evidence);
+    ++(is_second_version_known(own, finding) ? counters_.resumptions_of_unknown_origin
+                                             : counters_.resumptions_without_evidence);
     record(base::event_kind::stream_resumed, request, request.service, evidence + ", refused");
     refuse_resumption(request, "it is not known which software version began the stream", {}, now);
     return false;
@@ -174,13 +181,6 @@
   return true;
 }
 
-bool dispatcher::is_second_version_known(const active_request& request,
-                                         const streams::origin_finding& finding,
-                                         base::time_point now) const {
-  return finding.is_contradictory || finding.peers_know_several_versions ||
-         version_evidence_of(request.service, now).knowledge == streams::version_knowledge::several;
-}
-
 std::string dispatcher_state::version_text(const active_request& request,
                                            base::time_point now) const {
   const auto available = replicas_.version_availability_of(request.service, *request.bound_version,
--- a/src/dispatch/dispatcher_version_questions.cc
+++ b/src/dispatch/dispatcher_version_questions.cc
@@ -18,15 +18,17 @@
   std::set<std::string> services;
   for (const auto& [host, routes] : configuration_->routes_by_host) {
     for (const auto& route : routes) {
-      for (const auto& target : route->services) {
-        const auto evidence = version_evidence_of(target.service, now);
-        if (route->resumable && evidence.sole &&
-            evidence.sole->since > now - streams::max_stream_age) {
+      if (route->resumable) {
+        for (const auto& target : route->services) {
           services.insert(target.service);
         }
       }
     }
   }
+  std::erase_if(services, [&](const std::string& service) {
+    const auto sole = version_evidence_of(service, now).sole;
+    return !sole || sole->since <= now - streams::max_stream_age;
+  });
   return services;
 }
 
@@ -45,8 +47,8 @@
   version_questions_.interval *= 2;
   for (const auto& service : services_with_short_evidence(now)) {
     // A stream that nobody has begun: the queried nodes answer with what they know of the versions.
-    const auto no_stream = base::digest::of({self_.node.text(), service, std::to_string(next_call_),
-                                             std::to_string(now.time_since_epoch().count())});
+    const auto no_stream = base::digest::of(
+        {self_.node.text(), service, std::to_string(now.time_since_epoch().count())});
     version_questions_.service_by_question[no_stream] = service;
     if (const auto finding = origins_.look_up(no_stream, service, base::time_point{}, now)) {
       apply_version_answers(no_stream, *finding, now);
--- a/src/logging/fatal_signal.cc
+++ b/src/logging/fatal_signal.cc
@@ -1,5 +1,7 @@
 #include "logging/fatal_signal.h"
 
+#include "base/time.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -7,7 +9,6 @@
 #include <charconv>
 #include <csignal>
 #include <cstdint>
-#include <ctime>
 #include <string_view>
 #include <unistd.h>
 
@@ -47,14 +48,9 @@
 }
 
 extern "C" void write_line_and_end(int signal_number, siginfo_t* information, void* /*context*/) {
-  timespec now{};
-  ::clock_gettime(CLOCK_REALTIME, &now);
-  constexpr std::uint64_t microseconds_per_second = 1'000'000;
-  constexpr std::uint64_t nanoseconds_per_microsecond = 1'000;
   line_buffer line;
   line.add("{\"at_us\":");
-  line.add_number(static_cast<std::uint64_t>(now.tv_sec) * microseconds_per_second +
-                  static_cast<std::uint64_t>(now.tv_nsec) / nanoseconds_per_microsecond);
+  line.add_number(base::wall_clock_microseconds());
   line.add(",\"severity\":\"error\"");
   line.add({constant_fields().data(), constant_fields().size()});
   line.add(",\"message\":\"ended by a signal\",\"signal\":");
--- a/tests/dispatch/changing_configuration_test.cc
+++ b/tests/dispatch/changing_configuration_test.cc
@@ -141,14 +141,7 @@
       pieces.set_item_milliseconds(2);
       pieces.set_result_megabytes(1);
       pieces.set_handle_seconds(4);
-      auto& staged = published_.add_route("/staged/", wire::ROUTE_STREAMING, "llm");
-      auto& first = *staged.add_stages();
-      first.set_service("pool");
-      first.set_result_bytes(1000);
-      auto& second = *staged.add_stages();
-      second.set_service("pool");
-      second.set_result_bytes(1000);
-      second.add_start_after(0);
+      published_.add_staged_route();
       return;
     }
     published_.add_route("/staged/", wire::ROUTE_SAFE, "pool");
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -34,14 +34,7 @@
     add_route("/unsafe/", wire::ROUTE_UNSAFE, "plain").set_max_attempts(1);
     add_route("/stream/", wire::ROUTE_STREAMING, "llm").set_resumable(true);
     add_route("/fixed/", wire::ROUTE_STREAMING, "llm");
-    auto& staged = add_route("/staged/", wire::ROUTE_STREAMING, "llm");
-    auto& first = *staged.add_stages();
-    first.set_service("pool");
-    first.set_result_bytes(1000);
-    auto& second = *staged.add_stages();
-    second.set_service("pool");
-    second.set_result_bytes(1000);
-    second.add_start_after(0);
+    add_staged_route();
     auto& access = *configuration.add_tenants();
     access.set_tenant("tenant");
     access.add_api_keys("key");
@@ -74,6 +67,19 @@
     return route;
   }
 
+  /// Adds the route `/staged/` with two stages of service `pool`; the second reads the results of
+  /// the first.
+  void add_staged_route() {
+    auto& staged = add_route("/staged/", wire::ROUTE_STREAMING, "llm");
+    auto& first = *staged.add_stages();
+    first.set_service("pool");
+    first.set_result_bytes(1000);
+    auto& second = *staged.add_stages();
+    second.set_service("pool");
+    second.set_result_bytes(1000);
+    second.add_start_after(0);
+  }
+
   /// Publishes an evacuation of a zone, so that its replicas are sent no requests.
   void evacuate(const std::string& zone) {
     wire::published_evacuation evacuation;
