--- a/tests/platform_fleet/serving_process_test.cc
+++ b/tests/platform_fleet/serving_process_test.cc
@@ -50,7 +50,8 @@
   std::string events;
   for (int id = first; id <= last; ++id) {
     const auto number = std::to_string(id);
-    events += "id: " + number + "\ndata: event " + number + "\n\n";
+    events.append("id: ").append(number);
+    events.append("\ndata: event ").append(number).append("\n\n");
   }
   return events;
 }
