A request that is passed on takes its attempts along

What callers saw: a request that a partitioned node passes on ran up to four times on a route that allows two attempts (BUDGET; a stream of more runs than its route allows).

Cause: the node that passes a request on counted one attempt, and the other node began with all of them; the former passed it on again after the latter had used them up. The number was known at one side and not told, so the other side took the route's for it.

Change: the other node gets the attempts that are left (`X-Attempts-Left`) and retries within them; they are used up at the node that passes it on, unless the other node was not reached or promises "not run". A build that does not send the field leaves the other node those of the route, as before. Price: if the other node is killed meanwhile, the request is not passed on again; its client tries again.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -30,6 +30,9 @@
   /// with this identifier under the request.
   replica_exit incarnation_exit = 0;
   base::time_point started_at{};
+  /// Number of attempts of the request that the call uses: one at a replica, all that are left at
+  /// another node, which retries the request itself.
+  std::uint32_t attempts = 1;
   /// Time at which the call counts as stalled unless it makes progress before; std::nullopt if
   /// its progress is not watched.
   std::optional<base::time_point> stalls_at{};
@@ -172,6 +175,9 @@
   std::optional<quarantine::suspect_digest> held_trial{};
   /// Replicas that are not chosen for the next attempt because an earlier attempt went to them.
   std::set<base::replica_id> tried_replicas;
+  /// Maximum number of attempts: that of the route, or what the request had left at the node that
+  /// passed it on.
+  std::uint32_t max_attempts = 1;
   /// Number of attempts, without those that reached no replica.
   std::uint32_t attempts = 0;
   std::uint32_t unreached_attempts = 0;
--- a/src/dispatch/dispatcher_arrival.cc
+++ b/src/dispatch/dispatcher_arrival.cc
@@ -138,6 +138,8 @@
   const auto allowed = std::min(arrival.content->time_allowed.value_or(default_request_timeout),
                                 route->timeout.value_or(default_request_timeout));
   request.deadline = arrival.arrived_at + allowed;
+  request.max_attempts =
+      std::min(route->max_attempts, content.attempts_left.value_or(route->max_attempts));
   request.events = event_stream(arrival.content->resume_after);
   request.route = std::move(route);
   if (is_resumable_stream(request)) {
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -87,7 +87,7 @@
   if (request.graph) {
     new_call.inputs = request.graph->final_inputs();
   }
-  new_call.is_last_attempt = request.attempts + 1 >= request.route->max_attempts;
+  new_call.is_last_attempt = request.attempts + 1 >= request.max_attempts;
   return new_call;
 }
 
@@ -213,7 +213,7 @@
   }
   if (failure.failure == call_failure::not_sent) {
     replicas_.note_unreachable(call.replica, now);
-    --request->attempts;
+    request->attempts -= call.attempts;
     record(base::event_kind::stage_retried, *request, call.replica.text(), "not reached");
     if (++request->unreached_attempts < max_unreached_attempts) {
       send_to_replica(*request, now);
@@ -255,13 +255,13 @@
   }
   if (!may_end_answer(request.lost_call)) {
     // A call that may have gone on was given up for this attempt, which did not run.
-    --request.attempts;
+    request.attempts -= call.attempts;
   }
   record(base::event_kind::stage_retried, request, call.replica.text(),
          "not executed, status " + std::to_string(head.status));
   if (head.status == status::conflict && request.graph &&
       request.graph->recomputations() < max_recomputations &&
-      request.attempts < request.route->max_attempts) {
+      request.attempts < request.max_attempts) {
     recompute_final_inputs(request, now);
     return;
   }
--- a/src/dispatch/dispatcher_early_ends.cc
+++ b/src/dispatch/dispatcher_early_ends.cc
@@ -27,8 +27,7 @@
              std::to_string(base::to_milliseconds(latest_stand_)) + " ms " +
              age_text(latest_stand_ended_at_, now) + ", configuration " + std::to_string(version) +
              " applied " + age_text(configuration_applied_at_, now) + ", attempt " +
-             std::to_string(request.attempts) + " of " +
-             std::to_string(request.route->max_attempts));
+             std::to_string(request.attempts) + " of " + std::to_string(request.max_attempts));
 }
 
 std::string dispatcher_state::silence_text(const active_request& request,
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -55,10 +55,13 @@
   if (passed.resume_after && !request.content->first_attempt) {
     passed.first_attempt = request.content->id;
   }
-  ++request.attempts;
+  passed.attempts_left = request.max_attempts - request.attempts;
+  passed.is_last_attempt = true;
+  request.attempts += passed.attempts_left;
   const open_call call{.id = passed.call,
                        .replica = passed.target.replica,
                        .started_at = now,
+                       .attempts = passed.attempts_left,
                        .relay_node = chosen->node};
   request.call = call;
   clients_by_replica_[passed.target.replica].insert(request.client);
@@ -69,7 +72,8 @@
   }
   ++counters_.passed_on;
   record(base::event_kind::request_forwarded, request, chosen->node.text(),
-         "partitioned from all replicas, attempt " + std::to_string(request.attempts));
+         "partitioned from all replicas, with " + std::to_string(passed.attempts_left) + " of " +
+             std::to_string(request.max_attempts) + " attempts");
   const auto call_id = passed.call;
   commands_.emplace_back(std::move(passed));
   if (request.is_window_closed) {
@@ -90,8 +94,7 @@
   const bool contradicts_earlier_attempt = is_not_run && request.may_have_run;
   if (contradicts_earlier_attempt && !may_end_answer(request.lost_call)) {
     // The request was passed on for a call that may have gone on.
-    close_call(request, call_end::relay_ended, now);
-    --request.attempts;
+    request.attempts -= close_call(request, call_end::relay_ended, now).attempts;
     answer_failed(request, status::bad_gateway, "the other node refused it", request.lost_call,
                   now);
     return;
--- a/src/dispatch/dispatcher_retries.cc
+++ b/src/dispatch/dispatcher_retries.cc
@@ -10,7 +10,7 @@
 // --- retry budget --------------------------------------------------------------------------------
 
 bool dispatcher::has_attempt_left(const active_request& request, base::time_point now) {
-  return request.attempts < request.route->max_attempts && now < request.deadline &&
+  return request.attempts < request.max_attempts && now < request.deadline &&
          request.events.can_resume();
 }
 
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -184,6 +184,8 @@
   std::string tenant;
   /// Whether the target is another node, which serves the request as that of a client.
   bool passes_on = false;
+  /// Number of attempts that a request that is passed on may use at the other node.
+  std::uint32_t attempts_left = 0;
   /// Whether the answer is forwarded as it arrives; otherwise it is buffered until complete.
   bool streaming = false;
   /// Whether the request may run only once. Such a request is sent only on a new connection or on
--- a/src/serving/request.h
+++ b/src/serving/request.h
@@ -57,6 +57,10 @@
   std::vector<prompt_part> prompt_parts;
   /// Whether another node passed the request on to this node. It is then not passed on again.
   bool was_passed_on = false;
+  /// Maximum number of attempts of a request that another node passed on: what it has left there.
+  /// std::nullopt if that of the route holds, as it does for requests of builds that do not send
+  /// it.
+  std::optional<std::uint32_t> attempts_left;
   /// Number of pieces of each stage of the route, in the order of the stages.
   std::vector<std::uint32_t> pieces;
   std::string piece_key;
--- a/tests/platform/http_codec_test.cc
+++ b/tests/platform/http_codec_test.cc
@@ -129,6 +129,26 @@
   BOOST_TEST(value_of(encoded.headers, "X-Inputs") == "a/1,b/2");
 }
 
+/// The field means something only with the mark of a request that is passed on, and replicas do not
+/// get it.
+BOOST_AUTO_TEST_CASE(a_request_that_is_passed_on_takes_its_attempts_along) {
+  const auto codec = platform::make_http_codec();
+  serving::start_call call;
+  call.content = std::make_shared<serving::request_content>(read({}));
+  call.passes_on = true;
+  call.attempts_left = 3;
+  const auto encoded = codec->encode(call);
+  BOOST_TEST(value_of(encoded.headers, "X-Passed-On") == "1");
+  BOOST_TEST(value_of(encoded.headers, "X-Attempts-Left") == "3");
+  const auto passed_on = read({{"X-Passed-On", "1"}, {"X-Attempts-Left", "3"}});
+  BOOST_TEST(passed_on.was_passed_on);
+  BOOST_TEST(passed_on.attempts_left.value() == 3U);
+  BOOST_TEST(value_of(passed_on.headers, "X-Attempts-Left").empty());
+  BOOST_TEST(!read({{"X-Passed-On", "1"}}).attempts_left.has_value());
+  BOOST_TEST(!read({{"X-Attempts-Left", "0"}}).attempts_left.has_value());
+  BOOST_TEST(!fault_of({{"X-Passed-On", "1"}, {"X-Attempts-Left", "many"}}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(answer_head_and_self_report_are_decoded) {
   const auto codec = platform::make_http_codec();
   const serving::raw_answer raw{200,
--- a/tests/quarantine/crash_fleet_commands.cc
+++ b/tests/quarantine/crash_fleet_commands.cc
@@ -27,6 +27,7 @@
     }
     auto content = std::make_shared<request_content>(*command.content);
     content->was_passed_on = true;
+    content->attempts_left = command.attempts_left;
     content->time_allowed = command.time_left;
     const auto client = ++requests;
     ++passed_on;
--- a/tests/streams/stream_fleet.h
+++ b/tests/streams/stream_fleet.h
@@ -719,6 +719,7 @@
       }
       auto content = std::make_shared<request_content>(*command.content);
       content->was_passed_on = true;
+      content->attempts_left = command.attempts_left;
       content->time_allowed = command.time_left;
       content->resume_after = command.resume_after;
       if (command.first_attempt) {
