Calls for pieces carry an id, and an answer that names another one is skipped

Cause: an answer is told from one to an earlier call by the id that it names. Calls for pieces and calls that free results carried none, so that any answer on the connection was taken.

Ruled out: a rest of 5 ms before a connection is used again, which was there, does not help against an answer that is sent when the next call has been read.

Change: these calls carry an id of their own ("n1", "n2", ...), and an answer that names another one is skipped and counted, as for requests. An answer that names none is taken as before: not all replicas may carry back the id of a call that no client sent. Call sites build their calls in one place; a codec of the upstream tests that two of them need has a file of its own, and the replica of these tests names the id of the call.

--- a/src/serving/request_codec.h
+++ b/src/serving/request_codec.h
@@ -57,8 +57,11 @@
   [[nodiscard]] virtual header_list local_answer_headers(const base::request_id& id) const = 0;
 
   [[nodiscard]] virtual encoded_call encode(const start_call& call) const = 0;
-  [[nodiscard]] virtual encoded_call encode(const start_stage_call& call) const = 0;
-  [[nodiscard]] virtual encoded_call encode(const free_results& results) const = 0;
+  /// @param id that the call carries and its answer names.
+  [[nodiscard]] virtual encoded_call encode(const start_stage_call& call,
+                                            const std::string& id) const = 0;
+  [[nodiscard]] virtual encoded_call encode(const free_results& results,
+                                            const std::string& id) const = 0;
 
   /// Decodes the head of an answer of a replica.
   [[nodiscard]] virtual answer_head read_answer(raw_answer raw) const = 0;
@@ -66,9 +69,10 @@
   /// @return std::nullopt if another process than the called replica gave the answer.
   [[nodiscard]] virtual std::optional<replica_self_report>
   read_self_report(const raw_answer& raw) const = 0;
-  /// @return id of the request that an answer names; std::nullopt if the answer names no request.
+  /// @return id of the call that an answer names: that of the client's request, or of this node's
+  ///         own call; std::nullopt if the answer names none.
   [[nodiscard]] virtual std::optional<std::string>
-  answered_request(const header_list& headers) const = 0;
+  answered_call(const header_list& headers) const = 0;
   /// Decodes the answer to a call with pieces.
   /// @return one outcome for each piece of the call; std::nullopt if the body does not match the
   ///         call.
--- a/src/upstream/replica_call.h
+++ b/src/upstream/replica_call.h
@@ -67,9 +67,10 @@
   base::call_id id = 0;
   serving::call_target target;
   serving::encoded_call content;
-  /// Id of the client's request, which the answer must name; std::nullopt for calls that carry no
-  /// request of a client.
-  std::optional<std::string> request_id;
+  /// Id that the call carries on the wire. An answer that names another id belongs to another call.
+  std::string carried_id;
+  /// Whether an answer that names no id belongs to no call.
+  bool is_id_required = true;
   bool is_streaming = false;
   /// Idle time that a pooled connection must have for this call.
   idle_time_bounds idle_time;
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -77,12 +77,9 @@
         handler_(std::move(handler)) {}
 
   void start(serving::start_call command) override {
-    outgoing_call call{command.call,
-                       command.target,
-                       codec_->encode(command),
-                       command.content->id.text(),
-                       command.streaming,
-                       {{}, settings_.max_idle_time}};
+    outgoing_call call{
+        command.call, command.target,    codec_->encode(command),      command.content->id.text(),
+        true,         command.streaming, {{}, settings_.max_idle_time}};
     call.time_left = command.time_left;
     call.must_stay =
         command.runs_at_most_once || command.resume_after.has_value() || command.is_last_attempt;
@@ -93,9 +90,7 @@
   }
 
   void start(serving::start_stage_call command) override {
-    outgoing_call call{
-        command.call, command.target, codec_->encode(command),
-        std::nullopt, false,          {surplus_settle_time, settings_.max_idle_time}};
+    auto call = own_call(command.call, command.target, command);
     call.time_left = longest_time_left(command.items);
     call.must_stay = command.runs_at_most_once;
     auto state = register_call(command.call);
@@ -104,13 +99,7 @@
   }
 
   void start(serving::free_results command) override {
-    outgoing_call call{0,
-                       command.producer,
-                       codec_->encode(command),
-                       std::nullopt,
-                       false,
-                       {surplus_settle_time, settings_.max_idle_time}};
-    asio::co_spawn(*io_, run_free_results(std::move(call)), asio::detached);
+    asio::co_spawn(*io_, run_free_results(own_call(0, command.producer, command)), asio::detached);
   }
 
   void probe(serving::call_target target) override {
@@ -138,6 +127,27 @@
   [[nodiscard]] const connection_counters& counts() const override { return counters_; }
 
  private:
+  /// @return a call of this node itself, which carries no request of a client. The answers of some
+  ///         replicas name no id then.
+  template <typename command_type>
+  outgoing_call own_call(base::call_id call, const serving::call_target& target,
+                         const command_type& command) {
+    const auto id = "n" + std::to_string(++own_calls_);
+    return {call,
+            target,
+            codec_->encode(command, id),
+            id,
+            false,
+            false,
+            {surplus_settle_time, settings_.max_idle_time}};
+  }
+
+  /// @return whether an answer belongs to a call, and not to an earlier one on its connection.
+  [[nodiscard]] bool is_answer_of(const outgoing_call& call, const response_parser& parser) const {
+    const auto named = codec_->answered_call(raw_answer_of(parser).headers);
+    return named ? *named == call.carried_id : !call.is_id_required;
+  }
+
   std::shared_ptr<call_state> register_call(base::call_id id) {
     auto state = std::make_shared<call_state>(*io_);
     state->id = id;
@@ -313,8 +323,7 @@
         }
         continue;
       }
-      if (!call.request_id ||
-          codec_->answered_request(raw_answer_of(*parser).headers) == call.request_id) {
+      if (is_answer_of(call, *parser)) {
         co_return true;
       }
       ++surplus;
@@ -558,6 +567,8 @@
   connection_pool pool_;
   std::unordered_map<base::call_id, std::shared_ptr<call_state>> calls_;
   connection_counters counters_;
+  /// Number of calls of this node itself, for their ids.
+  std::uint64_t own_calls_ = 0;
 };
 
 } // namespace
--- a/tests/platform/http_codec_test.cc
+++ b/tests/platform/http_codec_test.cc
@@ -306,9 +306,12 @@
 
 BOOST_AUTO_TEST_CASE(free_results_call_names_the_producing_replica) {
   const auto codec = platform::make_http_codec();
-  const auto encoded = codec->encode(serving::free_results{
-      {base::replica_id("i-1"), base::network_address("10.0.0.1:80")}, {"10.0.0.1:80/h"}});
+  const auto encoded = codec->encode(
+      serving::free_results{{base::replica_id("i-1"), base::network_address("10.0.0.1:80")},
+                            {"10.0.0.1:80/h"}},
+      "n7");
   BOOST_TEST(encoded.target == "/stage-free");
+  BOOST_TEST(value_of(encoded.headers, "X-Request-Id") == "n7");
   BOOST_TEST(value_of(encoded.headers, "X-Expect-Replica") == "i-1");
 }
 
@@ -318,8 +321,9 @@
   call.target = {base::replica_id("i-1"), base::network_address("10.0.0.1:80")};
   call.items = {{base::request_id("a"), 0, 2, std::chrono::milliseconds(900), "key", {}},
                 {base::request_id("b"), 2, 0, std::chrono::milliseconds(800), "", {"h/1", "h/2"}}};
-  const auto encoded = codec->encode(call);
+  const auto encoded = codec->encode(call, "n8");
   BOOST_TEST(encoded.target == "/stage-run");
+  BOOST_TEST(value_of(encoded.headers, "X-Request-Id") == "n8");
   BOOST_TEST(encoded.body ==
              R"({"items":[{"id":"a","stage":0,"piece":2,"remaining_ms":900,"tls_key":"key"},)"
              R"({"id":"b","stage":2,"piece":0,"remaining_ms":800,"inputs":["h/1","h/2"]}]})");
--- a/tests/upstream/answer_fuzz_test.cc
+++ b/tests/upstream/answer_fuzz_test.cc
@@ -62,12 +62,12 @@
   [[nodiscard]] serving::encoded_call encode(const serving::start_call& call) const override {
     return {"GET", "/", {{std::string(request_id_field), call.content->id.text()}}, "", false};
   }
-  [[nodiscard]] serving::encoded_call
-  encode(const serving::start_stage_call& /*call*/) const override {
+  [[nodiscard]] serving::encoded_call encode(const serving::start_stage_call& /*call*/,
+                                             const std::string& /*id*/) const override {
     return {};
   }
-  [[nodiscard]] serving::encoded_call
-  encode(const serving::free_results& /*results*/) const override {
+  [[nodiscard]] serving::encoded_call encode(const serving::free_results& /*results*/,
+                                             const std::string& /*id*/) const override {
     return {};
   }
   [[nodiscard]] serving::answer_head read_answer(serving::raw_answer raw) const override {
@@ -80,7 +80,7 @@
     return std::nullopt;
   }
   [[nodiscard]] std::optional<std::string>
-  answered_request(const serving::header_list& headers) const override {
+  answered_call(const serving::header_list& headers) const override {
     const auto found = std::find_if(headers.begin(), headers.end(), [](const auto& field) {
       return field.name == request_id_field;
     });
--- a/tests/upstream/replica_stand_in.h
+++ b/tests/upstream/replica_stand_in.h
@@ -1,5 +1,5 @@
 /// A replica on loopback that accepts connections, and stays silent before it reads the bodies of
-/// its calls.
+/// its calls. Its answers name the id that the call carries.
 #pragma once
 
 #include "http/awaitable.h"
@@ -31,6 +31,11 @@
   bool begins_stream = false;
   /// Number of interim answers (status 100) before the answer.
   std::size_t interim_answers = 0;
+  /// Whether the last whole answer is sent once more, in the place of the answer to this call.
+  bool repeats_last_answer = false;
+  /// Whether the answer names no id.
+  bool names_no_id = false;
+  std::string body = "done";
 };
 
 /// Serves connections on the io_context of the test. Not thread-safe.
@@ -89,9 +94,11 @@
       co_return error;
     }
     const auto handling = handlings_.at(next_call_++);
+    const std::string id(parser.get()["X-Request-Id"]);
+    const std::string head =
+        "HTTP/1.1 200 OK\r\n" + (handling.names_no_id ? "" : "X-Request-Id: " + id + "\r\n");
     if (handling.begins_stream) {
-      const std::string begin =
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n";
+      const std::string begin = head + "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n";
       co_await boost::asio::async_write(socket, boost::asio::buffer(begin),
                                         http::await_into(error));
     }
@@ -107,8 +114,10 @@
     }
     co_await boost::asio::async_write(socket, boost::asio::buffer(interim),
                                       http::await_into(error));
-    const std::string end =
-        handling.begins_stream ? "0\r\n\r\n" : "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    const auto surplus = handling.repeats_last_answer ? last_answer_ : std::string();
+    last_answer_ = head + "Content-Length: " + std::to_string(handling.body.size()) + "\r\n\r\n" +
+                   handling.body;
+    const auto end = surplus + (handling.begins_stream ? "0\r\n\r\n" : last_answer_);
     co_await boost::asio::async_write(socket, boost::asio::buffer(end), http::await_into(error));
     co_return error;
   }
@@ -116,6 +125,7 @@
   boost::asio::io_context* io_;
   tcp::acceptor acceptor_;
   std::vector<call_handling> handlings_;
+  std::string last_answer_;
   std::size_t next_call_ = 0;
   std::size_t connections_ = 0;
 };
--- a/tests/upstream/silent_connection_test.cc
+++ b/tests/upstream/silent_connection_test.cc
@@ -4,6 +4,7 @@
 #include "upstream/replica_client.h"
 
 #include "replica_stand_in.h"
+#include "stand_in_codec.h"
 
 #include "base/time.h"
 
@@ -32,52 +33,6 @@
 /// Size of a body that fits into the send and receive buffers of no connection.
 constexpr std::size_t long_body_bytes = 16'000'000;
 
-/// Encodes every call as one POST request with a long body.
-class long_body_codec final : public serving::request_codec {
- public:
-  [[nodiscard]] std::variant<serving::request_content, serving::bad_request>
-  read_request(serving::raw_request /*raw*/) const override {
-    return serving::bad_request{"not used"};
-  }
-  [[nodiscard]] serving::header_list
-  local_answer_headers(const base::request_id& /*id*/) const override {
-    return {};
-  }
-  [[nodiscard]] serving::encoded_call encode(const serving::start_call& /*call*/) const override {
-    return long_call();
-  }
-  [[nodiscard]] serving::encoded_call
-  encode(const serving::start_stage_call& /*call*/) const override {
-    return long_call();
-  }
-  [[nodiscard]] serving::encoded_call
-  encode(const serving::free_results& /*results*/) const override {
-    return long_call();
-  }
-  [[nodiscard]] serving::answer_head read_answer(serving::raw_answer raw) const override {
-    serving::answer_head head;
-    head.status = raw.status;
-    return head;
-  }
-  [[nodiscard]] std::optional<serving::replica_self_report>
-  read_self_report(const serving::raw_answer& /*raw*/) const override {
-    return std::nullopt;
-  }
-  [[nodiscard]] std::optional<std::string>
-  answered_request(const serving::header_list& /*headers*/) const override {
-    return "r";
-  }
-  [[nodiscard]] std::optional<std::vector<serving::piece_outcome>>
-  read_pieces(const serving::start_stage_call& call, const std::string& /*body*/) const override {
-    return std::vector<serving::piece_outcome>(call.items.size());
-  }
-
- private:
-  static serving::encoded_call long_call() {
-    return {"POST", "/", {{"Host", "replica"}}, std::string(long_body_bytes, 'x'), true};
-  }
-};
-
 struct silent_connection_fixture {
   void start_replica(std::vector<call_handling> handlings) {
     replica.emplace(io, std::move(handlings));
@@ -145,7 +100,7 @@
   }
 
   boost::asio::io_context io;
-  long_body_codec codec;
+  stand_in_codec codec{long_body_bytes};
   std::optional<replica_stand_in> replica;
   std::optional<serving::event> final_event;
   base::duration duration{};
