--- a/src/upstream/body_reader.cc
+++ b/src/upstream/body_reader.cc
@@ -25,10 +25,9 @@
   return error;
 }
 
-/// @return whether the received bytes are at most a part of a last chunk. The parser asserts that
-/// it
-///         gets the last chunk of an empty body in no more than two parts, so it must not get a
-///         part.
+/// The parser asserts that the last chunk of an empty body arrives in two parts at most, so it must
+/// not get a part of it.
+/// @return whether the received bytes are the begin of a last chunk, and not the whole of it.
 bool is_part_of_last_chunk(const boost::beast::flat_buffer& received,
                            const response_parser& parser) {
   constexpr std::string_view last_chunk = "0\r\n\r\n";
