A kept end claims no more than its run, and a second run that shows more refutes it

Cause: the mend of the open ends had the fault that it mends, where a second run breaks off as well or a client takes a stream up. "No event" was counted per request and not per run, so that an empty answer passed for an ended one. The end of the first run was told in the framing of the second. A part of an event did not refute the kept end. A later answer replaced an earlier and longer one, and a failure the answer that was kept. Half an event was dropped at some starts of a run only, so that two runs could join inside an event (virtual time; not shown with a real process).

Found by a fresh review. The table of broken-off answers did not show it: it broke off only the first run of each request, and none of its clients took a stream up.

Change: a run without a marked end that brings no event of its own is lost. A run that brings an event or a part of one refutes the kept end. Each start of a run drops half an event. Of two answers without a marked end the first is kept, unless it is the begin of the second. A failure of the second run does not replace what is kept. A kept answer waits for the second run at most the target latency, and goes out 0.1 s before the deadline; it waits on while the second run is not read. Price: a stream taken up after its last event fails at replicas that never mark an end.

--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -89,9 +89,8 @@
   /// The answer; std::nullopt for a stream, whose events the client has.
   std::optional<call_answered> answer;
   base::time_point ended_at;
-  /// Time at which the client gets the end although no other run has shown it; std::nullopt if the
-  /// deadline of the request is that time.
-  std::optional<base::time_point> passed_on_at{};
+  /// Time at which the client gets the end although no other run has shown it.
+  base::time_point passed_on_at{};
 };
 
 /// Entry in an admission queue. Ordered by priority (0 is the most urgent), then requests that are
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -578,10 +578,20 @@
   /// Passes on the end that the request keeps while another run is to show it.
   /// @return whether there was such an end, so that the request is answered.
   bool pass_on_kept_end(active_request& request, base::time_point now);
+  /// Does so if the other run brought a failure, which shows nothing of the end.
+  bool pass_on_instead_of(active_request& request, const call_answered& answer,
+                          base::time_point now);
   /// Does so if the client would have to wait too long for the other run.
   bool pass_on_overdue_end(active_request& request, base::time_point now);
-  /// Records that another run brought more than an answer whose end was not marked.
+  /// @return which of two runs without a marked end the client gets if no other run shows the end:
+  ///         the first, unless it is the begin of the latest.
+  open_answer_end choose_kept_end(active_request& request, open_answer_end latest,
+                                  base::time_point now);
+  /// Drops the end that the request keeps, since another run brought more.
   void refute_open_end(active_request& request, base::time_point now);
+  /// Records that an answer without a marked end was broken off.
+  void note_refuted_end(const active_request& request, const open_answer_end& end,
+                        base::time_point now);
   /// Records that a call of the request brought a marked end.
   /// @param answer the whole answer; null for a stream.
   void note_marked_end(active_request& request, const call_answered* answer);
@@ -617,7 +627,9 @@
   void check_requests_awaiting_budget(base::time_point now);
   /// Takes a retry from the retry budget if `can_retry`; returns whether the retry was granted.
   [[nodiscard]] bool try_take_retry(active_request& request, base::time_point now);
-  void forward_answer(active_request& request, const call_answered& answer, base::time_point now);
+  /// @param open_call_end why a call that is still open ends.
+  void forward_answer(active_request& request, const call_answered& answer, base::time_point now,
+                      call_end open_call_end = call_end::whole_answer);
   void begin_stream(active_request& request, base::time_point now);
   /// Records that events of the stream arrived now, for the log entry at the end of the stream.
   static void note_event(active_request& request, base::time_point now);
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -25,9 +25,11 @@
 /// renews it no more lapses after three heartbeats of a second or two.
 constexpr base::duration restart_publication_time = std::chrono::milliseconds(5'000);
 
-/// @return whether a stream ended before it delivered anything that its client does not have.
+/// @return whether a run ended before it delivered anything that the client does not have. Without
+/// a
+///         marked end, such a run shows nothing of the stream, also after its last event.
 bool has_no_event(const active_request& request) {
-  return request.events.events() == 0 && !request.content->resume_after;
+  return request.events.events_in_run() == 0;
 }
 
 } // namespace
@@ -261,9 +263,6 @@
   const auto call = close_call(
       request, has_timed_out ? call_end::connection_timed_out : call_end::connection_ended, now);
   request.lost_call = evidence_of(has_timed_out);
-  if (request.events.has_partial()) {
-    refute_open_end(request, now);
-  }
   if (!call.relay_node) {
     paths_.note_failure(now);
   }
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -136,6 +136,7 @@
   auto new_call = make_call(request, chosen, now);
   request.tried_replicas.insert(chosen.record->id);
   ++request.attempts;
+  request.events.begin_run();
   request.call = open_call{.id = new_call.call,
                            .replica = chosen.record->id,
                            .incarnation_exit = exit_id_of(*chosen.record),
@@ -323,7 +324,9 @@
       note_marked_end(*request, &answered);
     }
     replicas_.note_success(replica, now);
-    forward_answer(*request, answered, now);
+    if (!pass_on_instead_of(*request, answered, now)) {
+      forward_answer(*request, answered, now);
+    }
     return;
   }
   const auto call = close_call(*request, call_end::failed_answer, now);
@@ -343,7 +346,7 @@
 }
 
 void dispatcher::forward_answer(active_request& request, const call_answered& answer,
-                                base::time_point now) {
+                                base::time_point now, call_end open_call_end) {
   if (request.has_begun_stream) {
     record_early_end(request,
                      "the replica answered with status " + std::to_string(answer.head.status),
@@ -355,7 +358,7 @@
                                    answer.ends_with_connection});
     counters_.first_byte.add(now - request.arrived_at);
   }
-  finish(request, answer.head.status, "the replica's answer", now, call_end::whole_answer);
+  finish(request, answer.head.status, "the replica's answer", now, open_call_end);
 }
 
 // --- streams -------------------------------------------------------------------------------------
@@ -423,20 +426,18 @@
   if (request == nullptr) {
     return;
   }
-  const auto events_before = request->events.events();
   auto whole_events = request->events.feed(chunk.bytes);
   if (!reserve_partial_event(*request)) {
     answer_failed(*request, status::bad_gateway, "no memory for an event that is not whole",
                   end_evidence::no_memory, now);
     return;
   }
+  if (request->events.shows_more()) {
+    refute_open_end(*request, now);
+  }
   if (whole_events.empty()) {
     return;
   }
-  if (request->events.events() > events_before) {
-    // Comments alone show nothing.
-    refute_open_end(*request, now);
-  }
   begin_stream(*request, now);
   bind_stream(*request, now);
   note_progress(*request, now);
--- a/src/dispatch/dispatcher_constants.h
+++ b/src/dispatch/dispatcher_constants.h
@@ -34,6 +34,10 @@
 /// must leave a new connection unanswered.
 inline constexpr base::duration min_suspected_silence = std::chrono::milliseconds(250);
 
+/// Interval at which a stalled call that may be repeated is checked for a successor again. Requests
+/// at a replica that goes down should be retried within one second; the interval is a tenth of it.
+inline constexpr base::duration successor_check_interval = std::chrono::milliseconds(100);
+
 /// Bytes of a replica, or of other replicas, show something about the time after the end of a call
 /// if they follow the end by this time: connections that break at the same moment are noticed one
 /// after another, and bytes may have been sent before.
--- a/src/dispatch/dispatcher_open_ends.cc
+++ b/src/dispatch/dispatcher_open_ends.cc
@@ -5,10 +5,24 @@
 #include "dispatch/dispatcher.h"
 
 #include "dispatch/dispatcher_constants.h"
+#include "serving/answer_status.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace spurrack::serving {
+namespace {
+
+/// Time before the deadline at which a kept answer is sent, so that it reaches the client in time.
+constexpr base::duration answer_delivery_time = std::chrono::milliseconds(100);
+
+/// @return whether a body is the begin of a longer one, and so was broken off.
+bool is_begin_of(std::string_view body, std::string_view longer) {
+  return body.size() < longer.size() && longer.starts_with(body);
+}
+
+} // namespace
 
 void dispatcher::note_open_end(const active_request& request, open_end_outcome outcome,
                                const std::string& subject, const std::string& detail) {
@@ -42,6 +56,7 @@
 void dispatcher::handle_open_end(active_request& request, open_answer_end end,
                                  base::time_point now) {
   framing_habits_.note_open_end(request.route->name);
+  end = choose_kept_end(request, std::move(end), now);
   const auto subject = end.call.replica.text();
   const bool is_run_again = can_run_for_end(request, end, now) && try_take_retry(request, now);
   if (!is_run_again) {
@@ -50,9 +65,10 @@
     return;
   }
   note_open_end(request, open_end_outcome::run_again, subject, "");
-  if (!end.answer && request.route->target_latency > base::duration::zero()) {
-    // The client has all events, and leaves if it waits much longer for the end.
-    end.passed_on_at = now + request.route->target_latency;
+  end.passed_on_at = request.deadline - answer_delivery_time;
+  if (request.route->target_latency > base::duration::zero()) {
+    // The client leaves if it waits much longer.
+    end.passed_on_at = std::min(end.passed_on_at, now + request.route->target_latency);
   }
   request.lost_call = end_evidence::end_not_marked;
   request.open_end = std::move(end);
@@ -67,8 +83,8 @@
   if (end.answer) {
     note_open_end(request, open_end_outcome::passed_on, end.call.replica.text(),
                   ", " + std::to_string(end.answer->body.size()) + " bytes" + age);
-    forward_answer(request, *end.answer, now);
-  } else if (request.ends_stream_with_connection || !request.has_begun_stream) {
+    forward_answer(request, *end.answer, now, call_end::given_up);
+  } else if (request.ends_stream_with_connection) {
     note_open_end(request, open_end_outcome::passed_on, end.call.replica.text(), age);
     end_stream_in_order(request, "the stream ended without a marked end", now);
   } else {
@@ -87,17 +103,51 @@
   return true;
 }
 
+bool dispatcher::pass_on_instead_of(active_request& request, const call_answered& answer,
+                                    base::time_point now) {
+  if (is_success(answer.head.status) || !request.open_end) {
+    return false;
+  }
+  close_call(request, call_end::whole_answer, now);
+  return pass_on_kept_end(request, now);
+}
+
 bool dispatcher::pass_on_overdue_end(active_request& request, base::time_point now) {
-  const bool is_overdue =
-      request.open_end && request.open_end->passed_on_at && *request.open_end->passed_on_at <= now;
-  return is_overdue && pass_on_kept_end(request, now);
+  if (!request.open_end || now < request.open_end->passed_on_at) {
+    return false;
+  }
+  if (request.is_window_closed || now < silence_judged_from_) {
+    // What the other run has brought was not read yet.
+    request.open_end->passed_on_at = std::max(silence_judged_from_, now + successor_check_interval);
+    return false;
+  }
+  return pass_on_kept_end(request, now);
+}
+
+open_answer_end dispatcher::choose_kept_end(active_request& request, open_answer_end latest,
+                                            base::time_point now) {
+  if (!request.open_end || !request.open_end->answer || !latest.answer) {
+    return latest;
+  }
+  auto first = *std::exchange(request.open_end, std::nullopt);
+  if (is_begin_of(first.answer->body, latest.answer->body)) {
+    note_refuted_end(request, first, now);
+    return latest;
+  }
+  if (is_begin_of(latest.answer->body, first.answer->body)) {
+    note_refuted_end(request, latest, now);
+  }
+  return first;
 }
 
 void dispatcher::refute_open_end(active_request& request, base::time_point now) {
-  if (!request.open_end) {
-    return;
+  if (request.open_end) {
+    note_refuted_end(request, *std::exchange(request.open_end, std::nullopt), now);
   }
-  const auto end = *std::exchange(request.open_end, std::nullopt);
+}
+
+void dispatcher::note_refuted_end(const active_request& request, const open_answer_end& end,
+                                  base::time_point now) {
   note_open_end(request, open_end_outcome::refuted, end.call.replica.text(), "");
   if (!end.call.relay_node) {
     replicas_.note_failure(end.call.replica, now);
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -58,6 +58,7 @@
   passed.attempts_left = request.max_attempts - request.attempts;
   passed.is_last_attempt = true;
   request.attempts += passed.attempts_left;
+  request.events.begin_run();
   const open_call call{.id = passed.call,
                        .replica = passed.target.replica,
                        .started_at = now,
@@ -104,7 +105,9 @@
                   end_evidence::relay_failed, now);
     return;
   }
-  forward_answer(request, answered, now);
+  if (!pass_on_instead_of(request, answered, now)) {
+    forward_answer(request, answered, now);
+  }
 }
 
 } // namespace spurrack::serving
--- a/src/dispatch/dispatcher_silence.cc
+++ b/src/dispatch/dispatcher_silence.cc
@@ -10,9 +10,6 @@
 namespace spurrack::serving {
 namespace {
 
-/// Interval at which a stalled call that may be repeated is checked for a successor again. Requests
-/// at a replica that goes down should be retried within one second; the interval is a tenth of it.
-constexpr base::duration successor_check_interval = std::chrono::milliseconds(100);
 /// Interval at which a stalled call that stays where it is is checked again.
 constexpr base::duration stay_check_interval = std::chrono::milliseconds(250);
 /// Time after a stand of this process within which it reads the bytes that waited in its sockets;
--- a/src/dispatch/event_stream.cc
+++ b/src/dispatch/event_stream.cc
@@ -79,6 +79,15 @@
   is_repeating_ = false;
 }
 
+void event_stream::begin_run() {
+  drop_partial_event();
+  events_in_run_ = 0;
+}
+
+bool event_stream::shows_more() const {
+  return events_in_run_ > 0 || (!is_repeating_ && content_of(pending_).has_field);
+}
+
 bool event_stream::is_second_of_line_end() const {
   return position_.follows_carriage_return && scanned_bytes_ < pending_.size() &&
          pending_[scanned_bytes_] == '\n';
@@ -135,6 +144,7 @@
   }
   if (content.has_field) {
     ++events_;
+    ++events_in_run_;
     has_event_after_last_id_ = !content.id;
   }
   // Within the stream of the client, the mark of a later run would be part of a line.
--- a/src/dispatch/event_stream.h
+++ b/src/dispatch/event_stream.h
@@ -34,9 +34,15 @@
   [[nodiscard]] bool has_partial() const { return !pending_.empty(); }
   /// @return number of buffered bytes of an incomplete event.
   [[nodiscard]] std::size_t partial_bytes() const { return pending_.size(); }
-  /// Drops the buffered bytes of an incomplete event, before another call resumes the stream after
-  /// the last whole event.
+  /// @return whether the current run brought something that the client does not have: an event, or
+  ///         a part of an event that is no comment.
+  [[nodiscard]] bool shows_more() const;
+  /// @return number of events of the current run that `feed` has returned.
+  [[nodiscard]] std::uint64_t events_in_run() const { return events_in_run_; }
+  /// Drops the buffered bytes of an incomplete event.
   void drop_partial_event();
+  /// Begins another run, which goes on after the last whole event.
+  void begin_run();
 
  private:
   /// Position of a stream within its lines.
@@ -68,6 +74,7 @@
   line_position position_;
   std::optional<std::uint64_t> last_id_;
   std::uint64_t events_ = 0;
+  std::uint64_t events_in_run_ = 0;
   bool has_event_after_last_id_ = false;
   /// Whether no event of the current run has ended yet.
   bool is_run_begin_ = true;
