An empty run after whole events leaves the end open

An empty run after whole events of the same answer says as little as any open end: its replica may have nothing more. Only if a run has brought a part of a further event is the stream known to go on.

Change: event_stream keeps whether some run brought a part of an event after the last whole one; an empty run is lost if that is so, or if the client has no event of this answer.

--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -25,11 +25,11 @@
 /// renews it no more lapses after three heartbeats of a second or two.
 constexpr base::duration restart_publication_time = std::chrono::milliseconds(5'000);
 
-/// @return whether a run ended before it delivered anything that the client does not have. Without
-/// a
-///         marked end, such a run shows nothing of the stream, also after its last event.
-bool has_no_event(const active_request& request) {
-  return request.events.events_in_run() == 0;
+/// @return whether a run that marked no end shows nothing of the end: it brought no event, and the
+///         client has none either or the stream is known to go on.
+bool shows_nothing_of_end(const active_request& request) {
+  const auto& events = request.events;
+  return events.events_in_run() == 0 && (!request.has_begun_stream || events.goes_on());
 }
 
 } // namespace
@@ -277,7 +277,7 @@
   const bool is_from_replica = !request->call->relay_node;
   const auto replica = request->call->replica.text();
   const bool is_broken_off = !closed.complete || request->events.has_partial() ||
-                             (closed.ends_with_connection && has_no_event(*request));
+                             (closed.ends_with_connection && shows_nothing_of_end(*request));
   if (is_broken_off && closed.complete && closed.ends_with_connection) {
     note_open_end(*request,
                   request->events.has_partial() ? open_end_outcome::inside_event
--- a/src/dispatch/event_stream.cc
+++ b/src/dispatch/event_stream.cc
@@ -72,6 +72,7 @@
 }
 
 void event_stream::drop_partial_event() {
+  goes_on_ = goes_on();
   pending_.clear();
   scanned_bytes_ = 0;
   position_ = {};
@@ -85,7 +86,11 @@
 }
 
 bool event_stream::shows_more() const {
-  return events_in_run_ > 0 || (!is_repeating_ && content_of(pending_).has_field);
+  return events_in_run_ > 0 || has_new_part();
+}
+
+bool event_stream::has_new_part() const {
+  return !is_repeating_ && content_of(pending_).has_field;
 }
 
 bool event_stream::is_second_of_line_end() const {
@@ -145,6 +150,7 @@
   if (content.has_field) {
     ++events_;
     ++events_in_run_;
+    goes_on_ = false;
     has_event_after_last_id_ = !content.id;
   }
   // Within the stream of the client, the mark of a later run would be part of a line.
--- a/src/dispatch/event_stream.h
+++ b/src/dispatch/event_stream.h
@@ -37,6 +37,9 @@
   /// @return whether the current run brought something that the client does not have: an event, or
   ///         a part of an event that is no comment.
   [[nodiscard]] bool shows_more() const;
+  /// @return whether some run brought a part of an event after the last whole event, so that the
+  ///         stream is known to go on there.
+  [[nodiscard]] bool goes_on() const { return goes_on_ || has_new_part(); }
   /// @return number of events of the current run that `feed` has returned.
   [[nodiscard]] std::uint64_t events_in_run() const { return events_in_run_; }
   /// Drops the buffered bytes of an incomplete event.
@@ -65,6 +68,8 @@
   /// Records a whole event.
   /// @return the bytes to forward; empty if the event was already forwarded.
   std::string_view accept_once(std::string_view event);
+  /// @return whether the buffered bytes are a part of an event that the client does not have.
+  [[nodiscard]] bool has_new_part() const;
   /// @return whether an event is new; events with an identifier up to `last_id` are duplicates.
   bool is_new(std::optional<std::uint64_t> id);
 
@@ -75,6 +80,8 @@
   std::optional<std::uint64_t> last_id_;
   std::uint64_t events_ = 0;
   std::uint64_t events_in_run_ = 0;
+  /// Whether an earlier run brought a part of an event after the last whole event.
+  bool goes_on_ = false;
   bool has_event_after_last_id_ = false;
   /// Whether no event of the current run has ended yet.
   bool is_run_begin_ = true;
--- a/tests/dispatch/kept_end_test.cc
+++ b/tests/dispatch/kept_end_test.cc
@@ -138,6 +138,22 @@
   BOOST_TEST(is_broken_off());
 }
 
+/// Guards against a stream that is broken off after its last event because the run that was to
+/// bring the rest is empty: its replica may have nothing more.
+BOOST_AUTO_TEST_CASE(a_begun_stream_stays_open_if_an_empty_run_follows_whole_events) {
+  send_request(client, "/stream/");
+  const auto call = last<start_call>();
+  open(call, true);
+  deliver(stream_bytes{call.call, first_event});
+  deliver(stream_closed{.call = call.call, .complete = false});
+  const auto again = last<start_call>();
+  BOOST_REQUIRE(again.call != call.call);
+  open(again, true);
+  end_by_connection(again);
+  BOOST_TEST(is_told_as_ended());
+  BOOST_TEST(last<open_stream>().ends_with_connection);
+}
+
 /// Guards against the end of a first run that is told although a second run has begun an event
 /// after it.
 BOOST_AUTO_TEST_CASE(a_stream_is_not_ended_after_another_run_began_a_further_event) {
