Bytes of a stream are searched for a further event only while an end is kept

Each read of a stream whose run had brought no whole event parsed the buffered part of its event again, also if no end was kept: quadratic work for a long first event. Only a kept end can be refuted, so the question is asked only then. Behaviour is the same. Found while the whole change was read again; not measured. Run: format, the unit suites of kept ends, unframed answers, resumption, slow clients and events, no failure.

--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -432,7 +432,7 @@
                   end_evidence::no_memory, now);
     return;
   }
-  if (request->events.shows_more()) {
+  if (request->open_end && request->events.shows_more()) {
     refute_open_end(*request, now);
   }
   if (whole_events.empty()) {
