Log: a resumed stream's line names the unheard nodes, the list's age and a stand

Operators saw "1 of 4 nodes answered" without knowing which ones did not, how old the list of replicas was at that moment, or whether the process had just stood, so that an old list and a wrongly dated one looked alike. The line of an unknown origin now says all three. No logic changes.

--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -29,9 +29,13 @@
            ", told by " + finding.source + " " +
            std::to_string(base::to_milliseconds(finding.age)) + " ms after it was recorded";
   }
-  return "origin not known, " + std::to_string(finding.answered) + " of " +
-         std::to_string(finding.queried) + " nodes answered" +
-         (finding.peers_know_several_versions ? ", one knows several versions" : "");
+  auto text = "origin not known, " + std::to_string(finding.answered) + " of " +
+              std::to_string(finding.queried) + " nodes answered" +
+              (finding.peers_know_several_versions ? ", one knows several versions" : "");
+  for (const auto& address : finding.unanswered) {
+    text += ", no answer from " + address.text();
+  }
+  return text;
 }
 
 /// @return whether this node or a queried one knows of several versions of the service, or of
@@ -128,7 +132,13 @@
   };
   const auto unbroken_since = list_coverage_.unbroken_since();
   std::string text = ", begun at most " + age_of(earliest_begin_of(request, now)) + " ago, list ";
-  text += unbroken_since ? "known without a gap for " + age_of(*unbroken_since) : "never confirmed";
+  text += unbroken_since ? "known without a gap for " + age_of(*unbroken_since) +
+                               ", last confirmed " + age_of(replica_list_confirmed_at()) + " ago"
+                         : "never confirmed";
+  if (latest_stand_ended_at_ >= earliest_begin_of(request, now)) {
+    text += ", this process stood for " + std::to_string(base::to_milliseconds(latest_stand_)) +
+            " ms until " + age_of(latest_stand_ended_at_) + " ago";
+  }
   if (own.knowledge == streams::version_knowledge::several) {
     text += ", several versions known here";
   }
--- a/src/streams/origin_exchange.cc
+++ b/src/streams/origin_exchange.cc
@@ -264,7 +264,11 @@
 
 void origin_exchange::end_look_up(const stream_key& stream) {
   const auto found = look_ups_.find(stream);
-  findings_.emplace_back(stream, std::move(found->second.finding));
+  auto& finding = found->second.finding;
+  for (const auto& [address, zone] : found->second.awaited) {
+    finding.unanswered.push_back(address);
+  }
+  findings_.emplace_back(stream, std::move(finding));
   look_ups_.erase(found);
 }
 
--- a/src/streams/origin_exchange.h
+++ b/src/streams/origin_exchange.h
@@ -37,6 +37,8 @@
   std::optional<sole_version> sole;
   std::size_t queried = 0;
   std::size_t answered = 0;
+  /// Queried nodes without an answer; for the log.
+  std::vector<base::network_address> unanswered;
   /// Who knew the origin, and time since that node recorded it; for the log.
   std::string source;
   base::duration age{};
