--- a/src/dispatch/dispatcher_state.cc
+++ b/src/dispatch/dispatcher_state.cc
@@ -59,7 +59,7 @@
     const base::time_point since = *unbroken_since + list_coverage::max_gap;
     const auto inherited =
         inherited_versions_.since(service, published.front(), *unbroken_since).value_or(since);
-    evidence.sole = {published.front(), std::min(since, inherited)};
+    evidence.sole = {published.front(), std::min(since, inherited), replica_list_confirmed_at()};
   }
   if (!list_coverage_.is_current(now)) {
     evidence.knowledge = version_knowledge::outdated;
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -69,6 +69,16 @@
   }
   /// Records that at `confirmed_at` the store had no later list of replicas than this node.
   void confirm_replica_list(base::time_point confirmed_at) { list_coverage_.confirm(confirmed_at); }
+  /// Records that this node knows by a call of its own, which was sent at `verified_at` or later,
+  /// that the store had no later list of replicas.
+  void verify_replica_list(base::time_point verified_at) { list_coverage_.verify(verified_at); }
+  /// @return time at or after which the list of replicas must be verified (`verify_replica_list`),
+  /// for
+  ///         requests that wait for that; std::nullopt if it was, or if no request needs it.
+  [[nodiscard]] std::optional<base::time_point> list_verification_wanted() const {
+    const bool is_done = !list_wanted_at_ || list_coverage_.verified_at() >= list_wanted_at_;
+    return is_done ? std::nullopt : list_wanted_at_;
+  }
   /// Sets the byte budget of this process, which limits the bytes of incomplete stream events that
   /// are buffered. By default they are not limited.
   void set_byte_budget(std::shared_ptr<flow::byte_budget> budget) {
@@ -171,6 +181,8 @@
   base::time_point configuration_applied_at_;
   configuration_knowledge configuration_knowledge_;
   list_coverage list_coverage_;
+  /// Latest time at which a request arrived that needs a list of replicas verified since.
+  std::optional<base::time_point> list_wanted_at_;
   std::uint64_t applied_changes_ = 0;
   /// Time for which this process stood last, and the time at which it went on.
   base::duration latest_stand_{};
--- a/src/replicas/list_coverage.h
+++ b/src/replicas/list_coverage.h
@@ -3,6 +3,7 @@
 
 #include "base/time.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -30,6 +31,18 @@
     confirmed_at_ = confirmed_at;
   }
 
+  /// Records that the list was complete at `verified_at`, as a call of this node shows that was
+  /// sent then or later: a read of the store, or a query that another node answered after a read of
+  /// its own. Other confirmations are dated by messages, which may have been under way for any
+  /// time.
+  void verify(base::time_point verified_at) {
+    confirm(verified_at);
+    verified_at_ = std::max(verified_at_.value_or(verified_at), verified_at);
+  }
+
+  /// @return latest time at which a call of this node shows the list to have been complete;
+  ///         std::nullopt if there was no such call.
+  [[nodiscard]] std::optional<base::time_point> verified_at() const { return verified_at_; }
   /// @return time at which the list was last known to be complete; std::nullopt if it never was.
   [[nodiscard]] std::optional<base::time_point> confirmed_at() const { return confirmed_at_; }
   /// @return time since which this node has missed no replica; std::nullopt if the list was never
@@ -41,6 +54,7 @@
 
  private:
   std::optional<base::time_point> confirmed_at_;
+  std::optional<base::time_point> verified_at_;
   std::optional<base::time_point> unbroken_since_;
 };
 
--- a/src/streams/origin_exchange.cc
+++ b/src/streams/origin_exchange.cc
@@ -239,7 +239,7 @@
     finding.peers_know_several_versions = true;
   }
   if (!finding.sole || since < finding.sole->since) {
-    finding.sole = {version, since};
+    finding.sole = {version, since, now};
   }
 }
 
--- a/src/streams/version_evidence.h
+++ b/src/streams/version_evidence.h
@@ -16,10 +16,13 @@
   outdated, ///< A second version is not known, but the list of replicas is too old to rule it out.
 };
 
-/// Statement that a version began every stream of a service that began at `since` or later.
+/// Statement that a version began every stream of a service that began from `since` through
+/// `through`.
 struct sole_version {
   base::software_version version;
   base::time_point since;
+  /// Time at which the list of replicas was last known to be complete.
+  base::time_point through;
 };
 
 struct version_evidence {
--- a/tests/streams/origin_exchange_test.cc
+++ b/tests/streams/origin_exchange_test.cc
@@ -43,7 +43,7 @@
     if (knowledge == version_knowledge::several) {
       return {knowledge, std::nullopt};
     }
-    return {knowledge, sole_version{origin.version, one_version_since}};
+    return {knowledge, sole_version{origin.version, one_version_since, now}};
   }
 
   void deliver() {
--- a/tests/streams/stream_fleet.h
+++ b/tests/streams/stream_fleet.h
@@ -161,6 +161,27 @@
     return true;
   }
 
+  /// Breaks a random client's connection to the node that serves its stream, after the first event.
+  /// The client resumes the stream. @return false if there is no such connection.
+  bool break_random_connection() {
+    std::vector<base::caller_id> clients;
+    for (const auto& [client, attempt] : attempts) {
+      if (attempt.stream != nullptr && attempt.stream->last_event > 0) {
+        clients.push_back(client);
+      }
+    }
+    if (clients.empty()) {
+      return false;
+    }
+    const auto client = pick(clients);
+    const auto node = attempts.at(client).node;
+    end_attempt(client);
+    if (nodes[node].subject) {
+      nodes[node].subject->handle(client_disconnected{client}, now);
+    }
+    return true;
+  }
+
   /// Crashes a replica; its entry disappears later. @return index of the replica.
   void crash_replica(unsigned index) {
     auto& replica = replicas[index];
@@ -334,6 +355,8 @@
     /// Requests that this node passed on: client of the other node, by call.
     std::map<base::call_id, base::caller_id> passed;
     base::time_point list_confirmed_at{};
+    /// Time from which the next read for `list_verification_wanted` may begin.
+    base::time_point next_verification_at{};
   };
   /// A request at a node.
   struct attempt {
@@ -388,6 +411,10 @@
   /// Nodes that do not learn what the store publishes.
   std::set<std::size_t> without_store;
   std::set<std::size_t> cut_from_replicas;
+  /// @return whether a message about origins of streams is lost that one node sends another now.
+  std::function<bool(std::size_t from, std::size_t to)> loses_message = [](auto, auto) {
+    return false;
+  };
   std::size_t origin_messages = 0;
   std::size_t origin_bytes = 0;
   std::size_t out_of_order = 0;
@@ -446,6 +473,7 @@
     if (node.list_confirmed_at != base::time_point{}) {
       node.subject->confirm_replica_list(node.list_confirmed_at);
     }
+    verify_list(index);
     node.subject->advance(now);
     for (auto& command : node.subject->take_commands()) {
       std::visit([&](const auto& typed_command) { execute(index, typed_command); }, command);
@@ -459,6 +487,49 @@
     }
   }
 
+  /// Reads the store for a node that wants its list verified, or asks another node to do so.
+  void verify_list(std::size_t index) {
+    auto& node = nodes[index];
+    if (!node.subject->list_verification_wanted() || now < node.next_verification_at) {
+      return;
+    }
+    const auto reader = reader_for(index);
+    if (!reader) {
+      return;
+    }
+    constexpr base::duration read_time = milliseconds(4);
+    const auto to_reader = index == *reader ? milliseconds(0) : message_delay(index, *reader);
+    node.next_verification_at = now + 2 * to_reader + read_time;
+    const auto sent_at = now;
+    const auto incarnation = node.incarnation;
+    schedule(to_reader + read_time, [this, index, reader, to_reader, sent_at, incarnation] {
+      // What the store holds now is what the answer brings.
+      schedule(to_reader, [this, index, reader, sent_at, incarnation, content = published.content] {
+        auto& asking = nodes[index];
+        if (asking.subject && asking.incarnation == incarnation &&
+            (index == *reader || are_connected(index, *reader))) {
+          asking.subject->update(content, now);
+          asking.subject->verify_replica_list(sent_at);
+        }
+      });
+    });
+  }
+  /// @return the node itself, or else a connected one, that reaches the store.
+  [[nodiscard]] std::optional<std::size_t> reader_for(std::size_t index) const {
+    if (!without_store.contains(index)) {
+      return index;
+    }
+    for (std::size_t other = 0; other < nodes.size(); ++other) {
+      if (nodes[other].subject && !without_store.contains(other) && are_connected(index, other)) {
+        return other;
+      }
+    }
+    return std::nullopt;
+  }
+  [[nodiscard]] base::duration message_delay(std::size_t from, std::size_t to) const {
+    return milliseconds(zone_of(from) == zone_of(to) ? 1 : 5);
+  }
+
   [[nodiscard]] bool are_connected(std::size_t left, std::size_t right) const {
     const bool crosses_cut =
         zone_of(left) != zone_of(right) &&
@@ -468,11 +539,11 @@
 
   void deliver_later(std::size_t from, const wire::outgoing& sent) {
     for (std::size_t index = 0; index < nodes.size(); ++index) {
-      if (peer_number(index).address != sent.to || !are_connected(from, index)) {
+      if (peer_number(index).address != sent.to || !are_connected(from, index) ||
+          (sent.message.has_stream_origins() && loses_message(from, index))) {
         continue;
       }
-      const auto delay = milliseconds(zone_of(from) == zone_of(index) ? 1 : 5);
-      schedule(delay, [this, from, index, message = sent.message] {
+      schedule(message_delay(from, index), [this, from, index, message = sent.message] {
         if (nodes[index].subject) {
           deliver_peer_message(*nodes[index].subject, peer_number(from), message, now);
         }
