A node gets its list of replicas verified by a call of its own

Whether the list is old cannot be told from messages: their age counts from their receipt, and silence says nothing.

Change: if a verified list is wanted (dispatcher_state::list_verification_wanted, or node::require_verified_list), a reader of the region or a node that hears no peers reads the store at once, with a hold time of 1 ms; any other node sends a position_query to the first reader, to the next one after 150 ms each, and reads itself at last, at a rate that the whole region shares (100 a second; 2,000 queries a second and reader). A reader answers only from a read that it sent after the query arrived; all that wait share a read, reads follow each other by 50 ms at least. The asking node verifies as of the sending of its query, once it has all entries through the position, and not if the position is before one that it knew then. Nothing verifies: a failed read, a stale listing, an outdated answer, an earlier revision, and any answer of an era before the second listing of the era.

Ruled out on the way: an answer that waits in the queue of the event loop while its read is replaced was taken for the answer to the later read. Reads have numbers now, which the clients of the store return; an answer of a replaced read is ignored.

--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -20,6 +20,7 @@
   is_restarted_ = is_pending_;
   behind_since_.reset();
   is_pending_ = true;
+  ++read_number_;
   pending_since_ = now;
   last_probe_at_ = now;
   if (era_ == 0 && cursor_ == 0) {
@@ -38,6 +39,23 @@
   return after;
 }
 
+void service_watch::note_known_through(store_position known_through, base::time_point now) {
+  known_through_ = known_through;
+  note_era(known_through.era, now);
+}
+
+void service_watch::note_era(base::store_era era, base::time_point now) {
+  if (era > latest_era_) {
+    latest_era_ = era;
+    latest_era_since_ = now;
+  }
+}
+
+bool service_watch::is_era_settled() const {
+  return latest_era_ == 0 ||
+         (latest_era_ == era_ && pending_since_ >= latest_era_since_ + era_settle_time);
+}
+
 void service_watch::request_read(base::time_point now) {
   should_replace_ = true;
   next_read_at_ = std::min(next_read_at_, now);
@@ -73,6 +91,7 @@
 
 answer_meaning service_watch::on_answer(const service_position& answered, bool has_changes,
                                         base::time_point now) {
+  const bool was_pending = is_pending_;
   is_pending_ = false;
   is_restarted_ = false;
   last_answer_at_ = now;
@@ -97,6 +116,7 @@
   meaning.is_new_era = era_ > 0 && answered.era && *answered.era > era_;
   meaning.has_earlier_revision = !meaning.is_new_era && answered.revision < cursor_;
   era_ = answered.era.value_or(era_);
+  note_era(era_, now);
   meaning.era = era_;
   if (answered.is_listing) {
     meaning.after = store_position{};
@@ -114,6 +134,10 @@
   if (answered.is_listing && is_relist_due) {
     relist_at_.reset();
   }
+  const bool is_complete = meaning.after && !relist_at_ && is_era_settled();
+  if (was_pending && !allows_stale_ && !meaning.has_earlier_revision && is_complete) {
+    meaning.verified_at = pending_since_;
+  }
   return meaning;
 }
 
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -54,6 +54,11 @@
   /// Time at which the service had written no entry after the position of the answer; std::nullopt
   /// if that time is unknown because a stale answer was allowed.
   std::optional<base::time_point> confirmed_at;
+  /// Time at which the read was sent, if the answer verifies that the service had written no entry
+  /// after its position at that time. std::nullopt if a stale answer was allowed, if the answer
+  /// goes back to an earlier revision or does not contain all entries of a range, and while entries
+  /// of a new era may still be missing (`era_settle_time`).
+  std::optional<base::time_point> verified_at;
   /// Whether the caller must delete the known entries of the service that are missing from the
   /// answer. Set for a listing, except in the first `era_settle_time` of a new era.
   bool should_delete_unlisted = false;
@@ -109,7 +114,8 @@
   static constexpr base::duration min_read_interval = std::chrono::milliseconds(200);
   /// Time between the first answer of a new era and the second listing of the era. The restored
   /// store lost some entries, which are written again within about two seconds. Therefore only
-  /// entries that the second listing still lacks count as deleted.
+  /// entries that the second listing still lacks count as deleted, and earlier answers of the era
+  /// verify nothing. The era that a node learns first may be a new one too.
   static constexpr base::duration era_settle_time = std::chrono::milliseconds(3000);
   /// Maximum number of eras by which an answer may be ahead of the latest known era. Eras increase
   /// by one, but a node that was partitioned for a long time may have missed some eras. An answer
@@ -136,11 +142,14 @@
   /// confirmation is derived.
   void set_hold_time(base::duration hold_time) { hold_time_ = hold_time; }
   [[nodiscard]] bool is_pending() const { return is_pending_; }
+  /// @return number of the read that `next_read` last started, starting at 1. An answer to an
+  ///         earlier read says nothing about the time since the later read was sent.
+  [[nodiscard]] std::uint64_t read_number() const { return read_number_; }
   /// Makes a read due at once, even if the answer to a read is pending or a retry is due later.
   void request_read(base::time_point now);
   /// Records that this node has all entries of the service through a position, so that the next
   /// read may request only later entries.
-  void note_known_through(store_position known_through) { known_through_ = known_through; }
+  void note_known_through(store_position known_through, base::time_point now);
 
   /// Starts a probe if a probe is due.
   /// @return whether the caller must now send a probe to the service.
@@ -166,6 +175,11 @@
   /// @return time at which the service had written no entry after the position of an answer that
   ///         arrives now.
   [[nodiscard]] base::time_point confirmed_time(base::time_point now) const;
+  /// Notes an era of the service that this node learned from a peer or from an answer.
+  void note_era(base::store_era era, base::time_point now);
+  /// @return whether an answer to the pending read contains the entries that a restored store got
+  ///         back.
+  [[nodiscard]] bool is_era_settled() const;
   /// @return whether the answer to the pending watch counts as lost.
   [[nodiscard]] bool has_lost_answer(base::time_point now) const;
 
@@ -181,6 +195,7 @@
   std::optional<base::time_point> behind_since_;
   /// Whether the next read replaces the pending read.
   bool should_replace_ = false;
+  std::uint64_t read_number_ = 0;
   bool allows_stale_ = false;
   base::duration hold_time_{};
   store_position known_through_;
@@ -191,6 +206,9 @@
   /// Revision after which the next watch returns entries; 0 if the next read is a listing.
   base::revision cursor_ = 0;
   base::store_era era_ = 0;
+  /// Latest era that this node knows of, and the time at which it learned the era.
+  base::store_era latest_era_ = 0;
+  base::time_point latest_era_since_;
   /// Time at which the second listing of a new era is due; std::nullopt if no such listing is due.
   std::optional<base::time_point> relist_at_;
   base::time_point pending_since_;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -447,16 +447,21 @@
   return static_cast<std::size_t>(own_node - job_nodes.begin());
 }
 
-std::optional<std::size_t> membership::region_job_rank(std::string_view job, std::size_t zones,
-                                                       std::size_t count,
-                                                       base::time_point now) const {
+std::vector<base::zone_id> membership::region_job_zones(std::string_view job, std::size_t zones,
+                                                        base::time_point now) const {
   std::vector<base::zone_id> reachable{self_.zone};
   for (const auto& [zone, nodes] : live().remote) {
     if (!regions_.are_in_different_regions(self_.zone, zone) && zones_.is_reachable(zone, now)) {
       reachable.push_back(zone);
     }
   }
-  const auto chosen_zones = base::rendezvous_top(job, reachable, zones);
+  return base::rendezvous_top(job, reachable, zones);
+}
+
+std::optional<std::size_t> membership::region_job_rank(std::string_view job, std::size_t zones,
+                                                       std::size_t count,
+                                                       base::time_point now) const {
+  const auto chosen_zones = region_job_zones(job, zones, now);
   const auto own_zone = std::find(chosen_zones.begin(), chosen_zones.end(), self_.zone);
   if (own_zone == chosen_zones.end()) {
     return std::nullopt;
@@ -468,6 +473,33 @@
   return static_cast<std::size_t>(own_zone - chosen_zones.begin()) * count + *rank_in_zone;
 }
 
+std::vector<base::node_id> membership::live_nodes_of(const base::zone_id& zone) const {
+  if (zone == self_.zone) {
+    return live_zone_nodes();
+  }
+  std::vector<base::node_id> nodes;
+  if (const auto found = live().remote.find(zone); found != live().remote.end()) {
+    std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(nodes),
+                 [&](const auto& node) { return members_.at(node).state != wire::DEAD; });
+  }
+  return nodes;
+}
+
+std::vector<base::network_address> membership::other_region_job_nodes(std::string_view job,
+                                                                      std::size_t zones,
+                                                                      std::size_t count,
+                                                                      base::time_point now) const {
+  std::vector<base::network_address> addresses;
+  for (const auto& zone : region_job_zones(job, zones, now)) {
+    for (const auto& node : base::rendezvous_top(job, live_nodes_of(zone), count)) {
+      if (node != self_.node) {
+        addresses.push_back(members_.at(node).address);
+      }
+    }
+  }
+  return addresses;
+}
+
 std::size_t membership::zone_rank(std::string_view subject) const {
   // This node is one of the live nodes of its zone, so it always has a rank.
   return zone_job_rank(subject, live_zone_nodes().size()).value_or(0);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -150,6 +150,11 @@
   [[nodiscard]] std::optional<std::size_t> region_job_rank(std::string_view job, std::size_t zones,
                                                            std::size_t count,
                                                            base::time_point now) const;
+  /// @return addresses of the other nodes that do the job, as far as this node knows, in the order
+  ///         of their positions.
+  [[nodiscard]] std::vector<base::network_address>
+  other_region_job_nodes(std::string_view job, std::size_t zones, std::size_t count,
+                         base::time_point now) const;
   /// @return position of this node among the live nodes of its zone, ordered by rendezvous hashing
   ///         with `subject`.
   [[nodiscard]] std::size_t zone_rank(std::string_view subject) const;
@@ -286,6 +291,11 @@
   ///         if this node does not do the job.
   [[nodiscard]] std::optional<std::size_t> zone_job_rank(std::string_view job,
                                                          std::size_t count) const;
+  /// @return zones whose nodes do a region job, in the order of their positions.
+  [[nodiscard]] std::vector<base::zone_id> region_job_zones(std::string_view job, std::size_t zones,
+                                                            base::time_point now) const;
+  /// @return live nodes of a zone, including this node if the zone is its own.
+  [[nodiscard]] std::vector<base::node_id> live_nodes_of(const base::zone_id& zone) const;
   [[nodiscard]] bool is_in_own_zone(const member& other) const { return other.zone == self_.zone; }
   /// @return number of messages in which one member update is sent before it leaves the gossip
   ///         queue.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -64,6 +64,8 @@
   /// Whether `entries` contains all entries of the service at `service_revision` (a listing), not
   /// only the entries that changed after the requested revision.
   bool is_listing = false;
+  /// Number of the read that is answered (`read_service::number`); 0 if unknown.
+  std::uint64_t read_number = 0;
 };
 /// A read or a probe of a platform service failed.
 struct service_failed {
@@ -97,6 +99,8 @@
   bool allow_stale = false;
   /// Maximum time for which the service may delay the answer.
   base::duration max_hold_time{};
+  /// Number of the read among those of this node and service, starting at 1.
+  std::uint64_t number = 0;
 };
 /// Sends a small query to a platform service, to check that the service still answers while the
 /// answer to a read is pending. Only a failed query causes an event, `service_failed`.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -74,7 +74,7 @@
                catalog::service_watch(settings_.service_timing)},
       turns_{catalog::read_turns(settings_.knowledge_limits),
              catalog::read_turns(settings_.knowledge_limits)},
-      last_peer_message_at_(now),
+      list_queries_(random), last_peer_message_at_(now),
       membership_(
           settings_.self, settings_.membership_timing, random,
           [this](const membership::member& subject) {
@@ -154,6 +154,10 @@
   for (const auto& missing : missing_entries_) {
     consider(missing ? std::optional(missing->request_at) : std::nullopt);
   }
+  consider(list_reads_.due_at());
+  if (list_verification_wanted()) {
+    consider(list_queries_.due_at());
+  }
   if (serving_) {
     consider(serving_->next_wakeup(last_event_at_));
   }
@@ -387,6 +391,9 @@
   if (replica_list) {
     serving_->confirm_replica_list(replica_list->at);
   }
+  if (const auto verified_at = knowledge(source_kind::machine_list).verified_at()) {
+    serving_->verify_replica_list(*verified_at);
+  }
 }
 
 // --- graceful stop -------------------------------------------------------------------------------
@@ -412,6 +419,7 @@
     if (serving_) {
       update_replica_list_age();
       serving_->advance(now);
+      advance_list_verification(now);
       for (auto& queued : serving_->take_commands()) {
         commands_.emplace_back(std::move(queued));
       }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,6 +23,8 @@
 #include "execution/executor.h"
 #include "membership/membership.h"
 #include "node/events.h"
+#include "node/position_queries.h"
+#include "node/shared_reads.h"
 #include "routing/backend_table.h"
 
 #include <array>
@@ -127,6 +129,10 @@
   /// @param now end of the stand.
   void note_stand(base::duration stand, base::time_point now);
 
+  /// Makes this node verify its list of replicas as of `since` or later, as it does for requests on
+  /// published routes that need that. Has no effect if the node serves no published routes.
+  void require_verified_list(base::time_point since);
+
   /// @return time at which the caller must deliver the event `time_passed` at the latest.
   [[nodiscard]] base::time_point next_wakeup() const;
 
@@ -214,12 +220,18 @@
   ///         std::nullopt if this node does not have the job.
   [[nodiscard]] std::optional<std::size_t> reader_rank(source_kind source,
                                                        base::time_point now) const;
+  /// @return the other nodes that have this job, the first reader first.
+  [[nodiscard]] std::vector<base::network_address> other_readers(source_kind source,
+                                                                 base::time_point now) const;
   /// @return hold time of the next read.
-  /// @param is_turn whether the read is due because the knowledge of this node is too old.
-  [[nodiscard]] base::duration hold_time_of(source_kind source, bool is_turn,
+  /// @param is_immediate whether the read must be answered at once, because the knowledge of this
+  ///        node is too old or because the read verifies the list of replicas.
+  [[nodiscard]] base::duration hold_time_of(source_kind source, bool is_immediate,
                                             base::time_point now) const;
 
   // --- knowledge of the platform services (node_knowledge.cc)
+  /// @return whether this node receives no messages from peers.
+  [[nodiscard]] bool is_isolated(base::time_point now) const;
   /// @return whether this node must read a platform service because its knowledge is too old and
   ///         its turn has come.
   [[nodiscard]] bool is_turn_to_read(source_kind source, base::time_point now) const;
@@ -245,11 +257,30 @@
                             const base::network_address& sender, base::time_point now);
   /// Requests the entries that have been missing for some time.
   void request_missing_entries(base::time_point now);
+  /// Requests the entries of a service that this node lacks from a peer.
+  void request_entries(source_kind source, const base::network_address& peer, base::time_point now);
   /// Adds the knowledge of this node to a message that spreads knowledge.
   void add_knowledge(wire::envelope& message, base::time_point now) const;
   /// Logs if the knowledge of a service has become overdue or is confirmed again.
   void log_knowledge_changes(base::time_point now);
 
+  // --- verification of the list of replicas (node_verification.cc)
+  /// @return time at or after which the list of replicas must be verified; std::nullopt if it was,
+  ///         or if nothing needs that.
+  [[nodiscard]] std::optional<base::time_point> list_verification_wanted() const;
+  [[nodiscard]] position_queries::reader_list readers_of_list(base::time_point now) const;
+  /// Sends the position query or starts the read that is due to verify the list of replicas.
+  void advance_list_verification(base::time_point now);
+  void on_position_query(const wire::envelope& message, base::time_point now);
+  void on_position_answer(const wire::envelope& message, base::time_point now);
+  /// Answers the position queries that an answer of the service answers.
+  void answer_position_queries(const service_answered& answer,
+                               const catalog::answer_meaning& meaning, base::time_point now);
+  /// @return whether peers should be told of a confirmation by a read that verifies the list, which
+  ///         may be one of many in a short time.
+  [[nodiscard]] bool should_report(source_kind source, catalog::store_position through,
+                                   base::time_point confirmed_at) const;
+
   /// Starts the due reads and probes of the platform services.
   void read_services(base::time_point now);
   /// Ends the substitution for other nodes if another node has confirmed the knowledge of a service
@@ -362,6 +393,10 @@
   std::array<watch_substitution, source_count> substitutions_;
   catalog::source_knowledge_table knowledge_;
   std::array<catalog::read_turns, source_count> turns_;
+  position_queries list_queries_;
+  shared_reads list_reads_;
+  /// Time of the latest call of `require_verified_list`.
+  std::optional<base::time_point> list_required_at_;
   /// Knowledge of a service that this node, as a reader or relay, last sent in a read report.
   struct forwarded_knowledge {
     catalog::store_position through;
--- a/src/node/node_knowledge.cc
+++ b/src/node/node_knowledge.cc
@@ -22,6 +22,9 @@
 constexpr base::duration entry_request_timeout = std::chrono::milliseconds(150);
 /// Maximum number of nodes of its zone to which a reader sends its read reports directly.
 constexpr std::size_t max_report_receivers = 20;
+/// Part of `knowledge_limits::confirm_interval` that must lie between two confirmations for the
+/// later one to be reported, if it comes from a read that verifies the list.
+constexpr int reports_per_confirm_interval = 2;
 /// Minimum time by which a confirmation must be later than the known one for a relay to forward it.
 constexpr base::duration min_forwarded_progress = std::chrono::milliseconds(50);
 
@@ -69,7 +72,7 @@
 ///         messages with entries.
 bool spreads_knowledge(const wire::envelope& message) {
   return message.has_ping() || message.has_acknowledgement() || message.has_zone_digest() ||
-         message.has_catalog_push() || message.has_read_report();
+         message.has_catalog_push() || message.has_read_report() || message.has_position_answer();
 }
 
 catalog::store_position position_of(const wire::service_knowledge& told) {
@@ -84,6 +87,10 @@
          (!age && !is_ready_);
 }
 
+bool node::is_isolated(base::time_point now) const {
+  return now - last_peer_message_at_ >= isolation_time;
+}
+
 bool node::is_turn_to_read(source_kind source, base::time_point now) const {
   const auto index = static_cast<std::size_t>(source);
   const auto age = knowledge_[index].age(now);
@@ -101,7 +108,7 @@
   order.zone_rank = membership_.zone_rank(source_names[index]);
   order.zones = region.zones;
   order.nodes = region.nodes;
-  order.is_isolated = now - last_peer_message_at_ >= isolation_time;
+  order.is_isolated = is_isolated(now);
   return turns_[index].is_due(order, age, now);
 }
 
@@ -123,8 +130,22 @@
   knowledge_[index].note_peer_position(through);
   if (meaning.confirmed_at) {
     knowledge_[index].confirm({through, *meaning.confirmed_at, settings_.self.node.text()});
-    send_read_report();
+    if (should_report(answer.source, through, *meaning.confirmed_at)) {
+      send_read_report();
+    }
   }
+  if (meaning.verified_at) {
+    knowledge_[index].verify(through, *meaning.verified_at);
+  }
+}
+
+bool node::should_report(source_kind source, catalog::store_position through,
+                         base::time_point confirmed_at) const {
+  const auto& reported = last_forwarded_[static_cast<std::size_t>(source)];
+  const bool is_verifying = source == source_kind::machine_list && list_reads_.is_under_way();
+  return !is_verifying || through > reported.through ||
+         confirmed_at - reported.confirmed_at >=
+             settings_.knowledge_limits.confirm_interval / reports_per_confirm_interval;
 }
 
 void node::send_read_report() {
@@ -227,19 +248,25 @@
     if (missing && !known.is_behind()) {
       missing.reset();
     }
-    if (!missing || now < missing->request_at) {
-      continue;
+    if (missing && now >= missing->request_at) {
+      request_entries(static_cast<source_kind>(source), missing->peer, now);
     }
-    missing->request_at = now + entry_request_timeout;
-    wire::outgoing request{missing->peer, {}};
-    auto& body = *request.message.mutable_entry_request();
-    body.set_source(static_cast<std::uint32_t>(source));
-    body.set_after_era(known.known_through().era);
-    body.set_after_revision(known.known_through().revision);
-    outbox_.push_back(std::move(request));
   }
 }
 
+void node::request_entries(source_kind source, const base::network_address& peer,
+                           base::time_point now) {
+  const auto index = static_cast<std::size_t>(source);
+  missing_entries_[index] = missing_entries{peer, now + entry_request_timeout};
+  const auto through = knowledge_[index].known_through();
+  wire::outgoing request{peer, {}};
+  auto& body = *request.message.mutable_entry_request();
+  body.set_source(static_cast<std::uint32_t>(source));
+  body.set_after_era(through.era);
+  body.set_after_revision(through.revision);
+  outbox_.push_back(std::move(request));
+}
+
 void node::add_knowledge(wire::envelope& message, base::time_point now) const {
   if (!serving_ || !spreads_knowledge(message)) {
     return;
--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -68,6 +68,12 @@
   if (message.has_watch_handover()) {
     on_watch_handover(message.watch_handover(), now);
   }
+  if (message.has_position_query()) {
+    on_position_query(message, now);
+  }
+  if (message.has_position_answer()) {
+    on_position_answer(message, now);
+  }
   const bool is_membership_message =
       message.has_ping() || message.has_acknowledgement() || message.has_zone_digest();
   if (is_membership_message) {
--- a/src/node/node_store.cc
+++ b/src/node/node_store.cc
@@ -75,13 +75,22 @@
                                      service_watch::watchers_per_zone, now);
 }
 
-base::duration node::hold_time_of(source_kind source, bool is_turn, base::time_point now) const {
+std::vector<base::network_address> node::other_readers(source_kind source,
+                                                       base::time_point now) const {
+  using catalog::service_watch;
+  return membership_.other_region_job_nodes(watch_jobs[static_cast<std::size_t>(source)],
+                                            service_watch::watching_zones_per_region,
+                                            service_watch::watchers_per_zone, now);
+}
+
+base::duration node::hold_time_of(source_kind source, bool is_immediate,
+                                  base::time_point now) const {
   const auto index = static_cast<std::size_t>(source);
   const auto longest = watches_[index].max_hold_time();
   if (!serving_) {
     return longest;
   }
-  if (is_turn || !knowledge_[index].confirmed()) {
+  if (is_immediate || !knowledge_[index].confirmed()) {
     return immediate_hold_time;
   }
   // The first reader confirms the knowledge of all nodes at short intervals, and so does a node
@@ -105,17 +114,28 @@
     auto& watch = watches_[static_cast<std::size_t>(source)];
     const auto latest = catalog_.latest_position(source);
     watch.note_latest_revision(latest.era, latest.revision, now);
-    watch.note_known_through(knowledge(source).known_through());
+    watch.note_known_through(knowledge(source).known_through(), now);
     end_superfluous_substitution(source);
     const bool is_turn = is_turn_to_read(source, now);
     if (is_turn) {
       turns_[static_cast<std::size_t>(source)].note_attempt(now);
+    }
+    const bool is_list = source == source_kind::machine_list;
+    const bool is_verification_due = is_list && list_reads_.is_due(now);
+    if (is_turn || is_verification_due) {
       watch.request_read(now);
     }
-    if (const auto after = watch.next_read(is_turn || should_read_service(source, now), now)) {
-      const auto hold_time = hold_time_of(source, is_turn, now);
+    const bool may_read = is_turn || is_verification_due || should_read_service(source, now);
+    if (const auto after = watch.next_read(may_read, now)) {
+      // A read that replaces one which verifies the list verifies the list in its place.
+      const bool is_verifying = is_verification_due || (is_list && list_reads_.is_under_way());
+      if (is_verifying) {
+        list_reads_.note_sent(now);
+      }
+      const auto hold_time = hold_time_of(source, is_turn || is_verifying, now);
       watch.set_hold_time(hold_time);
-      commands_.emplace_back(read_service{source, *after, watch.allows_stale(), hold_time});
+      commands_.emplace_back(
+          read_service{source, *after, watch.allows_stale(), hold_time, watch.read_number()});
     }
     if (serving_ && watch.start_probe_if_due(now)) {
       commands_.emplace_back(probe_service{source});
@@ -160,10 +180,18 @@
 
 void node::on(const service_answered& answer, base::time_point now) {
   auto& watch = watches_[static_cast<std::size_t>(answer.source)];
-  const auto meaning = watch.on_answer({answer.era, answer.service_revision, answer.is_listing},
-                                       !answer.entries.empty(), now);
+  if (answer.read_number > 0 && answer.read_number < watch.read_number()) {
+    // The answer waited in a queue while a later read replaced its read.
+    return;
+  }
+  auto meaning = watch.on_answer({answer.era, answer.service_revision, answer.is_listing},
+                                 !answer.entries.empty(), now);
   note_era(answer, meaning);
+  if (answer.read_number != watch.read_number()) {
+    meaning.verified_at.reset();
+  }
   if (meaning.is_outdated || meaning.is_implausible) {
+    answer_position_queries(answer, meaning, now);
     return;
   }
   auto entries = answer.entries;
@@ -184,6 +212,7 @@
   replicator_.apply_and_gossip(entries, range_of(answer, meaning),
                                {one_relay_per_zone(), replication_peers()}, outbox_);
   note_read(answer, meaning, now);
+  answer_position_queries(answer, meaning, now);
   apply_machine_changes(now);
   update_readiness(now);
   read_services(now);
@@ -219,6 +248,9 @@
 
 void node::on(const service_failed& failure, base::time_point now) {
   watches_[static_cast<std::size_t>(failure.source)].on_failure(now);
+  if (failure.source == source_kind::machine_list) {
+    list_reads_.note_failure(now);
+  }
   if (!serving_) {
     hand_over_watch(failure.source, now);
   }
--- a/src/publication/http_publication_client.cc
+++ b/src/publication/http_publication_client.cc
@@ -94,6 +94,7 @@
     const auto body = co_await fetch(command);
     auto answer = body ? parse_answer(command.source, *body) : std::nullopt;
     if (answer) {
+      answer->read_number = command.number;
       observer_.on_answer(std::move(*answer));
     } else {
       observer_.on_failure({command.source});
--- a/src/simulation/emulated_platform.cc
+++ b/src/simulation/emulated_platform.cc
@@ -63,6 +63,7 @@
 node::service_answered emulated_platform::answer_for(const node::read_service& request) const {
   node::service_answered answer;
   answer.source = request.source;
+  answer.read_number = request.number;
   answer.service_revision = mode_ == platform_mode::stale ? stale_revision_ : revision_;
   answer.is_listing = request.after == 0;
   if (request.allow_stale && stale_listing_revision_) {
--- a/src/simulation/fleet_simulation.cc
+++ b/src/simulation/fleet_simulation.cc
@@ -179,6 +179,12 @@
   });
 }
 
+void fleet_simulation::require_verified_list(const std::string& name) {
+  auto& instance = nodes_.at(name);
+  instance.logic->require_verified_list(now());
+  deliver(name, instance.incarnation, node::time_passed{});
+}
+
 void fleet_simulation::schedule_wakeup(node_instance& instance) {
   const auto next_wakeup =
       std::max(instance.logic->next_wakeup(), now() + std::chrono::microseconds(1));
--- a/src/simulation/fleet_simulation.h
+++ b/src/simulation/fleet_simulation.h
@@ -190,6 +190,13 @@
     nodes_.at(name).access_to_peers = access;
   }
 
+  /// Makes a node ignore messages of a kind, as a node of an older build does. Lasts over restarts.
+  void ignore_messages(const std::string& name, wire::envelope::BodyCase kind) {
+    nodes_.at(name).ignored_kinds.insert(kind);
+  }
+  /// Makes a node verify its list of replicas as of now (`node::require_verified_list`).
+  void require_verified_list(const std::string& name);
+
   // --- back ends
   emulated_backend& backend(const std::string& name) { return *backends_.at(name); }
   [[nodiscard]] std::vector<std::string> backend_names() const;
@@ -245,6 +252,8 @@
     /// before this time get no answer.
     base::time_point silenced_at;
     peer_access access_to_peers = peer_access::both_ways;
+    /// Kinds of messages that the node ignores.
+    std::set<wire::envelope::BodyCase> ignored_kinds;
     link uplink;
     link downlink;
   };
--- a/src/simulation/fleet_simulation_network.cc
+++ b/src/simulation/fleet_simulation_network.cc
@@ -68,7 +68,8 @@
     const auto received_at = receiver.downlink.transmit(transmitted_bytes, now());
     if (!received_at || !are_connected(sender_zone, receiver.profile.zone) ||
         receiver.access_to_peers == peer_access::none ||
-        receiver.access_to_peers == peer_access::sends_only) {
+        receiver.access_to_peers == peer_access::sends_only ||
+        receiver.ignored_kinds.contains(envelope.body_case())) {
       return;
     }
     events_.schedule_at(*received_at, [this, name, incarnation, envelope] {
--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -189,4 +189,72 @@
   BOOST_TEST(meaning.should_delete_unlisted);
 }
 
+// Guards against an answer that verifies a time after the sending of its read.
+BOOST_AUTO_TEST_CASE(an_answer_verifies_the_time_at_which_its_read_was_sent) {
+  service_watch subject;
+  subject.next_read(true, start);
+  // The first listing may be stale.
+  BOOST_TEST(!subject.on_answer({std::nullopt, 100, true}, true, start).verified_at.has_value());
+  const auto sent_at = start + std::chrono::seconds(1);
+  BOOST_TEST((subject.next_read(true, sent_at) == 100U));
+  const auto read_at = sent_at + std::chrono::seconds(5);
+  const auto meaning = subject.on_answer({std::nullopt, 101, false}, true, read_at);
+  BOOST_TEST((meaning.verified_at == sent_at));
+  // No read is pending.
+  BOOST_TEST(!subject.on_answer({std::nullopt, 102, false}, true, read_at).verified_at.has_value());
+}
+
+// Guards against a store that does not see its latest entries.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_earlier_revision_verifies_nothing) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({std::nullopt, 100, true}, true, now);
+  subject.note_known_through({0, 120}, now);
+  now += std::chrono::seconds(1);
+  BOOST_TEST((subject.next_read(true, now) == 120U));
+  BOOST_TEST(!subject.on_answer({std::nullopt, 110, false}, false, now).verified_at.has_value());
+}
+
+// Guards against a restored store whose lost entries are not back yet.
+BOOST_AUTO_TEST_CASE(a_new_era_verifies_nothing_before_its_second_listing_is_answered) {
+  for (const bool is_first_known_era : {false, true}) {
+    service_watch subject;
+    auto now = start;
+    if (!is_first_known_era) {
+      subject.next_read(true, now);
+      subject.on_answer({1, 100, true}, true, now);
+      now += std::chrono::seconds(10);
+    }
+    subject.next_read(true, now);
+    BOOST_TEST(!subject.on_answer({2, 90, is_first_known_era}, true, now).verified_at.has_value());
+    const auto settled_at = now + service_watch::era_settle_time;
+    while (now < settled_at) {
+      subject.request_read(now);
+      const auto after = subject.next_read(true, now);
+      const auto meaning = subject.on_answer({2, 91, after == base::revision(0)}, false, now);
+      BOOST_TEST(!meaning.verified_at.has_value());
+      now += std::chrono::milliseconds(100);
+    }
+    const auto after = subject.next_read(true, now);
+    BOOST_TEST((after == base::revision(0)) == !is_first_known_era);
+    const auto meaning = subject.on_answer({2, 93, after == base::revision(0)}, false, now);
+    BOOST_TEST((meaning.verified_at == now));
+  }
+}
+
+// Guards against a new era that this node knows from a peer while the service answers of the
+// earlier era.
+BOOST_AUTO_TEST_CASE(an_answer_of_an_era_before_that_of_a_peer_verifies_nothing) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({1, 100, true}, true, now);
+  now += std::chrono::seconds(10);
+  subject.note_known_through({2, 90}, now);
+  now += std::chrono::seconds(10);
+  subject.next_read(true, now);
+  BOOST_TEST(!subject.on_answer({1, 100, false}, false, now).verified_at.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/catalog/source_knowledge_test.cc
+++ b/tests/catalog/source_knowledge_test.cc
@@ -57,4 +57,49 @@
   BOOST_TEST(!source_knowledge().age(start).has_value());
 }
 
+// Guards against a list that counts as verified although the node lacks entries of it.
+BOOST_AUTO_TEST_CASE(a_verified_position_counts_once_the_node_has_all_entries_through_it) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.verify({1, 10}, start);
+  BOOST_TEST((subject.verified_at() == start));
+  subject.verify({1, 12}, start + milliseconds(100));
+  subject.verify({1, 14}, start + milliseconds(200));
+  BOOST_TEST((subject.verified_at() == start));
+  subject.add_range({1, 10}, {1, 13});
+  BOOST_TEST((subject.verified_at() == start + milliseconds(100)));
+  subject.add_range({1, 13}, {1, 14});
+  BOOST_TEST((subject.verified_at() == start + milliseconds(200)));
+}
+
+// Guards against a position of an era whose last entries the node never received.
+BOOST_AUTO_TEST_CASE(a_verified_position_of_an_earlier_era_than_the_entries_does_not_count) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.verify({1, 12}, start);
+  subject.advance({2, 5});
+  BOOST_TEST(!subject.verified_at().has_value());
+  subject.verify({1, 12}, start);
+  BOOST_TEST(!subject.verified_at().has_value());
+  subject.verify({2, 5}, start);
+  BOOST_TEST((subject.verified_at() == start));
+}
+
+// Guards against age that messages tell being taken for a verified list.
+BOOST_AUTO_TEST_CASE(a_confirmation_by_a_message_verifies_nothing) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.confirm({{1, 10}, start, "a"});
+  BOOST_TEST(!subject.verified_at().has_value());
+}
+
+// Guards against an earlier time that replaces a later one if answers arrive out of order.
+BOOST_AUTO_TEST_CASE(the_latest_verified_time_counts) {
+  source_knowledge subject;
+  subject.advance({1, 10});
+  subject.verify({1, 10}, start + milliseconds(100));
+  subject.verify({1, 9}, start);
+  BOOST_TEST((subject.verified_at() == start + milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
