A stream without a record goes on only on a list that was verified after its client lost it

What callers saw: a stream that had begun at a new software version went on at the old one, if its client resumed at a node that was cut off, or stood, while the new version joined (ORDER).

Cause: age and silence counted as evidence. only_version_of asked how early the stream may have begun and never how late; a list of up to 3 s was taken for today's, what a peer's equally old list said was dated from its receipt, and nodes that did not answer counted as if they knew nothing.

Ruled out: a larger number of queries or a shorter age of the list (both only make it rarer); that the node itself changes the version within one answer (bound by its first event).

Change: streams/version_proof judges all evidence in one place. The list of replicas must show one version from the earliest begin to the time at which the look-up began, verified by a call of this node that was sent after that (the node's part is in the merge before). A request without a record waits for that at most 1 s; afterwards, and while verification fails, it is refused with a Retry-After. What cannot be proven by any later confirmation (a gap, a second version, several services of the route) is refused at once. Other nodes' lists count for the time before this node's list only if less than 3 s lie between. The log line says how the list is dated and what the verdict was; counters tell the proofs apart.

The tests of resumption verify the list where they confirmed it: the stand-in for the store is read at each step, as before; no expectation changed.

Why it works: nobody can begin a stream at a version before it is published, and a read that is sent after the client lost the stream shows all that was published before.

--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -204,6 +204,7 @@
   add_outcome("only_version", counts.resumptions_at_only_version);
   add_outcome("unknown", counts.resumptions_of_unknown_origin);
   add_outcome("without_evidence", counts.resumptions_without_evidence);
+  add_outcome("list_not_verified", counts.resumptions_without_verified_list);
   add_outcome("left", counts.resumptions_of_left_version);
   add_outcome("without_slot", counts.resumptions_without_slot);
   const auto& origins = dispatcher.stream_origins();
--- a/src/dispatch/active_request.h
+++ b/src/dispatch/active_request.h
@@ -189,6 +189,8 @@
   /// replica of this version. std::nullopt if the client has no event, or if `has_settled_origin`
   /// is false and the version is not known yet.
   std::optional<base::software_version> bound_version;
+  /// Time at which this node began to look up the origin: the stream began before.
+  base::time_point origin_asked_at;
   /// Whether it was looked up which service and version began the stream.
   bool has_settled_origin = false;
   /// Whether the request passed the checks on arrival; a request that resumes a stream waits for
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -316,6 +316,7 @@
   check_requests_awaiting_budget(now);
   origins_.advance(now);
   process_origin_findings(now);
+  process_list_waits(now);
   if (next_share_check_at_ <= now) {
     ask_for_versions(now);
     share_origins(now);
@@ -369,6 +370,9 @@
   if (const auto next_origin_at = origins_.next_wakeup()) {
     consider(*next_origin_at);
   }
+  for (const auto& [client, wait] : awaiting_list_) {
+    consider(wait.ends_at);
+  }
   if (const auto next_limit_at = limits_.next_wakeup()) {
     consider(*next_limit_at);
   }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -124,20 +124,41 @@
   /// @return whether the request may continue.
   bool apply_origin(active_request& request, const streams::origin_finding& finding,
                     base::time_point now);
-  /// @param own what this node knows of the versions of the request's service.
-  /// @return version to which a stream of unknown origin is bound; std::nullopt unless this node or
-  ///         a queried one knows that no other version can have begun the stream.
-  [[nodiscard]] std::optional<base::software_version>
-  only_version_of(const active_request& request, const streams::version_evidence& own,
-                  const streams::origin_finding& finding, base::time_point now) const;
+  /// Binds a request whose origin nobody recorded to the only version of its service, if it is
+  /// proven that this version began the stream. If the list of replicas must be verified first, the
+  /// request waits and continues later. Refuses it otherwise.
+  /// @return whether the request may continue now.
+  bool apply_only_version(active_request& request, const streams::origin_finding& finding,
+                          base::time_point now);
+  /// Queries the witnesses of a request's stream. @return whether the request may continue now.
+  bool look_up_origin(active_request& request, base::time_point now);
+  /// Lets a request continue whose origin was settled while it waited.
+  void continue_with_origin(active_request& request, base::time_point now);
+  /// @return what this node knows about the version that began the stream of a request.
+  [[nodiscard]] streams::version_case version_case_of(const active_request& request,
+                                                      const streams::origin_finding& finding,
+                                                      base::time_point now) const;
+  /// Lets a request wait until the list of replicas is verified. @return false if it has waited
+  /// long enough, or if the list could not be verified for an earlier request and was not since.
+  bool wait_for_verified_list(const active_request& request, const streams::origin_finding& finding,
+                              base::time_point now);
+  /// Settles the origins of the requests whose wait for a verified list is over.
+  void process_list_waits(base::time_point now);
+  /// @param finding outcome of the look-up before the list was verified.
+  /// @return whether the request may continue now.
+  bool settle_by_verified_list(active_request& request, const streams::origin_finding& finding,
+                               base::time_point now);
+  /// Refuses a request to resume a stream whose origin nobody recorded and that is not proven.
+  void refuse_unknown_origin(active_request& request, streams::version_verdict verdict,
+                             base::time_point now);
   /// @return earliest time at which the stream that a request resumes may have begun.
   [[nodiscard]] base::time_point earliest_begin_of(const active_request& request,
                                                    base::time_point now) const;
-  /// @return text for the log: how long ago the stream may have begun, and for how long this node
-  ///         and the queried ones know the versions of the service.
+  /// @return text for the log: how long ago the stream may have begun, for how long and until when
+  ///         this node and the queried ones know the versions of the service, and how the list of
+  ///         replicas is dated.
   [[nodiscard]] std::string version_evidence_text(const active_request& request,
-                                                  const streams::version_evidence& own,
-                                                  const streams::origin_finding& finding,
+                                                  const streams::version_case& known,
                                                   base::time_point now) const;
   /// Refuses a request to resume a stream, or breaks its answer off, because the stream cannot go
   /// on at the version that began it.
--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -43,6 +43,7 @@
 #include "streams/origin_exchange.h"
 #include "streams/stream_ages.h"
 #include "streams/version_evidence.h"
+#include "streams/version_proof.h"
 
 #include <cstdint>
 #include <functional>
@@ -222,6 +223,14 @@
   version_questions version_questions_;
   /// Clients whose request waits for the origin of a stream.
   std::map<streams::stream_key, std::vector<base::caller_id>> awaiting_origin_;
+  /// Wait of a request until the list of replicas is verified.
+  struct list_wait {
+    streams::origin_finding finding;
+    base::time_point ends_at;
+  };
+  std::map<base::caller_id, list_wait> awaiting_list_;
+  /// Time at or after which the list had to be verified for the last request that waited in vain.
+  std::optional<base::time_point> failed_list_wait_;
   /// Services of whose open streams the witnesses know.
   std::set<std::string> shared_services_;
   base::time_point next_share_check_at_;
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -11,6 +11,10 @@
 namespace spurrack::serving {
 namespace {
 
+/// Time for which a request waits until the list of replicas is verified: enough for several
+/// attempts at different nodes, and half of the shortest time for which a client waits for an
+/// event.
+constexpr base::duration list_verification_timeout = std::chrono::seconds(1);
 /// Interval at which this node checks whether the witnesses of its open streams must be told.
 constexpr base::duration share_check_interval = std::chrono::milliseconds(250);
 
@@ -38,14 +42,6 @@
   return text;
 }
 
-/// @return whether this node or a queried one knows of several versions of the service, or of
-///         contradictory origins.
-bool is_second_version_known(const streams::version_evidence& own,
-                             const streams::origin_finding& finding) {
-  return own.knowledge == streams::version_knowledge::several || finding.is_contradictory ||
-         finding.peers_know_several_versions;
-}
-
 } // namespace
 
 bool dispatcher::is_resumable_stream(const active_request& request) {
@@ -60,6 +56,14 @@
 // --- look-up -------------------------------------------------------------------------------------
 
 bool dispatcher::settle_origin(active_request& request, base::time_point now) {
+  if (awaiting_list_.contains(request.client)) {
+    return false;
+  }
+  request.origin_asked_at = now;
+  return look_up_origin(request, now);
+}
+
+bool dispatcher::look_up_origin(active_request& request, base::time_point now) {
   const auto& stream = *request.stream_key;
   const auto finding =
       origins_.look_up(stream, request.service, earliest_begin_of(request, now), now);
@@ -83,36 +87,82 @@
     awaiting_origin_.erase(waiting);
     for (const auto client : clients) {
       const auto found = active_.find(client);
-      if (found == active_.end() || !apply_origin(found->second, finding, now)) {
-        continue;
-      }
-      if (found->second.has_passed_admission) {
-        send_to_replica(found->second, now);
-      } else {
-        start_request(found->second, now);
+      if (found != active_.end() && apply_origin(found->second, finding, now)) {
+        continue_with_origin(found->second, now);
       }
     }
   }
 }
 
-std::optional<base::software_version>
-dispatcher::only_version_of(const active_request& request, const streams::version_evidence& own,
-                            const streams::origin_finding& finding, base::time_point now) const {
-  const auto versions = replicas_.versions().published(request.service);
-  if (is_second_version_known(own, finding) || versions.size() != 1) {
-    return std::nullopt;
+void dispatcher::continue_with_origin(active_request& request, base::time_point now) {
+  if (request.has_passed_admission) {
+    send_to_replica(request, now);
+  } else {
+    start_request(request, now);
   }
-  const auto& version = versions.front();
-  if (finding.sole && finding.sole->version != version) {
-    return std::nullopt;
+}
+
+streams::version_case dispatcher::version_case_of(const active_request& request,
+                                                  const streams::origin_finding& finding,
+                                                  base::time_point now) const {
+  const bool has_gap = !list_coverage_.is_current(now);
+  return {.is_route_split = request.route->services.size() > 1,
+          .published = replicas_.versions().published(request.service),
+          .own = version_evidence_of(request.service, now),
+          .finding = finding,
+          .earliest_begin = earliest_begin_of(request, now),
+          .lost_by = request.origin_asked_at,
+          .unbroken_since = has_gap ? std::optional(now) : list_coverage_.unbroken_since(),
+          .verified_at = list_coverage_.verified_at(),
+          .max_gap = list_coverage::max_gap};
+}
+
+bool dispatcher::wait_for_verified_list(const active_request& request,
+                                        const streams::origin_finding& finding,
+                                        base::time_point now) {
+  // Verification goes on for later requests even if this one is refused.
+  list_wanted_at_ = std::max(list_wanted_at_, std::optional(request.origin_asked_at));
+  const base::time_point ends_at = request.origin_asked_at + list_verification_timeout;
+  if (now >= ends_at) {
+    failed_list_wait_ = std::max(failed_list_wait_, std::optional(request.origin_asked_at));
   }
-  const auto earliest_begin = earliest_begin_of(request, now);
-  const auto is_proof = [&](const std::optional<streams::sole_version>& sole) {
-    return sole && sole->since <= earliest_begin;
+  if (now >= ends_at || list_coverage_.verified_at() < failed_list_wait_) {
+    return false;
+  }
+  awaiting_list_[request.client] = {finding, ends_at};
+  return true;
+}
+
+void dispatcher::process_list_waits(base::time_point now) {
+  const auto is_over = [&](const auto& entry) {
+    const auto found = active_.find(entry.first);
+    return found == active_.end() || entry.second.ends_at <= now ||
+           list_coverage_.verified_at() >= found->second.origin_asked_at;
   };
-  const bool is_proven = (own.knowledge == streams::version_knowledge::one && is_proof(own.sole)) ||
-                         is_proof(finding.sole);
-  return is_proven ? std::optional(version) : std::nullopt;
+  std::vector<std::pair<base::caller_id, streams::origin_finding>> ended;
+  for (const auto& entry : awaiting_list_) {
+    if (is_over(entry)) {
+      ended.emplace_back(entry.first, entry.second.finding);
+    }
+  }
+  for (const auto& [client, finding] : ended) {
+    awaiting_list_.erase(client);
+    const auto found = active_.find(client);
+    if (found != active_.end() && settle_by_verified_list(found->second, finding, now)) {
+      continue_with_origin(found->second, now);
+    }
+  }
+}
+
+bool dispatcher::settle_by_verified_list(active_request& request,
+                                         const streams::origin_finding& finding,
+                                         base::time_point now) {
+  const auto own = version_evidence_of(request.service, now);
+  if (own.knowledge == streams::version_knowledge::several) {
+    // The nodes that knew of one version alone, and of no record, may know better now.
+    return look_up_origin(request, now);
+  }
+  return apply_origin(request, finding, now);
 }
 
 base::time_point dispatcher::earliest_begin_of(const active_request& request,
@@ -124,70 +174,90 @@
 }
 
 std::string dispatcher::version_evidence_text(const active_request& request,
-                                              const streams::version_evidence& own,
-                                              const streams::origin_finding& finding,
+                                              const streams::version_case& known,
                                               base::time_point now) const {
   const auto age_of = [now](base::time_point at) {
     return std::to_string(base::to_milliseconds(now - at)) + " ms";
   };
-  const auto unbroken_since = list_coverage_.unbroken_since();
-  std::string text = ", begun at most " + age_of(earliest_begin_of(request, now)) + " ago, list ";
-  text += unbroken_since ? "known without a gap for " + age_of(*unbroken_since) +
-                               ", last confirmed " + age_of(replica_list_confirmed_at()) + " ago"
-                         : "never confirmed";
-  if (latest_stand_ended_at_ >= earliest_begin_of(request, now)) {
+  std::string text = ", begun at most " + age_of(known.earliest_begin) + " ago, asked " +
+                     age_of(request.origin_asked_at) + " ago, list ";
+  text += known.unbroken_since
+              ? "known without a gap for " + age_of(*known.unbroken_since) + ", last confirmed " +
+                    age_of(replica_list_confirmed_at()) + " ago"
+              : "never confirmed";
+  text +=
+      known.verified_at ? ", verified " + age_of(*known.verified_at) + " ago" : ", never verified";
+  if (latest_stand_ended_at_ >= known.earliest_begin) {
     text += ", this process stood for " + std::to_string(base::to_milliseconds(latest_stand_)) +
             " ms until " + age_of(latest_stand_ended_at_) + " ago";
   }
-  if (own.knowledge == streams::version_knowledge::several) {
+  if (known.own.knowledge == streams::version_knowledge::several) {
     text += ", several versions known here";
   }
-  if (finding.sole) {
-    text += ", other nodes know " + finding.sole->version.text() + " alone for " +
-            age_of(finding.sole->since);
+  if (const auto& sole = known.finding.sole) {
+    text += ", other nodes know " + sole->version.text() + " alone for " + age_of(sole->since) +
+            " until " + age_of(sole->through) + " ago";
   }
   return text;
 }
 
 bool dispatcher::apply_origin(active_request& request, const streams::origin_finding& finding,
                               base::time_point now) {
+  const auto& origin = finding.origin;
+  if (!origin) {
+    return apply_only_version(request, finding, now);
+  }
   request.has_settled_origin = true;
   // Where the stream goes on now replaces its recorded origin.
   request.calls = std::max(request.calls, finding.call);
-  const auto& origin = finding.origin;
-  const auto own = version_evidence_of(request.service, now);
-  const auto evidence =
-      evidence_text(finding) +
-      (origin ? std::string() : version_evidence_text(request, own, finding, now));
-  if (origin && !has_service(*request.route, origin->service)) {
+  if (!has_service(*request.route, origin->service)) {
     // The route was moved to another service, of which the client has no event.
     record(base::event_kind::stream_resumed, request, request.service,
-           evidence + ", the route now leads to " + request.service);
+           evidence_text(finding) + ", the route now leads to " + request.service);
     return true;
   }
-  if (origin) {
-    request.service = origin->service;
-    request.bound_version = origin->version;
-  } else {
-    request.bound_version = only_version_of(request, own, finding, now);
+  request.service = origin->service;
+  request.bound_version = origin->version;
+  record(base::event_kind::stream_resumed, request, request.service,
+         evidence_text(finding) + ", " + version_text(request, now));
+  if (refuse_if_version_left(request, now)) {
+    return false;
   }
-  if (!request.bound_version && replicas_.versions().published(request.service).empty()) {
+  ++counters_.resumptions_bound;
+  return true;
+}
+
+bool dispatcher::apply_only_version(active_request& request, const streams::origin_finding& finding,
+                                    base::time_point now) {
+  using streams::version_verdict;
+  const auto known = version_case_of(request, finding, now);
+  const auto verdict = streams::judge(known);
+  if (verdict == version_verdict::needs_verified_list &&
+      wait_for_verified_list(request, finding, now)) {
+    return false;
+  }
+  request.has_settled_origin = true;
+  request.calls = std::max(request.calls, finding.call);
+  if (known.published.empty()) {
     refuse_resumption(request, "no replica", settings_.retry_after, now);
     return false;
   }
-  if (!request.bound_version) {
-    ++(is_second_version_known(own, finding) ? counters_.resumptions_of_unknown_origin
-                                             : counters_.resumptions_without_evidence);
+  const auto evidence = evidence_text(finding) + version_evidence_text(request, known, now) + ", " +
+                        streams::text_of(verdict);
+  if (!streams::is_proven(verdict)) {
     record(base::event_kind::stream_resumed, request, request.service, evidence + ", refused");
-    refuse_resumption(request, "it is not known which software version began the stream", {}, now);
+    refuse_unknown_origin(request, verdict, now);
     return false;
   }
+  request.bound_version = known.published.front();
   record(base::event_kind::stream_resumed, request, request.service,
          evidence + ", " + version_text(request, now));
   if (refuse_if_version_left(request, now)) {
     return false;
   }
-  ++(origin ? counters_.resumptions_bound : counters_.resumptions_at_only_version);
+  ++counters_.resumptions_at_only_version;
+  ++(verdict == version_verdict::proven_by_own_list ? counters_.resumptions_proven_by_own_list
+                                                    : counters_.resumptions_proven_by_other_nodes);
   return true;
 }
 
@@ -202,6 +272,21 @@
 
 // --- refusal -------------------------------------------------------------------------------------
 
+void dispatcher::refuse_unknown_origin(active_request& request, streams::version_verdict verdict,
+                                       base::time_point now) {
+  const bool may_be_verified_later = verdict == streams::version_verdict::needs_verified_list;
+  if (may_be_verified_later) {
+    ++counters_.resumptions_without_verified_list;
+  } else if (verdict == streams::version_verdict::several_versions ||
+             verdict == streams::version_verdict::several_services) {
+    ++counters_.resumptions_of_unknown_origin;
+  } else {
+    ++counters_.resumptions_without_evidence;
+  }
+  refuse_resumption(request, "it is not known which software version began the stream",
+                    may_be_verified_later ? settings_.retry_after : base::duration{}, now);
+}
+
 bool dispatcher_state::has_version_left(const active_request& request) const {
   return request.bound_version &&
          replicas_.presence_of(request.service, request.permitted_regions,
--- a/src/dispatch/dispatcher_version_questions.cc
+++ b/src/dispatch/dispatcher_version_questions.cc
@@ -66,8 +66,10 @@
   const auto service = asked->second;
   version_questions_.service_by_question.erase(asked);
   const auto published = replicas_.versions().published(service);
-  const bool agrees = finding.sole && !finding.peers_know_several_versions &&
-                      published.size() == 1 && finding.sole->version == published.front();
+  const bool agrees =
+      finding.sole && !finding.peers_know_several_versions && published.size() == 1 &&
+      finding.sole->version == published.front() &&
+      version_questions_.unbroken_since - finding.sole->through <= list_coverage::max_gap;
   if (agrees) {
     inherited_versions_.adopt(service, *finding.sole, version_questions_.unbroken_since);
     record_(base::event_kind::knowledge_confirmed, {}, service,
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -137,12 +137,17 @@
   /// version of a service.
   std::uint64_t resumptions_bound = 0;
   std::uint64_t resumptions_at_only_version = 0;
+  /// Requests that go on at the only version, by what proves that it began the stream: this node's
+  /// list of replicas, or the lists of other nodes for the time before.
+  std::uint64_t resumptions_proven_by_own_list = 0;
+  std::uint64_t resumptions_proven_by_other_nodes = 0;
   /// Requests to resume a stream that were refused: because it is not known which of several
   /// versions began the stream, because no node knows for long enough that there is one version
-  /// alone, because no replica of the version accepts work, or because its replicas had no slot in
-  /// time.
+  /// alone, because the list of replicas could not be verified in time, because no replica of the
+  /// version accepts work, or because its replicas had no slot in time.
   std::uint64_t resumptions_of_unknown_origin = 0;
   std::uint64_t resumptions_without_evidence = 0;
+  std::uint64_t resumptions_without_verified_list = 0;
   std::uint64_t resumptions_of_left_version = 0;
   std::uint64_t resumptions_without_slot = 0;
   /// Streams whose client read too slowly for so long that the stream was suspended or buffered.
--- a/tests/dispatch/serving_fixture.h
+++ b/tests/dispatch/serving_fixture.h
@@ -281,13 +281,13 @@
   command_list commands;
   /// Whether each probe finds at once that its replica accepts connections.
   bool answers_probes = false;
-  /// Whether the store is known at each step to have no later list of replicas.
+  /// Whether this node reads the store at each step, which has no later list of replicas.
   bool confirms_list = true;
 
  private:
   void confirm_list() {
     if (confirms_list) {
-      subject.confirm_replica_list(now);
+      subject.verify_replica_list(now);
     }
   }
 
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -74,7 +74,7 @@
     update();
     for (const auto end = now + version_history::retention; now < end;) {
       now += seconds(1);
-      subject.confirm_replica_list(now);
+      subject.verify_replica_list(now);
     }
     begin(9000);
     deliver(client_disconnected{9000});
@@ -215,7 +215,7 @@
                      with_retry_budget(), other_random, 1,
                      [](auto, const auto&, const auto&, const auto&) {});
   started.update(published.content, now);
-  started.confirm_replica_list(now);
+  started.verify_replica_list(now);
   const auto send_to_started = [&](base::caller_id client, bool resumes) {
     auto content = content_for(client, "/stream/");
     if (resumes) {
@@ -235,7 +235,7 @@
   // A client may have begun its stream `stream_timeout` ago, by a list that was `max_gap` old.
   for (const auto end = now + stream_timeout + list_coverage::max_gap; now < end;) {
     now += seconds(1);
-    started.confirm_replica_list(now);
+    started.verify_replica_list(now);
   }
   BOOST_TEST(send_to_started(3, true));
 }
