--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -257,4 +257,24 @@
   BOOST_TEST(!subject.on_answer({1, 100, false}, false, now).verified_at.has_value());
 }
 
+// Guards against an age that counts from the reading of an answer, which may have waited in a
+// socket while this process stood.
+BOOST_AUTO_TEST_CASE(an_early_answer_confirms_no_time_after_it_left_the_service) {
+  constexpr auto left_after = std::chrono::milliseconds(100);
+  for (const auto read_after : {500, 1000, 1900, 2500, 5000}) {
+    service_watch subject;
+    subject.next_read(true, start);
+    subject.on_answer({1, 100, true}, true, start);
+    const auto sent_at = start + std::chrono::seconds(1);
+    BOOST_REQUIRE(subject.next_read(true, sent_at).has_value());
+    const auto read_at = sent_at + std::chrono::milliseconds(read_after);
+    const auto confirmed_at = subject.on_answer({1, 101, false}, true, read_at).confirmed_at;
+    BOOST_REQUIRE(confirmed_at.has_value());
+    const base::duration too_late = *confirmed_at - (sent_at + left_after);
+    BOOST_TEST((too_late <= base::duration{}),
+               "read after " << read_after << " ms: " << base::to_milliseconds(too_late)
+                             << " ms too late");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
