An answer of the store counts from the sending of its read

Cause: service_watch::confirmed_time dated an early answer 200 ms before it was read, and any answer that was read after the hold time to the end of the hold time. An answer that left the store 100 ms after its call and was read 500 to 5,000 ms after it confirmed the list as of 300 to 2,000 ms after the call. Likewise the second listing of an era was told by the time of its answer: a listing that left a restored store at once and was read 3 s later deleted what the store got back meanwhile.

Change: an answer confirms the sending of its read. Only an empty answer at the end of the hold time, without a stand since, confirms the end of the hold time: the store held it until then. So that ages do not grow, the next read after an early answer has the hold time that is left since the last confirmation, and comes at its end if that is before the read interval. A listing counts as the second one if it was sent when that was due; a watch that is pending then is replaced.

--- a/src/catalog/service_watch.cc
+++ b/src/catalog/service_watch.cc
@@ -3,16 +3,12 @@
 #include <algorithm>
 
 namespace spurrack::catalog {
-namespace {
-
-/// Maximum time that the answer to a watch is expected to take from the service to this node.
-constexpr base::duration answer_time_allowance = std::chrono::milliseconds(200);
-
-} // namespace
 
 std::optional<base::revision> service_watch::next_read(bool may_read, base::time_point now) {
+  const bool should_relist = relist_at_ && now >= *relist_at_;
+  const bool was_sent_too_early = should_relist && pending_since_ < *relist_at_;
   const bool is_waiting = is_pending_ && now - pending_since_ < watch_timeout &&
-                          !has_lost_answer(now) && !should_replace_;
+                          !has_lost_answer(now) && !should_replace_ && !was_sent_too_early;
   if (is_waiting || !may_read || now < next_read_at_) {
     return std::nullopt;
   }
@@ -21,6 +17,7 @@
   behind_since_.reset();
   is_pending_ = true;
   ++read_number_;
+  has_stood_ = false;
   pending_since_ = now;
   last_probe_at_ = now;
   if (era_ == 0 && cursor_ == 0) {
@@ -29,7 +26,6 @@
   if (era_ == known_through_.era) {
     cursor_ = std::max(cursor_, known_through_.revision);
   }
-  const bool should_relist = relist_at_ && now >= *relist_at_;
   const auto after = should_relist ? 0 : cursor_;
   ++(after == 0 ? calls_.listings : calls_.watches);
   calls_.restarted_watches += is_restarted_ ? 1 : 0;
@@ -61,12 +57,18 @@
   next_read_at_ = std::min(next_read_at_, now);
 }
 
-base::time_point service_watch::confirmed_time(base::time_point now) const {
+base::time_point service_watch::confirmed_time(bool is_empty, base::time_point now) const {
+  // Only an empty answer at the end of the hold time left the service as late as that. Any other
+  // answer left it at an unknown time after the read was sent.
   const base::time_point hold_ends_at = pending_since_ + hold_time_;
-  // An answer that comes before the end of the hold time left the service at an unknown time.
-  return now >= hold_ends_at
-             ? std::min(now, hold_ends_at)
-             : std::max<base::time_point>(pending_since_, now - answer_time_allowance);
+  const bool was_held = is_empty && !has_stood_ && now >= hold_ends_at;
+  return was_held ? hold_ends_at : pending_since_;
+}
+
+base::duration service_watch::remaining_hold_time(base::duration hold_time,
+                                                  base::time_point now) const {
+  const base::duration passed = last_confirmed_at_ ? now - *last_confirmed_at_ : base::duration{};
+  return std::max(hold_time - passed, immediate_hold_time);
 }
 
 void service_watch::note_latest_revision(base::store_era era, base::revision latest,
@@ -101,7 +103,8 @@
       has_frequent_changes
           ? std::min(read_interval_ * 2, std::max(timing_.max_read_interval, min_read_interval))
           : min_read_interval;
-  next_read_at_ = has_changes ? now + read_interval_ : now;
+  const base::time_point hold_ends_at = pending_since_ + hold_time_;
+  next_read_at_ = has_changes ? std::clamp(hold_ends_at, now, now + read_interval_) : now;
   answer_meaning meaning;
   meaning.is_outdated = answered.era && *answered.era < era_;
   meaning.is_implausible = answered.era && era_ > 0 && *answered.era > era_ + max_missed_eras;
@@ -111,7 +114,9 @@
     return meaning;
   }
   if (!allows_stale_) {
-    meaning.confirmed_at = confirmed_time(now);
+    const bool is_empty = !has_changes && !answered.is_listing;
+    meaning.confirmed_at = confirmed_time(is_empty, now);
+    last_confirmed_at_ = meaning.confirmed_at;
   }
   meaning.is_new_era = era_ > 0 && answered.era && *answered.era > era_;
   meaning.has_earlier_revision = !meaning.is_new_era && answered.revision < cursor_;
@@ -129,7 +134,7 @@
     cursor_ = answered.is_listing ? answered.revision : 0;
     next_read_at_ = now;
   }
-  const bool is_relist_due = relist_at_ && now >= *relist_at_;
+  const bool is_relist_due = relist_at_ && pending_since_ >= *relist_at_;
   meaning.should_delete_unlisted = answered.is_listing && (!relist_at_ || is_relist_due);
   if (answered.is_listing && is_relist_due) {
     relist_at_.reset();
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -107,7 +107,8 @@
   /// Time after which a pending read is restarted; longer than the hold time of a watch.
   static constexpr base::duration watch_timeout = std::chrono::seconds(20);
   /// Minimum interval between an answer that contains changes and the next read, so that a burst of
-  /// changes takes few calls. If an answer with changes arrives within the current interval after
+  /// changes takes few calls. The next read comes sooner if the hold time of the answered one would
+  /// end sooner. If an answer with changes arrives within the current interval after
   /// its read started, the interval doubles, up to `watch_timing::max_read_interval`. Any other
   /// answer resets the interval to the minimum. The first change after a time without changes is
   /// reported at once, because a watch is pending at the time of the change.
@@ -123,6 +124,9 @@
   /// to be outdated.
   static constexpr base::store_era max_missed_eras = 1'000;
 
+  /// Hold time of a read that must be answered at once.
+  static constexpr base::duration immediate_hold_time = std::chrono::milliseconds(1);
+
   explicit service_watch(const watch_timing& timing = {})
       : timing_(timing),
         retry_interval_(std::min(initial_retry_interval, timing.max_retry_interval)) {}
@@ -141,6 +145,13 @@
   /// Sets the hold time of the read that `next_read` last started, from which the time of a
   /// confirmation is derived.
   void set_hold_time(base::duration hold_time) { hold_time_ = hold_time; }
+  /// @return part of `hold_time` that is left since the latest confirmation, so that the next one
+  ///         does not come later although the last answer came early; at least
+  ///         `immediate_hold_time`.
+  [[nodiscard]] base::duration remaining_hold_time(base::duration hold_time,
+                                                   base::time_point now) const;
+  /// Records that this process stood, so that the pending answer may have waited in a socket.
+  void note_stand() { has_stood_ = true; }
   [[nodiscard]] bool is_pending() const { return is_pending_; }
   /// @return number of the read that `next_read` last started, starting at 1. An answer to an
   ///         earlier read says nothing about the time since the later read was sent.
@@ -172,9 +183,10 @@
   [[nodiscard]] const service_calls& calls() const { return calls_; }
 
  private:
-  /// @return time at which the service had written no entry after the position of an answer that
-  ///         arrives now.
-  [[nodiscard]] base::time_point confirmed_time(base::time_point now) const;
+  /// @return latest time at which the service is certain to have written no entry after the
+  ///         position of an answer that arrives now.
+  /// @param is_empty whether the answer contains no entries although it is no listing.
+  [[nodiscard]] base::time_point confirmed_time(bool is_empty, base::time_point now) const;
   /// Notes an era of the service that this node learned from a peer or from an answer.
   void note_era(base::store_era era, base::time_point now);
   /// @return whether an answer to the pending read contains the entries that a restored store got
@@ -196,6 +208,10 @@
   /// Whether the next read replaces the pending read.
   bool should_replace_ = false;
   std::uint64_t read_number_ = 0;
+  /// Whether this process stood since the pending read was sent.
+  bool has_stood_ = false;
+  /// Time of the latest confirmation by an answer to this watch.
+  std::optional<base::time_point> last_confirmed_at_;
   bool allows_stale_ = false;
   base::duration hold_time_{};
   store_position known_through_;
--- a/src/node/node_store.cc
+++ b/src/node/node_store.cc
@@ -42,9 +42,6 @@
 /// Minimum interval between two times at which a node hands over the watch that is its own job.
 constexpr base::duration handover_interval = std::chrono::seconds(5);
 
-/// Hold time of a read that must be answered at once, to confirm that this node knows all entries.
-constexpr base::duration immediate_hold_time = std::chrono::milliseconds(1);
-
 /// @return range of the service's entries that an answer contains completely; std::nullopt if it is
 ///         unknown, or for a listing, which may contain more entries than are gossiped.
 std::optional<wire::entry_range> range_of(const service_answered& answer,
@@ -91,14 +88,18 @@
     return longest;
   }
   if (is_immediate || !knowledge_[index].confirmed()) {
-    return immediate_hold_time;
+    return catalog::service_watch::immediate_hold_time;
   }
   // The first reader confirms the knowledge of all nodes at short intervals, and so does a node
   // that took over. The other readers only have to report changes at once if the first reader
   // fails.
   const bool is_confirming =
       now < substitutions_[index].ends_at || reader_rank(source, now) == std::size_t{0};
-  return is_confirming ? std::min(longest, settings_.knowledge_limits.confirm_interval) : longest;
+  if (!is_confirming) {
+    return longest;
+  }
+  const auto interval = std::min(longest, settings_.knowledge_limits.confirm_interval);
+  return watches_[index].remaining_hold_time(interval, now);
 }
 
 bool node::should_read_service(source_kind source, base::time_point now) const {
--- a/tests/catalog/service_watch_test.cc
+++ b/tests/catalog/service_watch_test.cc
@@ -277,4 +277,75 @@
   }
 }
 
+// Guards against an answer without entries that came early and waited in a socket over a stand.
+BOOST_AUTO_TEST_CASE(an_empty_answer_after_a_stand_confirms_the_time_of_its_call) {
+  for (const bool has_stood : {false, true}) {
+    service_watch subject;
+    subject.next_read(true, start);
+    subject.on_answer({1, 100, true}, true, start);
+    const auto sent_at = start + std::chrono::seconds(1);
+    subject.next_read(true, sent_at);
+    subject.set_hold_time(std::chrono::milliseconds(850));
+    if (has_stood) {
+      subject.note_stand();
+    }
+    const auto read_at = sent_at + std::chrono::seconds(5);
+    const auto confirmed_at = subject.on_answer({1, 100, false}, false, read_at).confirmed_at;
+    // Without a stand, the service held the answer for the whole hold time.
+    const auto expected = has_stood ? sent_at : sent_at + std::chrono::milliseconds(850);
+    BOOST_TEST((confirmed_at == expected));
+    subject.next_read(true, read_at);
+    subject.set_hold_time(std::chrono::milliseconds(850));
+    const auto next = subject.on_answer({1, 100, false}, false, read_at + std::chrono::seconds(1));
+    BOOST_TEST((next.confirmed_at == read_at + std::chrono::milliseconds(850)));
+  }
+}
+
+// Guards against ages that grow because an early answer confirms an earlier time.
+BOOST_AUTO_TEST_CASE(an_early_answer_does_not_delay_the_next_confirmation) {
+  constexpr base::duration hold_time = std::chrono::milliseconds(850);
+  for (int left_after = 0; left_after < 850; left_after += 50) {
+    service_watch subject;
+    subject.next_read(true, start);
+    subject.on_answer({1, 100, true}, true, start);
+    auto now = start + std::chrono::seconds(1);
+    subject.next_read(true, now);
+    subject.set_hold_time(hold_time);
+    now += std::chrono::milliseconds(left_after);
+    const auto early = subject.on_answer({1, 101, false}, true, now).confirmed_at;
+    while (!subject.next_read(true, now)) {
+      now += std::chrono::milliseconds(1);
+    }
+    const auto remaining = subject.remaining_hold_time(hold_time, now);
+    subject.set_hold_time(remaining);
+    now += remaining;
+    const auto next = subject.on_answer({1, 101, false}, false, now).confirmed_at;
+    BOOST_REQUIRE((early.has_value() && next.has_value()));
+    BOOST_TEST((*next - *early <= hold_time + service_watch::immediate_hold_time));
+  }
+}
+
+// Guards against a listing that left a restored store at once, lay in a socket over a stand, and
+// deletes what the store got back meanwhile.
+BOOST_AUTO_TEST_CASE(
+    a_listing_sent_before_the_era_settled_deletes_nothing_however_late_it_is_read) {
+  service_watch subject;
+  auto now = start;
+  subject.next_read(true, now);
+  subject.on_answer({1, 100, true}, true, now);
+  now += std::chrono::seconds(10);
+  subject.next_read(true, now);
+  BOOST_REQUIRE(subject.on_answer({2, 90, false}, true, now).is_new_era);
+  BOOST_REQUIRE((subject.next_read(true, now) == 0U));
+  now += service_watch::era_settle_time + std::chrono::seconds(1);
+  const auto late = subject.on_answer({2, 90, true}, true, now);
+  BOOST_TEST(!late.should_delete_unlisted);
+  BOOST_TEST(!late.verified_at.has_value());
+  now += std::chrono::seconds(1);
+  BOOST_TEST((subject.next_read(true, now) == 0U));
+  const auto second = subject.on_answer({2, 93, true}, true, now);
+  BOOST_TEST(second.should_delete_unlisted);
+  BOOST_TEST((second.verified_at == now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/simulation/store_calls_test.cc
+++ b/tests/simulation/store_calls_test.cc
@@ -169,4 +169,38 @@
   BOOST_TEST(calls[1] <= max_calls);
 }
 
+// Guards against knowledge that grows older than other nodes wait for, or against reads that
+// multiply, because an answer with a change confirms only the time at which its read was sent.
+BOOST_AUTO_TEST_CASE(a_change_costs_few_reads_and_does_not_delay_confirmations) {
+  for (const auto interval : {std::chrono::milliseconds(300), std::chrono::milliseconds(1'100),
+                              std::chrono::milliseconds(5'300)}) {
+    fleet_simulation fleet(region_settings(24, 4));
+    fleet.start_all_nodes();
+    BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
+    fleet.run_for(seconds(10));
+    const auto calls_before = fleet.platform().calls();
+    std::uint64_t changes = 0;
+    base::duration oldest{};
+    for (const auto end = fleet.now() + seconds(48); fleet.now() < end;) {
+      fleet.platform().publish(std::string(model::configuration_key),
+                               simulation::configuration_of(2 + ++changes));
+      for (const auto until = fleet.now() + interval; fleet.now() < until;) {
+        fleet.run_for(std::chrono::milliseconds(50));
+        for (const auto& name : fleet.node_names()) {
+          const auto age =
+              fleet.node(name).knowledge(node::source_kind::configuration).age(fleet.now());
+          oldest = std::max(oldest, age.value_or(base::duration{}));
+        }
+      }
+    }
+    BOOST_TEST_MESSAGE(changes << " changes: " << fleet.platform().calls() - calls_before
+                               << " calls in 48 s, oldest knowledge "
+                               << base::to_milliseconds(oldest) << " ms");
+    // Each change ends the watches of both sources at the four readers.
+    constexpr std::uint64_t idle_calls_in_48_seconds = 56;
+    BOOST_TEST(fleet.platform().calls() - calls_before <= idle_calls_in_48_seconds + 8 * changes);
+    BOOST_TEST((oldest <= catalog::limits_for(seconds(5)).max_age));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
