--- a/tests/node/list_verification_test.cc
+++ b/tests/node/list_verification_test.cc
@@ -25,11 +25,14 @@
     BOOST_REQUIRE(!list_reads().empty());
   }
 
-  void answer(std::uint64_t read_number, base::revision revision) {
+  void answer(std::uint64_t read_number, base::revision revision,
+              std::optional<base::store_era> era = std::nullopt, bool is_listing = false) {
     node::service_answered answered;
     answered.source = source_kind::machine_list;
     answered.service_revision = revision;
     answered.read_number = read_number;
+    answered.era = era;
+    answered.is_listing = is_listing;
     deliver(answered);
   }
 
@@ -133,6 +136,39 @@
   BOOST_TEST((verified_at() >= verified_before));
 }
 
+// Guards against a restored store that lost the replicas of a version: their entries come back
+// within two seconds.
+BOOST_AUTO_TEST_CASE(a_new_era_verifies_nothing_before_its_second_listing_is_answered) {
+  answer(list_reads().back().number, 110, 1);
+  advance_time(seconds(5));
+  now += milliseconds(10);
+  const auto restored_at = now;
+  answer(list_reads().back().number, 90, 2);
+  BOOST_REQUIRE(list_reads().back().after == 0U);
+  const auto verified_before = verified_at();
+  bool was_listed_again = false;
+  for (std::uint64_t number = 1; number <= 80 && !was_listed_again; ++number) {
+    now += milliseconds(50);
+    subject.require_verified_list(now);
+    ask(number);
+    const auto read = list_reads().back();
+    was_listed_again = read.after == 0 && now >= restored_at + seconds(3);
+    if (!was_listed_again) {
+      answer(read.number, 91, 2, read.after == 0);
+      BOOST_TEST(answers().empty());
+      BOOST_TEST((verified_at() == verified_before));
+    }
+  }
+  BOOST_REQUIRE(was_listed_again);
+  const auto listed_at = now;
+  now += milliseconds(5);
+  answer(list_reads().back().number, 93, 2, true);
+  BOOST_TEST((verified_at() == listed_at));
+  BOOST_REQUIRE(!answers().empty());
+  BOOST_TEST(answers().back().position_answer().era() == 2U);
+  BOOST_TEST(answers().back().position_answer().revision() == 93U);
+}
+
 // Guards against a number of reads that grows with the number of queries.
 BOOST_AUTO_TEST_CASE(queries_in_quick_succession_take_few_reads) {
   const auto reads_before = list_reads().size();
