An answer of the store that cannot be read as a whole is reported in the log

What operators saw: nodes stopped following the list of replicas, and no line of the log said so.

Cause: a failed parse counted as a failed read like a store that is down.

Change: `read_observer::on_unreadable` gets the source and the reason (not a whole JSON object, its list or its revision is missing, a page that does not move on, ended after N bytes) at once, and again after 5 s while answers stay unreadable. The daemon writes a warning.

Test: store_client_test/an_unreadable_answer_is_reported_at_once_and_at_a_bounded_rate; there was nothing to report to before.

--- a/src/daemon/runtime.cc
+++ b/src/daemon/runtime.cc
@@ -98,7 +98,13 @@
       *io_, settings_.serving->store,
       {[this](node::service_answered answer) { post(std::move(answer)); },
        [this](node::service_failed failure) { post(failure); },
-       [this](base::time_point started_at) { pump_.note_work("store_answer", started_at); }});
+       [this](base::time_point started_at) { pump_.note_work("store_answer", started_at); },
+       [](node::source_kind source, const std::string& reason) {
+         logging::write(logging::severity::warning, "answer of the store cannot be read",
+                        {{"source", source == node::source_kind::machine_list ? "machine list"
+                                                                              : "configuration"},
+                         {"reason", reason}});
+       }});
 }
 
 void runtime::start_pipeline_interface() {
--- a/src/publication/publication_client.h
+++ b/src/publication/publication_client.h
@@ -6,6 +6,7 @@
 #include "node/events.h"
 
 #include <functional>
+#include <string>
 
 namespace spurrack::publication {
 
@@ -18,6 +19,10 @@
   /// Called after an answer, or a part of it, was parsed; may be empty. In this time the thread
   /// read no sockets.
   std::function<void(base::time_point started_at)> on_parsed = {};
+  /// Called before `on_failure` if a service answered, but the answer cannot be read as a whole;
+  /// may be empty. Not called for each such answer, but at a bounded rate for each service.
+  /// `reason` is text for operators.
+  std::function<void(node::source_kind source, const std::string& reason)> on_unreadable = {};
 };
 
 /// Client that reads the services. Not thread-safe.
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -1,4 +1,5 @@
 /// Client of the platform's store before a server on loopback.
+#include "paged_store.h"
 #include "store_client.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace spurrack;
 using std::chrono::milliseconds;
@@ -161,4 +164,43 @@
   }
 }
 
+// Guards against a list that nobody can read and of which nothing says so: the report must come at
+// once, and come again while the list stays unreadable, but not with each read.
+BOOST_AUTO_TEST_CASE(an_unreadable_answer_is_reported_at_once_and_at_a_bounded_rate) {
+  asio::io_context io(1);
+  std::string body = R"({"items":[],"more":false)";
+  paged_store store(io, [&](const std::string&) { return paged_store::answer{body}; });
+  std::vector<std::string> reports;
+  int failures = 0;
+  const auto client =
+      platform::make_store_client(io, store.address(),
+                                  {[](const auto&) {},
+                                   [&](auto) { ++failures; },
+                                   {},
+                                   [&](node::source_kind source, const std::string& reason) {
+                                     BOOST_TEST((source == node::source_kind::machine_list));
+                                     reports.push_back(reason);
+                                   }});
+  const auto read = [&] {
+    const int failures_before = failures;
+    client->read({node::source_kind::machine_list, 0, false, {}});
+    while (failures == failures_before && io.run_one_for(milliseconds(2'000)) > 0) {
+    }
+  };
+  read();
+  BOOST_REQUIRE(reports.size() == 1);
+  BOOST_TEST(reports[0] == "not a whole JSON object");
+  body = R"({"more":false,"at":3})";
+  read();
+  read();
+  BOOST_TEST(failures == 3);
+  BOOST_TEST(reports.size() == 1);
+  const auto reported_again_by = std::chrono::steady_clock::now() + std::chrono::seconds(7);
+  while (reports.size() == 1 && std::chrono::steady_clock::now() < reported_again_by) {
+    read();
+  }
+  BOOST_REQUIRE(reports.size() == 2);
+  BOOST_TEST(reports[1] == "its list is missing");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
