A software version that is written as a number is taken as it is written

What callers saw: 1e999 and 500 nines were both the version "Infinity", 2^64 + 1 and 2^64 the same text, and so were 1.1 and 1.10: two versions taken for one, so that a stream of one could go on at the other.

Cause: a number that is no 64-bit integer went through a double.

--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -5,7 +5,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace spurrack;
 
@@ -332,6 +334,44 @@
   BOOST_TEST(refused.id() == "i-1");
 }
 
+// Guards against numbers that are equal as floating-point numbers, but are different versions: a
+// stream that began at one would go on at the other.
+BOOST_AUTO_TEST_CASE(versions_that_are_written_differently_are_different_or_rejected) {
+  const std::vector<std::string> numbers{"1",
+                                         "1.0",
+                                         "1.1",
+                                         "1.10",
+                                         "1e999",
+                                         "-1e999",
+                                         "1e998",
+                                         std::string(150, '9'),
+                                         std::string(151, '9'),
+                                         std::string(500, '9'),
+                                         std::string(501, '9'),
+                                         "18446744073709551615",
+                                         "18446744073709551616",
+                                         "18446744073709551617",
+                                         "9007199254740992.0",
+                                         "9007199254740993.0",
+                                         "1e-400",
+                                         "0"};
+  std::set<std::string> versions;
+  for (const auto& number : numbers) {
+    const auto read = parsed_replica(with_field("version", number));
+    if (const auto* replica = std::get_if<std::shared_ptr<const model::replica>>(&read)) {
+      BOOST_TEST(versions.insert((*replica)->version.text()).second, number);
+    } else {
+      BOOST_TEST(std::get<model::refusal_reason>(read).text == "version is too long", number);
+    }
+  }
+  BOOST_TEST(versions.size() == numbers.size() - 2);
+  BOOST_TEST(std::get<0>(parsed_replica(with_field("version", "7")))->version.text() == "7");
+  // The last of several fields with the same name counts, as for the other fields.
+  const auto& entry = with_field("version", "1.10");
+  const auto twice = entry.substr(0, entry.size() - 1) + ",\"version\" : 1.100 }";
+  BOOST_TEST(std::get<0>(parsed_replica(twice))->version.text() == "1.100");
+}
+
 BOOST_AUTO_TEST_CASE(entry_without_an_id_is_rejected) {
   const auto bytes = platform::translate_value("servers/", without_field("none"));
   const auto read = model::parse_replica(bytes);
