An entry with an address at which no replica can listen is rejected

What callers saw: entries with 0.0.0.0, 255.255.255.255 or 224.0.0.1 among the replicas of a service used up attempts: safe requests with two attempts got 503 although a sound replica was there.

Loopback stays accepted: users run all on one machine.

--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -319,6 +319,22 @@
   }
 }
 
+// Guards against addresses at which no replica can listen: a call there fails or reaches another
+// process of the machine of the node, and uses up an attempt of the request.
+BOOST_AUTO_TEST_CASE(entry_with_an_address_of_no_host_is_rejected) {
+  for (const std::string address :
+       {"0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "239.255.255.255:80", ":::80",
+        "ff02::1:80", "::ffff:0.0.0.0:80", "::ffff:224.0.0.1:80", "::ffff:255.255.255.255:80"}) {
+    BOOST_TEST(replica_refusal_of(with_field("address", '"' + address + '"')) ==
+                   "address is not that of a host",
+               address);
+  }
+  for (const std::string address :
+       {"127.0.0.1:80", "10.0.0.255:80", "223.255.255.255:80", "::1:80"}) {
+    BOOST_TEST(replica_refusal_of(with_field("address", '"' + address + '"')) == "", address);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unparsable_entry_is_rejected) {
   for (const std::string text : {"", " ", "{", "7", "null", "\"ready\"", "[]", "{}",
                                  "{\"service\":\"\xff\"}", "\x00\x01\x02"}) {
