The record of a replica is short, however long its entry is

What operators saw: nothing; an entry with a zone or a version of a MB was kept, hashed and pushed to every peer as it was.

Cause: the translation bounded numbers only.

Change: service, address, zone and state of more than 200 bytes, the longest key of the store, reject the entry ("zone is too long"): a zone is a part of a key of the store too. A long version is shortened where it is translated, by the same rule by which the model shortened it before, so that nodes of older builds, which hold the long text, name the version alike. The rule does not cut a character any more; for versions of more than 80 bytes with other characters than ASCII, builds may name them differently.

--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -208,17 +208,6 @@
   return limits;
 }
 
-/// Shortens a very long version. Versions of equal text stay equal, others stay different.
-base::software_version build_version(const std::string& published) {
-  constexpr std::size_t max_bytes = 80;
-  constexpr std::size_t kept_bytes = 48;
-  if (published.size() <= max_bytes) {
-    return base::software_version(published);
-  }
-  return base::software_version(published.substr(0, kept_bytes) + "..." +
-                                std::to_string(base::stable_hash(published)));
-}
-
 std::shared_ptr<const serving_configuration>
 build_configuration(const wire::published_configuration& published) {
   auto built = std::make_shared<serving_configuration>();
@@ -272,6 +261,20 @@
   return found == services.end() ? nullptr : &found->second;
 }
 
+std::string shorten_version(const std::string& version) {
+  constexpr std::size_t max_bytes = 80;
+  constexpr std::size_t kept_bytes = 48;
+  if (version.size() <= max_bytes) {
+    return version;
+  }
+  // A character of several bytes must not be cut: records hold text.
+  std::size_t kept = kept_bytes;
+  while (kept > 0 && (static_cast<unsigned char>(version[kept]) & 0xC0U) == 0x80U) {
+    --kept;
+  }
+  return version.substr(0, kept) + "..." + std::to_string(base::stable_hash(version));
+}
+
 configuration_result parse_configuration(const std::string& bytes) {
   wire::published_configuration published;
   if (!published.ParseFromString(bytes)) {
@@ -300,7 +303,7 @@
   built->service = published.service();
   built->address = base::network_address(published.address());
   built->zone = base::zone_id(published.zone());
-  built->version = build_version(published.version());
+  built->version = base::software_version(shorten_version(published.version()));
   built->slots = std::max(1U, published.slots());
   built->draining = published.draining();
   built->cold_for = milliseconds_of(published.cold_milliseconds());
--- a/src/model/serving_record_parser.h
+++ b/src/model/serving_record_parser.h
@@ -28,6 +28,10 @@
 
 using evacuation_result = std::variant<evacuation, refusal_reason>;
 
+/// Shortens a very long software version. Versions of equal text stay equal, others stay different;
+/// a shortened version is not shortened further.
+std::string shorten_version(const std::string& version);
+
 /// Parses and validates a configuration.
 /// @param bytes a serialized `wire::published_configuration`.
 configuration_result parse_configuration(const std::string& bytes);
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -335,6 +335,53 @@
   }
 }
 
+// Guards against an entry of a MB that is kept and sent to every node as it is.
+BOOST_AUTO_TEST_CASE(the_record_of_a_long_entry_is_short) {
+  constexpr std::size_t max_record_bytes = 600;
+  const std::string long_text(1'000'000, 'x');
+  for (const std::string name : {"service", "address", "zone", "state", "version", "note"}) {
+    const auto record =
+        platform::translate_value("servers/i-1", with_field(name, '"' + long_text + '"'));
+    BOOST_TEST(record.size() < max_record_bytes, name);
+  }
+  BOOST_TEST(replica_refusal_of(with_field("zone", '"' + std::string(200, 'z') + '"')) == "");
+  BOOST_TEST(replica_refusal_of(with_field("zone", '"' + std::string(201, 'z') + '"')) ==
+             "zone is too long");
+  BOOST_TEST(replica_refusal_of(with_field("service", '"' + long_text + '"')) ==
+             "service is too long");
+}
+
+// Guards against long versions that are equal once shortened, that differ from the versions of
+// nodes which shorten them later, or that are cut within a character and cannot be sent.
+BOOST_AUTO_TEST_CASE(a_long_version_is_shortened_once_and_stays_different) {
+  const auto version_of = [](const std::string& version) {
+    const auto record =
+        platform::translate_replica("i-1", with_field("version", '"' + version + '"'));
+    BOOST_TEST(record.version().size() <= 80);
+    const auto read = model::parse_replica(record.SerializeAsString());
+    BOOST_TEST(std::get<0>(read)->version.text() == record.version());
+    return record.version();
+  };
+  const std::string text(1'000'000, 'v');
+  BOOST_TEST(version_of(text) != version_of(text + "1"));
+  BOOST_TEST(version_of(text) == version_of(text));
+  wire::published_replica unshortened;
+  unshortened.set_id("i-1");
+  unshortened.set_service("s");
+  unshortened.set_address("10.0.0.1:80");
+  unshortened.set_version(text);
+  const auto read = model::parse_replica(unshortened.SerializeAsString());
+  BOOST_TEST(std::get<0>(read)->version.text() == version_of(text));
+  std::string umlauts = "x";
+  while (umlauts.size() < 200) {
+    umlauts += "\xc3\xa4";
+  }
+  wire::published_replica received;
+  BOOST_TEST(received.ParseFromString(
+      platform::translate_value("servers/i-1", with_field("version", '"' + umlauts + '"'))));
+  BOOST_TEST(version_of(umlauts).substr(0, 50) == umlauts.substr(0, 47) + "...");
+}
+
 BOOST_AUTO_TEST_CASE(unparsable_entry_is_rejected) {
   for (const std::string text : {"", " ", "{", "7", "null", "\"ready\"", "[]", "{}",
                                  "{\"service\":\"\xff\"}", "\x00\x01\x02"}) {
