Numbers of a configuration are bounded before they become integers or times

What callers saw: nothing yet; a configuration with `kv_capacity_tokens`, `version`, `handle_s`, `call_ms` or `size_bytes` beyond what an integer or a time holds was converted all the same, which is undefined, and a stage that needs stage 2^32 needed stage 0.

The parser of records refuses a quantity that is negative, infinite, no number or beyond 2^53, and a time beyond 4e9 ms, so that a record of a peer of an older build is bounded too.

--- a/src/model/serving_record_parser.cc
+++ b/src/model/serving_record_parser.cc
@@ -37,10 +37,51 @@
   return text;
 }
 
+/// Maximum time in milliseconds of a record, as for the times that records hold as integers.
+constexpr double max_milliseconds = 4e9;
+/// Maximum number of any other quantity of a record, which every JSON parser represents exactly.
+constexpr double max_quantity = 9'007'199'254'740'992;
+
+/// Requires a value from 0 to `maximum`. No other value, such as infinity, may be converted to a
+/// time or an integer.
+/// @param subject what the value belongs to, and its name; part of the reason of the refusal.
+void require_within(double value, double maximum, const std::string& subject) {
+  require(value >= 0 && value <= maximum, subject + " is out of range");
+}
+
+piece_capacity build_pieces(const wire::published_piece_capacity& given, const std::string& owner) {
+  constexpr double bytes_per_megabyte = 1e6;
+  constexpr double milliseconds_per_second = 1e3;
+  require_within(given.call_milliseconds(), max_milliseconds, owner + ": time of a call");
+  require_within(given.item_milliseconds(), max_milliseconds, owner + ": time of an item");
+  require_within(given.result_megabytes(), max_quantity, owner + ": memory for results");
+  require_within(given.handle_seconds(), max_milliseconds / milliseconds_per_second,
+                 owner + ": time of a handle");
+  return {std::max(1U, given.slots()),
+          given.queue(),
+          std::max(1U, given.batch()),
+          milliseconds_of(given.call_milliseconds()),
+          milliseconds_of(given.item_milliseconds()),
+          given.result_megabytes() * bytes_per_megabyte,
+          base::from_seconds(given.handle_seconds())};
+}
+
+engine_capacity build_engine(const wire::published_engine_capacity& given,
+                             const std::string& owner) {
+  constexpr double bits_per_megabit = 1e6;
+  require(given.token_bytes() >= 0 && given.link_megabits_per_second() >= 0,
+          owner + ": an engine's figure is negative");
+  require_within(given.token_bytes(), max_quantity, owner + ": size of a token");
+  require_within(given.link_megabits_per_second(), max_quantity, owner + ": speed of a link");
+  return {std::max(1U, given.slots()), given.memory_tokens(), given.token_bytes(),
+          given.link_megabits_per_second() * bits_per_megabit};
+}
+
 stage_step build_stage(const wire::published_stage& published) {
   stage_step built;
   built.service = published.service();
   built.start_after.assign(published.start_after().begin(), published.start_after().end());
+  require_within(published.result_bytes(), max_quantity, "size of a stage's result");
   built.result_bytes = published.result_bytes();
   return built;
 }
@@ -134,26 +175,14 @@
   built.health_path = published.health_path();
   built.max_connections = published.max_connections();
   require(!built.name.empty(), "service without a name");
+  const auto owner = "service " + built.name;
   if (published.has_pieces()) {
-    const auto& given = published.pieces();
-    constexpr double bytes_per_megabyte = 1e6;
-    built.pieces = piece_capacity{std::max(1U, given.slots()),
-                                  given.queue(),
-                                  std::max(1U, given.batch()),
-                                  milliseconds_of(given.call_milliseconds()),
-                                  milliseconds_of(given.item_milliseconds()),
-                                  given.result_megabytes() * bytes_per_megabyte,
-                                  base::from_seconds(given.handle_seconds())};
+    built.pieces = build_pieces(published.pieces(), owner);
   }
   built.cold_requests_per_second = std::max(0.0, published.cold_requests_per_second());
+  require_within(built.cold_requests_per_second, max_quantity, owner + ": rate while it is cold");
   if (published.has_engine()) {
-    const auto& given = published.engine();
-    require(given.token_bytes() >= 0 && given.link_megabits_per_second() >= 0,
-            "service " + built.name + ": an engine's figure is negative");
-    constexpr double bits_per_megabit = 1e6;
-    built.engine =
-        engine_capacity{std::max(1U, given.slots()), given.memory_tokens(), given.token_bytes(),
-                        given.link_megabits_per_second() * bits_per_megabit};
+    built.engine = build_engine(published.engine(), owner);
   }
   return built;
 }
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
 #include <set>
 #include <string>
@@ -183,6 +184,59 @@
       "service llm: an engine's figure is negative");
 }
 
+// Guards against numbers that no integer or time can hold: their conversion is undefined.
+BOOST_AUTO_TEST_CASE(configuration_with_a_number_out_of_range_is_refused) {
+  const std::vector<std::string> invalid{"1e999",  "-1e999", "1e300",
+                                         "-1e300", "-1",     "18446744073709551616"};
+  const auto refusals = [&](const std::string& before, const std::string& after) {
+    for (const auto& number : invalid) {
+      const auto text = configuration_refusal_of(before + number + after);
+      BOOST_TEST(text != "", before << number << after);
+    }
+    BOOST_TEST(configuration_refusal_of(before + "3" + after) == "");
+  };
+  refusals(R"({"version":)", "}");
+  for (const std::string field :
+       {"slots", "queue", "batch", "call_ms", "item_ms", "headroom_mb", "handle_s"}) {
+    refusals(R"({"version":1,"services":[{"name":"s","pieces":{")" + field + "\":", "}}]}");
+  }
+  for (const std::string field : {"slots", "kv_capacity_tokens", "kv_token_bytes", "link_mbps"}) {
+    refusals(R"({"version":1,"services":[{"name":"s","engine":{")" + field + "\":", "}}]}");
+  }
+  refusals(R"({"version":1,"services":[{"name":"one","pieces":{}}],"routes":[{"name":"r","host":"h",
+      "path_prefix":"/","kind":"safe","service":"one","stages":[{"service":"one","size_bytes":)",
+           "}]}]}");
+  // Reduced to 32 bits, this number would name the first stage.
+  BOOST_TEST(configuration_refusal_of(with_route(
+                 R"({"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"llm",
+                         "stages":[{"service":"one"},
+                                   {"service":"one","start_after":[4294967296]}]})")) ==
+             "start_after is not a stage");
+  BOOST_TEST(configuration_refusal_of(R"({"version":1.5})") == "version is not a whole number");
+  BOOST_TEST(std::get<0>(parsed(R"({"version":9007199254740993})"))->version == 9007199254740993U);
+}
+
+// Guards against the record of a peer that translated such a number.
+BOOST_AUTO_TEST_CASE(record_with_a_number_out_of_range_is_refused) {
+  for (const double number : {HUGE_VAL, -HUGE_VAL, std::nan(""), 1e300, -1.0}) {
+    wire::published_configuration record;
+    auto& service = *record.add_services();
+    service.set_name("s");
+    service.mutable_pieces()->set_handle_seconds(number);
+    const auto read = model::parse_configuration(record.SerializeAsString());
+    BOOST_TEST(std::get<model::refusal_reason>(read).text ==
+               "service s: time of a handle is out of range");
+  }
+}
+
+// Guards against a product that exceeds 32 bits and leaves clients of a slow route no patience.
+BOOST_AUTO_TEST_CASE(patience_of_clients_does_not_overflow) {
+  const auto record = platform::translate_configuration(with_route(
+      R"({"name":"r","host":"h","path_prefix":"/","kind":"streaming","service":"llm",
+          "target_latency_ms":1073741824})"));
+  BOOST_TEST(record.routes(0).client_patience_milliseconds() == 4'294'967'295U);
+}
+
 BOOST_AUTO_TEST_CASE(route_with_the_longest_prefix_is_found) {
   const auto text = with_route(
       R"({"name":"short","host":"h","path_prefix":"/a/","kind":"safe","service":"llm"},
