A node that has no list of replicas from any source is not ready

What callers saw: nodes that started while the list of replicas could not be read were ready after 1.5 s and answered every request with 503 "no replica".

Cause: two starting nodes with the same configuration and no replicas count as synchronised with each other, and after the confirmation timeout nothing asks any more whether the list was read.

Change: a node that serves published routes needs a replica, an own answer of the machine list, or a confirmation of it by a peer. The confirmation timeout stays for a store that is down while peers hand on what they know.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -252,7 +252,12 @@
                             std::none_of(all_sources.begin(), all_sources.end(), [&](auto source) {
                               return is_knowledge_overdue(source, now);
                             });
-  if (has_content && is_up_to_date && is_confirmed) {
+  // Without a list of replicas, a node that serves published routes refuses every request.
+  constexpr auto machine_list = source_kind::machine_list;
+  const bool knows_replicas = !serving_ || !catalog_.replicas().empty() ||
+                              knowledge(machine_list).confirmed().has_value() ||
+                              watches_[static_cast<std::size_t>(machine_list)].has_answered();
+  if (has_content && is_up_to_date && is_confirmed && knows_replicas) {
     is_ready_ = true;
     record(base::event_kind::node_ready, {}, settings_.self.node.text(), "");
   }
