The fault soak draws odd entries by seed among those of the replicas

`foreign_entries` writes, besides its fixed entries, six that it draws by seed each time: nested by 33 to 2,100,000 levels, a version of 3 MB or of 201 to 1,200 digits, names of 1 MB, numbers and ports out of range, addresses of no host, keys with blanks, line ends, bytes that are no text or too many. They are written during the faults, beside which nodes restart, and stay during the checks without faults and the planned maintenance. Nodes must not call their addresses and must follow all other entries.

--- a/tests/platform/odd_items_test.cc
+++ b/tests/platform/odd_items_test.cc
@@ -77,8 +77,10 @@
 // Guards against a bound on the sum of all items, by which several writers of large values, or one
 // with several keys, keep starting nodes from reading any replica.
 BOOST_AUTO_TEST_CASE(items_of_seventeen_megabytes_together_are_read) {
+  constexpr int item_count = 17;
   std::vector<std::string> items;
-  for (int count = 0; count < 17; ++count) {
+  items.reserve(item_count);
+  for (int count = 0; count < item_count; ++count) {
     items.push_back(item_of("servers/odd-" + std::to_string(count), std::string(1'000'000, '[')));
   }
   const auto verdicts = verdicts_beside_sound_items(items);
--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -188,12 +188,16 @@
 BOOST_AUTO_TEST_CASE(configuration_with_a_number_out_of_range_is_refused) {
   const std::vector<std::string> invalid{"1e999",  "-1e999", "1e300",
                                          "-1e300", "-1",     "18446744073709551616"};
+  const auto refusal_with = [](const std::string& before, const std::string& number,
+                               const std::string& after) {
+    std::string text = before;
+    return configuration_refusal_of(text.append(number).append(after));
+  };
   const auto refusals = [&](const std::string& before, const std::string& after) {
     for (const auto& number : invalid) {
-      const auto text = configuration_refusal_of(before + number + after);
-      BOOST_TEST(text != "", before << number << after);
+      BOOST_TEST(refusal_with(before, number, after) != "", before << number << after);
     }
-    BOOST_TEST(configuration_refusal_of(before + "3" + after) == "");
+    BOOST_TEST(refusal_with(before, "3", after) == "");
   };
   refusals(R"({"version":)", "}");
   for (const std::string field :
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -39,7 +39,9 @@
 soak_run::soak_run(const std::filesystem::path& binaries, const soak_options& options,
                    std::uint64_t seed)
     : options_(options), seed_(seed), random_(seed), broken_answers_(seed + 3),
-      fleet_(binaries, options.fleet, recorder_), foreign_entries_(fleet_.store, recorder_),
+      fleet_(binaries, options.fleet, recorder_),
+      foreign_entries_(fleet_.store, recorder_,
+                       fleet_.mixes_builds() ? std::nullopt : std::optional(seed + 5)),
       faults_(fleet_, foreign_entries_, recorder_, random_) {
   for (const auto& replica : fleet_.replicas) {
     replica->set_broken_answer_source(broken_answers_);
