--- a/tests/platform/odd_items_test.cc
+++ b/tests/platform/odd_items_test.cc
@@ -120,4 +120,23 @@
   BOOST_TEST(rejected == 3);
 }
 
+// Guards against an evacuation that is lost because of its value, and against the evacuation of a
+// zone whose name no record can hold.
+BOOST_AUTO_TEST_CASE(an_evacuation_stands_unless_its_key_is_odd) {
+  const auto listed = read_once([](const std::string&) {
+    return paged_store::answer{
+        listing_of({item_of("op/evacuate/north", std::string(2'000'000, 'x')),
+                    item_of("op/evacuate/\xff", "{}"),
+                    item_of("op/evacuate/" + std::string(300, 'z'), "{}")})};
+  });
+  BOOST_REQUIRE(listed.has_value());
+  BOOST_REQUIRE(listed->entries.size() == 3);
+  const auto north = model::parse_evacuation(listed->entries[0].value());
+  BOOST_TEST(std::get<model::evacuation>(north).zone.text() == "north");
+  for (const std::size_t odd : {1U, 2U}) {
+    const auto parsed = model::parse_evacuation(listed->entries[odd].value());
+    BOOST_TEST(std::get<model::refusal_reason>(parsed).text == "zone is missing");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
