--- a/tests/platform/record_translator_test.cc
+++ b/tests/platform/record_translator_test.cc
@@ -4,8 +4,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace spurrack;
 
@@ -181,6 +184,63 @@
       "service llm: an engine's figure is negative");
 }
 
+// Guards against numbers that no integer or time can hold: their conversion is undefined.
+BOOST_AUTO_TEST_CASE(configuration_with_a_number_out_of_range_is_refused) {
+  const std::vector<std::string> invalid{"1e999",  "-1e999", "1e300",
+                                         "-1e300", "-1",     "18446744073709551616"};
+  const auto refusal_with = [](const std::string& before, const std::string& number,
+                               const std::string& after) {
+    std::string text = before;
+    return configuration_refusal_of(text.append(number).append(after));
+  };
+  const auto refusals = [&](const std::string& before, const std::string& after) {
+    for (const auto& number : invalid) {
+      BOOST_TEST(refusal_with(before, number, after) != "", before << number << after);
+    }
+    BOOST_TEST(refusal_with(before, "3", after) == "");
+  };
+  refusals(R"({"version":)", "}");
+  for (const std::string field :
+       {"slots", "queue", "batch", "call_ms", "item_ms", "headroom_mb", "handle_s"}) {
+    refusals(R"({"version":1,"services":[{"name":"s","pieces":{")" + field + "\":", "}}]}");
+  }
+  for (const std::string field : {"slots", "kv_capacity_tokens", "kv_token_bytes", "link_mbps"}) {
+    refusals(R"({"version":1,"services":[{"name":"s","engine":{")" + field + "\":", "}}]}");
+  }
+  refusals(R"({"version":1,"services":[{"name":"one","pieces":{}}],"routes":[{"name":"r","host":"h",
+      "path_prefix":"/","kind":"safe","service":"one","stages":[{"service":"one","size_bytes":)",
+           "}]}]}");
+  // Reduced to 32 bits, this number would name the first stage.
+  BOOST_TEST(configuration_refusal_of(with_route(
+                 R"({"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"llm",
+                         "stages":[{"service":"one"},
+                                   {"service":"one","start_after":[4294967296]}]})")) ==
+             "start_after is not a stage");
+  BOOST_TEST(configuration_refusal_of(R"({"version":1.5})") == "version is not a whole number");
+  BOOST_TEST(std::get<0>(parsed(R"({"version":9007199254740993})"))->version == 9007199254740993U);
+}
+
+// Guards against the record of a peer that translated such a number.
+BOOST_AUTO_TEST_CASE(record_with_a_number_out_of_range_is_refused) {
+  for (const double number : {HUGE_VAL, -HUGE_VAL, std::nan(""), 1e300, -1.0}) {
+    wire::published_configuration record;
+    auto& service = *record.add_services();
+    service.set_name("s");
+    service.mutable_pieces()->set_handle_seconds(number);
+    const auto read = model::parse_configuration(record.SerializeAsString());
+    BOOST_TEST(std::get<model::refusal_reason>(read).text ==
+               "service s: time of a handle is out of range");
+  }
+}
+
+// Guards against a product that exceeds 32 bits and leaves clients of a slow route no patience.
+BOOST_AUTO_TEST_CASE(patience_of_clients_does_not_overflow) {
+  const auto record = platform::translate_configuration(with_route(
+      R"({"name":"r","host":"h","path_prefix":"/","kind":"streaming","service":"llm",
+          "target_latency_ms":1073741824})"));
+  BOOST_TEST(record.routes(0).client_patience_milliseconds() == 4'294'967'295U);
+}
+
 BOOST_AUTO_TEST_CASE(route_with_the_longest_prefix_is_found) {
   const auto text = with_route(
       R"({"name":"short","host":"h","path_prefix":"/a/","kind":"safe","service":"llm"},
@@ -317,6 +377,69 @@
   }
 }
 
+// Guards against addresses at which no replica can listen: a call there fails or reaches another
+// process of the machine of the node, and uses up an attempt of the request.
+BOOST_AUTO_TEST_CASE(entry_with_an_address_of_no_host_is_rejected) {
+  for (const std::string address :
+       {"0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "239.255.255.255:80", ":::80",
+        "ff02::1:80", "::ffff:0.0.0.0:80", "::ffff:224.0.0.1:80", "::ffff:255.255.255.255:80"}) {
+    BOOST_TEST(replica_refusal_of(with_field("address", '"' + address + '"')) ==
+                   "address is not that of a host",
+               address);
+  }
+  for (const std::string address :
+       {"127.0.0.1:80", "10.0.0.255:80", "223.255.255.255:80", "::1:80"}) {
+    BOOST_TEST(replica_refusal_of(with_field("address", '"' + address + '"')) == "", address);
+  }
+}
+
+// Guards against an entry of a MB that is kept and sent to every node as it is.
+BOOST_AUTO_TEST_CASE(the_record_of_a_long_entry_is_short) {
+  constexpr std::size_t max_record_bytes = 600;
+  const std::string long_text(1'000'000, 'x');
+  for (const std::string name : {"service", "address", "zone", "state", "version", "note"}) {
+    const auto record =
+        platform::translate_value("servers/i-1", with_field(name, '"' + long_text + '"'));
+    BOOST_TEST(record.size() < max_record_bytes, name);
+  }
+  BOOST_TEST(replica_refusal_of(with_field("zone", '"' + std::string(200, 'z') + '"')) == "");
+  BOOST_TEST(replica_refusal_of(with_field("zone", '"' + std::string(201, 'z') + '"')) ==
+             "zone is too long");
+  BOOST_TEST(replica_refusal_of(with_field("service", '"' + long_text + '"')) ==
+             "service is too long");
+}
+
+// Guards against long versions that are equal once shortened, that differ from the versions of
+// nodes which shorten them later, or that are cut within a character and cannot be sent.
+BOOST_AUTO_TEST_CASE(a_long_version_is_shortened_once_and_stays_different) {
+  const auto version_of = [](const std::string& version) {
+    const auto record =
+        platform::translate_replica("i-1", with_field("version", '"' + version + '"'));
+    BOOST_TEST(record.version().size() <= 80);
+    const auto read = model::parse_replica(record.SerializeAsString());
+    BOOST_TEST(std::get<0>(read)->version.text() == record.version());
+    return record.version();
+  };
+  const std::string text(1'000'000, 'v');
+  BOOST_TEST(version_of(text) != version_of(text + "1"));
+  BOOST_TEST(version_of(text) == version_of(text));
+  wire::published_replica unshortened;
+  unshortened.set_id("i-1");
+  unshortened.set_service("s");
+  unshortened.set_address("10.0.0.1:80");
+  unshortened.set_version(text);
+  const auto read = model::parse_replica(unshortened.SerializeAsString());
+  BOOST_TEST(std::get<0>(read)->version.text() == version_of(text));
+  std::string umlauts = "x";
+  while (umlauts.size() < 200) {
+    umlauts += "\xc3\xa4";
+  }
+  wire::published_replica received;
+  BOOST_TEST(received.ParseFromString(
+      platform::translate_value("servers/i-1", with_field("version", '"' + umlauts + '"'))));
+  BOOST_TEST(version_of(umlauts).substr(0, 50) == umlauts.substr(0, 47) + "...");
+}
+
 BOOST_AUTO_TEST_CASE(unparsable_entry_is_rejected) {
   for (const std::string text : {"", " ", "{", "7", "null", "\"ready\"", "[]", "{}",
                                  "{\"service\":\"\xff\"}", "\x00\x01\x02"}) {
@@ -332,6 +455,44 @@
   BOOST_TEST(refused.id() == "i-1");
 }
 
+// Guards against numbers that are equal as floating-point numbers, but are different versions: a
+// stream that began at one would go on at the other.
+BOOST_AUTO_TEST_CASE(versions_that_are_written_differently_are_different_or_rejected) {
+  const std::vector<std::string> numbers{"1",
+                                         "1.0",
+                                         "1.1",
+                                         "1.10",
+                                         "1e999",
+                                         "-1e999",
+                                         "1e998",
+                                         std::string(150, '9'),
+                                         std::string(151, '9'),
+                                         std::string(500, '9'),
+                                         std::string(501, '9'),
+                                         "18446744073709551615",
+                                         "18446744073709551616",
+                                         "18446744073709551617",
+                                         "9007199254740992.0",
+                                         "9007199254740993.0",
+                                         "1e-400",
+                                         "0"};
+  std::set<std::string> versions;
+  for (const auto& number : numbers) {
+    const auto read = parsed_replica(with_field("version", number));
+    if (const auto* replica = std::get_if<std::shared_ptr<const model::replica>>(&read)) {
+      BOOST_TEST(versions.insert((*replica)->version.text()).second, number);
+    } else {
+      BOOST_TEST(std::get<model::refusal_reason>(read).text == "version is too long", number);
+    }
+  }
+  BOOST_TEST(versions.size() == numbers.size() - 2);
+  BOOST_TEST(std::get<0>(parsed_replica(with_field("version", "7")))->version.text() == "7");
+  // The last of several fields with the same name counts, as for the other fields.
+  const auto& entry = with_field("version", "1.10");
+  const auto twice = entry.substr(0, entry.size() - 1) + ",\"version\" : 1.100 }";
+  BOOST_TEST(std::get<0>(parsed_replica(twice))->version.text() == "1.100");
+}
+
 BOOST_AUTO_TEST_CASE(entry_without_an_id_is_rejected) {
   const auto bytes = platform::translate_value("servers/", without_field("none"));
   const auto read = model::parse_replica(bytes);
