--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -6,6 +6,8 @@
 #include "http/count_guard.h"
 #include "http/endpoint.h"
 #include "http/read_deadline.h"
+#include "http/request_wait.h"
+#include "http/socket_options.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -164,16 +166,10 @@
   /// Serves one request. @return whether the connection can be used for another request.
   asio::awaitable<bool> serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
                                       std::optional<new_connections::guard>& new_connection) {
-    boost::system::error_code error;
-    if (buffer.size() == 0) {
-      stream.expires_after(limits_.idle_timeout);
-      const auto received =
-          co_await stream.async_read_some(buffer.prepare(first_read_bytes), await_into(error));
-      if (error) {
-        co_return false;
-      }
-      buffer.commit(received);
+    if (!co_await wait_for_request(stream, buffer, limits_.idle_timeout)) {
+      co_return false;
     }
+    boost::system::error_code error;
     const count_guard busy(busy_connections_);
     new_connection.reset();
     beast_http::request_parser<beast_http::string_body> parser;
@@ -247,11 +243,7 @@
                                                     std::shared_ptr<caller_exchange> exchange) {
     boost::system::error_code error;
     co_await stream.socket().async_wait(asio::ip::tcp::socket::wait_read, await_into(error));
-    char byte = 0;
-    const auto received =
-        error ? 1 : ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    exchange->is_disconnected =
-        received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    exchange->is_disconnected = !error && peer_has_closed(stream.socket());
     exchange->has_watch_ended = true;
     exchange->wake.cancel();
   }
@@ -330,7 +322,6 @@
   }
 
   static constexpr std::chrono::seconds write_timeout{10};
-  static constexpr std::size_t first_read_bytes = 4'096;
 
   asio::io_context* io_;
   connection_acceptor acceptor_;
