Stages: a drain rate is not measured over time in which nothing waits

Cause: the measuring window of a queue ended only with a dispatch. If the pieces that waited last expired, were cancelled or were handed over to another batcher, the window went on, and the next dispatch, after the node had become a batcher again, was measured over all that time. Ruled out: backoffs of replicas (the estimate does not fall with time), the number of callable replicas. Change: the window ends when the queue empties, however its last piece leaves. Tests: stage_pool_test/time_after_waiting_pieces_were_cancelled_lowers_no_drain_rate and .../time_after_waiting_pieces_expired_lowers_no_drain_rate fail before and pass with the change; drain_rate_test/time_after_a_queue_emptied_without_a_dispatch_is_not_measured.

--- a/src/stage_work/drain_rate.cc
+++ b/src/stage_work/drain_rate.cc
@@ -21,13 +21,17 @@
     }
   }
   if (remaining == 0) {
-    window_started_at_.reset();
-    dispatched_ = 0;
+    note_emptied();
   } else if (!window_started_at_) {
     window_started_at_ = now;
   }
 }
 
+void drain_rate::note_emptied() {
+  window_started_at_.reset();
+  dispatched_ = 0;
+}
+
 void drain_rate::close_window(base::time_point now) {
   const double newest =
       static_cast<double>(dispatched_) / base::to_seconds(now - *window_started_at_);
--- a/src/stage_work/drain_rate.h
+++ b/src/stage_work/drain_rate.h
@@ -14,6 +14,10 @@
   /// Records that `count` items were dispatched. @param remaining number of items that still wait.
   void note_dispatched(std::size_t count, std::size_t remaining, base::time_point now);
 
+  /// Records that no item waits any more, although the last ones were not dispatched: they expired,
+  /// were cancelled or were handed over. The time until the next dispatch is not measured.
+  void note_emptied();
+
   /// @return items dispatched per second while further items waited; std::nullopt if this rate was
   ///         not measured recently, for example because the queue was empty.
   [[nodiscard]] std::optional<double> per_second(base::time_point now) const;
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -61,13 +61,21 @@
   waiting_deadlines_.clear(position.ticket);
 }
 
+void stage_pool::remove_waiting(piece_ticket ticket) {
+  const auto& work = pieces_.at(ticket).work;
+  auto& queue = queues_[work.service];
+  dequeue(queue, {work.due, ticket});
+  if (queue.empty()) {
+    drain_rates_[work.service].note_emptied();
+  }
+}
+
 void stage_pool::cancel(piece_ticket ticket) {
   const auto found = pieces_.find(ticket);
   if (found == pieces_.end()) {
     return;
   }
-  const auto& work = found->second.work;
-  dequeue(queues_[work.service], {work.due, ticket});
+  remove_waiting(ticket);
   pieces_.erase(found);
 }
 
@@ -302,8 +310,7 @@
 
 void stage_pool::drop_expired(base::time_point now) {
   for (const auto ticket : waiting_deadlines_.take_due(now)) {
-    const auto& work = pieces_.at(ticket).work;
-    queues_[work.service].erase({work.due, ticket});
+    remove_waiting(ticket);
     finish(ticket, {piece_fault::expired, {}});
   }
 }
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -202,6 +202,8 @@
   using service_queue = std::set<queue_position>;
   void enqueue(piece_ticket ticket);
   void dequeue(service_queue& queue, const queue_position& position);
+  /// Removes a piece from its queue that is not dispatched; does nothing if it does not wait.
+  void remove_waiting(piece_ticket ticket);
   /// @return positions in the queue of the pieces of a call that are not cancelled.
   [[nodiscard]] std::vector<queue_position> remaining_pieces_of(const open_call& call) const;
   /// A result that occupies memory at its replica.
--- a/tests/stage_work/drain_rate_test.cc
+++ b/tests/stage_work/drain_rate_test.cc
@@ -28,6 +28,22 @@
   BOOST_TEST(!subject.per_second(now).has_value());
 }
 
+// Guards against a window that goes on after the last waiting items were cancelled: the next
+// dispatch would be measured over the time in which nothing waited.
+BOOST_AUTO_TEST_CASE(time_after_a_queue_emptied_without_a_dispatch_is_not_measured) {
+  drain_rate subject;
+  base::time_point now{std::chrono::hours(1)};
+  subject.note_dispatched(10, 50, now);
+  subject.note_emptied();
+  now += std::chrono::seconds(8);
+  subject.note_dispatched(10, 50, now);
+  BOOST_TEST(!subject.per_second(now).has_value());
+  now += std::chrono::milliseconds(500);
+  subject.note_dispatched(10, 50, now);
+  BOOST_REQUIRE(subject.per_second(now).has_value());
+  BOOST_TEST(*subject.per_second(now) == 20.0, boost::test_tools::tolerance(0.05));
+}
+
 BOOST_AUTO_TEST_CASE(old_rate_expires) {
   drain_rate subject;
   base::time_point now{std::chrono::hours(1)};
--- a/tests/stage_work/stage_pool_test.cc
+++ b/tests/stage_work/stage_pool_test.cc
@@ -69,6 +69,46 @@
 
 BOOST_FIXTURE_TEST_SUITE(stage_pool_test, pool_driver)
 
+struct emptied_queue_driver : pool_driver {
+  /// Submits pieces for three full batches, of which two are dispatched.
+  /// @return tickets of the pieces that wait.
+  std::vector<piece_ticket> leave_a_batch_waiting() {
+    for (int piece = 0; piece < 12; ++piece) {
+      submit("r" + std::to_string(piece), std::chrono::seconds(1));
+    }
+    for (const auto& call : start_calls()) {
+      pool.on_call_ended(answered(call), now);
+    }
+    return pool.waiting_tickets("pool");
+  }
+
+  /// Checks that pieces which wait eight seconds later are not expected to wait long.
+  void check_no_low_rate_after_idle_time() {
+    start_calls(std::chrono::seconds(8));
+    leave_a_batch_waiting();
+    BOOST_TEST(!pool.drain_rate_of("pool", now).has_value());
+  }
+};
+
+// Guards against waits of half a minute that are expected for a short queue: a drain rate measured
+// over the time in which nothing waited, because the pieces that waited last were handed over.
+BOOST_FIXTURE_TEST_CASE(time_after_waiting_pieces_were_cancelled_lowers_no_drain_rate,
+                        emptied_queue_driver) {
+  const auto waiting = leave_a_batch_waiting();
+  BOOST_REQUIRE(waiting.size() == 4U);
+  for (const auto ticket : waiting) {
+    pool.cancel(ticket);
+  }
+  check_no_low_rate_after_idle_time();
+}
+
+// The same for pieces that waited last until their deadline.
+BOOST_FIXTURE_TEST_CASE(time_after_waiting_pieces_expired_lowers_no_drain_rate,
+                        emptied_queue_driver) {
+  BOOST_REQUIRE(leave_a_batch_waiting().size() == 4U);
+  check_no_low_rate_after_idle_time();
+}
+
 BOOST_AUTO_TEST_CASE(pieces_submitted_together_share_a_call) {
   submit("r1", std::chrono::seconds(1));
   submit("r1", std::chrono::seconds(1));
