Fault soak: a node out of step as another software version joins

Clients of the mode `resuming` break their streams off after one to three events and resume them, half of them at that node. ORDER is checked over all attempts as before; afterwards all nodes must be ready and requests served. Other seeds draw the same faults as before.

--- a/tests/platform_fleet/fault_soak.cc
+++ b/tests/platform_fleet/fault_soak.cc
@@ -30,8 +30,9 @@
   return options;
 }
 
-/// Sets the number of software versions, whether they are rolled, and whether replicas are silent
-/// beside planned work, which follow from the seed.
+/// Sets the number of software versions, whether they are rolled, whether replicas are silent
+/// beside planned work, and whether a node is out of step as another version joins, which follow
+/// from the seed.
 soak_options with_choices_of(soak_options options, std::uint64_t seed) {
   constexpr std::uint64_t seeds_per_roll = 3;
   if (options.fleet.software_versions == 0) {
@@ -40,6 +41,10 @@
   options.should_roll_software = seed % seeds_per_roll == 0;
   // Both even and odd seeds have silences, since they differ in the number of software versions.
   options.has_silences = seed / 2 % 2 == 1;
+  // Nodes remember earlier versions, so that a single version is known only without silences,
+  // beside which the software changes.
+  constexpr std::uint64_t seeds_per_node_out_of_step = 4;
+  options.has_node_out_of_step = seed % seeds_per_node_out_of_step == 1;
   return options;
 }
 
@@ -114,7 +119,8 @@
     std::cout << "seed " << seed << ": " << violations.size() << " violations; "
               << parsed.fleet.nodes << " daemons with "
               << soak.resident_bytes() / bytes_per_megabyte << " MB;"
-              << (seed_options.has_silences ? " with silences beside planned work;" : "");
+              << (seed_options.has_silences ? " with silences beside planned work;" : "")
+              << (seed_options.has_node_out_of_step ? " with a node out of step;" : "");
     for (const auto& [label, count] : soak.counts()) {
       std::cout << " " << label << " " << count << ",";
     }
--- a/tests/platform_fleet/soak_client.cc
+++ b/tests/platform_fleet/soak_client.cc
@@ -41,11 +41,23 @@
 constexpr auto busy_stop_time = stop_grace - stop_grace / 6.0;
 /// Maximum time from SIGTERM to the sending of a request whose answer may end so.
 constexpr milliseconds max_late_request{3'000};
+/// Largest number of events after which a client breaks a stream off
+/// (`soak_fleet::should_break_streams`).
+constexpr std::size_t max_events_before_break = 3;
 constexpr unsigned bad_gateway = 502;
 constexpr unsigned gateway_timeout = 504;
 constexpr unsigned too_many_requests = 429;
 constexpr unsigned service_unavailable = 503;
 
+/// @return number of whole events of an answer's body.
+std::size_t event_count_of(const std::string& body) {
+  std::size_t events = 0;
+  for (auto end = body.find("\n\n"); end != std::string::npos; end = body.find("\n\n", end + 2)) {
+    ++events;
+  }
+  return events;
+}
+
 /// Sets the timeout of each read and write of a blocking socket.
 void set_socket_timeout(tcp::socket& socket, milliseconds timeout) {
   const timeval limit{timeout.count() / 1000, (timeout.count() % 1000) * 1000};
@@ -150,7 +162,7 @@
       return;
     }
     if (!socket_) {
-      connect(*fleet_->nodes[random_.below(fleet_->nodes.size())]);
+      connect(node_for_attempt(progress.last_event > 0));
     }
     if (!socket_) {
       std::this_thread::sleep_for(failure_backoff);
@@ -158,8 +170,17 @@
     }
     const auto attempt_id = attempt == 1 ? id : soak_request::attempt_id(id, attempt);
     const auto sent_at = soak_clock::now();
+    const auto max_events = fleet_->should_break_streams && progress.last_event == 0
+                                ? 1 + random_.below(max_events_before_break)
+                                : 0;
     const auto outcome = exchange(request_bytes(kind, id, attempt_id, time_left, &progress),
-                                  time_left + scheduling_slack);
+                                  time_left + scheduling_slack, max_events);
+    if (outcome.was_broken_off) {
+      recorder_->count("stream broken off by its client");
+      is_stream_complete(id, attempt_id, outcome, progress);
+      std::this_thread::sleep_for(resume_delays[random_.below(2)]);
+      continue;
+    }
     recorder_->count_answer(kind, outcome.is_complete ? std::to_string(outcome.status) : "cut");
     const sent_request sent{kind, attempt_id, sent_at, time_left};
     count_beside_silences(sent, outcome);
@@ -244,7 +265,17 @@
   }
 }
 
-soak_outcome soak_client::exchange(const std::string& bytes, milliseconds timeout) {
+soak_node& soak_client::node_for_attempt(bool is_resumption) {
+  for (const auto& node : fleet_->nodes) {
+    if (is_resumption && node->is_out_of_step && random_.below(2) == 0) {
+      return *node;
+    }
+  }
+  return *fleet_->nodes[random_.below(fleet_->nodes.size())];
+}
+
+soak_outcome soak_client::exchange(const std::string& bytes, milliseconds timeout,
+                                   std::size_t max_events) {
   soak_outcome outcome;
   boost::system::error_code error;
   set_socket_timeout(*socket_, timeout);
@@ -252,9 +283,15 @@
   boost::beast::flat_buffer buffer;
   boost::beast::http::response_parser<boost::beast::http::string_body> answer;
   answer.body_limit(1'000'000);
-  if (!error) {
+  if (!error && max_events == 0) {
     boost::beast::http::read(*socket_, buffer, answer, error);
   }
+  while (!error && max_events > 0 && !answer.is_done() && !outcome.was_broken_off) {
+    boost::beast::http::read_some(*socket_, buffer, answer, error);
+    outcome.was_broken_off = !answer.is_done() && answer.is_header_done() &&
+                             answer.get().result_int() == 200 &&
+                             event_count_of(answer.get().body()) >= max_events;
+  }
   if (answer.is_header_done()) {
     outcome.status = answer.get().result_int();
     outcome.has_seal = answer.get().find("X-Response-Seal") != answer.get().end();
@@ -268,7 +305,7 @@
   if (outcome.is_complete && buffer.size() > 0) {
     recorder_->note_violation("MIXED", name_ + " received bytes that belong to no request");
   }
-  if (error || !answer.keep_alive()) {
+  if (error || outcome.was_broken_off || !answer.keep_alive()) {
     socket_.reset();
   }
   return outcome;
--- a/tests/platform_fleet/soak_client.h
+++ b/tests/platform_fleet/soak_client.h
@@ -35,6 +35,8 @@
   /// Whether the answer ended in order: it is whole if it is framed.
   bool is_complete = false;
   bool has_retry_after = false;
+  /// Whether the client broke the answer off.
+  bool was_broken_off = false;
 };
 
 /// Sends requests to random nodes, on one connection at a time. Not thread-safe.
@@ -85,7 +87,13 @@
   /// Writes a request to the connection and reads the answer. Drops the connection if it cannot be
   /// used for another request.
   /// @param timeout maximum time of each read and write of the socket.
-  soak_outcome exchange(const std::string& bytes, std::chrono::milliseconds timeout);
+  /// @param max_events number of events after which the client breaks the answer off; 0 if it reads
+  ///        the whole answer.
+  soak_outcome exchange(const std::string& bytes, std::chrono::milliseconds timeout,
+                        std::size_t max_events = 0);
+  /// @return node at which the next attempt to get a stream is made; often one that is out of step,
+  ///         if the attempt resumes the stream.
+  soak_node& node_for_attempt(bool is_resumption);
   /// Connects to a node. `socket_` stays empty if the connect fails.
   void connect(soak_node& node);
   /// Request that the client has sent.
--- a/tests/platform_fleet/soak_fleet.cc
+++ b/tests/platform_fleet/soak_fleet.cc
@@ -72,6 +72,7 @@
     node->readiness_address = fleet::find_free_address();
     node->peer_address = fleet::find_free_address();
     node->advertised_peer_address = fleet::find_free_address();
+    node->store_address = fleet::find_free_address();
     nodes.push_back(std::move(node));
   }
   start_proxies();
@@ -116,6 +117,7 @@
   std::vector<proxied_link> links;
   for (const auto& node : nodes) {
     links.push_back({node->name, node->advertised_peer_address, node->peer_address});
+    links.push_back({store_link_of(*node), node->store_address, store.address()});
   }
   for (const auto& replica : replicas) {
     links.push_back({replica->id(), replica->published_address(), replica->listen_address()});
@@ -164,7 +166,7 @@
   text << "membership:\n  probe_period_ms: 300\n  acknowledgement_timeout_ms: 100\n"
           "  suspicion_timeout_ms: 1000\n  relay_period_ms: 300\nserving:\n  listen: "
        << node.client_address << "\n  readiness_listen: " << node.readiness_address
-       << "\n  store: " << store.address() << "\n  regions:\n    east: " << east_region
+       << "\n  store: " << node.store_address << "\n  regions:\n    east: " << east_region
        << "\n    west: " << (two_regions_ ? "south" : east_region)
        << "\n  retry_ratio: 0.2\n  retry_allowance: 50\n  stop_grace_s: " << stop_grace.count()
        << "\n";
--- a/tests/platform_fleet/soak_fleet.h
+++ b/tests/platform_fleet/soak_fleet.h
@@ -34,6 +34,10 @@
   std::string peer_address;
   /// Address of the fault proxy in front of the peer listener, at which other nodes reach the node.
   std::string advertised_peer_address;
+  /// Address of the fault proxy in front of the store, at which the node reaches the store.
+  std::string store_address;
+  /// Whether the node is cut off or stopped, or was shortly before (`out_of_step_phase`).
+  std::atomic<bool> is_out_of_step = false;
   /// Whether the node has received SIGTERM and has not been started again since.
   std::atomic<bool> is_stopping = false;
   std::atomic<soak_clock::time_point> started_at{soak_clock::time_point{}};
@@ -117,9 +121,12 @@
   /// Writes or deletes the store entry that evacuates a zone. Nodes send no requests to replicas of
   /// an evacuated zone.
   void set_evacuated(const std::string& zone, bool evacuated);
+  /// @return name of the link from a node to the store.
+  static std::string store_link_of(const soak_node& node) { return "store-" + node.name; }
   /// Sets the fault and the delay of the connections that lead through a fault proxy to one node
-  /// (from other nodes) or to one replica. Ends the fault if `fault` is empty and the delay is 0.
-  /// @param name name of the node or id of the replica.
+  /// (from other nodes), from one node to the store, or to one replica. Ends the fault if `fault`
+  /// is empty and the delay is 0.
+  /// @param name name of the node, link to the store (`store_link_of`), or id of the replica.
   /// @param fault `cut`: open connections are reset, and no connection can be opened; `black_hole`:
   ///        connections stay open, but bytes are held back; `held`: neither a byte nor an end of a
   ///        connection passes, and new connections hang; empty: no fault.
@@ -140,15 +147,17 @@
   std::atomic<soak_clock::time_point> last_restart_at_once{soak_clock::time_point{}};
   /// Whether silences and planned work are in effect, but no faults (`silence_phase`).
   std::atomic<bool> has_silences = false;
+  /// Whether clients with the mode `resuming` break their streams off (`out_of_step_phase`).
+  std::atomic<bool> should_break_streams = false;
   /// Latest time at which a replica was silent. A silence is not a fault.
   std::atomic<soak_clock::time_point> last_silence_at{soak_clock::time_point{}};
   /// Time of the latest planned change while `has_silences` was set.
   std::atomic<soak_clock::time_point> last_change_at{soak_clock::time_point{}};
 
  private:
-  /// Connections that a fault proxy forwards to one node or replica.
+  /// Connections that a fault proxy forwards to one node, one replica or the store.
   struct proxied_link {
-    /// Name of the node or id of the replica.
+    /// Name of the node, link to the store, or id of the replica.
     std::string name;
     /// Address at which the proxy listens.
     std::string listen;
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -2,6 +2,7 @@
 
 #include "broken_answer_phase.h"
 #include "crashing_request_check.h"
+#include "out_of_step_phase.h"
 #include "planned_maintenance.h"
 #include "rate_limit_check.h"
 #include "self_report_check.h"
@@ -75,6 +76,9 @@
     if (options_.has_silences) {
       check_silences();
     }
+    if (options_.has_node_out_of_step) {
+      check_node_out_of_step();
+    }
   }
   resident_bytes_ = fleet_.resident_bytes();
   stop_clients();
@@ -231,6 +235,19 @@
   check_success_rate(counts_before);
 }
 
+void soak_run::check_node_out_of_step() {
+  // The phase has its own random source, so that its random choices do not change the faults to
+  // which the seeds in seeds.txt lead.
+  out_of_step_phase(fleet_, recorder_, seed_ + 5).run();
+  if (!fleet_.wait_until_all_ready(options_.ready_timeout)) {
+    recorder_.note_violation("RECOVER", "not all nodes became ready after one was out of step");
+  }
+  std::this_thread::sleep_until(fleet_.last_fault_at.load() + settle_time);
+  const auto counts_before = recorder_.counts();
+  std::this_thread::sleep_for(served_observation_time);
+  check_success_rate(counts_before);
+}
+
 void soak_run::check_revocation_of_all_keys() {
   const auto keys = seed_ % 2 == 0 ? held_keys::none : held_keys::no_tenant;
   fleet_.publish_configuration(configuration_contents{.keys = keys});
--- a/tests/platform_fleet/soak_run.h
+++ b/tests/platform_fleet/soak_run.h
@@ -29,6 +29,9 @@
   bool should_roll_software = false;
   /// Whether each phase ends with replicas that are silent beside planned work (`silence_phase`).
   bool has_silences = false;
+  /// Whether each phase ends with a node that is out of step while the software changes
+  /// (`out_of_step_phase`).
+  bool has_node_out_of_step = false;
   /// Number of rolling restarts of all nodes in each phase.
   std::size_t rolling_restarts = 1;
 };
@@ -75,6 +78,9 @@
   /// Runs the silences beside planned work. Then checks that all nodes become ready again, and that
   /// requests are served again.
   void check_silences();
+  /// Puts a node out of step while the software of the replicas changes. Then checks that all nodes
+  /// become ready again, and that requests are served again.
+  void check_node_out_of_step();
   /// Takes all keys, or the only tenant, out of the configuration and checks that nobody is served;
   /// then checks that the keys are allowed again once they are back.
   void check_revocation_of_all_keys();
