--- a/src/streams/inherited_versions.cc
+++ b/src/streams/inherited_versions.cc
@@ -7,8 +7,8 @@
 void inherited_versions::adopt(const std::string& service, const sole_version& answer,
                                base::time_point unbroken_since) {
   const auto known = since(service, answer.version, unbroken_since);
-  answers_[service] = {{answer.version, std::min(answer.since, known.value_or(answer.since))},
-                       unbroken_since};
+  const auto known_since = std::min(answer.since, known.value_or(answer.since));
+  answers_[service] = {{answer.version, known_since, answer.through}, unbroken_since};
 }
 
 std::optional<base::time_point> inherited_versions::since(const std::string& service,
--- a/tests/streams/stream_ages_test.cc
+++ b/tests/streams/stream_ages_test.cc
@@ -63,7 +63,7 @@
 
 BOOST_AUTO_TEST_CASE(an_answer_holds_as_long_as_the_list_is_known_without_a_gap) {
   inherited_versions inherited;
-  inherited.adopt("llm", {version, now - seconds(60)}, now);
+  inherited.adopt("llm", {version, now - seconds(60), now}, now);
   BOOST_TEST((inherited.since("llm", version, now) == now - seconds(60)));
   BOOST_TEST(!inherited.since("llm", version, now + seconds(10)).has_value());
   BOOST_TEST(!inherited.since("other", version, now).has_value());
@@ -72,10 +72,10 @@
 
 BOOST_AUTO_TEST_CASE(the_longest_answer_counts) {
   inherited_versions inherited;
-  inherited.adopt("llm", {version, now - seconds(60)}, now);
-  inherited.adopt("llm", {version, now - seconds(30)}, now);
+  inherited.adopt("llm", {version, now - seconds(60), now}, now);
+  inherited.adopt("llm", {version, now - seconds(30), now}, now);
   BOOST_TEST((inherited.since("llm", version, now) == now - seconds(60)));
-  inherited.adopt("llm", {base::software_version("v2"), now - seconds(5)}, now);
+  inherited.adopt("llm", {base::software_version("v2"), now - seconds(5), now}, now);
   BOOST_TEST(!inherited.since("llm", version, now).has_value());
 }
 
