--- a/tests/streams/stream_fleet.h
+++ b/tests/streams/stream_fleet.h
@@ -173,12 +173,19 @@
     if (clients.empty()) {
       return false;
     }
-    const auto client = pick(clients);
-    const auto node = attempts.at(client).node;
-    end_attempt(client);
-    if (nodes[node].subject) {
-      nodes[node].subject->handle(client_disconnected{client}, now);
+    disconnect(pick(clients));
+    return true;
+  }
+  /// Breaks the connection of the client of a stream, which then resumes the stream. @return false
+  /// if there is no such connection.
+  bool break_connection_of(std::size_t stream) {
+    const auto found = std::find_if(attempts.begin(), attempts.end(), [&](const auto& entry) {
+      return entry.second.stream != nullptr && entry.second.stream->number == stream;
+    });
+    if (found == attempts.end()) {
+      return false;
     }
+    disconnect(found->first);
     return true;
   }
 
@@ -415,6 +422,10 @@
   std::function<bool(std::size_t from, std::size_t to)> loses_message = [](auto, auto) {
     return false;
   };
+  /// @return time after which a call that a node makes now is reset without an answer;
+  ///         std::nullopt if it is not reset.
+  std::function<std::optional<base::duration>(std::size_t node, const start_call&)> resets_call =
+      [](auto, const auto&) { return std::nullopt; };
   std::size_t origin_messages = 0;
   std::size_t origin_bytes = 0;
   std::size_t out_of_order = 0;
@@ -605,6 +616,14 @@
     nodes[*node].subject->handle(request_arrived{client, content, now}, now);
   }
 
+  void disconnect(base::caller_id client) {
+    const auto node = attempts.at(client).node;
+    end_attempt(client);
+    if (nodes[node].subject) {
+      nodes[node].subject->handle(client_disconnected{client}, now);
+    }
+  }
+
   /// Ends an attempt without the end of its stream; the client sends the request again later.
   void end_attempt(base::caller_id client, base::duration retry_after = {}) {
     constexpr std::size_t max_fruitless_attempts = 3;
@@ -776,6 +795,14 @@
       pass_on(node, command);
       return;
     }
+    if (const auto reset_after = resets_call(node, command)) {
+      schedule(*reset_after, [this, node, incarnation, call = command.call] {
+        if (nodes[node].subject && nodes[node].incarnation == incarnation) {
+          nodes[node].subject->handle(call_failed{call, call_failure::may_have_run}, now);
+        }
+      });
+      return;
+    }
     schedule(milliseconds(1), [this, node, incarnation, command] {
       if (nodes[node].subject && nodes[node].incarnation == incarnation) {
         reach_replica(node, command);
