Records of stream origins: only bound ones, acknowledged, sent again

Cause: a record was sent with each call that might begin a stream. The first call was reset without an event, and with it the nodes' own connections; the records of the second call, at another version, were dropped (a message for a lost connection is not kept), nobody acknowledged a record or sent it again, and a witness believed the first record, as did the first look-up that heard it. Ruled out: a second call after the first event goes to another version (send_to_replica binds it).

Change: a record is made only once its origin is bound: with the first event, or at the send of a request that is already bound (note_bound; is_bound on the wire). Unbound records, of older builds, are kept but end no look-up, and no stream goes on by them. Messages with records are numbered and acknowledged after their records are kept; what is not acknowledged is sent again after 100, 200, 400 ms, ..., eight times at most, to those of the present witnesses that have not acknowledged it (record_delivery; 20,000 records at most). A look-up queries nodes that have not answered every 100 ms until it ends after 300 ms. Answers tell the age of the list, and `sole_version::through` is reckoned from the sending of the query; statements whose times overlap are joined; without an age, `through` is the clock's epoch. dispatcher_relays no longer forgets an origin when it passes a request on: a request without an event has none. New metrics: records repeated, acknowledged and abandoned, queries repeated.

Why it works: what a record says cannot become untrue any more, so it does not matter which of them arrive. A lost one makes a stream unknown, never mixed.

No check is dropped.

--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -217,8 +217,19 @@
       origins.counts().sent_messages);
   add("spurrack_stream_origin_records_total", "Origins of streams sent to witnesses.",
       origins.counts().sent_records);
+  add("spurrack_stream_origin_records_repeated_total",
+      "Origins of streams sent again to witnesses that had not acknowledged them.",
+      origins.counts().repeated_records);
+  add("spurrack_stream_origin_records_acknowledged_total",
+      "Origins of streams that witnesses acknowledged.", origins.counts().acknowledged_records);
+  add("spurrack_stream_origin_records_abandoned_total",
+      "Origins of streams of which not all witnesses sent an acknowledgement.",
+      origins.delivery().abandoned());
   add("spurrack_stream_origin_queries_total", "Queries sent for origins of streams.",
       origins.counts().sent_queries);
+  add("spurrack_stream_origin_queries_repeated_total",
+      "Queries for origins of streams sent again to nodes that had not answered.",
+      origins.counts().repeated_queries);
   add("spurrack_stream_origin_late_answers_total",
       "Answers about origins of streams that arrived after their look-up had ended.",
       origins.counts().late_answers);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -148,12 +148,14 @@
   bool refuse_if_version_left(active_request& request, base::time_point now);
   /// Continues the requests whose look-ups have ended.
   void process_origin_findings(base::time_point now);
-  /// Records at which origin a resumable stream begins or goes on.
-  void note_stream_sent(active_request& request, const replica_state& chosen, base::time_point now);
+  /// Counts a call for a resumable stream; records the origin if the request is bound to it.
+  void note_stream_sent(active_request& request, base::time_point now);
+  /// Records the origin of a stream that is bound.
+  void note_bound_origin(const active_request& request, base::time_point now);
   /// @return whether the witnesses are told the origin of a request's stream: another node might
   ///         otherwise let it go on at another version, or at another service of the route.
   [[nodiscard]] bool is_origin_shared(const active_request& request) const;
-  /// Binds a stream to the version of the replica that wrote its event.
+  /// Binds a stream to the version of the replica that wrote its event, and records its origin.
   void bind_stream(active_request& request, base::time_point now);
   /// Tells the witnesses of open streams their origins if a second version of their service
   /// appeared, or can no longer be ruled out.
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -143,7 +143,7 @@
                            .started_at = now,
                            .version = chosen.record->version,
                            .address = chosen.record->address};
-  note_stream_sent(request, chosen, now);
+  note_stream_sent(request, now);
   clients_by_replica_[chosen.record->id].insert(request.client);
   const bool runs_at_once = !chosen.reported_load || chosen.reported_load->waiting == 0;
   if (!new_call.inputs.empty() && runs_at_once &&
--- a/src/dispatch/dispatcher_relays.cc
+++ b/src/dispatch/dispatcher_relays.cc
@@ -68,9 +68,6 @@
   clients_by_replica_[passed.target.replica].insert(request.client);
   clients_by_call_[passed.call] = request.client;
   relays_.note_started(chosen->node);
-  if (request.stream_key && !passed.resume_after) {
-    origins_.forget(*request.stream_key);
-  }
   ++counters_.passed_on;
   record(base::event_kind::request_forwarded, request, chosen->node.text(),
          "partitioned from all replicas, with " + std::to_string(passed.attempts_left) + " of " +
--- a/src/dispatch/dispatcher_state.cc
+++ b/src/dispatch/dispatcher_state.cc
@@ -22,8 +22,9 @@
       budget_exchange_(retry_budget_, self.zone, random, incarnation),
       replica_reports_(replicas_, self.zone, settings.regions, random),
       relays_(settings.client_address, random),
-      origins_(self,
-               [this](const auto& service, auto now) { return version_evidence_of(service, now); }),
+      origins_(
+          self, [this](const auto& service, auto now) { return version_evidence_of(service, now); },
+          incarnation),
       crash_registry_(settings.quarantine), crash_reports_(crash_registry_, self.node, random),
       trials_(crash_registry_, self.node),
       stages_(
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -263,8 +263,8 @@
          "its replica restarted with software " + replica->record->version.text());
   if (has_events) {
     // The events may be of either version, so the origin is not known from now on.
-    origins_.note_sent(*request.stream_key, {request.service, replica->record->version},
-                       request.calls, request.deadline - now, is_origin_shared(request), now);
+    origins_.note_bound(*request.stream_key, {request.service, replica->record->version},
+                        request.calls, request.deadline - now, is_origin_shared(request), now);
     answer_failed(request, status::bad_gateway, "its replica restarted with other software",
                   end_evidence::replica_restarted, now);
   } else {
@@ -275,16 +275,21 @@
 
 // --- records -------------------------------------------------------------------------------------
 
-void dispatcher::note_stream_sent(active_request& request, const replica_state& chosen,
-                                  base::time_point now) {
+void dispatcher::note_stream_sent(active_request& request, base::time_point now) {
   if (!request.stream_key) {
     return;
   }
+  ++request.calls;
+  if (request.bound_version) {
+    note_bound_origin(request, now);
+  }
+}
+
+void dispatcher::note_bound_origin(const active_request& request, base::time_point now) {
   const auto allowed =
       request.content->time_allowed.value_or(request.deadline - request.arrived_at);
-  origins_.note_sent(*request.stream_key, {request.service, chosen.record->version},
-                     ++request.calls, request.arrived_at + allowed - now, is_origin_shared(request),
-                     now);
+  origins_.note_bound(*request.stream_key, {request.service, *request.bound_version}, request.calls,
+                      request.arrived_at + allowed - now, is_origin_shared(request), now);
 }
 
 bool dispatcher::is_origin_shared(const active_request& request) const {
@@ -296,10 +301,7 @@
     return;
   }
   request.bound_version = request.call->version;
-  if (request.calls > 1 && is_origin_shared(request)) {
-    // A witness that missed the latest call would know the origin of an earlier one.
-    origins_.share(*request.stream_key, now);
-  }
+  note_bound_origin(request, now);
   origins_.note_first_event(now);
 }
 
--- a/src/streams/origin_registry.cc
+++ b/src/streams/origin_registry.cc
@@ -14,33 +14,56 @@
   return found;
 }
 
-void origin_registry::record(const stream_key& stream, const stream_origin& origin,
-                             std::uint32_t call, base::time_point expires_at, bool is_open_here,
-                             base::time_point now) {
+void origin_registry::record(const stream_key& stream, const origin_statement& stated,
+                             base::time_point expires_at, bool is_open_here, base::time_point now) {
   const auto [entry, is_new] = records_.try_emplace(stream);
   auto& known = entry->second;
-  const bool is_same = known.origin && *known.origin == origin;
-  if (is_new || call > known.call) {
-    known.origin = shared(origin);
-    known.call = call;
-  } else if (call == known.call && !is_same) {
-    known.origin.reset();
+  if (is_new) {
+    known.origin = shared(stated.origin);
+    known.call = stated.call;
+    known.is_bound = stated.is_bound;
+    known.recorded_at = now;
+  } else {
+    apply(stated, known, now);
   }
   known.is_open_here = known.is_open_here || is_open_here;
-  keep_until(stream, known, expires_at, now);
+  keep_until(stream, known, expires_at);
+}
+
+void origin_registry::apply(const origin_statement& stated, origin_record& known,
+                            base::time_point now) {
+  const bool is_same = known.origin && *known.origin == stated.origin;
+  const bool is_later = stated.call > known.call;
+  const bool replaces = is_later && (stated.is_bound || !known.is_bound);
+  const bool confirms = is_same && stated.is_bound && !known.is_bound;
+  if (replaces || confirms) {
+    known.origin = shared(stated.origin);
+    known.is_bound = stated.is_bound;
+    known.recorded_at = now;
+  } else if (!is_same && (stated.call >= known.call || stated.is_bound > known.is_bound)) {
+    // Without a later bound statement neither origin is known to be the last.
+    known.origin.reset();
+    known.is_bound = known.is_bound && stated.is_bound;
+    known.recorded_at = now;
+  }
+  known.call = std::max(known.call, stated.call);
 }
 
 void origin_registry::record_contradiction(const stream_key& stream, std::uint32_t call,
-                                           base::time_point expires_at, base::time_point now) {
-  auto& known = records_[stream];
+                                           bool is_bound, base::time_point expires_at,
+                                           base::time_point now) {
+  const auto [entry, is_new] = records_.try_emplace(stream);
+  auto& known = entry->second;
+  const bool was_contradictory = !is_new && !known.origin;
   known.origin.reset();
+  known.is_bound = is_bound || (was_contradictory && known.is_bound);
   known.call = std::max(known.call, call);
-  keep_until(stream, known, expires_at, now);
+  known.recorded_at = now;
+  keep_until(stream, known, expires_at);
 }
 
 void origin_registry::keep_until(const stream_key& stream, origin_record& record,
-                                 base::time_point expires_at, base::time_point now) {
-  record.recorded_at = now;
+                                 base::time_point expires_at) {
   set_expiry(stream, record, std::max(record.expires_at, expires_at));
   if (records_.size() > max_records) {
     drop_first_to_expire();
@@ -60,13 +83,6 @@
   ++dropped_early_;
 }
 
-void origin_registry::forget(const stream_key& stream) {
-  if (const auto found = records_.find(stream); found != records_.end()) {
-    by_expiry_.erase({found->second.expires_at, stream});
-    records_.erase(found);
-  }
-}
-
 void origin_registry::note_completed(const stream_key& stream) {
   if (const auto found = records_.find(stream); found != records_.end()) {
     found->second.is_open_here = false;
--- a/src/streams/origin_registry.h
+++ b/src/streams/origin_registry.h
@@ -15,14 +15,27 @@
 
 namespace spurrack::streams {
 
+/// Statement of a node which origin began a stream.
+struct origin_statement {
+  stream_origin origin;
+  /// Number of the call at which the stream began, among the calls of one client attempt.
+  std::uint32_t call = 0;
+  /// Whether the client has an event of the stream, so that no later call begins it elsewhere.
+  /// Nodes of older builds also state the origin of a call that has brought no event.
+  bool is_bound = false;
+};
+
 /// Origin of one stream, as one node knows it.
 struct origin_record {
   /// Shared by the streams of the same origin. Null if two calls began the stream at different
   /// origins, for example because a client used one id twice: the origin is then unknown.
   std::shared_ptr<const stream_origin> origin;
   /// Number of the call at which the stream began, among the calls of one client attempt. A later
-  /// call before the first event replaces the origin.
+  /// call replaces the origin.
   std::uint32_t call = 0;
+  /// Whether the origin, or each of the contradictory origins, was stated as bound.
+  bool is_bound = false;
+  /// Time at which the record was made or last changed.
   base::time_point recorded_at;
   /// Time after which no client resumes the stream.
   base::time_point expires_at;
@@ -37,15 +50,16 @@
   /// Maximum number of records; each takes about 200 bytes.
   static constexpr std::size_t max_records = 20'000;
 
-  /// Records the origin of a stream.
-  void record(const stream_key& stream, const stream_origin& origin, std::uint32_t call,
-              base::time_point expires_at, bool is_open_here, base::time_point now);
+  /// Records the origin of a stream. A bound statement replaces one that is not; a statement of a
+  /// later call replaces one of an earlier call. Different origins that cannot follow one another
+  /// contradict each other.
+  void record(const stream_key& stream, const origin_statement& stated, base::time_point expires_at,
+              bool is_open_here, base::time_point now);
   /// Records that different origins of a stream were recorded elsewhere.
   /// @param call number of the latest call with which the stream may have begun.
-  void record_contradiction(const stream_key& stream, std::uint32_t call,
+  /// @param is_bound whether each of the origins was stated as bound.
+  void record_contradiction(const stream_key& stream, std::uint32_t call, bool is_bound,
                             base::time_point expires_at, base::time_point now);
-  /// Removes the record of a stream.
-  void forget(const stream_key& stream);
   /// Records that this node has completed a stream.
   void note_completed(const stream_key& stream);
   /// @return null if the stream is not known.
@@ -60,10 +74,10 @@
 
  private:
   std::shared_ptr<const stream_origin> shared(const stream_origin& origin);
-  /// Sets the times of a record that was just made or changed, and drops another one if there are
-  /// too many.
-  void keep_until(const stream_key& stream, origin_record& record, base::time_point expires_at,
-                  base::time_point now);
+  /// Sets the time until which a record is kept, and drops another record if there are too many.
+  void keep_until(const stream_key& stream, origin_record& record, base::time_point expires_at);
+  /// Changes a record as a statement requires.
+  void apply(const origin_statement& stated, origin_record& known, base::time_point now);
   void set_expiry(const stream_key& stream, origin_record& record, base::time_point expires_at);
   void drop_first_to_expire();
 
--- a/src/streams/origin_witnesses.h
+++ b/src/streams/origin_witnesses.h
@@ -22,6 +22,7 @@
  public:
   explicit origin_witnesses(serving::fleet_peer self) : self_(std::move(self)) {}
 
+  [[nodiscard]] const base::node_id& self() const { return self_.node; }
   /// Replaces the other nodes that are alive.
   void set_peers(const std::vector<serving::fleet_peer>& alive);
   /// @return addresses of the nodes that keep the origin of a stream which this node begins.
--- a/src/streams/version_evidence.h
+++ b/src/streams/version_evidence.h
@@ -21,7 +21,8 @@
 struct sole_version {
   base::software_version version;
   base::time_point since;
-  /// Time at which the list of replicas was last known to be complete.
+  /// Time at which the list of replicas was last known to be complete. The clock's epoch, which is
+  /// before `since`, if that is not known: nodes of older builds do not tell it.
   base::time_point through;
 };
 
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -390,12 +390,52 @@
   told.set_service("llm");
   told.set_version("v3");
   told.set_call(1);
+  told.set_is_bound(true);
   told.set_lifetime_milliseconds(10'000);
   subject.handle_peer(witness.node, witness.address, message, now);
   resume(2, "r1");
   BOOST_TEST(has_retry_after(refusal()));
 }
 
+/// Guards against a record of a call after which another call, at another version, began the
+/// stream: only nodes of older builds send it.
+BOOST_FIXTURE_TEST_CASE(stream_does_not_go_on_by_an_unbound_record, resuming_driver) {
+  const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
+  subject.set_peers({witness}, 1);
+  wire::stream_origins message;
+  auto& told = *message.add_begun();
+  told.set_stream(streams::key_of("tenant", base::request_id("r1")).bytes());
+  told.set_service("llm");
+  told.set_version("v1");
+  told.set_call(1);
+  told.set_lifetime_milliseconds(10'000);
+  subject.handle_peer(witness.node, witness.address, message, now);
+  resume(2, "r1");
+  advance_time(milliseconds(400));
+  BOOST_TEST(all<start_call>().empty());
+  BOOST_TEST(!has_retry_after(refusal()));
+}
+
+/// Guards against a record of a call that is reset without an event: the record of the next call,
+/// which begins the stream, may be lost.
+BOOST_FIXTURE_TEST_CASE(origin_is_recorded_with_the_first_event_and_not_before, resuming_driver) {
+  const auto& registry = subject.stream_origins().registry();
+  send_request(1, "/stream/");
+  deliver(call_failed{last<start_call>().call, call_failure::may_have_run});
+  advance_time(milliseconds(100));
+  BOOST_REQUIRE(all<start_call>().size() == 2U);
+  BOOST_TEST(registry.size() == 0U);
+  const auto call = last<start_call>();
+  deliver(stream_opened{call.call, good_head()});
+  BOOST_TEST(registry.size() == 0U);
+  deliver(stream_bytes{call.call, "id: 1\ndata: x\n\n"});
+  const auto* record = registry.find(streams::key_of("tenant", base::request_id("r1")), now);
+  BOOST_REQUIRE(record != nullptr);
+  BOOST_TEST(record->origin->version.text() == version_of(call.target.replica));
+  BOOST_TEST(record->is_bound);
+  BOOST_TEST(record->call == 2U);
+}
+
 /// The weights of a split route may change between two attempts of a client.
 BOOST_FIXTURE_TEST_CASE(resumed_stream_stays_at_its_service_when_the_route_is_split,
                         resuming_driver) {
