--- a/tests/streams/outdated_record_test.cc
+++ b/tests/streams/outdated_record_test.cc
@@ -203,6 +203,17 @@
   BOOST_TEST(moved >= 20 * seed_count);
 }
 
+/// Guards against the same in a fleet in which a look-up does not query every node, so that the
+/// beginner may not be among the queried nodes.
+BOOST_AUTO_TEST_CASE(streams_keep_their_version_if_records_are_lost_in_a_larger_fleet) {
+  auto settings = with(half_and_half);
+  settings.nodes_per_zone = 8;
+  std::size_t moved = 0;
+  check_order("larger fleet", settings, reset_calls(false, moved));
+  BOOST_TEST_MESSAGE("first call at another version: " << moved);
+  BOOST_TEST(moved >= 20 * seed_count);
+}
+
 /// Guards against the same if the beginner, which knows the origin, is dead. A stream of which no
 /// witness has a record is refused.
 BOOST_AUTO_TEST_CASE(streams_keep_their_version_if_their_beginner_died_after_a_reset_call) {
