--- a/src/streams/version_proof.cc
+++ b/src/streams/version_proof.cc
@@ -6,10 +6,13 @@
 /// @return whether this node or a queried one knows of a version other than the published one.
 bool is_second_version_known(const version_case& known) {
   const auto& finding = known.finding;
+  const auto is_other = [&](const base::software_version& version) {
+    return !known.published.empty() && version != known.published.front();
+  };
   return known.own.knowledge == version_knowledge::several || finding.is_contradictory ||
          finding.peers_know_several_versions || known.published.size() > 1 ||
-         (finding.sole && !known.published.empty() &&
-          finding.sole->version != known.published.front());
+         (finding.sole && is_other(finding.sole->version)) ||
+         (finding.unbound_origin && is_other(finding.unbound_origin->version));
 }
 
 /// @return whether the list of this node shows no other version since the stream may have begun. A
--- a/tests/streams/version_proof_test.cc
+++ b/tests/streams/version_proof_test.cc
@@ -98,6 +98,9 @@
   known = proven_case();
   known.finding.sole = sole_version{v2, lost_by - seconds(60), lost_by};
   BOOST_TEST((judge(known) == version_verdict::several_versions));
+  known = proven_case();
+  known.finding.unbound_origin = stream_origin{"llm", v2};
+  BOOST_TEST((judge(known) == version_verdict::several_versions));
 }
 
 // Guards against a stream that goes on at the service that today's weights choose, and not at the
