--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -204,6 +204,7 @@
   add_outcome("only_version", counts.resumptions_at_only_version);
   add_outcome("unknown", counts.resumptions_of_unknown_origin);
   add_outcome("without_evidence", counts.resumptions_without_evidence);
+  add_outcome("list_not_verified", counts.resumptions_without_verified_list);
   add_outcome("left", counts.resumptions_of_left_version);
   add_outcome("without_slot", counts.resumptions_without_slot);
   const auto& origins = dispatcher.stream_origins();
@@ -217,8 +218,19 @@
       origins.counts().sent_messages);
   add("spurrack_stream_origin_records_total", "Origins of streams sent to witnesses.",
       origins.counts().sent_records);
+  add("spurrack_stream_origin_records_repeated_total",
+      "Origins of streams sent again to witnesses that had not acknowledged them.",
+      origins.counts().repeated_records);
+  add("spurrack_stream_origin_records_acknowledged_total",
+      "Origins of streams that witnesses acknowledged.", origins.counts().acknowledged_records);
+  add("spurrack_stream_origin_records_abandoned_total",
+      "Origins of streams of which not all witnesses sent an acknowledgement.",
+      origins.delivery().abandoned());
   add("spurrack_stream_origin_queries_total", "Queries sent for origins of streams.",
       origins.counts().sent_queries);
+  add("spurrack_stream_origin_queries_repeated_total",
+      "Queries for origins of streams sent again to nodes that had not answered.",
+      origins.counts().repeated_queries);
   add("spurrack_stream_origin_late_answers_total",
       "Answers about origins of streams that arrived after their look-up had ended.",
       origins.counts().late_answers);
--- a/tests/platform_fleet/soak_run.cc
+++ b/tests/platform_fleet/soak_run.cc
@@ -2,6 +2,7 @@
 
 #include "broken_answer_phase.h"
 #include "crashing_request_check.h"
+#include "out_of_step_phase.h"
 #include "planned_maintenance.h"
 #include "rate_limit_check.h"
 #include "self_report_check.h"
@@ -39,7 +40,9 @@
 soak_run::soak_run(const std::filesystem::path& binaries, const soak_options& options,
                    std::uint64_t seed)
     : options_(options), seed_(seed), random_(seed), broken_answers_(seed + 3),
-      fleet_(binaries, options.fleet, recorder_), foreign_entries_(fleet_.store, recorder_),
+      fleet_(binaries, options.fleet, recorder_),
+      foreign_entries_(fleet_.store, recorder_,
+                       fleet_.mixes_builds() ? std::nullopt : std::optional(seed + 5)),
       faults_(fleet_, foreign_entries_, recorder_, random_) {
   for (const auto& replica : fleet_.replicas) {
     replica->set_broken_answer_source(broken_answers_);
@@ -75,6 +78,9 @@
     if (options_.has_silences) {
       check_silences();
     }
+    if (options_.has_node_out_of_step) {
+      check_node_out_of_step();
+    }
   }
   resident_bytes_ = fleet_.resident_bytes();
   stop_clients();
@@ -231,6 +237,19 @@
   check_success_rate(counts_before);
 }
 
+void soak_run::check_node_out_of_step() {
+  // The phase has its own random source, so that its random choices do not change the faults to
+  // which the seeds in seeds.txt lead.
+  out_of_step_phase(fleet_, recorder_, seed_ + 5).run();
+  if (!fleet_.wait_until_all_ready(options_.ready_timeout)) {
+    recorder_.note_violation("RECOVER", "not all nodes became ready after one was out of step");
+  }
+  std::this_thread::sleep_until(fleet_.last_fault_at.load() + settle_time);
+  const auto counts_before = recorder_.counts();
+  std::this_thread::sleep_for(served_observation_time);
+  check_success_rate(counts_before);
+}
+
 void soak_run::check_revocation_of_all_keys() {
   const auto keys = seed_ % 2 == 0 ? held_keys::none : held_keys::no_tenant;
   fleet_.publish_configuration(configuration_contents{.keys = keys});
