--- a/tests/simulation/list_verification_test.cc
+++ b/tests/simulation/list_verification_test.cc
@@ -77,7 +77,7 @@
 
 /// Maximum number of calls per second of one reader that verifies as often as it may: each
 /// verifying read is followed by a watch.
-constexpr std::uint64_t max_reader_calls_per_second = 2 * 20;
+constexpr std::uint64_t max_reader_calls_per_second = 40;
 /// Calls per second of the usual watches of a region, generously.
 constexpr std::uint64_t usual_calls_per_second = 20;
 
