--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -181,10 +181,10 @@
   };
   std::string text = ", begun at most " + age_of(known.earliest_begin) + " ago, asked " +
                      age_of(request.origin_asked_at) + " ago, list ";
-  text += known.unbroken_since
-              ? "known without a gap for " + age_of(*known.unbroken_since) + ", last confirmed " +
-                    age_of(replica_list_confirmed_at()) + " ago"
-              : "never confirmed";
+  const auto confirmed_at = list_coverage_.confirmed_at();
+  text += confirmed_at ? "known without a gap for " + age_of(*known.unbroken_since) +
+                             ", last confirmed " + age_of(*confirmed_at) + " ago"
+                       : "never confirmed";
   text +=
       known.verified_at ? ", verified " + age_of(*known.verified_at) + " ago" : ", never verified";
   if (latest_stand_ended_at_ >= known.earliest_begin) {
