Test: nodes that stop as a second version joins, with messages under way

Change: half of the seeds join the second version of one service after the other and stop the nodes from 20 ms before to 300 ms after each join, while what they receive is delayed by 150 to 350 ms. Six clients a service in place of four. No check is changed.

--- a/tests/platform_fleet/out_of_step_fleet.cc
+++ b/tests/platform_fleet/out_of_step_fleet.cc
@@ -26,12 +26,13 @@
   for (std::size_t number = 0; number < services; ++number) {
     const auto name = "s" + std::to_string(number);
     const std::string separator = number == 0 ? "" : ",";
-    service_list += separator + R"({"name":")" + name + R"("})";
-    routes += separator + R"({"name":"route-)" + name + R"(","host":"h","path_prefix":"/)" + name +
-              R"(/","kind":"streaming","service":")" + name + R"(","timeout_ms":)" +
-              std::to_string(stream_timeout.count()) +
-              R"(,"max_attempts":3,"stream_resume":true,"target_latency_ms":800,)"
-              R"("gap_target_ms":500})";
+    service_list.append(separator).append(R"({"name":")").append(name).append(R"("})");
+    routes.append(separator).append(R"({"name":"route-)").append(name);
+    routes.append(R"(","host":"h","path_prefix":"/)").append(name);
+    routes.append(R"(/","kind":"streaming","service":")").append(name);
+    routes.append(R"(","timeout_ms":)").append(std::to_string(stream_timeout.count()));
+    routes.append(R"(,"max_attempts":3,"stream_resume":true,"target_latency_ms":800,)");
+    routes.append(R"("gap_target_ms":500})");
   }
   return R"({"version":1,"services":[)" + service_list +
          R"(],"limits":{"max_header_bytes":2000,"max_body_bytes":5000,"header_timeout_ms":6000,)"
@@ -125,6 +126,11 @@
   set_fault(link_of_store(node), fault);
 }
 
+void out_of_step_fleet::set_delay(const stepping_node& node, milliseconds delay) const {
+  set_fault(link_of_peers(node), link_fault::none, delay);
+  set_fault(link_of_store(node), link_fault::none, delay);
+}
+
 void out_of_step_fleet::stop(stepping_node& node) const {
   node.process->signal(SIGSTOP);
 }
@@ -161,12 +167,14 @@
              "the fault proxy did not start");
 }
 
-void out_of_step_fleet::set_fault(const std::string& link, link_fault fault) const {
+void out_of_step_fleet::set_fault(const std::string& link, link_fault fault,
+                                  milliseconds delay) const {
   constexpr std::array<const char*, 4> names{"", "cut", "black_hole", "held"};
   boost::json::object body{{"links", boost::json::array{boost::json::value(link)}}};
   if (fault != link_fault::none) {
     body[names[static_cast<std::size_t>(fault)]] = true;
   }
+  body["delay_ms"] = delay.count();
   fleet::post(proxy_address_, "/admin/fault", body);
 }
 
--- a/tests/platform_fleet/out_of_step_fleet.h
+++ b/tests/platform_fleet/out_of_step_fleet.h
@@ -77,6 +77,8 @@
   void set_peer_fault(const stepping_node& node, link_fault fault) const;
   /// Sets the fault of the connections from a node to the store.
   void set_store_fault(const stepping_node& node, link_fault fault) const;
+  /// Delays what a node receives from other nodes and what passes between it and the store.
+  void set_delay(const stepping_node& node, std::chrono::milliseconds delay) const;
   void stop(stepping_node& node) const;
   /// Lets a stopped process go on.
   void go_on(stepping_node& node) const;
@@ -89,7 +91,8 @@
  private:
   void add_replica(stepping_service& service, const std::string& version, const std::string& zone);
   void start_proxy();
-  void set_fault(const std::string& link, link_fault fault) const;
+  void set_fault(const std::string& link, link_fault fault,
+                 std::chrono::milliseconds delay = {}) const;
   void write_settings(const stepping_node& node) const;
   [[nodiscard]] std::string path_of(const stepping_node& node, const std::string& suffix) const;
 
--- a/tests/platform_fleet/out_of_step_fleet_test.cc
+++ b/tests/platform_fleet/out_of_step_fleet_test.cc
@@ -31,7 +31,7 @@
 constexpr std::uint64_t default_seeds = 1;
 constexpr const char* log_folder_variable = "SPURRACK_OUT_OF_STEP_LOGS";
 
-constexpr std::size_t clients_per_service = 4;
+constexpr std::size_t clients_per_service = 6;
 /// Services that get a second version; one more keeps its single version.
 constexpr std::size_t stepping_services = 5;
 /// Time after which a node accepts that one version began each stream: the list must be known for
@@ -43,6 +43,13 @@
 constexpr milliseconds min_stand{300};
 constexpr milliseconds max_stand_in_series{1'500};
 constexpr milliseconds max_time_between_stands{120};
+constexpr milliseconds max_stop_before_join{20};
+constexpr milliseconds max_stop_after_join{300};
+constexpr milliseconds max_stand_beside_join{900};
+constexpr milliseconds time_between_joins{250};
+/// Time by which what a node receives is delayed as it is stopped.
+constexpr milliseconds min_delay{150};
+constexpr milliseconds max_delay{350};
 /// Span around the begin of a disturbance in which second versions join.
 constexpr milliseconds max_join_before{300};
 constexpr milliseconds max_join_after{1'500};
@@ -140,8 +147,22 @@
                 << static_cast<int>(fault);
   }
 
-  /// Stops the process of one node or two, once or in series.
+  /// Stops the process of one node or two, once or in series, or shortly before or after each join
+  /// of a second version.
   void stop() {
+    if (random_.below(2) == 0) {
+      stop_beside_joins();
+    } else {
+      stop_at_any_time();
+    }
+  }
+
+  std::ostringstream description;
+
+ private:
+  using action = std::function<void()>;
+
+  void stop_at_any_time() {
     choose_nodes();
     const auto span = drawn(min_stand, max_disturbance);
     const bool is_series = random_.below(2) == 0;
@@ -161,10 +182,28 @@
                 << (is_series ? " in series" : "");
   }
 
-  std::ostringstream description;
-
- private:
-  using action = std::function<void()>;
+  /// Stops the processes as the second version of each service joins. What the nodes receive is
+  /// delayed, so that a stand often falls between a query and its answers.
+  void stop_beside_joins() {
+    choose_nodes();
+    const auto delay = drawn(min_delay, max_delay);
+    run_later(-max_join_before, [this, delay] { set_delay(delay); });
+    auto joins_at = milliseconds(0);
+    for (std::size_t number = 0; number < stepping_services; ++number) {
+      run_later(joins_at, [this, number] { add_second_version(number); });
+      const auto stops_at = joins_at + drawn(-max_stop_before_join, max_stop_after_join);
+      const auto goes_on_at = stops_at + drawn(min_stand, max_stand_beside_join);
+      run_later(stops_at, [this] { for_each_node([&](auto& node) { fleet_->stop(node); }); });
+      run_later(goes_on_at, [this] { for_each_node([&](auto& node) { fleet_->go_on(node); }); });
+      joins_at = goes_on_at + time_between_joins;
+    }
+    run_later(joins_at, [this] { set_delay(milliseconds(0)); });
+    run_later(joins_at + time_after, [this] { set_out_of_step(false); });
+    set_out_of_step(true);
+    run();
+    description << nodes_.size() << " stopped as versions joined, messages delayed by "
+                << delay.count() << " ms";
+  }
 
   milliseconds drawn(milliseconds least, milliseconds most) {
     return least +
@@ -201,10 +240,15 @@
   /// Lets the second versions join between `max_join_before` before the begin and `latest` after.
   void plan_joins(milliseconds latest) {
     for (std::size_t number = 0; number < stepping_services; ++number) {
-      run_later(drawn(-max_join_before, latest),
-                [this, number] { fleet_->add_second_version(*fleet_->services[number]); });
+      run_later(drawn(-max_join_before, latest), [this, number] { add_second_version(number); });
     }
   }
+  void add_second_version(std::size_t number) {
+    fleet_->add_second_version(*fleet_->services[number]);
+  }
+  void set_delay(milliseconds delay) {
+    for_each_node([&](auto& node) { fleet_->set_delay(node, delay); });
+  }
   /// Runs all planned actions, each at its time.
   void run() {
     const auto begins_at = test_clock::now() + max_join_before;
--- a/tests/platform_fleet/resuming_client.cc
+++ b/tests/platform_fleet/resuming_client.cc
@@ -334,7 +334,7 @@
   std::string text = "ORDER: " + session.name + " (" + session.first_attempt +
                      ") has events of several software versions:";
   for (const auto& [version, place] : session.versions) {
-    text += " " + version + " from " + place + ";";
+    text.append(" ").append(version).append(" from ").append(place).append(";");
   }
   report_->violations.push_back(text);
 }
