--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -12,6 +12,9 @@
 constexpr base::duration max_regular_event_interval = 2 * periodic_interval;
 /// Shortest time that counts as a stand of this process: replicas pause for less inside a stream.
 constexpr base::duration min_stand = std::chrono::milliseconds(50);
+/// Time after a stand of this process within which it reads the messages that waited in its
+/// sockets.
+constexpr base::duration unread_input_time = std::chrono::milliseconds(50);
 /// Maximum numbers of members of other zones among the peers that `replication_peers` returns.
 /// Members in the region of this node are near; members in other regions are far, and traffic to
 /// far members is expensive. If no far member is known, near members take the places of far
@@ -74,7 +77,7 @@
                catalog::service_watch(settings_.service_timing)},
       turns_{catalog::read_turns(settings_.knowledge_limits),
              catalog::read_turns(settings_.knowledge_limits)},
-      last_peer_message_at_(now),
+      list_queries_(random), last_peer_message_at_(now),
       membership_(
           settings_.self, settings_.membership_timing, random,
           [this](const membership::member& subject) {
@@ -154,6 +157,10 @@
   for (const auto& missing : missing_entries_) {
     consider(missing ? std::optional(missing->request_at) : std::nullopt);
   }
+  consider(list_reads_.due_at());
+  if (list_verification_wanted()) {
+    consider(list_queries_.due_at());
+  }
   if (serving_) {
     consider(serving_->next_wakeup(last_event_at_));
   }
@@ -180,6 +187,7 @@
   // A stand that the caller has noted is not counted again.
   const auto stand = now - std::max(last_event_at_, stand_noted_at_) - periodic_interval;
   if (stand >= min_stand) {
+    note_unread_messages(std::max(last_event_at_, stand_noted_at_), now);
     forward_stand(stand, now);
   }
   if (now - last_event_at_ <= settings_.suspension_threshold) {
@@ -205,11 +213,21 @@
     return;
   }
   stand_noted_at_ = now;
+  note_unread_messages(now - stand, now);
   forward_stand(stand, now);
 }
 
+void node::note_unread_messages(base::time_point since, base::time_point now) {
+  const bool follows_another_stand = since <= unread_until_;
+  unread_since_ = follows_another_stand ? std::min(unread_since_, since) : since;
+  unread_until_ = now + unread_input_time;
+}
+
 void node::forward_stand(base::duration stand, base::time_point now) {
   membership_.note_stand(stand, now);
+  for (auto& watch : watches_) {
+    watch.note_stand();
+  }
   if (serving_) {
     serving_->note_stand(stand, now);
   }
@@ -252,7 +270,12 @@
                             std::none_of(all_sources.begin(), all_sources.end(), [&](auto source) {
                               return is_knowledge_overdue(source, now);
                             });
-  if (has_content && is_up_to_date && is_confirmed) {
+  // Without a list of replicas, a node that serves published routes refuses every request.
+  constexpr auto machine_list = source_kind::machine_list;
+  const bool knows_replicas = !serving_ || !catalog_.replicas().empty() ||
+                              knowledge(machine_list).confirmed().has_value() ||
+                              watches_[static_cast<std::size_t>(machine_list)].has_answered();
+  if (has_content && is_up_to_date && is_confirmed && knows_replicas) {
     is_ready_ = true;
     record(base::event_kind::node_ready, {}, settings_.self.node.text(), "");
   }
@@ -387,6 +410,9 @@
   if (replica_list) {
     serving_->confirm_replica_list(replica_list->at);
   }
+  if (const auto verified_at = knowledge(source_kind::machine_list).verified_at()) {
+    serving_->verify_replica_list(*verified_at);
+  }
 }
 
 // --- graceful stop -------------------------------------------------------------------------------
@@ -412,6 +438,7 @@
     if (serving_) {
       update_replica_list_age();
       serving_->advance(now);
+      advance_list_verification(now);
       for (auto& queued : serving_->take_commands()) {
         commands_.emplace_back(std::move(queued));
       }
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -74,7 +74,7 @@
     update();
     for (const auto end = now + version_history::retention; now < end;) {
       now += seconds(1);
-      subject.confirm_replica_list(now);
+      subject.verify_replica_list(now);
     }
     begin(9000);
     deliver(client_disconnected{9000});
@@ -215,7 +215,7 @@
                      with_retry_budget(), other_random, 1,
                      [](auto, const auto&, const auto&, const auto&) {});
   started.update(published.content, now);
-  started.confirm_replica_list(now);
+  started.verify_replica_list(now);
   const auto send_to_started = [&](base::caller_id client, bool resumes) {
     auto content = content_for(client, "/stream/");
     if (resumes) {
@@ -235,7 +235,7 @@
   // A client may have begun its stream `stream_timeout` ago, by a list that was `max_gap` old.
   for (const auto end = now + stream_timeout + list_coverage::max_gap; now < end;) {
     now += seconds(1);
-    started.confirm_replica_list(now);
+    started.verify_replica_list(now);
   }
   BOOST_TEST(send_to_started(3, true));
 }
@@ -390,12 +390,52 @@
   told.set_service("llm");
   told.set_version("v3");
   told.set_call(1);
+  told.set_is_bound(true);
   told.set_lifetime_milliseconds(10'000);
   subject.handle_peer(witness.node, witness.address, message, now);
   resume(2, "r1");
   BOOST_TEST(has_retry_after(refusal()));
 }
 
+/// Guards against a record of a call after which another call, at another version, began the
+/// stream: only nodes of older builds send it.
+BOOST_FIXTURE_TEST_CASE(stream_does_not_go_on_by_an_unbound_record, resuming_driver) {
+  const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
+  subject.set_peers({witness}, 1);
+  wire::stream_origins message;
+  auto& told = *message.add_begun();
+  told.set_stream(streams::key_of("tenant", base::request_id("r1")).bytes());
+  told.set_service("llm");
+  told.set_version("v1");
+  told.set_call(1);
+  told.set_lifetime_milliseconds(10'000);
+  subject.handle_peer(witness.node, witness.address, message, now);
+  resume(2, "r1");
+  advance_time(milliseconds(400));
+  BOOST_TEST(all<start_call>().empty());
+  BOOST_TEST(!has_retry_after(refusal()));
+}
+
+/// Guards against a record of a call that is reset without an event: the record of the next call,
+/// which begins the stream, may be lost.
+BOOST_FIXTURE_TEST_CASE(origin_is_recorded_with_the_first_event_and_not_before, resuming_driver) {
+  const auto& registry = subject.stream_origins().registry();
+  send_request(1, "/stream/");
+  deliver(call_failed{last<start_call>().call, call_failure::may_have_run});
+  advance_time(milliseconds(100));
+  BOOST_REQUIRE(all<start_call>().size() == 2U);
+  BOOST_TEST(registry.size() == 0U);
+  const auto call = last<start_call>();
+  deliver(stream_opened{call.call, good_head()});
+  BOOST_TEST(registry.size() == 0U);
+  deliver(stream_bytes{call.call, "id: 1\ndata: x\n\n"});
+  const auto* record = registry.find(streams::key_of("tenant", base::request_id("r1")), now);
+  BOOST_REQUIRE(record != nullptr);
+  BOOST_TEST(record->origin->version.text() == version_of(call.target.replica));
+  BOOST_TEST(record->is_bound);
+  BOOST_TEST(record->call == 2U);
+}
+
 /// The weights of a split route may change between two attempts of a client.
 BOOST_FIXTURE_TEST_CASE(resumed_stream_stays_at_its_service_when_the_route_is_split,
                         resuming_driver) {
