--- a/src/dispatch/dispatcher_silence.cc
+++ b/src/dispatch/dispatcher_silence.cc
@@ -57,6 +57,9 @@
       *request.slow_client_check_at += stand;
     }
   }
+  for (auto& [client, wait] : awaiting_list_) {
+    wait.ends_at += stand;
+  }
   stages_.resume_after_suspension(stand);
 }
 
--- a/src/dispatch/dispatcher_streams.cc
+++ b/src/dispatch/dispatcher_streams.cc
@@ -15,6 +15,8 @@
 /// attempts at different nodes, and half of the shortest time for which a client waits for an
 /// event.
 constexpr base::duration list_verification_timeout = std::chrono::seconds(1);
+/// Time after which the list is no longer verified for a request that was refused.
+constexpr base::duration list_wish_lifetime = std::chrono::seconds(5);
 /// Interval at which this node checks whether the witnesses of its open streams must be told.
 constexpr base::duration share_check_interval = std::chrono::milliseconds(250);
 
@@ -56,7 +58,11 @@
 // --- look-up -------------------------------------------------------------------------------------
 
 bool dispatcher::settle_origin(active_request& request, base::time_point now) {
-  if (awaiting_list_.contains(request.client)) {
+  const auto waiting = awaiting_origin_.find(*request.stream_key);
+  const bool awaits_origin =
+      waiting != awaiting_origin_.end() && std::find(waiting->second.begin(), waiting->second.end(),
+                                                     request.client) != waiting->second.end();
+  if (awaits_origin || awaiting_list_.contains(request.client)) {
     return false;
   }
   request.origin_asked_at = now;
@@ -134,6 +140,9 @@
 }
 
 void dispatcher::process_list_waits(base::time_point now) {
+  if (awaiting_list_.empty() && list_wanted_at_ && now - *list_wanted_at_ > list_wish_lifetime) {
+    list_wanted_at_.reset();
+  }
   const auto is_over = [&](const auto& entry) {
     const auto found = active_.find(entry.first);
     return found == active_.end() || entry.second.ends_at <= now ||
@@ -350,6 +359,8 @@
     // The events may be of either version, so the origin is not known from now on.
     origins_.note_bound(*request.stream_key, {request.service, replica->record->version},
                         request.calls, request.deadline - now, is_origin_shared(request), now);
+    // The client may resume at once, and must not find the earlier record.
+    origins_.note_first_event(now);
     answer_failed(request, status::bad_gateway, "its replica restarted with other software",
                   end_evidence::replica_restarted, now);
   } else {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -77,7 +77,8 @@
                catalog::service_watch(settings_.service_timing)},
       turns_{catalog::read_turns(settings_.knowledge_limits),
              catalog::read_turns(settings_.knowledge_limits)},
-      list_queries_(random), last_peer_message_at_(now),
+      list_queries_(random, static_cast<std::uint64_t>(settings_.self.process_start)),
+      last_peer_message_at_(now),
       membership_(
           settings_.self, settings_.membership_timing, random,
           [this](const membership::member& subject) {
--- a/src/node/position_queries.h
+++ b/src/node/position_queries.h
@@ -67,7 +67,10 @@
   };
 
   /// @param random must outlive this object.
-  explicit position_queries(base::random_source& random) : random_(&random) {}
+  /// @param first_number number of the first query. Must differ between the lives of a process, so
+  ///        that a late answer to a query of an earlier life answers none of this life.
+  explicit position_queries(base::random_source& random, std::uint64_t first_number = 1)
+      : random_(&random), next_number_(first_number) {}
 
   /// @return whether `next_step` has to be called, while a verification is wanted.
   [[nodiscard]] bool is_due(base::time_point now) const { return now >= due_at(); }
@@ -110,7 +113,7 @@
   bool takes_own_read(const reader_list& readers, base::time_point now);
 
   base::random_source* random_;
-  std::uint64_t next_number_ = 1;
+  std::uint64_t next_number_;
   /// Latest queries, the oldest first.
   std::deque<sent_query> sent_;
   /// Number of readers that were passed over because they did not answer.
--- a/src/streams/origin_exchange.cc
+++ b/src/streams/origin_exchange.cc
@@ -10,8 +10,8 @@
 
 /// Time for which a record that is not urgent waits for others to the same node.
 constexpr base::duration batch_wait = std::chrono::milliseconds(15);
-/// Time for which an acknowledgement waits for other messages to the same node. With the way there
-/// and back shorter than the time after which a record is sent again.
+/// Time for which an acknowledgement waits for other messages to the same node. Together with the
+/// round trip it stays below the time after which a record is sent again.
 constexpr base::duration acknowledgement_wait = std::chrono::milliseconds(30);
 /// Time after which nodes that have not answered a query are queried again: that after which a node
 /// connects anew to another one.
--- a/tests/node/position_queries_test.cc
+++ b/tests/node/position_queries_test.cc
@@ -166,4 +166,15 @@
              position_queries::reader_queries_per_second * (span_seconds + 1));
 }
 
+// Guards against a list that is dated by the answer to a query which the process sent before it was
+// restarted.
+BOOST_AUTO_TEST_CASE(an_answer_to_a_query_of_an_earlier_life_verifies_nothing) {
+  const auto asked_before = step(readers_of(1)).to_send;
+  BOOST_REQUIRE(asked_before.has_value());
+  position_queries restarted(random, 2'000'000);
+  BOOST_REQUIRE(restarted.next_step(readers_of(1), known, now).to_send.has_value());
+  BOOST_TEST(
+      !restarted.on_answer(asked_before->reader, asked_before->number, {1, 101}, now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
