--- a/src/node/node_peers.cc
+++ b/src/node/node_peers.cc
@@ -4,6 +4,40 @@
 #include <utility>
 
 namespace spurrack::node {
+namespace {
+
+/// Delivers a message to the part of the dispatcher that handles its kind.
+void deliver_to_serving(serving::dispatcher& serving, const wire::envelope& message,
+                        base::time_point now) {
+  const base::node_id node(message.sender());
+  const base::network_address address(message.sender_address());
+  if (message.has_stage_work()) {
+    serving.handle_peer(node, message.stage_work(), now);
+  }
+  if (message.has_engine_news()) {
+    serving.handle_peer(message.engine_news(), now);
+  }
+  if (message.has_replica_news()) {
+    serving.handle_peer(node, message.replica_news(), now);
+  }
+  if (message.has_crash_news()) {
+    serving.handle_peer(address, message.crash_news(), now);
+  }
+  if (message.has_relay_offer()) {
+    serving.handle_peer(node, address, message.relay_offer(), now);
+  }
+  if (message.has_stream_origins()) {
+    serving.handle_peer(node, address, message.stream_origins(), now);
+  }
+  if (message.has_rate_limits()) {
+    serving.handle_peer(node, message.rate_limits(), now);
+  }
+  if (message.has_retry_lending()) {
+    serving.handle_peer(node, address, message.retry_lending(), now);
+  }
+}
+
+} // namespace
 
 void node::on(const peer_message& input_event, base::time_point now) {
   const auto& message = input_event.message;
@@ -41,29 +75,8 @@
     on_forwarded_request(message, now);
   }
   guard_.handle(message, now);
-  if (serving_ && message.has_stage_work()) {
-    serving_->handle_peer(base::node_id(message.sender()), message.stage_work(), now);
-  }
-  if (serving_ && message.has_engine_news()) {
-    serving_->handle_peer(message.engine_news(), now);
-  }
-  if (serving_ && message.has_replica_news()) {
-    serving_->handle_peer(base::node_id(message.sender()), message.replica_news(), now);
-  }
-  if (serving_ && message.has_crash_news()) {
-    serving_->handle_peer(sender, message.crash_news(), now);
-  }
-  if (serving_ && message.has_relay_offer()) {
-    serving_->handle_peer(base::node_id(message.sender()), sender, message.relay_offer(), now);
-  }
-  if (serving_ && message.has_stream_origins()) {
-    serving_->handle_peer(base::node_id(message.sender()), sender, message.stream_origins(), now);
-  }
-  if (serving_ && message.has_rate_limits()) {
-    serving_->handle_peer(base::node_id(message.sender()), message.rate_limits(), now);
-  }
-  if (serving_ && message.has_retry_lending()) {
-    serving_->handle_peer(base::node_id(message.sender()), sender, message.retry_lending(), now);
+  if (serving_) {
+    deliver_to_serving(*serving_, message, now);
   }
   if (message.has_watch_handover()) {
     on_watch_handover(message.watch_handover(), now);
