Test: an answer of another node says how old its list is

The answer states its age now. Two cases are added that must be refused: an answer of an older build without the age, and a list that is too old to reach this node's own.

--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -271,7 +271,8 @@
   time_allowed = stream_timeout - seconds(3);
   const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
   const auto resume_with_answer = [&](base::caller_id client, const std::string& version,
-                                      std::uint32_t known_milliseconds) {
+                                      std::uint32_t known_milliseconds,
+                                      std::uint32_t list_age_milliseconds = 1) {
     now += seconds(10);
     subject.set_peers({witness}, 1);
     const auto stream = "never heard of " + std::to_string(client);
@@ -282,6 +283,7 @@
     answer.set_is_list_current(true);
     answer.set_only_version(version);
     answer.set_only_version_milliseconds(known_milliseconds);
+    answer.set_list_age_milliseconds(list_age_milliseconds);
     const auto calls = all<start_call>().size();
     subject.handle_peer(witness.node, witness.address, message, now);
     advance_time(milliseconds(5));
@@ -290,8 +292,10 @@
   BOOST_TEST(resume_with_answer(1, "v1", 60'000));
   BOOST_TEST(!resume_with_answer(2, "v1", 1'000));
   BOOST_TEST(!resume_with_answer(3, "v2", 60'000));
-  // A node of an older build does not say for how long.
+  // Nodes of older builds do not say for how long, or not until when.
   BOOST_TEST(!resume_with_answer(4, "", 0));
+  BOOST_TEST(!resume_with_answer(5, "v1", 60'000, 0));
+  BOOST_TEST(!resume_with_answer(6, "v1", 60'000, 5'000));
 }
 
 /// The list may lack a version that was published a moment ago.
