--- a/src/dispatch/dispatcher_state.h
+++ b/src/dispatch/dispatcher_state.h
@@ -73,9 +73,8 @@
   /// Records that this node knows by a call of its own, which was sent at `verified_at` or later,
   /// that the store had no later list of replicas.
   void verify_replica_list(base::time_point verified_at) { list_coverage_.verify(verified_at); }
-  /// @return time at or after which the list of replicas must be verified (`verify_replica_list`),
-  /// for
-  ///         requests that wait for that; std::nullopt if it was, or if no request needs it.
+  /// @return time at or after which the list of replicas must be verified (`verify_replica_list`)
+  ///         for requests; std::nullopt if it was, or if no request needs it.
   [[nodiscard]] std::optional<base::time_point> list_verification_wanted() const {
     const bool is_done = !list_wanted_at_ || list_coverage_.verified_at() >= list_wanted_at_;
     return is_done ? std::nullopt : list_wanted_at_;
--- a/tests/dispatch/stream_resumption_test.cc
+++ b/tests/dispatch/stream_resumption_test.cc
@@ -55,6 +55,21 @@
     return version_of(call.target.replica);
   }
 
+  /// Delivers a witness's record of what the attempt `r1` began.
+  void tell_by_witness(const std::string& version, bool is_bound) {
+    const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
+    subject.set_peers({witness}, 1);
+    wire::stream_origins message;
+    auto& told = *message.add_begun();
+    told.set_stream(streams::key_of("tenant", base::request_id("r1")).bytes());
+    told.set_service("llm");
+    told.set_version(version);
+    told.set_call(1);
+    told.set_is_bound(is_bound);
+    told.set_lifetime_milliseconds(10'000);
+    subject.handle_peer(witness.node, witness.address, message, now);
+  }
+
   /// Resumes what the attempt of `client` began. @param client new attempt.
   void resume(base::caller_id client, const std::string& first_attempt) {
     auto content = content_for(client, "/stream/");
@@ -386,17 +401,7 @@
 
 /// A new version is told by a witness before this node's list holds its replicas.
 BOOST_FIXTURE_TEST_CASE(stream_of_a_version_that_is_not_listed_yet_may_come_back, resuming_driver) {
-  const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
-  subject.set_peers({witness}, 1);
-  wire::stream_origins message;
-  auto& told = *message.add_begun();
-  told.set_stream(streams::key_of("tenant", base::request_id("r1")).bytes());
-  told.set_service("llm");
-  told.set_version("v3");
-  told.set_call(1);
-  told.set_is_bound(true);
-  told.set_lifetime_milliseconds(10'000);
-  subject.handle_peer(witness.node, witness.address, message, now);
+  tell_by_witness("v3", true);
   resume(2, "r1");
   BOOST_TEST(has_retry_after(refusal()));
 }
@@ -404,16 +409,7 @@
 /// Guards against a record of a call after which another call, at another version, began the
 /// stream: only nodes of older builds send it.
 BOOST_FIXTURE_TEST_CASE(stream_does_not_go_on_by_an_unbound_record, resuming_driver) {
-  const fleet_peer witness{base::node_id("w"), base::zone_id("b"), base::network_address("w:1")};
-  subject.set_peers({witness}, 1);
-  wire::stream_origins message;
-  auto& told = *message.add_begun();
-  told.set_stream(streams::key_of("tenant", base::request_id("r1")).bytes());
-  told.set_service("llm");
-  told.set_version("v1");
-  told.set_call(1);
-  told.set_lifetime_milliseconds(10'000);
-  subject.handle_peer(witness.node, witness.address, message, now);
+  tell_by_witness("v1", false);
   resume(2, "r1");
   advance_time(milliseconds(400));
   BOOST_TEST(all<start_call>().empty());
