Tests: repeated texts for odd entries come from one header

foreign_entries and odd_entries_test had the same function. Behaviour is unchanged; both files compile without warnings, their programs were not run again.

--- a/tests/platform_fleet/foreign_entries.cc
+++ b/tests/platform_fleet/foreign_entries.cc
@@ -1,6 +1,7 @@
 #include "foreign_entries.h"
 
 #include "http_text.h"
+#include "repeated_text.h"
 #include "soak_fleet.h"
 
 namespace spurrack::platform_tests {
@@ -24,15 +25,6 @@
 constexpr std::size_t large_value_bytes = 3'000'000;
 constexpr std::size_t long_text_bytes = 1'000'000;
 
-std::string repeat(const std::string& text, std::size_t count) {
-  std::string repeated;
-  repeated.reserve(text.size() * count);
-  for (std::size_t index = 0; index < count; ++index) {
-    repeated += text;
-  }
-  return repeated;
-}
-
 /// @param value JSON text of the field.
 std::string with_field(const std::string& address, const std::string& field,
                        const std::string& value) {
--- a/tests/platform_fleet/odd_entries_test.cc
+++ b/tests/platform_fleet/odd_entries_test.cc
@@ -1,6 +1,7 @@
 /// Real daemon beside odd entries of 17 MB among those of the replicas. Guards against nodes that
 /// end, stop following the list of replicas, or are ready with an empty list.
 #include "http_text.h"
+#include "repeated_text.h"
 #include "scripted_server.h"
 #include "single_daemon.h"
 #include "soak_store.h"
@@ -16,15 +17,6 @@
 
 constexpr std::uint64_t max_resident_bytes = 64'000'000;
 
-std::string repeat(const std::string& text, std::size_t count) {
-  std::string repeated;
-  repeated.reserve(text.size() * count);
-  for (std::size_t index = 0; index < count; ++index) {
-    repeated += text;
-  }
-  return repeated;
-}
-
 std::string entry_of(const std::string& address, const std::string& state = "ready") {
   return R"({"service":"s","zone":"z","slots":4,"state":")" + state + R"(","address":")" + address +
          "\"}";
