--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -191,6 +191,17 @@
             static_cast<double>(dispatcher.crashes().all().size()));
 }
 
+void add_version_proofs(Registry& registry, const serving::serving_counters& counts) {
+  auto& proofs = BuildCounter()
+                     .Name("spurrack_stream_version_proofs_total")
+                     .Help("Streams without a record that go on at the only version, by proof.")
+                     .Register(registry);
+  proofs.Add({{"proof", "own_list"}})
+      .Increment(static_cast<double>(counts.resumptions_proven_by_own_list));
+  proofs.Add({{"proof", "other_nodes"}})
+      .Increment(static_cast<double>(counts.resumptions_proven_by_other_nodes));
+}
+
 void add_stream_origins(Registry& registry, const serving::dispatcher& dispatcher) {
   const auto& counts = dispatcher.counts();
   auto& resumptions = BuildCounter()
@@ -207,6 +218,7 @@
   add_outcome("list_not_verified", counts.resumptions_without_verified_list);
   add_outcome("left", counts.resumptions_of_left_version);
   add_outcome("without_slot", counts.resumptions_without_slot);
+  add_version_proofs(registry, counts);
   const auto& origins = dispatcher.stream_origins();
   add_gauge(registry, "spurrack_stream_origins_kept", "Origins of streams in memory.",
             static_cast<double>(origins.registry().size()));
