--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -1,16 +1,16 @@
-// Stand-ins of the users' platform for the scripts of this review: the metadata store, replicas and clients, written
-// from the users' pages, and a runner of real spurrackd processes. Blocking sockets, one thread a connection. Everything
-// is on 127.0.0.0/8.
+// Stand-ins of the users' platform for the scripts of this review: the metadata store, replicas and
+// clients, written from the users' pages, and a runner of real spurrackd processes. Blocking
+// sockets, one thread a connection. Everything is on 127.0.0.0/8.
 #pragma once
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
-#include <fcntl.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -43,11 +43,16 @@
   static steady::time_point at = steady::now();
   return at;
 }
-inline double seconds() { return std::chrono::duration<double>(steady::now() - began()).count(); }
-inline void pause_ms(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+inline double seconds() {
+  return std::chrono::duration<double>(steady::now() - began()).count();
+}
+inline void pause_ms(int ms) {
+  std::this_thread::sleep_for(milliseconds(ms));
+}
 /// Sleeps until a time of the run, in seconds.
 inline void until(double at) {
-  std::this_thread::sleep_until(began() + std::chrono::duration_cast<steady::duration>(std::chrono::duration<double>(at)));
+  std::this_thread::sleep_until(
+      began() + std::chrono::duration_cast<steady::duration>(std::chrono::duration<double>(at)));
 }
 
 /// Thrown if the case cannot run.
@@ -55,7 +60,8 @@
   using std::runtime_error::runtime_error;
 };
 
-// --- record ----------------------------------------------------------------------------------------------------------
+// --- record
+// ----------------------------------------------------------------------------------------------------------
 
 class record_file {
  public:
@@ -80,9 +86,12 @@
   static record_file file;
   return file;
 }
-inline void note(const std::string& text) { record().line(text); }
+inline void note(const std::string& text) {
+  record().line(text);
+}
 
-// --- sockets ---------------------------------------------------------------------------------------------------------
+// --- sockets
+// ---------------------------------------------------------------------------------------------------------
 
 struct address {
   std::string ip;
@@ -98,26 +107,32 @@
   return result;
 }
 
-/// @return a port that is free on 127.0.0.1 at this moment.
+/// @return a port that is free on 127.0.0.1 at this moment, below those that the kernel gives to
+/// outgoing connections.
 inline int free_port() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  auto where = native({"127.0.0.1", 0});
-  ::bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof where);
-  socklen_t size = sizeof where;
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&where), &size);
-  const int port = ntohs(where.sin_port);
-  ::close(fd);
-  return port;
+  static std::set<int> taken;
+  static unsigned state = static_cast<unsigned>(::getpid()) * 2654435761U;
+  while (true) {
+    state = state * 1664525U + 1013904223U;
+    const int port = 20000 + static_cast<int>((state >> 8U) % 12000);
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto where = native({"127.0.0.1", port});
+    const bool is_free = ::bind(fd, reinterpret_cast<sockaddr*>(&where), sizeof where) == 0;
+    ::close(fd);
+    if (is_free && taken.insert(port).second)
+      return port;
+  }
 }
 
 inline std::string lower(std::string text) {
-  for (auto& c : text) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  for (auto& c : text)
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
   return text;
 }
 
 struct message {
-  std::string first;                       // request line or status line
-  std::multimap<std::string, std::string> headers;  // names in lower case
+  std::string first;                               // request line or status line
+  std::multimap<std::string, std::string> headers; // names in lower case
   std::string body;
   [[nodiscard]] std::string header(const std::string& name) const {
     const auto found = headers.find(name);
@@ -143,24 +158,28 @@
   ~connection() { close(); }
   void close() {
     const int fd = fd_.exchange(-1);
-    if (fd >= 0) ::close(fd);
+    if (fd >= 0)
+      ::close(fd);
   }
   /// Closes with RST.
   void reset() {
     linger now{1, 0};
-    if (fd_ >= 0) ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    if (fd_ >= 0)
+      ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     close();
   }
   /// Wakes a blocked reader.
   void shut() {
-    if (fd_ >= 0) ::shutdown(fd_, SHUT_RDWR);
+    if (fd_ >= 0)
+      ::shutdown(fd_, SHUT_RDWR);
   }
   [[nodiscard]] bool is_open() const { return fd_ >= 0; }
   bool send(const std::string& text) {
     std::size_t sent = 0;
     while (sent < text.size()) {
       const auto n = ::send(fd_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
-      if (n <= 0) return false;
+      if (n <= 0)
+        return false;
       sent += static_cast<std::size_t>(n);
     }
     return true;
@@ -185,7 +204,8 @@
   bool wait_closed(int timeout_ms) {
     const auto end = steady::now() + milliseconds(timeout_ms);
     while (steady::now() < end) {
-      if (!fill(50) && !timed_out) return true;
+      if (!fill(50) && !timed_out)
+        return true;
       timed_out = false;
     }
     return false;
@@ -193,7 +213,8 @@
   std::optional<message> read_head(int timeout_ms = -1) {
     std::size_t end;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
-      if (!fill(timeout_ms)) return std::nullopt;
+      if (!fill(timeout_ms))
+        return std::nullopt;
     }
     message head;
     const std::string text = buffer.substr(0, end + 2);
@@ -209,21 +230,24 @@
       }
       const auto colon = line.find(':');
       auto value = line.substr(colon + 1);
-      while (!value.empty() && value.front() == ' ') value.erase(0, 1);
+      while (!value.empty() && value.front() == ' ')
+        value.erase(0, 1);
       head.headers.emplace(lower(line.substr(0, colon)), value);
     }
     return head;
   }
   bool need(std::size_t size, int timeout_ms) {
     while (buffer.size() < size) {
-      if (!fill(timeout_ms)) return false;
+      if (!fill(timeout_ms))
+        return false;
     }
     return true;
   }
   std::optional<std::string> read_line(int timeout_ms) {
     std::size_t end;
     while ((end = buffer.find("\r\n")) == std::string::npos) {
-      if (!fill(timeout_ms)) return std::nullopt;
+      if (!fill(timeout_ms))
+        return std::nullopt;
     }
     auto line = buffer.substr(0, end);
     buffer.erase(0, end + 2);
@@ -231,8 +255,10 @@
   }
   /// Reads the body of a request. @return false if it does not arrive whole.
   bool read_body(message& head, int timeout_ms = -1) {
-    const auto length = static_cast<std::size_t>(std::strtoull(head.header("content-length").c_str(), nullptr, 10));
-    if (!need(length, timeout_ms)) return false;
+    const auto length =
+        static_cast<std::size_t>(std::strtoull(head.header("content-length").c_str(), nullptr, 10));
+    if (!need(length, timeout_ms))
+      return false;
     head.body = buffer.substr(0, length);
     buffer.erase(0, length);
     return true;
@@ -255,7 +281,8 @@
     int on = 1;
     ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto to = native(where_);
-    if (::bind(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) throw cannot_run("bind " + where_.text());
+    if (::bind(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
+      throw cannot_run("bind " + where_.text());
     socklen_t size = sizeof to;
     ::getsockname(fd_, reinterpret_cast<sockaddr*>(&to), &size);
     where_.port = ntohs(to.sin_port);
@@ -266,7 +293,8 @@
   [[nodiscard]] const address& where() const { return where_; }
   /// Ends like a process: the listener and all connections are closed, with a reset.
   void stop() {
-    if (stopped_.exchange(true)) return;
+    if (stopped_.exchange(true))
+      return;
     ::shutdown(fd_, SHUT_RDWR);
     acceptor_.join();
     ::close(fd_);
@@ -275,8 +303,10 @@
       const std::lock_guard lock(mutex_);
       open = connections_;
     }
-    for (const auto& one : open) one->shut();
-    while (active_ > 0) pause_ms(2);
+    for (const auto& one : open)
+      one->shut();
+    while (active_ > 0)
+      pause_ms(2);
   }
   [[nodiscard]] bool is_stopped() const { return stopped_; }
 
@@ -284,7 +314,8 @@
   void accept_all() {
     while (!stopped_) {
       const int fd = ::accept(fd_, nullptr, nullptr);
-      if (fd < 0) continue;
+      if (fd < 0)
+        continue;
       auto accepted = std::make_shared<connection>(fd);
       ++active_;
       {
@@ -318,7 +349,8 @@
   pollfd wait{fd, POLLOUT, 0};
   int error = 0;
   socklen_t size = sizeof error;
-  if (::poll(&wait, 1, timeout_ms) <= 0 || (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size), error != 0)) {
+  if (::poll(&wait, 1, timeout_ms) <= 0 ||
+      (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size), error != 0)) {
     ::close(fd);
     return nullptr;
   }
@@ -326,15 +358,18 @@
   return std::make_unique<connection>(fd);
 }
 
-// --- store -----------------------------------------------------------------------------------------------------------
+// --- store
+// -----------------------------------------------------------------------------------------------------------
 
 inline std::string base64(const std::string& bytes) {
   static const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string text;
   for (std::size_t i = 0; i < bytes.size(); i += 3) {
     unsigned value = 0;
-    for (std::size_t k = 0; k < 3; ++k) value = value << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
-    for (std::size_t k = 0; k < 4; ++k) text += i + k > bytes.size() ? '=' : digits[value >> (18 - 6 * k) & 63];
+    for (std::size_t k = 0; k < 3; ++k)
+      value = value << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
+    for (std::size_t k = 0; k < 4; ++k)
+      text += i + k > bytes.size() ? '=' : digits[value >> (18 - 6 * k) & 63];
   }
   return text;
 }
@@ -378,9 +413,27 @@
     items_[key] = {value, ++revision_, false};
     changed_.notify_all();
   }
+  /// Serves the store's calls on a connection, while `may_serve` says so. `on_call` is told of each
+  /// call.
+  void serve_while(connection& c, const std::function<bool()>& may_serve,
+                   const std::function<void(const message&)>& on_call) {
+    while (!stopping_ && may_serve()) {
+      auto request = c.read_head();
+      if (!request || !c.read_body(*request) || !may_serve())
+        return;
+      on_call(*request);
+      int status = 200;
+      const auto body = answer(*request, status);
+      if (!may_serve() || !c.send("HTTP/1.1 " + std::to_string(status) +
+                                  " OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                                  std::to_string(body.size()) + "\r\n\r\n" + body))
+        return;
+    }
+  }
   void remove(const std::string& key) {
     const std::lock_guard lock(mutex_);
-    if (items_.contains(key)) items_[key] = {"", ++revision_, true};
+    if (items_.contains(key))
+      items_[key] = {"", ++revision_, true};
     changed_.notify_all();
   }
 
@@ -404,7 +457,8 @@
       }
     }
     std::string text;
-    for (const auto& [order, one] : found) text += (text.empty() ? "" : ",") + one;
+    for (const auto& [order, one] : found)
+      text += (text.empty() ? "" : ",") + one;
     return text;
   }
   std::string answer(const message& request, int& status) {
@@ -412,14 +466,19 @@
     const auto path = request.path();
     const auto prefix = query_of(request.target(), "path_prefix");
     if (path == "/kv-range") {
-      return "{\"items\":[" + list(prefix, 0, false) + "],\"more\":false,\"at\":" + std::to_string(revision_) + "}";
+      return "{\"items\":[" + list(prefix, 0, false) +
+             "],\"more\":false,\"at\":" + std::to_string(revision_) + "}";
     }
     if (path == "/kv-watch") {
-      const auto after = std::strtoull(query_of(request.target(), "start_after").c_str(), nullptr, 10);
-      const auto end = steady::now() + milliseconds(std::atoi(query_of(request.target(), "wait_ms").c_str()));
-      while (list(prefix, after, true).empty() && !stopping_ && changed_.wait_until(lock, end) != std::cv_status::timeout) {
+      const auto after =
+          std::strtoull(query_of(request.target(), "start_after").c_str(), nullptr, 10);
+      const auto end =
+          steady::now() + milliseconds(std::atoi(query_of(request.target(), "wait_ms").c_str()));
+      while (list(prefix, after, true).empty() && !stopping_ &&
+             changed_.wait_until(lock, end) != std::cv_status::timeout) {
       }
-      return "{\"events\":[" + list(prefix, after, true) + "],\"at\":" + std::to_string(revision_) + "}";
+      return "{\"events\":[" + list(prefix, after, true) + "],\"at\":" + std::to_string(revision_) +
+             "}";
     }
     const auto key = query_of(request.target(), "tls_key");
     const auto found = items_.find(key);
@@ -430,15 +489,8 @@
     return text_of(key, found->second);
   }
   void serve(connection& c) {
-    while (!stopping_) {
-      auto request = c.read_head();
-      if (!request || !c.read_body(*request)) return;
-      int status = 200;
-      const auto body = answer(*request, status);
-      if (!c.send("HTTP/1.1 " + std::to_string(status) + " OK\r\nContent-Type: application/json\r\nContent-Length: " +
-                  std::to_string(body.size()) + "\r\n\r\n" + body))
-        return;
-    }
+    serve_while(
+        c, [] { return true; }, [](const message&) {});
   }
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -448,27 +500,99 @@
   server server_;
 };
 
-// --- replicas --------------------------------------------------------------------------------------------------------
+/// The store as one machine sees it. The store may turn this machine away, by a reset of its
+/// connections, while it serves the others.
+class door {
+ public:
+  explicit door(store& platform)
+      : platform_(&platform), server_({"127.0.0.1", 0}, [this](connection& c) { serve(c); }) {}
+  [[nodiscard]] const address& where() const { return server_.where(); }
+  void set_open(bool open) {
+    open_ = open;
+    if (!open) {
+      const std::lock_guard lock(mutex_);
+      for (auto* c : connections_)
+        c->shut();
+    }
+  }
+  [[nodiscard]] bool is_open() const { return open_; }
+  /// @return the seconds of the run at which the machine last asked for changes under a prefix; -1
+  /// for never.
+  double watched_at(const std::string& prefix) {
+    const std::lock_guard lock(mutex_);
+    const auto found = watched_.find(prefix);
+    return found == watched_.end() ? -1 : found->second;
+  }
+  /// @return whether a watch under a prefix waits now.
+  bool is_watching(const std::string& prefix) {
+    const std::lock_guard lock(mutex_);
+    return watching_[prefix] > 0;
+  }
 
-/// What a service does with a request that is meant for this replica. It answers on the connection and returns whether
-/// the connection stays open.
+ private:
+  void serve(connection& c) {
+    if (!open_)
+      return c.reset();
+    {
+      const std::lock_guard lock(mutex_);
+      connections_.insert(&c);
+    }
+    std::string waiting;
+    const auto end_wait = [&] {
+      if (!waiting.empty())
+        --watching_[waiting];
+      waiting.clear();
+    };
+    platform_->serve_while(
+        c, [&] { return open_.load(); },
+        [&](const message& request) {
+          const std::lock_guard lock(mutex_);
+          end_wait();
+          if (request.path() != "/kv-watch")
+            return;
+          waiting = query_of(request.target(), "path_prefix");
+          watched_[waiting] = seconds();
+          ++watching_[waiting];
+        });
+    const std::lock_guard lock(mutex_);
+    end_wait();
+    connections_.erase(&c);
+    c.reset();
+  }
+  store* platform_;
+  std::atomic<bool> open_ = true;
+  std::mutex mutex_;
+  std::set<connection*> connections_;
+  std::map<std::string, double> watched_;
+  std::map<std::string, int> watching_;
+  server server_;
+};
+
+// --- replicas
+// --------------------------------------------------------------------------------------------------------
+
+/// What a service does with a request that is meant for this replica. It answers on the connection
+/// and returns whether the connection stays open.
 using work = std::function<bool(connection&, const message&)>;
 
 inline bool answer(connection& c, const message& request, int status, const std::string& headers,
                    const std::string& body, bool keeps = true) {
-  std::string text = "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Request-Id: " + request.header("x-request-id") + "\r\n" +
-                     headers + "Content-Length: " + std::to_string(body.size()) + "\r\n" +
+  std::string text = "HTTP/1.1 " + std::to_string(status) +
+                     " X\r\nX-Request-Id: " + request.header("x-request-id") + "\r\n" + headers +
+                     "Content-Length: " + std::to_string(body.size()) + "\r\n" +
                      (keeps ? "" : "Connection: close\r\n") + "\r\n" + body;
   return c.send(text) && keeps;
 }
 
-/// One start of a replica: an id, an address, an entry in the store, and its work. Renewals are left out: an entry
-/// changes only when more than `sequence` does.
+/// One start of a replica: an id, an address, an entry in the store, and its work. Renewals are
+/// left out: an entry changes only when more than `sequence` does.
 class replica {
  public:
-  replica(store& platform, std::string id, std::string service, std::string zone, int slots, address where, work run)
-      : platform_(&platform), id_(std::move(id)), service_(std::move(service)), zone_(std::move(zone)), slots_(slots),
-        run_(std::move(run)), server_(std::move(where), [this](connection& c) { serve(c); }) {
+  replica(store& platform, std::string id, std::string service, std::string zone, int slots,
+          address where, work run)
+      : platform_(&platform), id_(std::move(id)), service_(std::move(service)),
+        zone_(std::move(zone)), slots_(slots), run_(std::move(run)),
+        server_(std::move(where), [this](connection& c) { serve(c); }) {
     renew("ready");
   }
   ~replica() { crash(); }
@@ -476,7 +600,8 @@
   [[nodiscard]] const address& where() const { return server_.where(); }
   /// Ends without a word. Its entry goes after three heartbeats without a write.
   void crash() {
-    if (dead_.exchange(true)) return;
+    if (dead_.exchange(true))
+      return;
     server_.stop();
   }
   void drain() { renew(state_ = "draining"); }
@@ -485,24 +610,30 @@
 
  private:
   void renew(const std::string& state) {
-    platform_->put("servers/" + id_, "{\"service\":\"" + service_ + "\",\"address\":\"" + where().text() +
-                                         "\",\"zone\":\"" + zone_ + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
-                                         ",\"state\":\"" + state + "\",\"cold_left_ms\":0,\"sequence\":1}");
+    platform_->put("servers/" + id_,
+                   "{\"service\":\"" + service_ + "\",\"address\":\"" + where().text() +
+                       "\",\"zone\":\"" + zone_ +
+                       "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) +
+                       ",\"state\":\"" + state + "\",\"cold_left_ms\":0,\"sequence\":1}");
   }
   void serve(connection& c) {
     while (!dead_) {
       auto request = c.read_head();
-      if (!request || !c.read_body(*request)) return;
+      if (!request || !c.read_body(*request))
+        return;
       const auto expected = request->header("x-expect-replica");
       if (!expected.empty() && expected != id_) {
-        if (!answer(c, *request, 421, "X-Not-Executed: 1\r\nX-Replica-Id: " + id_ + "\r\n", "")) return;
+        if (!answer(c, *request, 421, "X-Not-Executed: 1\r\nX-Replica-Id: " + id_ + "\r\n", ""))
+          return;
         continue;
       }
       if (request->path() == "/health") {
-        if (!answer(c, *request, 200, "X-Replica-Id: " + id_ + "\r\n", "")) return;
+        if (!answer(c, *request, 200, "X-Replica-Id: " + id_ + "\r\n", ""))
+          return;
         continue;
       }
-      if (!run_(c, *request)) return;
+      if (!run_(c, *request))
+        return;
     }
   }
   store* platform_;
@@ -514,16 +645,22 @@
   server server_;
 };
 
-// --- nodes -----------------------------------------------------------------------------------------------------------
+// --- nodes
+// -----------------------------------------------------------------------------------------------------------
 
 /// A spurrackd process, started as the deploy file says, with settings as its template gives them.
 class node {
  public:
-  node(std::string name, std::string zone, const std::vector<std::string>& zones, const address& platform)
+  node(std::string name, std::string zone, const std::vector<std::string>& zones,
+       const address& platform)
       : name_(std::move(name)), zone_(std::move(zone)), zones_(zones), platform_(platform) {
-    for (auto* port : {&front_, &ready_, &control_, &operator_}) *port = free_port();
+    for (auto* port : {&front_, &ready_, &control_, &operator_})
+      *port = free_port();
+  }
+  ~node() {
+    kill(SIGKILL);
+    wait_end(5);
   }
-  ~node() { kill(SIGKILL); wait_end(5); }
   [[nodiscard]] address front() const { return {"127.0.0.1", front_}; }
   [[nodiscard]] std::string control() const { return "127.0.0.1:" + std::to_string(control_); }
   [[nodiscard]] pid_t pid() const { return pid_; }
@@ -532,32 +669,41 @@
     std::ofstream file(path);
     file << "node: \"" << name_ << "\"\nzone: \"" << zone_ << "\"\npeer_listen: \"" << control()
          << "\"\noperator_listen: \"127.0.0.1:" << operator_ << "\"\nseeds:";
-    for (const auto& seed : seeds) file << "\n  - \"" << seed << "\"";
-    file << "\nmembership:\n  probe_period_ms: 300\n  acknowledgement_timeout_ms: 100\n  suspicion_timeout_ms: 1000\n"
-         << "  relay_period_ms: 300\nserving:\n  listen: \"127.0.0.1:" << front_ << "\"\n  readiness_listen: \"127.0.0.1:"
-         << ready_ << "\"\n  store: \"" << platform_.text() << "\"\n  regions:";
-    for (const auto& zone : zones_) file << "\n    \"" << zone << "\": \"r1\"";
-    file << "\n  processor_share: 0.25\n  memory_mb: 260\n  max_descriptors: 4100\n  retry_ratio: 0.2\n"
-         << "  retry_allowance: 56\n  retry_window_s: 10\n  settle_ms: 3000\n  change_bound_ms: 2000\n"
+    for (const auto& seed : seeds)
+      file << "\n  - \"" << seed << "\"";
+    file << "\nmembership:\n  probe_period_ms: 300\n  acknowledgement_timeout_ms: 100\n  "
+            "suspicion_timeout_ms: 1000\n"
+         << "  relay_period_ms: 300\nserving:\n  listen: \"127.0.0.1:" << front_
+         << "\"\n  readiness_listen: \"127.0.0.1:" << ready_ << "\"\n  store: \""
+         << platform_.text() << "\"\n  regions:";
+    for (const auto& zone : zones_)
+      file << "\n    \"" << zone << "\": \"r1\"";
+    file << "\n  processor_share: 0.25\n  memory_mb: 260\n  max_descriptors: 4100\n  retry_ratio: "
+            "0.2\n"
+         << "  retry_allowance: 56\n  retry_window_s: 10\n  settle_ms: 3000\n  change_bound_ms: "
+            "2000\n"
          << "  drain_bound_ms: 2000\n  stop_grace_s: 8\n";
     file.close();
     const auto log = folder + "/" + name_ + ".log";
     const char* daemon = std::getenv("SPURRACKD");
     const std::string program = daemon != nullptr ? daemon : "target/spurrackd";
-    if (::access(program.c_str(), X_OK) != 0) throw cannot_run(program + " is missing");
+    if (::access(program.c_str(), X_OK) != 0)
+      throw cannot_run(program + " is missing");
     pid_ = ::fork();
     if (pid_ == 0) {
       const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(out, 1);
       ::dup2(out, 2);
       ::signal(SIGPIPE, SIG_DFL);
-      ::execl(program.c_str(), program.c_str(), "--settings", path.c_str(), static_cast<char*>(nullptr));
+      ::execl(program.c_str(), program.c_str(), "--settings", path.c_str(),
+              static_cast<char*>(nullptr));
       ::_exit(127);
     }
     log_ = log;
   }
   void kill(int signal) const {
-    if (pid_ > 0) ::kill(pid_, signal);
+    if (pid_ > 0)
+      ::kill(pid_, signal);
   }
   /// @return how the process ended; std::nullopt if it still runs after the time.
   std::optional<int> wait_end(double limit_s) {
@@ -568,21 +714,24 @@
         pid_ = -1;
         return status;
       }
-      if (steady::now() >= end) return std::nullopt;
+      if (steady::now() >= end)
+        return std::nullopt;
       pause_ms(5);
     }
     return 0;
   }
   [[nodiscard]] bool is_ready() const {
     auto c = dial({"127.0.0.1", ready_}, 200);
-    if (!c || !c->send("GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")) return false;
+    if (!c || !c->send("GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+      return false;
     const auto head = c->read_head(500);
     return head && head->status() == 200;
   }
   void wait_ready(double limit_s = 15) const {
     const auto end = steady::now() + milliseconds(static_cast<int>(limit_s * 1000));
     while (!is_ready()) {
-      if (steady::now() > end) throw cannot_run(name_ + " is not ready");
+      if (steady::now() > end)
+        throw cannot_run(name_ + " is not ready");
       pause_ms(50);
     }
   }
@@ -602,7 +751,8 @@
  public:
   folder() {
     char name[] = "/tmp/review-XXXXXX";
-    if (::mkdtemp(name) == nullptr) throw cannot_run("no temporary folder");
+    if (::mkdtemp(name) == nullptr)
+      throw cannot_run("no temporary folder");
     path_ = name;
   }
   ~folder() {
@@ -618,11 +768,12 @@
   std::string path_;
 };
 
-// --- clients ---------------------------------------------------------------------------------------------------------
+// --- clients
+// ---------------------------------------------------------------------------------------------------------
 
 struct client_answer {
-  int status = 0;          // 0: none
-  bool whole = false;      // the framing says that the answer is complete
+  int status = 0;     // 0: none
+  bool whole = false; // the framing says that the answer is complete
   std::string seal, body, retry_after;
   bool closes = false;
 };
@@ -632,7 +783,8 @@
                                  const std::function<void(const std::string&)>& on_bytes = {}) {
   client_answer result;
   const auto head = c.read_head(timeout_ms);
-  if (!head) return result;
+  if (!head)
+    return result;
   result.status = head->status();
   result.seal = head->header("x-response-seal");
   result.retry_after = head->header("retry-after");
@@ -640,20 +792,24 @@
   if (lower(head->header("transfer-encoding")) == "chunked") {
     while (true) {
       const auto line = c.read_line(timeout_ms);
-      if (!line) return result;
+      if (!line)
+        return result;
       const auto size = static_cast<std::size_t>(std::strtoull(line->c_str(), nullptr, 16));
-      if (!c.need(size + 2, timeout_ms)) return result;
+      if (!c.need(size + 2, timeout_ms))
+        return result;
       result.body += c.buffer.substr(0, size);
       c.buffer.erase(0, size + 2);
       if (size == 0) {
         result.whole = true;
         return result;
       }
-      if (on_bytes) on_bytes(result.body);
+      if (on_bytes)
+        on_bytes(result.body);
     }
   }
   if (head->headers.contains("content-length")) {
-    const auto length = static_cast<std::size_t>(std::strtoull(head->header("content-length").c_str(), nullptr, 10));
+    const auto length = static_cast<std::size_t>(
+        std::strtoull(head->header("content-length").c_str(), nullptr, 10));
     result.whole = c.need(length, timeout_ms);
     result.body = c.buffer.substr(0, length);
     c.buffer.erase(0, std::min(length, c.buffer.size()));
