Nodes read the store again after an outage: turns begin anew with each confirmation

What callers saw: the store was down for 4.5 s and came back; 4 s later it turned the readers away.

Cause: an attempt to read in turn was ended only by an answer to a read of the node itself; while it was open, the next turn was 2.5 s x nodes away. Beside it: the first nodes used their turns in the outage all at once, and readers had places in the order that they never used.

Ruled out: a late spread (the first node was late as well), old connections.

Change: turns are ages of the knowledge, so that a confirmation by any node begins the order anew; after the first turns one node of the region that is no reader reads each 2.5 s, the zones alternately; a read while the knowledge is too old is answered at once, so that a later reader's retry is not held for 15 s and then replaced. Lines and counters say whose turn it is and when.

Why it works: an attempt is a statement about the store at its time; what anybody learned later is newer.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -27,7 +27,7 @@
     "replica_limit",       "replica_leaving",
     "node_partitioned",    "replica_backoff",
     "knowledge_overdue",   "knowledge_confirmed",
-    "answer_ended_early"};
+    "answer_ended_early",  "knowledge_turn"};
 
 static_assert(!names.back().empty(), "a kind of event has no name");
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -53,10 +53,11 @@
   knowledge_overdue,
   knowledge_confirmed,
   answer_ended_early,
+  knowledge_turn,
 };
 
 inline constexpr std::size_t event_kind_count =
-    static_cast<std::size_t>(event_kind::answer_ended_early) + 1;
+    static_cast<std::size_t>(event_kind::knowledge_turn) + 1;
 
 std::string_view name_of(event_kind kind);
 
--- a/src/catalog/read_turns.cc
+++ b/src/catalog/read_turns.cc
@@ -21,13 +21,18 @@
 constexpr std::size_t min_first_turns_per_zone = 2;
 /// Maximum rate of the later turns of a whole region.
 constexpr double later_turns_per_second = 0.4;
-/// Minimum interval between two unanswered attempts of one node.
+/// Minimum interval between two attempts of one node without a confirmation between them.
 constexpr base::duration min_attempt_interval = std::chrono::seconds(2);
 
 std::size_t first_turns_per_zone(const turn_order& order) {
   return std::max(min_first_turns_per_zone, (first_turns + order.zones - 1) / order.zones);
 }
 
+/// @return a number of nodes or turns in the type that durations are multiplied by.
+std::int64_t count_of(std::size_t number) {
+  return static_cast<std::int64_t>(number);
+}
+
 } // namespace
 
 knowledge_limits limits_for(base::duration change_bound) {
@@ -39,37 +44,93 @@
   return limits;
 }
 
-base::duration read_turns::age_at_turn(const turn_order& order) const {
+read_turns::schedule read_turns::schedule_of(const turn_order& order) const {
   if (order.reader_rank) {
-    return limits_.confirm_interval + reader_margin + turn_step * *order.reader_rank;
+    const auto first =
+        limits_.confirm_interval + reader_margin + turn_step * count_of(*order.reader_rank);
+    return {first, first + min_attempt_interval, min_attempt_interval};
   }
   if (order.is_isolated) {
-    return limits_.max_age;
+    return {limits_.max_age, limits_.max_age + min_attempt_interval, min_attempt_interval};
   }
-  const auto first = first_turns_per_zone(order);
-  if (order.zone_rank < first) {
-    return limits_.max_age + turn_step * order.zone_rank;
+  const auto first_of_zone = first_turns_per_zone(order);
+  const auto zone_nodes = std::max(order.zone_nodes, order.zone_rank + 1);
+  // The zones take the later turns alternately, and so do the nodes of a zone. The nodes that had
+  // none of the first turns begin.
+  const base::duration turn_interval = base::from_seconds(1 / later_turns_per_second);
+  const auto position_in_zone = [&] {
+    if (zone_nodes <= first_of_zone) {
+      return order.zone_rank;
+    }
+    const bool had_first_turn = order.zone_rank < first_of_zone;
+    return had_first_turn ? order.zone_rank + zone_nodes - first_of_zone
+                          : order.zone_rank - first_of_zone;
+  }();
+  const auto position = position_in_zone * order.zones + order.zone_index + 1;
+  schedule turns;
+  turns.second =
+      limits_.max_age + turn_step * count_of(first_of_zone) + turn_interval * count_of(position);
+  turns.first = order.zone_rank < first_of_zone
+                    ? limits_.max_age + turn_step * count_of(order.zone_rank)
+                    : turns.second;
+  turns.interval = std::max<base::duration>(min_attempt_interval,
+                                            turn_interval * count_of(zone_nodes * order.zones));
+  return turns;
+}
+
+base::duration read_turns::age_at_turn(const turn_order& order) const {
+  return schedule_of(order).first;
+}
+
+base::duration read_turns::next_turn_after(const turn_order& order, base::duration age) const {
+  const auto turns = schedule_of(order);
+  if (age < turns.first) {
+    return turns.first;
   }
-  const auto later_turn = static_cast<double>((order.zone_rank - first + 1) * order.zones);
-  return limits_.max_age + turn_step * first +
-         base::from_seconds(later_turn / later_turns_per_second);
+  if (age < turns.second) {
+    return turns.second;
+  }
+  return turns.second + turns.interval * ((age - turns.second) / turns.interval + 1);
 }
 
 bool read_turns::is_due(const turn_order& order, const std::optional<base::duration>& age,
                         base::time_point now) const {
-  if (age && *age < age_at_turn(order)) {
+  const auto turns = schedule_of(order);
+  if (!age) {
+    return !attempted_at_ || now - *attempted_at_ >= turns.interval;
+  }
+  if (*age < turns.first) {
     return false;
   }
-  return !last_attempt_at_ || now - *last_attempt_at_ >= attempt_interval(order);
+  const base::time_point confirmed_at = now - *age;
+  if (!attempted_at_ || *attempted_at_ < confirmed_at) {
+    return true;
+  }
+  const bool has_later_turn = *age >= turns.second;
+  if (!has_later_turn) {
+    return false;
+  }
+  const auto turns_before = (*age - turns.second) / turns.interval;
+  const base::time_point turn_began_at =
+      confirmed_at + turns.second + turns.interval * turns_before;
+  // The second condition holds for the turns of one order. It fails if the order has changed, or if
+  // the time of the confirmation was corrected, and the turn that the attempt was made in comes
+  // again.
+  const auto min_interval =
+      turns_before == 0 ? min_attempt_interval
+                        : std::max<base::duration>(min_attempt_interval, turns.interval / 2);
+  return *attempted_at_ < turn_began_at && now - *attempted_at_ >= min_interval;
+}
+
+void read_turns::note_attempt(base::time_point now) {
+  attempted_at_ = now;
+  ++attempts_;
 }
 
-base::duration read_turns::attempt_interval(const turn_order& order) {
-  if (order.reader_rank || order.is_isolated) {
-    return min_attempt_interval;
+void read_turns::note_confirmation(base::time_point confirmed_at) {
+  if (attempted_at_ && confirmed_at > *attempted_at_) {
+    attempted_at_.reset();
   }
-  const auto all_nodes_once =
-      base::from_seconds(static_cast<double>(order.nodes) / later_turns_per_second);
-  return std::max<base::duration>(min_attempt_interval, all_nodes_once);
 }
 
 } // namespace spurrack::catalog
--- a/src/catalog/read_turns.h
+++ b/src/catalog/read_turns.h
@@ -3,18 +3,21 @@
 ///
 /// A few nodes read the service for all others. If these readers fail to confirm what the others
 /// know, whatever the reason, other nodes read in turn, at increasing ages of their knowledge:
-/// first the remaining readers, then the first nodes of each zone, then the other nodes one after
-/// the other. The first successful read is reported to all, which ends the turns of the nodes that
-/// receive the report. A node that receives no messages from peers reads without waiting for
-/// others.
+/// first the remaining readers, then the first other nodes of each zone, then all other nodes of
+/// the region one after the other, over and over. The first successful read is reported to all,
+/// which ends the turns of the nodes that receive the report. A node that receives no messages from
+/// peers reads without waiting for others.
 ///
-/// If no read succeeds, for example because the service is down, the number of reads per second of
-/// the whole region does not grow with the number of nodes.
+/// Turns are ages of the knowledge, so each confirmation, by any node, begins the sequence anew: an
+/// attempt that failed in an outage does not delay a turn after the outage. If no read succeeds,
+/// for example because the service is down, the number of reads per second of the whole region does
+/// not grow with the number of nodes.
 #pragma once
 
 #include "base/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 namespace spurrack::catalog {
@@ -24,11 +27,14 @@
   /// Position among the nodes that have the job of reading the service for the region; std::nullopt
   /// if the node does not have this job.
   std::optional<std::size_t> reader_rank;
-  /// Position among the live nodes of the zone.
+  /// Position among the live nodes of the zone that do not have this job, and their number, at
+  /// least 1.
   std::size_t zone_rank = 0;
-  /// Number of zones and of live nodes in the region of the node, at least 1.
+  std::size_t zone_nodes = 1;
+  /// Position of the zone of the node among the zones of the region that have such nodes, and their
+  /// number, at least 1.
+  std::size_t zone_index = 0;
   std::size_t zones = 1;
-  std::size_t nodes = 1;
   /// Whether the node receives no messages from peers.
   bool is_isolated = false;
 };
@@ -54,25 +60,41 @@
 
   [[nodiscard]] const knowledge_limits& limits() const { return limits_; }
 
-  /// @return age of the knowledge of a node at which the node's turn comes.
+  /// @return age of the knowledge of a node at which the node's first turn comes.
   [[nodiscard]] base::duration age_at_turn(const turn_order& order) const;
+  /// @return age of the knowledge at which the node's first turn after `age` comes.
+  [[nodiscard]] base::duration next_turn_after(const turn_order& order, base::duration age) const;
   /// @param age age of the knowledge of this node; std::nullopt if nothing was ever confirmed.
   /// @return whether this node must read the service now.
   [[nodiscard]] bool is_due(const turn_order& order, const std::optional<base::duration>& age,
                             base::time_point now) const;
   /// Records that this node reads the service in its turn.
-  void note_attempt(base::time_point now) { last_attempt_at_ = now; }
-  /// @return whether this node has read in its turn and the service has not answered yet.
-  [[nodiscard]] bool has_attempt() const { return last_attempt_at_.has_value(); }
+  void note_attempt(base::time_point now);
+  /// @return time at which this node last read in its turn, if nobody has confirmed the knowledge
+  ///         of the service since; std::nullopt otherwise.
+  [[nodiscard]] std::optional<base::time_point> open_attempt() const { return attempted_at_; }
   /// Records that the service answered this node.
-  void note_answer() { last_attempt_at_.reset(); }
+  void note_answer() { attempted_at_.reset(); }
+  /// Records that the knowledge of this node was current at `confirmed_at`, as a read of any node
+  /// shows: an earlier attempt of this node is over.
+  void note_confirmation(base::time_point confirmed_at);
+  /// @return number of reads of this node in its turns.
+  [[nodiscard]] std::uint64_t attempts() const { return attempts_; }
 
  private:
-  [[nodiscard]] static base::duration attempt_interval(const turn_order& order);
+  /// Ages at which the turns of a node come: at `first`, at `second`, and from then on each
+  /// `interval`.
+  struct schedule {
+    base::duration first;
+    base::duration second;
+    base::duration interval;
+  };
+  [[nodiscard]] schedule schedule_of(const turn_order& order) const;
 
   knowledge_limits limits_;
-  /// Time of the latest attempt that the service has not answered.
-  std::optional<base::time_point> last_attempt_at_;
+  /// Time of the latest attempt, unless it is over.
+  std::optional<base::time_point> attempted_at_;
+  std::uint64_t attempts_ = 0;
 };
 
 } // namespace spurrack::catalog
--- a/src/catalog/service_watch.h
+++ b/src/catalog/service_watch.h
@@ -153,6 +153,8 @@
   /// Records that this process stood, so that the pending answer may have waited in a socket.
   void note_stand() { has_stood_ = true; }
   [[nodiscard]] bool is_pending() const { return is_pending_; }
+  /// @return whether a read is pending whose answer the service may delay.
+  [[nodiscard]] bool is_held() const { return is_pending_ && hold_time_ > immediate_hold_time; }
   /// @return number of the read that `next_read` last started, starting at 1. An answer to an
   ///         earlier read says nothing about the time since the later read was sent.
   [[nodiscard]] std::uint64_t read_number() const { return read_number_; }
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -111,6 +111,7 @@
     add_cause("watch", call_counts.watches);
     add_cause("begun_anew", call_counts.restarted_watches);
     add_cause("probe", call_counts.probes);
+    add_cause("turn", subject.turns(kind).attempts());
   };
   add("configuration", node::source_kind::configuration);
   add("replicas", node::source_kind::machine_list);
--- a/src/daemon/operator_documents.cc
+++ b/src/daemon/operator_documents.cc
@@ -42,6 +42,10 @@
   body["age_ms"] = known.confirmed() ? age_of(known.confirmed()->at, now) : json::value(nullptr);
   body["confirmed_by"] =
       known.confirmed() ? json::value(known.confirmed()->reader) : json::value(nullptr);
+  const auto until_turn = subject.time_until_own_turn(source, now);
+  body["own_turn_in_ms"] =
+      until_turn ? json::value(base::to_milliseconds(*until_turn)) : json::value(nullptr);
+  body["own_read_unanswered_ms"] = age_of(subject.turns(source).open_attempt(), now);
   return body;
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -155,9 +155,24 @@
   [[nodiscard]] std::vector<base::network_address>
   other_region_job_nodes(std::string_view job, std::size_t zones, std::size_t count,
                          base::time_point now) const;
-  /// @return position of this node among the live nodes of its zone, ordered by rendezvous hashing
-  ///         with `subject`.
-  [[nodiscard]] std::size_t zone_rank(std::string_view subject) const;
+  /// Position of this node in an order in which the nodes of its region that do not have a region
+  /// job take turns, and the sizes that determine the order.
+  struct turn_position {
+    /// Position among the live nodes of its zone without the job, ordered by rendezvous hashing,
+    /// and their number, at least 1.
+    std::size_t zone_rank = 0;
+    std::size_t zone_nodes = 1;
+    /// Position of its zone among the zones of the region that have nodes without the job, ordered
+    /// by name, and their number, at least 1. Nodes of other zones count even if they are dead.
+    std::size_t zone_index = 0;
+    std::size_t zones = 1;
+  };
+  /// @param subject what the turns are for; nodes have different positions for each subject.
+  /// @param job,zones,count the region job, as in `region_job_rank`. If this node has the job, it
+  ///        counts as a node without the job.
+  [[nodiscard]] turn_position position_besides_job(std::string_view subject, std::string_view job,
+                                                   std::size_t zones, std::size_t count,
+                                                   base::time_point now) const;
   /// Numbers of zones and nodes.
   struct region_size {
     std::size_t zones = 1;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -180,6 +180,14 @@
   /// @return whether the service may have written entries that must be in effect by now and that
   ///         this node does not know.
   [[nodiscard]] bool is_knowledge_overdue(source_kind source, base::time_point now) const;
+  /// @return the turns in which this node reads a service because nobody confirms what it knows.
+  [[nodiscard]] const catalog::read_turns& turns(source_kind source) const {
+    return turns_[static_cast<std::size_t>(source)];
+  }
+  /// @return time until this node reads a service in its turn if nobody confirms its knowledge
+  ///         before; std::nullopt if nothing was ever confirmed or if this node is not ready.
+  [[nodiscard]] std::optional<base::duration> time_until_own_turn(source_kind source,
+                                                                  base::time_point now) const;
 
  private:
   void on(const time_passed& input_event, base::time_point now);
@@ -231,8 +239,9 @@
   [[nodiscard]] std::vector<base::network_address> other_readers(source_kind source,
                                                                  base::time_point now) const;
   /// @return hold time of the next read.
-  /// @param is_immediate whether the read must be answered at once, because the knowledge of this
-  ///        node is too old or because the read verifies the list of replicas.
+  /// @param is_immediate whether the read must be answered at once, because it is this node's turn
+  ///        to read or because the read verifies the list of replicas. A read is also answered at
+  ///        once if the knowledge of this node is too old.
   [[nodiscard]] base::duration hold_time_of(source_kind source, bool is_immediate,
                                             base::time_point now) const;
 
@@ -242,6 +251,16 @@
   /// @return whether this node must read a platform service because its knowledge is too old and
   ///         its turn has come.
   [[nodiscard]] bool is_turn_to_read(source_kind source, base::time_point now) const;
+  /// @return position of this node in the order in which nodes read a service.
+  [[nodiscard]] catalog::turn_order turn_order_of(source_kind source, base::time_point now) const;
+  /// Records and logs that this node reads a service in its turn.
+  void begin_turn(source_kind source, base::time_point now);
+  /// Ends the attempt of this node to read a service in its turn if any node has confirmed the
+  /// knowledge of the service since.
+  void end_outdated_attempt(source_kind source);
+  /// @return what this node knows of a service, by whom and when it was confirmed, and when this
+  ///         node reads the service itself, for operators.
+  [[nodiscard]] std::string describe_knowledge(source_kind source, base::time_point now) const;
   /// Updates the knowledge of a service after an answer, and reports a new confirmation to peers.
   void note_read(const service_answered& answer, const catalog::answer_meaning& meaning,
                  base::time_point now);
--- a/src/node/node_knowledge.cc
+++ b/src/node/node_knowledge.cc
@@ -98,20 +98,69 @@
   if (!serving_ || !is_ready_ || (age && *age < limits.confirm_interval)) {
     return false;
   }
-  const auto region = membership_.own_region_size();
-  catalog::turn_order order;
-  order.reader_rank = reader_rank(source, now);
-  if (order.reader_rank && !watches_[index].is_pending()) {
-    // The watch itself retries a failed read, at increasing intervals.
+  const auto order = turn_order_of(source, now);
+  if (order.reader_rank && !watches_[index].is_held()) {
+    // A read that must be answered at once ends by itself, and the watch retries a failed read.
     return false;
   }
-  order.zone_rank = membership_.zone_rank(source_names[index]);
-  order.zones = region.zones;
-  order.nodes = region.nodes;
-  order.is_isolated = is_isolated(now);
   return turns_[index].is_due(order, age, now);
 }
 
+std::optional<base::duration> node::time_until_own_turn(source_kind source,
+                                                        base::time_point now) const {
+  const auto index = static_cast<std::size_t>(source);
+  const auto age = knowledge_[index].age(now);
+  if (!serving_ || !is_ready_ || !age) {
+    return std::nullopt;
+  }
+  const auto order = turn_order_of(source, now);
+  return turns_[index].is_due(order, age, now) ? base::duration::zero()
+                                               : turns_[index].next_turn_after(order, *age) - *age;
+}
+
+void node::begin_turn(source_kind source, base::time_point now) {
+  const auto index = static_cast<std::size_t>(source);
+  turns_[index].note_attempt(now);
+  record(base::event_kind::knowledge_turn, {}, source_names[index],
+         "reads it for the others: " + describe_knowledge(source, now));
+}
+
+void node::end_outdated_attempt(source_kind source) {
+  const auto index = static_cast<std::size_t>(source);
+  if (const auto& confirmed = knowledge_[index].confirmed()) {
+    turns_[index].note_confirmation(confirmed->at);
+  }
+}
+
+std::string node::describe_knowledge(source_kind source, base::time_point now) const {
+  const auto index = static_cast<std::size_t>(source);
+  const auto& known = knowledge_[index];
+  const auto milliseconds = [](base::duration span) {
+    return std::to_string(base::to_milliseconds(span)) + " ms";
+  };
+  std::string text = "known through revision " + std::to_string(known.known_through().revision) +
+                     " of era " + std::to_string(known.known_through().era);
+  if (const auto age = known.age(now)) {
+    text += ", confirmed " + milliseconds(*age) + " ago by " + known.confirmed()->reader;
+  } else {
+    text += ", never confirmed";
+  }
+  if (const auto attempted_at = turns_[index].open_attempt()) {
+    text += ", own read " + milliseconds(now - *attempted_at) + " ago without an answer";
+  }
+  const auto order = turn_order_of(source, now);
+  if (order.reader_rank) {
+    text += ", reader " + std::to_string(*order.reader_rank) + " of the region";
+  }
+  if (const auto until_turn = time_until_own_turn(source, now)) {
+    text += ", own turn in " + milliseconds(*until_turn) + " (node " +
+            std::to_string(order.zone_rank) + " of " + std::to_string(order.zone_nodes) +
+            " in zone " + std::to_string(order.zone_index) + " of " + std::to_string(order.zones) +
+            ")";
+  }
+  return text;
+}
+
 void node::note_read(const service_answered& answer, const catalog::answer_meaning& meaning,
                      base::time_point now) {
   if (!serving_) {
@@ -119,7 +168,8 @@
   }
   const auto index = static_cast<std::size_t>(answer.source);
   const catalog::store_position through{meaning.era, answer.service_revision};
-  if (turns_[index].has_attempt()) {
+  end_outdated_attempt(answer.source);
+  if (turns_[index].open_attempt()) {
     turns_[index].note_answer();
     // Goes on reading the service until another node confirms the knowledge of the service.
     substitutions_[index].ends_at = now + watch_substitution::duration;
@@ -299,16 +349,8 @@
       continue;
     }
     was_overdue_[index] = is_overdue;
-    const auto& known = knowledge_[index];
-    const auto& confirmed = known.confirmed();
-    const auto age = known.age(now);
     record(is_overdue ? base::event_kind::knowledge_overdue : base::event_kind::knowledge_confirmed,
-           {}, source_names[index],
-           "known through revision " + std::to_string(known.known_through().revision) + " of era " +
-               std::to_string(known.known_through().era) +
-               (age ? ", confirmed " + std::to_string(base::to_milliseconds(*age)) + " ms ago by " +
-                          confirmed->reader
-                    : ", never confirmed"));
+           {}, source_names[index], describe_knowledge(source, now));
   }
 }
 
--- a/src/node/node_store.cc
+++ b/src/node/node_store.cc
@@ -80,6 +80,21 @@
                                             service_watch::watchers_per_zone, now);
 }
 
+catalog::turn_order node::turn_order_of(source_kind source, base::time_point now) const {
+  using catalog::service_watch;
+  const auto* job = watch_jobs[static_cast<std::size_t>(source)];
+  const auto position = membership_.position_besides_job(
+      job, job, service_watch::watching_zones_per_region, service_watch::watchers_per_zone, now);
+  catalog::turn_order order;
+  order.reader_rank = reader_rank(source, now);
+  order.zone_rank = position.zone_rank;
+  order.zone_nodes = position.zone_nodes;
+  order.zone_index = position.zone_index;
+  order.zones = position.zones;
+  order.is_isolated = is_isolated(now);
+  return order;
+}
+
 base::duration node::hold_time_of(source_kind source, bool is_immediate,
                                   base::time_point now) const {
   const auto index = static_cast<std::size_t>(source);
@@ -87,7 +102,9 @@
   if (!serving_) {
     return longest;
   }
-  if (is_immediate || !knowledge_[index].confirmed()) {
+  const auto age = knowledge_[index].age(now);
+  const bool is_too_old = !age || *age >= settings_.knowledge_limits.max_age;
+  if (is_immediate || is_too_old) {
     return catalog::service_watch::immediate_hold_time;
   }
   // The first reader confirms the knowledge of all nodes at short intervals, and so does a node
@@ -117,9 +134,10 @@
     watch.note_latest_revision(latest.era, latest.revision, now);
     watch.note_known_through(knowledge(source).known_through(), now);
     end_superfluous_substitution(source);
+    end_outdated_attempt(source);
     const bool is_turn = is_turn_to_read(source, now);
     if (is_turn) {
-      turns_[static_cast<std::size_t>(source)].note_attempt(now);
+      begin_turn(source, now);
     }
     const bool is_list = source == source_kind::machine_list;
     const bool is_verification_due = is_list && list_reads_.is_due(now);
--- a/tests/simulation/reader_disturbance_test.cc
+++ b/tests/simulation/reader_disturbance_test.cc
@@ -1,6 +1,7 @@
 /// Simulated fleets in which the nodes that read the platform's store for all others are disturbed
 /// at the moment of a change. Guards against nodes that have access to the store but wait for the
 /// disturbed readers, so that the change is not in force in time.
+#include "disturbed_fleet.h"
 #include "one_region_fleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -9,7 +10,6 @@
 #include <array>
 #include <cstdlib>
 #include <functional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -17,8 +17,13 @@
 
 using namespace spurrack;
 using simulation::fleet_simulation;
+using simulation::node_names;
 using simulation::peer_access;
+using simulation::readers_of;
+using simulation::set_access;
 using simulation::store_access;
+using simulation::third_with;
+using simulation::unimpaired_nodes;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -29,37 +34,12 @@
 /// Latest publication after the begin of the disturbance.
 constexpr int max_publication_delay_milliseconds = 3'000;
 
-using node_names = std::vector<std::string>;
-
 /// A disturbance of a fleet. `readers` are the nodes that read the configuration at its begin.
 struct disturbance {
   const char* name;
   std::function<void(fleet_simulation& fleet, const node_names& readers)> begin;
 };
 
-/// @return about a third of the nodes, drawn at random, and the readers.
-node_names third_with(fleet_simulation& fleet, const node_names& readers) {
-  std::set<std::string> chosen(readers.begin(), readers.end());
-  for (const auto& name : fleet.node_names()) {
-    if (chosen.size() * 3 < fleet.node_names().size() && fleet.random().below(3) == 0) {
-      chosen.insert(name);
-    }
-  }
-  return {chosen.begin(), chosen.end()};
-}
-
-void set_access(fleet_simulation& fleet, const node_names& names, store_access access) {
-  for (const auto& name : names) {
-    fleet.set_store_access(name, access);
-  }
-}
-
-void set_access(fleet_simulation& fleet, const node_names& names, peer_access access) {
-  for (const auto& name : names) {
-    fleet.set_peer_access(name, access);
-  }
-}
-
 const std::vector<disturbance>& disturbances() {
   static const std::vector<disturbance> all{
       {"store silent to the readers",
@@ -120,28 +100,6 @@
   return all;
 }
 
-node_names configuration_readers(fleet_simulation& fleet) {
-  node_names readers;
-  for (const auto& name : fleet.node_names()) {
-    if (fleet.node(name).should_read_service(node::source_kind::configuration, fleet.now())) {
-      readers.push_back(name);
-    }
-  }
-  return readers;
-}
-
-/// Nodes that the time limit holds for: their processes run and they have access to the store.
-node_names unimpaired_nodes(fleet_simulation& fleet) {
-  node_names names;
-  for (const auto& name : fleet.node_names()) {
-    if (fleet.is_alive(name) && !fleet.is_frozen(name) && !fleet.node(name).is_stopping() &&
-        fleet.store_access_of(name) == store_access::reachable) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
 /// @return time until the last unimpaired node has `version`; at most 8 s.
 base::duration time_in_force(fleet_simulation& fleet, std::uint64_t version) {
   constexpr base::duration max_time = seconds(8);
@@ -177,7 +135,7 @@
   BOOST_REQUIRE(fleet.run_until([&] { return fleet.all_ready(); }, seconds(10)));
   fleet.run_for(seconds(4) + milliseconds(fleet.random().below(3'000)));
   for (const auto* each : chosen) {
-    each->begin(fleet, configuration_readers(fleet));
+    each->begin(fleet, readers_of(fleet, node::source_kind::configuration));
   }
   fleet.run_for(milliseconds(fleet.random().below(max_publication_delay_milliseconds)));
   fleet.platform().publish(std::string(model::configuration_key), simulation::configuration_of(2));
