Results of stages are known by the process that produced them, not by its address

Cause: five places took the address out of the text of a handle and asked who is published there now: freeing, the fetch time, the preferred zone, what is lost, restarts.

Ruled out: a connection to the earlier process that is used again; deferred requests alone (they are kept by the replica's id).

Change: stage_result holds the handle and its producer (replica, address, process, service) from the call that made it, also over messages between nodes (new fields; older builds name none, and the text is then parsed in one place); holder_of is the one look-up. Deferred requests end with the process.

The whole unit program was not run on this commit yet.

Why it works: nothing asks who has an address any more; a process that has ended holds nothing.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -273,7 +273,7 @@
   bool process_piece_results(base::time_point now);
   /// Frees stage results that the replicas of the next stage have fetched.
   void free_fetched_stage_inputs();
-  void on_piece_finished(active_request& request, piece_ticket ticket, const piece_outcome& outcome,
+  void on_piece_finished(active_request& request, const finished_piece& finished,
                          base::time_point now);
   /// Records that the call with a piece was lost, or is silent past its timeout.
   void note_lost_piece(active_request& request, const lost_piece& lost, base::time_point now);
@@ -283,16 +283,16 @@
   void withdraw_silent_pieces(active_request& request, base::time_point now);
   /// Cancels the submitted pieces of a request.
   void cancel_pieces(active_request& request);
-  /// @return whether a stage result is taken for lost: the replica that holds it is no longer
+  /// @return whether a stage result is taken for lost: the process that holds it is no longer
   ///         published, is paused after failures, or another process has its address.
-  [[nodiscard]] bool is_result_lost(const std::string& handle, base::time_point now) const;
+  [[nodiscard]] bool is_result_lost(const stage_result& result, base::time_point now) const;
   /// Recomputes the lost stage results that the request itself reads.
   void recompute_final_inputs(active_request& request, base::time_point now);
   /// Cancels submitted pieces whose inputs must be recomputed first, and submits the pieces whose
   /// inputs are complete.
-  /// @param obsolete_results handles of results to free.
+  /// @param obsolete_results results to free.
   void resubmit_after_loss(active_request& request,
-                           const std::vector<std::string>& obsolete_results, base::time_point now);
+                           const std::vector<stage_result>& obsolete_results, base::time_point now);
   /// @return command that sends a request to the chosen replica.
   [[nodiscard]] start_call make_call(const active_request& request, const replica_state& chosen,
                                      base::time_point now);
@@ -761,7 +761,7 @@
   /// @param end why its call ends, if it is open.
   void finish(active_request& request, unsigned http_status, const std::string& reason,
               base::time_point now, call_end end = call_end::given_up);
-  void release_results(const std::vector<std::string>& handles);
+  void release_results(const std::vector<stage_result>& results);
   /// Sets the preferred zone of the pieces of a stage so that few bytes are transferred between
   /// zones. It is the zone that holds the most bytes of a piece's inputs, if these are more than
   /// the bytes of the piece's result that the request itself will read. Otherwise it is the zone in
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -85,7 +85,7 @@
   new_call.runs_at_most_once = !request.route->is_repeatable();
   new_call.resume_after = request.events.last_id();
   if (request.graph) {
-    new_call.inputs = request.graph->final_inputs();
+    new_call.inputs = handles_of(request.graph->final_inputs());
   }
   new_call.is_last_attempt = request.attempts + 1 >= request.max_attempts;
   return new_call;
--- a/src/dispatch/dispatcher_replica_restarts.cc
+++ b/src/dispatch/dispatcher_replica_restarts.cc
@@ -41,7 +41,7 @@
   for (auto& [client, request] : active_) {
     request.tried_replicas.erase(replica);
     if (request.graph) {
-      request.graph->note_lost_results_of(restart.earlier_address);
+      request.graph->note_lost_results_of(replica, restart.earlier_exit);
     }
   }
   reject_ends_of_earlier_incarnation(replica, now);
--- a/src/dispatch/dispatcher_stages.cc
+++ b/src/dispatch/dispatcher_stages.cc
@@ -2,7 +2,6 @@
 /// results.
 #include "dispatch/dispatcher.h"
 #include "dispatch/dispatcher_constants.h"
-#include "stage_work/result_handle.h"
 
 #include <utility>
 
@@ -63,8 +62,8 @@
   // Each piece reads all results of the preceding stages.
   std::map<base::zone_id, double> input_bytes_by_zone;
   for (const auto predecessor : route.stages[stage].start_after) {
-    for (const auto& handle : request.graph->results_of(predecessor)) {
-      const auto* producer = replicas_.find_at(producer_of(handle));
+    for (const auto& result : request.graph->results_of(predecessor)) {
+      const auto* producer = holder_of(replicas_, result.producer);
       if (producer != nullptr) {
         input_bytes_by_zone[producer->record->zone] += route.stages[predecessor].result_bytes;
       }
@@ -109,7 +108,7 @@
     }
     auto& request = active_.at(owner->second);
     clients_by_ticket_.erase(owner);
-    on_piece_finished(request, finished.ticket, finished.outcome, now);
+    on_piece_finished(request, finished, now);
   }
   return !results.empty();
 }
@@ -168,13 +167,14 @@
   }
 }
 
-void dispatcher::on_piece_finished(active_request& request, piece_ticket ticket,
-                                   const piece_outcome& outcome, base::time_point now) {
-  const auto position = request.pieces.at(ticket);
-  request.pieces.erase(ticket);
-  request.silent_pieces.erase(ticket);
+void dispatcher::on_piece_finished(active_request& request, const finished_piece& finished,
+                                   base::time_point now) {
+  const auto& outcome = finished.outcome;
+  const auto position = request.pieces.at(finished.ticket);
+  request.pieces.erase(finished.ticket);
+  request.silent_pieces.erase(finished.ticket);
   if (outcome.fault == piece_fault::none) {
-    request.graph->complete(position, outcome.handle);
+    request.graph->complete(position, {outcome.handle, finished.producer});
     release_results(request.graph->take_unneeded_results(false));
     continue_request(request, now);
     return;
@@ -186,7 +186,7 @@
   if (outcome.fault == piece_fault::input_gone &&
       request.graph->recomputations() < max_recomputations) {
     const auto obsolete_results = request.graph->recompute_inputs_of(
-        position, [&](const auto& handle) { return is_result_lost(handle, now); });
+        position, [&](const auto& result) { return is_result_lost(result, now); });
     resubmit_after_loss(request, obsolete_results, now);
     return;
   }
@@ -210,19 +210,19 @@
   }
 }
 
-bool dispatcher::is_result_lost(const std::string& handle, base::time_point now) const {
-  const auto* producer = replicas_.find_at(producer_of(handle));
+bool dispatcher::is_result_lost(const stage_result& result, base::time_point now) const {
+  const auto* producer = holder_of(replicas_, result.producer);
   return producer == nullptr || producer->is_replaced || producer->paused_until > now;
 }
 
 void dispatcher::recompute_final_inputs(active_request& request, base::time_point now) {
   const auto obsolete_results = request.graph->recompute_final_inputs(
-      [&](const auto& handle) { return is_result_lost(handle, now); });
+      [&](const auto& result) { return is_result_lost(result, now); });
   resubmit_after_loss(request, obsolete_results, now);
 }
 
 void dispatcher::resubmit_after_loss(active_request& request,
-                                     const std::vector<std::string>& obsolete_results,
+                                     const std::vector<stage_result>& obsolete_results,
                                      base::time_point now) {
   std::erase_if(request.pieces, [&](const auto& entry) {
     const auto& [ticket, position] = entry;
@@ -250,9 +250,9 @@
   }
 }
 
-void dispatcher::release_results(const std::vector<std::string>& handles) {
-  counters_.results_freed += handles.size();
-  stages_.release(handles);
+void dispatcher::release_results(const std::vector<stage_result>& results) {
+  counters_.results_freed += results.size();
+  stages_.release(results);
 }
 
 base::zone_id dispatcher::preferred_zone(const active_request& request, base::time_point now) {
--- a/src/stage_work/stage_exchange.cc
+++ b/src/stage_work/stage_exchange.cc
@@ -1,6 +1,6 @@
 #include "stage_work/stage_exchange.h"
 
-#include "stage_work/result_handle.h"
+#include "stage_work/result_messages.h"
 
 #include <algorithm>
 #include <utility>
@@ -134,7 +134,7 @@
     const auto forwarded = forwarded_by_pool_ticket_.find(ticket);
     if (forwarded != forwarded_by_pool_ticket_.end()) {
       pool_.cancel(ticket);
-      finish_forwarded(forwarded->second, {piece_fault::not_run, {}}, now);
+      finish_forwarded(forwarded->second, {piece_fault::not_run, {}}, {}, now);
       forwarded_pool_tickets_.erase({forwarded->second.origin, forwarded->second.origin_ticket});
       forwarded_by_pool_ticket_.erase(forwarded);
     }
@@ -184,7 +184,7 @@
   request.set_stage(placed.work.stage);
   request.set_piece(placed.work.piece);
   request.set_piece_key(placed.work.piece_key);
-  request.mutable_inputs()->Assign(placed.work.inputs.begin(), placed.work.inputs.end());
+  write_inputs(placed.work.inputs, request);
   request.set_due_in_milliseconds(milliseconds_until(placed.work.due, now));
   request.set_expires_in_milliseconds(milliseconds_until(placed.work.deadline, now));
   request.set_result_bytes(placed.work.result_bytes);
@@ -255,18 +255,18 @@
   placements_.erase(found);
 }
 
-void stage_exchange::release(const std::vector<std::string>& handles) {
-  for (const auto& handle : handles) {
-    const auto known = result_accounting_nodes_.find(handle);
+void stage_exchange::release(const std::vector<stage_result>& results) {
+  for (const auto& result : results) {
+    const auto known = result_accounting_nodes_.find(result.handle);
     const auto* accounting_peer =
         known == result_accounting_nodes_.end() ? nullptr : peers_.find(known->second);
     if (accounting_peer == nullptr || accounting_peer->unresponsive_since) {
       // This node frees the result itself, which any node may do. If another node accounts for the
       // memory of the result, that node is unresponsive or no longer known, and is not told: it
       // counts the memory as used until the result expires.
-      pool_.release(handle);
+      pool_.release(result);
     } else {
-      message_to(accounting_peer->peer.node).add_released(handle);
+      message_to(accounting_peer->peer.node).add_released(result.handle);
     }
     if (known != result_accounting_nodes_.end()) {
       result_accounting_nodes_.erase(known);
@@ -306,9 +306,9 @@
         return candidate.forwarded.origin == sender && candidate.forwarded.origin_ticket == ticket;
       });
   if (reported != reported_results_.end()) {
-    send_result(reported->forwarded, reported->outcome);
+    send_result(reported->forwarded, reported->outcome, reported->producer);
   } else {
-    send_result({sender, ticket}, {piece_fault::not_run, {}});
+    send_result({sender, ticket}, {piece_fault::not_run, {}}, {});
   }
 }
 
@@ -324,7 +324,7 @@
   work.stage = request.stage();
   work.piece = request.piece();
   work.piece_key = request.piece_key();
-  work.inputs.assign(request.inputs().begin(), request.inputs().end());
+  work.inputs = read_inputs(request);
   work.due = now + std::chrono::milliseconds(request.due_in_milliseconds());
   work.deadline = now + std::chrono::milliseconds(request.expires_in_milliseconds());
   work.result_bytes = request.result_bytes();
@@ -352,11 +352,15 @@
     move_piece(result.ticket(), found->second, now);
     return;
   }
-  placements_.erase(found);
+  result_producer producer;
   if (!result.handle().empty()) {
     result_accounting_nodes_[result.handle()] = sender;
+    producer = result.has_producer()
+                   ? read_producer(result.producer())
+                   : producer_by_address(*replicas_, result.handle(), found->second.work.service);
   }
-  finished_.push_back({result.ticket(), {fault, result.handle()}});
+  placements_.erase(found);
+  finished_.push_back({result.ticket(), {fault, result.handle()}, std::move(producer)});
 }
 
 void stage_exchange::handle(const base::node_id& sender, const wire::stage_work& message,
@@ -405,7 +409,7 @@
     send_piece_state(sender, ticket);
   }
   for (const auto& handle : message.released()) {
-    pool_.release(handle);
+    pool_.release_own(handle);
   }
   if (hands_over_pieces()) {
     return_forwarded(pool_.waiting_tickets(), now);
@@ -470,7 +474,7 @@
     const auto own = own_ticket_by_pool_ticket_.find(finished.ticket);
     if (own != own_ticket_by_pool_ticket_.end()) {
       placements_.erase(own->second);
-      finished_.push_back({own->second, std::move(finished.outcome)});
+      finished_.push_back({own->second, std::move(finished.outcome), std::move(finished.producer)});
       own_ticket_by_pool_ticket_.erase(own);
       continue;
     }
@@ -480,7 +484,7 @@
         // The origin may have an earlier or a later configuration, and decides by its own.
         finished.outcome.fault = piece_fault::not_run;
       }
-      finish_forwarded(forwarded->second, finished.outcome, now);
+      finish_forwarded(forwarded->second, finished.outcome, finished.producer, now);
       forwarded_pool_tickets_.erase({forwarded->second.origin, forwarded->second.origin_ticket});
       forwarded_by_pool_ticket_.erase(forwarded);
     }
@@ -488,20 +492,25 @@
 }
 
 void stage_exchange::finish_forwarded(const forwarded_piece& forwarded,
-                                      const piece_outcome& outcome, base::time_point now) {
+                                      const piece_outcome& outcome, const result_producer& producer,
+                                      base::time_point now) {
   while (!reported_results_.empty() &&
          now - reported_results_.front().reported_at >= reported_result_lifetime) {
     reported_results_.pop_front();
   }
-  reported_results_.push_back({now, forwarded, outcome});
-  send_result(forwarded, outcome);
+  reported_results_.push_back({now, forwarded, outcome, producer});
+  send_result(forwarded, outcome, producer);
 }
 
-void stage_exchange::send_result(const forwarded_piece& forwarded, const piece_outcome& outcome) {
+void stage_exchange::send_result(const forwarded_piece& forwarded, const piece_outcome& outcome,
+                                 const result_producer& producer) {
   auto& result = *message_to(forwarded.origin).add_made();
   result.set_ticket(forwarded.origin_ticket);
   result.set_fault(static_cast<std::uint32_t>(outcome.fault));
   result.set_handle(outcome.handle);
+  if (producer.is_known()) {
+    write_producer(producer, *result.mutable_producer());
+  }
 }
 
 // --- time and messages ---------------------------------------------------------------------------
--- a/src/stage_work/stage_exchange.h
+++ b/src/stage_work/stage_exchange.h
@@ -104,7 +104,7 @@
   /// piece.
   void cancel(piece_ticket ticket);
   /// Frees results that are no longer needed.
-  void release(const std::vector<std::string>& handles);
+  void release(const std::vector<stage_result>& results);
 
   /// Applies the answer of a call, or queues the pieces of the call again if there is no answer.
   /// @return whether the call was under way in this node's pool.
@@ -189,6 +189,7 @@
     base::time_point reported_at;
     forwarded_piece forwarded;
     piece_outcome outcome;
+    result_producer producer;
   };
 
   /// Schedules a new division into shards after other nodes were added or removed, or their
@@ -317,9 +318,11 @@
   /// @param ticket ticket of the piece at the origin.
   void cancel_forwarded(const base::node_id& sender, piece_ticket ticket);
   /// Reports the outcome of a piece to its origin and keeps the outcome for later queries.
+  /// @param producer process that produced the result; unknown if the piece has none.
   void finish_forwarded(const forwarded_piece& forwarded, const piece_outcome& outcome,
-                        base::time_point now);
-  void send_result(const forwarded_piece& forwarded, const piece_outcome& outcome);
+                        const result_producer& producer, base::time_point now);
+  void send_result(const forwarded_piece& forwarded, const piece_outcome& outcome,
+                   const result_producer& producer);
   /// Sends the load of this node's pool to the nodes of `load_report_audience`, at most once per
   /// `load_report_interval`.
   void send_loads(base::time_point now);
--- a/src/stage_work/stage_graph.cc
+++ b/src/stage_work/stage_graph.cc
@@ -1,7 +1,5 @@
 #include "stage_work/stage_graph.h"
 
-#include "stage_work/result_handle.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -22,7 +20,7 @@
 
 bool stage_graph::is_finished(std::uint32_t stage) const {
   return std::all_of(stages_[stage].begin(), stages_[stage].end(),
-                     [](const piece_state& piece) { return !piece.handle.empty(); });
+                     [](const piece_state& piece) { return piece.has_result(); });
 }
 
 bool stage_graph::is_ready(std::uint32_t stage) const {
@@ -42,7 +40,7 @@
 
 bool stage_graph::consumers_have_fetched(std::uint32_t stage) const {
   const auto has_fetched = [](const piece_state& piece) {
-    return piece.has_fetched_inputs || !piece.handle.empty();
+    return piece.has_fetched_inputs || piece.has_result();
   };
   for (std::uint32_t consumer = 0; consumer < stages_.size(); ++consumer) {
     const auto& pieces = stages_[consumer];
@@ -78,15 +76,19 @@
   stages_[position.stage][position.piece].has_fetched_inputs = true;
 }
 
-void stage_graph::complete(piece_position position, std::string handle) {
-  stages_[position.stage][position.piece].handle = std::move(handle);
+void stage_graph::complete(piece_position position, stage_result result) {
+  stages_[position.stage][position.piece].result = std::move(result);
 }
 
-bool stage_graph::note_lost_results_of(const base::network_address& producer) {
+bool stage_graph::note_lost_results_of(const base::replica_id& replica,
+                                       replica_exit ended_process) {
   bool any = false;
   for (auto& pieces : stages_) {
     for (auto& piece : pieces) {
-      if (!piece.handle.empty() && !piece.is_freed && producer_of(piece.handle) == producer) {
+      const auto& producer = piece.result.producer;
+      const bool is_of_process = producer.is_known() && producer.replica == replica &&
+                                 producer.incarnation_exit == ended_process;
+      if (piece.has_result() && !piece.is_freed && is_of_process) {
         piece.is_lost = true;
         any = true;
       }
@@ -103,10 +105,10 @@
 void stage_graph::drop_unfinished() {
   for (auto& pieces : stages_) {
     for (auto& piece : pieces) {
-      if (piece.handle.empty()) {
+      if (!piece.has_result()) {
         piece.is_submitted = true;
         piece.is_freed = true;
-        piece.handle = dropped_handle;
+        piece.result = {dropped_handle, {}};
       }
     }
   }
@@ -114,18 +116,18 @@
 
 bool stage_graph::is_under_way(piece_position position) const {
   const auto& piece = stages_[position.stage][position.piece];
-  return piece.is_submitted && piece.handle.empty();
+  return piece.is_submitted && !piece.has_result();
 }
 
 void stage_graph::schedule_recomputation(std::uint32_t stage, piece_state& piece,
-                                         std::vector<std::string>& obsolete) {
+                                         std::vector<stage_result>& obsolete) {
   if (!piece.is_freed) {
-    obsolete.push_back(piece.handle);
+    obsolete.push_back(piece.result);
   }
   piece = {};
   for (std::uint32_t other = 0; other < stages_.size(); ++other) {
     for (auto& candidate : stages_[other]) {
-      if (depends_on(other, stage) && candidate.handle.empty()) {
+      if (depends_on(other, stage) && !candidate.has_result()) {
         candidate = {};
       }
       if (depends_on(stage, other) && candidate.is_freed) {
@@ -135,12 +137,11 @@
   }
 }
 
-std::vector<std::string>
+std::vector<stage_result>
 stage_graph::recompute(const std::vector<std::uint32_t>& stages,
-                       const std::function<bool(const std::string&)>& is_result_lost) {
+                       const std::function<bool(const stage_result&)>& is_result_lost) {
   const auto is_suspect = [&](const piece_state& piece) {
-    return !piece.handle.empty() &&
-           (piece.is_freed || piece.is_lost || is_result_lost(piece.handle));
+    return piece.has_result() && (piece.is_freed || piece.is_lost || is_result_lost(piece.result));
   };
   // Only the first recomputation is limited to results that are known to be lost. If results are
   // missing again, more were lost than is known, and all results of the stages are recomputed.
@@ -149,10 +150,10 @@
         return std::any_of(stages_[stage].begin(), stages_[stage].end(), is_suspect);
       });
   ++recomputations_;
-  std::vector<std::string> obsolete;
+  std::vector<stage_result> obsolete;
   for (const auto stage : stages) {
     for (auto& piece : stages_[stage]) {
-      if (!piece.handle.empty() && (!has_suspects || is_suspect(piece))) {
+      if (piece.has_result() && (!has_suspects || is_suspect(piece))) {
         schedule_recomputation(stage, piece, obsolete);
       }
     }
@@ -160,17 +161,17 @@
   return obsolete;
 }
 
-std::vector<std::string>
+std::vector<stage_result>
 stage_graph::recompute_inputs_of(piece_position position,
-                                 const std::function<bool(const std::string&)>& is_result_lost) {
+                                 const std::function<bool(const stage_result&)>& is_result_lost) {
   stages_[position.stage][position.piece] = {};
   const auto& dependencies = route_->stages[position.stage].start_after;
   const bool has_pending_inputs = !is_ready(position.stage);
-  return has_pending_inputs ? std::vector<std::string>{} : recompute(dependencies, is_result_lost);
+  return has_pending_inputs ? std::vector<stage_result>{} : recompute(dependencies, is_result_lost);
 }
 
-std::vector<std::string>
-stage_graph::recompute_final_inputs(const std::function<bool(const std::string&)>& is_result_lost) {
+std::vector<stage_result> stage_graph::recompute_final_inputs(
+    const std::function<bool(const stage_result&)>& is_result_lost) {
   std::vector<std::uint32_t> last;
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
     if (is_last(stage)) {
@@ -180,24 +181,24 @@
   return recompute(last, is_result_lost);
 }
 
-void stage_graph::append_results(std::uint32_t stage, std::vector<std::string>& results) const {
+void stage_graph::append_results(std::uint32_t stage, std::vector<stage_result>& results) const {
   for (const auto& piece : stages_[stage]) {
-    results.push_back(piece.handle);
+    results.push_back(piece.result);
   }
 }
 
-std::vector<std::string> stage_graph::inputs_of(std::uint32_t stage) const {
+std::vector<stage_result> stage_graph::inputs_of(std::uint32_t stage) const {
   auto dependencies = route_->stages[stage].start_after;
   std::sort(dependencies.begin(), dependencies.end());
-  std::vector<std::string> results;
+  std::vector<stage_result> results;
   for (const auto dependency : dependencies) {
     append_results(dependency, results);
   }
   return results;
 }
 
-std::vector<std::string> stage_graph::final_inputs() const {
-  std::vector<std::string> results;
+std::vector<stage_result> stage_graph::final_inputs() const {
+  std::vector<stage_result> results;
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
     if (is_last(stage)) {
       append_results(stage, results);
@@ -206,8 +207,8 @@
   return results;
 }
 
-std::vector<std::string> stage_graph::results_of(std::uint32_t stage) const {
-  std::vector<std::string> results;
+std::vector<stage_result> stage_graph::results_of(std::uint32_t stage) const {
+  std::vector<stage_result> results;
   append_results(stage, results);
   return results;
 }
@@ -233,20 +234,20 @@
   return false;
 }
 
-std::vector<std::string> stage_graph::take_unneeded_results(bool all) {
-  std::vector<std::string> handles;
+std::vector<stage_result> stage_graph::take_unneeded_results(bool all) {
+  std::vector<stage_result> results;
   for (std::uint32_t stage = 0; stage < stages_.size(); ++stage) {
     if (!all && (is_last(stage) || !consumers_have_fetched(stage))) {
       continue;
     }
     for (auto& piece : stages_[stage]) {
-      if (!piece.handle.empty() && !piece.is_freed) {
+      if (piece.has_result() && !piece.is_freed) {
         piece.is_freed = true;
-        handles.push_back(piece.handle);
+        results.push_back(piece.result);
       }
     }
   }
-  return handles;
+  return results;
 }
 
 base::duration
--- a/src/stage_work/stage_graph.h
+++ b/src/stage_work/stage_graph.h
@@ -3,6 +3,7 @@
 
 #include "base/ids.h"
 #include "model/serving_records.h"
+#include "stage_work/stage_result.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,12 +33,12 @@
   void withdraw(piece_position position);
   /// Records that the replica that runs a piece has fetched the inputs of the piece.
   void note_inputs_fetched(piece_position position);
-  /// Records the handle of the result of a piece; see `producer_of` for its format.
-  void complete(piece_position position, std::string handle);
-  /// Marks the results at a replica as lost because the replica restarted.
-  /// @param producer address of the replica.
-  /// @return whether the graph has any result of that replica that is not freed.
-  bool note_lost_results_of(const base::network_address& producer);
+  /// Records the result of a piece.
+  void complete(piece_position position, stage_result result);
+  /// Marks the results of a process of a replica as lost because the replica restarted.
+  /// @param ended_process exit of the process.
+  /// @return whether the graph has any result of that process that is not freed.
+  bool note_lost_results_of(const base::replica_id& replica, replica_exit ended_process);
   /// Schedules the recomputation of a piece whose replica found an input missing, of those inputs
   /// of the piece that are lost or freed, and of the freed results that these inputs were computed
   /// from. If an input of the piece is being recomputed already, schedules only the piece itself:
@@ -46,28 +47,28 @@
   ///        assumed to be lost if none is known to be lost or freed. The same applies if this graph
   ///        has recomputed results before: if results are missing again, more were lost than is
   ///        known.
-  /// @return handles of the results that the recomputation replaces, for the caller to free.
-  std::vector<std::string>
+  /// @return the results that the recomputation replaces, for the caller to free.
+  std::vector<stage_result>
   recompute_inputs_of(piece_position position,
-                      const std::function<bool(const std::string&)>& is_result_lost);
+                      const std::function<bool(const stage_result&)>& is_result_lost);
   /// Schedules the recomputation of each final input (see `final_inputs`) that is lost or freed,
   /// and of the freed results that these final inputs were computed from. `is_result_lost` and the
   /// return value are as in `recompute_inputs_of`.
-  std::vector<std::string>
-  recompute_final_inputs(const std::function<bool(const std::string&)>& is_result_lost);
+  std::vector<stage_result>
+  recompute_final_inputs(const std::function<bool(const stage_result&)>& is_result_lost);
   /// Treats the pieces without a result as computed and freed, so that a later recomputation
   /// computes them again with their inputs.
   void drop_unfinished();
   /// @return whether the piece at `position` is submitted and not finished.
   [[nodiscard]] bool is_under_way(piece_position position) const;
 
-  /// @return handles of the results that the pieces of `stage` read, ordered by stage and piece.
-  [[nodiscard]] std::vector<std::string> inputs_of(std::uint32_t stage) const;
-  /// @return handles of the results that the request itself reads, ordered by stage and piece: the
-  ///         results of the stages that no other stage depends on.
-  [[nodiscard]] std::vector<std::string> final_inputs() const;
-  /// @return handles of the results of one stage, ordered by piece.
-  [[nodiscard]] std::vector<std::string> results_of(std::uint32_t stage) const;
+  /// @return the results that the pieces of `stage` read, ordered by stage and piece.
+  [[nodiscard]] std::vector<stage_result> inputs_of(std::uint32_t stage) const;
+  /// @return the results that the request itself reads, ordered by stage and piece: the results of
+  ///         the stages that no other stage depends on.
+  [[nodiscard]] std::vector<stage_result> final_inputs() const;
+  /// @return the results of one stage, ordered by piece.
+  [[nodiscard]] std::vector<stage_result> results_of(std::uint32_t stage) const;
   /// @return whether no other stage depends on `stage`.
   [[nodiscard]] bool is_last(std::uint32_t stage) const;
   /// @return whether all stages are finished.
@@ -75,10 +76,10 @@
   /// @return whether a result that the request itself reads was freed, or was lost when the replica
   ///         that produced it restarted.
   [[nodiscard]] bool has_missing_final_inputs() const;
-  /// @return handles of the results that no piece has to fetch any more, or of all results if `all`
-  ///         is set. Marks the results as freed, so that each handle is returned once. The results
-  ///         that the request itself reads are returned only if `all` is set.
-  std::vector<std::string> take_unneeded_results(bool all);
+  /// @return the results that no piece has to fetch any more, or all results if `all` is set. Marks
+  ///         the results as freed, so that each result is returned once. The results that the
+  ///         request itself reads are returned only if `all` is set.
+  std::vector<stage_result> take_unneeded_results(bool all);
   /// @param stage_time expected duration of a stage that is not finished.
   /// @return time until all stages are finished, along the critical path.
   [[nodiscard]] base::duration
@@ -99,7 +100,8 @@
     bool is_freed = false;
     /// The result was lost when the replica that produced it restarted.
     bool is_lost = false;
-    std::string handle;
+    stage_result result;
+    [[nodiscard]] bool has_result() const { return !result.handle.empty(); }
   };
   /// @return whether all pieces of a stage have results.
   [[nodiscard]] bool is_finished(std::uint32_t stage) const;
@@ -111,15 +113,16 @@
   /// Schedules the recomputation of those results of `stages` that are lost or freed. Schedules all
   /// results of `stages` if none is known to be lost or freed, or if this graph has recomputed
   /// results before.
-  /// @return handles of the results that the recomputation replaces.
-  std::vector<std::string> recompute(const std::vector<std::uint32_t>& stages,
-                                     const std::function<bool(const std::string&)>& is_result_lost);
+  /// @return the results that the recomputation replaces.
+  std::vector<stage_result>
+  recompute(const std::vector<std::uint32_t>& stages,
+            const std::function<bool(const stage_result&)>& is_result_lost);
   /// Resets a piece, the unfinished pieces that read its result, and the pieces whose freed results
   /// it reads, so that `take_ready` returns all of them again.
-  /// @param obsolete receives the handles of the results that the recomputation replaces.
+  /// @param obsolete receives the results that the recomputation replaces.
   void schedule_recomputation(std::uint32_t stage, piece_state& piece,
-                              std::vector<std::string>& obsolete);
-  void append_results(std::uint32_t stage, std::vector<std::string>& results) const;
+                              std::vector<stage_result>& obsolete);
+  void append_results(std::uint32_t stage, std::vector<stage_result>& results) const;
 
   const model::route* route_;
   std::vector<std::vector<piece_state>> stages_;
--- a/src/stage_work/stage_pool.cc
+++ b/src/stage_work/stage_pool.cc
@@ -106,9 +106,9 @@
   return found == drain_rates_.end() ? std::nullopt : found->second.per_second(now);
 }
 
-void stage_pool::finish(piece_ticket ticket, piece_outcome outcome) {
+void stage_pool::finish(piece_ticket ticket, piece_outcome outcome, result_producer producer) {
   pieces_.erase(ticket);
-  finished_.push_back({ticket, std::move(outcome)});
+  finished_.push_back({ticket, std::move(outcome), std::move(producer)});
 }
 
 void stage_pool::requeue(piece_ticket ticket, piece_fault fault) {
@@ -124,10 +124,11 @@
   enqueue(ticket);
 }
 
-void stage_pool::apply_outcome(piece_ticket ticket, const piece_outcome& outcome) {
+void stage_pool::apply_outcome(piece_ticket ticket, const piece_outcome& outcome,
+                               const result_producer& producer) {
   if (!pieces_.contains(ticket)) {
     if (!outcome.handle.empty()) {
-      release(outcome.handle);
+      release({outcome.handle, producer});
     }
     return;
   }
@@ -141,7 +142,7 @@
     requeue(ticket, outcome.fault);
     break;
   default:
-    finish(ticket, outcome);
+    finish(ticket, outcome, producer);
     break;
   }
 }
@@ -171,7 +172,7 @@
         note_memory_exhausted(call, now);
       }
       record_result(call, index, answer.pieces[index], now);
-      apply_outcome(call.tickets[index], answer.pieces[index]);
+      apply_outcome(call.tickets[index], answer.pieces[index], call.producer());
     }
     return;
   case stage_call_ended::result::refused:
@@ -248,7 +249,7 @@
   }
   std::vector<std::string> lost_results;
   for (const auto& [handle, result] : results_) {
-    if (result.replica == replica &&
+    if (result.producer.replica == replica &&
         replicas_->was_sent_to_earlier_incarnation(replica, result.call_started_at)) {
       lost_results.push_back(handle);
     }
@@ -405,8 +406,8 @@
     auto& piece = pieces_.at(position.ticket);
     ++piece.attempts;
     const auto& work = piece.work;
-    open.command.items.push_back(
-        {work.request, work.stage, work.piece, work.deadline - now, work.piece_key, work.inputs});
+    open.command.items.push_back({work.request, work.stage, work.piece, work.deadline - now,
+                                  work.piece_key, handles_of(work.inputs)});
     open.tickets.push_back(position.ticket);
     open.result_bytes.push_back(work.result_bytes);
     if (!work.inputs.empty() && settings_.input_fetch_time > base::duration::zero()) {
--- a/src/stage_work/stage_pool.h
+++ b/src/stage_work/stage_pool.h
@@ -18,6 +18,7 @@
 #include "serving/events.h"
 #include "serving/settings.h"
 #include "stage_work/drain_rate.h"
+#include "stage_work/stage_result.h"
 
 #include <cstdint>
 #include <functional>
@@ -45,8 +46,8 @@
   /// Key from the client's request. Set for pieces of the stages that do not depend on other
   /// stages, and sent to the replica; empty for all other pieces.
   std::string piece_key;
-  /// Handles of the results that the piece reads.
-  std::vector<std::string> inputs;
+  /// Results that the piece reads.
+  std::vector<stage_result> inputs;
   /// Residency: regions in which the piece may be computed, and so its result stored.
   model::residency permitted_regions;
   /// Zone in which the piece is preferably computed.
@@ -69,6 +70,8 @@
 struct finished_piece {
   piece_ticket ticket = 0;
   piece_outcome outcome;
+  /// Process that produced the result; unknown if the piece has none.
+  result_producer producer{};
 };
 
 /// A piece whose call was lost.
@@ -113,9 +116,13 @@
   /// result of the piece is freed when it arrives.
   void cancel(piece_ticket ticket);
 
-  /// Frees a result that is no longer needed at its producer. If the producer limits its calls or
-  /// has requested a backoff, the request to free waits until the producer may be called.
-  void release(const std::string& handle);
+  /// Frees a result that is no longer needed at its producer, unless that process has ended. If the
+  /// producer limits its calls or has requested a backoff, the request to free waits until the
+  /// producer may be called.
+  void release(const stage_result& result);
+  /// Frees a result that a call of this pool produced; has no effect if the pool holds no such
+  /// result. Other nodes name the results that they no longer need by their handles alone.
+  void release_own(const std::string& handle);
 
   /// Cancels the calls to the earlier incarnation of a replica that restarted, queues their pieces
   /// again, and forgets the results of that incarnation.
@@ -198,6 +205,10 @@
     std::vector<piece_ticket> tickets;
     /// Size of the result of each piece, in bytes.
     std::vector<double> result_bytes;
+    /// @return the process that produces the results of the call.
+    [[nodiscard]] result_producer producer() const {
+      return {command.target.replica, command.target.address, incarnation_exit, service};
+    }
   };
   using service_queue = std::set<queue_position>;
   void enqueue(piece_ticket ticket);
@@ -208,7 +219,7 @@
   [[nodiscard]] std::vector<queue_position> remaining_pieces_of(const open_call& call) const;
   /// A result that occupies memory at its replica.
   struct held_result {
-    base::replica_id replica;
+    result_producer producer;
     double bytes = 0;
     /// Start of the call that produced the result.
     base::time_point call_started_at;
@@ -357,7 +368,9 @@
   void apply_answer(const open_call& call, const stage_call_ended& answer, base::time_point now);
   /// Finishes a piece, or queues it again if its fault permits a retry; frees the result of a
   /// cancelled piece.
-  void apply_outcome(piece_ticket ticket, const piece_outcome& outcome);
+  /// @param producer process that was called.
+  void apply_outcome(piece_ticket ticket, const piece_outcome& outcome,
+                     const result_producer& producer);
   /// Reports the pieces of a lost call as lost and sets their backoff.
   void note_lost_pieces(const open_call& call, base::time_point now);
   /// Reports the pieces of a call as lost, except those cancelled since.
@@ -370,7 +383,7 @@
                      base::time_point now);
   /// Queues a piece again, or finishes it with `fault` if it has no attempts left.
   void requeue(piece_ticket ticket, piece_fault fault);
-  void finish(piece_ticket ticket, piece_outcome outcome);
+  void finish(piece_ticket ticket, piece_outcome outcome, result_producer producer = {});
   replica_table* replicas_;
   serving_settings settings_;
   std::function<base::call_id()> next_call_;
@@ -412,8 +425,8 @@
   std::vector<finished_piece> finished_;
   std::vector<piece_ticket> fetched_;
   std::vector<lost_piece> lost_;
-  /// Handles of results to be freed when their producer may be called again, by producer.
-  std::map<base::replica_id, std::vector<std::string>> deferred_frees_;
+  /// Results to be freed when their producer may be called again, by replica.
+  std::map<base::replica_id, std::vector<stage_result>> deferred_frees_;
   /// Time after the start of a call at which its replica is assumed to have fetched the inputs.
   base::duration fetch_time_;
   command_list commands_;
--- a/src/stage_work/stage_pool_results.cc
+++ b/src/stage_work/stage_pool_results.cc
@@ -2,7 +2,6 @@
 /// freed, and how long they are kept for the replicas that fetch them.
 #include "stage_work/stage_pool.h"
 
-#include "stage_work/result_handle.h"
 #include "stage_work/stage_pool_limits.h"
 
 #include <algorithm>
@@ -36,14 +35,14 @@
   const auto& replica = call.command.target.replica;
   const auto bytes = call.result_bytes[index];
   result_bytes_by_replica_[replica] += bytes;
-  results_[outcome.handle] = {replica, bytes, call.started_at};
+  results_[outcome.handle] = {call.producer(), bytes, call.started_at};
   result_expiries_.set(outcome.handle, now + capacity->result_lifetime);
 }
 
 void stage_pool::forget_result(const std::string& handle) {
   const auto found = results_.find(handle);
   if (found != results_.end()) {
-    result_bytes_by_replica_[found->second.replica] -= found->second.bytes;
+    result_bytes_by_replica_[found->second.producer.replica] -= found->second.bytes;
     results_.erase(found);
     result_expiries_.clear(handle);
     next_check_at_ = {};
@@ -56,10 +55,16 @@
   }
 }
 
-void stage_pool::release(const std::string& handle) {
-  forget_result(handle);
-  const auto producer = producer_of(handle);
-  const auto* replica = replicas_->find_at(producer);
+void stage_pool::release_own(const std::string& handle) {
+  const auto found = results_.find(handle);
+  if (found != results_.end()) {
+    release({handle, result_producer(found->second.producer)});
+  }
+}
+
+void stage_pool::release(const stage_result& result) {
+  forget_result(result.handle);
+  const auto* replica = holder_of(*replicas_, result.producer);
   // Nothing is sent to an evacuated zone or to a draining replica; the results there expire.
   if (replica == nullptr || replicas_->is_evacuated(replica->record->zone) ||
       replicas_->has_announced_drain(*replica)) {
@@ -68,17 +73,18 @@
   // The request to free the result waits until `dispatch_waiting` finds that the replica may be
   // called.
   if (replicas_->limit_of(*replica) || replica->backoff.was_requested()) {
-    deferred_frees_[replica->record->id].push_back(handle);
+    deferred_frees_[replica->record->id].push_back(result);
     return;
   }
   for (auto& command : commands_) {
     auto* pending = std::get_if<free_results>(&command);
-    if (pending != nullptr && pending->producer.address == producer) {
-      pending->handles.push_back(handle);
+    if (pending != nullptr && pending->producer.replica == result.producer.replica) {
+      pending->handles.push_back(result.handle);
       return;
     }
   }
-  commands_.emplace_back(free_results{{replica->record->id, producer}, {handle}});
+  commands_.emplace_back(
+      free_results{{result.producer.replica, result.producer.address}, {result.handle}});
 }
 
 bool stage_pool::is_short_of_memory(const replica_state& replica, base::time_point now) const {
@@ -89,7 +95,11 @@
 
 void stage_pool::free_deferred_results(bool only_short_of_memory, base::time_point now) {
   for (auto entry = deferred_frees_.begin(); entry != deferred_frees_.end();) {
-    const auto* replica = replicas_->find(entry->first);
+    auto& results = entry->second;
+    std::erase_if(results, [this](const stage_result& result) {
+      return holder_of(*replicas_, result.producer) == nullptr;
+    });
+    const auto* replica = results.empty() ? nullptr : replicas_->find(entry->first);
     if (replica != nullptr && replicas_->has_announced_drain(*replica)) {
       entry = deferred_frees_.erase(entry);
       continue;
@@ -111,7 +121,7 @@
         replicas_->call_ended(entry->first);
       }
       commands_.emplace_back(
-          free_results{{entry->first, replica->record->address}, std::move(entry->second)});
+          free_results{{entry->first, replica->record->address}, handles_of(results)});
     }
     entry = deferred_frees_.erase(entry);
   }
@@ -169,8 +179,8 @@
   }
   // Results that a producer lost when it exited were not freed too early.
   const auto& inputs = found->second.work.inputs;
-  return std::all_of(inputs.begin(), inputs.end(), [&](const std::string& handle) {
-    const auto* producer = replicas_->find_at(producer_of(handle));
+  return std::all_of(inputs.begin(), inputs.end(), [&](const stage_result& input) {
+    const auto* producer = holder_of(*replicas_, input.producer);
     return producer != nullptr && !producer->is_replaced &&
            producer->failure_share < suspect_failure_share &&
            !has_restarted_recently(*producer, now);
--- a/tests/stage_work/exchange_fleet.h
+++ b/tests/stage_work/exchange_fleet.h
@@ -51,6 +51,11 @@
   std::vector<finished_piece> finished;
 };
 
+/// @return the result of a finished piece.
+inline stage_result result_of(const finished_piece& finished) {
+  return {finished.outcome.handle, finished.producer};
+}
+
 /// Nodes `n0`, `n1`, ... that know the same published replicas and configuration.
 struct exchange_fleet {
   /// @param zone_count number of zones, `a`, `b`, ..., over which the nodes are spread.
--- a/tests/stage_work/stage_exchange_test.cc
+++ b/tests/stage_work/stage_exchange_test.cc
@@ -55,7 +55,7 @@
   auto& origin = *nodes[0];
   answer(batcher);
   run(std::chrono::milliseconds(50));
-  origin.subject.release({origin.finished.front().outcome.handle});
+  origin.subject.release({result_of(origin.finished.front())});
   run(std::chrono::milliseconds(50));
   BOOST_TEST(batcher.freed.size() == 1);
 }
--- a/tests/stage_work/stage_graph_test.cc
+++ b/tests/stage_work/stage_graph_test.cc
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace spurrack;
+using serving::handles_of;
 using serving::stage_graph;
+using serving::stage_result;
 
 namespace {
 
@@ -14,10 +16,24 @@
   return route;
 }
 
+/// Exit of the process that produced the results of `result_of`.
+constexpr serving::replica_exit process = 7;
+
+/// @return a result that a process of the replica `replica` produced.
+stage_result result_of(const std::string& replica, const std::string& handle) {
+  return {handle,
+          {base::replica_id(replica), base::network_address("10.0.0.1:80"), process, "service"}};
+}
+
+stage_result result_named(const std::string& handle) {
+  return result_of("producer of " + handle, handle);
+}
+
 void complete_all(stage_graph& graph) {
   for (auto ready = graph.take_ready(); !ready.empty(); ready = graph.take_ready()) {
     for (const auto where : ready) {
-      graph.complete(where, "h" + std::to_string(where.stage) + std::to_string(where.piece));
+      graph.complete(where,
+                     result_named("h" + std::to_string(where.stage) + std::to_string(where.piece)));
     }
   }
 }
@@ -32,13 +48,13 @@
   const auto first = graph.take_ready();
   BOOST_TEST(first.size() == 3);
   BOOST_TEST(graph.take_ready().empty());
-  graph.complete({1, 0}, "x");
+  graph.complete({1, 0}, result_named("x"));
   BOOST_TEST(graph.take_ready().empty());
-  graph.complete({1, 1}, "y");
+  graph.complete({1, 1}, result_named("y"));
   const auto second = graph.take_ready();
   BOOST_REQUIRE(second.size() == 1);
   BOOST_TEST(second.front().stage == 2);
-  BOOST_TEST(graph.inputs_of(2) == (std::vector<std::string>{"x", "y"}),
+  BOOST_TEST(handles_of(graph.inputs_of(2)) == (std::vector<std::string>{"x", "y"}),
              boost::test_tools::per_element());
   BOOST_TEST(!graph.is_done());
 }
@@ -48,7 +64,8 @@
   stage_graph graph(route, {2, 1, 2});
   complete_all(graph);
   BOOST_TEST(graph.is_done());
-  BOOST_TEST(graph.final_inputs() == (std::vector<std::string>{"h00", "h01", "h20", "h21"}),
+  BOOST_TEST(handles_of(graph.final_inputs()) ==
+                 (std::vector<std::string>{"h00", "h01", "h20", "h21"}),
              boost::test_tools::per_element());
 }
 
@@ -64,18 +81,18 @@
   const auto route = sample_route();
   stage_graph graph(route, {1, 1, 1});
   graph.take_ready();
-  graph.complete({1, 0}, "b0");
+  graph.complete({1, 0}, result_named("b0"));
   BOOST_TEST(graph.take_unneeded_results(false).empty());
   graph.take_ready();
-  graph.complete({2, 0}, "c0");
-  BOOST_TEST(graph.take_unneeded_results(false) == std::vector<std::string>{"b0"},
+  graph.complete({2, 0}, result_named("c0"));
+  BOOST_TEST(handles_of(graph.take_unneeded_results(false)) == std::vector<std::string>{"b0"},
              boost::test_tools::per_element());
   BOOST_TEST(graph.take_unneeded_results(false).empty());
-  graph.complete({0, 0}, "a0");
+  graph.complete({0, 0}, result_named("a0"));
   BOOST_TEST(graph.take_unneeded_results(true).size() == 2);
 }
 
-const auto no_loss_is_known = [](const std::string&) { return false; };
+const auto no_loss_is_known = [](const stage_result&) { return false; };
 
 BOOST_AUTO_TEST_CASE(all_final_inputs_are_recomputed_if_no_loss_is_known) {
   const auto route = sample_route();
@@ -92,12 +109,13 @@
   stage_graph graph(route, {0, 3, 2});
   graph.take_ready();
   for (const std::uint32_t piece : {0U, 1U, 2U}) {
-    graph.complete({1, piece}, "b" + std::to_string(piece));
+    graph.complete({1, piece}, result_named("b" + std::to_string(piece)));
   }
   BOOST_TEST(graph.take_ready().size() == 2);
   const auto obsolete =
-      graph.recompute_inputs_of({2, 0}, [](const auto& handle) { return handle == "b1"; });
-  BOOST_TEST(obsolete == std::vector<std::string>{"b1"}, boost::test_tools::per_element());
+      graph.recompute_inputs_of({2, 0}, [](const auto& result) { return result.handle == "b1"; });
+  BOOST_TEST(handles_of(obsolete) == std::vector<std::string>{"b1"},
+             boost::test_tools::per_element());
   BOOST_TEST(!graph.is_under_way({2, 1}));
   const auto again = graph.take_ready();
   BOOST_REQUIRE(again.size() == 1);
@@ -106,9 +124,9 @@
   // The other piece fails as well; its inputs are being recomputed already.
   BOOST_TEST(graph.recompute_inputs_of({2, 1}, no_loss_is_known).empty());
   BOOST_TEST(graph.recomputations() == 1);
-  graph.complete({1, 1}, "new");
+  graph.complete({1, 1}, result_named("new"));
   BOOST_TEST(graph.take_ready().size() == 2);
-  BOOST_TEST(graph.inputs_of(2) == (std::vector<std::string>{"b0", "new", "b2"}),
+  BOOST_TEST(handles_of(graph.inputs_of(2)) == (std::vector<std::string>{"b0", "new", "b2"}),
              boost::test_tools::per_element());
 }
 
@@ -116,19 +134,20 @@
   const auto route = sample_route();
   stage_graph graph(route, {0, 1, 2});
   complete_all(graph);
-  BOOST_TEST(graph.take_unneeded_results(false) == std::vector<std::string>{"h10"},
+  BOOST_TEST(handles_of(graph.take_unneeded_results(false)) == std::vector<std::string>{"h10"},
              boost::test_tools::per_element());
   const auto obsolete =
-      graph.recompute_final_inputs([](const auto& handle) { return handle == "h20"; });
-  BOOST_TEST(obsolete == std::vector<std::string>{"h20"}, boost::test_tools::per_element());
+      graph.recompute_final_inputs([](const auto& result) { return result.handle == "h20"; });
+  BOOST_TEST(handles_of(obsolete) == std::vector<std::string>{"h20"},
+             boost::test_tools::per_element());
   const auto first = graph.take_ready();
   BOOST_REQUIRE(first.size() == 1);
   BOOST_TEST(first.front().stage == 1);
-  graph.complete({1, 0}, "again");
+  graph.complete({1, 0}, result_named("again"));
   BOOST_TEST(graph.take_ready().size() == 1);
-  graph.complete({2, 0}, "last");
+  graph.complete({2, 0}, result_named("last"));
   BOOST_TEST(graph.is_done());
-  BOOST_TEST(graph.final_inputs() == (std::vector<std::string>{"last", "h21"}),
+  BOOST_TEST(handles_of(graph.final_inputs()) == (std::vector<std::string>{"last", "h21"}),
              boost::test_tools::per_element());
 }
 
@@ -147,26 +166,40 @@
   const auto route = sample_route();
   stage_graph graph(route, {0, 2, 1});
   graph.take_ready();
-  graph.complete({1, 0}, "10.0.0.1:80/x");
-  graph.complete({1, 1}, "10.0.0.2:80/y");
+  graph.complete({1, 0}, result_of("x", "10.0.0.1:80/x"));
+  graph.complete({1, 1}, result_of("y", "10.0.0.2:80/y"));
   graph.take_ready();
-  BOOST_TEST(!graph.note_lost_results_of(base::network_address("10.0.0.3:80")));
-  BOOST_TEST(graph.note_lost_results_of(base::network_address("10.0.0.1:80")));
-  graph.recompute_inputs_of({2, 0}, [](const std::string&) { return false; });
+  BOOST_TEST(!graph.note_lost_results_of(base::replica_id("z"), process));
+  BOOST_TEST(graph.note_lost_results_of(base::replica_id("x"), process));
+  graph.recompute_inputs_of({2, 0}, [](const stage_result&) { return false; });
   const auto again = graph.take_ready();
   BOOST_REQUIRE(again.size() == 1U);
   BOOST_TEST(again.front().stage == 1U);
   BOOST_TEST(again.front().piece == 0U);
 }
 
+/// Guards against results that are taken for lost since another process has ended that has, or had,
+/// the address of their producer.
+BOOST_AUTO_TEST_CASE(results_of_another_process_at_the_same_address_are_kept) {
+  const auto route = sample_route();
+  stage_graph graph(route, {0, 2, 1});
+  graph.take_ready();
+  graph.complete({1, 0}, result_of("x", "10.0.0.1:80/x"));
+  graph.complete({1, 1}, result_of("y", "10.0.0.1:80/y"));
+  BOOST_TEST(!graph.note_lost_results_of(base::replica_id("other"), process));
+  BOOST_TEST(!graph.note_lost_results_of(base::replica_id("x"), process + 1));
+  graph.complete({1, 1}, {"10.0.0.1:80/y", {}});
+  BOOST_TEST(!graph.note_lost_results_of(base::replica_id(), 0));
+}
+
 BOOST_AUTO_TEST_CASE(final_inputs_of_a_restarted_producer_are_missing) {
   const auto route = sample_route();
   stage_graph graph(route, {1, 1, 1});
   complete_all(graph);
   BOOST_TEST(!graph.has_missing_final_inputs());
-  graph.note_lost_results_of(base::network_address("h20"));
+  graph.note_lost_results_of(base::replica_id("producer of h20"), process);
   BOOST_TEST(graph.has_missing_final_inputs());
-  graph.recompute_final_inputs([](const std::string&) { return false; });
+  graph.recompute_final_inputs([](const stage_result&) { return false; });
   BOOST_TEST(!graph.is_done());
   BOOST_TEST(!graph.has_missing_final_inputs());
 }
--- a/tests/stage_work/stage_pool_test.cc
+++ b/tests/stage_work/stage_pool_test.cc
@@ -156,7 +156,7 @@
   pool.on_call_ended(ended, now);
   submit("late", std::chrono::seconds(1), 400'000);
   BOOST_TEST(start_calls().empty());
-  pool.release(ended.pieces[0].handle);
+  pool.release_own(ended.pieces[0].handle);
   BOOST_TEST(start_calls().size() == 1);
 }
 
@@ -209,13 +209,16 @@
     piece_work work;
     work.request = base::request_id(request);
     work.service = "pool";
-    work.inputs = {replicas.find(base::replica_id("pool-b"))->record->address.text() + "/r"};
+    const auto& producer = producer_of_inputs;
+    work.inputs = {{producer.address.text() + "/r",
+                    {producer.id, producer.address, exit_id_of(producer), producer.service}}};
     work.result_bytes = 1000;
     work.zone = base::zone_id("a");
     work.due = now + std::chrono::seconds(1);
     work.deadline = now + std::chrono::seconds(5);
     return pool.submit(std::move(work), now);
   }
+  model::replica producer_of_inputs = *replicas.find(base::replica_id("pool-b"))->record;
   /// @return whether the inputs of the next piece are assumed to be fetched `duration` after the
   ///         start of its call.
   bool are_inputs_fetched_after(base::duration duration) {
@@ -260,6 +263,21 @@
   BOOST_TEST(are_inputs_fetched_after(std::chrono::milliseconds(100)));
 }
 
+/// Guards against a fetch time that grows since a sound replica has the address of the input's
+/// producer, which has ended.
+BOOST_AUTO_TEST_CASE(inputs_of_an_ended_process_do_not_extend_the_fetch_time) {
+  for (const std::string successor : {"pool-c", "plain-c"}) {
+    input_driver driver;
+    const auto address = driver.producer_of_inputs.address.text();
+    driver.published.remove_replica("pool-b");
+    driver.published.add_incarnation(successor, successor.substr(0, successor.find('-')), "b",
+                                     address, 2000);
+    driver.replicas.update(driver.published.content.replicas(), driver.now);
+    driver.fail_with_missing_input(false);
+    BOOST_TEST(driver.are_inputs_fetched_after(std::chrono::milliseconds(100)), successor);
+  }
+}
+
 /// Size of inputs whose transfer to another zone costs more than a short wait for the preferred
 /// zone.
 constexpr double large_input_bytes = 5e6;
--- a/tests/stage_work/zone_shards_test.cc
+++ b/tests/stage_work/zone_shards_test.cc
@@ -83,7 +83,7 @@
   answer(batcher);
   run(std::chrono::milliseconds(50));
   BOOST_REQUIRE(origin.finished.size() == 1U);
-  origin.subject.release({origin.finished.front().outcome.handle});
+  origin.subject.release({result_of(origin.finished.front())});
   run(std::chrono::milliseconds(50));
   BOOST_TEST(batcher.freed.size() == 1U);
   BOOST_TEST(origin.freed.empty());
--- a/tests/streams/silence_fleet_replicas.cc
+++ b/tests/streams/silence_fleet_replicas.cc
@@ -1,8 +1,6 @@
 /// Replicas that fall silent, and the calls at them.
 #include "silence_fleet.h"
 
-#include "stage_work/result_handle.h"
-
 #include <algorithm>
 
 namespace spurrack::silence {
@@ -19,6 +17,11 @@
 constexpr base::duration longest_silence = milliseconds(3'000);
 constexpr std::size_t max_runs = 16;
 
+/// @return address of the replica that produced a result.
+base::network_address address_in(const std::string& handle) {
+  return base::network_address(handle.substr(0, handle.find('/')));
+}
+
 } // namespace
 
 // --- silences ------------------------------------------------------------------------------------
@@ -484,14 +487,14 @@
 }
 
 bool silence_fleet::has_result(const std::string& handle) const {
-  const auto producer = replica_at(producer_of(handle));
+  const auto producer = replica_at(address_in(handle));
   return producer && replicas_[*producer].is_up && !freed_results_.contains(handle);
 }
 
 base::duration silence_fleet::wait_for_results(const std::vector<std::string>& handles) const {
   base::duration longest{};
   for (const auto& handle : handles) {
-    const auto producer = replica_at(producer_of(handle));
+    const auto producer = replica_at(address_in(handle));
     if (producer && is_silent(replicas_[*producer])) {
       longest = std::max<base::duration>(longest, replicas_[*producer].silent_until - now);
     }
