An answer without framing is whole only if its connection was not reset during the upload

Status 000 to 099 counted as interim, so that the next answer on the connection took its place; 101 likewise; 600, 999 and transfer codings other than chunked were passed on.

Cause: a socket reports a reset once. The write took it, the reader got an orderly end, which completes a body without a length or chunks, and nobody asked the write.

Ruled out: the relay to the client (answers with a length or chunks, and those after the upload, were never told wrong).

A fault is told with the end of the call, logged with its replica, counted (spurrack_faulty_answers_total), and is no evidence against this node's paths.

Why it works: the end of a connection is judged with all that the kernel told, whichever coroutine it told.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -220,6 +220,18 @@
 }
 
 /// Adds what the adapters and the event loop of this process count.
+void add_faulty_answers(Registry& registry, const upstream::connection_counters& counts) {
+  auto& answers = BuildCounter()
+                      .Name("spurrack_faulty_answers_total")
+                      .Help("Answers of replicas that were none, by fault.")
+                      .Register(registry);
+  for (std::size_t fault = 1; fault < serving::answer_faults; ++fault) {
+    const auto name = name_of(static_cast<serving::answer_fault>(fault));
+    answers.Add({{"fault", std::string(name)}})
+        .Increment(static_cast<double>(counts.faulty_answers[fault]));
+  }
+}
+
 void add_process(Registry& registry, const process_stats& stats) {
   if (stats.stands != nullptr) {
     add_stands(registry, *stats.stands);
@@ -230,6 +242,7 @@
     add_count(registry, "spurrack_unreadable_loads_total",
               "Answers of replicas that report an unreadable load.",
               stats.replica_connections->unreadable_loads);
+    add_faulty_answers(registry, *stats.replica_connections);
   }
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -633,7 +633,7 @@
   void end_stream_in_order(active_request& request, const std::string& reason,
                            base::time_point now);
   /// Retries a request whose stream was broken off, or ends the stream of its client.
-  void break_off_stream(active_request& request, bool has_timed_out, base::time_point now);
+  void break_off_stream(active_request& request, const stream_closed& closed, base::time_point now);
 
   /// Begins the quarantine of a suspect. Active requests with the suspect continue if their call
   /// has delivered an event of its stream; the others are refused, or answered as failed if they
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -258,15 +258,22 @@
          now);
 }
 
-void dispatcher::break_off_stream(active_request& request, bool has_timed_out,
+void dispatcher::break_off_stream(active_request& request, const stream_closed& closed,
                                   base::time_point now) {
   const auto call = close_call(
-      request, has_timed_out ? call_end::connection_timed_out : call_end::connection_ended, now);
-  request.lost_call = evidence_of(has_timed_out);
-  if (!call.relay_node) {
+      request, closed.has_timed_out ? call_end::connection_timed_out : call_end::connection_ended,
+      now);
+  request.lost_call = evidence_of(closed.has_timed_out);
+  const bool is_answer_faulty = closed.fault != answer_fault::none;
+  if (!call.relay_node && !is_answer_faulty) {
     paths_.note_failure(now);
   }
-  handle_lost_answer(request, call, "the stream broke off", now);
+  handle_lost_answer(request, call,
+                     "the stream broke off" +
+                         (is_answer_faulty
+                              ? ", fault " + std::string(serving::name_of(closed.fault))
+                              : std::string()),
+                     now);
 }
 
 void dispatcher::on_event(const stream_closed& closed, base::time_point now) {
@@ -285,7 +292,7 @@
                   replica, "");
   }
   if (is_broken_off) {
-    break_off_stream(*request, closed.has_timed_out, now);
+    break_off_stream(*request, closed, now);
   } else if (closed.ends_with_connection && is_from_replica) {
     settle_later(*request, std::nullopt, now);
   } else if (closed.ends_with_connection) {
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -44,6 +44,11 @@
   return failure.has_timed_out ? call_end::connection_timed_out : call_end::connection_ended;
 }
 
+/// @return a fault of an answer for the log; empty if there is none.
+std::string text_of(answer_fault fault) {
+  return fault == answer_fault::none ? "" : ", fault " + std::string(name_of(fault));
+}
+
 } // namespace
 
 const replica_state* dispatcher::choose_replica(const active_request& request,
@@ -207,9 +212,10 @@
     return;
   }
   const auto call = close_call(*request, call_end_of(failure), now);
+  const bool is_answer_faulty = failure.fault != answer_fault::none;
   if (call.relay_node) {
     relays_.note_unreachable(*call.relay_node);
-  } else if (failure.failure != call_failure::no_memory) {
+  } else if (failure.failure != call_failure::no_memory && !is_answer_faulty) {
     paths_.note_failure(now);
   }
   if (failure.failure == call_failure::not_sent) {
@@ -236,7 +242,8 @@
     replicas_.note_failure(call.replica, now);
   }
   record(base::event_kind::stage_retried, *request, call.replica.text(),
-         lacked_memory ? "no memory for the answer" : "no answer" + digest_text(*request));
+         lacked_memory ? "no memory for the answer"
+                       : "no answer" + text_of(failure.fault) + digest_text(*request));
   retry_or_fail(*request, now);
 }
 
--- a/src/serving/events.h
+++ b/src/serving/events.h
@@ -4,6 +4,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "serving/answer_fault.h"
 #include "serving/replica_self_report.h"
 #include "serving/request.h"
 
@@ -57,6 +58,8 @@
   /// Whether the connection was given up because the other side acknowledged nothing. This shows
   /// nothing about the replica: the path to it may be interrupted.
   bool has_timed_out = false;
+  /// What was wrong with the answer, if the replica sent one that is none.
+  answer_fault fault = answer_fault::none;
 };
 /// Memory reservation for an answer. Its bytes count against the memory budget of this process
 /// until this object is destroyed.
@@ -109,6 +112,8 @@
   /// Whether the stream has neither a length nor chunks, so that only the end of its connection
   /// shows its end. The kernel also closes the connections of a replica that exits.
   bool ends_with_connection = false;
+  /// What was wrong with the answer, if it is not complete.
+  answer_fault fault = answer_fault::none;
 };
 
 /// Why a piece has no result.
--- a/src/upstream/answer_reader.cc
+++ b/src/upstream/answer_reader.cc
@@ -52,11 +52,17 @@
     co_await beast_http::async_read_header(replica_connection.stream, replica_connection.buffer,
                                            *parser, http::await_into(error));
     state->note_connection_error(error);
-    if (error || state->is_cancelled) {
+    if (!error) {
+      state->fault = fault_of_head(*parser);
+    } else if (is_malformed(error)) {
+      state->fault = serving::answer_fault::invalid_head;
+    }
+    if (error || state->is_cancelled || state->fault != serving::answer_fault::none) {
       co_return false;
     }
     if (is_interim(parser->get().result_int())) {
       if (++interim > max_interim_answers) {
+        state->fault = serving::answer_fault::invalid_head;
         co_return false;
       }
       continue;
@@ -93,6 +99,7 @@
   answer.reservation = std::make_shared<answer_reservation>(answer_queue_);
   const auto length = parser.content_length().value_or(0);
   if (length > max_whole_answer_bytes) {
+    state->fault = serving::answer_fault::too_long;
     co_return false;
   }
   const bool has_memory = co_await wait_for_memory(state, *answer.reservation, length);
@@ -104,7 +111,12 @@
     const auto error =
         co_await read_some_body(*state->replica_connection, parser, max_read_bytes, body);
     state->note_connection_error(error);
-    if (error || state->is_cancelled || body.size() > max_whole_answer_bytes) {
+    if (body.size() > max_whole_answer_bytes) {
+      state->fault = serving::answer_fault::too_long;
+    } else if (is_malformed(error)) {
+      state->fault = serving::answer_fault::invalid_body;
+    }
+    if (error || state->is_cancelled || state->fault != serving::answer_fault::none) {
       co_return false;
     }
     if (body.size() > answer.reservation->bytes()) {
@@ -115,7 +127,25 @@
       }
     }
   }
-  co_return true;
+  co_return co_await confirm_end(state, parser);
+}
+
+asio::awaitable<bool> answer_reader::confirm_end(const std::shared_ptr<call_state>& state,
+                                                 const response_parser& parser) {
+  if (!parser.need_eof()) {
+    co_return true;
+  }
+  // The replica sends nothing any more, so the call waits no longer than for a silent replica.
+  use_tcp_user_timeout(*state->replica_connection, default_tcp_user_timeout);
+  boost::system::error_code ignored;
+  while (!state->write_result && !state->is_cancelled) {
+    state->wake.expires_at(asio::steady_timer::time_point::max());
+    co_await state->wake.async_wait(http::await_into(ignored));
+  }
+  if (!state->is_cancelled && state->was_reset_before_end()) {
+    state->fault = serving::answer_fault::reset_before_end;
+  }
+  co_return !state->is_cancelled && state->fault == serving::answer_fault::none;
 }
 
 std::size_t answer_reader::stream_read_bytes() const {
--- a/src/upstream/answer_reader.h
+++ b/src/upstream/answer_reader.h
@@ -37,10 +37,16 @@
   /// Decodes the head of an answer, and passes what the head reports about the replica to the event
   /// handler.
   serving::answer_head head_of(const response_parser& parser, const outgoing_call& call);
-  /// Reads the rest of the body of an answer; waits until memory is available as needed. @return
-  /// whether the body is complete.
+  /// Reads the rest of the body of an answer; waits until memory is available as needed.
+  /// @return whether the body is complete, and its connection did not end too early (see
+  ///         `confirm_end`).
   boost::asio::awaitable<bool> read_body(const std::shared_ptr<call_state>& state,
                                          response_parser& parser, buffered_answer& answer);
+  /// Waits until it is known whether the answer was whole when its connection ended: until the call
+  /// is written or the write failed. Returns at once for an answer with a length or chunks.
+  /// @return false, with the fault noted, if the connection was reset before the end of the answer.
+  static boost::asio::awaitable<bool> confirm_end(const std::shared_ptr<call_state>& state,
+                                                  const response_parser& parser);
   /// @return maximum number of bytes of one read of a stream.
   [[nodiscard]] std::size_t stream_read_bytes() const;
 
--- a/src/upstream/client_reports.h
+++ b/src/upstream/client_reports.h
@@ -3,6 +3,7 @@
 
 #include "serving/events.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 
@@ -23,6 +24,8 @@
   std::uint64_t surplus_answers = 0;
   /// Number of answers that reported a load in an invalid format.
   std::uint64_t unreadable_loads = 0;
+  /// Number of answers that were none, by fault.
+  std::array<std::uint64_t, serving::answer_faults> faulty_answers{};
 };
 
 } // namespace spurrack::upstream
--- a/src/upstream/replica_call.cc
+++ b/src/upstream/replica_call.cc
@@ -12,6 +12,17 @@
 
 namespace beast = boost::beast;
 namespace beast_http = boost::beast::http;
+namespace {
+
+/// Least and greatest status of an answer, and the least status of an answer that ends a request
+/// (RFC 9110, section 15).
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
+constexpr unsigned min_final_status = 200;
+/// Status of an answer after which the connection carries another protocol. No call asks for one.
+constexpr unsigned switching_protocols_status = 101;
+
+} // namespace
 
 std::chrono::milliseconds tcp_user_timeout_of(const outgoing_call& call, base::time_point now) {
   if (!call.must_stay) {
@@ -63,7 +74,26 @@
 }
 
 bool is_interim(unsigned status) {
-  return status < 200;
+  return status >= min_status && status < min_final_status;
+}
+
+bool is_malformed(const boost::system::error_code& read_error) {
+  using beast_http::error;
+  const bool is_of_parser = read_error.category() == make_error_code(error::bad_version).category();
+  return is_of_parser && read_error != error::end_of_stream && read_error != error::partial_message;
+}
+
+serving::answer_fault fault_of_head(const response_parser& parser) {
+  const auto status = parser.get().result_int();
+  const bool switches_protocols = status == switching_protocols_status;
+  if (status < min_status || status > max_status || switches_protocols) {
+    return serving::answer_fault::invalid_head;
+  }
+  const auto codings = parser.get().equal_range(beast_http::field::transfer_encoding);
+  const bool is_chunked_alone = std::all_of(codings.first, codings.second, [](const auto& field) {
+    return beast::iequals(field.value(), "chunked");
+  });
+  return is_chunked_alone ? serving::answer_fault::none : serving::answer_fault::unknown_coding;
 }
 
 } // namespace spurrack::upstream
--- a/src/upstream/replica_call.h
+++ b/src/upstream/replica_call.h
@@ -48,14 +48,24 @@
   bool has_sent_bytes = false;
   /// Whether the answer was aborted for lack of memory.
   bool lacked_memory = false;
-  /// Whether the complete call was written.
-  bool is_written = false;
-  bool write_failed = false;
+  /// Result of the write of the call; std::nullopt while the call is being written.
+  std::optional<boost::system::error_code> write_result;
+  /// What was wrong with the answer, if the replica sent one that is none.
+  serving::answer_fault fault = serving::answer_fault::none;
   /// Whether the kernel gave up the connection because the replica acknowledged nothing.
   bool has_timed_out = false;
 
   /// Notes an error of a read or a write. If both are under way, the kernel reports the cause of
   /// the end of the connection to only one of them.
+  /// @return whether the complete call was written.
+  [[nodiscard]] bool is_written() const { return write_result && !*write_result; }
+  /// @return whether the write shows that the connection was reset before the replica had ended its
+  ///         answer. The kernel reports a reset to one of the read and the write under way, and the
+  ///         end of the connection to the other; after an end by the replica, it reports a broken
+  ///         pipe.
+  [[nodiscard]] bool was_reset_before_end() const {
+    return write_result && *write_result && *write_result != boost::asio::error::broken_pipe;
+  }
   void note_connection_error(const boost::system::error_code& error) {
     has_timed_out = has_timed_out || error == boost::asio::error::timed_out ||
                     error == boost::asio::error::host_unreachable;
@@ -120,6 +130,14 @@
 ///         idle timeout is the one that the replica announces in Keep-Alive; if it announces none,
 ///         `default_idle_timeout`.
 [[nodiscard]] base::duration idle_timeout_of(const response_parser& parser);
+/// @return whether a status announces another answer to the same call.
 [[nodiscard]] bool is_interim(unsigned status);
+/// @return whether an error of a read shows bytes that are no answer, and no failure of the
+///         connection.
+[[nodiscard]] bool is_malformed(const boost::system::error_code& read_error);
+/// @return what is wrong with the head of an answer: its status, or a transfer coding that this
+/// node
+///         does not undo.
+[[nodiscard]] serving::answer_fault fault_of_head(const response_parser& parser);
 
 } // namespace spurrack::upstream
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -139,10 +139,13 @@
     }
   }
 
-  /// Does nothing if the call was cancelled. Otherwise, removes the call and reports its final
-  /// event.
+  /// Does nothing if the call was cancelled. Otherwise, removes the call, counts the fault of its
+  /// answer and reports its final event.
   void report(const std::shared_ptr<call_state>& state, base::call_id id,
               serving::event final_event) {
+    if (state->fault != serving::answer_fault::none) {
+      ++counters_.faulty_answers[static_cast<std::size_t>(state->fault)];
+    }
     if (!state->is_cancelled) {
       calls_.erase(id);
       handler_(std::move(final_event));
@@ -164,9 +167,9 @@
     const auto replica_connection = state->replica_connection;
     const std::array<asio::const_buffer, 2> text{asio::buffer(head), asio::buffer(body)};
     co_await asio::async_write(replica_connection->stream, text, http::await_into(error));
-    state->is_written = !error;
-    state->write_failed = error.failed();
+    state->write_result = error;
     state->note_connection_error(error);
+    state->wake.cancel();
   }
 
   /// Connects and begins to write. Moves the body of the call to the coroutine that writes the
@@ -218,6 +221,10 @@
                                  : serving::call_failure::not_sent;
   }
 
+  static serving::call_failed failed(const std::shared_ptr<call_state>& state, base::call_id id) {
+    return {id, failure_of(state), state->has_timed_out, state->fault};
+  }
+
   asio::awaitable<void> run_request(std::shared_ptr<call_state> state, outgoing_call call) {
     if (call.is_streaming) {
       co_await run_stream(std::move(state), std::move(call));
@@ -225,8 +232,7 @@
     }
     auto answer = co_await exchange(state, call);
     if (!answer) {
-      report(state, call.id,
-             serving::call_failed{call.id, failure_of(state), state->has_timed_out});
+      report(state, call.id, failed(state, call.id));
     } else {
       report(state, call.id,
              serving::call_answered{call.id, std::move(answer->head), std::move(answer->body),
@@ -242,8 +248,7 @@
     }
     if (!succeeded) {
       close(state);
-      report(state, call.id,
-             serving::call_failed{call.id, failure_of(state), state->has_timed_out});
+      report(state, call.id, failed(state, call.id));
       co_return;
     }
     auto head = reader_.head_of(*parser, call);
@@ -257,8 +262,7 @@
                                       std::move(answer.reservation), parser->need_eof()});
       } else {
         close(state);
-        report(state, call.id,
-               serving::call_failed{call.id, failure_of(state), state->has_timed_out});
+        report(state, call.id, failed(state, call.id));
       }
       co_return;
     }
@@ -288,6 +292,15 @@
         handler_(serving::stream_bytes{call.id, std::move(bytes)});
       }
       is_complete = !error;
+      if (is_malformed(error)) {
+        state->fault = serving::answer_fault::invalid_body;
+      }
+    }
+    if (is_complete) {
+      is_complete = co_await reader_.confirm_end(state, parser);
+    }
+    if (state->is_cancelled) {
+      co_return;
     }
     if (is_complete) {
       connections_.keep_or_close(state, call, parser);
@@ -296,7 +309,7 @@
     }
     report(state, call.id,
            serving::stream_closed{call.id, is_complete, state->has_timed_out,
-                                  is_complete && parser.need_eof()});
+                                  is_complete && parser.need_eof(), state->fault});
   }
 
   asio::awaitable<void> run_pieces(std::shared_ptr<call_state> state, outgoing_call call,
--- a/src/upstream/replica_connections.cc
+++ b/src/upstream/replica_connections.cc
@@ -42,7 +42,7 @@
 void replica_connections::keep_or_close(const std::shared_ptr<call_state>& state,
                                         const outgoing_call& call, const response_parser& parser) {
   auto& replica_connection = *state->replica_connection;
-  const bool is_reusable = state->is_written && parser.is_done() && parser.keep_alive() &&
+  const bool is_reusable = state->is_written() && parser.is_done() && parser.keep_alive() &&
                            !parser.need_eof() && replica_connection.buffer.size() == 0;
   if (is_reusable) {
     // An idle connection needs no buffer.
