One replica's answers without end leave the memory of a node to others

What callers saw (other operators' report): a replica sent bytes without end; the node that had called it kept them, and requests of other clients were refused or ended with the process.

Cause: limits held for one answer (8 MB) and for all together, none for one replica, and none for an event: a stream without the end of an event took the whole budget. Whether a part of an event is new was found by reading it all each time.

Change: serving.max_event_bytes (256 KiB) ends a call whose replica sends a longer event; the answers that one replica is sending hold an eighth of the budget, of which the oldest may exceed it alone; an answer that does not declare its length has at most an eighth (fault too_long). Received answers do not count, so slow clients of a sound replica change nothing. Faults count as failures of the replica, are logged with it and counted.

Why it works: what one sender can make a node hold is bounded by what it holds for that sender, before the budget is short for others.

--- a/src/daemon/serving_metrics.cc
+++ b/src/daemon/serving_metrics.cc
@@ -349,6 +349,8 @@
   add("spurrack_streams_let_go_total",
       "Streams whose upstream call was cancelled until their client reads on.",
       counts.streams_suspended);
+  add("spurrack_long_events_total",
+      "Calls ended since their replica sent an event that is too long.", counts.long_events);
   add("spurrack_streams_taken_up_total",
       "Streams resumed after their upstream call was cancelled for a slow client.",
       counts.suspended_streams_resumed);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -634,6 +634,9 @@
                            base::time_point now);
   /// Retries a request whose stream was broken off, or ends the stream of its client.
   void break_off_stream(active_request& request, const stream_closed& closed, base::time_point now);
+  /// Ends the call of a stream whose replica sends an event that is longer than
+  /// `serving_settings::max_event_bytes`, and sends the request again if that is allowed.
+  void break_off_long_event(active_request& request, base::time_point now);
 
   /// Begins the quarantine of a suspect. Active requests with the suspect continue if their call
   /// has delivered an event of its stream; the others are refused, or answered as failed if they
@@ -675,6 +678,8 @@
   /// Counts the buffered bytes of an incomplete event against the byte budget.
   /// @return whether the budget has enough memory left for the bytes.
   bool reserve_partial_event(active_request& request);
+  /// Passes whole events of a stream on to the client.
+  void forward_events(active_request& request, std::string whole_events, base::time_point now);
   void abort_request(active_request& request, const std::string& reason, end_evidence evidence,
                      base::time_point now);
   /// @return time at which a request must be checked next, for its feasibility, fetched inputs, a
--- a/src/dispatch/dispatcher_answer_ends.cc
+++ b/src/dispatch/dispatcher_answer_ends.cc
@@ -276,6 +276,21 @@
                      now);
 }
 
+void dispatcher::break_off_long_event(active_request& request, base::time_point now) {
+  const auto bytes = request.events.partial_bytes();
+  commands_.emplace_back(cancel_call{request.call->id});
+  const auto call = close_call(request, call_end::failed_answer, now);
+  request.may_have_run = true;
+  request.lost_call = end_evidence::replica_failed;
+  request.events.drop_partial_event();
+  reserve_partial_event(request);
+  ++counters_.long_events;
+  handle_lost_answer(request, call,
+                     "an event has no end after " + std::to_string(bytes) + " bytes, at most " +
+                         std::to_string(settings_.max_event_bytes) + " are allowed",
+                     now);
+}
+
 void dispatcher::on_event(const stream_closed& closed, base::time_point now) {
   auto* request = find_by_call(closed.call);
   if (request == nullptr) {
--- a/src/dispatch/dispatcher_calls.cc
+++ b/src/dispatch/dispatcher_calls.cc
@@ -434,7 +434,8 @@
     return;
   }
   auto whole_events = request->events.feed(chunk.bytes);
-  if (!reserve_partial_event(*request)) {
+  const bool is_event_too_long = request->events.partial_bytes() > settings_.max_event_bytes;
+  if (!is_event_too_long && !reserve_partial_event(*request)) {
     answer_failed(*request, status::bad_gateway, "no memory for an event that is not whole",
                   end_evidence::no_memory, now);
     return;
@@ -442,22 +443,29 @@
   if (request->open_end && request->events.shows_more()) {
     refute_open_end(*request, now);
   }
-  if (whole_events.empty()) {
-    return;
+  if (!whole_events.empty()) {
+    forward_events(*request, std::move(whole_events), now);
   }
-  begin_stream(*request, now);
-  bind_stream(*request, now);
-  note_progress(*request, now);
-  note_event(*request, now);
-  note_contact(*request->call, now);
-  commands_.emplace_back(stream_data{request->client, std::move(whole_events)});
-  if (request->call->relay_node) {
+  if (is_event_too_long) {
+    break_off_long_event(*request, now);
+  }
+}
+
+void dispatcher::forward_events(active_request& request, std::string whole_events,
+                                base::time_point now) {
+  begin_stream(request, now);
+  bind_stream(request, now);
+  note_progress(request, now);
+  note_event(request, now);
+  note_contact(*request.call, now);
+  commands_.emplace_back(stream_data{request.client, std::move(whole_events)});
+  if (request.call->relay_node) {
     // The other node watches the progress of its replica.
     return;
   }
   const auto stall_timeout =
-      std::chrono::duration_cast<base::duration>(request->route->gap_target * stream_stall_factor);
-  watch_progress(*request, stall_timeout, now);
+      std::chrono::duration_cast<base::duration>(request.route->gap_target * stream_stall_factor);
+  watch_progress(request, stall_timeout, now);
 }
 
 } // namespace spurrack::serving
--- a/src/dispatch/event_stream.cc
+++ b/src/dispatch/event_stream.cc
@@ -90,7 +90,7 @@
 }
 
 bool event_stream::has_new_part() const {
-  return !is_repeating_ && content_of(pending_).has_field;
+  return !is_repeating_ && position_.has_field;
 }
 
 bool event_stream::is_second_of_line_end() const {
@@ -122,12 +122,16 @@
       return false;
     }
     ++scanned_bytes_;
+    if (!is_line_end && position_.is_line_empty && byte != ':') {
+      position_.has_field = true;
+    }
     position_.is_line_empty = is_line_end;
     position_.follows_carriage_return = byte == '\r';
     if (byte == '\n') {
       position_.ends_lines_with_carriage_return = false;
     }
     if (ends_event) {
+      position_.has_field = false;
       if (is_second_of_line_end()) {
         skip_line_feed();
       }
--- a/src/dispatch/event_stream.h
+++ b/src/dispatch/event_stream.h
@@ -55,6 +55,8 @@
     bool follows_carriage_return = false;
     /// Whether the last whole line ends with CR alone.
     bool ends_lines_with_carriage_return = false;
+    /// Whether a line of the current event, which may not be whole, is no comment.
+    bool has_field = false;
   };
 
   /// @return whether the next byte to scan is the LF of a line end that began with CR.
--- a/src/flow/answer_memory_reservation.cc
+++ b/src/flow/answer_memory_reservation.cc
@@ -1,8 +1,20 @@
 #include "flow/answer_memory_reservation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace spurrack::flow {
+namespace {
+
+/// Fraction of the budget that the answers which one replica is sending may hold. Twice this
+/// fraction, the share and an answer beyond it, leaves room for the bodies of new requests.
+constexpr double replica_share = 0.125;
+
+} // namespace
+
+std::size_t answer_memory_queue::replica_share_bytes() const {
+  return static_cast<std::size_t>(static_cast<double>(budget_->capacity()) * replica_share);
+}
 
 bool answer_memory_queue::is_deadlocked() const {
   return waiting_bytes_ == budget_->held(byte_holder::gathered_answers);
@@ -22,8 +34,38 @@
   return found == waiting_.rend() ? nullptr : *found;
 }
 
-answer_memory_reservation::answer_memory_reservation(std::shared_ptr<answer_memory_queue> queue)
-    : queue_(std::move(queue)), bytes_(queue_->budget_, byte_holder::gathered_answers) {}
+answer_memory_reservation::answer_memory_reservation(std::shared_ptr<answer_memory_queue> queue,
+                                                     std::string replica)
+    : queue_(std::move(queue)), bytes_(queue_->budget_, byte_holder::gathered_answers),
+      replica_(std::move(replica)) {}
+
+bool answer_memory_reservation::fits_replica_share(std::size_t additional_bytes) const {
+  const auto found = queue_->by_replica_.find(replica_);
+  return found == queue_->by_replica_.end() || found->second.holders.front() == this ||
+         found->second.bytes + additional_bytes <= queue_->replica_share_bytes();
+}
+
+void answer_memory_reservation::note_received(std::size_t additional_bytes) {
+  auto& answers = queue_->by_replica_[replica_];
+  if (received_bytes_ == 0) {
+    answers.holders.push_back(this);
+  }
+  received_bytes_ += additional_bytes;
+  answers.bytes += additional_bytes;
+}
+
+void answer_memory_reservation::end_receipt() {
+  if (received_bytes_ == 0) {
+    return;
+  }
+  const auto found = queue_->by_replica_.find(replica_);
+  found->second.bytes -= received_bytes_;
+  found->second.holders.remove(this);
+  if (found->second.holders.empty()) {
+    queue_->by_replica_.erase(found);
+  }
+  received_bytes_ = 0;
+}
 
 void answer_memory_reservation::enqueue() {
   if (!is_waiting_) {
@@ -51,10 +93,14 @@
     return false;
   }
   dequeue(held_before);
+  note_received(additional_bytes);
   return true;
 }
 
 memory_request_result answer_memory_reservation::grow(std::size_t additional_bytes) {
+  if (!fits_replica_share(additional_bytes)) {
+    return bytes() > 0 ? memory_request_result::abort_answer : memory_request_result::wait;
+  }
   const bool is_large =
       !queue_->budget_->is_within_limit(byte_use::whole_answer, bytes() + additional_bytes);
   if (try_grow(is_large ? byte_use::lone_answer : byte_use::whole_answer, additional_bytes)) {
--- a/src/flow/answer_memory_reservation.h
+++ b/src/flow/answer_memory_reservation.h
@@ -1,5 +1,6 @@
-/// Memory of whole answers while they are buffered: the queue of answers that wait for memory, and
-/// the resolution of deadlocks between answers that hold memory and wait for more.
+/// Memory of whole answers while they are buffered: the queue of answers that wait for memory, the
+/// resolution of deadlocks between answers that hold memory and wait for more, and the share of the
+/// memory that the answers of one replica may hold while they are received.
 #pragma once
 
 #include "flow/byte_budget.h"
@@ -7,7 +8,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
+#include <string>
 
 namespace spurrack::flow {
 
@@ -29,8 +32,19 @@
   answer_memory_queue(const answer_memory_queue&) = delete;
   answer_memory_queue& operator=(const answer_memory_queue&) = delete;
 
+  /// @return maximum number of bytes of the answers that one replica is sending. The oldest of
+  /// these
+  ///         answers may exceed it alone.
+  [[nodiscard]] std::size_t replica_share_bytes() const;
+
  private:
   friend class answer_memory_reservation;
+  /// Answers that a replica is sending and that hold memory.
+  struct replica_answers {
+    std::size_t bytes = 0;
+    /// Ordered by the time at which they first held memory.
+    std::list<const answer_memory_reservation*> holders;
+  };
   /// Returns whether all memory that is held for whole answers is held by answers that wait for
   /// more memory.
   [[nodiscard]] bool is_deadlocked() const;
@@ -42,6 +56,7 @@
   [[nodiscard]] const answer_memory_reservation* last_waiting_answer_with_memory() const;
 
   std::shared_ptr<byte_budget> budget_;
+  std::map<std::string, replica_answers> by_replica_;
   std::list<answer_memory_reservation*> waiting_;
   /// Bytes that the answers in `waiting_` hold.
   std::size_t waiting_bytes_ = 0;
@@ -53,8 +68,12 @@
 /// Memory of one answer; returned by the destructor.
 class answer_memory_reservation {
  public:
-  explicit answer_memory_reservation(std::shared_ptr<answer_memory_queue> queue);
-  ~answer_memory_reservation() { dequeue(bytes()); }
+  /// @param replica that sends the answer.
+  answer_memory_reservation(std::shared_ptr<answer_memory_queue> queue, std::string replica);
+  ~answer_memory_reservation() {
+    end_receipt();
+    dequeue(bytes());
+  }
   answer_memory_reservation(const answer_memory_reservation&) = delete;
   answer_memory_reservation& operator=(const answer_memory_reservation&) = delete;
 
@@ -62,10 +81,19 @@
   /// limited by `byte_use::whole_answer`. The higher limit of `byte_use::lone_answer` applies in
   /// two cases: to an answer that exceeds the limit of `whole_answer` by itself, and to the first
   /// answer of the queue if waiting answers hold all memory of whole answers.
+  ///
+  /// An answer that would exceed the share of its replica waits if it holds no memory yet, and is
+  /// aborted otherwise, unless it is the oldest of the replica.
   [[nodiscard]] memory_request_result grow(std::size_t additional_bytes);
+  /// Records that the answer was received, so that it counts no longer against the share of its
+  /// replica.
+  void end_receipt();
   [[nodiscard]] std::size_t bytes() const { return bytes_.bytes(); }
 
  private:
+  /// Returns whether more bytes fit into the share of the replica, or this answer may exceed it.
+  [[nodiscard]] bool fits_replica_share(std::size_t additional_bytes) const;
+  void note_received(std::size_t additional_bytes);
   [[nodiscard]] bool is_first() const { return queue_->waiting_.front() == this; }
   /// Decides whether this answer gets memory, waits or is aborted. Called if waiting answers hold
   /// all memory of whole answers.
@@ -78,6 +106,9 @@
 
   std::shared_ptr<answer_memory_queue> queue_;
   byte_reservation bytes_;
+  std::string replica_;
+  /// Bytes that count against the share of the replica.
+  std::size_t received_bytes_ = 0;
   bool is_waiting_ = false;
   /// Position in the queue; valid while `is_waiting_`.
   std::list<answer_memory_reservation*>::iterator queue_position_;
--- a/src/serving/counters.h
+++ b/src/serving/counters.h
@@ -155,6 +155,9 @@
   /// Streams that were suspended: their call to the replica was cancelled until their client reads
   /// on.
   std::uint64_t streams_suspended = 0;
+  /// Calls that were ended since their replica sent an event longer than
+  /// `serving_settings::max_event_bytes`.
+  std::uint64_t long_events = 0;
   /// Suspended streams that were resumed because their client read on.
   std::uint64_t suspended_streams_resumed = 0;
 };
--- a/src/serving/settings.h
+++ b/src/serving/settings.h
@@ -85,6 +85,9 @@
   /// does not know an address that other nodes can use.
   base::network_address client_address;
   resource_limits resources;
+  /// Maximum number of bytes of an event of a stream. A call whose replica sends a longer one is
+  /// ended.
+  std::size_t max_event_bytes = 262'144;
   /// Region of each zone. Work that is confined to regions does not run in a zone that is missing
   /// here.
   model::zone_regions regions;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -203,6 +203,11 @@
       section->number("memory_mb", 32, 1e6, default_megabytes) * bytes_per_megabyte);
   resources.descriptors = static_cast<std::size_t>(
       section->number("max_descriptors", 256, 1e7, static_cast<double>(resources.descriptors)));
+  constexpr double min_event_bytes = 1'024;
+  constexpr double max_event_bytes = 1e8;
+  serving.max_event_bytes =
+      static_cast<std::size_t>(section->number("max_event_bytes", min_event_bytes, max_event_bytes,
+                                               static_cast<double>(serving.max_event_bytes)));
   auto& self = result.node.self;
   self.processor_share =
       static_cast<float>(section->number("processor_share", 0.001, 1024, self.processor_share));
--- a/src/upstream/answer_reader.cc
+++ b/src/upstream/answer_reader.cc
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace spurrack::upstream {
@@ -96,8 +97,9 @@
 asio::awaitable<bool> answer_reader::read_body(const std::shared_ptr<call_state>& state,
                                                response_parser& parser, buffered_answer& answer) {
   auto& body = answer.body;
-  answer.reservation = std::make_shared<answer_reservation>(answer_queue_);
+  answer.reservation = std::make_shared<answer_reservation>(answer_queue_, state->replica);
   const auto length = parser.content_length().value_or(0);
+  const auto max_bytes = parser.content_length() ? max_whole_answer_bytes : max_undeclared_bytes();
   if (length > max_whole_answer_bytes) {
     state->fault = serving::answer_fault::too_long;
     co_return false;
@@ -111,7 +113,7 @@
     const auto error =
         co_await read_some_body(*state->replica_connection, parser, max_read_bytes, body);
     state->note_connection_error(error);
-    if (body.size() > max_whole_answer_bytes) {
+    if (body.size() > max_bytes) {
       state->fault = serving::answer_fault::too_long;
     } else if (is_malformed(error)) {
       state->fault = serving::answer_fault::invalid_body;
@@ -127,9 +129,14 @@
       }
     }
   }
+  answer.reservation->end_receipt();
   co_return co_await confirm_end(state, parser);
 }
 
+std::size_t answer_reader::max_undeclared_bytes() const {
+  return std::min(max_whole_answer_bytes, answer_queue_->replica_share_bytes());
+}
+
 asio::awaitable<bool> answer_reader::confirm_end(const std::shared_ptr<call_state>& state,
                                                  const response_parser& parser) {
   if (!parser.need_eof()) {
--- a/src/upstream/answer_reader.h
+++ b/src/upstream/answer_reader.h
@@ -51,6 +51,8 @@
   [[nodiscard]] std::size_t stream_read_bytes() const;
 
  private:
+  /// @return maximum size of the body of a buffered answer that does not declare its length.
+  [[nodiscard]] std::size_t max_undeclared_bytes() const;
   /// @return whether an answer belongs to a call, and not to an earlier one on its connection.
   [[nodiscard]] bool is_answer_of(const outgoing_call& call, const response_parser& parser) const;
   /// Waits until `bytes` more bytes are reserved for an answer. Meanwhile nothing is read from the
--- a/src/upstream/replica_call.h
+++ b/src/upstream/replica_call.h
@@ -40,6 +40,7 @@
   base::call_id id = 0;
   explicit call_state(boost::asio::io_context& io)
       : wake(io, boost::asio::steady_timer::time_point::max()) {}
+  base::replica_id replica;
   std::shared_ptr<connection> replica_connection;
   /// Cancelled to wake the coroutine of the call when `is_paused` or `is_cancelled` changes.
   boost::asio::steady_timer wake;
@@ -104,9 +105,13 @@
 /// released when the last holder is destroyed.
 class answer_reservation final : public serving::memory_reservation {
  public:
-  explicit answer_reservation(std::shared_ptr<flow::answer_memory_queue> queue)
-      : memory_(std::move(queue)) {}
+  /// @param replica that sends the answer.
+  answer_reservation(std::shared_ptr<flow::answer_memory_queue> queue,
+                     const base::replica_id& replica)
+      : memory_(std::move(queue), replica.text()) {}
   [[nodiscard]] flow::memory_request_result grow(std::size_t bytes) { return memory_.grow(bytes); }
+  /// Records that the whole answer was received.
+  void end_receipt() { memory_.end_receipt(); }
   [[nodiscard]] std::size_t bytes() const { return memory_.bytes(); }
 
  private:
--- a/src/upstream/replica_client.cc
+++ b/src/upstream/replica_client.cc
@@ -176,6 +176,7 @@
   /// call, so that the body is freed when the write ends.
   /// @return whether the write has begun.
   asio::awaitable<bool> send(const std::shared_ptr<call_state>& state, outgoing_call& call) {
+    state->replica = call.target.replica;
     const bool connected = co_await connections_.connect(state, call);
     if (!connected || state->is_cancelled) {
       co_return false;
--- a/tests/flow/answer_memory_reservation_test.cc
+++ b/tests/flow/answer_memory_reservation_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <vector>
 
 using namespace spurrack::flow;
@@ -17,12 +18,19 @@
   std::shared_ptr<byte_budget> budget = std::make_shared<byte_budget>(capacity);
   std::shared_ptr<answer_memory_queue> queue = std::make_shared<answer_memory_queue>(budget);
 
-  [[nodiscard]] std::unique_ptr<answer_memory_reservation> begin() const {
-    return std::make_unique<answer_memory_reservation>(queue);
+  /// @return an answer of a replica that sends no other answers.
+  [[nodiscard]] std::unique_ptr<answer_memory_reservation> begin() {
+    return begin_at("r" + std::to_string(++replicas));
+  }
+  [[nodiscard]] std::unique_ptr<answer_memory_reservation>
+  begin_at(const std::string& replica) const {
+    return std::make_unique<answer_memory_reservation>(queue, replica);
   }
   static bool is_granted(answer_memory_reservation& answer, std::size_t bytes) {
     return answer.grow(bytes) == memory_request_result::granted;
   }
+
+  int replicas = 0;
 };
 
 } // namespace
@@ -138,4 +146,50 @@
   BOOST_TEST(budget->held() == 0U);
 }
 
+/// Guards against one replica whose answers do not end: they held all memory of answers, and the
+/// requests of all other clients were refused.
+BOOST_AUTO_TEST_CASE(answers_of_one_replica_leave_memory_to_others) {
+  const auto share = queue->replica_share_bytes();
+  std::vector<std::unique_ptr<answer_memory_reservation>> endless;
+  std::size_t aborted = 0;
+  for (int call = 0; call < 60; ++call) {
+    endless.push_back(begin_at("faulty"));
+  }
+  for (int step = 0; step < 100; ++step) {
+    for (auto& answer : endless) {
+      if (!answer || answer->bytes() >= share) {
+        continue;
+      }
+      if (answer->grow(10) == memory_request_result::abort_answer) {
+        answer.reset();
+        ++aborted;
+      }
+    }
+    BOOST_TEST(budget->held() <= 2 * share);
+  }
+  BOOST_TEST(aborted > 0U);
+  const auto sound = begin_at("sound");
+  BOOST_TEST(is_granted(*sound, 200));
+  byte_reservation body(budget, byte_holder::kept_bodies);
+  BOOST_TEST(body.grow(byte_use::small_body, 50));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_holds_nothing_waits_for_the_share_of_its_replica) {
+  auto first = begin_at("r");
+  BOOST_TEST(is_granted(*first, 120));
+  const auto second = begin_at("r");
+  BOOST_CHECK(second->grow(50) == memory_request_result::wait);
+  first->end_receipt();
+  BOOST_TEST(is_granted(*second, 50));
+}
+
+BOOST_AUTO_TEST_CASE(the_oldest_answer_of_a_replica_may_exceed_its_share) {
+  const auto first = begin_at("r");
+  BOOST_TEST(is_granted(*first, 100));
+  const auto second = begin_at("r");
+  BOOST_TEST(is_granted(*second, 20));
+  BOOST_TEST(is_granted(*first, 300));
+  BOOST_CHECK(second->grow(20) == memory_request_result::abort_answer);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_fleet/scripted_server.h
+++ b/tests/platform_fleet/scripted_server.h
@@ -42,6 +42,9 @@
   /// Whether the server sends nothing more after the answer, and waits until the peer closes the
   /// connection.
   bool stay_silent = false;
+  /// Bytes that are written after `delayed_bytes`, over and over until the peer closes the
+  /// connection; none if empty.
+  std::string repeated_bytes{};
 };
 
 /// Server on 127.0.0.1 that answers each request with the result of a function. Each connection has
@@ -219,6 +222,9 @@
       }
       boost::asio::write(socket, boost::asio::buffer(bytes), error);
     }
+    while (!error && !is_stopping_ && !answer.repeated_bytes.empty()) {
+      boost::asio::write(socket, boost::asio::buffer(answer.repeated_bytes), error);
+    }
   }
 
   static constexpr std::chrono::milliseconds silence_poll_interval{5};
