A stopping node sends a request that may run only once only if its deadline is in time

What callers saw: not shown as reported (nothing was cut without an answer). Shown: a request that may run only once was taken and passed on in a stop since earlier runs of its route were short; a longer one was aborted at the end, and its client did not know whether it ran.

Cause: stop_plan::may_send took the expected duration for enough.

Streams are judged as before.

Why it works: the deadline is a limit, the expected duration an estimate.

--- a/src/dispatch/dispatcher_stop.cc
+++ b/src/dispatch/dispatcher_stop.cc
@@ -30,6 +30,7 @@
                                              base::time_point now) const {
   remaining_work work;
   work.is_stream = request.route->kind == model::route_kind::streaming;
+  work.runs_at_most_once = !work.is_stream && !request.route->is_repeatable();
   work.answer_deadline = request.deadline;
   const auto run = run_times_.upper_estimate(request.route->name, request.service,
                                              request.content->output_tokens);
--- a/src/dispatch/stop_plan.cc
+++ b/src/dispatch/stop_plan.cc
@@ -26,7 +26,7 @@
   if (!times_ || work.answer_deadline <= times_->must_end_at) {
     return true;
   }
-  return work.expected_duration &&
+  return !work.runs_at_most_once && work.expected_duration &&
          now + *work.expected_duration + end_margin <= times_->must_end_at;
 }
 
--- a/src/dispatch/stop_plan.h
+++ b/src/dispatch/stop_plan.h
@@ -19,6 +19,9 @@
 struct remaining_work {
   /// Whether the answer is a stream. A stream that has begun can only be completed or broken off.
   bool is_stream = false;
+  /// Whether the request may run only once, and its answer is whole: if it is aborted at the end of
+  /// the stop, its client does not know whether it ran, and may not send it again.
+  bool runs_at_most_once = false;
   /// Deadline of the request: it gets its final answer by this time in any case.
   base::time_point answer_deadline;
   /// Expected time until the request completes; std::nullopt if it cannot be served now.
@@ -39,8 +42,10 @@
   ///         (stream or not), which starts with the stop, has not passed, and `may_send` permits
   ///         the request. True if no stop has begun.
   [[nodiscard]] bool accepts(const remaining_work& work, base::time_point now) const;
-  /// @return whether an accepted request may still be sent to a replica: it is expected to complete
-  ///         before the stop ends, or its deadline is earlier than that; true if no stop has begun.
+  /// @return whether an accepted request may still be sent to a replica: its deadline is earlier
+  /// than
+  ///         the end of the stop, or it is expected to complete before, which is not enough for a
+  ///         request that runs at most once; true if no stop has begun.
   [[nodiscard]] bool may_send(const remaining_work& work, base::time_point now) const;
 
  private:
