Test of endless answers: requests have bodies, and say how many were sent

The test as first landed sent requests without bodies, which need no memory, and so showed little of the fault.

--- a/tests/flow/answer_memory_reservation_test.cc
+++ b/tests/flow/answer_memory_reservation_test.cc
@@ -152,7 +152,9 @@
   const auto share = queue->replica_share_bytes();
   std::vector<std::unique_ptr<answer_memory_reservation>> endless;
   std::size_t aborted = 0;
-  for (int call = 0; call < 60; ++call) {
+  constexpr std::size_t calls = 60;
+  endless.reserve(calls);
+  while (endless.size() < calls) {
     endless.push_back(begin_at("faulty"));
   }
   for (int step = 0; step < 100; ++step) {
--- a/tests/platform_fleet/endless_answers_test.cc
+++ b/tests/platform_fleet/endless_answers_test.cc
@@ -113,7 +113,7 @@
        "POST",
        path,
        {{"Host", "h"}, {"X-Request-Id", "r" + std::to_string(++number)}, {"X-Deadline-Ms", "2000"}},
-       ""});
+       std::string(body_bytes, 'b')});
 }
 
 std::chrono::seconds case_duration() {
@@ -121,13 +121,21 @@
   return std::chrono::seconds(text == nullptr ? 4 : std::atoi(text));
 }
 
+/// What a case has shown.
+struct case_result {
+  int sent = 0;
+  double served_share = 0;
+  std::uint64_t peak_resident_bytes = 0;
+};
+
 /// Sends requests of sound clients beside those whose answers do not end.
-/// @return share of the sound requests that were served.
-double served_share(const single_daemon& daemon, std::uint64_t& peak_resident_bytes) {
+case_result play(const single_daemon& daemon) {
+  std::uint64_t peak_resident_bytes = 0;
   const auto end = std::chrono::steady_clock::now() + case_duration();
   const auto has_time = [end] { return std::chrono::steady_clock::now() < end; };
   client_counts sound;
   std::vector<std::thread> clients;
+  clients.reserve(sound_clients + endless_paths.size());
   for (int client = 0; client < sound_clients; ++client) {
     clients.emplace_back([&] {
       while (has_time()) {
@@ -152,7 +160,8 @@
   for (auto& client : clients) {
     client.join();
   }
-  return static_cast<double>(sound.served) / static_cast<double>(sound.sent);
+  const int sent = sound.sent;
+  return {sent, static_cast<double>(sound.served) / static_cast<double>(sent), peak_resident_bytes};
 }
 
 } // namespace
@@ -166,12 +175,15 @@
                                platform.store.address(),
                                "  memory_mb: " + std::to_string(memory_megabytes) + "\n");
     wait_for([&] { return send(daemon, "/sound/x").status == 200; });
-    std::uint64_t peak_resident_bytes = 0;
-    const auto share = served_share(daemon, peak_resident_bytes);
-    BOOST_TEST_MESSAGE(memory_megabytes << " MB: " << share << " served, resident "
-                                        << peak_resident_bytes / bytes_per_megabyte << " MB");
-    BOOST_TEST(share >= min_served_share, memory_megabytes << " MB: " << share << " served");
-    BOOST_TEST(peak_resident_bytes <= memory_megabytes * bytes_per_megabyte);
+    const auto result = play(daemon);
+    BOOST_TEST_MESSAGE(memory_megabytes << " MB: " << result.sent << " sent, "
+                                        << result.served_share << " served, resident "
+                                        << result.peak_resident_bytes / bytes_per_megabyte
+                                        << " MB");
+    BOOST_TEST(result.served_share >= min_served_share, memory_megabytes
+                                                            << " MB: " << result.served_share
+                                                            << " of " << result.sent << " served");
+    BOOST_TEST(result.peak_resident_bytes <= memory_megabytes * bytes_per_megabyte);
     BOOST_TEST(daemon.log().find("\"detail\":\"no answer, fault") != std::string::npos);
   }
 }
