--- a/src/dispatch/stop_plan.h
+++ b/src/dispatch/stop_plan.h
@@ -42,10 +42,9 @@
   ///         (stream or not), which starts with the stop, has not passed, and `may_send` permits
   ///         the request. True if no stop has begun.
   [[nodiscard]] bool accepts(const remaining_work& work, base::time_point now) const;
-  /// @return whether an accepted request may still be sent to a replica: its deadline is earlier
-  /// than
-  ///         the end of the stop, or it is expected to complete before, which is not enough for a
-  ///         request that runs at most once; true if no stop has begun.
+  /// @return whether an accepted request may still be sent to a replica: its deadline is before the
+  ///         end of the stop, or it is expected to complete before the end. A request that runs at
+  ///         most once needs the former. True if no stop has begun.
   [[nodiscard]] bool may_send(const remaining_work& work, base::time_point now) const;
 
  private:
