--- a/src/flow/answer_memory_reservation.h
+++ b/src/flow/answer_memory_reservation.h
@@ -32,8 +32,8 @@
   answer_memory_queue(const answer_memory_queue&) = delete;
   answer_memory_queue& operator=(const answer_memory_queue&) = delete;
 
-  /// @return maximum number of bytes of the answers that one replica is sending; the oldest of these
-  ///         answers may exceed it alone.
+  /// @return maximum number of bytes of the answers that one replica is sending. The oldest of them
+  ///         may exceed it alone.
   [[nodiscard]] std::size_t replica_share_bytes() const;
 
  private:
