An answer without a declared length may have a quarter of the budget

Change: two fractions, an eighth and a quarter. Together they stay below the limit of the bodies of new requests (half).

--- a/src/flow/answer_memory_reservation.cc
+++ b/src/flow/answer_memory_reservation.cc
@@ -6,9 +6,11 @@
 namespace spurrack::flow {
 namespace {
 
-/// Fraction of the budget that the answers which one replica is sending may hold. Twice this
-/// fraction, the share and an answer beyond it, leaves room for the bodies of new requests.
+/// Fraction of the budget that the answers which one replica is sending may hold, and fraction that
+/// one answer without a declared length may hold. Together they leave room for the bodies of new
+/// requests.
 constexpr double replica_share = 0.125;
+constexpr double undeclared_answer_share = 0.25;
 
 } // namespace
 
@@ -16,6 +18,11 @@
   return static_cast<std::size_t>(static_cast<double>(budget_->capacity()) * replica_share);
 }
 
+std::size_t answer_memory_queue::max_undeclared_bytes() const {
+  return static_cast<std::size_t>(static_cast<double>(budget_->capacity()) *
+                                  undeclared_answer_share);
+}
+
 bool answer_memory_queue::is_deadlocked() const {
   return waiting_bytes_ == budget_->held(byte_holder::gathered_answers);
 }
--- a/src/flow/answer_memory_reservation.h
+++ b/src/flow/answer_memory_reservation.h
@@ -35,6 +35,8 @@
   /// @return maximum number of bytes of the answers that one replica is sending. The oldest of them
   ///         may exceed it alone.
   [[nodiscard]] std::size_t replica_share_bytes() const;
+  /// @return maximum number of bytes of one answer that does not declare its length.
+  [[nodiscard]] std::size_t max_undeclared_bytes() const;
 
  private:
   friend class answer_memory_reservation;
--- a/src/upstream/answer_reader.cc
+++ b/src/upstream/answer_reader.cc
@@ -134,7 +134,7 @@
 }
 
 std::size_t answer_reader::max_undeclared_bytes() const {
-  return std::min(max_whole_answer_bytes, answer_queue_->replica_share_bytes());
+  return std::min(max_whole_answer_bytes, answer_queue_->max_undeclared_bytes());
 }
 
 asio::awaitable<bool> answer_reader::confirm_end(const std::shared_ptr<call_state>& state,
