Test of requests that are active at the end of a stop uses one that may be repeated

planned_stop_test/requests_active_at_the_stop_deadline_are_aborted failed in ctest since a stopping node refuses a request that may run only once unless its deadline is in time: it sent /unsafe/ with a time limit of 60 s during the stop. It plays /safe/ with the same times, counts and statuses; the cancelled call is the latest of the request, which may have moved to another replica. /unsafe/ has a case of its own: refused at once, nothing sent.

--- a/tests/node/planned_stop_test.cc
+++ b/tests/node/planned_stop_test.cc
@@ -55,16 +55,16 @@
 
 BOOST_AUTO_TEST_CASE(requests_active_at_the_stop_deadline_are_aborted) {
   for (base::caller_id client = 1; client <= 4; ++client) {
-    const auto call = deliver_request(client, "/unsafe/x");
+    const auto call = deliver_request(client, "/safe/x");
     advance_time(milliseconds(50));
     answer(call);
   }
   deliver(node::stop_requested{});
   advance_time(milliseconds(1'600));
   BOOST_REQUIRE(has_stopped());
-  // This request arrives after `stop_completed`, on a connection that is still open, and its
-  // replica does not answer.
-  const auto call = deliver_request(10, "/unsafe/x");
+  // This request arrives after `stop_completed`, on a connection that is still open, and no replica
+  // answers it.
+  deliver_request(10, "/safe/x");
   BOOST_TEST(serving_commands<serving::start_call>().size() == 5U);
   advance_time(milliseconds(5'600));
   BOOST_TEST(serving_commands<serving::respond>().size() == 4U);
@@ -72,7 +72,26 @@
   BOOST_REQUIRE(serving_commands<serving::respond>().size() == 5U);
   BOOST_TEST(serving_commands<serving::respond>().back().client == 10U);
   BOOST_TEST(serving_commands<serving::respond>().back().status == 504);
-  BOOST_TEST(serving_commands<serving::cancel_call>().back().call == call);
+  BOOST_TEST(serving_commands<serving::cancel_call>().back().call ==
+             serving_commands<serving::start_call>().back().call);
+}
+
+/// Guards against a request that may run only once, is sent after the stop has begun, and is
+/// aborted at its deadline.
+BOOST_AUTO_TEST_CASE(a_single_run_that_may_outlast_the_stop_is_refused_at_once) {
+  for (base::caller_id client = 1; client <= 4; ++client) {
+    const auto call = deliver_request(client, "/unsafe/x");
+    advance_time(milliseconds(50));
+    answer(call);
+  }
+  deliver(node::stop_requested{});
+  advance_time(milliseconds(1'600));
+  BOOST_REQUIRE(has_stopped());
+  deliver_request(10, "/unsafe/x");
+  BOOST_TEST(serving_commands<serving::start_call>().size() == 4U);
+  BOOST_REQUIRE(serving_commands<serving::respond>().size() == 5U);
+  BOOST_TEST(serving_commands<serving::respond>().back().client == 10U);
+  BOOST_TEST(serving_commands<serving::respond>().back().status == 503);
 }
 
 BOOST_AUTO_TEST_CASE(overlapping_requests_do_not_delay_a_stop) {
